--- /dev/null
+++ b/core/base/error.c
@@ -0,0 +1,3 @@
+#include "medlartrack/error.h"
+
+G_DEFINE_QUARK (mt - error - quark, mt_error)
--- /dev/null
+++ b/include/medlartrack/clock.h
@@ -0,0 +1,38 @@
+/* The injected clock. Nothing in the core asks the operating system for the time; tests pause and
+ * advance a manual clock. Any thread may read a clock; a manual one is advanced by its owner. */
+#ifndef MEDLARTRACK_CLOCK_H
+#define MEDLARTRACK_CLOCK_H
+
+#include <stdint.h>
+
+#define MT_MS     1000LL    /* microseconds in a millisecond */
+#define MT_SECOND 1000000LL /* microseconds in a second */
+
+struct mt_clock_ops
+{
+  const char *name;
+  const char *description;
+  int64_t (*now_us) (void *ctx);  /* never goes back; counts time spent suspended */
+  int64_t (*wall_us) (void *ctx); /* since the Unix epoch; may jump */
+};
+
+struct mt_clock
+{
+  const struct mt_clock_ops *ops;
+  void *ctx;
+};
+
+int64_t mt_clock_now (const struct mt_clock *clock);
+int64_t mt_clock_wall (const struct mt_clock *clock);
+
+/* The machine's own clock; static, never freed. */
+const struct mt_clock *mt_clock_system (void);
+
+/* A paused clock that stands at start_us until it is advanced. */
+struct mt_clock_manual;
+struct mt_clock_manual *mt_clock_manual_create (int64_t start_us);
+void mt_clock_manual_destroy (struct mt_clock_manual *manual);
+void mt_clock_manual_advance (struct mt_clock_manual *manual, int64_t by_us);
+const struct mt_clock *mt_clock_manual_clock (struct mt_clock_manual *manual);
+
+#endif
--- /dev/null
+++ b/include/medlartrack/event_list.h
@@ -0,0 +1,16 @@
+/* The catalogue of log events, included with MT_EVENT defined: id, name, level, text.
+ * 1xxx process, 2xxx request path, 3xxx at most once and platform, 4xxx tables,
+ * 5xxx membership, 6xxx control (assignment, waves, capacity), 7xxx jobs. */
+
+MT_EVENT (1001, STARTED, G_LOG_LEVEL_MESSAGE, "daemon is listening")
+MT_EVENT (1002, STOPPING, G_LOG_LEVEL_MESSAGE, "graceful stop began")
+MT_EVENT (1003, STOPPED, G_LOG_LEVEL_MESSAGE, "daemon stopped, nothing in flight")
+MT_EVENT (1004, START_FAILED, G_LOG_LEVEL_CRITICAL, "daemon could not start")
+
+MT_EVENT (2001, REQUEST_UNKNOWN, G_LOG_LEVEL_WARNING, "a request ended with an unknown outcome")
+
+MT_EVENT (3001, PLATFORM_UNREACHABLE, G_LOG_LEVEL_WARNING, "the platform's service does not answer")
+MT_EVENT (3002, PLATFORM_BACK, G_LOG_LEVEL_MESSAGE, "the platform's service answers again")
+
+MT_EVENT (4001, TABLES_IN_FORCE, G_LOG_LEVEL_MESSAGE, "a version of the tables is in force")
+MT_EVENT (4002, TABLES_REFUSED, G_LOG_LEVEL_WARNING, "a version of the tables was not taken")
--- /dev/null
+++ b/include/medlartrack/log.h
@@ -0,0 +1,39 @@
+/* Numbered log events over GLib's structured logging. The catalogue is event_list.h; a test holds
+ * docs/EVENTS.md to it. Any thread may log. */
+#ifndef MEDLARTRACK_LOG_H
+#define MEDLARTRACK_LOG_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+enum mt_event
+{
+#define MT_EVENT(id, name, level, text) MT_EVENT_##name = (id),
+#include "medlartrack/event_list.h"
+#undef MT_EVENT
+};
+
+struct mt_event_info
+{
+  int id;
+  const char *name;
+  GLogLevelFlags level;
+  const char *text;
+};
+
+/* The whole catalogue, ended by an entry with id 0. */
+const struct mt_event_info *mt_event_catalogue (void);
+
+enum mt_log_format
+{
+  MT_LOG_HUMAN,
+  MT_LOG_JSON,
+};
+
+/* Installs the writer, once, before threads start. Lines go to standard error. */
+void mt_log_setup (enum mt_log_format format, const char *process_name);
+
+/* Logs one event. detail is printf-like "key=value ..." text; NULL for none. */
+void mt_log_event (enum mt_event event, const char *detail, ...) G_GNUC_PRINTF (2, 3);
+
+#endif
--- /dev/null
+++ b/include/medlartrack/tables.h
@@ -0,0 +1,91 @@
+/* The operators' two tables, routes and pools, accepted as one version.
+ *
+ * A mt_tables is immutable once parsed, so any thread may read it; whoever parsed it owns it and
+ * frees it with mt_tables_destroy. All strings inside are NUL-terminated and live as long as it. */
+#ifndef MEDLARTRACK_TABLES_H
+#define MEDLARTRACK_TABLES_H
+
+#include "medlartrack/str.h"
+
+#include <glib.h>
+#include <stdint.h>
+
+#define MT_TABLES_KEY       "medlartrack/tables"
+#define MT_TABLES_MAX_BYTES (1000 * 1000) /* the platform's value limit is a megabyte */
+
+enum mt_repeat
+{
+  MT_REPEAT_SAFE,  /* idempotent: may be sent again to another minion */
+  MT_REPEAT_NEVER, /* runs at most once; the caller must send an idempotency key */
+};
+
+struct mt_route
+{
+  struct mt_str name;
+  struct mt_str method;          /* "*" for any */
+  struct mt_str path;            /* prefix, matched at a '/' boundary; the longest wins */
+  struct mt_str pool;            /* names a row of the pools table */
+  struct mt_str audience_header; /* whose value tells audiences apart; fairness is between them */
+  enum mt_repeat repeat;
+  unsigned deadline_ms;
+  unsigned queue; /* most requests waiting per daemon */
+};
+
+struct mt_instance
+{
+  struct mt_str name;
+  struct mt_str address; /* IP:PORT */
+  struct mt_str zone;    /* data centre */
+  struct mt_str rack;
+  unsigned slots;
+  unsigned connections;
+  bool leaving; /* the operator wants it out */
+};
+
+struct mt_wave
+{
+  struct mt_str id;       /* empty: no wave is declared. A new id starts a new wave */
+  bool stopped;           /* the operator holds it */
+  unsigned drain_limit_s; /* an instance still draining after this is skipped and reported */
+};
+
+struct mt_pool
+{
+  struct mt_str name;
+  struct mt_str service;
+  bool spare;             /* the reserve that other pools borrow from */
+  unsigned min_instances; /* per data centre, never fewer serving by plan */
+  unsigned max_instances; /* per data centre; 0: no limit */
+  unsigned
+      max_unavailable;  /* per data centre: the service's availability budget, unplanned included */
+  double move_weight;   /* cost of one move */
+  double buffer_weight; /* cost of one idle instance held for one hour */
+  struct mt_wave wave;
+  struct mt_instance *instances;
+  size_t n_instances;
+};
+
+struct mt_tables
+{
+  uint64_t version; /* grows by one with each accepted edit */
+  struct mt_str id; /* unique for each write, to recognise one's own after a lost answer */
+  struct mt_route *routes;
+  size_t n_routes;
+  struct mt_pool *pools;
+  size_t n_pools;
+};
+
+/* Parses and checks the whole document; NULL with a MT_ERROR_SYNTAX or MT_ERROR_TABLES error that
+ * names table, row, column, value, limit and remedy. */
+struct mt_tables *mt_tables_parse (struct mt_str json, GError **error);
+void mt_tables_destroy (struct mt_tables *tables);
+
+/* The document as JSON text in canonical order, with this version and id written in; g_free it. */
+char *mt_tables_format (const struct mt_tables *tables, uint64_t version, const char *id);
+
+const struct mt_pool *mt_tables_pool (const struct mt_tables *tables, struct mt_str name);
+/* The route for a request, or NULL. */
+const struct mt_route *
+mt_tables_route (const struct mt_tables *tables, struct mt_str method, struct mt_str path);
+
+#endif
