daemon: serve a request from end to end through separate processes

The thin whole path: medlartrackd takes requests over libmicrohttpd, resolves route, pool and minion from tables read under liburcu, and calls the minion over neon; medlartrackctl checks and accepts both tables by one compare-and-swap; stand-ins for the platform and a minion; tools/demo runs it all. Headers for the parts to come (peer frames, membership, claims) are agreed here, not yet built. Not proved yet: at most once across daemons, slots shared among daemons, drains under races.

--- /dev/null
+++ b/core/config/fields.c
@@ -0,0 +1,212 @@
+#include "fields.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#define MAX_TEXT_BYTES  200
+#define MAX_SHOWN_BYTES 80
+
+bool
+mt_fields_refuse (GError **error,
+                  struct mt_field_place place,
+                  const char *key,
+                  const json_t *found,
+                  const char *remedy)
+{
+  char *text = found != NULL ? json_dumps (found, JSON_ENCODE_ANY | JSON_COMPACT) : NULL;
+  g_autofree char *shown = g_strndup (text != NULL ? text : "nothing", MAX_SHOWN_BYTES);
+  g_autofree char *valid = g_utf8_make_valid (shown, -1);
+
+  free (text);
+  g_set_error (error, MT_ERROR, (gint) place.code, "%s, %s: found %s; %s", place.where, key, valid,
+               remedy);
+  return false;
+}
+
+static bool
+read_text (const void *owner,
+           const json_t *value,
+           const struct mt_field *field,
+           struct mt_field_place place,
+           struct mt_str *out,
+           GError **error)
+{
+  size_t len = json_string_length (value);
+
+  if (value == NULL)
+    {
+      *out = mt_str_from (field->text != NULL ? field->text : "");
+      return true;
+    }
+  if (!json_is_string (value) || len == 0 || len > MAX_TEXT_BYTES)
+    return mt_fields_refuse (error, place, field->name, value, "write a text of 1 to 200 bytes");
+  if (strlen (json_string_value (value)) != len)
+    return mt_fields_refuse (error, place, field->name, value, "remove the NUL byte");
+  out->data = talloc_strndup (owner, json_string_value (value), len);
+  out->len = len;
+  return true;
+}
+
+static bool
+read_number (const json_t *value,
+             const struct mt_field *field,
+             struct mt_field_place place,
+             double *out,
+             GError **error)
+{
+  bool whole = field->kind == MT_FIELD_COUNT;
+  bool right_type = whole ? json_is_integer (value) : json_is_number (value);
+  g_autofree char *remedy = NULL;
+
+  *out = value != NULL ? json_number_value (value) : field->fallback;
+  if (value == NULL || (right_type && *out >= field->min && *out <= field->max))
+    return true;
+  remedy = g_strdup_printf ("write a %s from %.10g to %.10g", whole ? "whole number" : "number",
+                            field->min, field->max);
+  return mt_fields_refuse (error, place, field->name, value, remedy);
+}
+
+static bool
+read_choice (const json_t *value,
+             const struct mt_field *field,
+             struct mt_field_place place,
+             int *out,
+             GError **error)
+{
+  g_autofree char *all = NULL;
+  g_autofree char *remedy = NULL;
+
+  *out = (int) field->fallback;
+  if (value == NULL)
+    return true;
+  for (int i = 0; json_is_string (value) && field->choices[i] != NULL; i++)
+    if (strcmp (field->choices[i], json_string_value (value)) == 0)
+      {
+        *out = i;
+        return true;
+      }
+  all = g_strjoinv ("\", \"", (gchar **) field->choices);
+  remedy = g_strdup_printf ("write one of \"%s\"", all);
+  return mt_fields_refuse (error, place, field->name, value, remedy);
+}
+
+static bool
+read_field (const void *owner,
+            void *row,
+            const json_t *value,
+            const struct mt_field *field,
+            struct mt_field_place place,
+            GError **error)
+{
+  void *at = (char *) row + field->offset;
+  double number;
+
+  if (value == NULL && field->required)
+    return mt_fields_refuse (error, place, field->name, NULL, "it is required");
+  switch (field->kind)
+    {
+    case MT_FIELD_TEXT:
+      return read_text (owner, value, field, place, at, error);
+    case MT_FIELD_COUNT:
+      if (!read_number (value, field, place, &number, error))
+        return false;
+      *(unsigned *) at = (unsigned) number;
+      return true;
+    case MT_FIELD_WEIGHT:
+      return read_number (value, field, place, at, error);
+    case MT_FIELD_FLAG:
+      if (value != NULL && !json_is_boolean (value))
+        return mt_fields_refuse (error, place, field->name, value, "write true or false");
+      *(bool *) at = json_is_true (value);
+      return true;
+    case MT_FIELD_CHOICE:
+      return read_choice (value, field, place, at, error);
+    }
+  return false;
+}
+
+static bool
+is_known (const struct mt_field *fields, const char *const *nested, const char *name)
+{
+  for (; fields->name != NULL; fields++)
+    if (strcmp (fields->name, name) == 0)
+      return true;
+  return nested != NULL && g_strv_contains (nested, name);
+}
+
+bool
+mt_fields_read (const void *owner,
+                void *row,
+                const json_t *object,
+                const struct mt_field *fields,
+                const char *const *nested,
+                struct mt_field_place place,
+                GError **error)
+{
+  const char *name;
+  json_t *value;
+
+  if (!json_is_object (object))
+    return mt_fields_refuse (error, place, "(whole)", object, "write an object");
+  json_object_foreach ((json_t *) object, name, value)
+  {
+    if (!is_known (fields, nested, name))
+      return mt_fields_refuse (error, place, name, value,
+                               "no such key; remove it or mend its name");
+  }
+  for (const struct mt_field *f = fields; f->name != NULL; f++)
+    if (!read_field (owner, row, json_object_get (object, f->name), f, place, error))
+      return false;
+  return true;
+}
+
+static json_t *
+write_field (const void *at, const struct mt_field *field)
+{
+  const struct mt_str *text = at;
+
+  switch (field->kind)
+    {
+    case MT_FIELD_TEXT:
+      return json_stringn (text->data, text->len);
+    case MT_FIELD_COUNT:
+      return json_integer (*(const unsigned *) at);
+    case MT_FIELD_WEIGHT:
+      return json_real (*(const double *) at);
+    case MT_FIELD_FLAG:
+      return json_boolean (*(const bool *) at);
+    case MT_FIELD_CHOICE:
+      return json_string (field->choices[*(const int *) at]);
+    }
+  return json_null ();
+}
+
+json_t *
+mt_fields_write (const void *row, const struct mt_field *fields)
+{
+  json_t *out = json_object ();
+
+  for (const struct mt_field *f = fields; f->name != NULL; f++)
+    {
+      const struct mt_str *text = (const void *) ((const char *) row + f->offset);
+
+      /* An absent optional text reads back as absent; an empty one would be refused. */
+      if (f->kind == MT_FIELD_TEXT && text->len == 0)
+        continue;
+      json_object_set_new (out, f->name, write_field (text, f));
+    }
+  return out;
+}
+
+json_t *
+mt_fields_load (struct mt_str json, struct mt_field_place place, GError **error)
+{
+  json_error_t at;
+  json_t *root = json_loadb (json.data, json.len, JSON_REJECT_DUPLICATES, &at);
+
+  if (root == NULL)
+    g_set_error (error, MT_ERROR, MT_ERROR_SYNTAX,
+                 "%s, line %d, column %d: %s; mend the JSON there", place.where, at.line, at.column,
+                 at.text);
+  return root;
+}
--- /dev/null
+++ b/ctl/main.c
@@ -0,0 +1,111 @@
+#include "commands.h"
+
+#include "platform.h"
+
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define CALL_US (5 * MT_SECOND)
+
+struct arguments
+{
+  const char *platform;
+  const char *command;
+  const char *argument;
+};
+
+const char *argp_program_version = "medlartrackctl 0.1.0";
+
+static const struct argp_option options[] = {
+  { "platform", 'p', "IP:PORT", 0, "The platform's key-value service", 0 },
+  { 0 },
+};
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  struct arguments *arguments = state->input;
+
+  switch (key)
+    {
+    case 'p':
+      arguments->platform = arg;
+      return 0;
+    case ARGP_KEY_ARG:
+      if (arguments->command == NULL)
+        arguments->command = arg;
+      else if (arguments->argument == NULL)
+        arguments->argument = arg;
+      else
+        argp_error (state, "too many arguments: \"%s\"", arg);
+      return 0;
+    case ARGP_KEY_END:
+      if (arguments->command == NULL)
+        argp_error (state, "name a command; --help lists them");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct mt_command *
+find_command (const char *name)
+{
+  for (const struct mt_command *c = mt_commands (); c->name != NULL; c++)
+    if (strcmp (c->name, name) == 0)
+      return c;
+  return NULL;
+}
+
+static char *
+describe_commands (void)
+{
+  GString *text = g_string_new ("Edits and shows the operators' two tables.\vCommands:\n");
+
+  for (const struct mt_command *c = mt_commands (); c->name != NULL; c++)
+    g_string_append_printf (text, "  %s %s - %s\n", c->name, c->argument != NULL ? c->argument : "",
+                            c->description);
+  return g_string_free (text, FALSE);
+}
+
+static int
+run (const struct mt_command *command, const struct arguments *arguments)
+{
+  struct mt_http_client *client = mt_http_client_create (mt_clock_system ());
+  struct mt_platform *platform
+      = mt_platform_create (client, mt_clock_system (), arguments->platform, CALL_US);
+  struct mt_command_context context = { mt_platform_store (platform) };
+  int code = command->run (&context, arguments->argument);
+
+  mt_platform_destroy (platform);
+  mt_http_client_destroy (client);
+  return code;
+}
+
+int
+main (int argc, char **argv)
+{
+  g_autofree char *doc = describe_commands ();
+  struct argp argp = { options, parse_option, "COMMAND [ARGUMENT]", doc, NULL, NULL, NULL };
+  struct arguments arguments = { .platform = "127.0.0.1:8500" };
+  const struct mt_command *command;
+
+  signal (SIGPIPE, SIG_IGN);
+  argp_err_exit_status = MT_EXIT_USAGE;
+  argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+  command = find_command (arguments.command);
+  if (command == NULL)
+    {
+      fprintf (stderr, "medlartrackctl: no command \"%s\"; --help lists them\n", arguments.command);
+      return MT_EXIT_USAGE;
+    }
+  if ((command->argument != NULL) != (arguments.argument != NULL))
+    {
+      fprintf (stderr, "medlartrackctl: %s takes %s\n", command->name,
+               command->argument != NULL ? command->argument : "no argument");
+      return MT_EXIT_USAGE;
+    }
+  return run (command, &arguments);
+}
--- /dev/null
+++ b/daemon/claims.h
@@ -0,0 +1,48 @@
+/* At most once across daemons: a key is claimed durably before its request is sent to a minion.
+ * Any thread may call; take blocks until the claim is committed or given up. */
+#ifndef MT_CLAIMS_H
+#define MT_CLAIMS_H
+
+#include "medlartrack/str.h"
+
+#include <stdint.h>
+
+struct mt_claims;
+
+enum mt_claim_result
+{
+  MT_CLAIM_GRANTED,     /* this attempt, and no other, may send the request */
+  MT_CLAIM_RUNNING,     /* another attempt holds the key and has not ended */
+  MT_CLAIM_DONE,        /* another attempt got a whole answer; its status is told */
+  MT_CLAIM_LOST,        /* another attempt ended with an unknown outcome */
+  MT_CLAIM_EXPIRED,     /* the key is older than claims are kept: can't tell */
+  MT_CLAIM_UNAVAILABLE, /* could not be committed in time: not run by this attempt */
+};
+
+/* How an attempt that was granted ended. */
+enum mt_claim_end
+{
+  MT_CLAIM_END_DONE,    /* whole answer, with its status */
+  MT_CLAIM_END_NOT_RUN, /* never sent: the key is free again */
+  MT_CLAIM_END_LOST,    /* sent, outcome unknown */
+};
+
+struct mt_claim
+{
+  uint64_t key[2];     /* hash of route and idempotency key */
+  uint64_t attempt[2]; /* unique to this attempt */
+  int status;          /* of the earlier answer, for MT_CLAIM_DONE */
+};
+
+enum mt_claim_result mt_claims_take (struct mt_claims *claims,
+                                     struct mt_str route,
+                                     struct mt_str key,
+                                     int64_t deadline_us,
+                                     struct mt_claim *claim);
+/* Records the end of a granted claim; does not wait. */
+void mt_claims_end (struct mt_claims *claims,
+                    const struct mt_claim *claim,
+                    enum mt_claim_end end,
+                    int status);
+
+#endif
--- /dev/null
+++ b/daemon/front.h
@@ -0,0 +1,27 @@
+/* The request path: a caller's request in, one typed answer out. Runs in the connection's thread.
+ */
+#ifndef MT_FRONT_H
+#define MT_FRONT_H
+
+#include "counters.h"
+#include "http_server.h"
+#include "pools.h"
+
+struct mt_front;
+
+struct mt_front_options
+{
+  const struct mt_clock *clock;
+  struct mt_view_holder *views;
+  struct mt_pools *pools;
+  struct mt_http_client *client;
+  struct mt_counters *counters;
+  size_t answer_bytes;
+};
+
+struct mt_front *mt_front_create (const struct mt_front_options *options);
+void mt_front_destroy (struct mt_front *front);
+/* For mt_http_server_options.handle. */
+void mt_front_handle (void *ctx, struct mt_http_request *request);
+
+#endif
--- /dev/null
+++ b/daemon/pools.c
@@ -0,0 +1,260 @@
+#include "pools.h"
+
+struct pool
+{
+  GMutex lock; /* guards dispatch and all slots of the pool */
+  struct mt_dispatch *dispatch;
+};
+
+struct mt_pools
+{
+  const struct mt_clock *clock;
+  struct mt_view_holder *views;
+  char *zone;
+  GRWLock lock;        /* guards the map; a pool in it lives until mt_pools_destroy */
+  GHashTable *by_name; /* name -> struct pool */
+};
+
+enum slot_state
+{
+  SLOT_WAITING,
+  SLOT_GRANTED,
+  SLOT_EXPIRED,
+};
+
+struct mt_slot
+{
+  struct pool *pool;
+  struct mt_ticket ticket; /* guarded by the pool's lock until granted */
+  enum slot_state state;   /* guarded by the pool's lock */
+  GCond changed;
+};
+
+static void
+on_granted (struct mt_ticket *ticket)
+{
+  struct mt_slot *slot = ticket->owner;
+
+  slot->state = SLOT_GRANTED;
+  g_cond_signal (&slot->changed);
+}
+
+static void
+on_expired (struct mt_ticket *ticket)
+{
+  struct mt_slot *slot = ticket->owner;
+
+  slot->state = SLOT_EXPIRED;
+  g_cond_signal (&slot->changed);
+}
+
+static const struct mt_dispatch_callbacks wake_waiter = {
+  .name = "wake-waiter",
+  .description = "wakes the connection's thread that waits for the slot",
+  .granted = on_granted,
+  .expired = on_expired,
+};
+
+static void
+free_pool (gpointer data)
+{
+  struct pool *pool = data;
+
+  mt_dispatch_destroy (pool->dispatch);
+  g_mutex_clear (&pool->lock);
+  g_free (pool);
+}
+
+struct mt_pools *
+mt_pools_create (const struct mt_clock *clock, struct mt_view_holder *views, const char *zone)
+{
+  struct mt_pools *pools = g_new0 (struct mt_pools, 1);
+
+  pools->clock = clock;
+  pools->views = views;
+  pools->zone = g_strdup (zone);
+  g_rw_lock_init (&pools->lock);
+  pools->by_name = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_pool);
+  return pools;
+}
+
+void
+mt_pools_destroy (struct mt_pools *pools)
+{
+  if (pools == NULL)
+    return;
+  g_hash_table_destroy (pools->by_name);
+  g_rw_lock_clear (&pools->lock);
+  g_free (pools->zone);
+  g_free (pools);
+}
+
+static struct pool *
+find_pool (struct mt_pools *pools, const char *name)
+{
+  struct pool *pool;
+
+  g_rw_lock_reader_lock (&pools->lock);
+  pool = g_hash_table_lookup (pools->by_name, name);
+  g_rw_lock_reader_unlock (&pools->lock);
+  return pool;
+}
+
+static struct pool *
+make_pool (struct mt_pools *pools, const char *name)
+{
+  struct pool *pool = find_pool (pools, name);
+
+  if (pool != NULL)
+    return pool;
+  pool = g_new0 (struct pool, 1);
+  g_mutex_init (&pool->lock);
+  pool->dispatch = mt_dispatch_create (pools->clock, &wake_waiter);
+  g_rw_lock_writer_lock (&pools->lock);
+  g_hash_table_insert (pools->by_name, g_strdup (name), pool);
+  g_rw_lock_writer_unlock (&pools->lock);
+  return pool;
+}
+
+static void
+refresh_pool (struct mt_pools *pools, struct pool *pool, const struct mt_pool *row)
+{
+  g_autoptr (GPtrArray) mine = g_ptr_array_new ();
+
+  /* Each data centre serves from its own minions; a cut between them then cuts no request. */
+  for (size_t i = 0; row != NULL && i < row->n_instances; i++)
+    if (mt_str_equal (row->instances[i].zone, mt_str_from (pools->zone)))
+      g_ptr_array_add (mine, &row->instances[i]);
+  g_mutex_lock (&pool->lock);
+  mt_dispatch_update (pool->dispatch, (const struct mt_instance *const *) mine->pdata, mine->len);
+  g_mutex_unlock (&pool->lock);
+}
+
+void
+mt_pools_refresh (void *ctx)
+{
+  struct mt_pools *pools = ctx;
+  const struct mt_tables *tables = mt_view_begin (pools->views);
+  GHashTableIter iter;
+  gpointer name;
+  gpointer pool;
+
+  for (size_t i = 0; tables != NULL && i < tables->n_pools; i++)
+    make_pool (pools, tables->pools[i].name.data);
+  g_rw_lock_reader_lock (&pools->lock);
+  g_hash_table_iter_init (&iter, pools->by_name);
+  while (tables != NULL && g_hash_table_iter_next (&iter, &name, &pool))
+    refresh_pool (pools, pool, mt_tables_pool (tables, mt_str_from (name)));
+  g_rw_lock_reader_unlock (&pools->lock);
+  mt_view_end ();
+}
+
+static void
+free_slot (struct mt_slot *slot)
+{
+  g_cond_clear (&slot->changed);
+  g_free (slot);
+}
+
+/* The pool's lock is held. */
+static void
+wait_for_grant (const struct mt_pools *pools, struct mt_slot *slot)
+{
+  while (slot->state == SLOT_WAITING)
+    {
+      int64_t left = slot->ticket.deadline_us - mt_clock_now (pools->clock);
+
+      if (left <= 0
+          || !g_cond_wait_until (&slot->changed, &slot->pool->lock, g_get_monotonic_time () + left))
+        break;
+    }
+  if (slot->state == SLOT_WAITING)
+    {
+      mt_dispatch_cancel (slot->pool->dispatch, &slot->ticket);
+      slot->state = SLOT_EXPIRED;
+    }
+}
+
+enum mt_slot_result
+mt_pools_take (struct mt_pools *pools, const struct mt_slot_request *request, struct mt_slot **out)
+{
+  struct pool *pool = find_pool (pools, request->pool);
+  struct mt_slot *slot;
+  enum mt_slot_result result = MT_SLOT_GRANTED;
+
+  if (pool == NULL)
+    return MT_SLOT_NO_POOL;
+  slot = g_new0 (struct mt_slot, 1);
+  slot->pool = pool;
+  g_cond_init (&slot->changed);
+  slot->ticket.audience = request->audience;
+  slot->ticket.deadline_us = request->deadline_us;
+  slot->ticket.avoid = request->avoid;
+  slot->ticket.owner = slot;
+  g_mutex_lock (&pool->lock);
+  switch (mt_dispatch_ask (pool->dispatch, &slot->ticket, request->queue_limit))
+    {
+    case MT_ADMIT_RUN:
+      break;
+    case MT_ADMIT_REFUSE:
+      result = MT_SLOT_QUEUE_FULL;
+      break;
+    case MT_ADMIT_WAIT:
+      wait_for_grant (pools, slot);
+      if (slot->state == SLOT_EXPIRED)
+        result = MT_SLOT_EXPIRED;
+      break;
+    }
+  g_mutex_unlock (&pool->lock);
+  if (result == MT_SLOT_GRANTED)
+    *out = slot;
+  else
+    free_slot (slot);
+  return result;
+}
+
+const char *
+mt_slot_minion (const struct mt_slot *slot)
+{
+  return slot->ticket.minion;
+}
+
+const char *
+mt_slot_address (const struct mt_slot *slot)
+{
+  return slot->ticket.address;
+}
+
+void
+mt_slot_give_back (struct mt_slot *slot, enum mt_dispatch_result result)
+{
+  struct pool *pool = slot->pool;
+
+  g_mutex_lock (&pool->lock);
+  mt_dispatch_done (pool->dispatch, &slot->ticket, result);
+  g_mutex_unlock (&pool->lock);
+  free_slot (slot);
+}
+
+void
+mt_pools_dump (struct mt_pools *pools, json_t *out)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+
+  g_rw_lock_reader_lock (&pools->lock);
+  g_hash_table_iter_init (&iter, pools->by_name);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      struct pool *pool = value;
+
+      g_mutex_lock (&pool->lock);
+      json_object_set_new (out, name,
+                           json_pack ("{si si}", "waiting",
+                                      (int) mt_dispatch_waiting (pool->dispatch), "in_flight",
+                                      (int) mt_dispatch_in_flight (pool->dispatch, NULL)));
+      g_mutex_unlock (&pool->lock);
+    }
+  g_rw_lock_reader_unlock (&pools->lock);
+}
--- /dev/null
+++ b/daemon/view.c
@@ -0,0 +1,112 @@
+#include "view.h"
+
+#include "medlartrack/log.h"
+
+#include <urcu-bp.h>
+
+#define MAX_LISTENERS 8
+
+struct listener
+{
+  mt_view_listener call;
+  void *ctx;
+};
+
+struct mt_view_holder
+{
+  const struct mt_clock *clock;
+  struct listener listeners[MAX_LISTENERS]; /* written before threads start */
+  unsigned n_listeners;
+  GMutex lock;              /* between writers */
+  struct mt_tables *tables; /* written under lock, read under urcu */
+  gint64 confirmed_us;      /* atomic */
+};
+
+struct mt_view_holder *
+mt_view_holder_create (const struct mt_clock *clock)
+{
+  struct mt_view_holder *holder = g_new0 (struct mt_view_holder, 1);
+
+  holder->clock = clock;
+  g_mutex_init (&holder->lock);
+  return holder;
+}
+
+void
+mt_view_holder_destroy (struct mt_view_holder *holder)
+{
+  if (holder == NULL)
+    return;
+  mt_tables_destroy (holder->tables);
+  g_mutex_clear (&holder->lock);
+  g_free (holder);
+}
+
+void
+mt_view_listen (struct mt_view_holder *holder, mt_view_listener listener, void *ctx)
+{
+  g_assert (holder->n_listeners < MAX_LISTENERS);
+  holder->listeners[holder->n_listeners++] = (struct listener){ listener, ctx };
+}
+
+void
+mt_view_confirm (struct mt_view_holder *holder)
+{
+  __atomic_store_n (&holder->confirmed_us, mt_clock_now (holder->clock), __ATOMIC_RELAXED);
+}
+
+bool
+mt_view_offer (struct mt_view_holder *holder, struct mt_tables *tables)
+{
+  struct mt_tables *old;
+
+  g_mutex_lock (&holder->lock);
+  old = holder->tables;
+  if (old != NULL && tables->version <= old->version)
+    {
+      g_mutex_unlock (&holder->lock);
+      mt_tables_destroy (tables);
+      return false;
+    }
+  rcu_assign_pointer (holder->tables, tables);
+  mt_view_confirm (holder);
+  g_mutex_unlock (&holder->lock);
+  synchronize_rcu ();
+  mt_log_event (MT_EVENT_TABLES_IN_FORCE, "version=%" G_GUINT64_FORMAT " id=%s", tables->version,
+                tables->id.data);
+  mt_tables_destroy (old);
+  for (unsigned i = 0; i < holder->n_listeners; i++)
+    holder->listeners[i].call (holder->listeners[i].ctx);
+  return true;
+}
+
+const struct mt_tables *
+mt_view_begin (const struct mt_view_holder *holder)
+{
+  rcu_read_lock ();
+  return rcu_dereference (holder->tables);
+}
+
+void
+mt_view_end (void)
+{
+  rcu_read_unlock ();
+}
+
+uint64_t
+mt_view_version (const struct mt_view_holder *holder)
+{
+  const struct mt_tables *tables = mt_view_begin (holder);
+  uint64_t version = tables != NULL ? tables->version : 0;
+
+  mt_view_end ();
+  return version;
+}
+
+int64_t
+mt_view_age_us (const struct mt_view_holder *holder)
+{
+  int64_t at = __atomic_load_n (&holder->confirmed_us, __ATOMIC_RELAXED);
+
+  return at == 0 ? -1 : mt_clock_now (holder->clock) - at;
+}
--- /dev/null
+++ b/net/http_server.c
@@ -0,0 +1,249 @@
+#include "http_server.h"
+
+#include "address.h"
+#include "medlartrack/error.h"
+
+#include <microhttpd.h>
+#include <string.h>
+#include <unistd.h>
+
+#define MAX_REQUEST_HEADERS 64
+#define CONNECTION_MEMORY   (32 * 1024) /* request line and headers; beyond it 431 */
+#define THREAD_STACK        (256 * 1024)
+
+struct mt_http_server
+{
+  struct mt_http_server_options options;
+  struct MHD_Daemon *mhd;
+  unsigned port;
+  gint active;   /* atomic */
+  gint quiesced; /* atomic */
+};
+
+/* One request on its way in; belongs to its connection's thread. */
+struct incoming
+{
+  struct mt_http_request request;
+  GString *body;
+  bool too_long;
+  bool refused;
+};
+
+struct header_sink
+{
+  struct incoming *in;
+  bool overflow;
+};
+
+static enum MHD_Result
+take_header (void *ctx, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+  struct header_sink *sink = ctx;
+  struct mt_http_request *request = &sink->in->request;
+  struct mt_http_header *header;
+
+  if (request->n_headers == MAX_REQUEST_HEADERS)
+    {
+      sink->overflow = true;
+      return MHD_NO;
+    }
+  header = &request->headers[request->n_headers++];
+  header->name = mt_arena_dup (request->arena, mt_str_from (name));
+  header->value = mt_arena_dup (request->arena, mt_str_from (value != NULL ? value : ""));
+  return MHD_YES;
+}
+
+/* Called before the URI is split, so that the query reaches the minion as it was sent. */
+static void *
+begin_request (void *ctx, const char *uri, struct MHD_Connection *connection)
+{
+  struct mt_http_server *server = ctx;
+  struct incoming *in = g_new0 (struct incoming, 1);
+
+  in->request.arena = mt_arena_create (server->options.request_memory);
+  in->request.path = mt_arena_dup (in->request.arena, mt_str_from (uri));
+  in->body = g_string_new (NULL);
+  return in;
+}
+
+static void
+end_request (void *ctx,
+             struct MHD_Connection *connection,
+             void **con_cls,
+             enum MHD_RequestTerminationCode how)
+{
+  struct incoming *in = *con_cls;
+
+  if (in == NULL)
+    return;
+  g_string_free (in->body, TRUE);
+  mt_arena_destroy (in->request.arena);
+  g_free (in);
+  *con_cls = NULL;
+}
+
+static enum MHD_Result
+send_answer (struct mt_http_server *server,
+             struct MHD_Connection *connection,
+             const struct mt_http_answer *answer)
+{
+  struct MHD_Response *response;
+  enum MHD_Result result;
+
+  if (answer->status == MT_HTTP_DROP)
+    return MHD_NO;
+  response = MHD_create_response_from_buffer (answer->body.len, (void *) answer->body.data,
+                                              MHD_RESPMEM_MUST_COPY);
+  for (size_t i = 0; i < answer->n_headers; i++)
+    MHD_add_response_header (response, answer->headers[i].name.data, answer->headers[i].value.data);
+  if (g_atomic_int_get (&server->quiesced))
+    MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+  result = MHD_queue_response (connection, (unsigned) answer->status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static enum MHD_Result
+refuse (struct mt_http_server *server,
+        struct MHD_Connection *connection,
+        struct incoming *in,
+        int status,
+        const char *reason)
+{
+  g_autofree char *body = g_strdup_printf ("{\"outcome\":\"not-run\",\"reason\":\"%s\"}\n", reason);
+  struct mt_http_header headers[] = {
+    { MT_STR ("Content-Type"), MT_STR ("application/json") },
+    { MT_STR ("Medlartrack-Outcome"), MT_STR ("not-run") },
+    { MT_STR ("Connection"), MT_STR ("close") },
+  };
+  struct mt_http_answer answer = { status, headers, G_N_ELEMENTS (headers), mt_str_from (body) };
+
+  in->refused = true;
+  return send_answer (server, connection, &answer);
+}
+
+static enum MHD_Result
+begin_headers (struct mt_http_server *server,
+               struct MHD_Connection *connection,
+               struct incoming *in,
+               const char *method)
+{
+  struct mt_http_request *request = &in->request;
+  struct header_sink sink = { in, false };
+  struct mt_str length;
+  unsigned long long bytes = 0;
+
+  request->method = mt_arena_dup (request->arena, mt_str_from (method));
+  request->headers
+      = mt_arena_alloc (request->arena, MAX_REQUEST_HEADERS * sizeof *request->headers);
+  if (request->headers == NULL)
+    return MHD_NO;
+  MHD_get_connection_values (connection, MHD_HEADER_KIND, take_header, &sink);
+  if (sink.overflow)
+    return refuse (server, connection, in, 431, "too many headers; send 64 at most");
+  length = mt_http_header_find (request->headers, request->n_headers, MT_STR ("Content-Length"));
+  if (length.data != NULL
+      && (!mt_str_to_u64 (length, &bytes) || bytes > server->options.body_bytes))
+    return refuse (server, connection, in, 413, "body too long; see limits.body_bytes");
+  return MHD_YES;
+}
+
+static enum MHD_Result
+on_request (void *ctx,
+            struct MHD_Connection *connection,
+            const char *url,
+            const char *method,
+            const char *version,
+            const char *upload,
+            size_t *upload_size,
+            void **con_cls)
+{
+  struct mt_http_server *server = ctx;
+  struct incoming *in = *con_cls;
+
+  if (in->refused)
+    {
+      *upload_size = 0;
+      return MHD_YES;
+    }
+  if (in->request.method.data == NULL)
+    return begin_headers (server, connection, in, method);
+  if (*upload_size > 0)
+    {
+      if (in->body->len + *upload_size > server->options.body_bytes)
+        in->too_long = true;
+      else
+        g_string_append_len (in->body, upload, (gssize) *upload_size);
+      *upload_size = 0;
+      return MHD_YES;
+    }
+  if (in->too_long)
+    return refuse (server, connection, in, 413, "body too long; see limits.body_bytes");
+  in->request.body = (struct mt_str){ in->body->str, in->body->len };
+  g_atomic_int_inc (&server->active);
+  server->options.handle (server->options.ctx, &in->request);
+  g_atomic_int_add (&server->active, -1);
+  return send_answer (server, connection, &in->request.answer);
+}
+
+struct mt_http_server *
+mt_http_server_create (const struct mt_http_server_options *options, GError **error)
+{
+  struct mt_http_server *server;
+  struct sockaddr_in addr;
+
+  if (!mt_address_parse (options->address, &addr, error))
+    return NULL;
+  server = g_new0 (struct mt_http_server, 1);
+  server->options = *options;
+  server->mhd = MHD_start_daemon (
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL | MHD_USE_ITC,
+      0, NULL, NULL, on_request, server, MHD_OPTION_SOCK_ADDR, &addr, MHD_OPTION_CONNECTION_LIMIT,
+      options->connections, MHD_OPTION_CONNECTION_TIMEOUT, options->idle_s,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) CONNECTION_MEMORY, MHD_OPTION_THREAD_STACK_SIZE,
+      (size_t) THREAD_STACK, MHD_OPTION_LISTEN_BACKLOG_SIZE, 512U, MHD_OPTION_URI_LOG_CALLBACK,
+      begin_request, server, MHD_OPTION_NOTIFY_COMPLETED, end_request, server,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+  if (server->mhd == NULL)
+    {
+      g_set_error (error, MT_ERROR, MT_ERROR_SETTINGS,
+                   "can't listen on %s; check that no other process does", options->address);
+      g_free (server);
+      return NULL;
+    }
+  server->port = mt_address_bound_port (
+      MHD_get_daemon_info (server->mhd, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd);
+  return server;
+}
+
+unsigned
+mt_http_server_port (const struct mt_http_server *server)
+{
+  return server->port;
+}
+
+unsigned
+mt_http_server_active (const struct mt_http_server *server)
+{
+  return (unsigned) g_atomic_int_get (&server->active);
+}
+
+void
+mt_http_server_quiesce (struct mt_http_server *server)
+{
+  MHD_socket fd;
+
+  g_atomic_int_set (&server->quiesced, 1);
+  fd = MHD_quiesce_daemon (server->mhd);
+  if (fd != MHD_INVALID_SOCKET)
+    close (fd);
+}
+
+void
+mt_http_server_destroy (struct mt_http_server *server)
+{
+  if (server == NULL)
+    return;
+  MHD_stop_daemon (server->mhd);
+  g_free (server);
+}
--- /dev/null
+++ b/net/http_server.h
@@ -0,0 +1,46 @@
+/* HTTP towards callers, over libmicrohttpd: one thread for each connection. The handler runs in the
+ * connection's thread once the whole request is there, so a slow sender holds no slot. */
+#ifndef MT_HTTP_SERVER_H
+#define MT_HTTP_SERVER_H
+
+#include "http_client.h"
+
+/* As an answer's status: the connection is closed without an answer. */
+#define MT_HTTP_DROP 0
+
+struct mt_http_request
+{
+  struct mt_arena *arena; /* freed after the answer is sent */
+  struct mt_str method;
+  struct mt_str path; /* with its query, as sent */
+  struct mt_http_header *headers;
+  size_t n_headers;
+  struct mt_str body;
+  struct mt_http_answer answer; /* the handler fills it; its memory lives in the arena */
+};
+
+struct mt_http_server_options
+{
+  const char *address;   /* IP:PORT; port 0 takes a free one */
+  unsigned connections;  /* most open at a time */
+  unsigned idle_s;       /* a connection silent for so long is closed */
+  size_t body_bytes;     /* longest request body; beyond it 413 */
+  size_t request_memory; /* arena limit of one request */
+  const struct mt_clock *clock;
+  void (*handle) (void *ctx, struct mt_http_request *request);
+  void *ctx;
+};
+
+struct mt_http_server;
+
+struct mt_http_server *mt_http_server_create (const struct mt_http_server_options *options,
+                                              GError **error);
+unsigned mt_http_server_port (const struct mt_http_server *server);
+/* Requests inside the handler now. */
+unsigned mt_http_server_active (const struct mt_http_server *server);
+/* Takes no new connections; those open go on. */
+void mt_http_server_quiesce (struct mt_http_server *server);
+/* Ends all connections; call it once mt_http_server_active is 0. */
+void mt_http_server_destroy (struct mt_http_server *server);
+
+#endif
--- /dev/null
+++ b/net/peer.h
@@ -0,0 +1,62 @@
+/* Frames over TCP between daemons, and from medlartrackctl to a daemon: a 4-byte big-endian length,
+ * then a msgpack array [protocol, type, sender, body]. Frames longer than MT_PEER_MAX_FRAME, of
+ * another protocol version or malformed close the connection. */
+#ifndef MT_PEER_H
+#define MT_PEER_H
+
+#include "medlartrack/clock.h"
+#include "medlartrack/str.h"
+
+#include <glib.h>
+
+#define MT_PEER_PROTOCOL  1
+#define MT_PEER_MAX_FRAME (2 * 1024 * 1024)
+
+/* What a frame is about. Numbers are part of the protocol: never reused. */
+enum mt_peer_type
+{
+  MT_PEER_HEARTBEAT = 1, /* membership: who, versions, loads; answered by the receiver's own */
+  MT_PEER_TABLES = 2,    /* asks for the tables document in force */
+  MT_PEER_ASSIGN = 3,    /* asks for the assignment document in force */
+  MT_PEER_CLAIM = 4,     /* asks a shard's owner for claims */
+  MT_PEER_DUMP = 5,      /* asks for the state dump, JSON text */
+  MT_PEER_LEAVING = 6,   /* the sender stops gracefully */
+  MT_PEER_TYPES = 16,
+};
+
+/* Answers one frame, in a thread of the server's. The reply is malloced bytes that the server
+ * frees; NULL closes the connection. */
+typedef char *(*mt_peer_handler) (void *ctx,
+                                  struct mt_str sender,
+                                  struct mt_str body,
+                                  size_t *reply_len);
+
+struct mt_peer_server;
+/* name identifies this process in its frames. */
+struct mt_peer_server *
+mt_peer_server_create (const char *address, const char *name, GError **error);
+/* Before mt_peer_server_start. */
+void mt_peer_server_handle (struct mt_peer_server *server,
+                            enum mt_peer_type type,
+                            mt_peer_handler handler,
+                            void *ctx);
+void mt_peer_server_start (struct mt_peer_server *server);
+unsigned mt_peer_server_port (const struct mt_peer_server *server);
+void mt_peer_server_destroy (struct mt_peer_server *server);
+
+/* Calls one peer and waits for its reply; keeps connections. Any thread. */
+struct mt_peer_client;
+struct mt_peer_client *mt_peer_client_create (const struct mt_clock *clock, const char *name);
+void mt_peer_client_destroy (struct mt_peer_client *client);
+/* reply is malloced, the caller frees it. MT_ERROR_UNAVAILABLE: not delivered; MT_ERROR_UNKNOWN:
+ * sent and no whole reply. */
+bool mt_peer_client_call (struct mt_peer_client *client,
+                          const char *address,
+                          enum mt_peer_type type,
+                          struct mt_str body,
+                          int64_t deadline_us,
+                          char **reply,
+                          size_t *reply_len,
+                          GError **error);
+
+#endif
--- /dev/null
+++ b/net/platform.c
@@ -0,0 +1,340 @@
+#include "platform.h"
+
+#include "medlartrack/error.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#define ANSWER_BYTES   (64UL * 1024 * 1024) /* a list may hold many values of a megabyte */
+#define WATCH_SLACK_US (2 * MT_SECOND)      /* the service may answer a watch a little late */
+
+struct mt_platform
+{
+  struct mt_http_client *client;
+  const struct mt_clock *clock;
+  char *address;
+  int64_t call_us;
+  struct mt_store store;
+  guint64 calls; /* atomic */
+};
+
+static enum mt_http_outcome
+call (struct mt_platform *platform,
+      const char *method,
+      const char *path,
+      struct mt_str body,
+      int64_t budget_us,
+      struct mt_arena *arena,
+      struct mt_http_answer *answer,
+      GError **error)
+{
+  struct mt_http_call request = {
+    .method = method,
+    .path = path,
+    .body = body,
+    /* A write must not be repeated by neon: its second try would lose against its first. */
+    .fresh = strcmp (method, "GET") != 0,
+    .deadline_us = mt_clock_now (platform->clock) + budget_us,
+    .max_answer = ANSWER_BYTES,
+  };
+
+  __atomic_add_fetch (&platform->calls, 1, __ATOMIC_RELAXED);
+  return mt_http_client_call (platform->client, platform->address, &request, arena, answer, error);
+}
+
+static void
+set_status_error (GError **error, const struct mt_http_answer *answer, enum mt_error code)
+{
+  g_set_error (error, MT_ERROR, code, "the platform answered %d %.*s; see its log", answer->status,
+               (int) MIN (answer->body.len, 200), answer->body.data);
+}
+
+static bool
+read_entry (const json_t *entry, struct mt_store_value *out)
+{
+  const char *key = json_string_value (json_object_get (entry, "Key"));
+  const char *encoded = json_string_value (json_object_get (entry, "Value"));
+  const json_t *index = json_object_get (entry, "ModifyIndex");
+
+  if (key == NULL || !json_is_integer (index))
+    return false;
+  out->found = true;
+  out->key = g_strdup (key);
+  out->index = (uint64_t) json_integer_value (index);
+  if (encoded != NULL && encoded[0] != '\0')
+    out->data = (char *) g_base64_decode (encoded, &out->len);
+  out->data = g_realloc (out->data, out->len + 1);
+  out->data[out->len] = '\0';
+  return true;
+}
+
+static json_t *
+load_entries (const struct mt_http_answer *answer, GError **error)
+{
+  json_t *root = json_loadb (answer->body.data, answer->body.len, 0, NULL);
+
+  if (json_is_array (root))
+    return root;
+  json_decref (root);
+  set_status_error (error, answer, MT_ERROR_UNAVAILABLE);
+  return NULL;
+}
+
+static bool
+get_path (struct mt_platform *platform,
+          const char *path,
+          int64_t budget_us,
+          struct mt_store_value *out,
+          GError **error)
+{
+  struct mt_arena *arena = mt_arena_create (0);
+  struct mt_http_answer answer;
+  json_t *entries = NULL;
+  bool ok = false;
+
+  *out = (struct mt_store_value){ 0 };
+  if (call (platform, "GET", path, MT_STR (""), budget_us, arena, &answer, error) != MT_HTTP_WHOLE)
+    goto done;
+  if (answer.status == 404)
+    {
+      ok = true;
+      goto done;
+    }
+  if (answer.status != 200)
+    {
+      set_status_error (error, &answer, MT_ERROR_UNAVAILABLE);
+      goto done;
+    }
+  entries = load_entries (&answer, error);
+  if (entries == NULL)
+    goto done;
+  ok = read_entry (json_array_get (entries, 0), out);
+  if (!ok)
+    set_status_error (error, &answer, MT_ERROR_UNAVAILABLE);
+done:
+  json_decref (entries);
+  mt_arena_destroy (arena);
+  return ok;
+}
+
+static bool
+store_get (void *ctx, const char *key, struct mt_store_value *out, GError **error)
+{
+  struct mt_platform *platform = ctx;
+  g_autofree char *path = g_strdup_printf ("/v1/kv/%s", key);
+
+  return get_path (platform, path, platform->call_us, out, error);
+}
+
+static bool
+store_watch (void *ctx,
+             const char *key,
+             uint64_t index,
+             int64_t wait_us,
+             struct mt_store_value *out,
+             GError **error)
+{
+  struct mt_platform *platform = ctx;
+  g_autofree char *path = g_strdup_printf ("/v1/kv/%s?index=%" G_GUINT64_FORMAT "&wait=%lldms", key,
+                                           index, (long long) (wait_us / MT_MS));
+
+  return get_path (platform, path, wait_us + WATCH_SLACK_US, out, error);
+}
+
+static bool
+store_list (void *ctx, const char *prefix, GPtrArray **out, GError **error)
+{
+  struct mt_platform *platform = ctx;
+  g_autofree char *path = g_strdup_printf ("/v1/kv/%s?recurse", prefix);
+  struct mt_arena *arena = mt_arena_create (0);
+  struct mt_http_answer answer;
+  json_t *entries = NULL;
+  bool ok = false;
+
+  *out = g_ptr_array_new_with_free_func (mt_store_value_free);
+  if (call (platform, "GET", path, MT_STR (""), platform->call_us, arena, &answer, error)
+      != MT_HTTP_WHOLE)
+    goto done;
+  ok = answer.status == 404;
+  if (ok)
+    goto done;
+  entries = load_entries (&answer, error);
+  ok = entries != NULL;
+  for (size_t i = 0; i < json_array_size (entries); i++)
+    {
+      struct mt_store_value *value = g_new0 (struct mt_store_value, 1);
+
+      g_ptr_array_add (*out, value);
+      ok = ok && read_entry (json_array_get (entries, i), value);
+    }
+done:
+  json_decref (entries);
+  mt_arena_destroy (arena);
+  if (!ok)
+    g_clear_pointer (out, g_ptr_array_unref);
+  return ok;
+}
+
+/* Sorts a write's outcome: the service answers "true" or "false". */
+static enum mt_store_put
+write_path (struct mt_platform *platform,
+            const char *method,
+            const char *path,
+            struct mt_str body,
+            GError **error)
+{
+  struct mt_arena *arena = mt_arena_create (0);
+  struct mt_http_answer answer;
+  enum mt_store_put result = MT_STORE_UNKNOWN;
+
+  switch (call (platform, method, path, body, platform->call_us, arena, &answer, error))
+    {
+    case MT_HTTP_NOT_SENT:
+      result = MT_STORE_FAILED;
+      break;
+    case MT_HTTP_UNKNOWN:
+      break;
+    case MT_HTTP_WHOLE:
+      if (answer.status == 200)
+        result
+            = mt_str_has_prefix (answer.body, MT_STR ("true")) ? MT_STORE_DONE : MT_STORE_CONFLICT;
+      else
+        {
+          result = answer.status < 500 ? MT_STORE_FAILED : MT_STORE_UNKNOWN;
+          set_status_error (error, &answer, MT_ERROR_UNAVAILABLE);
+        }
+      break;
+    }
+  mt_arena_destroy (arena);
+  return result;
+}
+
+static enum mt_store_put
+store_put (void *ctx, const char *key, struct mt_str value, uint64_t index, GError **error)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/kv/%s?cas=%" G_GUINT64_FORMAT, key, index);
+
+  return write_path (ctx, "PUT", path, value, error);
+}
+
+static enum mt_store_put
+store_remove (void *ctx, const char *prefix, GError **error)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/kv/%s?recurse", prefix);
+
+  return write_path (ctx, "DELETE", path, MT_STR (""), error);
+}
+
+static bool
+store_lease_grant (void *ctx, unsigned ttl_s, char **id, GError **error)
+{
+  struct mt_platform *platform = ctx;
+  g_autofree char *body = g_strdup_printf ("{\"TTL\":\"%us\",\"Behavior\":\"release\"}", ttl_s);
+  struct mt_arena *arena = mt_arena_create (0);
+  struct mt_http_answer answer;
+  json_t *root = NULL;
+  bool ok = false;
+
+  if (call (platform, "PUT", "/v1/session/create", mt_str_from (body), platform->call_us, arena,
+            &answer, error)
+      == MT_HTTP_WHOLE)
+    {
+      root = json_loadb (answer.body.data, answer.body.len, 0, NULL);
+      *id = g_strdup (json_string_value (json_object_get (root, "ID")));
+      ok = *id != NULL;
+      if (!ok)
+        set_status_error (error, &answer, MT_ERROR_UNAVAILABLE);
+    }
+  json_decref (root);
+  mt_arena_destroy (arena);
+  return ok;
+}
+
+static bool
+store_lease_renew (void *ctx, const char *id, GError **error)
+{
+  struct mt_platform *platform = ctx;
+  g_autofree char *path = g_strdup_printf ("/v1/session/renew/%s", id);
+  struct mt_arena *arena = mt_arena_create (0);
+  struct mt_http_answer answer;
+  bool ok = false;
+
+  if (call (platform, "PUT", path, MT_STR (""), platform->call_us, arena, &answer, error)
+      == MT_HTTP_WHOLE)
+    {
+      ok = answer.status == 200;
+      if (!ok)
+        set_status_error (error, &answer,
+                          answer.status == 404 ? MT_ERROR_STALE : MT_ERROR_UNAVAILABLE);
+    }
+  mt_arena_destroy (arena);
+  return ok;
+}
+
+static void
+store_lease_end (void *ctx, const char *id)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/session/destroy/%s", id);
+
+  write_path (ctx, "PUT", path, MT_STR (""), NULL);
+}
+
+static enum mt_store_put
+store_acquire (void *ctx, const char *key, struct mt_str value, const char *lease, GError **error)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/kv/%s?acquire=%s", key, lease);
+
+  return write_path (ctx, "PUT", path, value, error);
+}
+
+static const struct mt_store_ops platform_ops = {
+  .name = "platform",
+  .description = "the platform's key-value service over HTTP",
+  .get = store_get,
+  .watch = store_watch,
+  .list = store_list,
+  .put = store_put,
+  .remove = store_remove,
+  .lease_grant = store_lease_grant,
+  .lease_renew = store_lease_renew,
+  .lease_end = store_lease_end,
+  .acquire = store_acquire,
+};
+
+struct mt_platform *
+mt_platform_create (struct mt_http_client *client,
+                    const struct mt_clock *clock,
+                    const char *address,
+                    int64_t call_us)
+{
+  struct mt_platform *platform = g_new0 (struct mt_platform, 1);
+
+  platform->client = client;
+  platform->clock = clock;
+  platform->address = g_strdup (address);
+  platform->call_us = call_us;
+  platform->store.ops = &platform_ops;
+  platform->store.ctx = platform;
+  return platform;
+}
+
+void
+mt_platform_destroy (struct mt_platform *platform)
+{
+  if (platform == NULL)
+    return;
+  g_free (platform->address);
+  g_free (platform);
+}
+
+const struct mt_store *
+mt_platform_store (struct mt_platform *platform)
+{
+  return &platform->store;
+}
+
+uint64_t
+mt_platform_calls (const struct mt_platform *platform)
+{
+  return __atomic_load_n (&platform->calls, __ATOMIC_RELAXED);
+}
