tests: add a store in memory with faults for unit and property tests

Cause: the claims and the control planner need the platform's semantics (compare-and-swap, leases, lost and late answers) in tests on a paused clock; the process stand-in can't give that. Conclusion: others can build on it now.

--- /dev/null
+++ b/tests/fakes/fake_store.h
@@ -0,0 +1,46 @@
+/* A store in memory for tests: the semantics of the platform's service on an injected clock, with
+ * faults set by hand or drawn from a seed. Any thread may call; a watch returns at once. */
+#ifndef FAKE_STORE_H
+#define FAKE_STORE_H
+
+#include "medlartrack/clock.h"
+#include "medlartrack/store.h"
+
+struct fake_store;
+
+enum fake_fault
+{
+  FAKE_FAULT_NONE,
+  FAKE_FAULT_FAIL, /* reads fail; writes return FAILED and take no effect */
+  FAKE_FAULT_LOSE, /* writes take effect and return UNKNOWN; reads fail */
+  FAKE_FAULT_DROP, /* writes take no effect and return UNKNOWN; reads fail */
+  FAKE_FAULT_LATE, /* writes return UNKNOWN and take effect at fake_store_deliver; reads fail */
+  FAKE_FAULT_LAST,
+};
+
+struct fake_store *fake_store_create (const struct mt_clock *clock);
+void fake_store_destroy (struct fake_store *fake);
+const struct mt_store *fake_store_store (struct fake_store *fake);
+
+/* While down, every call fails without effect. */
+void fake_store_set_down (struct fake_store *fake, bool down);
+/* The next so many calls meet this fault, writes only or all. */
+void fake_store_fault_next (struct fake_store *fake,
+                            enum fake_fault fault,
+                            unsigned times,
+                            bool writes_only);
+/* Each call meets a fault with this chance, drawn from the seed; 0 ends it. */
+void fake_store_fault_by_seed (struct fake_store *fake, uint64_t seed, unsigned permille);
+/* Writes held back by FAKE_FAULT_LATE reach the store now, in the order sent. */
+void fake_store_deliver (struct fake_store *fake);
+/* Runs before each call, outside of the lock, so that a test can put a rival in between. */
+void fake_store_before_call (struct fake_store *fake, void (*hook) (void *ctx), void *ctx);
+
+/* Writes past all fences, as a restored backup would; NULL data removes the key. */
+void fake_store_force (struct fake_store *fake, const char *key, const char *data);
+/* Calls so far; a watch is a read. */
+uint64_t fake_store_reads (struct fake_store *fake);
+uint64_t fake_store_writes (struct fake_store *fake);
+unsigned fake_store_count (struct fake_store *fake, const char *prefix);
+
+#endif
