path: dispatch by deadline, audience, share, retry budget and health

Cause: the dispatch gave waiters slots in order of arrival, queued what could not be answered in time any more, knew nothing of other daemons' slots, and left a failing minion in the choice. Ruled out: an adaptive concurrency limit (it shrinks in a trough and refuses the next surge's head); ejecting by error rate alone (where all minions fail alike it only takes capacity away). Change: small modules for the fair queue, the policies, the share of slots, the retry budget and the health of a minion, joined by the dispatch. Before this change (trial on a scratch copy, 4,000 requests one by one with the other minions busy, each of four minions sick in turn) the one that wins the ties got all 4,000, and a request with 1 us left was queued. After: 20 at most (test_fast_errors_attract_no_load) and it is refused at once.

--- /dev/null
+++ b/core/path/retry_budget.c
@@ -0,0 +1,24 @@
+#include "medlartrack/retry_budget.h"
+
+void
+mt_retry_budget_init (struct mt_retry_budget *budget)
+{
+  budget->tokens = MT_RETRY_MOST;
+}
+
+void
+mt_retry_budget_deposit (struct mt_retry_budget *budget)
+{
+  budget->tokens += MT_RETRY_DEPOSIT;
+  if (budget->tokens > MT_RETRY_MOST)
+    budget->tokens = MT_RETRY_MOST;
+}
+
+bool
+mt_retry_budget_take (struct mt_retry_budget *budget)
+{
+  if (budget->tokens < MT_RETRY_COST)
+    return false;
+  budget->tokens -= MT_RETRY_COST;
+  return true;
+}
--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -100,6 +100,12 @@
   return pool;
 }
 
+static uint64_t
+random_seed (void)
+{
+  return (uint64_t) g_random_int () << 32 | g_random_int ();
+}
+
 static struct pool *
 make_pool (struct mt_pools *pools, const char *name)
 {
@@ -109,7 +115,7 @@
     return pool;
   pool = g_new0 (struct pool, 1);
   g_mutex_init (&pool->lock);
-  pool->dispatch = mt_dispatch_create (pools->clock, &wake_waiter);
+  pool->dispatch = mt_dispatch_create (pools->clock, &wake_waiter, NULL, random_seed ());
   g_rw_lock_writer_lock (&pools->lock);
   g_hash_table_insert (pools->by_name, g_strdup (name), pool);
   g_rw_lock_writer_unlock (&pools->lock);
--- /dev/null
+++ b/include/medlartrack/balance.h
@@ -0,0 +1,46 @@
+/* Policies that choose the minion for a request. Pure functions over an array of loads. */
+#ifndef MEDLARTRACK_BALANCE_H
+#define MEDLARTRACK_BALANCE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define MT_BALANCE_NONE SIZE_MAX
+
+struct mt_balance_load
+{
+  unsigned usable;    /* slots that this daemon may fill; 0 takes nothing */
+  unsigned in_flight; /* by this daemon */
+  unsigned others;    /* in flight by other daemons, as they last said */
+  unsigned penalty;   /* counts as so many more in flight: recent failures */
+};
+
+/* Random numbers and the place in the turn; each user of a policy has its own. */
+struct mt_balance_state
+{
+  uint64_t random; /* not 0 */
+  size_t cursor;
+};
+
+struct mt_balance
+{
+  const char *name;
+  const char *description;
+  /* A minion with a free slot that is not `avoid`, or MT_BALANCE_NONE. */
+  size_t (*pick) (struct mt_balance_state *state,
+                  const struct mt_balance_load *loads,
+                  size_t n,
+                  size_t avoid);
+};
+
+extern const struct mt_balance mt_balance_round_robin;
+extern const struct mt_balance mt_balance_least_in_flight;
+extern const struct mt_balance mt_balance_two_choices;
+
+/* Ends with NULL; the first is the default. */
+extern const struct mt_balance *const mt_balance_policies[];
+/* By name, or NULL. */
+const struct mt_balance *mt_balance_find (const char *name);
+
+#endif
--- a/include/medlartrack/dispatch.h
+++ b/include/medlartrack/dispatch.h
@@ -3,29 +3,46 @@
 #ifndef MEDLARTRACK_DISPATCH_H
 #define MEDLARTRACK_DISPATCH_H
 
+#include "medlartrack/balance.h"
 #include "medlartrack/clock.h"
+#include "medlartrack/fair_queue.h"
+#include "medlartrack/share.h"
 #include "medlartrack/tables.h"
 
 struct mt_dispatch;
 
+enum mt_refusal
+{
+  MT_REFUSAL_NONE,
+  MT_REFUSAL_NO_MINION,    /* none takes work */
+  MT_REFUSAL_QUEUE_FULL,   /* as many wait as the route allows */
+  MT_REFUSAL_TOO_LATE,     /* could not be answered by its deadline any more */
+  MT_REFUSAL_RETRY_BUDGET, /* retries are too large a part of the load already */
+};
+
 /* A request that asks for a slot; the caller owns it and keeps it until done or refused. */
 struct mt_ticket
 {
   uint64_t audience; /* callers of one audience share one queue */
   int64_t deadline_us;
   const char *avoid; /* minion that just failed this request, or NULL */
+  bool again;        /* a retry: it needs a token of the retry budget */
   void *owner;
   /* Set once granted. */
   char *minion; /* name; owned by the dispatch until mt_dispatch_done */
   const char *address;
   int64_t granted_us;
+  /* Set once refused or expired. */
+  enum mt_refusal refusal;
+  /* The dispatch's own. */
+  struct mt_fair_item item;
 };
 
 enum mt_admit
 {
   MT_ADMIT_RUN,    /* the ticket holds a slot */
   MT_ADMIT_WAIT,   /* queued; granted or expired through the callbacks */
-  MT_ADMIT_REFUSE, /* not queued */
+  MT_ADMIT_REFUSE, /* not queued; the ticket's refusal tells why */
 };
 
 enum mt_dispatch_result
@@ -34,6 +51,7 @@
   MT_DISPATCH_BAD,      /* a whole answer that is (5xx) */
   MT_DISPATCH_NOT_SENT, /* could not connect */
   MT_DISPATCH_LOST,     /* cut, late or crossed */
+  MT_DISPATCH_REFUSED,  /* the minion says that it did not run it: its slots are full */
 };
 
 struct mt_dispatch_callbacks
@@ -45,8 +63,11 @@
   void (*expired) (struct mt_ticket *ticket);
 };
 
+/* seed: of the random choices; daemons need different ones. */
 struct mt_dispatch *mt_dispatch_create (const struct mt_clock *clock,
-                                        const struct mt_dispatch_callbacks *callbacks);
+                                        const struct mt_dispatch_callbacks *callbacks,
+                                        const struct mt_balance *policy,
+                                        uint64_t seed);
 /* Only once no ticket is left in it. */
 void mt_dispatch_destroy (struct mt_dispatch *dispatch);
 
@@ -54,6 +75,17 @@
 void mt_dispatch_update (struct mt_dispatch *dispatch,
                          const struct mt_instance *const *instances,
                          size_t n);
+/* Takes this daemon's place among the live daemons of its data centre, and what the others have in
+ * flight on each minion (others may be NULL: nothing known). */
+void mt_dispatch_set_share (struct mt_dispatch *dispatch,
+                            struct mt_share share,
+                            unsigned (*others) (void *ctx, const char *minion),
+                            void *ctx);
+/* The minion itself said that it leaves: no new work until mt_dispatch_rejoin, a new address, or
+ * its absence from an update. */
+void mt_dispatch_set_leaving (struct mt_dispatch *dispatch, const char *name);
+bool mt_dispatch_is_leaving (const struct mt_dispatch *dispatch, const char *name);
+void mt_dispatch_rejoin (struct mt_dispatch *dispatch, const char *name);
 
 enum mt_admit
 mt_dispatch_ask (struct mt_dispatch *dispatch, struct mt_ticket *ticket, unsigned queue_limit);
@@ -63,9 +95,23 @@
                        enum mt_dispatch_result result);
 /* Takes a waiting ticket out, such as one whose caller hung up. */
 void mt_dispatch_cancel (struct mt_dispatch *dispatch, struct mt_ticket *ticket);
+/* Does what the passing of time brings: gives up, probes, grants. Due at mt_dispatch_due. */
+void mt_dispatch_tick (struct mt_dispatch *dispatch);
+/* When mt_dispatch_tick could next find something for this waiting ticket. */
+int64_t mt_dispatch_due (const struct mt_dispatch *dispatch, const struct mt_ticket *ticket);
 
 unsigned mt_dispatch_waiting (const struct mt_dispatch *dispatch);
 /* In flight on one minion by this daemon, or on all with NULL. */
 unsigned mt_dispatch_in_flight (const struct mt_dispatch *dispatch, const char *name);
+/* Slots that this daemon may fill now, of one minion or of all with NULL. */
+unsigned mt_dispatch_usable (const struct mt_dispatch *dispatch, const char *name);
+unsigned mt_dispatch_ejected (const struct mt_dispatch *dispatch);
+/* How long the queue now waiting would take. */
+int64_t mt_dispatch_backlog_us (const struct mt_dispatch *dispatch);
+/* Moving mean of the time that a slot is taken; 0 before the first. */
+int64_t mt_dispatch_service_us (const struct mt_dispatch *dispatch);
+void mt_dispatch_each (const struct mt_dispatch *dispatch,
+                       void (*visit) (void *ctx, const char *minion, unsigned in_flight),
+                       void *ctx);
 
 #endif
