--- /dev/null
+++ b/core/jobs/book.c
@@ -0,0 +1,482 @@
+/* The book: who runs what where, and what each report, loss and cancellation does to it. */
+#include "internal.h"
+
+#include <string.h>
+
+static const struct mt_jobs_options default_options = {
+  .age_limit_us = { 60 * MT_SECOND, 600 * MT_SECOND, 3600 * MT_SECOND },
+  .start_limit_us = 30 * MT_SECOND,
+  .ask_again_us = 10 * MT_SECOND,
+  .usage_lag_us = 15 * MT_SECOND,
+  .quarantine_us = 300 * MT_SECOND,
+  .quarantine_after = 3,
+  .bad_job_after = 3,
+  .most_starts = 1000,
+};
+
+static const char *const state_names[] = {
+  [MT_JOB_UNKNOWN] = "unknown", [MT_JOB_WAITING] = "waiting",
+  [MT_JOB_RUNNING] = "running", [MT_JOB_CHECKPOINTING] = "checkpointing",
+  [MT_JOB_FENCING] = "fencing", [MT_JOB_STOPPING] = "stopping",
+  [MT_JOB_DONE] = "done",       [MT_JOB_CANCELLED] = "cancelled",
+  [MT_JOB_NEVER] = "never",     [MT_JOB_BAD] = "bad",
+};
+
+struct mt_jobs_options
+mt_jobs_default_options (void)
+{
+  return default_options;
+}
+
+const char *
+mt_job_state_name (enum mt_job_state state)
+{
+  return state_names[state];
+}
+
+static void
+free_job (gpointer data)
+{
+  struct mt_job *job = data;
+
+  g_free (job->name);
+  g_free (job->pool);
+  g_free (job->reason);
+  g_ptr_array_unref (job->failed_on);
+  g_free (job);
+}
+
+static void
+free_worker (gpointer data)
+{
+  struct mt_worker *worker = data;
+
+  g_free (worker->name);
+  g_free (worker->rack);
+  g_free (worker->pool);
+  g_ptr_array_unref (worker->tasks);
+  g_ptr_array_unref (worker->failures);
+  g_free (worker);
+}
+
+static void
+free_team (gpointer data)
+{
+  struct mt_team *team = data;
+
+  g_free (team->name);
+  g_ptr_array_unref (team->tasks);
+  g_free (team);
+}
+
+static void
+free_kind (gpointer data)
+{
+  struct mt_kind *kind = data;
+
+  g_free (kind->name);
+  g_hash_table_unref (kind->per_rack);
+  g_free (kind);
+}
+
+static void
+free_pool (gpointer data)
+{
+  struct mt_pool_workers *pool = data;
+
+  g_free (pool->name);
+  g_ptr_array_unref (pool->workers);
+  g_free (pool);
+}
+
+static void
+clear_stray (gpointer data)
+{
+  struct mt_stray *stray = data;
+
+  g_free (stray->job);
+  g_free (stray->worker);
+}
+
+struct mt_jobs *
+mt_jobs_create (const struct mt_clock *clock, const struct mt_jobs_options *options)
+{
+  struct mt_jobs *jobs = g_new0 (struct mt_jobs, 1);
+
+  jobs->clock = clock;
+  jobs->options = *options;
+  jobs->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_job);
+  jobs->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_worker);
+  jobs->teams = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_team);
+  jobs->kinds = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_kind);
+  jobs->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_pool);
+  jobs->tombstones = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (int i = 0; i < MT_URGENCY_LAST; i++)
+    g_queue_init (&jobs->waiting[i]);
+  g_queue_init (&jobs->unreported);
+  jobs->asking = g_ptr_array_new ();
+  jobs->changes = g_ptr_array_new ();
+  jobs->new_tombstones = g_ptr_array_new ();
+  jobs->overcommitted = g_ptr_array_new ();
+  jobs->strays = g_array_new (FALSE, TRUE, sizeof (struct mt_stray));
+  g_array_set_clear_func (jobs->strays, clear_stray);
+  return jobs;
+}
+
+void
+mt_jobs_destroy (struct mt_jobs *jobs)
+{
+  if (jobs == NULL)
+    return;
+  for (int i = 0; i < MT_URGENCY_LAST; i++)
+    g_queue_clear (&jobs->waiting[i]);
+  g_queue_clear (&jobs->unreported);
+  g_ptr_array_unref (jobs->asking);
+  g_ptr_array_unref (jobs->changes);
+  g_ptr_array_unref (jobs->new_tombstones);
+  g_ptr_array_unref (jobs->overcommitted);
+  g_array_unref (jobs->strays);
+  g_hash_table_unref (jobs->jobs);
+  g_hash_table_unref (jobs->workers);
+  g_hash_table_unref (jobs->teams);
+  g_hash_table_unref (jobs->kinds);
+  g_hash_table_unref (jobs->pools);
+  g_hash_table_unref (jobs->tombstones);
+  g_free (jobs);
+}
+
+struct mt_worker *
+mt_jobs_find_worker (const struct mt_jobs *jobs, const char *name)
+{
+  return g_hash_table_lookup (jobs->workers, name);
+}
+
+struct mt_job *
+mt_jobs_find (const struct mt_jobs *jobs, const char *name)
+{
+  return g_hash_table_lookup (jobs->jobs, name);
+}
+
+static struct mt_team *
+need_team (struct mt_jobs *jobs, const char *name)
+{
+  struct mt_team *team = g_hash_table_lookup (jobs->teams, name);
+
+  if (team != NULL)
+    return team;
+  team = g_new0 (struct mt_team, 1);
+  team->name = g_strdup (name);
+  team->tasks = g_ptr_array_new ();
+  g_hash_table_insert (jobs->teams, team->name, team);
+  return team;
+}
+
+static struct mt_kind *
+need_kind (struct mt_jobs *jobs, const char *name)
+{
+  struct mt_kind *kind = g_hash_table_lookup (jobs->kinds, name);
+
+  if (kind != NULL)
+    return kind;
+  kind = g_new0 (struct mt_kind, 1);
+  kind->name = g_strdup (name);
+  kind->per_rack = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_hash_table_insert (jobs->kinds, kind->name, kind);
+  return kind;
+}
+
+static struct mt_pool_workers *
+need_pool (struct mt_jobs *jobs, const char *name)
+{
+  struct mt_pool_workers *pool = g_hash_table_lookup (jobs->pools, name);
+
+  if (pool != NULL)
+    return pool;
+  pool = g_new0 (struct mt_pool_workers, 1);
+  pool->name = g_strdup (name);
+  pool->workers = g_ptr_array_new ();
+  g_hash_table_insert (jobs->pools, pool->name, pool);
+  return pool;
+}
+
+void
+mt_jobs_set_state (struct mt_jobs *jobs, struct mt_job *job, enum mt_job_state state)
+{
+  job->state = state;
+  if (!job->changed)
+    g_ptr_array_add (jobs->changes, job);
+  job->changed = true;
+}
+
+static gint
+by_age (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const struct mt_job *x = a;
+  const struct mt_job *y = b;
+
+  return (x->waiting_since_us > y->waiting_since_us) - (x->waiting_since_us < y->waiting_since_us);
+}
+
+void
+mt_jobs_enqueue (struct mt_jobs *jobs, struct mt_job *job)
+{
+  GQueue *queue = &jobs->waiting[job->aged ? MT_URGENCY_URGENT : job->urgency];
+  const struct mt_job *tail = g_queue_peek_tail (queue);
+
+  /* Nearly always the youngest: a sorted insert would walk the whole queue. */
+  if (tail == NULL || by_age (tail, job, NULL) <= 0)
+    g_queue_push_tail (queue, job);
+  else
+    g_queue_insert_sorted (queue, job, by_age, NULL);
+}
+
+static void
+count_in_rack (struct mt_job *job, int by)
+{
+  GHashTable *racks = job->kind->per_rack;
+  int count = GPOINTER_TO_INT (g_hash_table_lookup (racks, job->worker->rack)) + by;
+
+  if (count > 0)
+    g_hash_table_insert (racks, g_strdup (job->worker->rack), GINT_TO_POINTER (count));
+  else
+    g_hash_table_remove (racks, job->worker->rack);
+}
+
+void
+mt_jobs_take_room (struct mt_job *job, struct mt_worker *worker, struct mt_size size)
+{
+  job->worker = worker;
+  job->lease = worker->lease;
+  job->taken = size;
+  job->used = (struct mt_size){ 0, 0, 0 };
+  job->throttled = false;
+  worker->taken = mt_size_add (worker->taken, size);
+  g_ptr_array_add (worker->tasks, job);
+  mt_team_take (job, size);
+  count_in_rack (job, 1);
+}
+
+void
+mt_jobs_free_room (struct mt_job *job)
+{
+  struct mt_worker *worker = job->worker;
+
+  if (worker == NULL)
+    return;
+  count_in_rack (job, -1);
+  mt_team_free (job);
+  worker->taken = mt_size_sub (worker->taken, job->taken);
+  g_ptr_array_remove_fast (worker->tasks, job);
+  job->worker = NULL;
+  job->taken = (struct mt_size){ 0, 0, 0 };
+}
+
+void
+mt_jobs_ask (struct mt_jobs *jobs, struct mt_job *job, enum mt_job_state state)
+{
+  mt_jobs_set_state (jobs, job, state);
+  job->asked_us = 0;
+  if (!g_ptr_array_find (jobs->asking, job, NULL))
+    g_ptr_array_add (jobs->asking, job);
+}
+
+static void
+stop_asking (struct mt_jobs *jobs, struct mt_job *job)
+{
+  g_ptr_array_remove_fast (jobs->asking, job);
+  if (!job->reported)
+    g_queue_remove (&jobs->unreported, job);
+}
+
+void
+mt_jobs_end (struct mt_jobs *jobs, struct mt_job *job, enum mt_job_state state)
+{
+  stop_asking (jobs, job);
+  mt_jobs_free_room (job);
+  mt_jobs_set_state (jobs, job, state);
+}
+
+void
+mt_jobs_requeue (struct mt_jobs *jobs, struct mt_job *job)
+{
+  /* A cancelled job never waits again, whichever report ended its copy. */
+  if (job->state == MT_JOB_STOPPING)
+    {
+      mt_jobs_end (jobs, job, MT_JOB_CANCELLED);
+      return;
+    }
+  mt_jobs_end (jobs, job, MT_JOB_WAITING);
+  mt_jobs_enqueue (jobs, job);
+}
+
+static void
+checkpoint_all (struct mt_jobs *jobs, struct mt_worker *worker)
+{
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      struct mt_job *job = worker->tasks->pdata[i];
+
+      if (job->state == MT_JOB_RUNNING)
+        mt_jobs_ask (jobs, job, MT_JOB_CHECKPOINTING);
+    }
+}
+
+static void
+join_pool (struct mt_jobs *jobs, struct mt_worker *worker, const char *pool)
+{
+  if (worker->pool != NULL)
+    g_ptr_array_remove_fast (need_pool (jobs, worker->pool)->workers, worker);
+  g_free (worker->pool);
+  worker->pool = g_strdup (pool);
+  g_ptr_array_add (need_pool (jobs, pool)->workers, worker);
+}
+
+static struct mt_worker *
+add_worker (struct mt_jobs *jobs, const struct mt_worker_spec *spec)
+{
+  struct mt_worker *worker = g_new0 (struct mt_worker, 1);
+
+  worker->name = g_strdup (spec->name);
+  worker->rack = g_strdup (spec->rack);
+  worker->lease = spec->lease;
+  worker->tasks = g_ptr_array_new ();
+  worker->failures = g_ptr_array_new_with_free_func (g_free);
+  g_hash_table_insert (jobs->workers, worker->name, worker);
+  return worker;
+}
+
+void
+mt_jobs_set_worker (struct mt_jobs *jobs, const struct mt_worker_spec *spec)
+{
+  struct mt_worker *worker = mt_jobs_find_worker (jobs, spec->name);
+  bool moved;
+
+  if (worker == NULL)
+    worker = add_worker (jobs, spec);
+  moved = worker->pool == NULL || strcmp (worker->pool, spec->pool) != 0;
+  worker->size = spec->size;
+  jobs->generation++;
+  if (!moved)
+    return;
+  checkpoint_all (jobs, worker);
+  join_pool (jobs, worker, spec->pool);
+}
+
+void
+mt_jobs_drain_worker (struct mt_jobs *jobs, const char *name, bool draining)
+{
+  struct mt_worker *worker = mt_jobs_find_worker (jobs, name);
+
+  if (worker == NULL)
+    return;
+  worker->draining = draining;
+  if (draining)
+    checkpoint_all (jobs, worker);
+}
+
+unsigned
+mt_jobs_running_on (const struct mt_jobs *jobs, const char *name)
+{
+  const struct mt_worker *worker = mt_jobs_find_worker (jobs, name);
+
+  return worker != NULL ? worker->tasks->len : 0;
+}
+
+void
+mt_jobs_set_quota (struct mt_jobs *jobs, const char *name, struct mt_size quota)
+{
+  need_team (jobs, name)->quota = quota;
+}
+
+bool
+mt_jobs_submit (struct mt_jobs *jobs, const struct mt_job_spec *spec)
+{
+  struct mt_job *job;
+
+  if (mt_jobs_find (jobs, spec->name) != NULL
+      || g_hash_table_contains (jobs->tombstones, spec->name))
+    return false;
+  job = g_new0 (struct mt_job, 1);
+  job->name = g_strdup (spec->name);
+  job->kind = need_kind (jobs, spec->kind);
+  job->team = need_team (jobs, spec->team);
+  job->pool = g_strdup (spec->pool);
+  job->declared = spec->size;
+  job->urgency = spec->urgency;
+  job->may_run_twice = spec->may_run_twice;
+  job->state = MT_JOB_WAITING;
+  job->waiting_since_us = mt_clock_now (jobs->clock);
+  job->failed_on = g_ptr_array_new ();
+  g_hash_table_insert (jobs->jobs, job->name, job);
+  mt_jobs_enqueue (jobs, job);
+  return true;
+}
+
+void
+mt_jobs_forget (struct mt_jobs *jobs, const char *name)
+{
+  struct mt_job *job = mt_jobs_find (jobs, name);
+  GHashTableIter iter;
+  gpointer worker;
+
+  if (job == NULL
+      || (job->state != MT_JOB_DONE && job->state != MT_JOB_CANCELLED && job->state != MT_JOB_NEVER
+          && job->state != MT_JOB_BAD))
+    return;
+  g_ptr_array_remove_fast (jobs->changes, job);
+  g_hash_table_iter_init (&iter, jobs->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &worker))
+    if (((struct mt_worker *) worker)->held_for == job)
+      ((struct mt_worker *) worker)->held_for = NULL;
+  g_hash_table_remove (jobs->jobs, name);
+}
+
+enum mt_job_state
+mt_jobs_state (const struct mt_jobs *jobs, const char *name)
+{
+  const struct mt_job *job = mt_jobs_find (jobs, name);
+
+  if (job != NULL)
+    return job->state;
+  return g_hash_table_contains (jobs->tombstones, name) ? MT_JOB_CANCELLED : MT_JOB_UNKNOWN;
+}
+
+const char *
+mt_jobs_reason (const struct mt_jobs *jobs, const char *name)
+{
+  const struct mt_job *job = mt_jobs_find (jobs, name);
+
+  return job != NULL ? job->reason : NULL;
+}
+
+bool
+mt_jobs_is_quarantined (const struct mt_jobs *jobs, const char *name)
+{
+  const struct mt_worker *worker = mt_jobs_find_worker (jobs, name);
+
+  return worker != NULL && worker->quarantined_until_us > mt_clock_now (jobs->clock);
+}
+
+struct mt_size
+mt_jobs_team_held (const struct mt_jobs *jobs, const char *name)
+{
+  const struct mt_team *team = g_hash_table_lookup (jobs->teams, name);
+
+  return team != NULL ? team->held : (struct mt_size){ 0, 0, 0 };
+}
+
+struct mt_size
+mt_jobs_team_borrowed (const struct mt_jobs *jobs, const char *name)
+{
+  const struct mt_team *team = g_hash_table_lookup (jobs->teams, name);
+
+  return team != NULL ? team->borrowed : (struct mt_size){ 0, 0, 0 };
+}
+
+struct mt_size
+mt_jobs_worker_taken (const struct mt_jobs *jobs, const char *name)
+{
+  const struct mt_worker *worker = mt_jobs_find_worker (jobs, name);
+
+  return worker != NULL ? worker->taken : (struct mt_size){ 0, 0, 0 };
+}
--- /dev/null
+++ b/core/jobs/events.c
@@ -0,0 +1,162 @@
+/* What losses, cancellations and reports do to the book. */
+#include "internal.h"
+
+#include <string.h>
+
+static void
+bury (struct mt_jobs *jobs, const char *name)
+{
+  char *copy;
+
+  if (g_hash_table_contains (jobs->tombstones, name))
+    return;
+  copy = g_strdup (name);
+  g_hash_table_add (jobs->tombstones, copy);
+  g_ptr_array_add (jobs->new_tombstones, copy);
+}
+
+void
+mt_jobs_cancel (struct mt_jobs *jobs, const char *name)
+{
+  struct mt_job *job = mt_jobs_find (jobs, name);
+
+  if (job == NULL)
+    {
+      bury (jobs, name);
+      return;
+    }
+  switch (job->state)
+    {
+    case MT_JOB_WAITING:
+      g_queue_remove (&jobs->waiting[job->aged ? MT_URGENCY_URGENT : job->urgency], job);
+      mt_jobs_set_state (jobs, job, MT_JOB_CANCELLED);
+      break;
+    case MT_JOB_NEVER:
+    case MT_JOB_BAD:
+      mt_jobs_set_state (jobs, job, MT_JOB_CANCELLED);
+      break;
+    case MT_JOB_RUNNING:
+    case MT_JOB_CHECKPOINTING:
+    case MT_JOB_FENCING:
+      mt_jobs_ask (jobs, job, MT_JOB_STOPPING);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+note_usage (struct mt_jobs *jobs, struct mt_job *job, const struct mt_job_report *report)
+{
+  struct mt_worker *worker = job->worker;
+
+  /* Usage is reported with a lag: what was measured before the task had time to grow would teach
+   * sizes near zero, and the next jobs of the kind would overcommit their workers. */
+  if (report->measured_us < job->started_us + jobs->options.usage_lag_us)
+    return;
+  job->used = report->usage;
+  mt_kind_learn (job->kind, report->usage);
+  if (!mt_size_fits (report->usage, job->taken)
+      && !g_ptr_array_find (jobs->overcommitted, worker, NULL))
+    g_ptr_array_add (jobs->overcommitted, worker);
+}
+
+static void
+note_failure (struct mt_jobs *jobs, struct mt_job *job)
+{
+  mt_worker_note_failure (jobs, job->worker, job);
+  if (job->state == MT_JOB_STOPPING || job->failed_on->len < jobs->options.bad_job_after)
+    {
+      mt_jobs_requeue (jobs, job);
+      return;
+    }
+  job->reason = g_strdup_printf ("failed on %u different workers", job->failed_on->len);
+  mt_jobs_end (jobs, job, MT_JOB_BAD);
+}
+
+static void
+note_stray (struct mt_jobs *jobs, const struct mt_job_report *report)
+{
+  struct mt_stray stray = { g_strdup (report->job), g_strdup (report->worker), report->epoch };
+
+  g_array_append_val (jobs->strays, stray);
+}
+
+static void
+note_running (struct mt_jobs *jobs, struct mt_job *job, const struct mt_job_report *report)
+{
+  if (!job->reported)
+    g_queue_remove (&jobs->unreported, job);
+  job->reported = true;
+  note_usage (jobs, job, report);
+}
+
+void
+mt_jobs_report (struct mt_jobs *jobs, const struct mt_job_report *report)
+{
+  struct mt_job *job = mt_jobs_find (jobs, report->job);
+  bool current = job != NULL && job->worker != NULL && job->epoch == report->epoch
+                 && strcmp (job->worker->name, report->worker) == 0;
+
+  if (!current)
+    {
+      if (report->kind == MT_REPORT_RUNNING)
+        note_stray (jobs, report);
+      return;
+    }
+  switch (report->kind)
+    {
+    case MT_REPORT_RUNNING:
+      note_running (jobs, job, report);
+      break;
+    case MT_REPORT_DONE:
+      note_usage (jobs, job, report);
+      mt_worker_note_success (job->worker);
+      mt_jobs_end (jobs, job, job->state == MT_JOB_STOPPING ? MT_JOB_CANCELLED : MT_JOB_DONE);
+      break;
+    case MT_REPORT_FAILED:
+      note_failure (jobs, job);
+      break;
+    case MT_REPORT_STOPPED:
+    case MT_REPORT_CHECKPOINTED:
+    case MT_REPORT_FENCED:
+      mt_jobs_requeue (jobs, job);
+      break;
+    }
+}
+
+static void
+lose_task (struct mt_jobs *jobs, struct mt_job *job)
+{
+  /* A lapsed lease does not prove that the task stopped: what may not run twice waits for the
+   * proof, or an invoice run would be started again beside a live copy. */
+  if (job->may_run_twice)
+    mt_jobs_requeue (jobs, job);
+  else if (job->state == MT_JOB_RUNNING || job->state == MT_JOB_CHECKPOINTING)
+    mt_jobs_ask (jobs, job, MT_JOB_FENCING);
+}
+
+void
+mt_jobs_lose_worker (struct mt_jobs *jobs, const char *name, uint64_t lease)
+{
+  struct mt_worker *worker = mt_jobs_find_worker (jobs, name);
+
+  if (worker == NULL || lease != worker->lease)
+    return;
+  worker->lost = true;
+  for (guint i = worker->tasks->len; i-- > 0;)
+    lose_task (jobs, worker->tasks->pdata[i]);
+}
+
+void
+mt_jobs_worker_clean (struct mt_jobs *jobs, const char *name, uint64_t lease)
+{
+  struct mt_worker *worker = mt_jobs_find_worker (jobs, name);
+
+  if (worker == NULL || lease <= worker->lease)
+    return;
+  worker->lease = lease;
+  worker->lost = false;
+  for (guint i = worker->tasks->len; i-- > 0;)
+    mt_jobs_requeue (jobs, worker->tasks->pdata[i]);
+}
--- /dev/null
+++ b/core/jobs/internal.h
@@ -0,0 +1,145 @@
+/* The book's inside, shared by the modules of core/jobs only. */
+#ifndef MEDLARTRACK_JOBS_INTERNAL_H
+#define MEDLARTRACK_JOBS_INTERNAL_H
+
+#include "medlartrack/jobs.h"
+
+struct mt_worker;
+
+/* What jobs of one kind were seen to use. */
+struct mt_kind
+{
+  char *name;
+  struct mt_size peak; /* slowly forgetting maximum */
+  unsigned samples;
+  GHashTable *per_rack; /* rack name -> running jobs of this kind there */
+};
+
+struct mt_team
+{
+  char *name;
+  struct mt_size quota;
+  struct mt_size held; /* borrowed included */
+  struct mt_size borrowed;
+  GPtrArray *tasks; /* of struct mt_job that hold room */
+};
+
+struct mt_job
+{
+  char *name;
+  struct mt_kind *kind;
+  struct mt_team *team;
+  char *pool;
+  struct mt_size declared;
+  enum mt_urgency urgency;
+  bool may_run_twice;
+  enum mt_job_state state;
+  uint64_t epoch;
+  int64_t waiting_since_us; /* first submission: a restart keeps the age */
+  struct mt_worker *worker; /* while it runs, yields, stops or is fenced there */
+  struct mt_size taken;     /* of the worker, while it holds room there */
+  bool borrowed;            /* beyond its team's quota: may be taken back */
+  bool aged;                /* waited past its limit: counts as urgent, is not taken back */
+  bool throttled;
+  bool reported; /* the worker said that this epoch runs */
+  int64_t started_us;
+  int64_t asked_us;     /* a stop, checkpoint or fence was last asked for; 0: not yet */
+  struct mt_size used;  /* as last reported */
+  uint64_t lease;       /* of its worker when it started */
+  GPtrArray *failed_on; /* of struct mt_worker, distinct */
+  char *reason;
+  uint64_t never_at; /* the fleet's generation that MT_JOB_NEVER was judged at */
+  bool changed;      /* listed in the book's changes */
+};
+
+struct mt_worker
+{
+  char *name;
+  char *rack;
+  char *pool;
+  struct mt_size size;
+  struct mt_size taken;
+  uint64_t lease;
+  bool draining;
+  bool lost;
+  GPtrArray *tasks;             /* of struct mt_job that hold room here */
+  GPtrArray *failures;          /* names of distinct jobs that failed in a row */
+  int64_t quarantined_until_us; /* 0: not quarantined */
+  bool probation;               /* back from quarantine: one job at a time until one succeeds */
+  unsigned relapses;
+  struct mt_job *held_for; /* a job that waits for room here: nobody else starts */
+};
+
+struct mt_pool_workers
+{
+  char *name;
+  GPtrArray *workers; /* of struct mt_worker */
+};
+
+struct mt_jobs
+{
+  const struct mt_clock *clock;
+  struct mt_jobs_options options;
+  GHashTable *jobs;                /* name -> struct mt_job */
+  GHashTable *workers;             /* name -> struct mt_worker */
+  GHashTable *teams;               /* name -> struct mt_team */
+  GHashTable *kinds;               /* name -> struct mt_kind */
+  GHashTable *pools;               /* name -> struct mt_pool_workers */
+  GHashTable *tombstones;          /* names cancelled before they were submitted */
+  GQueue waiting[MT_URGENCY_LAST]; /* of struct mt_job, oldest first */
+  GPtrArray *asking;               /* of struct mt_job that stops, yields or is fenced */
+  GQueue unreported;               /* of struct mt_job started and not heard of, oldest first */
+  GPtrArray *changes;              /* of struct mt_job whose state is not recorded yet */
+  GPtrArray *new_tombstones;       /* names not recorded yet; owned by tombstones */
+  GArray *strays;                  /* of struct mt_stray: copies that must end */
+  GPtrArray *overcommitted;        /* of struct mt_worker, by their last reports */
+  uint64_t generation;             /* grows when workers are added or change size or pool */
+  uint64_t judged_at;              /* generation at which MT_JOB_NEVER was last judged */
+};
+
+/* A copy that a worker reports though the book has gone on. */
+struct mt_stray
+{
+  char *job;
+  char *worker;
+  uint64_t epoch;
+};
+
+/* book.c */
+struct mt_job *mt_jobs_find (const struct mt_jobs *jobs, const char *name);
+struct mt_worker *mt_jobs_find_worker (const struct mt_jobs *jobs, const char *name);
+void mt_jobs_set_state (struct mt_jobs *jobs, struct mt_job *job, enum mt_job_state state);
+/* Puts it in its queue by age, wherever it came from. */
+void mt_jobs_enqueue (struct mt_jobs *jobs, struct mt_job *job);
+void mt_jobs_take_room (struct mt_job *job, struct mt_worker *worker, struct mt_size size);
+void mt_jobs_free_room (struct mt_job *job);
+
+/* Asks its worker to end it, one way or another; asked again until confirmed. */
+void mt_jobs_ask (struct mt_jobs *jobs, struct mt_job *job, enum mt_job_state state);
+/* Nothing of it runs any more: gives its room back and takes the final state. */
+void mt_jobs_end (struct mt_jobs *jobs, struct mt_job *job, enum mt_job_state state);
+/* Its copy has ended: waits for another start. */
+void mt_jobs_requeue (struct mt_jobs *jobs, struct mt_job *job);
+
+/* quota.c */
+void mt_team_take (struct mt_job *job, struct mt_size size);
+void mt_team_free (struct mt_job *job);
+bool mt_team_within_quota (const struct mt_team *team, struct mt_size more);
+/* Tasks borrowed earlier that fit the quota by now are no longer borrowed. */
+void mt_teams_settle (struct mt_jobs *jobs);
+
+/* relief.c: workers whose jobs use more than there is. */
+void mt_jobs_relieve (struct mt_jobs *jobs, GArray *actions);
+
+/* learn.c: what to reckon with for a job, and what a report teaches. */
+struct mt_size mt_kind_estimate (const struct mt_kind *kind, struct mt_size declared);
+/* The least that must fit: as estimated, without headroom. */
+struct mt_size mt_kind_floor (const struct mt_kind *kind, struct mt_size declared);
+void mt_kind_learn (struct mt_kind *kind, struct mt_size usage);
+
+/* quarantine.c */
+void mt_worker_note_failure (struct mt_jobs *jobs, struct mt_worker *worker, struct mt_job *job);
+void mt_worker_note_success (struct mt_worker *worker);
+bool mt_worker_accepts (struct mt_jobs *jobs, struct mt_worker *worker);
+
+#endif
--- /dev/null
+++ b/core/jobs/quarantine.c
@@ -0,0 +1,81 @@
+/* Workers that fail everything they start are set aside on evidence over several jobs, and tried
+ * again later with one. A job that fails everywhere is no evidence against the workers it met. */
+#include "internal.h"
+
+#include <string.h>
+
+#define MAX_RELAPSE_DOUBLINGS 6
+
+static bool
+has_name (const GPtrArray *names, const char *name)
+{
+  for (guint i = 0; i < names->len; i++)
+    if (strcmp (names->pdata[i], name) == 0)
+      return true;
+  return false;
+}
+
+static void
+quarantine (struct mt_jobs *jobs, struct mt_worker *worker)
+{
+  unsigned doublings = MIN (worker->relapses, MAX_RELAPSE_DOUBLINGS);
+
+  worker->quarantined_until_us
+      = mt_clock_now (jobs->clock) + (jobs->options.quarantine_us << doublings);
+  worker->relapses++;
+  worker->probation = true;
+  g_ptr_array_set_size (worker->failures, 0);
+}
+
+/* One bad job retried on the same few workers must not set them all aside: its failures are taken
+ * back from every worker once it is known bad. */
+static void
+forgive (struct mt_job *job)
+{
+  for (guint i = 0; i < job->failed_on->len; i++)
+    {
+      struct mt_worker *worker = job->failed_on->pdata[i];
+
+      for (guint j = worker->failures->len; j-- > 0;)
+        if (strcmp (worker->failures->pdata[j], job->name) == 0)
+          g_ptr_array_remove_index (worker->failures, j);
+    }
+}
+
+void
+mt_worker_note_failure (struct mt_jobs *jobs, struct mt_worker *worker, struct mt_job *job)
+{
+  if (!g_ptr_array_find (job->failed_on, worker, NULL))
+    g_ptr_array_add (job->failed_on, worker);
+  if (job->failed_on->len >= jobs->options.bad_job_after)
+    {
+      forgive (job);
+      return;
+    }
+  if (!has_name (worker->failures, job->name))
+    g_ptr_array_add (worker->failures, g_strdup (job->name));
+  if (worker->probation || worker->failures->len >= jobs->options.quarantine_after)
+    quarantine (jobs, worker);
+}
+
+void
+mt_worker_note_success (struct mt_worker *worker)
+{
+  g_ptr_array_set_size (worker->failures, 0);
+  worker->probation = false;
+  worker->relapses = 0;
+}
+
+bool
+mt_worker_accepts (struct mt_jobs *jobs, struct mt_worker *worker)
+{
+  if (worker->draining || worker->lost)
+    return false;
+  if (worker->quarantined_until_us != 0)
+    {
+      if (mt_clock_now (jobs->clock) < worker->quarantined_until_us)
+        return false;
+      worker->quarantined_until_us = 0;
+    }
+  return !worker->probation || worker->tasks->len == 0;
+}
--- /dev/null
+++ b/core/jobs/record.c
@@ -0,0 +1,233 @@
+/* What must last of the book: one entry [name, state, epoch, worker or nil, lease] for each job
+ * whose state changed. A planner that takes over replays the entries over the declared jobs. */
+#include "internal.h"
+
+#include "medlartrack/error.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+#define RECORD_VERSION    1
+#define ENTRY_FIELDS      5
+#define MAX_RECORDED_NAME 200
+
+struct entry
+{
+  char name[MAX_RECORDED_NAME + 1];
+  char worker[MAX_RECORDED_NAME + 1]; /* empty for none */
+  enum mt_job_state state;
+  uint64_t epoch;
+  uint64_t lease;
+};
+
+static int
+append_bytes (void *ctx, const char *data, size_t len)
+{
+  g_string_append_len (ctx, data, (gssize) len);
+  return 0;
+}
+
+static void
+pack_text (msgpack_packer *pk, const char *text)
+{
+  size_t len = strlen (text);
+
+  msgpack_pack_str (pk, len);
+  msgpack_pack_str_body (pk, text, len);
+}
+
+static void
+pack_entry (msgpack_packer *pk,
+            const char *name,
+            enum mt_job_state state,
+            uint64_t epoch,
+            const struct mt_worker *worker,
+            uint64_t lease)
+{
+  msgpack_pack_array (pk, ENTRY_FIELDS);
+  pack_text (pk, name);
+  msgpack_pack_int (pk, (int) state);
+  msgpack_pack_uint64 (pk, epoch);
+  if (worker != NULL)
+    pack_text (pk, worker->name);
+  else
+    msgpack_pack_nil (pk);
+  msgpack_pack_uint64 (pk, lease);
+}
+
+static bool
+read_text (const msgpack_object *object, char *out)
+{
+  if (object->type != MSGPACK_OBJECT_STR || object->via.str.size > MAX_RECORDED_NAME)
+    return false;
+  memcpy (out, object->via.str.ptr, object->via.str.size);
+  out[object->via.str.size] = '\0';
+  return true;
+}
+
+static bool
+read_number (const msgpack_object *object, uint64_t *out)
+{
+  if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+    return false;
+  *out = object->via.u64;
+  return true;
+}
+
+static bool
+read_entry (const msgpack_object *object, struct entry *entry)
+{
+  const msgpack_object *fields;
+  uint64_t state;
+
+  *entry = (struct entry){ 0 };
+  if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size != ENTRY_FIELDS)
+    return false;
+  fields = object->via.array.ptr;
+  if (!read_text (&fields[0], entry->name) || !read_number (&fields[1], &state)
+      || state > MT_JOB_BAD || !read_number (&fields[2], &entry->epoch)
+      || !read_number (&fields[4], &entry->lease))
+    return false;
+  entry->state = (enum mt_job_state) state;
+  return fields[3].type == MSGPACK_OBJECT_NIL || read_text (&fields[3], entry->worker);
+}
+
+static bool
+holds_worker (enum mt_job_state state)
+{
+  return state == MT_JOB_RUNNING || state == MT_JOB_CHECKPOINTING || state == MT_JOB_FENCING
+         || state == MT_JOB_STOPPING;
+}
+
+/* A worker that the record names and the platform does not: it may still run, so it stands as lost
+ * until the platform says otherwise. */
+static struct mt_worker *
+need_worker (struct mt_jobs *jobs, const struct entry *entry)
+{
+  struct mt_worker_spec spec = { entry->worker, "", "", { 0, 0, 0 }, entry->lease };
+  struct mt_worker *worker = mt_jobs_find_worker (jobs, entry->worker);
+
+  if (worker != NULL)
+    return worker;
+  mt_jobs_set_worker (jobs, &spec);
+  worker = mt_jobs_find_worker (jobs, entry->worker);
+  worker->lost = true;
+  return worker;
+}
+
+static void
+leave_queue (struct mt_jobs *jobs, struct mt_job *job)
+{
+  if (job->state == MT_JOB_WAITING)
+    g_queue_remove (&jobs->waiting[job->aged ? MT_URGENCY_URGENT : job->urgency], job);
+}
+
+static void
+restore_on_worker (struct mt_jobs *jobs, struct mt_job *job, const struct entry *entry)
+{
+  struct mt_worker *worker = need_worker (jobs, entry);
+
+  mt_jobs_take_room (job, worker, mt_kind_estimate (job->kind, job->declared));
+  job->lease = entry->lease;
+  job->started_us = mt_clock_now (jobs->clock);
+  /* The former planner may have died between the record and the start: until the worker reports the
+   * epoch it counts as unconfirmed, and is fenced when it stays so. */
+  job->reported = false;
+  g_queue_push_tail (&jobs->unreported, job);
+  if (entry->state != MT_JOB_RUNNING)
+    mt_jobs_ask (jobs, job, entry->state);
+  /* The worker started anew since: nothing of that lease runs now. */
+  if (worker->lease > entry->lease)
+    mt_jobs_requeue (jobs, job);
+  else if (worker->lost && job->state == MT_JOB_RUNNING)
+    mt_jobs_ask (jobs, job, MT_JOB_FENCING);
+}
+
+static void
+restore (struct mt_jobs *jobs, struct mt_job *job, const struct entry *entry)
+{
+  leave_queue (jobs, job);
+  if (job->worker != NULL)
+    {
+      g_ptr_array_remove_fast (jobs->asking, job);
+      g_queue_remove (&jobs->unreported, job);
+      mt_jobs_free_room (job);
+    }
+  job->epoch = MAX (job->epoch, entry->epoch);
+  job->state = entry->state;
+  if (holds_worker (entry->state))
+    restore_on_worker (jobs, job, entry);
+  else if (entry->state == MT_JOB_WAITING)
+    mt_jobs_enqueue (jobs, job);
+}
+
+static bool
+apply_entry (struct mt_jobs *jobs, const msgpack_object *object)
+{
+  struct entry entry;
+  struct mt_job *job;
+
+  if (!read_entry (object, &entry))
+    return false;
+  job = g_hash_table_lookup (jobs->jobs, entry.name);
+  if (job != NULL)
+    restore (jobs, job, &entry);
+  else if (entry.state == MT_JOB_CANCELLED || entry.state == MT_JOB_STOPPING)
+    g_hash_table_add (jobs->tombstones, g_strdup (entry.name));
+  return true;
+}
+
+void
+mt_jobs_changes (struct mt_jobs *jobs, GString *out)
+{
+  msgpack_packer pk;
+
+  if (jobs->changes->len + jobs->new_tombstones->len == 0)
+    return;
+  msgpack_packer_init (&pk, out, append_bytes);
+  msgpack_pack_array (&pk, 2);
+  msgpack_pack_int (&pk, RECORD_VERSION);
+  msgpack_pack_array (&pk, jobs->changes->len + jobs->new_tombstones->len);
+  for (guint i = 0; i < jobs->changes->len; i++)
+    {
+      struct mt_job *job = jobs->changes->pdata[i];
+
+      pack_entry (&pk, job->name, job->state, job->epoch, job->worker, job->lease);
+      job->changed = false;
+    }
+  for (guint i = 0; i < jobs->new_tombstones->len; i++)
+    pack_entry (&pk, jobs->new_tombstones->pdata[i], MT_JOB_CANCELLED, 0, NULL, 0);
+  g_ptr_array_set_size (jobs->changes, 0);
+  g_ptr_array_set_size (jobs->new_tombstones, 0);
+}
+
+bool
+mt_jobs_replay (struct mt_jobs *jobs, struct mt_str batch, GError **error)
+{
+  msgpack_unpacked unpacked;
+  const msgpack_object *top;
+  size_t at = 0;
+  bool ok = false;
+
+  msgpack_unpacked_init (&unpacked);
+  if (msgpack_unpack_next (&unpacked, batch.data, batch.len, &at) != MSGPACK_UNPACK_SUCCESS)
+    goto done;
+  top = &unpacked.data;
+  if (top->type != MSGPACK_OBJECT_ARRAY || top->via.array.size != 2
+      || top->via.array.ptr[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER
+      || top->via.array.ptr[0].via.u64 != RECORD_VERSION
+      || top->via.array.ptr[1].type != MSGPACK_OBJECT_ARRAY)
+    goto done;
+  ok = true;
+  for (uint32_t i = 0; ok && i < top->via.array.ptr[1].via.array.size; i++)
+    ok = apply_entry (jobs, &top->via.array.ptr[1].via.array.ptr[i]);
+done:
+  msgpack_unpacked_destroy (&unpacked);
+  if (!ok)
+    g_set_error (
+        error, MT_ERROR, MT_ERROR_SYNTAX,
+        "a recorded batch of jobs can't be read (%zu bytes); remove the batch by hand after "
+        "stopping its jobs",
+        batch.len);
+  return ok;
+}
--- /dev/null
+++ b/tests/jobs/test_jobs.c
@@ -0,0 +1,427 @@
+#include "medlartrack/jobs.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define GB 1024
+
+struct fixture
+{
+  struct mt_clock_manual *manual;
+  struct mt_jobs *jobs;
+  GArray *actions;
+};
+
+static int
+setup (void **state)
+{
+  struct mt_jobs_options options = mt_jobs_default_options ();
+  struct fixture *f = g_new0 (struct fixture, 1);
+
+  f->manual = mt_clock_manual_create (1000 * MT_SECOND);
+  f->jobs = mt_jobs_create (mt_clock_manual_clock (f->manual), &options);
+  f->actions = g_array_new (FALSE, FALSE, sizeof (struct mt_job_action));
+  *state = f;
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  struct fixture *f = *state;
+
+  g_array_unref (f->actions);
+  mt_jobs_destroy (f->jobs);
+  mt_clock_manual_destroy (f->manual);
+  g_free (f);
+  return 0;
+}
+
+static void
+add_worker (struct fixture *f, const char *name, uint32_t cpus)
+{
+  struct mt_worker_spec spec = { name, "rack", "pool", { cpus * 1000, 64 * GB, 0 }, 1 };
+
+  mt_jobs_set_worker (f->jobs, &spec);
+}
+
+static void
+submit (struct fixture *f, const char *name, enum mt_urgency urgency, uint32_t cpus, bool twice)
+{
+  struct mt_job_spec spec = { name, name, "team", "pool", { cpus * 1000, GB, 0 }, urgency, twice };
+
+  assert_true (mt_jobs_submit (f->jobs, &spec));
+}
+
+static void
+plan (struct fixture *f)
+{
+  g_array_set_size (f->actions, 0);
+  mt_jobs_plan (f->jobs, f->actions);
+}
+
+/* The last action of a kind for a job, or NULL. */
+static const struct mt_job_action *
+find_action (const struct fixture *f, enum mt_job_action_kind kind, const char *job)
+{
+  for (guint i = f->actions->len; i-- > 0;)
+    {
+      const struct mt_job_action *action = &g_array_index (f->actions, struct mt_job_action, i);
+
+      if (action->kind == kind && strcmp (action->job, job) == 0)
+        return action;
+    }
+  return NULL;
+}
+
+static void
+report (struct fixture *f,
+        const struct mt_job_action *action,
+        enum mt_job_report_kind kind,
+        struct mt_size usage)
+{
+  struct mt_job_report r
+      = { kind,          action->job, action->worker,
+          action->epoch, usage,       mt_clock_now (mt_clock_manual_clock (f->manual)) };
+
+  mt_jobs_report (f->jobs, &r);
+}
+
+static const struct mt_size nothing = { 0, 0, 0 };
+
+/* A worker's lease lapses while an invoice run is on it. The worker is only paused: started again
+ * elsewhere at once, the run would have two copies when the worker wakes. So it waits until the
+ * worker confirms the fence, and a start of the old epoch is refused from then on. */
+static void
+test_job_waits_for_fence_after_lapse (void **state)
+{
+  struct fixture *f = *state;
+  struct mt_job_action first;
+
+  add_worker (f, "w1", 8);
+  add_worker (f, "w2", 8);
+  submit (f, "invoices", MT_URGENCY_NORMAL, 2, false);
+  plan (f);
+  first = *find_action (f, MT_JOB_START, "invoices");
+  mt_jobs_lose_worker (f->jobs, first.worker, 1);
+  plan (f);
+  assert_null (find_action (f, MT_JOB_START, "invoices"));
+  assert_non_null (find_action (f, MT_JOB_FENCE, "invoices"));
+  assert_int_equal (mt_jobs_state (f->jobs, "invoices"), MT_JOB_FENCING);
+  report (f, &first, MT_REPORT_FENCED, nothing);
+  plan (f);
+  assert_non_null (find_action (f, MT_JOB_START, "invoices"));
+  assert_true (find_action (f, MT_JOB_START, "invoices")->epoch > first.epoch);
+  assert_string_not_equal (find_action (f, MT_JOB_START, "invoices")->worker, first.worker);
+}
+
+/* A job is cancelled while it runs; its worker's RUNNING report, sent before it heard of that,
+ * arrives late. The report must not bring the job back, and the stop is asked for until confirmed.
+ */
+static void
+test_late_report_does_not_resurrect_cancelled_job (void **state)
+{
+  struct fixture *f = *state;
+  struct mt_job_action start;
+
+  add_worker (f, "w1", 8);
+  submit (f, "job", MT_URGENCY_NORMAL, 2, true);
+  plan (f);
+  start = *find_action (f, MT_JOB_START, "job");
+  mt_jobs_cancel (f->jobs, "job");
+  mt_jobs_cancel (f->jobs, "job");
+  plan (f);
+  assert_int_equal (f->actions->len, 1);
+  assert_non_null (find_action (f, MT_JOB_STOP, "job"));
+  report (f, &start, MT_REPORT_RUNNING, nothing);
+  assert_int_equal (mt_jobs_state (f->jobs, "job"), MT_JOB_STOPPING);
+  report (f, &start, MT_REPORT_STOPPED, nothing);
+  assert_int_equal (mt_jobs_state (f->jobs, "job"), MT_JOB_CANCELLED);
+  assert_int_equal (mt_jobs_running_on (f->jobs, "w1"), 0);
+  mt_clock_manual_advance (f->manual, 3600 * MT_SECOND);
+  plan (f);
+  assert_int_equal (f->actions->len, 0);
+}
+
+/* A cancellation overtakes its own submission, as in a wave of both: the job must not start. */
+static void
+test_cancel_before_submit_holds (void **state)
+{
+  struct fixture *f = *state;
+  struct mt_job_spec spec
+      = { "job", "kind", "team", "pool", { 1000, GB, 0 }, MT_URGENCY_URGENT, true };
+
+  add_worker (f, "w1", 8);
+  mt_jobs_cancel (f->jobs, "job");
+  assert_false (mt_jobs_submit (f->jobs, &spec));
+  plan (f);
+  assert_int_equal (f->actions->len, 0);
+  assert_int_equal (mt_jobs_state (f->jobs, "job"), MT_JOB_CANCELLED);
+}
+
+static void
+test_impossible_job_is_named_once_and_blocks_nobody (void **state)
+{
+  struct fixture *f = *state;
+
+  add_worker (f, "w1", 8);
+  submit (f, "giant", MT_URGENCY_URGENT, 9, true);
+  submit (f, "small", MT_URGENCY_BACKGROUND, 1, true);
+  plan (f);
+  assert_int_equal (mt_jobs_state (f->jobs, "giant"), MT_JOB_NEVER);
+  assert_non_null (strstr (mt_jobs_reason (f->jobs, "giant"), "9000 thousandths"));
+  assert_int_equal (mt_jobs_state (f->jobs, "small"), MT_JOB_RUNNING);
+  add_worker (f, "w2", 16);
+  plan (f);
+  assert_int_equal (mt_jobs_state (f->jobs, "giant"), MT_JOB_RUNNING);
+}
+
+/* Background work of one team fills the fleet beyond its quota. An urgent job of another team,
+ * within its own quota, must start within seconds: the borrower is asked to checkpoint and yields.
+ */
+static void
+test_borrowed_room_is_taken_back_by_checkpoint (void **state)
+{
+  struct fixture *f = *state;
+  struct mt_job_spec urgent
+      = { "urgent", "urgent", "owner", "pool", { 4000, GB, 0 }, MT_URGENCY_URGENT, true };
+  struct mt_job_action yielding;
+
+  add_worker (f, "w1", 8);
+  mt_jobs_set_quota (f->jobs, "owner", (struct mt_size){ 8000, 64 * GB, 0 });
+  submit (f, "b1", MT_URGENCY_BACKGROUND, 4, true);
+  submit (f, "b2", MT_URGENCY_BACKGROUND, 4, true);
+  plan (f);
+  assert_int_equal (mt_jobs_team_borrowed (f->jobs, "team").cpu_milli, 8000);
+  mt_jobs_submit (f->jobs, &urgent);
+  plan (f);
+  assert_int_equal (f->actions->len, 1);
+  yielding = g_array_index (f->actions, struct mt_job_action, 0);
+  assert_int_equal (yielding.kind, MT_JOB_CHECKPOINT);
+  report (f, &yielding, MT_REPORT_CHECKPOINTED, nothing);
+  plan (f);
+  assert_int_equal (mt_jobs_state (f->jobs, "urgent"), MT_JOB_RUNNING);
+}
+
+/* A stream of urgent jobs keeps the only worker full. The weekly recalculation needs all of it:
+ * once it has waited its limit, the worker is held for it and it starts as soon as what runs has
+ * ended. */
+static void
+test_aged_job_starts_under_urgent_load (void **state)
+{
+  struct fixture *f = *state;
+  unsigned rounds = 0;
+
+  add_worker (f, "w1", 8);
+  mt_jobs_set_quota (f->jobs, "team", (struct mt_size){ 8000, 64 * GB, 0 });
+  submit (f, "weekly", MT_URGENCY_BACKGROUND, 8, false);
+  for (; mt_jobs_state (f->jobs, "weekly") != MT_JOB_RUNNING && rounds < 500; rounds++)
+    {
+      g_autofree char *name = g_strdup_printf ("urgent-%u", rounds);
+
+      submit (f, name, MT_URGENCY_URGENT, 3, true);
+      if (rounds == 0)
+        mt_jobs_drain_worker (f->jobs, "w1", true);
+      plan (f);
+      mt_jobs_drain_worker (f->jobs, "w1", false);
+      for (guint i = 0; i < f->actions->len; i++)
+        report (f, &g_array_index (f->actions, struct mt_job_action, i), MT_REPORT_RUNNING,
+                nothing);
+      mt_clock_manual_advance (f->manual, 30 * MT_SECOND);
+      if (rounds >= 1)
+        {
+          g_autofree char *old = g_strdup_printf ("urgent-%u", rounds - 1);
+          struct mt_job_action done = { MT_JOB_START, old, "w1", 1, 1 };
+
+          report (f, &done, MT_REPORT_DONE, nothing);
+        }
+    }
+  assert_int_equal (mt_jobs_state (f->jobs, "weekly"), MT_JOB_RUNNING);
+  /* 3,600 s until it counts as aged is 120 rounds; then what runs has to end. */
+  assert_true (rounds <= 130);
+}
+
+static void
+fail_once (struct fixture *f, const char *job)
+{
+  const struct mt_job_action *start;
+
+  submit (f, job, MT_URGENCY_NORMAL, 1, true);
+  plan (f);
+  start = find_action (f, MT_JOB_START, job);
+  assert_non_null (start);
+  report (f, start, MT_REPORT_FAILED, nothing);
+  mt_jobs_cancel (f->jobs, job);
+}
+
+/* One worker fails whatever it starts. After three different jobs it is set aside, and later tried
+ * with one job at a time; a success brings it back. */
+static void
+test_worker_that_fails_everything_is_set_aside (void **state)
+{
+  struct fixture *f = *state;
+  const struct mt_job_action *start;
+
+  add_worker (f, "w1", 8);
+  fail_once (f, "a");
+  fail_once (f, "b");
+  assert_false (mt_jobs_is_quarantined (f->jobs, "w1"));
+  fail_once (f, "c");
+  assert_true (mt_jobs_is_quarantined (f->jobs, "w1"));
+  submit (f, "d", MT_URGENCY_NORMAL, 1, true);
+  submit (f, "e", MT_URGENCY_NORMAL, 1, true);
+  plan (f);
+  assert_int_equal (f->actions->len, 0);
+  mt_clock_manual_advance (f->manual, 301 * MT_SECOND);
+  plan (f);
+  assert_int_equal (f->actions->len, 1);
+  start = find_action (f, MT_JOB_START, "d");
+  assert_non_null (start);
+  report (f, start, MT_REPORT_DONE, nothing);
+  plan (f);
+  assert_non_null (find_action (f, MT_JOB_START, "e"));
+}
+
+/* A job that fails everywhere meets three good workers. It is called bad, its failures are taken
+ * back from the workers, and none of them is set aside. */
+static void
+test_bad_job_does_not_set_good_workers_aside (void **state)
+{
+  struct fixture *f = *state;
+
+  add_worker (f, "w1", 8);
+  add_worker (f, "w2", 8);
+  add_worker (f, "w3", 8);
+  for (int job = 0; job < 4; job++)
+    {
+      g_autofree char *name = g_strdup_printf ("bad-%d", job);
+
+      submit (f, name, MT_URGENCY_NORMAL, 1, true);
+      for (int i = 0; i < 3; i++)
+        {
+          plan (f);
+          assert_non_null (find_action (f, MT_JOB_START, name));
+          report (f, find_action (f, MT_JOB_START, name), MT_REPORT_FAILED, nothing);
+        }
+      assert_int_equal (mt_jobs_state (f->jobs, name), MT_JOB_BAD);
+    }
+  assert_false (mt_jobs_is_quarantined (f->jobs, "w1"));
+  assert_false (mt_jobs_is_quarantined (f->jobs, "w2"));
+  assert_false (mt_jobs_is_quarantined (f->jobs, "w3"));
+}
+
+/* Declared at one processor, jobs of the kind use six. Three such runs teach it: the fourth and
+ * fifth no longer share a worker of eight. */
+static void
+test_learned_size_replaces_declared_one (void **state)
+{
+  struct fixture *f = *state;
+  struct mt_size seen = { 6000, 2 * GB, 0 };
+
+  add_worker (f, "w1", 8);
+  for (int i = 0; i < 5; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("run-%d", i);
+      struct mt_job_spec spec
+          = { name, "kind", "team", "pool", { 1000, GB, 0 }, MT_URGENCY_NORMAL, true };
+
+      mt_jobs_submit (f->jobs, &spec);
+      if (i >= 3)
+        continue;
+      plan (f);
+      mt_clock_manual_advance (f->manual, 60 * MT_SECOND);
+      report (f, find_action (f, MT_JOB_START, name), MT_REPORT_DONE, seen);
+    }
+  plan (f);
+  assert_int_equal (f->actions->len, 1);
+  assert_int_equal (mt_jobs_worker_taken (f->jobs, "w1").cpu_milli, 7200);
+}
+
+/* Two jobs declared small use more memory than the worker has. One of them is checkpointed away
+ * before the worker fails both; the urgent one stays. */
+static void
+test_overcommitted_worker_is_relieved (void **state)
+{
+  struct fixture *f = *state;
+  struct mt_size seen = { 1000, 40 * GB, 0 };
+  struct mt_job_action a;
+  struct mt_job_action b;
+
+  add_worker (f, "w1", 8);
+  submit (f, "urgent", MT_URGENCY_URGENT, 1, true);
+  submit (f, "normal", MT_URGENCY_NORMAL, 1, true);
+  plan (f);
+  a = *find_action (f, MT_JOB_START, "urgent");
+  b = *find_action (f, MT_JOB_START, "normal");
+  mt_clock_manual_advance (f->manual, 20 * MT_SECOND);
+  report (f, &a, MT_REPORT_RUNNING, seen);
+  report (f, &b, MT_REPORT_RUNNING, seen);
+  plan (f);
+  assert_non_null (find_action (f, MT_JOB_CHECKPOINT, "normal"));
+  assert_null (find_action (f, MT_JOB_CHECKPOINT, "urgent"));
+}
+
+/* The planner dies between the record of a start and the start itself. Its successor replays the
+ * record, hears nothing of the job, fences the epoch and starts the job elsewhere. */
+static void
+test_successor_goes_on_from_the_record (void **state)
+{
+  struct fixture *f = *state;
+  struct mt_jobs_options options = mt_jobs_default_options ();
+  g_autoptr (GString) batch = g_string_new (NULL);
+  struct mt_jobs *former = f->jobs;
+
+  add_worker (f, "w1", 8);
+  submit (f, "job", MT_URGENCY_NORMAL, 2, false);
+  mt_jobs_cancel (f->jobs, "early");
+  plan (f);
+  mt_jobs_changes (former, batch);
+  mt_jobs_destroy (former);
+  f->jobs = mt_jobs_create (mt_clock_manual_clock (f->manual), &options);
+  add_worker (f, "w1", 8);
+  submit (f, "job", MT_URGENCY_NORMAL, 2, false);
+  assert_true (mt_jobs_replay (f->jobs, (struct mt_str){ batch->str, batch->len }, NULL));
+  assert_int_equal (mt_jobs_state (f->jobs, "early"), MT_JOB_CANCELLED);
+  assert_int_equal (mt_jobs_state (f->jobs, "job"), MT_JOB_RUNNING);
+  plan (f);
+  assert_int_equal (f->actions->len, 0);
+  mt_clock_manual_advance (f->manual, 31 * MT_SECOND);
+  plan (f);
+  assert_non_null (find_action (f, MT_JOB_FENCE, "job"));
+}
+
+static void
+test_replay_refuses_garbage (void **state)
+{
+  struct fixture *f = *state;
+  g_autoptr (GError) error = NULL;
+
+  assert_false (mt_jobs_replay (f->jobs, MT_STR ("\x92\x01\x91\x95garbage"), &error));
+  assert_non_null (error);
+}
+
+int
+main (void)
+{
+#define JOB_TEST(name) cmocka_unit_test_setup_teardown (name, setup, teardown)
+  const struct CMUnitTest tests[] = {
+    JOB_TEST (test_job_waits_for_fence_after_lapse),
+    JOB_TEST (test_late_report_does_not_resurrect_cancelled_job),
+    JOB_TEST (test_cancel_before_submit_holds),
+    JOB_TEST (test_impossible_job_is_named_once_and_blocks_nobody),
+    JOB_TEST (test_borrowed_room_is_taken_back_by_checkpoint),
+    JOB_TEST (test_aged_job_starts_under_urgent_load),
+    JOB_TEST (test_worker_that_fails_everything_is_set_aside),
+    JOB_TEST (test_bad_job_does_not_set_good_workers_aside),
+    JOB_TEST (test_learned_size_replaces_declared_one),
+    JOB_TEST (test_overcommitted_worker_is_relieved),
+    JOB_TEST (test_successor_goes_on_from_the_record),
+    JOB_TEST (test_replay_refuses_garbage),
+  };
+
+  return cmocka_run_group_tests_name ("jobs", tests, NULL, NULL);
+}
