ctl: settle edits against the version they were made from

Cause: apply took a file whatever it was edited from, so a copied one undid others' edits; a conflict found while settling a lost answer printed "unknown error"; a write still on its way was called a conflict; an unchanged file was written again on every run; a restored store took edits unseen. Ruled out: keeping old versions as keys of their own (a write and a read more for each apply): the document carries a bounded log of its edits; asking daemons first, since the tool may reach none; a confirming read at once, since daemons need the time of two calls to put newer tables back.

--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -1,24 +1,32 @@
-/* The operators' commands. Each prints its result on standard output as JSON and returns an exit
- * code; errors go to standard error. */
+/* The operators' commands. Each prints its result on the context's `out` as JSON and returns an
+ * exit code; errors go to `err` as text, and to `out` as {"error": {"kind", "message"}}. */
 #ifndef MT_COMMANDS_H
 #define MT_COMMANDS_H
 
 #include "medlartrack/store.h"
 
+#include <stdio.h>
+
 /* Exit codes, as in docs/operators.md. */
 enum mt_exit
 {
   MT_EXIT_OK = 0,
-  MT_EXIT_UNAVAILABLE = 1, /* the platform or the daemon does not answer */
-  MT_EXIT_USAGE = 2,
-  MT_EXIT_REFUSED = 3,  /* the tables were refused whole */
-  MT_EXIT_CONFLICT = 4, /* another operator's edit came first */
-  MT_EXIT_UNKNOWN = 5,  /* the write may have been accepted; run `show` */
+  MT_EXIT_UNAVAILABLE = 1, /* the platform or the daemon does not answer; nothing was changed */
+  MT_EXIT_USAGE = 2,       /* the command line is wrong, or the file can't be read */
+  MT_EXIT_REFUSED = 3,     /* the tables were refused whole */
+  MT_EXIT_CONFLICT = 4,    /* another operator's edit came first */
+  MT_EXIT_UNKNOWN = 5,     /* the write may have been accepted; run `show` */
 };
 
 struct mt_command_context
 {
   const struct mt_store *store;
+  FILE *out;
+  FILE *err;
+  const char *onto;             /* --onto VERSION, or NULL */
+  const char *const *may_empty; /* data centres named by --empty, ended by NULL; NULL for none */
+  void (*pause) (void *ctx, int64_t us);
+  void *pause_ctx;
 };
 
 struct mt_command
@@ -32,4 +40,9 @@
 /* Ended by an entry without a name. */
 const struct mt_command *mt_commands (void);
 
+int mt_command_check (const struct mt_command_context *context, const char *path);
+int mt_command_diff (const struct mt_command_context *context, const char *path);
+int mt_command_apply (const struct mt_command_context *context, const char *path);
+int mt_command_show (const struct mt_command_context *context, const char *argument);
+
 #endif
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -1,5 +1,6 @@
 #include "commands.h"
 
+#include "address.h"
 #include "platform.h"
 
 #include <argp.h>
@@ -14,12 +15,16 @@
   const char *platform;
   const char *command;
   const char *argument;
+  const char *onto;
+  GPtrArray *may_empty; /* of char *, borrowed */
 };
 
 const char *argp_program_version = "medlartrackctl 0.1.0";
 
 static const struct argp_option options[] = {
   { "platform", 'p', "IP:PORT", 0, "The platform's key-value service", 0 },
+  { "onto", 'o', "VERSION", 0, "apply: the accepted version that the edit starts from", 0 },
+  { "empty", 'e', "ZONE", 0, "apply, diff: a data centre that pools may be emptied in", 0 },
   { 0 },
 };
 
@@ -33,6 +38,12 @@
     case 'p':
       arguments->platform = arg;
       return 0;
+    case 'o':
+      arguments->onto = arg;
+      return 0;
+    case 'e':
+      g_ptr_array_add (arguments->may_empty, arg);
+      return 0;
     case ARGP_KEY_ARG:
       if (arguments->command == NULL)
         arguments->command = arg;
@@ -70,13 +81,38 @@
   return g_string_free (text, FALSE);
 }
 
+static bool
+check_platform (const char *address)
+{
+  g_autoptr (GError) error = NULL;
+  struct sockaddr_in parsed;
+
+  if (mt_address_parse (address, &parsed, &error))
+    return true;
+  fprintf (stderr, "medlartrackctl: --platform: %s\n", error->message);
+  return false;
+}
+
+static void
+pause_us (void *ctx, int64_t us)
+{
+  g_usleep ((gulong) us);
+}
+
 static int
 run (const struct mt_command *command, const struct arguments *arguments)
 {
   struct mt_http_client *client = mt_http_client_create (mt_clock_system ());
   struct mt_platform *platform
       = mt_platform_create (client, mt_clock_system (), arguments->platform, CALL_US);
-  struct mt_command_context context = { mt_platform_store (platform) };
+  struct mt_command_context context = {
+    .store = mt_platform_store (platform),
+    .out = stdout,
+    .err = stderr,
+    .onto = arguments->onto,
+    .may_empty = (const char *const *) arguments->may_empty->pdata,
+    .pause = pause_us,
+  };
   int code = command->run (&context, arguments->argument);
 
   mt_platform_destroy (platform);
@@ -89,12 +125,14 @@
 {
   g_autofree char *doc = describe_commands ();
   struct argp argp = { options, parse_option, "COMMAND [ARGUMENT]", doc, NULL, NULL, NULL };
-  struct arguments arguments = { .platform = "127.0.0.1:8500" };
+  g_autoptr (GPtrArray) may_empty = g_ptr_array_new ();
+  struct arguments arguments = { .platform = "127.0.0.1:8500", .may_empty = may_empty };
   const struct mt_command *command;
 
   signal (SIGPIPE, SIG_IGN);
   argp_err_exit_status = MT_EXIT_USAGE;
   argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+  g_ptr_array_add (may_empty, NULL);
   command = find_command (arguments.command);
   if (command == NULL)
     {
@@ -107,5 +145,7 @@
                command->argument != NULL ? command->argument : "no argument");
       return MT_EXIT_USAGE;
     }
+  if (!check_platform (arguments.platform))
+    return MT_EXIT_USAGE;
   return run (command, &arguments);
 }
