--- a/core/base/arena.c
+++ b/core/base/arena.c
@@ -48,6 +48,16 @@
   return copy;
 }
 
+bool
+mt_arena_adopt (struct mt_arena *arena, struct mt_arena *child)
+{
+  if (arena->limit != 0 && child->used > arena->limit - arena->used)
+    return false;
+  arena->used += child->used;
+  talloc_steal (arena, child);
+  return true;
+}
+
 size_t
 mt_arena_used (const struct mt_arena *arena)
 {
--- a/core/path/dispatch.c
+++ b/core/path/dispatch.c
@@ -21,6 +21,7 @@
   uint64_t key;
   size_t index; /* of its load */
   unsigned slots;
+  unsigned connections;
   bool present; /* in the tables now */
   bool leaving; /* by its own word */
   int64_t closed_until_us;
@@ -172,6 +173,7 @@
   count_in_flight (dispatch, minion, 1);
   ticket->minion = minion->name;
   ticket->address = minion->address;
+  ticket->connections = MAX (minion->connections / MAX (dispatch->share.daemons, 1), 1);
   ticket->granted_us = mt_clock_now (dispatch->clock);
   return true;
 }
@@ -268,6 +270,7 @@
       minion->health = (struct mt_health){ 0 };
     }
   minion->slots = instance->slots;
+  minion->connections = instance->connections;
   minion->present = !instance->leaving;
 }
 
@@ -526,7 +529,7 @@
   count_in_flight (dispatch, minion, -1);
   if (result == MT_DISPATCH_REFUSED)
     learn_refusal (minion, now);
-  else
+  else if (result != MT_DISPATCH_UNUSED)
     learn_health (dispatch, minion, result, now);
   /* Errors may be fast and refusals always are: only real work tells how long work takes. */
   if (result == MT_DISPATCH_GOOD || result == MT_DISPATCH_LOST)
--- a/daemon/counters.h
+++ b/daemon/counters.h
@@ -13,6 +13,11 @@
   MT_COUNTER_UNKNOWN,
   MT_COUNTER_DUPLICATE,
   MT_COUNTER_RETRIES,
+  MT_COUNTER_REFUSED_QUEUE,   /* queue full */
+  MT_COUNTER_REFUSED_LATE,    /* could not be answered in time */
+  MT_COUNTER_REFUSED_BUDGET,  /* retry budget spent */
+  MT_COUNTER_MINION_REFUSALS, /* a minion said that it did not run a request */
+  MT_COUNTER_CALLERS_GONE,    /* hung up while waiting for a slot */
   MT_COUNTER_LAST,
 };
 
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -14,6 +14,7 @@
   const struct mt_clock *clock;
   struct mt_counters counters;
   struct mt_http_client *client;
+  struct mt_http_exchanges *exchanges;
   struct mt_platform *platform;
   struct mt_view_holder *views;
   struct mt_pools *pools;
@@ -22,6 +23,14 @@
   struct mt_http_server *server;
 };
 
+static size_t
+request_memory (const struct mt_settings *settings)
+{
+  const struct mt_settings_limits *limits = &settings->limits;
+
+  return (size_t) limits->answer_bytes * 2 + limits->body_bytes + REQUEST_MEMORY_BASE;
+}
+
 static void
 create_parts (struct mt_daemon *daemon)
 {
@@ -29,6 +38,8 @@
   struct mt_front_options front = { .clock = daemon->clock };
 
   daemon->client = mt_http_client_create (daemon->clock);
+  daemon->exchanges = mt_http_exchanges_create (
+      daemon->client, daemon->clock, settings->limits.connections * 2, request_memory (settings));
   daemon->platform = mt_platform_create (daemon->client, daemon->clock, settings->platform.data,
                                          settings->limits.platform_ms * MT_MS);
   daemon->views = mt_view_holder_create (daemon->clock);
@@ -37,7 +48,7 @@
   daemon->feed = mt_feed_create (mt_platform_store (daemon->platform), daemon->views);
   front.views = daemon->views;
   front.pools = daemon->pools;
-  front.client = daemon->client;
+  front.exchanges = daemon->exchanges;
   front.counters = &daemon->counters;
   front.answer_bytes = settings->limits.answer_bytes;
   daemon->front = mt_front_create (&front);
@@ -52,7 +63,7 @@
     .connections = settings->limits.connections,
     .idle_s = settings->limits.idle_s,
     .body_bytes = settings->limits.body_bytes,
-    .request_memory = (size_t) settings->limits.answer_bytes * 2 + REQUEST_MEMORY_BASE,
+    .request_memory = request_memory (settings),
     .handle = mt_front_handle,
   };
 
@@ -78,6 +89,8 @@
         g_usleep (DRAIN_POLL_US);
     }
   mt_http_server_destroy (daemon->server);
+  /* Exchanges that were given up on still hold slots of the pools. */
+  mt_http_exchanges_destroy (daemon->exchanges);
   mt_feed_destroy (daemon->feed);
   mt_front_destroy (daemon->front);
   mt_pools_destroy (daemon->pools);
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -1,13 +1,15 @@
 #include "front.h"
 
+#include "medlartrack/error.h"
 #include "medlartrack/log.h"
 
 #include <string.h>
 #include <xxhash.h>
 
-#define MAX_TRIES     3
-#define RETRY_AFTER_S "1"
-#define ID_BYTES      33
+#define MAX_TRIES         3
+#define ID_BYTES          64
+#define RETRY_AFTER_S     1 /* least that a caller is told to wait */
+#define MAX_RETRY_AFTER_S 30
 
 struct mt_front
 {
@@ -25,50 +27,123 @@
   unsigned queue;
   uint64_t audience;
   struct mt_str id;
+  guint64 number;
 };
 
-static struct mt_http_header *
-start_answer (struct mt_http_request *request, int status, size_t n_headers)
+enum try_result
 {
-  struct mt_http_answer *answer = &request->answer;
+  TRY_WHOLE,    /* the request has the minion's answer */
+  TRY_NOT_SENT, /* no minion got it, or the one that did refused it */
+  TRY_UNKNOWN,  /* a minion may have run it */
+  TRY_REFUSED,  /* no slot; the reason is told */
+  TRY_GONE,     /* the caller hung up */
+};
+
+/* The tries of one request so far. */
+struct tries
+{
+  struct mt_str avoid; /* the minion that failed last */
+  bool maybe_run;      /* a minion may have run it: "not run" can't be said any more */
+  bool again;
+  const char *reason;
+};
+
+static const struct mt_http_header plain_headers[] = {
+  { MT_STR ("Content-Type"), MT_STR ("application/json") },
+  { MT_STR ("Medlartrack-Outcome"), MT_STR ("unknown") },
+};
 
-  answer->status = status;
-  answer->headers = mt_arena_alloc (request->arena, n_headers * sizeof *answer->headers);
-  answer->n_headers = answer->headers != NULL ? n_headers : 0;
-  return answer->headers;
+/* The request's memory is used up: the caller still gets an answer with a type. */
+static void
+answer_without_memory (struct mt_http_request *request, bool not_run)
+{
+  static const struct mt_http_header not_run_headers[] = {
+    { MT_STR ("Content-Type"), MT_STR ("application/json") },
+    { MT_STR ("Medlartrack-Outcome"), MT_STR ("not-run") },
+  };
+
+  request->answer = (struct mt_http_answer){
+    .status = not_run ? 503 : 504,
+    .headers = (struct mt_http_header *) (not_run ? not_run_headers : plain_headers),
+    .n_headers = G_N_ELEMENTS (plain_headers),
+    .body = not_run ? MT_STR ("{\"outcome\":\"not-run\",\"reason\":\"request memory\"}\n")
+                    : MT_STR ("{\"outcome\":\"unknown\",\"reason\":\"request memory\"}\n"),
+  };
 }
 
-/* A typed answer of the daemon's own: it tells whether the request ran and when to come back. */
+/* An answer of the daemon's own. */
+struct typed
+{
+  int status;
+  const char *outcome;
+  const char *reason;
+  unsigned retry_after_s; /* 0: coming back does not help */
+};
+
 static void
-answer_typed (struct mt_http_request *request, int status, const char *outcome, const char *reason)
+answer_typed (struct mt_http_request *request, const struct plan *plan, const struct typed *typed)
 {
-  g_autofree char *body
-      = g_strdup_printf ("{\"outcome\":\"%s\",\"reason\":\"%s\",\"retry_after_s\":%s}\n", outcome,
-                         reason, RETRY_AFTER_S);
-  struct mt_http_header *headers = start_answer (request, status, 3);
+  g_autofree char *wait = g_strdup_printf ("%u", typed->retry_after_s);
+  g_autofree char *body = g_strdup_printf (
+      "{\"outcome\":\"%s\",\"reason\":\"%s\",\"request_id\":\"%.*s\"%s%s}\n", typed->outcome,
+      typed->reason, MT_STR_ARG (plan->id), typed->retry_after_s > 0 ? ",\"retry_after_s\":" : "",
+      typed->retry_after_s > 0 ? wait : "");
+  struct mt_http_header *headers = mt_arena_alloc (request->arena, 4 * sizeof *headers);
+  struct mt_http_answer *answer = &request->answer;
 
-  if (headers == NULL)
-    return;
-  headers[0] = (struct mt_http_header){ MT_STR ("Content-Type"), MT_STR ("application/json") };
-  headers[1] = (struct mt_http_header){ MT_STR ("Medlartrack-Outcome"),
-                                        mt_arena_dup (request->arena, mt_str_from (outcome)) };
-  headers[2] = (struct mt_http_header){ MT_STR ("Retry-After"), MT_STR (RETRY_AFTER_S) };
-  request->answer.body = mt_arena_dup (request->arena, mt_str_from (body));
+  *answer = (struct mt_http_answer){ .status = typed->status, .headers = headers, .n_headers = 3 };
+  answer->body = mt_arena_dup (request->arena, mt_str_from (body));
+  if (headers == NULL || answer->body.data == NULL)
+    {
+      answer_without_memory (request, strcmp (typed->outcome, "not-run") == 0);
+      return;
+    }
+  headers[0] = plain_headers[0];
+  headers[1]
+      = (struct mt_http_header){ MT_STR ("Medlartrack-Outcome"), mt_str_from (typed->outcome) };
+  headers[2] = (struct mt_http_header){ MT_STR ("Medlartrack-Request-Id"), plan->id };
+  headers[3].name = MT_STR ("Retry-After");
+  headers[3].value = mt_arena_dup (request->arena, mt_str_from (wait));
+  if (typed->retry_after_s > 0 && headers[3].value.data != NULL)
+    answer->n_headers = 4;
+}
+
+/* When the queue now waiting will have been served. Callers that were refused together are spread
+ * over as long again: told the same second, they would come back as the same surge. */
+static unsigned
+work_out_retry_after (struct mt_front *front, const struct plan *plan)
+{
+  int64_t backlog = mt_pools_backlog_us (front->options.pools, plan->pool.data);
+  unsigned base = (unsigned) ((backlog + MT_SECOND - 1) / MT_SECOND);
+
+  base = CLAMP (base, RETRY_AFTER_S, MAX_RETRY_AFTER_S / 2);
+  return base + (unsigned) (plan->number % (base + 1));
 }
 
 static void
-refuse_not_run (struct mt_front *front, struct mt_http_request *request, const char *reason)
+refuse_not_run (struct mt_front *front,
+                struct mt_http_request *request,
+                const struct plan *plan,
+                const char *reason)
 {
+  struct typed typed = { 503, "not-run", reason, work_out_retry_after (front, plan) };
+
   mt_counters_add (front->options.counters, MT_COUNTER_NOT_RUN, 1);
-  answer_typed (request, 503, "not-run", reason);
+  answer_typed (request, plan, &typed);
 }
 
 static void
-answer_unknown (struct mt_front *front, struct mt_http_request *request, const char *why)
+answer_unknown (struct mt_front *front,
+                struct mt_http_request *request,
+                const struct plan *plan,
+                const char *reason)
 {
+  struct typed typed = { 504, "unknown", reason, work_out_retry_after (front, plan) };
+
   mt_counters_add (front->options.counters, MT_COUNTER_UNKNOWN, 1);
-  mt_log_event (MT_EVENT_REQUEST_UNKNOWN, "path=%.*s why=%s", MT_STR_ARG (request->path), why);
-  answer_typed (request, 504, "unknown", "no whole answer came from the minion");
+  mt_log_event (MT_EVENT_REQUEST_UNKNOWN, "id=%.*s path=%.*s why=%s", MT_STR_ARG (plan->id),
+                MT_STR_ARG (request->path), reason);
+  answer_typed (request, plan, &typed);
 }
 
 static uint64_t
@@ -79,14 +154,18 @@
   return value.len > 0 ? XXH3_64bits (value.data, value.len) : 0;
 }
 
+/* Its id is made first: every answer tells it. */
 static bool
 make_plan (struct mt_front *front, struct mt_http_request *request, struct plan *plan)
 {
-  const struct mt_tables *tables = mt_view_begin (front->options.views);
+  const struct mt_tables *tables;
   const struct mt_route *route = NULL;
-  uint64_t number = __atomic_add_fetch (&front->next_id, 1, __ATOMIC_RELAXED);
-  g_autofree char *id = g_strdup_printf ("%s-%" G_GUINT64_FORMAT, front->name, number);
+  g_autofree char *id = NULL;
 
+  plan->number = __atomic_add_fetch (&front->next_id, 1, __ATOMIC_RELAXED);
+  id = g_strdup_printf ("%s-%" G_GUINT64_FORMAT, front->name, plan->number);
+  plan->id = mt_arena_dup (request->arena, mt_str_from (id));
+  tables = mt_view_begin (front->options.views);
   if (tables != NULL)
     route = mt_tables_route (tables, request->method, request->path);
   if (route != NULL)
@@ -98,8 +177,7 @@
       plan->audience = hash_audience (request, route->audience_header);
     }
   mt_view_end ();
-  plan->id = mt_arena_dup (request->arena, mt_str_from (id));
-  return route != NULL && plan->pool.data != NULL && plan->id.data != NULL;
+  return route != NULL;
 }
 
 static bool
@@ -115,107 +193,216 @@
   return true;
 }
 
+/* What has to be done when an exchange has really ended, which may be after its caller was
+ * answered: the slot is taken for as long as the minion works. */
+struct attempt
+{
+  struct mt_slot *slot;
+  struct mt_counters *counters;
+};
+
+static bool
+has_header (const struct mt_http_answer *answer, struct mt_str name)
+{
+  return mt_http_header_find (answer->headers, answer->n_headers, name).data != NULL;
+}
+
+/* The minion's promise that it did not run the request. */
+static bool
+is_refusal (const struct mt_http_answer *answer)
+{
+  return answer->status == 503 && has_header (answer, MT_STR ("Medlartrack-Not-Run"));
+}
+
+static enum mt_dispatch_result
+sort_result (enum mt_http_outcome outcome, const struct mt_http_answer *answer)
+{
+  if (outcome == MT_HTTP_NOT_SENT)
+    return MT_DISPATCH_NOT_SENT;
+  if (outcome == MT_HTTP_UNKNOWN)
+    return MT_DISPATCH_LOST;
+  if (is_refusal (answer))
+    return MT_DISPATCH_REFUSED;
+  return answer->status >= 500 ? MT_DISPATCH_BAD : MT_DISPATCH_GOOD;
+}
+
+static void
+end_attempt (void *ctx, enum mt_http_outcome outcome, const struct mt_http_answer *answer)
+{
+  struct attempt *attempt = ctx;
+  enum mt_dispatch_result result = sort_result (outcome, answer);
+
+  if (outcome == MT_HTTP_WHOLE && has_header (answer, MT_STR ("Medlartrack-Leaving")))
+    mt_slot_set_leaving (attempt->slot);
+  if (result == MT_DISPATCH_REFUSED)
+    mt_counters_add (attempt->counters, MT_COUNTER_MINION_REFUSALS, 1);
+  mt_slot_give_back (attempt->slot, result);
+  g_free (attempt);
+}
+
 static enum mt_http_outcome
 call_minion (struct mt_front *front,
              struct mt_http_request *request,
              const struct plan *plan,
-             const char *address,
+             struct mt_slot *slot,
              GError **error)
 {
   struct mt_http_header *headers
       = mt_arena_alloc (request->arena, (request->n_headers + 1) * sizeof *headers);
+  struct attempt *attempt = g_new0 (struct attempt, 1);
+  struct mt_http_ended ended = { end_attempt, attempt };
   struct mt_http_call call = {
     .method = request->method.data,
     .path = request->path.data,
     .headers = headers,
     .body = request->body,
     .fresh = plan->repeat == MT_REPEAT_NEVER,
+    .id = plan->id,
     .deadline_us = plan->deadline_us,
     .max_answer = front->options.answer_bytes,
+    .connections = mt_slot_connections (slot),
   };
 
+  attempt->slot = slot;
+  attempt->counters = front->options.counters;
   if (headers == NULL)
-    return MT_HTTP_NOT_SENT;
+    {
+      end_attempt (attempt, MT_HTTP_NOT_SENT, &request->answer);
+      return MT_HTTP_NOT_SENT;
+    }
   for (size_t i = 0; i < request->n_headers; i++)
     if (is_forwarded (request->headers[i].name))
       headers[call.n_headers++] = request->headers[i];
-  headers[call.n_headers].name = MT_STR ("Medlartrack-Request-Id");
-  headers[call.n_headers++].value = plan->id;
-  return mt_http_client_call (front->options.client, address, &call, request->arena,
-                              &request->answer, error);
-}
-
-/* A minion that answers with another request's id has crossed two answers. */
-static bool
-answer_is_ours (const struct mt_http_answer *answer, struct mt_str id)
-{
-  struct mt_str echoed
-      = mt_http_header_find (answer->headers, answer->n_headers, MT_STR ("Medlartrack-Request-Id"));
-
-  return echoed.data == NULL || mt_str_equal (echoed, id);
-}
-
-static enum mt_dispatch_result
-sort_result (enum mt_http_outcome outcome, const struct mt_http_answer *answer)
-{
-  if (outcome == MT_HTTP_NOT_SENT)
-    return MT_DISPATCH_NOT_SENT;
-  if (outcome == MT_HTTP_UNKNOWN)
-    return MT_DISPATCH_LOST;
-  return answer->status >= 500 ? MT_DISPATCH_BAD : MT_DISPATCH_GOOD;
+  return mt_http_exchanges_call (front->options.exchanges, mt_slot_address (slot), &call, ended,
+                                 request->arena, &request->answer, error);
 }
 
 static const char *
-describe_slot_failure (enum mt_slot_result result)
+describe_slot_failure (struct mt_front *front, enum mt_slot_result result)
 {
+  struct mt_counters *counters = front->options.counters;
+
   switch (result)
     {
     case MT_SLOT_NO_POOL:
-      return "the pool has no minion here";
+    case MT_SLOT_NO_MINION:
+      return "the pool has no minion here that takes work";
     case MT_SLOT_QUEUE_FULL:
+      mt_counters_add (counters, MT_COUNTER_REFUSED_QUEUE, 1);
       return "the queue is full";
-    case MT_SLOT_EXPIRED:
-      return "the deadline passed in the queue";
+    case MT_SLOT_TOO_LATE:
+      mt_counters_add (counters, MT_COUNTER_REFUSED_LATE, 1);
+      return "it could not be answered by its deadline";
+    case MT_SLOT_RETRY_BUDGET:
+      mt_counters_add (counters, MT_COUNTER_REFUSED_BUDGET, 1);
+      return "a minion failed, and the retry budget is spent";
     case MT_SLOT_GRANTED:
       break;
     }
   return "";
 }
 
-/* One try on one minion. True where the request has its final answer. */
-static bool
-try_once (struct mt_front *front, struct mt_http_request *request, struct plan *plan, bool last)
+static enum try_result
+take_slot (struct mt_front *front,
+           struct mt_http_request *request,
+           const struct plan *plan,
+           struct tries *tries,
+           struct mt_slot **slot)
 {
   struct mt_slot_request wanted = { .pool = plan->pool.data,
                                     .audience = plan->audience,
                                     .deadline_us = plan->deadline_us,
-                                    .queue_limit = plan->queue };
+                                    .queue_limit = plan->queue,
+                                    .avoid = tries->avoid.data,
+                                    .again = tries->again };
+  enum mt_slot_result taken = mt_pools_take (front->options.pools, &wanted, slot);
+
+  if (taken != MT_SLOT_GRANTED)
+    {
+      if (!tries->again)
+        tries->reason = describe_slot_failure (front, taken);
+      return TRY_REFUSED;
+    }
+  if (!mt_http_request_is_gone (request))
+    return TRY_WHOLE;
+  mt_slot_give_back (*slot, MT_DISPATCH_UNUSED);
+  mt_counters_add (front->options.counters, MT_COUNTER_CALLERS_GONE, 1);
+  return TRY_GONE;
+}
+
+static enum try_result
+try_once (struct mt_front *front,
+          struct mt_http_request *request,
+          const struct plan *plan,
+          struct tries *tries)
+{
   g_autoptr (GError) error = NULL;
   struct mt_slot *slot = NULL;
-  enum mt_slot_result taken = mt_pools_take (front->options.pools, &wanted, &slot);
+  enum try_result result = take_slot (front, request, plan, tries, &slot);
   enum mt_http_outcome outcome;
 
-  if (taken != MT_SLOT_GRANTED)
+  if (result != TRY_WHOLE)
+    return result;
+  tries->avoid = mt_arena_dup (request->arena, mt_str_from (mt_slot_minion (slot)));
+  outcome = call_minion (front, request, plan, slot, &error);
+  if (outcome == MT_HTTP_NOT_SENT)
     {
-      refuse_not_run (front, request, describe_slot_failure (taken));
-      return true;
+      tries->reason = "no minion could be reached";
+      return TRY_NOT_SENT;
     }
-  outcome = call_minion (front, request, plan, mt_slot_address (slot), &error);
-  if (outcome == MT_HTTP_WHOLE && !answer_is_ours (&request->answer, plan->id))
-    outcome = MT_HTTP_UNKNOWN;
-  mt_slot_give_back (slot, sort_result (outcome, &request->answer));
-  if (outcome == MT_HTTP_WHOLE)
+  if (outcome == MT_HTTP_UNKNOWN)
     {
-      mt_counters_add (front->options.counters, MT_COUNTER_WHOLE, 1);
-      return true;
+      tries->reason = g_error_matches (error, MT_ERROR, MT_ERROR_TIMEOUT)
+                          ? "no answer by the deadline"
+                          : "no whole answer came from the minion";
+      return TRY_UNKNOWN;
     }
-  if (!last && (outcome == MT_HTTP_NOT_SENT || plan->repeat == MT_REPEAT_SAFE))
-    return false;
-  if (outcome == MT_HTTP_NOT_SENT)
-    refuse_not_run (front, request, "no minion could be reached");
+  if (!is_refusal (&request->answer))
+    return TRY_WHOLE;
+  tries->reason = "the minions' slots are full";
+  return TRY_NOT_SENT;
+}
+
+/* Tries until there is an answer or nothing left to try. A request that a minion may have run is
+ * only tried again where its route says that this does no harm. */
+static enum try_result
+try_in_turn (struct mt_front *front,
+             struct mt_http_request *request,
+             const struct plan *plan,
+             struct tries *tries)
+{
+  enum try_result result = TRY_REFUSED;
+
+  for (int i = 0; i < MAX_TRIES; i++)
+    {
+      tries->again = i > 0;
+      result = try_once (front, request, plan, tries);
+      tries->maybe_run = tries->maybe_run || result == TRY_UNKNOWN;
+      if (result == TRY_WHOLE || result == TRY_REFUSED || result == TRY_GONE)
+        return result;
+      if (result == TRY_UNKNOWN && plan->repeat == MT_REPEAT_NEVER)
+        return result;
+      mt_counters_add (front->options.counters, MT_COUNTER_RETRIES, i + 1 < MAX_TRIES ? 1 : 0);
+    }
+  return result;
+}
+
+/* Gives the request its one answer. */
+static void
+settle (struct mt_front *front,
+        struct mt_http_request *request,
+        const struct plan *plan,
+        const struct tries *tries,
+        enum try_result result)
+{
+  if (result == TRY_WHOLE)
+    mt_counters_add (front->options.counters, MT_COUNTER_WHOLE, 1);
+  else if (result == TRY_GONE)
+    request->answer = (struct mt_http_answer){ .status = MT_HTTP_DROP };
+  else if (tries->maybe_run)
+    answer_unknown (front, request, plan, tries->reason);
   else
-    answer_unknown (front, request, error != NULL ? error->message : "crossed answer");
-  return true;
+    refuse_not_run (front, request, plan, tries->reason);
 }
 
 struct mt_front *
@@ -239,14 +426,21 @@
 {
   struct mt_front *front = ctx;
   struct plan plan = { 0 };
+  struct tries tries = { 0 };
+  bool routed = make_plan (front, request, &plan);
 
   mt_counters_add (front->options.counters, MT_COUNTER_ASKED, 1);
-  if (!make_plan (front, request, &plan))
+  if (plan.id.data == NULL || (routed && plan.pool.data == NULL))
+    {
+      mt_counters_add (front->options.counters, MT_COUNTER_NOT_RUN, 1);
+      answer_without_memory (request, true);
+      return;
+    }
+  if (!routed)
     {
       mt_counters_add (front->options.counters, MT_COUNTER_NOT_RUN, 1);
-      answer_typed (request, 404, "not-run", "no route leads there");
+      answer_typed (request, &plan, &(struct typed){ 404, "not-run", "no route leads there", 0 });
       return;
     }
-  for (int i = 1; !try_once (front, request, &plan, i == MAX_TRIES); i++)
-    mt_counters_add (front->options.counters, MT_COUNTER_RETRIES, 1);
+  settle (front, request, &plan, &tries, try_in_turn (front, request, &plan, &tries));
 }
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -4,6 +4,7 @@
 #define MT_FRONT_H
 
 #include "counters.h"
+#include "http_exchange.h"
 #include "http_server.h"
 #include "pools.h"
 
@@ -14,7 +15,7 @@
   const struct mt_clock *clock;
   struct mt_view_holder *views;
   struct mt_pools *pools;
-  struct mt_http_client *client;
+  struct mt_http_exchanges *exchanges;
   struct mt_counters *counters;
   size_t answer_bytes;
 };
--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -1,5 +1,7 @@
 #include "pools.h"
 
+#include <string.h>
+
 struct pool
 {
   GMutex lock; /* guards dispatch and all slots of the pool */
@@ -13,6 +15,7 @@
   char *zone;
   GRWLock lock;        /* guards the map; a pool in it lives until mt_pools_destroy */
   GHashTable *by_name; /* name -> struct pool */
+  struct mt_share share;
 };
 
 enum slot_state
@@ -73,6 +76,7 @@
   pools->clock = clock;
   pools->views = views;
   pools->zone = g_strdup (zone);
+  pools->share = (struct mt_share){ .daemons = 1 };
   g_rw_lock_init (&pools->lock);
   pools->by_name = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_pool);
   return pools;
@@ -117,6 +121,7 @@
   g_mutex_init (&pool->lock);
   pool->dispatch = mt_dispatch_create (pools->clock, &wake_waiter, NULL, random_seed ());
   g_rw_lock_writer_lock (&pools->lock);
+  mt_dispatch_set_share (pool->dispatch, pools->share, NULL, NULL);
   g_hash_table_insert (pools->by_name, g_strdup (name), pool);
   g_rw_lock_writer_unlock (&pools->lock);
   return pool;
@@ -168,17 +173,46 @@
 {
   while (slot->state == SLOT_WAITING)
     {
-      int64_t left = slot->ticket.deadline_us - mt_clock_now (pools->clock);
+      int64_t left
+          = mt_dispatch_due (slot->pool->dispatch, &slot->ticket) - mt_clock_now (pools->clock);
 
       if (left <= 0
           || !g_cond_wait_until (&slot->changed, &slot->pool->lock, g_get_monotonic_time () + left))
-        break;
+        mt_dispatch_tick (slot->pool->dispatch);
     }
-  if (slot->state == SLOT_WAITING)
+}
+
+static enum mt_slot_result
+describe_refusal (enum mt_refusal refusal)
+{
+  switch (refusal)
     {
-      mt_dispatch_cancel (slot->pool->dispatch, &slot->ticket);
-      slot->state = SLOT_EXPIRED;
+    case MT_REFUSAL_QUEUE_FULL:
+      return MT_SLOT_QUEUE_FULL;
+    case MT_REFUSAL_TOO_LATE:
+      return MT_SLOT_TOO_LATE;
+    case MT_REFUSAL_RETRY_BUDGET:
+      return MT_SLOT_RETRY_BUDGET;
+    case MT_REFUSAL_NO_MINION:
+    case MT_REFUSAL_NONE:
+      break;
     }
+  return MT_SLOT_NO_MINION;
+}
+
+static struct mt_slot *
+make_slot (struct pool *pool, const struct mt_slot_request *request)
+{
+  struct mt_slot *slot = g_new0 (struct mt_slot, 1);
+
+  slot->pool = pool;
+  g_cond_init (&slot->changed);
+  slot->ticket.audience = request->audience;
+  slot->ticket.deadline_us = request->deadline_us;
+  slot->ticket.avoid = request->avoid;
+  slot->ticket.again = request->again;
+  slot->ticket.owner = slot;
+  return slot;
 }
 
 enum mt_slot_result
@@ -187,30 +221,17 @@
   struct pool *pool = find_pool (pools, request->pool);
   struct mt_slot *slot;
   enum mt_slot_result result = MT_SLOT_GRANTED;
+  enum mt_admit admit;
 
   if (pool == NULL)
     return MT_SLOT_NO_POOL;
-  slot = g_new0 (struct mt_slot, 1);
-  slot->pool = pool;
-  g_cond_init (&slot->changed);
-  slot->ticket.audience = request->audience;
-  slot->ticket.deadline_us = request->deadline_us;
-  slot->ticket.avoid = request->avoid;
-  slot->ticket.owner = slot;
+  slot = make_slot (pool, request);
   g_mutex_lock (&pool->lock);
-  switch (mt_dispatch_ask (pool->dispatch, &slot->ticket, request->queue_limit))
-    {
-    case MT_ADMIT_RUN:
-      break;
-    case MT_ADMIT_REFUSE:
-      result = MT_SLOT_QUEUE_FULL;
-      break;
-    case MT_ADMIT_WAIT:
-      wait_for_grant (pools, slot);
-      if (slot->state == SLOT_EXPIRED)
-        result = MT_SLOT_EXPIRED;
-      break;
-    }
+  admit = mt_dispatch_ask (pool->dispatch, &slot->ticket, request->queue_limit);
+  if (admit == MT_ADMIT_WAIT)
+    wait_for_grant (pools, slot);
+  if (admit == MT_ADMIT_REFUSE || slot->state == SLOT_EXPIRED)
+    result = describe_refusal (slot->ticket.refusal);
   g_mutex_unlock (&pool->lock);
   if (result == MT_SLOT_GRANTED)
     *out = slot;
@@ -231,6 +252,20 @@
   return slot->ticket.address;
 }
 
+unsigned
+mt_slot_connections (const struct mt_slot *slot)
+{
+  return slot->ticket.connections;
+}
+
+void
+mt_slot_set_leaving (struct mt_slot *slot)
+{
+  g_mutex_lock (&slot->pool->lock);
+  mt_dispatch_set_leaving (slot->pool->dispatch, slot->ticket.minion);
+  g_mutex_unlock (&slot->pool->lock);
+}
+
 void
 mt_slot_give_back (struct mt_slot *slot, enum mt_dispatch_result result)
 {
@@ -242,6 +277,165 @@
   free_slot (slot);
 }
 
+int64_t
+mt_pools_backlog_us (struct mt_pools *pools, const char *name)
+{
+  struct pool *pool = find_pool (pools, name);
+  int64_t backlog;
+
+  if (pool == NULL)
+    return 0;
+  g_mutex_lock (&pool->lock);
+  backlog = mt_dispatch_backlog_us (pool->dispatch);
+  g_mutex_unlock (&pool->lock);
+  return backlog;
+}
+
+struct mt_shares
+{
+  char *self;
+  struct mt_share share;
+  GHashTable *others; /* minion -> in flight by the other daemons */
+};
+
+struct mt_shares *
+mt_shares_create (const char *self)
+{
+  struct mt_shares *shares = g_new0 (struct mt_shares, 1);
+
+  shares->self = g_strdup (self);
+  shares->share.daemons = 1;
+  shares->others = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return shares;
+}
+
+void
+mt_shares_destroy (struct mt_shares *shares)
+{
+  if (shares == NULL)
+    return;
+  g_hash_table_destroy (shares->others);
+  g_free (shares->self);
+  g_free (shares);
+}
+
+void
+mt_shares_visit (void *ctx, const struct mt_member *member)
+{
+  struct mt_shares *shares = ctx;
+  int order = strcmp (member->name, shares->self);
+
+  if (order == 0)
+    return;
+  shares->share.daemons++;
+  shares->share.rank += order < 0 ? 1 : 0;
+  for (size_t i = 0; i < member->n_loads; i++)
+    {
+      const struct mt_member_load *load = &member->loads[i];
+      unsigned sum = GPOINTER_TO_UINT (g_hash_table_lookup (shares->others, load->minion));
+
+      g_hash_table_insert (shares->others, g_strdup (load->minion),
+                           GUINT_TO_POINTER (sum + load->in_flight));
+    }
+}
+
+static unsigned
+others_in_flight (void *ctx, const char *minion)
+{
+  const struct mt_shares *shares = ctx;
+
+  return GPOINTER_TO_UINT (g_hash_table_lookup (shares->others, minion));
+}
+
+void
+mt_pools_set_shares (struct mt_pools *pools, struct mt_shares *shares)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_rw_lock_writer_lock (&pools->lock);
+  pools->share = shares->share;
+  g_hash_table_iter_init (&iter, pools->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct pool *pool = value;
+
+      g_mutex_lock (&pool->lock);
+      mt_dispatch_set_share (pool->dispatch, shares->share, others_in_flight, shares);
+      g_mutex_unlock (&pool->lock);
+    }
+  g_rw_lock_writer_unlock (&pools->lock);
+}
+
+bool
+mt_pools_is_leaving (struct mt_pools *pools, const char *name, const char *minion)
+{
+  struct pool *pool = find_pool (pools, name);
+  bool leaving;
+
+  if (pool == NULL)
+    return false;
+  g_mutex_lock (&pool->lock);
+  leaving = mt_dispatch_is_leaving (pool->dispatch, minion);
+  g_mutex_unlock (&pool->lock);
+  return leaving;
+}
+
+void
+mt_pools_rejoin (struct mt_pools *pools, const char *name, const char *minion)
+{
+  struct pool *pool = find_pool (pools, name);
+
+  if (pool == NULL)
+    return;
+  g_mutex_lock (&pool->lock);
+  mt_dispatch_rejoin (pool->dispatch, minion);
+  g_mutex_unlock (&pool->lock);
+}
+
+void
+mt_pools_each (struct mt_pools *pools, const struct mt_pools_visitor *visitor)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+
+  g_rw_lock_reader_lock (&pools->lock);
+  g_hash_table_iter_init (&iter, pools->by_name);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      struct pool *pool = value;
+
+      g_mutex_lock (&pool->lock);
+      visitor->pool (visitor->ctx, name, mt_dispatch_waiting (pool->dispatch),
+                     mt_dispatch_in_flight (pool->dispatch, NULL));
+      mt_dispatch_each (pool->dispatch, visitor->minion, visitor->ctx);
+      g_mutex_unlock (&pool->lock);
+    }
+  g_rw_lock_reader_unlock (&pools->lock);
+}
+
+static void
+dump_minion (void *ctx, const char *minion, unsigned in_flight)
+{
+  if (in_flight > 0)
+    json_object_set_new (ctx, minion, json_integer (in_flight));
+}
+
+/* The pool's lock is held. */
+static json_t *
+dump_pool (const struct mt_dispatch *dispatch)
+{
+  json_t *minions = json_object ();
+
+  mt_dispatch_each (dispatch, dump_minion, minions);
+  return json_pack ("{si si si si sI so}", "waiting", (int) mt_dispatch_waiting (dispatch),
+                    "in_flight", (int) mt_dispatch_in_flight (dispatch, NULL), "usable_slots",
+                    (int) mt_dispatch_usable (dispatch, NULL), "ejected",
+                    (int) mt_dispatch_ejected (dispatch), "service_us",
+                    (json_int_t) mt_dispatch_service_us (dispatch), "minions_in_flight", minions);
+}
+
 void
 mt_pools_dump (struct mt_pools *pools, json_t *out)
 {
@@ -256,10 +450,7 @@
       struct pool *pool = value;
 
       g_mutex_lock (&pool->lock);
-      json_object_set_new (out, name,
-                           json_pack ("{si si}", "waiting",
-                                      (int) mt_dispatch_waiting (pool->dispatch), "in_flight",
-                                      (int) mt_dispatch_in_flight (pool->dispatch, NULL)));
+      json_object_set_new (out, name, dump_pool (pool->dispatch));
       g_mutex_unlock (&pool->lock);
     }
   g_rw_lock_reader_unlock (&pools->lock);
--- a/daemon/pools.h
+++ b/daemon/pools.h
@@ -4,6 +4,7 @@
 #define MT_POOLS_H
 
 #include "medlartrack/dispatch.h"
+#include "medlartrack/membership.h"
 #include "view.h"
 
 #include <jansson.h>
@@ -24,25 +25,61 @@
   int64_t deadline_us;
   unsigned queue_limit;
   const char *avoid;
+  bool again; /* a retry */
 };
 
 enum mt_slot_result
 {
   MT_SLOT_GRANTED,
   MT_SLOT_NO_POOL,
+  MT_SLOT_NO_MINION,
   MT_SLOT_QUEUE_FULL,
-  MT_SLOT_EXPIRED,
+  MT_SLOT_TOO_LATE,
+  MT_SLOT_RETRY_BUDGET,
 };
 
-/* Waits for a slot in the pool, until the deadline at most. */
+/* Waits for a slot in the pool, until the dispatch gives up at most. */
 enum mt_slot_result
 mt_pools_take (struct mt_pools *pools, const struct mt_slot_request *request, struct mt_slot **out);
+/* Valid until the slot is given back. */
 const char *mt_slot_minion (const struct mt_slot *slot);
 const char *mt_slot_address (const struct mt_slot *slot);
+/* Most connections that this daemon may hold to the minion. */
+unsigned mt_slot_connections (const struct mt_slot *slot);
+/* The minion itself said that it leaves. */
+void mt_slot_set_leaving (struct mt_slot *slot);
 /* Gives it back and frees it. */
 void mt_slot_give_back (struct mt_slot *slot, enum mt_dispatch_result result);
 
-/* Adds {"pool": {"waiting": n, "in_flight": n}} for each pool. */
+/* How long the pool's queue would take now; 0 for an unknown pool. */
+int64_t mt_pools_backlog_us (struct mt_pools *pools, const char *name);
+
+/* What the live daemons of this data centre have in flight. Fill one with mt_shares_visit (ctx),
+ * whose signature is that of mt_peers_each, and hand it over with mt_pools_set_shares. Not
+ * thread-safe.
+ */
+struct mt_shares;
+struct mt_shares *mt_shares_create (const char *self);
+void mt_shares_destroy (struct mt_shares *shares);
+void mt_shares_visit (void *ctx, const struct mt_member *member);
+void mt_pools_set_shares (struct mt_pools *pools, struct mt_shares *shares);
+
+/* Whether the minion said that it leaves; told back with mt_pools_rejoin, once the control part
+ * knows that it has come back. */
+bool mt_pools_is_leaving (struct mt_pools *pools, const char *name, const char *minion);
+void mt_pools_rejoin (struct mt_pools *pools, const char *name, const char *minion);
+
+/* Waiting and in flight in each pool and on each minion, for the heartbeat. Visitors must not call
+ * back. */
+struct mt_pools_visitor
+{
+  void (*pool) (void *ctx, const char *pool, unsigned waiting, unsigned in_flight);
+  void (*minion) (void *ctx, const char *minion, unsigned in_flight);
+  void *ctx;
+};
+void mt_pools_each (struct mt_pools *pools, const struct mt_pools_visitor *visitor);
+
+/* Adds an object for each pool: its queue, slots and minions. */
 void mt_pools_dump (struct mt_pools *pools, json_t *out);
 
 #endif
--- a/include/medlartrack/arena.h
+++ b/include/medlartrack/arena.h
@@ -14,6 +14,9 @@
 void *mt_arena_alloc (struct mt_arena *arena, size_t size);
 /* A NUL-terminated copy; its data is NULL where the limit would be passed. */
 struct mt_str mt_arena_dup (struct mt_arena *arena, struct mt_str s);
+/* Makes child a part of the arena: it counts against its limit and is freed with it. False where
+ * the limit would be passed; child then stays the caller's. */
+bool mt_arena_adopt (struct mt_arena *arena, struct mt_arena *child);
 size_t mt_arena_used (const struct mt_arena *arena);
 
 #endif
--- a/include/medlartrack/dispatch.h
+++ b/include/medlartrack/dispatch.h
@@ -31,6 +31,7 @@
   /* Set once granted. */
   char *minion; /* name; owned by the dispatch until mt_dispatch_done */
   const char *address;
+  unsigned connections; /* this daemon's part of the minion's limit */
   int64_t granted_us;
   /* Set once refused or expired. */
   enum mt_refusal refusal;
@@ -52,6 +53,7 @@
   MT_DISPATCH_NOT_SENT, /* could not connect */
   MT_DISPATCH_LOST,     /* cut, late or crossed */
   MT_DISPATCH_REFUSED,  /* the minion says that it did not run it: its slots are full */
+  MT_DISPATCH_UNUSED,   /* nothing was sent: says nothing of the minion */
 };
 
 struct mt_dispatch_callbacks
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -9,21 +9,70 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MAX_IDLE_PER_ADDRESS 64
-#define READ_CHUNK           16384
-#define MAX_HEADERS          64
+#define MAX_IDLE    64 /* kept connections to one address where the call sets no limit */
+#define IDLE_US     (10 * MT_SECOND)
+#define LATE_US     (1 * MT_SECOND) /* an answer that still trickles so long after is cut */
+#define READ_CHUNK  16384
+#define MAX_HEADERS 64
+#define ID_HEADER   "Medlartrack-Request-Id"
+
+/* A connection between two exchanges. */
+struct idle
+{
+  ne_session *session;
+  int64_t since_us;
+};
+
+struct peer
+{
+  GQueue idle;   /* of struct idle, the last used first */
+  unsigned open; /* connections, those in an exchange included */
+};
 
 struct mt_http_client
 {
   const struct mt_clock *clock;
   GMutex lock;
-  GHashTable *idle; /* guarded by lock: address -> GQueue of idle ne_session */
+  GHashTable *peers; /* guarded by lock: address -> struct peer */
+};
+
+struct connection
+{
+  ne_session *session;
+  bool used; /* it has carried a request before */
 };
 
 static void
 free_idle (gpointer data)
 {
-  g_queue_free_full (data, (GDestroyNotify) ne_session_destroy);
+  struct idle *idle = data;
+
+  ne_session_destroy (idle->session);
+  g_free (idle);
+}
+
+static void
+free_peer (gpointer data)
+{
+  struct peer *peer = data;
+
+  g_queue_clear_full (&peer->idle, free_idle);
+  g_free (peer);
+}
+
+/* The lock is held. */
+static struct peer *
+find_peer (struct mt_http_client *client, const char *address)
+{
+  struct peer *peer = g_hash_table_lookup (client->peers, address);
+
+  if (peer == NULL)
+    {
+      peer = g_new0 (struct peer, 1);
+      g_queue_init (&peer->idle);
+      g_hash_table_insert (client->peers, g_strdup (address), peer);
+    }
+  return peer;
 }
 
 static ne_session *
@@ -40,44 +89,89 @@
   return session;
 }
 
-static ne_session *
-take_session (struct mt_http_client *client, const char *address, bool fresh)
+/* The lock is held. Takes out the idle connections that are too old, and with a limit those that
+ * leave no room for another; they are freed outside of the lock. */
+static void
+drop_idle (struct mt_http_client *client, struct peer *peer, unsigned limit, GQueue *dropped)
 {
-  ne_session *session = NULL;
-  GQueue *queue;
+  int64_t now = mt_clock_now (client->clock);
+  const struct idle *oldest;
+
+  while ((oldest = g_queue_peek_tail (&peer->idle)) != NULL
+         && (oldest->since_us + IDLE_US <= now || (limit > 0 && peer->open >= limit)))
+    {
+      g_queue_push_tail (dropped, g_queue_pop_tail (&peer->idle));
+      peer->open--;
+    }
+}
+
+static struct idle *
+take_idle (struct mt_http_client *client,
+           const char *address,
+           const struct mt_http_call *call,
+           GQueue *dropped)
+{
+  struct idle *idle = NULL;
+  struct peer *peer;
 
-  if (fresh)
-    return open_session (address, true);
   g_mutex_lock (&client->lock);
-  queue = g_hash_table_lookup (client->idle, address);
-  if (queue != NULL)
-    session = g_queue_pop_head (queue);
+  peer = find_peer (client, address);
+  drop_idle (client, peer, 0, dropped);
+  if (!call->fresh)
+    idle = g_queue_pop_head (&peer->idle);
+  if (idle == NULL)
+    {
+      drop_idle (client, peer, call->connections, dropped);
+      peer->open++;
+    }
   g_mutex_unlock (&client->lock);
-  return session != NULL ? session : open_session (address, false);
+  return idle;
+}
+
+static struct connection
+take_connection (struct mt_http_client *client,
+                 const char *address,
+                 const struct mt_http_call *call)
+{
+  struct connection connection = { NULL, true };
+  GQueue dropped = G_QUEUE_INIT;
+  struct idle *idle = take_idle (client, address, call, &dropped);
+
+  g_queue_clear_full (&dropped, free_idle);
+  if (idle == NULL)
+    return (struct connection){ open_session (address, call->fresh), false };
+  connection.session = idle->session;
+  g_free (idle);
+  return connection;
 }
 
 static void
-keep_session (struct mt_http_client *client, const char *address, ne_session *session)
+give_connection (struct mt_http_client *client,
+                 const char *address,
+                 const struct mt_http_call *call,
+                 struct connection connection,
+                 bool keep)
 {
-  GQueue *queue;
+  unsigned limit = call->connections > 0 ? call->connections : MAX_IDLE;
+  struct idle *idle = NULL;
+  struct peer *peer;
 
   g_mutex_lock (&client->lock);
-  queue = g_hash_table_lookup (client->idle, address);
-  if (queue == NULL)
-    {
-      queue = g_queue_new ();
-      g_hash_table_insert (client->idle, g_strdup (address), queue);
-    }
-  if (g_queue_get_length (queue) < MAX_IDLE_PER_ADDRESS)
+  peer = find_peer (client, address);
+  if (keep && peer->open <= limit)
     {
-      g_queue_push_head (queue, session);
-      session = NULL;
+      idle = g_new (struct idle, 1);
+      *idle = (struct idle){ connection.session, mt_clock_now (client->clock) };
+      g_queue_push_head (&peer->idle, idle);
     }
+  else
+    peer->open--;
   g_mutex_unlock (&client->lock);
-  if (session != NULL)
-    ne_session_destroy (session);
+  if (idle == NULL)
+    ne_session_destroy (connection.session);
 }
 
+/* neon counts whole seconds; who needs the answer on time waits in mt_http_exchanges. */
 static void
 set_timeouts (struct mt_http_client *client, ne_session *session, int64_t deadline_us)
 {
@@ -138,18 +232,31 @@
          || ne_get_response_header (request, "Transfer-Encoding") != NULL;
 }
 
+/* The read timeout starts anew with each byte: a minion that trickles would hold the connection and
+ * its slot for ever. */
 static bool
-read_body (ne_request *request, size_t max, GString *body, GError **error)
+read_body (struct mt_http_client *client,
+           ne_request *request,
+           const struct mt_http_call *call,
+           GString *body,
+           GError **error)
 {
   char chunk[READ_CHUNK];
   ssize_t n;
 
   while ((n = ne_read_response_block (request, chunk, sizeof chunk)) > 0)
     {
-      if (body->len + (size_t) n > max)
+      if (body->len + (size_t) n > call->max_answer)
         {
           g_set_error (error, MT_ERROR, MT_ERROR_LIMIT,
-                       "answer is longer than %zu bytes; raise limits.answer_bytes", max);
+                       "answer is longer than %zu bytes; raise limits.answer_bytes",
+                       call->max_answer);
+          return false;
+        }
+      if (mt_clock_now (client->clock) > call->deadline_us + LATE_US)
+        {
+          g_set_error (error, MT_ERROR, MT_ERROR_TIMEOUT,
+                       "the answer trickles past its deadline; see the minion's log");
           return false;
         }
       g_string_append_len (body, chunk, n);
@@ -160,7 +267,8 @@
 }
 
 static bool
-read_answer (ne_request *request,
+read_answer (struct mt_http_client *client,
+             ne_request *request,
              const struct mt_http_call *call,
              struct mt_arena *arena,
              struct mt_http_answer *answer,
@@ -175,7 +283,7 @@
                    "the answer has no length; have the minion send Content-Length or chunks");
       return false;
     }
-  if (!read_body (request, call->max_answer, body, error))
+  if (!read_body (client, request, call, body, error))
     return false;
   answer->body = mt_arena_dup (arena, (struct mt_str){ body->str, body->len });
   if (answer->body.data != NULL && read_headers (request, arena, answer))
@@ -186,16 +294,20 @@
 }
 
 static enum mt_http_outcome
-exchange (ne_session *session,
+exchange (struct mt_http_client *client,
+          struct connection connection,
           ne_request *request,
           const struct mt_http_call *call,
           struct mt_arena *arena,
           struct mt_http_answer *answer,
           GError **error)
 {
+  ne_session *session = connection.session;
   int rc = ne_begin_request (request);
 
-  if (rc == NE_CONNECT || rc == NE_LOOKUP)
+  /* On a connection used before, neon may have written the request, found the connection closed and
+   * failed to open another: only a first failure to connect proves that no byte has left. */
+  if ((rc == NE_CONNECT || rc == NE_LOOKUP) && !connection.used)
     {
       g_set_error (error, MT_ERROR, MT_ERROR_UNAVAILABLE, "%s; check that the address listens",
                    ne_get_error (session));
@@ -206,7 +318,7 @@
       g_set_error (error, MT_ERROR, MT_ERROR_UNKNOWN, "%s", ne_get_error (session));
       return MT_HTTP_UNKNOWN;
     }
-  if (!read_answer (request, call, arena, answer, error))
+  if (!read_answer (client, request, call, arena, answer, error))
     return MT_HTTP_UNKNOWN;
   if (ne_end_request (request) != NE_OK)
     {
@@ -216,6 +328,36 @@
   return MT_HTTP_WHOLE;
 }
 
+static struct mt_str
+echoed_id (const struct mt_http_answer *answer)
+{
+  return mt_http_header_find (answer->headers, answer->n_headers, MT_STR (ID_HEADER));
+}
+
+static enum mt_http_outcome
+check_id (const struct mt_http_call *call, const struct mt_http_answer *answer, GError **error)
+{
+  struct mt_str id = echoed_id (answer);
+
+  if (call->id.len == 0 || id.data == NULL || mt_str_equal (id, call->id))
+    return MT_HTTP_WHOLE;
+  g_set_error (error, MT_ERROR, MT_ERROR_UNKNOWN,
+               "the answer is another request's; see the minion's log");
+  return MT_HTTP_UNKNOWN;
+}
+
+/* A connection whose exchange went wrong may still receive the late answer: it is never used again,
+ * so that the next request can't meet it. Nor is one whose minion echoes no id: an answer sent
+ * twice would be taken for the next request's. */
+static bool
+may_keep (const struct mt_http_call *call,
+          const struct mt_http_answer *answer,
+          enum mt_http_outcome outcome)
+{
+  return outcome == MT_HTTP_WHOLE && !call->fresh
+         && (call->id.len == 0 || echoed_id (answer).data != NULL);
+}
+
 struct mt_http_client *
 mt_http_client_create (const struct mt_clock *clock)
 {
@@ -224,7 +366,7 @@
   ne_sock_init ();
   client->clock = clock;
   g_mutex_init (&client->lock);
-  client->idle = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_idle);
+  client->peers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_peer);
   return client;
 }
 
@@ -233,7 +375,7 @@
 {
   if (client == NULL)
     return;
-  g_hash_table_destroy (client->idle);
+  g_hash_table_destroy (client->peers);
   g_mutex_clear (&client->lock);
   g_free (client);
 }
@@ -246,24 +388,23 @@
                      struct mt_http_answer *answer,
                      GError **error)
 {
-  ne_session *session = take_session (client, address, call->fresh);
-  ne_request *request = ne_request_create (session, call->method, call->path);
+  struct connection connection = take_connection (client, address, call);
+  ne_request *request = ne_request_create (connection.session, call->method, call->path);
   enum mt_http_outcome outcome;
 
   *answer = (struct mt_http_answer){ 0 };
-  set_timeouts (client, session, call->deadline_us);
+  set_timeouts (client, connection.session, call->deadline_us);
   for (size_t i = 0; i < call->n_headers; i++)
     ne_add_request_header (request, call->headers[i].name.data, call->headers[i].value.data);
+  if (call->id.len > 0)
+    ne_add_request_header (request, ID_HEADER, call->id.data);
   if (call->body.len > 0)
     ne_set_request_body_buffer (request, call->body.data, call->body.len);
-  outcome = exchange (session, request, call, arena, answer, error);
+  outcome = exchange (client, connection, request, call, arena, answer, error);
+  if (outcome == MT_HTTP_WHOLE)
+    outcome = check_id (call, answer, error);
   ne_request_destroy (request);
-  /* A connection whose exchange went wrong may still receive the late answer: it is never used
-   * again, so that the next request can't meet it. */
-  if (outcome == MT_HTTP_WHOLE && !call->fresh)
-    keep_session (client, address, session);
-  else
-    ne_session_destroy (session);
+  give_connection (client, address, call, connection, may_keep (call, answer, outcome));
   return outcome;
 }
 
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -21,9 +21,11 @@
   const struct mt_http_header *headers; /* data NUL-terminated */
   size_t n_headers;
   struct mt_str body;
-  bool fresh;          /* on a connection that has carried nothing before, and closed after */
-  int64_t deadline_us; /* on the client's clock */
-  size_t max_answer;   /* most body bytes taken */
+  bool fresh;           /* on a connection that has carried nothing before, and closed after */
+  struct mt_str id;     /* that the answer must echo as Medlartrack-Request-Id; empty: none */
+  int64_t deadline_us;  /* on the client's clock */
+  size_t max_answer;    /* most body bytes taken */
+  unsigned connections; /* most to this address, idle ones included; 0: no limit */
 };
 
 struct mt_http_answer
--- /dev/null
+++ b/net/http_exchange.c
@@ -0,0 +1,305 @@
+#include "http_exchange.h"
+
+#include "medlartrack/error.h"
+
+#define IDLE_US (10 * G_USEC_PER_SEC) /* a thread without work ends after this */
+
+struct worker
+{
+  struct job *job; /* guarded by the exchanges' lock */
+  GCond wake;
+};
+
+struct mt_http_exchanges
+{
+  struct mt_http_client *client;
+  const struct mt_clock *clock;
+  unsigned limit;
+  size_t memory;
+  GMutex lock; /* guards all below */
+  GQueue idle; /* of struct worker, the last used first: its cache is warm, the rest may end */
+  unsigned n;  /* threads */
+  bool stopping;
+  GCond ended;
+};
+
+/* Freed by the side that comes last: the caller where the exchange ended in time, else the thread.
+ */
+struct job
+{
+  struct mt_http_exchanges *exchanges;
+  struct mt_arena *arena; /* holds the copied call and the answer */
+  const char *address;
+  struct mt_http_call call;
+  struct mt_http_ended ended;
+  GMutex lock; /* guards all below */
+  GCond changed;
+  bool finished;
+  bool abandoned;
+  enum mt_http_outcome outcome;
+  struct mt_http_answer answer;
+  GError *error;
+};
+
+static void
+free_job (struct job *job)
+{
+  g_mutex_clear (&job->lock);
+  g_cond_clear (&job->changed);
+  g_clear_error (&job->error);
+  mt_arena_destroy (job->arena);
+  g_free (job);
+}
+
+static bool
+copy_headers (struct job *job, const struct mt_http_call *call)
+{
+  struct mt_http_header *headers
+      = mt_arena_alloc (job->arena, (call->n_headers + 1) * sizeof *headers);
+
+  if (headers == NULL)
+    return false;
+  for (size_t i = 0; i < call->n_headers; i++)
+    {
+      headers[i].name = mt_arena_dup (job->arena, call->headers[i].name);
+      headers[i].value = mt_arena_dup (job->arena, call->headers[i].value);
+      if (headers[i].name.data == NULL || headers[i].value.data == NULL)
+        return false;
+    }
+  job->call.headers = headers;
+  return true;
+}
+
+static bool
+copy_call (struct job *job, const char *address, const struct mt_http_call *call)
+{
+  job->call = *call;
+  job->address = mt_arena_dup (job->arena, mt_str_from (address)).data;
+  job->call.method = mt_arena_dup (job->arena, mt_str_from (call->method)).data;
+  job->call.path = mt_arena_dup (job->arena, mt_str_from (call->path)).data;
+  job->call.body = mt_arena_dup (job->arena, call->body);
+  job->call.id = mt_arena_dup (job->arena, call->id);
+  return job->address != NULL && job->call.method != NULL && job->call.path != NULL
+         && job->call.body.data != NULL && job->call.id.data != NULL && copy_headers (job, call);
+}
+
+static struct job *
+make_job (struct mt_http_exchanges *exchanges,
+          const char *address,
+          const struct mt_http_call *call,
+          struct mt_http_ended ended)
+{
+  struct job *job = g_new0 (struct job, 1);
+
+  g_mutex_init (&job->lock);
+  g_cond_init (&job->changed);
+  job->exchanges = exchanges;
+  job->ended = ended;
+  job->arena = mt_arena_create (exchanges->memory);
+  if (copy_call (job, address, call))
+    return job;
+  free_job (job);
+  return NULL;
+}
+
+static void
+run_job (struct job *job)
+{
+  bool abandoned;
+
+  job->outcome = mt_http_client_call (job->exchanges->client, job->address, &job->call, job->arena,
+                                      &job->answer, &job->error);
+  job->ended.call (job->ended.ctx, job->outcome, &job->answer);
+  g_mutex_lock (&job->lock);
+  job->finished = true;
+  abandoned = job->abandoned;
+  g_cond_signal (&job->changed);
+  g_mutex_unlock (&job->lock);
+  if (abandoned)
+    free_job (job);
+}
+
+/* The lock is held. False where the thread should end. */
+static bool
+wait_for_job (struct mt_http_exchanges *exchanges, struct worker *worker)
+{
+  int64_t until = g_get_monotonic_time () + IDLE_US;
+
+  g_queue_push_head (&exchanges->idle, worker);
+  while (worker->job == NULL && !exchanges->stopping)
+    if (!g_cond_wait_until (&worker->wake, &exchanges->lock, until))
+      break;
+  if (worker->job != NULL)
+    return true;
+  g_queue_remove (&exchanges->idle, worker);
+  return false;
+}
+
+static gpointer
+run_worker (gpointer data)
+{
+  struct worker *worker = data;
+  struct mt_http_exchanges *exchanges = worker->job->exchanges;
+  bool more = true;
+
+  while (more)
+    {
+      run_job (g_steal_pointer (&worker->job));
+      g_mutex_lock (&exchanges->lock);
+      more = wait_for_job (exchanges, worker);
+      if (!more)
+        {
+          exchanges->n--;
+          g_cond_signal (&exchanges->ended);
+        }
+      g_mutex_unlock (&exchanges->lock);
+    }
+  g_cond_clear (&worker->wake);
+  g_free (worker);
+  return NULL;
+}
+
+/* The lock is held. */
+static bool
+start_worker (struct mt_http_exchanges *exchanges, struct job *job)
+{
+  struct worker *worker;
+  GThread *thread;
+
+  if (exchanges->n >= exchanges->limit)
+    return false;
+  worker = g_new0 (struct worker, 1);
+  g_cond_init (&worker->wake);
+  worker->job = job;
+  thread = g_thread_try_new ("exchange", run_worker, worker, NULL);
+  if (thread == NULL)
+    {
+      g_cond_clear (&worker->wake);
+      g_free (worker);
+      return false;
+    }
+  g_thread_unref (thread);
+  exchanges->n++;
+  return true;
+}
+
+static bool
+hand_over (struct mt_http_exchanges *exchanges, struct job *job)
+{
+  struct worker *worker;
+  bool ok = true;
+
+  g_mutex_lock (&exchanges->lock);
+  worker = g_queue_pop_head (&exchanges->idle);
+  if (worker != NULL)
+    {
+      worker->job = job;
+      g_cond_signal (&worker->wake);
+    }
+  else
+    ok = start_worker (exchanges, job);
+  g_mutex_unlock (&exchanges->lock);
+  return ok;
+}
+
+/* True where it ended in time; otherwise the thread owns the job from now on. */
+static bool
+wait_until_deadline (const struct mt_http_exchanges *exchanges, struct job *job)
+{
+  int64_t left = job->call.deadline_us - mt_clock_now (exchanges->clock);
+  int64_t until = g_get_monotonic_time () + left;
+  bool finished;
+
+  g_mutex_lock (&job->lock);
+  while (!job->finished && g_cond_wait_until (&job->changed, &job->lock, until))
+    ;
+  finished = job->finished;
+  job->abandoned = !finished;
+  g_mutex_unlock (&job->lock);
+  return finished;
+}
+
+static enum mt_http_outcome
+take_answer (struct job *job, struct mt_arena *arena, struct mt_http_answer *answer, GError **error)
+{
+  enum mt_http_outcome outcome = job->outcome;
+
+  if (outcome != MT_HTTP_WHOLE)
+    g_propagate_error (error, g_steal_pointer (&job->error));
+  else if (mt_arena_adopt (arena, job->arena))
+    {
+      *answer = job->answer;
+      job->arena = NULL;
+    }
+  else
+    {
+      g_set_error (error, MT_ERROR, MT_ERROR_LIMIT,
+                   "the answer passes the memory of a request; lower limits.answer_bytes");
+      outcome = MT_HTTP_UNKNOWN;
+    }
+  free_job (job);
+  return outcome;
+}
+
+struct mt_http_exchanges *
+mt_http_exchanges_create (struct mt_http_client *client,
+                          const struct mt_clock *clock,
+                          unsigned threads,
+                          size_t memory)
+{
+  struct mt_http_exchanges *exchanges = g_new0 (struct mt_http_exchanges, 1);
+
+  exchanges->client = client;
+  exchanges->clock = clock;
+  exchanges->limit = threads;
+  exchanges->memory = memory;
+  g_mutex_init (&exchanges->lock);
+  g_cond_init (&exchanges->ended);
+  g_queue_init (&exchanges->idle);
+  return exchanges;
+}
+
+void
+mt_http_exchanges_destroy (struct mt_http_exchanges *exchanges)
+{
+  if (exchanges == NULL)
+    return;
+  g_mutex_lock (&exchanges->lock);
+  exchanges->stopping = true;
+  for (GList *l = exchanges->idle.head; l != NULL; l = l->next)
+    g_cond_signal (&((struct worker *) l->data)->wake);
+  while (exchanges->n > 0)
+    g_cond_wait (&exchanges->ended, &exchanges->lock);
+  g_mutex_unlock (&exchanges->lock);
+  g_mutex_clear (&exchanges->lock);
+  g_cond_clear (&exchanges->ended);
+  g_free (exchanges);
+}
+
+enum mt_http_outcome
+mt_http_exchanges_call (struct mt_http_exchanges *exchanges,
+                        const char *address,
+                        const struct mt_http_call *call,
+                        struct mt_http_ended ended,
+                        struct mt_arena *arena,
+                        struct mt_http_answer *answer,
+                        GError **error)
+{
+  struct job *job = make_job (exchanges, address, call, ended);
+
+  *answer = (struct mt_http_answer){ 0 };
+  if (job == NULL || !hand_over (exchanges, job))
+    {
+      if (job != NULL)
+        free_job (job);
+      ended.call (ended.ctx, MT_HTTP_NOT_SENT, answer);
+      g_set_error (error, MT_ERROR, MT_ERROR_LIMIT,
+                   "no memory or thread left for the exchange; raise limits.connections");
+      return MT_HTTP_NOT_SENT;
+    }
+  if (wait_until_deadline (exchanges, job))
+    return take_answer (job, arena, answer, error);
+  g_set_error (error, MT_ERROR, MT_ERROR_TIMEOUT,
+               "no answer by the deadline; see the minion's log or raise the route's deadline_ms");
+  return MT_HTTP_UNKNOWN;
+}
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -4,6 +4,7 @@
 #include "medlartrack/error.h"
 
 #include <microhttpd.h>
+#include <poll.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -62,6 +63,8 @@
 
   in->request.arena = mt_arena_create (server->options.request_memory);
   in->request.path = mt_arena_dup (in->request.arena, mt_str_from (uri));
+  in->request.fd
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
   in->body = g_string_new (NULL);
   return in;
 }
@@ -186,6 +189,14 @@
   return send_answer (server, connection, &in->request.answer);
 }
 
+bool
+mt_http_request_is_gone (const struct mt_http_request *request)
+{
+  struct pollfd fd = { .fd = request->fd };
+
+  return poll (&fd, 1, 0) > 0 && (fd.revents & (POLLERR | POLLHUP)) != 0;
+}
+
 struct mt_http_server *
 mt_http_server_create (const struct mt_http_server_options *options, GError **error)
 {
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -17,8 +17,13 @@
   size_t n_headers;
   struct mt_str body;
   struct mt_http_answer answer; /* the handler fills it; its memory lives in the arena */
+  int fd;                       /* of the connection */
 };
 
+/* The caller has closed or reset its connection. One that only shut its sending side, as a caller
+ * may that has said all, is not gone. */
+bool mt_http_request_is_gone (const struct mt_http_request *request);
+
 struct mt_http_server_options
 {
   const char *address;   /* IP:PORT; port 0 takes a free one */
--- /dev/null
+++ b/tests/net/scripted.c
@@ -0,0 +1,283 @@
+#include "scripted.h"
+
+#include "address.h"
+
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define MAX_CONNECTIONS 32
+#define MAX_SCRIPTS     8
+
+struct scripted
+{
+  int listener;
+  char address[32];
+  GThread *acceptor;
+  GThread *threads[MAX_CONNECTIONS]; /* acceptor's, until joined */
+  GMutex lock;                       /* guards all below */
+  GCond released_now;
+  int fds[MAX_CONNECTIONS];
+  unsigned n;
+  enum script scripts[MAX_SCRIPTS];
+  size_t n_scripts;
+  size_t played;
+  unsigned requests;
+  bool released;
+};
+
+struct connection
+{
+  struct scripted *scripted;
+  int fd;
+};
+
+static void
+send_text (int fd, const char *text)
+{
+  size_t len = strlen (text);
+
+  while (len > 0)
+    {
+      ssize_t n = send (fd, text, len, MSG_NOSIGNAL);
+
+      if (n <= 0)
+        return;
+      text += n;
+      len -= (size_t) n;
+    }
+}
+
+/* Reads up to the end of the headers; the tests send bodies of at most a few bytes with them. */
+static bool
+read_request (int fd, GString *request)
+{
+  char chunk[4096];
+  const char *end;
+  const char *length;
+
+  g_string_truncate (request, 0);
+  for (;;)
+    {
+      ssize_t n = recv (fd, chunk, sizeof chunk, 0);
+
+      if (n <= 0)
+        return false;
+      g_string_append_len (request, chunk, n);
+      end = strstr (request->str, "\r\n\r\n");
+      length = strstr (request->str, "Content-Length: ");
+      if (end != NULL
+          && (length == NULL
+              || strlen (end + 4)
+                     >= g_ascii_strtoull (length + strlen ("Content-Length: "), NULL, 10)))
+        return true;
+    }
+}
+
+static enum script
+next_script (struct scripted *scripted, unsigned *number)
+{
+  enum script script;
+
+  g_mutex_lock (&scripted->lock);
+  *number = ++scripted->requests;
+  script = scripted->scripts[MIN (scripted->played, scripted->n_scripts - 1)];
+  scripted->played++;
+  g_mutex_unlock (&scripted->lock);
+  return script;
+}
+
+static void
+wait_for_release (struct scripted *scripted)
+{
+  g_mutex_lock (&scripted->lock);
+  while (!scripted->released)
+    g_cond_wait (&scripted->released_now, &scripted->lock);
+  g_mutex_unlock (&scripted->lock);
+}
+
+static char *
+make_answer (const GString *request, unsigned number, bool with_id, bool crossed)
+{
+  const char *at = strstr (request->str, "Medlartrack-Request-Id: ");
+  g_autofree char *id = at != NULL ? g_strndup (at, strcspn (at, "\r")) : g_strdup ("X-None: 1");
+  g_autofree char *body = g_strdup_printf ("ok %u", number);
+
+  return g_strdup_printf ("HTTP/1.1 200 OK\r\n%s\r\nContent-Length: %zu\r\n\r\n%s",
+                          crossed   ? "Medlartrack-Request-Id: somebody-elses"
+                          : with_id ? id
+                                    : "X-None: 1",
+                          strlen (body), body);
+}
+
+static void
+send_without_end (int fd)
+{
+  g_autofree char *chunk = g_strnfill (65536, 'x');
+
+  send_text (fd, "HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n");
+  for (int i = 0; i < 1000; i++)
+    if (send (fd, chunk, strlen (chunk), MSG_NOSIGNAL) <= 0)
+      return;
+}
+
+/* False: close. */
+static bool
+play (struct scripted *scripted, int fd, const GString *request)
+{
+  unsigned number;
+  enum script script = next_script (scripted, &number);
+  g_autofree char *answer
+      = make_answer (request, number, script != SCRIPT_TWICE_BARE, script == SCRIPT_CROSSED);
+
+  if (script == SCRIPT_HELD)
+    wait_for_release (scripted);
+  switch (script)
+    {
+    case SCRIPT_CUT:
+      send_text (fd, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nstart");
+      return false;
+    case SCRIPT_CLOSE:
+      return false;
+    case SCRIPT_UNDELIMITED:
+      send_text (fd, "HTTP/1.1 200 OK\r\n\r\nhalf an answ");
+      return false;
+    case SCRIPT_OVERSIZED:
+      send_without_end (fd);
+      return false;
+    case SCRIPT_REFUSED:
+      send_text (fd, "HTTP/1.1 503 Full\r\nMedlartrack-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+      return false;
+    case SCRIPT_LEAVING:
+      send_text (fd, "HTTP/1.1 503 Leaving\r\nMedlartrack-Not-Run: 1\r\n"
+                     "Medlartrack-Leaving: 1\r\nContent-Length: 0\r\n\r\n");
+      return false;
+    case SCRIPT_TWICE:
+    case SCRIPT_TWICE_BARE:
+      send_text (fd, answer);
+      break;
+    case SCRIPT_WHOLE:
+    case SCRIPT_CROSSED:
+    case SCRIPT_HELD:
+      break;
+    }
+  send_text (fd, answer);
+  return true;
+}
+
+static gpointer
+serve (gpointer data)
+{
+  struct connection *connection = data;
+  GString *request = g_string_new (NULL);
+
+  while (read_request (connection->fd, request)
+         && play (connection->scripted, connection->fd, request))
+    ;
+  shutdown (connection->fd, SHUT_RDWR);
+  g_string_free (request, TRUE);
+  g_free (connection);
+  return NULL;
+}
+
+static gpointer
+accept_all (gpointer data)
+{
+  struct scripted *scripted = data;
+  int fd;
+
+  while ((fd = accept (scripted->listener, NULL, NULL)) >= 0)
+    {
+      struct connection *connection = g_new (struct connection, 1);
+
+      *connection = (struct connection){ scripted, fd };
+      g_mutex_lock (&scripted->lock);
+      g_assert_cmpuint (scripted->n, <, MAX_CONNECTIONS);
+      scripted->fds[scripted->n] = fd;
+      scripted->threads[scripted->n] = g_thread_new ("scripted", serve, connection);
+      scripted->n++;
+      g_mutex_unlock (&scripted->lock);
+    }
+  return NULL;
+}
+
+struct scripted *
+scripted_create (void)
+{
+  struct scripted *scripted = g_new0 (struct scripted, 1);
+  struct sockaddr_in addr = { .sin_family = AF_INET };
+
+  g_mutex_init (&scripted->lock);
+  g_cond_init (&scripted->released_now);
+  scripted->n_scripts = 1;
+  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  scripted->listener = socket (AF_INET, SOCK_STREAM, 0);
+  g_assert_cmpint (bind (scripted->listener, (struct sockaddr *) &addr, sizeof addr), ==, 0);
+  g_assert_cmpint (listen (scripted->listener, MAX_CONNECTIONS), ==, 0);
+  g_snprintf (scripted->address, sizeof scripted->address, "127.0.0.1:%u",
+              mt_address_bound_port (scripted->listener));
+  scripted->acceptor = g_thread_new ("accept", accept_all, scripted);
+  return scripted;
+}
+
+void
+scripted_vanish (struct scripted *scripted)
+{
+  if (scripted->acceptor == NULL)
+    return;
+  shutdown (scripted->listener, SHUT_RDWR);
+  g_thread_join (g_steal_pointer (&scripted->acceptor));
+  close (scripted->listener);
+  scripted_release (scripted);
+  for (unsigned i = 0; i < scripted->n; i++)
+    {
+      shutdown (scripted->fds[i], SHUT_RDWR);
+      g_thread_join (scripted->threads[i]);
+      close (scripted->fds[i]);
+    }
+}
+
+void
+scripted_destroy (struct scripted *scripted)
+{
+  scripted_vanish (scripted);
+  g_mutex_clear (&scripted->lock);
+  g_cond_clear (&scripted->released_now);
+  g_free (scripted);
+}
+
+const char *
+scripted_address (const struct scripted *scripted)
+{
+  return scripted->address;
+}
+
+void
+scripted_play (struct scripted *scripted, const enum script *scripts, size_t n)
+{
+  g_mutex_lock (&scripted->lock);
+  memcpy (scripted->scripts, scripts, n * sizeof *scripts);
+  scripted->n_scripts = n;
+  scripted->played = 0;
+  g_mutex_unlock (&scripted->lock);
+}
+
+void
+scripted_release (struct scripted *scripted)
+{
+  g_mutex_lock (&scripted->lock);
+  scripted->released = true;
+  g_cond_broadcast (&scripted->released_now);
+  g_mutex_unlock (&scripted->lock);
+}
+
+unsigned
+scripted_requests (struct scripted *scripted)
+{
+  unsigned n;
+
+  g_mutex_lock (&scripted->lock);
+  n = scripted->requests;
+  g_mutex_unlock (&scripted->lock);
+  return n;
+}
--- a/tests/path/prop_dispatch.cpp
+++ b/tests/path/prop_dispatch.cpp
@@ -152,7 +152,7 @@
     return;
   call->state = State::Ended;
   mt_dispatch_done (world.dispatch, &call->ticket,
-                    static_cast<mt_dispatch_result> (result % (MT_DISPATCH_REFUSED + 1)));
+                    static_cast<mt_dispatch_result> (result % (MT_DISPATCH_UNUSED + 1)));
 }
 
 void
--- /dev/null
+++ b/tests/path/test_front.c
@@ -0,0 +1,239 @@
+#include "front.h"
+
+#include "scripted.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#define N_MINIONS 2
+
+struct fixture
+{
+  struct mt_view_holder *views;
+  struct mt_pools *pools;
+  struct mt_http_client *client;
+  struct mt_http_exchanges *exchanges;
+  struct mt_counters counters;
+  struct mt_front *front;
+  struct scripted *minions[N_MINIONS];
+  struct mt_arena *arena;
+};
+
+static void
+put_tables (struct fixture *f)
+{
+  g_autofree char *text = g_strdup_printf (
+      "{\"version\":1,\"id\":\"t\",\"routes\":["
+      "{\"route\":\"safe\",\"method\":\"GET\",\"path\":\"/"
+      "safe\",\"pool\":\"p\",\"repeat\":\"safe\"},"
+      "{\"route\":\"once\",\"method\":\"POST\",\"path\":\"/once\",\"pool\":\"p\","
+      "\"repeat\":\"never\"}],"
+      "\"pools\":[{\"pool\":\"p\",\"service\":\"s\",\"instances\":["
+      "{\"name\":\"m0\",\"address\":\"%s\",\"zone\":\"west\",\"rack\":\"r0\"},"
+      "{\"name\":\"m1\",\"address\":\"%s\",\"zone\":\"west\",\"rack\":\"r1\"}]}]}",
+      scripted_address (f->minions[0]), scripted_address (f->minions[1]));
+  g_autoptr (GError) error = NULL;
+  struct mt_tables *tables = mt_tables_parse (mt_str_from (text), &error);
+
+  if (tables == NULL)
+    fail_msg ("%s", error->message);
+  assert_true (mt_view_offer (f->views, tables));
+}
+
+static int
+set_up (void **state)
+{
+  struct fixture *f = g_new0 (struct fixture, 1);
+  const struct mt_clock *clock = mt_clock_system ();
+  struct mt_front_options options = { .clock = clock, .answer_bytes = 1000 };
+
+  for (int i = 0; i < N_MINIONS; i++)
+    f->minions[i] = scripted_create ();
+  f->views = mt_view_holder_create (clock);
+  f->pools = mt_pools_create (clock, f->views, "west");
+  mt_view_listen (f->views, mt_pools_refresh, f->pools);
+  f->client = mt_http_client_create (clock);
+  f->exchanges = mt_http_exchanges_create (f->client, clock, 8, 100 * 1000);
+  f->arena = mt_arena_create (0);
+  options.views = f->views;
+  options.pools = f->pools;
+  options.exchanges = f->exchanges;
+  options.counters = &f->counters;
+  f->front = mt_front_create (&options);
+  put_tables (f);
+  *state = f;
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  struct fixture *f = *state;
+
+  mt_http_exchanges_destroy (f->exchanges);
+  mt_front_destroy (f->front);
+  mt_pools_destroy (f->pools);
+  mt_http_client_destroy (f->client);
+  mt_view_holder_destroy (f->views);
+  for (int i = 0; i < N_MINIONS; i++)
+    scripted_destroy (f->minions[i]);
+  mt_arena_destroy (f->arena);
+  g_free (f);
+  return 0;
+}
+
+static void
+play (struct fixture *f, enum script script)
+{
+  for (int i = 0; i < N_MINIONS; i++)
+    scripted_play (f->minions[i], &script, 1);
+}
+
+static unsigned
+count_requests (struct fixture *f)
+{
+  return scripted_requests (f->minions[0]) + scripted_requests (f->minions[1]);
+}
+
+static struct mt_http_answer
+ask (struct fixture *f, const char *method, const char *path)
+{
+  static struct mt_http_header key[] = { { MT_STR ("Idempotency-Key"), MT_STR ("invoice-4711") } };
+  struct mt_http_request request = { .arena = f->arena,
+                                     .method = mt_str_from (method),
+                                     .path = mt_str_from (path),
+                                     .headers = key,
+                                     .n_headers = 1,
+                                     .fd = -1 };
+
+  mt_front_handle (f->front, &request);
+  return request.answer;
+}
+
+static void
+assert_typed (struct mt_http_answer answer, int status, const char *outcome, bool come_back)
+{
+  struct mt_str told
+      = mt_http_header_find (answer.headers, answer.n_headers, MT_STR ("Medlartrack-Outcome"));
+  struct mt_str after
+      = mt_http_header_find (answer.headers, answer.n_headers, MT_STR ("Retry-After"));
+  json_t *body = json_loadb (answer.body.data, answer.body.len, 0, NULL);
+
+  assert_int_equal (answer.status, status);
+  assert_true (mt_str_equal (told, mt_str_from (outcome)));
+  assert_string_equal (json_string_value (json_object_get (body, "outcome")), outcome);
+  assert_non_null (json_object_get (body, "reason"));
+  assert_true (come_back == (after.len > 0));
+  json_decref (body);
+}
+
+static void
+test_whole_answer (void **state)
+{
+  struct fixture *f = *state;
+
+  play (f, SCRIPT_WHOLE);
+  assert_int_equal (ask (f, "GET", "/safe/1").status, 200);
+  assert_int_equal (f->counters.values[MT_COUNTER_WHOLE], 1);
+}
+
+static void
+test_no_route_is_not_run (void **state)
+{
+  assert_typed (ask (*state, "GET", "/nowhere"), 404, "not-run", false);
+}
+
+/* Both minions read the request and close. It is tried on both, since its route allows that; the
+ * third try finds the first minion again. The caller hears "unknown", however the tries end. */
+static void
+test_after_unknown_never_not_run (void **state)
+{
+  struct fixture *f = *state;
+
+  play (f, SCRIPT_CLOSE);
+  assert_typed (ask (f, "GET", "/safe/1"), 504, "unknown", true);
+  assert_in_range (count_requests (f), 3, 3);
+}
+
+/* The minions read each request and close, until the retry budget is spent: the next retry is
+ * refused before it is sent. "Not run" would be a lie about the try before it. */
+static void
+test_refusal_of_a_retry_is_unknown (void **state)
+{
+  struct fixture *f = *state;
+
+  play (f, SCRIPT_CLOSE);
+  for (int i = 0; i < 40; i++)
+    assert_typed (ask (f, "GET", "/safe/1"), 504, "unknown", true);
+  assert_true (count_requests (f) < 40 + 40);
+  assert_int_equal (f->counters.values[MT_COUNTER_NOT_RUN], 0);
+}
+
+/* Both minions say that they did not run it. The caller hears so, and when to come back. */
+static void
+test_minions_refusal_is_not_run (void **state)
+{
+  struct fixture *f = *state;
+
+  play (f, SCRIPT_REFUSED);
+  assert_typed (ask (f, "GET", "/safe/1"), 503, "not-run", true);
+  assert_true (f->counters.values[MT_COUNTER_MINION_REFUSALS] >= 1);
+}
+
+/* Each minion says once that it leaves. Neither is asked again, and the caller is told at once. */
+static void
+test_leaving_minions_get_nothing (void **state)
+{
+  struct fixture *f = *state;
+
+  play (f, SCRIPT_LEAVING);
+  assert_typed (ask (f, "GET", "/safe/1"), 503, "not-run", true);
+  assert_true (mt_pools_is_leaving (f->pools, "p", "m0"));
+  assert_true (mt_pools_is_leaving (f->pools, "p", "m1"));
+  play (f, SCRIPT_WHOLE);
+  assert_typed (ask (f, "GET", "/safe/1"), 503, "not-run", true);
+  assert_int_equal (count_requests (f), 2);
+  mt_pools_rejoin (f->pools, "p", "m0");
+  assert_int_equal (ask (f, "GET", "/safe/1").status, 200);
+}
+
+/* The request's memory is too small for anything. The caller still gets a typed answer. */
+static void
+test_no_memory_is_typed (void **state)
+{
+  struct fixture *f = *state;
+
+  for (size_t limit = 1; limit < 2000; limit += 37)
+    {
+      struct mt_http_answer answer;
+
+      mt_arena_destroy (f->arena);
+      f->arena = mt_arena_create (limit);
+      play (f, SCRIPT_WHOLE);
+      answer = ask (f, "GET", "/safe/1");
+      if (answer.status != 200)
+        assert_non_null (
+            mt_http_header_find (answer.headers, answer.n_headers, MT_STR ("Medlartrack-Outcome"))
+                .data);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (test_whole_answer, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_no_route_is_not_run, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_after_unknown_never_not_run, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_refusal_of_a_retry_is_unknown, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_minions_refusal_is_not_run, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_leaving_minions_get_nothing, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_no_memory_is_typed, set_up, tear_down),
+  };
+
+  return cmocka_run_group_tests_name ("front", tests, NULL, NULL);
+}
