jobs: let an urgent job within quota take back any work that is not urgent

Cause: in pools whose teams are all within quota, an urgent job waited for a task to end, since only borrowed and background work yielded. Ruled out: planning more often (the p50 is one round, 0.25 s already) and holding a worker for each urgent job (it idles room). Change: normal work of any team yields by checkpoint to an urgent job whose team is within its quota; aged work never does.

--- a/core/jobs/book.c
+++ b/core/jobs/book.c
@@ -25,7 +25,10 @@
 struct mt_jobs_options
 mt_jobs_default_options (void)
 {
-  return default_options;
+  struct mt_jobs_options options = default_options;
+
+  options.placement = mt_placements ();
+  return options;
 }
 
 const char *
--- a/core/jobs/plan.c
+++ b/core/jobs/plan.c
@@ -1,8 +1,6 @@
 /* One planning round: confirmations that are owed, relief, ageing, then placement by urgency. */
 #include "internal.h"
 
-#define SAME_RACK_COST 0.05 /* of a worker's share, for each job of the kind in the rack */
-
 /* Sizes that found no worker in this round: whatever is larger in the same pool won't either. */
 struct hopeless
 {
@@ -141,28 +139,6 @@
   return true;
 }
 
-static double
-share_left (uint32_t room, uint32_t need, uint32_t size)
-{
-  return size > 0 ? (double) (room - need) / size : 0.0;
-}
-
-/* Lower is better: tight fits keep large rooms free, racks are spread within a kind, accelerators
- * are kept for those who need them. */
-static double
-placement_cost (const struct mt_job *job,
-                const struct mt_worker *worker,
-                struct mt_size room,
-                struct mt_size need)
-{
-  int beside = GPOINTER_TO_INT (g_hash_table_lookup (job->kind->per_rack, worker->rack));
-
-  return share_left (room.cpu_milli, need.cpu_milli, worker->size.cpu_milli)
-         + share_left (room.memory_mb, need.memory_mb, worker->size.memory_mb)
-         + share_left (room.accelerators, need.accelerators, worker->size.accelerators)
-         + beside * SAME_RACK_COST;
-}
-
 static GPtrArray *
 workers_of (const struct mt_jobs *jobs, const char *pool)
 {
@@ -181,6 +157,12 @@
          && !g_ptr_array_find (job->failed_on, worker, NULL);
 }
 
+static unsigned
+running_beside (const struct mt_job *job, const struct mt_worker *worker)
+{
+  return GPOINTER_TO_UINT (g_hash_table_lookup (job->kind->per_rack, worker->rack));
+}
+
 static struct mt_worker *
 find_room (struct mt_jobs *jobs, const struct mt_job *job, struct mt_size *need)
 {
@@ -198,7 +180,8 @@
       if (!need_on (job, worker, &wanted) || !mt_size_fits (wanted, room)
           || !may_start_on (jobs, job, worker))
         continue;
-      cost = placement_cost (job, worker, room, wanted);
+      cost = jobs->options.placement->cost (worker->size, room, wanted,
+                                            running_beside (job, worker));
       if (best != NULL && cost >= best_cost)
         continue;
       best = worker;
@@ -238,17 +221,14 @@
   round->starts++;
 }
 
-/* Whether a running task has to yield to a waiting one. What is aged is never taken back: that is
- * what bounds the time until a background job ends. */
+/* Whether a running task has to yield to a waiting urgent one, whose team is within its quota. What
+ * is aged is never taken back: that is what bounds the time until a background job ends. */
 static bool
 must_yield (const struct mt_job *task, const struct mt_job *to)
 {
   if (task->state != MT_JOB_RUNNING || task->aged)
     return false;
-  if (task->borrowed)
-    return task->urgency > MT_URGENCY_URGENT || task->team != to->team;
-  return task->urgency == MT_URGENCY_BACKGROUND
-         || (task->team == to->team && task->urgency > MT_URGENCY_URGENT);
+  return task->urgency > MT_URGENCY_URGENT || (task->borrowed && task->team != to->team);
 }
 
 /* The room there would be once all that must yield has, and how many tasks that are. */
--- a/include/medlartrack/jobs.h
+++ b/include/medlartrack/jobs.h
@@ -54,6 +54,19 @@
   uint64_t lease; /* grows each time the worker starts anew */
 };
 
+/* How to choose among the workers that have room. */
+struct mt_placement
+{
+  const char *name;
+  const char *description;
+  /* Lower is better. room is what is free before the job takes need of it; beside counts running
+   * jobs of the same kind in the worker's rack. */
+  double (*cost) (struct mt_size size, struct mt_size room, struct mt_size need, unsigned beside);
+};
+
+/* Ended by an entry without a name; the first is the default. */
+const struct mt_placement *mt_placements (void);
+
 /* Bounds that the operator may set; mt_jobs_default_options has working ones. */
 struct mt_jobs_options
 {
@@ -65,6 +78,7 @@
   unsigned quarantine_after; /* distinct jobs that fail in a row on one worker */
   unsigned bad_job_after;    /* distinct workers that one job fails on */
   unsigned most_starts;      /* per plan */
+  const struct mt_placement *placement;
 };
 
 struct mt_jobs_options mt_jobs_default_options (void);
