net: cut callers that dawdle, refuse malformed requests, stop without cutting

Cause: libmicrohttpd's timeout starts anew with each byte, so a caller that trickles kept its connection for ever; a request without Host, with two lengths, or with control characters reached the handler; a header cut off before its end leaked its request; the listener closed at once on SIGTERM, and connections that the kernel had set up were reset; the stop waited for handlers, not for answers still being sent. Ruled out: limits per address (behind the balancer all callers share one); MHD_USE_PEDANTIC_CHECKS (deprecated; the strict option does it). Change: a registry of connections with their phase, whose watchdog cuts those that take twice idle_s; checks of tokens, values and targets in both directions; limits.stop_linger_ms, in which new connections are still taken and told to close; then idle ones are ended and the last answer is waited for. Not done: HEAD answers lose the minion's Content-Length, the library writes its own.

--- a/core/config/settings.c
+++ b/core/config/settings.c
@@ -27,6 +27,8 @@
     .max = 64e6, .fallback = 4e6 },
   { "platform_ms", MT_FIELD_COUNT, offsetof (struct mt_settings_limits, platform_ms), .min = 10,
     .max = 60000, .fallback = 1000 },
+  { "stop_linger_ms", MT_FIELD_COUNT, offsetof (struct mt_settings_limits, stop_linger_ms),
+    .min = 0, .max = 60000, .fallback = 500 },
   { NULL },
 };
 
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -6,7 +6,6 @@
 #include "platform.h"
 
 #define REQUEST_MEMORY_BASE (256 * 1024)
-#define DRAIN_POLL_US       (10 * MT_MS)
 
 struct mt_daemon
 {
@@ -83,11 +82,7 @@
 mt_daemon_destroy (struct mt_daemon *daemon)
 {
   if (daemon->server != NULL)
-    {
-      mt_http_server_quiesce (daemon->server);
-      while (mt_http_server_active (daemon->server) > 0)
-        g_usleep (DRAIN_POLL_US);
-    }
+    mt_http_server_stop (daemon->server, daemon->settings->limits.stop_linger_ms * MT_MS);
   mt_http_server_destroy (daemon->server);
   /* Exchanges that were given up on still hold slots of the pools. */
   mt_http_exchanges_destroy (daemon->exchanges);
--- a/include/medlartrack/settings.h
+++ b/include/medlartrack/settings.h
@@ -7,11 +7,12 @@
 
 struct mt_settings_limits
 {
-  unsigned connections;  /* callers' connections open at a time */
-  unsigned idle_s;       /* a silent connection is closed after this */
-  unsigned body_bytes;   /* longest request body */
-  unsigned answer_bytes; /* longest answer body */
-  unsigned platform_ms;  /* bound on one call of the platform */
+  unsigned connections;    /* callers' connections open at a time */
+  unsigned idle_s;         /* a silent connection is closed after this */
+  unsigned body_bytes;     /* longest request body */
+  unsigned answer_bytes;   /* longest answer body */
+  unsigned platform_ms;    /* bound on one call of the platform */
+  unsigned stop_linger_ms; /* a stopping daemon still takes connections for so long */
 };
 
 struct mt_settings
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -1,5 +1,7 @@
 #include "http_client.h"
 
+#include "http_check.h"
+
 #include "medlartrack/error.h"
 
 #include <ne_auth.h>
@@ -212,7 +214,8 @@
 
       if (is_hop_by_hop (name))
         continue;
-      if (answer->n_headers == MAX_HEADERS)
+      if (answer->n_headers == MAX_HEADERS || !mt_http_is_token (mt_str_from (name))
+          || !mt_http_is_value (mt_str_from (value)))
         return false;
       header->name = mt_arena_dup (arena, mt_str_from (name));
       header->value = mt_arena_dup (arena, mt_str_from (value));
@@ -289,7 +292,7 @@
   if (answer->body.data != NULL && read_headers (request, arena, answer))
     return true;
   g_set_error (error, MT_ERROR, MT_ERROR_LIMIT,
-               "the answer passes the memory of a request; raise limits.request_memory");
+               "the answer's headers are malformed or too many; see the minion's log");
   return false;
 }
 
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -1,11 +1,15 @@
 #include "http_server.h"
 
 #include "address.h"
+#include "http_check.h"
+#include "http_connections.h"
 #include "medlartrack/error.h"
 
+#include <fcntl.h>
 #include <microhttpd.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define MAX_REQUEST_HEADERS 64
@@ -16,15 +20,25 @@
 {
   struct mt_http_server_options options;
   struct MHD_Daemon *mhd;
+  struct mt_http_connections *connections;
   unsigned port;
-  gint active;   /* atomic */
-  gint quiesced; /* atomic */
+  gint stopping; /* atomic */
+};
+
+struct incoming;
+
+/* One open connection; belongs to its thread. */
+struct caller
+{
+  struct mt_http_connection *connection;
+  struct incoming *in; /* the request on its way in, or NULL */
 };
 
 /* One request on its way in; belongs to its connection's thread. */
 struct incoming
 {
   struct mt_http_request request;
+  struct caller *caller;
   GString *body;
   bool too_long;
   bool refused;
@@ -34,10 +48,18 @@
 {
   struct incoming *in;
   bool overflow;
+  bool malformed;
+  unsigned lengths;
+  unsigned codings;
 };
 
 static enum MHD_Result
-take_header (void *ctx, enum MHD_ValueKind kind, const char *name, const char *value)
+take_header (void *ctx,
+             enum MHD_ValueKind kind,
+             const char *name,
+             size_t name_len,
+             const char *value,
+             size_t value_len)
 {
   struct header_sink *sink = ctx;
   struct mt_http_request *request = &sink->in->request;
@@ -49,8 +71,15 @@
       return MHD_NO;
     }
   header = &request->headers[request->n_headers++];
-  header->name = mt_arena_dup (request->arena, mt_str_from (name));
-  header->value = mt_arena_dup (request->arena, mt_str_from (value != NULL ? value : ""));
+  header->name = mt_arena_dup (request->arena, (struct mt_str){ name, name_len });
+  header->value = mt_arena_dup (request->arena, (struct mt_str){ value, value_len });
+  sink->overflow = header->name.data == NULL || header->value.data == NULL;
+  if (sink->overflow)
+    return MHD_NO;
+  sink->malformed
+      = sink->malformed || !mt_http_is_token (header->name) || !mt_http_is_value (header->value);
+  sink->lengths += mt_str_equal_nocase (header->name, MT_STR ("Content-Length")) ? 1 : 0;
+  sink->codings += mt_str_equal_nocase (header->name, MT_STR ("Transfer-Encoding")) ? 1 : 0;
   return MHD_YES;
 }
 
@@ -63,25 +92,39 @@
 
   in->request.arena = mt_arena_create (server->options.request_memory);
   in->request.path = mt_arena_dup (in->request.arena, mt_str_from (uri));
+  in->caller
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
+  in->caller->in = in;
+  mt_http_connections_set_phase (server->connections, in->caller->connection,
+                                 MT_HTTP_PHASE_RECEIVING);
   in->request.fd
       = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
   in->body = g_string_new (NULL);
   return in;
 }
 
+static void
+free_incoming (struct incoming *in)
+{
+  g_string_free (in->body, TRUE);
+  mt_arena_destroy (in->request.arena);
+  g_free (in);
+}
+
 static void
 end_request (void *ctx,
              struct MHD_Connection *connection,
              void **con_cls,
              enum MHD_RequestTerminationCode how)
 {
+  struct mt_http_server *server = ctx;
   struct incoming *in = *con_cls;
 
   if (in == NULL)
     return;
-  g_string_free (in->body, TRUE);
-  mt_arena_destroy (in->request.arena);
-  g_free (in);
+  mt_http_connections_set_phase (server->connections, in->caller->connection, MT_HTTP_PHASE_IDLE);
+  in->caller->in = NULL;
+  free_incoming (in);
   *con_cls = NULL;
 }
 
@@ -98,8 +141,10 @@
   response = MHD_create_response_from_buffer (answer->body.len, (void *) answer->body.data,
                                               MHD_RESPMEM_MUST_COPY);
   for (size_t i = 0; i < answer->n_headers; i++)
-    MHD_add_response_header (response, answer->headers[i].name.data, answer->headers[i].value.data);
-  if (g_atomic_int_get (&server->quiesced))
+    if (mt_http_is_token (answer->headers[i].name) && mt_http_is_value (answer->headers[i].value))
+      MHD_add_response_header (response, answer->headers[i].name.data,
+                               answer->headers[i].value.data);
+  if (g_atomic_int_get (&server->stopping))
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
   result = MHD_queue_response (connection, (unsigned) answer->status, response);
   MHD_destroy_response (response);
@@ -125,6 +170,40 @@
   return send_answer (server, connection, &answer);
 }
 
+/* Two lengths, or a length and chunks, are read differently by different servers: a minion would
+ * take the rest of one caller's body for the next caller's request. */
+static bool
+is_framed_twice (const struct header_sink *sink)
+{
+  return sink->lengths + sink->codings > 1;
+}
+
+/* NULL where it is a request to go on with; otherwise why not, with the status. */
+static const char *
+find_fault (struct mt_http_server *server,
+            const struct incoming *in,
+            const struct header_sink *sink,
+            int *status)
+{
+  const struct mt_http_request *request = &in->request;
+  struct mt_str length
+      = mt_http_header_find (request->headers, request->n_headers, MT_STR ("Content-Length"));
+  unsigned long long bytes = 0;
+
+  *status = 431;
+  if (sink->overflow || request->path.data == NULL)
+    return "too many headers; send 64 at most";
+  *status = 400;
+  if (sink->malformed || !mt_http_is_token (request->method) || !mt_http_is_target (request->path))
+    return "malformed request line or header";
+  if (is_framed_twice (sink) || (length.data != NULL && !mt_str_to_u64 (length, &bytes)))
+    return "the length of the body is not clear; send one Content-Length or chunks";
+  *status = 413;
+  if (bytes > server->options.body_bytes)
+    return "body too long; see limits.body_bytes";
+  return NULL;
+}
+
 static enum MHD_Result
 begin_headers (struct mt_http_server *server,
                struct MHD_Connection *connection,
@@ -132,23 +211,18 @@
                const char *method)
 {
   struct mt_http_request *request = &in->request;
-  struct header_sink sink = { in, false };
-  struct mt_str length;
-  unsigned long long bytes = 0;
+  struct header_sink sink = { .in = in };
+  const char *fault;
+  int status;
 
   request->method = mt_arena_dup (request->arena, mt_str_from (method));
   request->headers
       = mt_arena_alloc (request->arena, MAX_REQUEST_HEADERS * sizeof *request->headers);
-  if (request->headers == NULL)
+  if (request->headers == NULL || request->method.data == NULL)
     return MHD_NO;
-  MHD_get_connection_values (connection, MHD_HEADER_KIND, take_header, &sink);
-  if (sink.overflow)
-    return refuse (server, connection, in, 431, "too many headers; send 64 at most");
-  length = mt_http_header_find (request->headers, request->n_headers, MT_STR ("Content-Length"));
-  if (length.data != NULL
-      && (!mt_str_to_u64 (length, &bytes) || bytes > server->options.body_bytes))
-    return refuse (server, connection, in, 413, "body too long; see limits.body_bytes");
-  return MHD_YES;
+  MHD_get_connection_values_n (connection, MHD_HEADER_KIND, take_header, &sink);
+  fault = find_fault (server, in, &sink, &status);
+  return fault == NULL ? MHD_YES : refuse (server, connection, in, status, fault);
 }
 
 static enum MHD_Result
@@ -183,9 +257,11 @@
   if (in->too_long)
     return refuse (server, connection, in, 413, "body too long; see limits.body_bytes");
   in->request.body = (struct mt_str){ in->body->str, in->body->len };
-  g_atomic_int_inc (&server->active);
+  mt_http_connections_set_phase (server->connections, in->caller->connection,
+                                 MT_HTTP_PHASE_HANDLING);
   server->options.handle (server->options.ctx, &in->request);
-  g_atomic_int_add (&server->active, -1);
+  mt_http_connections_set_phase (server->connections, in->caller->connection,
+                                 MT_HTTP_PHASE_SENDING);
   return send_answer (server, connection, &in->request.answer);
 }
 
@@ -197,6 +273,31 @@
   return poll (&fd, 1, 0) > 0 && (fd.revents & (POLLERR | POLLHUP)) != 0;
 }
 
+static void
+on_connection (void *ctx,
+               struct MHD_Connection *connection,
+               void **socket_context,
+               enum MHD_ConnectionNotificationCode code)
+{
+  struct mt_http_server *server = ctx;
+  struct caller *caller = *socket_context;
+
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      caller = g_new0 (struct caller, 1);
+      caller->connection = mt_http_connections_add (
+          server->connections,
+          MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd);
+      *socket_context = caller;
+      return;
+    }
+  mt_http_connections_remove (server->connections, caller->connection);
+  /* libmicrohttpd tells of the end only of requests whose headers came in full. */
+  if (caller->in != NULL)
+    free_incoming (caller->in);
+  g_free (caller);
+}
+
 struct mt_http_server *
 mt_http_server_create (const struct mt_http_server_options *options, GError **error)
 {
@@ -207,6 +308,8 @@
     return NULL;
   server = g_new0 (struct mt_http_server, 1);
   server->options = *options;
+  server->connections
+      = mt_http_connections_create (options->clock, 2 * options->idle_s * MT_SECOND);
   server->mhd = MHD_start_daemon (
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL | MHD_USE_ITC,
       0, NULL, NULL, on_request, server, MHD_OPTION_SOCK_ADDR, &addr, MHD_OPTION_CONNECTION_LIMIT,
@@ -214,11 +317,13 @@
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) CONNECTION_MEMORY, MHD_OPTION_THREAD_STACK_SIZE,
       (size_t) THREAD_STACK, MHD_OPTION_LISTEN_BACKLOG_SIZE, 512U, MHD_OPTION_URI_LOG_CALLBACK,
       begin_request, server, MHD_OPTION_NOTIFY_COMPLETED, end_request, server,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
   if (server->mhd == NULL)
     {
       g_set_error (error, MT_ERROR, MT_ERROR_SETTINGS,
                    "can't listen on %s; check that no other process does", options->address);
+      mt_http_connections_destroy (server->connections);
       g_free (server);
       return NULL;
     }
@@ -233,21 +338,38 @@
   return server->port;
 }
 
-unsigned
-mt_http_server_active (const struct mt_http_server *server)
+/* Connections that the kernel has set up and nobody accepted yet would be reset with the listener.
+ */
+static void
+accept_rest (struct mt_http_server *server, MHD_socket listener)
 {
-  return (unsigned) g_atomic_int_get (&server->active);
+  struct sockaddr_in addr;
+  socklen_t len = sizeof addr;
+  MHD_socket fd;
+
+  fcntl (listener, F_SETFL, fcntl (listener, F_GETFL) | O_NONBLOCK);
+  while ((fd = accept (listener, (struct sockaddr *) &addr, &len)) >= 0)
+    {
+      MHD_add_connection (server->mhd, fd, (struct sockaddr *) &addr, len);
+      len = sizeof addr;
+    }
 }
 
 void
-mt_http_server_quiesce (struct mt_http_server *server)
+mt_http_server_stop (struct mt_http_server *server, int64_t linger_us)
 {
   MHD_socket fd;
 
-  g_atomic_int_set (&server->quiesced, 1);
+  g_atomic_int_set (&server->stopping, 1);
+  g_usleep ((gulong) linger_us);
   fd = MHD_quiesce_daemon (server->mhd);
   if (fd != MHD_INVALID_SOCKET)
-    close (fd);
+    {
+      accept_rest (server, fd);
+      close (fd);
+    }
+  mt_http_connections_end_idle (server->connections);
+  mt_http_connections_wait (server->connections);
 }
 
 void
@@ -256,5 +378,6 @@
   if (server == NULL)
     return;
   MHD_stop_daemon (server->mhd);
+  mt_http_connections_destroy (server->connections);
   g_free (server);
 }
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -26,10 +26,11 @@
 
 struct mt_http_server_options
 {
-  const char *address;   /* IP:PORT; port 0 takes a free one */
-  unsigned connections;  /* most open at a time */
-  unsigned idle_s;       /* a connection silent for so long is closed */
-  size_t body_bytes;     /* longest request body; beyond it 413 */
+  const char *address;  /* IP:PORT; port 0 takes a free one */
+  unsigned connections; /* most open at a time */
+  unsigned idle_s;   /* a connection silent for so long is closed; one that takes twice as long to
+                        send a request or to read an answer is cut */
+  size_t body_bytes; /* longest request body; beyond it 413 */
   size_t request_memory; /* arena limit of one request */
   const struct mt_clock *clock;
   void (*handle) (void *ctx, struct mt_http_request *request);
@@ -41,11 +42,11 @@
 struct mt_http_server *mt_http_server_create (const struct mt_http_server_options *options,
                                               GError **error);
 unsigned mt_http_server_port (const struct mt_http_server *server);
-/* Requests inside the handler now. */
-unsigned mt_http_server_active (const struct mt_http_server *server);
-/* Takes no new connections; those open go on. */
-void mt_http_server_quiesce (struct mt_http_server *server);
-/* Ends all connections; call it once mt_http_server_active is 0. */
+/* Graceful: for the linger time new connections are still taken, for a balancer that has not yet
+ * heard, and every answer says "Connection: close". Then the listener is closed, idle connections
+ * are ended, and the call returns once the last answer in flight is sent. */
+void mt_http_server_stop (struct mt_http_server *server, int64_t linger_us);
+/* Ends all connections; stop it first. */
 void mt_http_server_destroy (struct mt_http_server *server);
 
 #endif
