daemon: write a restored store forward, stop without waiting for a watch

Cause: a daemon kept newer tables than a restored store but never put them back, so daemons that started later ran on older ones; the same version with another id was dropped unseen; a stop joined the watch's thread; all daemons came back from an outage at the same 200 ms beat. Ruled out: versions drawn from the clock and a second key for the highest version (docs/DESIGN.md, "Tables"); a shorter watch, which costs calls; cutting the watch's socket, which neon doesn't give out.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -35,6 +35,7 @@
 {
   const struct mt_settings *settings = daemon->settings;
   struct mt_front_options front = { .clock = daemon->clock };
+  struct mt_feed_options feed = { .clock = daemon->clock };
 
   daemon->client = mt_http_client_create (daemon->clock);
   daemon->exchanges = mt_http_exchanges_create (
@@ -44,7 +45,10 @@
   daemon->views = mt_view_holder_create (daemon->clock);
   daemon->pools = mt_pools_create (daemon->clock, daemon->views, settings->zone.data);
   mt_view_listen (daemon->views, mt_pools_refresh, daemon->pools);
-  daemon->feed = mt_feed_create (mt_platform_store (daemon->platform), daemon->views);
+  feed.platform = settings->platform.data;
+  feed.call_us = settings->limits.platform_ms * MT_MS;
+  feed.views = daemon->views;
+  daemon->feed = mt_feed_create (&feed);
   front.views = daemon->views;
   front.pools = daemon->pools;
   front.exchanges = daemon->exchanges;
@@ -116,7 +120,8 @@
       "{ss ss sI sI sI so so}", "name", daemon->settings->name.data, "zone",
       daemon->settings->zone.data, "tables_version", (json_int_t) mt_view_version (daemon->views),
       "tables_age_ms", (json_int_t) (mt_view_age_us (daemon->views) / MT_MS), "platform_calls",
-      (json_int_t) mt_platform_calls (daemon->platform), "pools", pools, "counters", counters);
+      (json_int_t) (mt_platform_calls (daemon->platform) + mt_feed_calls (daemon->feed)), "pools",
+      pools, "counters", counters);
   text = json_dumps (root, JSON_INDENT (2));
   copy = g_strdup (text);
   free (text);
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -14,3 +14,11 @@
 
 MT_EVENT (4001, TABLES_IN_FORCE, G_LOG_LEVEL_MESSAGE, "a version of the tables is in force")
 MT_EVENT (4002, TABLES_REFUSED, G_LOG_LEVEL_WARNING, "a version of the tables was not taken")
+MT_EVENT (4003,
+          TABLES_FORKED,
+          G_LOG_LEVEL_WARNING,
+          "the version in force was offered with another id")
+MT_EVENT (4004,
+          TABLES_REPAIRED,
+          G_LOG_LEVEL_WARNING,
+          "older tables in the platform's store were replaced")
