tables: declare teams and jobs in the pools table's rows

Jobs need a way in that is one of the two tables, never a second one. A pool's row takes lists of teams (quota in a data centre) and jobs (team, data centre, size, urgency, whether it may run twice, cancelled); reading and writing the inner lists is now one declarative table for instances, teams and jobs. Before: a job row was refused as an unknown key; and with the comparison left as it was, cancelling a job counted as no change (seen in the new test, then mended).

--- a/core/config/tables_change.c
+++ b/core/config/tables_change.c
@@ -31,6 +31,36 @@
   return rows;
 }
 
+static json_t *
+job_rows (const struct mt_tables *tables)
+{
+  json_t *rows = json_object ();
+
+  for (size_t i = 0; tables != NULL && i < tables->n_pools; i++)
+    for (size_t k = 0; k < tables->pools[i].n_jobs; k++)
+      {
+        const struct mt_job_row *job = &tables->pools[i].jobs[k];
+        json_t *row = mt_fields_write (job, mt_tables_columns ("jobs"));
+
+        json_object_set_new (row, "pool", json_string (tables->pools[i].name.data));
+        json_object_set_new (rows, job->job.data, row);
+      }
+  return rows;
+}
+
+static json_t *
+team_rows (const struct mt_tables *tables)
+{
+  json_t *rows = json_object ();
+
+  for (size_t i = 0; tables != NULL && i < tables->n_pools; i++)
+    for (size_t k = 0; k < tables->pools[i].n_teams; k++)
+      json_object_set_new (
+          rows, tables->pools[i].teams[k].team.data,
+          mt_fields_write (&tables->pools[i].teams[k], mt_tables_columns ("teams")));
+  return rows;
+}
+
 static json_t *
 pool_rows (const struct mt_tables *tables)
 {
@@ -136,6 +166,8 @@
   compare_table (out, "routes", route_rows (before), route_rows (after));
   compare_table (out, "pools", pool_rows (before), pool_rows (after));
   compare_table (out, "pools.instances", instance_rows (before), instance_rows (after));
+  compare_table (out, "pools.teams", team_rows (before), team_rows (after));
+  compare_table (out, "pools.jobs", job_rows (before), job_rows (after));
   return out;
 }
 
--- a/core/config/tables_check.c
+++ b/core/config/tables_check.c
@@ -213,6 +213,8 @@
   { "leaving", "what leaves at once keeps to the budget", mt_tables_check_leaving },
   { "drains", "a wave can drain at least one instance", mt_tables_check_drains },
   { "fleet", "the pools' min_instances fit into the data centre", mt_tables_check_fleet },
+  { "teams", "a team has one quota", mt_tables_check_teams },
+  { "jobs", "no two jobs share a name, each names a team", mt_tables_check_jobs },
   { "size", "the value fits the platform", check_size },
 };
 
--- a/core/config/tables_internal.h
+++ b/core/config/tables_internal.h
@@ -12,7 +12,7 @@
 /* Checks what one row alone can't tell: names, references, budgets, sums. */
 bool mt_tables_check (const struct mt_tables *tables, GError **error);
 
-/* The columns of "routes", "pools", "instances" or "wave". */
+/* The columns of "routes", "pools", "instances", "teams", "jobs" or "wave". */
 const struct mt_field *mt_tables_columns (const char *table);
 
 /* The document as JSON, the change log left out. */
@@ -52,4 +52,8 @@
 bool mt_tables_check_drains (const struct mt_tables *tables, GError **error);
 bool mt_tables_check_fleet (const struct mt_tables *tables, GError **error);
 
+/* The rules of tables_jobs.c. */
+bool mt_tables_check_jobs (const struct mt_tables *tables, GError **error);
+bool mt_tables_check_teams (const struct mt_tables *tables, GError **error);
+
 #endif
--- a/core/config/tables_json.c
+++ b/core/config/tables_json.c
@@ -63,6 +63,37 @@
   { NULL },
 };
 
+static const char *const urgency_choices[] = { "urgent", "normal", "background", NULL };
+
+static const struct mt_field team_fields[] = {
+  { "team", MT_FIELD_TEXT, offsetof (struct mt_team_row, team), .required = true,
+    .form = &mt_form_name },
+  { "cpu_milli", MT_FIELD_COUNT, offsetof (struct mt_team_row, cpu_milli), .max = 1e9 },
+  { "memory_mb", MT_FIELD_COUNT, offsetof (struct mt_team_row, memory_mb), .max = 1e9 },
+  { "accelerators", MT_FIELD_COUNT, offsetof (struct mt_team_row, accelerators), .max = 1e6 },
+  { NULL },
+};
+
+static const struct mt_field job_fields[] = {
+  { "job", MT_FIELD_TEXT, offsetof (struct mt_job_row, job), .required = true,
+    .form = &mt_form_name },
+  { "kind", MT_FIELD_TEXT, offsetof (struct mt_job_row, kind), .form = &mt_form_name },
+  { "team", MT_FIELD_TEXT, offsetof (struct mt_job_row, team), .required = true,
+    .form = &mt_form_name },
+  { "zone", MT_FIELD_TEXT, offsetof (struct mt_job_row, zone), .required = true,
+    .form = &mt_form_name },
+  { "cpu_milli", MT_FIELD_COUNT, offsetof (struct mt_job_row, cpu_milli), .min = 1, .max = 1e6,
+    .fallback = 1000 },
+  { "memory_mb", MT_FIELD_COUNT, offsetof (struct mt_job_row, memory_mb), .min = 1, .max = 1e8,
+    .fallback = 1024 },
+  { "accelerators", MT_FIELD_COUNT, offsetof (struct mt_job_row, accelerators), .max = 1000 },
+  { "urgency", MT_FIELD_CHOICE, offsetof (struct mt_job_row, urgency), .choices = urgency_choices,
+    .fallback = 1 },
+  { "may_run_twice", MT_FIELD_FLAG, offsetof (struct mt_job_row, may_run_twice) },
+  { "cancelled", MT_FIELD_FLAG, offsetof (struct mt_job_row, cancelled) },
+  { NULL },
+};
+
 static const struct mt_field wave_fields[] = {
   { "id", MT_FIELD_TEXT, offsetof (struct mt_wave, id), .required = true, .form = &mt_form_name },
   { "stopped", MT_FIELD_FLAG, offsetof (struct mt_wave, stopped) },
@@ -87,37 +118,77 @@
   return g_strdup_printf ("table %s, row number %zu", table, index + 1);
 }
 
+/* A list of rows inside a pool's row. */
+struct inner_table
+{
+  const char *name;
+  const char *key; /* column that names a row */
+  const struct mt_field *fields;
+  size_t row_size;
+  size_t rows;  /* offset of the array in struct mt_pool */
+  size_t count; /* offset of its length */
+};
+
+static const struct inner_table inner_tables[] = {
+  { "instances", "name", instance_fields, sizeof (struct mt_instance),
+    offsetof (struct mt_pool, instances), offsetof (struct mt_pool, n_instances) },
+  { "teams", "team", team_fields, sizeof (struct mt_team_row), offsetof (struct mt_pool, teams),
+    offsetof (struct mt_pool, n_teams) },
+  { "jobs", "job", job_fields, sizeof (struct mt_job_row), offsetof (struct mt_pool, jobs),
+    offsetof (struct mt_pool, n_jobs) },
+};
+
 static bool
-read_instance (const void *owner,
-               struct mt_instance *instance,
-               const char *pool,
-               const json_t *row,
-               size_t index,
-               GError **error)
+read_inner_row (const void *owner,
+                const struct inner_table *table,
+                void *out,
+                const char *pool,
+                const json_t *row,
+                size_t index,
+                GError **error)
 {
-  g_autofree char *table = g_strdup_printf ("pools, row \"%.60s\", instances", pool);
-  g_autofree char *where = describe_row (table, row, "name", index);
+  g_autofree char *within = g_strdup_printf ("pools, row \"%.60s\", %s", pool, table->name);
+  g_autofree char *where = describe_row (within, row, table->key, index);
   struct mt_field_place place = { MT_ERROR_TABLES, where };
 
-  return mt_fields_read (owner, instance, row, instance_fields, NULL, place, error);
+  return mt_fields_read (owner, out, row, table->fields, NULL, place, error);
 }
 
 static bool
-read_instances (const void *owner,
-                struct mt_pool *pool,
-                const json_t *rows,
-                struct mt_field_place place,
-                GError **error)
+read_inner (const void *owner,
+            struct mt_pool *pool,
+            const struct inner_table *table,
+            const json_t *rows,
+            struct mt_field_place place,
+            GError **error)
 {
+  size_t n = json_array_size (rows);
+  char *array;
+
   if (rows == NULL)
     return true;
   if (!json_is_array (rows))
-    return mt_fields_refuse (error, place, "instances", rows, "write a list of instances");
-  pool->n_instances = json_array_size (rows);
-  pool->instances = talloc_zero_array (owner, struct mt_instance, pool->n_instances);
-  for (size_t i = 0; i < pool->n_instances; i++)
-    if (!read_instance (owner, &pool->instances[i], pool->name.data, json_array_get (rows, i), i,
-                        error))
+    return mt_fields_refuse (error, place, table->name, rows, "write a list of rows");
+  array = talloc_zero_size (owner, n * table->row_size);
+  *(void **) ((char *) pool + table->rows) = array;
+  *(size_t *) ((char *) pool + table->count) = n;
+  for (size_t i = 0; i < n; i++)
+    if (!read_inner_row (owner, table, array + i * table->row_size, pool->name.data,
+                         json_array_get (rows, i), i, error))
+      return false;
+  return true;
+}
+
+static bool
+read_all_inner (const void *owner,
+                struct mt_pool *pool,
+                const json_t *row,
+                struct mt_field_place place,
+                GError **error)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (inner_tables); i++)
+    if (!read_inner (owner, pool, &inner_tables[i], json_object_get (row, inner_tables[i].name),
+                     place, error))
       return false;
   return true;
 }
@@ -141,12 +212,12 @@
 static bool
 read_pool (const void *owner, struct mt_pool *pool, const json_t *row, size_t index, GError **error)
 {
-  static const char *const nested[] = { "instances", "wave", NULL };
+  static const char *const nested[] = { "instances", "teams", "jobs", "wave", NULL };
   g_autofree char *where = describe_row ("pools", row, "pool", index);
   struct mt_field_place place = { MT_ERROR_TABLES, where };
 
   return mt_fields_read (owner, pool, row, pool_fields, nested, place, error)
-         && read_instances (owner, pool, json_object_get (row, "instances"), place, error)
+         && read_all_inner (owner, pool, row, place, error)
          && read_wave (owner, &pool->wave, json_object_get (row, "wave"), place, error);
 }
 
@@ -258,15 +329,32 @@
   return ok;
 }
 
+static json_t *
+write_inner (const struct mt_pool *pool, const struct inner_table *table)
+{
+  const char *array = *(void *const *) ((const char *) pool + table->rows);
+  size_t n = *(const size_t *) ((const char *) pool + table->count);
+  json_t *rows = json_array ();
+
+  for (size_t i = 0; i < n; i++)
+    json_array_append_new (rows, mt_fields_write (array + i * table->row_size, table->fields));
+  return rows;
+}
+
 static json_t *
 write_pool (const struct mt_pool *pool)
 {
   json_t *out = mt_fields_write (pool, pool_fields);
-  json_t *instances = json_array ();
 
-  for (size_t i = 0; i < pool->n_instances; i++)
-    json_array_append_new (instances, mt_fields_write (&pool->instances[i], instance_fields));
-  json_object_set_new (out, "instances", instances);
+  json_object_set_new (out, "instances", write_inner (pool, &inner_tables[0]));
+  for (size_t i = 1; i < G_N_ELEMENTS (inner_tables); i++)
+    {
+      json_t *rows = write_inner (pool, &inner_tables[i]);
+
+      if (json_array_size (rows) > 0)
+        json_object_set (out, inner_tables[i].name, rows);
+      json_decref (rows);
+    }
   if (pool->wave.id.len > 0)
     json_object_set_new (out, "wave", mt_fields_write (&pool->wave, wave_fields));
   return out;
@@ -339,10 +427,9 @@
   {
     const char *table;
     const struct mt_field *columns;
-  } all[] = { { "routes", route_fields },
-              { "pools", pool_fields },
-              { "instances", instance_fields },
-              { "wave", wave_fields } };
+  } all[]
+      = { { "routes", route_fields }, { "pools", pool_fields }, { "instances", instance_fields },
+          { "teams", team_fields },   { "jobs", job_fields },   { "wave", wave_fields } };
 
   for (size_t i = 0; i < G_N_ELEMENTS (all); i++)
     if (strcmp (all[i].table, table) == 0)
--- a/include/medlartrack/tables.h
+++ b/include/medlartrack/tables.h
@@ -49,6 +49,29 @@
   unsigned drain_limit_s; /* an instance still draining after this is skipped and reported */
 };
 
+/* A team's quota in one data centre; idle quota is lent. */
+struct mt_team_row
+{
+  struct mt_str team;
+  unsigned cpu_milli;
+  unsigned memory_mb;
+  unsigned accelerators;
+};
+
+struct mt_job_row
+{
+  struct mt_str job;  /* unique in both tables, and never used again */
+  struct mt_str kind; /* jobs of one kind teach each other their sizes; empty: the pool's name */
+  struct mt_str team;
+  struct mt_str zone; /* data centre whose workers run it */
+  unsigned cpu_milli; /* as declared */
+  unsigned memory_mb;
+  unsigned accelerators;
+  int urgency; /* enum mt_urgency */
+  bool may_run_twice;
+  bool cancelled;
+};
+
 struct mt_pool
 {
   struct mt_str name;
@@ -63,6 +86,10 @@
   struct mt_wave wave;
   struct mt_instance *instances;
   size_t n_instances;
+  struct mt_team_row *teams;
+  size_t n_teams;
+  struct mt_job_row *jobs;
+  size_t n_jobs;
 };
 
 struct mt_tables
--- a/tests/config/prop_tables.cpp
+++ b/tests/config/prop_tables.cpp
@@ -54,6 +54,19 @@
   return text;
 }
 
+static std::string
+jobs (size_t number)
+{
+  std::string n = std::to_string (number);
+  const char *urgency[] = { "urgent", "normal", "background" };
+
+  return ",\"teams\":[{\"team\":\"t" + n
+         + "\",\"cpu_milli\":" + std::to_string (*rc::gen::inRange (0, 100000))
+         + "}],\"jobs\":[{\"job\":\"j" + n + "\",\"team\":\"t" + n
+         + "\",\"zone\":\"west\",\"urgency\":\"" + urgency[*rc::gen::inRange (0, 3)]
+         + "\",\"cancelled\":" + (*rc::gen::arbitrary<bool> () ? "true" : "false") + "}]";
+}
+
 static std::string
 pool (size_t number, size_t instances)
 {
@@ -64,8 +77,9 @@
   for (size_t i = 0; i < instances; i++)
     rows += (i > 0 ? "," : "") + instance (number * 100 + i);
   return "{\"pool\":" + quote (text_of (number)) + ",\"service\":" + quote (text_of (number))
-         + ",\"min_instances\":" + std::to_string (*rc::gen::inRange (0, 2)) + ",\"move_weight\":"
-         + weight () + ",\"buffer_weight\":" + weight () + wave + ",\"instances\":[" + rows + "]}";
+         + ",\"min_instances\":" + std::to_string (*rc::gen::inRange (0, 2))
+         + ",\"move_weight\":" + weight () + ",\"buffer_weight\":" + weight () + wave
+         + (*rc::gen::arbitrary<bool> () ? jobs (number) : "") + ",\"instances\":[" + rows + "]}";
 }
 
 static std::string
