control: decide assignment, drains, waves and moves without I/O

Cause: instances were served straight from the tables, so a move had no moment at which the old pool had surely let go, and waves did not exist. Change: one document of records per data centre, pure transitions with epochs, and a planner step (leaving, drains, waves within budgets, moves for capacity by a policy of a const table).

--- /dev/null
+++ b/core/control/capacity.c
@@ -0,0 +1,383 @@
+#include "medlartrack/capacity.h"
+
+#include <math.h>
+#include <string.h>
+
+#define MEAN_S       60.0  /* time constant of the long mean */
+#define PEAK_S       600.0 /* time constant of the peak's decay */
+#define STRETCH_S    30    /* demand that lasts so long is no surge */
+#define SURGE_FACTOR 2.0   /* above so many means a surge begins; below one mean it ends */
+#define SURGE_SLOTS  2.0   /* and at least by so many slots, or noise would be one */
+#define MOVE_S       3.0   /* from decision to service, with a heartbeat and two writes */
+#define LEARN_SURGES 3     /* seen before a pool gives up what it holds for them */
+#define HEADROOM     1.25
+#define BASE_SHARE   0.25 /* of the peak, held at all times where surges are followed */
+#define SMOOTHING    0.3  /* of surge lengths and periods */
+#define HOLD_MIN_S   4
+#define HOLD_MAX_S   3600
+#define HOUR_S       3600.0
+
+struct track
+{
+  char *pool;
+  struct mt_capacity_learnt learnt;
+  double stretch[STRETCH_S]; /* wanted, one for each second, a ring */
+  unsigned n_stretch;
+  int64_t last_s; /* 0: nothing learnt yet */
+  int64_t surge_began_s;
+  int64_t surplus_since_s; /* 0: none */
+  unsigned want;
+};
+
+struct mt_capacity
+{
+  const struct mt_capacity_policy *policy;
+  GPtrArray *tracks;
+};
+
+static unsigned
+instances_for (double slots, unsigned each)
+{
+  return (unsigned) ceil (slots / MAX (each, 1));
+}
+
+static unsigned
+clamp_to_row (unsigned want, const struct mt_pool *row)
+{
+  if (row->max_instances > 0)
+    want = MIN (want, row->max_instances);
+  return MAX (want, row->min_instances);
+}
+
+static void
+decide_static (struct mt_capacity_pool *pools, size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    pools[i].want = MAX (pools[i].home, pools[i].serving);
+}
+
+static void
+decide_greedy (struct mt_capacity_pool *pools, size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    pools[i].want = clamp_to_row (instances_for (pools[i].wanted, pools[i].slots), pools[i].row);
+}
+
+/* Whether moving instances into each surge and out again costs less than holding them between:
+ * two moves against one instance idle for the time between surges. A surge that ends before the
+ * move does is never followed. */
+static bool
+follows_surges (const struct mt_capacity_pool *pool)
+{
+  const struct mt_capacity_learnt *learnt = &pool->learnt;
+
+  if (learnt->surges < LEARN_SURGES || learnt->surge_s <= MOVE_S)
+    return false;
+  return pool->row->buffer_weight * learnt->period_s / HOUR_S > 2 * pool->row->move_weight;
+}
+
+static unsigned
+decide_pool (const struct mt_capacity_pool *pool)
+{
+  const struct mt_capacity_learnt *learnt = &pool->learnt;
+  unsigned lasting = instances_for (learnt->recent * HEADROOM, pool->slots);
+  unsigned base;
+
+  if (!follows_surges (pool))
+    return MAX (pool->home, lasting);
+  base = MAX (instances_for (learnt->peak * BASE_SHARE, pool->slots), lasting);
+  if (!learnt->surging)
+    return base;
+  /* The backlog is part of what is wanted, and is no measure of the surge: the table's own size,
+   * and one for what piled up until the move was done, bounds what is asked for. */
+  return MAX (base, MIN (instances_for (pool->wanted, pool->slots), pool->home + 1));
+}
+
+/* The reserve is shared: surges come in turn, so it holds what the greediest pool would borrow. */
+static void
+decide_default (struct mt_capacity_pool *pools, size_t n)
+{
+  unsigned reserve = 0;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      const struct mt_capacity_pool *pool = &pools[i];
+      unsigned peak;
+
+      pools[i].want = clamp_to_row (decide_pool (pool), pool->row);
+      peak = MIN (instances_for (pool->learnt.peak, pool->slots), pool->home);
+      if (!pool->row->spare && !pool->learnt.surging && peak > pools[i].want)
+        reserve = MAX (reserve, peak - pools[i].want);
+    }
+  for (size_t i = 0; i < n; i++)
+    if (pools[i].row->spare && follows_surges (&pools[i]))
+      pools[i].want = clamp_to_row (pools[i].want + reserve, pools[i].row);
+}
+
+const struct mt_capacity_policy mt_capacity_policies[] = {
+  { .name = "default",
+    .description = "holds what the weights make cheaper: the tables' sizes, or a small base and a "
+                   "shared reserve that follows learnt surges",
+    .decide = decide_default,
+    .moves = true,
+    .patient = true },
+  { .name = "static", .description = "keeps the tables' sizes", .decide = decide_static },
+  { .name = "greedy",
+    .description = "follows the demand of the moment, without regard to moves",
+    .decide = decide_greedy,
+    .moves = true },
+  { .name = NULL },
+};
+
+const struct mt_capacity_policy *
+mt_capacity_policy_find (const char *name)
+{
+  for (const struct mt_capacity_policy *p = mt_capacity_policies; p->name != NULL; p++)
+    if (strcmp (p->name, name) == 0)
+      return p;
+  return NULL;
+}
+
+static void
+free_track (gpointer data)
+{
+  struct track *track = data;
+
+  g_free (track->pool);
+  g_free (track);
+}
+
+struct mt_capacity *
+mt_capacity_create (const struct mt_capacity_policy *policy)
+{
+  struct mt_capacity *capacity = g_new0 (struct mt_capacity, 1);
+
+  capacity->policy = policy;
+  capacity->tracks = g_ptr_array_new_with_free_func (free_track);
+  return capacity;
+}
+
+void
+mt_capacity_destroy (struct mt_capacity *capacity)
+{
+  if (capacity == NULL)
+    return;
+  g_ptr_array_free (capacity->tracks, TRUE);
+  g_free (capacity);
+}
+
+static struct track *
+find_track (const struct mt_capacity *capacity, const char *pool)
+{
+  for (guint i = 0; i < capacity->tracks->len; i++)
+    {
+      struct track *track = capacity->tracks->pdata[i];
+
+      if (strcmp (track->pool, pool) == 0)
+        return track;
+    }
+  return NULL;
+}
+
+static struct track *
+make_track (struct mt_capacity *capacity, const char *pool)
+{
+  struct track *track = find_track (capacity, pool);
+
+  if (track != NULL)
+    return track;
+  track = g_new0 (struct track, 1);
+  track->pool = g_strdup (pool);
+  track->want = UINT_MAX;
+  g_ptr_array_add (capacity->tracks, track);
+  return track;
+}
+
+unsigned
+mt_capacity_want (const struct mt_capacity *capacity, const char *pool)
+{
+  const struct track *track = find_track (capacity, pool);
+
+  return track != NULL ? track->want : UINT_MAX;
+}
+
+static void
+smooth (double *value, double sample)
+{
+  *value = *value == 0 ? sample : *value + SMOOTHING * (sample - *value);
+}
+
+static void
+learn_surge (struct track *track, double wanted, int64_t now_s)
+{
+  struct mt_capacity_learnt *learnt = &track->learnt;
+
+  if (!learnt->surging && wanted > learnt->mean * SURGE_FACTOR + SURGE_SLOTS)
+    {
+      if (track->surge_began_s != 0)
+        smooth (&learnt->period_s, (double) (now_s - track->surge_began_s));
+      learnt->surging = true;
+      learnt->surges++;
+      track->surge_began_s = now_s;
+    }
+  else if (learnt->surging && wanted <= learnt->mean)
+    {
+      learnt->surging = false;
+      smooth (&learnt->surge_s, (double) (now_s - track->surge_began_s));
+    }
+}
+
+static void
+learn (struct track *track, double wanted, int64_t now_s)
+{
+  struct mt_capacity_learnt *learnt = &track->learnt;
+  double passed = track->last_s == 0 ? 1 : (double) (now_s - track->last_s);
+
+  if (passed <= 0)
+    return;
+  track->last_s = now_s;
+  /* A report that lies without bound would otherwise stay in the mean for minutes. */
+  wanted = isfinite (wanted) ? MAX (wanted, 0) : learnt->mean;
+  learn_surge (track, wanted, now_s);
+  learnt->mean += (wanted - learnt->mean) * MIN (passed / MEAN_S, 1);
+  learnt->peak = MAX (wanted, learnt->peak * exp (-passed / PEAK_S));
+  track->stretch[track->n_stretch++ % STRETCH_S] = wanted;
+  learnt->recent = track->n_stretch < STRETCH_S ? 0 : wanted;
+  for (unsigned i = 0; i < STRETCH_S; i++)
+    learnt->recent = MIN (learnt->recent, track->stretch[i]);
+}
+
+void
+mt_capacity_learn (struct mt_capacity *capacity,
+                   const struct mt_capacity_pool *pools,
+                   size_t n,
+                   int64_t now_s)
+{
+  for (size_t i = 0; i < n; i++)
+    learn (make_track (capacity, pools[i].row->name.data), pools[i].wanted, now_s);
+}
+
+/* An instance too many is kept until keeping it has cost as much as the two moves that letting it
+ * go and fetching it back would: at most twice the best that hindsight could have done. */
+static int64_t
+hold_s (const struct mt_pool *row)
+{
+  double hold = 2 * row->move_weight * HOUR_S / MAX (row->buffer_weight, 1e-6);
+
+  return (int64_t) CLAMP (hold, HOLD_MIN_S, HOLD_MAX_S);
+}
+
+static void
+note_surplus (struct mt_capacity *capacity, const struct mt_capacity_pool *pool, int64_t now_s)
+{
+  struct track *track = find_track (capacity, pool->row->name.data);
+
+  track->want = pool->want;
+  if (pool->serving <= pool->want)
+    track->surplus_since_s = 0;
+  else if (track->surplus_since_s == 0)
+    track->surplus_since_s = now_s;
+}
+
+static bool
+has_surplus (const struct mt_capacity *capacity, const struct mt_capacity_pool *pool)
+{
+  return pool->may_give && pool->serving > pool->want;
+}
+
+static bool
+surplus_is_old (const struct mt_capacity *capacity,
+                const struct mt_capacity_pool *pool,
+                int64_t now_s)
+{
+  const struct track *track = find_track (capacity, pool->row->name.data);
+
+  return !capacity->policy->patient || now_s - track->surplus_since_s >= hold_s (pool->row);
+}
+
+/* The spare gives down to its minimum; another pool only what it has too many. */
+static bool
+can_give (const struct mt_capacity *capacity, const struct mt_capacity_pool *pool)
+{
+  return pool->may_give && (pool->row->spare || has_surplus (capacity, pool));
+}
+
+static const struct mt_capacity_pool *
+find_needy (const struct mt_capacity_pool *pools, size_t n)
+{
+  const struct mt_capacity_pool *best = NULL;
+  unsigned most = 0;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      unsigned missing = pools[i].want > pools[i].serving ? pools[i].want - pools[i].serving : 0;
+
+      if (pools[i].row->spare || missing <= most)
+        continue;
+      most = missing;
+      best = &pools[i];
+    }
+  return best;
+}
+
+static const struct mt_capacity_pool *
+find_giver (const struct mt_capacity *capacity, const struct mt_capacity_pool *pools, size_t n)
+{
+  const struct mt_capacity_pool *best = NULL;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      if (!can_give (capacity, &pools[i]))
+        continue;
+      if (pools[i].row->spare)
+        return &pools[i];
+      best = &pools[i];
+    }
+  return best;
+}
+
+static const struct mt_capacity_pool *
+find_spare (const struct mt_capacity_pool *pools, size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    if (pools[i].row->spare)
+      return &pools[i];
+  return NULL;
+}
+
+static const struct mt_capacity_pool *
+find_returner (const struct mt_capacity *capacity,
+               const struct mt_capacity_pool *pools,
+               size_t n,
+               int64_t now_s)
+{
+  for (size_t i = 0; i < n; i++)
+    if (!pools[i].row->spare && has_surplus (capacity, &pools[i])
+        && surplus_is_old (capacity, &pools[i], now_s))
+      return &pools[i];
+  return NULL;
+}
+
+bool
+mt_capacity_decide (struct mt_capacity *capacity,
+                    struct mt_capacity_pool *pools,
+                    size_t n,
+                    int64_t now_s,
+                    const struct mt_capacity_pool **from,
+                    const struct mt_capacity_pool **to)
+{
+  for (size_t i = 0; i < n; i++)
+    pools[i].learnt = make_track (capacity, pools[i].row->name.data)->learnt;
+  capacity->policy->decide (pools, n);
+  for (size_t i = 0; i < n; i++)
+    note_surplus (capacity, &pools[i], now_s);
+  if (!capacity->policy->moves)
+    return false;
+  *to = find_needy (pools, n);
+  *from = find_giver (capacity, pools, n);
+  if (*to != NULL && *from != NULL)
+    return true;
+  *to = find_spare (pools, n);
+  *from = find_returner (capacity, pools, n, now_s);
+  return *to != NULL && *from != NULL;
+}
--- /dev/null
+++ b/core/control/moves.c
@@ -0,0 +1,115 @@
+#include "planner_internal.h"
+
+#include <string.h>
+
+/* Drains that one step may begin; the budgets bound them further. */
+#define MOVES_PER_STEP 4
+
+static double
+demand_of (const struct mt_planner_input *input, const char *pool)
+{
+  for (size_t i = 0; i < input->n_demands; i++)
+    if (strcmp (input->demands[i].pool, pool) == 0)
+      return input->demands[i].slots_wanted;
+  return 0;
+}
+
+/* Live, or under way to the pool: a move that isn't done yet must not be decided again. */
+static unsigned
+count_serving (const struct mt_plan *plan, const char *pool)
+{
+  unsigned count = 0;
+
+  for (size_t i = 0; i < plan->next->n_records; i++)
+    {
+      const struct mt_assign_record *record = &plan->next->records[i];
+
+      if (mt_planner_is_down (plan->input, record->instance))
+        continue;
+      if (record->state == MT_ASSIGN_SERVING && strcmp (record->pool, pool) == 0)
+        count++;
+      if (record->state == MT_ASSIGN_DRAINING && record->goal == MT_GOAL_MOVE
+          && strcmp (record->target, pool) == 0)
+        count++;
+    }
+  return count;
+}
+
+static void
+describe_pool (const struct mt_plan *plan, const struct mt_pool *row, struct mt_capacity_pool *pool)
+{
+  *pool = (struct mt_capacity_pool){ .row = row, .slots = 1 };
+  for (size_t i = 0; i < row->n_instances; i++)
+    {
+      const struct mt_instance *instance = &row->instances[i];
+
+      if (!mt_str_equal (instance->zone, mt_str_from (plan->input->zone)) || instance->leaving)
+        continue;
+      pool->home++;
+      pool->slots = instance->slots;
+    }
+  pool->serving = count_serving (plan, row->name.data);
+  pool->wanted = demand_of (plan->input, row->name.data);
+  pool->may_give = mt_planner_may_drain (plan, row->name.data);
+}
+
+static void
+describe_pools (const struct mt_plan *plan, GArray *pools)
+{
+  const struct mt_tables *tables = plan->input->tables;
+
+  g_array_set_size (pools, (guint) tables->n_pools);
+  for (size_t i = 0; i < tables->n_pools; i++)
+    describe_pool (plan, &tables->pools[i],
+                   &g_array_index (pools, struct mt_capacity_pool, (guint) i));
+}
+
+/* One that is away from home goes first: it comes home or at least no second one leaves. */
+static struct mt_assign_record *
+pick_from (const struct mt_plan *plan, const char *pool, const char *target)
+{
+  struct mt_assign_record *best = NULL;
+
+  for (size_t i = 0; i < plan->next->n_records; i++)
+    {
+      struct mt_assign_record *record = &plan->next->records[i];
+
+      if (record->state != MT_ASSIGN_SERVING || strcmp (record->pool, pool) != 0
+          || mt_planner_is_down (plan->input, record->instance))
+        continue;
+      if (strcmp (record->home, target) == 0)
+        return record;
+      if (best == NULL || (strcmp (best->home, pool) == 0 && strcmp (record->home, pool) != 0))
+        best = record;
+    }
+  return best;
+}
+
+void
+mt_planner_move_capacity (struct mt_plan *plan)
+{
+  g_autoptr (GArray) pools = g_array_new (FALSE, TRUE, sizeof (struct mt_capacity_pool));
+  const struct mt_planner_input *input = plan->input;
+  const struct mt_capacity_pool *from;
+  const struct mt_capacity_pool *to;
+
+  if (input->capacity == NULL)
+    return;
+  describe_pools (plan, pools);
+  mt_capacity_learn (input->capacity, (void *) pools->data, pools->len, input->now_s);
+  for (int i = 0; i < MOVES_PER_STEP; i++)
+    {
+      struct mt_assign_record *record;
+
+      if (!mt_capacity_decide (input->capacity, (void *) pools->data, pools->len, input->now_s,
+                               &from, &to))
+        return;
+      record = pick_from (plan, from->row->name.data, to->row->name.data);
+      if (record == NULL)
+        return;
+      mt_assign_drain (plan->next, record, MT_GOAL_MOVE, to->row->name.data, input->now_s);
+      plan->result->changed = true;
+      plan->result->moves++;
+      describe_pools (plan, pools);
+    }
+}
