settings: check every key, log one valid line for any bytes

Ruled out: base64 for odd details, which nobody could read. Conclusion: an operator reads the key, the range and the remedy.

--- a/core/base/log.c
+++ b/core/base/log.c
@@ -5,6 +5,9 @@
 #include <string.h>
 #include <time.h>
 
+#define MAX_NAME_CHARS 64
+#define MAX_UTF8_BYTES 4
+
 static const struct mt_event_info catalogue[] = {
 #define MT_EVENT(id, name, level, text) { (id), #name, (level), (text) },
 #include "medlartrack/event_list.h"
@@ -23,7 +26,24 @@
 struct writer
 {
   enum mt_log_format format;
-  char process[32];
+  enum mt_log_level level;
+  char process[MAX_NAME_CHARS * MAX_UTF8_BYTES + 1];
+};
+
+struct line
+{
+  char when[40];
+  GLogLevelFlags level;
+  const char *event;
+  const char *message;
+  const char *detail;
+};
+
+static const GLogLevelFlags least_severe[] = {
+  [MT_LOG_DEBUG] = G_LOG_LEVEL_DEBUG,
+  [MT_LOG_INFO] = G_LOG_LEVEL_INFO,
+  [MT_LOG_WARNING] = G_LOG_LEVEL_WARNING,
+  [MT_LOG_ERROR] = G_LOG_LEVEL_CRITICAL,
 };
 
 static const char *
@@ -60,40 +80,69 @@
   snprintf (out + n, size - n, ".%03ldZ", ts.tv_nsec / 1000000);
 }
 
+/* Valid UTF-8 without control characters: a detail quotes what others sent, and a line break in it
+ * would forge an event of its own. Bytes that are cut or not UTF-8 become U+FFFD. */
+static char *
+clean_text (const char *text)
+{
+  char *clean = g_utf8_make_valid (text, -1);
+
+  for (char *c = clean; *c != '\0'; c++)
+    if (g_ascii_iscntrl (*c))
+      *c = ' ';
+  return clean;
+}
+
+static char *
+format_json (const struct writer *w, const struct line *line)
+{
+  json_t *root = json_pack ("{ss ss ss ss ss ss}", "time", line->when, "level",
+                            level_name (line->level), "process", w->process, "event", line->event,
+                            "message", line->message, "detail", line->detail);
+  char *text = json_dumps (root, JSON_COMPACT);
+  char *copy = g_strdup_printf ("%s\n", text);
+
+  free (text);
+  json_decref (root);
+  return copy;
+}
+
+static char *
+format_human (const struct writer *w, const struct line *line)
+{
+  return g_strdup_printf ("%s %s %s [%s] %s%s%s\n", line->when, w->process,
+                          level_name (line->level), line->event[0] != '\0' ? line->event : "-",
+                          line->message, line->detail[0] != '\0' ? ": " : "", line->detail);
+}
+
 static GLogWriterOutput
 write_line (GLogLevelFlags level, const GLogField *fields, gsize n, gpointer data)
 {
   const struct writer *w = data;
-  const char *message = find_field (fields, n, "MESSAGE");
-  const char *event = find_field (fields, n, "MT_EVENT");
-  const char *detail = find_field (fields, n, "MT_DETAIL");
-  char when[40];
-
-  format_time (when, sizeof when);
-  if (w->format == MT_LOG_JSON)
-    {
-      json_t *line
-          = json_pack ("{ss ss ss ss ss ss}", "time", when, "level", level_name (level), "process",
-                       w->process, "event", event, "message", message, "detail", detail);
-      char *text = line != NULL ? json_dumps (line, JSON_COMPACT) : NULL;
-
-      fprintf (stderr, "%s\n", text != NULL ? text : "{}");
-      free (text);
-      json_decref (line);
-    }
-  else
-    fprintf (stderr, "%s %s %s [%s] %s%s%s\n", when, w->process, level_name (level),
-             event[0] != '\0' ? event : "-", message, detail[0] != '\0' ? ": " : "", detail);
+  g_autofree char *message = clean_text (find_field (fields, n, "MESSAGE"));
+  g_autofree char *event = clean_text (find_field (fields, n, "MT_EVENT"));
+  g_autofree char *detail = clean_text (find_field (fields, n, "MT_DETAIL"));
+  struct line line = { .level = level, .event = event, .message = message, .detail = detail };
+  g_autofree char *text = NULL;
+
+  /* GLib's flags grow as the severity falls. */
+  if ((level & G_LOG_LEVEL_MASK) > least_severe[w->level])
+    return G_LOG_WRITER_HANDLED;
+  format_time (line.when, sizeof line.when);
+  text = w->format == MT_LOG_JSON ? format_json (w, &line) : format_human (w, &line);
+  fputs (text, stderr);
   return G_LOG_WRITER_HANDLED;
 }
 
 void
-mt_log_setup (enum mt_log_format format, const char *process_name)
+mt_log_setup (enum mt_log_format format, enum mt_log_level level, const char *process_name)
 {
   struct writer *w = g_new0 (struct writer, 1);
+  g_autofree char *name = clean_text (process_name);
 
   w->format = format;
-  g_strlcpy (w->process, process_name, sizeof w->process);
+  w->level = level;
+  g_utf8_strncpy (w->process, name, MAX_NAME_CHARS);
   g_log_set_writer_func (write_line, w, g_free);
 }
 
--- a/core/config/settings.c
+++ b/core/config/settings.c
@@ -1,18 +1,28 @@
 #include "medlartrack/settings.h"
 
-#include "fields.h"
+#include "settings_internal.h"
 
 #include <talloc.h>
 
+#define MAX_PEERS 64 /* a few are enough to find the rest */
+
 static const char *const log_choices[] = { "human", "json", NULL };
+static const char *const log_level_choices[] = { "debug", "info", "warning", "error", NULL };
 
 static const struct mt_field settings_fields[] = {
-  { "name", MT_FIELD_TEXT, offsetof (struct mt_settings, name), .required = true },
-  { "zone", MT_FIELD_TEXT, offsetof (struct mt_settings, zone), .required = true },
-  { "listen", MT_FIELD_TEXT, offsetof (struct mt_settings, listen), .required = true },
-  { "peer_listen", MT_FIELD_TEXT, offsetof (struct mt_settings, peer_listen), .required = true },
-  { "platform", MT_FIELD_TEXT, offsetof (struct mt_settings, platform), .required = true },
+  { "name", MT_FIELD_TEXT, offsetof (struct mt_settings, name), .required = true,
+    .form = &mt_form_name },
+  { "zone", MT_FIELD_TEXT, offsetof (struct mt_settings, zone), .required = true,
+    .form = &mt_form_name },
+  { "listen", MT_FIELD_TEXT, offsetof (struct mt_settings, listen), .required = true,
+    .form = &mt_form_listen },
+  { "peer_listen", MT_FIELD_TEXT, offsetof (struct mt_settings, peer_listen), .required = true,
+    .form = &mt_form_listen },
+  { "platform", MT_FIELD_TEXT, offsetof (struct mt_settings, platform), .required = true,
+    .form = &mt_form_address },
   { "log", MT_FIELD_CHOICE, offsetof (struct mt_settings, log), .choices = log_choices },
+  { "log_level", MT_FIELD_CHOICE, offsetof (struct mt_settings, log_level), .fallback = 1,
+    .choices = log_level_choices },
   { NULL },
 };
 
@@ -32,6 +42,25 @@
   { NULL },
 };
 
+static bool
+read_peer (struct mt_settings *settings,
+           size_t index,
+           const json_t *peer,
+           struct mt_field_place place,
+           GError **error)
+{
+  struct mt_str text = { json_string_value (peer), json_string_length (peer) };
+
+  if (!json_is_string (peer) || !mt_form_address.accepts (text))
+    return mt_fields_refuse (error, place, "peers", peer, mt_form_address.remedy);
+  for (size_t i = 0; i < index; i++)
+    if (mt_str_equal (settings->peers[i], text))
+      return mt_fields_refuse (error, place, "peers", peer, "it stands twice; remove one");
+  settings->peers[index].data = talloc_strndup (settings, text.data, text.len);
+  settings->peers[index].len = text.len;
+  return true;
+}
+
 static bool
 read_peers (struct mt_settings *settings,
             const json_t *list,
@@ -40,23 +69,33 @@
 {
   if (list == NULL)
     return true;
-  if (!json_is_array (list))
-    return mt_fields_refuse (error, place, "peers", list, "write a list of \"IP:PORT\"");
+  if (!json_is_array (list) || json_array_size (list) > MAX_PEERS)
+    return mt_fields_refuse (error, place, "peers", list,
+                             "write a list of at most 64 texts \"IP:PORT\"");
   settings->n_peers = json_array_size (list);
   settings->peers = talloc_zero_array (settings, struct mt_str, settings->n_peers);
   for (size_t i = 0; i < settings->n_peers; i++)
-    {
-      const json_t *peer = json_array_get (list, i);
-
-      if (!json_is_string (peer))
-        return mt_fields_refuse (error, place, "peers", peer, "write \"IP:PORT\"");
-      settings->peers[i].len = json_string_length (peer);
-      settings->peers[i].data
-          = talloc_strndup (settings, json_string_value (peer), settings->peers[i].len);
-    }
+    if (!read_peer (settings, i, json_array_get (list, i), place, error))
+      return false;
   return true;
 }
 
+/* Callers and peers speak different protocols, so one port can't serve both. */
+static bool
+check_listeners (const struct mt_settings *settings, struct mt_field_place place, GError **error)
+{
+  json_t *found;
+
+  if (!mt_str_equal (settings->listen, settings->peer_listen)
+      || g_str_has_suffix (settings->listen.data, ":0"))
+    return true;
+  found = json_stringn (settings->peer_listen.data, settings->peer_listen.len);
+  mt_fields_refuse (error, place, "peer_listen", found,
+                    "listen has it already; write another port");
+  json_decref (found);
+  return false;
+}
+
 static bool
 read_settings (struct mt_settings *settings, const json_t *root, GError **error)
 {
@@ -68,12 +107,19 @@
   bool ok = mt_fields_read (settings, settings, root, settings_fields, nested, place, error)
             && read_peers (settings, json_object_get (root, "peers"), place, error)
             && mt_fields_read (settings, &settings->limits, limits != NULL ? limits : none,
-                               limit_fields, NULL, inner, error);
+                               limit_fields, NULL, inner, error)
+            && check_listeners (settings, place, error);
 
   json_decref (none);
   return ok;
 }
 
+const struct mt_field *
+mt_settings_fields (const char *section)
+{
+  return section != NULL ? limit_fields : settings_fields;
+}
+
 struct mt_settings *
 mt_settings_parse (struct mt_str json, GError **error)
 {
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -104,7 +104,8 @@
   sigset_t set;
 
   block_signals (&set);
-  mt_log_setup ((enum mt_log_format) settings->log, settings->name.data);
+  mt_log_setup ((enum mt_log_format) settings->log, (enum mt_log_level) settings->log_level,
+                settings->name.data);
   daemon = mt_daemon_create (settings, &error);
   if (daemon == NULL)
     {
@@ -134,7 +135,9 @@
   settings = load_settings (arguments.settings);
   if (settings == NULL)
     return EXIT_SETTINGS;
-  if (!arguments.check_only)
+  if (arguments.check_only)
+    printf ("%s: the settings are valid\n", arguments.settings);
+  else
     code = run (settings);
   mt_settings_destroy (settings);
   return code;
--- a/include/medlartrack/log.h
+++ b/include/medlartrack/log.h
@@ -30,8 +30,18 @@
   MT_LOG_JSON,
 };
 
-/* Installs the writer, once, before threads start. Lines go to standard error. */
-void mt_log_setup (enum mt_log_format format, const char *process_name);
+/* The least severe that is written. */
+enum mt_log_level
+{
+  MT_LOG_DEBUG,
+  MT_LOG_INFO,
+  MT_LOG_WARNING,
+  MT_LOG_ERROR,
+};
+
+/* Installs the writer, once, before threads start. Each event is one line on standard error, valid
+ * whatever bytes its detail has. */
+void mt_log_setup (enum mt_log_format format, enum mt_log_level level, const char *process_name);
 
 /* Logs one event. detail is printf-like "key=value ..." text; NULL for none. */
 void mt_log_event (enum mt_event event, const char *detail, ...) G_GNUC_PRINTF (2, 3);
--- a/include/medlartrack/settings.h
+++ b/include/medlartrack/settings.h
@@ -24,7 +24,8 @@
   struct mt_str platform;    /* IP:PORT of the platform's service */
   struct mt_str *peers; /* IP:PORT of some daemons, to find the rest when the platform is down */
   size_t n_peers;
-  int log; /* enum mt_log_format */
+  int log;       /* enum mt_log_format */
+  int log_level; /* enum mt_log_level */
   struct mt_settings_limits limits;
 };
 
