daemon: heartbeats among daemons, tables spread by peers, state dump and status

Cause: a daemon knew of no other, so each took all slots of a minion, and one that started while the platform was down had no tables and served nothing. Ruled out: fetching a new version from a peer at once. With the platform up every daemon has it from its own watch some milliseconds later, and the tables are the largest message there is; it waits 300 ms. Change: peers (gossip threads, mt_peers_*), documents (spread by version, checked like an edit), registry (an entry under a lease; 4 calls a minute), heartbeat (loads of the pools out, shares in), dump by sections over the peer protocol and SIGUSR1, medlartrackctl dump and status.

--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -16,6 +16,13 @@
   { .name = "show",
     .description = "print the accepted tables, ready to edit",
     .run = mt_command_show },
+  { .name = "status",
+    .description = "print which version each daemon has in force, and which daemons lag",
+    .run = mt_command_status },
+  { .name = "dump",
+    .description = "print a daemon's state",
+    .argument = "IP:PORT",
+    .run = mt_command_dump },
   { .name = NULL },
 };
 
--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -21,6 +21,7 @@
 struct mt_command_context
 {
   const struct mt_store *store;
+  const char *peer; /* --peer IP:PORT, or NULL */
   FILE *out;
   FILE *err;
   const char *onto;             /* --onto VERSION, or NULL */
@@ -44,5 +45,7 @@
 int mt_command_diff (const struct mt_command_context *context, const char *path);
 int mt_command_apply (const struct mt_command_context *context, const char *path);
 int mt_command_show (const struct mt_command_context *context, const char *argument);
+int mt_command_dump (const struct mt_command_context *context, const char *address);
+int mt_command_status (const struct mt_command_context *context, const char *argument);
 
 #endif
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -13,6 +13,7 @@
 struct arguments
 {
   const char *platform;
+  const char *peer;
   const char *command;
   const char *argument;
   const char *onto;
@@ -23,6 +24,7 @@
 
 static const struct argp_option options[] = {
   { "platform", 'p', "IP:PORT", 0, "The platform's key-value service", 0 },
+  { "peer", 'd', "IP:PORT", 0, "status: the daemon to ask; else any that the platform lists", 0 },
   { "onto", 'o', "VERSION", 0, "apply: the accepted version that the edit starts from", 0 },
   { "empty", 'e', "ZONE", 0, "apply, diff: a data centre that pools may be emptied in", 0 },
   { 0 },
@@ -38,6 +40,9 @@
     case 'p':
       arguments->platform = arg;
       return 0;
+    case 'd':
+      arguments->peer = arg;
+      return 0;
     case 'o':
       arguments->onto = arg;
       return 0;
@@ -107,6 +112,7 @@
       = mt_platform_create (client, mt_clock_system (), arguments->platform, CALL_US);
   struct mt_command_context context = {
     .store = mt_platform_store (platform),
+    .peer = arguments->peer,
     .out = stdout,
     .err = stderr,
     .onto = arguments->onto,
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -1,9 +1,16 @@
 #include "daemon.h"
 
+#include "dump.h"
 #include "feed.h"
 #include "front.h"
+#include "heartbeat.h"
 #include "medlartrack/log.h"
+#include "peers.h"
 #include "platform.h"
+#include "registry.h"
+
+#include <stdlib.h>
+#include <string.h>
 
 #define REQUEST_MEMORY_BASE (256 * 1024)
 
@@ -17,6 +24,10 @@
   struct mt_platform *platform;
   struct mt_view_holder *views;
   struct mt_pools *pools;
+  struct mt_peer_server *peer_server;
+  struct mt_heartbeat *heartbeat;
+  struct mt_peers *peers;
+  struct mt_registry *registry;
   struct mt_feed *feed;
   struct mt_front *front;
   struct mt_http_server *server;
@@ -30,6 +41,31 @@
   return (size_t) limits->answer_bytes * 2 + limits->body_bytes + REQUEST_MEMORY_BASE;
 }
 
+static char *
+serve_dump (void *ctx, struct mt_str sender, struct mt_str body, size_t *reply_len)
+{
+  g_autofree char *text = mt_daemon_dump (ctx);
+
+  *reply_len = strlen (text);
+  return strdup (text);
+}
+
+static void
+create_peers (struct mt_daemon *daemon)
+{
+  struct mt_peers_options options = { .clock = daemon->clock };
+
+  daemon->heartbeat = mt_heartbeat_create (daemon->pools, daemon->settings);
+  options.settings = daemon->settings;
+  options.server = daemon->peer_server;
+  options.callbacks = mt_heartbeat_callbacks ();
+  options.ctx = daemon->heartbeat;
+  daemon->peers = mt_peers_create (&options);
+  mt_peers_carry (daemon->peers, mt_document_tables (), daemon->views);
+  mt_peer_server_handle (daemon->peer_server, MT_PEER_DUMP, serve_dump, daemon);
+  mt_view_listen (daemon->views, mt_peers_kick, daemon->peers);
+}
+
 static void
 create_parts (struct mt_daemon *daemon)
 {
@@ -45,6 +81,7 @@
   daemon->views = mt_view_holder_create (daemon->clock);
   daemon->pools = mt_pools_create (daemon->clock, daemon->views, settings->zone.data);
   mt_view_listen (daemon->views, mt_pools_refresh, daemon->pools);
+  create_peers (daemon);
   feed.platform = settings->platform.data;
   feed.call_us = settings->limits.platform_ms * MT_MS;
   feed.views = daemon->views;
@@ -57,6 +94,16 @@
   daemon->front = mt_front_create (&front);
 }
 
+/* Others may call this daemon only once every part is there. */
+static void
+start_peers (struct mt_daemon *daemon)
+{
+  mt_peers_start (daemon->peers);
+  mt_peer_server_start (daemon->peer_server);
+  daemon->registry = mt_registry_create (mt_platform_store (daemon->platform), daemon->clock,
+                                         daemon->peers, daemon->settings->name.data);
+}
+
 struct mt_daemon *
 mt_daemon_create (const struct mt_settings *settings, GError **error)
 {
@@ -72,27 +119,44 @@
 
   daemon->settings = settings;
   daemon->clock = mt_clock_system ();
+  daemon->peer_server
+      = mt_peer_server_create (settings->peer_listen.data, settings->name.data, error);
+  if (daemon->peer_server == NULL)
+    {
+      g_free (daemon);
+      return NULL;
+    }
   create_parts (daemon);
   server.clock = daemon->clock;
   server.ctx = daemon->front;
   daemon->server = mt_http_server_create (&server, error);
-  if (daemon->server != NULL)
-    return daemon;
-  mt_daemon_destroy (daemon);
-  return NULL;
+  if (daemon->server == NULL)
+    {
+      mt_daemon_destroy (daemon);
+      return NULL;
+    }
+  start_peers (daemon);
+  return daemon;
 }
 
 void
 mt_daemon_destroy (struct mt_daemon *daemon)
 {
   if (daemon->server != NULL)
-    mt_http_server_stop (daemon->server, daemon->settings->limits.stop_linger_ms * MT_MS);
+    {
+      mt_peers_leave (daemon->peers);
+      mt_http_server_stop (daemon->server, daemon->settings->limits.stop_linger_ms * MT_MS);
+    }
   mt_http_server_destroy (daemon->server);
   /* Exchanges that were given up on still hold slots of the pools. */
   mt_http_exchanges_destroy (daemon->exchanges);
+  mt_registry_destroy (daemon->registry);
   mt_feed_destroy (daemon->feed);
+  mt_peer_server_destroy (daemon->peer_server);
+  mt_peers_destroy (daemon->peers);
   mt_front_destroy (daemon->front);
   mt_pools_destroy (daemon->pools);
+  mt_heartbeat_destroy (daemon->heartbeat);
   mt_view_holder_destroy (daemon->views);
   mt_platform_destroy (daemon->platform);
   mt_http_client_destroy (daemon->client);
@@ -105,26 +169,95 @@
   return mt_http_server_port (daemon->server);
 }
 
-char *
-mt_daemon_dump (struct mt_daemon *daemon)
+unsigned
+mt_daemon_peer_port (const struct mt_daemon *daemon)
+{
+  return mt_peer_server_port (daemon->peer_server);
+}
+
+static json_t *
+show_name (void *ctx)
+{
+  return json_string (((struct mt_daemon *) ctx)->settings->name.data);
+}
+
+static json_t *
+show_zone (void *ctx)
+{
+  return json_string (((struct mt_daemon *) ctx)->settings->zone.data);
+}
+
+static json_t *
+show_address (void *ctx)
+{
+  return json_string (mt_peers_address (((struct mt_daemon *) ctx)->peers));
+}
+
+static json_t *
+show_tables_version (void *ctx)
+{
+  return json_integer ((json_int_t) mt_view_version (((struct mt_daemon *) ctx)->views));
+}
+
+static json_t *
+show_tables_age (void *ctx)
+{
+  int64_t age_us = mt_view_age_us (((struct mt_daemon *) ctx)->views);
+
+  return json_integer (age_us < 0 ? -1 : (json_int_t) (age_us / MT_MS));
+}
+
+static json_t *
+show_platform_calls (void *ctx)
+{
+  const struct mt_daemon *daemon = ctx;
+
+  return json_integer (
+      (json_int_t) (mt_platform_calls (daemon->platform) + mt_feed_calls (daemon->feed)));
+}
+
+static json_t *
+show_members (void *ctx)
+{
+  json_t *members = json_object ();
+
+  mt_peers_dump (((struct mt_daemon *) ctx)->peers, members);
+  return members;
+}
+
+static json_t *
+show_pools (void *ctx)
 {
   json_t *pools = json_object ();
+
+  mt_pools_dump (((struct mt_daemon *) ctx)->pools, pools);
+  return pools;
+}
+
+static json_t *
+show_counters (void *ctx)
+{
   json_t *counters = json_object ();
-  json_t *root;
-  char *text;
-  char *copy;
-
-  mt_pools_dump (daemon->pools, pools);
-  mt_counters_dump (&daemon->counters, counters);
-  root = json_pack (
-      "{ss ss sI sI sI so so}", "name", daemon->settings->name.data, "zone",
-      daemon->settings->zone.data, "tables_version", (json_int_t) mt_view_version (daemon->views),
-      "tables_age_ms", (json_int_t) (mt_view_age_us (daemon->views) / MT_MS), "platform_calls",
-      (json_int_t) (mt_platform_calls (daemon->platform) + mt_feed_calls (daemon->feed)), "pools",
-      pools, "counters", counters);
-  text = json_dumps (root, JSON_INDENT (2));
-  copy = g_strdup (text);
-  free (text);
-  json_decref (root);
-  return copy;
+
+  mt_counters_dump (&((struct mt_daemon *) ctx)->counters, counters);
+  return counters;
+}
+
+static const struct mt_dump_section sections[] = {
+  { "name", "the daemon's name", show_name },
+  { "zone", "its data centre", show_zone },
+  { "address", "IP:PORT for other daemons and medlartrackctl", show_address },
+  { "tables_version", "in force here, 0 for none", show_tables_version },
+  { "tables_age_ms", "since it was last known to be the newest, -1 for none", show_tables_age },
+  { "platform_calls", "made so far, a watch counted as one", show_platform_calls },
+  { "members", "every daemon that is known, this one included", show_members },
+  { "pools", "queues, slots and in flight", show_pools },
+  { "counters", "of requests", show_counters },
+  { NULL },
+};
+
+char *
+mt_daemon_dump (struct mt_daemon *daemon)
+{
+  return mt_dump_text (sections, daemon);
 }
--- /dev/null
+++ b/daemon/document_tables.c
@@ -0,0 +1,53 @@
+#include "documents.h"
+#include "view.h"
+
+static uint64_t
+tables_version (void *ctx)
+{
+  return mt_view_version (ctx);
+}
+
+static char *
+tables_format (void *ctx)
+{
+  const struct mt_tables *tables = mt_view_begin (ctx);
+  char *text = tables != NULL ? mt_tables_format (tables, tables->version, tables->id.data) : NULL;
+
+  mt_view_end ();
+  return text;
+}
+
+/* What a peer sends is checked like what an operator does: a peer of another version, or a hostile
+ * one, can't bring in force what `apply` would refuse. */
+static bool
+tables_offer (void *ctx, struct mt_str text, GError **error)
+{
+  struct mt_tables *tables = mt_tables_parse (text, error);
+
+  if (tables == NULL)
+    return false;
+  mt_view_offer (ctx, tables);
+  return true;
+}
+
+static uint64_t
+tables_version_of (const struct mt_member *member)
+{
+  return member->tables_version;
+}
+
+static const struct mt_document document = {
+  .name = "tables",
+  .description = "the operators' routes and pools",
+  .type = MT_PEER_TABLES,
+  .version = tables_version,
+  .format = tables_format,
+  .offer = tables_offer,
+  .version_of = tables_version_of,
+};
+
+const struct mt_document *
+mt_document_tables (void)
+{
+  return &document;
+}
--- /dev/null
+++ b/daemon/heartbeat.h
@@ -0,0 +1,18 @@
+/* What this daemon's heartbeats carry of its pools, and what the others' bring to them. */
+#ifndef MT_HEARTBEAT_H
+#define MT_HEARTBEAT_H
+
+#include "peers.h"
+#include "pools.h"
+
+struct mt_heartbeat;
+
+/* pools outlive the heartbeat. */
+struct mt_heartbeat *mt_heartbeat_create (struct mt_pools *pools,
+                                          const struct mt_settings *settings);
+/* Once neither peers nor pools are called any more, and before the pools are destroyed. */
+void mt_heartbeat_destroy (struct mt_heartbeat *heartbeat);
+/* For mt_peers_options; their ctx is the heartbeat. */
+const struct mt_peers_callbacks *mt_heartbeat_callbacks (void);
+
+#endif
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -112,7 +112,8 @@
       mt_log_event (MT_EVENT_START_FAILED, "why=%s", error->message);
       return EXIT_START;
     }
-  mt_log_event (MT_EVENT_STARTED, "port=%u", mt_daemon_port (daemon));
+  mt_log_event (MT_EVENT_STARTED, "port=%u peer_port=%u", mt_daemon_port (daemon),
+                mt_daemon_peer_port (daemon));
   wait_for_stop (daemon, &set);
   mt_log_event (MT_EVENT_STOPPING, NULL);
   mt_daemon_destroy (daemon);
--- /dev/null
+++ b/daemon/registry.c
@@ -0,0 +1,144 @@
+#include "registry.h"
+
+#include "address.h"
+#include "medlartrack/error.h"
+
+#define LEASE_S    60
+#define RENEW_US   (20 * MT_SECOND)
+#define LIST_EVERY 3 /* renewals */
+/* After an outage all daemons come back at once; each waits for a different part of this. */
+#define RETRY_US  (5 * MT_SECOND)
+#define JITTER_US (5 * MT_SECOND)
+
+struct mt_registry
+{
+  const struct mt_store *store;
+  const struct mt_clock *clock;
+  struct mt_peers *peers;
+  char *prefix; /* of this daemon's keys; ends in '/' lest NAME also mean NAME2 */
+  char *key;
+  GThread *thread;
+  GMutex lock;
+  GCond wake;
+  bool stopping; /* guarded by lock */
+  /* The thread's own. */
+  char *lease;
+  unsigned renewals;
+};
+
+static bool
+list_members (struct mt_registry *registry)
+{
+  GPtrArray *values;
+  struct sockaddr_in ignored;
+
+  if (!registry->store->ops->list (registry->store->ctx, MT_REGISTRY_PREFIX, &values, NULL))
+    return false;
+  for (guint i = 0; i < values->len; i++)
+    {
+      const struct mt_store_value *value = values->pdata[i];
+      const char *address = value->data;
+
+      if (address != NULL && mt_address_parse (address, &ignored, NULL))
+        mt_peers_add_addresses (registry->peers, &address, 1);
+    }
+  g_ptr_array_unref (values);
+  return true;
+}
+
+/* A lease that lapsed while this daemon was paused is replaced by a new one. */
+static bool
+hold_entry (struct mt_registry *registry)
+{
+  const struct mt_store_ops *ops = registry->store->ops;
+  void *ctx = registry->store->ctx;
+  g_autoptr (GError) error = NULL;
+
+  if (registry->lease != NULL && ops->lease_renew (ctx, registry->lease, &error))
+    return true;
+  if (error != NULL && !g_error_matches (error, MT_ERROR, MT_ERROR_STALE))
+    return false;
+  g_clear_pointer (&registry->lease, g_free);
+  if (!ops->lease_grant (ctx, LEASE_S, &registry->lease, NULL))
+    return false;
+  return ops->acquire (ctx, registry->key, mt_str_from (mt_peers_address (registry->peers)),
+                       registry->lease, NULL)
+         == MT_STORE_DONE;
+}
+
+static int64_t
+step (struct mt_registry *registry)
+{
+  bool ok = registry->renewals % LIST_EVERY != 0 || list_members (registry);
+
+  ok = ok && hold_entry (registry);
+  if (!ok)
+    return RETRY_US + g_random_int_range (0, JITTER_US);
+  registry->renewals++;
+  return RENEW_US;
+}
+
+static gpointer
+run (gpointer data)
+{
+  struct mt_registry *registry = data;
+
+  g_mutex_lock (&registry->lock);
+  while (!registry->stopping)
+    {
+      int64_t until;
+
+      g_mutex_unlock (&registry->lock);
+      until = step (registry) + g_get_monotonic_time ();
+      g_mutex_lock (&registry->lock);
+      while (!registry->stopping && g_cond_wait_until (&registry->wake, &registry->lock, until))
+        ;
+    }
+  g_mutex_unlock (&registry->lock);
+  return NULL;
+}
+
+struct mt_registry *
+mt_registry_create (const struct mt_store *store,
+                    const struct mt_clock *clock,
+                    struct mt_peers *peers,
+                    const char *name)
+{
+  struct mt_registry *registry = g_new0 (struct mt_registry, 1);
+
+  registry->store = store;
+  registry->clock = clock;
+  registry->peers = peers;
+  registry->prefix = g_strdup_printf (MT_REGISTRY_PREFIX "%s/", name);
+  registry->key = g_strconcat (registry->prefix, "address", NULL);
+  g_mutex_init (&registry->lock);
+  g_cond_init (&registry->wake);
+  registry->thread = g_thread_new ("registry", run, registry);
+  return registry;
+}
+
+void
+mt_registry_destroy (struct mt_registry *registry)
+{
+  const struct mt_store *store;
+
+  if (registry == NULL)
+    return;
+  store = registry->store;
+  g_mutex_lock (&registry->lock);
+  registry->stopping = true;
+  g_cond_signal (&registry->wake);
+  g_mutex_unlock (&registry->lock);
+  g_thread_join (registry->thread);
+  if (registry->lease != NULL)
+    {
+      store->ops->remove (store->ctx, registry->prefix, NULL);
+      store->ops->lease_end (store->ctx, registry->lease);
+    }
+  g_mutex_clear (&registry->lock);
+  g_cond_clear (&registry->wake);
+  g_free (registry->lease);
+  g_free (registry->prefix);
+  g_free (registry->key);
+  g_free (registry);
+}
--- /dev/null
+++ b/daemon/registry.h
@@ -0,0 +1,22 @@
+/* This daemon's entry in the platform's service, under a lease, and the others' entries read from
+ * there: how daemons find each other when they share no address in their settings. One thread;
+ * about four calls a minute. */
+#ifndef MT_REGISTRY_H
+#define MT_REGISTRY_H
+
+#include "medlartrack/store.h"
+#include "peers.h"
+
+#define MT_REGISTRY_PREFIX "medlartrack/members/"
+
+struct mt_registry;
+
+/* store and peers outlive the registry. */
+struct mt_registry *mt_registry_create (const struct mt_store *store,
+                                        const struct mt_clock *clock,
+                                        struct mt_peers *peers,
+                                        const char *name);
+/* Takes the entry out where the platform answers. */
+void mt_registry_destroy (struct mt_registry *registry);
+
+#endif
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -22,3 +22,18 @@
           TABLES_REPAIRED,
           G_LOG_LEVEL_WARNING,
           "older tables in the platform's store were replaced")
+
+MT_EVENT (5001, MEMBER_JOINED, G_LOG_LEVEL_MESSAGE, "a daemon is there")
+MT_EVENT (5002, MEMBER_SUSPECTED, G_LOG_LEVEL_WARNING, "a daemon is silent")
+MT_EVENT (5003, MEMBER_BACK, G_LOG_LEVEL_MESSAGE, "a silent daemon is heard again")
+MT_EVENT (5004,
+          MEMBER_REMOVED,
+          G_LOG_LEVEL_WARNING,
+          "a daemon was silent for too long and is forgotten")
+MT_EVENT (5005, MEMBER_LEAVES, G_LOG_LEVEL_MESSAGE, "a daemon stops gracefully")
+MT_EVENT (5006, MEMBER_NAME_TWICE, G_LOG_LEVEL_CRITICAL, "two daemons run under one name")
+MT_EVENT (5007,
+          DOCUMENT_FROM_PEER,
+          G_LOG_LEVEL_MESSAGE,
+          "a newer document was fetched from another daemon")
+MT_EVENT (5008, DOCUMENT_REFUSED, G_LOG_LEVEL_WARNING, "a document of another daemon was not taken")
--- a/include/medlartrack/membership.h
+++ b/include/medlartrack/membership.h
@@ -145,29 +145,4 @@
                          void *ctx);
 size_t mt_membership_count (const struct mt_membership *membership);
 
-/* One daemon of a data centre, for the division of slots. */
-struct mt_share_member
-{
-  const char *name;
-  uint64_t demand; /* waiting and in flight in the pool */
-};
-
-struct mt_share_minion
-{
-  const char *name;
-  unsigned slots;
-};
-
-/* How many of each minion's slots the member own may use, into shares[n_minions]. Any daemon with
- * the same members, sorted by name, and the same demands works out the same division: while views
- * agree, a minion's shares sum to its slots, but for one probing slot of each daemon that would
- * have none in the whole pool. While k different views are held, they sum to at most k times that.
- */
-void mt_shares_divide (const struct mt_share_member *members,
-                       size_t n_members,
-                       size_t own,
-                       const struct mt_share_minion *minions,
-                       size_t n_minions,
-                       unsigned *shares);
-
 #endif
