--- a/core/jobs/events.c
+++ b/core/jobs/events.c
@@ -148,6 +148,16 @@
     lose_task (jobs, worker->tasks->pdata[i]);
 }
 
+void
+mt_jobs_worker_back (struct mt_jobs *jobs, const char *name, uint64_t lease)
+{
+  struct mt_worker *worker = mt_jobs_find_worker (jobs, name);
+
+  /* What was begun to be fenced stays so until the worker itself confirms. */
+  if (worker != NULL && lease == worker->lease)
+    worker->lost = false;
+}
+
 void
 mt_jobs_worker_clean (struct mt_jobs *jobs, const char *name, uint64_t lease)
 {
--- a/core/jobs/plan.c
+++ b/core/jobs/plan.c
@@ -20,7 +20,8 @@
 static void
 append (struct round *round, enum mt_job_action_kind kind, const struct mt_job *job)
 {
-  struct mt_job_action action = { kind, job->name, job->worker->name, job->epoch, job->lease };
+  struct mt_job_action action
+      = { kind, job->name, job->worker->name, job->epoch, job->lease, job->taken };
 
   g_array_append_val (round->actions, action);
 }
@@ -68,8 +69,8 @@
       const struct mt_stray *stray = &g_array_index (strays, struct mt_stray, i);
       const struct mt_worker *worker = mt_jobs_find_worker (round->jobs, stray->worker);
       struct mt_job_action action
-          = { MT_JOB_STOP, g_intern_string (stray->job), g_intern_string (stray->worker),
-              stray->epoch, worker != NULL ? worker->lease : 0 };
+          = { MT_JOB_STOP,  g_intern_string (stray->job),       g_intern_string (stray->worker),
+              stray->epoch, worker != NULL ? worker->lease : 0, { 0, 0, 0 } };
 
       g_array_append_val (round->actions, action);
     }
--- a/core/jobs/record.c
+++ b/core/jobs/record.c
@@ -201,6 +201,50 @@
   g_ptr_array_set_size (jobs->new_tombstones, 0);
 }
 
+static bool
+differs_from_declared (const struct mt_job *job)
+{
+  return job->state != MT_JOB_WAITING || job->epoch > 0;
+}
+
+static unsigned
+count_differing (const struct mt_jobs *jobs)
+{
+  GHashTableIter iter;
+  gpointer value;
+  unsigned n = 0;
+
+  g_hash_table_iter_init (&iter, jobs->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    n += differs_from_declared (value);
+  return n;
+}
+
+void
+mt_jobs_snapshot (const struct mt_jobs *jobs, GString *out)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  msgpack_packer pk;
+
+  msgpack_packer_init (&pk, out, append_bytes);
+  msgpack_pack_array (&pk, 2);
+  msgpack_pack_int (&pk, RECORD_VERSION);
+  msgpack_pack_array (&pk, count_differing (jobs) + g_hash_table_size (jobs->tombstones));
+  g_hash_table_iter_init (&iter, jobs->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct mt_job *job = value;
+
+      if (differs_from_declared (job))
+        pack_entry (&pk, job->name, job->state, job->epoch, job->worker, job->lease);
+    }
+  g_hash_table_iter_init (&iter, jobs->tombstones);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    pack_entry (&pk, name, MT_JOB_CANCELLED, 0, NULL, 0);
+}
+
 bool
 mt_jobs_replay (struct mt_jobs *jobs, struct mt_str batch, GError **error)
 {
--- a/core/jobs/relief.c
+++ b/core/jobs/relief.c
@@ -45,7 +45,7 @@
 throttle (struct mt_job *job, GArray *actions)
 {
   struct mt_job_action action
-      = { MT_JOB_THROTTLE, job->name, job->worker->name, job->epoch, job->lease };
+      = { MT_JOB_THROTTLE, job->name, job->worker->name, job->epoch, job->lease, job->taken };
 
   job->throttled = true;
   g_array_append_val (actions, action);
--- a/include/medlartrack/jobs.h
+++ b/include/medlartrack/jobs.h
@@ -114,8 +114,9 @@
   enum mt_job_action_kind kind;
   const char *job;
   const char *worker;
-  uint64_t epoch; /* grows with each start of the job; a worker refuses older ones */
-  uint64_t lease; /* of the worker; one that started anew since refuses the action */
+  uint64_t epoch;      /* grows with each start of the job; a worker refuses older ones */
+  uint64_t lease;      /* of the worker; one that started anew since refuses the action */
+  struct mt_size size; /* of a start: what the task may take */
 };
 
 enum mt_job_report_kind
@@ -150,6 +151,8 @@
 void mt_jobs_drain_worker (struct mt_jobs *jobs, const char *name, bool draining);
 /* Its lease lapsed: it may still run what it ran. Of an older lease: ignored. */
 void mt_jobs_lose_worker (struct mt_jobs *jobs, const char *name, uint64_t lease);
+/* Its lease is held again, by the same start of it: its tasks may have gone on running. */
+void mt_jobs_worker_back (struct mt_jobs *jobs, const char *name, uint64_t lease);
 /* It started anew under a newer lease: nothing that it ran before runs now. */
 void mt_jobs_worker_clean (struct mt_jobs *jobs, const char *name, uint64_t lease);
 /* 0 where nothing runs there by the book. */
@@ -181,6 +184,8 @@
 /* The changes of state since the last call, as one msgpack batch to make durable; empty where there
  * are none. */
 void mt_jobs_changes (struct mt_jobs *jobs, GString *out);
+/* All that is not as declared, as one such batch. */
+void mt_jobs_snapshot (const struct mt_jobs *jobs, GString *out);
 /* Brings a fresh book, with its workers and submissions already in, up to a recorded batch. */
 bool mt_jobs_replay (struct mt_jobs *jobs, struct mt_str batch, GError **error);
 
--- /dev/null
+++ b/tests/jobs/test_journal.c
@@ -0,0 +1,225 @@
+#include "fake_store.h"
+#include "medlartrack/jobs_journal.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define ENOUGH_BATCHES 600 /* more than a generation holds */
+
+struct fixture
+{
+  struct mt_clock_manual *manual;
+  struct fake_store *fake;
+};
+
+/* One planner: its book and its journal. */
+struct planner
+{
+  struct mt_jobs *jobs;
+  struct mt_jobs_journal *journal;
+};
+
+static int
+setup (void **state)
+{
+  struct fixture *f = g_new0 (struct fixture, 1);
+
+  f->manual = mt_clock_manual_create (1000 * MT_SECOND);
+  f->fake = fake_store_create (mt_clock_manual_clock (f->manual));
+  *state = f;
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  struct fixture *f = *state;
+
+  fake_store_destroy (f->fake);
+  mt_clock_manual_destroy (f->manual);
+  g_free (f);
+  return 0;
+}
+
+static struct mt_jobs *
+create_book (const struct fixture *f)
+{
+  struct mt_jobs_options options = mt_jobs_default_options ();
+  struct mt_jobs *jobs = mt_jobs_create (mt_clock_manual_clock (f->manual), &options);
+  struct mt_worker_spec worker = { "w1", "rack", "pool", { 8000, 8000, 0 }, 1 };
+  struct mt_job_spec job
+      = { "job", "kind", "team", "pool", { 1000, 1000, 0 }, MT_URGENCY_NORMAL, false };
+
+  mt_jobs_set_worker (jobs, &worker);
+  mt_jobs_submit (jobs, &job);
+  return jobs;
+}
+
+static struct planner
+create_planner (const struct fixture *f, uint64_t writer)
+{
+  struct planner p
+      = { create_book (f), mt_jobs_journal_create (fake_store_store (f->fake), "west", writer) };
+
+  assert_true (mt_jobs_journal_load (p.journal, p.jobs, NULL));
+  return p;
+}
+
+static void
+destroy_planner (struct planner *p)
+{
+  mt_jobs_destroy (p->jobs);
+  mt_jobs_journal_destroy (p->journal);
+}
+
+static enum mt_journal_result
+plan_and_record (struct planner *p)
+{
+  g_autoptr (GArray) actions = g_array_new (FALSE, FALSE, sizeof (struct mt_job_action));
+  g_autoptr (GString) batch = g_string_new (NULL);
+
+  mt_jobs_plan (p->jobs, actions);
+  mt_jobs_changes (p->jobs, batch);
+  return mt_jobs_journal_append (p->journal, (struct mt_str){ batch->str, batch->len }, NULL);
+}
+
+/* Two planners believe to hold the lease. The second to record its start is told of the rival, so
+ * it does not carry the start out; loading anew it finds the job started. */
+static void
+test_rival_batch_stops_second_planner (void **state)
+{
+  struct fixture *f = *state;
+  struct planner a = create_planner (f, 1);
+  struct planner b = create_planner (f, 2);
+
+  assert_int_equal (plan_and_record (&a), MT_JOURNAL_RECORDED);
+  assert_int_equal (plan_and_record (&b), MT_JOURNAL_RIVAL);
+  destroy_planner (&b);
+  b = create_planner (f, 2);
+  assert_int_equal (mt_jobs_state (b.jobs, "job"), MT_JOB_RUNNING);
+  destroy_planner (&a);
+  destroy_planner (&b);
+}
+
+/* The write took effect and its answer was lost. Reading back shows the writer's own batch, so the
+ * start is carried out; writing again would have looked like a rival. */
+static void
+test_lost_answer_is_settled_by_reading (void **state)
+{
+  struct fixture *f = *state;
+  struct planner a = create_planner (f, 1);
+
+  fake_store_fault_next (f->fake, FAKE_FAULT_LOSE, 1, true);
+  assert_int_equal (plan_and_record (&a), MT_JOURNAL_RECORDED);
+  destroy_planner (&a);
+}
+
+/* The write is held up on its way and lands only after the planner gave it up and a successor went
+ * on. The successor's batch has the place; the late one changes nothing. */
+static void
+test_late_write_changes_nothing (void **state)
+{
+  struct fixture *f = *state;
+  struct planner a = create_planner (f, 1);
+  struct planner b;
+
+  fake_store_fault_next (f->fake, FAKE_FAULT_LATE, 1, true);
+  assert_int_equal (plan_and_record (&a), MT_JOURNAL_FAILED);
+  b = create_planner (f, 2);
+  assert_int_equal (mt_jobs_state (b.jobs, "job"), MT_JOB_WAITING);
+  assert_int_equal (plan_and_record (&b), MT_JOURNAL_RECORDED);
+  fake_store_deliver (f->fake);
+  destroy_planner (&b);
+  b = create_planner (f, 2);
+  assert_int_equal (mt_jobs_state (b.jobs, "job"), MT_JOB_RUNNING);
+  destroy_planner (&a);
+  destroy_planner (&b);
+}
+
+static void
+fill_generation (struct planner *p)
+{
+  for (int i = 0; i < ENOUGH_BATCHES; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("cancelled-%d", i);
+
+      mt_jobs_cancel (p->jobs, name);
+      assert_int_equal (plan_and_record (p), MT_JOURNAL_RECORDED);
+    }
+}
+
+static void
+test_compaction_keeps_the_book (void **state)
+{
+  struct fixture *f = *state;
+  struct planner a = create_planner (f, 1);
+
+  fill_generation (&a);
+  assert_int_equal (mt_jobs_journal_compact (a.journal, a.jobs, NULL), MT_JOURNAL_RECORDED);
+  assert_int_equal (fake_store_count (f->fake, MT_JOBS_JOURNAL_PREFIX), 1);
+  destroy_planner (&a);
+  a = create_planner (f, 3);
+  assert_int_equal (mt_jobs_state (a.jobs, "job"), MT_JOB_RUNNING);
+  assert_int_equal (mt_jobs_state (a.jobs, "cancelled-599"), MT_JOB_CANCELLED);
+  destroy_planner (&a);
+}
+
+struct intruder
+{
+  const struct fixture *f;
+  unsigned calls;
+  struct planner planner;
+};
+
+/* Runs before the second call of a compaction, between seal and snapshot. */
+static void
+intrude (void *ctx)
+{
+  struct intruder *in = ctx;
+
+  if (++in->calls != 2)
+    return;
+  fake_store_before_call (in->f->fake, NULL, NULL);
+  in->planner = create_planner (in->f, 2);
+  mt_jobs_cancel (in->planner.jobs, "job");
+  assert_int_equal (plan_and_record (&in->planner), MT_JOURNAL_RECORDED);
+}
+
+/* A planner is paused between sealing its generation and writing the snapshot. Its successor goes
+ * on and cancels a job. When the first wakes up, its snapshot, which knows nothing of the
+ * cancellation, must find its place taken, or the job would be resurrected. */
+static void
+test_paused_compaction_loses_to_successor (void **state)
+{
+  struct fixture *f = *state;
+  struct planner a = create_planner (f, 1);
+  struct intruder in = { .f = f };
+  struct planner after;
+
+  fill_generation (&a);
+  fake_store_before_call (f->fake, intrude, &in);
+  assert_int_equal (mt_jobs_journal_compact (a.journal, a.jobs, NULL), MT_JOURNAL_RIVAL);
+  after = create_planner (f, 3);
+  assert_int_equal (mt_jobs_state (after.jobs, "job"), MT_JOB_STOPPING);
+  destroy_planner (&a);
+  destroy_planner (&in.planner);
+  destroy_planner (&after);
+}
+
+int
+main (void)
+{
+#define JOURNAL_TEST(name) cmocka_unit_test_setup_teardown (name, setup, teardown)
+  const struct CMUnitTest tests[] = {
+    JOURNAL_TEST (test_rival_batch_stops_second_planner),
+    JOURNAL_TEST (test_lost_answer_is_settled_by_reading),
+    JOURNAL_TEST (test_late_write_changes_nothing),
+    JOURNAL_TEST (test_compaction_keeps_the_book),
+    JOURNAL_TEST (test_paused_compaction_loses_to_successor),
+  };
+
+  return cmocka_run_group_tests_name ("jobs journal", tests, NULL, NULL);
+}
