daemon: a runner that places the data centre's jobs while it is the planner

The book needs hands: news of the workers in, plans recorded, then carried out. A row that leaves the tables cancels its job. Ruled out: acting before recording (a successor could not fence it). Not yet plugged into the daemon: it waits for the planner's lease and the assignment records.

--- a/core/jobs/book.c
+++ b/core/jobs/book.c
@@ -348,21 +348,57 @@
   return worker;
 }
 
+static void
+move_worker (struct mt_jobs *jobs, struct mt_worker *worker, const char *pool)
+{
+  if (worker->pool != NULL && strcmp (worker->pool, pool) == 0)
+    return;
+  jobs->generation++;
+  checkpoint_all (jobs, worker);
+  join_pool (jobs, worker, pool);
+}
+
 void
 mt_jobs_set_worker (struct mt_jobs *jobs, const struct mt_worker_spec *spec)
 {
   struct mt_worker *worker = mt_jobs_find_worker (jobs, spec->name);
-  bool moved;
 
   if (worker == NULL)
     worker = add_worker (jobs, spec);
-  moved = worker->pool == NULL || strcmp (worker->pool, spec->pool) != 0;
+  if (memcmp (&worker->size, &spec->size, sizeof worker->size) != 0)
+    jobs->generation++;
   worker->size = spec->size;
-  jobs->generation++;
-  if (!moved)
-    return;
-  checkpoint_all (jobs, worker);
-  join_pool (jobs, worker, spec->pool);
+  move_worker (jobs, worker, spec->pool);
+}
+
+void
+mt_jobs_move_worker (struct mt_jobs *jobs, const char *name, const char *pool)
+{
+  struct mt_worker *worker = mt_jobs_find_worker (jobs, name);
+
+  if (worker != NULL)
+    move_worker (jobs, worker, pool);
+}
+
+const char *
+mt_jobs_worker_pool (const struct mt_jobs *jobs, const char *name)
+{
+  const struct mt_worker *worker = mt_jobs_find_worker (jobs, name);
+
+  return worker != NULL ? worker->pool : NULL;
+}
+
+GPtrArray *
+mt_jobs_worker_names (const struct mt_jobs *jobs)
+{
+  GPtrArray *names = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer name;
+
+  g_hash_table_iter_init (&iter, jobs->workers);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    g_ptr_array_add (names, name);
+  return names;
 }
 
 void
@@ -415,23 +451,61 @@
   return true;
 }
 
-void
+static bool
+has_ended (const struct mt_job *job)
+{
+  return job->state == MT_JOB_DONE || job->state == MT_JOB_CANCELLED || job->state == MT_JOB_NEVER
+         || job->state == MT_JOB_BAD;
+}
+
+static void
+forget_tombstone (struct mt_jobs *jobs, const char *name)
+{
+  for (guint i = jobs->new_tombstones->len; i-- > 0;)
+    if (strcmp (jobs->new_tombstones->pdata[i], name) == 0)
+      g_ptr_array_remove_index_fast (jobs->new_tombstones, i);
+  g_hash_table_remove (jobs->tombstones, name);
+}
+
+bool
 mt_jobs_forget (struct mt_jobs *jobs, const char *name)
 {
   struct mt_job *job = mt_jobs_find (jobs, name);
   GHashTableIter iter;
   gpointer worker;
 
-  if (job == NULL
-      || (job->state != MT_JOB_DONE && job->state != MT_JOB_CANCELLED && job->state != MT_JOB_NEVER
-          && job->state != MT_JOB_BAD))
-    return;
+  if (job == NULL)
+    {
+      forget_tombstone (jobs, name);
+      return true;
+    }
+  if (!has_ended (job))
+    return false;
   g_ptr_array_remove_fast (jobs->changes, job);
   g_hash_table_iter_init (&iter, jobs->workers);
   while (g_hash_table_iter_next (&iter, NULL, &worker))
     if (((struct mt_worker *) worker)->held_for == job)
       ((struct mt_worker *) worker)->held_for = NULL;
   g_hash_table_remove (jobs->jobs, name);
+  return true;
+}
+
+void
+mt_jobs_each (
+    const struct mt_jobs *jobs,
+    void (*visit) (void *ctx, const char *name, enum mt_job_state state, const char *reason),
+    void *ctx)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, jobs->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct mt_job *job = value;
+
+      visit (ctx, job->name, job->state, job->reason);
+    }
 }
 
 enum mt_job_state
--- /dev/null
+++ b/daemon/jobs_runner.h
@@ -0,0 +1,48 @@
+/* Keeps the jobs of a data centre placed: one thread that, while this daemon is its planner, feeds
+ * the book with the tables and with the workers' news, records each plan, and then has it carried
+ * out. */
+#ifndef MT_JOBS_RUNNER_H
+#define MT_JOBS_RUNNER_H
+
+#include "view.h"
+#include "workers.h"
+
+#include "medlartrack/store.h"
+
+#include <jansson.h>
+
+struct mt_jobs_runner;
+
+struct mt_jobs_runner_callbacks
+{
+  const char *name;
+  const char *description;
+  /* Whether this daemon is the data centre's planner now. Wrong answers cost rounds, not promises:
+   * the journal's compare-and-swap decides. */
+  bool (*is_planner) (void *ctx);
+  /* The pool that the instance on this worker belongs to, to be g_freed; NULL for none. An instance
+   * and the worker that it stands on share their name. */
+  char *(*pool_of) (void *ctx, const char *worker, bool *draining);
+};
+
+struct mt_jobs_runner_options
+{
+  const struct mt_clock *clock;
+  const struct mt_store *store;
+  struct mt_view_holder *views;
+  struct mt_workers *workers; /* used by the runner's thread only */
+  const char *zone;
+  const struct mt_jobs_runner_callbacks *callbacks;
+  void *ctx;
+};
+
+/* Starts the thread. */
+struct mt_jobs_runner *mt_jobs_runner_create (const struct mt_jobs_runner_options *options);
+void mt_jobs_runner_destroy (struct mt_jobs_runner *runner);
+
+/* Tasks on a worker by the book; 0 where this daemon is not the planner. Any thread. */
+unsigned mt_jobs_runner_tasks_on (struct mt_jobs_runner *runner, const char *worker);
+/* {"planner": bool, "jobs": {state: count}, "reasons": {job: reason}}. Any thread. */
+json_t *mt_jobs_runner_dump (struct mt_jobs_runner *runner);
+
+#endif
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -37,3 +37,10 @@
           G_LOG_LEVEL_MESSAGE,
           "a newer document was fetched from another daemon")
 MT_EVENT (5008, DOCUMENT_REFUSED, G_LOG_LEVEL_WARNING, "a document of another daemon was not taken")
+
+MT_EVENT (7001, JOBS_LOADED, G_LOG_LEVEL_MESSAGE, "this daemon places the data centre's jobs")
+MT_EVENT (7002, JOBS_DROPPED, G_LOG_LEVEL_MESSAGE, "this daemon no longer places jobs")
+MT_EVENT (7003,
+          JOBS_ACTIONS_LOST,
+          G_LOG_LEVEL_WARNING,
+          "actions on jobs may not have reached their workers")
--- a/include/medlartrack/jobs.h
+++ b/include/medlartrack/jobs.h
@@ -147,6 +147,12 @@
 
 /* Adds a worker or takes its new pool or size; jobs of its former pool are checkpointed away. */
 void mt_jobs_set_worker (struct mt_jobs *jobs, const struct mt_worker_spec *spec);
+/* Another pool, nothing else. */
+void mt_jobs_move_worker (struct mt_jobs *jobs, const char *name, const char *pool);
+/* Its pool, or NULL for a worker that is not known; lives until it is moved. */
+const char *mt_jobs_worker_pool (const struct mt_jobs *jobs, const char *name);
+/* The names of all workers, borrowed from the book. */
+GPtrArray *mt_jobs_worker_names (const struct mt_jobs *jobs);
 /* A draining worker gets nothing new and its jobs are checkpointed away. */
 void mt_jobs_drain_worker (struct mt_jobs *jobs, const char *name, bool draining);
 /* Its lease lapsed: it may still run what it ran. Of an older lease: ignored. */
@@ -165,8 +171,9 @@
 /* Also of a job that is not submitted yet; never undone by a late report. */
 void mt_jobs_cancel (struct mt_jobs *jobs, const char *name);
 void mt_jobs_report (struct mt_jobs *jobs, const struct mt_job_report *report);
-/* Drops an ended job once its row has left the tables; one that has not ended stays. */
-void mt_jobs_forget (struct mt_jobs *jobs, const char *name);
+/* Drops an ended job, or a cancellation, once its row has left the tables; false, and nothing done,
+ * where the job has not ended. */
+bool mt_jobs_forget (struct mt_jobs *jobs, const char *name);
 
 /* Decides what to do now; appends struct mt_job_action to actions. Cancellations come first. */
 void mt_jobs_plan (struct mt_jobs *jobs, GArray *actions);
@@ -174,6 +181,11 @@
 enum mt_job_state mt_jobs_state (const struct mt_jobs *jobs, const char *name);
 /* Why a job is MT_JOB_NEVER or MT_JOB_BAD; NULL otherwise. */
 const char *mt_jobs_reason (const struct mt_jobs *jobs, const char *name);
+/* Calls visit for each job; the texts live until the next call on the book. */
+void mt_jobs_each (
+    const struct mt_jobs *jobs,
+    void (*visit) (void *ctx, const char *name, enum mt_job_state state, const char *reason),
+    void *ctx);
 bool mt_jobs_is_quarantined (const struct mt_jobs *jobs, const char *name);
 /* What the jobs of a team hold now, and how much of it is borrowed beyond its quota. */
 struct mt_size mt_jobs_team_held (const struct mt_jobs *jobs, const char *name);
