daemon: send work by assignment records, plan under a lease

Cause: daemons served straight from the tables, each from the version it happened to have, so a moved row could serve two pools at once. Change: the view holds the data centre's assignment beside the tables, and the pools take minions by record alone. A version counts as in force once every listener has taken it, one at a time; heartbeats read it before they count what is in flight (they read it after, which would have confirmed a drain with a request just started). control.c watches the document, keeps the planner's lease, plans, and writes down what a refusing minion said. Ruled out: confirming by the membership's names alone, since a daemon that was cut off before it was heard of would be missed; each daemon registers itself before it reads a document.

--- a/core/control/assign.c
+++ b/core/control/assign.c
@@ -72,6 +72,14 @@
   return bsearch (&wanted, assign->records, assign->n_records, sizeof wanted, compare_records);
 }
 
+bool
+mt_assign_serves (const struct mt_assign *assign, const char *instance, const char *pool)
+{
+  const struct mt_assign_record *record = assign != NULL ? mt_assign_find (assign, instance) : NULL;
+
+  return record != NULL && record->state == MT_ASSIGN_SERVING && strcmp (record->pool, pool) == 0;
+}
+
 static struct mt_assign_wave *
 find_wave (const struct mt_assign *assign, const char *pool)
 {
--- /dev/null
+++ b/daemon/control.c
@@ -0,0 +1,644 @@
+#include "control.h"
+
+#include "gather.h"
+#include "instances.h"
+#include "medlartrack/log.h"
+#include "platform.h"
+
+#include <string.h>
+
+#define WATCH_US      (5 * MT_SECOND)
+#define RETRY_US      (1 * MT_SECOND)
+#define TICK_US       (1 * MT_SECOND)
+#define LEASE_S       10
+#define LEASE_STEP_US (4 * MT_SECOND) /* between renewals, and between tries to take over */
+#define REBOOT_BYTES  (64UL * 1024)
+
+struct mt_control
+{
+  struct mt_control_options options;
+  struct mt_http_client *client;
+  struct mt_platform *platform;
+  const struct mt_store *store;
+  char *key; /* of the assignment document */
+  char *lease_key;
+  char *holder_key;
+  gint refs; /* atomic: the owner's and the watcher's */
+  GThread *planner;
+
+  GMutex offering; /* held while the watcher touches the views; taken before lock */
+  GMutex lock;     /* guards all below */
+  GCond changed;
+  bool stopping; /* the watcher touches the views no more; set under both locks */
+  bool woken;
+  bool registered;
+  bool reachable;
+  uint64_t index;       /* of the document in the platform's store */
+  int64_t confirmed_us; /* when it was last read there; 0: never */
+  bool planning;
+  GPtrArray *reports; /* of the last step */
+  unsigned moves;
+  unsigned reboots;
+
+  /* The planner thread's own. */
+  char *lease;
+  int64_t lease_us; /* last renewal */
+  int64_t next_lease_us;
+  struct mt_capacity *capacity;
+  GHashTable *refused; /* minions that said they leave -> epoch of their record then */
+};
+
+static void
+control_unref (struct mt_control *control)
+{
+  if (!g_atomic_int_dec_and_test (&control->refs))
+    return;
+  mt_platform_destroy (control->platform);
+  mt_http_client_destroy (control->client);
+  mt_capacity_destroy (control->capacity);
+  g_hash_table_destroy (control->refused);
+  g_ptr_array_free (control->reports, TRUE);
+  g_mutex_clear (&control->offering);
+  g_mutex_clear (&control->lock);
+  g_cond_clear (&control->changed);
+  g_free (control->key);
+  g_free (control->lease_key);
+  g_free (control->holder_key);
+  g_free (control->lease);
+  g_free (control);
+}
+
+static bool
+is_stopping (struct mt_control *control)
+{
+  bool stopping;
+
+  g_mutex_lock (&control->lock);
+  stopping = control->stopping;
+  g_mutex_unlock (&control->lock);
+  return stopping;
+}
+
+static void
+wait_us (struct mt_control *control, int64_t us, bool wakes)
+{
+  gint64 until = g_get_monotonic_time () + us;
+
+  g_mutex_lock (&control->lock);
+  while (!control->stopping && !(wakes && control->woken)
+         && g_cond_wait_until (&control->changed, &control->lock, until))
+    ;
+  if (wakes)
+    control->woken = false;
+  g_mutex_unlock (&control->lock);
+}
+
+static int64_t
+now_us (const struct mt_control *control)
+{
+  return mt_clock_now (control->options.clock);
+}
+
+static int64_t
+wall_s (const struct mt_control *control)
+{
+  return mt_clock_wall (control->options.clock) / MT_SECOND;
+}
+
+/* A planner waits for every daemon that may hold a document, and learns of them from these keys. So
+ * none takes one before its own key is written: a planner that doesn't see the key wrote what it
+ * waits for before this daemon reads. */
+static bool
+is_registered (struct mt_control *control)
+{
+  enum mt_store_put put;
+
+  if (control->registered)
+    return true;
+  put = control->store->ops->put (control->store->ctx, control->holder_key, MT_STR ("{}"), 0, NULL);
+  g_mutex_lock (&control->lock);
+  control->registered = put == MT_STORE_DONE || put == MT_STORE_CONFLICT;
+  g_mutex_unlock (&control->lock);
+  return control->registered;
+}
+
+/* Takes a document over. */
+static void
+offer (struct mt_control *control, struct mt_str json)
+{
+  g_autoptr (GError) error = NULL;
+  struct mt_assign *assign = mt_assign_parse (json, &error);
+
+  if (assign == NULL)
+    {
+      mt_log_event (MT_EVENT_ASSIGN_REFUSED, "why=%s", error->message);
+      return;
+    }
+  g_mutex_lock (&control->offering);
+  if (is_stopping (control))
+    mt_assign_destroy (assign);
+  else
+    mt_view_offer_assign (control->options.views, assign);
+  g_mutex_unlock (&control->offering);
+}
+
+static void
+note_read (struct mt_control *control, bool ok, uint64_t index)
+{
+  g_mutex_lock (&control->lock);
+  control->reachable = ok;
+  if (ok)
+    {
+      control->index = index;
+      control->confirmed_us = now_us (control);
+    }
+  control->woken = true;
+  g_cond_broadcast (&control->changed);
+  g_mutex_unlock (&control->lock);
+}
+
+static void
+watch_step (struct mt_control *control, uint64_t *index)
+{
+  struct mt_store_value value = { 0 };
+  bool ok = is_registered (control)
+            && control->store->ops->watch (control->store->ctx, control->key, *index, WATCH_US,
+                                           &value, NULL);
+
+  if (ok && value.found && value.index != *index)
+    offer (control, (struct mt_str){ value.data, value.len });
+  note_read (control, ok, value.index);
+  if (ok)
+    *index = value.index;
+  if (!ok || !value.found)
+    wait_us (control, RETRY_US, false);
+  mt_store_value_clear (&value);
+}
+
+static gpointer
+run_watcher (gpointer data)
+{
+  struct mt_control *control = data;
+  uint64_t index = 0;
+
+  while (!is_stopping (control))
+    watch_step (control, &index);
+  control_unref (control);
+  return NULL;
+}
+
+static void
+set_planning (struct mt_control *control, bool planning)
+{
+  if (control->planning == planning)
+    return;
+  mt_log_event (planning ? MT_EVENT_PLANNER_TOOK_OVER : MT_EVENT_PLANNER_LOST, "zone=%s",
+                control->options.zone);
+  g_mutex_lock (&control->lock);
+  control->planning = planning;
+  g_ptr_array_set_size (control->reports, 0);
+  g_mutex_unlock (&control->lock);
+  /* What another planner learnt of the demand isn't known here. */
+  mt_capacity_destroy (control->capacity);
+  control->capacity = planning ? mt_capacity_create (control->options.policy) : NULL;
+}
+
+static bool
+hold_lease (struct mt_control *control)
+{
+  const struct mt_store *store = control->store;
+
+  if (control->lease != NULL && !store->ops->lease_renew (store->ctx, control->lease, NULL))
+    g_clear_pointer (&control->lease, g_free);
+  if (control->lease == NULL
+      && !store->ops->lease_grant (store->ctx, LEASE_S, &control->lease, NULL))
+    return false;
+  if (control->planning)
+    return true;
+  return store->ops->acquire (store->ctx, control->lease_key, mt_str_from (control->options.name),
+                              control->lease, NULL)
+         == MT_STORE_DONE;
+}
+
+/* The lease only keeps planners from working against each other. That one which was paused past its
+ * lapse does no harm rests on the compare-and-swap. */
+static void
+keep_lease (struct mt_control *control)
+{
+  int64_t now = now_us (control);
+
+  if (control->planning && now - control->lease_us > LEASE_S * MT_SECOND)
+    {
+      g_clear_pointer (&control->lease, g_free);
+      set_planning (control, false);
+    }
+  if (now < control->next_lease_us)
+    return;
+  control->next_lease_us = now + LEASE_STEP_US / 2 + g_random_int_range (0, LEASE_STEP_US / 2);
+  if (hold_lease (control))
+    {
+      control->lease_us = now;
+      set_planning (control, true);
+    }
+  else if (control->lease == NULL)
+    set_planning (control, false);
+}
+
+static struct mt_instances *
+read_instances (struct mt_control *control)
+{
+  struct mt_store_value value = { 0 };
+  struct mt_instances *list;
+
+  control->store->ops->get (control->store->ctx, MT_INSTANCES_KEY, &value, NULL);
+  list = mt_instances_parse ((struct mt_str){ value.data, value.len });
+  mt_store_value_clear (&value);
+  return list;
+}
+
+/* The daemons that may hold a document; false where they can't be told. */
+static bool
+add_registered (struct mt_control *control, struct mt_gather *gather)
+{
+  g_autofree char *prefix = g_strdup_printf ("%s%s/", MT_HOLDERS_PREFIX, control->options.zone);
+  GPtrArray *keys = NULL;
+
+  if (!control->store->ops->list (control->store->ctx, prefix, &keys, NULL))
+    return false;
+  for (guint i = 0; keys != NULL && i < keys->len; i++)
+    {
+      const struct mt_store_value *value = keys->pdata[i];
+      g_autofree char *name = g_strdup (value->key + strlen (prefix));
+
+      g_strdelimit (name, "/", '\0');
+      mt_gather_add_registered (gather, name);
+    }
+  if (keys != NULL)
+    g_ptr_array_unref (keys);
+  return true;
+}
+
+static char *
+unique_id (const struct mt_control *control)
+{
+  return g_strdup_printf ("%s-%08x%08x", control->options.name, g_random_int (), g_random_int ());
+}
+
+/* A copy of the document in force, to decide from; an empty one before the first. index gets that
+ * of the value to swap. NULL where the platform was not read. */
+static struct mt_assign *
+begin_next (struct mt_control *control, uint64_t *index, bool *draining)
+{
+  g_autofree char *id = unique_id (control);
+  struct mt_assign *empty = mt_assign_create ();
+  struct mt_assign *next = NULL;
+  const struct mt_assign *held;
+  bool reachable;
+
+  g_mutex_lock (&control->lock);
+  *index = control->index;
+  reachable = control->reachable;
+  g_mutex_unlock (&control->lock);
+  if (reachable)
+    {
+      mt_view_begin (control->options.views);
+      held = mt_view_assign (control->options.views);
+      next = mt_assign_next (held != NULL ? held : empty, id);
+      mt_view_end ();
+    }
+  mt_assign_destroy (empty);
+  *draining = false;
+  for (size_t i = 0; next != NULL && i < next->n_records; i++)
+    *draining |= next->records[i].state == MT_ASSIGN_DRAINING;
+  return next;
+}
+
+/* A lost answer needs no care here: the watch tells what is stored, and the next step decides from
+ * that. */
+static bool
+write_next (struct mt_control *control, const struct mt_assign *next, uint64_t index)
+{
+  g_autofree char *text = mt_assign_format (next);
+
+  return control->store->ops->put (control->store->ctx, control->key, mt_str_from (text), index,
+                                   NULL)
+         == MT_STORE_DONE;
+}
+
+static void
+order_reboot (struct mt_control *control, const struct mt_planner_reboot *reboot)
+{
+  struct mt_arena *arena = mt_arena_create (REBOOT_BYTES);
+  g_autofree char *path = g_strdup_printf ("/v1/instance/%s/reboot?epoch=%" G_GUINT64_FORMAT,
+                                           reboot->instance, reboot->epoch);
+  struct mt_http_call call = { .method = "PUT",
+                               .path = path,
+                               .deadline_us = now_us (control) + control->options.call_us,
+                               .max_answer = REBOOT_BYTES };
+  struct mt_http_answer answer;
+
+  if (mt_http_client_call (control->client, control->options.platform, &call, arena, &answer, NULL)
+          == MT_HTTP_WHOLE
+      && answer.status == 200)
+    {
+      mt_log_event (MT_EVENT_REBOOT_ORDERED, "instance=%s epoch=%" G_GUINT64_FORMAT,
+                    reboot->instance, reboot->epoch);
+      g_mutex_lock (&control->lock);
+      control->reboots++;
+      g_mutex_unlock (&control->lock);
+    }
+  mt_arena_destroy (arena);
+}
+
+static bool
+was_told (const GPtrArray *reports, const char *text)
+{
+  for (guint i = 0; i < reports->len; i++)
+    if (strcmp (reports->pdata[i], text) == 0)
+      return true;
+  return false;
+}
+
+static void
+publish (struct mt_control *control, const struct mt_planner_result *result)
+{
+  GPtrArray *reports = g_ptr_array_new_with_free_func (g_free);
+
+  for (guint i = 0; i < result->reports->len; i++)
+    {
+      const char *text = result->reports->pdata[i];
+
+      if (!was_told (control->reports, text))
+        mt_log_event (MT_EVENT_PLANNER_REPORT, "what=%s", text);
+      g_ptr_array_add (reports, g_strdup (text));
+    }
+  g_mutex_lock (&control->lock);
+  g_ptr_array_free (control->reports, TRUE);
+  control->reports = reports;
+  g_mutex_unlock (&control->lock);
+}
+
+/* Nothing may block while the view is read: the step does not. */
+static bool
+decide (struct mt_control *control,
+        struct mt_planner_input *input,
+        struct mt_assign *next,
+        struct mt_planner_result *result)
+{
+  input->tables = mt_view_begin (control->options.views);
+  if (input->tables != NULL)
+    mt_planner_step (input, next, result);
+  mt_view_end ();
+  return input->tables != NULL;
+}
+
+static void
+apply (struct mt_control *control,
+       const struct mt_assign *next,
+       uint64_t index,
+       const struct mt_planner_result *result)
+{
+  publish (control, result);
+  if (result->changed && !write_next (control, next, index))
+    return;
+  g_mutex_lock (&control->lock);
+  control->moves += result->moves;
+  g_mutex_unlock (&control->lock);
+  for (guint i = 0; i < result->reboots->len; i++)
+    order_reboot (control, &g_array_index (result->reboots, struct mt_planner_reboot, i));
+}
+
+static void
+plan (struct mt_control *control, struct mt_gather *gather, const struct mt_instances *list)
+{
+  struct mt_planner_result *result = mt_planner_result_create ();
+  struct mt_planner_input input = { .zone = control->options.zone, .capacity = control->capacity };
+  uint64_t index;
+  bool draining;
+  struct mt_assign *next = begin_next (control, &index, &draining);
+
+  if (next != NULL && (!draining || add_registered (control, gather)))
+    {
+      mt_gather_mark_gone (gather, list);
+      input.now_s = wall_s (control);
+      input.members = mt_gather_members (gather, &input.n_members);
+      input.instances = mt_instances_all (list, &input.n_instances);
+      input.demands = mt_gather_demands (gather, &input.n_demands);
+      if (decide (control, &input, next, result))
+        apply (control, next, index, result);
+    }
+  mt_assign_destroy (next);
+  mt_planner_result_destroy (result);
+}
+
+/* Whether the minion of a serving record told this daemon that it leaves, and nobody wrote it down
+ * yet. A record that serves again under a later epoch has come back since. */
+static bool
+is_refusing (struct mt_control *control, const struct mt_assign_record *record)
+{
+  struct mt_pools *pools = control->options.pools;
+  gpointer epoch;
+
+  if (record->state != MT_ASSIGN_SERVING
+      || !mt_pools_is_leaving (pools, record->pool, record->instance))
+    return false;
+  if (g_hash_table_lookup_extended (control->refused, record->instance, NULL, &epoch)
+      && record->epoch > *(guint64 *) epoch)
+    {
+      mt_pools_rejoin (pools, record->pool, record->instance);
+      g_hash_table_remove (control->refused, record->instance);
+      return false;
+    }
+  return true;
+}
+
+static void
+remember_refusal (struct mt_control *control, const struct mt_assign_record *record)
+{
+  if (g_hash_table_contains (control->refused, record->instance))
+    return;
+  mt_log_event (MT_EVENT_MINION_LEAVES, "minion=%s pool=%s", record->instance, record->pool);
+  g_hash_table_insert (control->refused, g_strdup (record->instance),
+                       g_memdup2 (&record->epoch, sizeof record->epoch));
+}
+
+/* Any daemon writes down what a minion told it, so that no other sends it work meanwhile; the write
+ * is fenced like a planner's. */
+static void
+note_refusals (struct mt_control *control)
+{
+  struct mt_instances *list = NULL;
+  bool changed = false;
+  bool draining;
+  uint64_t index;
+  struct mt_assign *next = begin_next (control, &index, &draining);
+
+  for (size_t i = 0; next != NULL && i < next->n_records; i++)
+    {
+      struct mt_assign_record *record = &next->records[i];
+      const struct mt_planner_instance *listed;
+
+      if (!is_refusing (control, record))
+        continue;
+      remember_refusal (control, record);
+      list = list != NULL ? list : read_instances (control);
+      listed = mt_instances_find (list, record->instance);
+      changed |= mt_assign_leave (next, record, MT_LEAVE_REFUSAL, listed != NULL ? listed->boot : 0,
+                                  wall_s (control));
+    }
+  if (changed)
+    write_next (control, next, index);
+  mt_instances_destroy (list);
+  mt_assign_destroy (next);
+}
+
+static void
+tick (struct mt_control *control)
+{
+  struct mt_gather *gather = mt_gather_create (&control->options);
+
+  note_refusals (control);
+  keep_lease (control);
+  if (control->planning)
+    {
+      struct mt_instances *list = read_instances (control);
+
+      plan (control, gather, list);
+      mt_instances_destroy (list);
+    }
+  mt_gather_destroy (gather);
+}
+
+static gpointer
+run_planner (gpointer data)
+{
+  struct mt_control *control = data;
+
+  while (!is_stopping (control))
+    {
+      tick (control);
+      wait_us (control, TICK_US, true);
+    }
+  if (control->lease != NULL)
+    control->store->ops->lease_end (control->store->ctx, control->lease);
+  return NULL;
+}
+
+/* New tables want a look at once. */
+static void
+wake (void *ctx)
+{
+  struct mt_control *control = ctx;
+
+  g_mutex_lock (&control->lock);
+  control->woken = true;
+  g_cond_broadcast (&control->changed);
+  g_mutex_unlock (&control->lock);
+}
+
+struct mt_control *
+mt_control_create (const struct mt_control_options *options)
+{
+  struct mt_control *control = g_new0 (struct mt_control, 1);
+
+  control->options = *options;
+  control->client = mt_http_client_create (options->clock);
+  control->platform
+      = mt_platform_create (control->client, options->clock, options->platform, options->call_us);
+  control->store = mt_platform_store (control->platform);
+  control->key = g_strdup_printf ("%s%s", MT_ASSIGN_PREFIX, options->zone);
+  control->lease_key = g_strdup_printf ("%s%s", MT_PLANNER_PREFIX, options->zone);
+  control->holder_key
+      = g_strdup_printf ("%s%s/%s/", MT_HOLDERS_PREFIX, options->zone, options->name);
+  control->reports = g_ptr_array_new_with_free_func (g_free);
+  control->refused = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_mutex_init (&control->offering);
+  g_mutex_init (&control->lock);
+  g_cond_init (&control->changed);
+  control->refs = 2;
+  mt_view_listen_after (options->views, wake, control);
+  g_thread_unref (g_thread_new ("assign", run_watcher, control));
+  control->planner = g_thread_new ("planner", run_planner, control);
+  return control;
+}
+
+/* The watcher isn't joined: its watch would hold the stop up for seconds. */
+void
+mt_control_destroy (struct mt_control *control)
+{
+  if (control == NULL)
+    return;
+  g_mutex_lock (&control->offering);
+  g_mutex_lock (&control->lock);
+  control->stopping = true;
+  g_cond_broadcast (&control->changed);
+  g_mutex_unlock (&control->lock);
+  g_mutex_unlock (&control->offering);
+  g_thread_join (control->planner);
+  control_unref (control);
+}
+
+bool
+mt_control_is_planner (struct mt_control *control)
+{
+  bool planning;
+
+  g_mutex_lock (&control->lock);
+  planning = control->planning;
+  g_mutex_unlock (&control->lock);
+  return planning;
+}
+
+uint64_t
+mt_control_calls (const struct mt_control *control)
+{
+  return mt_platform_calls (control->platform);
+}
+
+static json_t *
+dump_reports (const struct mt_control *control)
+{
+  json_t *out = json_array ();
+
+  for (guint i = 0; i < control->reports->len; i++)
+    json_array_append_new (out, json_string (control->reports->pdata[i]));
+  return out;
+}
+
+static json_t *
+dump_records (const struct mt_control *control)
+{
+  static const char *const states[] = { "serving", "draining", "rebooting", "out" };
+  const struct mt_assign *assign;
+  json_t *out = json_object ();
+
+  mt_view_begin (control->options.views);
+  assign = mt_view_assign (control->options.views);
+  for (size_t i = 0; assign != NULL && i < assign->n_records; i++)
+    {
+      const struct mt_assign_record *record = &assign->records[i];
+
+      json_object_set_new (out, record->instance,
+                           json_pack ("{ss ss sI}", "pool", record->pool, "state",
+                                      states[record->state], "epoch", (json_int_t) record->epoch));
+    }
+  mt_view_end ();
+  return out;
+}
+
+void
+mt_control_dump (struct mt_control *control, json_t *out)
+{
+  int64_t age_us;
+
+  g_mutex_lock (&control->lock);
+  age_us = control->confirmed_us != 0 ? now_us (control) - control->confirmed_us : -1;
+  json_object_update_new (
+      out, json_pack ("{sI sI sb sb si si so so}", "assign_version",
+                      (json_int_t) mt_view_assign_in_force (control->options.views),
+                      "assign_age_ms", (json_int_t) (age_us / MT_MS), "cut_off",
+                      !control->reachable, "planner", control->planning, "moves",
+                      (int) control->moves, "reboots", (int) control->reboots, "reports",
+                      dump_reports (control), "instances", dump_records (control)));
+  g_mutex_unlock (&control->lock);
+}
--- /dev/null
+++ b/daemon/control.h
@@ -0,0 +1,42 @@
+/* This daemon's share of control: keeps the data centre's assignment document in force, and, while
+ * it holds the planner's lease, plans. Two threads; serving never waits for either. */
+#ifndef MT_CONTROL_H
+#define MT_CONTROL_H
+
+#include "medlartrack/capacity.h"
+#include "medlartrack/membership.h"
+#include "medlartrack/store.h"
+#include "pools.h"
+
+struct mt_control;
+
+struct mt_control_options
+{
+  const struct mt_clock *clock;
+  const char *name; /* of this daemon */
+  const char *zone;
+  const char *platform; /* IP:PORT */
+  int64_t call_us;      /* bound on one call of the platform */
+  struct mt_view_holder *views;
+  struct mt_pools *pools;
+  /* Calls visit for each live daemon of the data centre, this one included. */
+  void (*each_member) (void *members,
+                       const char *zone,
+                       void (*visit) (void *visit_ctx, const struct mt_member *member),
+                       void *visit_ctx);
+  void *members;
+  const struct mt_capacity_policy *policy;
+};
+
+/* Listens to the views and starts the threads: before any other thread offers to the views. */
+struct mt_control *mt_control_create (const struct mt_control_options *options);
+/* Gives the lease back and ends; what it uses may be freed then. */
+void mt_control_destroy (struct mt_control *control);
+/* Whether this daemon holds the planner's lease, as far as it knows. Any thread. */
+bool mt_control_is_planner (struct mt_control *control);
+/* Calls of the platform so far. */
+uint64_t mt_control_calls (const struct mt_control *control);
+/* Adds what the operator wants to see. */
+void mt_control_dump (struct mt_control *control, json_t *out);
+
+#endif
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -1,5 +1,6 @@
 #include "daemon.h"
 
+#include "control.h"
 #include "dump.h"
 #include "feed.h"
 #include "front.h"
@@ -29,6 +30,7 @@
   struct mt_peers *peers;
   struct mt_registry *registry;
   struct mt_feed *feed;
+  struct mt_control *control;
   struct mt_front *front;
   struct mt_http_server *server;
 };
@@ -62,8 +64,38 @@
   options.ctx = daemon->heartbeat;
   daemon->peers = mt_peers_create (&options);
   mt_peers_carry (daemon->peers, mt_document_tables (), daemon->views);
+  mt_peers_carry (daemon->peers, mt_document_assign (), daemon->views);
   mt_peer_server_handle (daemon->peer_server, MT_PEER_DUMP, serve_dump, daemon);
-  mt_view_listen (daemon->views, mt_peers_kick, daemon->peers);
+  mt_view_listen_after (daemon->views, mt_peers_kick, daemon->peers);
+}
+
+static void
+each_member (void *ctx,
+             const char *zone,
+             void (*visit) (void *visit_ctx, const struct mt_member *member),
+             void *visit_ctx)
+{
+  mt_peers_each (ctx, zone, visit, visit_ctx);
+}
+
+static struct mt_control *
+create_control (const struct mt_daemon *daemon)
+{
+  const struct mt_settings *settings = daemon->settings;
+  struct mt_control_options options = {
+    .clock = daemon->clock,
+    .name = settings->name.data,
+    .zone = settings->zone.data,
+    .platform = settings->platform.data,
+    .call_us = settings->limits.platform_ms * MT_MS,
+    .views = daemon->views,
+    .pools = daemon->pools,
+    .each_member = each_member,
+    .members = daemon->peers,
+    .policy = &mt_capacity_policies[0],
+  };
+
+  return mt_control_create (&options);
 }
 
 static void
@@ -85,6 +117,7 @@
   feed.platform = settings->platform.data;
   feed.call_us = settings->limits.platform_ms * MT_MS;
   feed.views = daemon->views;
+  daemon->control = create_control (daemon);
   daemon->feed = mt_feed_create (&feed);
   front.views = daemon->views;
   front.pools = daemon->pools;
@@ -152,6 +185,7 @@
   mt_http_exchanges_destroy (daemon->exchanges);
   mt_registry_destroy (daemon->registry);
   mt_feed_destroy (daemon->feed);
+  mt_control_destroy (daemon->control);
   mt_peer_server_destroy (daemon->peer_server);
   mt_peers_destroy (daemon->peers);
   mt_front_destroy (daemon->front);
@@ -212,8 +246,19 @@
 {
   const struct mt_daemon *daemon = ctx;
 
-  return json_integer (
-      (json_int_t) (mt_platform_calls (daemon->platform) + mt_feed_calls (daemon->feed)));
+  uint64_t calls = mt_platform_calls (daemon->platform) + mt_feed_calls (daemon->feed)
+                   + mt_control_calls (daemon->control);
+
+  return json_integer ((json_int_t) calls);
+}
+
+static json_t *
+show_control (void *ctx)
+{
+  json_t *control = json_object ();
+
+  mt_control_dump (((struct mt_daemon *) ctx)->control, control);
+  return control;
 }
 
 static json_t *
@@ -253,6 +298,7 @@
   { "members", "every daemon that is known, this one included", show_members },
   { "pools", "queues, slots and in flight", show_pools },
   { "counters", "of requests", show_counters },
+  { "control", "assignment in force, planner, what is held up and by whom", show_control },
   { NULL },
 };
 
--- /dev/null
+++ b/daemon/document_assign.c
@@ -0,0 +1,55 @@
+#include "documents.h"
+#include "view.h"
+
+static uint64_t
+assign_version (void *ctx)
+{
+  return mt_view_assign_in_force (ctx);
+}
+
+static char *
+assign_format (void *ctx)
+{
+  const struct mt_assign *assign;
+  char *text;
+
+  mt_view_begin (ctx);
+  assign = mt_view_assign (ctx);
+  text = assign != NULL ? mt_assign_format (assign) : NULL;
+  mt_view_end ();
+  return text;
+}
+
+static bool
+assign_offer (void *ctx, struct mt_str text, GError **error)
+{
+  struct mt_assign *assign = mt_assign_parse (text, error);
+
+  if (assign == NULL)
+    return false;
+  mt_view_offer_assign (ctx, assign);
+  return true;
+}
+
+/* Only members of the own data centre report one: no other's document is ever fetched. */
+static uint64_t
+assign_version_of (const struct mt_member *member)
+{
+  return member->assign_version;
+}
+
+static const struct mt_document document = {
+  .name = "assignment",
+  .description = "which pool each instance of the data centre serves",
+  .type = MT_PEER_ASSIGN,
+  .version = assign_version,
+  .format = assign_format,
+  .offer = assign_offer,
+  .version_of = assign_version_of,
+};
+
+const struct mt_document *
+mt_document_assign (void)
+{
+  return &document;
+}
--- a/daemon/documents.h
+++ b/daemon/documents.h
@@ -26,6 +26,8 @@
 
 /* The operators' tables; its ctx is the mt_view_holder. */
 const struct mt_document *mt_document_tables (void);
+/* The data centre's assignment; its ctx is the mt_view_holder. */
+const struct mt_document *mt_document_assign (void);
 
 struct mt_documents;
 
--- a/daemon/peers.c
+++ b/daemon/peers.c
@@ -284,15 +284,22 @@
 {
   char *picked[FAN_OUT];
   char *stranger;
+  uint64_t tables;
+  uint64_t assign;
   size_t n;
 
+  /* The versions come before the count of what is in flight: a request that starts in between would
+   * otherwise be missing from a version that the planner takes as confirmed, and its minion be
+   * rebooted under it. */
+  g_mutex_lock (&peers->lock);
+  tables = mt_documents_version (peers->documents, MT_PEER_TABLES);
+  assign = mt_documents_version (peers->documents, MT_PEER_ASSIGN);
+  g_mutex_unlock (&peers->lock);
   if (peers->callbacks != NULL)
     peers->callbacks->report (peers->ctx, peers);
   g_mutex_lock (&peers->lock);
   peers->beats++;
-  mt_membership_set_versions (peers->membership,
-                              mt_documents_version (peers->documents, MT_PEER_TABLES),
-                              mt_documents_version (peers->documents, MT_PEER_ASSIGN));
+  mt_membership_set_versions (peers->membership, tables, assign);
   mt_membership_beat (peers->membership);
   n = mt_membership_pick (peers->membership, picked, FAN_OUT);
   stranger = pick_stranger (peers);
--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -127,15 +127,27 @@
   return pool;
 }
 
+/* An instance has work by its record alone. Its row in the tables tells only where it is; which
+ * pool it serves by now, and whether it may serve at all, the tables don't know. */
 static void
-refresh_pool (struct mt_pools *pools, struct pool *pool, const struct mt_pool *row)
+refresh_pool (struct mt_pools *pools,
+              struct pool *pool,
+              const char *name,
+              const struct mt_tables *tables,
+              const struct mt_assign *assign)
 {
   g_autoptr (GPtrArray) mine = g_ptr_array_new ();
 
-  /* Each data centre serves from its own minions; a cut between them then cuts no request. */
-  for (size_t i = 0; row != NULL && i < row->n_instances; i++)
-    if (mt_str_equal (row->instances[i].zone, mt_str_from (pools->zone)))
-      g_ptr_array_add (mine, &row->instances[i]);
+  for (size_t p = 0; p < tables->n_pools; p++)
+    for (size_t i = 0; i < tables->pools[p].n_instances; i++)
+      {
+        const struct mt_instance *instance = &tables->pools[p].instances[i];
+
+        /* Each data centre serves from its own minions; a cut between them then cuts no request. */
+        if (mt_str_equal (instance->zone, mt_str_from (pools->zone))
+            && mt_assign_serves (assign, instance->name.data, name))
+          g_ptr_array_add (mine, (gpointer) instance);
+      }
   g_mutex_lock (&pool->lock);
   mt_dispatch_update (pool->dispatch, (const struct mt_instance *const *) mine->pdata, mine->len);
   g_mutex_unlock (&pool->lock);
@@ -155,7 +167,7 @@
   g_rw_lock_reader_lock (&pools->lock);
   g_hash_table_iter_init (&iter, pools->by_name);
   while (tables != NULL && g_hash_table_iter_next (&iter, &name, &pool))
-    refresh_pool (pools, pool, mt_tables_pool (tables, mt_str_from (name)));
+    refresh_pool (pools, pool, name, tables, mt_view_assign (pools->views));
   g_rw_lock_reader_unlock (&pools->lock);
   mt_view_end ();
 }
--- a/daemon/view.c
+++ b/daemon/view.c
@@ -17,8 +17,13 @@
   const struct mt_clock *clock;
   struct listener listeners[MAX_LISTENERS]; /* written before threads start */
   unsigned n_listeners;
+  struct listener after[MAX_LISTENERS]; /* likewise */
+  unsigned n_after;
   GMutex lock;              /* between writers */
   struct mt_tables *tables; /* written under lock, read under urcu */
+  struct mt_assign *assign; /* likewise */
+  GMutex telling;           /* one listener's call at a time */
+  guint64 in_force;         /* atomic: document that all listeners have taken */
   gint64 confirmed_us;      /* atomic */
 };
 
@@ -29,6 +34,7 @@
 
   holder->clock = clock;
   g_mutex_init (&holder->lock);
+  g_mutex_init (&holder->telling);
   return holder;
 }
 
@@ -38,7 +44,9 @@
   if (holder == NULL)
     return;
   mt_tables_destroy (holder->tables);
+  mt_assign_destroy (holder->assign);
   g_mutex_clear (&holder->lock);
+  g_mutex_clear (&holder->telling);
   g_free (holder);
 }
 
@@ -49,12 +57,40 @@
   holder->listeners[holder->n_listeners++] = (struct listener){ listener, ctx };
 }
 
+void
+mt_view_listen_after (struct mt_view_holder *holder, mt_view_listener listener, void *ctx)
+{
+  g_assert (holder->n_after < MAX_LISTENERS);
+  holder->after[holder->n_after++] = (struct listener){ listener, ctx };
+}
+
 void
 mt_view_confirm (struct mt_view_holder *holder)
 {
   __atomic_store_n (&holder->confirmed_us, mt_clock_now (holder->clock), __ATOMIC_RELAXED);
 }
 
+/* Without the lock a listener that read the older view could finish after the one that read the
+ * newer, and put the older one in force again. */
+static void
+tell (struct mt_view_holder *holder)
+{
+  const struct mt_assign *assign;
+  uint64_t version;
+
+  g_mutex_lock (&holder->telling);
+  mt_view_begin (holder);
+  assign = mt_view_assign (holder);
+  version = assign != NULL ? assign->version : 0;
+  mt_view_end ();
+  for (unsigned i = 0; i < holder->n_listeners; i++)
+    holder->listeners[i].call (holder->listeners[i].ctx);
+  __atomic_store_n (&holder->in_force, version, __ATOMIC_SEQ_CST);
+  for (unsigned i = 0; i < holder->n_after; i++)
+    holder->after[i].call (holder->after[i].ctx);
+  g_mutex_unlock (&holder->telling);
+}
+
 bool
 mt_view_offer (struct mt_view_holder *holder, struct mt_tables *tables)
 {
@@ -75,8 +111,28 @@
   mt_log_event (MT_EVENT_TABLES_IN_FORCE, "version=%" G_GUINT64_FORMAT " id=%s", tables->version,
                 tables->id.data);
   mt_tables_destroy (old);
-  for (unsigned i = 0; i < holder->n_listeners; i++)
-    holder->listeners[i].call (holder->listeners[i].ctx);
+  tell (holder);
+  return true;
+}
+
+bool
+mt_view_offer_assign (struct mt_view_holder *holder, struct mt_assign *assign)
+{
+  struct mt_assign *old;
+
+  g_mutex_lock (&holder->lock);
+  old = holder->assign;
+  if (old != NULL && assign->version <= old->version)
+    {
+      g_mutex_unlock (&holder->lock);
+      mt_assign_destroy (assign);
+      return false;
+    }
+  rcu_assign_pointer (holder->assign, assign);
+  g_mutex_unlock (&holder->lock);
+  synchronize_rcu ();
+  mt_assign_destroy (old);
+  tell (holder);
   return true;
 }
 
@@ -93,6 +149,18 @@
   rcu_read_unlock ();
 }
 
+const struct mt_assign *
+mt_view_assign (const struct mt_view_holder *holder)
+{
+  return rcu_dereference (holder->assign);
+}
+
+uint64_t
+mt_view_assign_in_force (const struct mt_view_holder *holder)
+{
+  return __atomic_load_n (&holder->in_force, __ATOMIC_SEQ_CST);
+}
+
 uint64_t
 mt_view_version (const struct mt_view_holder *holder)
 {
--- a/include/medlartrack/assign.h
+++ b/include/medlartrack/assign.h
@@ -16,7 +16,9 @@
 
 #define MT_ASSIGN_PREFIX  "medlartrack/assign/"  /* followed by the data centre */
 #define MT_PLANNER_PREFIX "medlartrack/planner/" /* the planner's lease, likewise */
-#define MT_MEMBERS_PREFIX "medlartrack/members/" /* ZONE/NAME: daemons that may hold a document */
+#define MT_HOLDERS_PREFIX                                                                          \
+  "medlartrack/holders/" /* ZONE/NAME/: daemons that may hold a document                           \
+                          */
 
 enum mt_assign_state
 {
@@ -93,6 +95,8 @@
 struct mt_assign *mt_assign_next (const struct mt_assign *assign, const char *id);
 
 struct mt_assign_record *mt_assign_find (const struct mt_assign *assign, const char *instance);
+/* Whether the instance has work of the pool; assign may be NULL. */
+bool mt_assign_serves (const struct mt_assign *assign, const char *instance, const char *pool);
 const char *mt_assign_wave_id (const struct mt_assign *assign, const char *pool);
 
 /* Transitions, on a document from mt_assign_next. */
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -38,6 +38,13 @@
           "a newer document was fetched from another daemon")
 MT_EVENT (5008, DOCUMENT_REFUSED, G_LOG_LEVEL_WARNING, "a document of another daemon was not taken")
 
+MT_EVENT (6001, PLANNER_TOOK_OVER, G_LOG_LEVEL_MESSAGE, "this daemon plans for its data centre")
+MT_EVENT (6002, PLANNER_LOST, G_LOG_LEVEL_MESSAGE, "this daemon plans no longer")
+MT_EVENT (6003, ASSIGN_REFUSED, G_LOG_LEVEL_WARNING, "an assignment document was not taken")
+MT_EVENT (6004, PLANNER_REPORT, G_LOG_LEVEL_WARNING, "a move, drain or wave is held up")
+MT_EVENT (6005, REBOOT_ORDERED, G_LOG_LEVEL_MESSAGE, "a drained instance is rebooted")
+MT_EVENT (6006, MINION_LEAVES, G_LOG_LEVEL_MESSAGE, "a minion said that it leaves")
+
 MT_EVENT (7001, JOBS_LOADED, G_LOG_LEVEL_MESSAGE, "this daemon places the data centre's jobs")
 MT_EVENT (7002, JOBS_DROPPED, G_LOG_LEVEL_MESSAGE, "this daemon no longer places jobs")
 MT_EVENT (7003,
--- a/tests/path/test_front.c
+++ b/tests/path/test_front.c
@@ -23,6 +23,19 @@
   struct mt_arena *arena;
 };
 
+/* Minions get work by their records alone. */
+static void
+put_records (struct fixture *f)
+{
+  struct mt_assign *empty = mt_assign_create ();
+  struct mt_assign *records = mt_assign_next (empty, "first");
+
+  mt_assign_add (records, "m0", "p", 0);
+  mt_assign_add (records, "m1", "p", 0);
+  mt_assign_destroy (empty);
+  assert_true (mt_view_offer_assign (f->views, records));
+}
+
 static void
 put_tables (struct fixture *f)
 {
@@ -42,6 +55,7 @@
   if (tables == NULL)
     fail_msg ("%s", error->message);
   assert_true (mt_view_offer (f->views, tables));
+  put_records (f);
 }
 
 static int
