--- a/measure/jobs_scenario.c
+++ b/measure/jobs_scenario.c
@@ -7,10 +7,10 @@
 #include <string.h>
 #include <time.h>
 
-#define TICK_US                 (250 * MT_MS) /* how often the planner runs */
+#define TICK_US                 (500 * MT_MS) /* a round of the daemon's runner */
 #define DELIVERY_TICKS          1             /* an action reaches its worker after this */
-#define CHECKPOINT_TICKS        4             /* to save progress */
-#define REPORT_TICKS            40            /* usage is measured this often */
+#define CHECKPOINT_TICKS        2             /* a second to save progress */
+#define REPORT_TICKS            20            /* usage is measured every 10 s */
 #define WORKER_CPU_MILLI        16000
 #define WORKER_MEMORY_MB        32768
 #define TARGET_LOAD             0.85 /* of the fleet's processors, by true sizes */
@@ -18,7 +18,7 @@
 #define BACKGROUND_PERCENT      30
 #define IMPOSSIBLE_PER_MILLE    2
 #define BROKEN_WORKER_PER_MILLE 10  /* workers that fail whatever they start */
-#define CANCEL_WAVE_TICKS       480 /* every two minutes a wave of cancellations comes */
+#define CANCEL_WAVE_TICKS       240 /* every two minutes a wave of cancellations comes */
 #define CANCEL_WAVE_JOBS        20
 #define KINDS_PER_POOL          6
 #define MEAN_RUN_S              60.0
