--- a/net/http_exchange.c
+++ b/net/http_exchange.c
@@ -2,12 +2,17 @@
 
 #include "medlartrack/error.h"
 
-#define IDLE_US (10 * G_USEC_PER_SEC) /* a thread without work ends after this */
+#include <errno.h>
+#include <semaphore.h>
+#include <time.h>
 
+#define IDLE_S 10 /* a thread without work ends after this */
+
+/* Semaphores and no conditions: a waker holds no lock that the woken thread would then wait for. */
 struct worker
 {
-  struct job *job; /* guarded by the exchanges' lock */
-  GCond wake;
+  struct job *job; /* handed over by the semaphore */
+  sem_t wake;
 };
 
 struct mt_http_exchanges
@@ -23,8 +28,13 @@
   GCond ended;
 };
 
-/* Freed by the side that comes last: the caller where the exchange ended in time, else the thread.
- */
+enum job_state
+{
+  JOB_RUNNING,
+  JOB_FINISHED,  /* in time: the caller frees it */
+  JOB_ABANDONED, /* given up on: the thread frees it */
+};
+
 struct job
 {
   struct mt_http_exchanges *exchanges;
@@ -32,10 +42,8 @@
   const char *address;
   struct mt_http_call call;
   struct mt_http_ended ended;
-  GMutex lock; /* guards all below */
-  GCond changed;
-  bool finished;
-  bool abandoned;
+  int state; /* enum job_state, atomic; whoever leaves JOB_RUNNING first decides */
+  sem_t finished;
   enum mt_http_outcome outcome;
   struct mt_http_answer answer;
   GError *error;
@@ -44,8 +52,7 @@
 static void
 free_job (struct job *job)
 {
-  g_mutex_clear (&job->lock);
-  g_cond_clear (&job->changed);
+  sem_destroy (&job->finished);
   g_clear_error (&job->error);
   mt_arena_destroy (job->arena);
   g_free (job);
@@ -91,8 +98,7 @@
 {
   struct job *job = g_new0 (struct job, 1);
 
-  g_mutex_init (&job->lock);
-  g_cond_init (&job->changed);
+  sem_init (&job->finished, 0, 0);
   job->exchanges = exchanges;
   job->ended = ended;
   job->arena = mt_arena_create (exchanges->memory);
@@ -102,37 +108,87 @@
   return NULL;
 }
 
+/* True where this side was first to end the job. */
+static bool
+leave_running (struct job *job, enum job_state state)
+{
+  int running = JOB_RUNNING;
+
+  return __atomic_compare_exchange_n (&job->state, &running, state, false, __ATOMIC_ACQ_REL,
+                                      __ATOMIC_ACQUIRE);
+}
+
 static void
 run_job (struct job *job)
 {
-  bool abandoned;
-
   job->outcome = mt_http_client_call (job->exchanges->client, job->address, &job->call, job->arena,
                                       &job->answer, &job->error);
   job->ended.call (job->ended.ctx, job->outcome, &job->answer);
-  g_mutex_lock (&job->lock);
-  job->finished = true;
-  abandoned = job->abandoned;
-  g_cond_signal (&job->changed);
-  g_mutex_unlock (&job->lock);
-  if (abandoned)
+  if (leave_running (job, JOB_FINISHED))
+    sem_post (&job->finished);
+  else
     free_job (job);
 }
 
-/* The lock is held. False where the thread should end. */
+/* False where none came for long. */
+static bool
+wait_for (sem_t *sem, int64_t for_us)
+{
+  struct timespec until;
+  int rc;
+
+  clock_gettime (CLOCK_MONOTONIC, &until);
+  until.tv_sec += for_us / MT_SECOND;
+  until.tv_nsec += for_us % MT_SECOND * 1000;
+  if (until.tv_nsec >= 1000000000)
+    {
+      until.tv_sec++;
+      until.tv_nsec -= 1000000000;
+    }
+  do
+    rc = sem_clockwait (sem, CLOCK_MONOTONIC, &until);
+  while (rc != 0 && errno == EINTR);
+  return rc == 0;
+}
+
+static void
+wait_surely (sem_t *sem)
+{
+  while (sem_wait (sem) != 0)
+    ;
+}
+
+/* True where the thread is to end; false where a job was being handed over just now. */
+static bool
+leave_idle (struct mt_http_exchanges *exchanges, struct worker *worker)
+{
+  bool left;
+
+  g_mutex_lock (&exchanges->lock);
+  left = g_queue_remove (&exchanges->idle, worker);
+  g_mutex_unlock (&exchanges->lock);
+  return left;
+}
+
 static bool
 wait_for_job (struct mt_http_exchanges *exchanges, struct worker *worker)
 {
-  int64_t until = g_get_monotonic_time () + IDLE_US;
+  bool stopping;
 
-  g_queue_push_head (&exchanges->idle, worker);
-  while (worker->job == NULL && !exchanges->stopping)
-    if (!g_cond_wait_until (&worker->wake, &exchanges->lock, until))
-      break;
-  if (worker->job != NULL)
-    return true;
-  g_queue_remove (&exchanges->idle, worker);
-  return false;
+  g_mutex_lock (&exchanges->lock);
+  stopping = exchanges->stopping;
+  if (!stopping)
+    g_queue_push_head (&exchanges->idle, worker);
+  g_mutex_unlock (&exchanges->lock);
+  if (stopping)
+    return false;
+  if (!wait_for (&worker->wake, IDLE_S * MT_SECOND))
+    {
+      if (leave_idle (exchanges, worker))
+        return false;
+      wait_surely (&worker->wake);
+    }
+  return worker->job != NULL;
 }
 
 static gpointer
@@ -140,22 +196,16 @@
 {
   struct worker *worker = data;
   struct mt_http_exchanges *exchanges = worker->job->exchanges;
-  bool more = true;
 
-  while (more)
-    {
-      run_job (g_steal_pointer (&worker->job));
-      g_mutex_lock (&exchanges->lock);
-      more = wait_for_job (exchanges, worker);
-      if (!more)
-        {
-          exchanges->n--;
-          g_cond_signal (&exchanges->ended);
-        }
-      g_mutex_unlock (&exchanges->lock);
-    }
-  g_cond_clear (&worker->wake);
+  do
+    run_job (g_steal_pointer (&worker->job));
+  while (wait_for_job (exchanges, worker));
+  sem_destroy (&worker->wake);
   g_free (worker);
+  g_mutex_lock (&exchanges->lock);
+  exchanges->n--;
+  g_cond_signal (&exchanges->ended);
+  g_mutex_unlock (&exchanges->lock);
   return NULL;
 }
 
@@ -169,12 +219,12 @@
   if (exchanges->n >= exchanges->limit)
     return false;
   worker = g_new0 (struct worker, 1);
-  g_cond_init (&worker->wake);
+  sem_init (&worker->wake, 0, 0);
   worker->job = job;
   thread = g_thread_try_new ("exchange", run_worker, worker, NULL);
   if (thread == NULL)
     {
-      g_cond_clear (&worker->wake);
+      sem_destroy (&worker->wake);
       g_free (worker);
       return false;
     }
@@ -191,14 +241,14 @@
 
   g_mutex_lock (&exchanges->lock);
   worker = g_queue_pop_head (&exchanges->idle);
+  if (worker == NULL)
+    ok = start_worker (exchanges, job);
+  g_mutex_unlock (&exchanges->lock);
   if (worker != NULL)
     {
       worker->job = job;
-      g_cond_signal (&worker->wake);
+      sem_post (&worker->wake);
     }
-  else
-    ok = start_worker (exchanges, job);
-  g_mutex_unlock (&exchanges->lock);
   return ok;
 }
 
@@ -207,16 +257,13 @@
 wait_until_deadline (const struct mt_http_exchanges *exchanges, struct job *job)
 {
   int64_t left = job->call.deadline_us - mt_clock_now (exchanges->clock);
-  int64_t until = g_get_monotonic_time () + left;
-  bool finished;
 
-  g_mutex_lock (&job->lock);
-  while (!job->finished && g_cond_wait_until (&job->changed, &job->lock, until))
-    ;
-  finished = job->finished;
-  job->abandoned = !finished;
-  g_mutex_unlock (&job->lock);
-  return finished;
+  if (wait_for (&job->finished, MAX (left, 0)))
+    return true;
+  if (leave_running (job, JOB_ABANDONED))
+    return false;
+  wait_surely (&job->finished);
+  return true;
 }
 
 static enum mt_http_outcome
@@ -262,12 +309,14 @@
 void
 mt_http_exchanges_destroy (struct mt_http_exchanges *exchanges)
 {
+  struct worker *worker;
+
   if (exchanges == NULL)
     return;
   g_mutex_lock (&exchanges->lock);
   exchanges->stopping = true;
-  for (GList *l = exchanges->idle.head; l != NULL; l = l->next)
-    g_cond_signal (&((struct worker *) l->data)->wake);
+  while ((worker = g_queue_pop_head (&exchanges->idle)) != NULL)
+    sem_post (&worker->wake);
   while (exchanges->n > 0)
     g_cond_wait (&exchanges->ended, &exchanges->lock);
   g_mutex_unlock (&exchanges->lock);
