path: weigh minions by this daemon's requests, give up while there is time

Ruled out: more frequent heartbeats (they would have to be younger than a request, 50 ms, to help). Change: the weight is the daemon's own in flight and recent failures; others only bound its share. A waiter is given up at its deadline less the mean and twice the spread of the service time, at most half of what it had.

--- a/core/path/balance.c
+++ b/core/path/balance.c
@@ -21,10 +21,12 @@
   return i != avoid && loads[i].in_flight < loads[i].usable;
 }
 
+/* Not what the others have in flight: it is as old as their last heartbeat, many requests ago, and
+ * all daemons at once would run after the same minions that looked idle then. */
 static unsigned
 weigh (const struct mt_balance_load *load)
 {
-  return load->in_flight + load->others + load->penalty;
+  return load->in_flight + load->penalty;
 }
 
 static size_t
--- a/core/path/dispatch.c
+++ b/core/path/dispatch.c
@@ -10,6 +10,7 @@
  * sixteenth, and as four times the mean at most. */
 #define SERVICE_WEIGHT  16
 #define SERVICE_CLAMP   4
+#define SPREAD_FACTOR   2
 #define REFUSED_REST_US (20 * MT_MS)    /* a full minion gets nothing for so long */
 #define PENALTY_US      (1 * MT_SECOND) /* a failure counts as load for so long */
 #define BORROW_REST_US  (1 * MT_SECOND) /* and its borrowed slots are left for so long */
@@ -45,8 +46,9 @@
   unsigned n_present;
   unsigned ejected;
   uint64_t failing_sum;
-  int64_t wake_us; /* the next time at which a minion's usable slots change by themselves */
-  int64_t service_us;
+  int64_t wake_us;    /* the next time at which a minion's usable slots change by themselves */
+  int64_t service_us; /* moving mean */
+  int64_t spread_us;  /* moving mean of the distance from it */
   struct mt_retry_budget retries;
   struct mt_fair_queue *queue;
 };
@@ -416,12 +418,15 @@
   return (int64_t) (ahead + 1) * dispatch->service_us / count_servers (dispatch);
 }
 
-/* Half the mean: a request that would get its slot later than that has little hope of an answer,
- * and running it anyway would take the slot from one that has. */
+/* A request that gets its slot later than this would as likely as not be answered too late, and so
+ * would take the slot from one that has time. Half of what is left at most, so that a short
+ * deadline still gets its chance. */
 static int64_t
-time_to_give_up (const struct mt_dispatch *dispatch, const struct mt_ticket *ticket)
+time_to_give_up (const struct mt_dispatch *dispatch, const struct mt_ticket *ticket, int64_t now_us)
 {
-  return ticket->deadline_us - dispatch->service_us / 2;
+  int64_t needed = dispatch->service_us + SPREAD_FACTOR * dispatch->spread_us;
+
+  return ticket->deadline_us - MIN (needed, (ticket->deadline_us - now_us) / 2);
 }
 
 /* Only asked where no slot is free, so that there are samples coming: an estimate that is too high
@@ -434,12 +439,12 @@
 {
   unsigned ahead;
 
-  if (dispatch->in_flight == 0 && dispatch->wake_us >= time_to_give_up (dispatch, ticket))
+  if (dispatch->in_flight == 0 && dispatch->wake_us >= time_to_give_up (dispatch, ticket, now_us))
     return MT_REFUSAL_NO_MINION;
   if (mt_fair_queue_length (dispatch->queue) >= queue_limit)
     return MT_REFUSAL_QUEUE_FULL;
   ahead = mt_fair_queue_ahead (dispatch->queue, ticket->audience);
-  if (now_us + estimate_wait (dispatch, ahead) >= time_to_give_up (dispatch, ticket))
+  if (now_us + estimate_wait (dispatch, ahead) >= time_to_give_up (dispatch, ticket, now_us))
     return MT_REFUSAL_TOO_LATE;
   return MT_REFUSAL_NONE;
 }
@@ -472,7 +477,7 @@
   if (ticket->refusal != MT_REFUSAL_NONE)
     return MT_ADMIT_REFUSE;
   ticket->item = (struct mt_fair_item){ .audience = ticket->audience,
-                                        .give_up_us = time_to_give_up (dispatch, ticket),
+                                        .give_up_us = time_to_give_up (dispatch, ticket, now),
                                         .owner = ticket };
   mt_fair_queue_push (dispatch->queue, &ticket->item);
   return MT_ADMIT_WAIT;
@@ -482,12 +487,16 @@
 learn_service (struct mt_dispatch *dispatch, int64_t sample)
 {
   int64_t mean = dispatch->service_us;
+  int64_t distance;
 
   if (mean == 0)
-    dispatch->service_us = MAX (sample, 1);
-  else
-    dispatch->service_us
-        = MAX (mean + (MIN (sample, mean * SERVICE_CLAMP) - mean) / SERVICE_WEIGHT, 1);
+    {
+      dispatch->service_us = MAX (sample, 1);
+      return;
+    }
+  distance = MIN (sample, mean * SERVICE_CLAMP) - mean;
+  dispatch->service_us = MAX (mean + distance / SERVICE_WEIGHT, 1);
+  dispatch->spread_us += (ABS (distance) - dispatch->spread_us) / SERVICE_WEIGHT;
 }
 
 static void
--- a/tests/path/test_dispatch.c
+++ b/tests/path/test_dispatch.c
@@ -131,6 +131,30 @@
   assert_int_equal (ask (f, &late, 2, 120 * MT_MS), MT_ADMIT_WAIT);
 }
 
+/* Work takes 50 or 150 ms. A waiter of 1 s deadline that has no slot after 900 ms could be answered
+ * in time only by luck: its caller hears so before the deadline, and the slot goes to one with
+ * time. */
+static void
+test_gives_up_while_the_caller_still_listens (void **state)
+{
+  struct fixture *f = *state;
+  g_autofree struct mt_ticket *busy = NULL;
+  struct mt_ticket waiting;
+
+  for (int i = 0; i < 100; i++)
+    run (f, (i % 2 == 0 ? 50 : 150) * MT_MS, MT_DISPATCH_GOOD);
+  busy = fill (f, MINIONS * SLOTS);
+  assert_non_null (busy);
+  assert_int_equal (ask (f, &waiting, 1, MT_SECOND), MT_ADMIT_WAIT);
+  mt_clock_manual_advance (f->manual, 700 * MT_MS);
+  mt_dispatch_tick (f->dispatch);
+  assert_int_equal (expired, 0);
+  mt_clock_manual_advance (f->manual, 200 * MT_MS);
+  mt_dispatch_tick (f->dispatch);
+  assert_int_equal (expired, 1);
+  assert_int_equal (waiting.refusal, MT_REFUSAL_TOO_LATE);
+}
+
 /* A trough: one request in a while, one of them a straggler of 5 s. Then a surge's head arrives.
  * The caller sees its request queued: the straggler has not spoilt the estimate. */
 static void
@@ -301,6 +325,8 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_refuses_at_once_what_would_be_late, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_gives_up_while_the_caller_still_listens, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (test_straggler_in_trough_costs_no_surge_head, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_fast_errors_attract_no_load, set_up, tear_down),
