daemon: place jobs by the planner's lease and the assignment records

The runner was built but not plugged in. Settings name the platform's workers (none: no jobs); the worker's pool is that of the instance of its name; tasks on an instance that no longer serves count as in flight in the heartbeats, so that it is neither moved nor rebooted under them. Ruled out: reporting the tasks of serving instances too, since they would count against the slots of requests.

--- a/core/config/settings.c
+++ b/core/config/settings.c
@@ -20,6 +20,7 @@
     .form = &mt_form_listen },
   { "platform", MT_FIELD_TEXT, offsetof (struct mt_settings, platform), .required = true,
     .form = &mt_form_address },
+  { "workers", MT_FIELD_TEXT, offsetof (struct mt_settings, workers), .form = &mt_form_address },
   { "log", MT_FIELD_CHOICE, offsetof (struct mt_settings, log), .choices = log_choices },
   { "log_level", MT_FIELD_CHOICE, offsetof (struct mt_settings, log_level), .fallback = 1,
     .choices = log_level_choices },
--- a/core/jobs/book.c
+++ b/core/jobs/book.c
@@ -413,6 +413,24 @@
     checkpoint_all (jobs, worker);
 }
 
+void
+mt_jobs_each_busy (const struct mt_jobs *jobs,
+                   void (*visit) (void *ctx, const char *worker, unsigned tasks),
+                   void *ctx)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, jobs->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct mt_worker *worker = value;
+
+      if (worker->tasks->len > 0)
+        visit (ctx, worker->name, worker->tasks->len);
+    }
+}
+
 unsigned
 mt_jobs_running_on (const struct mt_jobs *jobs, const char *name)
 {
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -5,6 +5,7 @@
 #include "feed.h"
 #include "front.h"
 #include "heartbeat.h"
+#include "jobs_part.h"
 #include "medlartrack/log.h"
 #include "peers.h"
 #include "platform.h"
@@ -31,6 +32,7 @@
   struct mt_registry *registry;
   struct mt_feed *feed;
   struct mt_control *control;
+  struct mt_jobs_part *jobs; /* NULL: places none */
   struct mt_front *front;
   struct mt_http_server *server;
 };
@@ -98,6 +100,21 @@
   return mt_control_create (&options);
 }
 
+static struct mt_jobs_part *
+create_jobs (const struct mt_daemon *daemon)
+{
+  struct mt_jobs_part_options options = {
+    .clock = daemon->clock,
+    .settings = daemon->settings,
+    .store = mt_platform_store (daemon->platform),
+    .client = daemon->client,
+    .views = daemon->views,
+    .control = daemon->control,
+  };
+
+  return mt_jobs_part_create (&options);
+}
+
 static void
 create_parts (struct mt_daemon *daemon)
 {
@@ -118,6 +135,8 @@
   feed.call_us = settings->limits.platform_ms * MT_MS;
   feed.views = daemon->views;
   daemon->control = create_control (daemon);
+  daemon->jobs = create_jobs (daemon);
+  mt_heartbeat_set_jobs (daemon->heartbeat, daemon->jobs);
   daemon->feed = mt_feed_create (&feed);
   front.views = daemon->views;
   front.pools = daemon->pools;
@@ -185,9 +204,11 @@
   mt_http_exchanges_destroy (daemon->exchanges);
   mt_registry_destroy (daemon->registry);
   mt_feed_destroy (daemon->feed);
+  mt_jobs_part_stop (daemon->jobs);
   mt_control_destroy (daemon->control);
   mt_peer_server_destroy (daemon->peer_server);
   mt_peers_destroy (daemon->peers);
+  mt_jobs_part_destroy (daemon->jobs);
   mt_front_destroy (daemon->front);
   mt_pools_destroy (daemon->pools);
   mt_heartbeat_destroy (daemon->heartbeat);
@@ -288,6 +309,12 @@
   return counters;
 }
 
+static json_t *
+show_jobs (void *ctx)
+{
+  return mt_jobs_part_dump (((struct mt_daemon *) ctx)->jobs);
+}
+
 static const struct mt_dump_section sections[] = {
   { "name", "the daemon's name", show_name },
   { "zone", "its data centre", show_zone },
@@ -297,6 +324,7 @@
   { "platform_calls", "made so far, a watch counted as one", show_platform_calls },
   { "members", "every daemon that is known, this one included", show_members },
   { "pools", "queues, slots and in flight", show_pools },
+  { "jobs", "placed by this daemon while it is the planner", show_jobs },
   { "counters", "of requests", show_counters },
   { "control", "assignment in force, planner, what is held up and by whom", show_control },
   { NULL },
--- a/daemon/heartbeat.c
+++ b/daemon/heartbeat.c
@@ -4,7 +4,8 @@
 {
   struct mt_pools *pools;
   const struct mt_settings *settings;
-  struct mt_shares *shares; /* that the pools hold now; of the heartbeat thread */
+  struct mt_jobs_part *jobs; /* set before the heartbeat thread starts */
+  struct mt_shares *shares;  /* that the pools hold now; of the heartbeat thread */
 };
 
 struct collected
@@ -54,6 +55,8 @@
   g_array_set_clear_func (collected.loads, clear_load);
   g_array_set_clear_func (collected.demands, clear_demand);
   mt_pools_each (heartbeat->pools, &visitor);
+  /* Tasks on an instance that drains are in flight too: else it would be rebooted under them. */
+  mt_jobs_part_each_held (heartbeat->jobs, collect_minion, &collected);
   mt_peers_set_loads (peers, (struct mt_member_load *) collected.loads->data, collected.loads->len,
                       (struct mt_member_demand *) collected.demands->data, collected.demands->len);
   g_array_unref (collected.loads);
@@ -95,6 +98,12 @@
   return heartbeat;
 }
 
+void
+mt_heartbeat_set_jobs (struct mt_heartbeat *heartbeat, struct mt_jobs_part *jobs)
+{
+  heartbeat->jobs = jobs;
+}
+
 void
 mt_heartbeat_destroy (struct mt_heartbeat *heartbeat)
 {
--- a/daemon/heartbeat.h
+++ b/daemon/heartbeat.h
@@ -2,6 +2,7 @@
 #ifndef MT_HEARTBEAT_H
 #define MT_HEARTBEAT_H
 
+#include "jobs_part.h"
 #include "peers.h"
 #include "pools.h"
 
@@ -10,6 +11,8 @@
 /* pools outlive the heartbeat. */
 struct mt_heartbeat *mt_heartbeat_create (struct mt_pools *pools,
                                           const struct mt_settings *settings);
+/* Whose tasks hold instances too; before the peers start, NULL for none. */
+void mt_heartbeat_set_jobs (struct mt_heartbeat *heartbeat, struct mt_jobs_part *jobs);
 /* Once neither peers nor pools are called any more, and before the pools are destroyed. */
 void mt_heartbeat_destroy (struct mt_heartbeat *heartbeat);
 /* For mt_peers_options; their ctx is the heartbeat. */
--- a/daemon/jobs_runner.c
+++ b/daemon/jobs_runner.c
@@ -343,15 +343,20 @@
 }
 
 void
-mt_jobs_runner_destroy (struct mt_jobs_runner *runner)
+mt_jobs_runner_stop (struct mt_jobs_runner *runner)
 {
-  if (runner == NULL)
-    return;
   g_mutex_lock (&runner->lock);
   runner->stopping = true;
   g_cond_signal (&runner->wake);
   g_mutex_unlock (&runner->lock);
   g_thread_join (runner->thread);
+}
+
+void
+mt_jobs_runner_destroy (struct mt_jobs_runner *runner)
+{
+  if (runner == NULL)
+    return;
   mt_jobs_destroy (runner->book);
   mt_jobs_journal_destroy (runner->journal);
   g_hash_table_unref (runner->declared);
@@ -361,15 +366,15 @@
   g_free (runner);
 }
 
-unsigned
-mt_jobs_runner_tasks_on (struct mt_jobs_runner *runner, const char *worker)
+void
+mt_jobs_runner_each_busy (struct mt_jobs_runner *runner,
+                          void (*visit) (void *ctx, const char *worker, unsigned tasks),
+                          void *ctx)
 {
-  unsigned tasks;
-
   g_mutex_lock (&runner->lock);
-  tasks = runner->book != NULL ? mt_jobs_running_on (runner->book, worker) : 0;
+  if (runner->book != NULL)
+    mt_jobs_each_busy (runner->book, visit, ctx);
   g_mutex_unlock (&runner->lock);
-  return tasks;
 }
 
 struct dump
--- a/daemon/jobs_runner.h
+++ b/daemon/jobs_runner.h
@@ -38,10 +38,16 @@
 
 /* Starts the thread. */
 struct mt_jobs_runner *mt_jobs_runner_create (const struct mt_jobs_runner_options *options);
+/* Ends the thread: the callbacks are not called any more. */
+void mt_jobs_runner_stop (struct mt_jobs_runner *runner);
+/* Stop it first. */
 void mt_jobs_runner_destroy (struct mt_jobs_runner *runner);
 
-/* Tasks on a worker by the book; 0 where this daemon is not the planner. Any thread. */
-unsigned mt_jobs_runner_tasks_on (struct mt_jobs_runner *runner, const char *worker);
+/* Calls visit for each worker with tasks by the book; for none where this daemon is not the
+ * planner. Any thread; visit must not call the runner. */
+void mt_jobs_runner_each_busy (struct mt_jobs_runner *runner,
+                               void (*visit) (void *ctx, const char *worker, unsigned tasks),
+                               void *ctx);
 /* {"planner": bool, "jobs": {state: count}, "reasons": {job: reason}}. Any thread. */
 json_t *mt_jobs_runner_dump (struct mt_jobs_runner *runner);
 
--- a/include/medlartrack/jobs.h
+++ b/include/medlartrack/jobs.h
@@ -161,6 +161,10 @@
 void mt_jobs_worker_back (struct mt_jobs *jobs, const char *name, uint64_t lease);
 /* It started anew under a newer lease: nothing that it ran before runs now. */
 void mt_jobs_worker_clean (struct mt_jobs *jobs, const char *name, uint64_t lease);
+/* Calls visit for each worker on which something runs by the book. */
+void mt_jobs_each_busy (const struct mt_jobs *jobs,
+                        void (*visit) (void *ctx, const char *worker, unsigned tasks),
+                        void *ctx);
 /* 0 where nothing runs there by the book. */
 unsigned mt_jobs_running_on (const struct mt_jobs *jobs, const char *name);
 
--- a/include/medlartrack/settings.h
+++ b/include/medlartrack/settings.h
@@ -22,6 +22,7 @@
   struct mt_str listen;      /* IP:PORT for callers */
   struct mt_str peer_listen; /* IP:PORT for other daemons and medlartrackctl */
   struct mt_str platform;    /* IP:PORT of the platform's service */
+  struct mt_str workers;     /* IP:PORT of the platform's workers; empty: places no jobs */
   struct mt_str *peers; /* IP:PORT of some daemons, to find the rest when the platform is down */
   size_t n_peers;
   int log;       /* enum mt_log_format */
