daemon: claim a key before its request is sent, and stop calling a store that is down

Cause: the front sent a request of a route marked "never" without recording it, so a caller that asked again at another daemon ran it twice; and each user of the store waited for a dead service. Ruled out: one committer for all shards (a slow call of one holds up the others).

--- a/daemon/claims.h
+++ b/daemon/claims.h
@@ -3,8 +3,11 @@
 #ifndef MT_CLAIMS_H
 #define MT_CLAIMS_H
 
+#include "medlartrack/breaker.h"
+#include "medlartrack/clock.h"
 #include "medlartrack/str.h"
 
+#include <jansson.h>
 #include <stdint.h>
 
 struct mt_claims;
@@ -34,6 +37,17 @@
   int status;          /* of the earlier answer, for MT_CLAIM_DONE */
 };
 
+struct mt_claims_options
+{
+  const struct mt_clock *clock;
+  struct mt_breaker *breaker; /* before the platform's store; outlives the claims */
+};
+
+/* Starts one thread for each shard, which commits that shard's claims. */
+struct mt_claims *mt_claims_create (const struct mt_claims_options *options);
+/* Once nobody takes claims any more. Tries to record the ends that wait. */
+void mt_claims_destroy (struct mt_claims *claims);
+
 enum mt_claim_result mt_claims_take (struct mt_claims *claims,
                                      struct mt_str route,
                                      struct mt_str key,
@@ -45,4 +59,7 @@
                     enum mt_claim_end end,
                     int status);
 
+/* Adds how many claims are held, and each shard that can't be read. */
+void mt_claims_dump (struct mt_claims *claims, json_t *out);
+
 #endif
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -1,5 +1,6 @@
 #include "daemon.h"
 
+#include "claims.h"
 #include "control.h"
 #include "dump.h"
 #include "feed.h"
@@ -14,6 +15,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define BREAKER_FAILURES    3
+#define BREAKER_FIRST_US    (250 * MT_MS)
+#define BREAKER_LONGEST_US  (5 * MT_SECOND)
 #define REQUEST_MEMORY_BASE (256 * 1024)
 
 struct mt_daemon
@@ -24,6 +28,8 @@
   struct mt_http_client *client;
   struct mt_http_exchanges *exchanges;
   struct mt_platform *platform;
+  struct mt_breaker *breaker;
+  struct mt_claims *claims;
   struct mt_view_holder *views;
   struct mt_pools *pools;
   struct mt_peer_server *peer_server;
@@ -115,18 +121,35 @@
   return mt_jobs_part_create (&options);
 }
 
+static void
+create_breaker (struct mt_daemon *daemon)
+{
+  struct mt_breaker_options options = { .clock = daemon->clock,
+                                        .failures = BREAKER_FAILURES,
+                                        .first_us = BREAKER_FIRST_US,
+                                        .longest_us = BREAKER_LONGEST_US };
+
+  options.inner = mt_platform_store (daemon->platform);
+  options.seed = g_random_int ();
+  daemon->breaker = mt_breaker_create (&options);
+}
+
 static void
 create_parts (struct mt_daemon *daemon)
 {
   const struct mt_settings *settings = daemon->settings;
   struct mt_front_options front = { .clock = daemon->clock };
   struct mt_feed_options feed = { .clock = daemon->clock };
+  struct mt_claims_options claims = { .clock = daemon->clock };
 
   daemon->client = mt_http_client_create (daemon->clock);
   daemon->exchanges = mt_http_exchanges_create (
       daemon->client, daemon->clock, settings->limits.connections * 2, request_memory (settings));
   daemon->platform = mt_platform_create (daemon->client, daemon->clock, settings->platform.data,
                                          settings->limits.platform_ms * MT_MS);
+  create_breaker (daemon);
+  claims.breaker = daemon->breaker;
+  daemon->claims = mt_claims_create (&claims);
   daemon->views = mt_view_holder_create (daemon->clock);
   daemon->pools = mt_pools_create (daemon->clock, daemon->views, settings->zone.data);
   mt_view_listen (daemon->views, mt_pools_refresh, daemon->pools);
@@ -141,6 +164,7 @@
   front.views = daemon->views;
   front.pools = daemon->pools;
   front.exchanges = daemon->exchanges;
+  front.claims = daemon->claims;
   front.counters = &daemon->counters;
   front.answer_bytes = settings->limits.answer_bytes;
   daemon->front = mt_front_create (&front);
@@ -152,7 +176,7 @@
 {
   mt_peers_start (daemon->peers);
   mt_peer_server_start (daemon->peer_server);
-  daemon->registry = mt_registry_create (mt_platform_store (daemon->platform), daemon->clock,
+  daemon->registry = mt_registry_create (mt_breaker_store (daemon->breaker), daemon->clock,
                                          daemon->peers, daemon->settings->name.data);
 }
 
@@ -213,6 +237,8 @@
   mt_pools_destroy (daemon->pools);
   mt_heartbeat_destroy (daemon->heartbeat);
   mt_view_holder_destroy (daemon->views);
+  mt_claims_destroy (daemon->claims);
+  mt_breaker_destroy (daemon->breaker);
   mt_platform_destroy (daemon->platform);
   mt_http_client_destroy (daemon->client);
   g_free (daemon);
@@ -282,6 +308,27 @@
   return control;
 }
 
+static json_t *
+show_store_calls (void *ctx)
+{
+  struct mt_breaker *breaker = ((struct mt_daemon *) ctx)->breaker;
+  struct mt_breaker_counts counts = mt_breaker_counts (breaker);
+
+  return json_pack ("{sI sI sI sI sI sb}", "reads", (json_int_t) counts.reads, "writes",
+                    (json_int_t) counts.writes, "watches", (json_int_t) counts.watches, "refused",
+                    (json_int_t) counts.refused, "opened", (json_int_t) counts.opened, "open",
+                    (int) mt_breaker_is_open (breaker));
+}
+
+static json_t *
+show_claims (void *ctx)
+{
+  json_t *claims = json_object ();
+
+  mt_claims_dump (((struct mt_daemon *) ctx)->claims, claims);
+  return claims;
+}
+
 static json_t *
 show_members (void *ctx)
 {
@@ -322,6 +369,8 @@
   { "tables_version", "in force here, 0 for none", show_tables_version },
   { "tables_age_ms", "since it was last known to be the newest, -1 for none", show_tables_age },
   { "platform_calls", "made so far, a watch counted as one", show_platform_calls },
+  { "store_calls", "of the platform behind the breaker, by kind", show_store_calls },
+  { "claims", "of requests that may not be repeated", show_claims },
   { "members", "every daemon that is known, this one included", show_members },
   { "pools", "queues, slots and in flight", show_pools },
   { "jobs", "placed by this daemon while it is the planner", show_jobs },
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #define MAX_TRIES         3
+#define MAX_KEY_BYTES     256
 #define ID_BYTES          64
 #define RETRY_AFTER_S     1 /* least that a caller is told to wait */
 #define MAX_RETRY_AFTER_S 30
@@ -21,6 +22,7 @@
 /* What the request needs of the tables, copied out of the view. */
 struct plan
 {
+  struct mt_str route;
   struct mt_str pool;
   enum mt_repeat repeat;
   int64_t deadline_us;
@@ -170,6 +172,7 @@
     route = mt_tables_route (tables, request->method, request->path);
   if (route != NULL)
     {
+      plan->route = mt_arena_dup (request->arena, route->name);
       plan->pool = mt_arena_dup (request->arena, route->pool);
       plan->repeat = route->repeat;
       plan->queue = route->queue;
@@ -405,6 +408,85 @@
     refuse_not_run (front, request, plan, tries->reason);
 }
 
+/* The answer to a request whose key another attempt holds, or may hold. */
+static void
+answer_taken (struct mt_front *front,
+              struct mt_http_request *request,
+              const struct plan *plan,
+              enum mt_claim_result result,
+              int status)
+{
+  g_autofree char *done = g_strdup_printf ("it ran already and was answered %d", status);
+  struct typed typed = { .status = 409, .outcome = "duplicate" };
+
+  switch (result)
+    {
+    case MT_CLAIM_RUNNING:
+      typed.reason = "the same request is running";
+      typed.retry_after_s = work_out_retry_after (front, plan);
+      break;
+    case MT_CLAIM_DONE:
+      typed.reason = done;
+      break;
+    case MT_CLAIM_LOST:
+      typed = (struct typed){ 504, "unknown", "the same request may have run; it is not run again",
+                              0 };
+      break;
+    default:
+      typed = (struct typed){ 409, "unknown",
+                              "the key's date is too long ago or ahead to tell whether it ran", 0 };
+      break;
+    }
+  mt_counters_add (front->options.counters, MT_COUNTER_DUPLICATE, 1);
+  answer_typed (request, plan, &typed);
+}
+
+/* Claims the key of a request that may not be repeated. False where the request was answered. */
+static bool
+take_claim (struct mt_front *front,
+            struct mt_http_request *request,
+            const struct plan *plan,
+            struct mt_claim *claim)
+{
+  struct mt_str key
+      = mt_http_header_find (request->headers, request->n_headers, MT_STR ("Idempotency-Key"));
+  enum mt_claim_result result;
+
+  if (key.len == 0 || key.len > MAX_KEY_BYTES)
+    {
+      mt_counters_add (front->options.counters, MT_COUNTER_NOT_RUN, 1);
+      answer_typed (
+          request, plan,
+          &(struct typed){ 400, "not-run",
+                           "this route needs an Idempotency-Key header of 1 to 256 bytes, "
+                           "one for each request and the same when it is sent again",
+                           0 });
+      return false;
+    }
+  result = mt_claims_take (front->options.claims, plan->route, key, plan->deadline_us, claim);
+  if (result == MT_CLAIM_GRANTED)
+    return true;
+  if (result == MT_CLAIM_UNAVAILABLE)
+    refuse_not_run (front, request, plan, "its key could not be claimed in time");
+  else
+    answer_taken (front, request, plan, result, claim->status);
+  return false;
+}
+
+static void
+end_claim (struct mt_front *front,
+           const struct mt_http_request *request,
+           const struct mt_claim *claim,
+           const struct tries *tries,
+           enum try_result result)
+{
+  enum mt_claim_end end = tries->maybe_run ? MT_CLAIM_END_LOST : MT_CLAIM_END_NOT_RUN;
+
+  if (result == TRY_WHOLE)
+    end = MT_CLAIM_END_DONE;
+  mt_claims_end (front->options.claims, claim, end, request->answer.status);
+}
+
 struct mt_front *
 mt_front_create (const struct mt_front_options *options)
 {
@@ -427,10 +509,12 @@
   struct mt_front *front = ctx;
   struct plan plan = { 0 };
   struct tries tries = { 0 };
+  struct mt_claim claim;
+  enum try_result result;
   bool routed = make_plan (front, request, &plan);
 
   mt_counters_add (front->options.counters, MT_COUNTER_ASKED, 1);
-  if (plan.id.data == NULL || (routed && plan.pool.data == NULL))
+  if (plan.id.data == NULL || (routed && (plan.pool.data == NULL || plan.route.data == NULL)))
     {
       mt_counters_add (front->options.counters, MT_COUNTER_NOT_RUN, 1);
       answer_without_memory (request, true);
@@ -442,5 +526,10 @@
       answer_typed (request, &plan, &(struct typed){ 404, "not-run", "no route leads there", 0 });
       return;
     }
-  settle (front, request, &plan, &tries, try_in_turn (front, request, &plan, &tries));
+  if (plan.repeat == MT_REPEAT_NEVER && !take_claim (front, request, &plan, &claim))
+    return;
+  result = try_in_turn (front, request, &plan, &tries);
+  if (plan.repeat == MT_REPEAT_NEVER)
+    end_claim (front, request, &claim, &tries, result);
+  settle (front, request, &plan, &tries, result);
 }
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -3,6 +3,7 @@
 #ifndef MT_FRONT_H
 #define MT_FRONT_H
 
+#include "claims.h"
 #include "counters.h"
 #include "http_exchange.h"
 #include "http_server.h"
@@ -16,6 +17,7 @@
   struct mt_view_holder *views;
   struct mt_pools *pools;
   struct mt_http_exchanges *exchanges;
+  struct mt_claims *claims; /* of requests that may not be repeated */
   struct mt_counters *counters;
   size_t answer_bytes;
 };
--- /dev/null
+++ b/include/medlartrack/breaker.h
@@ -0,0 +1,40 @@
+/* A store that stops calling a service known to be down, so that nobody waits for it, and comes
+ * back to it at jittered times, so that daemons don't come back together. Shared by all users of
+ * the store; any thread may call. */
+#ifndef MEDLARTRACK_BREAKER_H
+#define MEDLARTRACK_BREAKER_H
+
+#include "medlartrack/clock.h"
+#include "medlartrack/store.h"
+
+struct mt_breaker;
+
+struct mt_breaker_options
+{
+  const struct mt_clock *clock;
+  const struct mt_store *inner; /* outlives the breaker */
+  unsigned failures;            /* so many in a row open it */
+  int64_t first_us;             /* least pause before a probe */
+  int64_t longest_us;           /* longest pause */
+  uint32_t seed;                /* of the jitter, unlike any other daemon's */
+};
+
+/* Calls let through, by kind, and those refused without a call. */
+struct mt_breaker_counts
+{
+  uint64_t reads;
+  uint64_t writes;
+  uint64_t watches;
+  uint64_t refused;
+  uint64_t opened;
+};
+
+struct mt_breaker *mt_breaker_create (const struct mt_breaker_options *options);
+void mt_breaker_destroy (struct mt_breaker *breaker);
+/* Lives as long as the breaker. While it is open, reads fail with MT_ERROR_UNAVAILABLE and writes
+ * return MT_STORE_FAILED, but for one probe after each pause. */
+const struct mt_store *mt_breaker_store (struct mt_breaker *breaker);
+bool mt_breaker_is_open (struct mt_breaker *breaker);
+struct mt_breaker_counts mt_breaker_counts (struct mt_breaker *breaker);
+
+#endif
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -11,6 +11,7 @@
 
 MT_EVENT (3001, PLATFORM_UNREACHABLE, G_LOG_LEVEL_WARNING, "the platform's service does not answer")
 MT_EVENT (3002, PLATFORM_BACK, G_LOG_LEVEL_MESSAGE, "the platform's service answers again")
+MT_EVENT (3003, CLAIMS_UNREADABLE, G_LOG_LEVEL_CRITICAL, "a shard of the claims can't be read")
 
 MT_EVENT (4001, TABLES_IN_FORCE, G_LOG_LEVEL_MESSAGE, "a version of the tables is in force")
 MT_EVENT (4002, TABLES_REFUSED, G_LOG_LEVEL_WARNING, "a version of the tables was not taken")
--- a/tests/path/test_front.c
+++ b/tests/path/test_front.c
@@ -1,5 +1,6 @@
 #include "front.h"
 
+#include "fake_store.h"
 #include "scripted.h"
 
 #include <setjmp.h>
@@ -18,6 +19,9 @@
   struct mt_http_client *client;
   struct mt_http_exchanges *exchanges;
   struct mt_counters counters;
+  struct fake_store *store;
+  struct mt_breaker *breaker;
+  struct mt_claims *claims;
   struct mt_front *front;
   struct scripted *minions[N_MINIONS];
   struct mt_arena *arena;
@@ -58,6 +62,20 @@
   put_records (f);
 }
 
+static void
+create_claims (struct fixture *f, const struct mt_clock *clock)
+{
+  struct mt_breaker_options breaker
+      = { .clock = clock, .failures = 3, .first_us = MT_SECOND, .longest_us = MT_SECOND };
+  struct mt_claims_options claims = { .clock = clock };
+
+  f->store = fake_store_create (clock);
+  breaker.inner = fake_store_store (f->store);
+  f->breaker = mt_breaker_create (&breaker);
+  claims.breaker = f->breaker;
+  f->claims = mt_claims_create (&claims);
+}
+
 static int
 set_up (void **state)
 {
@@ -76,6 +94,8 @@
   options.views = f->views;
   options.pools = f->pools;
   options.exchanges = f->exchanges;
+  create_claims (f, clock);
+  options.claims = f->claims;
   options.counters = &f->counters;
   f->front = mt_front_create (&options);
   put_tables (f);
@@ -90,6 +110,9 @@
 
   mt_http_exchanges_destroy (f->exchanges);
   mt_front_destroy (f->front);
+  mt_claims_destroy (f->claims);
+  mt_breaker_destroy (f->breaker);
+  fake_store_destroy (f->store);
   mt_pools_destroy (f->pools);
   mt_http_client_destroy (f->client);
   mt_view_holder_destroy (f->views);
