tests: prove at most once by real processes, and recovery without a stampede

Cause: the claims were proved in the core only. Found by test_platform_down: after an outage claims were refused for up to 15 s, since nobody called a service that was known to be down but the registry, four times a minute. Ruled out: letting a caller's request be the probe, which would wait. Change: tests/process/harness.[ch]; seven tests with two daemons, a minion and a platform; one shard probes while the breaker is open; a breaker test with a hundred daemons on a paused clock.

--- a/daemon/claims.c
+++ b/daemon/claims.c
@@ -8,11 +8,13 @@
 /* Part of the format: a key's shard must be the same everywhere, for as long as claims are kept. */
 #define SHARDS 16
 
-#define KEEP_US      (3600 * MT_SECOND)
-#define MAX_WAIT_US  (2 * MT_SECOND) /* for a claim to be committed */
-#define HOLD_MS      2000            /* after its deadline a silent holder counts as lost */
-#define IDLE_WAKE_US (5 * MT_SECOND) /* trims are looked for this often */
-#define FLUSH_US     (1 * MT_SECOND) /* for ends still to be recorded at a stop */
+#define KEEP_US        (3600 * MT_SECOND)
+#define MAX_WAIT_US    (2 * MT_SECOND) /* for a claim to be committed */
+#define HOLD_MS        2000            /* after its deadline a silent holder counts as lost */
+#define IDLE_WAKE_US   (5 * MT_SECOND) /* trims are looked for this often */
+#define PROBE_CHECK_US (1 * MT_SECOND)
+#define PROBE_WAKE_US  (250 * MT_MS)   /* while the service is down */
+#define FLUSH_US       (1 * MT_SECOND) /* for ends still to be recorded at a stop */
 
 /* The fleet's writes of claims stay below 20 a second: 1.25 for each shard. A quiet shard's claims
  * go at once, a busy one's share writes. */
@@ -114,6 +116,25 @@
          && !mt_breaker_is_open (shard->claims->options.breaker);
 }
 
+/* While claims are refused without a call, only a call can tell that the service is back. One shard
+ * makes it; the breaker lets it through at its own jittered times, and refuses it in between. */
+static int64_t
+probe (struct shard *shard, int64_t now_us)
+{
+  const struct mt_store *store = mt_breaker_store (shard->claims->options.breaker);
+  struct mt_store_value value;
+
+  if (shard != &shard->claims->shards[0])
+    return now_us + IDLE_WAKE_US;
+  if (!mt_breaker_is_open (shard->claims->options.breaker))
+    return now_us + PROBE_CHECK_US;
+  g_mutex_unlock (&shard->lock);
+  store->ops->get (store->ctx, MT_ONCE_PREFIX "probe", &value, NULL);
+  mt_store_value_clear (&value);
+  g_mutex_lock (&shard->lock);
+  return now_us + PROBE_WAKE_US;
+}
+
 static gpointer
 run_shard (gpointer data)
 {
@@ -124,12 +145,13 @@
   g_mutex_lock (&shard->lock);
   while (may_go_on (shard, &flush_until_us))
     {
-      int64_t idle_us = mt_clock_now (claims->options.clock) + IDLE_WAKE_US;
       int64_t wake_us;
 
       if (step (shard, &wake_us))
         continue;
-      wake_us = MIN (wake_us, shard->stopping ? flush_until_us : idle_us);
+      wake_us
+          = MIN (wake_us, shard->stopping ? flush_until_us
+                                          : probe (shard, mt_clock_now (claims->options.clock)));
       wait_until (claims, &shard->work, &shard->lock, wake_us);
     }
   g_mutex_unlock (&shard->lock);
--- /dev/null
+++ b/tests/process/harness.c
@@ -0,0 +1,356 @@
+#include "harness.h"
+
+#include "http_client.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <jansson.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#define WAIT_LIMIT_US (60 * MT_SECOND)
+#define POLL_US       (5 * MT_MS)
+#define SEND_LIMIT_US (60 * MT_SECOND)
+#define MAX_ANSWER    (16UL * 1024 * 1024)
+
+extern char **environ;
+
+struct harness
+{
+  char *build;
+  char *folder; /* logs and settings */
+  GPtrArray *processes;
+  struct mt_http_client *client;
+};
+
+struct sending
+{
+  struct harness *harness;
+  struct process process;
+  char *method;
+  char *path;
+  char *key;
+  char *body;
+  struct reply reply;
+  GThread *thread;
+};
+
+bool
+harness_wait (bool (*holds) (void *ctx), void *ctx)
+{
+  gint64 until = g_get_monotonic_time () + WAIT_LIMIT_US;
+
+  while (!holds (ctx))
+    {
+      if (g_get_monotonic_time () > until)
+        return false;
+      g_usleep (POLL_US);
+    }
+  return true;
+}
+
+static void
+free_process (gpointer data)
+{
+  struct process *process = data;
+
+  harness_kill (process);
+  unlink (process->log_path);
+  g_free (process->log_path);
+  g_free (process);
+}
+
+struct harness *
+harness_create (const char *build)
+{
+  struct harness *harness = g_new0 (struct harness, 1);
+
+  harness->build = g_strdup (build);
+  harness->folder = g_dir_make_tmp ("medlartrack-test-XXXXXX", NULL);
+  harness->processes = g_ptr_array_new_with_free_func (free_process);
+  harness->client = mt_http_client_create (mt_clock_system ());
+  return harness;
+}
+
+void
+harness_destroy (struct harness *harness)
+{
+  g_ptr_array_unref (harness->processes);
+  mt_http_client_destroy (harness->client);
+  rmdir (harness->folder);
+  g_free (harness->folder);
+  g_free (harness->build);
+  g_free (harness);
+}
+
+static bool
+has_port (void *ctx)
+{
+  struct process *process = ctx;
+  g_autofree char *text = NULL;
+  const char *at;
+  char *end;
+
+  if (!g_file_get_contents (process->log_path, &text, NULL, NULL))
+    return false;
+  at = strstr (text, "port=");
+  if (at == NULL)
+    return false;
+  process->port = (unsigned) strtoul (at + strlen ("port="), &end, 10);
+  return *end != '\0' && process->port != 0;
+}
+
+static pid_t
+spawn (const char *log_path, char *const *argv)
+{
+  posix_spawn_file_actions_t actions;
+  pid_t pid = 0;
+
+  posix_spawn_file_actions_init (&actions);
+  posix_spawn_file_actions_addopen (&actions, STDOUT_FILENO, log_path,
+                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
+  posix_spawn_file_actions_adddup2 (&actions, STDOUT_FILENO, STDERR_FILENO);
+  if (posix_spawn (&pid, argv[0], &actions, NULL, argv, environ) != 0)
+    pid = 0;
+  posix_spawn_file_actions_destroy (&actions);
+  return pid;
+}
+
+struct process *
+harness_start (struct harness *harness, const char *program, ...)
+{
+  struct process *process = g_new0 (struct process, 1);
+  g_autoptr (GPtrArray) argv = g_ptr_array_new ();
+  g_autofree char *path = g_build_filename (harness->build, program, NULL);
+  va_list args;
+  char *arg;
+
+  g_ptr_array_add (argv, path);
+  va_start (args, program);
+  while ((arg = va_arg (args, char *)) != NULL)
+    g_ptr_array_add (argv, arg);
+  va_end (args);
+  g_ptr_array_add (argv, NULL);
+  process->log_path = g_strdup_printf ("%s/%u.log", harness->folder, harness->processes->len);
+  g_ptr_array_add (harness->processes, process);
+  process->pid = spawn (process->log_path, (char *const *) argv->pdata);
+  assert_true (process->pid > 0);
+  if (!harness_wait (has_port, process))
+    fail_msg ("%s printed no port", program);
+  return process;
+}
+
+struct process *
+harness_start_platform (struct harness *harness)
+{
+  return harness_start (harness, "tests/standins/medlartrack-standin-platform", NULL);
+}
+
+struct process *
+harness_start_minion (struct harness *harness, const char *name, unsigned work_ms)
+{
+  g_autofree char *work = g_strdup_printf ("%u", work_ms);
+
+  return harness_start (harness, "tests/standins/medlartrack-standin-minion", "127.0.0.1:0", name,
+                        work, NULL);
+}
+
+struct process *
+harness_start_daemon (struct harness *harness,
+                      const char *name,
+                      const struct process *platform,
+                      const char *limits)
+{
+  g_autofree char *path = g_strdup_printf ("%s/%s.json", harness->folder, name);
+  g_autofree char *text = g_strdup_printf (
+      "{\"name\":\"%s\",\"zone\":\"west\",\"listen\":\"127.0.0.1:0\","
+      "\"peer_listen\":\"127.0.0.1:0\",\"platform\":\"127.0.0.1:%u\",\"limits\":%s}",
+      name, platform->port, limits != NULL ? limits : "{}");
+  struct process *process;
+
+  assert_true (g_file_set_contents (path, text, -1, NULL));
+  process = harness_start (harness, "daemon/medlartrackd", "--settings", path, NULL);
+  unlink (path);
+  return process;
+}
+
+void
+harness_signal (const struct process *process, int number)
+{
+  if (process->pid > 0)
+    kill (process->pid, number);
+}
+
+void
+harness_kill (struct process *process)
+{
+  if (process->pid <= 0)
+    return;
+  kill (process->pid, SIGKILL);
+  while (waitpid (process->pid, NULL, 0) < 0 && errno == EINTR)
+    ;
+  process->pid = 0;
+}
+
+struct reply
+harness_send (struct harness *harness,
+              const struct process *process,
+              const char *method,
+              const char *path,
+              const char *key,
+              const char *body)
+{
+  g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", process->port);
+  struct mt_http_header header
+      = { MT_STR ("Idempotency-Key"), mt_str_from (key != NULL ? key : "") };
+  struct mt_http_call call = { .method = method,
+                               .path = path,
+                               .headers = &header,
+                               .n_headers = key != NULL ? 1 : 0,
+                               .body = mt_str_from (body != NULL ? body : ""),
+                               .fresh = true,
+                               .deadline_us = mt_clock_now (mt_clock_system ()) + SEND_LIMIT_US,
+                               .max_answer = MAX_ANSWER };
+  struct mt_arena *arena = mt_arena_create (0);
+  struct mt_http_answer answer = { 0 };
+  struct reply reply = { 0 };
+  struct mt_str outcome;
+
+  if (mt_http_client_call (harness->client, address, &call, arena, &answer, NULL) == MT_HTTP_WHOLE)
+    {
+      reply.status = answer.status;
+      reply.body = g_strndup (answer.body.data, answer.body.len);
+      outcome
+          = mt_http_header_find (answer.headers, answer.n_headers, MT_STR ("Medlartrack-Outcome"));
+      reply.outcome = outcome.data != NULL ? g_strndup (outcome.data, outcome.len) : NULL;
+    }
+  mt_arena_destroy (arena);
+  return reply;
+}
+
+void
+reply_clear (struct reply *reply)
+{
+  g_free (reply->body);
+  g_free (reply->outcome);
+  *reply = (struct reply){ 0 };
+}
+
+int
+harness_status (struct harness *harness,
+                const struct process *process,
+                const char *method,
+                const char *path,
+                const char *key,
+                const char *body)
+{
+  struct reply reply = harness_send (harness, process, method, path, key, body);
+  int status = reply.status;
+
+  reply_clear (&reply);
+  return status;
+}
+
+static gpointer
+run_sending (gpointer data)
+{
+  struct sending *sending = data;
+
+  sending->reply = harness_send (sending->harness, &sending->process, sending->method,
+                                 sending->path, sending->key, sending->body);
+  return NULL;
+}
+
+struct sending *
+harness_send_async (struct harness *harness,
+                    const struct process *process,
+                    const char *method,
+                    const char *path,
+                    const char *key,
+                    const char *body)
+{
+  struct sending *sending = g_new0 (struct sending, 1);
+
+  sending->harness = harness;
+  sending->process = *process;
+  sending->method = g_strdup (method);
+  sending->path = g_strdup (path);
+  sending->key = g_strdup (key);
+  sending->body = g_strdup (body);
+  sending->thread = g_thread_new ("sending", run_sending, sending);
+  return sending;
+}
+
+struct reply
+harness_join (struct sending *sending)
+{
+  struct reply reply;
+
+  g_thread_join (sending->thread);
+  reply = sending->reply;
+  g_free (sending->method);
+  g_free (sending->path);
+  g_free (sending->key);
+  g_free (sending->body);
+  g_free (sending);
+  return reply;
+}
+
+int
+harness_runs (struct harness *harness, const struct process *minion, const char *key)
+{
+  struct reply reply = harness_send (harness, minion, "GET", "/runs", NULL, NULL);
+  json_t *root = json_loads (reply.body != NULL ? reply.body : "", 0, NULL);
+  int runs = (int) json_integer_value (json_object_get (json_object_get (root, "keys"), key));
+
+  json_decref (root);
+  reply_clear (&reply);
+  return runs;
+}
+
+struct serving
+{
+  struct harness *harness;
+  const struct process *daemon;
+};
+
+static bool
+serves (void *ctx)
+{
+  struct serving *serving = ctx;
+
+  return harness_status (serving->harness, serving->daemon, "GET", "/safe", NULL, NULL) == 200;
+}
+
+void
+harness_apply_tables (struct harness *harness,
+                      const struct process *platform,
+                      const struct process *minion,
+                      struct process *const *daemons,
+                      unsigned n_daemons)
+{
+  g_autofree char *text = g_strdup_printf (
+      "{\"version\":1,\"id\":\"t\",\"routes\":["
+      "{\"route\":\"safe\",\"method\":\"GET\",\"path\":\"/"
+      "safe\",\"pool\":\"p\",\"repeat\":\"safe\"},"
+      "{\"route\":\"once\",\"method\":\"POST\",\"path\":\"/once\",\"pool\":\"p\","
+      "\"repeat\":\"never\"}],"
+      "\"pools\":[{\"pool\":\"p\",\"service\":\"s\",\"instances\":[{\"name\":\"m\","
+      "\"address\":\"127.0.0.1:%u\",\"zone\":\"west\",\"rack\":\"r\"}]}]}",
+      minion->port);
+
+  assert_int_equal (
+      harness_status (harness, platform, "PUT", "/v1/kv/medlartrack/tables?cas=0", NULL, text),
+      200);
+  for (unsigned i = 0; i < n_daemons; i++)
+    assert_true (harness_wait (serves, &(struct serving){ harness, daemons[i] }));
+}
