--- a/daemon/front.c
+++ b/daemon/front.c
@@ -183,17 +183,26 @@
   return route != NULL;
 }
 
+static bool
+is_own (struct mt_str name)
+{
+  static const struct mt_str prefix = MT_STR ("Medlartrack-");
+
+  return name.len > prefix.len
+         && mt_str_equal_nocase ((struct mt_str){ name.data, prefix.len }, prefix);
+}
+
 static bool
 is_forwarded (struct mt_str name)
 {
   static const char *const stopped[]
       = { "host",    "connection", "keep-alive", "transfer-encoding", "te",
-          "trailer", "upgrade",    "expect",     "content-length",    "medlartrack-request-id" };
+          "trailer", "upgrade",    "expect",     "content-length" };
 
   for (size_t i = 0; i < G_N_ELEMENTS (stopped); i++)
     if (mt_str_equal_nocase (name, mt_str_from (stopped[i])))
       return false;
-  return true;
+  return !is_own (name);
 }
 
 /* What has to be done when an exchange has really ended, which may be after its caller was
@@ -326,7 +335,7 @@
         tries->reason = describe_slot_failure (front, taken);
       return TRY_REFUSED;
     }
-  if (!mt_http_request_is_gone (request))
+  if (!mt_slot_has_waited (*slot) || !mt_http_request_is_gone (request))
     return TRY_WHOLE;
   mt_slot_give_back (*slot, MT_DISPATCH_UNUSED);
   mt_counters_add (front->options.counters, MT_COUNTER_CALLERS_GONE, 1);
@@ -390,6 +399,20 @@
   return result;
 }
 
+/* The daemon's own words are left out of a minion's answer: a caller that reads an outcome there
+ * may rely on it. */
+static void
+remove_own_headers (struct mt_http_answer *answer)
+{
+  size_t kept = 0;
+
+  for (size_t i = 0; i < answer->n_headers; i++)
+    if (!is_own (answer->headers[i].name)
+        || mt_str_equal_nocase (answer->headers[i].name, MT_STR ("Medlartrack-Request-Id")))
+      answer->headers[kept++] = answer->headers[i];
+  answer->n_headers = kept;
+}
+
 /* Gives the request its one answer. */
 static void
 settle (struct mt_front *front,
@@ -399,7 +422,10 @@
         enum try_result result)
 {
   if (result == TRY_WHOLE)
-    mt_counters_add (front->options.counters, MT_COUNTER_WHOLE, 1);
+    {
+      mt_counters_add (front->options.counters, MT_COUNTER_WHOLE, 1);
+      remove_own_headers (&request->answer);
+    }
   else if (result == TRY_GONE)
     request->answer = (struct mt_http_answer){ .status = MT_HTTP_DROP };
   else if (tries->maybe_run)
--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -30,6 +30,7 @@
   struct pool *pool;
   struct mt_ticket ticket; /* guarded by the pool's lock until granted */
   enum slot_state state;   /* guarded by the pool's lock */
+  bool waited;
   GCond changed;
 };
 
@@ -240,7 +241,8 @@
   slot = make_slot (pool, request);
   g_mutex_lock (&pool->lock);
   admit = mt_dispatch_ask (pool->dispatch, &slot->ticket, request->queue_limit);
-  if (admit == MT_ADMIT_WAIT)
+  slot->waited = admit == MT_ADMIT_WAIT;
+  if (slot->waited)
     wait_for_grant (pools, slot);
   if (admit == MT_ADMIT_REFUSE || slot->state == SLOT_EXPIRED)
     result = describe_refusal (slot->ticket.refusal);
@@ -270,6 +272,12 @@
   return slot->ticket.connections;
 }
 
+bool
+mt_slot_has_waited (const struct mt_slot *slot)
+{
+  return slot->waited;
+}
+
 void
 mt_slot_set_leaving (struct mt_slot *slot)
 {
--- a/daemon/pools.h
+++ b/daemon/pools.h
@@ -46,6 +46,8 @@
 const char *mt_slot_address (const struct mt_slot *slot);
 /* Most connections that this daemon may hold to the minion. */
 unsigned mt_slot_connections (const struct mt_slot *slot);
+/* It was not granted at once. */
+bool mt_slot_has_waited (const struct mt_slot *slot);
 /* The minion itself said that it leaves. */
 void mt_slot_set_leaving (struct mt_slot *slot);
 /* Gives it back and frees it. */
--- a/tests/net/scripted.c
+++ b/tests/net/scripted.c
@@ -152,6 +152,10 @@
       send_text (fd, "HTTP/1.1 503 Leaving\r\nMedlartrack-Not-Run: 1\r\n"
                      "Medlartrack-Leaving: 1\r\nContent-Length: 0\r\n\r\n");
       return false;
+    case SCRIPT_SPOOFED:
+      send_text (fd, "HTTP/1.1 200 OK\r\nmedlartrack-outcome: not-run\r\nX-Good: 1\r\n"
+                     "Content-Length: 0\r\n\r\n");
+      return true;
     case SCRIPT_TWICE:
     case SCRIPT_TWICE_BARE:
       send_text (fd, answer);
--- a/tests/net/scripted.h
+++ b/tests/net/scripted.h
@@ -10,6 +10,7 @@
 enum script
 {
   SCRIPT_WHOLE,       /* 200 with the request's id and its body "ok N", N counting requests */
+  SCRIPT_SPOOFED,     /* a whole answer that says "not run" in the daemon's words */
   SCRIPT_CUT,         /* announces 100 bytes, sends 5, closes */
   SCRIPT_CROSSED,     /* another request's id */
   SCRIPT_TWICE,       /* the whole answer two times */
--- a/tests/path/test_front.c
+++ b/tests/path/test_front.c
@@ -178,6 +178,21 @@
   assert_int_equal (f->counters.values[MT_COUNTER_WHOLE], 1);
 }
 
+/* The minion ran the request and answers with the header that means the opposite. */
+static void
+test_minion_cannot_say_not_run_in_our_name (void **state)
+{
+  struct fixture *f = *state;
+  struct mt_http_answer answer;
+
+  play (f, SCRIPT_SPOOFED);
+  answer = ask (f, "GET", "/safe/1");
+  assert_int_equal (answer.status, 200);
+  assert_non_null (mt_http_header_find (answer.headers, answer.n_headers, MT_STR ("X-Good")).data);
+  assert_null (
+      mt_http_header_find (answer.headers, answer.n_headers, MT_STR ("Medlartrack-Outcome")).data);
+}
+
 static void
 test_no_route_is_not_run (void **state)
 {
@@ -264,6 +279,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_whole_answer, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_minion_cannot_say_not_run_in_our_name, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_no_route_is_not_run, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_after_unknown_never_not_run, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_refusal_of_a_retry_is_unknown, set_up, tear_down),
