net: keep one call's timeout from cutting the next on its connection

Cause: neon gives a connection its timeout when it opens it, and a later ne_set_read_timeout changes nothing there. A connection opened for a route of 1 s cut the answer to the next request, which had 20 s, after one; one opened for a long watch of the platform let a call of 1 s wait as long. Ruled out: one long timeout for all (a call of the platform has no other bound than neon's). Change: a kept connection is taken only for a call whose whole seconds fit its timeout, up to twice as long. Before: test_short_deadline_cuts_no_later_request got "unknown" for the second request; after: whole.

--- a/net/http_client.c
+++ b/net/http_client.c
@@ -22,6 +22,7 @@
 struct idle
 {
   ne_session *session;
+  int seconds; /* its timeout */
   int64_t since_us;
 };
 
@@ -41,6 +42,7 @@
 struct connection
 {
   ne_session *session;
+  int seconds;
   bool used; /* it has carried a request before */
 };
 
@@ -78,7 +80,7 @@
 }
 
 static ne_session *
-open_session (const char *address, bool fresh)
+open_session (const char *address, int seconds, bool fresh)
 {
   const char *colon = strrchr (address, ':');
   g_autofree char *host = g_strndup (address, (gsize) (colon - address));
@@ -88,6 +90,8 @@
    * persistence off no connection carries a second request, so there is nothing to repeat on. */
   if (fresh)
     ne_set_session_flag (session, NE_SESSFLAG_PERSIST, 0);
+  ne_set_connect_timeout (session, seconds);
+  ne_set_read_timeout (session, seconds);
   return session;
 }
 
@@ -107,10 +111,37 @@
     }
 }
 
+/* neon counts whole seconds; who needs the answer on time waits in mt_http_exchanges. */
+static int
+work_out_timeout (const struct mt_http_client *client, const struct mt_http_call *call)
+{
+  int64_t left = call->deadline_us - mt_clock_now (client->clock);
+
+  return left <= 0 ? 1 : (int) ((left + MT_SECOND - 1) / MT_SECOND);
+}
+
+/* neon gives a connection its timeout when it opens it. A shorter one would cut this call, and a
+ * much longer one would let it wait far past its deadline. */
+static struct idle *
+pop_fitting (struct peer *peer, int seconds)
+{
+  for (GList *l = peer->idle.head; l != NULL; l = l->next)
+    {
+      struct idle *idle = l->data;
+
+      if (idle->seconds < seconds || idle->seconds > 2 * seconds)
+        continue;
+      g_queue_delete_link (&peer->idle, l);
+      return idle;
+    }
+  return NULL;
+}
+
 static struct idle *
 take_idle (struct mt_http_client *client,
            const char *address,
            const struct mt_http_call *call,
+           int seconds,
            GQueue *dropped)
 {
   struct idle *idle = NULL;
@@ -120,7 +151,7 @@
   peer = find_peer (client, address);
   drop_idle (client, peer, 0, dropped);
   if (!call->fresh)
-    idle = g_queue_pop_head (&peer->idle);
+    idle = pop_fitting (peer, seconds);
   if (idle == NULL)
     {
       drop_idle (client, peer, call->connections, dropped);
@@ -135,14 +166,16 @@
                  const char *address,
                  const struct mt_http_call *call)
 {
-  struct connection connection = { NULL, true };
+  int seconds = work_out_timeout (client, call);
+  struct connection connection = { .used = true };
   GQueue dropped = G_QUEUE_INIT;
-  struct idle *idle = take_idle (client, address, call, &dropped);
+  struct idle *idle = take_idle (client, address, call, seconds, &dropped);
 
   g_queue_clear_full (&dropped, free_idle);
   if (idle == NULL)
-    return (struct connection){ open_session (address, call->fresh), false };
+    return (struct connection){ open_session (address, seconds, call->fresh), seconds, false };
   connection.session = idle->session;
+  connection.seconds = idle->seconds;
   g_free (idle);
   return connection;
 }
@@ -163,7 +196,7 @@
   if (keep && peer->open <= limit)
     {
       idle = g_new (struct idle, 1);
-      *idle = (struct idle){ connection.session, mt_clock_now (client->clock) };
+      *idle = (struct idle){ connection.session, connection.seconds, mt_clock_now (client->clock) };
       g_queue_push_head (&peer->idle, idle);
     }
   else
@@ -173,17 +206,6 @@
     ne_session_destroy (connection.session);
 }
 
-/* neon counts whole seconds; who needs the answer on time waits in mt_http_exchanges. */
-static void
-set_timeouts (struct mt_http_client *client, ne_session *session, int64_t deadline_us)
-{
-  int64_t left = deadline_us - mt_clock_now (client->clock);
-  int seconds = left <= 0 ? 1 : (int) ((left + MT_SECOND - 1) / MT_SECOND);
-
-  ne_set_connect_timeout (session, seconds);
-  ne_set_read_timeout (session, seconds);
-}
-
 static bool
 is_hop_by_hop (const char *name)
 {
@@ -396,7 +418,6 @@
   enum mt_http_outcome outcome;
 
   *answer = (struct mt_http_answer){ 0 };
-  set_timeouts (client, connection.session, call->deadline_us);
   for (size_t i = 0; i < call->n_headers; i++)
     ne_add_request_header (request, call->headers[i].name.data, call->headers[i].value.data);
   if (call->id.len > 0)
--- a/tests/net/scripted.c
+++ b/tests/net/scripted.c
@@ -2,6 +2,7 @@
 
 #include "address.h"
 
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -132,6 +133,9 @@
 
   if (script == SCRIPT_HELD)
     wait_for_release (scripted);
+  if (script == SCRIPT_PATIENT
+      && poll (&(struct pollfd){ .fd = fd, .events = POLLIN }, 1, 3000) > 0)
+    return false;
   switch (script)
     {
     case SCRIPT_CUT:
@@ -163,6 +167,7 @@
     case SCRIPT_WHOLE:
     case SCRIPT_CROSSED:
     case SCRIPT_HELD:
+    case SCRIPT_PATIENT:
       break;
     }
   send_text (fd, answer);
--- a/tests/net/scripted.h
+++ b/tests/net/scripted.h
@@ -20,6 +20,7 @@
   SCRIPT_UNDELIMITED, /* neither length nor chunks */
   SCRIPT_REFUSED,     /* 503, says that it did not run */
   SCRIPT_LEAVING,     /* the same, and that it leaves */
+  SCRIPT_PATIENT,     /* answers whole after 3 s, unless the other side hangs up before */
   SCRIPT_HELD,        /* answers whole once scripted_release was called */
 };
 
--- a/tests/net/test_http_client.c
+++ b/tests/net/test_http_client.c
@@ -180,6 +180,20 @@
                                  error);
 }
 
+/* One route allows a second, another twenty; the minion takes three. neon keeps a connection's
+ * timeout as it was when it was opened: the second request must not be cut by the first one's. */
+static void
+test_short_deadline_cuts_no_later_request (void **state)
+{
+  struct fixture *f = *state;
+  const enum script scripts[] = { SCRIPT_WHOLE, SCRIPT_PATIENT };
+
+  scripted_play (f->minion, scripts, 2);
+  assert_int_equal (exchange (f, MT_STR ("a"), MT_SECOND, NULL), MT_HTTP_WHOLE);
+  assert_int_equal (exchange (f, MT_STR ("b"), 20 * MT_SECOND, NULL), MT_HTTP_WHOLE);
+  assert_int_equal (f->ended, 2);
+}
+
 /* The minion answers only after the caller was told "unknown" at its deadline. The slot is given
  * back when the late answer came, not before, and the next request does not meet that answer. */
 static void
@@ -228,6 +242,7 @@
     cmocka_unit_test_setup_teardown (test_fresh_request_is_read_once, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_broken_answers_are_unknown, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_answer_sent_twice_meets_nobody, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_short_deadline_cuts_no_later_request, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_late_answer, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_answer_beyond_memory, set_up, tear_down),
   };
