once: hand claims to their shard's owner, who commits many in one write

Cause: each daemon committed its own claims, so the fleet's writes grew with daemons and shards, and each read the others' batches. Ruled out: an owner that must be right (views differ; the log decides); sending one attempt twice (an owner that wakes late could claim it after its release). Change: rendezvous hash over live members; MT_PEER_CLAIM carries claims and ends; where the owner gives no answer, the first attempt is released and a second one committed here. A claim whose release is already in the log is not written. Batches are read through mt_pack_read, which bounds lengths. Conclusion: safety still rests on the log alone.

--- a/core/once/batch.c
+++ b/core/once/batch.c
@@ -1,8 +1,8 @@
-#include "batch.h"
+#include "medlartrack/batch.h"
 
 #include "medlartrack/error.h"
+#include "medlartrack/pack.h"
 
-#include <msgpack.h>
 #include <string.h>
 
 #define VERSION       1
@@ -71,15 +71,6 @@
   return true;
 }
 
-static bool
-read_uint (const msgpack_object *object, uint64_t max, uint64_t *out)
-{
-  if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER || object->via.u64 > max)
-    return false;
-  *out = object->via.u64;
-  return true;
-}
-
 static bool
 read_record (const msgpack_object *object, struct mt_record *record)
 {
@@ -89,9 +80,9 @@
 
   if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size != RECORD_FIELDS)
     return false;
-  if (!read_uint (&fields[0], MT_RECORD_RELEASE, &kind) || kind < MT_RECORD_CLAIM
+  if (!mt_pack_get_u64 (&fields[0], MT_RECORD_RELEASE, &kind) || kind < MT_RECORD_CLAIM
       || !read_id (&fields[1], record->key) || !read_id (&fields[2], record->attempt)
-      || !read_uint (&fields[3], UINT32_MAX, &extra))
+      || !mt_pack_get_u64 (&fields[3], UINT32_MAX, &extra))
     return false;
   record->kind = (uint8_t) kind;
   record->extra = (uint32_t) extra;
@@ -107,8 +98,9 @@
 
   if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size != BATCH_FIELDS)
     return false;
-  if (!read_uint (&fields[0], VERSION, &version) || version != VERSION
-      || !read_id (&fields[1], batch->id) || !read_uint (&fields[2], INT64_MAX / 1000, &wall_ms)
+  if (!mt_pack_get_u64 (&fields[0], VERSION, &version) || version != VERSION
+      || !read_id (&fields[1], batch->id)
+      || !mt_pack_get_u64 (&fields[2], INT64_MAX / 1000, &wall_ms)
       || fields[3].type != MSGPACK_OBJECT_ARRAY || fields[3].via.array.size > MT_BATCH_MAX_RECORDS)
     return false;
   batch->wall_ms = (int64_t) wall_ms;
@@ -124,13 +116,13 @@
 mt_batch_decode (struct mt_str bytes, struct mt_batch *batch, GError **error)
 {
   msgpack_unpacked unpacked;
-  size_t offset = 0;
-  bool ok;
+  bool ok = mt_pack_read (bytes, &unpacked, NULL);
 
-  msgpack_unpacked_init (&unpacked);
-  ok = msgpack_unpack_next (&unpacked, bytes.data, bytes.len, &offset) == MSGPACK_UNPACK_SUCCESS
-       && offset == bytes.len && read_batch (&unpacked.data, batch);
-  msgpack_unpacked_destroy (&unpacked);
+  if (ok)
+    {
+      ok = read_batch (&unpacked.data, batch);
+      msgpack_unpacked_destroy (&unpacked);
+    }
   if (!ok)
     g_set_error (
         error, MT_ERROR, MT_ERROR_SYNTAX,
--- a/core/once/held.c
+++ b/core/once/held.c
@@ -2,7 +2,14 @@
 
 struct mt_held
 {
-  GHashTable *claims; /* a set of struct mt_held_claim, keyed by its first field */
+  GHashTable *claims;   /* a set of struct mt_held_claim, keyed by its first field */
+  GHashTable *released; /* a set of struct released; few, since releases follow claims */
+};
+
+struct released
+{
+  uint64_t attempt[2];
+  uint64_t seq;
 };
 
 guint
@@ -26,6 +33,7 @@
   struct mt_held *held = g_new0 (struct mt_held, 1);
 
   held->claims = g_hash_table_new_full (mt_id_hash, mt_id_equal, g_free, NULL);
+  held->released = g_hash_table_new_full (mt_id_hash, mt_id_equal, g_free, NULL);
   return held;
 }
 
@@ -33,6 +41,7 @@
 mt_held_destroy (struct mt_held *held)
 {
   g_hash_table_destroy (held->claims);
+  g_hash_table_destroy (held->released);
   g_free (held);
 }
 
@@ -40,6 +49,7 @@
 mt_held_forget_all (struct mt_held *held)
 {
   g_hash_table_remove_all (held->claims);
+  g_hash_table_remove_all (held->released);
 }
 
 static gboolean
@@ -50,10 +60,19 @@
   return claim->seq < *(const uint64_t *) seq;
 }
 
+static gboolean
+is_released_below (gpointer key, gpointer value, gpointer seq)
+{
+  const struct released *released = key;
+
+  return released->seq < *(const uint64_t *) seq;
+}
+
 void
 mt_held_forget_below (struct mt_held *held, uint64_t seq)
 {
   g_hash_table_foreach_remove (held->claims, is_below, &seq);
+  g_hash_table_foreach_remove (held->released, is_released_below, &seq);
 }
 
 static struct mt_held_claim *
@@ -107,20 +126,38 @@
   claim->seq = seq;
 }
 
+static void
+apply_release (struct mt_held *held,
+               struct mt_held_claim *claim,
+               const struct mt_record *record,
+               uint64_t seq)
+{
+  struct released *released;
+
+  if (claim != NULL && mt_id_equal (claim->attempt, record->attempt))
+    {
+      g_hash_table_remove (held->claims, claim);
+      return;
+    }
+  released = g_new (struct released, 1);
+  released->attempt[0] = record->attempt[0];
+  released->attempt[1] = record->attempt[1];
+  released->seq = seq;
+  g_hash_table_add (held->released, released);
+}
+
 static void
 apply_record (struct mt_held *held, const struct mt_record *record, int64_t wall_ms, uint64_t seq)
 {
   struct mt_held_claim *claim = find (held, record->key);
 
-  if (record->kind == MT_RECORD_CLAIM)
-    apply_claim (held, claim, record, wall_ms, seq);
   /* An end counts for the attempt that holds the key only: a release that arrives after the key
    * was freed and claimed again must not free it under the new holder. */
-  else if (claim != NULL && !mt_id_equal (claim->attempt, record->attempt))
-    return;
-  else if (record->kind == MT_RECORD_RELEASE && claim != NULL)
-    g_hash_table_remove (held->claims, claim);
-  else if (record->kind != MT_RECORD_RELEASE)
+  if (record->kind == MT_RECORD_CLAIM)
+    apply_claim (held, claim, record, wall_ms, seq);
+  else if (record->kind == MT_RECORD_RELEASE)
+    apply_release (held, claim, record, seq);
+  else if (claim == NULL || mt_id_equal (claim->attempt, record->attempt))
     apply_end (held, claim, record, seq);
 }
 
@@ -137,6 +174,12 @@
   return find (held, key);
 }
 
+bool
+mt_held_is_released (const struct mt_held *held, const uint64_t attempt[2])
+{
+  return g_hash_table_contains (held->released, attempt);
+}
+
 unsigned
 mt_held_count (const struct mt_held *held)
 {
--- a/core/once/held.h
+++ b/core/once/held.h
@@ -2,7 +2,7 @@
 #ifndef MT_HELD_H
 #define MT_HELD_H
 
-#include "batch.h"
+#include "medlartrack/batch.h"
 
 enum mt_held_state
 {
@@ -32,6 +32,9 @@
 void mt_held_apply (struct mt_held *held, const struct mt_batch *batch, uint64_t seq);
 /* NULL where the key is free. */
 const struct mt_held_claim *mt_held_find (const struct mt_held *held, const uint64_t key[2]);
+/* Whether the attempt was released before any claim of it was seen: a claim that is still on its
+ * way must not be written after its release, where it would hold the key for nobody. */
+bool mt_held_is_released (const struct mt_held *held, const uint64_t attempt[2]);
 unsigned mt_held_count (const struct mt_held *held);
 
 /* For hash tables keyed by a 128-bit id. */
--- a/core/once/once.c
+++ b/core/once/once.c
@@ -1,7 +1,7 @@
 #include "medlartrack/once.h"
 
-#include "batch.h"
 #include "held.h"
+#include "medlartrack/batch.h"
 #include "medlartrack/error.h"
 
 #include <stdio.h>
@@ -303,6 +303,7 @@
   VERDICT_CLAIM,
   VERDICT_WAIT, /* another ask of this batch claims the key */
   VERDICT_TAKEN,
+  VERDICT_LATE, /* nobody waits for it any more */
   VERDICT_LOOK, /* taken when last looked, and perhaps released since */
 };
 
@@ -320,6 +321,9 @@
   const struct mt_held_claim *claim = mt_held_find (once->held, ask->key);
   const struct mt_record *record = find_in_batch (overlay, ask->key);
 
+  if (mt_held_is_released (once->held, ask->attempt)
+      || (ask->until_us != 0 && ask->until_us < mt_clock_now (once->options.clock)))
+    return VERDICT_LATE;
   if (record != NULL && record->kind == MT_RECORD_CLAIM)
     return VERDICT_WAIT;
   if (claim == NULL)
@@ -388,7 +392,7 @@
         }
       else if (verdict == VERDICT_LOOK)
         once->look = true;
-      else if (verdict == VERDICT_CLAIM && !has_room (once, flight))
+      else if (verdict == VERDICT_LATE || (verdict == VERDICT_CLAIM && !has_room (once, flight)))
         {
           g_queue_delete_link (&once->asks, link);
           settle (once, ask, MT_ONCE_UNAVAILABLE);
@@ -914,6 +918,12 @@
   add_end (once, &record);
 }
 
+void
+mt_once_record (struct mt_once *once, const struct mt_record *end)
+{
+  add_end (once, end);
+}
+
 unsigned
 mt_once_held (const struct mt_once *once)
 {
--- a/daemon/claims.c
+++ b/daemon/claims.c
@@ -1,7 +1,9 @@
 #include "claims.h"
 
+#include "claim_owner.h"
 #include "medlartrack/log.h"
-#include "medlartrack/once.h"
+
+#include <string.h>
 
 #include <xxhash.h>
 
@@ -14,6 +16,7 @@
 #define IDLE_WAKE_US   (5 * MT_SECOND) /* trims are looked for this often */
 #define PROBE_CHECK_US (1 * MT_SECOND)
 #define PROBE_WAKE_US  (250 * MT_MS)   /* while the service is down */
+#define ENDS_AT_ONCE   256             /* sent to an owner in one frame */
 #define FLUSH_US       (1 * MT_SECOND) /* for ends still to be recorded at a stop */
 
 /* The fleet's writes of claims stay below 20 a second: 1.25 for each shard. A quiet shard's claims
@@ -40,9 +43,16 @@
   struct mt_claims_options options;
   uint64_t writer;  /* random: unique to this run of the process */
   guint64 attempts; /* atomic */
+  guint64 sent;     /* atomic: claims that an owner answered */
+  guint64 fallen;   /* atomic: claims committed here since the owner did not */
   struct shard shards[SHARDS];
+  GAsyncQueue *ends; /* of struct mt_record, for owners elsewhere */
+  GThread *end_sender;
 };
 
+/* In the queue of ends: the sender is to stop. */
+static struct mt_record stop_mark;
+
 struct waiter
 {
   struct mt_once_ask ask;
@@ -196,10 +206,10 @@
   g_mutex_clear (&shard->lock);
 }
 
-static struct shard *
-find_shard (struct mt_claims *claims, const struct mt_claim *claim)
+static unsigned
+number_shard (const uint64_t key[2])
 {
-  return &claims->shards[claim->key[0] % SHARDS];
+  return (unsigned) (key[0] % SHARDS);
 }
 
 /* Not a cryptographic hash: a caller who finds two keys with one hash gets one of them refused as a
@@ -220,19 +230,76 @@
   out[1] = hash.high64;
 }
 
+/* Commits the claim here, with this daemon's own writes. */
 static void
-wait_for_claim (struct shard *shard, struct waiter *waiter, int64_t until_us)
+ask_here (struct mt_claims *claims, struct mt_once_ask *ask)
 {
+  struct shard *shard = &claims->shards[number_shard (ask->key)];
+  struct waiter waiter = { .ask = *ask };
+
+  ask->result = MT_ONCE_UNAVAILABLE;
+  if (mt_breaker_is_open (claims->options.breaker))
+    return;
+  waiter.ask.owner = &waiter;
+  g_cond_init (&waiter.changed);
   g_mutex_lock (&shard->lock);
-  mt_once_ask (shard->once, &waiter->ask);
+  mt_once_ask (shard->once, &waiter.ask);
   g_cond_signal (&shard->work);
-  while (waiter->ask.result == MT_ONCE_PENDING
-         && wait_until (shard->claims, &waiter->changed, &shard->lock, until_us))
+  while (waiter.ask.result == MT_ONCE_PENDING
+         && wait_until (claims, &waiter.changed, &shard->lock, ask->until_us))
     ;
-  mt_once_cancel (shard->once, &waiter->ask);
+  mt_once_cancel (shard->once, &waiter.ask);
+  g_mutex_unlock (&shard->lock);
+  g_cond_clear (&waiter.changed);
+  ask->result = waiter.ask.result;
+  ask->status = waiter.ask.status;
+}
+
+static void
+end_here (struct mt_claims *claims, const struct mt_record *record)
+{
+  struct shard *shard = &claims->shards[number_shard (record->key)];
+
+  g_mutex_lock (&shard->lock);
+  mt_once_record (shard->once, record);
+  g_cond_signal (&shard->work);
   g_mutex_unlock (&shard->lock);
 }
 
+static void
+start_attempt (struct mt_claims *claims, struct mt_once_ask *ask)
+{
+  ask->attempt[0] = claims->writer;
+  ask->attempt[1] = __atomic_add_fetch (&claims->attempts, 1, __ATOMIC_RELAXED);
+}
+
+/* Asks the shard's owner. False where this daemon has to commit the claim itself; that is then
+ * another attempt, and where the first may have been claimed it is released before, in the same
+ * batch or an earlier one, so that an owner which is slow to commit it frees or blocks nobody. */
+static bool
+ask_owner (struct mt_claims *claims, struct mt_once_ask *ask)
+{
+  g_autofree char *owner
+      = mt_claim_owner_find (claims->options.peers, claims->options.name, number_shard (ask->key));
+  struct mt_record record = { .kind = MT_RECORD_RELEASE, .key = { ask->key[0], ask->key[1] } };
+  enum mt_claim_sent sent;
+
+  if (owner == NULL)
+    return false;
+  sent = mt_claim_owner_ask (claims->options.peers, owner, claims->options.clock, ask);
+  if (sent == MT_CLAIM_SENT_ANSWERED && ask->result != MT_ONCE_UNAVAILABLE)
+    {
+      __atomic_add_fetch (&claims->sent, 1, __ATOMIC_RELAXED);
+      return true;
+    }
+  __atomic_add_fetch (&claims->fallen, 1, __ATOMIC_RELAXED);
+  memcpy (record.attempt, ask->attempt, sizeof record.attempt);
+  if (sent == MT_CLAIM_SENT_UNKNOWN)
+    end_here (claims, &record);
+  start_attempt (claims, ask);
+  return false;
+}
+
 static enum mt_claim_result
 translate (enum mt_once_result result)
 {
@@ -270,25 +337,22 @@
                 struct mt_claim *claim)
 {
   int64_t now = mt_clock_now (claims->options.clock);
-  struct waiter waiter = { 0 };
+  struct mt_once_ask ask = { .until_us = MIN (deadline_us, now + MAX_WAIT_US) };
 
   *claim = (struct mt_claim){ 0 };
   if (is_expired (claims, key))
     return MT_CLAIM_EXPIRED;
-  if (deadline_us <= now || mt_breaker_is_open (claims->options.breaker))
+  if (deadline_us <= now)
     return MT_CLAIM_UNAVAILABLE;
-  hash_key (route, key, claim->key);
-  claim->attempt[0] = claims->writer;
-  claim->attempt[1] = __atomic_add_fetch (&claims->attempts, 1, __ATOMIC_RELAXED);
-  waiter.ask = (struct mt_once_ask){ .key = { claim->key[0], claim->key[1] },
-                                     .attempt = { claim->attempt[0], claim->attempt[1] },
-                                     .hold_ms = (unsigned) ((deadline_us - now) / MT_MS) + HOLD_MS,
-                                     .owner = &waiter };
-  g_cond_init (&waiter.changed);
-  wait_for_claim (find_shard (claims, claim), &waiter, MIN (deadline_us, now + MAX_WAIT_US));
-  g_cond_clear (&waiter.changed);
-  claim->status = waiter.ask.status;
-  return translate (waiter.ask.result);
+  hash_key (route, key, ask.key);
+  ask.hold_ms = (unsigned) ((deadline_us - now) / MT_MS) + HOLD_MS;
+  start_attempt (claims, &ask);
+  if (!ask_owner (claims, &ask))
+    ask_here (claims, &ask);
+  memcpy (claim->key, ask.key, sizeof claim->key);
+  memcpy (claim->attempt, ask.attempt, sizeof claim->attempt);
+  claim->status = ask.status;
+  return translate (ask.result);
 }
 
 void
@@ -297,17 +361,117 @@
                enum mt_claim_end end,
                int status)
 {
-  static const enum mt_once_end ends[] = {
-    [MT_CLAIM_END_DONE] = MT_ONCE_END_DONE,
-    [MT_CLAIM_END_NOT_RUN] = MT_ONCE_END_RELEASED,
-    [MT_CLAIM_END_LOST] = MT_ONCE_END_LOST,
+  static const uint8_t kinds[] = {
+    [MT_CLAIM_END_DONE] = MT_RECORD_DONE,
+    [MT_CLAIM_END_NOT_RUN] = MT_RECORD_RELEASE,
+    [MT_CLAIM_END_LOST] = MT_RECORD_LOST,
   };
-  struct shard *shard = find_shard (claims, claim);
+  struct mt_record *record = g_new0 (struct mt_record, 1);
 
-  g_mutex_lock (&shard->lock);
-  mt_once_end (shard->once, claim->key, claim->attempt, ends[end], status);
-  g_cond_signal (&shard->work);
-  g_mutex_unlock (&shard->lock);
+  memcpy (record->key, claim->key, sizeof record->key);
+  memcpy (record->attempt, claim->attempt, sizeof record->attempt);
+  record->kind = kinds[end];
+  record->extra = end == MT_CLAIM_END_DONE ? (uint32_t) status : 0;
+  g_async_queue_push (claims->ends, record);
+}
+
+/* The ends at hand, one at least, up to the stop mark. */
+static bool
+collect_ends (struct mt_claims *claims, GArray *ends)
+{
+  struct mt_record *record = g_async_queue_pop (claims->ends);
+
+  g_array_set_size (ends, 0);
+  while (record != NULL && record != &stop_mark)
+    {
+      g_array_append_vals (ends, record, 1);
+      g_free (record);
+      record = ends->len < ENDS_AT_ONCE ? g_async_queue_try_pop (claims->ends) : NULL;
+    }
+  return record != &stop_mark;
+}
+
+/* Takes the ends of one shard out and hands them to its owner, or records them here. */
+static void
+send_ends_of (struct mt_claims *claims, unsigned shard, GArray *ends)
+{
+  g_autoptr (GArray) chosen = g_array_new (FALSE, FALSE, sizeof (struct mt_record));
+  g_autofree char *owner = NULL;
+
+  for (guint i = ends->len; i > 0; i--)
+    {
+      struct mt_record *record = &g_array_index (ends, struct mt_record, i - 1);
+
+      if (number_shard (record->key) != shard)
+        continue;
+      g_array_append_vals (chosen, record, 1);
+      g_array_remove_index_fast (ends, i - 1);
+    }
+  owner = mt_claim_owner_find (claims->options.peers, claims->options.name, shard);
+  if (owner != NULL
+      && mt_claim_owner_end (claims->options.peers, owner, claims->options.clock, chosen))
+    return;
+  for (guint i = 0; i < chosen->len; i++)
+    end_here (claims, &g_array_index (chosen, struct mt_record, i));
+}
+
+static gpointer
+run_end_sender (gpointer data)
+{
+  struct mt_claims *claims = data;
+  g_autoptr (GArray) ends = g_array_new (FALSE, FALSE, sizeof (struct mt_record));
+  bool go_on = true;
+
+  while (go_on)
+    {
+      go_on = collect_ends (claims, ends);
+      while (ends->len > 0)
+        send_ends_of (claims, number_shard (g_array_index (ends, struct mt_record, 0).key), ends);
+    }
+  return NULL;
+}
+
+static void
+serve_claim (struct mt_claims *claims,
+             const struct mt_record *record,
+             int64_t left_ms,
+             struct mt_once_ask *ask)
+{
+  int64_t left_us = MIN (left_ms * MT_MS, MAX_WAIT_US);
+
+  memcpy (ask->key, record->key, sizeof ask->key);
+  memcpy (ask->attempt, record->attempt, sizeof ask->attempt);
+  ask->hold_ms = record->extra;
+  ask->until_us = mt_clock_now (claims->options.clock) + left_us;
+  ask_here (claims, ask);
+}
+
+char *
+mt_claims_serve (void *ctx, struct mt_str sender, struct mt_str body, size_t *reply_len)
+{
+  struct mt_claims *claims = ctx;
+  struct mt_once_ask ask = { .result = MT_ONCE_GRANTED };
+  struct mt_batch batch;
+  char *reply = NULL;
+
+  mt_batch_init (&batch);
+  if (!mt_batch_decode (body, &batch, NULL))
+    goto done;
+  for (guint i = 0; i < batch.records->len; i++)
+    {
+      const struct mt_record *record = &g_array_index (batch.records, struct mt_record, i);
+
+      if (record->kind != MT_RECORD_CLAIM)
+        end_here (claims, record);
+      else if (batch.records->len == 1)
+        serve_claim (claims, record, batch.wall_ms, &ask);
+      else
+        goto done; /* one claim to a frame: its reply has room for one result */
+    }
+  reply = mt_claim_owner_reply (ask.result, ask.status, reply_len);
+done:
+  mt_batch_clear (&batch);
+  return reply;
 }
 
 struct mt_claims *
@@ -319,6 +483,8 @@
   claims->writer = draw_random ();
   for (unsigned i = 0; i < SHARDS; i++)
     start_shard (claims, i);
+  claims->ends = g_async_queue_new ();
+  claims->end_sender = g_thread_new ("claim-ends", run_end_sender, claims);
   return claims;
 }
 
@@ -327,6 +493,9 @@
 {
   if (claims == NULL)
     return;
+  g_async_queue_push (claims->ends, &stop_mark);
+  g_thread_join (claims->end_sender);
+  g_async_queue_unref (claims->ends);
   for (unsigned i = 0; i < SHARDS; i++)
     stop_shard (&claims->shards[i]);
   for (unsigned i = 0; i < SHARDS; i++)
@@ -334,6 +503,12 @@
   g_free (claims);
 }
 
+static json_t *
+load (const guint64 *counter)
+{
+  return json_integer ((json_int_t) __atomic_load_n (counter, __ATOMIC_RELAXED));
+}
+
 void
 mt_claims_dump (struct mt_claims *claims, json_t *out)
 {
@@ -351,5 +526,7 @@
       g_mutex_unlock (&shard->lock);
     }
   json_object_set_new (out, "held", json_integer (held));
+  json_object_set_new (out, "answered_by_owner", load (&claims->sent));
+  json_object_set_new (out, "fallen_back", load (&claims->fallen));
   json_object_set_new (out, "faults", faults);
 }
--- a/daemon/claims.h
+++ b/daemon/claims.h
@@ -6,6 +6,7 @@
 #include "medlartrack/breaker.h"
 #include "medlartrack/clock.h"
 #include "medlartrack/str.h"
+#include "peers.h"
 
 #include <jansson.h>
 #include <stdint.h>
@@ -41,6 +42,8 @@
 {
   const struct mt_clock *clock;
   struct mt_breaker *breaker; /* before the platform's store; outlives the claims */
+  struct mt_peers *peers;     /* likewise; NULL: all claims are committed here */
+  const char *name;           /* of this daemon among them */
 };
 
 /* Starts one thread for each shard, which commits that shard's claims. */
@@ -59,6 +62,9 @@
                     enum mt_claim_end end,
                     int status);
 
+/* For mt_peer_server_handle with MT_PEER_CLAIM: commits what another daemon asks for. */
+char *mt_claims_serve (void *ctx, struct mt_str sender, struct mt_str body, size_t *reply_len);
+
 /* Adds how many claims are held, and each shard that can't be read. */
 void mt_claims_dump (struct mt_claims *claims, json_t *out);
 
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -148,12 +148,15 @@
   daemon->platform = mt_platform_create (daemon->client, daemon->clock, settings->platform.data,
                                          settings->limits.platform_ms * MT_MS);
   create_breaker (daemon);
-  claims.breaker = daemon->breaker;
-  daemon->claims = mt_claims_create (&claims);
   daemon->views = mt_view_holder_create (daemon->clock);
   daemon->pools = mt_pools_create (daemon->clock, daemon->views, settings->zone.data);
   mt_view_listen (daemon->views, mt_pools_refresh, daemon->pools);
   create_peers (daemon);
+  claims.breaker = daemon->breaker;
+  claims.peers = daemon->peers;
+  claims.name = settings->name.data;
+  daemon->claims = mt_claims_create (&claims);
+  mt_peer_server_handle (daemon->peer_server, MT_PEER_CLAIM, mt_claims_serve, daemon->claims);
   feed.platform = settings->platform.data;
   feed.call_us = settings->limits.platform_ms * MT_MS;
   feed.views = daemon->views;
@@ -231,13 +234,13 @@
   mt_jobs_part_stop (daemon->jobs);
   mt_control_destroy (daemon->control);
   mt_peer_server_destroy (daemon->peer_server);
+  mt_claims_destroy (daemon->claims);
   mt_peers_destroy (daemon->peers);
   mt_jobs_part_destroy (daemon->jobs);
   mt_front_destroy (daemon->front);
   mt_pools_destroy (daemon->pools);
   mt_heartbeat_destroy (daemon->heartbeat);
   mt_view_holder_destroy (daemon->views);
-  mt_claims_destroy (daemon->claims);
   mt_breaker_destroy (daemon->breaker);
   mt_platform_destroy (daemon->platform);
   mt_http_client_destroy (daemon->client);
--- a/core/once/batch.h
+++ b/include/medlartrack/batch.h
@@ -1,7 +1,8 @@
 /* One batch of the log of claims as msgpack: [version, id, wall ms, [[kind, key, attempt, extra]]].
- * Records are in the order in which they take effect. */
-#ifndef MT_BATCH_H
-#define MT_BATCH_H
+ * Records are in the order in which they take effect. Daemons send each other claims in the same
+ * form, with the milliseconds that are left in place of the wall time. */
+#ifndef MEDLARTRACK_BATCH_H
+#define MEDLARTRACK_BATCH_H
 
 #include "medlartrack/str.h"
 
--- a/include/medlartrack/once.h
+++ b/include/medlartrack/once.h
@@ -11,6 +11,7 @@
 #ifndef MEDLARTRACK_ONCE_H
 #define MEDLARTRACK_ONCE_H
 
+#include "medlartrack/batch.h"
 #include "medlartrack/clock.h"
 #include "medlartrack/pace.h"
 #include "medlartrack/store.h"
@@ -41,6 +42,7 @@
   uint64_t key[2];
   uint64_t attempt[2]; /* never used for a second ask */
   unsigned hold_ms;    /* silent for so long, the holder counts as lost */
+  int64_t until_us;    /* not claimed later than this; 0: no limit */
   enum mt_once_result result;
   int status;
   void *owner;
@@ -109,6 +111,8 @@
                   const uint64_t attempt[2],
                   enum mt_once_end end,
                   int status);
+/* The same for an end that is a record already. */
+void mt_once_record (struct mt_once *once, const struct mt_record *end);
 
 /* True: make this call, then absorb it; no second call meanwhile. False: nothing to do before
  * wake_us, which is INT64_MAX when only a new ask or end gives work. */
--- a/tests/once/test_once.c
+++ b/tests/once/test_once.c
@@ -1,5 +1,5 @@
-#include "batch.h"
 #include "fake_store.h"
+#include "medlartrack/batch.h"
 #include "medlartrack/error.h"
 #include "medlartrack/once.h"
 
@@ -321,6 +321,30 @@
   assert_int_equal (take (f, f->b, 7, 72), MT_ONCE_RUNNING);
 }
 
+/* A daemon forwards its claim to the shard's owner, which is stopped (SIGSTOP) before it looks at
+ * it. The daemon gives up, releases that attempt and claims the key by another, which did not run
+ * either. The owner wakes and must not write the first claim: it would hold the key for nobody. */
+static void
+test_claim_after_its_release_is_not_written (void **state)
+{
+  struct fixture *f = *state;
+  const struct mt_record released
+      = { .kind = MT_RECORD_RELEASE, .key = { 7, 1 }, .attempt = { 70, 1 } };
+  const uint64_t attempt[2] = { 71, 1 };
+  struct mt_once_ask ask = make_ask (7, 70);
+
+  assert_int_equal (take (f, f->a, 5, 50), MT_ONCE_GRANTED);
+  mt_once_ask (f->a, &ask);
+  mt_once_record (f->b, &released);
+  assert_int_equal (take (f, f->b, 7, 71), MT_ONCE_GRANTED);
+  mt_once_end (f->b, released.key, attempt, MT_ONCE_END_RELEASED, 0);
+  mt_clock_manual_advance (f->manual, MT_SECOND);
+  run (f, f->b);
+  run (f, f->a);
+  assert_int_equal (ask.result, MT_ONCE_UNAVAILABLE);
+  assert_int_equal (take (f, f->b, 7, 72), MT_ONCE_GRANTED);
+}
+
 /* While the log can't be read as a whole, nothing of the shard is granted. */
 static void
 test_gap_and_foreign_format_grant_nothing (void **state)
@@ -419,6 +443,8 @@
     cmocka_unit_test_setup_teardown (test_wall_clock_that_jumps_trims_nothing_new, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_release_frees_its_own_attempt_only, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_claim_after_its_release_is_not_written, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (test_gap_and_foreign_format_grant_nothing, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_many_claims_ride_in_one_write, set_up, tear_down),
     cmocka_unit_test (test_batches_are_bounded_and_checked),
--- a/tests/process/test_once.c
+++ b/tests/process/test_once.c
@@ -226,6 +226,45 @@
   assert_int_equal (harness_runs (f->harness, f->minion, running.key), 1);
 }
 
+static bool
+is_settled (void *ctx)
+{
+  struct running *running = ctx;
+  int status = ask_once (running->f, 0, running->key);
+
+  assert_true (status == 200 || status == 409 || status == 503);
+  return status == 200 || (status == 409 && runs (ctx));
+}
+
+/* One of two daemons is stopped (SIGSTOP) and owns the shards of half of the keys. The other hands
+ * their claims to it, gets no reply, releases and commits by itself, or refuses as not run. The
+ * stopped one wakes with the claims in its hands. Each key runs once, and none is stuck. */
+static void
+test_owner_stopped_and_woken (void **state)
+{
+  struct fixture *f = *state;
+  int statuses[16];
+
+  harness_signal (f->daemons[1], SIGSTOP);
+  for (int i = 0; i < 16; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("invoice-stopped-%d", i);
+
+      statuses[i] = ask_once (f, 0, key);
+      assert_true (statuses[i] == 200 || statuses[i] == 503);
+      assert_int_equal (harness_runs (f->harness, f->minion, key), statuses[i] == 200);
+    }
+  harness_signal (f->daemons[1], SIGCONT);
+  for (int i = 0; i < 16; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("invoice-stopped-%d", i);
+      struct running running = { f, key };
+
+      assert_true (harness_wait (is_settled, &running));
+      assert_int_equal (harness_runs (f->harness, f->minion, key), 1);
+    }
+}
+
 /* The minion takes the invoice and closes without an answer: unknown, and never sent again by
  * neon, by this daemon or by the other. */
 static void
@@ -250,6 +289,7 @@
     cmocka_unit_test_setup_teardown (test_platform_down, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_platform_loses_answers, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_platform_slow, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_owner_stopped_and_woken, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_minion_drops_the_answer, set_up, tear_down),
   };
 
