--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -332,6 +332,15 @@
   return claims;
 }
 
+static json_t *
+show_peer_traffic (void *ctx)
+{
+  struct mt_peer_traffic traffic = mt_peers_traffic (((struct mt_daemon *) ctx)->peers);
+
+  return json_pack ("{sI sI sI}", "received_bytes", (json_int_t) traffic.received, "sent_bytes",
+                    (json_int_t) traffic.sent, "frames", (json_int_t) traffic.frames);
+}
+
 static json_t *
 show_members (void *ctx)
 {
@@ -374,6 +383,7 @@
   { "platform_calls", "made so far, a watch counted as one", show_platform_calls },
   { "store_calls", "of the platform behind the breaker, by kind", show_store_calls },
   { "claims", "of requests that may not be repeated", show_claims },
+  { "peer_traffic", "frames with other daemons so far", show_peer_traffic },
   { "members", "every daemon that is known, this one included", show_members },
   { "pools", "queues, slots and in flight", show_pools },
   { "jobs", "placed by this daemon while it is the planner", show_jobs },
--- a/daemon/peers.c
+++ b/daemon/peers.c
@@ -454,6 +454,16 @@
   g_mutex_unlock (&peers->lock);
 }
 
+struct mt_peer_traffic
+mt_peers_traffic (const struct mt_peers *peers)
+{
+  struct mt_peer_traffic server = mt_peer_server_traffic (peers->server);
+  struct mt_peer_traffic client = mt_peer_client_traffic (peers->client);
+
+  return (struct mt_peer_traffic){ server.received + client.received, server.sent + client.sent,
+                                   server.frames + client.frames };
+}
+
 const char *
 mt_peers_address (const struct mt_peers *peers)
 {
--- a/daemon/peers.h
+++ b/daemon/peers.h
@@ -53,6 +53,8 @@
                          size_t n_demands);
 /* Further addresses at which some daemon may be, such as the platform's list. */
 void mt_peers_add_addresses (struct mt_peers *peers, const char *const *addresses, size_t n);
+/* Frames between this daemon and the others so far, both ways. */
+struct mt_peer_traffic mt_peers_traffic (const struct mt_peers *peers);
 /* IP:PORT that others call; lives as long as the peers. */
 const char *mt_peers_address (const struct mt_peers *peers);
 
--- a/net/peer.h
+++ b/net/peer.h
@@ -44,10 +44,21 @@
 unsigned mt_peer_server_port (const struct mt_peer_server *server);
 void mt_peer_server_destroy (struct mt_peer_server *server);
 
+/* Bytes of frames so far, heads included, TCP's own not. */
+struct mt_peer_traffic
+{
+  uint64_t received;
+  uint64_t sent;
+  uint64_t frames; /* calls answered, or replies got */
+};
+
+struct mt_peer_traffic mt_peer_server_traffic (const struct mt_peer_server *server);
+
 /* Calls one peer and waits for its reply; keeps connections. Any thread. */
 struct mt_peer_client;
 struct mt_peer_client *mt_peer_client_create (const struct mt_clock *clock, const char *name);
 void mt_peer_client_destroy (struct mt_peer_client *client);
+struct mt_peer_traffic mt_peer_client_traffic (const struct mt_peer_client *client);
 /* reply is malloced, the caller frees it. MT_ERROR_UNAVAILABLE: not delivered; MT_ERROR_UNKNOWN:
  * sent and no whole reply. */
 bool mt_peer_client_call (struct mt_peer_client *client,
--- a/net/peer_client.c
+++ b/net/peer_client.c
@@ -2,6 +2,7 @@
 #include "frame.h"
 #include "medlartrack/error.h"
 #include "peer.h"
+#include "peer_traffic.h"
 
 #include <errno.h>
 #include <netinet/tcp.h>
@@ -25,6 +26,7 @@
 {
   const struct mt_clock *clock;
   char *name;
+  struct mt_peer_traffic traffic; /* atomic */
   GMutex lock;
   /* Guarded by lock. */
   GHashTable *idle; /* address -> GQueue of struct kept, newest first */
@@ -37,6 +39,7 @@
   const char *address;
   int64_t deadline_us;
   int fd;
+  size_t received; /* bytes of the reply's frame */
 };
 
 static void
@@ -242,11 +245,8 @@
 }
 
 static bool
-receive_reply (const struct call *call,
-               enum mt_peer_type type,
-               char **reply,
-               size_t *reply_len,
-               GError **error)
+receive_reply (
+    struct call *call, enum mt_peer_type type, char **reply, size_t *reply_len, GError **error)
 {
   g_autofree char *payload = NULL;
   struct mt_frame frame;
@@ -268,6 +268,7 @@
   memcpy (*reply, frame.body.data, frame.body.len);
   (*reply)[frame.body.len] = '\0';
   *reply_len = frame.body.len;
+  call->received = MT_FRAME_HEAD + len;
   return true;
 }
 
@@ -294,6 +295,12 @@
   g_free (client);
 }
 
+struct mt_peer_traffic
+mt_peer_client_traffic (const struct mt_peer_client *client)
+{
+  return mt_peer_traffic_read (&client->traffic);
+}
+
 bool
 mt_peer_client_call (struct mt_peer_client *client,
                      const char *address,
@@ -304,7 +311,7 @@
                      size_t *reply_len,
                      GError **error)
 {
-  struct call call = { client, address, deadline_us, -1 };
+  struct call call = { client, address, deadline_us, -1, 0 };
   g_autofree char *bytes = NULL;
   size_t len;
   bool ok = false;
@@ -322,7 +329,10 @@
     ok = receive_reply (&call, type, reply, reply_len, error);
   /* After a failure the late reply could still come: the connection is never used again. */
   if (ok)
-    keep (client, address, call.fd);
+    {
+      mt_peer_traffic_add (&client->traffic, call.received, len);
+      keep (client, address, call.fd);
+    }
   else if (call.fd >= 0)
     close (call.fd);
   return ok;
--- a/net/peer_server.c
+++ b/net/peer_server.c
@@ -3,6 +3,7 @@
 #include "medlartrack/clock.h"
 #include "medlartrack/error.h"
 #include "peer.h"
+#include "peer_traffic.h"
 
 #include <errno.h>
 #include <netinet/tcp.h>
@@ -48,8 +49,9 @@
    * heartbeats are answered while all of them wait. */
   GThreadPool *quick;
   GThreadPool *slow;
-  gint stopping; /* atomic */
-  gint open;     /* atomic: connections in all */
+  gint stopping;                  /* atomic */
+  gint open;                      /* atomic: connections in all */
+  struct mt_peer_traffic traffic; /* atomic */
   GMutex lock;
   GPtrArray *returned; /* guarded by lock: answered, to be read from again */
   /* The reading thread's own. */
@@ -113,7 +115,10 @@
   bytes = mt_frame_encode (frame.type, mt_str_from (server->name), (struct mt_str){ reply, len },
                            &len);
   free (reply);
-  return bytes != NULL && write_whole (server->clock, connection->fd, bytes, len);
+  if (bytes == NULL || !write_whole (server->clock, connection->fd, bytes, len))
+    return false;
+  mt_peer_traffic_add (&server->traffic, connection->in->len, len);
+  return true;
 }
 
 /* In a worker thread, which owns the connection meanwhile. */
@@ -374,6 +379,12 @@
   return mt_address_bound_port (server->listener);
 }
 
+struct mt_peer_traffic
+mt_peer_server_traffic (const struct mt_peer_server *server)
+{
+  return mt_peer_traffic_read (&server->traffic);
+}
+
 void
 mt_peer_server_destroy (struct mt_peer_server *server)
 {
