--- a/tests/process/harness.c
+++ b/tests/process/harness.c
@@ -165,16 +165,16 @@
 }
 
 struct process *
-harness_start_daemon (struct harness *harness,
-                      const char *name,
-                      const struct process *platform,
-                      const char *limits)
+harness_start_daemon_with (struct harness *harness,
+                           const char *name,
+                           const struct process *platform,
+                           const char *settings)
 {
   g_autofree char *path = g_strdup_printf ("%s/%s.json", harness->folder, name);
-  g_autofree char *text = g_strdup_printf (
-      "{\"name\":\"%s\",\"zone\":\"west\",\"listen\":\"127.0.0.1:0\","
-      "\"peer_listen\":\"127.0.0.1:0\",\"platform\":\"127.0.0.1:%u\",\"limits\":%s}",
-      name, platform->port, limits != NULL ? limits : "{}");
+  g_autofree char *text
+      = g_strdup_printf ("{\"name\":\"%s\",\"zone\":\"west\",\"listen\":\"127.0.0.1:0\","
+                         "\"peer_listen\":\"127.0.0.1:0\",\"platform\":\"127.0.0.1:%u\",%s}",
+                         name, platform->port, settings);
   struct process *process;
 
   assert_true (g_file_set_contents (path, text, -1, NULL));
@@ -183,6 +183,33 @@
   return process;
 }
 
+struct process *
+harness_start_daemon (struct harness *harness,
+                      const char *name,
+                      const struct process *platform,
+                      const char *limits)
+{
+  g_autofree char *settings = g_strdup_printf ("\"limits\":%s", limits != NULL ? limits : "{}");
+
+  return harness_start_daemon_with (harness, name, platform, settings);
+}
+
+void
+harness_put_tables (struct harness *harness, const struct process *platform, const char *text)
+{
+  assert_int_equal (
+      harness_status (harness, platform, "PUT", "/v1/kv/medlartrack/tables", NULL, text), 200);
+}
+
+bool
+harness_has_logged (const struct process *process, int event)
+{
+  g_autofree char *text = NULL;
+  g_autofree char *mark = g_strdup_printf ("[%d]", event);
+
+  return g_file_get_contents (process->log_path, &text, NULL, NULL) && strstr (text, mark) != NULL;
+}
+
 void
 harness_signal (const struct process *process, int number)
 {
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -38,6 +38,15 @@
                                       const char *name,
                                       const struct process *platform,
                                       const char *limits);
+/* The same with further settings, JSON members such as "\"workers\":\"127.0.0.1:1\"". */
+struct process *harness_start_daemon_with (struct harness *harness,
+                                           const char *name,
+                                           const struct process *platform,
+                                           const char *settings);
+/* Writes tables past medlartrackctl, whatever stands there. */
+void harness_put_tables (struct harness *harness, const struct process *platform, const char *text);
+/* Whether the process has logged the event. */
+bool harness_has_logged (const struct process *process, int event);
 /* Writes tables with one pool of the minion, GET /safe and POST /once (repeat never), and waits
  * until the daemons serve them. */
 void harness_apply_tables (struct harness *harness,
--- a/tests/standins/workers_main.c
+++ b/tests/standins/workers_main.c
@@ -55,6 +55,7 @@
   GHashTable *copies;
   GHashTable *most;
   GHashTable *done;
+  GHashTable *on; /* job -> name of the worker that started it last */
   unsigned lose_posts;
 };
 
@@ -160,6 +161,7 @@
   task->memory_mb = json_integer_value (json_object_get (action, "memory_mb"));
   g_ptr_array_add (worker->tasks, task);
   count (fleet->starts, job, 1);
+  g_hash_table_insert (fleet->on, g_strdup (job), worker->name);
   if (count (fleet->copies, job, 1) > GPOINTER_TO_INT (g_hash_table_lookup (fleet->most, job)))
     count (fleet->most, job, 1);
   report (fleet, worker, "running", job, epoch, task);
@@ -325,6 +327,20 @@
   return out;
 }
 
+static json_t *
+describe_places (const struct fleet *fleet)
+{
+  json_t *out = json_object ();
+  GHashTableIter iter;
+  gpointer job;
+  gpointer worker;
+
+  g_hash_table_iter_init (&iter, fleet->on);
+  while (g_hash_table_iter_next (&iter, &job, &worker))
+    json_object_set_new (out, job, json_string (worker));
+  return out;
+}
+
 static void
 handle (void *ctx, struct mt_http_request *request)
 {
@@ -340,8 +356,9 @@
     handle_fault (fleet, request);
   else if (strcmp (path, "/tasks") == 0)
     standin_answer_json (request, 200,
-                         json_pack ("{so so so so}", "starts", describe_counts (fleet->starts),
-                                    "most_copies", describe_counts (fleet->most), "running",
+                         json_pack ("{so so so so so}", "on", describe_places (fleet), "starts",
+                                    describe_counts (fleet->starts), "most_copies",
+                                    describe_counts (fleet->most), "running",
                                     describe_counts (fleet->copies), "done",
                                     describe_counts (fleet->done)));
   else
@@ -431,6 +448,7 @@
   fleet.copies = create_counts ();
   fleet.most = create_counts ();
   fleet.done = create_counts ();
+  fleet.on = create_counts ();
   create_workers (&fleet);
   g_thread_new ("tasks", run_tasks, &fleet);
   return standin_serve (argv[1], handle, &fleet);
