tests: start processes with an argument list in place of varargs

Cause: clang-tidy 14 reports va_arg on an uninitialised list in the harness, falsely. Ruled out: a NOLINT, which would hide a true report later. Change: harness_start takes a NULL-terminated array. Conclusion: nothing else changes.

--- a/tests/process/harness.c
+++ b/tests/process/harness.c
@@ -126,19 +126,15 @@
 }
 
 struct process *
-harness_start (struct harness *harness, const char *program, ...)
+harness_start (struct harness *harness, const char *program, const char *const *args)
 {
   struct process *process = g_new0 (struct process, 1);
   g_autoptr (GPtrArray) argv = g_ptr_array_new ();
   g_autofree char *path = g_build_filename (harness->build, program, NULL);
-  va_list args;
-  char *arg;
 
   g_ptr_array_add (argv, path);
-  va_start (args, program);
-  while ((arg = va_arg (args, char *)) != NULL)
-    g_ptr_array_add (argv, arg);
-  va_end (args);
+  for (; *args != NULL; args++)
+    g_ptr_array_add (argv, (gpointer) *args);
   g_ptr_array_add (argv, NULL);
   process->log_path = g_strdup_printf ("%s/%u.log", harness->folder, harness->processes->len);
   g_ptr_array_add (harness->processes, process);
@@ -152,16 +148,18 @@
 struct process *
 harness_start_platform (struct harness *harness)
 {
-  return harness_start (harness, "tests/standins/medlartrack-standin-platform", NULL);
+  static const char *const args[] = { NULL };
+
+  return harness_start (harness, "tests/standins/medlartrack-standin-platform", args);
 }
 
 struct process *
 harness_start_minion (struct harness *harness, const char *name, unsigned work_ms)
 {
   g_autofree char *work = g_strdup_printf ("%u", work_ms);
+  const char *args[] = { "127.0.0.1:0", name, work, NULL };
 
-  return harness_start (harness, "tests/standins/medlartrack-standin-minion", "127.0.0.1:0", name,
-                        work, NULL);
+  return harness_start (harness, "tests/standins/medlartrack-standin-minion", args);
 }
 
 struct process *
@@ -175,10 +173,11 @@
       = g_strdup_printf ("{\"name\":\"%s\",\"zone\":\"west\",\"listen\":\"127.0.0.1:0\","
                          "\"peer_listen\":\"127.0.0.1:0\",\"platform\":\"127.0.0.1:%u\",%s}",
                          name, platform->port, settings);
+  const char *args[] = { "--settings", path, NULL };
   struct process *process;
 
   assert_true (g_file_set_contents (path, text, -1, NULL));
-  process = harness_start (harness, "daemon/medlartrackd", "--settings", path, NULL);
+  process = harness_start (harness, "daemon/medlartrackd", args);
   unlink (path);
   return process;
 }
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -30,7 +30,7 @@
 /* program is a path under the build folder; args end with NULL. Fails the test where the program
  * does not print a port. The harness owns the process. */
 struct process *
-harness_start (struct harness *harness, const char *program, ...) G_GNUC_NULL_TERMINATED;
+harness_start (struct harness *harness, const char *program, const char *const *args);
 struct process *harness_start_platform (struct harness *harness);
 struct process *harness_start_minion (struct harness *harness, const char *name, unsigned work_ms);
 /* A daemon in data centre "west"; limits is JSON such as "{\"platform_ms\":200}", or NULL. */
--- a/tests/process/test_jobs.c
+++ b/tests/process/test_jobs.c
@@ -29,12 +29,12 @@
 create_fixture (const char *task_ms)
 {
   struct fixture *f = g_new0 (struct fixture, 1);
+  const char *args[] = { "127.0.0.1:0", "west", "3", task_ms, NULL };
   g_autofree char *settings = NULL;
 
   f->harness = harness_create (build);
   f->platform = harness_start_platform (f->harness);
-  f->workers = harness_start (f->harness, "tests/standins/medlartrack-standin-workers",
-                              "127.0.0.1:0", "west", "3", task_ms, NULL);
+  f->workers = harness_start (f->harness, "tests/standins/medlartrack-standin-workers", args);
   settings = g_strdup_printf ("\"workers\":\"127.0.0.1:%u\",\"limits\":{\"platform_ms\":300}",
                               f->workers->port);
   f->daemons[0] = harness_start_daemon_with (f->harness, "a", f->platform, settings);
