--- a/net/http_client.c
+++ b/net/http_client.c
@@ -291,6 +291,15 @@
   return n == 0;
 }
 
+static uint64_t
+read_length (ne_request *request)
+{
+  const char *text = ne_get_response_header (request, "Content-Length");
+  unsigned long long bytes = 0;
+
+  return text != NULL && mt_str_to_u64 (mt_str_from (text), &bytes) ? bytes : 0;
+}
+
 static bool
 read_answer (struct mt_http_client *client,
              ne_request *request,
@@ -308,6 +317,8 @@
                    "the answer has no length; have the minion send Content-Length or chunks");
       return false;
     }
+  if (strcmp (call->method, "HEAD") == 0)
+    answer->head_bytes = read_length (request);
   if (!read_body (client, request, call, body, error))
     return false;
   answer->body = mt_arena_dup (arena, (struct mt_str){ body->str, body->len });
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -34,6 +34,7 @@
   struct mt_http_header *headers; /* end-to-end headers only */
   size_t n_headers;
   struct mt_str body;
+  uint64_t head_bytes; /* of an answer to HEAD: the length that it announces */
 };
 
 enum mt_http_outcome
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -128,6 +128,22 @@
   *con_cls = NULL;
 }
 
+/* Never called: libmicrohttpd sends the length of an answer to HEAD and asks for no body. */
+static ssize_t
+read_nothing (void *ctx, uint64_t pos, char *buf, size_t max)
+{
+  return MHD_CONTENT_READER_END_WITH_ERROR;
+}
+
+static struct MHD_Response *
+make_response (const struct mt_http_answer *answer)
+{
+  if (answer->head_bytes > 0)
+    return MHD_create_response_from_callback (answer->head_bytes, 1, read_nothing, NULL, NULL);
+  return MHD_create_response_from_buffer (answer->body.len, (void *) answer->body.data,
+                                          MHD_RESPMEM_MUST_COPY);
+}
+
 static enum MHD_Result
 send_answer (struct mt_http_server *server,
              struct MHD_Connection *connection,
@@ -138,8 +154,7 @@
 
   if (answer->status == MT_HTTP_DROP)
     return MHD_NO;
-  response = MHD_create_response_from_buffer (answer->body.len, (void *) answer->body.data,
-                                              MHD_RESPMEM_MUST_COPY);
+  response = make_response (answer);
   for (size_t i = 0; i < answer->n_headers; i++)
     if (mt_http_is_token (answer->headers[i].name) && mt_http_is_value (answer->headers[i].value))
       MHD_add_response_header (response, answer->headers[i].name.data,
--- a/tests/net/scripted.h
+++ b/tests/net/scripted.h
@@ -10,6 +10,7 @@
 enum script
 {
   SCRIPT_WHOLE,       /* 200 with the request's id and its body "ok N", N counting requests */
+  SCRIPT_HEAD,        /* headers that announce 1,234 bytes, and no body */
   SCRIPT_SPOOFED,     /* a whole answer that says "not run" in the daemon's words */
   SCRIPT_CUT,         /* announces 100 bytes, sends 5, closes */
   SCRIPT_CROSSED,     /* another request's id */
@@ -32,6 +33,8 @@
 void scripted_release (struct scripted *scripted);
 /* Closes all connections and the listener. */
 void scripted_vanish (struct scripted *scripted);
+/* Waits until so many connections are open. */
+void scripted_wait_for_open (struct scripted *scripted, unsigned n);
 /* Requests read in full. */
 unsigned scripted_requests (struct scripted *scripted);
 
--- a/tests/net/test_http_client.c
+++ b/tests/net/test_http_client.c
@@ -81,6 +81,23 @@
   assert_true (mt_str_equal (f->answer.body, mt_str_from (body)));
 }
 
+/* The answer to HEAD has the length of what GET would get, and no body. */
+static void
+test_head_keeps_the_length (void **state)
+{
+  struct fixture *f = *state;
+  const enum script head = SCRIPT_HEAD;
+  struct mt_http_call call = make_call (MT_STR ("a"), true, 20 * MT_SECOND);
+
+  scripted_play (f->minion, &head, 1);
+  call.method = "HEAD";
+  assert_int_equal (mt_http_client_call (f->client, scripted_address (f->minion), &call, f->arena,
+                                         &f->answer, NULL),
+                    MT_HTTP_WHOLE);
+  assert_int_equal (f->answer.head_bytes, 1234);
+  assert_int_equal (f->answer.body.len, 0);
+}
+
 static void
 test_nobody_listens_is_not_sent (void **state)
 {
@@ -159,6 +176,26 @@
   assert_body (f, "ok 4");
 }
 
+/* This daemon may hold one connection to the minion, and an idle one is kept. A request that needs
+ * a fresh one takes its place: the minion never sees two kept. */
+static void
+test_connections_are_bounded (void **state)
+{
+  struct fixture *f = *state;
+  struct mt_http_call call = make_call (MT_STR ("a"), false, 20 * MT_SECOND);
+
+  call.connections = 1;
+  assert_int_equal (mt_http_client_call (f->client, scripted_address (f->minion), &call, f->arena,
+                                         &f->answer, NULL),
+                    MT_HTTP_WHOLE);
+  scripted_wait_for_open (f->minion, 1);
+  call.fresh = true;
+  assert_int_equal (mt_http_client_call (f->client, scripted_address (f->minion), &call, f->arena,
+                                         &f->answer, NULL),
+                    MT_HTTP_WHOLE);
+  scripted_wait_for_open (f->minion, 0);
+}
+
 static void
 count_end (void *ctx, enum mt_http_outcome outcome, const struct mt_http_answer *answer)
 {
@@ -238,10 +275,12 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_nobody_listens_is_not_sent, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_head_keeps_the_length, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_failed_reconnect_is_unknown, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_fresh_request_is_read_once, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_broken_answers_are_unknown, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_answer_sent_twice_meets_nobody, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_connections_are_bounded, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_short_deadline_cuts_no_later_request, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_late_answer, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_answer_beyond_memory, set_up, tear_down),
