net: put the breaker before every user of the platform

Ruled out: one breaker for all users of a daemon; the feed and the planner have clients of their own, so that a stop can leave a hanging watch behind.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -15,9 +15,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define BREAKER_FAILURES    3
-#define BREAKER_FIRST_US    (250 * MT_MS)
-#define BREAKER_LONGEST_US  (5 * MT_SECOND)
 #define REQUEST_MEMORY_BASE (256 * 1024)
 
 struct mt_daemon
@@ -28,7 +25,6 @@
   struct mt_http_client *client;
   struct mt_http_exchanges *exchanges;
   struct mt_platform *platform;
-  struct mt_breaker *breaker;
   struct mt_claims *claims;
   struct mt_view_holder *views;
   struct mt_pools *pools;
@@ -121,19 +117,6 @@
   return mt_jobs_part_create (&options);
 }
 
-static void
-create_breaker (struct mt_daemon *daemon)
-{
-  struct mt_breaker_options options = { .clock = daemon->clock,
-                                        .failures = BREAKER_FAILURES,
-                                        .first_us = BREAKER_FIRST_US,
-                                        .longest_us = BREAKER_LONGEST_US };
-
-  options.inner = mt_platform_store (daemon->platform);
-  options.seed = g_random_int ();
-  daemon->breaker = mt_breaker_create (&options);
-}
-
 static void
 create_parts (struct mt_daemon *daemon)
 {
@@ -147,12 +130,11 @@
       daemon->client, daemon->clock, settings->limits.connections * 2, request_memory (settings));
   daemon->platform = mt_platform_create (daemon->client, daemon->clock, settings->platform.data,
                                          settings->limits.platform_ms * MT_MS);
-  create_breaker (daemon);
   daemon->views = mt_view_holder_create (daemon->clock);
   daemon->pools = mt_pools_create (daemon->clock, daemon->views, settings->zone.data);
   mt_view_listen (daemon->views, mt_pools_refresh, daemon->pools);
   create_peers (daemon);
-  claims.breaker = daemon->breaker;
+  claims.breaker = mt_platform_breaker (daemon->platform);
   claims.peers = daemon->peers;
   claims.name = settings->name.data;
   daemon->claims = mt_claims_create (&claims);
@@ -179,7 +161,7 @@
 {
   mt_peers_start (daemon->peers);
   mt_peer_server_start (daemon->peer_server);
-  daemon->registry = mt_registry_create (mt_breaker_store (daemon->breaker), daemon->clock,
+  daemon->registry = mt_registry_create (mt_platform_store (daemon->platform), daemon->clock,
                                          daemon->peers, daemon->settings->name.data);
 }
 
@@ -241,7 +223,6 @@
   mt_pools_destroy (daemon->pools);
   mt_heartbeat_destroy (daemon->heartbeat);
   mt_view_holder_destroy (daemon->views);
-  mt_breaker_destroy (daemon->breaker);
   mt_platform_destroy (daemon->platform);
   mt_http_client_destroy (daemon->client);
   g_free (daemon);
@@ -314,7 +295,7 @@
 static json_t *
 show_store_calls (void *ctx)
 {
-  struct mt_breaker *breaker = ((struct mt_daemon *) ctx)->breaker;
+  struct mt_breaker *breaker = mt_platform_breaker (((struct mt_daemon *) ctx)->platform);
   struct mt_breaker_counts counts = mt_breaker_counts (breaker);
 
   return json_pack ("{sI sI sI sI sI sb}", "reads", (json_int_t) counts.reads, "writes",
--- a/net/platform.c
+++ b/net/platform.c
@@ -5,10 +5,13 @@
 #include <jansson.h>
 #include <string.h>
 
-#define VALUE_BYTES    (2UL * 1024 * 1024)  /* a megabyte in base64, with its frame */
-#define LIST_BYTES     (32UL * 1024 * 1024) /* a shard of claims at its fullest */
-#define RECURSE        "?recurse"
-#define WATCH_SLACK_US (2 * MT_SECOND) /* the service may answer a watch a little late */
+#define VALUE_BYTES        (2UL * 1024 * 1024)  /* a megabyte in base64, with its frame */
+#define LIST_BYTES         (32UL * 1024 * 1024) /* a shard of claims at its fullest */
+#define RECURSE            "?recurse"
+#define BREAKER_FAILURES   3
+#define BREAKER_FIRST_US   (250 * MT_MS)
+#define BREAKER_LONGEST_US (5 * MT_SECOND)
+#define WATCH_SLACK_US     (2 * MT_SECOND) /* the service may answer a watch a little late */
 
 struct mt_platform
 {
@@ -16,7 +19,8 @@
   const struct mt_clock *clock;
   char *address;
   int64_t call_us;
-  struct mt_store store;
+  struct mt_store direct; /* without the breaker */
+  struct mt_breaker *breaker;
   guint64 calls; /* atomic */
 };
 
@@ -325,6 +329,20 @@
   .acquire = store_acquire,
 };
 
+/* Every user of the service gets it, so that nobody comes back to it in step with the others. */
+static struct mt_breaker *
+create_breaker (struct mt_platform *platform)
+{
+  struct mt_breaker_options options = { .clock = platform->clock,
+                                        .inner = &platform->direct,
+                                        .failures = BREAKER_FAILURES,
+                                        .first_us = BREAKER_FIRST_US,
+                                        .longest_us = BREAKER_LONGEST_US,
+                                        .seed = g_random_int () };
+
+  return mt_breaker_create (&options);
+}
+
 struct mt_platform *
 mt_platform_create (struct mt_http_client *client,
                     const struct mt_clock *clock,
@@ -337,8 +355,9 @@
   platform->clock = clock;
   platform->address = g_strdup (address);
   platform->call_us = call_us;
-  platform->store.ops = &platform_ops;
-  platform->store.ctx = platform;
+  platform->direct.ops = &platform_ops;
+  platform->direct.ctx = platform;
+  platform->breaker = create_breaker (platform);
   return platform;
 }
 
@@ -347,6 +366,7 @@
 {
   if (platform == NULL)
     return;
+  mt_breaker_destroy (platform->breaker);
   g_free (platform->address);
   g_free (platform);
 }
@@ -354,7 +374,13 @@
 const struct mt_store *
 mt_platform_store (struct mt_platform *platform)
 {
-  return &platform->store;
+  return mt_breaker_store (platform->breaker);
+}
+
+struct mt_breaker *
+mt_platform_breaker (struct mt_platform *platform)
+{
+  return platform->breaker;
 }
 
 uint64_t
--- a/net/platform.h
+++ b/net/platform.h
@@ -4,6 +4,7 @@
 #define MT_PLATFORM_H
 
 #include "http_client.h"
+#include "medlartrack/breaker.h"
 #include "medlartrack/store.h"
 
 struct mt_platform;
@@ -14,8 +15,10 @@
                                         const char *address,
                                         int64_t call_us);
 void mt_platform_destroy (struct mt_platform *platform);
-/* Lives as long as the platform. */
+/* Both live as long as the platform. The store stands behind the breaker: while the service is
+ * known to be down its calls fail at once. */
 const struct mt_store *mt_platform_store (struct mt_platform *platform);
+struct mt_breaker *mt_platform_breaker (struct mt_platform *platform);
 /* Calls made so far, a watch counted as one. */
 uint64_t mt_platform_calls (const struct mt_platform *platform);
 
