--- a/core/config/fields.c
+++ b/core/config/fields.c
@@ -17,10 +17,13 @@
 {
   char *text = found != NULL ? json_dumps (found, JSON_ENCODE_ANY | JSON_COMPACT) : NULL;
   g_autofree char *shown = g_strndup (text != NULL ? text : "nothing", MAX_SHOWN_BYTES);
+  /* Both may have been cut within a character; jansson, for one, refuses to print such a message.
+   */
   g_autofree char *valid = g_utf8_make_valid (shown, -1);
+  g_autofree char *where = g_utf8_make_valid (place.where, -1);
 
   free (text);
-  g_set_error (error, MT_ERROR, (gint) place.code, "%s, %s: found %s; %s", place.where, key, valid,
+  g_set_error (error, MT_ERROR, (gint) place.code, "%s, %s: found %s; %s", where, key, valid,
                remedy);
   return false;
 }
@@ -230,9 +233,13 @@
   json_error_t at;
   json_t *root = json_loadb (json.data, json.len, JSON_REJECT_DUPLICATES, &at);
 
-  if (root == NULL)
-    g_set_error (error, MT_ERROR, MT_ERROR_SYNTAX,
-                 "%s, line %d, column %d: %s; mend the JSON there", place.where, at.line, at.column,
-                 at.text);
-  return root;
+  g_autofree char *text = NULL;
+
+  if (root != NULL)
+    return root;
+  /* jansson quotes what it found near the place, cut at any byte. */
+  text = g_utf8_make_valid (at.text, -1);
+  g_set_error (error, MT_ERROR, MT_ERROR_SYNTAX, "%s, line %d, column %d: %s; mend the JSON there",
+               place.where, at.line, at.column, text);
+  return NULL;
 }
