control: drain and reboot through real processes, within a stated bound

Cause: nothing showed that daemons, platform and minions keep to the records together; the stand-in had no instances and no reboot. Found by it, both mended: the first document took 5 s, since a watch on a missing key waits (the first read is a get now), and a watch on a kept connection was cut after 1 s, so that control thought itself cut off (it has a connection of its own now). Ruled out: a slow stand-in; its answer was there, neon's read timeout is that of the connection's first call.

--- a/core/control/planner.c
+++ b/core/control/planner.c
@@ -5,6 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* A drain that takes no longer is as it should be, and no matter for the operator. */
+#define QUIET_S 5
+
 static void
 clear_reboot (gpointer data)
 {
@@ -328,6 +331,8 @@
       give_drain_up (plan, record, held_by);
       return;
     }
+  if (plan->input->now_s - record->since_s < QUIET_S)
+    return;
   mt_planner_report (plan, "instance %s drains out of pool %s, held by daemon %s", record->instance,
                      record->pool, held_by);
 }
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -20,6 +20,11 @@
   struct mt_http_client *client;
   struct mt_platform *platform;
   const struct mt_store *store;
+  /* A kept connection keeps the timeout of the call that opened it: a watch on one that an ordinary
+   * call opened would be cut short, and look like a platform that is away. */
+  struct mt_http_client *watch_client;
+  struct mt_platform *watch_platform;
+  const struct mt_store *watched;
   char *key; /* of the assignment document */
   char *lease_key;
   char *holder_key;
@@ -54,7 +59,9 @@
   if (!g_atomic_int_dec_and_test (&control->refs))
     return;
   mt_platform_destroy (control->platform);
+  mt_platform_destroy (control->watch_platform);
   mt_http_client_destroy (control->client);
+  mt_http_client_destroy (control->watch_client);
   mt_capacity_destroy (control->capacity);
   g_hash_table_destroy (control->refused);
   g_ptr_array_free (control->reports, TRUE);
@@ -157,20 +164,31 @@
   g_mutex_unlock (&control->lock);
 }
 
+/* The first read doesn't wait: a watch on a key that isn't there yet would, and no planner could
+ * make the first document meanwhile. */
+static bool
+read_document (struct mt_control *control, uint64_t index, struct mt_store_value *value)
+{
+  const struct mt_store *store = control->store;
+
+  if (control->confirmed_us == 0)
+    return store->ops->get (store->ctx, control->key, value, NULL);
+  return control->watched->ops->watch (control->watched->ctx, control->key, index, WATCH_US, value,
+                                       NULL);
+}
+
 static void
 watch_step (struct mt_control *control, uint64_t *index)
 {
   struct mt_store_value value = { 0 };
-  bool ok = is_registered (control)
-            && control->store->ops->watch (control->store->ctx, control->key, *index, WATCH_US,
-                                           &value, NULL);
+  bool ok = is_registered (control) && read_document (control, *index, &value);
 
   if (ok && value.found && value.index != *index)
     offer (control, (struct mt_str){ value.data, value.len });
   note_read (control, ok, value.index);
   if (ok)
     *index = value.index;
-  if (!ok || !value.found)
+  if (!ok)
     wait_us (control, RETRY_US, false);
   mt_store_value_clear (&value);
 }
@@ -546,6 +564,10 @@
   control->platform
       = mt_platform_create (control->client, options->clock, options->platform, options->call_us);
   control->store = mt_platform_store (control->platform);
+  control->watch_client = mt_http_client_create (options->clock);
+  control->watch_platform = mt_platform_create (control->watch_client, options->clock,
+                                                options->platform, options->call_us);
+  control->watched = mt_platform_store (control->watch_platform);
   control->key = g_strdup_printf ("%s%s", MT_ASSIGN_PREFIX, options->zone);
   control->lease_key = g_strdup_printf ("%s%s", MT_PLANNER_PREFIX, options->zone);
   control->holder_key
@@ -592,7 +614,7 @@
 uint64_t
 mt_control_calls (const struct mt_control *control)
 {
-  return mt_platform_calls (control->platform);
+  return mt_platform_calls (control->platform) + mt_platform_calls (control->watch_platform);
 }
 
 static json_t *
--- a/tests/control/test_planner.cpp
+++ b/tests/control/test_planner.cpp
@@ -50,7 +50,10 @@
   world.daemons[1].cut = true;
   world.newest_tables = 2;
   for (int i = 0; i < 20; i++)
-    calm_round (world);
+    {
+      world.now_s++;
+      calm_round (world);
+    }
   assert_int_equal (record_of (world, "a3")->state, MT_ASSIGN_DRAINING);
   assert_true (reports_mention (world, "held by daemon d1"));
   world.daemons[1].cut = false;
--- a/tests/standins/platform_main.c
+++ b/tests/standins/platform_main.c
@@ -2,14 +2,18 @@
  * published HTTP protocol, and faults on request.
  *
  *   PUT /fault {"down": bool, "slow_ms": n, "lose_answers": n}
+ *   PUT /instances {"name", "state": "live" | "leaving" | "down" | "gone", "reboot_ms": n}
+ *   PUT /v1/instance/NAME/reboot?epoch=N; the list is the value of platform/instances
  *   GET /calls  -> {"reads": n, "writes": n, "dropped": n}, a waiting watch counted as one read;
  * dropped are those that came while it was down
  */
+#include "platform_instances.h"
 #include "standin.h"
 
 #include <string.h>
 
-#define MAX_VALUE (1024 * 1024)
+#define MAX_VALUE     (1024 * 1024)
+#define INSTANCES_KEY "platform/instances"
 
 struct entry
 {
@@ -31,6 +35,7 @@
   GCond changed;
   GTree *entries;       /* key -> struct entry, in key order */
   GHashTable *sessions; /* id -> struct session */
+  struct platform_instances *instances;
   uint64_t index;
   uint64_t next_session;
   uint64_t reads;
@@ -308,11 +313,53 @@
     }
 }
 
+/* The list is a value like any other to those who read it. */
+static void
+publish_instances (struct service *service)
+{
+  g_autofree char *text = platform_instances_text (service->instances, now_us ());
+  const struct entry *entry = g_tree_lookup (service->entries, INSTANCES_KEY);
+
+  if (text == NULL)
+    return;
+  if (entry == NULL || entry->len != strlen (text) || memcmp (entry->value, text, entry->len) != 0)
+    store_value (service, INSTANCES_KEY, mt_str_from (text), NULL);
+}
+
+static void
+handle_instances (struct service *service, struct mt_http_request *request)
+{
+  json_t *body = json_loadb (request->body.data, request->body.len, 0, NULL);
+
+  platform_instances_set (service->instances, body, now_us ());
+  json_decref (body);
+  standin_answer_text (request, 200, "true");
+}
+
+static void
+handle_reboot (struct service *service, struct mt_http_request *request, const char *rest)
+{
+  g_autofree char *epoch = standin_query (request, "epoch");
+  g_autofree char *name = g_strndup (rest, strcspn (rest, "/"));
+
+  service->writes++;
+  if (epoch == NULL)
+    standin_answer_text (request, 400, "epoch is required");
+  else
+    standin_answer_text (request, 200,
+                         platform_instances_reboot (service->instances, name,
+                                                    g_ascii_strtoull (epoch, NULL, 10), now_us ())
+                             ? "true"
+                             : "false");
+}
+
 static void
 route (struct service *service, struct mt_http_request *request, const char *path)
 {
   if (strcmp (path, "/fault") == 0)
     handle_fault (service, request);
+  else if (strcmp (path, "/instances") == 0)
+    handle_instances (service, request);
   else if (strcmp (path, "/calls") == 0)
     standin_answer_json (request, 200,
                          json_pack ("{sI sI sI}", "reads", (json_int_t) service->reads, "writes",
@@ -325,6 +372,8 @@
     }
   else if (g_str_has_prefix (path, "/v1/kv/"))
     handle_kv (service, request, path + strlen ("/v1/kv/"));
+  else if (g_str_has_prefix (path, "/v1/instance/"))
+    handle_reboot (service, request, path + strlen ("/v1/instance/"));
   else if (g_str_has_prefix (path, "/v1/session/"))
     handle_session (service, request, path + strlen ("/v1/session/"));
   else
@@ -344,6 +393,7 @@
   g_usleep (slow_ms * 1000UL);
   g_mutex_lock (&service->lock);
   lapse_sessions (service);
+  publish_instances (service);
   route (service, request, path);
   g_mutex_unlock (&service->lock);
 }
@@ -356,6 +406,7 @@
   g_mutex_init (&service.lock);
   g_cond_init (&service.changed);
   service.entries = g_tree_new_full (compare_keys, NULL, g_free, free_entry);
+  service.instances = platform_instances_create ();
   service.sessions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return standin_serve (argc > 1 ? argv[1] : "127.0.0.1:0", handle, &service);
 }
