once: tell keys apart by the request's path, not by the name of its route

Cause: a key was claimed under its route's name. An operator who renamed the route between a caller's two tries let the second one run. Ruled out: the key alone (two services' callers would collide and one be told that its invoice ran); the audience (a try without that header would run again). Change: the claim's scope is the path up to its query. test_front offers its records apart from its tables, so that a test can put new tables in force; its checks stand. Conclusion: tables can't change what a key means; `repeat` itself still can.

--- a/daemon/claims.c
+++ b/daemon/claims.c
@@ -230,13 +230,13 @@
 /* Not a cryptographic hash: a caller who finds two keys with one hash gets one of them refused as a
  * duplicate, and never a second run. */
 static void
-hash_key (struct mt_str route, struct mt_str key, uint64_t out[2])
+hash_key (struct mt_str scope, struct mt_str key, uint64_t out[2])
 {
   XXH3_state_t *state = XXH3_createState ();
   XXH128_hash_t hash;
 
   XXH3_128bits_reset (state);
-  XXH3_128bits_update (state, route.data, route.len);
+  XXH3_128bits_update (state, scope.data, scope.len);
   XXH3_128bits_update (state, "", 1);
   XXH3_128bits_update (state, key.data, key.len);
   hash = XXH3_128bits_digest (state);
@@ -346,7 +346,7 @@
 
 enum mt_claim_result
 mt_claims_take (struct mt_claims *claims,
-                struct mt_str route,
+                struct mt_str scope,
                 struct mt_str key,
                 int64_t deadline_us,
                 struct mt_claim *claim)
@@ -359,7 +359,7 @@
     return MT_CLAIM_EXPIRED;
   if (deadline_us <= now)
     return MT_CLAIM_UNAVAILABLE;
-  hash_key (route, key, ask.key);
+  hash_key (scope, key, ask.key);
   ask.hold_ms = (unsigned) ((deadline_us - now) / MT_MS) + HOLD_MS;
   start_attempt (claims, &ask);
   if (!ask_owner (claims, &ask))
--- a/daemon/claims.h
+++ b/daemon/claims.h
@@ -33,7 +33,7 @@
 
 struct mt_claim
 {
-  uint64_t key[2];     /* hash of route and idempotency key */
+  uint64_t key[2];     /* hash of scope and idempotency key */
   uint64_t attempt[2]; /* unique to this attempt */
   int status;          /* of the earlier answer, for MT_CLAIM_DONE */
 };
@@ -51,8 +51,10 @@
 /* Once nobody takes claims any more. Tries to record the ends that wait. */
 void mt_claims_destroy (struct mt_claims *claims);
 
+/* scope is what keys are told apart within: the request's own path, which is the same when it is
+ * sent again. A name from the tables would not do: an operator may rename it in between. */
 enum mt_claim_result mt_claims_take (struct mt_claims *claims,
-                                     struct mt_str route,
+                                     struct mt_str scope,
                                      struct mt_str key,
                                      int64_t deadline_us,
                                      struct mt_claim *claim);
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -22,7 +22,6 @@
 /* What the request needs of the tables, copied out of the view. */
 struct plan
 {
-  struct mt_str route;
   struct mt_str pool;
   enum mt_repeat repeat;
   int64_t deadline_us;
@@ -172,7 +171,6 @@
     route = mt_tables_route (tables, request->method, request->path);
   if (route != NULL)
     {
-      plan->route = mt_arena_dup (request->arena, route->name);
       plan->pool = mt_arena_dup (request->arena, route->pool);
       plan->repeat = route->repeat;
       plan->queue = route->queue;
@@ -476,6 +474,7 @@
 {
   struct mt_str key
       = mt_http_header_find (request->headers, request->n_headers, MT_STR ("Idempotency-Key"));
+  struct mt_str path = { request->path.data, strcspn (request->path.data, "?") };
   enum mt_claim_result result;
 
   if (key.len == 0 || key.len > MAX_KEY_BYTES)
@@ -489,7 +488,7 @@
                            0 });
       return false;
     }
-  result = mt_claims_take (front->options.claims, plan->route, key, plan->deadline_us, claim);
+  result = mt_claims_take (front->options.claims, path, key, plan->deadline_us, claim);
   if (result == MT_CLAIM_GRANTED)
     return true;
   if (result == MT_CLAIM_UNAVAILABLE)
@@ -540,7 +539,7 @@
   bool routed = make_plan (front, request, &plan);
 
   mt_counters_add (front->options.counters, MT_COUNTER_ASKED, 1);
-  if (plan.id.data == NULL || (routed && (plan.pool.data == NULL || plan.route.data == NULL)))
+  if (plan.id.data == NULL || (routed && plan.pool.data == NULL))
     {
       mt_counters_add (front->options.counters, MT_COUNTER_NOT_RUN, 1);
       answer_without_memory (request, true);
--- a/tests/path/test_front.c
+++ b/tests/path/test_front.c
@@ -41,25 +41,24 @@
 }
 
 static void
-put_tables (struct fixture *f)
+put_tables (struct fixture *f, unsigned version, const char *once)
 {
   g_autofree char *text = g_strdup_printf (
-      "{\"version\":1,\"id\":\"t\",\"routes\":["
+      "{\"version\":%u,\"id\":\"t\",\"routes\":["
       "{\"route\":\"safe\",\"method\":\"GET\",\"path\":\"/"
       "safe\",\"pool\":\"p\",\"repeat\":\"safe\"},"
-      "{\"route\":\"once\",\"method\":\"POST\",\"path\":\"/once\",\"pool\":\"p\","
+      "{\"route\":\"%s\",\"method\":\"POST\",\"path\":\"/once\",\"pool\":\"p\","
       "\"repeat\":\"never\"}],"
       "\"pools\":[{\"pool\":\"p\",\"service\":\"s\",\"instances\":["
       "{\"name\":\"m0\",\"address\":\"%s\",\"zone\":\"west\",\"rack\":\"r0\"},"
       "{\"name\":\"m1\",\"address\":\"%s\",\"zone\":\"west\",\"rack\":\"r1\"}]}]}",
-      scripted_address (f->minions[0]), scripted_address (f->minions[1]));
+      version, once, scripted_address (f->minions[0]), scripted_address (f->minions[1]));
   g_autoptr (GError) error = NULL;
   struct mt_tables *tables = mt_tables_parse (mt_str_from (text), &error);
 
   if (tables == NULL)
     fail_msg ("%s", error->message);
   assert_true (mt_view_offer (f->views, tables));
-  put_records (f);
 }
 
 static void
@@ -98,7 +97,8 @@
   options.claims = f->claims;
   options.counters = &f->counters;
   f->front = mt_front_create (&options);
-  put_tables (f);
+  put_tables (f, 1, "once");
+  put_records (f);
   *state = f;
   return 0;
 }
@@ -274,6 +274,20 @@
     }
 }
 
+/* The caller's invoice runs and the answer is lost on the way to it. Before it asks again an
+ * operator renames the route. The key is the same request still: it is not run a second time. */
+static void
+test_renamed_route_does_not_run_again (void **state)
+{
+  struct fixture *f = *state;
+
+  play (f, SCRIPT_WHOLE);
+  assert_int_equal (ask (f, "POST", "/once").status, 200);
+  put_tables (f, 2, "renamed");
+  assert_int_equal (ask (f, "POST", "/once?again=1").status, 409);
+  assert_int_equal (count_requests (f), 1);
+}
+
 int
 main (void)
 {
@@ -286,6 +300,7 @@
     cmocka_unit_test_setup_teardown (test_minions_refusal_is_not_run, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_leaving_minions_get_nothing, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_no_memory_is_typed, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_renamed_route_does_not_run_again, set_up, tear_down),
   };
 
   return cmocka_run_group_tests_name ("front", tests, NULL, NULL);
