path: tell those who wait for a drained pool at once

Cause: waiters were given up when their time came, also where no minion was left that takes work, and a newcomer was still queued as long as anything was in flight on minions that take nothing new. Seen: in test_waiters_of_a_drained_pool_are_told_at_once the waiter got no answer before its deadline. Ruled out: refusing while every minion rests for a moment (refused, ejected): those come back by themselves. Change: without a usable slot and without one due, waiters and newcomers are refused as "no minion". A property for audiences at the dispatch itself: a flood delays another audience by one turn at most. After: refused in the update that drains the pool. A failed try: waiters of a slot woken by semaphores outside of the pool's lock.

--- a/core/path/dispatch.c
+++ b/core/path/dispatch.c
@@ -40,7 +40,9 @@
   GPtrArray *minions;  /* the same, in the order of the loads */
   GArray *loads;       /* of struct mt_balance_load */
   struct mt_share share;
-  unsigned n_free; /* slots, over all minions */
+  /* Slots, over all minions. */
+  unsigned n_free;
+  unsigned n_usable;
   unsigned in_flight;
   /* Of those in the tables. */
   unsigned n_present;
@@ -123,8 +125,10 @@
   struct mt_balance_load *load = load_of (dispatch, minion);
 
   dispatch->n_free -= count_free (load);
+  dispatch->n_usable -= load->usable;
   load->usable = work_out_usable (dispatch, minion, now_us);
   load->penalty = work_out_penalty (dispatch, minion, now_us);
+  dispatch->n_usable += load->usable;
   dispatch->n_free += count_free (load);
 }
 
@@ -181,12 +185,19 @@
 }
 
 static void
-give_up (struct mt_dispatch *dispatch, struct mt_ticket *ticket)
+give_up (struct mt_dispatch *dispatch, struct mt_ticket *ticket, enum mt_refusal refusal)
 {
-  ticket->refusal = MT_REFUSAL_TOO_LATE;
+  ticket->refusal = refusal;
   dispatch->callbacks->expired (ticket);
 }
 
+/* What still runs on minions that take nothing new frees no slot for anybody who waits. */
+static bool
+has_hope (const struct mt_dispatch *dispatch, int64_t until_us)
+{
+  return dispatch->n_usable > 0 || dispatch->wake_us < until_us;
+}
+
 static void
 grant_waiters (struct mt_dispatch *dispatch, int64_t now_us)
 {
@@ -195,7 +206,9 @@
   if (now_us >= dispatch->wake_us)
     refresh_all (dispatch, now_us);
   while ((item = mt_fair_queue_late (dispatch->queue, now_us)) != NULL)
-    give_up (dispatch, item->owner);
+    give_up (dispatch, item->owner, MT_REFUSAL_TOO_LATE);
+  while (!has_hope (dispatch, INT64_MAX) && (item = mt_fair_queue_pop (dispatch->queue)) != NULL)
+    give_up (dispatch, item->owner, MT_REFUSAL_NO_MINION);
   while (dispatch->n_free > 0 && (item = mt_fair_queue_pop (dispatch->queue)) != NULL)
     {
       struct mt_ticket *ticket = item->owner;
@@ -203,7 +216,7 @@
       if (try_grant (dispatch, ticket))
         dispatch->callbacks->granted (ticket);
       else
-        give_up (dispatch, ticket);
+        give_up (dispatch, ticket, MT_REFUSAL_NO_MINION);
     }
 }
 
@@ -283,6 +296,7 @@
   struct minion *last = g_ptr_array_index (dispatch->minions, dispatch->minions->len - 1);
 
   dispatch->n_free -= count_free (load_of (dispatch, minion));
+  dispatch->n_usable -= load_of (dispatch, minion)->usable;
   g_ptr_array_remove_index_fast (dispatch->minions, (guint) minion->index);
   g_array_remove_index_fast (dispatch->loads, (guint) minion->index);
   last->index = minion->index;
@@ -439,7 +453,7 @@
 {
   unsigned ahead;
 
-  if (dispatch->in_flight == 0 && dispatch->wake_us >= time_to_give_up (dispatch, ticket, now_us))
+  if (!has_hope (dispatch, time_to_give_up (dispatch, ticket, now_us)))
     return MT_REFUSAL_NO_MINION;
   if (mt_fair_queue_length (dispatch->queue) >= queue_limit)
     return MT_REFUSAL_QUEUE_FULL;
@@ -589,16 +603,11 @@
 mt_dispatch_usable (const struct mt_dispatch *dispatch, const char *name)
 {
   const struct minion *minion;
-  unsigned sum = 0;
 
-  if (name != NULL)
-    {
-      minion = g_hash_table_lookup (dispatch->by_name, name);
-      return minion != NULL ? load_of (dispatch, minion)->usable : 0;
-    }
-  for (guint i = 0; i < dispatch->loads->len; i++)
-    sum += g_array_index (dispatch->loads, struct mt_balance_load, i).usable;
-  return sum;
+  if (name == NULL)
+    return dispatch->n_usable;
+  minion = g_hash_table_lookup (dispatch->by_name, name);
+  return minion != NULL ? load_of (dispatch, minion)->usable : 0;
 }
 
 unsigned
--- a/tests/path/prop_dispatch.cpp
+++ b/tests/path/prop_dispatch.cpp
@@ -276,6 +276,35 @@
   });
 }
 
+/* A pool kept full, one audience with many waiting, others with one each: every other audience has
+ * its slot within as many grants as there are audiences. */
+bool
+check_quiet_audiences_served ()
+{
+  return rc::check ("a flood delays other audiences by one turn at most", [] {
+    const auto flood = *rc::gen::inRange (1U, 20U);
+    const auto quiet = *rc::gen::inRange (1U, 8U);
+    World world;
+    unsigned served = 0;
+
+    world.dispatch = mt_dispatch_create (mt_clock_manual_clock (world.manual), &kCallbacks,
+                                         mt_balance_policies[0], 7);
+    update (world, 1, 0);
+    for (unsigned i = 0; i < kSlots + flood; i++)
+      ask (world, 0, 10000, false);
+    for (unsigned i = 1; i <= quiet; i++)
+      ask (world, i, 10000, false);
+    for (unsigned i = 0; i <= quiet; i++)
+      finish (world, 0, MT_DISPATCH_GOOD);
+    for (auto &call : world.calls)
+      served += call->ticket.audience != 0 && call->state == State::Running ? 1 : 0;
+    RC_ASSERT (served == quiet);
+    end_all (world);
+    mt_dispatch_destroy (world.dispatch);
+    mt_clock_manual_destroy (world.manual);
+  });
+}
+
 bool
 check_share_sums ()
 {
@@ -299,6 +328,7 @@
   bool good = check_any_interleaving ();
 
   good = check_no_starving () && good;
+  good = check_quiet_audiences_served () && good;
   good = check_share_sums () && good;
   return good ? 0 : 1;
 }
--- a/tests/path/test_dispatch.c
+++ b/tests/path/test_dispatch.c
@@ -155,6 +155,25 @@
   assert_int_equal (waiting.refusal, MT_REFUSAL_TOO_LATE);
 }
 
+/* The operator drains the whole pool while a caller waits for a slot. Those in flight end later,
+ * but their slots take nothing new: the caller is told at once and not at its deadline. */
+static void
+test_waiters_of_a_drained_pool_are_told_at_once (void **state)
+{
+  struct fixture *f = *state;
+  g_autofree struct mt_ticket *busy = fill (f, MINIONS * SLOTS);
+  struct mt_ticket waiting;
+  struct mt_ticket late;
+
+  assert_non_null (busy);
+  assert_int_equal (ask (f, &waiting, 1, MT_SECOND), MT_ADMIT_WAIT);
+  mt_dispatch_update (f->dispatch, NULL, 0);
+  assert_int_equal (expired, 1);
+  assert_int_equal (waiting.refusal, MT_REFUSAL_NO_MINION);
+  assert_int_equal (ask (f, &late, 1, MT_SECOND), MT_ADMIT_REFUSE);
+  assert_int_equal (late.refusal, MT_REFUSAL_NO_MINION);
+}
+
 /* A trough: one request in a while, one of them a straggler of 5 s. Then a surge's head arrives.
  * The caller sees its request queued: the straggler has not spoilt the estimate. */
 static void
@@ -327,6 +346,8 @@
     cmocka_unit_test_setup_teardown (test_refuses_at_once_what_would_be_late, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_gives_up_while_the_caller_still_listens, set_up,
                                      tear_down),
+    cmocka_unit_test_setup_teardown (test_waiters_of_a_drained_pool_are_told_at_once, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (test_straggler_in_trough_costs_no_surge_head, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_fast_errors_attract_no_load, set_up, tear_down),
