--- a/core/path/dispatch.c
+++ b/core/path/dispatch.c
@@ -2,15 +2,11 @@
 
 #include "medlartrack/ejection.h"
 #include "medlartrack/retry_budget.h"
+#include "medlartrack/service_time.h"
 
 #include <string.h>
 #include <xxhash.h>
 
-/* A moving mean that one straggler in a trough can't spoil for the next surge: a sample counts a
- * sixteenth, and as four times the mean at most. */
-#define SERVICE_WEIGHT  16
-#define SERVICE_CLAMP   4
-#define SPREAD_FACTOR   2
 #define REFUSED_REST_US (20 * MT_MS)    /* a full minion gets nothing for so long */
 #define PENALTY_US      (1 * MT_SECOND) /* a failure counts as load for so long */
 #define BORROW_REST_US  (1 * MT_SECOND) /* and its borrowed slots are left for so long */
@@ -48,9 +44,8 @@
   unsigned n_present;
   unsigned ejected;
   uint64_t failing_sum;
-  int64_t wake_us;    /* the next time at which a minion's usable slots change by themselves */
-  int64_t service_us; /* moving mean */
-  int64_t spread_us;  /* moving mean of the distance from it */
+  int64_t wake_us; /* the next time at which a minion's usable slots change by themselves */
+  struct mt_service_time service;
   struct mt_retry_budget retries;
   struct mt_fair_queue *queue;
 };
@@ -429,7 +424,7 @@
 static int64_t
 estimate_wait (const struct mt_dispatch *dispatch, unsigned ahead)
 {
-  return (int64_t) (ahead + 1) * dispatch->service_us / count_servers (dispatch);
+  return (int64_t) (ahead + 1) * dispatch->service.mean_us / count_servers (dispatch);
 }
 
 /* A request that gets its slot later than this would as likely as not be answered too late, and so
@@ -438,7 +433,7 @@
 static int64_t
 time_to_give_up (const struct mt_dispatch *dispatch, const struct mt_ticket *ticket, int64_t now_us)
 {
-  int64_t needed = dispatch->service_us + SPREAD_FACTOR * dispatch->spread_us;
+  int64_t needed = mt_service_time_needed (&dispatch->service);
 
   return ticket->deadline_us - MIN (needed, (ticket->deadline_us - now_us) / 2);
 }
@@ -497,22 +492,6 @@
   return MT_ADMIT_WAIT;
 }
 
-static void
-learn_service (struct mt_dispatch *dispatch, int64_t sample)
-{
-  int64_t mean = dispatch->service_us;
-  int64_t distance;
-
-  if (mean == 0)
-    {
-      dispatch->service_us = MAX (sample, 1);
-      return;
-    }
-  distance = MIN (sample, mean * SERVICE_CLAMP) - mean;
-  dispatch->service_us = MAX (mean + distance / SERVICE_WEIGHT, 1);
-  dispatch->spread_us += (ABS (distance) - dispatch->spread_us) / SERVICE_WEIGHT;
-}
-
 static void
 learn_health (struct mt_dispatch *dispatch,
               struct minion *minion,
@@ -556,7 +535,7 @@
     learn_health (dispatch, minion, result, now);
   /* Errors may be fast and refusals always are: only real work tells how long work takes. */
   if (result == MT_DISPATCH_GOOD || result == MT_DISPATCH_LOST)
-    learn_service (dispatch, now - ticket->granted_us);
+    mt_service_time_learn (&dispatch->service, now - ticket->granted_us);
   refresh_minion (dispatch, minion, now);
   ticket->minion = NULL;
   ticket->address = NULL;
@@ -625,7 +604,7 @@
 int64_t
 mt_dispatch_service_us (const struct mt_dispatch *dispatch)
 {
-  return dispatch->service_us;
+  return dispatch->service.mean_us;
 }
 
 void
--- /dev/null
+++ b/core/path/service_time.c
@@ -0,0 +1,30 @@
+#include "medlartrack/service_time.h"
+
+#include <glib.h>
+
+/* A straggler in a trough, where samples are few, must not spoil the estimate for the next surge: a
+ * sample counts a sixteenth, and as four times the mean at most. */
+#define WEIGHT        16
+#define CLAMP_FACTOR  4
+#define SPREAD_FACTOR 2
+
+void
+mt_service_time_learn (struct mt_service_time *service, int64_t sample_us)
+{
+  int64_t distance;
+
+  if (service->mean_us == 0)
+    {
+      service->mean_us = MAX (sample_us, 1);
+      return;
+    }
+  distance = MIN (sample_us, service->mean_us * CLAMP_FACTOR) - service->mean_us;
+  service->mean_us = MAX (service->mean_us + distance / WEIGHT, 1);
+  service->spread_us += (ABS (distance) - service->spread_us) / WEIGHT;
+}
+
+int64_t
+mt_service_time_needed (const struct mt_service_time *service)
+{
+  return service->mean_us + SPREAD_FACTOR * service->spread_us;
+}
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -1,5 +1,6 @@
 #include "front.h"
 
+#include "answer.h"
 #include "medlartrack/error.h"
 #include "medlartrack/log.h"
 
@@ -49,66 +50,6 @@
   const char *reason;
 };
 
-static const struct mt_http_header plain_headers[] = {
-  { MT_STR ("Content-Type"), MT_STR ("application/json") },
-  { MT_STR ("Medlartrack-Outcome"), MT_STR ("unknown") },
-};
-
-/* The request's memory is used up: the caller still gets an answer with a type. */
-static void
-answer_without_memory (struct mt_http_request *request, bool not_run)
-{
-  static const struct mt_http_header not_run_headers[] = {
-    { MT_STR ("Content-Type"), MT_STR ("application/json") },
-    { MT_STR ("Medlartrack-Outcome"), MT_STR ("not-run") },
-  };
-
-  request->answer = (struct mt_http_answer){
-    .status = not_run ? 503 : 504,
-    .headers = (struct mt_http_header *) (not_run ? not_run_headers : plain_headers),
-    .n_headers = G_N_ELEMENTS (plain_headers),
-    .body = not_run ? MT_STR ("{\"outcome\":\"not-run\",\"reason\":\"request memory\"}\n")
-                    : MT_STR ("{\"outcome\":\"unknown\",\"reason\":\"request memory\"}\n"),
-  };
-}
-
-/* An answer of the daemon's own. */
-struct typed
-{
-  int status;
-  const char *outcome;
-  const char *reason;
-  unsigned retry_after_s; /* 0: coming back does not help */
-};
-
-static void
-answer_typed (struct mt_http_request *request, const struct plan *plan, const struct typed *typed)
-{
-  g_autofree char *wait = g_strdup_printf ("%u", typed->retry_after_s);
-  g_autofree char *body = g_strdup_printf (
-      "{\"outcome\":\"%s\",\"reason\":\"%s\",\"request_id\":\"%.*s\"%s%s}\n", typed->outcome,
-      typed->reason, MT_STR_ARG (plan->id), typed->retry_after_s > 0 ? ",\"retry_after_s\":" : "",
-      typed->retry_after_s > 0 ? wait : "");
-  struct mt_http_header *headers = mt_arena_alloc (request->arena, 4 * sizeof *headers);
-  struct mt_http_answer *answer = &request->answer;
-
-  *answer = (struct mt_http_answer){ .status = typed->status, .headers = headers, .n_headers = 3 };
-  answer->body = mt_arena_dup (request->arena, mt_str_from (body));
-  if (headers == NULL || answer->body.data == NULL)
-    {
-      answer_without_memory (request, strcmp (typed->outcome, "not-run") == 0);
-      return;
-    }
-  headers[0] = plain_headers[0];
-  headers[1]
-      = (struct mt_http_header){ MT_STR ("Medlartrack-Outcome"), mt_str_from (typed->outcome) };
-  headers[2] = (struct mt_http_header){ MT_STR ("Medlartrack-Request-Id"), plan->id };
-  headers[3].name = MT_STR ("Retry-After");
-  headers[3].value = mt_arena_dup (request->arena, mt_str_from (wait));
-  if (typed->retry_after_s > 0 && headers[3].value.data != NULL)
-    answer->n_headers = 4;
-}
-
 /* When the queue now waiting will have been served. Callers that were refused together are spread
  * over as long again: told the same second, they would come back as the same surge. */
 static unsigned
@@ -127,10 +68,10 @@
                 const struct plan *plan,
                 const char *reason)
 {
-  struct typed typed = { 503, "not-run", reason, work_out_retry_after (front, plan) };
+  struct mt_answer_typed typed = { 503, "not-run", reason, work_out_retry_after (front, plan) };
 
   mt_counters_add (front->options.counters, MT_COUNTER_NOT_RUN, 1);
-  answer_typed (request, plan, &typed);
+  mt_answer_typed (request, plan->id, &typed);
 }
 
 static void
@@ -139,12 +80,12 @@
                 const struct plan *plan,
                 const char *reason)
 {
-  struct typed typed = { 504, "unknown", reason, work_out_retry_after (front, plan) };
+  struct mt_answer_typed typed = { 504, "unknown", reason, work_out_retry_after (front, plan) };
 
   mt_counters_add (front->options.counters, MT_COUNTER_UNKNOWN, 1);
   mt_log_event (MT_EVENT_REQUEST_UNKNOWN, "id=%.*s path=%.*s why=%s", MT_STR_ARG (plan->id),
                 MT_STR_ARG (request->path), reason);
-  answer_typed (request, plan, &typed);
+  mt_answer_typed (request, plan->id, &typed);
 }
 
 static uint64_t
@@ -181,15 +122,6 @@
   return route != NULL;
 }
 
-static bool
-is_own (struct mt_str name)
-{
-  static const struct mt_str prefix = MT_STR ("Medlartrack-");
-
-  return name.len > prefix.len
-         && mt_str_equal_nocase ((struct mt_str){ name.data, prefix.len }, prefix);
-}
-
 static bool
 is_forwarded (struct mt_str name)
 {
@@ -200,7 +132,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (stopped); i++)
     if (mt_str_equal_nocase (name, mt_str_from (stopped[i])))
       return false;
-  return !is_own (name);
+  return !mt_answer_is_own_header (name);
 }
 
 /* What has to be done when an exchange has really ended, which may be after its caller was
@@ -397,20 +329,6 @@
   return result;
 }
 
-/* The daemon's own words are left out of a minion's answer: a caller that reads an outcome there
- * may rely on it. */
-static void
-remove_own_headers (struct mt_http_answer *answer)
-{
-  size_t kept = 0;
-
-  for (size_t i = 0; i < answer->n_headers; i++)
-    if (!is_own (answer->headers[i].name)
-        || mt_str_equal_nocase (answer->headers[i].name, MT_STR ("Medlartrack-Request-Id")))
-      answer->headers[kept++] = answer->headers[i];
-  answer->n_headers = kept;
-}
-
 /* Gives the request its one answer. */
 static void
 settle (struct mt_front *front,
@@ -422,7 +340,7 @@
   if (result == TRY_WHOLE)
     {
       mt_counters_add (front->options.counters, MT_COUNTER_WHOLE, 1);
-      remove_own_headers (&request->answer);
+      mt_answer_remove_own_headers (&request->answer);
     }
   else if (result == TRY_GONE)
     request->answer = (struct mt_http_answer){ .status = MT_HTTP_DROP };
@@ -441,7 +359,7 @@
               int status)
 {
   g_autofree char *done = g_strdup_printf ("it ran already and was answered %d", status);
-  struct typed typed = { .status = 409, .outcome = "duplicate" };
+  struct mt_answer_typed typed = { .status = 409, .outcome = "duplicate" };
 
   switch (result)
     {
@@ -453,16 +371,17 @@
       typed.reason = done;
       break;
     case MT_CLAIM_LOST:
-      typed = (struct typed){ 504, "unknown", "the same request may have run; it is not run again",
-                              0 };
+      typed = (struct mt_answer_typed){ 504, "unknown",
+                                        "the same request may have run; it is not run again", 0 };
       break;
     default:
-      typed = (struct typed){ 409, "unknown",
-                              "the key's date is too long ago or ahead to tell whether it ran", 0 };
+      typed = (struct mt_answer_typed){
+        409, "unknown", "the key's date is too long ago or ahead to tell whether it ran", 0
+      };
       break;
     }
   mt_counters_add (front->options.counters, MT_COUNTER_DUPLICATE, 1);
-  answer_typed (request, plan, &typed);
+  mt_answer_typed (request, plan->id, &typed);
 }
 
 /* Claims the key of a request that may not be repeated. False where the request was answered. */
@@ -480,9 +399,9 @@
   if (key.len == 0 || key.len > MAX_KEY_BYTES)
     {
       mt_counters_add (front->options.counters, MT_COUNTER_NOT_RUN, 1);
-      answer_typed (
-          request, plan,
-          &(struct typed){ 400, "not-run",
+      mt_answer_typed (request, plan->id,
+                       &(struct mt_answer_typed){
+                           400, "not-run",
                            "this route needs an Idempotency-Key header of 1 to 256 bytes, "
                            "one for each request and the same when it is sent again",
                            0 });
@@ -542,13 +461,14 @@
   if (plan.id.data == NULL || (routed && plan.pool.data == NULL))
     {
       mt_counters_add (front->options.counters, MT_COUNTER_NOT_RUN, 1);
-      answer_without_memory (request, true);
+      mt_answer_without_memory (request, true);
       return;
     }
   if (!routed)
     {
       mt_counters_add (front->options.counters, MT_COUNTER_NOT_RUN, 1);
-      answer_typed (request, &plan, &(struct typed){ 404, "not-run", "no route leads there", 0 });
+      mt_answer_typed (request, plan.id,
+                       &(struct mt_answer_typed){ 404, "not-run", "no route leads there", 0 });
       return;
     }
   if (plan.repeat == MT_REPEAT_NEVER && !take_claim (front, request, &plan, &claim))
--- a/daemon/pools.h
+++ b/daemon/pools.h
@@ -4,7 +4,7 @@
 #define MT_POOLS_H
 
 #include "medlartrack/dispatch.h"
-#include "medlartrack/membership.h"
+#include "shares.h"
 #include "view.h"
 
 #include <jansson.h>
@@ -56,14 +56,7 @@
 /* How long the pool's queue would take now; 0 for an unknown pool. */
 int64_t mt_pools_backlog_us (struct mt_pools *pools, const char *name);
 
-/* What the live daemons of this data centre have in flight. Fill one with mt_shares_visit (ctx),
- * whose signature is that of mt_peers_each, and hand it over with mt_pools_set_shares. Not
- * thread-safe.
- */
-struct mt_shares;
-struct mt_shares *mt_shares_create (const char *self);
-void mt_shares_destroy (struct mt_shares *shares);
-void mt_shares_visit (void *ctx, const struct mt_member *member);
+/* Takes this daemon's place among the others, and what they have in flight. */
 void mt_pools_set_shares (struct mt_pools *pools, struct mt_shares *shares);
 
 /* Whether the minion said that it leaves; told back with mt_pools_rejoin, once the control part
--- /dev/null
+++ b/include/medlartrack/service_time.h
@@ -0,0 +1,17 @@
+/* How long a pool's work takes, learned from what ends. Not thread-safe. */
+#ifndef MEDLARTRACK_SERVICE_TIME_H
+#define MEDLARTRACK_SERVICE_TIME_H
+
+#include <stdint.h>
+
+struct mt_service_time
+{
+  int64_t mean_us;   /* moving; 0 before the first sample */
+  int64_t spread_us; /* moving mean of the distance from it */
+};
+
+void mt_service_time_learn (struct mt_service_time *service, int64_t sample_us);
+/* Most work is done within so long. */
+int64_t mt_service_time_needed (const struct mt_service_time *service);
+
+#endif
