--- a/core/control/capacity.c
+++ b/core/control/capacity.c
@@ -12,6 +12,7 @@
 #define LEARN_SURGES 3     /* seen before a pool gives up what it holds for them */
 #define HEADROOM     1.25
 #define BASE_SHARE   0.25 /* of the peak, held at all times where surges are followed */
+#define MOST_QUEUED  32   /* requests for each slot that the pool has: more is no true report */
 #define SMOOTHING    0.3  /* of surge lengths and periods */
 #define HOLD_MIN_S   4
 #define HOLD_MAX_S   3600
@@ -42,11 +43,19 @@
 }
 
 static unsigned
-clamp_to_row (unsigned want, const struct mt_pool *row)
+clamp_to_row (unsigned want, const struct mt_capacity_pool *pool)
 {
-  if (row->max_instances > 0)
-    want = MIN (want, row->max_instances);
-  return MAX (want, row->min_instances);
+  if (pool->row->max_instances > 0)
+    want = MIN (want, pool->row->max_instances);
+  return MAX (want, pool->least);
+}
+
+/* What waits is part of what is wanted, and piles up while a surge is more than the pool holds: it
+ * is no measure of the surge. The table's own size is what the operator thought enough. */
+static double
+bounded_peak (const struct mt_capacity_pool *pool)
+{
+  return MIN (pool->learnt.peak, (double) pool->home * pool->slots * HEADROOM);
 }
 
 static void
@@ -60,7 +69,7 @@
 decide_greedy (struct mt_capacity_pool *pools, size_t n)
 {
   for (size_t i = 0; i < n; i++)
-    pools[i].want = clamp_to_row (instances_for (pools[i].wanted, pools[i].slots), pools[i].row);
+    pools[i].want = clamp_to_row (instances_for (pools[i].wanted, pools[i].slots), &pools[i]);
 }
 
 /* Whether moving instances into each surge and out again costs less than holding them between:
@@ -76,42 +85,56 @@
   return pool->row->buffer_weight * learnt->period_s / HOUR_S > 2 * pool->row->move_weight;
 }
 
+static unsigned
+base_of (const struct mt_capacity_pool *pool)
+{
+  return MAX (instances_for (bounded_peak (pool) * BASE_SHARE, pool->slots),
+              instances_for (pool->learnt.recent * HEADROOM, pool->slots));
+}
+
 static unsigned
 decide_pool (const struct mt_capacity_pool *pool)
 {
-  const struct mt_capacity_learnt *learnt = &pool->learnt;
-  unsigned lasting = instances_for (learnt->recent * HEADROOM, pool->slots);
-  unsigned base;
+  unsigned base = base_of (pool);
 
   if (!follows_surges (pool))
-    return MAX (pool->home, lasting);
-  base = MAX (instances_for (learnt->peak * BASE_SHARE, pool->slots), lasting);
-  if (!learnt->surging)
+    return MAX (pool->home, base);
+  if (!pool->learnt.surging)
     return base;
-  /* The backlog is part of what is wanted, and is no measure of the surge: the table's own size,
-   * and one for what piled up until the move was done, bounds what is asked for. */
+  /* One more than the table's size works off what piled up until the moves were done. */
   return MAX (base, MIN (instances_for (pool->wanted, pool->slots), pool->home + 1));
 }
 
-/* The reserve is shared: surges come in turn, so it holds what the greediest pool would borrow. */
-static void
-decide_default (struct mt_capacity_pool *pools, size_t n)
+/* Surges come in turn, so one reserve serves all pools: as large as the greediest would borrow,
+ * less what the pool of the last surge still has and passes on to the next. */
+static unsigned
+decide_reserve (const struct mt_capacity_pool *pools, size_t n)
 {
   unsigned reserve = 0;
+  unsigned lent = 0;
 
   for (size_t i = 0; i < n; i++)
     {
       const struct mt_capacity_pool *pool = &pools[i];
-      unsigned peak;
+      unsigned base = MIN (base_of (pool), pool->want);
+      unsigned peak = instances_for (bounded_peak (pool), pool->slots);
 
-      pools[i].want = clamp_to_row (decide_pool (pool), pool->row);
-      peak = MIN (instances_for (pool->learnt.peak, pool->slots), pool->home);
-      if (!pool->row->spare && !pool->learnt.surging && peak > pools[i].want)
-        reserve = MAX (reserve, peak - pools[i].want);
+      if (pool->row->spare || !follows_surges (pool))
+        continue;
+      reserve = MAX (reserve, peak - MIN (peak, base));
+      lent += pool->serving - MIN (pool->serving, base);
     }
+  return reserve - MIN (reserve, lent);
+}
+
+static void
+decide_default (struct mt_capacity_pool *pools, size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    pools[i].want = clamp_to_row (decide_pool (&pools[i]), &pools[i]);
   for (size_t i = 0; i < n; i++)
     if (pools[i].row->spare && follows_surges (&pools[i]))
-      pools[i].want = clamp_to_row (pools[i].want + reserve, pools[i].row);
+      pools[i].want = clamp_to_row (pools[i].want + decide_reserve (pools, n), &pools[i]);
 }
 
 const struct mt_capacity_policy mt_capacity_policies[] = {
@@ -228,7 +251,7 @@
 }
 
 static void
-learn (struct track *track, double wanted, int64_t now_s)
+learn (struct track *track, double wanted, double most, int64_t now_s)
 {
   struct mt_capacity_learnt *learnt = &track->learnt;
   double passed = track->last_s == 0 ? 1 : (double) (now_s - track->last_s);
@@ -236,8 +259,7 @@
   if (passed <= 0)
     return;
   track->last_s = now_s;
-  /* A report that lies without bound would otherwise stay in the mean for minutes. */
-  wanted = isfinite (wanted) ? MAX (wanted, 0) : learnt->mean;
+  wanted = isfinite (wanted) ? CLAMP (wanted, 0, most) : learnt->mean;
   learn_surge (track, wanted, now_s);
   learnt->mean += (wanted - learnt->mean) * MIN (passed / MEAN_S, 1);
   learnt->peak = MAX (wanted, learnt->peak * exp (-passed / PEAK_S));
@@ -254,7 +276,12 @@
                    int64_t now_s)
 {
   for (size_t i = 0; i < n; i++)
-    learn (make_track (capacity, pools[i].row->name.data), pools[i].wanted, now_s);
+    {
+      /* A report that lies without bound would stay in the mean for minutes. */
+      double most = (double) (pools[i].home + 1) * pools[i].slots * MOST_QUEUED;
+
+      learn (make_track (capacity, pools[i].row->name.data), pools[i].wanted, most, now_s);
+    }
 }
 
 /* An instance too many is kept until keeping it has cost as much as the two moves that letting it
@@ -310,9 +337,11 @@
 
   for (size_t i = 0; i < n; i++)
     {
-      unsigned missing = pools[i].want > pools[i].serving ? pools[i].want - pools[i].serving : 0;
+      /* The spare gets its own back in time, but at once what its wave waits for. */
+      unsigned wanted = pools[i].row->spare ? pools[i].least : pools[i].want;
+      unsigned missing = wanted > pools[i].serving ? wanted - pools[i].serving : 0;
 
-      if (pools[i].row->spare || missing <= most)
+      if (missing <= most)
         continue;
       most = missing;
       best = &pools[i];
@@ -320,20 +349,21 @@
   return best;
 }
 
+/* What lies idle elsewhere goes first, so that the reserve need not be as large as two surges. */
 static const struct mt_capacity_pool *
 find_giver (const struct mt_capacity *capacity, const struct mt_capacity_pool *pools, size_t n)
 {
-  const struct mt_capacity_pool *best = NULL;
+  const struct mt_capacity_pool *spare = NULL;
 
   for (size_t i = 0; i < n; i++)
     {
       if (!can_give (capacity, &pools[i]))
         continue;
-      if (pools[i].row->spare)
+      if (!pools[i].row->spare)
         return &pools[i];
-      best = &pools[i];
+      spare = &pools[i];
     }
-  return best;
+  return spare;
 }
 
 static const struct mt_capacity_pool *
@@ -375,7 +405,7 @@
     return false;
   *to = find_needy (pools, n);
   *from = find_giver (capacity, pools, n);
-  if (*to != NULL && *from != NULL)
+  if (*to != NULL && *from != NULL && *from != *to)
     return true;
   *to = find_spare (pools, n);
   *from = find_returner (capacity, pools, n, now_s);
--- a/core/control/moves.c
+++ b/core/control/moves.c
@@ -35,6 +35,24 @@
   return count;
 }
 
+/* A pool at its minimum could never give an instance to the wave that waits for it. */
+static bool
+wave_waits (const struct mt_plan *plan, const char *pool)
+{
+  for (size_t i = 0; i < plan->next->n_records; i++)
+    {
+      const struct mt_assign_record *record = &plan->next->records[i];
+      const struct mt_pool *home;
+
+      if (record->mark != MT_WAVE_WAITING || strcmp (record->pool, pool) != 0)
+        continue;
+      home = mt_planner_pool (plan->input, record->home);
+      if (home != NULL && home->wave.id.len > 0 && !home->wave.stopped)
+        return true;
+    }
+  return false;
+}
+
 static void
 describe_pool (const struct mt_plan *plan, const struct mt_pool *row, struct mt_capacity_pool *pool)
 {
@@ -48,6 +66,7 @@
       pool->home++;
       pool->slots = instance->slots;
     }
+  pool->least = row->min_instances + (wave_waits (plan, row->name.data) ? 1 : 0);
   pool->serving = count_serving (plan, row->name.data);
   pool->wanted = demand_of (plan->input, row->name.data);
   pool->may_give = mt_planner_may_drain (plan, row->name.data);
--- a/include/medlartrack/capacity.h
+++ b/include/medlartrack/capacity.h
@@ -33,6 +33,7 @@
   const struct mt_pool *row;
   unsigned serving; /* live and serving, or on the way there */
   unsigned home;    /* instances that the tables give it here, without those leaving */
+  unsigned least;   /* the row's minimum, and one more while a wave has to take one out */
   unsigned slots;   /* of one instance */
   double wanted;    /* slots, as reported now */
   bool may_give;    /* one of its instances may drain now: budget and minimum allow it */
