--- a/tests/once/test_once_property.cpp
+++ b/tests/once/property_once.cpp
@@ -214,6 +214,23 @@
       }
   }
 
+  /* One writer stands still, whatever it has in its hands, while time passes and the others go on.
+   */
+  void
+  pause (unsigned w, unsigned arg)
+  {
+    for (int i = 0; i < 2; i++)
+      {
+        advance (kLongPauseUs);
+        for (unsigned other = 0; other < kWriters; other++)
+          if (other != w)
+            {
+              put_ask (other, (arg + other) % kKeys);
+              run (other);
+            }
+      }
+  }
+
   Ask *
   pick (unsigned arg)
   {
@@ -242,6 +259,12 @@
       grants[ask.ask.key[0]].live = false;
   }
 
+  bool
+  trimmed ()
+  {
+    return fake_store_count (fake, MT_ONCE_PREFIX "000/floor") > 0;
+  }
+
   void
   check ()
   {
@@ -265,7 +288,7 @@
     else if (op < 132)
       advance ((arg % 20) * MT_SECOND);
     else if (op < 137)
-      advance (kLongPauseUs);
+      pause (w, arg);
     else if (op < 140)
       restart (w);
     else if (op < 145)
@@ -302,13 +325,14 @@
   World world;
 
   World::current = &world;
-  world.fill (95);
+  world.fill (98);
   for (const auto &[op, w, arg] : ops)
     world.act (op % 150, w % kWriters, arg);
   world.heal ();
   for (uint64_t key = 0; key < kKeys; key++)
     world.put_ask (key % kWriters, key);
   world.heal ();
+  RC_CLASSIFY (world.trimmed (), "trimmed");
 }
 
 /* Where nobody was killed, a key whose every attempt was refused or released is free again. */
--- a/tests/process/harness.c
+++ b/tests/process/harness.c
@@ -216,15 +216,30 @@
     kill (process->pid, number);
 }
 
-void
-harness_kill (struct process *process)
+static int
+end_process (struct process *process, int number)
 {
+  int status = 0;
+
   if (process->pid <= 0)
-    return;
-  kill (process->pid, SIGKILL);
-  while (waitpid (process->pid, NULL, 0) < 0 && errno == EINTR)
+    return 0;
+  kill (process->pid, number);
+  while (waitpid (process->pid, &status, 0) < 0 && errno == EINTR)
     ;
   process->pid = 0;
+  return status;
+}
+
+int
+harness_stop (struct process *process)
+{
+  return end_process (process, SIGTERM);
+}
+
+void
+harness_kill (struct process *process)
+{
+  end_process (process, SIGKILL);
 }
 
 struct reply
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -56,6 +56,8 @@
                            unsigned n_daemons);
 /* SIGKILL and wait. */
 void harness_kill (struct process *process);
+/* SIGTERM and wait; the exit status. */
+int harness_stop (struct process *process);
 void harness_signal (const struct process *process, int number);
 
 /* Sends one request on a connection of its own; key may be NULL. */
--- a/tests/process/test_once.c
+++ b/tests/process/test_once.c
@@ -265,6 +265,24 @@
     }
 }
 
+/* A daemon answers an invoice and is stopped (SIGTERM) at once, before the end is recorded. It
+ * records it on its way out: the caller's second try hears at the other daemon that the invoice was
+ * answered. */
+static void
+test_stop_records_the_ends (void **state)
+{
+  struct fixture *f = *state;
+  struct reply reply;
+
+  assert_int_equal (ask_once (f, 0, "invoice-stop"), 200);
+  assert_int_equal (harness_stop (f->daemons[0]), 0);
+  reply = harness_send (f->harness, f->daemons[1], "POST", "/once", "invoice-stop", BODY);
+  assert_int_equal (reply.status, 409);
+  assert_string_equal (reply.outcome, "duplicate");
+  assert_non_null (strstr (reply.body, "was answered 200"));
+  reply_clear (&reply);
+}
+
 /* The minion takes the invoice and closes without an answer: unknown, and never sent again by
  * neon, by this daemon or by the other. */
 static void
@@ -290,6 +308,7 @@
     cmocka_unit_test_setup_teardown (test_platform_loses_answers, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_platform_slow, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_owner_stopped_and_woken, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_stop_records_the_ends, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_minion_drops_the_answer, set_up, tear_down),
   };
 
