bench: free the load tool's report

Cause: the JSON of the report was never freed; with the sanitizers the surge test failed on the leak (1,692 bytes in 32 pieces). Ruled out: a leak in the daemon (the report names only the tool's own). Change: one reference is dropped.

--- a/bench/load_main.c
+++ b/bench/load_main.c
@@ -219,6 +219,7 @@
   double seconds = (double) (mt_clock_now (run->clock) - run->start_us) / 1e6;
   json_t *outcomes = json_object ();
   json_t *processes = json_array ();
+  json_t *root;
   uint64_t n = 0;
 
   for (int i = 0; i < N_OUTCOMES; i++)
@@ -235,13 +236,13 @@
           processes, json_pack ("{si sf si}", "pid", run->options.pids[i], "cpu_us_a_request",
                                 n > 0 ? (double) cpu / (double) n : 0.0, "rss_kb", (int) rss_kb));
     }
-  json_dumpf (json_pack ("{sI sf sf sI sI sI so so}", "requests", (json_int_t) n, "seconds",
-                         seconds, "whole_a_second", (double) sum->counts[WHOLE] / seconds, "p50_us",
-                         (json_int_t) mt_histogram_quantile (&sum->latencies, 0.5), "p99_us",
-                         (json_int_t) mt_histogram_quantile (&sum->latencies, 0.99), "most_us",
-                         (json_int_t) sum->latencies.most, "outcomes", outcomes, "processes",
-                         processes),
-              stdout, JSON_INDENT (0) | JSON_REAL_PRECISION (6));
+  root = json_pack ("{sI sf sf sI sI sI so so}", "requests", (json_int_t) n, "seconds", seconds,
+                    "whole_a_second", (double) sum->counts[WHOLE] / seconds, "p50_us",
+                    (json_int_t) mt_histogram_quantile (&sum->latencies, 0.5), "p99_us",
+                    (json_int_t) mt_histogram_quantile (&sum->latencies, 0.99), "most_us",
+                    (json_int_t) sum->latencies.most, "outcomes", outcomes, "processes", processes);
+  json_dumpf (root, stdout, JSON_INDENT (0) | JSON_REAL_PRECISION (6));
+  json_decref (root);
   printf ("\n");
 }
 
