--- a/tests/ctl/test_pages.c
+++ b/tests/ctl/test_pages.c
@@ -73,7 +73,10 @@
   const char *end;
 
   if (start == NULL)
-    fail_msg ("docs/operators.md lacks the heading \"%s\"", heading);
+    {
+      fail_msg ("docs/operators.md lacks the heading \"%s\"", heading);
+      return NULL;
+    }
   start += strlen (line);
   end = strstr (start, "\n#");
   return end != NULL ? g_strndup (start, (gsize) (end - start) + 1) : g_strdup (start);
