net: tell at once that a silent machine got nothing

Cause: a minion's machine that is gone without a word lets a connection wait. neon reports it as a timeout, like an answer that does not come, so the request was "unknown" at its deadline and could not go elsewhere. Ruled out: reading neon's error texts (they are for people); a connect timeout of one second (the kernel sends a lost first packet again after just that). Change: connecting may take 2 s; whether the connection was ever set up is heard from neon's own notifier, and where it was not, on a connection of one's own, nothing was sent.

--- a/net/http_client.c
+++ b/net/http_client.c
@@ -14,6 +14,7 @@
 #define MAX_IDLE    64 /* kept connections to one address where the call sets no limit */
 #define IDLE_US     (10 * MT_SECOND)
 #define LATE_US     (1 * MT_SECOND) /* an answer that still trickles so long after is cut */
+#define CONNECT_S   2 /* within a data centre a machine that is there answers sooner */
 #define READ_CHUNK  16384
 #define MAX_HEADERS 64
 #define ID_HEADER   "Medlartrack-Request-Id"
@@ -90,7 +91,7 @@
    * persistence off no connection carries a second request, so there is nothing to repeat on. */
   if (fresh)
     ne_set_session_flag (session, NE_SESSFLAG_PERSIST, 0);
-  ne_set_connect_timeout (session, seconds);
+  ne_set_connect_timeout (session, MIN (seconds, CONNECT_S));
   ne_set_read_timeout (session, seconds);
   return session;
 }
@@ -329,6 +330,39 @@
   return false;
 }
 
+static void
+note_status (void *ctx, ne_session_status status, const ne_session_status_info *info)
+{
+  bool *connected = ctx;
+
+  if (status == ne_status_connected)
+    *connected = true;
+}
+
+/* Only a first failure to connect proves that no byte has left: on a connection used before, neon
+ * may have written the request, found the connection closed and failed to open another. */
+static enum mt_http_outcome
+begin (struct connection connection, ne_request *request, GError **error)
+{
+  ne_session *session = connection.session;
+  bool connected = false;
+  int rc;
+
+  ne_set_notifier (session, note_status, &connected);
+  rc = ne_begin_request (request);
+  ne_set_notifier (session, NULL, NULL);
+  if (rc == NE_OK)
+    return MT_HTTP_WHOLE;
+  if (!connected && !connection.used)
+    {
+      g_set_error (error, MT_ERROR, MT_ERROR_UNAVAILABLE, "%s; check that the address listens",
+                   ne_get_error (session));
+      return MT_HTTP_NOT_SENT;
+    }
+  g_set_error (error, MT_ERROR, MT_ERROR_UNKNOWN, "%s", ne_get_error (session));
+  return MT_HTTP_UNKNOWN;
+}
+
 static enum mt_http_outcome
 exchange (struct mt_http_client *client,
           struct connection connection,
@@ -338,27 +372,15 @@
           struct mt_http_answer *answer,
           GError **error)
 {
-  ne_session *session = connection.session;
-  int rc = ne_begin_request (request);
+  enum mt_http_outcome outcome = begin (connection, request, error);
 
-  /* On a connection used before, neon may have written the request, found the connection closed and
-   * failed to open another: only a first failure to connect proves that no byte has left. */
-  if ((rc == NE_CONNECT || rc == NE_LOOKUP) && !connection.used)
-    {
-      g_set_error (error, MT_ERROR, MT_ERROR_UNAVAILABLE, "%s; check that the address listens",
-                   ne_get_error (session));
-      return MT_HTTP_NOT_SENT;
-    }
-  if (rc != NE_OK)
-    {
-      g_set_error (error, MT_ERROR, MT_ERROR_UNKNOWN, "%s", ne_get_error (session));
-      return MT_HTTP_UNKNOWN;
-    }
+  if (outcome != MT_HTTP_WHOLE)
+    return outcome;
   if (!read_answer (client, request, call, arena, answer, error))
     return MT_HTTP_UNKNOWN;
   if (ne_end_request (request) != NE_OK)
     {
-      g_set_error (error, MT_ERROR, MT_ERROR_UNKNOWN, "%s", ne_get_error (session));
+      g_set_error (error, MT_ERROR, MT_ERROR_UNKNOWN, "%s", ne_get_error (connection.session));
       return MT_HTTP_UNKNOWN;
     }
   return MT_HTTP_WHOLE;
--- a/tests/net/test_http_client.c
+++ b/tests/net/test_http_client.c
@@ -1,5 +1,6 @@
 #include "http_exchange.h"
 
+#include "address.h"
 #include "medlartrack/error.h"
 #include "scripted.h"
 
@@ -8,6 +9,8 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -108,6 +111,36 @@
   assert_int_equal (ask (f, MT_STR ("b"), true), MT_HTTP_NOT_SENT);
 }
 
+/* The minion's machine is gone without a word: the connection is never set up. Nothing can have
+ * been sent, so the request may go elsewhere. A full backlog, in which the kernel drops what comes,
+ * stands in for the machine. */
+static void
+test_silent_machine_is_not_sent (void **state)
+{
+  struct fixture *f = *state;
+  struct sockaddr_in addr = { .sin_family = AF_INET };
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  struct mt_http_call call = make_call (MT_STR ("a"), true, 20 * MT_SECOND);
+  g_autofree char *address = NULL;
+  int filling[4];
+
+  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  assert_int_equal (bind (listener, (struct sockaddr *) &addr, sizeof addr), 0);
+  assert_int_equal (listen (listener, 0), 0);
+  address = g_strdup_printf ("127.0.0.1:%u", mt_address_bound_port (listener));
+  assert_true (mt_address_parse (address, &addr, NULL));
+  for (size_t i = 0; i < G_N_ELEMENTS (filling); i++)
+    {
+      filling[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect (filling[i], (struct sockaddr *) &addr, sizeof addr);
+    }
+  assert_int_equal (mt_http_client_call (f->client, address, &call, f->arena, &f->answer, NULL),
+                    MT_HTTP_NOT_SENT);
+  for (size_t i = 0; i < G_N_ELEMENTS (filling); i++)
+    close (filling[i]);
+  close (listener);
+}
+
 /* The minion answers one request, then its process is gone. The second request is written into the
  * kept connection, which may have been read; neon then fails to connect again. The caller must hear
  * "unknown": the failure to connect proves nothing about the bytes written before. */
@@ -276,6 +309,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_nobody_listens_is_not_sent, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_head_keeps_the_length, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_silent_machine_is_not_sent, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_failed_reconnect_is_unknown, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_fresh_request_is_read_once, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_broken_answers_are_unknown, set_up, tear_down),
