--- a/measure/main.c
+++ b/measure/main.c
@@ -1,10 +1,12 @@
 /* Drives the core's policies through a deployment's load and prints what they cost. */
+#include "jobs_scenario.h"
 #include "sim.h"
 
 #include <argp.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 struct arguments
 {
@@ -12,6 +14,8 @@
   const struct mt_capacity_policy *policy; /* NULL: all */
   uint32_t seed;
   bool json;
+  bool jobs;                     /* the jobs scenario in place of a deployment's load */
+  struct mt_jobs_scenario fleet; /* its size */
 };
 
 const char *argp_program_version = "medlartrack-measure 0.1.0";
@@ -21,9 +25,57 @@
   { "seed", 's', "N", 0, "The load's seed; 1 unless given", 0 },
   { "policy", 'p', "NAME", 0, "Only this policy: default, static or greedy", 0 },
   { "json", 'j', NULL, 0, "Print one JSON object", 0 },
+  { "scenario", 'S', "NAME", 0, "requests (default) or jobs; jobs takes the sizes below", 0 },
+  { "workers", 'w', "N", 0, "jobs: workers, 50 unless given", 1 },
+  { "teams", 't', "N", 0, "jobs: teams, 10 unless given", 1 },
+  { "pools", 'P', "N", 0, "jobs: pools, 5 unless given", 1 },
+  { "seconds", 'T', "N", 0, "jobs: simulated time, 600 unless given", 1 },
+  { "cost", 'c', NULL, 0, "jobs: adds processor time and memory, which differ by run", 1 },
   { 0 },
 };
 
+static unsigned
+read_count (struct argp_state *state, const char *arg)
+{
+  guint64 n = 0;
+
+  if (!g_ascii_string_to_unsigned (arg, 10, 1, 1000000, &n, NULL))
+    argp_error (state, "\"%s\" is no number from 1 to 1000000", arg);
+  return (unsigned) n;
+}
+
+static error_t
+parse_jobs_option (int key, char *arg, struct argp_state *state)
+{
+  struct arguments *arguments = state->input;
+
+  switch (key)
+    {
+    case 'S':
+      arguments->jobs = strcmp (arg, "jobs") == 0;
+      if (!arguments->jobs && strcmp (arg, "requests") != 0)
+        argp_error (state, "no scenario \"%s\"; give requests or jobs", arg);
+      return 0;
+    case 'w':
+      arguments->fleet.workers = read_count (state, arg);
+      return 0;
+    case 't':
+      arguments->fleet.teams = read_count (state, arg);
+      return 0;
+    case 'P':
+      arguments->fleet.pools = read_count (state, arg);
+      return 0;
+    case 'T':
+      arguments->fleet.seconds = read_count (state, arg);
+      return 0;
+    case 'c':
+      arguments->fleet.cost = true;
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
 static error_t
 parse_option (int key, char *arg, struct argp_state *state)
 {
@@ -51,14 +103,23 @@
       arguments->json = true;
       return 0;
     case ARGP_KEY_END:
-      if (arguments->deployment == NULL)
+      if (arguments->deployment == NULL && !arguments->jobs)
         argp_error (state, "--deployment NAME is required");
       return 0;
     default:
-      return ARGP_ERR_UNKNOWN;
+      return parse_jobs_option (key, arg, state);
     }
 }
 
+static json_t *
+run_jobs (const struct arguments *arguments)
+{
+  struct mt_jobs_scenario scenario = arguments->fleet;
+
+  scenario.seed = arguments->seed;
+  return mt_jobs_scenario_run (&scenario);
+}
+
 static int
 compare (gconstpointer a, gconstpointer b)
 {
@@ -160,12 +221,13 @@
   static const struct argp argp
       = { options, parse_option, NULL, "Measures the policies on a deployment's load.",
           NULL,    NULL,         NULL };
-  struct arguments arguments = { .seed = 1 };
+  struct arguments arguments
+      = { .seed = 1, .fleet = { .workers = 50, .teams = 10, .pools = 5, .seconds = 600 } };
   json_t *root;
 
   argp_parse (&argp, argc, argv, 0, NULL, &arguments);
-  root = run (&arguments);
-  if (arguments.json)
+  root = arguments.jobs ? run_jobs (&arguments) : run (&arguments);
+  if (arguments.json || arguments.jobs)
     {
       json_dumpf (root, stdout, JSON_INDENT (2) | JSON_REAL_PRECISION (6));
       printf ("\n");
