jobs: 5% of headroom on learned sizes in place of 20%

The scenario could not tell, as all runs of a kind used the same; runs now spread by 30% either way, and rounds of overcommitted workers are counted. The peak itself, and quotas, hold the rest.

--- a/core/jobs/learn.c
+++ b/core/jobs/learn.c
@@ -4,7 +4,7 @@
 
 #define ENOUGH_SAMPLES 3
 /* Room for what the next run may use beyond the largest seen. */
-#define HEADROOM_PERCENT 20
+#define HEADROOM_PERCENT 5
 /* Each sample forgets a sixteenth of the distance to a smaller peak, so that a kind that shrank is
  * believed after some dozens of runs, and one small run does not undo what a large one taught. */
 #define FORGET_SHIFT 4
--- a/measure/jobs_scenario.c
+++ b/measure/jobs_scenario.c
@@ -20,6 +20,7 @@
 #define BROKEN_WORKER_PER_MILLE 10  /* workers that fail whatever they start */
 #define CANCEL_WAVE_TICKS       240 /* every two minutes a wave of cancellations comes */
 #define CANCEL_WAVE_JOBS        20
+#define RUN_SPREAD              0.3 /* one run uses up to so much less or more than its kind */
 #define KINDS_PER_POOL          6
 #define MEAN_RUN_S              60.0
 
@@ -66,6 +67,9 @@
   struct kind *kinds;
   bool *broken; /* workers that fail everything */
   char **worker_names;
+  struct mt_size *used;    /* of each worker, as its tasks truly use it */
+  uint64_t cpu_over_ticks; /* rounds of workers that wanted more processors than there are */
+  uint64_t memory_over_ticks;
   double arrivals_per_tick;
   uint64_t next_job;
   double used_cpu_s;
@@ -175,6 +179,7 @@
   g_queue_init (&w->due);
   w->broken = g_new0 (bool, s->workers);
   w->worker_names = g_new0 (char *, s->workers + 1);
+  w->used = g_new0 (struct mt_size, s->workers);
   w->backlog_cpu_s = g_new0 (double, s->pools);
   make_workers (w);
   make_teams (w);
@@ -195,6 +200,7 @@
   g_ptr_array_unref (w->running);
   g_queue_clear_full (&w->due, g_free);
   g_free (w->broken);
+  g_free (w->used);
   g_strfreev (w->worker_names);
   g_free (w->backlog_cpu_s);
   g_free (w->kinds);
@@ -241,13 +247,16 @@
   g_autofree char *team = NULL;
   g_autofree char *pool = NULL;
   struct mt_job_spec spec = { 0 };
+  double spread;
 
   t->pool = (unsigned) g_rand_int_range (w->rand, 0, (gint32) s->pools);
   t->team = (unsigned) g_rand_int_range (w->rand, 0, (gint32) s->teams);
   kind_number = t->pool * KINDS_PER_POOL + (unsigned) g_rand_int_range (w->rand, 0, KINDS_PER_POOL);
   k = &w->kinds[kind_number];
   t->name = g_strdup_printf ("job-%" G_GUINT64_FORMAT, w->next_job++);
-  t->size = k->size;
+  spread = g_rand_double_range (w->rand, 1.0 - RUN_SPREAD, 1.0 + RUN_SPREAD);
+  t->size = (struct mt_size){ (uint32_t) (k->size.cpu_milli * spread),
+                              (uint32_t) (k->size.memory_mb * spread), 0 };
   t->left_s = -log (1.0 - g_rand_double (w->rand)) * MEAN_RUN_S + 1;
   t->urgency = draw_urgency (w);
   t->submitted_us = now_us (w);
@@ -337,6 +346,7 @@
 stop_running (struct world *w, struct truth *t)
 {
   g_ptr_array_remove_fast (w->running, t);
+  w->used[t->worker] = mt_size_sub (w->used[t->worker], t->size);
   t->worker = -1;
 }
 
@@ -356,6 +366,7 @@
   if (t->first_start_us == 0)
     t->first_start_us = now_us (w) + DELIVERY_TICKS * TICK_US;
   g_ptr_array_add (w->running, t);
+  w->used[worker] = mt_size_add (w->used[worker], t->size);
   report_later (w, t, worker, a->epoch, MT_REPORT_RUNNING, DELIVERY_TICKS);
 }
 
@@ -400,6 +411,16 @@
     carry_out (w, &g_array_index (actions, struct mt_job_action, i));
 }
 
+static void
+note_overcommitted (struct world *w)
+{
+  for (unsigned i = 0; i < w->scenario->workers; i++)
+    {
+      w->cpu_over_ticks += w->used[i].cpu_milli > WORKER_CPU_MILLI;
+      w->memory_over_ticks += w->used[i].memory_mb > WORKER_MEMORY_MB;
+    }
+}
+
 static void
 run_tasks (struct world *w, unsigned tick)
 {
@@ -489,6 +510,7 @@
   double capacity = s->workers * (WORKER_CPU_MILLI / 1000.0) * s->seconds;
   unsigned quarantined = 0;
   unsigned broken = 0;
+  double rounds = (double) s->workers * s->seconds * MT_SECOND / TICK_US;
   json_t *out;
 
   for (unsigned i = 0; i < s->workers; i++)
@@ -496,12 +518,14 @@
       quarantined += mt_jobs_is_quarantined (w->jobs, w->worker_names[i]);
       broken += w->broken[i];
     }
-  out = json_pack ("{si so so sf si si si si sI si}", "submitted", (int) w->all->len,
+  out = json_pack ("{si so so sf sf sf si si si si sI si}", "submitted", (int) w->all->len,
                    "urgent_within_quota", describe_urgent (w, true), "urgent_beyond_quota",
-                   describe_urgent (w, false), "utilisation", w->used_cpu_s / capacity, "failures",
-                   (int) w->failures, "broken_workers", (int) broken, "quarantined",
-                   (int) quarantined, "actions", (int) w->actions, "record_bytes",
-                   (json_int_t) w->record_bytes, "record_writes", (int) w->batches);
+                   describe_urgent (w, false), "utilisation", w->used_cpu_s / capacity,
+                   "cpu_over_share", (double) w->cpu_over_ticks / rounds, "memory_over_share",
+                   (double) w->memory_over_ticks / rounds, "failures", (int) w->failures,
+                   "broken_workers", (int) broken, "quarantined", (int) quarantined, "actions",
+                   (int) w->actions, "record_bytes", (json_int_t) w->record_bytes, "record_writes",
+                   (int) w->batches);
   if (s->cost)
     json_object_set_new (out, "cost",
                          json_pack ("{sf sf sf}", "core_share", w->plan_cpu_s / s->seconds,
@@ -528,6 +552,7 @@
       plan (w);
       mt_clock_manual_advance (w->manual, TICK_US);
       run_tasks (w, tick);
+      note_overcommitted (w);
     }
   *bound = w->bound_cpu_s / (s->workers * (WORKER_CPU_MILLI / 1000.0) * s->seconds);
   out = describe (w, mallinfo2 ().uordblks - before);
