tests: prove that the last daemon to stop records its ends

Cause: the flush at a stop was not proved: with two daemons the ends are handed over. Ruled out: a timing of the stop within the first test. Change: test_last_daemon_records_the_ends kills the other daemon first and asks one started after. Conclusion: both ways by which a stopping daemon's ends survive are held by a test.

--- a/tests/process/test_once.c
+++ b/tests/process/test_once.c
@@ -265,6 +265,14 @@
     }
 }
 
+static bool
+serves_again (void *ctx)
+{
+  struct fixture *f = ctx;
+
+  return harness_status (f->harness, f->daemons[1], "GET", "/safe", NULL, NULL) == 200;
+}
+
 static bool
 is_known_as_answered (void *ctx)
 {
@@ -293,6 +301,22 @@
   assert_true (harness_wait (is_known_as_answered, &running));
 }
 
+/* The last daemon is stopped with the end of an invoice not recorded, and nobody to hand it to: it
+ * records it before it exits. The next daemon that starts tells the caller that it was answered. */
+static void
+test_last_daemon_records_the_ends (void **state)
+{
+  struct fixture *f = *state;
+  struct running running = { f, "invoice-last" };
+
+  harness_kill (f->daemons[1]);
+  assert_int_equal (ask_once (f, 0, running.key), 200);
+  assert_int_equal (harness_stop (f->daemons[0]), 0);
+  f->daemons[1] = harness_start_daemon (f->harness, "c", f->platform, LIMITS);
+  assert_true (harness_wait (serves_again, f));
+  assert_true (harness_wait (is_known_as_answered, &running));
+}
+
 /* The minion takes the invoice and closes without an answer: unknown, and never sent again by
  * neon, by this daemon or by the other. */
 static void
@@ -319,6 +343,7 @@
     cmocka_unit_test_setup_teardown (test_platform_slow, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_owner_stopped_and_woken, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_stop_records_the_ends, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_last_daemon_records_the_ends, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_minion_drops_the_answer, set_up, tear_down),
   };
 
