--- a/tests/process/test_peers.c
+++ b/tests/process/test_peers.c
@@ -77,10 +77,11 @@
       "\"peer_listen\":\"127.0.0.1:0\",\"platform\":\"127.0.0.1:%u\",\"limits\":" LIMITS ","
       "\"peers\":[\"127.0.0.1:%u\"]}",
       name, platform_port != 0 ? platform_port : 1, peer_port (peer));
+  const char *const args[] = { "--settings", path, NULL };
   struct process *process;
 
   assert_true (g_file_set_contents (path, text, -1, NULL));
-  process = harness_start (f->harness, "daemon/medlartrackd", "--settings", path, NULL);
+  process = harness_start (f->harness, "daemon/medlartrackd", args);
   remove (path);
   return process;
 }
