tests: run the frozen daemon beside the others, and freeze it for longer

Cause: the peers' process tests took 67 s in one row and held up every run of the suite; and with the clamp on the paused clock taken out as a trial, the frozen one still passed: it was woken at the very edge of the removal time, so by its own clock nobody was due yet. Ruled out: a shorter removal time for tests; the clamp itself (a trial by hand with 36 s showed event 5004 on waking without it).

--- a/tests/process/test_peers.c
+++ b/tests/process/test_peers.c
@@ -140,6 +140,34 @@
   assert_true (harness_wait (answers, &q));
 }
 
+static json_int_t
+own_heartbeat (struct fixture *f, const struct process *daemon, const char *name)
+{
+  json_t *root = dump (f, daemon);
+  json_t *member = json_object_get (json_object_get (root, "members"), name);
+  json_int_t heartbeat = json_integer_value (json_object_get (member, "heartbeat"));
+
+  json_decref (root);
+  return heartbeat;
+}
+
+static bool
+has_beaten (void *ctx)
+{
+  const struct question *q = ctx;
+
+  return own_heartbeat (q->f, q->daemon, q->member) >= q->expected;
+}
+
+/* Until the daemon, whose name it is, has beaten so many times more. */
+static void
+await_beats (struct fixture *f, const struct process *daemon, const char *name, unsigned beats)
+{
+  struct question q = { f, daemon, name, NULL, own_heartbeat (f, daemon, name) + beats };
+
+  assert_true (harness_wait (has_beaten, &q));
+}
+
 static bool
 serves (void *ctx)
 {
@@ -209,10 +237,12 @@
   await (f, daemons[0], "killed", "alive", 0);
   await (f, daemons[0], "killed", NULL, -1);
   await (f, daemons[0], "frozen", NULL, -1);
+  await_beats (f, daemons[0], "first", 5);
   harness_signal (daemons[2], SIGCONT);
   await (f, daemons[0], "frozen", "alive", 1);
   await (f, daemons[2], "first", "alive", 1);
-  await (f, daemons[2], "killed", NULL, -1);
+  await (f, daemons[2], "killed", "alive",
+         0); /* its 30 s start anew, the first daemon showed them */
   question.daemon = daemons[2];
   assert_true (harness_wait (serves, &question));
   assert_true (g_file_get_contents (daemons[2]->log_path, &log, NULL, NULL));
@@ -247,8 +277,9 @@
     cmocka_unit_test_setup_teardown (test_leaving_daemon_is_shown_as_leaving, set_up, tear_down),
   };
 
-  if (argc < 2)
+  if (argc < 3)
     return 2;
   build = argv[1];
+  cmocka_set_test_filter (argv[2]);
   return cmocka_run_group_tests_name ("process_peers", tests, NULL, NULL);
 }
