--- a/core/control/moves.c
+++ b/core/control/moves.c
@@ -46,7 +46,7 @@
 
       if (record->mark != MT_WAVE_WAITING || strcmp (record->pool, pool) != 0)
         continue;
-      home = mt_planner_pool (plan->input, record->home);
+      home = mt_planner_pool (plan, record->home);
       if (home != NULL && home->wave.id.len > 0 && !home->wave.stopped)
         return true;
     }
--- a/core/control/planner.c
+++ b/core/control/planner.c
@@ -75,9 +75,15 @@
 }
 
 const struct mt_pool *
-mt_planner_pool (const struct mt_planner_input *input, const char *name)
+mt_planner_pool (const struct mt_plan *plan, const char *name)
 {
-  return mt_tables_pool (input->tables, mt_str_from (name));
+  return g_hash_table_lookup (plan->pools, name);
+}
+
+const struct mt_plan_row *
+mt_planner_row (const struct mt_plan *plan, const char *instance)
+{
+  return g_hash_table_lookup (plan->rows, instance);
 }
 
 unsigned
@@ -91,6 +97,15 @@
   return budget;
 }
 
+static bool
+is_unavailable (const struct mt_planner_input *input, const struct mt_assign_record *record)
+{
+  /* What the operator took out is no longer part of the service. */
+  if (record->state == MT_ASSIGN_OUT && (record->leave & MT_LEAVE_TABLES) != 0)
+    return false;
+  return record->state != MT_ASSIGN_SERVING || mt_planner_is_down (input, record->instance);
+}
+
 unsigned
 mt_planner_unavailable (const struct mt_planner_input *input,
                         const struct mt_assign *assign,
@@ -101,15 +116,12 @@
   for (size_t i = 0; i < assign->n_records; i++)
     {
       const struct mt_assign_record *record = &assign->records[i];
-      const struct mt_pool *pool = mt_planner_pool (input, record->pool);
+      const struct mt_pool *pool;
 
-      if (pool == NULL || !mt_str_equal (pool->service, service))
-        continue;
-      /* What the operator took out is no longer part of the service. */
-      if (record->state == MT_ASSIGN_OUT && (record->leave & MT_LEAVE_TABLES) != 0)
+      if (!is_unavailable (input, record))
         continue;
-      if (record->state != MT_ASSIGN_SERVING || mt_planner_is_down (input, record->instance))
-        count++;
+      pool = mt_tables_pool (input->tables, mt_str_from (record->pool));
+      count += pool != NULL && mt_str_equal (pool->service, service);
     }
   return count;
 }
@@ -136,7 +148,7 @@
 bool
 mt_planner_may_drain (const struct mt_plan *plan, const char *pool_name)
 {
-  const struct mt_pool *pool = mt_planner_pool (plan->input, pool_name);
+  const struct mt_pool *pool = mt_planner_pool (plan, pool_name);
 
   if (pool == NULL)
     return true;
@@ -145,20 +157,28 @@
          && mt_planner_live (plan, pool_name) > pool->min_instances;
 }
 
-static const struct mt_instance *
-find_in_zone (const struct mt_planner_input *input, const char *name, const struct mt_pool **pool)
+static void
+index_tables (struct mt_plan *plan)
 {
-  for (size_t i = 0; i < input->tables->n_pools; i++)
-    for (size_t j = 0; j < input->tables->pools[i].n_instances; j++)
-      {
-        const struct mt_instance *instance = &input->tables->pools[i].instances[j];
+  const struct mt_tables *tables = plan->input->tables;
+  struct mt_str zone = mt_str_from (plan->input->zone);
 
-        if (strcmp (instance->name.data, name) != 0)
-          continue;
-        *pool = &input->tables->pools[i];
-        return mt_str_equal (instance->zone, mt_str_from (input->zone)) ? instance : NULL;
-      }
-  return NULL;
+  plan->pools = g_hash_table_new (g_str_hash, g_str_equal);
+  plan->rows = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  for (size_t i = 0; i < tables->n_pools; i++)
+    {
+      const struct mt_pool *pool = &tables->pools[i];
+
+      g_hash_table_insert (plan->pools, (gpointer) pool->name.data, (gpointer) pool);
+      for (size_t j = 0; j < pool->n_instances; j++)
+        {
+          struct mt_plan_row row = { &pool->instances[j], pool };
+
+          if (mt_str_equal (row.instance->zone, zone))
+            g_hash_table_insert (plan->rows, (gpointer) row.instance->name.data,
+                                 g_memdup2 (&row, sizeof row));
+        }
+    }
 }
 
 static void
@@ -247,20 +267,20 @@
 static void
 follow_tables (struct mt_plan *plan, struct mt_assign_record *record)
 {
-  const struct mt_pool *home = NULL;
-  const struct mt_instance *instance = find_in_zone (plan->input, record->instance, &home);
+  const struct mt_plan_row *row = mt_planner_row (plan, record->instance);
+  const struct mt_instance *instance = row != NULL ? row->instance : NULL;
 
   note_leaving (plan, record, instance);
   if (record->state == MT_ASSIGN_OUT && instance != NULL)
-    try_return (plan, record, instance, home->name.data);
+    try_return (plan, record, instance, row->pool->name.data);
   if (instance != NULL)
-    follow_home (plan, record, home->name.data);
+    follow_home (plan, record, row->pool->name.data);
 }
 
 static unsigned
 drain_limit (const struct mt_plan *plan, const struct mt_assign_record *record)
 {
-  const struct mt_pool *home = mt_planner_pool (plan->input, record->home);
+  const struct mt_pool *home = mt_planner_pool (plan, record->home);
 
   return home != NULL && home->wave.drain_limit_s > 0 ? home->wave.drain_limit_s : DRAIN_LIMIT_S;
 }
@@ -286,7 +306,7 @@
       mt_assign_out (plan->next, record, now_s);
       break;
     default:
-      if (target == NULL || mt_planner_pool (plan->input, target) == NULL)
+      if (target == NULL || mt_planner_pool (plan, target) == NULL)
         target = record->home;
       mt_assign_serve (plan->next, record, target, now_s);
       break;
@@ -400,10 +420,8 @@
   for (size_t i = plan->next->n_records; i-- > 0;)
     {
       const struct mt_assign_record *record = &plan->next->records[i];
-      const struct mt_pool *home = NULL;
 
-      if (record->state != MT_ASSIGN_OUT
-          || find_in_zone (plan->input, record->instance, &home) != NULL)
+      if (record->state != MT_ASSIGN_OUT || mt_planner_row (plan, record->instance) != NULL)
         continue;
       mt_assign_remove (plan->next, record->instance);
       plan->result->changed = true;
@@ -415,7 +433,7 @@
                  struct mt_assign *next,
                  struct mt_planner_result *result)
 {
-  struct mt_plan plan = { input, next, result };
+  struct mt_plan plan = { .input = input, .next = next, .result = result };
 
   /* A planner that woke up behind the others would undo what newer tables decided. */
   if (input->tables->version < next->tables_version)
@@ -428,10 +446,13 @@
       next->tables_version = input->tables->version;
       result->changed = true;
     }
+  index_tables (&plan);
   add_new_instances (&plan);
   for (size_t i = 0; i < next->n_records; i++)
     follow_record (&plan, &next->records[i]);
   remove_gone (&plan);
   mt_planner_run_waves (&plan);
   mt_planner_move_capacity (&plan);
+  g_hash_table_destroy (plan.pools);
+  g_hash_table_destroy (plan.rows);
 }
--- a/core/control/waves.c
+++ b/core/control/waves.c
@@ -19,12 +19,11 @@
 }
 
 static const char *
-rack_of (const struct wave *wave, const char *instance)
+rack_of (const struct mt_plan *plan, const char *instance)
 {
-  for (size_t i = 0; i < wave->pool->n_instances; i++)
-    if (strcmp (wave->pool->instances[i].name.data, instance) == 0)
-      return wave->pool->instances[i].rack.data;
-  return "";
+  const struct mt_plan_row *row = mt_planner_row (plan, instance);
+
+  return row != NULL ? row->instance->rack.data : "";
 }
 
 static bool
@@ -51,7 +50,7 @@
       if (is_under_way (record))
         {
           wave->under_way++;
-          wave->rack = rack_of (wave, record->instance);
+          wave->rack = rack_of (plan, record->instance);
         }
       else if (record->state == MT_ASSIGN_SERVING)
         {
@@ -74,22 +73,35 @@
   return strcmp (left, right) < 0;
 }
 
+/* Asked once for each pool in a row of candidates: the answer counts all records. */
+static bool
+may_take (const struct mt_plan *plan, const struct mt_assign_record *record, const char **closed)
+{
+  if (*closed != NULL && strcmp (*closed, record->pool) == 0)
+    return false;
+  if (mt_planner_may_drain (plan, record->pool))
+    return true;
+  *closed = record->pool;
+  return false;
+}
+
 static struct mt_assign_record *
 pick (const struct mt_plan *plan, const struct wave *wave)
 {
   struct mt_assign_record *best = NULL;
+  const char *closed = NULL;
 
   for (size_t i = 0; i < plan->next->n_records; i++)
     {
       struct mt_assign_record *record = &plan->next->records[i];
 
-      if (!is_member (wave, record) || record->mark != MT_WAVE_WAITING
-          || record->state != MT_ASSIGN_SERVING
-          || mt_planner_is_down (plan->input, record->instance)
-          || !mt_planner_may_drain (plan, record->pool))
+      if (record->mark != MT_WAVE_WAITING || record->state != MT_ASSIGN_SERVING
+          || !is_member (wave, record) || mt_planner_is_down (plan->input, record->instance))
+        continue;
+      if (best != NULL
+          && !comes_before (wave, rack_of (plan, record->instance), rack_of (plan, best->instance)))
         continue;
-      if (best == NULL
-          || comes_before (wave, rack_of (wave, record->instance), rack_of (wave, best->instance)))
+      if (may_take (plan, record, &closed))
         best = record;
     }
   return best;
