--- a/daemon/feed.c
+++ b/daemon/feed.c
@@ -11,7 +11,9 @@
  * no stampede. The pause doubles up to its end while the platform stays away. */
 #define PAUSE_FIRST_US (200 * MT_MS)
 #define PAUSE_LAST_US  (3200 * MT_MS)
-#define PAUSE_EMPTY_US (1 * MT_SECOND) /* while nothing is accepted yet */
+/* While nothing is accepted yet there is no index to wait at and the watch answers at once: this
+ * pause, from a half to one and a half of it, bounds the calls. */
+#define PAUSE_EMPTY_US (1 * MT_SECOND)
 /* Spreads the second reads of a repair, so that most daemons find the first one's work done. Counts
  * towards the time that `medlartrackctl apply` waits before it tells "accepted". */
 #define REPAIR_JITTER_US (200 * MT_MS)
@@ -216,7 +218,7 @@
   else
     {
       repair (feed);
-      wait_us (feed, draw_us (feed, PAUSE_EMPTY_US));
+      wait_us (feed, PAUSE_EMPTY_US / 2 + draw_us (feed, PAUSE_EMPTY_US));
     }
   *index = value.index;
   mt_store_value_clear (&value);
