daemon: send the record's pool and epoch with each request

Cause: safety rested on confirmation alone, and one case is open to it: a daemon started while only it is cut off, which no planner knows of yet. Change: each slot knows the epoch of the record that gave its minion to the pool; requests carry Medlartrack-Pool and Medlartrack-Epoch, and the stand-in minion refuses, as not run, what an older record gave it. Ruled out: the epoch of the record in force when the request is sent; it would vouch for a slot that an older record granted. Before: drains failed with "m1 heard of no epoch". After: it passes, a request of the record before the wave gets 503; nothing asked is refused.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -182,6 +182,22 @@
   g_free (attempt);
 }
 
+/* A minion that knows them refuses work that an older record gave it. */
+static void
+add_record_headers (struct mt_http_request *request,
+                    const struct plan *plan,
+                    const struct mt_slot *slot,
+                    struct mt_http_header *headers,
+                    size_t *n)
+{
+  g_autofree char *epoch = g_strdup_printf ("%" G_GUINT64_FORMAT, mt_slot_epoch (slot));
+  struct mt_str text = mt_arena_dup (request->arena, mt_str_from (epoch));
+
+  headers[(*n)++] = (struct mt_http_header){ MT_STR ("Medlartrack-Pool"), plan->pool };
+  if (text.data != NULL)
+    headers[(*n)++] = (struct mt_http_header){ MT_STR ("Medlartrack-Epoch"), text };
+}
+
 static enum mt_http_outcome
 call_minion (struct mt_front *front,
              struct mt_http_request *request,
@@ -190,7 +206,7 @@
              GError **error)
 {
   struct mt_http_header *headers
-      = mt_arena_alloc (request->arena, (request->n_headers + 1) * sizeof *headers);
+      = mt_arena_alloc (request->arena, (request->n_headers + 2) * sizeof *headers);
   struct attempt *attempt = g_new0 (struct attempt, 1);
   struct mt_http_ended ended = { end_attempt, attempt };
   struct mt_http_call call = {
@@ -215,6 +231,7 @@
   for (size_t i = 0; i < request->n_headers; i++)
     if (is_forwarded (request->headers[i].name))
       headers[call.n_headers++] = request->headers[i];
+  add_record_headers (request, plan, slot, headers, &call.n_headers);
   return mt_http_exchanges_call (front->options.exchanges, mt_slot_address (slot), &call, ended,
                                  request->arena, &request->answer, error);
 }
--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -6,6 +6,7 @@
 {
   GMutex lock; /* guards dispatch and all slots of the pool */
   struct mt_dispatch *dispatch;
+  GHashTable *epochs; /* minion -> guint64: of the record that gave it to the pool; same lock */
 };
 
 struct mt_pools
@@ -65,6 +66,7 @@
   struct pool *pool = data;
 
   mt_dispatch_destroy (pool->dispatch);
+  g_hash_table_destroy (pool->epochs);
   g_mutex_clear (&pool->lock);
   g_free (pool);
 }
@@ -120,6 +122,7 @@
     return pool;
   pool = g_new0 (struct pool, 1);
   g_mutex_init (&pool->lock);
+  pool->epochs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   pool->dispatch = mt_dispatch_create (pools->clock, &wake_waiter, NULL, random_seed ());
   g_rw_lock_writer_lock (&pools->lock);
   mt_dispatch_set_share (pool->dispatch, pools->share, NULL, NULL);
@@ -128,6 +131,20 @@
   return pool;
 }
 
+/* Entries of minions that are gone stay: a slot granted before may still ask. */
+static void
+note_epochs (struct pool *pool, const GPtrArray *mine, const struct mt_assign *assign)
+{
+  for (guint i = 0; i < mine->len; i++)
+    {
+      const struct mt_instance *instance = mine->pdata[i];
+      const struct mt_assign_record *record = mt_assign_find (assign, instance->name.data);
+
+      g_hash_table_replace (pool->epochs, g_strdup (instance->name.data),
+                            g_memdup2 (&record->epoch, sizeof record->epoch));
+    }
+}
+
 /* An instance has work by its record alone. Its row in the tables tells only where it is; which
  * pool it serves by now, and whether it may serve at all, the tables don't know. */
 static void
@@ -150,6 +167,7 @@
           g_ptr_array_add (mine, (gpointer) instance);
       }
   g_mutex_lock (&pool->lock);
+  note_epochs (pool, mine, assign);
   mt_dispatch_update (pool->dispatch, (const struct mt_instance *const *) mine->pdata, mine->len);
   g_mutex_unlock (&pool->lock);
 }
@@ -266,6 +284,19 @@
   return slot->ticket.address;
 }
 
+uint64_t
+mt_slot_epoch (const struct mt_slot *slot)
+{
+  const guint64 *epoch;
+  uint64_t copy;
+
+  g_mutex_lock (&slot->pool->lock);
+  epoch = g_hash_table_lookup (slot->pool->epochs, slot->ticket.minion);
+  copy = epoch != NULL ? *epoch : 0;
+  g_mutex_unlock (&slot->pool->lock);
+  return copy;
+}
+
 unsigned
 mt_slot_connections (const struct mt_slot *slot)
 {
--- a/daemon/pools.h
+++ b/daemon/pools.h
@@ -44,6 +44,8 @@
 /* Valid until the slot is given back. */
 const char *mt_slot_minion (const struct mt_slot *slot);
 const char *mt_slot_address (const struct mt_slot *slot);
+/* Of the record by which the minion serves the pool. */
+uint64_t mt_slot_epoch (const struct mt_slot *slot);
 /* Most connections that this daemon may hold to the minion. */
 unsigned mt_slot_connections (const struct mt_slot *slot);
 /* It was not granted at once. */
--- a/tests/standins/minion_main.c
+++ b/tests/standins/minion_main.c
@@ -5,7 +5,7 @@
  *   PUT /fault {"mode": MODE, "times": n, "delay_ms": n}; times -1 is for ever. Modes: "none",
  *       "error" (500), "drop" (runs, then closes), "crossed" (another request's id), "oversized",
  *       "refuse" (503, not run), "leaving" (503, not run, and says that it leaves)
- *   GET /runs -> {"total": n, "running": n, "most": n, "keys": {key: n}}
+ *   GET /runs -> {"total": n, "epoch": n, "running": n, "most": n, "keys": {key: n}}
  */
 #include "standin.h"
 
@@ -26,6 +26,7 @@
   char *mode;
   int times;
   unsigned delay_ms;
+  guint64 epoch; /* newest of the records that gave it work; older ones are refused */
 };
 
 static void
@@ -58,9 +59,9 @@
   while (g_hash_table_iter_next (&iter, &key, &count))
     json_object_set_new (keys, key, json_integer (GPOINTER_TO_INT (count)));
   standin_answer_json (request, 200,
-                       json_pack ("{si si si so}", "total", (int) minion->total, "running",
-                                  (int) minion->running, "most", (int) minion->most_running, "keys",
-                                  keys));
+                       json_pack ("{si sI si si so}", "total", (int) minion->total, "epoch",
+                                  (json_int_t) minion->epoch, "running", (int) minion->running,
+                                  "most", (int) minion->most_running, "keys", keys));
   g_mutex_unlock (&minion->lock);
 }
 
@@ -148,6 +149,22 @@
   return minion->slots > 0 && minion->running >= minion->slots;
 }
 
+/* Whether the work was given by a record that is no longer the newest; the lock is held. */
+static bool
+is_outdated (struct minion *minion, const struct mt_http_request *request)
+{
+  struct mt_str text
+      = mt_http_header_find (request->headers, request->n_headers, MT_STR ("Medlartrack-Epoch"));
+  unsigned long long epoch = 0;
+
+  if (text.data == NULL || !mt_str_to_u64 (text, &epoch))
+    return false;
+  if (epoch < minion->epoch)
+    return true;
+  minion->epoch = epoch;
+  return false;
+}
+
 static void
 handle_work (struct minion *minion, struct mt_http_request *request)
 {
@@ -156,7 +173,8 @@
 
   g_mutex_lock (&minion->lock);
   mode = take_mode (minion, &delay_ms);
-  if (strcmp (mode, "refuse") == 0 || strcmp (mode, "leaving") == 0 || is_full (minion))
+  if (strcmp (mode, "refuse") == 0 || strcmp (mode, "leaving") == 0 || is_full (minion)
+      || is_outdated (minion, request))
     {
       g_mutex_unlock (&minion->lock);
       answer_not_run (request, mode);
