once: leave time to commit a claim that its owner does not answer

Cause: a daemon waited for the owner until the claim's own limit, so that nothing was left for the way by itself: with the owner stopped, the first 3 of 16 requests were refused (503). Ruled out: a longer limit for the whole claim; callers would wait longer for a "not run".

--- a/daemon/claim_owner.c
+++ b/daemon/claim_owner.c
@@ -112,14 +112,16 @@
 {
   struct mt_record record
       = { .kind = MT_RECORD_CLAIM, .extra = ask->hold_ms, .key = { ask->key[0], ask->key[1] } };
+  int64_t now = mt_clock_now (clock);
+  int64_t left_us = MAX (0, ask->until_us - now) * 2 / 3;
   struct mt_batch batch;
   enum mt_claim_sent sent;
 
   memcpy (record.attempt, ask->attempt, sizeof record.attempt);
   mt_batch_init (&batch);
-  batch.wall_ms = MAX (0, (ask->until_us - mt_clock_now (clock)) / MT_MS) * 3 / 4;
+  batch.wall_ms = left_us / MT_MS * 3 / 4;
   g_array_append_val (batch.records, record);
-  sent = send_batch (peers, owner, &batch, ask->until_us, ask);
+  sent = send_batch (peers, owner, &batch, now + left_us, ask);
   mt_batch_clear (&batch);
   return sent;
 }
--- a/daemon/claim_owner.h
+++ b/daemon/claim_owner.h
@@ -19,7 +19,7 @@
 };
 
 /* Asks the owner for one claim; the ask's result is set where it answered. The owner gives up
- * before this daemon does. */
+ * before this daemon does, which keeps a third of the time to commit the claim itself. */
 enum mt_claim_sent mt_claim_owner_ask (struct mt_peers *peers,
                                        const char *owner,
                                        const struct mt_clock *clock,
