ctl: let an operator replace tables that can't be read, by their version

Cause: apply refused to write over tables that it can't read, and gave no way out: a release with a stricter rule than the one that accepted them would have locked every operator out. Conclusion: a way out that has to be named.

--- a/ctl/command_apply.c
+++ b/ctl/command_apply.c
@@ -178,14 +178,32 @@
   return true;
 }
 
-static int
-refuse_unreadable (const struct edit *edit)
+/* The version that a value which can't be read as tables claims to be; 0 where it claims none. */
+static uint64_t
+claimed_version (const struct mt_store_value *value)
 {
-  g_autofree char *text
-      = g_strdup_printf ("the accepted tables can't be read, so nothing is written over them: %s",
-                         edit->accepted.why_unreadable->message);
+  json_t *root = json_loadb (value->data, value->len, 0, NULL);
+  json_int_t version = json_integer_value (json_object_get (root, "version"));
 
-  return report_text (edit, MT_ERROR_TABLES, MT_EXIT_REFUSED, text);
+  json_decref (root);
+  return version > 0 ? (uint64_t) version : 0;
+}
+
+/* A value of another release, or written past this tool, may only be replaced by an operator who
+ * names it: without that way out a stricter release could lock everyone out of the tables. */
+static bool
+check_unreadable (const struct edit *edit, int *code)
+{
+  uint64_t version = claimed_version (&edit->accepted.value);
+  g_autofree char *text = NULL;
+
+  if (edit->context->onto != NULL && edit->base == version)
+    return true;
+  text = g_strdup_printf ("the accepted tables can't be read (%s); give --onto %" G_GUINT64_FORMAT
+                          " to replace them as a whole",
+                          edit->accepted.why_unreadable->message, version);
+  *code = report_text (edit, MT_ERROR_TABLES, MT_EXIT_REFUSED, text);
+  return false;
 }
 
 /* Whether the edit starts from what is accepted; tells why where it doesn't. */
@@ -220,18 +238,17 @@
   g_autoptr (GError) error = NULL;
   int code;
 
-  if (edit->accepted.why_unreadable != NULL)
-    return refuse_unreadable (edit);
   if (now != NULL && mt_tables_same_rows (now, edit->wanted))
     {
       edit->version = now->version;
       return report_accepted (edit, "unchanged");
     }
-  if (!check_base (edit, &code))
+  if (edit->accepted.why_unreadable != NULL ? !check_unreadable (edit, &code)
+                                            : !check_base (edit, &code))
     return code;
   if (!mt_tables_check_change (now, edit->wanted, edit->context->may_empty, &error))
     return mt_report_error (edit->context, error, MT_EXIT_REFUSED);
-  edit->version = (now != NULL ? now->version : 0) + 1;
+  edit->version = edit->base + 1;
   return write_edit (edit);
 }
 
--- a/tests/ctl/test_apply.c
+++ b/tests/ctl/test_apply.c
@@ -283,6 +283,26 @@
   assert_told (desk->out, "\"unchanged\":true");
 }
 
+/* The store holds tables that an older release took and this one refuses, here 16 slots: they are
+ * replaced only by an operator who names their version. */
+static void
+test_apply_over_unreadable_tables_needs_their_version (void **state)
+{
+  struct desk *desk = *state;
+
+  fake_store_force (desk->fake, MT_TABLES_KEY,
+                    "{\"version\":6,\"routes\":[],\"pools\":[{\"pool\":\"p\",\"slots\":16}]}");
+  edit (desk, 6, "q");
+  assert_int_equal (apply (desk), MT_EXIT_REFUSED);
+  assert_told (desk->err, "give --onto 6");
+  desk->context.onto = "5";
+  assert_int_equal (apply (desk), MT_EXIT_REFUSED);
+  assert_int_equal (fake_store_writes (desk->fake), 0);
+  desk->context.onto = "6";
+  assert_int_equal (apply (desk), MT_EXIT_OK);
+  assert_told (desk->out, "\"accepted\":7");
+}
+
 static void
 test_apply_during_an_outage (void **state)
 {
@@ -367,6 +387,7 @@
     DESK_TEST (test_apply_finds_its_edit_below_a_later_one),
     DESK_TEST (test_apply_lost_write_and_rival_is_a_conflict),
     DESK_TEST (test_apply_late_write_is_unknown),
+    DESK_TEST (test_apply_over_unreadable_tables_needs_their_version),
     DESK_TEST (test_apply_during_an_outage),
     DESK_TEST (test_apply_sees_a_restored_store),
     DESK_TEST (test_apply_onto_a_restored_store_is_not_accepted),
