tables: turn JSON into text in one place

Change: mt_tables_take_text, declared in tables_internal.h; no behaviour changes. Conclusion: none beyond that.

--- a/core/config/tables_change.c
+++ b/core/config/tables_change.c
@@ -171,21 +171,10 @@
   return out;
 }
 
-static char *
-take_text (json_t *root, size_t flags)
-{
-  char *text = json_dumps (root, flags);
-  char *copy = g_strdup (text);
-
-  free (text);
-  json_decref (root);
-  return copy;
-}
-
 char *
 mt_tables_diff (const struct mt_tables *before, const struct mt_tables *after)
 {
-  return take_text (compare (before, after), JSON_COMPACT);
+  return mt_tables_take_text (compare (before, after), JSON_COMPACT);
 }
 
 bool
@@ -245,7 +234,7 @@
   json_object_set_new (root, "changes", log);
   while (json_array_size (log) > 0 && !fits (root, log))
     json_array_remove (log, 0);
-  return take_text (root, JSON_COMPACT);
+  return mt_tables_take_text (root, JSON_COMPACT);
 }
 
 char *
@@ -269,7 +258,7 @@
   }
   json_decref (log);
   if (expected == accepted->version + 1)
-    return take_text (out, JSON_COMPACT);
+    return mt_tables_take_text (out, JSON_COMPACT);
   json_decref (out);
   return NULL;
 }
--- a/core/config/tables_internal.h
+++ b/core/config/tables_internal.h
@@ -18,6 +18,9 @@
 /* The document as JSON, the change log left out. */
 json_t *mt_tables_write (const struct mt_tables *tables, uint64_t version, const char *id);
 
+/* The JSON as text by jansson's flags, g_malloced; frees root. */
+char *mt_tables_take_text (json_t *root, size_t flags);
+
 /* What a refused row is told. limit may be NULL. */
 struct mt_refusal
 {
--- a/core/config/tables_json.c
+++ b/core/config/tables_json.c
@@ -379,8 +379,8 @@
   return root;
 }
 
-static char *
-take_text (json_t *root, size_t flags)
+char *
+mt_tables_take_text (json_t *root, size_t flags)
 {
   char *text = json_dumps (root, flags);
   char *copy = g_strdup (text);
@@ -398,7 +398,7 @@
   if (tables->changes.len > 0)
     json_object_set_new (root, "changes",
                          json_loadb (tables->changes.data, tables->changes.len, 0, NULL));
-  return take_text (root, JSON_COMPACT);
+  return mt_tables_take_text (root, JSON_COMPACT);
 }
 
 /* 15 digits give back what a person typed ("0.1"); a weight that needs 17 gets them, since an edit
@@ -407,13 +407,13 @@
 mt_tables_print (const struct mt_tables *tables)
 {
   json_t *root = mt_tables_write (tables, tables->version, tables->id.data);
-  char *text = take_text (json_incref (root), JSON_INDENT (2) | JSON_REAL_PRECISION (15));
+  char *text = mt_tables_take_text (json_incref (root), JSON_INDENT (2) | JSON_REAL_PRECISION (15));
   json_t *back = json_loads (text, 0, NULL);
 
   if (!json_equal (root, back))
     {
       g_free (text);
-      text = take_text (json_incref (root), JSON_INDENT (2));
+      text = mt_tables_take_text (json_incref (root), JSON_INDENT (2));
     }
   json_decref (back);
   json_decref (root);
