--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -322,6 +322,12 @@
                     (json_int_t) traffic.sent, "frames", (json_int_t) traffic.frames);
 }
 
+static json_t *
+show_registered (void *ctx)
+{
+  return json_boolean (mt_registry_is_held (((struct mt_daemon *) ctx)->registry));
+}
+
 static json_t *
 show_members (void *ctx)
 {
@@ -365,6 +371,7 @@
   { "store_calls", "of the platform behind the breaker, by kind", show_store_calls },
   { "claims", "of requests that may not be repeated", show_claims },
   { "peer_traffic", "frames with other daemons so far", show_peer_traffic },
+  { "registered", "its lease in the platform's list is held", show_registered },
   { "members", "every daemon that is known, this one included", show_members },
   { "pools", "queues, slots and in flight", show_pools },
   { "jobs", "placed by this daemon while it is the planner", show_jobs },
--- a/daemon/registry.c
+++ b/daemon/registry.c
@@ -20,6 +20,7 @@
   GThread *thread;
   GMutex lock;
   GCond wake;
+  gint held;     /* atomic */
   bool stopping; /* guarded by lock */
   /* The thread's own. */
   char *lease;
@@ -72,6 +73,7 @@
   bool ok = registry->renewals % LIST_EVERY != 0 || list_members (registry);
 
   ok = ok && hold_entry (registry);
+  g_atomic_int_set (&registry->held, ok);
   if (!ok)
     return RETRY_US + g_random_int_range (0, JITTER_US);
   registry->renewals++;
@@ -117,6 +119,12 @@
   return registry;
 }
 
+bool
+mt_registry_is_held (const struct mt_registry *registry)
+{
+  return registry != NULL && g_atomic_int_get (&registry->held) != 0;
+}
+
 void
 mt_registry_destroy (struct mt_registry *registry)
 {
