daemon: tell the leaving to addresses whose answer is still on the way, too

Cause: test_leaving_daemon_is_shown_as_leaving failed once in a busy run of the suite: leaving was never shown for 60 s. The test stops the daemon the moment the other shows it; the daemon then may not have that first answer yet, knows no member, and told nobody. With the default linger of 500 ms it is gone before its next heartbeat. Ruled out: a hang at the stop (no process was left), a longer linger, a wait in the test. Change: leaving is told to the first 8 addresses of the settings and the platform's list as well, and no more to members that can't be called, for whom the stop waited. Conclusion: if it fails again the cause is another one.

--- a/daemon/peers.c
+++ b/daemon/peers.c
@@ -6,14 +6,15 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define FAN_OUT        2 /* members asked with each heartbeat; docs/membership.md has the figures */
-#define EXCHANGE_US    (800 * MT_MS)
-#define FETCH_US       (5 * MT_SECOND)
-#define LEAVE_US       (500 * MT_MS)
-#define THREADS        4
-#define KICK_EVERY_US  (50 * MT_MS) /* a burst of versions is told in one */
-#define STRANGER_EVERY 8            /* heartbeats: one of them also asks an address of no member */
-#define MAX_STRANGERS  512
+#define FAN_OUT         2 /* members asked with each heartbeat; docs/membership.md has the figures */
+#define EXCHANGE_US     (800 * MT_MS)
+#define FETCH_US        (5 * MT_SECOND)
+#define LEAVE_STRANGERS 8 /* told by address alone */
+#define LEAVE_US        (500 * MT_MS)
+#define THREADS         4
+#define KICK_EVERY_US   (50 * MT_MS) /* a burst of versions is told in one */
+#define STRANGER_EVERY  8            /* heartbeats: one of them also asks an address of no member */
+#define MAX_STRANGERS   512
 
 struct mt_peers
 {
@@ -374,24 +375,30 @@
 static void
 collect_address (void *ctx, const struct mt_member *member)
 {
-  g_ptr_array_add (ctx, g_strdup (member->address));
+  /* A stop must not wait for those who can't be called; they hear of it from others. */
+  if (member->reach != MT_REACH_NO)
+    g_ptr_array_add (ctx, g_strdup (member->address));
 }
 
 void
 mt_peers_leave (struct mt_peers *peers)
 {
-  g_autoptr (GPtrArray) addresses = g_ptr_array_new ();
+  g_autoptr (GPtrArray) addresses = g_ptr_array_new_with_free_func (g_free);
 
   g_mutex_lock (&peers->lock);
   mt_membership_set_leaving (peers->membership);
   mt_membership_beat (peers->membership);
   mt_membership_each (peers->membership, collect_address, addresses);
+  /* Who was asked for the first time a moment ago knows of this daemon before this one has the
+   * answer, and would otherwise take it for alive until it is silent. */
+  for (guint i = 0; i < MIN (peers->strangers->len, LEAVE_STRANGERS); i++)
+    if (!g_ptr_array_find_with_equal_func (addresses, peers->strangers->pdata[i], g_str_equal,
+                                           NULL))
+      g_ptr_array_add (addresses, g_strdup (peers->strangers->pdata[i]));
   g_mutex_unlock (&peers->lock);
   for (guint i = 0; i < addresses->len; i++)
     if (strcmp (addresses->pdata[i], peers->address) != 0)
-      push (peers, TASK_LEAVE, addresses->pdata[i]);
-    else
-      g_free (addresses->pdata[i]);
+      push (peers, TASK_LEAVE, g_strdup (addresses->pdata[i]));
 }
 
 void
