daemon: whoever hands out the assignment vouches for who gets it

Cause: a planner waits for every daemon that registered itself at the platform or is heard of. One that starts while only it is cut off from the platform gets the document from a peer, sends work by it, and is in neither list until the gossip arrives: a move begun meanwhile could give its instance to a second pool. Ruled out: refusing documents to unregistered daemons, which would then serve nothing in an outage; one write for each fetch, since a read tells that most have registered. Change: the peer notes the asker before it reads the document, writes its key, and until that has succeeded tells one request in flight on every draining instance in its heartbeats. Names that are no names of daemons get no document. Not run: the whole case on real processes. Still open: the peer's own death first.

--- a/daemon/document_assign.c
+++ b/daemon/document_assign.c
@@ -4,17 +4,28 @@
 static uint64_t
 assign_version (void *ctx)
 {
-  return mt_view_assign_in_force (ctx);
+  const struct mt_assign_source *source = ctx;
+
+  return mt_view_assign_in_force (source->views);
+}
+
+static bool
+assign_handing (void *ctx, struct mt_str name)
+{
+  const struct mt_assign_source *source = ctx;
+
+  return mt_wards_note (source->wards, name);
 }
 
 static char *
 assign_format (void *ctx)
 {
+  const struct mt_assign_source *source = ctx;
   const struct mt_assign *assign;
   char *text;
 
-  mt_view_begin (ctx);
-  assign = mt_view_assign (ctx);
+  mt_view_begin (source->views);
+  assign = mt_view_assign (source->views);
   text = assign != NULL ? mt_assign_format (assign) : NULL;
   mt_view_end ();
   return text;
@@ -23,11 +34,12 @@
 static bool
 assign_offer (void *ctx, struct mt_str text, GError **error)
 {
+  const struct mt_assign_source *source = ctx;
   struct mt_assign *assign = mt_assign_parse (text, error);
 
   if (assign == NULL)
     return false;
-  mt_view_offer_assign (ctx, assign);
+  mt_view_offer_assign (source->views, assign);
   return true;
 }
 
@@ -43,6 +55,7 @@
   .description = "which pool each instance of the data centre serves",
   .type = MT_PEER_ASSIGN,
   .version = assign_version,
+  .handing = assign_handing,
   .format = assign_format,
   .offer = assign_offer,
   .version_of = assign_version_of,
--- a/daemon/documents.h
+++ b/daemon/documents.h
@@ -6,6 +6,7 @@
 
 #include "medlartrack/membership.h"
 #include "peer.h"
+#include "wards.h"
 
 /* Calls may come from any thread. */
 struct mt_document
@@ -15,6 +16,9 @@
   enum mt_peer_type type; /* of the frames that ask for it */
   /* In force here; 0 for none. */
   uint64_t (*version) (void *ctx);
+  /* Told who is about to get it, before format is called; false: it does not get it. NULL: anybody
+   * does. */
+  bool (*handing) (void *ctx, struct mt_str name);
   /* Its text, g_malloced, or NULL where there is none. */
   char *(*format) (void *ctx);
   /* Checks a text from a peer and takes it where it is newer. False with an error where it is
@@ -26,9 +30,15 @@
 
 /* The operators' tables; its ctx is the mt_view_holder. */
 const struct mt_document *mt_document_tables (void);
-/* The data centre's assignment; its ctx is the mt_view_holder. */
+/* The data centre's assignment; its ctx is a mt_assign_source. */
 const struct mt_document *mt_document_assign (void);
 
+struct mt_assign_source
+{
+  struct mt_view_holder *views;
+  struct mt_wards *wards;
+};
+
 struct mt_documents;
 
 /* A document to fetch and from where. */
--- a/daemon/heartbeat.h
+++ b/daemon/heartbeat.h
@@ -5,6 +5,7 @@
 #include "jobs_part.h"
 #include "peers.h"
 #include "pools.h"
+#include "wards.h"
 
 struct mt_heartbeat;
 
@@ -13,6 +14,8 @@
                                           const struct mt_settings *settings);
 /* Whose tasks hold instances too; before the peers start, NULL for none. */
 void mt_heartbeat_set_jobs (struct mt_heartbeat *heartbeat, struct mt_jobs_part *jobs);
+/* Who hold drains up; before the peers start. */
+void mt_heartbeat_set_wards (struct mt_heartbeat *heartbeat, struct mt_wards *wards);
 /* Once neither peers nor pools are called any more, and before the pools are destroyed. */
 void mt_heartbeat_destroy (struct mt_heartbeat *heartbeat);
 /* For mt_peers_options; their ctx is the heartbeat. */
--- a/daemon/peers.c
+++ b/daemon/peers.c
@@ -203,8 +203,10 @@
 serve_document (void *ctx, struct mt_str sender, struct mt_str body, size_t *reply_len)
 {
   const struct served *served = ctx;
-  g_autofree char *text = served->document->format (served->ctx);
+  g_autofree char *text = NULL;
 
+  if (served->document->handing == NULL || served->document->handing (served->ctx, sender))
+    text = served->document->format (served->ctx);
   *reply_len = text != NULL ? strlen (text) : 0;
   return strdup (text != NULL ? text : "");
 }
--- /dev/null
+++ b/tests/control/test_wards.c
@@ -0,0 +1,152 @@
+#include "fake_store.h"
+#include "wards.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+struct fixture
+{
+  struct mt_clock_manual *manual;
+  struct fake_store *fake;
+  struct mt_view_holder *views;
+  struct mt_wards *wards;
+  unsigned held;
+};
+
+static int
+set_up (void **state)
+{
+  struct fixture *f = g_new0 (struct fixture, 1);
+  struct mt_assign *assign = mt_assign_create ();
+  struct mt_assign *next = mt_assign_next (assign, "n");
+
+  f->manual = mt_clock_manual_create (MT_SECOND);
+  f->fake = fake_store_create (mt_clock_manual_clock (f->manual));
+  f->views = mt_view_holder_create (mt_clock_manual_clock (f->manual));
+  f->wards = mt_wards_create (f->views, "west");
+  mt_assign_add (next, "serving", "p", 1);
+  mt_assign_drain (next, mt_assign_add (next, "draining", "p", 1), MT_GOAL_MOVE, "q", 1);
+  mt_view_offer_assign (f->views, next);
+  mt_assign_destroy (assign);
+  *state = f;
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  struct fixture *f = *state;
+
+  mt_wards_destroy (f->wards);
+  mt_view_holder_destroy (f->views);
+  fake_store_destroy (f->fake);
+  mt_clock_manual_destroy (f->manual);
+  g_free (f);
+  return 0;
+}
+
+static void
+count_held (void *ctx, const char *instance, unsigned in_flight)
+{
+  struct fixture *f = ctx;
+
+  assert_string_equal (instance, "draining");
+  f->held += in_flight;
+}
+
+static unsigned
+held (struct fixture *f)
+{
+  f->held = 0;
+  mt_wards_each_held (f->wards, count_held, f);
+  return f->held;
+}
+
+/* A daemon that is cut off from the platform gets the assignment from this one. The planner can't
+ * know of it, and would move the draining instance while that daemon still sends it work. So this
+ * daemon reports the drain as held until it has written the other's key, which the planner then
+ * waits for. */
+static void
+test_handed_document_holds_drains_until_registered (void **state)
+{
+  struct fixture *f = *state;
+  const struct mt_store *store = fake_store_store (f->fake);
+
+  assert_int_equal (held (f), 0);
+  fake_store_set_down (f->fake, true);
+  assert_true (mt_wards_note (f->wards, MT_STR ("cut-off")));
+  mt_wards_register (f->wards, store);
+  assert_int_equal (held (f), 1);
+  fake_store_set_down (f->fake, false);
+  mt_wards_register (f->wards, store);
+  assert_int_equal (held (f), 0);
+  assert_int_equal (fake_store_count (f->fake, MT_HOLDERS_PREFIX "west/cut-off/"), 1);
+}
+
+/* The key's write is lost on its way, or its answer is: the drain stays held until a read shows it.
+ */
+static void
+test_lost_write_keeps_holding (void **state)
+{
+  struct fixture *f = *state;
+  const struct mt_store *store = fake_store_store (f->fake);
+
+  assert_true (mt_wards_note (f->wards, MT_STR ("cut-off")));
+  fake_store_fault_next (f->fake, FAKE_FAULT_DROP, 1, true);
+  mt_wards_register (f->wards, store);
+  assert_int_equal (held (f), 1);
+  mt_wards_register (f->wards, store);
+  assert_int_equal (held (f), 0);
+}
+
+static void
+test_registered_daemon_costs_a_read (void **state)
+{
+  struct fixture *f = *state;
+  uint64_t writes;
+
+  fake_store_force (f->fake, MT_HOLDERS_PREFIX "west/known/", "{}");
+  writes = fake_store_writes (f->fake);
+  assert_true (mt_wards_note (f->wards, MT_STR ("known")));
+  mt_wards_register (f->wards, fake_store_store (f->fake));
+  assert_int_equal (mt_wards_count (f->wards), 0);
+  assert_true (fake_store_writes (f->fake) == writes);
+}
+
+/* A frame with a made-up sender must not write keys elsewhere in the store, nor fill the memory. */
+static void
+test_strange_names_get_nothing (void **state)
+{
+  struct fixture *f = *state;
+
+  assert_false (mt_wards_note (f->wards, MT_STR ("")));
+  assert_false (mt_wards_note (f->wards, MT_STR ("../tables")));
+  assert_false (mt_wards_note (f->wards, MT_STR ("a?cas=0")));
+  for (unsigned i = 0; i < 300; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("d%u", i);
+
+      mt_wards_note (f->wards, mt_str_from (name));
+    }
+  assert_int_equal (mt_wards_count (f->wards), 256);
+  assert_false (mt_wards_note (f->wards, MT_STR ("one-more")));
+}
+
+int
+main (void)
+{
+#define WARD_TEST(name) cmocka_unit_test_setup_teardown (name, set_up, tear_down)
+  const struct CMUnitTest tests[] = {
+    WARD_TEST (test_handed_document_holds_drains_until_registered),
+    WARD_TEST (test_lost_write_keeps_holding),
+    WARD_TEST (test_registered_daemon_costs_a_read),
+    WARD_TEST (test_strange_names_get_nothing),
+  };
+
+  return cmocka_run_group_tests_name ("wards", tests, NULL, NULL);
+}
