--- a/daemon/feed.c
+++ b/daemon/feed.c
@@ -4,6 +4,8 @@
 #include "medlartrack/log.h"
 #include "platform.h"
 
+#include <xxhash.h>
+
 /* A longer watch would cost fewer calls, but a platform that vanished without a word is noticed
  * only when the watch is overdue, and a change has to be in force within 7 s. */
 #define WATCH_US (5 * MT_SECOND)
@@ -32,7 +34,9 @@
   GRand *rand;
   int64_t pause_us;
   bool reachable;
-  uint64_t told_index; /* of the last value that was told as refused or forked */
+  uint64_t seen_hash;    /* of the value that is in force here, 0 for none */
+  uint64_t seen_version; /* its version */
+  uint64_t told_index;   /* of the last value that was told as refused or forked */
   char *told_fork;
 };
 
@@ -158,12 +162,32 @@
   return verdict;
 }
 
+/* Most watches end with the value as it was: parsing the whole tables each time would be the
+ * largest idle cost of a daemon. The hash, and not the store's index, tells: an index may come back
+ * after a restore with another value. */
+static bool
+confirm_if_seen (struct mt_feed *feed, const struct mt_store_value *value)
+{
+  bool seen = feed->seen_hash != 0 && XXH3_64bits (value->data, value->len) == feed->seen_hash;
+
+  g_mutex_lock (&feed->lock);
+  if (feed->stopping)
+    seen = true;
+  else if (seen && mt_view_version (feed->views) == feed->seen_version)
+    mt_view_confirm (feed->views);
+  else
+    seen = false;
+  g_mutex_unlock (&feed->lock);
+  return seen;
+}
+
 static void
 take_value (struct mt_feed *feed, const struct mt_store_value *value)
 {
   g_autoptr (GError) error = NULL;
   struct mt_tables *tables = mt_tables_parse ((struct mt_str){ value->data, value->len }, &error);
   enum mt_acceptance verdict = MT_ACCEPTANCE_SAME;
+  uint64_t version;
 
   if (tables == NULL)
     {
@@ -172,13 +196,19 @@
       feed->told_index = value->index;
       return;
     }
+  version = tables->version;
   g_mutex_lock (&feed->lock);
   if (feed->stopping)
     mt_tables_destroy (tables);
   else
     verdict = offer (feed, tables);
   g_mutex_unlock (&feed->lock);
-  if (verdict == MT_ACCEPTANCE_OLDER)
+  if (verdict == MT_ACCEPTANCE_TAKE || verdict == MT_ACCEPTANCE_SAME)
+    {
+      feed->seen_hash = XXH3_64bits (value->data, value->len);
+      feed->seen_version = version;
+    }
+  else if (verdict == MT_ACCEPTANCE_OLDER)
     repair (feed);
 }
 
@@ -213,13 +243,13 @@
       wait_us (feed, draw_us (feed, feed->pause_us));
       feed->pause_us = MIN (feed->pause_us * 2, PAUSE_LAST_US);
     }
-  else if (value.found)
-    take_value (feed, &value);
-  else
+  else if (!value.found)
     {
       repair (feed);
       wait_us (feed, PAUSE_EMPTY_US / 2 + draw_us (feed, PAUSE_EMPTY_US));
     }
+  else if (!confirm_if_seen (feed, &value))
+    take_value (feed, &value);
   *index = value.index;
   mt_store_value_clear (&value);
 }
