net: watch the names of the keys, and read a value only when it changed

Cause: a watch that ends unchanged brought the value again; with the tables of the two-year shape each daemon got 96 KB/s of answers, where control may have 20. Ruled out: a longer watch, which notices a platform that vanished without a word too late for the 7 s; a second key that names the version, since one compare-and-swap must be the whole acceptance. Change: by the published protocol a watch may ask for the keys alone and is told the index; the value is read when that moved. A feed whose peers are ahead of the store still reads the value, to repair it.

--- a/daemon/feed.c
+++ b/daemon/feed.c
@@ -168,7 +168,8 @@
 static bool
 confirm_if_seen (struct mt_feed *feed, const struct mt_store_value *value)
 {
-  bool seen = feed->seen_hash != 0 && XXH3_64bits (value->data, value->len) == feed->seen_hash;
+  bool seen = value->data == NULL
+              || (feed->seen_hash != 0 && XXH3_64bits (value->data, value->len) == feed->seen_hash);
 
   g_mutex_lock (&feed->lock);
   if (feed->stopping)
@@ -223,6 +224,17 @@
     feed->pause_us = PAUSE_FIRST_US;
 }
 
+/* The store did not change, but the peers brought something newer than it: its value is wanted
+ * after all, to see whether it has to be repaired. */
+static bool
+with_data (struct mt_feed *feed, struct mt_store_value *value)
+{
+  if (value->data != NULL)
+    return true;
+  mt_store_value_clear (value);
+  return feed->store->ops->get (feed->store->ctx, MT_TABLES_KEY, value, NULL) && value->found;
+}
+
 /* One watch and what follows from it; index is that of the value last seen. */
 static void
 step (struct mt_feed *feed, uint64_t *index)
@@ -248,7 +260,7 @@
       repair (feed);
       wait_us (feed, PAUSE_EMPTY_US / 2 + draw_us (feed, PAUSE_EMPTY_US));
     }
-  else if (!confirm_if_seen (feed, &value))
+  else if (!confirm_if_seen (feed, &value) && with_data (feed, &value))
     take_value (feed, &value);
   *index = value.index;
   mt_store_value_clear (&value);
--- a/include/medlartrack/store.h
+++ b/include/medlartrack/store.h
@@ -11,8 +11,9 @@
 struct mt_store_value
 {
   bool found;
-  bool held;  /* a lease holds the key */
-  char *data; /* NUL-terminated for convenience; g_free through mt_store_value_clear */
+  bool held;      /* a lease holds the key */
+  bool unchanged; /* of a watch: as it was at the index given; the data may be left out */
+  char *data;     /* NUL-terminated for convenience; g_free through mt_store_value_clear */
   size_t len;
   uint64_t index; /* changes with every write of the key; fences the next one */
   char *key;      /* set by list only */
@@ -33,8 +34,8 @@
   /* False with MT_ERROR_UNAVAILABLE where the service does not answer; a missing key is true with
    * found unset. */
   bool (*get) (void *ctx, const char *key, struct mt_store_value *out, GError **error);
-  /* A watch: returns once the key's index differs from the one given, or after wait_us with the
-   * value as it stands. Counts as one call at the platform. */
+  /* A watch: returns once the key's index differs from the one given, or after wait_us with
+   * unchanged set. Counts as one call at the platform, and a read where something changed. */
   bool (*watch) (void *ctx,
                  const char *key,
                  uint64_t index,
--- a/net/platform.c
+++ b/net/platform.c
@@ -21,7 +21,9 @@
   int64_t call_us;
   struct mt_store direct; /* without the breaker */
   struct mt_breaker *breaker;
-  guint64 calls; /* atomic */
+  GMutex lock;         /* guards watched */
+  GHashTable *watched; /* key -> struct watched */
+  guint64 calls;       /* atomic */
 };
 
 static enum mt_http_outcome
@@ -150,6 +152,69 @@
   return get_path (platform, path, key, platform->call_us, out, error);
 }
 
+/* What the service told at the end of a key's last watch. Its index is that of all keys that begin
+ * with the key, which may lie above the key's own. */
+struct watched
+{
+  uint64_t index; /* the key's own */
+  uint64_t seen;  /* to wait at */
+};
+
+static uint64_t
+index_to_wait_at (struct mt_platform *platform, const char *key, uint64_t index)
+{
+  const struct watched *watched;
+  uint64_t at = index;
+
+  g_mutex_lock (&platform->lock);
+  watched = g_hash_table_lookup (platform->watched, key);
+  if (watched != NULL && watched->index == index)
+    at = watched->seen;
+  g_mutex_unlock (&platform->lock);
+  return at;
+}
+
+static void
+note_watched (struct mt_platform *platform, const char *key, uint64_t index, uint64_t seen)
+{
+  struct watched *watched = g_new (struct watched, 1);
+
+  *watched = (struct watched){ index, seen };
+  g_mutex_lock (&platform->lock);
+  g_hash_table_replace (platform->watched, g_strdup (key), watched);
+  g_mutex_unlock (&platform->lock);
+}
+
+/* Waits for the names of the keys alone: a watch that ends unchanged would else bring the value
+ * each time, which with tables of 227 KB is three times what control may send. */
+static bool
+wait_for_names (struct mt_platform *platform,
+                const char *key,
+                uint64_t at,
+                int64_t wait_us,
+                unsigned long long *seen,
+                GError **error)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/kv/%s?keys&index=%" G_GUINT64_FORMAT "&wait=%lldms",
+                                           key, at, (long long) (wait_us / MT_MS));
+  struct mt_arena *arena = mt_arena_create (0);
+  struct mt_http_answer answer;
+  struct mt_str index = { NULL, 0 };
+  bool ok = false;
+
+  if (call (platform, "GET", path, MT_STR (""), wait_us + WATCH_SLACK_US, arena, &answer, error)
+      == MT_HTTP_WHOLE)
+    {
+      if (answer.status == 200 || answer.status == 404)
+        index = mt_http_header_find (answer.headers, answer.n_headers, MT_STR ("X-Consul-Index"));
+      ok = index.data != NULL && mt_str_to_u64 (index, seen);
+      if (!ok)
+        set_status_error (error, &answer, MT_ERROR_UNAVAILABLE);
+    }
+  mt_arena_destroy (arena);
+  return ok;
+}
+
 static bool
 store_watch (void *ctx,
              const char *key,
@@ -159,10 +224,27 @@
              GError **error)
 {
   struct mt_platform *platform = ctx;
-  g_autofree char *path = g_strdup_printf ("/v1/kv/%s?index=%" G_GUINT64_FORMAT "&wait=%lldms", key,
-                                           index, (long long) (wait_us / MT_MS));
+  uint64_t at = index_to_wait_at (platform, key, index);
+  unsigned long long seen = 0;
 
-  return get_path (platform, path, key, wait_us + WATCH_SLACK_US, out, error);
+  *out = (struct mt_store_value){ 0 };
+  /* By the protocol an index of 0 does not wait. */
+  if (index == 0)
+    return store_get (ctx, key, out, error);
+  if (!wait_for_names (platform, key, at, wait_us, &seen, error))
+    return false;
+  if (seen == at)
+    {
+      out->found = true;
+      out->unchanged = true;
+      out->index = index;
+      return true;
+    }
+  if (!store_get (ctx, key, out, error))
+    return false;
+  out->unchanged = out->found && out->index == index;
+  note_watched (platform, key, out->index, seen);
+  return true;
 }
 
 static bool
@@ -355,6 +437,8 @@
   platform->client = client;
   platform->clock = clock;
   platform->address = g_strdup (address);
+  g_mutex_init (&platform->lock);
+  platform->watched = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   platform->call_us = call_us;
   platform->direct.ops = &platform_ops;
   platform->direct.ctx = platform;
@@ -368,6 +452,8 @@
   if (platform == NULL)
     return;
   mt_breaker_destroy (platform->breaker);
+  g_hash_table_unref (platform->watched);
+  g_mutex_clear (&platform->lock);
   g_free (platform->address);
   g_free (platform);
 }
--- a/tests/process/test_platform.c
+++ b/tests/process/test_platform.c
@@ -174,6 +174,38 @@
     }
 }
 
+/* A watch that ends unchanged brings no value, whatever its size; a key whose name begins with the
+ * watched one changes, and the watch neither takes it for its own nor answers at once for ever.
+ * Then the key itself changes, and the watch brings what it is now. */
+static void
+test_watch_brings_only_what_changed (void **state)
+{
+  struct fixture *f = *state;
+  const struct mt_store *store = mt_platform_store (f->platform);
+  struct mt_store_value value;
+  uint64_t index;
+
+  assert_int_equal (store->ops->put (store->ctx, KEY, MT_STR ("one"), 0, NULL), MT_STORE_DONE);
+  assert_true (store->ops->watch (store->ctx, KEY, 0, 50 * MT_MS, &value, NULL));
+  assert_string_equal (value.data, "one");
+  index = value.index;
+  mt_store_value_clear (&value);
+  assert_true (store->ops->watch (store->ctx, KEY, index, 50 * MT_MS, &value, NULL));
+  assert_true (value.unchanged && value.index == index && value.data == NULL);
+  assert_int_equal (store->ops->put (store->ctx, KEY "-beside", MT_STR ("x"), 0, NULL),
+                    MT_STORE_DONE);
+  assert_true (store->ops->watch (store->ctx, KEY, index, 50 * MT_MS, &value, NULL));
+  assert_true (value.unchanged && value.index == index);
+  mt_store_value_clear (&value);
+  assert_true (store->ops->watch (store->ctx, KEY, index, 50 * MT_MS, &value, NULL));
+  assert_true (value.unchanged && value.data == NULL);
+  assert_int_equal (store->ops->put (store->ctx, KEY, MT_STR ("two"), index, NULL), MT_STORE_DONE);
+  assert_true (store->ops->watch (store->ctx, KEY, index, 50 * MT_MS, &value, NULL));
+  assert_string_equal (value.data, "two");
+  assert_false (value.unchanged);
+  mt_store_value_clear (&value);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -182,6 +214,7 @@
     cmocka_unit_test_setup_teardown (test_lost_answer_is_unknown, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_down_and_gone, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_slow_is_unknown, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_watch_brings_only_what_changed, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_foreign_answers_tell_nothing, set_up, tear_down),
   };
 
--- a/tests/standins/platform_main.c
+++ b/tests/standins/platform_main.c
@@ -4,8 +4,8 @@
  *   PUT /fault {"down": bool, "slow_ms": n, "lose_answers": n}
  *   PUT /instances {"name", "state": "live" | "leaving" | "down" | "gone", "reboot_ms": n}
  *   PUT /v1/instance/NAME/reboot?epoch=N; the list is the value of platform/instances
- *   GET /calls  -> {"reads": n, "writes": n, "dropped": n}, a waiting watch counted as one read;
- * dropped are those that came while it was down
+ *   GET /calls  -> {"reads": n, "read_bytes": n, "writes": n, "dropped": n}, a waiting watch
+ * counted as one read; dropped are those that came while it was down
  */
 #include "platform_instances.h"
 #include "standin.h"
@@ -39,6 +39,7 @@
   uint64_t index;
   uint64_t next_session;
   uint64_t reads;
+  uint64_t read_bytes; /* of answers to reads */
   uint64_t writes;
   uint64_t dropped;
   bool down;
@@ -129,23 +130,69 @@
   return FALSE;
 }
 
-/* The lock is held; waits for the key to differ from the index given. */
+struct newest
+{
+  const char *prefix;
+  uint64_t index;
+};
+
+static gboolean
+find_newest (gpointer key, gpointer value, gpointer data)
+{
+  struct newest *newest = data;
+
+  if (g_str_has_prefix (key, newest->prefix))
+    newest->index = MAX (newest->index, ((const struct entry *) value)->index);
+  return FALSE;
+}
+
+/* The index that a watch is told: of the key, or of all keys that begin so. */
+static uint64_t
+current_index (struct service *service, const char *key, bool names)
+{
+  const struct entry *entry = g_tree_lookup (service->entries, key);
+  struct newest newest = { key, 0 };
+
+  if (!names)
+    return entry != NULL ? entry->index : 0;
+  g_tree_foreach (service->entries, find_newest, &newest);
+  return newest.index;
+}
+
+/* The lock is held; waits for the index to differ from the one given. */
 static void
-wait_for_change (struct service *service, const char *key, const char *index, const char *wait)
+wait_for_change (
+    struct service *service, const char *key, bool names, const char *index, const char *wait)
 {
   uint64_t known = g_ascii_strtoull (index, NULL, 10);
   int64_t until
       = g_get_monotonic_time () + (int64_t) (wait != NULL ? strtoll (wait, NULL, 10) : 0) * MT_MS;
 
-  for (;;)
-    {
-      const struct entry *entry = g_tree_lookup (service->entries, key);
+  while (current_index (service, key, names) == known && !service->down
+         && g_cond_wait_until (&service->changed, &service->lock, until))
+    ;
+}
 
-      if ((entry != NULL ? entry->index : 0) != known || service->down)
-        return;
-      if (!g_cond_wait_until (&service->changed, &service->lock, until))
-        return;
-    }
+static gboolean
+collect_name (gpointer key, gpointer value, gpointer data)
+{
+  struct walk *walk = data;
+
+  if (g_str_has_prefix (key, walk->prefix))
+    json_array_append_new (walk->list, json_string (key));
+  return FALSE;
+}
+
+static void
+tell_index (struct mt_http_request *request, uint64_t index)
+{
+  g_autofree char *text = g_strdup_printf ("%" G_GUINT64_FORMAT, index);
+  struct mt_http_header *header = mt_arena_alloc (request->arena, sizeof *header);
+
+  header->name = MT_STR ("X-Consul-Index");
+  header->value = mt_arena_dup (request->arena, mt_str_from (text));
+  request->answer.headers = header;
+  request->answer.n_headers = 1;
 }
 
 static void
@@ -153,24 +200,29 @@
 {
   g_autofree char *index = standin_query (request, "index");
   g_autofree char *wait = standin_query (request, "wait");
+  bool names = standin_has_query (request, "keys");
   struct walk walk = { key, json_array (), NULL };
   const struct entry *entry;
 
   service->reads++;
   /* By the published protocol an index of 0 does not wait. */
   if (index != NULL && strcmp (index, "0") != 0)
-    wait_for_change (service, key, index, wait);
+    wait_for_change (service, key, names, index, wait);
   if (service->down)
     {
       json_decref (walk.list);
       request->answer.status = MT_HTTP_DROP;
       return;
     }
-  if (standin_has_query (request, "recurse"))
+  if (names)
+    g_tree_foreach (service->entries, collect_name, &walk);
+  else if (standin_has_query (request, "recurse"))
     g_tree_foreach (service->entries, collect, &walk);
   else if ((entry = g_tree_lookup (service->entries, key)) != NULL)
     json_array_append_new (walk.list, describe (key, entry));
   standin_answer_json (request, json_array_size (walk.list) > 0 ? 200 : 404, walk.list);
+  tell_index (request, current_index (service, key, names));
+  service->read_bytes += request->answer.body.len;
 }
 
 static void
@@ -362,7 +414,8 @@
     handle_instances (service, request);
   else if (strcmp (path, "/calls") == 0)
     standin_answer_json (request, 200,
-                         json_pack ("{sI sI sI}", "reads", (json_int_t) service->reads, "writes",
+                         json_pack ("{sI sI sI sI}", "read_bytes", (json_int_t) service->read_bytes,
+                                    "reads", (json_int_t) service->reads, "writes",
                                     (json_int_t) service->writes, "dropped",
                                     (json_int_t) service->dropped));
   else if (service->down)
