--- a/daemon/control.c
+++ b/daemon/control.c
@@ -2,18 +2,16 @@
 
 #include "gather.h"
 #include "instances.h"
-#include "medlartrack/error.h"
+#include "medlartrack/lease.h"
 #include "medlartrack/log.h"
 #include "platform.h"
 
 #include <string.h>
 
-#define WATCH_US      (5 * MT_SECOND)
-#define RETRY_US      (1 * MT_SECOND)
-#define TICK_US       (1 * MT_SECOND)
-#define LEASE_S       10
-#define LEASE_STEP_US (4 * MT_SECOND) /* between renewals, and between tries to take over */
-#define REBOOT_BYTES  (64UL * 1024)
+#define WATCH_US     (5 * MT_SECOND)
+#define RETRY_US     (1 * MT_SECOND)
+#define TICK_US      (1 * MT_SECOND)
+#define REBOOT_BYTES (64UL * 1024)
 
 struct mt_control
 {
@@ -27,7 +25,6 @@
   struct mt_platform *watch_platform;
   const struct mt_store *watched;
   char *key; /* of the assignment document */
-  char *lease_key;
   char *holder_key;
   gint refs; /* atomic: the owner's and the watcher's */
   GThread *planner;
@@ -47,9 +44,7 @@
   unsigned reboots;
 
   /* The planner thread's own. */
-  char *lease;
-  int64_t lease_us; /* last renewal */
-  int64_t next_lease_us;
+  struct mt_lease *lease; /* of the planner */
   struct mt_capacity *capacity;
   GHashTable *refused; /* minions that said they leave -> epoch of their record then */
 };
@@ -70,9 +65,7 @@
   g_mutex_clear (&control->lock);
   g_cond_clear (&control->changed);
   g_free (control->key);
-  g_free (control->lease_key);
   g_free (control->holder_key);
-  g_free (control->lease);
   g_free (control);
 }
 
@@ -222,94 +215,12 @@
   control->capacity = planning ? mt_capacity_create (control->options.policy) : NULL;
 }
 
-static bool
-renew_lease (struct mt_control *control)
-{
-  g_autoptr (GError) error = NULL;
-
-  if (control->store->ops->lease_renew (control->store->ctx, control->lease, &error))
-    return true;
-  if (g_error_matches (error, MT_ERROR, MT_ERROR_STALE))
-    g_clear_pointer (&control->lease, g_free);
-  return false;
-}
-
-static void
-drop_lease (struct mt_control *control)
-{
-  if (control->lease != NULL)
-    control->store->ops->lease_end (control->store->ctx, control->lease);
-  g_clear_pointer (&control->lease, g_free);
-}
-
-/* Whether it is worth trying: a standby that tried to acquire each time would cost the platform two
- * writes a step, which with 42 daemons is two thirds of what the fleet may write; a read costs it
- * little. The key under this daemon's own name and lease is an acquire whose answer was lost. */
-static bool
-lease_looks_free (struct mt_control *control)
-{
-  struct mt_store_value value = { 0 };
-  bool is_free = control->store->ops->get (control->store->ctx, control->lease_key, &value, NULL);
-
-  if (is_free && value.found && value.held)
-    is_free = control->lease != NULL && strcmp (value.data, control->options.name) == 0;
-  mt_store_value_clear (&value);
-  return is_free;
-}
-
-static bool
-take_lease (struct mt_control *control)
-{
-  const struct mt_store *store = control->store;
-
-  if (!lease_looks_free (control))
-    return false;
-  if (control->lease != NULL && !renew_lease (control))
-    return false;
-  if (control->lease == NULL
-      && !store->ops->lease_grant (store->ctx, LEASE_S, &control->lease, NULL))
-    return false;
-  switch (store->ops->acquire (store->ctx, control->lease_key, mt_str_from (control->options.name),
-                               control->lease, NULL))
-    {
-    case MT_STORE_DONE:
-      return true;
-    case MT_STORE_CONFLICT:
-      drop_lease (control);
-      return false;
-    default:
-      return false;
-    }
-}
-
-static bool
-hold_lease (struct mt_control *control)
-{
-  return control->planning ? renew_lease (control) : take_lease (control);
-}
-
 /* The lease only keeps planners from working against each other. That one which was paused past its
  * lapse does no harm rests on the compare-and-swap. */
 static void
 keep_lease (struct mt_control *control)
 {
-  int64_t now = now_us (control);
-
-  if (control->planning && now - control->lease_us > LEASE_S * MT_SECOND)
-    {
-      g_clear_pointer (&control->lease, g_free);
-      set_planning (control, false);
-    }
-  if (now < control->next_lease_us)
-    return;
-  control->next_lease_us = now + LEASE_STEP_US / 2 + g_random_int_range (0, LEASE_STEP_US / 2);
-  if (hold_lease (control))
-    {
-      control->lease_us = now;
-      set_planning (control, true);
-    }
-  else if (control->lease == NULL)
-    set_planning (control, false);
+  set_planning (control, mt_lease_step (control->lease));
 }
 
 static struct mt_instances *
@@ -588,8 +499,7 @@
       tick (control);
       wait_us (control, TICK_US, true);
     }
-  if (control->lease != NULL)
-    control->store->ops->lease_end (control->store->ctx, control->lease);
+  mt_lease_destroy (control->lease);
   return NULL;
 }
 
@@ -608,6 +518,7 @@
 struct mt_control *
 mt_control_create (const struct mt_control_options *options)
 {
+  g_autofree char *lease_key = NULL;
   struct mt_control *control = g_new0 (struct mt_control, 1);
 
   control->options = *options;
@@ -615,12 +526,13 @@
   control->platform
       = mt_platform_create (control->client, options->clock, options->platform, options->call_us);
   control->store = mt_platform_store (control->platform);
+  lease_key = g_strdup_printf ("%s%s", MT_PLANNER_PREFIX, options->zone);
+  control->lease = mt_lease_create (control->store, options->clock, lease_key, options->name);
   control->watch_client = mt_http_client_create (options->clock);
   control->watch_platform = mt_platform_create (control->watch_client, options->clock,
                                                 options->platform, options->call_us);
   control->watched = mt_platform_store (control->watch_platform);
   control->key = g_strdup_printf ("%s%s", MT_ASSIGN_PREFIX, options->zone);
-  control->lease_key = g_strdup_printf ("%s%s", MT_PLANNER_PREFIX, options->zone);
   control->holder_key
       = g_strdup_printf ("%s%s/%s/", MT_HOLDERS_PREFIX, options->zone, options->name);
   control->reports = g_ptr_array_new_with_free_func (g_free);
