control: pause while there is no assignment document to watch

The daemon read its first document without waiting, and the stand-in answers a watch of index 0 at once, as the published protocol does; nothing paused in between, so a daemon of a fleet without tables asked as fast as it could, 20,800 reads a second where the platform's service has 2,000. Ruled out: a watch that waits at index 0, against the protocol. Change: the pause of a failed read is kept for a missing document too; the read before the watch, which had become its copy, is gone, and store.h says what index 0 means.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -158,31 +158,22 @@
   g_mutex_unlock (&control->lock);
 }
 
-/* The first read doesn't wait: a watch on a key that isn't there yet would, and no planner could
- * make the first document meanwhile. */
-static bool
-read_document (struct mt_control *control, uint64_t index, struct mt_store_value *value)
-{
-  const struct mt_store *store = control->store;
-
-  if (control->confirmed_us == 0)
-    return store->ops->get (store->ctx, control->key, value, NULL);
-  return control->watched->ops->watch (control->watched->ctx, control->key, index, WATCH_US, value,
-                                       NULL);
-}
-
 static void
 watch_step (struct mt_control *control, uint64_t *index)
 {
   struct mt_store_value value = { 0 };
-  bool ok = is_registered (control) && read_document (control, *index, &value);
+  bool ok = is_registered (control)
+            && control->watched->ops->watch (control->watched->ctx, control->key, *index, WATCH_US,
+                                             &value, NULL);
 
   if (ok && value.found && value.index != *index)
     offer (control, (struct mt_str){ value.data, value.len });
   note_read (control, ok, value.index);
   if (ok)
     *index = value.index;
-  if (!ok)
+  /* There is no index to wait at before the first document, and the watch answers at once: without
+   * the pause each daemon of a fleet without tables would ask as fast as it can. */
+  if (!ok || !value.found)
     wait_us (control, RETRY_US, false);
   mt_store_value_clear (&value);
 }
--- a/include/medlartrack/store.h
+++ b/include/medlartrack/store.h
@@ -34,8 +34,9 @@
   /* False with MT_ERROR_UNAVAILABLE where the service does not answer; a missing key is true with
    * found unset. */
   bool (*get) (void *ctx, const char *key, struct mt_store_value *out, GError **error);
-  /* A watch: returns once the key's index differs from the one given, or after wait_us with
-   * unchanged set. Counts as one call at the platform, and a read where something changed. */
+  /* A watch: with index 0 at once, else once the key's index differs from the one given, or after
+   * wait_us with unchanged set. Counts as one call at the platform, and a read where something
+   * changed. */
   bool (*watch) (void *ctx,
                  const char *key,
                  uint64_t index,
--- a/tests/process/test_platform.c
+++ b/tests/process/test_platform.c
@@ -12,6 +12,7 @@
 #include <stdint.h>
 
 #include <cmocka.h>
+#include <jansson.h>
 
 #define CALL_US (500 * MT_MS)
 #define KEY     "medlartrack/test/a"
@@ -206,6 +207,34 @@
   mt_store_value_clear (&value);
 }
 
+static int
+count_reads (struct fixture *f)
+{
+  struct reply reply = harness_send (f->harness, f->service, "GET", "/calls", NULL, "");
+  json_t *root = json_loads (reply.body, 0, NULL);
+  int reads = (int) json_integer_value (json_object_get (root, "reads"));
+
+  json_decref (root);
+  reply_clear (&reply);
+  return reads;
+}
+
+/* A fleet is started before its first tables are applied: there is nothing to wait at in the
+ * platform's service, and each watch answers at once. The daemon must pause in between, or it alone
+ * would take ten times the reads that the service has. A slow machine makes fewer of them, not
+ * more. */
+static void
+test_empty_store_is_asked_seldom (void **state)
+{
+  struct fixture *f = *state;
+  int before;
+
+  harness_start_daemon (f->harness, "a", f->service, NULL);
+  before = count_reads (f);
+  g_usleep (2 * G_USEC_PER_SEC);
+  assert_true (count_reads (f) - before < 100);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -214,6 +243,7 @@
     cmocka_unit_test_setup_teardown (test_lost_answer_is_unknown, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_down_and_gone, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_slow_is_unknown, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_empty_store_is_asked_seldom, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_watch_brings_only_what_changed, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_foreign_answers_tell_nothing, set_up, tear_down),
   };
