desk: stop the runs of a job that was cancelled before its progress was read

A second fault, found by test: each unanswered hold counted as a lease that may have been granted, so the tasks of a silent worker were never free. Ruled out: a lost cancel (CANCEL_ACCEPTED and JOB_ENDED are in the log before). Change: restoring ends what it finds on an ended job; a hold to a silent worker carries no lease. Tests: test_cancelled_before_its_progress_was_read, test_silent_worker_keeps_its_tasks_until_the_lease_is_over failed before, pass now.

--- a/core/work/desk.c
+++ b/core/work/desk.c
@@ -281,8 +281,8 @@
 }
 
 /* Every run of an ended job is stopped; what waits will never start. */
-static void
-stop_tasks (struct mt_desk *desk, struct mt_job *job, int64_t now)
+void
+mt_job_stop_tasks (struct mt_desk *desk, struct mt_job *job, int64_t now)
 {
   for (unsigned k = 0; k < job->n_parts; k++)
     for (unsigned i = 0; job->parts[k] != NULL && i < job->parts[k]->n_tasks; i++)
@@ -302,7 +302,7 @@
   g_queue_unlink (&desk->open, &job->link);
   g_queue_push_tail_link (&desk->closed, &job->link);
   mt_job_mark (desk, job);
-  stop_tasks (desk, job, now);
+  mt_job_stop_tasks (desk, job, now);
   mt_desk_tell (desk, "JOB_ENDED", "id=%s route=%s state=%s age_ms=%" G_GINT64_FORMAT,
                 job->spec->id, job->route->name, mt_job_state_names[state], now - job->submitted);
 }
--- a/core/work/desk_internal.h
+++ b/core/work/desk_internal.h
@@ -197,6 +197,7 @@
 void mt_job_mark (struct mt_desk *desk, struct mt_job *job);
 void mt_job_check_end (struct mt_desk *desk, struct mt_job *job, int64_t now);
 void mt_job_end (struct mt_desk *desk, struct mt_job *job, enum mt_job_state state, int64_t now);
+void mt_job_stop_tasks (struct mt_desk *desk, struct mt_job *job, int64_t now);
 struct mt_part *mt_job_part (struct mt_job *job, unsigned number);
 void mt_job_open_due (struct mt_desk *desk, int64_t now, int64_t wall);
 
--- a/core/work/desk_orders.c
+++ b/core/work/desk_orders.c
@@ -149,8 +149,13 @@
       order->address = w->address;
       order->seen_end = w->durable_end;
       order->wait_ms = w->tasks.length > 0 && w->held && !blocked ? HOLD_WAIT_MS : 0;
-      order->lease_ms = mt_worker_lease (w, now, desk->settings.hold_ms);
-      mt_worker_granted (w, desk->settings.hold_ms, now);
+      /* A hold without an answer may have been carried out. Were the lease renewed with each try,
+       * a cut-off worker's tasks would never be known to be over. */
+      if (w->silent_since == 0)
+        {
+          order->lease_ms = mt_worker_lease (w, now, desk->settings.hold_ms);
+          mt_worker_granted (w, desk->settings.hold_ms, now);
+        }
       return true;
     }
   return false;
--- a/core/work/desk_record.c
+++ b/core/work/desk_record.c
@@ -216,6 +216,8 @@
       job->durable = state;
       job->dirty = false; /* it is stored already */
     }
+  else if (job->ended_at != 0)
+    mt_job_stop_tasks (desk, job, now); /* cancelled before its runs were known */
   else
     mt_job_check_end (desk, job, now);
   json_decref (root);
--- /dev/null
+++ b/tests/work/test_desk.c
@@ -0,0 +1,215 @@
+#include "world.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+static void
+test_job_runs_to_its_end (void **state)
+{
+  struct world *world = world_create ();
+
+  world_add_worker (world, "r1");
+  world_submit (world, world_job ("aa", 4, 1000, 1000));
+  assert_true (world_until (world, "aa", MT_JOB_ACTIVE, 200));
+  assert_true (world_until (world, "aa", MT_JOB_COMPLETED, 1500));
+  assert_int_equal (world->started, 4);
+  world_destroy (world);
+}
+
+/* A start is sent only once the placement is stored: a successor that did not know of it would run
+ * the task a second time. While the store is down nothing new starts, and what runs is held. */
+static void
+test_nothing_starts_that_is_not_stored (void **state)
+{
+  struct world *world = world_create ();
+
+  world_add_worker (world, "r1");
+  world_submit (world, world_job ("aa", 1, 1000, 1000));
+  world->store_down = true;
+  world_run (world, 3000);
+  assert_int_equal (world->started, 0);
+  world->store_down = false;
+  assert_true (world_until (world, "aa", MT_JOB_COMPLETED, 1500));
+  world_destroy (world);
+}
+
+/* The caller cancels a job while its leader is dead. The successor learns of the cancelling from the
+ * queue before it has read the job's progress; the tasks that the progress then tells of must be
+ * stopped all the same, or they run on for ever. */
+static void
+test_cancelled_before_its_progress_was_read (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_job_spec *spec = world_job ("aa", 3, 1000, 1000);
+  g_autoptr (GPtrArray) none = g_ptr_array_new ();
+  g_autofree char *record = NULL;
+
+  world->run_ms = -1;
+  spec->steps[0].lasting = true;
+  world_add_worker (world, "r1");
+  world_submit (world, spec);
+  world_run (world, 500);
+  assert_int_equal (world->started, 3);
+  record = g_strdup (g_hash_table_lookup (world->records, "aa"));
+  g_hash_table_remove_all (world->records);
+  world_take_over (world, none);
+  spec = world_job ("aa", 3, 1000, 1000);
+  spec->steps[0].lasting = true;
+  world_submit (world, spec);
+  mt_desk_cancel (world->desk, "aa", world->now);
+  mt_desk_restore (world->desk, "aa", record, 1, world->now);
+  world_run (world, 1000);
+  assert_int_equal (world_running (world, "aa.0.0.0"), 0);
+  assert_int_equal (mt_desk_state (world->desk, "aa"), MT_JOB_CANCELLED);
+  world_destroy (world);
+}
+
+/* The leader dies with tasks at work. Its successor finds them by the stored placements, holds the
+ * workers under its own token, and lets them go on: none is started again. */
+static void
+test_takeover_goes_on_with_what_runs (void **state)
+{
+  struct world *world = world_create ();
+  g_autoptr (GPtrArray) specs = g_ptr_array_new ();
+
+  world_add_worker (world, "r1");
+  world_add_worker (world, "r1");
+  world->run_ms = 3000;
+  world_submit (world, world_job ("aa", 6, 1000, 3000));
+  world_run (world, 1000);
+  assert_int_equal (world->started, 6);
+  g_ptr_array_add (specs, world_job ("aa", 6, 1000, 3000));
+  world_take_over (world, specs);
+  assert_true (world_until (world, "aa", MT_JOB_COMPLETED, 2500));
+  assert_int_equal (world->started, 6);
+  world_destroy (world);
+}
+
+/* A worker falls silent with tasks on it and runs on. They must not start elsewhere before every
+ * lease given to it has run out on the slowest clock: sooner, one task would run twice. */
+static void
+test_silent_worker_keeps_its_tasks_until_the_lease_is_over (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *cut = world_add_worker (world, "r1");
+
+  world->run_ms = 20000;
+  world_submit (world, world_job ("aa", 2, 1000, 20000));
+  world_run (world, 500);
+  assert_int_equal (cut->starts, 2);
+  cut->silent = true;
+  world_add_worker (world, "r1");
+  world_run (world, 4000);
+  assert_int_equal (world->started, 2);
+  world_run (world, 2000);
+  assert_int_equal (world->started, 4);
+  assert_int_equal (world->twice, 0);
+  world_destroy (world);
+}
+
+/* A start gets no answer though it was carried out. The room stays taken, and the next listing shows
+ * the run: it goes on, no second one is started. */
+static void
+test_unanswered_start_is_found_by_the_next_hold (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *w = world_add_worker (world, "r1");
+
+  world_run (world, 100);
+  w->mute = true;
+  world_submit (world, world_job ("aa", 1, 1000, 1000));
+  world_run (world, 100);
+  w->mute = false;
+  assert_true (world_until (world, "aa", MT_JOB_COMPLETED, 2000));
+  assert_int_equal (world->started, 1);
+  world_destroy (world);
+}
+
+/* A worker fails all that it starts. The tasks go on elsewhere, one attempt each is spent at most,
+ * and the sick worker gets nothing for a while. */
+static void
+test_sick_worker_costs_few_attempts (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *sick = world_add_worker (world, "r1");
+
+  sick->sick = true;
+  world_add_worker (world, "r1");
+  world_add_worker (world, "r1");
+  for (int i = 0; i < 10; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("a%d", i);
+
+      world_submit (world, world_job (id, 6, 500, 1000));
+    }
+  world_run (world, 4000);
+  for (int i = 0; i < 10; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("a%d", i);
+
+      assert_int_equal (mt_desk_state (world->desk, id), MT_JOB_COMPLETED);
+    }
+  assert_true (sick->starts < 30);
+  world_destroy (world);
+}
+
+/* All that a worker starts stands still, though it lists the runs and answers. The caller would wait
+ * for ever: the task is stopped and runs elsewhere. */
+static void
+test_task_that_stands_still_runs_elsewhere (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *stalls = world_add_worker (world, "r1");
+
+  stalls->stalls = true;
+  world_submit (world, world_job ("aa", 1, 1000, 800));
+  world_run (world, 300);
+  world_add_worker (world, "r1");
+  assert_true (world_until (world, "aa", MT_JOB_COMPLETED, 5000));
+  world_destroy (world);
+}
+
+/* Whatever is in doubt, stopping or at work counts against the worker's room, which does not guard
+ * itself. */
+static void
+test_room_is_never_overbooked (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *w = world_add_worker (world, "r1");
+
+  for (int i = 0; i < 8; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("a%d", i);
+
+      world_submit (world, world_job (id, 6, 3000, 700));
+    }
+  for (int i = 0; i < 400; i++)
+    {
+      world_run (world, 20);
+      if (i == 20)
+        mt_desk_cancel (world->desk, "a0", world->now);
+      assert_true (w->runs->len <= 5);
+    }
+  world_destroy (world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_job_runs_to_its_end),
+    cmocka_unit_test (test_nothing_starts_that_is_not_stored),
+    cmocka_unit_test (test_cancelled_before_its_progress_was_read),
+    cmocka_unit_test (test_takeover_goes_on_with_what_runs),
+    cmocka_unit_test (test_silent_worker_keeps_its_tasks_until_the_lease_is_over),
+    cmocka_unit_test (test_unanswered_start_is_found_by_the_next_hold),
+    cmocka_unit_test (test_sick_worker_costs_few_attempts),
+    cmocka_unit_test (test_task_that_stands_still_runs_elsewhere),
+    cmocka_unit_test (test_room_is_never_overbooked),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/work/world.c
@@ -0,0 +1,338 @@
+#include "world.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define STEP_MS 5
+
+static const struct mt_desk_settings settings = { .name = "pool",
+                                                  .hold_ms = 4500,
+                                                  .max_hold_ms = 6000,
+                                                  .stop_ms = 200,
+                                                  .gang_wait_ms = 3000,
+                                                  .early_ms = 250,
+                                                  .remote_factor = 2,
+                                                  .notice_ms = 4500,
+                                                  .status_ms = 120000 };
+static const struct mt_route_terms terms
+    = { .priority = 0, .max_attempts = 3, .stretch = 1.6, .objective_ms = 600 };
+
+struct world *
+world_create (void)
+{
+  struct world *world = g_new0 (struct world, 1);
+
+  world->now = 100000;
+  world->run_ms = 1000;
+  world->desk = mt_desk_create (&settings);
+  mt_desk_set_route (world->desk, "route", &terms);
+  world->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return world;
+}
+
+void
+world_destroy (struct world *world)
+{
+  for (unsigned i = 0; i < world->n_workers; i++)
+    {
+      g_array_unref (world->workers[i].runs);
+      g_array_unref (world->workers[i].ends);
+    }
+  mt_desk_destroy (world->desk);
+  g_hash_table_unref (world->records);
+  g_free (world);
+}
+
+static void
+show (struct world *world, struct world_worker *w)
+{
+  const char *labels[] = { "a", "r1", NULL };
+  struct mt_worker_entry entry = { .id = w->id,
+                                   .born_ms = 7,
+                                   .address = "127.0.0.1:1",
+                                   .zone = "z",
+                                   .labels = labels,
+                                   .room = w->room };
+
+  mt_desk_worker_seen (world->desk, &entry, world->now);
+}
+
+struct world_worker *
+world_add_worker (struct world *world, const char *rack)
+{
+  struct world_worker *w = &world->workers[world->n_workers];
+
+  snprintf (w->id, sizeof w->id, "i-%u", world->n_workers++);
+  w->room = (struct mt_room){ .cpu = 16000, .mem = 32768 };
+  w->slow = 1;
+  w->runs = g_array_new (FALSE, TRUE, sizeof (struct world_run));
+  w->ends = g_array_new (FALSE, TRUE, sizeof (struct world_end));
+  show (world, w);
+  return w;
+}
+
+struct mt_job_spec *
+world_job (const char *id, unsigned count, int64_t cpu, int64_t ms)
+{
+  struct mt_job_spec *spec = mt_job_spec_create (id, "route", 1);
+
+  spec->payload = g_strdup ("payload");
+  spec->steps[0].count = count;
+  spec->steps[0].need.cpu = cpu;
+  spec->steps[0].need.mem = 100;
+  spec->steps[0].estimate_ms = ms;
+  return spec;
+}
+
+void
+world_submit (struct world *world, struct mt_job_spec *spec)
+{
+  spec->accepted_ms = world->now;
+  mt_desk_submit (world->desk, spec, world->now, world->now);
+}
+
+/* ---- workers ---- */
+
+static struct world_worker *
+find (struct world *world, const char *id)
+{
+  for (unsigned i = 0; i < world->n_workers; i++)
+    if (strcmp (world->workers[i].id, id) == 0)
+      return &world->workers[i];
+  return NULL;
+}
+
+static struct world_run *
+find_run (struct world_worker *w, const char *task, unsigned run, guint *at)
+{
+  for (guint i = 0; i < w->runs->len; i++)
+    {
+      struct world_run *r = &g_array_index (w->runs, struct world_run, i);
+
+      *at = i;
+      if (strcmp (r->task, task) == 0 && (run == 0 || r->run == run))
+        return r;
+    }
+  return NULL;
+}
+
+unsigned
+world_running (const struct world *world, const char *task)
+{
+  unsigned n = 0;
+  guint at;
+
+  for (unsigned i = 0; i < world->n_workers; i++)
+    n += find_run ((struct world_worker *) &world->workers[i], task, 0, &at) != NULL;
+  return n;
+}
+
+static void
+end_run (struct world_worker *w, guint at, enum mt_end_how how)
+{
+  struct world_run *r = &g_array_index (w->runs, struct world_run, at);
+  struct world_end end = { .number = ++w->last_end, .run = r->run, .how = how };
+
+  memcpy (end.task, r->task, sizeof end.task);
+  g_array_append_val (w->ends, end);
+  g_array_remove_index (w->runs, at);
+}
+
+static void
+work (struct world *world, struct world_worker *w)
+{
+  if (w->lease != 0 && world->now > w->lease)
+    while (w->runs->len > 0)
+      end_run (w, 0, MT_END_LAPSED);
+  for (guint i = w->runs->len; i > 0; i--)
+    {
+      struct world_run *r = &g_array_index (w->runs, struct world_run, i - 1);
+
+      if (r->stopping)
+        end_run (w, i - 1, MT_END_STOPPED);
+      else if (r->fails)
+        end_run (w, i - 1, MT_END_FAILED);
+      else if (!r->still && r->ends >= 0 && world->now >= r->ends)
+        end_run (w, i - 1, MT_END_DONE);
+    }
+}
+
+static int64_t
+run_time (const struct world *world, const struct world_worker *w)
+{
+  return world->run_ms < 0 ? -1 : world->now + (int64_t) (w->slow * (double) world->run_ms);
+}
+
+static void
+start (struct world *world, struct world_worker *w, const struct mt_order *order)
+{
+  struct world_run r = { .run = order->run,
+                         .began = world->now,
+                         .ends = run_time (world, w),
+                         .fails = w->sick,
+                         .still = w->stalls,
+                         .pace = 100 };
+
+  if (world_running (world, order->task) > 0)
+    world->twice++;
+  memcpy (r.task, order->task, sizeof r.task);
+  w->lease = MAX (w->lease, order->lease_ms);
+  w->starts++;
+  world->started++;
+  g_array_append_val (w->runs, r);
+}
+
+static void
+carry_out (struct world *world, struct world_worker *w, const struct mt_order *order)
+{
+  guint at;
+  struct world_run *r = find_run (w, order->task, order->run, &at);
+
+  if (order->kind == MT_ORDER_START)
+    start (world, w, order);
+  else if (order->kind == MT_ORDER_STOP && r != NULL)
+    r->stopping = true;
+  else if (order->kind == MT_ORDER_PACE && r != NULL)
+    r->pace = order->percent;
+}
+
+static unsigned
+progress (const struct world *world, const struct world_run *r)
+{
+  if (r->still)
+    return 3;
+  if (r->ends < 0)
+    return 100;
+  return (unsigned) (100 * (world->now - r->began) / MAX (r->ends - r->began, 1));
+}
+
+static void
+hold (struct world *world, struct world_worker *w, const struct mt_order *order)
+{
+  struct mt_run_row runs[512];
+  struct mt_end_row ends[512];
+  struct mt_hold_report report = { .answer = MT_ANSWER_OK,
+                                   .clock_ms = world->now,
+                                   .born_ms = 7,
+                                   .running = runs,
+                                   .ended = ends };
+
+  w->lease = MAX (w->lease, order->lease_ms);
+  while (w->ends->len > 0
+         && g_array_index (w->ends, struct world_end, 0).number <= order->seen_end)
+    g_array_remove_index (w->ends, 0);
+  for (guint i = 0; i < w->runs->len && i < 512; i++)
+    {
+      const struct world_run *r = &g_array_index (w->runs, struct world_run, i);
+
+      runs[report.n_running++] = (struct mt_run_row){ r->task, r->run, NULL, progress (world, r),
+                                                      w->gauge };
+    }
+  for (guint i = 0; i < w->ends->len && i < 512; i++)
+    {
+      const struct world_end *e = &g_array_index (w->ends, struct world_end, i);
+
+      ends[report.n_ended++] = (struct mt_end_row){ e->number, e->task, e->run, e->how, NULL };
+    }
+  mt_desk_hold_answered (world->desk, w->id, &report, world->now - 1, world->now);
+}
+
+static void
+obey (struct world *world, const struct mt_order *order)
+{
+  struct world_worker *w = find (world, order->worker);
+  g_autofree char *id = g_strdup (order->worker);
+  char task[80];
+  struct mt_hold_report none = { .answer = MT_ANSWER_NONE, .clock_ms = -1 };
+
+  memcpy (task, order->task, sizeof task);
+  if (order->kind == MT_ORDER_HOLD)
+    {
+      if (w->silent || w->mute)
+        mt_desk_hold_answered (world->desk, id, &none, world->now - 1, world->now);
+      else
+        hold (world, w, order);
+      return;
+    }
+  if (!w->silent)
+    carry_out (world, w, order);
+  mt_desk_order_answered (world->desk, order->kind, id, task, order->run,
+                          w->silent || w->mute ? MT_ANSWER_NONE : MT_ANSWER_OK,
+                          w->silent || w->mute ? -1 : world->now, world->now);
+}
+
+static void
+store (struct world *world)
+{
+  GPtrArray *ids = mt_desk_cycle_begin (world->desk, world->now, world->now);
+
+  if (ids == NULL)
+    return;
+  for (guint i = 0; i < ids->len; i++)
+    g_hash_table_insert (world->records, g_strdup (ids->pdata[i]),
+                         mt_desk_record (world->desk, ids->pdata[i]));
+  g_ptr_array_unref (ids);
+  world->in_cycle = true;
+}
+
+static void
+step (struct world *world)
+{
+  struct mt_order order;
+  unsigned bound = 2000;
+
+  world->now += STEP_MS;
+  for (unsigned i = 0; i < world->n_workers; i++)
+    work (world, &world->workers[i]);
+  if (!world->store_down && !world->in_cycle)
+    store (world);
+  if (!world->store_down && world->in_cycle)
+    {
+      world->in_cycle = false;
+      mt_desk_cycle_done (world->desk, world->now);
+    }
+  while (bound-- > 0 && mt_desk_next_order (world->desk, world->now, &order))
+    {
+      obey (world, &order);
+      mt_order_clear (&order);
+    }
+}
+
+void
+world_run (struct world *world, int64_t ms)
+{
+  for (int64_t at = 0; at < ms; at += STEP_MS)
+    step (world);
+}
+
+bool
+world_until (struct world *world, const char *id, enum mt_job_state state, int64_t ms)
+{
+  for (int64_t at = 0; at < ms; at += STEP_MS)
+    {
+      if (mt_desk_state (world->desk, id) == state)
+        return true;
+      step (world);
+    }
+  return mt_desk_state (world->desk, id) == state;
+}
+
+void
+world_take_over (struct world *world, GPtrArray *specs)
+{
+  GHashTableIter it;
+  const char *id, *record;
+
+  mt_desk_destroy (world->desk);
+  world->desk = mt_desk_create (&settings);
+  world->in_cycle = false;
+  mt_desk_set_route (world->desk, "route", &terms);
+  for (guint i = 0; i < specs->len; i++)
+    mt_desk_submit (world->desk, specs->pdata[i], world->now, world->now);
+  g_hash_table_iter_init (&it, world->records);
+  while (g_hash_table_iter_next (&it, (void **) &id, (void **) &record))
+    mt_desk_restore (world->desk, id, record, 1, world->now);
+  for (unsigned i = 0; i < world->n_workers; i++)
+    if (!world->workers[i].gone)
+      show (world, &world->workers[i]);
+}
--- /dev/null
+++ b/tests/work/world.h
@@ -0,0 +1,81 @@
+/* Workers for a desk, on a paused clock: they take orders, run tasks for as long as the test says,
+ * and list ends, as the published protocol has it. Each order and each write takes effect at once
+ * unless the test holds it back. */
+#ifndef TESTS_WORK_WORLD_H
+#define TESTS_WORK_WORLD_H
+
+#include "medlartrack/desk.h"
+
+#define WORLD_MAX_WORKERS 64
+#define WORLD_MAX_RUNS    8192
+
+struct world_run
+{
+  char task[80];
+  unsigned run;
+  int64_t began;
+  int64_t ends; /* -1: never by itself */
+  bool fails;
+  bool still; /* makes no progress */
+  bool stopping;
+  unsigned pace;
+};
+
+struct world_end
+{
+  int64_t number;
+  char task[80];
+  unsigned run;
+  enum mt_end_how how;
+};
+
+struct world_worker
+{
+  char id[16];
+  bool silent;     /* orders get no answer and are not carried out */
+  bool mute;       /* orders are carried out, and get no answer */
+  bool sick;       /* all that it starts fails at once */
+  bool stalls;     /* all that it starts stands still */
+  double slow;     /* run times in multiples */
+  bool gone;       /* not in the registry */
+  int64_t gauge;   /* what it says of each run */
+  struct mt_room room;
+  struct mt_room used;
+  int64_t lease;   /* on its clock, which is the world's */
+  GArray *runs;    /* struct world_run */
+  GArray *ends;    /* struct world_end not forgotten yet */
+  int64_t last_end;
+  unsigned starts;
+  unsigned overbooked; /* starts beyond its room */
+};
+
+struct world
+{
+  struct mt_desk *desk;
+  int64_t now;
+  struct world_worker workers[WORLD_MAX_WORKERS];
+  unsigned n_workers;
+  bool store_down; /* cycles don't end */
+  bool in_cycle;
+  int64_t run_ms;  /* of a task whose job says nothing else; -1: never ends */
+  unsigned started;
+  unsigned twice; /* starts of a task that runs elsewhere */
+  GHashTable *records; /* job id to what was stored last */
+};
+
+struct world *world_create (void);
+void world_destroy (struct world *world);
+/* In the registry at once; 16 cores and 32 GB. */
+struct world_worker *world_add_worker (struct world *world, const char *rack);
+/* One step of `count` tasks of `cpu` thousandths, each estimated at ms. */
+struct mt_job_spec *world_job (const char *id, unsigned count, int64_t cpu, int64_t ms);
+void world_submit (struct world *world, struct mt_job_spec *spec);
+/* In steps of 5 ms. */
+void world_run (struct world *world, int64_t ms);
+/* Runs until the job has the state, within ms; false where it doesn't come. */
+bool world_until (struct world *world, const char *id, enum mt_job_state state, int64_t ms);
+/* The leader dies; its successor loads what is stored under a higher token. */
+void world_take_over (struct world *world, GPtrArray *specs);
+unsigned world_running (const struct world *world, const char *task);
+
+#endif
