desk: a second run keeps its room until it has ended; waiting jobs are counted once

Change: the second run is stopped and the task is done when that is listed; a worker that lists runs which are nobody's takes nothing; the count goes down only for a job that has not ended. Tests: test_second_run_keeps_its_room_until_it_has_ended, test_job_is_taken_off_the_waiting_ones_once.

--- a/core/work/desk_answers.c
+++ b/core/work/desk_answers.c
@@ -159,6 +159,13 @@
     mt_job_end (desk, job, MT_JOB_FAILED, now);
 }
 
+static void
+finish_elsewhere (struct mt_desk *desk, struct mt_task *task, int64_t now)
+{
+  mt_task_finish (desk, task, now);
+  mt_job_check_end (desk, task->part->job, now);
+}
+
 static void
 take_end (struct mt_desk *desk, struct mt_worker *w, const struct mt_end_row *end, int64_t now)
 {
@@ -169,20 +176,15 @@
     return;
   current = task->worker == w && task->run == end->run;
   mt_task_keep_checkpoint (task, end->checkpoint);
-  /* Work that was done counts whichever run did it; another run of it is stopped. */
+  /* Work that was done counts whichever run did it. Another run of it takes room until it has
+   * ended, so the task is done only then: sooner, its worker would be overbooked. */
   if (end->how == MT_END_DONE && !current)
     {
+      task->done_elsewhere = true;
       if (task->worker != NULL)
-        {
-          char name[80];
-          struct mt_stray *stray = g_new0 (struct mt_stray, 1);
-
-          mt_task_name (task, name, sizeof name);
-          *stray = (struct mt_stray){ task->worker, g_strdup (name), task->run };
-          g_queue_push_tail (&desk->strays, stray);
-        }
-      mt_task_finish (desk, task, now);
-      mt_job_check_end (desk, task->part->job, now);
+        mt_task_stop (desk, task, now);
+      else
+        finish_elsewhere (desk, task, now);
       return;
     }
   if (!current)
@@ -242,6 +244,7 @@
 
   if (task == NULL || task->worker != w || task->run != row->run)
     {
+      w->strays++;
       add_stray (desk, w, row);
       return;
     }
@@ -298,6 +301,7 @@
   GList *next;
 
   w->stamp++;
+  w->strays = 0;
   for (size_t i = 0; i < report->n_running; i++)
     take_run (desk, w, &report->running[i], now);
   for (GList *l = w->tasks.head; l != NULL; l = next)
@@ -358,7 +362,7 @@
   take_ends (desk, w, report, now);
   take_runs (desk, w, report, sent, now);
   mt_worker_pace (desk, w, now);
-  w->next_hold = w->tasks.length > 0 || w->seen_end > w->durable_end ? now : now + IDLE_HOLD_MS;
+  w->next_hold = w->tasks.length > 0 || w->strays > 0 || w->seen_end > w->durable_end ? now : now + IDLE_HOLD_MS;
 }
 
 /* ---- orders ---- */
--- a/core/work/desk_internal.h
+++ b/core/work/desk_internal.h
@@ -30,6 +30,7 @@
   bool order_sent;    /* and is on its way */
   bool doubtful;      /* a start got no answer */
   bool stop_answered; /* the worker knows that the run is to be stopped */
+  bool done_elsewhere; /* an earlier run did it; this one only has to end */
   bool inherited;     /* started by a predecessor, whom our token keeps from sending more */
   uint32_t run;
   uint32_t stamp; /* the worker's hold that last listed it */
@@ -130,6 +131,7 @@
   int64_t evidence_at;
   int64_t shun_until;
   unsigned shun_times;
+  unsigned strays; /* runs in its last listing that are nobody's: they take room uncounted */
   unsigned order_load; /* orders on their way */
   int64_t pace_at;
   int64_t over_since; /* a serving task's tail is over its target since */
--- a/core/work/desk_record.c
+++ b/core/work/desk_record.c
@@ -203,7 +203,7 @@
   if (json_integer_value (json_object_get (root, "b")) != 0 && !job->begun)
     {
       job->begun = true;
-      if (job->spec->repeats == 0)
+      if (job->spec->repeats == 0 && job->ended_at == 0)
         job->route->pending--;
     }
   restore_done (desk, job, json_object_get (root, "d"), now);
--- a/core/work/desk_tasks.c
+++ b/core/work/desk_tasks.c
@@ -104,19 +104,6 @@
   mt_job_mark (desk, task->part->job);
 }
 
-/* The run is over and the task has to run again. */
-void
-mt_task_wait (struct mt_desk *desk, struct mt_task *task, int64_t now)
-{
-  if (task->state == MT_TASK_WAITING || task->state == MT_TASK_DONE)
-    return;
-  leave_worker (desk, task);
-  task->state = MT_TASK_WAITING;
-  task->since = now;
-  task->part->step_waiting[task->step]++;
-  mt_job_mark (desk, task->part->job);
-}
-
 void
 mt_task_finish (struct mt_desk *desk, struct mt_task *task, int64_t now)
 {
@@ -133,6 +120,23 @@
   mt_job_mark (desk, task->part->job);
 }
 
+/* The run is over and the task has to run again. */
+void
+mt_task_wait (struct mt_desk *desk, struct mt_task *task, int64_t now)
+{
+  if (task->state == MT_TASK_WAITING || task->state == MT_TASK_DONE)
+    return;
+  leave_worker (desk, task);
+  task->state = MT_TASK_WAITING;
+  task->since = now;
+  task->part->step_waiting[task->step]++;
+  mt_job_mark (desk, task->part->job);
+  if (!task->done_elsewhere)
+    return;
+  mt_task_finish (desk, task, now);
+  mt_job_check_end (desk, task->part->job, now);
+}
+
 /* Ends what runs, or might. A task that was only placed has not been sent and just waits again. */
 void
 mt_task_stop (struct mt_desk *desk, struct mt_task *task, int64_t now)
--- a/core/work/desk_workers.c
+++ b/core/work/desk_workers.c
@@ -141,7 +141,7 @@
 mt_worker_takes (const struct mt_worker *w, int64_t now)
 {
   return w->listed && w->held && !w->leaving && !w->ended && w->silent_since == 0
-         && w->cordon_until <= now && w->shun_until <= now;
+         && w->cordon_until <= now && w->shun_until <= now && w->strays == 0;
 }
 
 bool
--- a/tests/work/test_desk.c
+++ b/tests/work/test_desk.c
@@ -196,6 +196,54 @@
   world_destroy (world);
 }
 
+/* A worker is cut off, its lease runs out, its task is started again elsewhere; then it comes back
+ * and lists that it had finished in time. The second run takes room until it is stopped: room that
+ * was given away at once would overbook its worker. */
+static void
+test_second_run_keeps_its_room_until_it_has_ended (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *cut = world_add_worker (world, "r1");
+  struct world_worker *other;
+
+  world_submit (world, world_job ("aa", 1, 16000, 1000));
+  world_run (world, 300);
+  cut->silent = true;
+  other = world_add_worker (world, "r1");
+  world->run_ms = 20000;
+  world_run (world, 5500);
+  assert_int_equal (other->runs->len, 1);
+  world_submit (world, world_job ("bb", 1, 16000, 1000));
+  cut->gone = true;
+  cut->silent = false;
+  mt_desk_cordon (world->desk, cut->id, world->now + 60000, false);
+  for (int i = 0; i < 200; i++)
+    {
+      world_run (world, 5);
+      assert_true (other->runs->len <= 1);
+    }
+  assert_int_equal (mt_desk_state (world->desk, "aa"), MT_JOB_COMPLETED);
+  assert_int_equal (world_running (world, "bb.0.0.0"), 1);
+  world_destroy (world);
+}
+
+/* A successor meets the cancelling of a job that had begun before it reads the job's progress. The
+ * job waits no longer either way; were it taken off the count of waiting jobs twice, callers would
+ * be told of too few. */
+static void
+test_job_is_taken_off_the_waiting_ones_once (void **state)
+{
+  struct world *world = world_create ();
+
+  world_submit (world, world_job ("aa", 1, 1000, 1000));
+  world_submit (world, world_job ("bb", 1, 1000, 1000));
+  mt_desk_cancel (world->desk, "aa", world->now);
+  assert_true (mt_desk_restore (world->desk, "aa",
+                                "{\"s\":\"active\",\"b\":1,\"d\":{},\"t\":[]}", 1, world->now));
+  assert_int_equal (mt_desk_pending (world->desk, "route"), 1);
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -209,6 +257,8 @@
     cmocka_unit_test (test_sick_worker_costs_few_attempts),
     cmocka_unit_test (test_task_that_stands_still_runs_elsewhere),
     cmocka_unit_test (test_room_is_never_overbooked),
+    cmocka_unit_test (test_job_is_taken_off_the_waiting_ones_once),
+    cmocka_unit_test (test_second_run_keeps_its_room_until_it_has_ended),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/work/world.c
+++ b/tests/work/world.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #define STEP_MS 5
+#define STOP_MS 60
 
 static const struct mt_desk_settings settings = { .name = "pool",
                                                   .hold_ms = 4500,
@@ -148,11 +149,11 @@
     {
       struct world_run *r = &g_array_index (w->runs, struct world_run, i - 1);
 
-      if (r->stopping)
+      if (r->stops != 0 && world->now >= r->stops)
         end_run (w, i - 1, MT_END_STOPPED);
       else if (r->fails)
         end_run (w, i - 1, MT_END_FAILED);
-      else if (!r->still && r->ends >= 0 && world->now >= r->ends)
+      else if (r->stops == 0 && !r->still && r->ends >= 0 && world->now >= r->ends)
         end_run (w, i - 1, MT_END_DONE);
     }
 }
@@ -191,7 +192,7 @@
   if (order->kind == MT_ORDER_START)
     start (world, w, order);
   else if (order->kind == MT_ORDER_STOP && r != NULL)
-    r->stopping = true;
+    r->stops = world->now + STOP_MS;
   else if (order->kind == MT_ORDER_PACE && r != NULL)
     r->pace = order->percent;
 }
--- a/tests/work/world.h
+++ b/tests/work/world.h
@@ -17,7 +17,7 @@
   int64_t ends; /* -1: never by itself */
   bool fails;
   bool still; /* makes no progress */
-  bool stopping;
+  int64_t stops; /* when a stop has taken effect; 0 for none */
   unsigned pace;
 };
 
