steward: upkeep waves, by cap, due time and emptied workers

Change: core/work/steward decides over all pools which machine is emptied and ordered; fleet/care reads waves, lists machines, asks the pools' leaders and writes progress and status under the duty's key. Tests: tests/work/test_steward.c; test_no_lasting_task_is_moved_while_others_are_away and test_machines_that_a_predecessor_sent_down_count failed before.

--- a/core/work/desk_watch.c
+++ b/core/work/desk_watch.c
@@ -50,6 +50,13 @@
     }
 }
 
+/* A worker that does not answer may have stopped working long ago. */
+static bool
+is_away (const struct mt_task *task)
+{
+  return task->state != MT_TASK_RUNNING || task->percent < 100 || task->worker->silent_since != 0;
+}
+
 /* A lasting task on a worker that leaves, or is to be emptied, goes elsewhere while others of its
  * step are at work: no more than max_unavailable may be away at once. On a worker that leaves the
  * budget does not bind, the task would end there anyway. */
@@ -66,7 +73,7 @@
     {
       const struct mt_task *other = &part->tasks[part->step_first[task->step] + i];
 
-      away += other != task && (other->state != MT_TASK_RUNNING || other->percent < 100);
+      away += other != task && is_away (other);
     }
   if (away >= MAX (step->max_unavailable, 1U) && task->percent == 100)
     return;
--- /dev/null
+++ b/core/work/steward.c
@@ -0,0 +1,420 @@
+#include "steward_internal.h"
+
+#include <string.h>
+
+/* Plans are made this often; an order follows from what the desks told in between. */
+#define PLAN_MS 100
+/* An order that could not be carried out is given again after this. */
+#define AGAIN_MS 400
+/* A plan whose worker does not empty within this is dropped; another machine is taken. */
+#define PATIENCE_MS 9000
+/* A desk's view older than this proves nothing about a worker being empty. */
+#define FRESH_MS 700
+
+static void
+free_pool (void *data)
+{
+  struct mt_keeper_pool *p = data;
+
+  g_free (p->name);
+  g_free (p);
+}
+
+static void
+free_machine (void *data)
+{
+  struct mt_keeper_machine *m = data;
+
+  g_free (m->id);
+  g_free (m->rack);
+  g_free (m->worker);
+  g_free (m->ended_worker);
+  g_free (m);
+}
+
+static void
+free_wave (void *data)
+{
+  struct mt_keeper_wave *w = data;
+
+  g_hash_table_unref (w->left);
+  g_hash_table_unref (w->done);
+  g_free (w);
+}
+
+struct mt_steward *
+mt_steward_create (const struct mt_steward_settings *settings)
+{
+  struct mt_steward *s = g_new0 (struct mt_steward, 1);
+
+  s->settings = *settings;
+  s->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_pool);
+  s->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_machine);
+  s->waves = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_wave);
+  return s;
+}
+
+void
+mt_steward_destroy (struct mt_steward *s)
+{
+  if (s == NULL)
+    return;
+  g_hash_table_unref (s->waves);
+  g_hash_table_unref (s->machines);
+  g_hash_table_unref (s->pools);
+  g_free (s);
+}
+
+static struct mt_keeper_pool *
+get_pool (struct mt_steward *s, const char *name)
+{
+  struct mt_keeper_pool *p = g_hash_table_lookup (s->pools, name);
+
+  if (p != NULL)
+    return p;
+  p = g_new0 (struct mt_keeper_pool, 1);
+  p->name = g_strdup (name);
+  g_hash_table_insert (s->pools, p->name, p);
+  return p;
+}
+
+void
+mt_steward_set_pool (struct mt_steward *s, const char *name, bool standby)
+{
+  get_pool (s, name)->standby = standby;
+}
+
+/* ---- machines ---- */
+
+static struct mt_keeper_machine *
+get_machine (struct mt_steward *s, const char *id)
+{
+  struct mt_keeper_machine *m = g_hash_table_lookup (s->machines, id);
+
+  if (m != NULL)
+    return m;
+  m = g_new0 (struct mt_keeper_machine, 1);
+  m->id = g_strdup (id);
+  g_hash_table_insert (s->machines, m->id, m);
+  return m;
+}
+
+static void
+drop_plan (struct mt_keeper_machine *m)
+{
+  m->plan = MT_PLAN_NONE;
+  m->cordoned = 0;
+  m->to = NULL;
+  m->wave = NULL;
+  m->sent = false;
+}
+
+static void
+take_machine (struct mt_steward *s, const struct mt_steward_machine *row, int64_t asked)
+{
+  struct mt_keeper_machine *m = get_machine (s, row->id);
+
+  m->listed = true;
+  if (m->rack == NULL)
+    m->rack = g_strdup (row->rack);
+  /* The list was asked for before an order on it was carried out. */
+  if (asked <= m->ordered || m->sent)
+    return;
+  m->pool = get_pool (s, row->pool);
+  m->up = row->up;
+  m->room = row->room;
+  m->in_upkeep = row->in_upkeep;
+  if (g_strcmp0 (m->worker, row->worker) == 0)
+    return;
+  g_free (m->worker);
+  m->worker = g_strdup (row->worker);
+  m->viewed = false;
+  m->cordoned = 0;
+}
+
+static gboolean
+is_unlisted (gpointer key, gpointer value, gpointer ctx)
+{
+  const struct mt_keeper_machine *m = value;
+
+  return !m->listed && !m->sent;
+}
+
+static void
+forget_in_waves (struct mt_steward *s, const char *id)
+{
+  GHashTableIter it;
+  struct mt_keeper_wave *w;
+
+  g_hash_table_iter_init (&it, s->waves);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &w))
+    g_hash_table_remove (w->left, id);
+}
+
+void
+mt_steward_machines (struct mt_steward *s,
+                     const struct mt_steward_machine *machines,
+                     size_t n,
+                     int64_t asked,
+                     int64_t now)
+{
+  GHashTableIter it;
+  struct mt_keeper_machine *m;
+
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
+    m->listed = false;
+  for (size_t i = 0; i < n; i++)
+    take_machine (s, &machines[i], asked);
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
+    if (!m->listed)
+      forget_in_waves (s, m->id);
+  g_hash_table_foreach_remove (s->machines, is_unlisted, NULL);
+  s->listed = true;
+}
+
+/* ---- pools ---- */
+
+bool
+mt_keeper_is_short (const struct mt_keeper_pool *p)
+{
+  return p->load.waiting > 0;
+}
+
+static void
+take_view (struct mt_steward *s, const struct mt_worker_view *view, int64_t now)
+{
+  GHashTableIter it;
+  struct mt_keeper_machine *m;
+
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
+    {
+      if (m->worker == NULL || strcmp (m->worker, view->id) != 0)
+        continue;
+      m->viewed = true;
+      m->view = *view;
+      m->view.id = m->worker;
+      m->viewed_at = now;
+      if (m->plan != MT_PLAN_NONE && view->cordoned && m->cordoned == 0)
+        m->cordoned = now;
+      return;
+    }
+}
+
+void
+mt_steward_pool (struct mt_steward *s,
+                 const char *name,
+                 const struct mt_desk_load *load,
+                 const struct mt_worker_view *workers,
+                 size_t n,
+                 int64_t now)
+{
+  struct mt_keeper_pool *p = get_pool (s, name);
+
+  p->seen = true;
+  p->told = now;
+  p->load = *load;
+  if (mt_keeper_is_short (p))
+    p->busy_at = now;
+  for (size_t i = 0; i < n; i++)
+    take_view (s, &workers[i], now);
+}
+
+/* ---- waves ---- */
+
+void
+mt_steward_wave (struct mt_steward *s,
+                 int64_t number,
+                 char **machines,
+                 char **done,
+                 unsigned cap,
+                 int64_t due)
+{
+  struct mt_keeper_wave *w = g_hash_table_lookup (s->waves, &number);
+
+  if (w == NULL)
+    {
+      w = g_new0 (struct mt_keeper_wave, 1);
+      w->number = number;
+      w->left = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      w->done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      g_hash_table_insert (s->waves, &w->number, w);
+    }
+  w->cap = cap;
+  w->due = due;
+  for (char **id = machines; id != NULL && *id != NULL; id++)
+    if (!g_hash_table_contains (w->done, *id))
+      g_hash_table_add (w->left, g_strdup (*id));
+  for (char **id = done; id != NULL && *id != NULL; id++)
+    {
+      g_hash_table_remove (w->left, *id);
+      g_hash_table_add (w->done, g_strdup (*id));
+    }
+}
+
+bool
+mt_steward_wave_done (const struct mt_steward *s, int64_t number)
+{
+  const struct mt_keeper_wave *w = g_hash_table_lookup (s->waves, &number);
+
+  return w != NULL && s->listed && g_hash_table_size (w->left) == 0;
+}
+
+char **
+mt_steward_wave_progress (const struct mt_steward *s, int64_t number)
+{
+  const struct mt_keeper_wave *w = g_hash_table_lookup (s->waves, &number);
+  GPtrArray *out = g_ptr_array_new ();
+  GHashTableIter it;
+  const char *id;
+
+  if (w != NULL)
+    {
+      g_hash_table_iter_init (&it, w->done);
+      while (g_hash_table_iter_next (&it, (void **) &id, NULL))
+        g_ptr_array_add (out, g_strdup (id));
+    }
+  g_ptr_array_add (out, NULL);
+  return (char **) g_ptr_array_free (out, FALSE);
+}
+
+/* ---- orders ---- */
+
+/* Nothing runs on it and nothing can come: its desk has it cordoned, and told so after that. One of
+ * a pool that is off runs nothing anyway. */
+static bool
+is_empty (const struct mt_keeper_machine *m, int64_t now)
+{
+  if (m->pool->standby)
+    return true;
+  return m->worker != NULL && m->cordoned != 0 && m->viewed && m->viewed_at >= m->cordoned
+         && now - m->viewed_at < FRESH_MS && m->view.cordoned && m->view.tasks == 0
+         && !m->view.silent;
+}
+
+static void
+plan (struct mt_steward *s, int64_t now)
+{
+  GHashTableIter it;
+  struct mt_keeper_machine *m;
+
+  if (!s->listed || now - s->last_plan < PLAN_MS)
+    return;
+  s->last_plan = now;
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
+    if (m->plan != MT_PLAN_NONE && !m->sent
+        && (!m->up || now - m->planned > PATIENCE_MS
+            || (m->wave != NULL && !g_hash_table_contains (m->wave->left, m->id))))
+      drop_plan (m);
+  mt_steward_plan_waves (s, now);
+  if (s->settings.moves)
+    mt_steward_plan_moves (s, now);
+}
+
+bool
+mt_steward_next (struct mt_steward *s, int64_t now, struct mt_steward_order *order)
+{
+  GHashTableIter it;
+  struct mt_keeper_machine *m;
+
+  plan (s, now);
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
+    {
+      if (m->plan == MT_PLAN_NONE || m->sent || now < m->again_at || !is_empty (m, now))
+        continue;
+      m->sent = true;
+      *order = (struct mt_steward_order){
+        .kind = m->plan == MT_PLAN_UPKEEP ? MT_STEWARD_UPKEEP : MT_STEWARD_MOVE,
+        .machine = m->id,
+        .worker = m->worker,
+        .pool = m->pool->name,
+        .to = m->to != NULL ? m->to->name : NULL,
+        .wave = m->wave != NULL ? m->wave->number : 0,
+      };
+      return true;
+    }
+  return false;
+}
+
+static void
+carried_out (struct mt_steward *s, struct mt_keeper_machine *m, int64_t now)
+{
+  bool upkeep = m->plan == MT_PLAN_UPKEEP;
+
+  if (upkeep)
+    {
+      g_hash_table_remove (m->wave->left, m->id);
+      g_hash_table_add (m->wave->done, g_strdup (m->id));
+    }
+  else
+    m->pool = m->to;
+  m->ordered = now;
+  m->away_until = now + (upkeep ? s->settings.upkeep_ms : s->settings.move_ms);
+  m->in_upkeep = upkeep;
+  m->up = false;
+  g_free (m->ended_worker);
+  m->ended_worker = m->worker;
+  m->worker = NULL;
+  m->viewed = false;
+  drop_plan (m);
+}
+
+void
+mt_steward_answered (struct mt_steward *s,
+                     const char *machine,
+                     enum mt_steward_answer answer,
+                     int64_t now)
+{
+  struct mt_keeper_machine *m = g_hash_table_lookup (s->machines, machine);
+
+  if (m == NULL || !m->sent)
+    return;
+  m->sent = false;
+  switch (answer)
+    {
+    case MT_STEWARD_DONE:
+      carried_out (s, m, now);
+      return;
+    case MT_STEWARD_NEVER:
+      if (m->wave != NULL)
+        g_hash_table_remove (m->wave->left, m->id);
+      drop_plan (m);
+      return;
+    case MT_STEWARD_UNKNOWN:
+      /* It may have been done: until the next try tells, it counts as away. */
+      m->again_at = now + AGAIN_MS;
+      return;
+    case MT_STEWARD_NOT_NOW:
+      m->again_at = now + AGAIN_MS;
+      if (m->plan == MT_PLAN_MOVE)
+        drop_plan (m);
+      return;
+    }
+}
+
+void
+mt_steward_of_pool (
+    struct mt_steward *s, const char *pool, int64_t now, char ***cordon, char ***ended)
+{
+  GPtrArray *cordons = g_ptr_array_new ();
+  GPtrArray *ends = g_ptr_array_new ();
+  GHashTableIter it;
+  struct mt_keeper_machine *m;
+
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
+    {
+      if (m->plan != MT_PLAN_NONE && m->worker != NULL && strcmp (m->pool->name, pool) == 0)
+        g_ptr_array_add (cordons, g_strdup (m->worker));
+      if (m->ended_worker != NULL && now - m->ordered < 10000)
+        g_ptr_array_add (ends, g_strdup (m->ended_worker));
+    }
+  g_ptr_array_add (cordons, NULL);
+  g_ptr_array_add (ends, NULL);
+  *cordon = (char **) g_ptr_array_free (cordons, FALSE);
+  *ended = (char **) g_ptr_array_free (ends, FALSE);
+}
--- /dev/null
+++ b/core/work/steward_internal.h
@@ -0,0 +1,79 @@
+/* The steward's structures, shared by its own files only. */
+#ifndef MT_STEWARD_INTERNAL_H
+#define MT_STEWARD_INTERNAL_H
+
+#include "medlartrack/steward.h"
+
+struct mt_keeper_pool
+{
+  char *name;
+  bool standby;
+  bool seen; /* its desk has told of itself */
+  int64_t told;
+  struct mt_desk_load load;
+  unsigned machines; /* that are up or on their way to it */
+  int64_t busy_at;   /* when it last was short of room */
+};
+
+enum mt_keeper_plan
+{
+  MT_PLAN_NONE,
+  MT_PLAN_UPKEEP,
+  MT_PLAN_MOVE,
+};
+
+struct mt_keeper_machine
+{
+  char *id;
+  char *rack;
+  char *worker;
+  struct mt_keeper_pool *pool;
+  bool up;
+  bool listed;
+  struct mt_room room;
+
+  bool viewed; /* the desk sees its worker, as follows */
+  struct mt_worker_view view;
+  int64_t viewed_at;
+
+  enum mt_keeper_plan plan;
+  int64_t planned;
+  int64_t cordoned; /* since when its desk has it cordoned; 0 */
+  struct mt_keeper_pool *to;
+  struct mt_keeper_wave *wave;
+  bool sent;
+  int64_t again_at;
+  int64_t away_until; /* an order was carried out: it is away until then */
+  int64_t ordered;    /* when */
+  char *ended_worker; /* the life that the order ended */
+  bool in_upkeep;
+};
+
+struct mt_keeper_wave
+{
+  int64_t number;
+  unsigned cap;
+  int64_t due;
+  GHashTable *left; /* ids of machines that have not had it */
+  GHashTable *done;
+  bool told_done;
+};
+
+struct mt_steward
+{
+  struct mt_steward_settings settings;
+  GHashTable *pools;
+  GHashTable *machines;
+  GHashTable *waves; /* number to struct mt_keeper_wave */
+  bool listed;
+  int64_t last_plan;
+};
+
+/* steward_waves.c */
+void mt_steward_plan_waves (struct mt_steward *s, int64_t now);
+/* steward_moves.c */
+void mt_steward_plan_moves (struct mt_steward *s, int64_t now);
+/* A pool that lacks room now gives no machine away. */
+bool mt_keeper_is_short (const struct mt_keeper_pool *pool);
+
+#endif
--- /dev/null
+++ b/core/work/steward_waves.c
@@ -0,0 +1,151 @@
+/* Upkeep: each machine of a wave is down once, before the wave is due, `cap` at a time at most. The
+ * emptiest go first, and while there is time, none of a pool that is short of room: the pools are
+ * short by turns. */
+#include "steward_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* From the decision to empty a worker until it is empty: its longest tasks, some 3 s. */
+#define EMPTYING_MS 3000
+/* So many times the time that the rest of a wave needs must be left for it to wait for a trough. */
+#define SLACK_FACTOR 1.6
+/* Up to this share of its processors in use, a worker counts as quiet. */
+#define QUIET_SHARE 0.5
+
+struct candidate
+{
+  struct mt_keeper_machine *machine;
+  double cost;
+};
+
+static int
+compare (const void *left, const void *right)
+{
+  const struct candidate *a = left;
+  const struct candidate *b = right;
+
+  return a->cost < b->cost ? -1 : a->cost > b->cost;
+}
+
+static unsigned
+count_down (const struct mt_steward *s, const struct mt_keeper_wave *w)
+{
+  GHashTableIter it;
+  struct mt_keeper_machine *m;
+  unsigned n = 0;
+
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
+    n += (m->plan == MT_PLAN_UPKEEP && m->wave == w) || m->in_upkeep;
+  return n;
+}
+
+static double
+share_used (const struct mt_worker_view *v)
+{
+  return v->room.cpu > 0 ? (double) v->used.cpu / (double) v->room.cpu : 1;
+}
+
+/* What it costs the pool to do without this machine for a while; a machine that is off costs
+ * nothing, one with lasting tasks has to have them moved first. */
+static double
+cost_of (const struct mt_keeper_machine *m)
+{
+  if (m->pool->standby || m->worker == NULL)
+    return -1;
+  if (!m->viewed)
+    return 50;
+  return share_used (&m->view) + 0.5 * m->view.lasting + (mt_keeper_is_short (m->pool) ? 10 : 0);
+}
+
+static bool
+may_wait (const struct mt_steward *s, const struct mt_keeper_wave *w, int64_t now)
+{
+  int64_t rounds = (g_hash_table_size (w->left) + w->cap - 1) / w->cap;
+  int64_t need = rounds * (EMPTYING_MS + s->settings.upkeep_ms);
+
+  return (double) (w->due - now) > SLACK_FACTOR * (double) need;
+}
+
+static GArray *
+find_candidates (struct mt_steward *s, const struct mt_keeper_wave *w, bool waits)
+{
+  GArray *out = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+  GHashTableIter it;
+  const char *id;
+
+  g_hash_table_iter_init (&it, w->left);
+  while (g_hash_table_iter_next (&it, (void **) &id, NULL))
+    {
+      struct mt_keeper_machine *m = g_hash_table_lookup (s->machines, id);
+      struct candidate c = { .machine = m };
+
+      if (m == NULL || !m->up || m->plan == MT_PLAN_UPKEEP || m->sent)
+        continue;
+      c.cost = cost_of (m);
+      if (waits && c.cost > QUIET_SHARE + 0.5)
+        continue;
+      g_array_append_val (out, c);
+    }
+  g_array_sort (out, compare);
+  return out;
+}
+
+/* While it may wait, a pool gives up no more than a third of its machines at a time. */
+static unsigned
+away_of_pool (const struct mt_steward *s, const struct mt_keeper_pool *p, unsigned *all)
+{
+  GHashTableIter it;
+  struct mt_keeper_machine *m;
+  unsigned away = 0;
+
+  *all = 0;
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
+    {
+      if (m->pool != p)
+        continue;
+      *all += 1;
+      away += !m->up || m->plan != MT_PLAN_NONE;
+    }
+  return away;
+}
+
+static void
+plan_wave (struct mt_steward *s, struct mt_keeper_wave *w, int64_t now)
+{
+  unsigned down = count_down (s, w);
+  bool waits = may_wait (s, w, now);
+  GArray *list;
+
+  if (down >= w->cap || g_hash_table_size (w->left) == 0)
+    return;
+  list = find_candidates (s, w, waits);
+  for (guint i = 0; i < list->len && down < w->cap; i++)
+    {
+      struct mt_keeper_machine *m = g_array_index (list, struct candidate, i).machine;
+      unsigned all;
+      unsigned away = away_of_pool (s, m->pool, &all);
+
+      if (waits && !m->pool->standby && 3 * (away + 1) > all)
+        continue;
+      m->plan = MT_PLAN_UPKEEP;
+      m->planned = now;
+      m->wave = w;
+      m->to = NULL;
+      down++;
+    }
+  g_array_unref (list);
+}
+
+void
+mt_steward_plan_waves (struct mt_steward *s, int64_t now)
+{
+  GHashTableIter it;
+  struct mt_keeper_wave *w;
+
+  g_hash_table_iter_init (&it, s->waves);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &w))
+    plan_wave (s, w, now);
+}
--- /dev/null
+++ b/fleet/care.c
@@ -0,0 +1,550 @@
+#include "care.h"
+
+#include "journal.h"
+#include "loop.h"
+#include "medlartrack/steward.h"
+#include "pool_report.h"
+#include "watcher.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Pools are asked this often; it is how late a machine found empty is ordered. */
+#define TICK_MS 150
+/* The list of machines: this often while something is under way, else seldom. */
+#define LIST_MS      1000
+#define LIST_IDLE_MS 4000
+#define WAVES_WAIT_MS 2500
+#define REPORT_MS     400
+#define TXN_MS        800
+/* A cordon that is not renewed ends: its steward may be gone. */
+#define CORDON_MS 1200
+#define PROGRESS_PREFIX "medlartrack/wave/"
+
+struct wave
+{
+  struct mt_wave *asked;
+  int64_t number;
+  int64_t seen_wall; /* when it was first seen by any steward */
+  char **done;       /* as stored */
+  bool known;        /* the stored progress was read */
+  bool active_written;
+  bool completed_written;
+  bool writing;
+  guint stored;      /* machines in the stored progress */
+};
+
+struct mt_care
+{
+  struct event_base *base;
+  struct mt_care_options options;
+  char *duty_key;
+  struct mt_steward *steward;
+  struct mt_watcher *watch;
+  struct mt_timer *tick;
+  GHashTable *waves; /* key to struct wave */
+  GPtrArray *pools;  /* names, standby ones left out */
+  unsigned refs;
+  bool destroyed;
+  bool listing;
+  int64_t listed;
+  int64_t list_asked;
+};
+
+static struct mt_care *
+ref (struct mt_care *c)
+{
+  c->refs++;
+  return c;
+}
+
+static void
+free_wave (void *data)
+{
+  struct wave *w = data;
+
+  mt_wave_free (w->asked);
+  g_strfreev (w->done);
+  g_free (w);
+}
+
+static void
+unref (struct mt_care *c)
+{
+  if (--c->refs > 0)
+    return;
+  mt_steward_destroy (c->steward);
+  mt_timer_destroy (c->tick);
+  g_hash_table_unref (c->waves);
+  g_ptr_array_unref (c->pools);
+  g_free (c->duty_key);
+  g_free (c);
+}
+
+/* ---- waves ---- */
+
+struct wave_call
+{
+  struct mt_care *care;
+  char *key;
+};
+
+static struct wave_call *
+new_wave_call (struct mt_care *c, const char *key)
+{
+  struct wave_call *call = g_new0 (struct wave_call, 1);
+
+  call->care = ref (c);
+  call->key = g_strdup (key);
+  return call;
+}
+
+static void
+free_wave_call (struct wave_call *call)
+{
+  unref (call->care);
+  g_free (call->key);
+  g_free (call);
+}
+
+static char *
+progress_key (const struct wave *w)
+{
+  return g_strdup_printf (PROGRESS_PREFIX "%" G_GINT64_FORMAT, w->number);
+}
+
+static void
+tell_steward (struct mt_care *c, struct wave *w)
+{
+  int64_t age = CLAMP (mt_loop_wall () - w->seen_wall, 0, w->asked->due_ms);
+
+  mt_steward_wave (c->steward, w->number, w->asked->machines, w->done, w->asked->cap,
+                   mt_loop_now () + w->asked->due_ms - age);
+  w->known = true;
+}
+
+static void
+read_progress (struct wave *w, struct mt_str text)
+{
+  json_t *root = json_loadb (text.data, text.len, 0, NULL);
+  json_t *done = json_object_get (root, "done");
+  json_int_t seen = json_integer_value (json_object_get (root, "seen_ms"));
+
+  if (seen > 0)
+    w->seen_wall = seen;
+  g_strfreev (w->done);
+  w->done = g_new0 (char *, json_array_size (done) + 1);
+  w->stored = 0;
+  for (size_t i = 0; i < json_array_size (done); i++)
+    if (json_is_string (json_array_get (done, i)))
+      w->done[w->stored++] = g_strdup (json_string_value (json_array_get (done, i)));
+  json_decref (root);
+}
+
+static void read_wave (struct mt_care *c, const char *key);
+
+static void
+on_progress (void *data, const struct mt_kv_reply *reply)
+{
+  struct wave_call *call = data;
+  struct mt_care *c = call->care;
+  struct wave *w = !c->destroyed ? g_hash_table_lookup (c->waves, call->key) : NULL;
+
+  if (w != NULL && !w->known)
+    {
+      if (reply->status == MT_KV_OK && reply->n_items > 0)
+        read_progress (w, reply->items[0].value);
+      if (reply->status == MT_KV_OK || reply->status == MT_KV_MISSING)
+        tell_steward (c, w);
+    }
+  if (w != NULL)
+    w->writing = false;
+  free_wave_call (call);
+}
+
+static void
+read_wave (struct mt_care *c, const char *key)
+{
+  struct wave *w = g_hash_table_lookup (c->waves, key);
+  g_autofree char *at = progress_key (w);
+
+  w->writing = true;
+  c->options.kv.ops->get (c->options.kv.ctx, at, TXN_MS, on_progress, new_wave_call (c, key));
+}
+
+static void
+on_wave (void *ctx, const struct mt_kv_item *item)
+{
+  struct mt_care *c = ctx;
+  struct mt_wave *asked = item->deleted ? NULL : c->options.words->ops->wave (item->value);
+  struct wave *w;
+
+  if (asked == NULL || g_hash_table_contains (c->waves, item->key))
+    {
+      mt_wave_free (asked);
+      return;
+    }
+  w = g_new0 (struct wave, 1);
+  w->asked = asked;
+  w->number = asked->number;
+  w->seen_wall = mt_loop_wall ();
+  g_hash_table_insert (c->waves, g_strdup (item->key), w);
+  mt_journal_tell (c->options.journal, "WAVE_SEEN",
+                   "wave=%" G_GINT64_FORMAT " machines=%u cap=%u due_ms=%" G_GINT64_FORMAT,
+                   w->number, g_strv_length (asked->machines), asked->cap, asked->due_ms);
+}
+
+static char *
+write_progress (const struct wave *w, char **done)
+{
+  json_t *root = json_object ();
+  json_t *list = json_array ();
+  char *text;
+
+  for (char **id = done; *id != NULL; id++)
+    json_array_append_new (list, json_string (*id));
+  json_object_set_new (root, "seen_ms", json_integer (w->seen_wall));
+  json_object_set_new (root, "done", list);
+  text = json_dumps (root, JSON_COMPACT);
+  json_decref (root);
+  return text;
+}
+
+static void
+on_written (void *data, const struct mt_kv_reply *reply)
+{
+  struct wave_call *call = data;
+  struct wave *w
+      = !call->care->destroyed ? g_hash_table_lookup (call->care->waves, call->key) : NULL;
+
+  if (w != NULL)
+    {
+      w->writing = false;
+      if (reply->status != MT_KV_OK)
+        {
+          w->stored = 0;
+          w->active_written = false;
+          w->completed_written = false;
+        }
+    }
+  free_wave_call (call);
+}
+
+/* The progress, and for whoever asked for the wave its state: completed only once the steward has
+ * seen each machine begin. Written on the condition that the duty is still ours. */
+static void
+write_wave (struct mt_care *c, const char *key, struct wave *w)
+{
+  bool completed = mt_steward_wave_done (c->steward, w->number);
+  g_auto (GStrv) done = mt_steward_wave_progress (c->steward, w->number);
+  guint n = g_strv_length (done);
+  g_autofree char *at = progress_key (w);
+  g_autofree char *status_at = g_strdup_printf (
+      "%s%" G_GINT64_FORMAT, c->options.words->wave_status_prefix, w->number);
+  g_autofree char *status = c->options.words->ops->wave_status (completed);
+  char *progress;
+  struct mt_kv_expect expect = { c->duty_key, c->options.token };
+  struct mt_kv_put puts[2];
+  struct mt_kv_txn txn = { &expect, 1, puts, 2, NULL, 0 };
+
+  if (w->writing || (n == w->stored && w->active_written && completed == w->completed_written))
+    return;
+  progress = write_progress (w, done);
+  puts[0] = (struct mt_kv_put){ at, mt_str_from (progress), 0 };
+  puts[1] = (struct mt_kv_put){ status_at, mt_str_from (status), 0 };
+  if (completed && !w->completed_written)
+    mt_journal_tell (c->options.journal, "WAVE_ENDED",
+                     "wave=%" G_GINT64_FORMAT " machines=%u took_ms=%" G_GINT64_FORMAT, w->number,
+                     n, mt_loop_wall () - w->seen_wall);
+  w->writing = true;
+  w->active_written = true;
+  w->completed_written = completed;
+  w->stored = n;
+  c->options.kv.ops->txn (c->options.kv.ctx, &txn, TXN_MS, on_written, new_wave_call (c, key));
+  free (progress);
+}
+
+static bool
+step_waves (struct mt_care *c)
+{
+  GHashTableIter it;
+  const char *key;
+  struct wave *w;
+  bool open = false;
+
+  g_hash_table_iter_init (&it, c->waves);
+  while (g_hash_table_iter_next (&it, (void **) &key, (void **) &w))
+    {
+      open |= !w->completed_written;
+      if (!w->known && !w->writing)
+        read_wave (c, key);
+      else if (w->known)
+        write_wave (c, key, w);
+    }
+  return open;
+}
+
+/* ---- machines ---- */
+
+static void
+on_machines (void *data, const struct mt_machine *machines, size_t n)
+{
+  struct mt_care *c = data;
+  g_autofree struct mt_steward_machine *rows = g_new0 (struct mt_steward_machine, n + 1);
+
+  c->listing = false;
+  if (!c->destroyed && machines != NULL)
+    {
+      for (size_t i = 0; i < n; i++)
+        rows[i] = (struct mt_steward_machine){ .id = machines[i].id,
+                                               .pool = machines[i].pool,
+                                               .rack = machines[i].rack,
+                                               .worker = machines[i].worker,
+                                               .up = machines[i].state == MT_MACHINE_UP,
+                                               .in_upkeep = machines[i].state
+                                                            == MT_MACHINE_UPKEEP,
+                                               .room = machines[i].room };
+      mt_steward_machines (c->steward, rows, n, c->list_asked, mt_loop_now ());
+    }
+  unref (c);
+}
+
+static void
+list_machines (struct mt_care *c, bool open)
+{
+  int64_t now = mt_loop_now ();
+
+  if (c->listing || now - c->list_asked < (open ? LIST_MS : LIST_IDLE_MS))
+    return;
+  c->listing = true;
+  c->list_asked = now;
+  c->options.machines.ops->list (c->options.machines.ctx, on_machines, ref (c));
+}
+
+/* ---- pools ---- */
+
+struct report_call
+{
+  struct mt_care *care;
+  char *pool;
+};
+
+static void
+take_report (struct mt_care *c, const char *pool, struct mt_str bytes)
+{
+  struct mt_pool_report report;
+
+  if (!mt_pool_report_unpack (bytes, &report))
+    return;
+  mt_steward_pool (c->steward, pool, &report.load, report.workers, report.n_workers,
+                   mt_loop_now ());
+  mt_pool_report_clear (&report);
+}
+
+static void
+on_report (void *ctx, const struct mt_mesh_args *args)
+{
+  struct report_call *call = ctx;
+
+  if (!call->care->destroyed && args != NULL && args->n == 1)
+    take_report (call->care, call->pool, args->at[0]);
+  unref (call->care);
+  g_free (call->pool);
+  g_free (call);
+}
+
+static void
+ask_pool (struct mt_care *c, const char *name)
+{
+  struct mt_pool *local = c->options.local (c->options.ctx, name);
+  const char *holder = mt_cluster_holder (c->options.cluster, name);
+  g_auto (GStrv) cordon = NULL;
+  g_auto (GStrv) ended = NULL;
+  g_autofree char *cordon_text = NULL;
+  g_autofree char *ended_text = NULL;
+
+  mt_steward_of_pool (c->steward, name, mt_loop_now (), &cordon, &ended);
+  cordon_text = g_strjoinv (",", cordon);
+  ended_text = g_strjoinv (",", ended);
+  if (local != NULL)
+    {
+      size_t len = 0;
+      g_autofree char *bytes
+          = mt_care_serve (local, mt_str_from (cordon_text), mt_str_from (ended_text), &len);
+
+      if (bytes != NULL)
+        take_report (c, name, (struct mt_str){ bytes, len });
+    }
+  else if (holder != NULL)
+    {
+      struct mt_mesh_args args = { 3,
+                                   { mt_str_from (name), mt_str_from (cordon_text),
+                                     mt_str_from (ended_text) } };
+      struct report_call *call = g_new0 (struct report_call, 1);
+
+      call->care = ref (c);
+      call->pool = g_strdup (name);
+      mt_mesh_send (c->options.mesh, holder, MT_MESH_CORDON, &args, REPORT_MS, on_report, call);
+    }
+}
+
+char *
+mt_care_serve (struct mt_pool *pool, struct mt_str cordon, struct mt_str ended, size_t *len)
+{
+  g_autofree char *cordon_text = g_strndup (cordon.data, cordon.len);
+  g_autofree char *ended_text = g_strndup (ended.data, ended.len);
+  g_auto (GStrv) cordons = g_strsplit (cordon_text, ",", 0);
+  g_auto (GStrv) ends = g_strsplit (ended_text, ",", 0);
+  int64_t now = mt_loop_now ();
+
+  if (!mt_pool_is_loaded (pool))
+    return NULL;
+  for (char **id = ends; *id != NULL; id++)
+    mt_desk_worker_ended (mt_pool_desk (pool), *id, now, "its machine was ordered away");
+  for (char **id = cordons; *id != NULL; id++)
+    mt_desk_cordon (mt_pool_desk (pool), *id, now + CORDON_MS, true);
+  mt_pool_wake (pool);
+  return mt_pool_report_pack (mt_pool_desk (pool), now, len);
+}
+
+/* ---- orders ---- */
+
+struct order_call
+{
+  struct mt_care *care;
+  char *machine;
+  char *what;
+};
+
+static void
+on_ordered (void *data, enum mt_machine_answer answer)
+{
+  static const struct
+  {
+    enum mt_steward_answer means;
+    const char *text;
+  } answers[] = {
+    [MT_MACHINE_DONE] = { MT_STEWARD_DONE, "done" },
+    [MT_MACHINE_FENCED] = { MT_STEWARD_NOT_NOW, "fenced" },
+    [MT_MACHINE_BUSY] = { MT_STEWARD_NOT_NOW, "busy" },
+    [MT_MACHINE_REFUSED] = { MT_STEWARD_NEVER, "refused" },
+    [MT_MACHINE_UNKNOWN] = { MT_STEWARD_UNKNOWN, "no answer" },
+  };
+  struct order_call *call = data;
+  struct mt_care *c = call->care;
+
+  if (!c->destroyed)
+    {
+      if (answer != MT_MACHINE_DONE)
+        mt_journal_tell (c->options.journal, "MACHINE_REFUSED", "machine=%s order=%s why=%s",
+                         call->machine, call->what, answers[answer].text);
+      mt_steward_answered (c->steward, call->machine, answers[answer].means, mt_loop_now ());
+      if (answer == MT_MACHINE_FENCED)
+        mt_cluster_give_up (c->options.cluster, c->options.duty, "a higher token ordered a machine");
+    }
+  unref (c);
+  g_free (call->machine);
+  g_free (call->what);
+  g_free (call);
+}
+
+static void
+send_order (struct mt_care *c, const struct mt_steward_order *order)
+{
+  const struct mt_machines *machines = &c->options.machines;
+  struct order_call *call = g_new0 (struct order_call, 1);
+  bool upkeep = order->kind == MT_STEWARD_UPKEEP;
+
+  call->care = ref (c);
+  call->machine = g_strdup (order->machine);
+  call->what = g_strdup (upkeep ? "upkeep" : order->to);
+  mt_journal_tell (c->options.journal, upkeep ? "UPKEEP_ORDERED" : "MACHINE_MOVED",
+                   "machine=%s worker=%s pool=%s to=%s wave=%" G_GINT64_FORMAT, order->machine,
+                   order->worker != NULL ? order->worker : "-", order->pool,
+                   upkeep ? "-" : order->to, order->wave);
+  if (upkeep)
+    machines->ops->upkeep (machines->ctx, order->machine, order->wave, c->options.token,
+                           on_ordered, call);
+  else
+    machines->ops->move (machines->ctx, order->machine, order->to, c->options.token, on_ordered,
+                         call);
+}
+
+/* An order of a holder whose lease is over could meet those of its successor. */
+static void
+send_orders (struct mt_care *c)
+{
+  struct mt_steward_order order;
+
+  while (mt_cluster_is_sure (c->options.cluster)
+         && mt_steward_next (c->steward, mt_loop_now (), &order))
+    send_order (c, &order);
+}
+
+static void
+on_tick (void *ctx)
+{
+  struct mt_care *c = ctx;
+  bool open = step_waves (c);
+
+  mt_timer_set (c->tick, TICK_MS);
+  list_machines (c, open);
+  for (guint i = 0; i < c->pools->len; i++)
+    ask_pool (c, c->pools->pdata[i]);
+  ref (c);
+  send_orders (c);
+  unref (c);
+}
+
+/* ---- life ---- */
+
+void
+mt_care_set_config (struct mt_care *c, const struct mt_fleet_config *config)
+{
+  g_ptr_array_set_size (c->pools, 0);
+  for (size_t i = 0; i < config->n_pools; i++)
+    {
+      mt_steward_set_pool (c->steward, config->pools[i].name, config->pools[i].standby);
+      if (!config->pools[i].standby)
+        g_ptr_array_add (c->pools, g_strdup (config->pools[i].name));
+    }
+}
+
+struct mt_care *
+mt_care_create (struct event_base *base, const struct mt_care_options *options)
+{
+  struct mt_care *c = g_new0 (struct mt_care, 1);
+  struct mt_steward_settings settings = { .move_ms = options->move_ms,
+                                          .upkeep_ms = options->upkeep_ms,
+                                          .moves = true };
+  struct mt_watcher_options watch = { .prefix = options->words->waves_prefix,
+                                      .wait_ms = WAVES_WAIT_MS,
+                                      .on_item = on_wave,
+                                      .ctx = c };
+
+  c->base = base;
+  c->options = *options;
+  c->refs = 1;
+  c->duty_key = mt_cluster_duty_key (options->duty);
+  c->steward = mt_steward_create (&settings);
+  c->waves = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_wave);
+  c->pools = g_ptr_array_new_with_free_func (g_free);
+  c->list_asked = -LIST_IDLE_MS;
+  c->tick = mt_timer_create (base, on_tick, c);
+  c->watch = mt_watcher_create (base, options->kv, &watch);
+  mt_timer_set (c->tick, TICK_MS);
+  return c;
+}
+
+void
+mt_care_destroy (struct mt_care *c)
+{
+  if (c == NULL)
+    return;
+  c->destroyed = true;
+  mt_timer_clear (c->tick);
+  mt_watcher_destroy (c->watch);
+  unref (c);
+}
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -1,5 +1,6 @@
 #include "fleet.h"
 
+#include "care.h"
 #include "cluster.h"
 #include "gate.h"
 #include "http_calls.h"
@@ -58,6 +59,7 @@
   struct mt_watcher *config_watch;
   struct mt_fleet_config *config;
   GHashTable *pools; /* name to struct mt_pool, those led here */
+  struct mt_care *care; /* NULL unless this daemon has the fleet's duty */
   struct mt_timer *housekeeping;
   struct event *signals[4];
   bool store_lost;
@@ -125,6 +127,30 @@
                                     .status_ms = (int64_t) (1000 * b->status_s) };
 }
 
+static void
+begin_care (struct mt_fleet *f, int64_t token)
+{
+  const struct mt_fleet_bounds *b = &f->settings->bounds;
+  struct mt_care_options options = { .duty = leading_duty,
+                                     .token = token,
+                                     .kv = mt_adapter_kv (f->platform),
+                                     .machines = mt_adapter_machines (f->platform),
+                                     .words = &f->words,
+                                     .cluster = f->cluster,
+                                     .mesh = f->mesh,
+                                     .journal = f->journal,
+                                     .move_ms = (int64_t) (1000 * b->move_s),
+                                     .upkeep_ms = (int64_t) (1000 * b->upkeep_s),
+                                     .local = local_pool,
+                                     .ctx = f };
+
+  if (f->settings->machines.len == 0)
+    return;
+  f->care = mt_care_create (f->base, &options);
+  if (f->config != NULL)
+    mt_care_set_config (f->care, f->config);
+}
+
 static void
 on_gained (void *ctx, const char *duty, int64_t token)
 {
@@ -146,7 +172,10 @@
 
   mt_journal_tell (f->journal, "DUTY_GAINED", "duty=%s token=%" G_GINT64_FORMAT, duty, token);
   if (strcmp (duty, leading_duty) == 0)
-    return;
+    {
+      begin_care (f, token);
+      return;
+    }
   pool = mt_pool_create (f->base, &options);
   g_hash_table_insert (f->pools, g_strdup (duty), pool);
   set_routes (f, duty, pool);
@@ -163,7 +192,10 @@
 
   mt_journal_tell (f->journal, "DUTY_LOST", "duty=%s why=%s", duty, why);
   mt_metrics_count (f->metrics, MT_COUNT_DUTIES_LOST);
-  g_hash_table_remove (f->pools, duty);
+  if (strcmp (duty, leading_duty) == 0)
+    g_clear_pointer (&f->care, mt_care_destroy);
+  else
+    g_hash_table_remove (f->pools, duty);
 }
 
 /* ---- configuration ---- */
@@ -188,6 +220,8 @@
   g_hash_table_iter_init (&it, f->pools);
   while (g_hash_table_iter_next (&it, (void **) &name, (void **) &pool))
     set_routes (f, name, pool);
+  if (f->care != NULL)
+    mt_care_set_config (f->care, config);
   mt_fleet_config_free (old);
   mt_metrics_set (f->metrics, MT_GAUGE_CONFIG, config->version);
   mt_journal_tell (f->journal, "CONFIG_IN_FORCE", "version=%" G_GINT64_FORMAT " routes=%zu",
@@ -247,6 +281,16 @@
   reply_text (call, text);
 }
 
+static void
+reply_report (struct mt_mesh_call *call, struct mt_pool *pool, const struct mt_mesh_args *args)
+{
+  size_t len = 0;
+  g_autofree char *bytes = mt_care_serve (pool, args->at[1], args->at[2], &len);
+  struct mt_mesh_args reply = { 1, { { bytes, len } } };
+
+  mt_mesh_reply (call, bytes != NULL ? &reply : NULL);
+}
+
 static void
 on_mesh (void *ctx,
          struct mt_mesh_call *call,
@@ -278,6 +322,13 @@
           return;
         }
       break;
+    case MT_MESH_CORDON:
+      if (pool != NULL && args->n == 3)
+        {
+          reply_report (call, pool, args);
+          return;
+        }
+      break;
     case MT_MESH_STORE:
       mt_relay_serve (f->relay, call, args);
       return;
--- a/tests/work/test_desk.c
+++ b/tests/work/test_desk.c
@@ -244,6 +244,36 @@
   world_destroy (world);
 }
 
+/* Two of a step's lasting tasks are on a worker that has fallen silent: they count as away, though no
+ * end of them is listed. A third must not be moved off its worker then: its budget is one. */
+static void
+test_no_lasting_task_is_moved_while_others_are_away (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_job_spec *spec = world_job ("aa", 3, 4000, 1000);
+  struct world_worker *w[3];
+
+  world->run_ms = -1;
+  spec->steps[0].lasting = true;
+  spec->steps[0].max_unavailable = 1;
+  spec->steps[0].max_per_worker = 1;
+  for (int i = 0; i < 3; i++)
+    w[i] = world_add_worker (world, "r1");
+  world_submit (world, spec);
+  world_run (world, 500);
+  assert_int_equal (world->started, 3);
+  world_add_worker (world, "r1");
+  w[0]->silent = true;
+  world_run (world, 500);
+  mt_desk_cordon (world->desk, w[1]->id, world->now + 60000, true);
+  world_run (world, 1000);
+  assert_int_equal (w[1]->runs->len, 1);
+  w[0]->silent = false;
+  world_run (world, 1500);
+  assert_int_equal (w[1]->runs->len, 0);
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -257,6 +287,7 @@
     cmocka_unit_test (test_sick_worker_costs_few_attempts),
     cmocka_unit_test (test_task_that_stands_still_runs_elsewhere),
     cmocka_unit_test (test_room_is_never_overbooked),
+    cmocka_unit_test (test_no_lasting_task_is_moved_while_others_are_away),
     cmocka_unit_test (test_job_is_taken_off_the_waiting_ones_once),
     cmocka_unit_test (test_second_run_keeps_its_room_until_it_has_ended),
   };
--- /dev/null
+++ b/tests/work/test_steward.c
@@ -0,0 +1,244 @@
+#include "medlartrack/steward.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+
+#define MACHINES 12
+
+/* Machines of one pool and what its desk tells of them. */
+struct site
+{
+  struct mt_steward *steward;
+  int64_t now;
+  struct mt_steward_machine machines[MACHINES];
+  struct mt_worker_view views[MACHINES];
+  char names[MACHINES][8];
+  char workers[MACHINES][8];
+  struct mt_desk_load load;
+};
+
+static struct site *
+site_create (void)
+{
+  static const struct mt_steward_settings settings = { .move_ms = 1500, .upkeep_ms = 2000 };
+  struct site *site = g_new0 (struct site, 1);
+
+  site->steward = mt_steward_create (&settings);
+  site->now = 1000;
+  mt_steward_set_pool (site->steward, "pool", false);
+  for (int i = 0; i < MACHINES; i++)
+    {
+      snprintf (site->names[i], sizeof site->names[i], "m%d", i);
+      snprintf (site->workers[i], sizeof site->workers[i], "w%d", i);
+      site->machines[i] = (struct mt_steward_machine){ .id = site->names[i],
+                                                       .pool = "pool",
+                                                       .rack = "r1",
+                                                       .worker = site->workers[i],
+                                                       .up = true,
+                                                       .room = { .cpu = 16000, .mem = 32768 } };
+      site->views[i] = (struct mt_worker_view){ .id = site->workers[i],
+                                                .room = { .cpu = 16000, .mem = 32768 } };
+    }
+  return site;
+}
+
+static void
+site_destroy (struct site *site)
+{
+  mt_steward_destroy (site->steward);
+  g_free (site);
+}
+
+/* The desk does as it is told: cordons what it should, and tells what it sees. */
+static void
+site_tell (struct site *site)
+{
+  g_auto (GStrv) cordon = NULL;
+  g_auto (GStrv) ended = NULL;
+
+  site->now += 150;
+  mt_steward_machines (site->steward, site->machines, MACHINES, site->now - 10, site->now);
+  mt_steward_of_pool (site->steward, "pool", site->now, &cordon, &ended);
+  for (int i = 0; i < MACHINES; i++)
+    site->views[i].cordoned
+        = g_strv_contains ((const char *const *) cordon, site->workers[i]);
+  mt_steward_pool (site->steward, "pool", &site->load, site->views, MACHINES, site->now);
+}
+
+static void
+site_wave (struct site *site, unsigned cap, int64_t due_ms)
+{
+  char *machines[MACHINES + 1] = { NULL };
+
+  for (int i = 0; i < MACHINES; i++)
+    machines[i] = site->names[i];
+  mt_steward_wave (site->steward, 1, machines, NULL, cap, site->now + due_ms);
+}
+
+static unsigned
+site_orders (struct site *site, enum mt_steward_answer answer)
+{
+  struct mt_steward_order order;
+  unsigned n = 0;
+
+  while (mt_steward_next (site->steward, site->now, &order))
+    {
+      g_autofree char *machine = g_strdup (order.machine);
+      int i = machine[1] - '0';
+
+      n++;
+      if (answer == MT_STEWARD_DONE && i < MACHINES)
+        site->machines[i].up = false;
+      mt_steward_answered (site->steward, machine, answer, site->now);
+    }
+  return n;
+}
+
+static unsigned
+site_planned (struct site *site)
+{
+  unsigned n = 0;
+
+  for (int i = 0; i < MACHINES; i++)
+    n += site->views[i].cordoned;
+  return n;
+}
+
+/* An upkeep ends all that runs on its machine. It is ordered only once the desk has told, after it
+ * was asked to keep the worker empty, that nothing is there. */
+static void
+test_only_an_empty_machine_is_ordered (void **state)
+{
+  struct site *site = site_create ();
+
+  for (int i = 0; i < MACHINES; i++)
+    site->views[i].tasks = 1;
+  site_tell (site);
+  site_wave (site, 3, 60000);
+  for (int i = 0; i < 10; i++)
+    {
+      site_tell (site);
+      assert_int_equal (site_orders (site, MT_STEWARD_DONE), 0);
+    }
+  for (int i = 0; i < MACHINES; i++)
+    site->views[i].tasks = 0;
+  site_tell (site);
+  assert_int_equal (site_orders (site, MT_STEWARD_DONE), 3);
+  site_destroy (site);
+}
+
+/* No more than the wave's cap are down at a time; one whose order had no answer may be. */
+static void
+test_cap_holds_with_orders_in_doubt (void **state)
+{
+  struct site *site = site_create ();
+
+  site_tell (site);
+  site_wave (site, 2, 60000);
+  assert_int_equal (site_orders (site, MT_STEWARD_UNKNOWN), 0); /* planned, not empty yet */
+  site_tell (site);
+  assert_int_equal (site_orders (site, MT_STEWARD_UNKNOWN), 2);
+  for (int i = 0; i < 10; i++)
+    {
+      site_tell (site);
+      assert_true (site_orders (site, MT_STEWARD_UNKNOWN) <= 2);
+      assert_int_equal (site_planned (site), 2);
+    }
+  assert_false (mt_steward_wave_done (site->steward, 1));
+  site_destroy (site);
+}
+
+/* While its pool is short of room and there is time, a wave waits; when time gets short it goes on. */
+static void
+test_wave_waits_for_a_trough_while_it_can (void **state)
+{
+  struct site *site = site_create ();
+  unsigned ordered = 0;
+
+  site->load.waiting = 50;
+  for (int i = 0; i < MACHINES; i++)
+    site->views[i].used.cpu = 15000;
+  site_tell (site);
+  site_wave (site, 4, 60000);
+  for (int i = 0; i < 20; i++)
+    {
+      site_tell (site);
+      ordered += site_orders (site, MT_STEWARD_DONE);
+    }
+  assert_int_equal (ordered, 0);
+  site->now += 45000;
+  for (int i = 0; i < 4; i++)
+    {
+      site_tell (site);
+      ordered += site_orders (site, MT_STEWARD_DONE);
+    }
+  assert_true (ordered > 0);
+  site_destroy (site);
+}
+
+/* Whoever asked for the wave is told that it is completed only after each machine has begun; one that
+ * is no longer there is not waited for. */
+static void
+test_wave_is_done_when_every_machine_has_begun (void **state)
+{
+  struct site *site = site_create ();
+  unsigned ordered = 0;
+  char *gone[] = { "m-gone", NULL };
+
+  site_tell (site);
+  site_wave (site, 12, 60000);
+  mt_steward_wave (site->steward, 1, gone, NULL, 12, site->now + 60000);
+  for (int i = 0; i < 60 && ordered < MACHINES; i++)
+    {
+      assert_false (mt_steward_wave_done (site->steward, 1));
+      site_tell (site);
+      ordered += site_orders (site, MT_STEWARD_DONE);
+      for (int m = 0; m < MACHINES; m++)
+        site->machines[m].up = true;
+    }
+  assert_int_equal (ordered, MACHINES);
+  mt_steward_wave (site->steward, 1, NULL, gone, 12, site->now + 60000);
+  assert_true (mt_steward_wave_done (site->steward, 1));
+  site_destroy (site);
+}
+
+/* A steward takes over while machines are down for their upkeep: they count, though it ordered none
+ * of them, and until they are up again no other goes down beyond the cap. */
+static void
+test_machines_that_a_predecessor_sent_down_count (void **state)
+{
+  struct site *site = site_create ();
+
+  for (int i = 0; i < 3; i++)
+    {
+      site->machines[i].up = false;
+      site->machines[i].in_upkeep = true;
+      site->machines[i].worker = NULL;
+    }
+  site_tell (site);
+  site_wave (site, 3, 60000);
+  for (int i = 0; i < 10; i++)
+    {
+      site_tell (site);
+      assert_int_equal (site_orders (site, MT_STEWARD_DONE), 0);
+    }
+  site_destroy (site);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_only_an_empty_machine_is_ordered),
+    cmocka_unit_test (test_machines_that_a_predecessor_sent_down_count),
+    cmocka_unit_test (test_cap_holds_with_orders_in_doubt),
+    cmocka_unit_test (test_wave_waits_for_a_trough_while_it_can),
+    cmocka_unit_test (test_wave_is_done_when_every_machine_has_begun),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
