desk: lasting tasks are moved one after the other, whatever their last listing said

Ruled out: silent workers (none at that moment). Change: the budget binds every task on a sound worker; on one that leaves it binds for 1 s. Test: test_lasting_tasks_are_moved_one_after_the_other failed before.

--- a/core/work/desk_internal.h
+++ b/core/work/desk_internal.h
@@ -111,6 +111,7 @@
   bool hold_on_way;
   uint32_t stamp;
   int64_t listed_since;
+  int64_t leaving_since;
   int64_t hold_sent;
   int64_t next_hold;
   int64_t heard;        /* last answer; 0 for none */
--- a/core/work/desk_watch.c
+++ b/core/work/desk_watch.c
@@ -10,6 +10,9 @@
 #define STILL_LEAST_MS 2200
 /* A lasting task that is not at work after so long is started elsewhere. */
 #define LASTING_START_MS 6000
+/* On a worker that leaves, lasting tasks go one after the other for so long, then all at once: what
+ * is still there when it is gone has lost more. */
+#define LEAVING_PATIENCE_MS 1000
 
 /* The caller learns nothing from a run that stands still: the task is stopped and runs elsewhere,
  * which costs what the run had done since its last checkpoint. */
@@ -58,8 +61,7 @@
 }
 
 /* A lasting task on a worker that leaves, or is to be emptied, goes elsewhere while others of its
- * step are at work: no more than max_unavailable may be away at once. On a worker that leaves the
- * budget does not bind, the task would end there anyway. */
+ * step are at work: no more than max_unavailable may be away at once. */
 static void
 move_lasting (struct mt_desk *desk, struct mt_worker *w, struct mt_task *task, int64_t now)
 {
@@ -75,9 +77,9 @@
 
       away += other != task && is_away (other);
     }
-  if (away >= MAX (step->max_unavailable, 1U) && task->percent == 100)
-    return;
-  if (step->max_unavailable == 0 && !w->leaving && away > 0)
+  /* Also one that is not at work itself waits: what is known of it is up to a hold old. */
+  if (away >= MAX (step->max_unavailable, 1U)
+      && (!w->leaving || now - w->leaving_since < LEAVING_PATIENCE_MS))
     return;
   mt_desk_tell (desk, "TASK_MOVED", "id=%s step=%u index=%u run=%u worker=%s away=%u",
                 part->job->spec->id, task->step, task->index, task->run, w->id, away);
--- a/core/work/desk_workers.c
+++ b/core/work/desk_workers.c
@@ -69,6 +69,8 @@
       mt_desk_tell (desk, "WORKER_LISTED", "worker=%s zone=%s cpu=%" G_GINT64_FORMAT, w->id,
                     entry->zone, entry->room.cpu);
     }
+  if (entry->leaving && !w->leaving)
+    w->leaving_since = now;
   if (entry->leaving && !w->leaving)
     mt_desk_tell (desk, "WORKER_LEAVING", "worker=%s tasks=%u", w->id, w->tasks.length);
   w->listed = true;
--- a/tests/work/test_desk.c
+++ b/tests/work/test_desk.c
@@ -274,6 +274,36 @@
   world_destroy (world);
 }
 
+/* Two workers are to be emptied at once, each with one of a step's lasting tasks that has just begun
+ * and is not known to be at work. Taking both for away already, the desk would stop both; by the time
+ * that the orders arrive they are at work, and two are away by its doing where one may be. */
+static void
+test_lasting_tasks_are_moved_one_after_the_other (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_job_spec *spec = world_job ("aa", 3, 4000, 1000);
+  struct world_worker *w[3];
+
+  world->run_ms = 60000; /* its progress is read as 0 to 2 percent */
+  spec->steps[0].lasting = true;
+  spec->steps[0].max_unavailable = 1;
+  spec->steps[0].max_per_worker = 1;
+  for (int i = 0; i < 3; i++)
+    w[i] = world_add_worker (world, "r1");
+  world_submit (world, spec);
+  world_run (world, 500);
+  world_add_worker (world, "r1");
+  world_add_worker (world, "r1");
+  for (int i = 0; i < 2; i++)
+    mt_desk_cordon (world->desk, w[i]->id, world->now + 60000, true);
+  for (int i = 0; i < 20; i++)
+    {
+      world_run (world, 10);
+      assert_true (w[0]->runs->len + w[1]->runs->len >= 1);
+    }
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -287,6 +317,7 @@
     cmocka_unit_test (test_sick_worker_costs_few_attempts),
     cmocka_unit_test (test_task_that_stands_still_runs_elsewhere),
     cmocka_unit_test (test_room_is_never_overbooked),
+    cmocka_unit_test (test_lasting_tasks_are_moved_one_after_the_other),
     cmocka_unit_test (test_no_lasting_task_is_moved_while_others_are_away),
     cmocka_unit_test (test_job_is_taken_off_the_waiting_ones_once),
     cmocka_unit_test (test_second_run_keeps_its_room_until_it_has_ended),
