steward: machines follow the surges

Change: core/work/steward_moves: a pool that is short takes from the standby pool and from those with more than they want; what was given at first is kept; spare machines go back after 1.2 s. Tests: test_calm_beginning_switches_nothing_off, test_standby_machines_follow_a_surge, test_surges_by_turns_share_the_machines.

--- a/core/work/steward.c
+++ b/core/work/steward.c
@@ -171,6 +171,8 @@
     if (!m->listed)
       forget_in_waves (s, m->id);
   g_hash_table_foreach_remove (s->machines, is_unlisted, NULL);
+  if (!s->listed)
+    s->first_listed = now;
   s->listed = true;
 }
 
@@ -216,8 +218,6 @@
   p->seen = true;
   p->told = now;
   p->load = *load;
-  if (mt_keeper_is_short (p))
-    p->busy_at = now;
   for (size_t i = 0; i < n; i++)
     take_view (s, &workers[i], now);
 }
@@ -254,6 +254,19 @@
     }
 }
 
+bool
+mt_steward_is_busy (const struct mt_steward *s)
+{
+  GHashTableIter it;
+  struct mt_keeper_machine *m;
+
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
+    if (m->plan != MT_PLAN_NONE || !m->up)
+      return true;
+  return false;
+}
+
 bool
 mt_steward_wave_done (const struct mt_steward *s, int64_t number)
 {
--- a/core/work/steward_internal.h
+++ b/core/work/steward_internal.h
@@ -11,8 +11,13 @@
   bool seen; /* its desk has told of itself */
   int64_t told;
   struct mt_desk_load load;
-  unsigned machines; /* that are up or on their way to it */
-  int64_t busy_at;   /* when it last was short of room */
+
+  unsigned have; /* machines that work in it or are on their way */
+  unsigned need; /* for what it does and what waits */
+  unsigned base; /* machines that it was given at first */
+  double peak;   /* highest need of late, fading */
+  int64_t learned_at;
+  int64_t spare_since; /* it has had more than it wants since; 0 */
 };
 
 enum mt_keeper_plan
@@ -66,6 +71,8 @@
   GHashTable *machines;
   GHashTable *waves; /* number to struct mt_keeper_wave */
   bool listed;
+  bool moved; /* has ordered a move */
+  int64_t first_listed;
   int64_t last_plan;
 };
 
--- a/core/work/steward_moves.c
+++ b/core/work/steward_moves.c
@@ -1,6 +1,242 @@
+/* Which machines change their pool. Each pool in turn surges to more than it holds for some seconds,
+ * and is nearly idle in between; a machine's move takes as long as a third of a surge. So the pool
+ * that lacks room takes machines at the first sign, from the standby pool and from whatever pool has
+ * more than it needs, and what nobody needs goes to the standby pool, where it costs nothing.
+ *
+ * A pool in its trough keeps a share of what its last surge needed: the next one begins without
+ * notice, and until machines arrive, what it has must carry it. */
 #include "steward_internal.h"
 
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Work that waits should be done within this: half of what a job of 0.8 s may take beyond its run
+ * time and still be in time. */
+#define CLEAR_MS 700.0
+/* Processors in use at most, of those that there are, so that wide tasks still fit. */
+#define FULL_SHARE 0.9
+/* A pool keeps this share of the machines that its last surge needed. */
+#define KEEP_SHARE 0.5
+/* ... and this one of what it was given at first, by those who know its load. */
+#define BASE_SHARE 1.0
+/* The memory of a surge halves in this time. */
+#define PEAK_HALF_MS 60000.0
+/* Machines are given up only after they were not needed for so long: a move and the way back cost as
+ * much as a machine costs in 2.3 s. */
+#define CALM_MS 1200
+/* After it begins, a steward gives no machine to the standby pool for so long: not all are up yet, and
+ * it has to learn what the pools have. */
+#define SETTLE_MS 5000
+/* Ordered moves are expected to have arrived after this much more than they should take. */
+#define LATE_MS 4000
+
+static int64_t
+machine_cpu (const struct mt_steward *s, const struct mt_keeper_pool *p)
+{
+  GHashTableIter it;
+  struct mt_keeper_machine *m;
+  int64_t sum = 0;
+  int64_t n = 0;
+
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
+    if (m->pool == p && m->room.cpu > 0)
+      {
+        sum += m->room.cpu;
+        n++;
+      }
+  return n > 0 ? sum / n : 16000;
+}
+
+static bool
+is_on_its_way (const struct mt_steward *s, const struct mt_keeper_machine *m, int64_t now)
+{
+  return !m->up && m->ordered != 0 && now < m->ordered + s->settings.move_ms + LATE_MS;
+}
+
+/* Machines that work in the pool, or are about to. */
+static unsigned
+count_machines (const struct mt_steward *s, const struct mt_keeper_pool *p, int64_t now)
+{
+  GHashTableIter it;
+  struct mt_keeper_machine *m;
+  unsigned n = 0;
+
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
+    {
+      if (m->plan == MT_PLAN_MOVE)
+        n += m->to == p;
+      else if (m->pool == p && (m->up || is_on_its_way (s, m, now)))
+        n += !(m->viewed && (m->view.silent || m->view.leaving));
+    }
+  return n;
+}
+
+static void
+learn_need (const struct mt_steward *s, struct mt_keeper_pool *p, int64_t now)
+{
+  double demand = (double) p->load.used_cpu + (double) p->load.waiting_cpu_ms / CLEAR_MS;
+  double cpu = (double) machine_cpu (s, p);
+  double kept = p->learned_at != 0 ? exp2 (-(double) (now - p->learned_at) / PEAK_HALF_MS) : 0;
+
+  p->need = (unsigned) ceil (demand / (FULL_SHARE * cpu));
+  /* What was at work, not what waited: a starved pool would remember more than all machines. */
+  p->peak = MAX (p->peak * kept, (double) p->load.used_cpu / (FULL_SHARE * cpu));
+  p->learned_at = now;
+  p->have = count_machines (s, p, now);
+  if (!s->moved)
+    p->base = MAX (p->base, p->have);
+}
+
+/* What the pool should have now. */
+static unsigned
+wanted (const struct mt_keeper_pool *p)
+{
+  unsigned keep = (unsigned) ceil (MAX (KEEP_SHARE * p->peak, BASE_SHARE * p->base));
+
+  return MAX (MAX (p->need, keep), 1U);
+}
+
+static bool
+may_go (const struct mt_keeper_machine *m)
+{
+  if (!m->up || m->plan != MT_PLAN_NONE || m->sent)
+    return false;
+  if (m->pool->standby)
+    return true;
+  return m->viewed && !m->view.silent && !m->view.leaving && m->view.lasting == 0;
+}
+
+/* The emptiest of the pool that may go; NULL for none. */
+static struct mt_keeper_machine *
+emptiest (const struct mt_steward *s, const struct mt_keeper_pool *p)
+{
+  GHashTableIter it;
+  struct mt_keeper_machine *m;
+  struct mt_keeper_machine *best = NULL;
+
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
+    if (m->pool == p && may_go (m) && (best == NULL || m->view.tasks < best->view.tasks))
+      best = m;
+  return best;
+}
+
+static bool
+plan_move (struct mt_steward *s,
+           struct mt_keeper_pool *from,
+           struct mt_keeper_pool *to,
+           int64_t now)
+{
+  struct mt_keeper_machine *m = emptiest (s, from);
+
+  if (m == NULL)
+    return false;
+  s->moved = true;
+  m->plan = MT_PLAN_MOVE;
+  m->planned = now;
+  m->to = to;
+  m->wave = NULL;
+  from->have--;
+  to->have++;
+  return true;
+}
+
+static struct mt_keeper_pool *
+find_standby (const struct mt_steward *s)
+{
+  GHashTableIter it;
+  struct mt_keeper_pool *p;
+
+  g_hash_table_iter_init (&it, s->pools);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &p))
+    if (p->standby)
+      return p;
+  return NULL;
+}
+
+/* The pool with the most to spare. */
+static struct mt_keeper_pool *
+richest (const struct mt_steward *s)
+{
+  GHashTableIter it;
+  struct mt_keeper_pool *p;
+  struct mt_keeper_pool *best = NULL;
+  int most = 0;
+
+  g_hash_table_iter_init (&it, s->pools);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &p))
+    {
+      int spare = (int) p->have - (int) wanted (p);
+
+      if (p->standby || mt_keeper_is_short (p) || spare <= most || emptiest (s, p) == NULL)
+        continue;
+      most = spare;
+      best = p;
+    }
+  return best;
+}
+
+static void
+fill_pool (struct mt_steward *s,
+           struct mt_keeper_pool *standby,
+           struct mt_keeper_pool *p,
+           int64_t now)
+{
+  while (p->have < wanted (p))
+    {
+      struct mt_keeper_pool *from;
+
+      if (standby != NULL && plan_move (s, standby, p, now))
+        continue;
+      from = richest (s);
+      if (from == NULL || from == p || !plan_move (s, from, p, now))
+        return;
+    }
+}
+
+static void
+release_spare (struct mt_steward *s,
+               struct mt_keeper_pool *standby,
+               struct mt_keeper_pool *p,
+               int64_t now)
+{
+  if (p->have <= wanted (p) || mt_keeper_is_short (p))
+    {
+      p->spare_since = 0;
+      return;
+    }
+  if (p->spare_since == 0)
+    p->spare_since = now;
+  if (now - p->spare_since < CALM_MS)
+    return;
+  while (p->have > wanted (p) && plan_move (s, p, standby, now))
+    continue;
+}
+
 void
 mt_steward_plan_moves (struct mt_steward *s, int64_t now)
 {
+  struct mt_keeper_pool *standby = find_standby (s);
+  GHashTableIter it;
+  struct mt_keeper_pool *p;
+
+  g_hash_table_iter_init (&it, s->pools);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &p))
+    if (!p->standby && p->seen)
+      learn_need (s, p, now);
+    else
+      p->have = count_machines (s, p, now);
+  g_hash_table_iter_init (&it, s->pools);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &p))
+    if (!p->standby && p->seen && mt_keeper_is_short (p))
+      fill_pool (s, standby, p, now);
+  if (standby == NULL || now - s->first_listed < SETTLE_MS)
+    return;
+  g_hash_table_iter_init (&it, s->pools);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &p))
+    if (!p->standby && p->seen)
+      release_spare (s, standby, p, now);
 }
--- a/fleet/care.c
+++ b/fleet/care.c
@@ -14,7 +14,7 @@
 /* Pools are asked this often; it is how late a machine found empty is ordered. */
 #define TICK_MS 150
 /* The list of machines: this often while something is under way, else seldom. */
-#define LIST_MS      1000
+#define LIST_MS      500
 #define LIST_IDLE_MS 4000
 #define WAVES_WAIT_MS 2500
 #define REPORT_MS     400
@@ -301,7 +301,10 @@
         rows[i] = (struct mt_steward_machine){ .id = machines[i].id,
                                                .pool = machines[i].pool,
                                                .rack = machines[i].rack,
-                                               .worker = machines[i].worker,
+                                               .worker = machines[i].worker != NULL
+                                                                 && machines[i].worker[0] != '\0'
+                                                             ? machines[i].worker
+                                                             : NULL,
                                                .up = machines[i].state == MT_MACHINE_UP,
                                                .in_upkeep = machines[i].state
                                                             == MT_MACHINE_UPKEEP,
@@ -490,7 +493,7 @@
   bool open = step_waves (c);
 
   mt_timer_set (c->tick, TICK_MS);
-  list_machines (c, open);
+  list_machines (c, open || mt_steward_is_busy (c->steward));
   for (guint i = 0; i < c->pools->len; i++)
     ask_pool (c, c->pools->pdata[i]);
   ref (c);
--- a/include/medlartrack/steward.h
+++ b/include/medlartrack/steward.h
@@ -83,6 +83,8 @@
  * (ended); both NULL-terminated, freed with g_strfreev. */
 void mt_steward_of_pool (struct mt_steward *steward, const char *pool, int64_t now, char ***cordon,
                          char ***ended);
+/* Something is on its way: the list of machines will change. */
+bool mt_steward_is_busy (const struct mt_steward *steward);
 /* All of its machines that stay have begun their upkeep. */
 bool mt_steward_wave_done (const struct mt_steward *steward, int64_t number);
 /* Machines of the wave that have had it, NULL-terminated, freed with g_strfreev. */
--- a/tests/work/test_steward.c
+++ b/tests/work/test_steward.c
@@ -4,6 +4,8 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -229,11 +231,185 @@
   site_destroy (site);
 }
 
+/* ---- moves ---- */
+
+#define POOL_MACHINES 8
+
+/* Two pools of eight, a standby pool of four, and desks that do as they are told. */
+struct fleet
+{
+  struct mt_steward *steward;
+  int64_t now;
+  struct mt_steward_machine machines[20];
+  char names[20][8];
+  char workers[20][8];
+  int64_t away_until[20];
+  int64_t demand[2]; /* processors' worth, in thousandths of a core */
+  unsigned moves;
+};
+
+static const char *const pools[] = { "left", "right", "standby" };
+
+static struct fleet *
+fleet_create (void)
+{
+  static const struct mt_steward_settings settings
+      = { .move_ms = 1500, .upkeep_ms = 2000, .moves = true };
+  struct fleet *fleet = g_new0 (struct fleet, 1);
+
+  fleet->steward = mt_steward_create (&settings);
+  fleet->now = 1000;
+  for (int i = 0; i < 3; i++)
+    mt_steward_set_pool (fleet->steward, pools[i], i == 2);
+  for (int i = 0; i < 20; i++)
+    {
+      snprintf (fleet->names[i], sizeof fleet->names[i], "m%d", i);
+      snprintf (fleet->workers[i], sizeof fleet->workers[i], "w%d", i);
+      fleet->machines[i] = (struct mt_steward_machine){ .id = fleet->names[i],
+                                                        .pool = pools[i / POOL_MACHINES],
+                                                        .rack = "r1",
+                                                        .worker = fleet->workers[i],
+                                                        .up = true,
+                                                        .room = { .cpu = 16000, .mem = 32768 } };
+    }
+  return fleet;
+}
+
+static void
+fleet_destroy (struct fleet *fleet)
+{
+  mt_steward_destroy (fleet->steward);
+  g_free (fleet);
+}
+
+static unsigned
+fleet_count (const struct fleet *fleet, int pool)
+{
+  unsigned n = 0;
+
+  for (int i = 0; i < 20; i++)
+    n += strcmp (fleet->machines[i].pool, pools[pool]) == 0;
+  return n;
+}
+
+static void
+fleet_tell_pool (struct fleet *fleet, int pool)
+{
+  struct mt_worker_view views[20];
+  struct mt_desk_load load = { 0 };
+  g_auto (GStrv) cordon = NULL;
+  g_auto (GStrv) ended = NULL;
+  int64_t left = fleet->demand[pool];
+  size_t n = 0;
+
+  mt_steward_of_pool (fleet->steward, pools[pool], fleet->now, &cordon, &ended);
+  for (int i = 0; i < 20; i++)
+    {
+      bool cordoned = g_strv_contains ((const char *const *) cordon, fleet->workers[i]);
+      int64_t used = cordoned ? 0 : MIN (left, 16000);
+
+      if (!fleet->machines[i].up || strcmp (fleet->machines[i].pool, pools[pool]) != 0)
+        continue;
+      left -= used;
+      load.used_cpu += used;
+      load.room_cpu += 16000;
+      views[n++] = (struct mt_worker_view){ .id = fleet->workers[i],
+                                            .tasks = used > 0,
+                                            .cordoned = cordoned,
+                                            .room = { .cpu = 16000, .mem = 32768 },
+                                            .used = { .cpu = used } };
+    }
+  load.waiting = left > 0 ? 10 : 0;
+  load.waiting_cpu_ms = left * 700;
+  mt_steward_pool (fleet->steward, pools[pool], &load, views, n, fleet->now);
+}
+
+static void
+fleet_run (struct fleet *fleet, int64_t ms)
+{
+  struct mt_steward_order order;
+
+  for (int64_t end = fleet->now + ms; fleet->now < end; fleet->now += 150)
+    {
+      for (int i = 0; i < 20; i++)
+        if (!fleet->machines[i].up && fleet->now >= fleet->away_until[i])
+          fleet->machines[i].up = true;
+      mt_steward_machines (fleet->steward, fleet->machines, 20, fleet->now, fleet->now);
+      fleet_tell_pool (fleet, 0);
+      fleet_tell_pool (fleet, 1);
+      while (mt_steward_next (fleet->steward, fleet->now, &order))
+        {
+          int i = atoi (order.machine + 1);
+          g_autofree char *machine = g_strdup (order.machine);
+
+          fleet->machines[i].pool = strcmp (order.to, "left") == 0    ? pools[0]
+                                    : strcmp (order.to, "right") == 0 ? pools[1]
+                                                                      : pools[2];
+          fleet->machines[i].up = false;
+          fleet->away_until[i] = fleet->now + 1500;
+          fleet->moves++;
+          mt_steward_answered (fleet->steward, machine, MT_STEWARD_DONE, fleet->now);
+        }
+    }
+}
+
+/* The steward begins while nobody asks for anything. It must not take that for the pools' need and
+ * switch them off: the first surge would meet empty pools, and its callers would wait for seconds. */
+static void
+test_calm_beginning_switches_nothing_off (void **state)
+{
+  struct fleet *fleet = fleet_create ();
+
+  fleet_run (fleet, 20000);
+  assert_int_equal (fleet->moves, 0);
+  fleet_destroy (fleet);
+}
+
+/* One pool asks for half as much again as it holds: the standby machines are on their way within half
+ * a second, and back once they are not needed. */
+static void
+test_standby_machines_follow_a_surge (void **state)
+{
+  struct fleet *fleet = fleet_create ();
+
+  fleet_run (fleet, 6000);
+  fleet->demand[0] = 11 * 16000;
+  fleet_run (fleet, 600);
+  assert_true (fleet_count (fleet, 0) > POOL_MACHINES + 2);
+  fleet_run (fleet, 3500);
+  fleet->demand[0] = 8000;
+  fleet_run (fleet, 4000);
+  assert_int_equal (fleet_count (fleet, 0), POOL_MACHINES);
+  assert_int_equal (fleet_count (fleet, 2), 4);
+  fleet_destroy (fleet);
+}
+
+/* The pools surge by turns. What one has got for its surge goes on to the next, and none keeps so
+ * much of what once waited for it that the other starves. */
+static void
+test_surges_by_turns_share_the_machines (void **state)
+{
+  struct fleet *fleet = fleet_create ();
+
+  fleet_run (fleet, 6000);
+  for (int turn = 0; turn < 6; turn++)
+    {
+      fleet->demand[turn % 2] = 30 * 16000;
+      fleet->demand[1 - turn % 2] = 8000;
+      fleet_run (fleet, 4000);
+      assert_true (fleet_count (fleet, turn % 2) >= POOL_MACHINES + 4);
+    }
+  fleet_destroy (fleet);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_only_an_empty_machine_is_ordered),
+    cmocka_unit_test (test_calm_beginning_switches_nothing_off),
+    cmocka_unit_test (test_standby_machines_follow_a_surge),
+    cmocka_unit_test (test_surges_by_turns_share_the_machines),
     cmocka_unit_test (test_machines_that_a_predecessor_sent_down_count),
     cmocka_unit_test (test_cap_holds_with_orders_in_doubt),
     cmocka_unit_test (test_wave_waits_for_a_trough_while_it_can),
