desk: a job counts as timely while 0.8 of what is expected still fits

Guesses are often too long (est. off by up to a factor), so jobs gave way that could still be in time.

--- a/core/work/desk_place.c
+++ b/core/work/desk_place.c
@@ -11,6 +11,8 @@
 
 /* What a job earns does not fall to nothing with its size: this share is for being served at all. */
 #define BASE_WORTH 0.3
+/* Guesses are often too long: a job counts as timely while this share of what is expected still fits. */
+#define SURE_SHARE 0.8
 /* Late up to so many times its objective, a job still earns a little. */
 #define LATE_FACTOR 3
 /* A worker that runs slower than the others by this factor is avoided. */
@@ -112,7 +114,7 @@
       b->class = CLASS_LASTING;
       b->key = (double) b->part->since;
     }
-  else if (now + (int64_t) o->chain_ms <= b->part->objective_by)
+  else if (now + (int64_t) (SURE_SHARE * o->chain_ms) <= b->part->objective_by)
     {
       b->class = CLASS_TIMELY;
       b->key = o->work / (BASE_WORTH * mean + (1 - BASE_WORTH) * o->all_work + 1);
