--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -484,6 +484,12 @@
   f->cluster = mt_cluster_create (f->base, mt_adapter_kv (f->platform), &options);
 }
 
+static bool
+store_answers (void *ctx)
+{
+  return mt_adapter_store_answers (((struct mt_fleet *) ctx)->platform);
+}
+
 static void
 make_gate (struct mt_fleet *f)
 {
@@ -494,6 +500,7 @@
                                      .journal = f->journal,
                                      .metrics = f->metrics,
                                      .local = local_pool,
+                                     .store_answers = store_answers,
                                      .ctx = f };
 
   f->gate = mt_gate_create (f->base, &options);
--- a/fleet/gate.c
+++ b/fleet/gate.c
@@ -9,7 +9,7 @@
 
 /* The store's answer to a submission is waited for so long in all; then its outcome is unknown, and
  * the caller's retry under the same id settles it. A caller gives up after some 3 s. */
-#define SETTLE_MS 1400
+#define SETTLE_MS 1200
 #define TXN_MS    600
 /* A store that refuses is asked again after this: the refusal says that nothing was done. */
 #define AGAIN_MS 80
@@ -202,19 +202,27 @@
   end_txn (t);
 }
 
+static bool
+store_answers (const struct mt_gate *gate)
+{
+  return gate->options.store_answers (gate->options.ctx);
+}
+
 /* A write without an answer may be done later still, so the job is never said to be refused after
- * one: the same write is sent again, which is settled by its own condition. */
+ * one: the same write is sent again, which is settled by its own condition. Once the store answers
+ * nobody, waiting on helps no caller: each is told at once what is known. */
 static void
 try_again (struct txn *t, bool unsettled)
 {
   int64_t now = mt_loop_now ();
+  bool hopeless = !store_answers (t->gate);
 
   for (guint i = 0; i < t->submits->len;)
     {
       struct submit *s = t->submits->pdata[i];
 
       s->unsettled |= unsettled;
-      if (now - s->began < SETTLE_MS)
+      if (!hopeless && now - s->began < SETTLE_MS)
         {
           i++;
           continue;
@@ -317,6 +325,11 @@
   s->value = mt_pool_value (route->name, mt_loop_wall (), body, &s->value_len);
   s->began = mt_loop_now ();
   gate->busy++;
+  if (!store_answers (gate))
+    {
+      end_submit (s, 503, "the store does not answer, nothing was sent");
+      return;
+    }
   g_queue_push_tail (&gate->submits, s);
   send_submits (gate);
 }
--- a/fleet/gate.h
+++ b/fleet/gate.h
@@ -23,6 +23,8 @@
   struct mt_metrics *metrics;
   /* The pool that this daemon leads; NULL for any other. */
   struct mt_pool *(*local) (void *ctx, const char *pool);
+  /* Whether the store can be expected to answer. */
+  bool (*store_answers) (void *ctx);
   void *ctx;
 };
 
--- a/fleet/watcher.c
+++ b/fleet/watcher.c
@@ -6,7 +6,7 @@
 
 /* After a failed call; with a random part, so that many daemons don't come back together. */
 #define AGAIN_MS      120
-#define AGAIN_MOST_MS 600
+#define AGAIN_MOST_MS 320
 
 struct mt_watcher
 {
