steward: a successor knows where machines belong

Change: the homes of machines that are away are stored before they move, under the duty's condition, and read before the first list. Tests: test_successor_knows_where_machines_belong, test_no_move_before_its_home_is_stored.

--- a/core/work/steward.c
+++ b/core/work/steward.c
@@ -121,6 +121,8 @@
   if (asked <= m->ordered || m->sent)
     return;
   m->pool = get_pool (s, row->pool);
+  if (m->home == NULL)
+    m->home = m->pool;
   m->up = row->up;
   m->room = row->room;
   m->in_upkeep = row->in_upkeep;
@@ -307,8 +309,64 @@
          && !m->view.silent;
 }
 
-static void
-plan (struct mt_steward *s, int64_t now)
+void
+mt_steward_home (struct mt_steward *s, const char *machine, const char *pool)
+{
+  struct mt_keeper_machine *m = get_machine (s, machine);
+
+  m->home = get_pool (s, pool);
+  m->home_stored = true;
+}
+
+static bool
+is_away (const struct mt_keeper_machine *m)
+{
+  return m->home != NULL && (m->pool != m->home || m->plan == MT_PLAN_MOVE);
+}
+
+char **
+mt_steward_homes (struct mt_steward *s)
+{
+  GPtrArray *out = g_ptr_array_new ();
+  GHashTableIter it;
+  struct mt_keeper_machine *m;
+  bool stored = true;
+
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
+    {
+      if (!is_away (m))
+        continue;
+      stored &= m->home_stored;
+      g_ptr_array_add (out, g_strdup (m->id));
+      g_ptr_array_add (out, g_strdup (m->home->name));
+    }
+  g_ptr_array_add (out, NULL);
+  if (!stored)
+    return (char **) g_ptr_array_free (out, FALSE);
+  g_strfreev ((char **) g_ptr_array_free (out, FALSE));
+  return NULL;
+}
+
+void
+mt_steward_homes_stored (struct mt_steward *s, char **homes)
+{
+  GHashTableIter it;
+  struct mt_keeper_machine *m;
+
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
+    m->home_stored = false;
+  for (char **at = homes; at[0] != NULL; at += 2)
+    {
+      m = g_hash_table_lookup (s->machines, at[0]);
+      if (m != NULL && m->home != NULL && strcmp (m->home->name, at[1]) == 0)
+        m->home_stored = true;
+    }
+}
+
+void
+mt_steward_plan (struct mt_steward *s, int64_t now)
 {
   GHashTableIter it;
   struct mt_keeper_machine *m;
@@ -333,12 +391,14 @@
   GHashTableIter it;
   struct mt_keeper_machine *m;
 
-  plan (s, now);
+  mt_steward_plan (s, now);
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
     {
       if (m->plan == MT_PLAN_NONE || m->sent || now < m->again_at || !is_empty (m, now))
         continue;
+      if (m->plan == MT_PLAN_MOVE && !m->home_stored)
+        continue;
       m->sent = true;
       *order = (struct mt_steward_order){
         .kind = m->plan == MT_PLAN_UPKEEP ? MT_STEWARD_UPKEEP : MT_STEWARD_MOVE,
--- a/core/work/steward_internal.h
+++ b/core/work/steward_internal.h
@@ -14,7 +14,7 @@
 
   unsigned have; /* machines that work in it or are on their way */
   unsigned need; /* for what it does and what waits */
-  unsigned base; /* machines that it was given at first */
+  unsigned base; /* machines that belong to it */
   double peak;   /* highest need of late, fading */
   int64_t learned_at;
   int64_t spare_since; /* it has had more than it wants since; 0 */
@@ -33,6 +33,8 @@
   char *rack;
   char *worker;
   struct mt_keeper_pool *pool;
+  struct mt_keeper_pool *home; /* where it belongs; NULL until it is known */
+  bool home_stored;
   bool up;
   bool listed;
   struct mt_room room;
@@ -71,7 +73,6 @@
   GHashTable *machines;
   GHashTable *waves; /* number to struct mt_keeper_wave */
   bool listed;
-  bool moved; /* has ordered a move */
   int64_t first_listed;
   int64_t last_plan;
 };
--- a/core/work/steward_moves.c
+++ b/core/work/steward_moves.c
@@ -18,7 +18,7 @@
 #define FULL_SHARE 0.9
 /* A pool keeps this share of the machines that its last surge needed. */
 #define KEEP_SHARE 0.5
-/* ... and this one of what it was given at first, by those who know its load. */
+/* ... and this one of the machines that belong to it. */
 #define BASE_SHARE 1.0
 /* The memory of a surge halves in this time. */
 #define PEAK_HALF_MS 60000.0
@@ -26,7 +26,7 @@
  * much as a machine costs in 2.3 s. */
 #define CALM_MS 1200
 /* After it begins, a steward gives no machine to the standby pool for so long: not all are up yet, and
- * it has to learn what the pools have. */
+ * none of the pools' surges is known. */
 #define SETTLE_MS 5000
 /* Ordered moves are expected to have arrived after this much more than they should take. */
 #define LATE_MS 4000
@@ -74,6 +74,20 @@
   return n;
 }
 
+/* What the pool was given by those who know its load, wherever its machines are now. */
+static unsigned
+count_homes (const struct mt_steward *s, const struct mt_keeper_pool *p)
+{
+  GHashTableIter it;
+  struct mt_keeper_machine *m;
+  unsigned n = 0;
+
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
+    n += m->home == p;
+  return n;
+}
+
 static void
 learn_need (const struct mt_steward *s, struct mt_keeper_pool *p, int64_t now)
 {
@@ -86,8 +100,7 @@
   p->peak = MAX (p->peak * kept, (double) p->load.used_cpu / (FULL_SHARE * cpu));
   p->learned_at = now;
   p->have = count_machines (s, p, now);
-  if (!s->moved)
-    p->base = MAX (p->base, p->have);
+  p->base = count_homes (s, p);
 }
 
 /* What the pool should have now. */
@@ -134,7 +147,6 @@
 
   if (m == NULL)
     return false;
-  s->moved = true;
   m->plan = MT_PLAN_MOVE;
   m->planned = now;
   m->to = to;
--- a/fleet/care.c
+++ b/fleet/care.c
@@ -22,6 +22,7 @@
 /* A cordon that is not renewed ends: its steward may be gone. */
 #define CORDON_MS 1200
 #define PROGRESS_PREFIX "medlartrack/wave/"
+#define HOMES_KEY       "medlartrack/homes"
 
 struct wave
 {
@@ -49,8 +50,11 @@
   unsigned refs;
   bool destroyed;
   bool listing;
-  int64_t listed;
   int64_t list_asked;
+
+  bool homes_known; /* the stored homes were read */
+  bool homes_busy;
+  char **homes_sent;
 };
 
 static struct mt_care *
@@ -79,6 +83,7 @@
   mt_timer_destroy (c->tick);
   g_hash_table_unref (c->waves);
   g_ptr_array_unref (c->pools);
+  g_strfreev (c->homes_sent);
   g_free (c->duty_key);
   g_free (c);
 }
@@ -486,6 +491,80 @@
     send_order (c, &order);
 }
 
+/* ---- homes ---- */
+
+static void
+on_homes_read (void *data, const struct mt_kv_reply *reply)
+{
+  struct mt_care *c = data;
+
+  c->homes_busy = false;
+  if (!c->destroyed && (reply->status == MT_KV_OK || reply->status == MT_KV_MISSING))
+    {
+      json_t *root = reply->n_items > 0 && reply->status == MT_KV_OK
+                         ? json_loadb (reply->items[0].value.data, reply->items[0].value.len, 0,
+                                       NULL)
+                         : NULL;
+      const char *machine;
+      json_t *pool;
+
+      json_object_foreach (root, machine, pool)
+        if (json_is_string (pool))
+          mt_steward_home (c->steward, machine, json_string_value (pool));
+      json_decref (root);
+      c->homes_known = true;
+    }
+  unref (c);
+}
+
+static void
+on_homes_written (void *data, const struct mt_kv_reply *reply)
+{
+  struct mt_care *c = data;
+
+  c->homes_busy = false;
+  if (!c->destroyed && reply->status == MT_KV_OK)
+    {
+      mt_steward_homes_stored (c->steward, c->homes_sent);
+      send_orders (c);
+    }
+  unref (c);
+}
+
+static void
+write_homes (struct mt_care *c)
+{
+  char **homes = c->homes_busy ? NULL : mt_steward_homes (c->steward);
+  json_t *root;
+  char *text;
+  struct mt_kv_expect expect = { c->duty_key, c->options.token };
+  struct mt_kv_put put = { .key = HOMES_KEY };
+  struct mt_kv_txn txn = { &expect, 1, &put, 1, NULL, 0 };
+
+  if (homes == NULL)
+    return;
+  root = json_object ();
+  for (char **at = homes; at[0] != NULL; at += 2)
+    json_object_set_new (root, at[0], json_string (at[1]));
+  text = json_dumps (root, JSON_COMPACT);
+  put.value = mt_str_from (text);
+  g_strfreev (c->homes_sent);
+  c->homes_sent = homes;
+  c->homes_busy = true;
+  c->options.kv.ops->txn (c->options.kv.ctx, &txn, TXN_MS, on_homes_written, ref (c));
+  free (text);
+  json_decref (root);
+}
+
+static void
+read_homes (struct mt_care *c)
+{
+  if (c->homes_busy)
+    return;
+  c->homes_busy = true;
+  c->options.kv.ops->get (c->options.kv.ctx, HOMES_KEY, TXN_MS, on_homes_read, ref (c));
+}
+
 static void
 on_tick (void *ctx)
 {
@@ -493,10 +572,17 @@
   bool open = step_waves (c);
 
   mt_timer_set (c->tick, TICK_MS);
+  if (!c->homes_known)
+    {
+      read_homes (c);
+      return;
+    }
   list_machines (c, open || mt_steward_is_busy (c->steward));
   for (guint i = 0; i < c->pools->len; i++)
     ask_pool (c, c->pools->pdata[i]);
   ref (c);
+  mt_steward_plan (c->steward, mt_loop_now ());
+  write_homes (c);
   send_orders (c);
   unref (c);
 }
--- a/include/medlartrack/steward.h
+++ b/include/medlartrack/steward.h
@@ -46,8 +46,20 @@
 void mt_steward_wave (struct mt_steward *steward, int64_t number, char **machines, char **done,
                       unsigned cap, int64_t due);
 
+/* Where a machine belongs, as a predecessor stored it; to be told before the first list. A machine
+ * of which nothing is told belongs where it is first seen. */
+void mt_steward_home (struct mt_steward *steward, const char *machine, const char *pool);
+
 /* ---- what it wants ---- */
 
+/* Decides; mt_steward_next follows from it. */
+void mt_steward_plan (struct mt_steward *steward, int64_t now);
+/* Machines that are, or are about to be, away from home, and their homes, by turns; NULL-terminated,
+ * freed with g_strfreev. A move is ordered only once its machine's home is stored: a successor would
+ * take the pool that it finds the machine in for its home. NULL where all is stored. */
+char **mt_steward_homes (struct mt_steward *steward);
+void mt_steward_homes_stored (struct mt_steward *steward, char **homes);
+
 enum mt_steward_kind
 {
   MT_STEWARD_UPKEEP,
--- a/tests/work/test_steward.c
+++ b/tests/work/test_steward.c
@@ -246,6 +246,8 @@
   int64_t away_until[20];
   int64_t demand[2]; /* processors' worth, in thousandths of a core */
   unsigned moves;
+  char **homes; /* as stored */
+  bool store_down;
 };
 
 static const char *const pools[] = { "left", "right", "standby" };
@@ -279,6 +281,7 @@
 fleet_destroy (struct fleet *fleet)
 {
   mt_steward_destroy (fleet->steward);
+  g_strfreev (fleet->homes);
   g_free (fleet);
 }
 
@@ -324,6 +327,21 @@
   mt_steward_pool (fleet->steward, pools[pool], &load, views, n, fleet->now);
 }
 
+static void
+fleet_store_homes (struct fleet *fleet)
+{
+  char **homes = mt_steward_homes (fleet->steward);
+
+  if (homes == NULL || fleet->store_down)
+    {
+      g_strfreev (homes);
+      return;
+    }
+  mt_steward_homes_stored (fleet->steward, homes);
+  g_strfreev (fleet->homes);
+  fleet->homes = homes;
+}
+
 static void
 fleet_run (struct fleet *fleet, int64_t ms)
 {
@@ -337,6 +355,8 @@
       mt_steward_machines (fleet->steward, fleet->machines, 20, fleet->now, fleet->now);
       fleet_tell_pool (fleet, 0);
       fleet_tell_pool (fleet, 1);
+      mt_steward_plan (fleet->steward, fleet->now);
+      fleet_store_homes (fleet);
       while (mt_steward_next (fleet->steward, fleet->now, &order))
         {
           int i = atoi (order.machine + 1);
@@ -384,6 +404,49 @@
   fleet_destroy (fleet);
 }
 
+/* The steward dies in a surge, with the standby machines in the surging pool. Its successor must not
+ * take that pool for their home: they would stay, and the next pool's surge would find none. */
+static void
+test_successor_knows_where_machines_belong (void **state)
+{
+  static const struct mt_steward_settings settings
+      = { .move_ms = 1500, .upkeep_ms = 2000, .moves = true };
+  struct fleet *fleet = fleet_create ();
+
+  fleet_run (fleet, 6000);
+  fleet->demand[0] = 12 * 16000;
+  fleet_run (fleet, 3000);
+  assert_int_equal (fleet_count (fleet, 0), POOL_MACHINES + 4);
+  mt_steward_destroy (fleet->steward);
+  fleet->steward = mt_steward_create (&settings);
+  for (int i = 0; i < 3; i++)
+    mt_steward_set_pool (fleet->steward, pools[i], i == 2);
+  for (char **at = fleet->homes; at[0] != NULL; at += 2)
+    mt_steward_home (fleet->steward, at[0], at[1]);
+  fleet->demand[0] = 8000;
+  fleet_run (fleet, 9000);
+  assert_int_equal (fleet_count (fleet, 0), POOL_MACHINES);
+  assert_int_equal (fleet_count (fleet, 2), 4);
+  fleet_destroy (fleet);
+}
+
+/* Nothing moves whose home is not stored. */
+static void
+test_no_move_before_its_home_is_stored (void **state)
+{
+  struct fleet *fleet = fleet_create ();
+
+  fleet_run (fleet, 6000);
+  fleet->store_down = true;
+  fleet->demand[0] = 12 * 16000;
+  fleet_run (fleet, 3000);
+  assert_int_equal (fleet->moves, 0);
+  fleet->store_down = false;
+  fleet_run (fleet, 600);
+  assert_true (fleet->moves > 0);
+  fleet_destroy (fleet);
+}
+
 /* The pools surge by turns. What one has got for its surge goes on to the next, and none keeps so
  * much of what once waited for it that the other starves. */
 static void
@@ -409,6 +472,8 @@
     cmocka_unit_test (test_only_an_empty_machine_is_ordered),
     cmocka_unit_test (test_calm_beginning_switches_nothing_off),
     cmocka_unit_test (test_standby_machines_follow_a_surge),
+    cmocka_unit_test (test_successor_knows_where_machines_belong),
+    cmocka_unit_test (test_no_move_before_its_home_is_stored),
     cmocka_unit_test (test_surges_by_turns_share_the_machines),
     cmocka_unit_test (test_machines_that_a_predecessor_sent_down_count),
     cmocka_unit_test (test_cap_holds_with_orders_in_doubt),
