steward: work that is late anyway holds no machines

Change: the load tells what is urgent, tasks of jobs that can still be in time; only that makes a pool short. Test: test_late_work_is_not_urgent.

--- a/core/work/desk_internal.h
+++ b/core/work/desk_internal.h
@@ -228,6 +228,8 @@
 /* desk_place.c */
 void mt_desk_place (struct mt_desk *desk, int64_t now);
 bool mt_part_ready (const struct mt_part *part, unsigned step);
+/* It can still be done within its objective. */
+bool mt_part_is_timely (const struct mt_part *part, int64_t now);
 double mt_step_expected_ms (const struct mt_route *route, const struct mt_step *step);
 
 /* desk_watch.c: what is done about what stands still */
--- a/core/work/desk_place.c
+++ b/core/work/desk_place.c
@@ -101,6 +101,20 @@
   return out;
 }
 
+static bool
+fits_in_time (const struct mt_part *part, const struct outlook *o, int64_t now)
+{
+  return now + (int64_t) (SURE_SHARE * o->chain_ms) <= part->objective_by;
+}
+
+bool
+mt_part_is_timely (const struct mt_part *part, int64_t now)
+{
+  struct outlook o = look_ahead (part);
+
+  return fits_in_time (part, &o, now);
+}
+
 static void
 rate (struct bundle *b, const struct outlook *o, int64_t now)
 {
@@ -114,7 +128,7 @@
       b->class = CLASS_LASTING;
       b->key = (double) b->part->since;
     }
-  else if (now + (int64_t) (SURE_SHARE * o->chain_ms) <= b->part->objective_by)
+  else if (fits_in_time (b->part, o, now))
     {
       b->class = CLASS_TIMELY;
       b->key = o->work / (BASE_WORTH * mean + (1 - BASE_WORTH) * o->all_work + 1);
--- a/core/work/desk_workers.c
+++ b/core/work/desk_workers.c
@@ -238,18 +238,26 @@
 }
 
 static void
-add_waiting (struct mt_desk_load *load, const struct mt_part *part)
+add_waiting (struct mt_desk_load *load, const struct mt_part *part, int64_t now)
 {
+  bool timely = mt_part_is_timely (part, now);
+
   for (unsigned s = 0; s < part->job->spec->n_steps; s++)
     {
       const struct mt_step *step = &part->job->spec->steps[s];
 
-      if (step->lasting || step->fill)
+      bool ready = part->step_waiting[s] > 0 && mt_part_ready (part, s);
+
+      if (step->fill)
         continue;
-      load->waiting_cpu_ms += (int64_t) part->step_waiting[s] * step->need.cpu
-                              * (int64_t) mt_step_expected_ms (part->job->route, step);
-      if (mt_part_ready (part, s))
+      if (ready)
         load->waiting += part->step_waiting[s];
+      if (!timely && !step->lasting)
+        continue;
+      load->urgent_cpu_ms += (int64_t) part->step_waiting[s] * step->need.cpu
+                             * (int64_t) mt_step_expected_ms (part->job->route, step);
+      if (ready)
+        load->urgent += part->step_waiting[s];
     }
 }
 
@@ -266,7 +274,7 @@
 
       for (unsigned k = 0; k < job->n_parts; k++)
         if (job->parts[k] != NULL && !job->parts[k]->ended)
-          add_waiting (load, job->parts[k]);
+          add_waiting (load, job->parts[k], now);
     }
   g_hash_table_iter_init (&it, desk->workers);
   while (g_hash_table_iter_next (&it, NULL, (void **) &w))
--- a/core/work/steward.c
+++ b/core/work/steward.c
@@ -183,7 +183,7 @@
 bool
 mt_keeper_is_short (const struct mt_keeper_pool *p)
 {
-  return p->load.waiting > 0;
+  return p->load.urgent > 0;
 }
 
 static void
--- a/core/work/steward_internal.h
+++ b/core/work/steward_internal.h
@@ -81,7 +81,8 @@
 void mt_steward_plan_waves (struct mt_steward *s, int64_t now);
 /* steward_moves.c */
 void mt_steward_plan_moves (struct mt_steward *s, int64_t now);
-/* A pool that lacks room now gives no machine away. */
+/* A pool that lacks room for what can still be in time gives no machine away. Work that is late
+ * anyway does not count: it would hold machines that others need to be in time. */
 bool mt_keeper_is_short (const struct mt_keeper_pool *pool);
 
 #endif
--- a/core/work/steward_moves.c
+++ b/core/work/steward_moves.c
@@ -91,7 +91,7 @@
 static void
 learn_need (const struct mt_steward *s, struct mt_keeper_pool *p, int64_t now)
 {
-  double demand = (double) p->load.used_cpu + (double) p->load.waiting_cpu_ms / CLEAR_MS;
+  double demand = (double) p->load.used_cpu + (double) p->load.urgent_cpu_ms / CLEAR_MS;
   double cpu = (double) machine_cpu (s, p);
   double kept = p->learned_at != 0 ? exp2 (-(double) (now - p->learned_at) / PEAK_HALF_MS) : 0;
 
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -27,6 +27,8 @@
 /* Without a word from the store for so long a daemon can accept nothing: it isn't ready. */
 #define STORE_SILENT_MS 2500
 #define HOUSEKEEPING_MS 500
+/* A line on each pool's load this often. */
+#define LOADS_MS 1000
 /* A stopping daemon serves so long after it has said that it isn't ready: two checks a second apart
  * and their time on the way. */
 #define LINGER_MS 2600
@@ -63,6 +65,7 @@
   struct mt_timer *housekeeping;
   struct event *signals[4];
   bool store_lost;
+  int64_t loads_told;
   bool stopping;
   bool left;
   int64_t stop_began;
@@ -362,6 +365,29 @@
                       ready ? MT_STR ("ready\n") : MT_STR ("not ready\n"), 0);
 }
 
+static void
+tell_loads (struct mt_fleet *f)
+{
+  GHashTableIter it;
+  const char *name;
+  struct mt_pool *pool;
+
+  g_hash_table_iter_init (&it, f->pools);
+  while (g_hash_table_iter_next (&it, (void **) &name, (void **) &pool))
+    {
+      struct mt_desk_load load;
+
+      mt_desk_load (mt_pool_desk (pool), mt_loop_now (), &load);
+      if (load.jobs > 0)
+        mt_journal_tell (f->journal, "POOL_LOAD",
+                         "pool=%s jobs=%u waiting=%u urgent=%u running=%u workers=%u silent=%u "
+                         "used_cpu=%" G_GINT64_FORMAT " room_cpu=%" G_GINT64_FORMAT,
+                         name, load.jobs, load.waiting, load.urgent, load.running, load.workers,
+                         load.silent,
+                         load.used_cpu, load.room_cpu);
+    }
+}
+
 static void
 count_load (struct mt_fleet *f)
 {
@@ -446,6 +472,11 @@
     mt_journal_tell (f->journal, lost ? "STORE_LOST" : "STORE_BACK", "reached_directly=%d",
                      mt_adapter_reaches_store (f->platform));
   f->store_lost = lost;
+  if (mt_loop_now () - f->loads_told >= LOADS_MS)
+    {
+      f->loads_told = mt_loop_now ();
+      tell_loads (f);
+    }
   mt_journal_flush (f->journal);
   if (may_exit (f))
     event_base_loopbreak (f->base);
--- a/include/medlartrack/desk.h
+++ b/include/medlartrack/desk.h
@@ -230,8 +230,9 @@
 {
   unsigned jobs; /* not ended */
   unsigned waiting; /* tasks that could start now */
+  unsigned urgent;  /* of these, tasks of jobs that can still be in time */
   unsigned running;
-  int64_t waiting_cpu_ms; /* work not begun yet: thousandths of a core times ms */
+  int64_t urgent_cpu_ms; /* work of such jobs not begun yet: thousandths of a core times ms */
   int64_t room_cpu;       /* of workers that take work */
   int64_t used_cpu;
   unsigned workers;
--- a/tests/work/test_desk.c
+++ b/tests/work/test_desk.c
@@ -304,6 +304,28 @@
   world_destroy (world);
 }
 
+/* What can't be in time any more is run when there is room, and asks for no machines: it would hold
+ * those that another pool needs to be in time. */
+static void
+test_late_work_is_not_urgent (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_desk_load load;
+
+  world_submit (world, world_job ("aa", 4, 1000, 1000));
+  world_run (world, 100);
+  mt_desk_load (world->desk, world->now, &load);
+  assert_int_equal (load.urgent, 4);
+  world_run (world, 3000);
+  mt_desk_load (world->desk, world->now, &load);
+  assert_int_equal (load.waiting, 4);
+  assert_int_equal (load.urgent, 0);
+  assert_int_equal (load.urgent_cpu_ms, 0);
+  world_add_worker (world, "r1");
+  assert_true (world_until (world, "aa", MT_JOB_COMPLETED, 2000));
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -317,6 +339,7 @@
     cmocka_unit_test (test_sick_worker_costs_few_attempts),
     cmocka_unit_test (test_task_that_stands_still_runs_elsewhere),
     cmocka_unit_test (test_room_is_never_overbooked),
+    cmocka_unit_test (test_late_work_is_not_urgent),
     cmocka_unit_test (test_lasting_tasks_are_moved_one_after_the_other),
     cmocka_unit_test (test_no_lasting_task_is_moved_while_others_are_away),
     cmocka_unit_test (test_job_is_taken_off_the_waiting_ones_once),
--- a/tests/work/test_steward.c
+++ b/tests/work/test_steward.c
@@ -161,7 +161,7 @@
   struct site *site = site_create ();
   unsigned ordered = 0;
 
-  site->load.waiting = 50;
+  site->load.urgent = 50;
   for (int i = 0; i < MACHINES; i++)
     site->views[i].used.cpu = 15000;
   site_tell (site);
@@ -322,8 +322,8 @@
                                             .room = { .cpu = 16000, .mem = 32768 },
                                             .used = { .cpu = used } };
     }
-  load.waiting = left > 0 ? 10 : 0;
-  load.waiting_cpu_ms = left * 700;
+  load.urgent = left > 0 ? 10 : 0;
+  load.urgent_cpu_ms = left * 700;
   mt_steward_pool (fleet->steward, pools[pool], &load, views, n, fleet->now);
 }
 
