steward: a pool's need is its timely work, at its highest of the last 1.5 s

Cause: late work kept its pool's processors busy, so the pool gave no machine away while the next one surged; and arrivals come in bunches, so a need taken at one moment gave machines away in the middle of a surge.

--- a/core/work/desk_workers.c
+++ b/core/work/desk_workers.c
@@ -237,6 +237,21 @@
   return n;
 }
 
+static void
+add_used (struct mt_desk_load *load, const struct mt_worker *w, int64_t now)
+{
+  for (GList *l = w->tasks.head; l != NULL; l = l->next)
+    {
+      const struct mt_task *task = l->data;
+      const struct mt_step *step = mt_task_step (task);
+
+      if (step->fill || task->part->job->ended_at != 0)
+        continue;
+      if (step->lasting || task->part->objective_by > now)
+        load->urgent_used_cpu += step->need.cpu;
+    }
+}
+
 static void
 add_waiting (struct mt_desk_load *load, const struct mt_part *part, int64_t now)
 {
@@ -288,5 +303,6 @@
         continue;
       load->room_cpu += w->room.cpu;
       load->used_cpu += w->used.cpu;
+      add_used (load, w, now);
     }
 }
--- a/core/work/steward_internal.h
+++ b/core/work/steward_internal.h
@@ -14,6 +14,8 @@
 
   unsigned have; /* machines that work in it or are on their way */
   unsigned need; /* for what it does and what waits */
+  unsigned held; /* its highest of the last moments */
+  int64_t held_at;
   unsigned base; /* machines that belong to it */
   double peak;   /* highest need of late, fading */
   int64_t learned_at;
--- a/core/work/steward_moves.c
+++ b/core/work/steward_moves.c
@@ -25,6 +25,8 @@
 /* Machines are given up only after they were not needed for so long: a move and the way back cost as
  * much as a machine costs in 2.3 s. */
 #define CALM_MS 1200
+/* A pool's need counts at its highest of so long: arrivals come in bunches. */
+#define HOLD_MS 1500
 /* After it begins, a steward gives no machine to the standby pool for so long: not all are up yet, and
  * none of the pools' surges is known. */
 #define SETTLE_MS 5000
@@ -91,13 +93,18 @@
 static void
 learn_need (const struct mt_steward *s, struct mt_keeper_pool *p, int64_t now)
 {
-  double demand = (double) p->load.used_cpu + (double) p->load.urgent_cpu_ms / CLEAR_MS;
+  double demand = (double) p->load.urgent_used_cpu + (double) p->load.urgent_cpu_ms / CLEAR_MS;
   double cpu = (double) machine_cpu (s, p);
   double kept = p->learned_at != 0 ? exp2 (-(double) (now - p->learned_at) / PEAK_HALF_MS) : 0;
 
   p->need = (unsigned) ceil (demand / (FULL_SHARE * cpu));
+  if (p->need >= p->held || now - p->held_at > HOLD_MS)
+    {
+      p->held = p->need;
+      p->held_at = now;
+    }
   /* What was at work, not what waited: a starved pool would remember more than all machines. */
-  p->peak = MAX (p->peak * kept, (double) p->load.used_cpu / (FULL_SHARE * cpu));
+  p->peak = MAX (p->peak * kept, (double) p->load.urgent_used_cpu / (FULL_SHARE * cpu));
   p->learned_at = now;
   p->have = count_machines (s, p, now);
   p->base = count_homes (s, p);
@@ -109,7 +116,7 @@
 {
   unsigned keep = (unsigned) ceil (MAX (KEEP_SHARE * p->peak, BASE_SHARE * p->base));
 
-  return MAX (MAX (p->need, keep), 1U);
+  return MAX (MAX (p->held, keep), 1U);
 }
 
 static bool
--- a/tests/work/test_steward.c
+++ b/tests/work/test_steward.c
@@ -315,6 +315,7 @@
         continue;
       left -= used;
       load.used_cpu += used;
+      load.urgent_used_cpu += used;
       load.room_cpu += 16000;
       views[n++] = (struct mt_worker_view){ .id = fleet->workers[i],
                                             .tasks = used > 0,
