steward: needs by what arrives; a machine being emptied goes straight where it is needed

Change: the desk tells how much work the arrivals of the last 0.6 s amount to, which counts as need by 0.8; a planned move to the standby pool is redirected to a pool that is short; pools keep 0.7 of the machines that belong to them and 0.4 of their last peak, in place of all and 0.5.

--- a/core/work/desk.c
+++ b/core/work/desk.c
@@ -1,10 +1,15 @@
 #include "desk_internal.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
 /* Jobs kept after their end at most, whatever status_ms says: 4,000 of some 2 KB each. */
 #define MAX_CLOSED 4000
+/* Arrivals count over about so long: some 25 jobs at the height of a surge. */
+#define ARRIVING_MS 600.0
+/* A job that is older when it is first heard of says nothing of what arrives now. */
+#define FRESH_MS 1000
 
 const char *const mt_job_state_names[] = {
   [MT_JOB_QUEUED] = "queued",       [MT_JOB_ACTIVE] = "active",
@@ -251,6 +256,30 @@
   return g_hash_table_contains (desk->jobs, id);
 }
 
+double
+mt_desk_arriving (const struct mt_desk *desk, int64_t now)
+{
+  return desk->arriving * exp (-(double) (now - desk->arriving_at) / ARRIVING_MS);
+}
+
+/* A surge shows in what arrives well before it shows in what runs, and before anything waits. */
+static void
+count_arrival (struct mt_desk *desk, const struct mt_job *job, int64_t now)
+{
+  double work = 0;
+
+  for (unsigned i = 0; i < job->spec->n_steps; i++)
+    {
+      const struct mt_step *step = &job->spec->steps[i];
+
+      if (!step->lasting && !step->fill)
+        work += (double) step->count * (double) step->need.cpu
+                * mt_step_expected_ms (job->route, step);
+    }
+  desk->arriving = mt_desk_arriving (desk, now) + work / ARRIVING_MS;
+  desk->arriving_at = now;
+}
+
 bool
 mt_desk_submit (struct mt_desk *desk, struct mt_job_spec *spec, int64_t now, int64_t wall)
 {
@@ -275,6 +304,8 @@
     {
       open_part (job, 0, job->submitted);
       job->route->pending++;
+      if (age < FRESH_MS)
+        count_arrival (desk, job, now);
     }
   desk->changed = true;
   return true;
--- a/core/work/desk_internal.h
+++ b/core/work/desk_internal.h
@@ -180,6 +180,8 @@
   bool changed; /* something may be placed or written */
   bool fenced_off;
   int64_t last_plan;
+  double arriving; /* thousandths of a core, as of arriving_at */
+  int64_t arriving_at;
   int64_t last_watch;
   mt_desk_told told;
   void *told_ctx;
@@ -215,6 +217,9 @@
 void mt_task_keep_checkpoint (struct mt_task *task, const char *checkpoint);
 void mt_task_unqueue (struct mt_desk *desk, struct mt_task *task);
 
+/* Work that has come of late, in thousandths of a core. */
+double mt_desk_arriving (const struct mt_desk *desk, int64_t now);
+
 /* desk_workers.c */
 struct mt_worker *mt_desk_worker (struct mt_desk *desk, const char *id);
 bool mt_worker_takes (const struct mt_worker *w, int64_t now);
--- a/core/work/desk_workers.c
+++ b/core/work/desk_workers.c
@@ -282,7 +282,8 @@
   GHashTableIter it;
   struct mt_worker *w;
 
-  *load = (struct mt_desk_load){ .jobs = desk->open.length };
+  *load = (struct mt_desk_load){ .jobs = desk->open.length,
+                                 .arriving_cpu = (int64_t) mt_desk_arriving (desk, now) };
   for (GList *l = desk->open.head; l != NULL; l = l->next)
     {
       struct mt_job *job = l->data;
--- a/core/work/steward_moves.c
+++ b/core/work/steward_moves.c
@@ -16,10 +16,12 @@
 #define CLEAR_MS 700.0
 /* Processors in use at most, of those that there are, so that wide tasks still fit. */
 #define FULL_SHARE 0.9
+/* Of what arrives, this share is expected to go on: short bunches look like surges. */
+#define ARRIVING_SHARE 0.8
 /* A pool keeps this share of the machines that its last surge needed. */
-#define KEEP_SHARE 0.5
+#define KEEP_SHARE 0.4
 /* ... and this one of the machines that belong to it. */
-#define BASE_SHARE 1.0
+#define BASE_SHARE 0.7
 /* The memory of a surge halves in this time. */
 #define PEAK_HALF_MS 60000.0
 /* Machines are given up only after they were not needed for so long: a move and the way back cost as
@@ -95,9 +97,10 @@
 {
   double demand = (double) p->load.urgent_used_cpu + (double) p->load.urgent_cpu_ms / CLEAR_MS;
   double cpu = (double) machine_cpu (s, p);
+  double coming = ARRIVING_SHARE * (double) p->load.arriving_cpu;
   double kept = p->learned_at != 0 ? exp2 (-(double) (now - p->learned_at) / PEAK_HALF_MS) : 0;
 
-  p->need = (unsigned) ceil (demand / (FULL_SHARE * cpu));
+  p->need = (unsigned) ceil (MAX (demand, coming) / (FULL_SHARE * cpu));
   if (p->need >= p->held || now - p->held_at > HOLD_MS)
     {
       p->held = p->need;
@@ -163,6 +166,28 @@
   return true;
 }
 
+/* A machine that is being emptied for the standby pool goes to the pool that is short instead: there
+ * and back would take two moves' time. */
+static bool
+redirect_move (struct mt_steward *s, struct mt_keeper_pool *to)
+{
+  GHashTableIter it;
+  struct mt_keeper_machine *m;
+  struct mt_keeper_machine *best = NULL;
+
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
+    if (m->plan == MT_PLAN_MOVE && !m->sent && m->to->standby && m->pool != to
+        && (best == NULL || m->view.tasks < best->view.tasks))
+      best = m;
+  if (best == NULL)
+    return false;
+  best->to->have--;
+  best->to = to;
+  to->have++;
+  return true;
+}
+
 static struct mt_keeper_pool *
 find_standby (const struct mt_steward *s)
 {
@@ -208,7 +233,7 @@
     {
       struct mt_keeper_pool *from;
 
-      if (standby != NULL && plan_move (s, standby, p, now))
+      if (redirect_move (s, p) || (standby != NULL && plan_move (s, standby, p, now)))
         continue;
       from = richest (s);
       if (from == NULL || from == p || !plan_move (s, from, p, now))
@@ -250,7 +275,7 @@
       p->have = count_machines (s, p, now);
   g_hash_table_iter_init (&it, s->pools);
   while (g_hash_table_iter_next (&it, NULL, (void **) &p))
-    if (!p->standby && p->seen && mt_keeper_is_short (p))
+    if (!p->standby && p->seen && p->need > p->have)
       fill_pool (s, standby, p, now);
   if (standby == NULL || now - s->first_listed < SETTLE_MS)
     return;
--- a/tests/work/test_desk.c
+++ b/tests/work/test_desk.c
@@ -326,6 +326,33 @@
   world_destroy (world);
 }
 
+/* A surge shows in the load as soon as its jobs arrive, while there is still room for all of them:
+ * machines that are sent for only when something waits come two seconds later. */
+static void
+test_surge_shows_before_anything_waits (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_desk_load load;
+
+  for (int i = 0; i < 12; i++)
+    world_add_worker (world, "r1");
+  world_run (world, 200);
+  for (int i = 0; i < 8; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("a%d", i);
+
+      world_submit (world, world_job (id, 10, 1000, 1000));
+      world_run (world, 50);
+    }
+  mt_desk_load (world->desk, world->now, &load);
+  assert_int_equal (load.urgent, 0);
+  assert_true (load.arriving_cpu > 80000);
+  world_run (world, 4000);
+  mt_desk_load (world->desk, world->now, &load);
+  assert_true (load.arriving_cpu < 1000);
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -339,6 +366,7 @@
     cmocka_unit_test (test_sick_worker_costs_few_attempts),
     cmocka_unit_test (test_task_that_stands_still_runs_elsewhere),
     cmocka_unit_test (test_room_is_never_overbooked),
+    cmocka_unit_test (test_surge_shows_before_anything_waits),
     cmocka_unit_test (test_late_work_is_not_urgent),
     cmocka_unit_test (test_lasting_tasks_are_moved_one_after_the_other),
     cmocka_unit_test (test_no_lasting_task_is_moved_while_others_are_away),
