--- a/core/work/desk.c
+++ b/core/work/desk.c
@@ -12,9 +12,8 @@
 #define FRESH_MS 1000
 
 const char *const mt_job_state_names[] = {
-  [MT_JOB_QUEUED] = "queued",       [MT_JOB_ACTIVE] = "active",
-  [MT_JOB_COMPLETED] = "completed", [MT_JOB_FAILED] = "failed",
-  [MT_JOB_CANCELLED] = "cancelled", [MT_JOB_UNKNOWN] = "unknown",
+  [MT_JOB_QUEUED] = "queued", [MT_JOB_ACTIVE] = "active",       [MT_JOB_COMPLETED] = "completed",
+  [MT_JOB_FAILED] = "failed", [MT_JOB_CANCELLED] = "cancelled", [MT_JOB_UNKNOWN] = "unknown",
 };
 
 void
--- a/core/work/desk_answers.c
+++ b/core/work/desk_answers.c
@@ -343,8 +343,10 @@
     }
   if (report->born_ms != 0 && w->born != 0 && report->born_ms != w->born)
     {
-      struct mt_worker_entry reborn = { .id = w->id, .born_ms = MAX (report->born_ms, w->born + 1),
-                                        .address = w->address, .zone = w->zone,
+      struct mt_worker_entry reborn = { .id = w->id,
+                                        .born_ms = MAX (report->born_ms, w->born + 1),
+                                        .address = w->address,
+                                        .zone = w->zone,
                                         .room = w->room };
 
       mt_desk_worker_seen (desk, &reborn, now);
@@ -362,7 +364,9 @@
   take_ends (desk, w, report, now);
   take_runs (desk, w, report, sent, now);
   mt_worker_pace (desk, w, now);
-  w->next_hold = w->tasks.length > 0 || w->strays > 0 || w->seen_end > w->durable_end ? now : now + IDLE_HOLD_MS;
+  w->next_hold = w->tasks.length > 0 || w->strays > 0 || w->seen_end > w->durable_end
+                     ? now
+                     : now + IDLE_HOLD_MS;
 }
 
 /* ---- orders ---- */
--- a/core/work/desk_internal.h
+++ b/core/work/desk_internal.h
@@ -7,8 +7,8 @@
 enum mt_task_state
 {
   MT_TASK_WAITING,
-  MT_TASK_PLACED,   /* decided, not yet durable */
-  MT_TASK_ORDERED,  /* durable; its start may be carried out at any moment */
+  MT_TASK_PLACED,  /* decided, not yet durable */
+  MT_TASK_ORDERED, /* durable; its start may be carried out at any moment */
   MT_TASK_RUNNING,
   MT_TASK_STOPPING, /* still occupies room */
   MT_TASK_DONE,
@@ -26,14 +26,14 @@
   uint8_t attempts; /* runs that ended failed */
   uint8_t percent;
   uint8_t pace;
-  bool order_due;     /* a start or stop is to be sent */
-  bool order_sent;    /* and is on its way */
-  bool doubtful;      /* a start got no answer */
-  bool stop_answered; /* the worker knows that the run is to be stopped */
+  bool order_due;      /* a start or stop is to be sent */
+  bool order_sent;     /* and is on its way */
+  bool doubtful;       /* a start got no answer */
+  bool stop_answered;  /* the worker knows that the run is to be stopped */
   bool done_elsewhere; /* an earlier run did it; this one only has to end */
-  bool inherited;     /* started by a predecessor, whom our token keeps from sending more */
+  bool inherited;      /* started by a predecessor, whom our token keeps from sending more */
   uint32_t run;
-  uint32_t stamp; /* the worker's hold that last listed it */
+  uint32_t stamp;   /* the worker's hold that last listed it */
   int64_t since;    /* when it came to its state */
   int64_t answered; /* when the worker last acknowledged an order on it; 0 for never */
   int64_t moved;    /* when its percent last changed */
@@ -72,7 +72,7 @@
   unsigned n_ended;
   enum mt_job_state state;
   enum mt_job_state durable; /* what callers are shown */
-  enum mt_job_state cycle; /* the state that is being written */
+  enum mt_job_state cycle;   /* the state that is being written */
   bool begun;
   bool dirty;    /* to be written in the next cycle */
   bool in_cycle; /* being written */
@@ -88,7 +88,7 @@
   struct mt_route_terms terms;
   unsigned pending; /* jobs not begun */
   bool advice;
-  double mean_ms;  /* of finished tasks; 0 until one has finished */
+  double mean_ms;     /* of finished tasks; 0 until one has finished */
   double estimate_ms; /* mean of what the callers guessed for these */
   double mean_work;
 };
@@ -118,7 +118,7 @@
   int64_t silent_since; /* 0 while it answers */
   int64_t clock_ms;     /* the worker's clock ... */
   int64_t clock_at;     /* ... when we read it */
-  int64_t lapse_by; /* our clock: every lease given has run out by then */
+  int64_t lapse_by;     /* our clock: every lease given has run out by then */
   int64_t cordon_until;
   bool move_lasting;
 
@@ -126,13 +126,13 @@
   int64_t cycle_end;   /* ... as the running cycle began */
   int64_t durable_end; /* ... as it is stored */
 
-  double fails;  /* of late, decayed */
+  double fails; /* of late, decayed */
   double dones;
   double slow; /* run time in multiples of what was expected, smoothed */
   int64_t evidence_at;
   int64_t shun_until;
   unsigned shun_times;
-  unsigned strays; /* runs in its last listing that are nobody's: they take room uncounted */
+  unsigned strays;     /* runs in its last listing that are nobody's: they take room uncounted */
   unsigned order_load; /* orders on their way */
   int64_t pace_at;
   int64_t over_since; /* a serving task's tail is over its target since */
@@ -165,15 +165,15 @@
 struct mt_desk
 {
   struct mt_desk_settings settings;
-  GHashTable *jobs;    /* id to struct mt_job */
-  GHashTable *routes;  /* name to struct mt_route */
-  GHashTable *workers; /* id to struct mt_worker */
-  GHashTable *advices; /* step name to struct mt_advice */
-  GQueue open;         /* jobs not ended, in order of submission */
-  GQueue closed;       /* ended ones, in order of their end */
+  GHashTable *jobs;     /* id to struct mt_job */
+  GHashTable *routes;   /* name to struct mt_route */
+  GHashTable *workers;  /* id to struct mt_worker */
+  GHashTable *advices;  /* step name to struct mt_advice */
+  GQueue open;          /* jobs not ended, in order of submission */
+  GQueue closed;        /* ended ones, in order of their end */
   GPtrArray *graveyard; /* workers that are gone but still pointed to; freed with the desk */
-  GQueue starts;  /* tasks whose start is due */
-  GQueue stops;   /* tasks whose stop is due */
+  GQueue starts;        /* tasks whose start is due */
+  GQueue stops;         /* tasks whose stop is due */
   GQueue paces;
   GQueue strays; /* runs found on workers that are nobody's */
   bool in_cycle;
@@ -198,7 +198,7 @@
     G_GNUC_PRINTF (3, 4);
 
 /* desk.c */
-void mt_ticket_free (void *ticket);
+void mt_ticket_free (void *data);
 void mt_job_mark (struct mt_desk *desk, struct mt_job *job);
 void mt_job_check_end (struct mt_desk *desk, struct mt_job *job, int64_t now);
 void mt_job_end (struct mt_desk *desk, struct mt_job *job, enum mt_job_state state, int64_t now);
--- a/core/work/desk_place.c
+++ b/core/work/desk_place.c
@@ -9,9 +9,11 @@
 #include <math.h>
 #include <stdlib.h>
 
-/* What a job earns does not fall to nothing with its size: this share is for being served at all. */
+/* What a job earns does not fall to nothing with its size: this share is for being served at all.
+ */
 #define BASE_WORTH 0.3
-/* Guesses are often too long: a job counts as timely while this share of what is expected still fits. */
+/* Guesses are often too long: a job counts as timely while this share of what is expected still
+ * fits. */
 #define SURE_SHARE 0.8
 /* Late up to so many times its objective, a job still earns a little. */
 #define LATE_FACTOR 3
@@ -210,8 +212,7 @@
     return false;
   if (w->fails >= 1 && w->fails > w->dones && w->tasks.length >= TRIAL_TASKS)
     return false;
-  if (step->max_per_worker > 0
-      && tasks_of_step (w, task->part, task->step) >= step->max_per_worker)
+  if (step->max_per_worker > 0 && tasks_of_step (w, task->part, task->step) >= step->max_per_worker)
     return false;
   return task->shunned != w || site->takers->len == 1;
 }
@@ -246,8 +247,8 @@
   double load = w->room.cpu > 0 ? (double) w->used.cpu / (double) w->room.cpu : 0;
   double cost = slow > SLOW_FACTOR ? slow : 1;
 
-  if (step->rack != NULL && (w->labels == NULL || !g_strv_contains ((const char *const *) w->labels,
-                                                                     step->rack)))
+  if (step->rack != NULL
+      && (w->labels == NULL || !g_strv_contains ((const char *const *) w->labels, step->rack)))
     cost *= site->desk->settings.remote_factor;
   return cost + 0.3 * load + neighbours_cost (w, step);
 }
@@ -312,8 +313,7 @@
     {
       advice = g_new0 (struct mt_advice, 1);
       advice->step_name = g_strdup (name);
-      advice->tickets
-          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, mt_ticket_free);
+      advice->tickets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, mt_ticket_free);
       g_hash_table_insert (desk->advices, advice->step_name, advice);
     }
   if (!advice->on_way && advice->again_at <= now)
--- a/core/work/desk_record.c
+++ b/core/work/desk_record.c
@@ -46,8 +46,8 @@
         continue;
       g_string_append_printf (out, "%s\"%u.%u\":\"", comma, part->number, s);
       for (unsigned i = 0; i < part->job->spec->steps[s].count; i++)
-        g_string_append_c (
-            out, part->tasks[part->step_first[s] + i].state == MT_TASK_DONE ? 'd' : '.');
+        g_string_append_c (out,
+                           part->tasks[part->step_first[s] + i].state == MT_TASK_DONE ? 'd' : '.');
       g_string_append_c (out, '"');
       comma = ",";
     }
@@ -120,20 +120,18 @@
   json_t *value;
 
   json_object_foreach (done, key, value)
-    {
-      unsigned number = 0, step = 0;
-      const char *marks = json_string_value (value);
-      struct mt_part *part;
-
-      if (marks == NULL || sscanf (key, "%u.%u", &number, &step) != 2
-          || step >= job->spec->n_steps)
-        continue;
-      part = part_of (job, number);
-      for (unsigned i = 0; part != NULL && i < job->spec->steps[step].count && marks[i] != '\0';
-           i++)
-        if (marks[i] == 'd')
-          mt_task_finish (desk, &part->tasks[part->step_first[step] + i], now);
-    }
+  {
+    unsigned number = 0, step = 0;
+    const char *marks = json_string_value (value);
+    struct mt_part *part;
+
+    if (marks == NULL || sscanf (key, "%u.%u", &number, &step) != 2 || step >= job->spec->n_steps)
+      continue;
+    part = part_of (job, number);
+    for (unsigned i = 0; part != NULL && i < job->spec->steps[step].count && marks[i] != '\0'; i++)
+      if (marks[i] == 'd')
+        mt_task_finish (desk, &part->tasks[part->step_first[step] + i], now);
+  }
 }
 
 static void
@@ -167,8 +165,7 @@
   mt_task_place (desk, task, w, now);
   task->state = MT_TASK_ORDERED;
   task->inherited = true;
-  w->lapse_by = MAX (w->lapse_by,
-                     now + desk->settings.max_hold_ms * 1000 / (1000 - MT_CLOCK_SLOW));
+  w->lapse_by = MAX (w->lapse_by, now + desk->settings.max_hold_ms * 1000 / (1000 - MT_CLOCK_SLOW));
 }
 
 static enum mt_job_state
@@ -181,11 +178,8 @@
 }
 
 bool
-mt_desk_restore (struct mt_desk *desk,
-                 const char *id,
-                 const char *record,
-                 int64_t revision,
-                 int64_t now)
+mt_desk_restore (
+    struct mt_desk *desk, const char *id, const char *record, int64_t revision, int64_t now)
 {
   struct mt_job *job = g_hash_table_lookup (desk->jobs, id);
   json_t *root = json_loads (record, 0, NULL);
@@ -207,8 +201,7 @@
         job->route->pending--;
     }
   restore_done (desk, job, json_object_get (root, "d"), now);
-  json_array_foreach (json_object_get (root, "t"), i, row)
-    restore_task (desk, job, row, now);
+  json_array_foreach (json_object_get (root, "t"), i, row) restore_task (desk, job, row, now);
   job->dirty = false;
   if (state == MT_JOB_COMPLETED || state == MT_JOB_FAILED || state == MT_JOB_CANCELLED)
     {
--- a/core/work/desk_watch.c
+++ b/core/work/desk_watch.c
@@ -6,7 +6,7 @@
 #define STOP_AGAIN_MS 300
 /* A task whose progress has not moved for this many of its expected run times stands still; never
  * sooner than the least. Progress is read with each hold, once a second at the slowest. */
-#define STILL_FACTOR 1.0
+#define STILL_FACTOR   1.0
 #define STILL_LEAST_MS 2200
 /* A lasting task that is not at work after so long is started elsewhere. */
 #define LASTING_START_MS 6000
@@ -31,9 +31,10 @@
     }
   if (task->pace < 100 || now - task->moved < bound || w->heard <= task->moved)
     return;
-  mt_desk_tell (desk, "TASK_STILL", "id=%s step=%u index=%u run=%u worker=%s percent=%u for_ms=%"
-                G_GINT64_FORMAT, task->part->job->spec->id, task->step, task->index, task->run,
-                w->id, task->percent, now - task->moved);
+  mt_desk_tell (desk, "TASK_STILL",
+                "id=%s step=%u index=%u run=%u worker=%s percent=%u for_ms=%" G_GINT64_FORMAT,
+                task->part->job->spec->id, task->step, task->index, task->run, w->id, task->percent,
+                now - task->moved);
   mt_worker_evidence (desk, w, false, now);
   task->shunned = w;
   mt_task_stop (desk, task, now);
--- a/core/work/desk_workers.c
+++ b/core/work/desk_workers.c
@@ -6,9 +6,9 @@
 /* Evidence on a worker halves in this time. */
 #define EVIDENCE_HALF_MS 6000.0
 /* So many failures, with fewer ends well than that, are the worker's and not the tasks'. */
-#define SICK_FAILS 2.0
+#define SICK_FAILS    2.0
 #define SHUN_FIRST_MS 1500
-#define SHUN_MOST_MS 12000
+#define SHUN_MOST_MS  12000
 
 struct mt_worker *
 mt_desk_worker (struct mt_desk *desk, const char *id)
@@ -175,9 +175,8 @@
     return;
   w->shun_until = now + MIN (SHUN_FIRST_MS << MIN (w->shun_times, 3U), SHUN_MOST_MS);
   w->shun_times++;
-  mt_desk_tell (desk, "WORKER_SHUNNED",
-                "worker=%s fails=%.1f dones=%.1f for_ms=%" G_GINT64_FORMAT, w->id, w->fails,
-                w->dones, w->shun_until - now);
+  mt_desk_tell (desk, "WORKER_SHUNNED", "worker=%s fails=%.1f dones=%.1f for_ms=%" G_GINT64_FORMAT,
+                w->id, w->fails, w->dones, w->shun_until - now);
 }
 
 /* ---- leases ---- */
--- a/core/work/job_spec.c
+++ b/core/work/job_spec.c
@@ -46,7 +46,7 @@
 int64_t
 mt_job_spec_chain_ms (const struct mt_job_spec *spec, double scale)
 {
-  g_autofree double *ends = g_new0 (double, spec->n_steps + 1);
+  double *ends = g_new0 (double, spec->n_steps + 1);
   double longest = 0;
 
   /* "after" names earlier steps only, so one pass in order is enough. */
@@ -59,5 +59,6 @@
       ends[i] += scale * (double) step->estimate_ms;
       longest = MAX (longest, ends[i]);
     }
+  g_free (ends);
   return (int64_t) longest;
 }
--- a/core/work/steward.c
+++ b/core/work/steward.c
@@ -227,12 +227,8 @@
 /* ---- waves ---- */
 
 void
-mt_steward_wave (struct mt_steward *s,
-                 int64_t number,
-                 char **machines,
-                 char **done,
-                 unsigned cap,
-                 int64_t due)
+mt_steward_wave (
+    struct mt_steward *s, int64_t number, char **machines, char **done, unsigned cap, int64_t due)
 {
   struct mt_keeper_wave *w = g_hash_table_lookup (s->waves, &number);
 
--- a/core/work/steward_moves.c
+++ b/core/work/steward_moves.c
@@ -1,7 +1,8 @@
-/* Which machines change their pool. Each pool in turn surges to more than it holds for some seconds,
- * and is nearly idle in between; a machine's move takes as long as a third of a surge. So the pool
- * that lacks room takes machines at the first sign, from the standby pool and from whatever pool has
- * more than it needs, and what nobody needs goes to the standby pool, where it costs nothing.
+/* Which machines change their pool. Each pool in turn surges to more than it holds for some
+ * seconds, and is nearly idle in between; a machine's move takes as long as a third of a surge. So
+ * the pool that lacks room takes machines at the first sign, from the standby pool and from
+ * whatever pool has more than it needs, and what nobody needs goes to the standby pool, where it
+ * costs nothing.
  *
  * A pool in its trough keeps a share of what its last surge needed: the next one begins without
  * notice, and until machines arrive, what it has must carry it. */
@@ -24,13 +25,13 @@
 #define BASE_SHARE 0.7
 /* The memory of a surge halves in this time. */
 #define PEAK_HALF_MS 60000.0
-/* Machines are given up only after they were not needed for so long: a move and the way back cost as
- * much as a machine costs in 2.3 s. */
+/* Machines are given up only after they were not needed for so long: a move and the way back cost
+ * as much as a machine costs in 2.3 s. */
 #define CALM_MS 1200
 /* A pool's need counts at its highest of so long: arrivals come in bunches. */
 #define HOLD_MS 1500
-/* After it begins, a steward gives no machine to the standby pool for so long: not all are up yet, and
- * none of the pools' surges is known. */
+/* After it begins, a steward gives no machine to the standby pool for so long: not all are up yet,
+ * and none of the pools' surges is known. */
 #define SETTLE_MS 5000
 /* Ordered moves are expected to have arrived after this much more than they should take. */
 #define LATE_MS 4000
@@ -166,8 +167,8 @@
   return true;
 }
 
-/* A machine that is being emptied for the standby pool goes to the pool that is short instead: there
- * and back would take two moves' time. */
+/* A machine that is being emptied for the standby pool goes to the pool that is short instead:
+ * there and back would take two moves' time. */
 static bool
 redirect_move (struct mt_steward *s, struct mt_keeper_pool *to)
 {
--- a/core/work/steward_waves.c
+++ b/core/work/steward_waves.c
@@ -63,8 +63,8 @@
          + (mt_keeper_is_short (m->pool) ? SHORT_COST : 0);
 }
 
-/* Lasting tasks take seconds to move, one after the other: their machines are begun with while there
- * is time, in a trough like the others. */
+/* Lasting tasks take seconds to move, one after the other: their machines are begun with while
+ * there is time, in a trough like the others. */
 static bool
 is_quiet (const struct mt_keeper_machine *m)
 {
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -170,7 +170,7 @@
     printf ("%s: the settings are valid\n", arguments.settings);
   else if (settings.fleet != NULL)
     code = run_fleet (settings.fleet, arguments.settings);
-  else
+  else if (settings.requests != NULL)
     code = run (settings.requests);
   mt_settings_destroy (settings.requests);
   mt_fleet_settings_destroy (settings.fleet);
--- a/fleet/care.c
+++ b/fleet/care.c
@@ -14,13 +14,13 @@
 /* Pools are asked this often; it is how late a machine found empty is ordered. */
 #define TICK_MS 150
 /* The list of machines: this often while something is under way, else seldom. */
-#define LIST_MS      500
-#define LIST_IDLE_MS 4000
+#define LIST_MS       500
+#define LIST_IDLE_MS  4000
 #define WAVES_WAIT_MS 2500
 #define REPORT_MS     400
 #define TXN_MS        800
 /* A cordon that is not renewed ends: its steward may be gone. */
-#define CORDON_MS 1200
+#define CORDON_MS       1200
 #define PROGRESS_PREFIX "medlartrack/wave/"
 #define HOMES_KEY       "medlartrack/homes"
 
@@ -34,9 +34,10 @@
   bool active_written;
   bool completed_written;
   bool writing;
-  guint stored;      /* machines in the stored progress */
+  guint stored; /* machines in the stored progress */
 };
 
+/* Counted: the owner's reference, and one for each call under way. */
 struct mt_care
 {
   struct event_base *base;
@@ -47,7 +48,6 @@
   struct mt_timer *tick;
   GHashTable *waves; /* key to struct wave */
   GPtrArray *pools;  /* names, standby ones left out */
-  unsigned refs;
   bool destroyed;
   bool listing;
   int64_t list_asked;
@@ -60,8 +60,7 @@
 static struct mt_care *
 ref (struct mt_care *c)
 {
-  c->refs++;
-  return c;
+  return g_rc_box_acquire (c);
 }
 
 static void
@@ -75,17 +74,22 @@
 }
 
 static void
-unref (struct mt_care *c)
+clear_care (void *data)
 {
-  if (--c->refs > 0)
-    return;
+  struct mt_care *c = data;
+
   mt_steward_destroy (c->steward);
   mt_timer_destroy (c->tick);
   g_hash_table_unref (c->waves);
   g_ptr_array_unref (c->pools);
   g_strfreev (c->homes_sent);
   g_free (c->duty_key);
-  g_free (c);
+}
+
+static void
+unref (struct mt_care *c)
+{
+  g_rc_box_release_full (c, clear_care);
 }
 
 /* ---- waves ---- */
@@ -246,8 +250,8 @@
   g_auto (GStrv) done = mt_steward_wave_progress (c->steward, w->number);
   guint n = g_strv_length (done);
   g_autofree char *at = progress_key (w);
-  g_autofree char *status_at = g_strdup_printf (
-      "%s%" G_GINT64_FORMAT, c->options.words->wave_status_prefix, w->number);
+  g_autofree char *status_at
+      = g_strdup_printf ("%s%" G_GINT64_FORMAT, c->options.words->wave_status_prefix, w->number);
   g_autofree char *status = c->options.words->ops->wave_status (completed);
   char *progress;
   struct mt_kv_expect expect = { c->duty_key, c->options.token };
@@ -297,7 +301,7 @@
 on_machines (void *data, const struct mt_machine *machines, size_t n)
 {
   struct mt_care *c = data;
-  g_autofree struct mt_steward_machine *rows = g_new0 (struct mt_steward_machine, n + 1);
+  struct mt_steward_machine *rows = g_new0 (struct mt_steward_machine, n + 1);
 
   c->listing = false;
   if (!c->destroyed && machines != NULL)
@@ -311,11 +315,11 @@
                                                              ? machines[i].worker
                                                              : NULL,
                                                .up = machines[i].state == MT_MACHINE_UP,
-                                               .in_upkeep = machines[i].state
-                                                            == MT_MACHINE_UPKEEP,
+                                               .in_upkeep = machines[i].state == MT_MACHINE_UPKEEP,
                                                .room = machines[i].room };
       mt_steward_machines (c->steward, rows, n, c->list_asked, mt_loop_now ());
     }
+  g_free (rows);
   unref (c);
 }
 
@@ -387,9 +391,8 @@
     }
   else if (holder != NULL)
     {
-      struct mt_mesh_args args = { 3,
-                                   { mt_str_from (name), mt_str_from (cordon_text),
-                                     mt_str_from (ended_text) } };
+      struct mt_mesh_args args
+          = { 3, { mt_str_from (name), mt_str_from (cordon_text), mt_str_from (ended_text) } };
       struct report_call *call = g_new0 (struct report_call, 1);
 
       call->care = ref (c);
@@ -450,7 +453,8 @@
                          call->machine, call->what, answers[answer].text);
       mt_steward_answered (c->steward, call->machine, answers[answer].means, mt_loop_now ());
       if (answer == MT_MACHINE_FENCED)
-        mt_cluster_give_up (c->options.cluster, c->options.duty, "a higher token ordered a machine");
+        mt_cluster_give_up (c->options.cluster, c->options.duty,
+                            "a higher token ordered a machine");
     }
   unref (c);
   g_free (call->machine);
@@ -473,8 +477,8 @@
                    order->worker != NULL ? order->worker : "-", order->pool,
                    upkeep ? "-" : order->to, order->wave);
   if (upkeep)
-    machines->ops->upkeep (machines->ctx, order->machine, order->wave, c->options.token,
-                           on_ordered, call);
+    machines->ops->upkeep (machines->ctx, order->machine, order->wave, c->options.token, on_ordered,
+                           call);
   else
     machines->ops->move (machines->ctx, order->machine, order->to, c->options.token, on_ordered,
                          call);
@@ -501,15 +505,14 @@
   c->homes_busy = false;
   if (!c->destroyed && (reply->status == MT_KV_OK || reply->status == MT_KV_MISSING))
     {
-      json_t *root = reply->n_items > 0 && reply->status == MT_KV_OK
-                         ? json_loadb (reply->items[0].value.data, reply->items[0].value.len, 0,
-                                       NULL)
-                         : NULL;
+      json_t *root
+          = reply->n_items > 0 && reply->status == MT_KV_OK
+                ? json_loadb (reply->items[0].value.data, reply->items[0].value.len, 0, NULL)
+                : NULL;
       const char *machine;
       json_t *pool;
 
-      json_object_foreach (root, machine, pool)
-        if (json_is_string (pool))
+      json_object_foreach (root, machine, pool) if (json_is_string (pool))
           mt_steward_home (c->steward, machine, json_string_value (pool));
       json_decref (root);
       c->homes_known = true;
@@ -604,18 +607,15 @@
 struct mt_care *
 mt_care_create (struct event_base *base, const struct mt_care_options *options)
 {
-  struct mt_care *c = g_new0 (struct mt_care, 1);
-  struct mt_steward_settings settings = { .move_ms = options->move_ms,
-                                          .upkeep_ms = options->upkeep_ms,
-                                          .moves = true };
-  struct mt_watcher_options watch = { .prefix = options->words->waves_prefix,
-                                      .wait_ms = WAVES_WAIT_MS,
-                                      .on_item = on_wave,
-                                      .ctx = c };
+  struct mt_care *c = g_rc_box_new0 (struct mt_care);
+  struct mt_steward_settings settings
+      = { .move_ms = options->move_ms, .upkeep_ms = options->upkeep_ms, .moves = true };
+  struct mt_watcher_options watch = {
+    .prefix = options->words->waves_prefix, .wait_ms = WAVES_WAIT_MS, .on_item = on_wave, .ctx = c
+  };
 
   c->base = base;
   c->options = *options;
-  c->refs = 1;
   c->duty_key = mt_cluster_duty_key (options->duty);
   c->steward = mt_steward_create (&settings);
   c->waves = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_wave);
--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -11,8 +11,8 @@
 
 /* A daemon that dies is replaced after this; renewed three times within it, so that one lost call
  * or a short stall costs nothing. */
-#define LEASE_MS 1500
-#define RENEW_MS 450
+#define LEASE_MS         1500
+#define RENEW_MS         450
 #define RENEW_TIMEOUT_MS 400
 /* The lease counts as over this much before it can be, for clocks that run apart. */
 #define SURE_MARGIN_MS 150
@@ -27,9 +27,9 @@
 struct duty
 {
   char *name;
-  int64_t token;     /* ours; 0 */
-  int64_t revision;  /* of the key as last seen; 0: free */
-  char *holder;      /* its address */
+  int64_t token;    /* ours; 0 */
+  int64_t revision; /* of the key as last seen; 0: free */
+  char *holder;     /* its address */
   int64_t free_since;
   bool trying;
   bool wanted;
--- a/fleet/cluster.h
+++ b/fleet/cluster.h
@@ -25,14 +25,15 @@
 void mt_cluster_destroy (struct mt_cluster *cluster);
 
 /* The duties that there are; those that are no longer named are given back. */
-void mt_cluster_set_duties (struct mt_cluster *cluster, const char *const *duties);
+void mt_cluster_set_duties (struct mt_cluster *cluster, const char *const *names);
 /* Address of who has it; NULL where nobody is known to. */
 const char *mt_cluster_holder (const struct mt_cluster *cluster, const char *duty);
 /* 0 where this daemon does not have it. */
 int64_t mt_cluster_token (const struct mt_cluster *cluster, const char *duty);
 /* The duty's key, for the condition of a write. */
 char *mt_cluster_duty_key (const char *duty);
-/* This daemon's lease has not run out by its own clock, counted from when its last renewal was sent. */
+/* This daemon's lease has not run out by its own clock, counted from when its last renewal was
+ * sent. */
 bool mt_cluster_is_sure (const struct mt_cluster *cluster);
 /* Somebody else was seen to have it, or the key is gone. */
 void mt_cluster_give_up (struct mt_cluster *cluster, const char *duty, const char *why);
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -1,5 +1,6 @@
 #include "fleet.h"
 
+#include "adapter.h"
 #include "care.h"
 #include "cluster.h"
 #include "gate.h"
@@ -9,10 +10,9 @@
 #include "loop.h"
 #include "mesh.h"
 #include "metrics.h"
-#include "adapter.h"
 #include "pool.h"
-#include "roster.h"
 #include "relay.h"
+#include "roster.h"
 #include "watcher.h"
 
 #include <event2/event.h>
@@ -60,7 +60,7 @@
   struct mt_roster *registry;
   struct mt_watcher *config_watch;
   struct mt_fleet_config *config;
-  GHashTable *pools; /* name to struct mt_pool, those led here */
+  GHashTable *pools;    /* name to struct mt_pool, those led here */
   struct mt_care *care; /* NULL unless this daemon has the fleet's duty */
   struct mt_timer *housekeeping;
   struct event *signals[4];
@@ -159,10 +159,10 @@
 {
   struct mt_fleet *f = ctx;
   struct mt_roster_options registry = { .kv = mt_adapter_kv (f->platform),
-                                          .words = &f->words,
-                                          .seen = on_worker,
-                                          .gone = on_worker_gone,
-                                          .ctx = f };
+                                        .words = &f->words,
+                                        .seen = on_worker,
+                                        .gone = on_worker_gone,
+                                        .ctx = f };
   struct mt_pool_options options = { .name = duty,
                                      .token = token,
                                      .kv = registry.kv,
@@ -383,8 +383,7 @@
                          "pool=%s jobs=%u waiting=%u urgent=%u running=%u workers=%u silent=%u "
                          "used_cpu=%" G_GINT64_FORMAT " room_cpu=%" G_GINT64_FORMAT,
                          name, load.jobs, load.waiting, load.urgent, load.running, load.workers,
-                         load.silent,
-                         load.used_cpu, load.room_cpu);
+                         load.silent, load.used_cpu, load.room_cpu);
     }
 }
 
@@ -413,10 +412,8 @@
   mt_metrics_set (f->metrics, MT_GAUGE_TASKS_RUNNING, sum.running);
   mt_metrics_set (f->metrics, MT_GAUGE_WORKERS, sum.workers);
   mt_metrics_set (f->metrics, MT_GAUGE_WORKERS_SILENT, sum.silent);
-  mt_metrics_set (f->metrics, MT_GAUGE_STORE_CALLS,
-                  (int64_t) mt_adapter_store_calls (f->platform));
-  mt_metrics_set (f->metrics, MT_GAUGE_CONNECTIONS_OPENED,
-                  (int64_t) mt_calls_opened (f->calls));
+  mt_metrics_set (f->metrics, MT_GAUGE_STORE_CALLS, (int64_t) mt_adapter_store_calls (f->platform));
+  mt_metrics_set (f->metrics, MT_GAUGE_CONNECTIONS_OPENED, (int64_t) mt_calls_opened (f->calls));
 }
 
 static void
@@ -541,11 +538,11 @@
 make_front (struct mt_fleet *f, const char *address, mt_http_front_handler handle, GError **error)
 {
   struct mt_http_front_options options = { .address = address,
-                                      .connections = f->settings->connections,
-                                      .idle_s = f->settings->idle_s,
-                                      .body_bytes = f->settings->body_bytes,
-                                      .handle = handle,
-                                      .ctx = f };
+                                           .connections = f->settings->connections,
+                                           .idle_s = f->settings->idle_s,
+                                           .body_bytes = f->settings->body_bytes,
+                                           .handle = handle,
+                                           .ctx = f };
 
   return mt_http_front_create (f->base, &options, error);
 }
@@ -593,9 +590,9 @@
   struct mt_fleet *f = g_new0 (struct mt_fleet, 1);
   g_autofree char *peer = g_strdup_printf ("%s:%u", s->ip.data, s->peer_port);
   struct mt_adapter_settings platform = { .daemon = s->name.data,
-                                           .store = s->store.data,
-                                           .machines = s->machines.data,
-                                           .advisor = s->advisor.data };
+                                          .store = s->store.data,
+                                          .machines = s->machines.data,
+                                          .advisor = s->advisor.data };
   struct mt_watcher_options config = { .wait_ms = CONFIG_WAIT_MS, .on_item = on_config, .ctx = f };
 
   f->settings = s;
--- a/fleet/gate.c
+++ b/fleet/gate.c
@@ -14,7 +14,7 @@
 /* A store that refuses is asked again after this: the refusal says that nothing was done. */
 #define AGAIN_MS 80
 /* Submissions of one transaction: an expectation and a put each. */
-#define PER_TXN 15
+#define PER_TXN        15
 #define TXNS_AT_A_TIME 2U
 /* The pool's leader answers from memory; if it doesn't, the store knows. */
 #define LEADER_MS 350
@@ -98,8 +98,7 @@
   struct mt_pool *local = gate->options.local (gate->options.ctx, s->pool);
   struct mt_str value = { s->value, s->value_len };
   const char *holder = mt_cluster_holder (gate->options.cluster, s->pool);
-  struct mt_mesh_args args
-      = { 3, { mt_str_from (s->pool), mt_str_from (s->key), value } };
+  struct mt_mesh_args args = { 3, { mt_str_from (s->pool), mt_str_from (s->key), value } };
 
   if (local != NULL)
     mt_pool_submitted (local, s->key, value, true);
@@ -263,10 +262,9 @@
   struct txn *t = ctx;
   struct mt_kv_expect expects[PER_TXN];
   struct mt_kv_put puts[PER_TXN];
-  struct mt_kv_txn txn = { .expects = expects,
-                           .n_expects = t->submits->len,
-                           .puts = puts,
-                           .n_puts = t->submits->len };
+  struct mt_kv_txn txn = {
+    .expects = expects, .n_expects = t->submits->len, .puts = puts, .n_puts = t->submits->len
+  };
 
   for (guint i = 0; i < t->submits->len; i++)
     {
@@ -341,7 +339,7 @@
   struct mt_gate *gate;
   struct mt_exchange *exchange;
   char *pool;
-  char *id;    /* of the job; NULL where the queue is asked for */
+  char *id; /* of the job; NULL where the queue is asked for */
   char *route;
   int64_t began;
 };
@@ -552,8 +550,8 @@
   mt_metrics_count (gate->options.metrics, MT_COUNT_ASKED);
   if (local != NULL)
     {
-      g_autofree char *body = gate->options.words->ops->pending (
-          mt_desk_pending (mt_pool_desk (local), route->name));
+      g_autofree char *body
+          = gate->options.words->ops->pending (mt_desk_pending (mt_pool_desk (local), route->name));
 
       answer (exchange, 200, body, 0);
       free_question (q);
@@ -652,7 +650,8 @@
   size_t len = header != NULL ? strcspn (header, ":") : 0;
 
   return host == NULL
-         || (header != NULL && strlen (host) == len && g_ascii_strncasecmp (header, host, len) == 0);
+         || (header != NULL && strlen (host) == len
+             && g_ascii_strncasecmp (header, host, len) == 0);
 }
 
 static const struct mt_fleet_route *
@@ -701,13 +700,11 @@
     answer (exchange, 404, NULL, 0);
   else if (strcmp (method, "GET") == 0 && rest[0] == '\0')
     ask_pending (gate, exchange, route);
-  else if (rest[0] == '\0')
-    answer (exchange, 405, NULL, 0);
-  else if (strcmp (method, "POST") == 0)
+  else if (strcmp (method, "POST") == 0 && rest[0] != '\0')
     submit (gate, exchange, route, rest);
   else if (strcmp (method, "GET") == 0)
     ask_state (gate, exchange, route, rest);
-  else if (strcmp (method, "DELETE") == 0)
+  else if (strcmp (method, "DELETE") == 0 && rest[0] != '\0')
     cancel (gate, exchange, route, rest);
   else
     answer (exchange, 405, NULL, 0);
--- a/fleet/gate.h
+++ b/fleet/gate.h
@@ -1,6 +1,6 @@
-/* Callers' requests: jobs submitted, asked for, cancelled and counted. A submission is answered once
- * the store has it; questions go to whoever leads the pool, or to the store where nobody does. On
- * the loop's one thread. */
+/* Callers' requests: jobs submitted, asked for, cancelled and counted. A submission is answered
+ * once the store has it; questions go to whoever leads the pool, or to the store where nobody does.
+ * On the loop's one thread. */
 #ifndef MT_FLEET_GATE_H
 #define MT_FLEET_GATE_H
 
--- a/fleet/metrics.c
+++ b/fleet/metrics.c
@@ -12,7 +12,8 @@
   [MT_COUNT_UNSETTLED] = { "jobs_unsettled_total", "Submissions without a known outcome." },
   [MT_COUNT_CANCELS] = { "cancels_total", "Cancellings stored." },
   [MT_COUNT_ASKED] = { "questions_total", "Questions about jobs and queues." },
-  [MT_COUNT_ASKED_LEADER] = { "questions_leader_total", "Questions answered by the pool's leader." },
+  [MT_COUNT_ASKED_LEADER]
+  = { "questions_leader_total", "Questions answered by the pool's leader." },
   [MT_COUNT_ASKED_STORE] = { "questions_store_total", "Questions that needed the store." },
   [MT_COUNT_UNANSWERED] = { "questions_unanswered_total", "Questions without an answer in time." },
   [MT_COUNT_DUTIES_LOST] = { "duties_lost_total", "Duties lost." },
@@ -100,10 +101,9 @@
   for (size_t i = 0; i < BUCKETS; i++)
     {
       sum += m->buckets[which][i];
-      g_string_append_printf (out,
-                              "medlartrack_%s_bucket{le=\"%" G_GINT64_FORMAT
-                              "\"} %" G_GUINT64_FORMAT "\n",
-                              name, bounds[i], sum);
+      g_string_append_printf (
+          out, "medlartrack_%s_bucket{le=\"%" G_GINT64_FORMAT "\"} %" G_GUINT64_FORMAT "\n", name,
+          bounds[i], sum);
     }
   sum += m->buckets[which][BUCKETS];
   g_string_append_printf (out,
--- a/fleet/pool.c
+++ b/fleet/pool.c
@@ -22,8 +22,9 @@
 #define QUEUE_WAIT_MS  2000
 #define QUEUE_PAUSE_MS 700
 #define RANGE_AGAIN_MS 100
-#define FORGET_JOBS 10U
+#define FORGET_JOBS    10U
 
+/* Counted: the owner's reference, and one for each call under way. */
 struct mt_pool
 {
   struct event_base *base;
@@ -34,7 +35,6 @@
   struct mt_watcher *queue;
   struct mt_timer *tick;
   GHashTable *early_cancels; /* ids cancelled before their job was known */
-  unsigned refs;             /* the owner's, and one a call under way */
   bool destroyed;
   bool queue_listed;
   bool loaded;
@@ -59,15 +59,14 @@
 static struct mt_pool *
 ref (struct mt_pool *pool)
 {
-  pool->refs++;
-  return pool;
+  return g_rc_box_acquire (pool);
 }
 
 static void
-unref (struct mt_pool *pool)
+clear_pool (void *data)
 {
-  if (--pool->refs > 0)
-    return;
+  struct mt_pool *pool = data;
+
   mt_desk_destroy (pool->desk);
   g_hash_table_unref (pool->early_cancels);
   mt_timer_destroy (pool->tick);
@@ -75,7 +74,12 @@
   g_free (pool->load_after);
   g_free (pool->duty_key);
   g_free (pool->name);
-  g_free (pool);
+}
+
+static void
+unref (struct mt_pool *pool)
+{
+  g_rc_box_release_full (pool, clear_pool);
 }
 
 static void
@@ -240,7 +244,7 @@
 {
   struct sent *s = g_new0 (struct sent, 1);
 
-  *s = (struct sent){ ref (pool),  order->kind, g_strdup (order->worker), g_strdup (order->task),
+  *s = (struct sent){ ref (pool), order->kind, g_strdup (order->worker), g_strdup (order->task),
                       order->run, now };
   return s;
 }
@@ -451,9 +455,8 @@
                          item->key);
     }
   g_free (pool->load_after);
-  pool->load_after = reply->more && reply->n_items > 0
-                         ? g_strdup (reply->items[reply->n_items - 1].key)
-                         : NULL;
+  pool->load_after
+      = reply->more && reply->n_items > 0 ? g_strdup (reply->items[reply->n_items - 1].key) : NULL;
   if (pool->load_after != NULL)
     load_page (pool);
   else
@@ -548,7 +551,7 @@
 struct mt_pool *
 mt_pool_create (struct event_base *base, const struct mt_pool_options *options)
 {
-  struct mt_pool *pool = g_new0 (struct mt_pool, 1);
+  struct mt_pool *pool = g_rc_box_new0 (struct mt_pool);
   g_autofree char *prefix = mt_pool_queue_prefix (options->name);
   struct mt_watcher_options watch = { .prefix = prefix,
                                       .wait_ms = QUEUE_WAIT_MS,
@@ -562,7 +565,6 @@
   pool->name = g_strdup (options->name);
   pool->options.name = pool->options.desk.name = pool->name;
   pool->duty_key = mt_cluster_duty_key (options->name);
-  pool->refs = 1;
   pool->desk = mt_desk_create (&pool->options.desk);
   mt_desk_on_told (pool->desk, on_told, pool);
   pool->early_cancels = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/fleet/pool_keys.c
+++ b/fleet/pool_keys.c
@@ -80,8 +80,7 @@
 {
   const char *end = value.data + value.len;
   const char *first = value.len > 0 ? memchr (value.data, '\n', value.len) : NULL;
-  const char *second
-      = first != NULL ? memchr (first + 1, '\n', (size_t) (end - first - 1)) : NULL;
+  const char *second = first != NULL ? memchr (first + 1, '\n', (size_t) (end - first - 1)) : NULL;
 
   if (second == NULL)
     return false;
--- a/fleet/pool_keys.h
+++ b/fleet/pool_keys.h
@@ -20,9 +20,7 @@
 /* A stored submission: its route, when it was accepted (Unix time), and the body as it came. */
 char *mt_pool_value (const char *route, int64_t accepted_ms, struct mt_str body, size_t *len);
 /* body borrows from value. */
-bool mt_pool_read_value (struct mt_str value,
-                         char **route,
-                         int64_t *accepted_ms,
-                         struct mt_str *body);
+bool
+mt_pool_read_value (struct mt_str value, char **route, int64_t *accepted_ms, struct mt_str *body);
 
 #endif
--- a/fleet/ports.h
+++ b/fleet/ports.h
@@ -21,11 +21,11 @@
 enum mt_kv_status
 {
   MT_KV_OK,
-  MT_KV_MISSING,  /* no such key, or no such lease */
-  MT_KV_CONFLICT, /* an expectation did not hold: nothing was done */
+  MT_KV_MISSING,   /* no such key, or no such lease */
+  MT_KV_CONFLICT,  /* an expectation did not hold: nothing was done */
   MT_KV_FORGOTTEN, /* that much history is no longer there: list again */
-  MT_KV_REFUSED,  /* nothing was done */
-  MT_KV_UNKNOWN,  /* no answer: it may have been done, or be done yet */
+  MT_KV_REFUSED,   /* nothing was done */
+  MT_KV_UNKNOWN,   /* no answer: it may have been done, or be done yet */
 };
 
 struct mt_kv_reply
@@ -75,10 +75,14 @@
   void (*get) (void *ctx, const char *key, int64_t timeout_ms, mt_kv_done done, void *data);
   /* after: the last key of the page before; NULL for the first. */
   void (*range) (void *ctx, const char *prefix, const char *after, mt_kv_done done, void *data);
-  void (*watch) (void *ctx, const char *prefix, int64_t after_revision, int64_t wait_ms,
-                 mt_kv_done done, void *data);
-  void (*txn) (void *ctx, const struct mt_kv_txn *txn, int64_t timeout_ms, mt_kv_done done,
-               void *data);
+  void (*watch) (void *ctx,
+                 const char *prefix,
+                 int64_t after_revision,
+                 int64_t wait_ms,
+                 mt_kv_done done,
+                 void *data);
+  void (*txn) (
+      void *ctx, const struct mt_kv_txn *txn, int64_t timeout_ms, mt_kv_done done, void *data);
   void (*grant) (void *ctx, int64_t ttl_ms, mt_kv_done done, void *data);
   void (*keep) (void *ctx, int64_t lease, int64_t timeout_ms, mt_kv_done done, void *data);
   void (*end) (void *ctx, int64_t lease, mt_kv_done done, void *data);
@@ -101,11 +105,11 @@
 {
   const char *name;
   const char *description;
-  void (*hold) (void *ctx, const struct mt_order *order, int64_t token, mt_hold_done done,
-                void *data);
+  void (*hold) (
+      void *ctx, const struct mt_order *order, int64_t token, mt_hold_done done, void *data);
   /* START, STOP and PACE. */
-  void (*order) (void *ctx, const struct mt_order *order, int64_t token, mt_order_done done,
-                 void *data);
+  void (*order) (
+      void *ctx, const struct mt_order *order, int64_t token, mt_order_done done, void *data);
   void (*advise) (void *ctx, const struct mt_order *order, mt_advice_done done, void *data);
 };
 
@@ -142,8 +146,8 @@
 enum mt_machine_answer
 {
   MT_MACHINE_DONE,
-  MT_MACHINE_FENCED, /* a higher token has given orders for it */
-  MT_MACHINE_BUSY,   /* not up, or leaving */
+  MT_MACHINE_FENCED,  /* a higher token has given orders for it */
+  MT_MACHINE_BUSY,    /* not up, or leaving */
   MT_MACHINE_REFUSED, /* it can't be, not now or never */
   MT_MACHINE_UNKNOWN, /* no answer: it may have been done */
 };
@@ -155,10 +159,18 @@
   const char *name;
   const char *description;
   void (*list) (void *ctx, mt_machines_done done, void *data);
-  void (*move) (void *ctx, const char *machine, const char *pool, int64_t token,
-                mt_machine_done done, void *data);
-  void (*upkeep) (void *ctx, const char *machine, int64_t wave, int64_t token,
-                  mt_machine_done done, void *data);
+  void (*move) (void *ctx,
+                const char *machine,
+                const char *pool,
+                int64_t token,
+                mt_machine_done done,
+                void *data);
+  void (*upkeep) (void *ctx,
+                  const char *machine,
+                  int64_t wave,
+                  int64_t token,
+                  mt_machine_done done,
+                  void *data);
 };
 
 struct mt_machines
@@ -215,7 +227,9 @@
   const char *description;
   /* NULL with an error that names the place. */
   struct mt_fleet_config *(*config) (struct mt_str text, GError **error);
-  struct mt_job_spec *(*job) (const char *id, const char *route, struct mt_str text,
+  struct mt_job_spec *(*job) (const char *id,
+                              const char *route,
+                              struct mt_str text,
                               GError **error);
   /* False where it names no worker to use. */
   bool (*worker) (const char *key, struct mt_str text, struct mt_registry_entry *out);
--- a/fleet/relay.c
+++ b/fleet/relay.c
@@ -15,7 +15,7 @@
   struct mt_adapter *platform;
   struct mt_mesh *mesh;
   struct mt_cluster *cluster;
-  char *neighbour; /* the one that helped last */
+  char *neighbour;     /* the one that helped last */
   GHashTable *useless; /* address to when it may be asked again */
 };
 
--- a/fleet/relay.h
+++ b/fleet/relay.h
@@ -3,20 +3,18 @@
 #ifndef MT_FLEET_RELAY_H
 #define MT_FLEET_RELAY_H
 
+#include "adapter.h"
 #include "cluster.h"
 #include "mesh.h"
-#include "adapter.h"
 
 struct mt_relay;
 
 /* Sets itself as the platform's relay. */
-struct mt_relay *mt_relay_create (struct mt_adapter *platform,
-                                  struct mt_mesh *mesh,
-                                  struct mt_cluster *cluster);
+struct mt_relay *
+mt_relay_create (struct mt_adapter *platform, struct mt_mesh *mesh, struct mt_cluster *cluster);
 void mt_relay_destroy (struct mt_relay *relay);
 /* A neighbour's call. */
-void mt_relay_serve (struct mt_relay *relay,
-                     struct mt_mesh_call *call,
-                     const struct mt_mesh_args *args);
+void
+mt_relay_serve (struct mt_relay *relay, struct mt_mesh_call *call, const struct mt_mesh_args *args);
 
 #endif
--- a/fleet/roster.c
+++ b/fleet/roster.c
@@ -4,10 +4,11 @@
 
 #include <string.h>
 
-/* Workers that leave must get no new work within two seconds: a silent watch is noticed after this. */
+/* Workers that leave must get no new work within two seconds: a silent watch is noticed after this.
+ */
 #define WATCH_MS 1200
-/* Workers write every second and a half, and each write is an event: gathered for so long, 50 workers
- * cost 5 calls a second in place of 33. */
+/* Workers write every second and a half, and each write is an event: gathered for so long, 50
+ * workers cost 5 calls a second in place of 33. */
 #define PAUSE_MS 200
 
 struct listed
--- a/fleet/roster.h
+++ b/fleet/roster.h
@@ -18,7 +18,7 @@
 };
 
 struct mt_roster *mt_roster_create (struct event_base *base,
-                                        const struct mt_roster_options *options);
+                                    const struct mt_roster_options *options);
 void mt_roster_destroy (struct mt_roster *registry);
 /* Tells of every worker of the pool again, for one that has just begun to lead it. */
 void mt_roster_tell (struct mt_roster *registry, const char *pool);
--- a/fleet/settings.h
+++ b/fleet/settings.h
@@ -22,16 +22,16 @@
 
 struct mt_fleet_settings
 {
-  struct mt_str name;        /* of this daemon, unique in the fleet */
-  struct mt_str zone;        /* its data centre */
-  struct mt_str listen;      /* IP:PORT for callers */
+  struct mt_str name;         /* of this daemon, unique in the fleet */
+  struct mt_str zone;         /* its data centre */
+  struct mt_str listen;       /* IP:PORT for callers */
   struct mt_str ready_listen; /* IP:PORT for the balancer's readiness check */
-  struct mt_str ip;          /* of this machine, for other daemons */
-  unsigned peer_port;        /* for other daemons */
-  unsigned metrics_port;     /* 0 for none */
-  struct mt_str store;       /* IP:PORT of the platform's store */
-  struct mt_str machines;    /* IP:PORT of the platform's machines; empty for none */
-  struct mt_str advisor;     /* IP:PORT; empty for none */
+  struct mt_str ip;           /* of this machine, for other daemons */
+  unsigned peer_port;         /* for other daemons */
+  unsigned metrics_port;      /* 0 for none */
+  struct mt_str store;        /* IP:PORT of the platform's store */
+  struct mt_str machines;     /* IP:PORT of the platform's machines; empty for none */
+  struct mt_str advisor;      /* IP:PORT; empty for none */
   unsigned connections;
   unsigned idle_s;
   unsigned body_bytes;
--- a/fleet/watcher.c
+++ b/fleet/watcher.c
@@ -14,7 +14,7 @@
   struct mt_watcher_options options;
   char *prefix;
   struct mt_timer *timer;
-  GHashTable *known;  /* key to generation of the list that had it */
+  GHashTable *known; /* key to generation of the list that had it */
   unsigned generation;
   bool listed; /* watches go on from `after` */
   int64_t after;
@@ -116,8 +116,8 @@
     w->list_revision = reply->revision;
   take_items (w, reply);
   g_free (w->page);
-  w->page = reply->more && reply->n_items > 0 ? g_strdup (reply->items[reply->n_items - 1].key)
-                                              : NULL;
+  w->page
+      = reply->more && reply->n_items > 0 ? g_strdup (reply->items[reply->n_items - 1].key) : NULL;
   if (w->page == NULL && !w->destroyed)
     end_list (w);
   if (!ended_meanwhile (w))
--- a/fleet/watcher.h
+++ b/fleet/watcher.h
@@ -1,6 +1,6 @@
-/* A replica of all keys under a prefix, kept by a list and then watches. It outlives silent watches,
- * cut ones, and a store that has forgotten its history: then it lists again and tells what is gone.
- * On the loop's one thread. */
+/* A replica of all keys under a prefix, kept by a list and then watches. It outlives silent
+ * watches, cut ones, and a store that has forgotten its history: then it lists again and tells what
+ * is gone. On the loop's one thread. */
 #ifndef MT_FLEET_WATCHER_H
 #define MT_FLEET_WATCHER_H
 
--- a/include/medlartrack/desk.h
+++ b/include/medlartrack/desk.h
@@ -1,8 +1,8 @@
-/* The desk: one pool's jobs and workers, and every decision on them. It keeps which task runs where,
- * places waiting tasks, judges workers by what they do, and says what has to be durable before what
- * is sent. Without I/O: the owner feeds it what was heard and carries out the orders it takes from
- * it. One thread. Times are milliseconds of a clock that counts suspension, but for those that say
- * "wall" (Unix time). */
+/* The desk: one pool's jobs and workers, and every decision on them. It keeps which task runs
+ * where, places waiting tasks, judges workers by what they do, and says what has to be durable
+ * before what is sent. Without I/O: the owner feeds it what was heard and carries out the orders it
+ * takes from it. One thread. Times are milliseconds of a clock that counts suspension, but for
+ * those that say "wall" (Unix time). */
 #ifndef MEDLARTRACK_DESK_H
 #define MEDLARTRACK_DESK_H
 
@@ -30,7 +30,7 @@
 {
   int priority; /* 0 goes first */
   int max_attempts;
-  double stretch;      /* objective: multiples of the longest chain, ... */
+  double stretch;       /* objective: multiples of the longest chain, ... */
   int64_t objective_ms; /* ... and this much more */
 };
 
@@ -39,15 +39,15 @@
 struct mt_desk *mt_desk_create (const struct mt_desk_settings *settings);
 void mt_desk_destroy (struct mt_desk *desk);
 
-void mt_desk_set_route (struct mt_desk *desk, const char *route, const struct mt_route_terms *terms);
+void mt_desk_set_route (struct mt_desk *desk, const char *name, const struct mt_route_terms *terms);
 
 /* Takes spec over, also when the job is known already. False where it is known. */
 bool mt_desk_submit (struct mt_desk *desk, struct mt_job_spec *spec, int64_t now, int64_t wall);
 /* The durable progress of a submitted job, as mt_desk_record wrote it, and the store's revision of
  * it. False where it can't be read; the job then starts from nothing known, which is only safe
  * where nothing of it can run. */
-bool mt_desk_restore (struct mt_desk *desk, const char *id, const char *record, int64_t revision,
-                      int64_t now);
+bool mt_desk_restore (
+    struct mt_desk *desk, const char *id, const char *record, int64_t revision, int64_t now);
 /* The cancelling is durable already. False where the job isn't known. */
 bool mt_desk_cancel (struct mt_desk *desk, const char *id, int64_t now);
 bool mt_desk_knows (const struct mt_desk *desk, const char *id);
@@ -67,7 +67,7 @@
 /* As far as it is durable. */
 enum mt_job_state mt_desk_state (const struct mt_desk *desk, const char *id);
 /* Accepted jobs of the route of which no task has started. */
-unsigned mt_desk_pending (const struct mt_desk *desk, const char *route);
+unsigned mt_desk_pending (const struct mt_desk *desk, const char *name);
 
 /* A worker as the registry shows it. */
 struct mt_worker_entry
@@ -92,10 +92,13 @@
 void mt_desk_cordon (struct mt_desk *desk, const char *id, int64_t until, bool move_lasting);
 
 /* Advice: only the workers named in tickets may run the step. */
-void mt_desk_advised (struct mt_desk *desk, const char *step_name, const char *worker,
-                      const char *ticket, int64_t until);
+void mt_desk_advised (struct mt_desk *desk,
+                      const char *step_name,
+                      const char *worker,
+                      const char *text,
+                      int64_t until);
 void mt_desk_advice_answered (struct mt_desk *desk, const char *step_name, int64_t now, bool ok);
-void mt_desk_set_advice (struct mt_desk *desk, const char *route, bool wanted);
+void mt_desk_set_advice (struct mt_desk *desk, const char *name, bool wanted);
 
 /* ---- orders ---- */
 
@@ -133,9 +136,9 @@
 enum mt_answer
 {
   MT_ANSWER_OK,
-  MT_ANSWER_FENCED,     /* a higher token was seen there: this desk is no longer in charge */
-  MT_ANSWER_OLD_RUN,    /* the run number is not higher than one ended there */
-  MT_ANSWER_LATE,       /* the lease was over on arrival */
+  MT_ANSWER_FENCED,  /* a higher token was seen there: this desk is no longer in charge */
+  MT_ANSWER_OLD_RUN, /* the run number is not higher than one ended there */
+  MT_ANSWER_LATE,    /* the lease was over on arrival */
   MT_ANSWER_NO_ROOM,
   MT_ANSWER_NO_TICKET,
   MT_ANSWER_UNHEALTHY,  /* refused, nothing done */
@@ -183,12 +186,20 @@
   size_t n_ended;
 };
 
-void mt_desk_hold_answered (struct mt_desk *desk, const char *worker,
-                            const struct mt_hold_report *report, int64_t sent, int64_t now);
+void mt_desk_hold_answered (struct mt_desk *desk,
+                            const char *worker,
+                            const struct mt_hold_report *report,
+                            int64_t sent,
+                            int64_t now);
 /* For START, STOP and PACE. */
-void mt_desk_order_answered (struct mt_desk *desk, enum mt_order_kind kind, const char *worker,
-                             const char *task, unsigned run, enum mt_answer answer,
-                             int64_t clock_ms, int64_t now);
+void mt_desk_order_answered (struct mt_desk *desk,
+                             enum mt_order_kind kind,
+                             const char *worker,
+                             const char *name,
+                             unsigned run,
+                             enum mt_answer answer,
+                             int64_t clock_ms,
+                             int64_t now);
 /* A worker has answered with a higher token than ours. */
 bool mt_desk_is_fenced_off (const struct mt_desk *desk);
 
@@ -228,13 +239,13 @@
 
 struct mt_desk_load
 {
-  unsigned jobs; /* not ended */
+  unsigned jobs;    /* not ended */
   unsigned waiting; /* tasks that could start now */
   unsigned urgent;  /* of these, tasks of jobs that can still be in time */
   unsigned running;
   int64_t urgent_cpu_ms; /* work of such jobs not begun yet: thousandths of a core times ms */
-  int64_t arriving_cpu; /* what the jobs of the last moments will keep busy if they go on coming */
-  int64_t room_cpu;       /* of workers that take work */
+  int64_t arriving_cpu;  /* what the jobs of the last moments will keep busy if they go on coming */
+  int64_t room_cpu;      /* of workers that take work */
   int64_t used_cpu;
   int64_t urgent_used_cpu; /* of that, by lasting tasks and by jobs that can still be in time */
   unsigned workers;
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -71,7 +71,10 @@
 
 MT_EVENT (8101, JOB_ACCEPTED, G_LOG_LEVEL_MESSAGE, "a job is stored, its caller was told so")
 MT_EVENT (8102, JOB_REFUSED, G_LOG_LEVEL_WARNING, "a job was refused: it is not stored, never runs")
-MT_EVENT (8103, JOB_UNSETTLED, G_LOG_LEVEL_WARNING, "a caller was told that it is not known whether its job is stored")
+MT_EVENT (8103,
+          JOB_UNSETTLED,
+          G_LOG_LEVEL_WARNING,
+          "a caller was told that it is not known whether its job is stored")
 MT_EVENT (8104, CANCEL_ACCEPTED, G_LOG_LEVEL_MESSAGE, "a cancelling is stored")
 MT_EVENT (8105, CALL_FAILED, G_LOG_LEVEL_WARNING, "a question about a job had no answer in time")
 MT_EVENT (8106, JOB_BEGUN, G_LOG_LEVEL_MESSAGE, "the first task of a job runs")
@@ -80,7 +83,10 @@
 MT_EVENT (8201, TASK_FAILED, G_LOG_LEVEL_WARNING, "a run of a task ended failed")
 MT_EVENT (8202, TASK_STILL, G_LOG_LEVEL_WARNING, "a task stands still and is run elsewhere")
 MT_EVENT (8203, TASK_MOVED, G_LOG_LEVEL_MESSAGE, "a lasting task is moved off its worker")
-MT_EVENT (8204, TASK_PACED, G_LOG_LEVEL_MESSAGE, "fill work gives way to serving work, or comes back")
+MT_EVENT (8204,
+          TASK_PACED,
+          G_LOG_LEVEL_MESSAGE,
+          "fill work gives way to serving work, or comes back")
 MT_EVENT (8205, START_REFUSED, G_LOG_LEVEL_WARNING, "a worker refused a start")
 MT_EVENT (8206, RUN_STRAY, G_LOG_LEVEL_WARNING, "a worker runs what no job knows; it is stopped")
 
@@ -89,8 +95,14 @@
 MT_EVENT (8303, WORKER_UNLISTED, G_LOG_LEVEL_MESSAGE, "a worker is gone from the registry")
 MT_EVENT (8304, WORKER_SILENT, G_LOG_LEVEL_WARNING, "a worker does not answer")
 MT_EVENT (8305, WORKER_BACK, G_LOG_LEVEL_MESSAGE, "a silent worker answers again")
-MT_EVENT (8306, WORKER_LOST, G_LOG_LEVEL_WARNING, "nothing runs on a worker any more; its tasks wait again")
-MT_EVENT (8307, WORKER_SHUNNED, G_LOG_LEVEL_WARNING, "a worker fails what others finish and takes nothing for a while")
+MT_EVENT (8306,
+          WORKER_LOST,
+          G_LOG_LEVEL_WARNING,
+          "nothing runs on a worker any more; its tasks wait again")
+MT_EVENT (8307,
+          WORKER_SHUNNED,
+          G_LOG_LEVEL_WARNING,
+          "a worker fails what others finish and takes nothing for a while")
 
 MT_EVENT (8401, WAVE_SEEN, G_LOG_LEVEL_MESSAGE, "an upkeep wave was asked for")
 MT_EVENT (8402, WAVE_ENDED, G_LOG_LEVEL_MESSAGE, "an upkeep wave is completed")
--- a/include/medlartrack/job_spec.h
+++ b/include/medlartrack/job_spec.h
@@ -24,12 +24,12 @@
   unsigned n_after; /* steps that must have ended first */
   unsigned *after;
 
-  char *label; /* the worker must have it; NULL for none */
-  char *rack;  /* where the data lies; NULL for none */
-  char *image; /* tasks of one image behave alike; NULL for none */
-  unsigned max_per_worker; /* of this step, at one time; 0 for no limit */
+  char *label;              /* the worker must have it; NULL for none */
+  char *rack;               /* where the data lies; NULL for none */
+  char *image;              /* tasks of one image behave alike; NULL for none */
+  unsigned max_per_worker;  /* of this step, at one time; 0 for no limit */
   unsigned max_unavailable; /* that may be away by our doing; lasting steps only */
-  int64_t target_ms; /* bound on a serving task's tail latency; 0 where it serves nobody */
+  int64_t target_ms;        /* bound on a serving task's tail latency; 0 where it serves nobody */
 
   bool checkpointing;
   bool gang;      /* its tasks work only together */
@@ -46,8 +46,8 @@
   char *payload; /* handed to the tasks as it came */
   unsigned n_steps;
   struct mt_step *steps;
-  unsigned repeats;      /* 0: once, now */
-  int64_t first_run_ms;  /* Unix time */
+  unsigned repeats;     /* 0: once, now */
+  int64_t first_run_ms; /* Unix time */
   int64_t interval_ms;
   int64_t accepted_ms; /* Unix time */
 };
--- a/include/medlartrack/steward.h
+++ b/include/medlartrack/steward.h
@@ -23,7 +23,7 @@
 /* ---- what the owner tells ---- */
 
 /* A pool whose machines are off and cost nothing takes what is not needed elsewhere. */
-void mt_steward_set_pool (struct mt_steward *steward, const char *pool, bool standby);
+void mt_steward_set_pool (struct mt_steward *steward, const char *name, bool standby);
 
 struct mt_steward_machine
 {
@@ -37,14 +37,25 @@
 };
 
 /* All machines that there are. asked: when the list was asked for; orders given later are newer. */
-void mt_steward_machines (struct mt_steward *steward, const struct mt_steward_machine *machines,
-                          size_t n, int64_t asked, int64_t now);
+void mt_steward_machines (struct mt_steward *steward,
+                          const struct mt_steward_machine *machines,
+                          size_t n,
+                          int64_t asked,
+                          int64_t now);
 /* What a pool's desk sees. */
-void mt_steward_pool (struct mt_steward *steward, const char *pool, const struct mt_desk_load *load,
-                      const struct mt_worker_view *workers, size_t n, int64_t now);
+void mt_steward_pool (struct mt_steward *steward,
+                      const char *name,
+                      const struct mt_desk_load *load,
+                      const struct mt_worker_view *workers,
+                      size_t n,
+                      int64_t now);
 /* A wave that is to be done by due; done: machines that have had it, as far as it is known. */
-void mt_steward_wave (struct mt_steward *steward, int64_t number, char **machines, char **done,
-                      unsigned cap, int64_t due);
+void mt_steward_wave (struct mt_steward *steward,
+                      int64_t number,
+                      char **machines,
+                      char **done,
+                      unsigned cap,
+                      int64_t due);
 
 /* Where a machine belongs, as a predecessor stored it; to be told before the first list. A machine
  * of which nothing is told belongs where it is first seen. */
@@ -54,9 +65,10 @@
 
 /* Decides; mt_steward_next follows from it. */
 void mt_steward_plan (struct mt_steward *steward, int64_t now);
-/* Machines that are, or are about to be, away from home, and their homes, by turns; NULL-terminated,
- * freed with g_strfreev. A move is ordered only once its machine's home is stored: a successor would
- * take the pool that it finds the machine in for its home. NULL where all is stored. */
+/* Machines that are, or are about to be, away from home, and their homes, by turns;
+ * NULL-terminated, freed with g_strfreev. A move is ordered only once its machine's home is stored:
+ * a successor would take the pool that it finds the machine in for its home. NULL where all is
+ * stored. */
 char **mt_steward_homes (struct mt_steward *steward);
 void mt_steward_homes_stored (struct mt_steward *steward, char **homes);
 
@@ -88,13 +100,15 @@
   MT_STEWARD_UNKNOWN, /* it may have been done, or be done yet */
 };
 
-void mt_steward_answered (struct mt_steward *steward, const char *machine,
-                          enum mt_steward_answer answer, int64_t now);
+void mt_steward_answered (struct mt_steward *steward,
+                          const char *machine,
+                          enum mt_steward_answer answer,
+                          int64_t now);
 
 /* Workers of the pool that are to be emptied (cordon) and those whose life an order has ended
  * (ended); both NULL-terminated, freed with g_strfreev. */
-void mt_steward_of_pool (struct mt_steward *steward, const char *pool, int64_t now, char ***cordon,
-                         char ***ended);
+void mt_steward_of_pool (
+    struct mt_steward *steward, const char *pool, int64_t now, char ***cordon, char ***ended);
 /* Something is on its way: the list of machines will change. */
 bool mt_steward_is_busy (const struct mt_steward *steward);
 /* All of its machines that stay have begun their upkeep. */
--- a/net/http_calls.h
+++ b/net/http_calls.h
@@ -52,7 +52,8 @@
 /* Calls under way are dropped without a callback. */
 void mt_calls_destroy (struct mt_calls *calls);
 /* done is called later, exactly once, never from within. */
-void mt_calls_send (struct mt_calls *calls, const struct mt_call *call, mt_call_done done, void *ctx);
+void
+mt_calls_send (struct mt_calls *calls, const struct mt_call *call, mt_call_done done, void *ctx);
 /* Closes the idle connections to an address that is not needed any more. */
 void mt_calls_forget (struct mt_calls *calls, const char *address);
 /* Connections opened so far. */
--- a/net/http_front.c
+++ b/net/http_front.c
@@ -133,8 +133,8 @@
   char retry[RETRY_HEADER_CHARS];
 
   exchange->status = status;
-  exchange->response = MHD_create_response_from_buffer (body.len, (void *) body.data,
-                                                        MHD_RESPMEM_MUST_COPY);
+  exchange->response
+      = MHD_create_response_from_buffer (body.len, (void *) body.data, MHD_RESPMEM_MUST_COPY);
   if (content_type != NULL)
     MHD_add_response_header (exchange->response, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
   if (retry_after_s > 0)
@@ -252,7 +252,9 @@
 }
 
 struct mt_http_front *
-mt_http_front_create (struct event_base *base, const struct mt_http_front_options *options, GError **error)
+mt_http_front_create (struct event_base *base,
+                      const struct mt_http_front_options *options,
+                      GError **error)
 {
   struct mt_http_front *front = g_new0 (struct mt_http_front, 1);
   struct sockaddr_in address;
--- a/net/http_front.h
+++ b/net/http_front.h
@@ -1,6 +1,6 @@
-/* HTTP towards callers on the loop's one thread: libmicrohttpd without threads of its own. A request
- * is handed over whole and answered when the owner is ready, in any order. All functions and
- * callbacks on the loop's thread. */
+/* HTTP towards callers on the loop's one thread: libmicrohttpd without threads of its own. A
+ * request is handed over whole and answered when the owner is ready, in any order. All functions
+ * and callbacks on the loop's thread. */
 #ifndef MT_HTTP_FRONT_H
 #define MT_HTTP_FRONT_H
 
@@ -43,8 +43,8 @@
 };
 
 struct mt_http_front *mt_http_front_create (struct event_base *base,
-                                  const struct mt_http_front_options *options,
-                                  GError **error);
+                                            const struct mt_http_front_options *options,
+                                            GError **error);
 unsigned mt_http_front_port (const struct mt_http_front *front);
 /* Every answer from now on says "Connection: close". */
 void mt_http_front_close_after_answers (struct mt_http_front *front);
--- a/net/mesh.c
+++ b/net/mesh.c
@@ -16,14 +16,14 @@
 
 #define MAX_QUEUED_BYTES (4 * 1024 * 1024)
 
-/* One connection, opened by either side; a link to a peer is one that this side opened. */
+/* One connection, opened by either side; a link to a peer is one that this side opened. Counted:
+ * the mesh's reference, and one for each call received and not replied to. */
 struct link
 {
   struct mt_mesh *mesh;
   struct bufferevent *bev;
   char *address; /* NULL for an accepted one */
   GList all;
-  unsigned refs; /* calls received and not replied to, and the link itself */
   bool closed;
 };
 
@@ -88,8 +88,8 @@
 {
   const msgpack_object_array *array = &root->via.array;
 
-  if (root->type != MSGPACK_OBJECT_ARRAY || array->size < 2
-      || array->size > 2 + MT_MESH_MAX_ARGS || !mt_pack_get_u64 (&array->ptr[0], UINT64_MAX, id)
+  if (root->type != MSGPACK_OBJECT_ARRAY || array->size < 2 || array->size > 2 + MT_MESH_MAX_ARGS
+      || !mt_pack_get_u64 (&array->ptr[0], UINT64_MAX, id)
       || !mt_pack_get_u64 (&array->ptr[1], UINT32_MAX, method))
     return false;
   args->n = array->size - 2;
@@ -102,12 +102,17 @@
 /* ---- links ---- */
 
 static void
-unref_link (struct link *link)
+clear_link (void *data)
 {
-  if (--link->refs > 0)
-    return;
+  struct link *link = data;
+
   g_free (link->address);
-  g_free (link);
+}
+
+static void
+unref_link (struct link *link)
+{
+  g_rc_box_release_full (link, clear_link);
 }
 
 static void
@@ -157,7 +162,7 @@
 
   call->link = link;
   call->id = id;
-  link->refs++;
+  g_rc_box_acquire (link);
   link->mesh->handler (link->mesh->ctx, call, (enum mt_mesh_method) method, args);
 }
 
@@ -199,7 +204,7 @@
   struct evbuffer *input = bufferevent_get_input (bev);
   char head[MT_FRAME_HEAD];
 
-  link->refs++;
+  g_rc_box_acquire (link);
   while (!link->closed && evbuffer_get_length (input) >= MT_FRAME_HEAD)
     {
       size_t len = 0;
@@ -240,10 +245,9 @@
 static struct link *
 add_link (struct mt_mesh *mesh, evutil_socket_t fd, const char *address)
 {
-  struct link *link = g_new0 (struct link, 1);
+  struct link *link = g_rc_box_new0 (struct link);
 
   link->mesh = mesh;
-  link->refs = 1;
   link->address = g_strdup (address);
   link->all.data = link;
   link->bev = bufferevent_socket_new (mesh->base, fd, BEV_OPT_CLOSE_ON_FREE);
@@ -344,8 +348,7 @@
 
   if (!link->closed)
     {
-      g_autofree char *frame
-          = encode (link->mesh, MT_PEER_MESH_REPLY, call->id, 0, args, &len);
+      g_autofree char *frame = encode (link->mesh, MT_PEER_MESH_REPLY, call->id, 0, args, &len);
 
       if (frame != NULL)
         bufferevent_write (link->bev, frame, len);
@@ -374,9 +377,9 @@
   mesh->links = g_hash_table_new (g_str_hash, g_str_equal);
   mesh->waiting = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_waiting);
   if (read_address (address, &at))
-    mesh->listener = evconnlistener_new_bind (base, on_accept, mesh,
-                                              LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 128,
-                                              (struct sockaddr *) &at, sizeof at);
+    mesh->listener
+        = evconnlistener_new_bind (base, on_accept, mesh, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                   128, (struct sockaddr *) &at, sizeof at);
   if (mesh->listener != NULL)
     return mesh;
   g_set_error (error, MT_ERROR, MT_ERROR_SETTINGS,
@@ -388,7 +391,7 @@
 unsigned
 mt_mesh_port (const struct mt_mesh *mesh)
 {
-  struct sockaddr_in at;
+  struct sockaddr_in at = { 0 };
   socklen_t len = sizeof at;
 
   if (getsockname (evconnlistener_get_fd (mesh->listener), (struct sockaddr *) &at, &len) != 0)
--- a/tests/work/test_desk.c
+++ b/tests/work/test_desk.c
@@ -36,9 +36,9 @@
   world_destroy (world);
 }
 
-/* The caller cancels a job while its leader is dead. The successor learns of the cancelling from the
- * queue before it has read the job's progress; the tasks that the progress then tells of must be
- * stopped all the same, or they run on for ever. */
+/* The caller cancels a job while its leader is dead. The successor learns of the cancelling from
+ * the queue before it has read the job's progress; the tasks that the progress then tells of must
+ * be stopped all the same, or they run on for ever. */
 static void
 test_cancelled_before_its_progress_was_read (void **state)
 {
@@ -110,8 +110,8 @@
   world_destroy (world);
 }
 
-/* A start gets no answer though it was carried out. The room stays taken, and the next listing shows
- * the run: it goes on, no second one is started. */
+/* A start gets no answer though it was carried out. The room stays taken, and the next listing
+ * shows the run: it goes on, no second one is started. */
 static void
 test_unanswered_start_is_found_by_the_next_hold (void **state)
 {
@@ -156,8 +156,8 @@
   world_destroy (world);
 }
 
-/* All that a worker starts stands still, though it lists the runs and answers. The caller would wait
- * for ever: the task is stopped and runs elsewhere. */
+/* All that a worker starts stands still, though it lists the runs and answers. The caller would
+ * wait for ever: the task is stopped and runs elsewhere. */
 static void
 test_task_that_stands_still_runs_elsewhere (void **state)
 {
@@ -238,14 +238,14 @@
   world_submit (world, world_job ("aa", 1, 1000, 1000));
   world_submit (world, world_job ("bb", 1, 1000, 1000));
   mt_desk_cancel (world->desk, "aa", world->now);
-  assert_true (mt_desk_restore (world->desk, "aa",
-                                "{\"s\":\"active\",\"b\":1,\"d\":{},\"t\":[]}", 1, world->now));
+  assert_true (mt_desk_restore (world->desk, "aa", "{\"s\":\"active\",\"b\":1,\"d\":{},\"t\":[]}",
+                                1, world->now));
   assert_int_equal (mt_desk_pending (world->desk, "route"), 1);
   world_destroy (world);
 }
 
-/* Two of a step's lasting tasks are on a worker that has fallen silent: they count as away, though no
- * end of them is listed. A third must not be moved off its worker then: its budget is one. */
+/* Two of a step's lasting tasks are on a worker that has fallen silent: they count as away, though
+ * no end of them is listed. A third must not be moved off its worker then: its budget is one. */
 static void
 test_no_lasting_task_is_moved_while_others_are_away (void **state)
 {
@@ -274,9 +274,10 @@
   world_destroy (world);
 }
 
-/* Two workers are to be emptied at once, each with one of a step's lasting tasks that has just begun
- * and is not known to be at work. Taking both for away already, the desk would stop both; by the time
- * that the orders arrive they are at work, and two are away by its doing where one may be. */
+/* Two workers are to be emptied at once, each with one of a step's lasting tasks that has just
+ * begun and is not known to be at work. Taking both for away already, the desk would stop both; by
+ * the time that the orders arrive they are at work, and two are away by its doing where one may be.
+ */
 static void
 test_lasting_tasks_are_moved_one_after_the_other (void **state)
 {
--- a/tests/work/test_steward.c
+++ b/tests/work/test_steward.c
@@ -66,8 +66,7 @@
   mt_steward_machines (site->steward, site->machines, MACHINES, site->now - 10, site->now);
   mt_steward_of_pool (site->steward, "pool", site->now, &cordon, &ended);
   for (int i = 0; i < MACHINES; i++)
-    site->views[i].cordoned
-        = g_strv_contains ((const char *const *) cordon, site->workers[i]);
+    site->views[i].cordoned = g_strv_contains ((const char *const *) cordon, site->workers[i]);
   mt_steward_pool (site->steward, "pool", &site->load, site->views, MACHINES, site->now);
 }
 
@@ -154,7 +153,8 @@
   site_destroy (site);
 }
 
-/* While its pool is short of room and there is time, a wave waits; when time gets short it goes on. */
+/* While its pool is short of room and there is time, a wave waits; when time gets short it goes on.
+ */
 static void
 test_wave_waits_for_a_trough_while_it_can (void **state)
 {
@@ -182,8 +182,8 @@
   site_destroy (site);
 }
 
-/* Whoever asked for the wave is told that it is completed only after each machine has begun; one that
- * is no longer there is not waited for. */
+/* Whoever asked for the wave is told that it is completed only after each machine has begun; one
+ * that is no longer there is not waited for. */
 static void
 test_wave_is_done_when_every_machine_has_begun (void **state)
 {
@@ -378,7 +378,8 @@
 }
 
 /* The steward begins while nobody asks for anything. It must not take that for the pools' need and
- * switch them off: the first surge would meet empty pools, and its callers would wait for seconds. */
+ * switch them off: the first surge would meet empty pools, and its callers would wait for seconds.
+ */
 static void
 test_calm_beginning_switches_nothing_off (void **state)
 {
@@ -390,8 +391,8 @@
   fleet_destroy (fleet);
 }
 
-/* One pool asks for half as much again as it holds: the standby machines are on their way within half
- * a second, and back once they are not needed. */
+/* One pool asks for half as much again as it holds: the standby machines are on their way within
+ * half a second, and back once they are not needed. */
 static void
 test_standby_machines_follow_a_surge (void **state)
 {
@@ -409,8 +410,8 @@
   fleet_destroy (fleet);
 }
 
-/* The steward dies in a surge, with the standby machines in the surging pool. Its successor must not
- * take that pool for their home: they would stay, and the next pool's surge would find none. */
+/* The steward dies in a surge, with the standby machines in the surging pool. Its successor must
+ * not take that pool for their home: they would stay, and the next pool's surge would find none. */
 static void
 test_successor_knows_where_machines_belong (void **state)
 {
--- a/tests/work/world.c
+++ b/tests/work/world.c
@@ -212,22 +212,19 @@
 {
   struct mt_run_row runs[512];
   struct mt_end_row ends[512];
-  struct mt_hold_report report = { .answer = MT_ANSWER_OK,
-                                   .clock_ms = world->now,
-                                   .born_ms = 7,
-                                   .running = runs,
-                                   .ended = ends };
+  struct mt_hold_report report = {
+    .answer = MT_ANSWER_OK, .clock_ms = world->now, .born_ms = 7, .running = runs, .ended = ends
+  };
 
   w->lease = MAX (w->lease, order->lease_ms);
-  while (w->ends->len > 0
-         && g_array_index (w->ends, struct world_end, 0).number <= order->seen_end)
+  while (w->ends->len > 0 && g_array_index (w->ends, struct world_end, 0).number <= order->seen_end)
     g_array_remove_index (w->ends, 0);
   for (guint i = 0; i < w->runs->len && i < 512; i++)
     {
       const struct world_run *r = &g_array_index (w->runs, struct world_run, i);
 
-      runs[report.n_running++] = (struct mt_run_row){ r->task, r->run, NULL, progress (world, r),
-                                                      w->gauge };
+      runs[report.n_running++]
+          = (struct mt_run_row){ r->task, r->run, NULL, progress (world, r), w->gauge };
     }
   for (guint i = 0; i < w->ends->len && i < 512; i++)
     {
--- a/tests/work/world.h
+++ b/tests/work/world.h
@@ -16,7 +16,7 @@
   int64_t began;
   int64_t ends; /* -1: never by itself */
   bool fails;
-  bool still; /* makes no progress */
+  bool still;    /* makes no progress */
   int64_t stops; /* when a stop has taken effect; 0 for none */
   unsigned pace;
 };
@@ -32,18 +32,18 @@
 struct world_worker
 {
   char id[16];
-  bool silent;     /* orders get no answer and are not carried out */
-  bool mute;       /* orders are carried out, and get no answer */
-  bool sick;       /* all that it starts fails at once */
-  bool stalls;     /* all that it starts stands still */
-  double slow;     /* run times in multiples */
-  bool gone;       /* not in the registry */
-  int64_t gauge;   /* what it says of each run */
+  bool silent;   /* orders get no answer and are not carried out */
+  bool mute;     /* orders are carried out, and get no answer */
+  bool sick;     /* all that it starts fails at once */
+  bool stalls;   /* all that it starts stands still */
+  double slow;   /* run times in multiples */
+  bool gone;     /* not in the registry */
+  int64_t gauge; /* what it says of each run */
   struct mt_room room;
   struct mt_room used;
-  int64_t lease;   /* on its clock, which is the world's */
-  GArray *runs;    /* struct world_run */
-  GArray *ends;    /* struct world_end not forgotten yet */
+  int64_t lease; /* on its clock, which is the world's */
+  GArray *runs;  /* struct world_run */
+  GArray *ends;  /* struct world_end not forgotten yet */
   int64_t last_end;
   unsigned starts;
   unsigned overbooked; /* starts beyond its room */
@@ -57,9 +57,9 @@
   unsigned n_workers;
   bool store_down; /* cycles don't end */
   bool in_cycle;
-  int64_t run_ms;  /* of a task whose job says nothing else; -1: never ends */
+  int64_t run_ms; /* of a task whose job says nothing else; -1: never ends */
   unsigned started;
-  unsigned twice; /* starts of a task that runs elsewhere */
+  unsigned twice;      /* starts of a task that runs elsewhere */
   GHashTable *records; /* job id to what was stored last */
 };
 
