--- a/core/work/desk.c
+++ b/core/work/desk.c
@@ -6,8 +6,10 @@
 
 /* Jobs kept after their end at most, whatever status_ms says: 4,000 of some 2 KB each. */
 #define MAX_CLOSED 4000
-/* Arrivals count over about so long: some 25 jobs at the height of a surge. */
-#define ARRIVING_MS 600.0
+/* Arrivals count over about this share of the time that a job takes, and no less than the time: some
+ * 25 jobs at the height of a surge. */
+#define ARRIVING_SHARE    0.5
+#define ARRIVING_LEAST_MS 600.0
 /* A job that is older when it is first heard of says nothing of what arrives now. */
 #define FRESH_MS 1000
 
@@ -255,16 +257,38 @@
   return g_hash_table_contains (desk->jobs, id);
 }
 
+/* One large job is no surge: arrivals of long jobs are taken over a longer time. */
+static double
+arriving_over (const struct mt_route *route)
+{
+  return MAX (ARRIVING_LEAST_MS, ARRIVING_SHARE * route->chain_ms);
+}
+
+static double
+route_arriving (const struct mt_route *route, int64_t now)
+{
+  return route->arriving * exp (-(double) (now - route->arriving_at) / arriving_over (route));
+}
+
 double
 mt_desk_arriving (const struct mt_desk *desk, int64_t now)
 {
-  return desk->arriving * exp (-(double) (now - desk->arriving_at) / ARRIVING_MS);
+  GHashTableIter it;
+  struct mt_route *route;
+  double sum = 0;
+
+  g_hash_table_iter_init (&it, desk->routes);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &route))
+    sum += route_arriving (route, now);
+  return sum;
 }
 
 /* A surge shows in what arrives well before it shows in what runs, and before anything waits. */
 static void
-count_arrival (struct mt_desk *desk, const struct mt_job *job, int64_t now)
+count_arrival (const struct mt_job *job, int64_t now)
 {
+  struct mt_route *route = job->route;
+  double chain = (double) mt_job_spec_chain_ms (job->spec, 1.0);
   double work = 0;
 
   for (unsigned i = 0; i < job->spec->n_steps; i++)
@@ -272,11 +296,12 @@
       const struct mt_step *step = &job->spec->steps[i];
 
       if (!step->lasting && !step->fill)
-        work += (double) step->count * (double) step->need.cpu
-                * mt_step_expected_ms (job->route, step);
+        work += (double) step->count * (double) step->need.cpu * mt_step_expected_ms (route, step);
     }
-  desk->arriving = mt_desk_arriving (desk, now) + work / ARRIVING_MS;
-  desk->arriving_at = now;
+  route->arriving = route_arriving (route, now);
+  route->arriving_at = now;
+  route->chain_ms += (route->chain_ms == 0 ? 1.0 : 1.0 / 32) * (chain - route->chain_ms);
+  route->arriving += work / arriving_over (route);
 }
 
 bool
@@ -304,7 +329,7 @@
       open_part (job, 0, job->submitted);
       job->route->pending++;
       if (age < FRESH_MS)
-        count_arrival (desk, job, now);
+        count_arrival (job, now);
     }
   desk->changed = true;
   return true;
--- a/core/work/desk_internal.h
+++ b/core/work/desk_internal.h
@@ -91,6 +91,9 @@
   double mean_ms;     /* of finished tasks; 0 until one has finished */
   double estimate_ms; /* mean of what the callers guessed for these */
   double mean_work;
+  double chain_ms; /* mean of its jobs' longest chains */
+  double arriving; /* thousandths of a core, as of arriving_at */
+  int64_t arriving_at;
 };
 
 struct mt_worker
@@ -180,8 +183,6 @@
   bool changed; /* something may be placed or written */
   bool fenced_off;
   int64_t last_plan;
-  double arriving; /* thousandths of a core, as of arriving_at */
-  int64_t arriving_at;
   int64_t last_watch;
   mt_desk_told told;
   void *told_ctx;
