--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -14,6 +14,8 @@
 #define LEASE_MS         1500
 #define RENEW_MS         450
 #define RENEW_TIMEOUT_MS 400
+/* After a renewal without an answer: a lease that the store has paused, or ended, is known sooner. */
+#define RENEW_AGAIN_MS 150
 /* The lease counts as over this much before it can be, for clocks that run apart. */
 #define SURE_MARGIN_MS 150
 #define WATCH_MS       5000
@@ -54,6 +56,7 @@
   int64_t renewed; /* when the last renewal was sent */
   int64_t renew_sent;
   bool renewing;
+  bool unanswered; /* the last renewal */
   bool granting;
   bool joined;
   bool joining;
@@ -163,9 +166,29 @@
 
 /* ---- lease ---- */
 
+/* The keys under the lease went with it. Whoever had a duty takes it again without waiting for its
+ * rank: after an outage that ended all leases nobody else is ahead of it. */
+static void
+free_own_keys (struct mt_cluster *c)
+{
+  GHashTableIter it;
+  struct duty *d;
+
+  g_hash_table_iter_init (&it, c->duties);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &d))
+    {
+      if (d->token == 0 || d->revision != d->token)
+        continue;
+      d->revision = 0;
+      d->free_since = 0;
+      g_clear_pointer (&d->holder, g_free);
+    }
+}
+
 static void
 drop_lease (struct mt_cluster *c, const char *why)
 {
+  free_own_keys (c);
   c->lease = 0;
   c->sure_until = 0;
   c->joined = false;
@@ -178,6 +201,7 @@
   struct mt_cluster *c = data;
 
   c->renewing = false;
+  c->unanswered = reply->status != MT_KV_OK && reply->status != MT_KV_MISSING;
   if (c->lease == 0)
     return;
   if (reply->status == MT_KV_MISSING)
@@ -193,7 +217,7 @@
 static void
 renew (struct mt_cluster *c, int64_t now)
 {
-  if (c->renewing || now - c->renew_sent < RENEW_MS)
+  if (c->renewing || now - c->renew_sent < (c->unanswered ? RENEW_AGAIN_MS : RENEW_MS))
     return;
   c->renewing = true;
   c->renew_sent = now;
@@ -215,7 +239,7 @@
 static void
 ask_lease (struct mt_cluster *c, int64_t now)
 {
-  if (c->granting || now - c->renew_sent < RENEW_MS / 2)
+  if (c->granting || now - c->renew_sent < RENEW_AGAIN_MS)
     return;
   c->granting = true;
   c->renew_sent = now;
@@ -394,6 +418,7 @@
   while (g_hash_table_iter_next (&it, NULL, (void **) &d))
     {
       int64_t free_since = MAX (d->free_since, c->born + SETTLE_MS);
+      bool mine = d->free_since == 0;
 
       if (!d->wanted || d->trying || d->token != 0)
         continue;
@@ -401,7 +426,7 @@
         clear_duty (c, d);
       if (d->revision != 0)
         continue;
-      if (now - free_since >= RANK_MS * (int64_t) rank (c, d))
+      if (mine || now - free_since >= RANK_MS * (int64_t) rank (c, d))
         {
           try_duty (c, d);
           return; /* one at a time, so that they spread by who has how many */
