pool: leases of running work are renewed while the store is out

Cause: a leader whose own lease had run out by its clock sent nothing; in an outage of 4 s the workers' leases lapsed though no successor could exist. Ruled out: renewing whenever the store is silent to this daemon (one that is cut off alone has a successor, which counts on those leases to run out); it is done only while neighbours say that they don't reach the store either, for 10 s at most, and only holds are sent. Test: test_work_outlives_an_outage_of_the_store.

--- a/core/work/desk.c
+++ b/core/work/desk.c
@@ -6,8 +6,8 @@
 
 /* Jobs kept after their end at most, whatever status_ms says: 4,000 of some 2 KB each. */
 #define MAX_CLOSED 4000
-/* Arrivals count over about this share of the time that a job takes, and no less than the time: some
- * 25 jobs at the height of a surge. */
+/* Arrivals count over about this share of the time that a job takes, and no less than the time:
+ * some 25 jobs at the height of a surge. */
 #define ARRIVING_SHARE    0.5
 #define ARRIVING_LEAST_MS 600.0
 /* A job that is older when it is first heard of says nothing of what arrives now. */
--- a/core/work/desk_orders.c
+++ b/core/work/desk_orders.c
@@ -203,6 +203,13 @@
          || next_advice (desk, now, order);
 }
 
+bool
+mt_desk_next_hold (struct mt_desk *desk, int64_t now, struct mt_order *order)
+{
+  *order = (struct mt_order){ 0 };
+  return !desk->fenced_off && next_hold (desk, now, order);
+}
+
 void
 mt_order_clear (struct mt_order *order)
 {
--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -14,7 +14,8 @@
 #define LEASE_MS         1500
 #define RENEW_MS         450
 #define RENEW_TIMEOUT_MS 400
-/* After a renewal without an answer: a lease that the store has paused, or ended, is known sooner. */
+/* After a renewal without an answer: a lease that the store has paused, or ended, is known sooner.
+ */
 #define RENEW_AGAIN_MS 150
 /* The lease counts as over this much before it can be, for clocks that run apart. */
 #define SURE_MARGIN_MS 150
@@ -532,6 +533,12 @@
   return c->lease != 0 && mt_loop_now () < c->sure_until;
 }
 
+int64_t
+mt_cluster_unsure_ms (const struct mt_cluster *c)
+{
+  return c->lease != 0 ? MAX (mt_loop_now () - c->sure_until, 0) : INT64_MAX;
+}
+
 void
 mt_cluster_give_up (struct mt_cluster *c, const char *duty, const char *why)
 {
--- a/fleet/cluster.h
+++ b/fleet/cluster.h
@@ -35,6 +35,8 @@
 /* This daemon's lease has not run out by its own clock, counted from when its last renewal was
  * sent. */
 bool mt_cluster_is_sure (const struct mt_cluster *cluster);
+/* How long that has not been so; a large number where it never was. */
+int64_t mt_cluster_unsure_ms (const struct mt_cluster *cluster);
 /* Somebody else was seen to have it, or the key is gone. */
 void mt_cluster_give_up (struct mt_cluster *cluster, const char *duty, const char *why);
 /* Addresses of the other daemons, NULL-terminated; free with g_strfreev. */
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -130,6 +130,12 @@
                                     .status_ms = (int64_t) (1000 * b->status_s) };
 }
 
+static bool
+store_is_out (void *ctx)
+{
+  return mt_relay_sees_outage (((struct mt_fleet *) ctx)->relay);
+}
+
 static void
 begin_care (struct mt_fleet *f, int64_t token)
 {
@@ -170,6 +176,8 @@
                                      .words = &f->words,
                                      .cluster = f->cluster,
                                      .desk = desk_settings (f),
+                                     .store_is_out = store_is_out,
+                                     .ctx = f,
                                      .journal = f->journal };
   struct mt_pool *pool;
 
--- a/fleet/pool.c
+++ b/fleet/pool.c
@@ -22,7 +22,8 @@
 #define QUEUE_WAIT_MS  2000
 #define QUEUE_PAUSE_MS 700
 #define RANGE_AGAIN_MS 100
-#define FORGET_JOBS    10U
+/* How long past its own lease a leader goes on renewing its workers' in an outage. */
+#define OUTAGE_MS 10000
 
 /* Counted: the owner's reference, and one for each call under way. */
 struct mt_pool
@@ -315,6 +316,24 @@
     workers->ops->order (workers->ctx, order, pool->options.token, on_order, s);
 }
 
+/* In an outage no successor can come, and the work that runs would lapse: its leases are renewed,
+ * for a bounded time. Nothing is started or stopped. One that only is cut off itself sends nothing:
+ * its successor counts on its leases to run out. */
+static void
+hold_on (struct mt_pool *pool)
+{
+  struct mt_order order;
+
+  while (!mt_cluster_is_sure (pool->options.cluster)
+         && mt_cluster_unsure_ms (pool->options.cluster) < OUTAGE_MS
+         && pool->options.store_is_out (pool->options.ctx)
+         && mt_desk_next_hold (pool->desk, mt_loop_now (), &order))
+    {
+      send_order (pool, &order, mt_loop_now ());
+      mt_order_clear (&order);
+    }
+}
+
 /* A daemon that was frozen or cut off past its lease may have a successor: it sends nothing until
  * the store has confirmed the lease. The clock is read before each order. */
 static void
@@ -328,6 +347,7 @@
       send_order (pool, &order, mt_loop_now ());
       mt_order_clear (&order);
     }
+  hold_on (pool);
   if (mt_desk_is_fenced_off (pool->desk))
     give_up (pool, "a worker has seen a higher token");
 }
--- a/fleet/pool.h
+++ b/fleet/pool.h
@@ -19,6 +19,9 @@
   const struct mt_words *words;
   struct mt_cluster *cluster;
   struct mt_desk_settings desk; /* its name is the pool's */
+  /* Nobody reaches the store, as far as this daemon can learn. */
+  bool (*store_is_out) (void *ctx);
+  void *ctx;
   struct mt_journal *journal;
 };
 
--- a/fleet/relay.c
+++ b/fleet/relay.c
@@ -9,6 +9,8 @@
 #define SLACK_MS 200
 /* A neighbour that could not help is left alone for this long. */
 #define USELESS_MS 1500
+/* What neighbours said counts for so long. */
+#define EVIDENCE_MS 2000
 
 struct mt_relay
 {
@@ -17,6 +19,8 @@
   struct mt_cluster *cluster;
   char *neighbour;     /* the one that helped last */
   GHashTable *useless; /* address to when it may be asked again */
+  int64_t also_lost;   /* when a neighbour last said that it doesn't reach the store either */
+  int64_t helped;      /* when one last did */
 };
 
 struct passed
@@ -74,6 +78,10 @@
 
   if (args != NULL && args->n == 2 && mt_str_to_u64 (args->at[0], &status))
     body = args->at[1];
+  if (args != NULL && args->n == 0)
+    relay->also_lost = mt_loop_now ();
+  else if (status != 0 && status != 503)
+    relay->helped = mt_loop_now ();
   if (status == 0 || status == 503)
     {
       set_useless (relay, p->neighbour);
@@ -114,6 +122,15 @@
   return true;
 }
 
+bool
+mt_relay_sees_outage (const struct mt_relay *relay)
+{
+  int64_t now = mt_loop_now ();
+
+  return !mt_adapter_reaches_store (relay->platform) && now - relay->also_lost < EVIDENCE_MS
+         && now - relay->helped > EVIDENCE_MS;
+}
+
 static void
 on_served (void *data, int status, struct mt_str body)
 {
--- a/fleet/relay.h
+++ b/fleet/relay.h
@@ -13,6 +13,8 @@
 struct mt_relay *
 mt_relay_create (struct mt_adapter *platform, struct mt_mesh *mesh, struct mt_cluster *cluster);
 void mt_relay_destroy (struct mt_relay *relay);
+/* The store turns away this daemon and the neighbours that it asked: an outage, not a cut. */
+bool mt_relay_sees_outage (const struct mt_relay *relay);
 /* A neighbour's call. */
 void
 mt_relay_serve (struct mt_relay *relay, struct mt_mesh_call *call, const struct mt_mesh_args *args);
--- a/include/medlartrack/desk.h
+++ b/include/medlartrack/desk.h
@@ -131,6 +131,8 @@
 
 /* False where nothing is to be sent now. */
 bool mt_desk_next_order (struct mt_desk *desk, int64_t now, struct mt_order *order);
+/* The same for holds alone, which change nothing but the end of leases. */
+bool mt_desk_next_hold (struct mt_desk *desk, int64_t now, struct mt_order *order);
 void mt_order_clear (struct mt_order *order);
 
 enum mt_answer
--- a/tests/work/test_desk.c
+++ b/tests/work/test_desk.c
@@ -354,6 +354,27 @@
   world_destroy (world);
 }
 
+/* The store is out for longer than a worker's lease. Nothing may start or stop, but what runs is
+ * held: else every task would lapse, and its caller would wait for it to be done again. */
+static void
+test_work_outlives_an_outage_of_the_store (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *w = world_add_worker (world, "r1");
+
+  world->run_ms = 12000;
+  world_submit (world, world_job ("aa", 3, 1000, 12000));
+  world_run (world, 500);
+  world->store_down = world->holds_only = true;
+  world_submit (world, world_job ("bb", 3, 1000, 1000));
+  world_run (world, 8000);
+  assert_int_equal (w->runs->len, 3);
+  assert_int_equal (world->started, 3);
+  world->store_down = world->holds_only = false;
+  assert_true (world_until (world, "aa", MT_JOB_COMPLETED, 5000));
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -367,6 +388,7 @@
     cmocka_unit_test (test_sick_worker_costs_few_attempts),
     cmocka_unit_test (test_task_that_stands_still_runs_elsewhere),
     cmocka_unit_test (test_room_is_never_overbooked),
+    cmocka_unit_test (test_work_outlives_an_outage_of_the_store),
     cmocka_unit_test (test_surge_shows_before_anything_waits),
     cmocka_unit_test (test_late_work_is_not_urgent),
     cmocka_unit_test (test_lasting_tasks_are_moved_one_after_the_other),
--- a/tests/work/world.c
+++ b/tests/work/world.c
@@ -289,7 +289,9 @@
       world->in_cycle = false;
       mt_desk_cycle_done (world->desk, world->now);
     }
-  while (bound-- > 0 && mt_desk_next_order (world->desk, world->now, &order))
+  while (bound-- > 0 && !world->silent_leader
+         && (world->holds_only ? mt_desk_next_hold (world->desk, world->now, &order)
+                               : mt_desk_next_order (world->desk, world->now, &order)))
     {
       obey (world, &order);
       mt_order_clear (&order);
--- a/tests/work/world.h
+++ b/tests/work/world.h
@@ -57,7 +57,9 @@
   unsigned n_workers;
   bool store_down; /* cycles don't end */
   bool in_cycle;
-  int64_t run_ms; /* of a task whose job says nothing else; -1: never ends */
+  bool holds_only;    /* the leader isn't sure of its lease, in an outage of the store */
+  bool silent_leader; /* ... or cut off: it sends nothing */
+  int64_t run_ms;     /* of a task whose job says nothing else; -1: never ends */
   unsigned started;
   unsigned twice;      /* starts of a task that runs elsewhere */
   GHashTable *records; /* job id to what was stored last */
