steward: pools give what they don't need also while something of theirs waits

Change: what a pool wants for its timely work is what it keeps from others; to the standby pool it gives only once a surge has shown what it needs.

--- a/core/work/steward_internal.h
+++ b/core/work/steward_internal.h
@@ -19,7 +19,6 @@
   unsigned base; /* machines that belong to it */
   double peak;   /* highest need of late, fading */
   int64_t learned_at;
-  bool worked;         /* jobs have come to it */
   int64_t spare_since; /* it has had more than it wants since; 0 */
 };
 
--- a/core/work/steward_moves.c
+++ b/core/work/steward_moves.c
@@ -23,6 +23,8 @@
 #define KEEP_SHARE 0.4
 /* ... and this one of the machines that belong to it. */
 #define BASE_SHARE 0.7
+/* A pool has surged once it has used this share of what belongs to it. */
+#define SURGED_SHARE 0.6
 /* The memory of a surge halves in this time. */
 #define PEAK_HALF_MS 60000.0
 /* Machines are given up only after they were not needed for so long: a move and the way back cost
@@ -112,19 +114,33 @@
   p->learned_at = now;
   p->have = count_machines (s, p, now);
   p->base = count_homes (s, p);
-  p->worked |= p->load.arriving_cpu > 0 || p->load.urgent > 0;
 }
 
-/* What the pool should have now. One to which nothing has come yet keeps all that belongs to it. */
 static unsigned
-wanted (const struct mt_keeper_pool *p)
+with_share (const struct mt_keeper_pool *p, double share)
 {
-  double share = p->worked ? BASE_SHARE : 1;
   unsigned keep = (unsigned) ceil (MAX (KEEP_SHARE * p->peak, share * p->base));
 
   return MAX (MAX (p->held, keep), 1U);
 }
 
+/* What the pool should have while others want its machines. */
+static unsigned
+wanted (const struct mt_keeper_pool *p)
+{
+  return with_share (p, BASE_SHARE);
+}
+
+/* What it keeps while nobody does: all that belongs to it, until its first surge has shown what it
+ * needs. */
+static unsigned
+wanted_idle (const struct mt_keeper_pool *p)
+{
+  bool surged = p->peak >= SURGED_SHARE * p->base;
+
+  return with_share (p, surged ? BASE_SHARE : 1);
+}
+
 static bool
 may_go (const struct mt_keeper_machine *m)
 {
@@ -218,7 +234,7 @@
     {
       int spare = (int) p->have - (int) wanted (p);
 
-      if (p->standby || mt_keeper_is_short (p) || spare <= most || emptiest (s, p) == NULL)
+      if (p->standby || spare <= most || emptiest (s, p) == NULL)
         continue;
       most = spare;
       best = p;
@@ -250,7 +266,7 @@
                struct mt_keeper_pool *p,
                int64_t now)
 {
-  if (p->have <= wanted (p) || mt_keeper_is_short (p))
+  if (p->have <= wanted_idle (p) || mt_keeper_is_short (p))
     {
       p->spare_since = 0;
       return;
@@ -259,7 +275,7 @@
     p->spare_since = now;
   if (now - p->spare_since < CALM_MS)
     return;
-  while (p->have > wanted (p) && plan_move (s, p, standby, now))
+  while (p->have > wanted_idle (p) && plan_move (s, p, standby, now))
     continue;
 }
 
