--- a/core/work/desk_workers.c
+++ b/core/work/desk_workers.c
@@ -134,6 +134,8 @@
     {
       struct mt_task *task = g_queue_peek_head (&w->tasks);
 
+      mt_desk_tell (desk, "TASK_LOST", "id=%s step=%u index=%u run=%u worker=%s why=%s",
+                    task->part->job->spec->id, task->step, task->index, task->run, w->id, why);
       task->shunned = w;
       mt_task_wait (desk, task, now);
     }
--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -23,6 +23,14 @@
     .description = "print a daemon's state",
     .argument = "IP:PORT",
     .run = mt_command_dump },
+  { .name = "explain",
+    .description = "say from collected logs on standard input what became of a job, and why",
+    .argument = "ID",
+    .run = mt_command_explain },
+  { .name = "top",
+    .description = "print the main counters of daemons by their metrics addresses",
+    .argument = "IP:PORT[,IP:PORT...]",
+    .run = mt_command_top },
   { .name = NULL },
 };
 
--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -22,6 +22,7 @@
 {
   const struct mt_store *store;
   const char *peer; /* --peer IP:PORT, or NULL */
+  FILE *in;
   FILE *out;
   FILE *err;
   const char *onto;             /* --onto VERSION, or NULL */
@@ -48,4 +49,8 @@
 int mt_command_dump (const struct mt_command_context *context, const char *address);
 int mt_command_status (const struct mt_command_context *context, const char *argument);
 
+/* The logs come on the context's `in`. */
+int mt_command_explain (const struct mt_command_context *context, const char *id);
+int mt_command_top (const struct mt_command_context *context, const char *addresses);
+
 #endif
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -113,6 +113,7 @@
   struct mt_command_context context = {
     .store = mt_platform_store (platform),
     .peer = arguments->peer,
+    .in = stdin,
     .out = stdout,
     .err = stderr,
     .onto = arguments->onto,
--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -16,7 +16,8 @@
 #define RENEW_TIMEOUT_MS 400
 /* After a renewal without an answer: a lease that the store has paused, or ended, is known sooner.
  */
-#define RENEW_AGAIN_MS 150
+#define RENEW_AGAIN_MS 120
+#define MAX_RENEWALS   3U
 /* The lease counts as over this much before it can be, for clocks that run apart. */
 #define SURE_MARGIN_MS 150
 #define WATCH_MS       5000
@@ -56,8 +57,8 @@
   int64_t sure_until;
   int64_t renewed; /* when the last renewal was sent */
   int64_t renew_sent;
-  bool renewing;
-  bool unanswered; /* the last renewal */
+  unsigned renewing; /* renewals on their way */
+  bool unanswered;   /* the last renewal */
   bool granting;
   bool joined;
   bool joining;
@@ -196,33 +197,44 @@
   lose_all (c, why);
 }
 
+struct renewal
+{
+  struct mt_cluster *cluster;
+  int64_t lease;
+  int64_t sent;
+};
+
 static void
 on_kept (void *data, const struct mt_kv_reply *reply)
 {
-  struct mt_cluster *c = data;
+  struct renewal *r = data;
+  struct mt_cluster *c = r->cluster;
+  int64_t ttl = reply->ttl_ms > 0 ? reply->ttl_ms : LEASE_MS;
 
-  c->renewing = false;
+  c->renewing--;
   c->unanswered = reply->status != MT_KV_OK && reply->status != MT_KV_MISSING;
-  if (c->lease == 0)
-    return;
-  if (reply->status == MT_KV_MISSING)
+  if (c->lease == r->lease && reply->status == MT_KV_MISSING)
     drop_lease (c, "lease ended");
-  else if (reply->status == MT_KV_OK)
-    {
-      int64_t ttl = reply->ttl_ms > 0 ? reply->ttl_ms : LEASE_MS;
-
-      c->sure_until = c->renew_sent + ttl - SURE_MARGIN_MS;
-    }
+  else if (c->lease == r->lease && reply->status == MT_KV_OK)
+    c->sure_until = MAX (c->sure_until, r->sent + ttl - SURE_MARGIN_MS);
+  g_free (r);
 }
 
+/* While renewals get no answer a few are on their way at a time: that the store is back is known at
+ * once, and not after the last one's time-out. */
 static void
 renew (struct mt_cluster *c, int64_t now)
 {
-  if (c->renewing || now - c->renew_sent < (c->unanswered ? RENEW_AGAIN_MS : RENEW_MS))
+  struct renewal *r;
+
+  if (c->renewing >= (c->unanswered ? MAX_RENEWALS : 1U)
+      || now - c->renew_sent < (c->unanswered ? RENEW_AGAIN_MS : RENEW_MS))
     return;
-  c->renewing = true;
+  r = g_new0 (struct renewal, 1);
+  *r = (struct renewal){ c, c->lease, now };
+  c->renewing++;
   c->renew_sent = now;
-  c->kv.ops->keep (c->kv.ctx, c->lease, RENEW_TIMEOUT_MS, on_kept, c);
+  c->kv.ops->keep (c->kv.ctx, c->lease, RENEW_TIMEOUT_MS, on_kept, r);
 }
 
 static void
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -42,7 +42,8 @@
 
 struct mt_fleet
 {
-  const struct mt_fleet_settings *settings;
+  const struct mt_fleet_settings *settings; /* in force */
+  struct mt_fleet_settings *reread;         /* ours to free, unless it is still the first */
   char *settings_path;
   struct event_base *base;
   struct mt_journal *journal;
@@ -487,13 +488,49 @@
     event_base_loopbreak (f->base);
 }
 
+static struct mt_adapter_settings
+adapter_settings (const struct mt_fleet_settings *s)
+{
+  return (struct mt_adapter_settings){ .daemon = s->name.data,
+                                       .store = s->store.data,
+                                       .machines = s->machines.data,
+                                       .advisor = s->advisor.data };
+}
+
+/* What can change while it runs: addresses of the platform and its bounds. A pool that is led takes
+ * new bounds when its duty is taken next. */
+static void
+read_settings (struct mt_fleet *f)
+{
+  g_autoptr (GError) error = NULL;
+  g_autofree char *text = NULL;
+  gsize len = 0;
+  struct mt_fleet_settings *settings = NULL;
+  struct mt_adapter_settings addresses;
+
+  if (g_file_get_contents (f->settings_path, &text, &len, &error))
+    settings = mt_fleet_settings_parse ((struct mt_str){ text, len }, &error);
+  if (settings == NULL)
+    {
+      mt_journal_tell (f->journal, "FLEET_SETTINGS", "taken=no why=%s", error->message);
+      return;
+    }
+  addresses = adapter_settings (settings);
+  mt_adapter_set_addresses (f->platform, &addresses);
+  if (f->reread != NULL)
+    mt_fleet_settings_destroy (f->reread);
+  f->reread = settings;
+  f->settings = settings;
+  mt_journal_tell (f->journal, "FLEET_SETTINGS", "taken=yes path=%s", f->settings_path);
+}
+
 static void
 on_signal (evutil_socket_t number, short what, void *ctx)
 {
   struct mt_fleet *f = ctx;
 
   if (number == SIGHUP)
-    mt_journal_tell (f->journal, "FLEET_SETTINGS", "path=%s", f->settings_path);
+    read_settings (f);
   else if (number == SIGUSR1)
     {
       g_autofree char *text = NULL;
@@ -597,10 +634,7 @@
 {
   struct mt_fleet *f = g_new0 (struct mt_fleet, 1);
   g_autofree char *peer = g_strdup_printf ("%s:%u", s->ip.data, s->peer_port);
-  struct mt_adapter_settings platform = { .daemon = s->name.data,
-                                          .store = s->store.data,
-                                          .machines = s->machines.data,
-                                          .advisor = s->advisor.data };
+  struct mt_adapter_settings platform = adapter_settings (s);
   struct mt_watcher_options config = { .wait_ms = CONFIG_WAIT_MS, .on_item = on_config, .ctx = f };
 
   f->settings = s;
--- /dev/null
+++ b/fleet/gate_ask.c
@@ -0,0 +1,332 @@
+/* Jobs asked for, counted and cancelled. */
+#include "gate_internal.h"
+
+#include "journal.h"
+#include "loop.h"
+#include "pool_keys.h"
+
+#include <string.h>
+
+#define STORE_MS 700
+
+static void
+answer_state (struct mt_gate *gate, struct mt_exchange *exchange, enum mt_job_state state)
+{
+  g_autofree char *body = gate->options.words->ops->job_state (state);
+
+  mt_gate_answer (exchange, 200, body, 0);
+}
+
+struct question
+{
+  struct mt_gate *gate;
+  struct mt_exchange *exchange;
+  char *pool;
+  char *id; /* of the job; NULL where the queue is asked for */
+  char *route;
+  int64_t began;
+  enum mt_job_state open_state; /* unless it is cancelled */
+};
+
+static struct question *
+new_question (struct mt_gate *gate,
+              struct mt_exchange *exchange,
+              const struct mt_fleet_route *route,
+              const char *id)
+{
+  struct question *q = g_new0 (struct question, 1);
+
+  *q = (struct question){ .gate = gate,
+                          .exchange = exchange,
+                          .pool = g_strdup (route->pool),
+                          .id = g_strdup (id),
+                          .route = g_strdup (route->name),
+                          .began = mt_loop_now () };
+  gate->busy++;
+  return q;
+}
+
+static void
+free_question (struct question *q)
+{
+  q->gate->busy--;
+  mt_metrics_took (q->gate->options.metrics, MT_LATENCY_ASK, mt_loop_now () - q->began);
+  g_free (q->pool);
+  g_free (q->id);
+  g_free (q->route);
+  g_free (q);
+}
+
+static void
+end_unanswered (struct question *q, unsigned status, const char *why)
+{
+  mt_metrics_count (q->gate->options.metrics, MT_COUNT_UNANSWERED);
+  mt_journal_tell (q->gate->options.journal, "CALL_FAILED",
+                   "id=%s pool=%s status=%u why=%s took_ms=%" G_GINT64_FORMAT,
+                   q->id != NULL ? q->id : "-", q->pool, status, why, mt_loop_now () - q->began);
+  mt_gate_answer (q->exchange, status, NULL, MT_GATE_RETRY_AFTER_S);
+  free_question (q);
+}
+
+static void
+end_state (struct question *q, enum mt_job_state state)
+{
+  answer_state (q->gate, q->exchange, state);
+  free_question (q);
+}
+
+static void
+end_no_job (struct question *q)
+{
+  mt_gate_answer (q->exchange, 410, NULL, 0);
+  free_question (q);
+}
+
+static void
+on_cancel_key (void *data, const struct mt_kv_reply *reply)
+{
+  struct question *q = data;
+
+  if (reply->status == MT_KV_OK)
+    end_state (q, MT_JOB_CANCELLED);
+  else if (reply->status == MT_KV_MISSING)
+    end_state (q, q->open_state);
+  else
+    end_unanswered (q, 503, "the store did not answer");
+}
+
+static void
+on_progress_key (void *data, const struct mt_kv_reply *reply)
+{
+  struct question *q = data;
+  enum mt_job_state state = MT_JOB_QUEUED;
+  g_autofree char *key = NULL;
+
+  if (reply->status != MT_KV_OK && reply->status != MT_KV_MISSING)
+    {
+      end_unanswered (q, 503, "the store did not answer");
+      return;
+    }
+  if (reply->status == MT_KV_OK && reply->n_items > 0)
+    state = mt_pool_record_state (reply->items[0].value);
+  if (state == MT_JOB_COMPLETED || state == MT_JOB_FAILED || state == MT_JOB_CANCELLED)
+    {
+      end_state (q, state);
+      return;
+    }
+  q->open_state = state == MT_JOB_UNKNOWN ? MT_JOB_QUEUED : state;
+  key = mt_pool_cancel_key (q->pool, q->id);
+  q->gate->options.kv.ops->get (q->gate->options.kv.ctx, key, STORE_MS, on_cancel_key, q);
+}
+
+static void
+on_job_key (void *data, const struct mt_kv_reply *reply)
+{
+  struct question *q = data;
+  g_autofree char *key = NULL;
+
+  if (reply->status == MT_KV_MISSING)
+    {
+      end_no_job (q);
+      return;
+    }
+  if (reply->status != MT_KV_OK)
+    {
+      end_unanswered (q, 503, "the store did not answer");
+      return;
+    }
+  key = mt_pool_progress_key (q->pool, q->id);
+  q->gate->options.kv.ops->get (q->gate->options.kv.ctx, key, STORE_MS, on_progress_key, q);
+}
+
+/* Nobody leads the pool, or its leader doesn't know the job: only the store can say that a job does
+ * not exist. */
+static void
+ask_store (struct question *q)
+{
+  g_autofree char *key = mt_pool_job_key (q->pool, q->id);
+
+  mt_metrics_count (q->gate->options.metrics, MT_COUNT_ASKED_STORE);
+  q->gate->options.kv.ops->get (q->gate->options.kv.ctx, key, STORE_MS, on_job_key, q);
+}
+
+static enum mt_job_state
+read_state (struct mt_str text)
+{
+  for (int i = 0; i < MT_JOB_UNKNOWN; i++)
+    if (mt_str_equal (text, mt_str_from (mt_job_state_names[i])))
+      return (enum mt_job_state) i;
+  return MT_JOB_UNKNOWN;
+}
+
+static void
+on_leader_state (void *data, const struct mt_mesh_args *args)
+{
+  struct question *q = data;
+  enum mt_job_state state
+      = args != NULL && args->n == 1 ? read_state (args->at[0]) : MT_JOB_UNKNOWN;
+
+  if (state == MT_JOB_UNKNOWN)
+    {
+      ask_store (q);
+      return;
+    }
+  mt_metrics_count (q->gate->options.metrics, MT_COUNT_ASKED_LEADER);
+  end_state (q, state);
+}
+
+static struct mt_pool *
+loaded_pool (struct mt_gate *gate, const char *name)
+{
+  struct mt_pool *pool = gate->options.local (gate->options.ctx, name);
+
+  return pool != NULL && mt_pool_is_loaded (pool) ? pool : NULL;
+}
+
+void
+mt_gate_ask_state (struct mt_gate *gate,
+                   struct mt_exchange *exchange,
+                   const struct mt_fleet_route *route,
+                   const char *id)
+{
+  struct mt_pool *local = loaded_pool (gate, route->pool);
+  const char *holder = mt_cluster_holder (gate->options.cluster, route->pool);
+  struct question *q = new_question (gate, exchange, route, id);
+  struct mt_mesh_args args = { 2, { mt_str_from (q->pool), mt_str_from (q->id) } };
+  enum mt_job_state state = MT_JOB_UNKNOWN;
+
+  mt_metrics_count (gate->options.metrics, MT_COUNT_ASKED);
+  /* A leader that may have been replaced unnoticed must not tell what is no longer true. */
+  if (local != NULL && mt_cluster_is_sure (gate->options.cluster))
+    state = mt_desk_state (mt_pool_desk (local), id);
+  if (state != MT_JOB_UNKNOWN)
+    end_state (q, state);
+  else if (local == NULL && holder != NULL)
+    mt_mesh_send (gate->options.mesh, holder, MT_MESH_STATE, &args, MT_GATE_LEADER_MS,
+                  on_leader_state, q);
+  else
+    ask_store (q);
+}
+
+static void
+on_leader_pending (void *data, const struct mt_mesh_args *args)
+{
+  struct question *q = data;
+  g_autofree char *body = NULL;
+  unsigned long long jobs = 0;
+
+  if (args == NULL || args->n != 1 || !mt_str_to_u64 (args->at[0], &jobs))
+    {
+      end_unanswered (q, 503, "the pool's leader did not answer");
+      return;
+    }
+  body = q->gate->options.words->ops->pending ((unsigned) jobs);
+  mt_gate_answer (q->exchange, 200, body, 0);
+  free_question (q);
+}
+
+void
+mt_gate_ask_pending (struct mt_gate *gate,
+                     struct mt_exchange *exchange,
+                     const struct mt_fleet_route *route)
+{
+  struct mt_pool *local = loaded_pool (gate, route->pool);
+  const char *holder = mt_cluster_holder (gate->options.cluster, route->pool);
+  struct question *q = new_question (gate, exchange, route, NULL);
+  struct mt_mesh_args args = { 2, { mt_str_from (q->pool), mt_str_from (q->route) } };
+
+  mt_metrics_count (gate->options.metrics, MT_COUNT_ASKED);
+  if (local != NULL)
+    {
+      g_autofree char *body
+          = gate->options.words->ops->pending (mt_desk_pending (mt_pool_desk (local), route->name));
+
+      mt_gate_answer (exchange, 200, body, 0);
+      free_question (q);
+    }
+  else if (holder != NULL)
+    mt_mesh_send (gate->options.mesh, holder, MT_MESH_PENDING, &args, MT_GATE_LEADER_MS,
+                  on_leader_pending, q);
+  else
+    end_unanswered (q, 503, "nobody leads the pool");
+}
+
+/* ---- cancels ---- */
+
+static void send_cancel (struct question *q);
+
+static void
+end_cancel (struct question *q)
+{
+  struct mt_gate *gate = q->gate;
+  struct mt_pool *local = gate->options.local (gate->options.ctx, q->pool);
+  const char *holder = mt_cluster_holder (gate->options.cluster, q->pool);
+  struct mt_mesh_args args = { 2, { mt_str_from (q->pool), mt_str_from (q->id) } };
+
+  if (local != NULL)
+    mt_pool_cancelled (local, q->id);
+  else if (holder != NULL)
+    mt_mesh_send (gate->options.mesh, holder, MT_MESH_CANCELLED, &args, MT_GATE_LEADER_MS,
+                  mt_gate_noted, gate);
+  mt_metrics_count (gate->options.metrics, MT_COUNT_CANCELS);
+  mt_journal_tell (gate->options.journal, "CANCEL_ACCEPTED",
+                   "id=%s pool=%s took_ms=%" G_GINT64_FORMAT, q->id, q->pool,
+                   mt_loop_now () - q->began);
+  mt_gate_answer (q->exchange, 200, NULL, 0);
+  free_question (q);
+}
+
+static bool
+out_of_time (const struct question *q)
+{
+  return mt_loop_now () - q->began >= MT_GATE_SETTLE_MS;
+}
+
+static void
+on_cancel_stored (void *data, const struct mt_kv_reply *reply)
+{
+  struct question *q = data;
+
+  if (reply->status == MT_KV_OK || reply->status == MT_KV_CONFLICT)
+    end_cancel (q);
+  else if (out_of_time (q))
+    end_unanswered (q, 504, "the store did not answer");
+  else
+    send_cancel (q);
+}
+
+static void
+send_cancel (struct question *q)
+{
+  g_autofree char *key = mt_pool_cancel_key (q->pool, q->id);
+  struct mt_kv_expect expect = { key, 0 };
+  struct mt_kv_put put = { .key = key, .value = MT_STR ("{}") };
+  struct mt_kv_txn txn = { &expect, 1, &put, 1, NULL, 0 };
+
+  q->gate->options.kv.ops->txn (q->gate->options.kv.ctx, &txn, MT_GATE_TXN_MS, on_cancel_stored, q);
+}
+
+static void
+on_cancel_job (void *data, const struct mt_kv_reply *reply)
+{
+  struct question *q = data;
+
+  if (reply->status == MT_KV_MISSING)
+    end_no_job (q);
+  else if (reply->status == MT_KV_OK)
+    send_cancel (q);
+  else
+    end_unanswered (q, reply->status == MT_KV_REFUSED ? 503 : 504, "the store did not answer");
+}
+
+void
+mt_gate_cancel (struct mt_gate *gate,
+                struct mt_exchange *exchange,
+                const struct mt_fleet_route *route,
+                const char *id)
+{
+  struct question *q = new_question (gate, exchange, route, id);
+  g_autofree char *key = mt_pool_job_key (q->pool, q->id);
+
+  gate->options.kv.ops->get (gate->options.kv.ctx, key, MT_GATE_TXN_MS, on_cancel_job, q);
+}
--- /dev/null
+++ b/fleet/gate_internal.h
@@ -0,0 +1,52 @@
+/* The gate's parts share these; nobody else does. */
+#ifndef MT_FLEET_GATE_INTERNAL_H
+#define MT_FLEET_GATE_INTERNAL_H
+
+#include "gate.h"
+
+/* The store's answer to a submission is waited for so long in all; then its outcome is unknown, and
+ * the caller's retry under the same id settles it. A caller gives up after some 3 s. */
+#define MT_GATE_SETTLE_MS 1200
+#define MT_GATE_TXN_MS    600
+/* The pool's leader answers from memory; if it doesn't, the store knows. */
+#define MT_GATE_LEADER_MS 350
+/* When to come back: the store refuses for seconds at a time, a free duty is taken within two. */
+#define MT_GATE_RETRY_AFTER_S 1
+
+struct mt_gate
+{
+  struct event_base *base;
+  struct mt_gate_options options;
+  const struct mt_fleet_config *config;
+  GQueue submits; /* not in a transaction yet */
+  unsigned txns;
+  unsigned busy;
+};
+
+/* body NULL: an empty object. */
+void mt_gate_answer (struct mt_exchange *exchange,
+                     unsigned status,
+                     const char *body,
+                     unsigned retry_after_s);
+/* For a note to a leader that wants no reply. */
+void mt_gate_noted (void *ctx, const struct mt_mesh_args *args);
+
+/* gate_submit.c */
+void mt_gate_submit (struct mt_gate *gate,
+                     struct mt_exchange *exchange,
+                     const struct mt_fleet_route *route,
+                     const char *id);
+/* gate_ask.c */
+void mt_gate_ask_state (struct mt_gate *gate,
+                        struct mt_exchange *exchange,
+                        const struct mt_fleet_route *route,
+                        const char *id);
+void mt_gate_ask_pending (struct mt_gate *gate,
+                          struct mt_exchange *exchange,
+                          const struct mt_fleet_route *route);
+void mt_gate_cancel (struct mt_gate *gate,
+                     struct mt_exchange *exchange,
+                     const struct mt_fleet_route *route,
+                     const char *id);
+
+#endif
--- /dev/null
+++ b/fleet/gate_submit.c
@@ -0,0 +1,291 @@
+/* Jobs handed in: stored first, then acknowledged, then told to the pool's leader. */
+#include "gate_internal.h"
+
+#include "journal.h"
+#include "loop.h"
+#include "pool_keys.h"
+
+#include <string.h>
+
+/* A store that refuses is asked again after this: the refusal says that nothing was done. */
+#define AGAIN_MS 80
+/* Submissions of one transaction: an expectation and a put each. */
+#define PER_TXN        15
+#define TXNS_AT_A_TIME 2U
+
+struct submit
+{
+  struct mt_gate *gate;
+  struct mt_exchange *exchange;
+  char *pool;
+  char *id;
+  char *key;
+  char *value;
+  size_t value_len;
+  int64_t began;
+  bool unsettled; /* a write of it had no answer */
+};
+
+struct txn
+{
+  struct mt_gate *gate;
+  GPtrArray *submits;
+  struct mt_timer *again;
+};
+
+static void send_submits (struct mt_gate *gate);
+
+static void
+free_submit (void *data)
+{
+  struct submit *s = data;
+
+  g_free (s->pool);
+  g_free (s->id);
+  g_free (s->key);
+  g_free (s->value);
+  g_free (s);
+}
+
+/* The pool's leader learns of it at once; where it doesn't, its watch brings it later. */
+static void
+tell_leader (struct mt_gate *gate, const struct submit *s)
+{
+  struct mt_pool *local = gate->options.local (gate->options.ctx, s->pool);
+  struct mt_str value = { s->value, s->value_len };
+  const char *holder = mt_cluster_holder (gate->options.cluster, s->pool);
+  struct mt_mesh_args args = { 3, { mt_str_from (s->pool), mt_str_from (s->key), value } };
+
+  if (local != NULL)
+    mt_pool_submitted (local, s->key, value, true);
+  else if (holder != NULL)
+    mt_mesh_send (gate->options.mesh, holder, MT_MESH_SUBMITTED, &args, MT_GATE_LEADER_MS,
+                  mt_gate_noted, gate);
+}
+
+static void
+end_submit (struct submit *s, unsigned status, const char *why)
+{
+  static const struct
+  {
+    unsigned status;
+    enum mt_counter counter;
+    const char *event;
+  } ways[] = {
+    { 200, MT_COUNT_ACCEPTED, "JOB_ACCEPTED" },
+    { 504, MT_COUNT_UNSETTLED, "JOB_UNSETTLED" },
+    { 0, MT_COUNT_REFUSED, "JOB_REFUSED" },
+  };
+  size_t way = 0;
+  int64_t took = mt_loop_now () - s->began;
+
+  while (ways[way].status != 0 && ways[way].status != status)
+    way++;
+  mt_metrics_count (s->gate->options.metrics, ways[way].counter);
+  mt_metrics_took (s->gate->options.metrics, MT_LATENCY_SUBMIT, took);
+  mt_journal_tell (s->gate->options.journal, ways[way].event,
+                   "id=%s pool=%s status=%u why=%s took_ms=%" G_GINT64_FORMAT, s->id, s->pool,
+                   status, why, took);
+  mt_gate_answer (s->exchange, status, NULL,
+                  status == 503 || status == 504 ? MT_GATE_RETRY_AFTER_S : 0);
+  s->gate->busy--;
+  free_submit (s);
+}
+
+static void
+accept_submit (struct submit *s, const char *why)
+{
+  tell_leader (s->gate, s);
+  end_submit (s, 200, why);
+}
+
+/* The key is there: the same job handed in twice, or another one under its id. */
+static void
+settle_submit (struct submit *s, const struct mt_kv_item *item)
+{
+  g_autofree char *route = NULL;
+  g_autofree char *my_route = NULL;
+  int64_t at, my_at;
+  struct mt_str body, my_body;
+
+  mt_pool_read_value ((struct mt_str){ s->value, s->value_len }, &my_route, &my_at, &my_body);
+  if (mt_pool_read_value (item->value, &route, &at, &body) && mt_str_equal (body, my_body)
+      && strcmp (route, my_route) == 0)
+    accept_submit (s, "known already");
+  else
+    end_submit (s, 409, "another job has this id");
+}
+
+static const struct mt_kv_item *
+find_item (const struct mt_kv_reply *reply, const char *key)
+{
+  for (size_t i = 0; i < reply->n_items; i++)
+    if (strcmp (reply->items[i].key, key) == 0)
+      return &reply->items[i];
+  return NULL;
+}
+
+static void
+free_txn (struct txn *t)
+{
+  t->gate->txns--;
+  g_ptr_array_unref (t->submits);
+  mt_timer_destroy (t->again);
+  g_free (t);
+}
+
+static void
+end_txn (struct txn *t)
+{
+  struct mt_gate *gate = t->gate;
+
+  free_txn (t);
+  send_submits (gate);
+}
+
+static void
+conflict (struct txn *t, const struct mt_kv_reply *reply)
+{
+  for (guint i = 0; i < t->submits->len; i++)
+    {
+      struct submit *s = t->submits->pdata[i];
+      const struct mt_kv_item *item = find_item (reply, s->key);
+
+      if (item != NULL && item->revision > 0)
+        settle_submit (s, item);
+      else
+        g_queue_push_tail (&t->gate->submits, s);
+    }
+  end_txn (t);
+}
+
+static bool
+store_answers (const struct mt_gate *gate)
+{
+  return gate->options.store_answers (gate->options.ctx);
+}
+
+/* A write without an answer may be done later still, so the job is never said to be refused after
+ * one: the same write is sent again, which is settled by its own condition. Once the store answers
+ * nobody, waiting on helps no caller: each is told at once what is known. */
+static void
+try_again (struct txn *t, bool unsettled)
+{
+  int64_t now = mt_loop_now ();
+  bool hopeless = !store_answers (t->gate);
+
+  for (guint i = 0; i < t->submits->len;)
+    {
+      struct submit *s = t->submits->pdata[i];
+
+      s->unsettled |= unsettled;
+      if (!hopeless && now - s->began < MT_GATE_SETTLE_MS)
+        {
+          i++;
+          continue;
+        }
+      end_submit (s, s->unsettled ? 504 : 503, "the store did not answer");
+      g_ptr_array_remove_index (t->submits, i);
+    }
+  if (t->submits->len == 0)
+    end_txn (t);
+  else
+    mt_timer_set (t->again, AGAIN_MS);
+}
+
+static void
+on_stored (void *data, const struct mt_kv_reply *reply)
+{
+  struct txn *t = data;
+
+  switch (reply->status)
+    {
+    case MT_KV_OK:
+      for (guint i = 0; i < t->submits->len; i++)
+        accept_submit (t->submits->pdata[i], "stored");
+      end_txn (t);
+      return;
+    case MT_KV_CONFLICT:
+      conflict (t, reply);
+      return;
+    default:
+      try_again (t, reply->status == MT_KV_UNKNOWN);
+      return;
+    }
+}
+
+static void
+send_txn (void *ctx)
+{
+  struct txn *t = ctx;
+  struct mt_kv_expect expects[PER_TXN];
+  struct mt_kv_put puts[PER_TXN];
+  struct mt_kv_txn txn = {
+    .expects = expects, .n_expects = t->submits->len, .puts = puts, .n_puts = t->submits->len
+  };
+
+  for (guint i = 0; i < t->submits->len; i++)
+    {
+      const struct submit *s = t->submits->pdata[i];
+
+      expects[i] = (struct mt_kv_expect){ s->key, 0 };
+      puts[i] = (struct mt_kv_put){ s->key, { s->value, s->value_len }, 0 };
+    }
+  t->gate->options.kv.ops->txn (t->gate->options.kv.ctx, &txn, MT_GATE_TXN_MS, on_stored, t);
+}
+
+/* What came while others were on their way goes into one write. */
+static void
+send_submits (struct mt_gate *gate)
+{
+  while (!g_queue_is_empty (&gate->submits) && gate->txns < TXNS_AT_A_TIME)
+    {
+      struct txn *t = g_new0 (struct txn, 1);
+
+      t->gate = gate;
+      t->submits = g_ptr_array_new ();
+      t->again = mt_timer_create (gate->base, send_txn, t);
+      gate->txns++;
+      while (t->submits->len < PER_TXN && !g_queue_is_empty (&gate->submits))
+        g_ptr_array_add (t->submits, g_queue_pop_head (&gate->submits));
+      send_txn (t);
+    }
+}
+
+void
+mt_gate_submit (struct mt_gate *gate,
+                struct mt_exchange *exchange,
+                const struct mt_fleet_route *route,
+                const char *id)
+{
+  g_autoptr (GError) error = NULL;
+  struct mt_str body = mt_exchange_body (exchange);
+  struct mt_job_spec *spec = gate->options.words->ops->job (id, route->name, body, &error);
+  struct submit *s;
+
+  if (spec == NULL)
+    {
+      mt_metrics_count (gate->options.metrics, MT_COUNT_REFUSED);
+      mt_journal_tell (gate->options.journal, "JOB_REFUSED", "id=%s pool=%s status=400 why=%s", id,
+                       route->pool, error->message);
+      mt_exchange_answer (exchange, 400, "text/plain", mt_str_from (error->message), 0);
+      return;
+    }
+  mt_job_spec_destroy (spec);
+  s = g_new0 (struct submit, 1);
+  s->gate = gate;
+  s->exchange = exchange;
+  s->pool = g_strdup (route->pool);
+  s->id = g_strdup (id);
+  s->key = mt_pool_job_key (route->pool, id);
+  s->value = mt_pool_value (route->name, mt_loop_wall (), body, &s->value_len);
+  s->began = mt_loop_now ();
+  gate->busy++;
+  if (!store_answers (gate))
+    {
+      end_submit (s, 503, "the store does not answer, nothing was sent");
+      return;
+    }
+  g_queue_push_tail (&gate->submits, s);
+  send_submits (gate);
+}
--- /dev/null
+++ b/tests/ctl/test_explain.c
@@ -0,0 +1,117 @@
+/* Three kinds of failed request, explained from logs alone. The lines are those of
+ * docs/OPERATIONS.md, as daemons wrote them. */
+#include "commands.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+static char *
+cause_of (const char *logs, const char *id, int *code)
+{
+  char *out = NULL;
+  size_t len = 0;
+  struct mt_command_context context = { .in = fmemopen ((void *) logs, strlen (logs), "r"),
+                                        .out = open_memstream (&out, &len),
+                                        .err = fopen ("/dev/null", "w") };
+  json_t *root;
+  char *cause;
+
+  *code = mt_command_explain (&context, id);
+  fclose (context.in);
+  fclose (context.out);
+  fclose (context.err);
+  root = json_loads (out, 0, NULL);
+  cause = g_strdup (json_string_value (json_object_get (root, "cause")));
+  json_decref (root);
+  free (out);
+  return cause;
+}
+
+/* The page's block behind the heading: what stands between its first pair of ``` lines. */
+static char *
+page_lines (const char *heading)
+{
+  g_autofree char *path
+      = g_build_filename (g_getenv ("MT_SOURCE_ROOT"), "docs", "OPERATIONS.md", NULL);
+  g_autofree char *page = NULL;
+  const char *at;
+  const char *end;
+
+  assert_true (g_file_get_contents (path, &page, NULL, NULL));
+  at = strstr (page, heading);
+  assert_non_null (at);
+  at = strstr (at, "```\n");
+  assert_non_null (at);
+  end = strstr (at + 4, "```");
+  assert_non_null (end);
+  return g_strndup (at + 4, (gsize) (end - at - 4));
+}
+
+static void
+explain_page (const char *heading, const char *id, const char *expected)
+{
+  g_autofree char *lines = page_lines (heading);
+  g_autofree char *cause = NULL;
+  int code;
+
+  cause = cause_of (lines, id, &code);
+  assert_int_equal (code, MT_EXIT_OK);
+  assert_string_equal (cause, expected);
+}
+
+static void
+test_refused_in_an_outage (void **state)
+{
+  explain_page ("## Refused", "00f6226332f5636d",
+                "refused, it never ran: the store does not answer, nothing was sent");
+}
+
+static void
+test_accepted_but_late (void **state)
+{
+  explain_page ("## Accepted, but late", "f71564d94cf1ed4b",
+                "completed 10342 ms after its acceptance; it waited 5995 ms for its first start "
+                "behind 1040 waiting tasks of its pool, with 77900 of 80000 thousandths of a core "
+                "used");
+}
+
+static void
+test_run_again_after_its_worker_was_lost (void **state)
+{
+  explain_page ("## Accepted, its worker lost", "7cca71efe496b5df",
+                "completed 11269 ms after its acceptance; 2 of its tasks were lost with worker "
+                "i-2ee2a0921f (lease over) and run again");
+}
+
+/* A job of which no line tells is an error that says what to collect; lines that are no events are
+ * passed over. */
+static void
+test_unknown_job_is_an_error (void **state)
+{
+  int code;
+  g_autofree char *cause
+      = cause_of ("some collector's words\n{\"x\":1}\n{broken\n", "00f6226332f5636d", &code);
+
+  assert_int_equal (code, MT_EXIT_REFUSED);
+  assert_string_equal (cause, "no daemon's log tells of its acceptance");
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_refused_in_an_outage),
+    cmocka_unit_test (test_accepted_but_late),
+    cmocka_unit_test (test_run_again_after_its_worker_was_lost),
+    cmocka_unit_test (test_unknown_job_is_an_error),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
