steward: an order that was done before ends no life

Ruled out: late orders to workers (the run that was doubled was begun in time), the silent-worker rule (it answered). Change: only the list of machines, asked for after the order, proves that a life has ended; until then the worker stays cordoned. Test: test_order_done_before_ends_no_life failed before.

--- a/core/work/steward.c
+++ b/core/work/steward.c
@@ -10,6 +10,8 @@
 #define PATIENCE_MS 9000
 /* A desk's view older than this proves nothing about a worker being empty. */
 #define FRESH_MS 700
+/* Desks are told for so long that a worker's life has ended; its entry may stay listed. */
+#define TELL_ENDED_MS 10000
 
 static void
 free_pool (void *data)
@@ -109,8 +111,25 @@
   m->sent = false;
 }
 
+/* An order that was done already, by a lost call or a predecessor, is answered like one that was
+ * done now: the worker is then another life, and runs on. Only the list tells; its tasks must not
+ * be started elsewhere on the answer alone. */
 static void
-take_machine (struct mt_steward *s, const struct mt_steward_machine *row, int64_t asked)
+settle_ended (struct mt_keeper_machine *m, const struct mt_steward_machine *row, int64_t now)
+{
+  if (m->ended_worker == NULL || m->ended_at != 0)
+    return;
+  if (row->up && g_strcmp0 (row->worker, m->ended_worker) == 0)
+    g_clear_pointer (&m->ended_worker, g_free);
+  else
+    m->ended_at = now;
+}
+
+static void
+take_machine (struct mt_steward *s,
+              const struct mt_steward_machine *row,
+              int64_t asked,
+              int64_t now)
 {
   struct mt_keeper_machine *m = get_machine (s, row->id);
 
@@ -120,6 +139,7 @@
   /* The list was asked for before an order on it was carried out. */
   if (asked <= m->ordered || m->sent)
     return;
+  settle_ended (m, row, now);
   m->pool = get_pool (s, row->pool);
   if (m->home == NULL)
     m->home = m->pool;
@@ -167,7 +187,7 @@
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
     m->listed = false;
   for (size_t i = 0; i < n; i++)
-    take_machine (s, &machines[i], asked);
+    take_machine (s, &machines[i], asked, now);
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
     if (!m->listed)
@@ -427,6 +447,7 @@
   m->up = false;
   g_free (m->ended_worker);
   m->ended_worker = m->worker;
+  m->ended_at = 0;
   m->worker = NULL;
   m->viewed = false;
   drop_plan (m);
@@ -479,7 +500,9 @@
     {
       if (m->plan != MT_PLAN_NONE && m->worker != NULL && strcmp (m->pool->name, pool) == 0)
         g_ptr_array_add (cordons, g_strdup (m->worker));
-      if (m->ended_worker != NULL && now - m->ordered < 10000)
+      if (m->ended_worker != NULL && m->ended_at == 0)
+        g_ptr_array_add (cordons, g_strdup (m->ended_worker));
+      else if (m->ended_worker != NULL && now - m->ended_at < TELL_ENDED_MS)
         g_ptr_array_add (ends, g_strdup (m->ended_worker));
     }
   g_ptr_array_add (cordons, NULL);
--- a/core/work/steward_internal.h
+++ b/core/work/steward_internal.h
@@ -54,7 +54,8 @@
   int64_t again_at;
   int64_t away_until; /* an order was carried out: it is away until then */
   int64_t ordered;    /* when */
-  char *ended_worker; /* the life that the order ended */
+  char *ended_worker; /* the life that the order has ended, if it was not carried out before */
+  int64_t ended_at;   /* when the list has proved that; 0 until then */
   bool in_upkeep;
 };
 
--- a/tests/work/test_steward.c
+++ b/tests/work/test_steward.c
@@ -153,6 +153,36 @@
   site_destroy (site);
 }
 
+/* The upkeep of a machine was done before, by a call without an answer; ordered again it is
+ * answered as done. The worker there is the life after it, and runs on: its desk must not be told
+ * that it has ended, or its tasks would be started a second time. */
+static void
+test_order_done_before_ends_no_life (void **state)
+{
+  struct site *site = site_create ();
+  struct mt_steward_order order;
+  g_auto (GStrv) cordon = NULL;
+  g_auto (GStrv) ended = NULL;
+  g_autofree char *machine = NULL;
+
+  site_tell (site);
+  site_wave (site, 1, 60000);
+  assert_int_equal (site_orders (site, MT_STEWARD_DONE), 0);
+  site_tell (site);
+  assert_true (mt_steward_next (site->steward, site->now, &order));
+  machine = g_strdup (order.machine);
+  mt_steward_answered (site->steward, machine, MT_STEWARD_DONE, site->now);
+  mt_steward_of_pool (site->steward, "pool", site->now, &cordon, &ended);
+  assert_int_equal (g_strv_length (ended), 0);
+  assert_true (g_strv_length (cordon) >= 1);
+  site_tell (site);
+  g_strfreev (ended);
+  g_strfreev (cordon);
+  mt_steward_of_pool (site->steward, "pool", site->now, &cordon, &ended);
+  assert_int_equal (g_strv_length (ended), 0);
+  site_destroy (site);
+}
+
 /* While its pool is short of room and there is time, a wave waits; when time gets short it goes on.
  */
 static void
@@ -507,6 +537,7 @@
     cmocka_unit_test (test_surges_by_turns_share_the_machines),
     cmocka_unit_test (test_machines_that_a_predecessor_sent_down_count),
     cmocka_unit_test (test_cap_holds_with_orders_in_doubt),
+    cmocka_unit_test (test_order_done_before_ends_no_life),
     cmocka_unit_test (test_wave_waits_for_a_trough_while_it_can),
     cmocka_unit_test (test_wave_is_done_when_every_machine_has_begun),
   };
