desk, cluster: two ways to run a task twice; steward: needs by what keeps jobs in time

An answer that a worker's earlier life had sent, read after the registry had told of the next one, passed for a third life: what the second ran was started again. And in a zone that is cut off all daemons say that they don't reach the store: a leader there took that for an outage and held its workers on, while its successor elsewhere counted on their leases to run out; now only a daemon of another data centre is a witness. Tests: test_answer_of_an_earlier_life_is_passed_over failed before.

--- a/core/work/desk_answers.c
+++ b/core/work/desk_answers.c
@@ -355,16 +355,22 @@
       w->next_hold = w->lost_holds++ == 0 ? now : now + SILENT_AGAIN_MS;
       return;
     }
+  /* An answer that an earlier life had sent may arrive after the registry has told of the next one:
+   * it says nothing of what runs now. */
+  if (report->born_ms != 0 && report->born_ms < w->born)
+    {
+      w->next_hold = now;
+      return;
+    }
   if (report->born_ms != 0 && w->born != 0 && report->born_ms != w->born)
     {
       struct mt_worker_entry reborn = { .id = w->id,
-                                        .born_ms = MAX (report->born_ms, w->born + 1),
+                                        .born_ms = report->born_ms,
                                         .address = w->address,
                                         .zone = w->zone,
                                         .room = w->room };
 
       mt_desk_worker_seen (desk, &reborn, now);
-      w->born = report->born_ms;
     }
   else if (w->born == 0)
     w->born = report->born_ms;
--- a/core/work/desk_workers.c
+++ b/core/work/desk_workers.c
@@ -9,6 +9,10 @@
 #define SICK_FAILS    2.0
 #define SHUN_FIRST_MS 1500
 #define SHUN_MOST_MS  12000
+/* Of the time to a job's objective this is kept back for orders and news of ends, and no less than
+ * the least is counted: what is nearly late does not ask for all machines. */
+#define DEMAND_MARGIN_MS 200
+#define DEMAND_LEAST_MS  400.0
 
 struct mt_worker *
 mt_desk_worker (struct mt_desk *desk, const char *id)
@@ -248,16 +252,40 @@
 
       if (step->fill || task->part->job->ended_at != 0)
         continue;
+      if (step->lasting)
+        load->demand_cpu += step->need.cpu;
       if (step->lasting || task->part->objective_by > now)
         load->urgent_used_cpu += step->need.cpu;
     }
 }
 
+/* What the job needs on average to be done by its objective. One with a long objective is content
+ * with fewer processors than its tasks could use at once. */
+static int64_t
+demand_of (const struct mt_part *part, int64_t now)
+{
+  double work = 0;
+  double left = MAX ((double) (part->objective_by - now - DEMAND_MARGIN_MS), DEMAND_LEAST_MS);
+
+  for (unsigned s = 0; s < part->job->spec->n_steps; s++)
+    {
+      const struct mt_step *step = &part->job->spec->steps[s];
+      unsigned running = step->count - part->step_waiting[s] - part->step_done[s];
+
+      if (!step->lasting && !step->fill)
+        work += (part->step_waiting[s] + 0.5 * running) * (double) step->need.cpu
+                * mt_step_expected_ms (part->job->route, step);
+    }
+  return (int64_t) (work / left);
+}
+
 static void
 add_waiting (struct mt_desk_load *load, const struct mt_part *part, int64_t now)
 {
   bool timely = mt_part_is_timely (part, now);
 
+  if (timely)
+    load->demand_cpu += demand_of (part, now);
   for (unsigned s = 0; s < part->job->spec->n_steps; s++)
     {
       const struct mt_step *step = &part->job->spec->steps[s];
@@ -270,8 +298,6 @@
         load->waiting += part->step_waiting[s];
       if (!timely && !step->lasting)
         continue;
-      load->urgent_cpu_ms += (int64_t) part->step_waiting[s] * step->need.cpu
-                             * (int64_t) mt_step_expected_ms (part->job->route, step);
       if (ready)
         load->urgent += part->step_waiting[s];
     }
--- a/core/work/steward_moves.c
+++ b/core/work/steward_moves.c
@@ -12,9 +12,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Work that waits should be done within this: half of what a job of 0.8 s may take beyond its run
- * time and still be in time. */
-#define CLEAR_MS 700.0
+/* Machines arrive late and arrivals come in bunches: so much more than what keeps jobs in time on
+ * average. */
+#define HASTE 2.5
 /* Processors in use at most, of those that there are, so that wide tasks still fit. */
 #define FULL_SHARE 0.9
 /* Of what arrives, this share is expected to go on: short bunches look like surges. */
@@ -98,7 +98,7 @@
 static void
 learn_need (const struct mt_steward *s, struct mt_keeper_pool *p, int64_t now)
 {
-  double demand = (double) p->load.urgent_used_cpu + (double) p->load.urgent_cpu_ms / CLEAR_MS;
+  double demand = HASTE * (double) p->load.demand_cpu;
   double cpu = (double) machine_cpu (s, p);
   double coming = ARRIVING_SHARE * (double) p->load.arriving_cpu;
   double kept = p->learned_at != 0 ? exp2 (-(double) (now - p->learned_at) / PEAK_HALF_MS) : 0;
--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -46,9 +46,11 @@
   struct mt_cluster_options options;
   char *name;
   char *address;
+  char *zone;
   struct mt_watcher *watcher;
   struct mt_timer *tick;
   GHashTable *members; /* name to address */
+  GHashTable *zones;   /* address to zone */
   GHashTable *duties;  /* name to struct duty */
   bool listed;
   int64_t born;
@@ -144,6 +146,21 @@
     lose (c, d, "taken by another");
 }
 
+/* "IP:PORT ZONE" */
+static void
+see_member (struct mt_cluster *c, const char *name, struct mt_str value)
+{
+  g_autofree char *text = g_strndup (value.data, value.len);
+  char *space = strchr (text, ' ');
+
+  if (space != NULL)
+    {
+      *space = '\0';
+      g_hash_table_insert (c->zones, g_strdup (text), g_strdup (space + 1));
+    }
+  g_hash_table_insert (c->members, g_strdup (name), g_strdup (text));
+}
+
 static void
 on_item (void *ctx, const struct mt_kv_item *item)
 {
@@ -156,8 +173,7 @@
   else if (item->deleted)
     g_hash_table_remove (c->members, item->key + strlen (MEMBER_PREFIX));
   else
-    g_hash_table_insert (c->members, g_strdup (item->key + strlen (MEMBER_PREFIX)),
-                         g_strndup (item->value.data, item->value.len));
+    see_member (c, item->key + strlen (MEMBER_PREFIX), item->value);
 }
 
 static void
@@ -276,7 +292,8 @@
 join (struct mt_cluster *c)
 {
   g_autofree char *key = g_strconcat (MEMBER_PREFIX, c->name, NULL);
-  struct mt_kv_put put = { .key = key, .value = mt_str_from (c->address), .lease = c->lease };
+  g_autofree char *value = g_strdup_printf ("%s %s", c->address, c->zone);
+  struct mt_kv_put put = { .key = key, .value = mt_str_from (value), .lease = c->lease };
   struct mt_kv_txn txn = { .puts = &put, .n_puts = 1 };
 
   if (c->joining)
@@ -487,6 +504,8 @@
   c->options = *options;
   c->name = g_strdup (options->name);
   c->address = g_strdup (options->address);
+  c->zone = g_strdup (options->zone);
+  c->zones = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   c->members = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   c->duties = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_duty);
   c->born = mt_loop_now ();
@@ -504,9 +523,11 @@
   mt_watcher_destroy (c->watcher);
   mt_timer_destroy (c->tick);
   g_hash_table_unref (c->members);
+  g_hash_table_unref (c->zones);
   g_hash_table_unref (c->duties);
   g_free (c->name);
   g_free (c->address);
+  g_free (c->zone);
   g_free (c);
 }
 
@@ -575,6 +596,29 @@
   return (char **) g_ptr_array_free (out, FALSE);
 }
 
+static bool
+is_other_zone (const struct mt_cluster *c, const char *address)
+{
+  const char *zone = g_hash_table_lookup (c->zones, address);
+
+  return zone != NULL && strcmp (zone, c->zone) != 0;
+}
+
+bool
+mt_cluster_is_witness (const struct mt_cluster *c, const char *address)
+{
+  GHashTableIter it;
+  const char *other;
+
+  if (is_other_zone (c, address))
+    return true;
+  g_hash_table_iter_init (&it, c->members);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &other))
+    if (is_other_zone (c, other))
+      return false;
+  return true;
+}
+
 size_t
 mt_cluster_size (const struct mt_cluster *c)
 {
--- a/fleet/cluster.h
+++ b/fleet/cluster.h
@@ -13,6 +13,7 @@
 {
   const char *name;    /* of this daemon */
   const char *address; /* IP:PORT for other daemons */
+  const char *zone;
   /* May be called from within any other function of this header. */
   void (*gained) (void *ctx, const char *duty, int64_t token);
   void (*lost) (void *ctx, const char *duty, const char *why);
@@ -41,6 +42,9 @@
 void mt_cluster_give_up (struct mt_cluster *cluster, const char *duty, const char *why);
 /* Addresses of the other daemons, NULL-terminated; free with g_strfreev. */
 char **mt_cluster_others (const struct mt_cluster *cluster);
+/* What the daemon there sees would not be so just because this data centre is cut off: it is in
+ * another one, or there is only one. */
+bool mt_cluster_is_witness (const struct mt_cluster *cluster, const char *address);
 size_t mt_cluster_size (const struct mt_cluster *cluster);
 /* Gives everything back, so that others need not wait for the lease to run out; done is called
  * once the store has heard, or can't be told. */
--- a/fleet/pool_report.c
+++ b/fleet/pool_report.c
@@ -39,7 +39,7 @@
   msgpack_pack_unsigned_int (packer, load->waiting);
   msgpack_pack_unsigned_int (packer, load->urgent);
   msgpack_pack_unsigned_int (packer, load->running);
-  msgpack_pack_int64 (packer, MAX (load->urgent_cpu_ms, 0));
+  msgpack_pack_int64 (packer, MAX (load->demand_cpu, 0));
   msgpack_pack_int64 (packer, MAX (load->room_cpu, 0));
   msgpack_pack_int64 (packer, MAX (load->arriving_cpu, 0));
   msgpack_pack_int64 (packer, MAX (load->used_cpu, 0));
@@ -102,7 +102,7 @@
 
   return f != NULL && get_unsigned (&f[0], &out->jobs) && get_unsigned (&f[1], &out->waiting)
          && get_unsigned (&f[2], &out->urgent) && get_unsigned (&f[3], &out->running)
-         && get_i64 (&f[4], &out->urgent_cpu_ms) && get_i64 (&f[5], &out->room_cpu)
+         && get_i64 (&f[4], &out->demand_cpu) && get_i64 (&f[5], &out->room_cpu)
          && get_i64 (&f[6], &out->arriving_cpu) && get_i64 (&f[7], &out->used_cpu)
          && get_i64 (&f[8], &out->urgent_used_cpu) && get_unsigned (&f[9], &out->workers)
          && get_unsigned (&f[10], &out->silent);
--- a/fleet/relay.c
+++ b/fleet/relay.c
@@ -19,8 +19,8 @@
   struct mt_cluster *cluster;
   char *neighbour;     /* the one that helped last */
   GHashTable *useless; /* address to when it may be asked again */
-  int64_t also_lost;   /* when a neighbour last said that it doesn't reach the store either */
-  int64_t helped;      /* when one last did */
+  int64_t also_lost; /* when one in another data centre last said that it doesn't reach the store */
+  int64_t helped;    /* when one last did */
 };
 
 struct passed
@@ -78,7 +78,7 @@
 
   if (args != NULL && args->n == 2 && mt_str_to_u64 (args->at[0], &status))
     body = args->at[1];
-  if (args != NULL && args->n == 0)
+  if (args != NULL && args->n == 0 && mt_cluster_is_witness (relay->cluster, p->neighbour))
     relay->also_lost = mt_loop_now ();
   else if (status != 0 && status != 503)
     relay->helped = mt_loop_now ();
--- a/fleet/relay.h
+++ b/fleet/relay.h
@@ -13,7 +13,9 @@
 struct mt_relay *
 mt_relay_create (struct mt_adapter *platform, struct mt_mesh *mesh, struct mt_cluster *cluster);
 void mt_relay_destroy (struct mt_relay *relay);
-/* The store turns away this daemon and the neighbours that it asked: an outage, not a cut. */
+/* The store turns away this daemon and one in another data centre, and no neighbour has reached it
+ * of late: an outage. In a data centre that is cut off all say that they don't reach it, while a
+ * leader elsewhere takes over. */
 bool mt_relay_sees_outage (const struct mt_relay *relay);
 /* A neighbour's call. */
 void
--- a/include/medlartrack/desk.h
+++ b/include/medlartrack/desk.h
@@ -245,9 +245,9 @@
   unsigned waiting; /* tasks that could start now */
   unsigned urgent;  /* of these, tasks of jobs that can still be in time */
   unsigned running;
-  int64_t urgent_cpu_ms; /* work of such jobs not begun yet: thousandths of a core times ms */
-  int64_t arriving_cpu;  /* what the jobs of the last moments will keep busy if they go on coming */
-  int64_t room_cpu;      /* of workers that take work */
+  int64_t demand_cpu;   /* processors that keep lasting tasks, and those jobs in time */
+  int64_t arriving_cpu; /* what the jobs of the last moments will keep busy if they go on coming */
+  int64_t room_cpu;     /* of workers that take work */
   int64_t used_cpu;
   int64_t urgent_used_cpu; /* of that, by lasting tasks and by jobs that can still be in time */
   unsigned workers;
--- a/tests/work/test_desk.c
+++ b/tests/work/test_desk.c
@@ -321,7 +321,7 @@
   mt_desk_load (world->desk, world->now, &load);
   assert_int_equal (load.waiting, 4);
   assert_int_equal (load.urgent, 0);
-  assert_int_equal (load.urgent_cpu_ms, 0);
+  assert_int_equal (load.demand_cpu, 0);
   world_add_worker (world, "r1");
   assert_true (world_until (world, "aa", MT_JOB_COMPLETED, 2000));
   world_destroy (world);
@@ -396,6 +396,32 @@
   world_destroy (world);
 }
 
+/* The registry tells of a worker's next life; then an answer arrives that its earlier life had
+ * sent. It must not pass for yet another life: the tasks that the new one runs would be started
+ * again. */
+static void
+test_answer_of_an_earlier_life_is_passed_over (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *w = world_add_worker (world, "r1");
+  struct mt_worker_entry next
+      = { .id = w->id, .born_ms = 8, .address = "127.0.0.1:1", .zone = "z", .room = w->room };
+  struct mt_hold_report late = { .answer = MT_ANSWER_OK, .clock_ms = 1, .born_ms = 7 };
+
+  world->run_ms = 5000;
+  world_run (world, 100);
+  mt_desk_worker_seen (world->desk, &next, world->now);
+  w->born = 8;
+  world_submit (world, world_job ("aa", 2, 1000, 5000));
+  world_run (world, 500);
+  assert_int_equal (w->runs->len, 2);
+  mt_desk_hold_answered (world->desk, w->id, &late, world->now - 1, world->now);
+  world_run (world, 1000);
+  assert_int_equal (world->started, 2);
+  assert_int_equal (world->twice, 0);
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -409,6 +435,7 @@
     cmocka_unit_test (test_sick_worker_costs_few_attempts),
     cmocka_unit_test (test_task_that_stands_still_runs_elsewhere),
     cmocka_unit_test (test_room_is_never_overbooked),
+    cmocka_unit_test (test_answer_of_an_earlier_life_is_passed_over),
     cmocka_unit_test (test_lost_order_makes_no_silent_worker),
     cmocka_unit_test (test_work_outlives_an_outage_of_the_store),
     cmocka_unit_test (test_surge_shows_before_anything_waits),
--- a/tests/work/test_steward.c
+++ b/tests/work/test_steward.c
@@ -357,7 +357,7 @@
                                             .used = { .cpu = used } };
     }
   load.urgent = left > 0 ? 10 : 0;
-  load.urgent_cpu_ms = left * 700;
+  load.demand_cpu = fleet->demand[pool];
   mt_steward_pool (fleet->steward, pools[pool], &load, views, n, fleet->now);
 }
 
--- a/tests/work/world.c
+++ b/tests/work/world.c
@@ -67,6 +67,7 @@
   snprintf (w->id, sizeof w->id, "i-%u", world->n_workers++);
   w->room = (struct mt_room){ .cpu = 16000, .mem = 32768 };
   w->slow = 1;
+  w->born = 7;
   w->runs = g_array_new (FALSE, TRUE, sizeof (struct world_run));
   w->ends = g_array_new (FALSE, TRUE, sizeof (struct world_end));
   show (world, w);
@@ -213,9 +214,11 @@
 {
   struct mt_run_row runs[512];
   struct mt_end_row ends[512];
-  struct mt_hold_report report = {
-    .answer = MT_ANSWER_OK, .clock_ms = world->now, .born_ms = 7, .running = runs, .ended = ends
-  };
+  struct mt_hold_report report = { .answer = MT_ANSWER_OK,
+                                   .clock_ms = world->now,
+                                   .born_ms = w->born,
+                                   .running = runs,
+                                   .ended = ends };
 
   for (guint i = 0; i < w->runs->len && i < 512; i++)
     {
--- a/tests/work/world.h
+++ b/tests/work/world.h
@@ -42,6 +42,7 @@
   int64_t gauge; /* what it says of each run */
   struct mt_room room;
   struct mt_room used;
+  int64_t born;
   int64_t lease; /* on its clock, which is the world's */
   GArray *runs;  /* struct world_run */
   GArray *ends;  /* struct world_end not forgotten yet */
