--- a/core/work/desk_answers.c
+++ b/core/work/desk_answers.c
@@ -349,9 +349,7 @@
       mt_desk_worker_ended (desk, worker, now, "another answers at its address");
       return;
     default:
-      if (w->silent_since == 0)
-        desk->losses_at = now;
-      unheard (desk, w, now);
+      order_unheard (desk, w, now);
       w->next_hold = w->lost_holds++ == 0 ? now : now + SILENT_AGAIN_MS;
       return;
     }
