--- a/tests/standins/fleet_workers.h
+++ b/tests/standins/fleet_workers.h
@@ -13,10 +13,10 @@
                                             unsigned n,
                                             unsigned run_ms);
 /* Moves and upkeep of machines. */
-void fleet_workers_handle_machines (struct fleet_workers *workers, struct mt_exchange *exchange);
+void fleet_workers_handle_machines (struct fleet_workers *all, struct mt_exchange *exchange);
 /* {"started", "twice", "running", "lapsed", "down_most"} */
-json_t *fleet_workers_report (const struct fleet_workers *workers);
+json_t *fleet_workers_report (const struct fleet_workers *all);
 /* A share, in percent, of the orders is carried out and not answered. */
-void fleet_workers_lose (struct fleet_workers *workers, unsigned percent);
+void fleet_workers_lose (struct fleet_workers *all, unsigned percent);
 
 #endif
