fleet: everything is freed at a stop; calls under way end by their callbacks

Cause: under ASan test_stopped_leader_hands_over found a daemon that ended with 1: nothing was freed at its end. Change: mt_fleet_destroy takes the parts down, users before what they use; calls and mesh end what is under way; a front answers 503 to what is not answered when the grace time is over (libmicrohttpd would abort on it). Test: the same, under ASan and UBSan, passes; so do three more process tests.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -58,7 +58,7 @@
   struct mt_http_front *front;
   struct mt_http_front *ready;
   struct mt_http_front *scrape;
-  struct mt_roster *registry;
+  struct mt_roster *roster;
   struct mt_watcher *config_watch;
   struct mt_fleet_config *config;
   GHashTable *pools;    /* name to struct mt_pool, those led here */
@@ -191,10 +191,10 @@
   pool = mt_pool_create (f->base, &options);
   g_hash_table_insert (f->pools, g_strdup (duty), pool);
   set_routes (f, duty, pool);
-  if (f->registry == NULL)
-    f->registry = mt_roster_create (f->base, &registry);
+  if (f->roster == NULL)
+    f->roster = mt_roster_create (f->base, &registry);
   else
-    mt_roster_tell (f->registry, duty);
+    mt_roster_tell (f->roster, duty);
 }
 
 static void
@@ -677,11 +677,35 @@
   mt_journal_flush (f->journal);
 }
 
+/* Calls end first, by callbacks to parts that are still there; then the parts, users before what
+ * they use. */
 void
 mt_fleet_destroy (struct mt_fleet *f)
 {
   if (f == NULL)
     return;
+  g_clear_pointer (&f->care, mt_care_destroy);
+  g_hash_table_remove_all (f->pools);
+  mt_calls_destroy (f->calls);
+  mt_mesh_destroy (f->mesh);
+  mt_watcher_destroy (f->config_watch);
+  mt_roster_destroy (f->roster);
+  mt_http_front_destroy (f->front);
+  mt_http_front_destroy (f->ready);
+  mt_http_front_destroy (f->scrape);
+  mt_gate_destroy (f->gate);
+  mt_relay_destroy (f->relay);
+  mt_cluster_destroy (f->cluster);
+  mt_adapter_destroy (f->platform);
+  g_hash_table_unref (f->pools);
+  mt_timer_destroy (f->housekeeping);
+  for (size_t i = 0; i < G_N_ELEMENTS (f->signals); i++)
+    event_free (f->signals[i]);
+  mt_fleet_config_free (f->config);
+  mt_fleet_settings_destroy (f->reread);
+  mt_metrics_destroy (f->metrics);
   mt_journal_destroy (f->journal);
+  event_base_free (f->base);
+  g_free (f->settings_path);
   g_free (f);
 }
--- a/net/http_calls.c
+++ b/net/http_calls.c
@@ -59,6 +59,7 @@
   GPtrArray *doomed; /* connections to free once libevent has let go of them */
   struct event *reaper;
   uint64_t opened;
+  bool closing;
 };
 
 static void start_next (struct lane *lane);
@@ -228,7 +229,7 @@
 static void
 start_next (struct lane *lane)
 {
-  while (!g_queue_is_empty (&lane->waiting))
+  while (!lane->calls->closing && !g_queue_is_empty (&lane->waiting))
     {
       struct connection *c = idle_connection (lane);
 
@@ -333,14 +334,28 @@
   return calls;
 }
 
-static void
-close_lane (void *key, void *value, void *ctx)
+/* Ends one call; false where none is left. Its callback may make another, which ends here too. */
+static bool
+end_one (struct mt_calls *calls)
 {
-  struct lane *lane = value;
+  GHashTableIter it;
+  struct lane *lane;
 
-  for (guint i = 0; i < lane->connections->len; i++)
-    free_connection (lane->connections->pdata[i]);
-  g_ptr_array_set_size (lane->connections, 0);
+  g_hash_table_iter_init (&it, calls->lanes);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &lane))
+    {
+      struct connection *c = lane->connections->len > 0 ? lane->connections->pdata[0] : NULL;
+      struct pending *p = c != NULL ? c->busy : g_queue_pop_head (&lane->waiting);
+      struct mt_call_answer answer = { .sent = c != NULL };
+
+      if (c != NULL)
+        doom (c);
+      if (p != NULL)
+        finish (p, &answer);
+      if (c != NULL || p != NULL)
+        return true;
+    }
+  return false;
 }
 
 void
@@ -348,7 +363,9 @@
 {
   if (calls == NULL)
     return;
-  g_hash_table_foreach (calls->lanes, close_lane, NULL);
+  calls->closing = true;
+  while (end_one (calls))
+    continue;
   g_ptr_array_unref (calls->doomed);
   g_hash_table_unref (calls->lanes);
   event_free (calls->reaper);
--- a/net/http_calls.h
+++ b/net/http_calls.h
@@ -49,7 +49,7 @@
 typedef void (*mt_call_done) (void *ctx, const struct mt_call_answer *answer);
 
 struct mt_calls *mt_calls_create (struct event_base *base);
-/* Calls under way are dropped without a callback. */
+/* Calls under way end without an answer, by their callbacks. */
 void mt_calls_destroy (struct mt_calls *calls);
 /* done is called later, exactly once, never from within. */
 void
--- a/net/http_front.c
+++ b/net/http_front.c
@@ -22,7 +22,7 @@
   bool too_long;
   bool handed;    /* to the owner */
   bool suspended; /* until it is answered */
-  bool gone;      /* the connection ended first */
+  GList link;     /* among the suspended ones */
   struct MHD_Response *response;
   unsigned status;
 };
@@ -36,6 +36,7 @@
   mt_http_front_handler handle;
   void *ctx;
   size_t body_bytes;
+  GQueue suspended; /* struct mt_exchange */
   unsigned busy;
   bool closing;
   bool running;
@@ -153,6 +154,7 @@
   if (!exchange->suspended)
     return;
   exchange->suspended = false;
+  g_queue_unlink (&exchange->front->suspended, &exchange->link);
   MHD_resume_connection (exchange->connection);
   /* Several answers may come in one turn of the loop; libmicrohttpd runs once after them. */
   event_active (exchange->front->readable, EV_TIMEOUT, 0);
@@ -216,6 +218,8 @@
       if (exchange->response == NULL)
         {
           exchange->suspended = true;
+          exchange->link.data = exchange;
+          g_queue_push_tail_link (&front->suspended, &exchange->link);
           MHD_suspend_connection (connection);
           return MHD_YES;
         }
@@ -299,6 +303,10 @@
 {
   if (front == NULL)
     return;
+  while (!g_queue_is_empty (&front->suspended))
+    mt_exchange_answer (g_queue_peek_head (&front->suspended), MHD_HTTP_SERVICE_UNAVAILABLE, NULL,
+                        (struct mt_str){ "", 0 }, 1);
+  run (front);
   event_free (front->readable);
   event_free (front->timer);
   MHD_stop_daemon (front->daemon);
--- a/net/http_front.h
+++ b/net/http_front.h
@@ -52,6 +52,7 @@
 void mt_http_front_close_after_answers (struct mt_http_front *front);
 /* Exchanges not answered yet, and answered ones not fully sent. */
 unsigned mt_http_front_busy (const struct mt_http_front *front);
+/* What is not answered yet is answered with 503. */
 void mt_http_front_destroy (struct mt_http_front *front);
 
 #endif
--- a/net/mesh.c
+++ b/net/mesh.c
@@ -390,6 +390,15 @@
 {
   if (mesh == NULL)
     return;
+  while (g_hash_table_size (mesh->waiting) > 0)
+    {
+      GHashTableIter it;
+      struct waiting *w;
+
+      g_hash_table_iter_init (&it, mesh->waiting);
+      if (g_hash_table_iter_next (&it, NULL, (void **) &w))
+        answer_waiting (w, NULL);
+    }
   while (!g_queue_is_empty (&mesh->all))
     close_link (g_queue_peek_head (&mesh->all));
   g_hash_table_unref (mesh->waiting);
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -48,6 +48,7 @@
                                 mt_mesh_handler handler,
                                 void *ctx,
                                 GError **error);
+/* Calls under way end without a reply, by their callbacks. */
 void mt_mesh_destroy (struct mt_mesh *mesh);
 unsigned mt_mesh_port (const struct mt_mesh *mesh);
 
