--- a/core/work/steward.c
+++ b/core/work/steward.c
@@ -52,6 +52,7 @@
   s->settings = *settings;
   s->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_pool);
   s->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_machine);
+  s->by_worker = g_hash_table_new (g_str_hash, g_str_equal);
   s->waves = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_wave);
   return s;
 }
@@ -62,6 +63,7 @@
   if (s == NULL)
     return;
   g_hash_table_unref (s->waves);
+  g_hash_table_unref (s->by_worker);
   g_hash_table_unref (s->machines);
   g_hash_table_unref (s->pools);
   g_free (s);
@@ -111,6 +113,19 @@
   m->sent = false;
 }
 
+/* Takes the name over; NULL for none. */
+static void
+set_worker (struct mt_steward *s, struct mt_keeper_machine *m, char *worker)
+{
+  if (m->worker != NULL && g_hash_table_lookup (s->by_worker, m->worker) == m)
+    g_hash_table_remove (s->by_worker, m->worker);
+  g_free (m->worker);
+  m->worker = worker;
+  m->viewed = false;
+  if (worker != NULL)
+    g_hash_table_insert (s->by_worker, worker, m);
+}
+
 /* An order that was done already, by a lost call or a predecessor, is answered like one that was
  * done now: the worker is then another life, and runs on. Only the list tells; its tasks must not
  * be started elsewhere on the answer alone. */
@@ -148,18 +163,19 @@
   m->in_upkeep = row->in_upkeep;
   if (g_strcmp0 (m->worker, row->worker) == 0)
     return;
-  g_free (m->worker);
-  m->worker = g_strdup (row->worker);
-  m->viewed = false;
+  set_worker (s, m, g_strdup (row->worker));
   m->cordoned = 0;
 }
 
 static gboolean
-is_unlisted (gpointer key, gpointer value, gpointer ctx)
+drop_unlisted (gpointer key, gpointer value, gpointer ctx)
 {
-  const struct mt_keeper_machine *m = value;
+  struct mt_keeper_machine *m = value;
 
-  return !m->listed && !m->sent;
+  if (m->listed || m->sent)
+    return FALSE;
+  set_worker (ctx, m, NULL);
+  return TRUE;
 }
 
 static void
@@ -192,7 +208,7 @@
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
     if (!m->listed)
       forget_in_waves (s, m->id);
-  g_hash_table_foreach_remove (s->machines, is_unlisted, NULL);
+  g_hash_table_foreach_remove (s->machines, drop_unlisted, s);
   if (!s->listed)
     s->first_listed = now;
   s->listed = true;
@@ -209,22 +225,16 @@
 static void
 take_view (struct mt_steward *s, const struct mt_worker_view *view, int64_t now)
 {
-  GHashTableIter it;
-  struct mt_keeper_machine *m;
+  struct mt_keeper_machine *m = g_hash_table_lookup (s->by_worker, view->id);
 
-  g_hash_table_iter_init (&it, s->machines);
-  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
-    {
-      if (m->worker == NULL || strcmp (m->worker, view->id) != 0)
-        continue;
-      m->viewed = true;
-      m->view = *view;
-      m->view.id = m->worker;
-      m->viewed_at = now;
-      if (m->plan != MT_PLAN_NONE && view->cordoned && m->cordoned == 0)
-        m->cordoned = now;
-      return;
-    }
+  if (m == NULL)
+    return;
+  m->viewed = true;
+  m->view = *view;
+  m->view.id = m->worker;
+  m->viewed_at = now;
+  if (m->plan != MT_PLAN_NONE && view->cordoned && m->cordoned == 0)
+    m->cordoned = now;
 }
 
 void
@@ -446,10 +456,9 @@
   m->in_upkeep = upkeep;
   m->up = false;
   g_free (m->ended_worker);
-  m->ended_worker = m->worker;
+  m->ended_worker = g_strdup (m->worker);
   m->ended_at = 0;
-  m->worker = NULL;
-  m->viewed = false;
+  set_worker (s, m, NULL);
   drop_plan (m);
 }
 
--- a/core/work/steward_internal.h
+++ b/core/work/steward_internal.h
@@ -74,7 +74,8 @@
   struct mt_steward_settings settings;
   GHashTable *pools;
   GHashTable *machines;
-  GHashTable *waves; /* number to struct mt_keeper_wave */
+  GHashTable *by_worker; /* present life to its machine; borrows both */
+  GHashTable *waves;     /* number to struct mt_keeper_wave */
   bool listed;
   int64_t first_listed;
   int64_t last_plan;
