--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -24,6 +24,10 @@
 #define TICK_MS        60
 /* A free duty is taken by the first in rank; the next one steps in so much later each. */
 #define RANK_MS 120
+/* Where many come first, the later ones step in together: a free duty is not left for seconds. */
+#define MAX_RANK 8U
+/* A pool's leader needs a processor in a surge; a little more of one is not worth an order. */
+#define CLEARLY_MORE 1.5
 /* After a start, time for the others to show up, so that duties spread. */
 #define SETTLE_MS 350
 #define TXN_MS    700
@@ -39,6 +43,13 @@
   bool wanted;
 };
 
+struct member
+{
+  char *address;
+  char *zone;
+  double cores;
+};
+
 struct mt_cluster
 {
   struct event_base *base;
@@ -47,10 +58,10 @@
   char *name;
   char *address;
   char *zone;
+  double cores;
   struct mt_watcher *watcher;
   struct mt_timer *tick;
-  GHashTable *members; /* name to address */
-  GHashTable *zones;   /* address to zone */
+  GHashTable *members; /* name to struct member */
   GHashTable *duties;  /* name to struct duty */
   bool listed;
   int64_t born;
@@ -146,19 +157,29 @@
     lose (c, d, "taken by another");
 }
 
-/* "IP:PORT ZONE" */
+static void
+free_member (void *data)
+{
+  struct member *m = data;
+
+  g_free (m->address);
+  g_free (m->zone);
+  g_free (m);
+}
+
+/* "IP:PORT ZONE CORES" */
 static void
 see_member (struct mt_cluster *c, const char *name, struct mt_str value)
 {
   g_autofree char *text = g_strndup (value.data, value.len);
-  char *space = strchr (text, ' ');
+  g_auto (GStrv) words = g_strsplit (text, " ", 3);
+  guint n = g_strv_length (words);
+  struct member *m = g_new0 (struct member, 1);
 
-  if (space != NULL)
-    {
-      *space = '\0';
-      g_hash_table_insert (c->zones, g_strdup (text), g_strdup (space + 1));
-    }
-  g_hash_table_insert (c->members, g_strdup (name), g_strdup (text));
+  m->address = g_strdup (n > 0 ? words[0] : "");
+  m->zone = g_strdup (n > 1 ? words[1] : "");
+  m->cores = n > 2 ? g_ascii_strtod (words[2], NULL) : 0;
+  g_hash_table_insert (c->members, g_strdup (name), m);
 }
 
 static void
@@ -292,7 +313,7 @@
 join (struct mt_cluster *c)
 {
   g_autofree char *key = g_strconcat (MEMBER_PREFIX, c->name, NULL);
-  g_autofree char *value = g_strdup_printf ("%s %s", c->address, c->zone);
+  g_autofree char *value = g_strdup_printf ("%s %s %g", c->address, c->zone, c->cores);
   struct mt_kv_put put = { .key = key, .value = mt_str_from (value), .lease = c->lease };
   struct mt_kv_txn txn = { .puts = &put, .n_puts = 1 };
 
@@ -330,27 +351,36 @@
   return hash * 0x846ca68bU;
 }
 
-/* Members that come before this one: those with fewer duties, then by a hash that spreads them. */
+/* Whether the other comes first: clearly more cores, then fewer duties, then a hash that spreads
+ * them. */
+static bool
+comes_first (struct mt_cluster *c, const struct duty *d, const char *name, const struct member *m)
+{
+  unsigned theirs, mine;
+
+  if (m->cores > CLEARLY_MORE * c->cores)
+    return true;
+  if (c->cores > CLEARLY_MORE * m->cores)
+    return false;
+  theirs = held_by (c, m->address);
+  mine = held_by (c, c->address);
+  if (theirs != mine)
+    return theirs < mine;
+  return weight (d->name, name) > weight (d->name, c->name);
+}
+
 static unsigned
 rank (struct mt_cluster *c, const struct duty *d)
 {
   GHashTableIter it;
-  const char *name, *address;
+  const char *name;
+  const struct member *m;
   unsigned before = 0;
-  unsigned mine = held_by (c, c->address);
-  guint my_weight = weight (d->name, c->name);
 
   g_hash_table_iter_init (&it, c->members);
-  while (g_hash_table_iter_next (&it, (void **) &name, (void **) &address))
-    {
-      unsigned theirs;
-
-      if (strcmp (name, c->name) == 0)
-        continue;
-      theirs = held_by (c, address);
-      before += theirs < mine || (theirs == mine && weight (d->name, name) > my_weight);
-    }
-  return before;
+  while (g_hash_table_iter_next (&it, (void **) &name, (void **) &m))
+    before += strcmp (name, c->name) != 0 && comes_first (c, d, name, m);
+  return MIN (before, MAX_RANK);
 }
 
 struct attempt
@@ -505,8 +535,8 @@
   c->name = g_strdup (options->name);
   c->address = g_strdup (options->address);
   c->zone = g_strdup (options->zone);
-  c->zones = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  c->members = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  c->cores = options->cores;
+  c->members = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_member);
   c->duties = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_duty);
   c->born = mt_loop_now ();
   c->tick = mt_timer_create (base, on_tick, c);
@@ -523,7 +553,6 @@
   mt_watcher_destroy (c->watcher);
   mt_timer_destroy (c->tick);
   g_hash_table_unref (c->members);
-  g_hash_table_unref (c->zones);
   g_hash_table_unref (c->duties);
   g_free (c->name);
   g_free (c->address);
@@ -586,37 +615,34 @@
 {
   GPtrArray *out = g_ptr_array_new ();
   GHashTableIter it;
-  const char *name, *address;
+  const char *name;
+  const struct member *m;
 
   g_hash_table_iter_init (&it, c->members);
-  while (g_hash_table_iter_next (&it, (void **) &name, (void **) &address))
+  while (g_hash_table_iter_next (&it, (void **) &name, (void **) &m))
     if (strcmp (name, c->name) != 0)
-      g_ptr_array_add (out, g_strdup (address));
+      g_ptr_array_add (out, g_strdup (m->address));
   g_ptr_array_add (out, NULL);
   return (char **) g_ptr_array_free (out, FALSE);
 }
 
-static bool
-is_other_zone (const struct mt_cluster *c, const char *address)
-{
-  const char *zone = g_hash_table_lookup (c->zones, address);
-
-  return zone != NULL && strcmp (zone, c->zone) != 0;
-}
-
 bool
 mt_cluster_is_witness (const struct mt_cluster *c, const char *address)
 {
   GHashTableIter it;
-  const char *other;
+  const struct member *m;
+  bool elsewhere = false;
+  bool any_elsewhere = false;
 
-  if (is_other_zone (c, address))
-    return true;
   g_hash_table_iter_init (&it, c->members);
-  while (g_hash_table_iter_next (&it, NULL, (void **) &other))
-    if (is_other_zone (c, other))
-      return false;
-  return true;
+  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
+    {
+      bool other = strcmp (m->zone, c->zone) != 0;
+
+      any_elsewhere |= other;
+      elsewhere |= other && strcmp (m->address, address) == 0;
+    }
+  return elsewhere || !any_elsewhere;
 }
 
 size_t
--- a/fleet/cluster.h
+++ b/fleet/cluster.h
@@ -14,6 +14,7 @@
   const char *name;    /* of this daemon */
   const char *address; /* IP:PORT for other daemons */
   const char *zone;
+  double cores; /* of this machine: duties go where there are most */
   /* May be called from within any other function of this header. */
   void (*gained) (void *ctx, const char *duty, int64_t token);
   void (*lost) (void *ctx, const char *duty, const char *why);
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -551,6 +551,7 @@
   struct mt_cluster_options options = { .name = f->settings->name.data,
                                         .address = address,
                                         .zone = f->settings->zone.data,
+                                        .cores = f->settings->cores,
                                         .gained = on_gained,
                                         .lost = on_lost,
                                         .ctx = f };
--- a/fleet/settings.h
+++ b/fleet/settings.h
@@ -32,6 +32,7 @@
   struct mt_str store;        /* IP:PORT of the platform's store */
   struct mt_str machines;     /* IP:PORT of the platform's machines; empty for none */
   struct mt_str advisor;      /* IP:PORT; empty for none */
+  double cores; /* of this machine, for the daemon; leaders are had where there are most */
   unsigned connections;
   unsigned idle_s;
   unsigned body_bytes;
