--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -1,6 +1,7 @@
 #include "cluster.h"
 
 #include "loop.h"
+#include "medlartrack/duty_rank.h"
 #include "watcher.h"
 
 #include <string.h>
@@ -26,8 +27,6 @@
 #define RANK_MS 120
 /* Where many come first, the later ones step in together: a free duty is not left for seconds. */
 #define MAX_RANK 8U
-/* A pool's leader needs a processor in a surge; a little more of one is not worth an order. */
-#define CLEARLY_MORE 1.5
 /* After a start, time for the others to show up, so that duties spread. */
 #define SETTLE_MS 350
 #define TXN_MS    700
@@ -338,49 +337,26 @@
   return n;
 }
 
-static guint
-weight (const char *duty, const char *member)
-{
-  g_autofree char *text = g_strconcat (duty, "/", member, NULL);
-  guint hash = g_str_hash (text);
-
-  /* g_str_hash differs little for texts that differ at their ends. */
-  hash ^= hash >> 16;
-  hash *= 0x7feb352dU;
-  hash ^= hash >> 15;
-  return hash * 0x846ca68bU;
-}
-
-/* Whether the other comes first: clearly more cores, then fewer duties, then a hash that spreads
- * them. */
-static bool
-comes_first (struct mt_cluster *c, const struct duty *d, const char *name, const struct member *m)
-{
-  unsigned theirs, mine;
-
-  if (m->cores > CLEARLY_MORE * c->cores)
-    return true;
-  if (c->cores > CLEARLY_MORE * m->cores)
-    return false;
-  theirs = held_by (c, m->address);
-  mine = held_by (c, c->address);
-  if (theirs != mine)
-    return theirs < mine;
-  return weight (d->name, name) > weight (d->name, c->name);
-}
-
 static unsigned
 rank (struct mt_cluster *c, const struct duty *d)
 {
+  guint n = g_hash_table_size (c->members);
+  g_autofree struct mt_duty_member *members = g_new0 (struct mt_duty_member, n + 1);
   GHashTableIter it;
   const char *name;
   const struct member *m;
-  unsigned before = 0;
+  size_t at = 0;
+  size_t self = n; /* where this daemon's own key is not seen yet */
 
   g_hash_table_iter_init (&it, c->members);
-  while (g_hash_table_iter_next (&it, (void **) &name, (void **) &m))
-    before += strcmp (name, c->name) != 0 && comes_first (c, d, name, m);
-  return MIN (before, MAX_RANK);
+  for (; g_hash_table_iter_next (&it, (void **) &name, (void **) &m); at++)
+    {
+      members[at] = (struct mt_duty_member){ name, m->cores, held_by (c, m->address) };
+      if (strcmp (name, c->name) == 0)
+        self = at;
+    }
+  members[n] = (struct mt_duty_member){ c->name, c->cores, held_by (c, c->address) };
+  return MIN (mt_duty_rank (d->name, members, self == n ? n + 1 : n, self), MAX_RANK);
 }
 
 struct attempt
