--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -341,7 +341,8 @@
 rank (struct mt_cluster *c, const struct duty *d)
 {
   guint n = g_hash_table_size (c->members);
-  g_autofree struct mt_duty_member *members = g_new0 (struct mt_duty_member, n + 1);
+  struct mt_duty_member *members = g_new0 (struct mt_duty_member, n + 1);
+  unsigned before;
   GHashTableIter it;
   const char *name;
   const struct member *m;
@@ -356,7 +357,9 @@
         self = at;
     }
   members[n] = (struct mt_duty_member){ c->name, c->cores, held_by (c, c->address) };
-  return MIN (mt_duty_rank (d->name, members, self == n ? n + 1 : n, self), MAX_RANK);
+  before = mt_duty_rank (d->name, members, self == n ? n + 1 : n, self);
+  g_free (members);
+  return MIN (before, MAX_RANK);
 }
 
 struct attempt
