--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -10,6 +10,7 @@
 #include "loop.h"
 #include "mesh.h"
 #include "metrics.h"
+#include "neighbours.h"
 #include "pool.h"
 #include "relay.h"
 #include "roster.h"
@@ -54,6 +55,7 @@
   struct mt_cluster *cluster;
   struct mt_mesh *mesh;
   struct mt_relay *relay;
+  struct mt_neighbours neighbours;
   struct mt_gate *gate;
   struct mt_http_front *front;
   struct mt_http_front *ready;
@@ -259,97 +261,6 @@
     take_config (f, config);
 }
 
-/* ---- other daemons ---- */
-
-static void
-reply_text (struct mt_mesh_call *call, const char *text)
-{
-  struct mt_mesh_args args = { 1, { mt_str_from (text) } };
-
-  mt_mesh_reply (call, &args);
-}
-
-/* Only a leader whose lease holds by its own clock answers for its pool. */
-static void
-reply_of_pool (struct mt_fleet *f,
-               struct mt_mesh_call *call,
-               enum mt_mesh_method method,
-               struct mt_pool *pool,
-               const char *what)
-{
-  char text[24];
-
-  if (pool == NULL || !mt_pool_is_loaded (pool) || !mt_cluster_is_sure (f->cluster))
-    {
-      mt_mesh_reply (call, NULL);
-      return;
-    }
-  if (method == MT_MESH_STATE)
-    {
-      reply_text (call, mt_job_state_names[mt_desk_state (mt_pool_desk (pool), what)]);
-      return;
-    }
-  g_snprintf (text, sizeof text, "%u", mt_desk_pending (mt_pool_desk (pool), what));
-  reply_text (call, text);
-}
-
-static void
-reply_report (struct mt_mesh_call *call, struct mt_pool *pool, const struct mt_mesh_args *args)
-{
-  size_t len = 0;
-  g_autofree char *bytes = mt_care_serve (pool, args->at[1], args->at[2], &len);
-  struct mt_mesh_args reply = { 1, { { bytes, len } } };
-
-  mt_mesh_reply (call, bytes != NULL ? &reply : NULL);
-}
-
-static void
-on_mesh (void *ctx,
-         struct mt_mesh_call *call,
-         enum mt_mesh_method method,
-         const struct mt_mesh_args *args)
-{
-  struct mt_fleet *f = ctx;
-  g_autofree char *name = args->n > 0 ? g_strndup (args->at[0].data, args->at[0].len) : NULL;
-  g_autofree char *what = args->n > 1 ? g_strndup (args->at[1].data, args->at[1].len) : NULL;
-  struct mt_pool *pool = name != NULL ? local_pool (f, name) : NULL;
-
-  switch (method)
-    {
-    case MT_MESH_SUBMITTED:
-      if (pool != NULL && args->n == 3)
-        mt_pool_submitted (pool, what, args->at[2], true);
-      mt_mesh_reply (call, NULL);
-      return;
-    case MT_MESH_CANCELLED:
-      if (pool != NULL && args->n == 2)
-        mt_pool_cancelled (pool, what);
-      mt_mesh_reply (call, NULL);
-      return;
-    case MT_MESH_STATE:
-    case MT_MESH_PENDING:
-      if (args->n == 2)
-        {
-          reply_of_pool (f, call, method, pool, what);
-          return;
-        }
-      break;
-    case MT_MESH_CORDON:
-      if (pool != NULL && args->n == 3)
-        {
-          reply_report (call, pool, args);
-          return;
-        }
-      break;
-    case MT_MESH_STORE:
-      mt_relay_serve (f->relay, call, args);
-      return;
-    default:
-      break;
-    }
-  mt_mesh_reply (call, NULL);
-}
-
 /* ---- callers, readiness, metrics ---- */
 
 static void
@@ -648,13 +559,15 @@
   f->calls = mt_calls_create (f->base);
   f->platform = mt_adapter_create (f->base, f->calls, &platform);
   f->words = mt_adapter_words ();
-  f->mesh = mt_mesh_create (f->base, peer, s->name.data, on_mesh, f, error);
+  f->mesh
+      = mt_mesh_create (f->base, peer, s->name.data, mt_neighbours_handle, &f->neighbours, error);
   if (f->mesh == NULL)
     return NULL;
   g_free (peer);
   peer = g_strdup_printf ("%s:%u", s->ip.data, mt_mesh_port (f->mesh));
   make_cluster (f, peer);
   f->relay = mt_relay_create (f->platform, f->mesh, f->cluster);
+  f->neighbours = (struct mt_neighbours){ f->cluster, f->relay, local_pool, f };
   make_gate (f);
   if (!listen_all (f, error))
     return NULL;
--- /dev/null
+++ b/fleet/neighbours.c
@@ -0,0 +1,92 @@
+#include "neighbours.h"
+
+#include "care.h"
+
+static void
+reply_text (struct mt_mesh_call *call, const char *text)
+{
+  struct mt_mesh_args args = { 1, { mt_str_from (text) } };
+
+  mt_mesh_reply (call, &args);
+}
+
+/* Only a leader whose lease holds by its own clock answers for its pool. */
+static void
+reply_of_pool (const struct mt_neighbours *n,
+               struct mt_mesh_call *call,
+               enum mt_mesh_method method,
+               struct mt_pool *pool,
+               const char *what)
+{
+  char text[24];
+
+  if (pool == NULL || !mt_pool_is_loaded (pool) || !mt_cluster_is_sure (n->cluster))
+    {
+      mt_mesh_reply (call, NULL);
+      return;
+    }
+  if (method == MT_MESH_STATE)
+    {
+      reply_text (call, mt_job_state_names[mt_desk_state (mt_pool_desk (pool), what)]);
+      return;
+    }
+  g_snprintf (text, sizeof text, "%u", mt_desk_pending (mt_pool_desk (pool), what));
+  reply_text (call, text);
+}
+
+static void
+reply_report (struct mt_mesh_call *call, struct mt_pool *pool, const struct mt_mesh_args *args)
+{
+  size_t len = 0;
+  g_autofree char *bytes = mt_care_serve (pool, args->at[1], args->at[2], &len);
+  struct mt_mesh_args reply = { 1, { { bytes, len } } };
+
+  mt_mesh_reply (call, bytes != NULL ? &reply : NULL);
+}
+
+void
+mt_neighbours_handle (void *ctx,
+                      struct mt_mesh_call *call,
+                      enum mt_mesh_method method,
+                      const struct mt_mesh_args *args)
+{
+  const struct mt_neighbours *n = ctx;
+  g_autofree char *name = args->n > 0 ? g_strndup (args->at[0].data, args->at[0].len) : NULL;
+  g_autofree char *what = args->n > 1 ? g_strndup (args->at[1].data, args->at[1].len) : NULL;
+  struct mt_pool *pool = name != NULL ? n->local (n->ctx, name) : NULL;
+
+  switch (method)
+    {
+    case MT_MESH_SUBMITTED:
+      if (pool != NULL && args->n == 3)
+        mt_pool_submitted (pool, what, args->at[2], true);
+      mt_mesh_reply (call, NULL);
+      return;
+    case MT_MESH_CANCELLED:
+      if (pool != NULL && args->n == 2)
+        mt_pool_cancelled (pool, what);
+      mt_mesh_reply (call, NULL);
+      return;
+    case MT_MESH_STATE:
+    case MT_MESH_PENDING:
+      if (args->n == 2)
+        {
+          reply_of_pool (n, call, method, pool, what);
+          return;
+        }
+      break;
+    case MT_MESH_CORDON:
+      if (pool != NULL && args->n == 3)
+        {
+          reply_report (call, pool, args);
+          return;
+        }
+      break;
+    case MT_MESH_STORE:
+      mt_relay_serve (n->relay, call, args);
+      return;
+    default:
+      break;
+    }
+  mt_mesh_reply (call, NULL);
+}
