--- a/core/desk/desk_internal.h
+++ b/core/desk/desk_internal.h
@@ -140,8 +140,6 @@
   unsigned lost_holds; /* in a row */
   unsigned order_load; /* orders on their way */
   int64_t pace_at;
-  int64_t over_since; /* a serving task's tail is over its target since */
-  int64_t under_since;
 };
 
 struct mt_advice
--- a/core/desk/steward.c
+++ b/core/desk/steward.c
@@ -452,7 +452,6 @@
   else
     m->pool = m->to;
   m->ordered = now;
-  m->away_until = now + (upkeep ? s->settings.upkeep_ms : s->settings.move_ms);
   m->in_upkeep = upkeep;
   m->up = false;
   g_free (m->ended_worker);
--- a/core/desk/steward_internal.h
+++ b/core/desk/steward_internal.h
@@ -52,7 +52,6 @@
   struct mt_keeper_wave *wave;
   bool sent;
   int64_t again_at;
-  int64_t away_until; /* an order was carried out: it is away until then */
   int64_t ordered;    /* when */
   char *ended_worker; /* the life that the order has ended, if it was not carried out before */
   int64_t ended_at;   /* when the list has proved that; 0 until then */
@@ -66,7 +65,6 @@
   int64_t due;
   GHashTable *left; /* ids of machines that have not had it */
   GHashTable *done;
-  bool told_done;
 };
 
 struct mt_steward
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -125,11 +125,7 @@
 
   return (struct mt_desk_settings){ .hold_ms = MIN (HOLD_MS, b->max_hold_ms),
                                     .max_hold_ms = b->max_hold_ms,
-                                    .stop_ms = b->stop_ms,
-                                    .gang_wait_ms = b->gang_wait_ms,
-                                    .early_ms = b->early_ms,
                                     .remote_factor = b->remote_factor,
-                                    .notice_ms = b->notice_ms,
                                     .status_ms = (int64_t) (1000 * b->status_s) };
 }
 
--- a/fleet/settings.c
+++ b/fleet/settings.c
@@ -30,11 +30,7 @@
 static const struct mt_field bound_fields[] = {
   { "max_hold_ms", MT_FIELD_COUNT, BOUND (max_hold_ms), .min = 500, .max = 600000,
     .fallback = 6000 },
-  { "stop_ms", MT_FIELD_COUNT, BOUND (stop_ms), .max = 60000, .fallback = 200 },
-  { "gang_wait_ms", MT_FIELD_COUNT, BOUND (gang_wait_ms), .max = 60000, .fallback = 3000 },
-  { "early_ms", MT_FIELD_COUNT, BOUND (early_ms), .max = 60000, .fallback = 250 },
   { "remote_factor", MT_FIELD_WEIGHT, BOUND (remote_factor), .min = 1, .max = 100, .fallback = 2 },
-  { "notice_ms", MT_FIELD_COUNT, BOUND (notice_ms), .max = 600000, .fallback = 4500 },
   { "status_s", MT_FIELD_WEIGHT, BOUND (status_s), .min = 1, .max = 86400, .fallback = 120 },
   { "grace_s", MT_FIELD_WEIGHT, BOUND (grace_s), .min = 0.1, .max = 3600, .fallback = 6 },
   { "move_s", MT_FIELD_WEIGHT, BOUND (move_s), .max = 3600, .fallback = 1.5 },
--- a/fleet/settings.h
+++ b/fleet/settings.h
@@ -9,11 +9,7 @@
 struct mt_fleet_bounds
 {
   unsigned max_hold_ms;
-  unsigned stop_ms;
-  unsigned gang_wait_ms;
-  unsigned early_ms;
   double remote_factor;
-  unsigned notice_ms;
   double status_s;
   double grace_s;
   double move_s;
--- a/include/medlartrack/desk.h
+++ b/include/medlartrack/desk.h
@@ -18,11 +18,7 @@
   const char *name;
   int64_t hold_ms;      /* lease given to a worker's tasks with each hold */
   int64_t max_hold_ms;  /* longest lease that a worker grants */
-  int64_t stop_ms;      /* a stop takes this long at most */
-  int64_t gang_wait_ms; /* members of a gang wait so long for each other */
-  int64_t early_ms;     /* a timed occurrence may start so much before its time */
   double remote_factor; /* run time away from the data, in multiples */
-  int64_t notice_ms;    /* a lasting task away for longer counts as unavailable */
   int64_t status_ms;    /* records outlive the end of their job by this */
 };
 
@@ -79,7 +75,6 @@
   const char *const *labels; /* NULL-terminated */
   struct mt_room room;
   bool leaving;
-  bool cold;
 };
 
 void mt_desk_worker_seen (struct mt_desk *desk, const struct mt_worker_entry *entry, int64_t now);
--- a/tests/desk/world.c
+++ b/tests/desk/world.c
@@ -7,15 +7,9 @@
 #define STOP_MS 60
 #define LOST_MS 400
 
-static const struct mt_desk_settings settings = { .name = "pool",
-                                                  .hold_ms = 4500,
-                                                  .max_hold_ms = 6000,
-                                                  .stop_ms = 200,
-                                                  .gang_wait_ms = 3000,
-                                                  .early_ms = 250,
-                                                  .remote_factor = 2,
-                                                  .notice_ms = 4500,
-                                                  .status_ms = 120000 };
+static const struct mt_desk_settings settings = {
+  .name = "pool", .hold_ms = 4500, .max_hold_ms = 6000, .remote_factor = 2, .status_ms = 120000
+};
 static const struct mt_route_terms terms
     = { .priority = 0, .max_attempts = 3, .stretch = 1.6, .objective_ms = 600 };
 
