desk: a start without an answer is sent again under its run number

Cause: a start that got no answer and was not listed was stopped, waited for and placed anew: three more calls, each lost as often as the first, and a stop that ended a run which the late start had begun meanwhile, a lasting one without regard to how many of its step were away.

Change: the protocol answers 200 to a start whose run is there already, so the first listing that was asked for after the loss and lacks the run sends the start again, three times at most; then it is stopped, and its worker shunned by the task. A refusal of a repeated start stops the run first, as the earlier one may still arrive and find room. A worker that leaves is sent nothing again.

--- a/core/desk/desk_answers.c
+++ b/core/desk/desk_answers.c
@@ -9,6 +9,9 @@
 #define AGAIN_MS 20
 /* A worker that refused a start for want of health or room takes nothing for so long. */
 #define REFUSED_MS 400
+/* A start without an answer is sent again so often. Of the starts on a worker that loses every
+ * second one, one in sixteen is still in doubt then. */
+#define START_REPEATS 3
 /* Idle workers are asked so often, to read their clocks: 2% of it is the error of a lease. */
 #define IDLE_HOLD_MS 15000
 
@@ -274,6 +277,38 @@
     task->away_since = task->percent == 100 ? 0 : task->away_since != 0 ? task->away_since : now;
 }
 
+/* The worker's own list is believed over ours: what it may still begin is stopped by name. */
+static void
+stop_missed (struct mt_desk *desk, struct mt_task *task, const char *why, int64_t sent, int64_t now)
+{
+  mt_desk_tell (desk, "TASK_MISSED",
+                "id=%s step=%u index=%u run=%u worker=%s why=%s listing_age_ms=%" G_GINT64_FORMAT
+                " since_ms=%" G_GINT64_FORMAT,
+                task->part->job->spec->id, task->step, task->index, task->run, task->worker->id,
+                why, now - sent, now - task->since);
+  task->shunned = task->worker;
+  mt_task_stop (desk, task, now);
+}
+
+/* The start is lost, or comes late. Sent again under its run number it can't run twice: whichever
+ * comes second finds the run there. Stopping instead would end a run that the late one has begun,
+ * and a caller would wait for three more calls. A worker that leaves must start nothing. */
+static void
+doubt_start (struct mt_desk *desk, struct mt_task *task, int64_t sent, int64_t now)
+{
+  if (task->repeats < START_REPEATS && !task->worker->leaving)
+    {
+      if (sent <= task->since)
+        return;
+      task->repeats++;
+      task->doubtful = false;
+      task->order_due = true;
+      g_queue_push_tail (&desk->starts, task);
+    }
+  else if (now - task->since > MT_DOUBT_MS)
+    stop_missed (desk, task, "start unanswered", sent, now);
+}
+
 /* What the worker did not list though it should have. A listing counts only where it was asked for
  * after the worker had acknowledged the order: answers overtake each other. */
 static void
@@ -287,12 +322,12 @@
       /* The predecessor's orders are refused from our first hold on: it was never started. */
       if (task->inherited)
         mt_task_wait (desk, task, now);
-      else if (task->doubtful && now - task->since > MT_DOUBT_MS)
-        mt_task_stop (desk, task, now);
+      else if (task->doubtful)
+        doubt_start (desk, task, sent, now);
       return;
     case MT_TASK_RUNNING:
       if (after)
-        mt_task_stop (desk, task, now);
+        stop_missed (desk, task, "not listed", sent, now);
       return;
     case MT_TASK_STOPPING:
       if (task->stop_answered && after)
@@ -416,7 +451,11 @@
   task->not_before = now + AGAIN_MS;
   mt_desk_tell (desk, "START_REFUSED", "id=%s step=%u index=%u run=%u worker=%s why=%s",
                 task->part->job->spec->id, task->step, task->index, task->run, w->id, why[answer]);
-  mt_task_wait (desk, task, now);
+  /* One sent before may still arrive, and find room: the task would run twice. */
+  if (task->repeats > 0)
+    mt_task_stop (desk, task, now);
+  else
+    mt_task_wait (desk, task, now);
 }
 
 static void
--- a/core/desk/desk_internal.h
+++ b/core/desk/desk_internal.h
@@ -24,6 +24,7 @@
   uint16_t index;
   uint8_t state;
   uint8_t attempts; /* runs that ended failed */
+  uint8_t repeats;  /* times the start of this run was sent again */
   uint8_t percent;
   uint8_t pace;
   bool order_due;      /* a start or stop is to be sent */
@@ -191,7 +192,8 @@
   void *told_ctx;
 };
 
-/* A start may be in doubt for so long before it is stopped for certainty. */
+/* A start that was repeated in vain may be in doubt for so long before it is stopped for
+ * certainty. */
 #define MT_DOUBT_MS 350
 /* A worker that does not answer for so long takes no new work. */
 #define MT_SILENT_MS 700
--- a/core/desk/desk_tasks.c
+++ b/core/desk/desk_tasks.c
@@ -95,6 +95,7 @@
   task->percent = 0;
   task->pace = 100;
   task->gauge = 0;
+  task->repeats = 0;
   task->doubtful = task->stop_answered = task->order_sent = task->inherited = false;
   task->run++;
   task->worker = w;
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -89,6 +89,7 @@
           "fill work gives way to serving work, or comes back")
 MT_EVENT (8205, START_REFUSED, G_LOG_LEVEL_WARNING, "a worker refused a start")
 MT_EVENT (8207, TASK_LOST, G_LOG_LEVEL_WARNING, "a task was lost with its worker and is run again")
+MT_EVENT (8208, TASK_MISSED, G_LOG_LEVEL_WARNING, "a worker does not list a task; it is stopped")
 MT_EVENT (8206, RUN_STRAY, G_LOG_LEVEL_WARNING, "a worker runs what no job knows; it is stopped")
 
 MT_EVENT (8301, WORKER_LISTED, G_LOG_LEVEL_MESSAGE, "a worker is in the registry")
--- a/tests/desk/test_desk.c
+++ b/tests/desk/test_desk.c
@@ -128,6 +128,42 @@
   world_destroy (world);
 }
 
+/* The caller waits for a task whose start was lost on the way. A start may be repeated under its
+ * run number, so it is sent again to the same worker as soon as a listing lacks it; stopping it
+ * first costs three more calls, and ends a run that a late start has begun meanwhile. */
+static void
+test_lost_start_is_sent_again (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *w = world_add_worker (world, "r1");
+
+  world_run (world, 100);
+  w->drops = 2;
+  world_submit (world, world_job ("aa", 1, 1000, 500));
+  assert_true (world_until (world, "aa", MT_JOB_COMPLETED, 3000));
+  assert_int_equal (w->drops, 0);
+  assert_int_equal (w->last_run, 1);
+  world_destroy (world);
+}
+
+/* A worker answers holds and loses every start. The task is not held to it for ever: after a few
+ * it is stopped there and runs elsewhere. */
+static void
+test_worker_that_loses_every_start_is_left (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *loses = world_add_worker (world, "r1");
+
+  world_run (world, 100);
+  loses->drops = 1000;
+  world_submit (world, world_job ("aa", 1, 1000, 500));
+  world_run (world, 300);
+  world_add_worker (world, "r1");
+  assert_true (world_until (world, "aa", MT_JOB_COMPLETED, 6000));
+  assert_int_equal (loses->starts, 0);
+  world_destroy (world);
+}
+
 /* A worker fails all that it starts. The tasks go on elsewhere, one attempt each is spent at most,
  * and the sick worker gets nothing for a while. */
 static void
@@ -432,6 +468,8 @@
     cmocka_unit_test (test_takeover_goes_on_with_what_runs),
     cmocka_unit_test (test_silent_worker_keeps_its_tasks_until_the_lease_is_over),
     cmocka_unit_test (test_unanswered_start_is_found_by_the_next_hold),
+    cmocka_unit_test (test_lost_start_is_sent_again),
+    cmocka_unit_test (test_worker_that_loses_every_start_is_left),
     cmocka_unit_test (test_sick_worker_costs_few_attempts),
     cmocka_unit_test (test_task_that_stands_still_runs_elsewhere),
     cmocka_unit_test (test_room_is_never_overbooked),
--- a/tests/desk/world.c
+++ b/tests/desk/world.c
@@ -175,6 +175,7 @@
   memcpy (r.task, order->task, sizeof r.task);
   w->lease = MAX (w->lease, order->lease_ms);
   w->starts++;
+  w->last_run = order->run;
   world->started++;
   g_array_append_val (w->runs, r);
 }
@@ -185,7 +186,7 @@
   guint at;
   struct world_run *r = find_run (w, order->task, order->run, &at);
 
-  if (order->kind == MT_ORDER_START)
+  if (order->kind == MT_ORDER_START && r == NULL)
     start (world, w, order);
   else if (order->kind == MT_ORDER_STOP && r != NULL)
     r->stops = world->now + STOP_MS;
@@ -268,7 +269,8 @@
   struct world_worker *w = find (world, order->worker);
   g_autofree char *id = g_strdup (order->worker);
   char task[80];
-  bool lost = w->silent || w->mute || w->loses;
+  bool dropped = order->kind == MT_ORDER_START && w->drops > 0;
+  bool lost = w->silent || w->mute || w->loses || dropped;
 
   memcpy (task, order->task, sizeof task);
   if (order->kind == MT_ORDER_HOLD)
@@ -276,7 +278,9 @@
       hold (world, w, order);
       return;
     }
-  if (!w->silent)
+  if (dropped)
+    w->drops--;
+  else if (!w->silent)
     carry_out (world, w, order);
   mt_desk_order_answered (world->desk, order->kind, id, task, order->run,
                           lost ? MT_ANSWER_NONE : MT_ANSWER_OK, lost ? -1 : world->now, world->now);
--- a/tests/desk/world.h
+++ b/tests/desk/world.h
@@ -32,14 +32,15 @@
 struct world_worker
 {
   char id[16];
-  bool silent;   /* orders get no answer and are not carried out */
-  bool mute;     /* orders are carried out, and get no answer */
-  bool loses;    /* orders are carried out, and get no answer; holds do */
-  bool sick;     /* all that it starts fails at once */
-  bool stalls;   /* all that it starts stands still */
-  double slow;   /* run times in multiples */
-  bool gone;     /* not in the registry */
-  int64_t gauge; /* what it says of each run */
+  bool silent;    /* orders get no answer and are not carried out */
+  bool mute;      /* orders are carried out, and get no answer */
+  bool loses;     /* orders are carried out, and get no answer; holds do */
+  unsigned drops; /* so many starts to come are not carried out and get no answer */
+  bool sick;      /* all that it starts fails at once */
+  bool stalls;    /* all that it starts stands still */
+  double slow;    /* run times in multiples */
+  bool gone;      /* not in the registry */
+  int64_t gauge;  /* what it says of each run */
   struct mt_room room;
   struct mt_room used;
   int64_t born;
@@ -51,6 +52,7 @@
   int64_t hold_until;
   int64_t hold_sent;
   unsigned starts;
+  unsigned last_run;   /* the number of the run it started last */
   unsigned overbooked; /* starts beyond its room */
 };
 
