desk: a task stands still only where a listing says so

Cause, found by reading: the watch over progress asked whether the worker had been heard since, and an answer to an order renews that; while listings are lost a task at work counted as standing still and was stopped, a lasting one whatever its budget. Test: a worker answers starts and its listings are lost for 3 s; its long task was stopped.

--- a/core/desk/desk_answers.c
+++ b/core/desk/desk_answers.c
@@ -408,6 +408,7 @@
   else if (w->born == 0)
     w->born = report->born_ms;
   heard (desk, w, now);
+  w->listing_at = now;
   w->lost_holds = 0;
   mt_worker_clock (w, report->clock_ms, now);
   if (!w->held)
--- a/core/desk/desk_internal.h
+++ b/core/desk/desk_internal.h
@@ -120,6 +120,7 @@
   int64_t hold_sent;
   int64_t next_hold;
   int64_t heard;        /* last answer; 0 for none */
+  int64_t listing_at;   /* last listing of what it runs; 0 for none */
   int64_t silent_since; /* 0 while it answers */
   int64_t clock_ms;     /* the worker's clock ... */
   int64_t clock_at;     /* ... when we read it */
@@ -195,6 +196,8 @@
 /* A start that was repeated in vain may be in doubt for so long before it is stopped for
  * certainty. */
 #define MT_DOUBT_MS 350
+/* A hold waits so long for an end at the worker; it renews the lease as often. */
+#define MT_HOLD_WAIT_MS 1000
 /* A worker that does not answer for so long takes no new work. */
 #define MT_SILENT_MS 700
 /* The worker's clock may run slow by this much (parts of a thousand). */
--- a/core/desk/desk_orders.c
+++ b/core/desk/desk_orders.c
@@ -5,8 +5,6 @@
 
 /* Orders on their way to one worker at most; more would only wait in its connections. */
 #define ORDERS_PER_WORKER 4U
-/* A hold waits so long for an end at the worker; it renews the lease as often. */
-#define HOLD_WAIT_MS 1000
 /* While orders get lost, for so long after the last one, a hold waits less: what a lost one would
  * have told comes that much sooner. */
 #define LOSSES_MS     3000
@@ -135,7 +133,8 @@
 static int64_t
 hold_wait (const struct mt_desk *desk, int64_t now)
 {
-  return desk->losses_at != 0 && now - desk->losses_at < LOSSES_MS ? SHORT_WAIT_MS : HOLD_WAIT_MS;
+  return desk->losses_at != 0 && now - desk->losses_at < LOSSES_MS ? SHORT_WAIT_MS
+                                                                   : MT_HOLD_WAIT_MS;
 }
 
 static bool
--- a/core/desk/desk_watch.c
+++ b/core/desk/desk_watch.c
@@ -29,7 +29,11 @@
         return;
       bound = LASTING_START_MS;
     }
-  if (task->pace < 100 || now - task->moved < bound || w->heard <= task->moved)
+  /* Only a listing tells of progress. While listings are lost and orders are answered, what is
+   * known of it is old: a task that works on would be stopped, and its caller wait for another run.
+   * The last one must have shown the task still for all of the bound but the wait for the next. */
+  if (task->pace < 100 || now - task->moved < bound
+      || w->listing_at - task->moved < bound - MT_HOLD_WAIT_MS)
     return;
   mt_desk_tell (desk, "TASK_STILL",
                 "id=%s step=%u index=%u run=%u worker=%s percent=%u for_ms=%" G_GINT64_FORMAT,
--- a/tests/desk/test_desk.c
+++ b/tests/desk/test_desk.c
@@ -208,6 +208,30 @@
   world_destroy (world);
 }
 
+/* A worker's listings are lost for a while; it answers starts all the time. What is known of the
+ * progress of its tasks is old then, and says nothing of them standing still: they work on. */
+static void
+test_lost_listings_say_nothing_of_progress (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *w = world_add_worker (world, "r1");
+
+  world->run_ms = 5000;
+  world_submit (world, world_job ("aa", 1, 100, 1000));
+  world_run (world, 300);
+  w->unlisted = true;
+  for (int i = 0; i < 30; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("b%d", i);
+
+      world_submit (world, world_job (id, 1, 100, 1000));
+      world_run (world, 100);
+    }
+  assert_true (w->starts > 20);
+  assert_int_equal (world_running (world, "aa.0.0.0"), 1);
+  world_destroy (world);
+}
+
 /* Whatever is in doubt, stopping or at work counts against the worker's room, which does not guard
  * itself. */
 static void
@@ -472,6 +496,7 @@
     cmocka_unit_test (test_worker_that_loses_every_start_is_left),
     cmocka_unit_test (test_sick_worker_costs_few_attempts),
     cmocka_unit_test (test_task_that_stands_still_runs_elsewhere),
+    cmocka_unit_test (test_lost_listings_say_nothing_of_progress),
     cmocka_unit_test (test_room_is_never_overbooked),
     cmocka_unit_test (test_answer_of_an_earlier_life_is_passed_over),
     cmocka_unit_test (test_lost_order_makes_no_silent_worker),
--- a/tests/desk/world.c
+++ b/tests/desk/world.c
@@ -251,7 +251,8 @@
     {
       struct world_worker *w = &world->workers[i];
 
-      if (w->holding && !w->silent && !w->mute && (w->ends->len > 0 || world->now >= w->hold_until))
+      if (w->holding && !w->silent && !w->mute && !w->unlisted
+          && (w->ends->len > 0 || world->now >= w->hold_until))
         answer_hold (world, w);
       else if (w->holding && world->now >= w->hold_until + LOST_MS)
         {
--- a/tests/desk/world.h
+++ b/tests/desk/world.h
@@ -35,6 +35,7 @@
   bool silent;    /* orders get no answer and are not carried out */
   bool mute;      /* orders are carried out, and get no answer */
   bool loses;     /* orders are carried out, and get no answer; holds do */
+  bool unlisted;  /* holds get no answer; orders do */
   unsigned drops; /* so many starts to come are not carried out and get no answer */
   bool sick;      /* all that it starts fails at once */
   bool stalls;    /* all that it starts stands still */
