desk: no waiting start is sent to a worker that leaves

Tests: a leader that sends nothing for 100 ms, and a write under way, as the registry says so; both tasks began there.

Change: what has not been sent is placed anew, what is to be repeated is stopped. The fleet's explain names starts that got no answer.

--- a/core/desk/desk.c
+++ b/core/desk/desk.c
@@ -493,7 +493,7 @@
   return out;
 }
 
-/* What the cycle made durable may be sent now. */
+/* What the cycle made durable may be sent now, unless its worker leaves meanwhile. */
 static void
 release_starts (struct mt_desk *desk, struct mt_job *job, int64_t now)
 {
@@ -504,6 +504,11 @@
 
         if (task->state != MT_TASK_PLACED)
           continue;
+        if (task->worker->leaving)
+          {
+            mt_task_wait (desk, task, now);
+            continue;
+          }
         task->state = MT_TASK_ORDERED;
         task->since = now;
         task->order_due = true;
--- a/core/desk/desk_workers.c
+++ b/core/desk/desk_workers.c
@@ -56,6 +56,31 @@
   w->next_hold = 0;
 }
 
+/* A start that is sent to a worker that leaves is lost with it, and its caller waits for another.
+ * One that has not been sent at all goes elsewhere at once; one that is to be repeated may have
+ * begun. */
+static void
+leave (struct mt_desk *desk, struct mt_worker *w, int64_t now)
+{
+  GList *next;
+
+  w->leaving = true;
+  w->leaving_since = now;
+  mt_desk_tell (desk, "WORKER_LEAVING", "worker=%s tasks=%u", w->id, w->tasks.length);
+  for (GList *l = w->tasks.head; l != NULL; l = next)
+    {
+      struct mt_task *task = l->data;
+
+      next = l->next;
+      if (task->state != MT_TASK_ORDERED || !task->order_due)
+        continue;
+      if (task->repeats > 0)
+        mt_task_stop (desk, task, now);
+      else
+        mt_task_wait (desk, task, now);
+    }
+}
+
 void
 mt_desk_worker_seen (struct mt_desk *desk, const struct mt_worker_entry *entry, int64_t now)
 {
@@ -74,11 +99,8 @@
                     entry->zone, entry->room.cpu);
     }
   if (entry->leaving && !w->leaving)
-    w->leaving_since = now;
-  if (entry->leaving && !w->leaving)
-    mt_desk_tell (desk, "WORKER_LEAVING", "worker=%s tasks=%u", w->id, w->tasks.length);
+    leave (desk, w, now);
   w->listed = true;
-  w->leaving = entry->leaving || w->leaving;
   w->room = entry->room;
   if (g_strcmp0 (w->address, entry->address) != 0)
     {
--- a/ctl/command_explain.c
+++ b/ctl/command_explain.c
@@ -25,6 +25,7 @@
   unsigned lost;
   unsigned failed;
   unsigned still;
+  unsigned missed;
   const json_t *last_loss;
 };
 
@@ -107,6 +108,7 @@
     }
   story->failed += is_event (line, "TASK_FAILED");
   story->still += is_event (line, "TASK_STILL");
+  story->missed += is_event (line, "TASK_MISSED");
   if (!is_event (line, "TASK_LOST"))
     return;
   story->lost++;
@@ -164,6 +166,9 @@
   if (story->still > 0)
     g_string_append_printf (out, "; %u of its runs stood still and were begun elsewhere",
                             story->still);
+  if (story->missed > 0)
+    g_string_append_printf (out, "; %u of its starts got no answer and were stopped for certainty",
+                            story->missed);
   if (story->failed > 0)
     g_string_append_printf (out, "; %u of its runs failed", story->failed);
 }
--- a/tests/ctl/test_explain.c
+++ b/tests/ctl/test_explain.c
@@ -90,6 +90,21 @@
                 "i-2ee2a0921f (lease over) and run again");
 }
 
+/* A start of which the worker never told is named as what cost the caller its time. */
+static void
+test_start_without_an_answer_is_named (void **state)
+{
+  const char *lines
+      = "{\"at\":1.0,\"event\":8101,\"name\":\"JOB_ACCEPTED\",\"id\":\"00f6226332f5636d\"}\n"
+        "{\"at\":2.0,\"event\":8208,\"name\":\"TASK_MISSED\",\"id\":\"00f6226332f5636d\"}\n";
+  int code;
+  g_autofree char *cause = cause_of (lines, "00f6226332f5636d", &code);
+
+  assert_int_equal (code, MT_EXIT_OK);
+  assert_string_equal (cause, "accepted, not begun; 1 of its starts got no answer and were stopped "
+                              "for certainty");
+}
+
 /* A job of which no line tells is an error that says what to collect; lines that are no events are
  * passed over. */
 static void
@@ -110,6 +125,7 @@
     cmocka_unit_test (test_refused_in_an_outage),
     cmocka_unit_test (test_accepted_but_late),
     cmocka_unit_test (test_run_again_after_its_worker_was_lost),
+    cmocka_unit_test (test_start_without_an_answer_is_named),
     cmocka_unit_test (test_unknown_job_is_an_error),
   };
 
--- a/tests/desk/test_desk.c
+++ b/tests/desk/test_desk.c
@@ -232,6 +232,50 @@
   world_destroy (world);
 }
 
+/* Starts wait for their turn as their worker is said to leave. Sent later they would begin on a
+ * worker that is being emptied, and be lost with it: they go elsewhere. */
+static void
+test_starts_that_wait_are_not_sent_to_a_leaving_worker (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *leaves = world_add_worker (world, "r1");
+
+  world_run (world, 100);
+  world->silent_leader = true;
+  world_submit (world, world_job ("aa", 4, 1000, 1000));
+  world_run (world, 100);
+  world_leave (world, leaves);
+  world->silent_leader = false;
+  world_add_worker (world, "r1");
+  assert_true (world_until (world, "aa", MT_JOB_COMPLETED, 3000));
+  assert_int_equal (leaves->starts, 0);
+  world_destroy (world);
+}
+
+/* The same while the placing is being written: the worker is said to leave before it is stored. */
+static void
+test_placings_on_a_worker_that_leaves_meanwhile_are_not_sent (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *leaves = world_add_worker (world, "r1");
+  GPtrArray *ids;
+
+  world_run (world, 100);
+  world->store_down = true;
+  world_submit (world, world_job ("aa", 4, 1000, 1000));
+  world_run (world, 100);
+  ids = mt_desk_cycle_begin (world->desk, world->now, world->now);
+  assert_non_null (ids);
+  g_ptr_array_unref (ids);
+  world_leave (world, leaves);
+  mt_desk_cycle_done (world->desk, world->now);
+  world->store_down = false;
+  world_add_worker (world, "r1");
+  assert_true (world_until (world, "aa", MT_JOB_COMPLETED, 3000));
+  assert_int_equal (leaves->starts, 0);
+  world_destroy (world);
+}
+
 /* Whatever is in doubt, stopping or at work counts against the worker's room, which does not guard
  * itself. */
 static void
@@ -497,6 +541,8 @@
     cmocka_unit_test (test_sick_worker_costs_few_attempts),
     cmocka_unit_test (test_task_that_stands_still_runs_elsewhere),
     cmocka_unit_test (test_lost_listings_say_nothing_of_progress),
+    cmocka_unit_test (test_starts_that_wait_are_not_sent_to_a_leaving_worker),
+    cmocka_unit_test (test_placings_on_a_worker_that_leaves_meanwhile_are_not_sent),
     cmocka_unit_test (test_room_is_never_overbooked),
     cmocka_unit_test (test_answer_of_an_earlier_life_is_passed_over),
     cmocka_unit_test (test_lost_order_makes_no_silent_worker),
--- a/tests/desk/world.c
+++ b/tests/desk/world.c
@@ -48,11 +48,19 @@
                                    .address = "127.0.0.1:1",
                                    .zone = "z",
                                    .labels = labels,
-                                   .room = w->room };
+                                   .room = w->room,
+                                   .leaving = w->leaving };
 
   mt_desk_worker_seen (world->desk, &entry, world->now);
 }
 
+void
+world_leave (struct world *world, struct world_worker *w)
+{
+  w->leaving = true;
+  show (world, w);
+}
+
 struct world_worker *
 world_add_worker (struct world *world, const char *rack)
 {
--- a/tests/desk/world.h
+++ b/tests/desk/world.h
@@ -41,6 +41,7 @@
   bool stalls;    /* all that it starts stands still */
   double slow;    /* run times in multiples */
   bool gone;      /* not in the registry */
+  bool leaving;   /* the registry says that it leaves */
   int64_t gauge;  /* what it says of each run */
   struct mt_room room;
   struct mt_room used;
@@ -77,6 +78,8 @@
 void world_destroy (struct world *world);
 /* In the registry at once; 16 cores and 32 GB. */
 struct world_worker *world_add_worker (struct world *world, const char *rack);
+/* The registry says from now on that the worker leaves. */
+void world_leave (struct world *world, struct world_worker *w);
 /* One step of `count` tasks of `cpu` thousandths, each estimated at ms. */
 struct mt_job_spec *world_job (const char *id, unsigned count, int64_t cpu, int64_t ms);
 void world_submit (struct world *world, struct mt_job_spec *spec);
