--- a/core/desk/desk_pace.c
+++ b/core/desk/desk_pace.c
@@ -12,6 +12,7 @@
 #define HALT 0
 /* The gauge tells of the last half second, so a change shows after it. */
 #define SETTLE_MS 700
+/* Fill work comes back after so long under the target: sooner, it would swing. */
 #define RETURN_MS 1500
 
 static int
--- a/fleet/care.c
+++ b/fleet/care.c
@@ -14,11 +14,14 @@
 /* Pools are asked this often; it is how late a machine found empty is ordered. */
 #define TICK_MS 150
 /* The list of machines: this often while something is under way, else seldom. */
-#define LIST_MS       500
-#define LIST_IDLE_MS  4000
+#define LIST_MS      500
+#define LIST_IDLE_MS 4000
+/* The watch on waves waits so long; a change ends the wait. */
 #define WAVES_WAIT_MS 2500
-#define REPORT_MS     400
-#define TXN_MS        800
+/* A pool that gives no report for so long is asked again at the next tick. */
+#define REPORT_MS 400
+/* A write of progress without an answer for so long is sent again; it is the same each time. */
+#define TXN_MS 800
 /* A cordon that is not renewed ends: its steward may be gone. */
 #define CORDON_MS       1200
 #define PROGRESS_PREFIX "medlartrack/wave/"
--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -18,18 +18,22 @@
 /* After a renewal without an answer: a lease that the store has paused, or ended, is known sooner.
  */
 #define RENEW_AGAIN_MS 120
-#define MAX_RENEWALS   3U
+/* Renewals on their way at once; more would only wait behind a store that does not answer. */
+#define MAX_RENEWALS 3U
 /* The lease counts as over this much before it can be, for clocks that run apart. */
 #define SURE_MARGIN_MS 150
-#define WATCH_MS       5000
-#define TICK_MS        60
+/* A watch on daemons and duties waits so long; a change ends the wait. */
+#define WATCH_MS 5000
+/* How late a free duty may be noticed beyond its rank. */
+#define TICK_MS 60
 /* A free duty is taken by the first in rank; the next one steps in so much later each. */
 #define RANK_MS 120
 /* Where many come first, the later ones step in together: a free duty is not left for seconds. */
 #define MAX_RANK 8U
 /* After a start, time for the others to show up, so that duties spread. */
 #define SETTLE_MS 350
-#define TXN_MS    700
+/* A write of membership without an answer is of no use later: half a lease. */
+#define TXN_MS 700
 
 struct duty
 {
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -27,6 +27,7 @@
 #define CONFIG_WAIT_MS 1000
 /* Without a word from the store for so long a daemon can accept nothing: it isn't ready. */
 #define STORE_SILENT_MS 2500
+/* How late it is noticed that a daemon is ready, or no longer. */
 #define HOUSEKEEPING_MS 500
 /* A line on each pool's load this often. */
 #define LOADS_MS 1000
--- a/fleet/gate.c
+++ b/fleet/gate.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+/* Hexadecimal digits of a job's id, as callers send it. */
 #define ID_CHARS 16
 
 void
--- a/fleet/gate_ask.c
+++ b/fleet/gate_ask.c
@@ -7,6 +7,7 @@
 
 #include <string.h>
 
+/* A caller that asks for a state waits no longer for the store; it may ask again at once. */
 #define STORE_MS 700
 
 static void
--- a/fleet/gate_submit.c
+++ b/fleet/gate_submit.c
@@ -10,7 +10,8 @@
 /* A store that refuses is asked again after this: the refusal says that nothing was done. */
 #define AGAIN_MS 80
 /* Submissions of one transaction: an expectation and a put each. */
-#define PER_TXN        15
+#define PER_TXN 15
+/* Transactions of submissions on their way: what comes meanwhile goes into the next one. */
 #define TXNS_AT_A_TIME 2U
 
 struct submit
--- a/fleet/journal.c
+++ b/fleet/journal.c
@@ -14,7 +14,8 @@
 #define LINES_PER_EVENT 60
 /* What a reader that stands still may leave lying here. */
 #define MAX_HELD_BYTES (64 * 1024)
-#define MAX_EVENTS     128
+/* Kinds of events that are counted apart; event_list.h has fewer. */
+#define MAX_EVENTS 128
 
 struct bound
 {
--- a/fleet/pool.c
+++ b/fleet/pool.c
@@ -13,14 +13,18 @@
 #define CYCLE_MS 25
 /* Jobs of one transaction: an expectation and a put each, and one for the duty. */
 #define JOBS_PER_TXN 15
-#define TXN_MS       800
+/* A write without an answer for so long is sent again; a calm store answers in 10 ms. */
+#define TXN_MS 800
+/* ... after this: where the first was done after all, the second conflicts with it. */
 #define TXN_AGAIN_MS 60
 /* How often a pool looks at its desk without being told of anything. */
 #define TICK_MS      20
 #define IDLE_TICK_MS 100
 /* The queue's watch is a backstop: submissions are told by the daemon that took them. */
-#define QUEUE_WAIT_MS  2000
+#define QUEUE_WAIT_MS 2000
+/* Between two of its waits: each costs a call and brings nothing that was not told. */
 #define QUEUE_PAUSE_MS 700
+/* A takeover reads its pool again so soon after a failed read; until then nothing is placed. */
 #define RANGE_AGAIN_MS 100
 /* How long past its own lease a leader goes on renewing its workers' in an outage. */
 #define OUTAGE_MS 10000
--- a/fleet/pool_report.c
+++ b/fleet/pool_report.c
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+/* Values of each packed row; another number is refused as another version. */
 #define LOAD_FIELDS   11
 #define WORKER_FIELDS 8
 
--- a/net/http_front.c
+++ b/net/http_front.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Digits of the seconds in Retry-After, and its end. */
 #define RETRY_HEADER_CHARS 16
 #define CONNECTION_MEMORY  (16 * 1024)
 
