desk: one way to tell of a task's run, one reading of a job's state

The same five fields of a run were written out with seven events, the names of states were read back in three places (the desk's record, the gate, the pool's keys) and the three final states were named in three. mt_task_tell, mt_job_state_read and mt_job_state_is_final serve them all; the gate's answer_state had one caller and is gone. What is told, stored and answered is as before; no test was changed.

--- a/core/desk/desk.c
+++ b/core/desk/desk.c
@@ -32,6 +32,39 @@
   desk->told (desk->told_ctx, name, detail);
 }
 
+void
+mt_task_tell (struct mt_desk *desk,
+              const struct mt_task *task,
+              const struct mt_worker *w,
+              const char *name,
+              const char *format,
+              ...)
+{
+  char detail[256];
+  va_list args;
+
+  va_start (args, format);
+  g_vsnprintf (detail, sizeof detail, format, args);
+  va_end (args);
+  mt_desk_tell (desk, name, "id=%s step=%u index=%u run=%u worker=%s %s", task->part->job->spec->id,
+                task->step, task->index, task->run, w->id, detail);
+}
+
+enum mt_job_state
+mt_job_state_read (struct mt_str name)
+{
+  for (int i = 0; i < MT_JOB_UNKNOWN; i++)
+    if (mt_str_equal (name, mt_str_from (mt_job_state_names[i])))
+      return (enum mt_job_state) i;
+  return MT_JOB_UNKNOWN;
+}
+
+bool
+mt_job_state_is_final (enum mt_job_state state)
+{
+  return state == MT_JOB_COMPLETED || state == MT_JOB_FAILED || state == MT_JOB_CANCELLED;
+}
+
 void
 mt_desk_on_told (struct mt_desk *desk, mt_desk_told told, void *ctx)
 {
@@ -355,8 +388,7 @@
 void
 mt_job_end (struct mt_desk *desk, struct mt_job *job, enum mt_job_state state, int64_t now)
 {
-  if (job->state == MT_JOB_COMPLETED || job->state == MT_JOB_FAILED
-      || job->state == MT_JOB_CANCELLED)
+  if (mt_job_state_is_final (job->state))
     return;
   if (!job->begun && job->spec->repeats == 0)
     job->route->pending--;
--- a/core/desk/desk_answers.c
+++ b/core/desk/desk_answers.c
@@ -167,8 +167,7 @@
   if (step->lasting)
     return;
   mt_worker_evidence (desk, w, false, now);
-  mt_desk_tell (desk, "TASK_FAILED", "id=%s step=%u index=%u run=%u worker=%s attempts=%u of=%d",
-                job->spec->id, task->step, task->index, task->run, w->id, task->attempts + 1U,
+  mt_task_tell (desk, task, w, "TASK_FAILED", "attempts=%u of=%d", task->attempts + 1U,
                 job->route->terms.max_attempts);
   if ((int) count_attempt (task) >= job->route->terms.max_attempts)
     mt_job_end (desk, job, MT_JOB_FAILED, now);
@@ -281,11 +280,9 @@
 static void
 stop_missed (struct mt_desk *desk, struct mt_task *task, const char *why, int64_t sent, int64_t now)
 {
-  mt_desk_tell (desk, "TASK_MISSED",
-                "id=%s step=%u index=%u run=%u worker=%s why=%s listing_age_ms=%" G_GINT64_FORMAT
-                " since_ms=%" G_GINT64_FORMAT,
-                task->part->job->spec->id, task->step, task->index, task->run, task->worker->id,
-                why, now - sent, now - task->since);
+  mt_task_tell (desk, task, task->worker, "TASK_MISSED",
+                "why=%s listing_age_ms=%" G_GINT64_FORMAT " since_ms=%" G_GINT64_FORMAT, why,
+                now - sent, now - task->since);
   task->shunned = task->worker;
   mt_task_stop (desk, task, now);
 }
@@ -450,8 +447,7 @@
       g_hash_table_remove (desk->advices, name);
     }
   task->not_before = now + AGAIN_MS;
-  mt_desk_tell (desk, "START_REFUSED", "id=%s step=%u index=%u run=%u worker=%s why=%s",
-                task->part->job->spec->id, task->step, task->index, task->run, w->id, why[answer]);
+  mt_task_tell (desk, task, w, "START_REFUSED", "why=%s", why[answer]);
   /* One sent before may still arrive, and find room: the task would run twice. */
   if (task->repeats > 0)
     mt_task_stop (desk, task, now);
--- a/core/desk/desk_internal.h
+++ b/core/desk/desk_internal.h
@@ -205,6 +205,14 @@
 
 void mt_desk_tell (struct mt_desk *desk, const char *name, const char *format, ...)
     G_GNUC_PRINTF (3, 4);
+/* The same of the run that a task has, or had last, on the worker: named before what the format
+ * says. */
+void mt_task_tell (struct mt_desk *desk,
+                   const struct mt_task *task,
+                   const struct mt_worker *w,
+                   const char *name,
+                   const char *format,
+                   ...) G_GNUC_PRINTF (5, 6);
 
 /* desk.c */
 void mt_ticket_free (void *data);
--- a/core/desk/desk_pace.c
+++ b/core/desk/desk_pace.c
@@ -55,8 +55,7 @@
       task->pace = pace;
       w->pace_at = now;
       g_queue_push_tail (&desk->paces, task);
-      mt_desk_tell (desk, "TASK_PACED", "id=%s step=%u index=%u run=%u worker=%s percent=%u",
-                    task->part->job->spec->id, task->step, task->index, task->run, w->id, pace);
+      mt_task_tell (desk, task, w, "TASK_PACED", "percent=%u", pace);
     }
 }
 
--- a/core/desk/desk_record.c
+++ b/core/desk/desk_record.c
@@ -168,21 +168,13 @@
   w->lapse_by = MAX (w->lapse_by, now + desk->settings.max_hold_ms * 1000 / (1000 - MT_CLOCK_SLOW));
 }
 
-static enum mt_job_state
-read_state (const char *name)
-{
-  for (int i = 0; i < MT_JOB_UNKNOWN; i++)
-    if (g_strcmp0 (name, mt_job_state_names[i]) == 0)
-      return (enum mt_job_state) i;
-  return MT_JOB_UNKNOWN;
-}
-
 bool
 mt_desk_restore (
     struct mt_desk *desk, const char *id, const char *record, int64_t revision, int64_t now)
 {
   struct mt_job *job = g_hash_table_lookup (desk->jobs, id);
   json_t *root = json_loads (record, 0, NULL);
+  const char *state_name;
   enum mt_job_state state;
   size_t i;
   json_t *row;
@@ -193,7 +185,8 @@
       return false;
     }
   job->revision = revision;
-  state = read_state (json_string_value (json_object_get (root, "s")));
+  state_name = json_string_value (json_object_get (root, "s"));
+  state = state_name != NULL ? mt_job_state_read (mt_str_from (state_name)) : MT_JOB_UNKNOWN;
   if (json_integer_value (json_object_get (root, "b")) != 0 && !job->begun)
     {
       job->begun = true;
@@ -203,7 +196,7 @@
   restore_done (desk, job, json_object_get (root, "d"), now);
   json_array_foreach (json_object_get (root, "t"), i, row) restore_task (desk, job, row, now);
   job->dirty = false;
-  if (state == MT_JOB_COMPLETED || state == MT_JOB_FAILED || state == MT_JOB_CANCELLED)
+  if (mt_job_state_is_final (state))
     {
       mt_job_end (desk, job, state, now);
       job->durable = state;
--- a/core/desk/desk_watch.c
+++ b/core/desk/desk_watch.c
@@ -35,9 +35,7 @@
   if (task->pace < 100 || now - task->moved < bound
       || w->listing_at - task->moved < bound - MT_HOLD_WAIT_MS)
     return;
-  mt_desk_tell (desk, "TASK_STILL",
-                "id=%s step=%u index=%u run=%u worker=%s percent=%u for_ms=%" G_GINT64_FORMAT,
-                task->part->job->spec->id, task->step, task->index, task->run, w->id, task->percent,
+  mt_task_tell (desk, task, w, "TASK_STILL", "percent=%u for_ms=%" G_GINT64_FORMAT, task->percent,
                 now - task->moved);
   mt_worker_evidence (desk, w, false, now);
   task->shunned = w;
@@ -86,8 +84,7 @@
   if (away >= MAX (step->max_unavailable, 1U)
       && (!w->leaving || now - w->leaving_since < LEAVING_PATIENCE_MS))
     return;
-  mt_desk_tell (desk, "TASK_MOVED", "id=%s step=%u index=%u run=%u worker=%s away=%u",
-                part->job->spec->id, task->step, task->index, task->run, w->id, away);
+  mt_task_tell (desk, task, w, "TASK_MOVED", "away=%u", away);
   task->shunned = w;
   mt_task_stop (desk, task, now);
 }
--- a/core/desk/desk_workers.c
+++ b/core/desk/desk_workers.c
@@ -160,8 +160,7 @@
     {
       struct mt_task *task = g_queue_peek_head (&w->tasks);
 
-      mt_desk_tell (desk, "TASK_LOST", "id=%s step=%u index=%u run=%u worker=%s why=%s",
-                    task->part->job->spec->id, task->step, task->index, task->run, w->id, why);
+      mt_task_tell (desk, task, w, "TASK_LOST", "why=%s", why);
       task->shunned = w;
       mt_task_wait (desk, task, now);
     }
--- a/fleet/gate_ask.c
+++ b/fleet/gate_ask.c
@@ -10,14 +10,6 @@
 /* A caller that asks for a state waits no longer for the store; it may ask again at once. */
 #define STORE_MS 700
 
-static void
-answer_state (struct mt_gate *gate, struct mt_exchange *exchange, enum mt_job_state state)
-{
-  g_autofree char *body = gate->options.words->ops->job_state (state);
-
-  mt_gate_answer (exchange, 200, body, 0);
-}
-
 struct question
 {
   struct mt_gate *gate;
@@ -72,7 +64,9 @@
 static void
 end_state (struct question *q, enum mt_job_state state)
 {
-  answer_state (q->gate, q->exchange, state);
+  g_autofree char *body = q->gate->options.words->ops->job_state (state);
+
+  mt_gate_answer (q->exchange, 200, body, 0);
   free_question (q);
 }
 
@@ -110,7 +104,7 @@
     }
   if (reply->status == MT_KV_OK && reply->n_items > 0)
     state = mt_pool_record_state (reply->items[0].value);
-  if (state == MT_JOB_COMPLETED || state == MT_JOB_FAILED || state == MT_JOB_CANCELLED)
+  if (mt_job_state_is_final (state))
     {
       end_state (q, state);
       return;
@@ -151,21 +145,12 @@
   q->gate->options.kv.ops->get (q->gate->options.kv.ctx, key, STORE_MS, on_job_key, q);
 }
 
-static enum mt_job_state
-read_state (struct mt_str text)
-{
-  for (int i = 0; i < MT_JOB_UNKNOWN; i++)
-    if (mt_str_equal (text, mt_str_from (mt_job_state_names[i])))
-      return (enum mt_job_state) i;
-  return MT_JOB_UNKNOWN;
-}
-
 static void
 on_leader_state (void *data, const struct mt_mesh_args *args)
 {
   struct question *q = data;
   enum mt_job_state state
-      = args != NULL && args->n == 1 ? read_state (args->at[0]) : MT_JOB_UNKNOWN;
+      = args != NULL && args->n == 1 ? mt_job_state_read (args->at[0]) : MT_JOB_UNKNOWN;
 
   if (state == MT_JOB_UNKNOWN)
     {
--- a/fleet/pool_keys.c
+++ b/fleet/pool_keys.c
@@ -48,20 +48,17 @@
 enum mt_job_state
 mt_pool_record_state (struct mt_str record)
 {
-  static const char head[] = "{\"s\":\"";
-  size_t skip = sizeof head - 1;
+  const struct mt_str head = MT_STR ("{\"s\":\"");
+  const char *name;
+  const char *end;
 
-  if (record.len < skip || memcmp (record.data, head, skip) != 0)
+  if (!mt_str_has_prefix (record, head))
     return MT_JOB_UNKNOWN;
-  for (int i = 0; i < MT_JOB_UNKNOWN; i++)
-    {
-      size_t len = strlen (mt_job_state_names[i]);
-
-      if (record.len > skip + len && memcmp (record.data + skip, mt_job_state_names[i], len) == 0
-          && record.data[skip + len] == '"')
-        return (enum mt_job_state) i;
-    }
-  return MT_JOB_UNKNOWN;
+  name = record.data + head.len;
+  end = memchr (name, '"', record.len - head.len);
+  if (end == NULL)
+    return MT_JOB_UNKNOWN;
+  return mt_job_state_read ((struct mt_str){ name, (size_t) (end - name) });
 }
 
 char *
--- a/include/medlartrack/desk.h
+++ b/include/medlartrack/desk.h
@@ -7,6 +7,7 @@
 #define MEDLARTRACK_DESK_H
 
 #include "medlartrack/job_spec.h"
+#include "medlartrack/str.h"
 
 #include <glib.h>
 #include <stddef.h>
@@ -59,6 +60,10 @@
 };
 
 extern const char *const mt_job_state_names[];
+/* MT_JOB_UNKNOWN for what is no state's name. */
+enum mt_job_state mt_job_state_read (struct mt_str name);
+/* Nothing of the job runs or will. */
+bool mt_job_state_is_final (enum mt_job_state state);
 
 /* As far as it is durable. */
 enum mt_job_state mt_desk_state (const struct mt_desk *desk, const char *id);
