platform: one request builder, one look-up of names, one clock

A store call was put together twice, once for our own and once for a neighbour's; the place of a name among the wire's words was searched for in four loops; the adapter had a clock beside the loop's and kept an event base that it never used. new_request, mt_adapter_place and mt_loop_now serve now, and the base is gone. The loop's clock counts suspension and the adapter's did not: after a machine was suspended, the times since the store's last answer and until the direct way is tried count that too.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -554,7 +554,7 @@
   f->metrics = mt_metrics_create ();
   f->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, destroy_pool);
   f->calls = mt_calls_create (f->base);
-  f->platform = mt_adapter_create (f->base, f->calls, &platform);
+  f->platform = mt_adapter_create (f->calls, &platform);
   f->words = mt_adapter_words ();
   f->mesh
       = mt_mesh_create (f->base, peer, s->name.data, mt_neighbours_handle, &f->neighbours, error);
