A checkpoint beyond ASCII survives a takeover; one quoting of JSON text

Text was quoted for JSON by hand in the desk's record and in the adapter. The record's copy escaped each byte beyond ASCII as a character of its own, so a checkpoint such as "kész" was read back as other text by a successor, whose start carried it to a worker that can't go on from it. Found by comparing the two; the new test failed before. mt_json_append_text serves both. The log keeps its own: what it holds need not be UTF-8.

--- a/core/desk/desk_record.c
+++ b/core/desk/desk_record.c
@@ -1,6 +1,8 @@
 /* A job's progress as text: what a successor needs to go on. */
 #include "desk_internal.h"
 
+#include "medlartrack/json_text.h"
+
 #include <jansson.h>
 #include <stdio.h>
 #include <string.h>
@@ -20,21 +22,6 @@
   COLUMNS,
 };
 
-/* Quotes text as JSON does; text comes from workers and may hold anything. */
-static void
-append_text (GString *out, const char *text)
-{
-  g_string_append_c (out, '"');
-  for (const char *c = text != NULL ? text : ""; *c != '\0'; c++)
-    if (*c == '"' || *c == '\\')
-      g_string_append_printf (out, "\\%c", *c);
-    else if ((unsigned char) *c < 0x20 || (unsigned char) *c >= 0x7f)
-      g_string_append_printf (out, "\\u%04x", (unsigned char) *c);
-    else
-      g_string_append_c (out, *c);
-  g_string_append_c (out, '"');
-}
-
 static void
 append_done (GString *out, const struct mt_part *part)
 {
@@ -58,10 +45,10 @@
 {
   g_string_append_printf (out, "%s[%u,%u,%u,%u,%u,", first ? "" : ",", task->part->number,
                           task->step, task->index, task->run, task->attempts);
-  append_text (out, task->worker != NULL ? task->worker->id : "");
+  mt_json_append_text (out, task->worker != NULL ? task->worker->id : "");
   g_string_append_printf (out, ",%" G_GINT64_FORMAT ",",
                           task->worker != NULL ? task->worker->born : 0);
-  append_text (out, task->checkpoint);
+  mt_json_append_text (out, task->checkpoint);
   g_string_append_c (out, ']');
 }
 
--- a/fleet/journal.c
+++ b/fleet/journal.c
@@ -86,6 +86,8 @@
     }
 }
 
+/* A log holds what callers sent, which need not be UTF-8: bytes beyond ASCII are escaped one by
+ * one, so that a line always is JSON. */
 static void
 append_quoted (GString *out, const char *text, size_t len)
 {
--- a/tests/desk/test_desk.c
+++ b/tests/desk/test_desk.c
@@ -67,6 +67,23 @@
   world_destroy (world);
 }
 
+/* A checkpoint holds text of any language. Its successor's start must carry the very text, or the
+ * worker can't go on from there and the caller waits for a run from the beginning. */
+static void
+test_checkpoint_of_any_text_survives_a_takeover (void **state)
+{
+  const char *stored
+      = "{\"s\":\"queued\",\"b\":1,\"d\":{},\"t\":[[0,0,0,1,0,\"\",0,\"k\xc3\xa9sz \\\"7\\\"\"]]}";
+  struct world *world = world_create ();
+  g_autofree char *record = NULL;
+
+  world_submit (world, world_job ("aa", 1, 1000, 1000));
+  assert_true (mt_desk_restore (world->desk, "aa", stored, 1, world->now));
+  record = mt_desk_record (world->desk, "aa");
+  assert_string_equal (record, stored);
+  world_destroy (world);
+}
+
 /* The leader dies with tasks at work. Its successor finds them by the stored placements, holds the
  * workers under its own token, and lets them go on: none is started again. */
 static void
@@ -533,6 +550,7 @@
     cmocka_unit_test (test_job_runs_to_its_end),
     cmocka_unit_test (test_nothing_starts_that_is_not_stored),
     cmocka_unit_test (test_cancelled_before_its_progress_was_read),
+    cmocka_unit_test (test_checkpoint_of_any_text_survives_a_takeover),
     cmocka_unit_test (test_takeover_goes_on_with_what_runs),
     cmocka_unit_test (test_silent_worker_keeps_its_tasks_until_the_lease_is_over),
     cmocka_unit_test (test_unanswered_start_is_found_by_the_next_hold),
