Unsigned numbers of a frame are read in one place; an ended wave is left alone

get_unsigned stood in the membership's frames and in the pools' reports: mt_pack_get_unsigned. The steward's tick, every 150 ms, listed and named the progress of each wave that has ended and of each that is being written, to find nothing to do: it passes them over, and names keys only for a write. Two event bases were kept and never used.

--- a/core/base/pack.c
+++ b/core/base/pack.c
@@ -2,6 +2,7 @@
 
 #include "medlartrack/error.h"
 
+#include <limits.h>
 #include <stdint.h>
 
 #define CODED_FIRST 0xc0 /* first of the codes whose shape the table below gives */
@@ -183,6 +184,17 @@
   return true;
 }
 
+bool
+mt_pack_get_unsigned (const msgpack_object *object, unsigned *out)
+{
+  uint64_t value;
+
+  if (!mt_pack_get_u64 (object, UINT_MAX, &value))
+    return false;
+  *out = (unsigned) value;
+  return true;
+}
+
 bool
 mt_pack_get_bool (const msgpack_object *object, bool *out)
 {
--- a/core/membership/wire.c
+++ b/core/membership/wire.c
@@ -93,17 +93,6 @@
   return *n <= max;
 }
 
-static bool
-get_unsigned (const msgpack_object *object, unsigned *out)
-{
-  uint64_t value;
-
-  if (!mt_pack_get_u64 (object, UINT32_MAX, &value))
-    return false;
-  *out = (unsigned) value;
-  return true;
-}
-
 static bool
 read_loads (const msgpack_object *array, struct mt_load_report *out)
 {
@@ -122,7 +111,8 @@
       uint64_t shared;
 
       if (!mt_pack_get_u64 (&at[0], name_len, &shared) || !mt_pack_get_str (&at[1], &rest)
-          || shared + rest.len > MAX_NAME || !get_unsigned (&at[2], &out->loads[i].in_flight))
+          || shared + rest.len > MAX_NAME
+          || !mt_pack_get_unsigned (&at[2], &out->loads[i].in_flight))
         return false;
       memcpy (name + shared, rest.data, rest.len);
       name_len = shared + rest.len;
@@ -149,8 +139,9 @@
       struct mt_str pool;
 
       if (!mt_pack_get_str (&at[0], &pool) || pool.len > MAX_NAME
-          || !get_unsigned (&at[1], &demand->waiting) || !get_unsigned (&at[2], &demand->in_flight)
-          || !get_unsigned (&at[3], &demand->rate_milli))
+          || !mt_pack_get_unsigned (&at[1], &demand->waiting)
+          || !mt_pack_get_unsigned (&at[2], &demand->in_flight)
+          || !mt_pack_get_unsigned (&at[3], &demand->rate_milli))
         return false;
       demand->pool = g_strndup (pool.data, pool.len);
       out->n_demands++;
--- a/fleet/care.c
+++ b/fleet/care.c
@@ -43,7 +43,6 @@
 /* Counted: the owner's reference, and one for each call under way. */
 struct mt_care
 {
-  struct event_base *base;
   struct mt_care_options options;
   char *duty_key;
   struct mt_steward *steward;
@@ -155,8 +154,6 @@
   json_decref (root);
 }
 
-static void read_wave (struct mt_care *c, const char *key);
-
 static void
 on_progress (void *data, const struct mt_kv_reply *reply)
 {
@@ -252,17 +249,20 @@
   bool completed = mt_steward_wave_done (c->steward, w->number);
   g_auto (GStrv) done = mt_steward_wave_progress (c->steward, w->number);
   guint n = g_strv_length (done);
-  g_autofree char *at = progress_key (w);
-  g_autofree char *status_at
-      = g_strdup_printf ("%s%" G_GINT64_FORMAT, c->options.words->wave_status_prefix, w->number);
-  g_autofree char *status = c->options.words->ops->wave_status (completed);
+  g_autofree char *at = NULL;
+  g_autofree char *status_at = NULL;
+  g_autofree char *status = NULL;
   char *progress;
   struct mt_kv_expect expect = { c->duty_key, c->options.token };
   struct mt_kv_put puts[2];
   struct mt_kv_txn txn = { &expect, 1, puts, 2, NULL, 0 };
 
-  if (w->writing || (n == w->stored && w->active_written && completed == w->completed_written))
+  if (n == w->stored && w->active_written && completed == w->completed_written)
     return;
+  at = progress_key (w);
+  status_at
+      = g_strdup_printf ("%s%" G_GINT64_FORMAT, c->options.words->wave_status_prefix, w->number);
+  status = c->options.words->ops->wave_status (completed);
   progress = write_progress (w, done);
   puts[0] = (struct mt_kv_put){ at, mt_str_from (progress), 0 };
   puts[1] = (struct mt_kv_put){ status_at, mt_str_from (status), 0 };
@@ -290,10 +290,12 @@
   while (g_hash_table_iter_next (&it, (void **) &key, (void **) &w))
     {
       open |= !w->completed_written;
-      if (!w->known && !w->writing)
-        read_wave (c, key);
-      else if (w->known)
+      if (w->writing || w->completed_written)
+        continue;
+      if (w->known)
         write_wave (c, key, w);
+      else
+        read_wave (c, key);
     }
   return open;
 }
@@ -617,7 +619,6 @@
     .prefix = options->words->waves_prefix, .wait_ms = WAVES_WAIT_MS, .on_item = on_wave, .ctx = c
   };
 
-  c->base = base;
   c->options = *options;
   c->duty_key = mt_cluster_duty_key (options->duty);
   c->steward = mt_steward_create (&settings);
--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -55,7 +55,6 @@
 
 struct mt_cluster
 {
-  struct event_base *base;
   struct mt_kv kv;
   struct mt_cluster_options options;
   char *name;
@@ -512,7 +511,6 @@
                                       .on_listed = on_listed,
                                       .ctx = c };
 
-  c->base = base;
   c->kv = kv;
   c->options = *options;
   c->name = g_strdup (options->name);
--- a/fleet/pool_report.c
+++ b/fleet/pool_report.c
@@ -85,28 +85,19 @@
   return true;
 }
 
-static bool
-get_unsigned (const msgpack_object *object, unsigned *out)
-{
-  uint64_t value;
-
-  if (!mt_pack_get_u64 (object, UINT32_MAX, &value))
-    return false;
-  *out = (unsigned) value;
-  return true;
-}
-
 static bool
 unpack_load (const msgpack_object *object, struct mt_desk_load *out)
 {
   const msgpack_object *f = mt_pack_get_array (object, LOAD_FIELDS);
 
-  return f != NULL && get_unsigned (&f[0], &out->jobs) && get_unsigned (&f[1], &out->waiting)
-         && get_unsigned (&f[2], &out->urgent) && get_unsigned (&f[3], &out->running)
-         && get_i64 (&f[4], &out->demand_cpu) && get_i64 (&f[5], &out->room_cpu)
-         && get_i64 (&f[6], &out->arriving_cpu) && get_i64 (&f[7], &out->used_cpu)
-         && get_i64 (&f[8], &out->urgent_used_cpu) && get_unsigned (&f[9], &out->workers)
-         && get_unsigned (&f[10], &out->silent);
+  return f != NULL && mt_pack_get_unsigned (&f[0], &out->jobs)
+         && mt_pack_get_unsigned (&f[1], &out->waiting)
+         && mt_pack_get_unsigned (&f[2], &out->urgent)
+         && mt_pack_get_unsigned (&f[3], &out->running) && get_i64 (&f[4], &out->demand_cpu)
+         && get_i64 (&f[5], &out->room_cpu) && get_i64 (&f[6], &out->arriving_cpu)
+         && get_i64 (&f[7], &out->used_cpu) && get_i64 (&f[8], &out->urgent_used_cpu)
+         && mt_pack_get_unsigned (&f[9], &out->workers)
+         && mt_pack_get_unsigned (&f[10], &out->silent);
 }
 
 static bool
@@ -116,8 +107,8 @@
   struct mt_str id;
   unsigned flags;
 
-  if (f == NULL || !mt_pack_get_bin (&f[0], &id) || !get_unsigned (&f[1], &out->tasks)
-      || !get_unsigned (&f[2], &out->lasting) || !get_unsigned (&f[3], &flags)
+  if (f == NULL || !mt_pack_get_bin (&f[0], &id) || !mt_pack_get_unsigned (&f[1], &out->tasks)
+      || !mt_pack_get_unsigned (&f[2], &out->lasting) || !mt_pack_get_unsigned (&f[3], &flags)
       || !get_i64 (&f[4], &out->room.cpu) || !get_i64 (&f[5], &out->used.cpu)
       || !get_i64 (&f[6], &out->room.mem) || !get_i64 (&f[7], &out->used.mem))
     return false;
--- a/include/medlartrack/pack.h
+++ b/include/medlartrack/pack.h
@@ -24,6 +24,7 @@
 bool mt_pack_get_str (const msgpack_object *object, struct mt_str *out);
 bool mt_pack_get_bin (const msgpack_object *object, struct mt_str *out);
 bool mt_pack_get_u64 (const msgpack_object *object, uint64_t max, uint64_t *out);
+bool mt_pack_get_unsigned (const msgpack_object *object, unsigned *out);
 bool mt_pack_get_bool (const msgpack_object *object, bool *out);
 /* The elements of an array of exactly n, or NULL. */
 const msgpack_object *mt_pack_get_array (const msgpack_object *object, size_t n);
