The machine that is expected to be empty first is moved

Cause: of the machines that a pool could spare, the one with the fewest tasks was cordoned. One task may have four seconds to go, and five may end in 200 ms; meanwhile the machine takes nothing and comes when the other pool's surge is over. Ruled out: orders waiting for reports (an empty view was followed by its move within 150 ms).

The view of a worker carries free_ms: until its last task ends, by its progress, else by what its kind takes.

--- a/core/desk/desk_workers.c
+++ b/core/desk/desk_workers.c
@@ -237,8 +237,34 @@
 
 /* ---- views ---- */
 
+/* How much longer the task will run: by its progress where there is some, else by what such tasks
+ * take. */
+static int64_t
+task_left_ms (const struct mt_task *task, int64_t now)
+{
+  double expected = mt_step_expected_ms (task->part->job->route, mt_task_step (task));
+  int64_t known = task->moved - task->since;
+
+  if (task->state == MT_TASK_STOPPING)
+    return 0;
+  if (task->state == MT_TASK_RUNNING && task->percent > 0 && known > 0)
+    expected = (double) known * 100.0 / task->percent;
+  return MAX ((int64_t) expected - (now - task->since), 0);
+}
+
+static int64_t
+worker_free_ms (const struct mt_worker *w, int64_t now)
+{
+  int64_t most = 0;
+
+  for (GList *l = w->tasks.head; l != NULL; l = l->next)
+    if (!mt_task_step (l->data)->lasting)
+      most = MAX (most, task_left_ms (l->data, now));
+  return most;
+}
+
 size_t
-mt_desk_workers (const struct mt_desk *desk, struct mt_worker_view *out, size_t max)
+mt_desk_workers (const struct mt_desk *desk, int64_t now, struct mt_worker_view *out, size_t max)
 {
   GHashTableIter it;
   struct mt_worker *w;
@@ -251,6 +277,7 @@
         continue;
       out[n] = (struct mt_worker_view){ .id = w->id,
                                         .tasks = w->tasks.length,
+                                        .free_ms = worker_free_ms (w, now),
                                         .cordoned = w->cordon_until > 0,
                                         .leaving = w->leaving,
                                         .silent = w->silent_since != 0 || !w->held,
--- a/core/desk/steward_moves.c
+++ b/core/desk/steward_moves.c
@@ -151,6 +151,15 @@
   return m->viewed && !m->view.silent && !m->view.leaving && m->view.lasting == 0;
 }
 
+/* What is expected to be empty first; of equals, what holds least. */
+static bool
+is_emptier (const struct mt_keeper_machine *a, const struct mt_keeper_machine *b)
+{
+  if (a->view.free_ms != b->view.free_ms)
+    return a->view.free_ms < b->view.free_ms;
+  return a->view.tasks < b->view.tasks;
+}
+
 /* The emptiest of the pool that may go; NULL for none. */
 static struct mt_keeper_machine *
 emptiest (const struct mt_steward *s, const struct mt_keeper_pool *p)
@@ -161,7 +170,7 @@
 
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
-    if (m->pool == p && may_go (m) && (best == NULL || m->view.tasks < best->view.tasks))
+    if (m->pool == p && may_go (m) && (best == NULL || is_emptier (m, best)))
       best = m;
   return best;
 }
@@ -197,7 +206,7 @@
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
     if (m->plan == MT_PLAN_MOVE && !m->sent && m->to->standby && m->pool != to
-        && (best == NULL || m->view.tasks < best->view.tasks))
+        && (best == NULL || is_emptier (m, best)))
       best = m;
   if (best == NULL)
     return false;
--- a/fleet/pool_report.c
+++ b/fleet/pool_report.c
@@ -6,7 +6,7 @@
 
 /* Values of each packed row; another number is refused as another version. */
 #define LOAD_FIELDS   11
-#define WORKER_FIELDS 8
+#define WORKER_FIELDS 9
 
 enum flag
 {
@@ -30,6 +30,7 @@
   msgpack_pack_int64 (packer, MAX (w->used.cpu, 0));
   msgpack_pack_int64 (packer, MAX (w->room.mem, 0));
   msgpack_pack_int64 (packer, MAX (w->used.mem, 0));
+  msgpack_pack_int64 (packer, MAX (w->free_ms, 0));
 }
 
 static void
@@ -54,7 +55,7 @@
 {
   g_autofree struct mt_worker_view *views
       = g_new0 (struct mt_worker_view, MT_POOL_REPORT_MAX_WORKERS);
-  size_t n = mt_desk_workers (desk, views, MT_POOL_REPORT_MAX_WORKERS);
+  size_t n = mt_desk_workers (desk, now, views, MT_POOL_REPORT_MAX_WORKERS);
   struct mt_desk_load load;
   msgpack_sbuffer buffer;
   msgpack_packer packer;
@@ -110,7 +111,8 @@
   if (f == NULL || !mt_pack_get_bin (&f[0], &id) || !mt_pack_get_unsigned (&f[1], &out->tasks)
       || !mt_pack_get_unsigned (&f[2], &out->lasting) || !mt_pack_get_unsigned (&f[3], &flags)
       || !get_i64 (&f[4], &out->room.cpu) || !get_i64 (&f[5], &out->used.cpu)
-      || !get_i64 (&f[6], &out->room.mem) || !get_i64 (&f[7], &out->used.mem))
+      || !get_i64 (&f[6], &out->room.mem) || !get_i64 (&f[7], &out->used.mem)
+      || !get_i64 (&f[8], &out->free_ms))
     return false;
   out->id = g_strndup (id.data, id.len);
   out->cordoned = flags & FLAG_CORDONED;
--- a/include/medlartrack/desk.h
+++ b/include/medlartrack/desk.h
@@ -229,6 +229,7 @@
   const char *id;
   unsigned tasks;
   unsigned lasting;
+  int64_t free_ms; /* until the last of its tasks that don't last is expected to have ended */
   bool cordoned;
   bool leaving;
   bool silent;
@@ -237,7 +238,8 @@
 };
 
 /* In no order; returns how many were written. */
-size_t mt_desk_workers (const struct mt_desk *desk, struct mt_worker_view *out, size_t max);
+size_t
+mt_desk_workers (const struct mt_desk *desk, int64_t now, struct mt_worker_view *out, size_t max);
 
 struct mt_desk_load
 {
--- a/tests/desk/test_desk.c
+++ b/tests/desk/test_desk.c
@@ -570,6 +570,30 @@
   world_destroy (world);
 }
 
+/* A machine is wanted in another pool, and each one here holds a task. Which of them is empty first
+ * shows in the progress of its tasks, not in how many they are. */
+static void
+test_view_tells_when_a_worker_will_be_empty (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_worker_view views[2];
+  unsigned late;
+
+  world_add_worker (world, "r1");
+  world_add_worker (world, "r1");
+  world->run_ms = 6000;
+  world_submit (world, world_job ("aa", 1, 16000, 1000));
+  world_run (world, 100);
+  world->run_ms = 2000;
+  world_submit (world, world_job ("bb", 2, 8000, 1000));
+  world_run (world, 1500);
+  assert_int_equal (mt_desk_workers (world->desk, world->now, views, 2), 2);
+  late = views[0].tasks == 1 ? 0 : 1;
+  assert_true (views[1 - late].free_ms < 1200);
+  assert_true (views[late].free_ms > 3000);
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -591,6 +615,7 @@
     cmocka_unit_test (test_small_jobs_leave_workers_empty),
     cmocka_unit_test (test_room_is_never_overbooked),
     cmocka_unit_test (test_answer_of_an_earlier_life_is_passed_over),
+    cmocka_unit_test (test_view_tells_when_a_worker_will_be_empty),
     cmocka_unit_test (test_lost_order_makes_no_silent_worker),
     cmocka_unit_test (test_work_outlives_an_outage_of_the_store),
     cmocka_unit_test (test_surge_shows_before_anything_waits),
--- a/tests/desk/test_steward.c
+++ b/tests/desk/test_steward.c
@@ -280,6 +280,11 @@
   char **homes; /* as stored */
   bool store_down;
   bool sticky; /* cordoned workers don't get empty */
+  struct
+  {
+    unsigned tasks; /* 0: by its pool's demand */
+    int64_t free_ms;
+  } holds[20];
 };
 
 static const char *const pools[] = { "left", "right", "standby" };
@@ -351,7 +356,10 @@
       load.arriving_cpu = fleet->demand[pool];
       load.room_cpu += 16000;
       views[n++] = (struct mt_worker_view){ .id = fleet->workers[i],
-                                            .tasks = used > 0 || (cordoned && fleet->sticky),
+                                            .tasks = fleet->holds[i].tasks > 0
+                                                         ? fleet->holds[i].tasks
+                                                         : used > 0 || (cordoned && fleet->sticky),
+                                            .free_ms = fleet->holds[i].free_ms,
                                             .cordoned = cordoned,
                                             .room = { .cpu = 16000, .mem = 32768 },
                                             .used = { .cpu = used } };
@@ -524,6 +532,32 @@
   fleet_destroy (fleet);
 }
 
+/* The right pool surges, and the left one has two machines to spare, all at work. Those that will
+ * be empty first must go, however many tasks they hold: the others would come when the surge is
+ * over.
+ */
+static void
+test_machines_that_empty_first_go_first (void **state)
+{
+  struct fleet *fleet = fleet_create ();
+  g_auto (GStrv) cordon = NULL;
+  g_auto (GStrv) ended = NULL;
+
+  for (int i = 0; i < POOL_MACHINES; i++)
+    {
+      fleet->holds[i].tasks = i < 2 ? 5 : 1;
+      fleet->holds[i].free_ms = i < 2 ? 300 : 4000;
+    }
+  fleet_run (fleet, 6000);
+  fleet->demand[1] = 14 * 16000;
+  fleet_run (fleet, 600);
+  mt_steward_of_pool (fleet->steward, "left", fleet->now, &cordon, &ended);
+  assert_int_equal (g_strv_length (cordon), 2);
+  assert_true (g_strv_contains ((const char *const *) cordon, "w0"));
+  assert_true (g_strv_contains ((const char *const *) cordon, "w1"));
+  fleet_destroy (fleet);
+}
+
 int
 main (void)
 {
@@ -535,6 +569,7 @@
     cmocka_unit_test (test_machines_being_emptied_go_where_they_are_needed),
     cmocka_unit_test (test_no_move_before_its_home_is_stored),
     cmocka_unit_test (test_surges_by_turns_share_the_machines),
+    cmocka_unit_test (test_machines_that_empty_first_go_first),
     cmocka_unit_test (test_machines_that_a_predecessor_sent_down_count),
     cmocka_unit_test (test_cap_holds_with_orders_in_doubt),
     cmocka_unit_test (test_order_done_before_ends_no_life),
