A pool in which nothing timely waits spares what it does not use

Its need was 2.5 times the demand: the haste that is right while tasks wait, and of no use once all of them run. Now the need is then at most 1.3 times what is at work, for wider steps that follow. Test: a pool whose surge is over gives what it does not use to the one that surges (failed before).

--- a/core/desk/steward_moves.c
+++ b/core/desk/steward_moves.c
@@ -17,6 +17,8 @@
 #define HASTE 2.5
 /* Processors in use at most, of those that there are, so that wide tasks still fit. */
 #define FULL_SHARE 0.9
+/* Steps that follow may be wider than those at work, by so much on the whole. */
+#define NEXT_STEP 1.3
 /* Of what arrives, this share is expected to go on: short bunches look like surges. */
 #define ARRIVING_SHARE 0.8
 /* A pool keeps this share of the machines that its last surge needed. */
@@ -95,10 +97,20 @@
   return n;
 }
 
+/* Where nothing that can be in time waits, haste would keep machines that stand idle while the pool
+ * that surges next goes short. */
+static double
+wanted_cpu (const struct mt_desk_load *load)
+{
+  double hasty = HASTE * (double) load->demand_cpu;
+
+  return load->urgent == 0 ? MIN (hasty, NEXT_STEP * (double) load->used_cpu) : hasty;
+}
+
 static void
 learn_need (const struct mt_steward *s, struct mt_keeper_pool *p, int64_t now)
 {
-  double demand = HASTE * (double) p->load.demand_cpu;
+  double demand = wanted_cpu (&p->load);
   double cpu = (double) machine_cpu (s, p);
   double coming = ARRIVING_SHARE * (double) p->load.arriving_cpu;
   double kept = p->learned_at != 0 ? exp2 (-(double) (now - p->learned_at) / PEAK_HALF_MS) : 0;
--- a/tests/desk/test_steward.c
+++ b/tests/desk/test_steward.c
@@ -558,6 +558,25 @@
   fleet_destroy (fleet);
 }
 
+/* The left pool's surge is over: nothing waits there, and what still runs could be done sooner only
+ * if it were more tasks than it is. The right pool, whose callers wait, must get what the left one
+ * doesn't use, not only what it wouldn't use in haste. */
+static void
+test_pool_without_waiting_work_spares_what_it_does_not_use (void **state)
+{
+  struct fleet *fleet = fleet_create ();
+
+  fleet_run (fleet, 6000);
+  fleet->demand[0] = 12 * 16000;
+  fleet_run (fleet, 5000);
+  assert_true (fleet_count (fleet, 0) >= POOL_MACHINES + 4);
+  fleet->demand[0] = 6 * 16000;
+  fleet->demand[1] = 14 * 16000;
+  fleet_run (fleet, 2400);
+  assert_true (fleet_count (fleet, 1) >= POOL_MACHINES + 4);
+  fleet_destroy (fleet);
+}
+
 int
 main (void)
 {
@@ -570,6 +589,7 @@
     cmocka_unit_test (test_no_move_before_its_home_is_stored),
     cmocka_unit_test (test_surges_by_turns_share_the_machines),
     cmocka_unit_test (test_machines_that_empty_first_go_first),
+    cmocka_unit_test (test_pool_without_waiting_work_spares_what_it_does_not_use),
     cmocka_unit_test (test_machines_that_a_predecessor_sent_down_count),
     cmocka_unit_test (test_cap_holds_with_orders_in_doubt),
     cmocka_unit_test (test_order_done_before_ends_no_life),
