--- a/tests/desk/test_steward.c
+++ b/tests/desk/test_steward.c
@@ -570,7 +570,7 @@
   fleet->demand[0] = 12 * 16000;
   fleet_run (fleet, 5000);
   assert_true (fleet_count (fleet, 0) >= POOL_MACHINES + 4);
-  fleet->demand[0] = 6 * 16000;
+  fleet->demand[0] = 4 * 16000;
   fleet->demand[1] = 14 * 16000;
   fleet_run (fleet, 2400);
   assert_true (fleet_count (fleet, 1) >= POOL_MACHINES + 4);
