Tasks with checkpoints leave a worker that is to be emptied

Cause: a machine that was wanted in another pool waited for the last of its tasks, up to 5 s, though that task would have gone on elsewhere from where it is stopped. Now such a task is stopped where it alone would keep the worker 400 ms longer, and there is room for it in the pool.

Test: a long task with checkpoints leaves a cordoned worker within a second and runs once; beside one without checkpoints it stays. Failed before.

--- a/core/desk/desk_internal.h
+++ b/core/desk/desk_internal.h
@@ -247,6 +247,10 @@
 int64_t mt_worker_lease (const struct mt_worker *w, int64_t now, int64_t hold_ms);
 void mt_worker_granted (struct mt_worker *w, int64_t hold_ms, int64_t now);
 
+/* How much longer the task will run: by its progress where there is some, else by what such tasks
+ * take. */
+int64_t mt_task_left_ms (const struct mt_task *task, int64_t now);
+
 /* desk_place.c */
 void mt_desk_place (struct mt_desk *desk, int64_t now);
 bool mt_part_ready (const struct mt_part *part, unsigned step);
--- a/core/desk/desk_watch.c
+++ b/core/desk/desk_watch.c
@@ -14,6 +14,10 @@
  * is still there when it is gone has lost more. */
 #define LEAVING_PATIENCE_MS 1000
 
+/* A task that is to end within this is let run on a worker that is to be emptied: the way to
+ * another costs 200 to 300 ms. */
+#define MOVE_LEAST_MS 400
+
 /* The caller learns nothing from a run that stands still: the task is stopped and runs elsewhere,
  * which costs what the run had done since its last checkpoint. */
 static void
@@ -89,6 +93,62 @@
   mt_task_stop (desk, task, now);
 }
 
+static bool
+has_room_elsewhere (const struct mt_desk *desk, const struct mt_task *task, int64_t now)
+{
+  GHashTableIter it;
+  struct mt_worker *w;
+
+  g_hash_table_iter_init (&it, desk->workers);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &w))
+    if (mt_worker_takes (w, now) && mt_worker_fits (w, mt_task_step (task)))
+      return true;
+  return false;
+}
+
+/* It goes on elsewhere from where it is stopped. */
+static bool
+may_be_moved (const struct mt_task *task)
+{
+  const struct mt_step *step = mt_task_step (task);
+
+  return step->checkpointing && !step->lasting && !step->gang && !step->speculative
+         && task->state == MT_TASK_RUNNING;
+}
+
+/* What keeps the worker from being empty, whatever is moved. */
+static int64_t
+stay_ms (const struct mt_worker *w, int64_t now)
+{
+  int64_t most = 0;
+
+  for (GList *l = w->tasks.head; l != NULL; l = l->next)
+    if (!may_be_moved (l->data))
+      most = MAX (most, mt_task_left_ms (l->data, now));
+  return most;
+}
+
+/* A worker that is to be emptied is wanted elsewhere, or goes: a task that alone would keep it for
+ * long is stopped, to go on where there is room. */
+static void
+move_checkpointed (struct mt_desk *desk, struct mt_worker *w, int64_t now)
+{
+  int64_t bound = stay_ms (w, now) + MOVE_LEAST_MS;
+  GList *next;
+
+  for (GList *l = w->tasks.head; l != NULL; l = next)
+    {
+      struct mt_task *task = l->data;
+      int64_t left = mt_task_left_ms (task, now);
+
+      next = l->next;
+      if (!may_be_moved (task) || left < bound || !has_room_elsewhere (desk, task, now))
+        continue;
+      mt_task_tell (desk, task, w, "TASK_MOVED", "left_ms=%" G_GINT64_FORMAT, left);
+      mt_task_stop (desk, task, now);
+    }
+}
+
 static void
 watch_worker (struct mt_desk *desk, struct mt_worker *w, int64_t now)
 {
@@ -124,6 +184,8 @@
       if (empties)
         move_lasting (desk, w, task, now);
     }
+  if (empties)
+    move_checkpointed (desk, w, now);
 }
 
 void
--- a/core/desk/desk_workers.c
+++ b/core/desk/desk_workers.c
@@ -237,10 +237,8 @@
 
 /* ---- views ---- */
 
-/* How much longer the task will run: by its progress where there is some, else by what such tasks
- * take. */
-static int64_t
-task_left_ms (const struct mt_task *task, int64_t now)
+int64_t
+mt_task_left_ms (const struct mt_task *task, int64_t now)
 {
   double expected = mt_step_expected_ms (task->part->job->route, mt_task_step (task));
   int64_t known = task->moved - task->since;
@@ -259,7 +257,7 @@
 
   for (GList *l = w->tasks.head; l != NULL; l = l->next)
     if (!mt_task_step (l->data)->lasting)
-      most = MAX (most, task_left_ms (l->data, now));
+      most = MAX (most, mt_task_left_ms (l->data, now));
   return most;
 }
 
--- a/tests/desk/test_desk.c
+++ b/tests/desk/test_desk.c
@@ -594,6 +594,36 @@
   world_destroy (world);
 }
 
+/* A worker is wanted in another pool and has one long task left, which goes on elsewhere from its
+ * checkpoint. It must not wait for the task: the other pool's callers would. Where another task
+ * that can't go on elsewhere keeps the worker as long, stopping gains nothing. */
+static void
+test_long_task_with_checkpoints_is_moved_off (void **state)
+{
+  for (int with_other = 0; with_other < 2; with_other++)
+    {
+      struct world *world = world_create ();
+      struct mt_job_spec *spec = world_job ("aa", 1, 9000, 5000);
+      struct world_worker *first = world_add_worker (world, "r1");
+
+      world->run_ms = 5000;
+      spec->steps[0].checkpointing = true;
+      world_submit (world, spec);
+      if (with_other)
+        world_submit (world, world_job ("bb", 1, 1000, 5000));
+      world_run (world, 300);
+      assert_int_equal (first->runs->len, 1 + with_other);
+      world_add_worker (world, "r1");
+      world_run (world, 1500);
+      mt_desk_cordon (world->desk, first->id, world->now + 5000, true);
+      world_run (world, 1000);
+      assert_int_equal (first->runs->len, 2 * with_other);
+      assert_int_equal (world_running (world, "aa.0.0.0"), 1);
+      assert_int_equal (world->twice, 0);
+      world_destroy (world);
+    }
+}
+
 int
 main (void)
 {
@@ -616,6 +646,7 @@
     cmocka_unit_test (test_room_is_never_overbooked),
     cmocka_unit_test (test_answer_of_an_earlier_life_is_passed_over),
     cmocka_unit_test (test_view_tells_when_a_worker_will_be_empty),
+    cmocka_unit_test (test_long_task_with_checkpoints_is_moved_off),
     cmocka_unit_test (test_lost_order_makes_no_silent_worker),
     cmocka_unit_test (test_work_outlives_an_outage_of_the_store),
     cmocka_unit_test (test_surge_shows_before_anything_waits),
