--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -82,7 +82,10 @@
 
 MT_EVENT (8201, TASK_FAILED, G_LOG_LEVEL_WARNING, "a run of a task ended failed")
 MT_EVENT (8202, TASK_STILL, G_LOG_LEVEL_WARNING, "a task stands still and is run elsewhere")
-MT_EVENT (8203, TASK_MOVED, G_LOG_LEVEL_MESSAGE, "a lasting task is moved off its worker")
+MT_EVENT (8203,
+          TASK_MOVED,
+          G_LOG_LEVEL_MESSAGE,
+          "a task is stopped to go on elsewhere: its worker is to be emptied")
 MT_EVENT (8204,
           TASK_PACED,
           G_LOG_LEVEL_MESSAGE,
