--- a/fleet/care.c
+++ b/fleet/care.c
@@ -180,7 +180,7 @@
   g_autofree char *at = progress_key (w);
 
   w->writing = true;
-  c->options.kv.ops->get (c->options.kv.ctx, at, TXN_MS, on_progress, new_wave_call (c, key));
+  mt_kv_read (&c->options.kv, at, TXN_MS, on_progress, new_wave_call (c, key));
 }
 
 static void
@@ -274,7 +274,7 @@
   w->active_written = true;
   w->completed_written = completed;
   w->stored = n;
-  c->options.kv.ops->txn (c->options.kv.ctx, &txn, TXN_MS, on_written, new_wave_call (c, key));
+  mt_kv_write (&c->options.kv, &txn, TXN_MS, on_written, new_wave_call (c, key));
   free (progress);
 }
 
@@ -559,7 +559,7 @@
   g_strfreev (c->homes_sent);
   c->homes_sent = homes;
   c->homes_busy = true;
-  c->options.kv.ops->txn (c->options.kv.ctx, &txn, TXN_MS, on_homes_written, ref (c));
+  mt_kv_write (&c->options.kv, &txn, TXN_MS, on_homes_written, ref (c));
   free (text);
   json_decref (root);
 }
@@ -570,7 +570,7 @@
   if (c->homes_busy)
     return;
   c->homes_busy = true;
-  c->options.kv.ops->get (c->options.kv.ctx, HOMES_KEY, TXN_MS, on_homes_read, ref (c));
+  mt_kv_read (&c->options.kv, HOMES_KEY, TXN_MS, on_homes_read, ref (c));
 }
 
 static void
--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -322,7 +322,7 @@
   if (c->joining)
     return;
   c->joining = true;
-  c->kv.ops->txn (c->kv.ctx, &txn, TXN_MS, on_joined, c);
+  mt_kv_write (&c->kv, &txn, TXN_MS, on_joined, c);
 }
 
 /* ---- duties ---- */
@@ -418,7 +418,7 @@
   a->cluster = c;
   a->duty = g_strdup (d->name);
   a->lease = c->lease;
-  c->kv.ops->txn (c->kv.ctx, &txn, TXN_MS, on_tried, a);
+  mt_kv_write (&c->kv, &txn, TXN_MS, on_tried, a);
 }
 
 static void
@@ -445,7 +445,7 @@
   d->trying = true;
   a->cluster = c;
   a->duty = g_strdup (d->name);
-  c->kv.ops->txn (c->kv.ctx, &txn, TXN_MS, on_cleared, a);
+  mt_kv_write (&c->kv, &txn, TXN_MS, on_cleared, a);
 }
 
 static void
--- a/fleet/gate_ask.c
+++ b/fleet/gate_ask.c
@@ -111,7 +111,7 @@
     }
   q->open_state = state == MT_JOB_UNKNOWN ? MT_JOB_QUEUED : state;
   key = mt_pool_cancel_key (q->pool, q->id);
-  q->gate->options.kv.ops->get (q->gate->options.kv.ctx, key, STORE_MS, on_cancel_key, q);
+  mt_kv_read (&q->gate->options.kv, key, STORE_MS, on_cancel_key, q);
 }
 
 static void
@@ -131,7 +131,7 @@
       return;
     }
   key = mt_pool_progress_key (q->pool, q->id);
-  q->gate->options.kv.ops->get (q->gate->options.kv.ctx, key, STORE_MS, on_progress_key, q);
+  mt_kv_read (&q->gate->options.kv, key, STORE_MS, on_progress_key, q);
 }
 
 /* Nobody leads the pool, or its leader doesn't know the job: only the store can say that a job does
@@ -142,7 +142,7 @@
   g_autofree char *key = mt_pool_job_key (q->pool, q->id);
 
   mt_metrics_count (q->gate->options.metrics, MT_COUNT_ASKED_STORE);
-  q->gate->options.kv.ops->get (q->gate->options.kv.ctx, key, STORE_MS, on_job_key, q);
+  mt_kv_read (&q->gate->options.kv, key, STORE_MS, on_job_key, q);
 }
 
 static void
@@ -289,7 +289,7 @@
   struct mt_kv_put put = { .key = key, .value = MT_STR ("{}") };
   struct mt_kv_txn txn = { &expect, 1, &put, 1, NULL, 0 };
 
-  q->gate->options.kv.ops->txn (q->gate->options.kv.ctx, &txn, MT_GATE_TXN_MS, on_cancel_stored, q);
+  mt_kv_write (&q->gate->options.kv, &txn, MT_GATE_TXN_MS, on_cancel_stored, q);
 }
 
 static void
@@ -314,5 +314,5 @@
   struct question *q = new_question (gate, exchange, route, id);
   g_autofree char *key = mt_pool_job_key (q->pool, q->id);
 
-  gate->options.kv.ops->get (gate->options.kv.ctx, key, MT_GATE_TXN_MS, on_cancel_job, q);
+  mt_kv_read (&gate->options.kv, key, MT_GATE_TXN_MS, on_cancel_job, q);
 }
--- a/fleet/gate_submit.c
+++ b/fleet/gate_submit.c
@@ -232,7 +232,7 @@
       expects[i] = (struct mt_kv_expect){ s->key, 0 };
       puts[i] = (struct mt_kv_put){ s->key, { s->value, s->value_len }, 0 };
     }
-  t->gate->options.kv.ops->txn (t->gate->options.kv.ctx, &txn, MT_GATE_TXN_MS, on_stored, t);
+  mt_kv_write (&t->gate->options.kv, &txn, MT_GATE_TXN_MS, on_stored, t);
 }
 
 /* What came while others were on their way goes into one write. */
--- a/fleet/pool.c
+++ b/fleet/pool.c
@@ -201,7 +201,7 @@
     }
   txn.n_expects = 1 + n;
   txn.n_puts = n;
-  pool->options.kv.ops->txn (pool->options.kv.ctx, &txn, TXN_MS, on_written, w);
+  mt_kv_write (&pool->options.kv, &txn, TXN_MS, on_written, w);
   for (size_t i = 0; i < n; i++)
     {
       g_free ((char *) puts[i].key);
@@ -394,7 +394,7 @@
   w->ids = g_ptr_array_new_with_free_func (g_free);
   g_ptr_array_add (w->ids, g_strdup (id));
   pool->forgetting = true;
-  pool->options.kv.ops->txn (pool->options.kv.ctx, &txn, TXN_MS, on_forgotten, w);
+  mt_kv_write (&pool->options.kv, &txn, TXN_MS, on_forgotten, w);
 }
 
 /* ---- work ---- */
--- a/fleet/ports.h
+++ b/fleet/ports.h
@@ -94,6 +94,23 @@
   void *ctx;
 };
 
+static inline void
+mt_kv_read (
+    const struct mt_kv *kv, const char *key, int64_t timeout_ms, mt_kv_done done, void *data)
+{
+  kv->ops->get (kv->ctx, key, timeout_ms, done, data);
+}
+
+static inline void
+mt_kv_write (const struct mt_kv *kv,
+             const struct mt_kv_txn *txn,
+             int64_t timeout_ms,
+             mt_kv_done done,
+             void *data)
+{
+  kv->ops->txn (kv->ctx, txn, timeout_ms, done, data);
+}
+
 /* ---- workers ---- */
 
 typedef void (*mt_order_done) (void *data, enum mt_answer answer, int64_t clock_ms);
