--- a/core/desk/steward_moves.c
+++ b/core/desk/steward_moves.c
@@ -4,8 +4,9 @@
  * whatever pool has more than it needs, and what nobody needs goes to the standby pool, where it
  * costs nothing.
  *
- * A pool in its trough keeps a share of what its last surge needed: the next one begins without
- * notice, and until machines arrive, what it has must carry it. */
+ * A pool in its trough keeps a share of what belongs to it: the next surge begins without notice,
+ * and until machines arrive, what it has must carry it. The share is small, since all that idles
+ * here is missing where the surge is now. */
 #include "steward_internal.h"
 
 #include <math.h>
@@ -13,7 +14,7 @@
 #include <string.h>
 
 /* Machines arrive late and arrivals come in bunches: so much more than what keeps jobs in time on
- * average. 2.5 served the worst windows worse by 0.02 to 0.03. */
+ * average. With 2.5 mean worth is lower by 0.02. */
 #define HASTE 5.0
 /* Processors in use at most, of those that there are, so that wide tasks still fit. */
 #define FULL_SHARE 0.9
@@ -26,8 +27,8 @@
  * 0.02. */
 #define KEEP_SHARE 0.1
 /* ... and this one of the machines that belong to it. A surge begins without notice and its first
- * machine comes after two seconds, so too small a share is as bad: mean worth over six kinds of
- * days was 0.49 with 0.7, 0.57 with 0.5, 0.58 with 0.4, 0.57 with 0.25. */
+ * machine comes after two seconds, so too small a share is as bad: mean worth over 48 days is 0.54
+ * with 0.7, 0.57 with 0.5, 0.58 with 0.4, 0.57 with 0.25. */
 #define BASE_SHARE 0.4
 /* A pool has surged once it has used this share of what belongs to it. */
 #define SURGED_SHARE 0.6
--- /dev/null
+++ b/tests/fleet/test_pool_report.c
@@ -0,0 +1,76 @@
+#include "pool_report.h"
+#include "world.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+/* The steward decides from what a leader tells it over the wire: a figure that was lost or came in
+ * another's place would send the wrong machine away. */
+static void
+test_report_arrives_as_it_was_packed (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_pool_report report;
+  struct mt_worker_view view;
+  struct mt_desk_load load;
+  g_autofree char *bytes = NULL;
+  size_t len;
+
+  world_add_worker (world, "r1");
+  world->run_ms = 4000;
+  world_submit (world, world_job ("aa", 3, 2000, 4000));
+  world_run (world, 1500);
+  mt_desk_cordon (world->desk, "i-0", world->now + 1000, false);
+  mt_desk_load (world->desk, world->now, &load);
+  assert_int_equal (mt_desk_workers (world->desk, world->now, &view, 1), 1);
+  bytes = mt_pool_report_pack (world->desk, world->now, &len);
+  assert_true (mt_pool_report_unpack ((struct mt_str){ bytes, len }, &report));
+  assert_int_equal (report.n_workers, 1);
+  assert_string_equal (report.workers[0].id, "i-0");
+  assert_int_equal (report.workers[0].tasks, 3);
+  assert_true (view.free_ms > 1000);
+  assert_int_equal (report.workers[0].free_ms, view.free_ms);
+  assert_true (report.workers[0].cordoned);
+  assert_false (report.workers[0].leaving);
+  assert_int_equal (report.workers[0].used.cpu, 6000);
+  assert_int_equal (report.workers[0].room.mem, 32768);
+  assert_memory_equal (&report.load, &load, sizeof load);
+  mt_pool_report_clear (&report);
+  world_destroy (world);
+}
+
+/* A daemon of another version, or a broken frame: the report is refused whole and nothing of it is
+ * kept. */
+static void
+test_report_cut_anywhere_is_refused (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_pool_report report;
+  g_autofree char *bytes = NULL;
+  size_t len;
+
+  world_add_worker (world, "r1");
+  world_run (world, 200);
+  bytes = mt_pool_report_pack (world->desk, world->now, &len);
+  for (size_t cut = 0; cut < len; cut++)
+    {
+      assert_false (mt_pool_report_unpack ((struct mt_str){ bytes, cut }, &report));
+      assert_int_equal (report.n_workers, 0);
+    }
+  world_destroy (world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_report_arrives_as_it_was_packed),
+    cmocka_unit_test (test_report_cut_anywhere_is_refused),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
