A step's name, its advice and a job's begin each stand once in the desk

Found in reading the change: the name of a step was cut out of its task's name at four places, with the look-up of its advice at three, and in the placing once a worker for the same task; the rule by which a job leaves those that wait stood in the answers and in the restoring of records. Now mt_task_step_name, mt_task_advice and mt_job_begin. The margin that a ticket must have got a name.

--- a/core/desk/desk.c
+++ b/core/desk/desk.c
@@ -221,6 +221,16 @@
   g_ptr_array_add (desk->dirty, job);
 }
 
+void
+mt_job_begin (struct mt_job *job)
+{
+  if (job->begun)
+    return;
+  job->begun = true;
+  if (job->spec->repeats == 0 && job->ended_at == 0)
+    job->route->pending--;
+}
+
 /* ---- occurrences ---- */
 
 struct mt_part *
--- a/core/desk/desk_answers.c
+++ b/core/desk/desk_answers.c
@@ -74,9 +74,7 @@
 {
   if (job->begun)
     return;
-  job->begun = true;
-  if (job->spec->repeats == 0 && job->ended_at == 0)
-    job->route->pending--;
+  mt_job_begin (job);
   mt_desk_tell (desk, "JOB_BEGUN", "id=%s route=%s waited_ms=%" G_GINT64_FORMAT, job->spec->id,
                 job->route->name, now - job->submitted);
 }
@@ -442,8 +440,7 @@
     {
       char name[80];
 
-      mt_task_name (task, name, sizeof name);
-      *strrchr (name, '.') = '\0';
+      mt_task_step_name (task, name, sizeof name);
       g_hash_table_remove (desk->advices, name);
     }
   task->not_before = now + AGAIN_MS;
--- a/core/desk/desk_internal.h
+++ b/core/desk/desk_internal.h
@@ -217,6 +217,8 @@
 /* desk.c */
 void mt_ticket_free (void *data);
 void mt_job_mark (struct mt_desk *desk, struct mt_job *job);
+/* A task of it has started: it is no longer among those that wait. */
+void mt_job_begin (struct mt_job *job);
 void mt_job_check_end (struct mt_desk *desk, struct mt_job *job, int64_t now);
 void mt_job_end (struct mt_desk *desk, struct mt_job *job, enum mt_job_state state, int64_t now);
 void mt_job_stop_tasks (struct mt_desk *desk, struct mt_job *job, int64_t now);
@@ -227,6 +229,10 @@
 const struct mt_step *mt_task_step (const struct mt_task *task);
 struct mt_task *mt_desk_find_task (struct mt_desk *desk, const char *name);
 void mt_task_name (const struct mt_task *task, char *out, size_t size);
+/* ID.OCCURRENCE.STEP: what advice is asked for. */
+void mt_task_step_name (const struct mt_task *task, char *out, size_t size);
+/* The advice on the task's step; NULL where none was asked for. */
+struct mt_advice *mt_task_advice (const struct mt_desk *desk, const struct mt_task *task);
 void mt_task_place (struct mt_desk *desk, struct mt_task *task, struct mt_worker *w, int64_t now);
 void mt_task_wait (struct mt_desk *desk, struct mt_task *task, int64_t now);
 void mt_task_finish (struct mt_desk *desk, struct mt_task *task, int64_t now);
--- a/core/desk/desk_orders.c
+++ b/core/desk/desk_orders.c
@@ -1,8 +1,6 @@
 /* What is to be sent next. */
 #include "desk_internal.h"
 
-#include <string.h>
-
 /* Orders on their way to one worker at most; more would only wait in its connections. */
 #define ORDERS_PER_WORKER 4U
 /* While orders get lost, for so long after the last one, a hold waits less: what a lost one would
@@ -21,8 +19,7 @@
 fill_task (const struct mt_desk *desk, struct mt_task *task, struct mt_order *order, int64_t now)
 {
   struct mt_worker *w = task->worker;
-  char name[80];
-  const struct mt_advice *advice;
+  const struct mt_advice *advice = mt_task_advice (desk, task);
   const struct mt_ticket *ticket = NULL;
 
   mt_task_name (task, order->task, sizeof order->task);
@@ -32,9 +29,6 @@
   order->payload = task->part->job->spec->payload;
   order->checkpoint = task->checkpoint;
   order->lease_ms = mt_worker_lease (w, now, desk->settings.hold_ms);
-  g_strlcpy (name, order->task, sizeof name);
-  *strrchr (name, '.') = '\0';
-  advice = g_hash_table_lookup (desk->advices, name);
   if (advice != NULL)
     ticket = g_hash_table_lookup (advice->tickets, w->id);
   order->ticket = ticket != NULL ? ticket->text : NULL;
--- a/core/desk/desk_place.c
+++ b/core/desk/desk_place.c
@@ -23,6 +23,9 @@
 #define TRIAL_TASKS 2U
 /* The last attempt waits at most so long for a worker that is proved good. */
 #define LAST_ATTEMPT_MS 3000
+/* A ticket must hold for this much longer when its start is placed: it is stored first, then sent.
+ */
+#define TICKET_MARGIN_MS 200
 /* What a full worker is preferred by, in multiples of a task's run time. Work that is spread keeps
  * every machine from leaving for the pool that surges: packed, the worst windows of calm days are
  * served by 0.05 to 0.1 better. */
@@ -263,16 +266,14 @@
   return cost + neighbours_cost (w, step);
 }
 
-static struct mt_ticket *
-ticket_for (struct mt_desk *desk, const struct mt_task *task, const struct mt_worker *w)
+/* The ticket holds long enough for a start to arrive. */
+static bool
+is_advised (const struct mt_advice *advice, const struct mt_worker *w, int64_t now)
 {
-  char name[80];
-  struct mt_advice *advice;
+  const struct mt_ticket *ticket
+      = advice != NULL ? g_hash_table_lookup (advice->tickets, w->id) : NULL;
 
-  mt_task_name (task, name, sizeof name);
-  *g_strrstr (name, ".") = '\0';
-  advice = g_hash_table_lookup (desk->advices, name);
-  return advice != NULL ? g_hash_table_lookup (advice->tickets, w->id) : NULL;
+  return ticket != NULL && ticket->until > now + TICKET_MARGIN_MS;
 }
 
 static struct mt_worker *
@@ -282,6 +283,7 @@
   struct mt_route *route = task->part->job->route;
   bool last = !step->lasting && task->attempts + 1 >= route->terms.max_attempts
               && task->attempts > 0 && site->now - task->since < LAST_ATTEMPT_MS;
+  const struct mt_advice *advice = route->advice ? mt_task_advice (site->desk, task) : NULL;
   struct mt_worker *best = NULL;
   double best_cost = 0;
 
@@ -292,13 +294,8 @@
 
       if (!may_run (site, w, task) || (last && (w->dones < 1 || w->fails > 0.5)))
         continue;
-      if (route->advice)
-        {
-          const struct mt_ticket *ticket = ticket_for (site->desk, task, w);
-
-          if (ticket == NULL || ticket->until <= site->now + 200)
-            continue;
-        }
+      if (route->advice && !is_advised (advice, w, site->now))
+        continue;
       cost = cost_of (site, w, step);
       if (best == NULL || cost < best_cost)
         {
@@ -313,14 +310,13 @@
 static void
 want_advice (struct mt_desk *desk, const struct mt_task *task, int64_t now)
 {
-  char name[80];
-  struct mt_advice *advice;
+  struct mt_advice *advice = mt_task_advice (desk, task);
 
-  mt_task_name (task, name, sizeof name);
-  *g_strrstr (name, ".") = '\0';
-  advice = g_hash_table_lookup (desk->advices, name);
   if (advice == NULL)
     {
+      char name[80];
+
+      mt_task_step_name (task, name, sizeof name);
       advice = g_new0 (struct mt_advice, 1);
       advice->step_name = g_strdup (name);
       advice->tickets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, mt_ticket_free);
--- a/core/desk/desk_record.c
+++ b/core/desk/desk_record.c
@@ -174,12 +174,8 @@
   job->revision = revision;
   state_name = json_string_value (json_object_get (root, "s"));
   state = state_name != NULL ? mt_job_state_read (mt_str_from (state_name)) : MT_JOB_UNKNOWN;
-  if (json_integer_value (json_object_get (root, "b")) != 0 && !job->begun)
-    {
-      job->begun = true;
-      if (job->spec->repeats == 0 && job->ended_at == 0)
-        job->route->pending--;
-    }
+  if (json_integer_value (json_object_get (root, "b")) != 0)
+    mt_job_begin (job);
   restore_done (desk, job, json_object_get (root, "d"), now);
   json_array_foreach (json_object_get (root, "t"), i, row) restore_task (desk, job, row, now);
   job->dirty = false;
--- a/core/desk/desk_tasks.c
+++ b/core/desk/desk_tasks.c
@@ -17,6 +17,21 @@
             task->index);
 }
 
+void
+mt_task_step_name (const struct mt_task *task, char *out, size_t size)
+{
+  snprintf (out, size, "%s.%u.%u", task->part->job->spec->id, task->part->number, task->step);
+}
+
+struct mt_advice *
+mt_task_advice (const struct mt_desk *desk, const struct mt_task *task)
+{
+  char name[80];
+
+  mt_task_step_name (task, name, sizeof name);
+  return g_hash_table_lookup (desk->advices, name);
+}
+
 /* Reads ".NUMBER"; moves *at behind it. */
 static bool
 read_number (const char **at, unsigned *out)
