--- a/fleet/care.c
+++ b/fleet/care.c
@@ -94,32 +94,33 @@
   g_rc_box_release_full (c, clear_care);
 }
 
-/* ---- waves ---- */
-
-struct wave_call
+/* A call under way, and what it is about: a wave's key, a pool's name. */
+struct named_call
 {
   struct mt_care *care;
-  char *key;
+  char *name;
 };
 
-static struct wave_call *
-new_wave_call (struct mt_care *c, const char *key)
+static struct named_call *
+new_named_call (struct mt_care *c, const char *name)
 {
-  struct wave_call *call = g_new0 (struct wave_call, 1);
+  struct named_call *call = g_new0 (struct named_call, 1);
 
   call->care = ref (c);
-  call->key = g_strdup (key);
+  call->name = g_strdup (name);
   return call;
 }
 
 static void
-free_wave_call (struct wave_call *call)
+free_named_call (struct named_call *call)
 {
   unref (call->care);
-  g_free (call->key);
+  g_free (call->name);
   g_free (call);
 }
 
+/* ---- waves ---- */
+
 static char *
 progress_key (const struct wave *w)
 {
@@ -157,9 +158,9 @@
 static void
 on_progress (void *data, const struct mt_kv_reply *reply)
 {
-  struct wave_call *call = data;
+  struct named_call *call = data;
   struct mt_care *c = call->care;
-  struct wave *w = !c->destroyed ? g_hash_table_lookup (c->waves, call->key) : NULL;
+  struct wave *w = !c->destroyed ? g_hash_table_lookup (c->waves, call->name) : NULL;
 
   if (w != NULL && !w->known)
     {
@@ -170,7 +171,7 @@
     }
   if (w != NULL)
     w->writing = false;
-  free_wave_call (call);
+  free_named_call (call);
 }
 
 static void
@@ -180,7 +181,7 @@
   g_autofree char *at = progress_key (w);
 
   w->writing = true;
-  mt_kv_read (&c->options.kv, at, TXN_MS, on_progress, new_wave_call (c, key));
+  mt_kv_read (&c->options.kv, at, TXN_MS, on_progress, new_named_call (c, key));
 }
 
 static void
@@ -224,9 +225,9 @@
 static void
 on_written (void *data, const struct mt_kv_reply *reply)
 {
-  struct wave_call *call = data;
+  struct named_call *call = data;
   struct wave *w
-      = !call->care->destroyed ? g_hash_table_lookup (call->care->waves, call->key) : NULL;
+      = !call->care->destroyed ? g_hash_table_lookup (call->care->waves, call->name) : NULL;
 
   if (w != NULL)
     {
@@ -238,7 +239,7 @@
           w->completed_written = false;
         }
     }
-  free_wave_call (call);
+  free_named_call (call);
 }
 
 /* The progress, and for whoever asked for the wave its state: completed only once the steward has
@@ -274,7 +275,7 @@
   w->active_written = true;
   w->completed_written = completed;
   w->stored = n;
-  mt_kv_write (&c->options.kv, &txn, TXN_MS, on_written, new_wave_call (c, key));
+  mt_kv_write (&c->options.kv, &txn, TXN_MS, on_written, new_named_call (c, key));
   free (progress);
 }
 
@@ -342,12 +343,6 @@
 
 /* ---- pools ---- */
 
-struct report_call
-{
-  struct mt_care *care;
-  char *pool;
-};
-
 static void
 take_report (struct mt_care *c, const char *pool, struct mt_str bytes)
 {
@@ -363,13 +358,11 @@
 static void
 on_report (void *ctx, const struct mt_mesh_args *args)
 {
-  struct report_call *call = ctx;
+  struct named_call *call = ctx;
 
   if (!call->care->destroyed && args != NULL && args->n == 1)
-    take_report (call->care, call->pool, args->at[0]);
-  unref (call->care);
-  g_free (call->pool);
-  g_free (call);
+    take_report (call->care, call->name, args->at[0]);
+  free_named_call (call);
 }
 
 static void
@@ -398,11 +391,9 @@
     {
       struct mt_mesh_args args
           = { 3, { mt_str_from (name), mt_str_from (cordon_text), mt_str_from (ended_text) } };
-      struct report_call *call = g_new0 (struct report_call, 1);
 
-      call->care = ref (c);
-      call->pool = g_strdup (name);
-      mt_mesh_send (c->options.mesh, holder, MT_MESH_CORDON, &args, REPORT_MS, on_report, call);
+      mt_mesh_send (c->options.mesh, holder, MT_MESH_CORDON, &args, REPORT_MS, on_report,
+                    new_named_call (c, name));
     }
 }
 
--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -372,15 +372,37 @@
   int64_t lease;
 };
 
+static struct attempt *
+new_attempt (struct mt_cluster *c, struct duty *d)
+{
+  struct attempt *a = g_new0 (struct attempt, 1);
+
+  d->trying = true;
+  *a = (struct attempt){ c, g_strdup (d->name), c->lease };
+  return a;
+}
+
+/* Returns the duty that it was about. */
+static struct duty *
+end_attempt (struct attempt *a)
+{
+  struct duty *d = get_duty (a->cluster, a->duty);
+
+  d->trying = false;
+  g_free (a->duty);
+  g_free (a);
+  return d;
+}
+
 static void
 on_tried (void *data, const struct mt_kv_reply *reply)
 {
   struct attempt *a = data;
   struct mt_cluster *c = a->cluster;
-  struct duty *d = get_duty (c, a->duty);
+  bool same_lease = c->lease == a->lease;
+  struct duty *d = end_attempt (a);
 
-  d->trying = false;
-  if (reply->status == MT_KV_OK && c->lease == a->lease && reply->revision >= d->revision)
+  if (reply->status == MT_KV_OK && same_lease && reply->revision >= d->revision)
     {
       d->token = d->revision = reply->revision;
       g_free (d->holder);
@@ -393,16 +415,14 @@
     for (size_t i = 0; i < reply->n_items; i++)
       if (g_str_has_prefix (reply->items[i].key, DUTY_PREFIX) && reply->items[i].revision > 0)
         {
-          see_duty (c, a->duty, &reply->items[i]);
+          see_duty (c, d->name, &reply->items[i]);
           /* A write of ours whose answer was lost: the key is ours. */
-          if (d->token == 0 && c->lease == a->lease && g_strcmp0 (d->holder, c->address) == 0)
+          if (d->token == 0 && same_lease && g_strcmp0 (d->holder, c->address) == 0)
             {
               d->token = d->revision;
               c->options.gained (c->options.ctx, d->name, d->token);
             }
         }
-  g_free (a->duty);
-  g_free (a);
 }
 
 static void
@@ -412,23 +432,14 @@
   struct mt_kv_expect expect = { key, 0 };
   struct mt_kv_put put = { .key = key, .value = mt_str_from (c->address), .lease = c->lease };
   struct mt_kv_txn txn = { &expect, 1, &put, 1, NULL, 0 };
-  struct attempt *a = g_new0 (struct attempt, 1);
 
-  d->trying = true;
-  a->cluster = c;
-  a->duty = g_strdup (d->name);
-  a->lease = c->lease;
-  mt_kv_write (&c->kv, &txn, TXN_MS, on_tried, a);
+  mt_kv_write (&c->kv, &txn, TXN_MS, on_tried, new_attempt (c, d));
 }
 
 static void
 on_cleared (void *data, const struct mt_kv_reply *reply)
 {
-  struct attempt *a = data;
-
-  get_duty (a->cluster, a->duty)->trying = false;
-  g_free (a->duty);
-  g_free (a);
+  end_attempt (data);
 }
 
 /* A key that names this daemon though it does not have the duty is of its life before a restart, or
@@ -440,12 +451,8 @@
   const char *remove = key;
   struct mt_kv_expect expect = { key, d->revision };
   struct mt_kv_txn txn = { &expect, 1, NULL, 0, &remove, 1 };
-  struct attempt *a = g_new0 (struct attempt, 1);
 
-  d->trying = true;
-  a->cluster = c;
-  a->duty = g_strdup (d->name);
-  mt_kv_write (&c->kv, &txn, TXN_MS, on_cleared, a);
+  mt_kv_write (&c->kv, &txn, TXN_MS, on_cleared, new_attempt (c, d));
 }
 
 static void
--- a/fleet/gate.c
+++ b/fleet/gate.c
@@ -15,9 +15,34 @@
                       mt_str_from (body != NULL ? body : "{}"), retry_after_s);
 }
 
+bool
+mt_gate_send_leader (struct mt_gate *gate,
+                     const char *pool,
+                     enum mt_mesh_method method,
+                     const struct mt_mesh_args *args,
+                     mt_mesh_done done,
+                     void *data)
+{
+  const char *holder = mt_cluster_holder (gate->options.cluster, pool);
+
+  if (holder == NULL)
+    return false;
+  mt_mesh_send (gate->options.mesh, holder, method, args, MT_GATE_LEADER_MS, done, data);
+  return true;
+}
+
+static void
+on_noted (void *ctx, const struct mt_mesh_args *args)
+{
+}
+
 void
-mt_gate_noted (void *ctx, const struct mt_mesh_args *args)
+mt_gate_note_leader (struct mt_gate *gate,
+                     const char *pool,
+                     enum mt_mesh_method method,
+                     const struct mt_mesh_args *args)
 {
+  mt_gate_send_leader (gate, pool, method, args, on_noted, gate);
 }
 
 static bool
--- a/fleet/gate_ask.c
+++ b/fleet/gate_ask.c
@@ -176,7 +176,6 @@
                    const char *id)
 {
   struct mt_pool *local = loaded_pool (gate, route->pool);
-  const char *holder = mt_cluster_holder (gate->options.cluster, route->pool);
   struct question *q = new_question (gate, exchange, route, id);
   struct mt_mesh_args args = { 2, { mt_str_from (q->pool), mt_str_from (q->id) } };
   enum mt_job_state state = MT_JOB_UNKNOWN;
@@ -187,10 +186,8 @@
     state = mt_desk_state (mt_pool_desk (local), id);
   if (state != MT_JOB_UNKNOWN)
     end_state (q, state);
-  else if (local == NULL && holder != NULL)
-    mt_mesh_send (gate->options.mesh, holder, MT_MESH_STATE, &args, MT_GATE_LEADER_MS,
-                  on_leader_state, q);
-  else
+  else if (local != NULL
+           || !mt_gate_send_leader (gate, q->pool, MT_MESH_STATE, &args, on_leader_state, q))
     ask_store (q);
 }
 
@@ -217,7 +214,6 @@
                      const struct mt_fleet_route *route)
 {
   struct mt_pool *local = loaded_pool (gate, route->pool);
-  const char *holder = mt_cluster_holder (gate->options.cluster, route->pool);
   struct question *q = new_question (gate, exchange, route, NULL);
   struct mt_mesh_args args = { 2, { mt_str_from (q->pool), mt_str_from (q->route) } };
 
@@ -230,10 +226,7 @@
       mt_gate_answer (exchange, 200, body, 0);
       free_question (q);
     }
-  else if (holder != NULL)
-    mt_mesh_send (gate->options.mesh, holder, MT_MESH_PENDING, &args, MT_GATE_LEADER_MS,
-                  on_leader_pending, q);
-  else
+  else if (!mt_gate_send_leader (gate, q->pool, MT_MESH_PENDING, &args, on_leader_pending, q))
     end_unanswered (q, 503, "nobody leads the pool");
 }
 
@@ -246,14 +239,12 @@
 {
   struct mt_gate *gate = q->gate;
   struct mt_pool *local = gate->options.local (gate->options.ctx, q->pool);
-  const char *holder = mt_cluster_holder (gate->options.cluster, q->pool);
   struct mt_mesh_args args = { 2, { mt_str_from (q->pool), mt_str_from (q->id) } };
 
   if (local != NULL)
     mt_pool_cancelled (local, q->id);
-  else if (holder != NULL)
-    mt_mesh_send (gate->options.mesh, holder, MT_MESH_CANCELLED, &args, MT_GATE_LEADER_MS,
-                  mt_gate_noted, gate);
+  else
+    mt_gate_note_leader (gate, q->pool, MT_MESH_CANCELLED, &args);
   mt_metrics_count (gate->options.metrics, MT_COUNT_CANCELS);
   mt_journal_tell (gate->options.journal, "CANCEL_ACCEPTED",
                    "id=%s pool=%s took_ms=%" G_GINT64_FORMAT, q->id, q->pool,
--- a/fleet/gate_internal.h
+++ b/fleet/gate_internal.h
@@ -28,8 +28,18 @@
                      unsigned status,
                      const char *body,
                      unsigned retry_after_s);
-/* For a note to a leader that wants no reply. */
-void mt_gate_noted (void *ctx, const struct mt_mesh_args *args);
+/* To whoever leads the pool elsewhere; false where nobody is known to. */
+bool mt_gate_send_leader (struct mt_gate *gate,
+                          const char *pool,
+                          enum mt_mesh_method method,
+                          const struct mt_mesh_args *args,
+                          mt_mesh_done done,
+                          void *data);
+/* A note that wants no reply. */
+void mt_gate_note_leader (struct mt_gate *gate,
+                          const char *pool,
+                          enum mt_mesh_method method,
+                          const struct mt_mesh_args *args);
 
 /* gate_submit.c */
 void mt_gate_submit (struct mt_gate *gate,
--- a/fleet/gate_submit.c
+++ b/fleet/gate_submit.c
@@ -54,14 +54,12 @@
 {
   struct mt_pool *local = gate->options.local (gate->options.ctx, s->pool);
   struct mt_str value = { s->value, s->value_len };
-  const char *holder = mt_cluster_holder (gate->options.cluster, s->pool);
   struct mt_mesh_args args = { 3, { mt_str_from (s->pool), mt_str_from (s->key), value } };
 
   if (local != NULL)
     mt_pool_submitted (local, s->key, value, true);
-  else if (holder != NULL)
-    mt_mesh_send (gate->options.mesh, holder, MT_MESH_SUBMITTED, &args, MT_GATE_LEADER_MS,
-                  mt_gate_noted, gate);
+  else
+    mt_gate_note_leader (gate, s->pool, MT_MESH_SUBMITTED, &args);
 }
 
 static void
