--- a/core/desk/steward_internal.h
+++ b/core/desk/steward_internal.h
@@ -16,8 +16,10 @@
   unsigned need; /* for what it does and what waits */
   unsigned held; /* its highest of the last moments */
   int64_t held_at;
-  unsigned base; /* machines that belong to it */
-  double peak;   /* highest need of late, fading */
+  unsigned base;    /* machines that belong to it */
+  unsigned sized;   /* machines in it whose size is known */
+  int64_t room_cpu; /* ... of all these */
+  double peak;      /* highest need of late, fading */
   int64_t learned_at;
   int64_t spare_since; /* it has had more than it wants since; 0 */
 };
--- a/core/desk/steward_moves.c
+++ b/core/desk/steward_moves.c
@@ -44,24 +44,8 @@
 #define SETTLE_MS 5000
 /* Ordered moves are expected to have arrived after this much more than they should take. */
 #define LATE_MS 4000
-
-static int64_t
-machine_cpu (const struct mt_steward *s, const struct mt_keeper_pool *p)
-{
-  GHashTableIter it;
-  struct mt_keeper_machine *m;
-  int64_t sum = 0;
-  int64_t n = 0;
-
-  g_hash_table_iter_init (&it, s->machines);
-  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
-    if (m->pool == p && m->room.cpu > 0)
-      {
-        sum += m->room.cpu;
-        n++;
-      }
-  return n > 0 ? sum / n : 16000;
-}
+/* Of a machine whose size isn't known yet, in thousandths of a core. */
+#define UNSIZED_CPU 16000
 
 static bool
 is_on_its_way (const struct mt_steward *s, const struct mt_keeper_machine *m, int64_t now)
@@ -69,37 +53,42 @@
   return !m->up && m->ordered != 0 && now < m->ordered + s->settings.move_ms + LATE_MS;
 }
 
-/* Machines that work in the pool, or are about to. */
-static unsigned
-count_machines (const struct mt_steward *s, const struct mt_keeper_pool *p, int64_t now)
+/* What each pool has, and what was given to it by those who know its load: one look at all
+ * machines. */
+static void
+tally (struct mt_steward *s, int64_t now)
 {
   GHashTableIter it;
+  struct mt_keeper_pool *p;
   struct mt_keeper_machine *m;
-  unsigned n = 0;
 
+  g_hash_table_iter_init (&it, s->pools);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &p))
+    {
+      p->have = p->base = p->sized = 0;
+      p->room_cpu = 0;
+    }
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
     {
       if (m->plan == MT_PLAN_MOVE)
-        n += m->to == p;
-      else if (m->pool == p && (m->up || is_on_its_way (s, m, now)))
-        n += !(m->viewed && (m->view.silent || m->view.leaving));
+        m->to->have++;
+      else if (m->pool != NULL && (m->up || is_on_its_way (s, m, now)))
+        m->pool->have += !(m->viewed && (m->view.silent || m->view.leaving));
+      if (m->home != NULL)
+        m->home->base++;
+      if (m->pool == NULL || m->room.cpu <= 0)
+        continue;
+      m->pool->sized++;
+      m->pool->room_cpu += m->room.cpu;
     }
-  return n;
 }
 
-/* What the pool was given by those who know its load, wherever its machines are now. */
-static unsigned
-count_homes (const struct mt_steward *s, const struct mt_keeper_pool *p)
+/* Of one machine, on average. */
+static int64_t
+machine_cpu (const struct mt_keeper_pool *p)
 {
-  GHashTableIter it;
-  struct mt_keeper_machine *m;
-  unsigned n = 0;
-
-  g_hash_table_iter_init (&it, s->machines);
-  while (g_hash_table_iter_next (&it, NULL, (void **) &m))
-    n += m->home == p;
-  return n;
+  return p->sized > 0 ? p->room_cpu / p->sized : UNSIZED_CPU;
 }
 
 /* Where nothing that can be in time waits, haste would keep machines that stand idle while the pool
@@ -113,10 +102,10 @@
 }
 
 static void
-learn_need (const struct mt_steward *s, struct mt_keeper_pool *p, int64_t now)
+learn_need (struct mt_keeper_pool *p, int64_t now)
 {
   double demand = wanted_cpu (&p->load);
-  double cpu = (double) machine_cpu (s, p);
+  double cpu = (double) machine_cpu (p);
   double coming = ARRIVING_SHARE * (double) p->load.arriving_cpu;
   double kept = p->learned_at != 0 ? exp2 (-(double) (now - p->learned_at) / PEAK_HALF_MS) : 0;
 
@@ -129,8 +118,6 @@
   /* What was at work, not what waited: a starved pool would remember more than all machines. */
   p->peak = MAX (p->peak * kept, (double) p->load.urgent_used_cpu / (FULL_SHARE * cpu));
   p->learned_at = now;
-  p->have = count_machines (s, p, now);
-  p->base = count_homes (s, p);
 }
 
 static unsigned
@@ -312,12 +299,11 @@
   GHashTableIter it;
   struct mt_keeper_pool *p;
 
+  tally (s, now);
   g_hash_table_iter_init (&it, s->pools);
   while (g_hash_table_iter_next (&it, NULL, (void **) &p))
     if (!p->standby && p->seen)
-      learn_need (s, p, now);
-    else
-      p->have = count_machines (s, p, now);
+      learn_need (p, now);
   g_hash_table_iter_init (&it, s->pools);
   while (g_hash_table_iter_next (&it, NULL, (void **) &p))
     if (!p->standby && p->seen && p->need > p->have)
