desk: an ended job's tasks are stopped by whoever lists them

Cause: a cancelled job's record tells its end and the runs that are still being stopped. A successor that read the cancelling in the queue first had ended the job already; ending it again when the record was read did nothing, and the runs that the record had just brought were neither stopped nor nobody's. They were held with all else on their workers, for ever.

Change: reading a record stops what it brings wherever the job has ended; a listed run of an ended job is stopped whatever path left it there; a stop that was acknowledged and shows no effect in a listing 300 ms later is sent again.

Before: the new test finds three runs at work, after: none.

--- a/core/desk/desk_answers.c
+++ b/core/desk/desk_answers.c
@@ -249,8 +249,25 @@
   g_queue_push_tail (&desk->strays, stray);
 }
 
+/* What a listing shows and no open job wants is stopped, whatever path left it there, and a stop
+ * that was acknowledged and has not taken effect is sent again: a run that is forgotten once is
+ * held with the others on its worker, and so never lapses. */
 static void
-take_run (struct mt_desk *desk, struct mt_worker *w, const struct mt_run_row *row, int64_t now)
+stop_unwanted (struct mt_desk *desk, struct mt_task *task, int64_t sent, int64_t now)
+{
+  if (task->part->job->ended_at != 0)
+    mt_task_stop (desk, task, now);
+  if (task->state == MT_TASK_STOPPING && task->stop_answered
+      && sent > task->answered + MT_STOP_AGAIN_MS)
+    task->stop_answered = false;
+}
+
+static void
+take_run (struct mt_desk *desk,
+          struct mt_worker *w,
+          const struct mt_run_row *row,
+          int64_t sent,
+          int64_t now)
 {
   struct mt_task *task = mt_desk_find_task (desk, row->task);
 
@@ -272,6 +289,7 @@
   task->gauge = row->gauge;
   if (mt_task_step (task)->lasting)
     task->away_since = task->percent == 100 ? 0 : task->away_since != 0 ? task->away_since : now;
+  stop_unwanted (desk, task, sent, now);
 }
 
 /* The worker's own list is believed over ours: what it may still begin is stopped by name. */
@@ -345,7 +363,7 @@
   w->stamp++;
   w->strays = 0;
   for (size_t i = 0; i < report->n_running; i++)
-    take_run (desk, w, &report->running[i], now);
+    take_run (desk, w, &report->running[i], sent, now);
   for (GList *l = w->tasks.head; l != NULL; l = next)
     {
       struct mt_task *task = l->data;
--- a/core/desk/desk_internal.h
+++ b/core/desk/desk_internal.h
@@ -200,6 +200,8 @@
 #define MT_HOLD_WAIT_MS 1000
 /* A worker that does not answer for so long takes no new work. */
 #define MT_SILENT_MS 700
+/* A stop without an answer, or without effect, is sent again after this: a worker takes 200 ms. */
+#define MT_STOP_AGAIN_MS 300
 /* The worker's clock may run slow by this much (parts of a thousand). */
 #define MT_CLOCK_SLOW 20
 
--- a/core/desk/desk_record.c
+++ b/core/desk/desk_record.c
@@ -185,8 +185,10 @@
       job->durable = state;
       job->dirty = false; /* it is stored already */
     }
-  else if (job->ended_at != 0)
-    mt_job_stop_tasks (desk, job, now); /* cancelled before its runs were known */
+  /* A cancelling read from the queue has ended the job before its runs were known, whatever state
+   * the record tells: they would run on for ever, as nobody's strays and nobody's work. */
+  if (job->ended_at != 0)
+    mt_job_stop_tasks (desk, job, now);
   else
     mt_job_check_end (desk, job, now);
   json_decref (root);
--- a/core/desk/desk_watch.c
+++ b/core/desk/desk_watch.c
@@ -2,8 +2,6 @@
 #include "desk_internal.h"
 
 #define WATCH_MS 50 /* between two looks over everything */
-/* A stop without an answer is sent again after this. */
-#define STOP_AGAIN_MS 300
 /* A task whose progress has not moved for this many of its expected run times stands still; never
  * sooner than the least. Progress is read with each hold, once a second at the slowest. */
 #define STILL_FACTOR   1.0
@@ -52,7 +50,7 @@
   if (task->state == MT_TASK_RUNNING && w->silent_since == 0)
     watch_progress (desk, w, task, now);
   else if (task->state == MT_TASK_STOPPING && !task->order_due && !task->order_sent
-           && !task->stop_answered && now - task->since > STOP_AGAIN_MS)
+           && !task->stop_answered && now - task->since > MT_STOP_AGAIN_MS)
     {
       task->since = now;
       task->order_due = true;
--- a/tests/desk/test_desk.c
+++ b/tests/desk/test_desk.c
@@ -3,6 +3,7 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -67,6 +68,47 @@
   world_destroy (world);
 }
 
+/* The caller cancels a job; its leader stores that the job has ended, and dies before the stops
+ * have reached the workers. The successor reads the cancelling in the queue first and the ended
+ * record with its placements after it: both tell of an ended job, and what runs must be stopped
+ * still. */
+static void
+test_cancelled_job_with_an_ended_record_is_stopped_by_a_successor (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_job_spec *spec = world_job ("aa", 3, 1000, 1000);
+  g_autoptr (GPtrArray) none = g_ptr_array_new ();
+  g_autofree char *record = NULL;
+  struct world_worker *w = world_add_worker (world, "r1");
+
+  world->run_ms = -1;
+  spec->steps[0].lasting = true;
+  world_submit (world, spec);
+  world_run (world, 500);
+  assert_int_equal (world->started, 3);
+  w->silent = true;
+  mt_desk_cancel (world->desk, "aa", world->now);
+  world_run (world, 100);
+  record = g_strdup (g_hash_table_lookup (world->records, "aa"));
+  assert_non_null (strstr (record, "\"s\":\"cancelled\""));
+  g_hash_table_remove_all (world->records);
+  w->silent = false;
+  world_take_over (world, none);
+  spec = world_job ("aa", 3, 1000, 1000);
+  spec->steps[0].lasting = true;
+  world_submit (world, spec);
+  mt_desk_cancel (world->desk, "aa", world->now);
+  mt_desk_restore (world->desk, "aa", record, 1, world->now);
+  world_run (world, 1000);
+  for (guint i = 0; i < 3; i++)
+    {
+      g_autofree char *task = g_strdup_printf ("aa.0.0.%u", i);
+
+      assert_int_equal (world_running (world, task), 0);
+    }
+  world_destroy (world);
+}
+
 /* A checkpoint holds text of any language. Its successor's start must carry the very text, or the
  * worker can't go on from there and the caller waits for a run from the beginning. */
 static void
@@ -631,6 +673,7 @@
     cmocka_unit_test (test_job_runs_to_its_end),
     cmocka_unit_test (test_nothing_starts_that_is_not_stored),
     cmocka_unit_test (test_cancelled_before_its_progress_was_read),
+    cmocka_unit_test (test_cancelled_job_with_an_ended_record_is_stopped_by_a_successor),
     cmocka_unit_test (test_checkpoint_of_any_text_survives_a_takeover),
     cmocka_unit_test (test_takeover_goes_on_with_what_runs),
     cmocka_unit_test (test_silent_worker_keeps_its_tasks_until_the_lease_is_over),
