desk: a property of cancels, takeovers and lost orders; a task returns to the only worker with room

The property: workers fall silent, lose orders or carry them out late, restart and leave, leaders die in the midst of a cancelling, the store is out; once all is over nothing runs that is not wanted, all that is wanted runs, and at no moment a task runs twice or a worker is overbooked. The world of the desk's tests gained late orders, fencing tokens, refused old runs and restarts for it.

A task now avoids the worker of its last run for one second at most.

--- a/core/desk/desk_place.c
+++ b/core/desk/desk_place.c
@@ -21,6 +21,10 @@
 #define SLOW_FACTOR 1.4
 /* A worker under suspicion is tried with so many tasks at a time. */
 #define TRIAL_TASKS 2U
+/* A task avoids the worker where its last run ended badly, or that left, for so long; then it may
+ * be the only one with room, and waiting on would leave the task undone beside it. Other workers
+ * have had time to take it: a surge ends tasks every few ms. */
+#define AVOID_MS 1000
 /* The last attempt waits at most so long for a worker that is proved good. */
 #define LAST_ATTEMPT_MS 3000
 /* A ticket must hold for this much longer when its start is placed: it is stored first, then sent.
@@ -226,7 +230,7 @@
     return false;
   if (step->max_per_worker > 0 && tasks_of_step (w, task->part, task->step) >= step->max_per_worker)
     return false;
-  return task->shunned != w || site->takers->len == 1;
+  return task->shunned != w || site->takers->len == 1 || site->now - task->since > AVOID_MS;
 }
 
 static double
--- /dev/null
+++ b/tests/desk/property_desk.cpp
@@ -0,0 +1,305 @@
+/* Workers fall silent, lose orders or carry them out late, restart and leave; leaders die in the
+ * midst of a cancelling, the store is out, and callers hand in and cancel jobs at any moment. Once
+ * all that is over, nothing runs that is not wanted, and all that is wanted runs, once. */
+#include <glib.h>
+
+extern "C"
+{
+#include "world.h"
+}
+
+#include <ostream>
+#include <rapidcheck.h>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace
+{
+
+constexpr unsigned max_workers = 4;
+constexpr int64_t task_cpu = 4000; /* four tasks fill a worker */
+constexpr int64_t task_ms = 700;
+/* Every lease given to a silent worker is over, and all that waited has run. */
+constexpr int64_t settle_ms = 25000;
+
+struct Job
+{
+  std::string id;
+  unsigned count;
+  bool lasting;
+  bool cancelled;
+  bool told; /* the leader knows of the cancelling */
+};
+
+enum class Step
+{
+  submit,
+  cancel,
+  cancel_untold,
+  disturb,
+  heal,
+  reboot,
+  leave,
+  take_over,
+  store_out,
+  store_back,
+};
+
+std::ostream &
+operator<< (std::ostream &out, Step step)
+{
+  static const char *const names[]
+      = { "submit", "cancel", "cancel_untold", "disturb",   "heal",
+          "reboot", "leave",  "take_over",     "store_out", "store_back" };
+
+  return out << names[static_cast<int> (step)];
+}
+
+struct Model
+{
+  struct world *world = world_create ();
+  std::vector<Job> jobs;
+
+  Model ()
+  {
+    for (unsigned i = 0; i < max_workers; i++)
+      world_add_worker (world, "r1");
+    world->run_ms = task_ms;
+  }
+  ~Model ()
+  {
+    world_destroy (world);
+  }
+  Model (const Model &) = delete;
+  Model &operator= (const Model &) = delete;
+};
+
+struct mt_job_spec *
+spec_of (const Model &m, const Job &job)
+{
+  struct mt_job_spec *spec = world_job (job.id.c_str (), job.count, task_cpu, task_ms);
+
+  spec->steps[0].lasting = job.lasting;
+  spec->steps[0].max_unavailable = job.lasting ? 1 : 0;
+  spec->accepted_ms = m.world->now;
+  return spec;
+}
+
+void
+submit (Model &m, unsigned draw)
+{
+  const bool lasting = draw % 2 == 0;
+  const char kind = lasting ? WORLD_LASTING_ID : 'j';
+  const Job job = { kind + std::to_string (m.jobs.size ()), 1 + draw % 3, lasting, false, false };
+
+  m.jobs.push_back (job);
+  world_submit (m.world, spec_of (m, job));
+}
+
+/* Durable before it is acknowledged; the note to the leader may be lost or late. */
+void
+cancel (Model &m, unsigned draw, bool tell)
+{
+  if (m.jobs.empty ())
+    return;
+  Job &job = m.jobs[draw % m.jobs.size ()];
+
+  job.cancelled = true;
+  if (tell)
+    job.told = mt_desk_cancel (m.world->desk, job.id.c_str (), m.world->now);
+}
+
+void
+tell_all (Model &m)
+{
+  for (Job &job : m.jobs)
+    if (job.cancelled && !job.told)
+      job.told = mt_desk_cancel (m.world->desk, job.id.c_str (), m.world->now);
+}
+
+void
+disturb (struct world_worker *w, unsigned draw)
+{
+  w->silent = draw % 5 == 0;
+  w->mute = draw % 5 == 1;
+  w->loses = draw % 5 == 2;
+  w->unlisted = draw % 5 == 3;
+  w->late_ms = draw % 5 == 4 ? 900 : 0;
+}
+
+void
+heal (struct world_worker *w)
+{
+  w->silent = w->mute = w->loses = w->unlisted = false;
+  w->late_ms = 0;
+  w->drops = 0;
+}
+
+/* A successor reads the queue, of which cancellings may come first, and then the progress. */
+void
+take_over (Model &m, bool cancels_first)
+{
+  g_autoptr (GPtrArray) specs = g_ptr_array_new ();
+  GHashTable *records = m.world->records;
+  GHashTableIter it;
+  void *id;
+  void *record;
+
+  for (const Job &job : m.jobs)
+    g_ptr_array_add (specs, spec_of (m, job));
+  m.world->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  world_take_over (m.world, specs);
+  for (Job &job : m.jobs)
+    job.told = false;
+  if (cancels_first)
+    tell_all (m);
+  g_hash_table_iter_init (&it, records);
+  while (g_hash_table_iter_next (&it, &id, &record))
+    RC_ASSERT (mt_desk_restore (m.world->desk, static_cast<const char *> (id),
+                                static_cast<const char *> (record), 1, m.world->now));
+  tell_all (m);
+  g_hash_table_unref (m.world->records);
+  m.world->records = records;
+}
+
+void
+act (Model &m, Step step, unsigned draw)
+{
+  struct world_worker *w = &m.world->workers[draw % max_workers];
+
+  switch (step)
+    {
+    case Step::submit:
+      submit (m, draw);
+      return;
+    case Step::cancel:
+      cancel (m, draw, true);
+      return;
+    case Step::cancel_untold:
+      cancel (m, draw, false);
+      return;
+    case Step::disturb:
+      disturb (w, draw / max_workers);
+      return;
+    case Step::heal:
+      heal (w);
+      return;
+    case Step::reboot:
+      w->leaving = false;
+      world_reboot (m.world, w);
+      return;
+    case Step::leave:
+      if (!w->leaving)
+        world_leave (m.world, w);
+      return;
+    case Step::take_over:
+      take_over (m, draw % 2 == 0);
+      return;
+    case Step::store_out:
+      m.world->store_down = true;
+      return;
+    case Step::store_back:
+      m.world->store_down = false;
+      return;
+    }
+}
+
+/* What holds at every moment. */
+void
+check_always (const Model &m)
+{
+  RC_ASSERT (m.world->twice == 0U);
+  for (unsigned i = 0; i < max_workers; i++)
+    {
+      const struct world_worker *w = &m.world->workers[i];
+
+      RC_ASSERT (w->runs->len * task_cpu <= w->room.cpu);
+    }
+}
+
+void
+settle (Model &m)
+{
+  m.world->store_down = false;
+  for (unsigned i = 0; i < max_workers; i++)
+    {
+      struct world_worker *w = &m.world->workers[i];
+
+      heal (w);
+      if (w->leaving)
+        act (m, Step::reboot, i);
+    }
+  tell_all (m);
+  world_run (m.world, settle_ms);
+}
+
+void
+check_settled (const Model &m)
+{
+  unsigned lasting = 0;
+
+  for (const Job &job : m.jobs)
+    lasting += job.lasting && !job.cancelled ? job.count : 0;
+  const bool room = lasting * task_cpu < max_workers * m.world->workers[0].room.cpu;
+  for (const Job &job : m.jobs)
+    {
+      unsigned running = 0;
+
+      for (unsigned i = 0; i < job.count; i++)
+        running += world_running (m.world, (job.id + ".0.0." + std::to_string (i)).c_str ());
+      if (job.cancelled)
+        RC_ASSERT (running == 0U);
+      else if (job.lasting && room)
+        RC_ASSERT (running == job.count);
+      else if (!job.lasting && room)
+        RC_ASSERT (mt_desk_state (m.world->desk, job.id.c_str ()) == MT_JOB_COMPLETED);
+    }
+}
+
+/* Cancels while orders are lost, and takeovers after them, are what few cases would bring together.
+ */
+rc::Gen<Step>
+any_step ()
+{
+  return rc::gen::weightedElement<Step> ({ { 3, Step::submit },
+                                           { 3, Step::cancel },
+                                           { 1, Step::cancel_untold },
+                                           { 3, Step::disturb },
+                                           { 1, Step::heal },
+                                           { 1, Step::reboot },
+                                           { 1, Step::leave },
+                                           { 3, Step::take_over },
+                                           { 1, Step::store_out },
+                                           { 1, Step::store_back } });
+}
+
+int
+run_property ()
+{
+  bool good = rc::check ("nothing runs that is not wanted, all that is wanted runs, once", [] {
+    const auto steps = *rc::gen::container<std::vector<std::tuple<Step, unsigned, int>>> (
+        rc::gen::tuple (any_step (), rc::gen::inRange (0U, 1000U), rc::gen::inRange (5, 1500)));
+    Model m;
+
+    for (const auto &[step, draw, ms] : steps)
+      {
+        act (m, step, draw);
+        world_run (m.world, ms);
+        check_always (m);
+      }
+    settle (m);
+    check_always (m);
+    check_settled (m);
+  });
+
+  return good ? 0 : 1;
+}
+
+} // namespace
+
+int
+main ()
+{
+  return run_property ();
+}
--- a/tests/desk/test_desk.c
+++ b/tests/desk/test_desk.c
@@ -666,6 +666,33 @@
     }
 }
 
+/* A worker leaves and comes back as a new life, while all others are full. Its former tasks avoid
+ * it at first, since it left; they must not wait beside its room for ever. */
+static void
+test_task_returns_to_the_only_worker_with_room (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *first = world_add_worker (world, "r1");
+  struct mt_job_spec *spec = world_job ("aa", 1, 9000, 1000);
+
+  world->run_ms = -1;
+  spec->steps[0].lasting = true;
+  world_submit (world, spec);
+  world_run (world, 300);
+  assert_int_equal (first->runs->len, 1);
+  world_add_worker (world, "r1");
+  spec = world_job ("bb", 1, 9000, 1000);
+  spec->steps[0].lasting = true;
+  world_submit (world, spec);
+  world_run (world, 300);
+  world_reboot (world, first);
+  world_run (world, 500);
+  assert_int_equal (world_running (world, "aa.0.0.0"), 0);
+  world_run (world, 1500);
+  assert_int_equal (world_running (world, "aa.0.0.0"), 1);
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -698,6 +725,7 @@
     cmocka_unit_test (test_no_lasting_task_is_moved_while_others_are_away),
     cmocka_unit_test (test_job_is_taken_off_the_waiting_ones_once),
     cmocka_unit_test (test_second_run_keeps_its_room_until_it_has_ended),
+    cmocka_unit_test (test_task_returns_to_the_only_worker_with_room),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/desk/world.c
+++ b/tests/desk/world.c
@@ -20,6 +20,8 @@
 
   world->now = 100000;
   world->run_ms = 1000;
+  world->token = 1;
+  world->late = g_array_new (FALSE, TRUE, sizeof (struct world_late));
   world->desk = mt_desk_create (&settings);
   mt_desk_set_route (world->desk, "route", &terms);
   world->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -33,7 +35,9 @@
     {
       g_array_unref (world->workers[i].runs);
       g_array_unref (world->workers[i].ends);
+      g_hash_table_unref (world->workers[i].past);
     }
+  g_array_unref (world->late);
   mt_desk_destroy (world->desk);
   g_hash_table_unref (world->records);
   g_free (world);
@@ -44,7 +48,7 @@
 {
   const char *labels[] = { "a", "r1", NULL };
   struct mt_worker_entry entry = { .id = w->id,
-                                   .born_ms = 7,
+                                   .born_ms = w->born,
                                    .address = "127.0.0.1:1",
                                    .zone = "z",
                                    .labels = labels,
@@ -72,6 +76,7 @@
   w->born = 7;
   w->runs = g_array_new (FALSE, TRUE, sizeof (struct world_run));
   w->ends = g_array_new (FALSE, TRUE, sizeof (struct world_end));
+  w->past = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   show (world, w);
   return w;
 }
@@ -132,6 +137,14 @@
   return n;
 }
 
+static void
+note_past (struct world_worker *w, const char *task, unsigned run)
+{
+  unsigned before = GPOINTER_TO_UINT (g_hash_table_lookup (w->past, task));
+
+  g_hash_table_insert (w->past, g_strdup (task), GUINT_TO_POINTER (MAX (before, run)));
+}
+
 static void
 end_run (struct world_worker *w, guint at, enum mt_end_how how)
 {
@@ -139,6 +152,7 @@
   struct world_end end = { .number = ++w->last_end, .run = r->run, .how = how };
 
   memcpy (end.task, r->task, sizeof end.task);
+  note_past (w, r->task, r->run);
   g_array_append_val (w->ends, end);
   g_array_remove_index (w->runs, at);
 }
@@ -163,9 +177,11 @@
 }
 
 static int64_t
-run_time (const struct world *world, const struct world_worker *w)
+run_time (const struct world *world, const struct world_worker *w, const char *task)
 {
-  return world->run_ms < 0 ? -1 : world->now + (int64_t) (w->slow * (double) world->run_ms);
+  return world->run_ms < 0 || task[0] == WORLD_LASTING_ID
+             ? -1
+             : world->now + (int64_t) (w->slow * (double) world->run_ms);
 }
 
 static void
@@ -173,7 +189,7 @@
 {
   struct world_run r = { .run = order->run,
                          .began = world->now,
-                         .ends = run_time (world, w),
+                         .ends = run_time (world, w, order->task),
                          .fails = w->sick,
                          .still = w->stalls,
                          .pace = 100 };
@@ -188,18 +204,70 @@
   g_array_append_val (w->runs, r);
 }
 
-static void
-carry_out (struct world *world, struct world_worker *w, const struct mt_order *order)
+static enum mt_answer
+start_unless_past (struct world *world, struct world_worker *w, const struct mt_order *order)
+{
+  if (order->lease_ms != 0 && order->lease_ms < world->now)
+    return MT_ANSWER_LATE;
+  if (order->run <= GPOINTER_TO_UINT (g_hash_table_lookup (w->past, order->task)))
+    return MT_ANSWER_OLD_RUN;
+  start (world, w, order);
+  return MT_ANSWER_OK;
+}
+
+static enum mt_answer
+carry_out (struct world *world,
+           struct world_worker *w,
+           const struct mt_order *order,
+           unsigned token)
 {
   guint at;
   struct world_run *r = find_run (w, order->task, order->run, &at);
 
+  if (token < w->fence)
+    return MT_ANSWER_FENCED;
+  w->fence = token;
   if (order->kind == MT_ORDER_START && r == NULL)
-    start (world, w, order);
-  else if (order->kind == MT_ORDER_STOP && r != NULL)
+    return start_unless_past (world, w, order);
+  if (order->kind == MT_ORDER_STOP && r == NULL)
+    note_past (w, order->task, order->run);
+  else if (order->kind == MT_ORDER_STOP && r->stops == 0)
     r->stops = world->now + STOP_MS;
   else if (order->kind == MT_ORDER_PACE && r != NULL)
     r->pace = order->percent;
+  return MT_ANSWER_OK;
+}
+
+static void
+put_off (struct world *world, struct world_worker *w, const struct mt_order *order)
+{
+  struct world_late late = { .worker = w,
+                             .kind = order->kind,
+                             .run = order->run,
+                             .lease_ms = order->lease_ms,
+                             .token = world->token,
+                             .born = w->born,
+                             .at = world->now + w->late_ms };
+
+  memcpy (late.task, order->task, sizeof late.task);
+  g_array_append_val (world->late, late);
+}
+
+static void
+carry_out_late (struct world *world)
+{
+  for (guint i = world->late->len; i > 0; i--)
+    {
+      struct world_late late = g_array_index (world->late, struct world_late, i - 1);
+      struct mt_order order = { .kind = late.kind, .run = late.run, .lease_ms = late.lease_ms };
+
+      if (world->now < late.at)
+        continue;
+      g_array_remove_index (world->late, i - 1);
+      memcpy (order.task, late.task, sizeof order.task);
+      if (late.worker->born == late.born)
+        carry_out (world, late.worker, &order, late.token);
+    }
 }
 
 static unsigned
@@ -243,6 +311,14 @@
 static void
 hold (struct world *world, struct world_worker *w, const struct mt_order *order)
 {
+  if (w->silent)
+    {
+      w->holding = true;
+      w->hold_sent = world->now - 1;
+      w->hold_until = world->now;
+      return;
+    }
+  w->fence = MAX (w->fence, world->token);
   w->lease = MAX (w->lease, order->lease_ms);
   while (w->ends->len > 0 && g_array_index (w->ends, struct world_end, 0).number <= order->seen_end)
     g_array_remove_index (w->ends, 0);
@@ -251,6 +327,15 @@
   w->hold_until = world->now + order->wait_ms;
 }
 
+static void
+lose_hold (struct world *world, struct world_worker *w)
+{
+  struct mt_hold_report none = { .answer = MT_ANSWER_NONE, .clock_ms = -1 };
+
+  w->holding = false;
+  mt_desk_hold_answered (world->desk, w->id, &none, w->hold_sent, world->now);
+}
+
 /* A hold that waits is answered by an end, or when its time is over. */
 static void
 answer_holds (struct world *world)
@@ -263,12 +348,7 @@
           && (w->ends->len > 0 || world->now >= w->hold_until))
         answer_hold (world, w);
       else if (w->holding && world->now >= w->hold_until + LOST_MS)
-        {
-          struct mt_hold_report none = { .answer = MT_ANSWER_NONE, .clock_ms = -1 };
-
-          w->holding = false;
-          mt_desk_hold_answered (world->desk, w->id, &none, w->hold_sent, world->now);
-        }
+        lose_hold (world, w);
     }
 }
 
@@ -279,7 +359,8 @@
   g_autofree char *id = g_strdup (order->worker);
   char task[80];
   bool dropped = order->kind == MT_ORDER_START && w->drops > 0;
-  bool lost = w->silent || w->mute || w->loses || dropped;
+  bool lost = w->silent || w->mute || w->loses || dropped || w->late_ms > 0;
+  enum mt_answer answer = MT_ANSWER_NONE;
 
   memcpy (task, order->task, sizeof task);
   if (order->kind == MT_ORDER_HOLD)
@@ -289,10 +370,14 @@
     }
   if (dropped)
     w->drops--;
+  else if (w->late_ms > 0)
+    put_off (world, w, order);
   else if (!w->silent)
-    carry_out (world, w, order);
-  mt_desk_order_answered (world->desk, order->kind, id, task, order->run,
-                          lost ? MT_ANSWER_NONE : MT_ANSWER_OK, lost ? -1 : world->now, world->now);
+    answer = carry_out (world, w, order, world->token);
+  if (lost)
+    answer = MT_ANSWER_NONE;
+  mt_desk_order_answered (world->desk, order->kind, id, task, order->run, answer,
+                          lost ? -1 : world->now, world->now);
 }
 
 static void
@@ -316,6 +401,7 @@
   unsigned bound = 2000;
 
   world->now += STEP_MS;
+  carry_out_late (world);
   for (unsigned i = 0; i < world->n_workers; i++)
     work (world, &world->workers[i]);
   if (!world->store_down && !world->in_cycle)
@@ -362,7 +448,10 @@
 
   mt_desk_destroy (world->desk);
   world->desk = mt_desk_create (&settings);
+  world->token++;
   world->in_cycle = false;
+  for (unsigned i = 0; i < world->n_workers; i++)
+    world->workers[i].holding = false;
   mt_desk_set_route (world->desk, "route", &terms);
   for (guint i = 0; i < specs->len; i++)
     mt_desk_submit (world->desk, specs->pdata[i], world->now, world->now);
@@ -373,3 +462,18 @@
     if (!world->workers[i].gone)
       show (world, &world->workers[i]);
 }
+
+void
+world_reboot (struct world *world, struct world_worker *w)
+{
+  g_array_set_size (w->runs, 0);
+  g_array_set_size (w->ends, 0);
+  g_hash_table_remove_all (w->past);
+  w->last_end = 0;
+  w->fence = 0;
+  w->lease = 0;
+  w->born++;
+  if (w->holding)
+    lose_hold (world, w);
+  show (world, w);
+}
--- a/tests/desk/world.h
+++ b/tests/desk/world.h
@@ -8,6 +8,8 @@
 
 #define WORLD_MAX_WORKERS 64
 #define WORLD_MAX_RUNS    8192
+/* Tasks of jobs whose id begins so never end by themselves. */
+#define WORLD_LASTING_ID 'L'
 
 struct world_run
 {
@@ -32,17 +34,18 @@
 struct world_worker
 {
   char id[16];
-  bool silent;    /* orders get no answer and are not carried out */
-  bool mute;      /* orders are carried out, and get no answer */
-  bool loses;     /* orders are carried out, and get no answer; holds do */
-  bool unlisted;  /* holds get no answer; orders do */
-  unsigned drops; /* so many starts to come are not carried out and get no answer */
-  bool sick;      /* all that it starts fails at once */
-  bool stalls;    /* all that it starts stands still */
-  double slow;    /* run times in multiples */
-  bool gone;      /* not in the registry */
-  bool leaving;   /* the registry says that it leaves */
-  int64_t gauge;  /* what it says of each run */
+  bool silent;     /* orders get no answer and are not carried out */
+  bool mute;       /* orders are carried out, and get no answer */
+  bool loses;      /* orders are carried out, and get no answer; holds do */
+  bool unlisted;   /* holds get no answer; orders do */
+  unsigned drops;  /* so many starts to come are not carried out and get no answer */
+  int64_t late_ms; /* orders get no answer and are carried out so much later; 0: at once */
+  bool sick;       /* all that it starts fails at once */
+  bool stalls;     /* all that it starts stands still */
+  double slow;     /* run times in multiples */
+  bool gone;       /* not in the registry */
+  bool leaving;    /* the registry says that it leaves */
+  int64_t gauge;   /* what it says of each run */
   struct mt_room room;
   struct mt_room used;
   int64_t born;
@@ -54,14 +57,30 @@
   int64_t hold_until;
   int64_t hold_sent;
   unsigned starts;
-  unsigned last_run;   /* the number of the run it started last */
-  unsigned overbooked; /* starts beyond its room */
+  unsigned last_run; /* the number of the run it started last */
+  GHashTable *past;  /* task to the highest run that ended or was stopped here */
+  unsigned fence;    /* highest token seen */
+};
+
+/* An order that is carried out late, whoever leads then. */
+struct world_late
+{
+  struct world_worker *worker;
+  enum mt_order_kind kind;
+  char task[80];
+  unsigned run;
+  int64_t lease_ms;
+  unsigned token;
+  int64_t born; /* of the life that it is meant for */
+  int64_t at;
 };
 
 struct world
 {
   struct mt_desk *desk;
+  unsigned token; /* the leader's, counted up by each takeover */
   int64_t now;
+  GArray *late; /* struct world_late */
   struct world_worker workers[WORLD_MAX_WORKERS];
   unsigned n_workers;
   bool store_down; /* cycles don't end */
@@ -90,5 +109,7 @@
 /* The leader dies; its successor loads what is stored under a higher token. */
 void world_take_over (struct world *world, GPtrArray *specs);
 unsigned world_running (const struct world *world, const char *task);
+/* The machine restarts: nothing of before is left, under the same id. */
+void world_reboot (struct world *world, struct world_worker *w);
 
 #endif
