--- a/core/desk/steward.c
+++ b/core/controller/controller.c
@@ -1,22 +1,22 @@
-#include "steward_internal.h"
+#include "controller_internal.h"
 
 #include <string.h>
 
-/* Plans are made this often; an order follows from what the desks told in between. */
+/* Plans are made this often; an order follows from what the schedulers told in between. */
 #define PLAN_MS 100
 /* An order that could not be carried out is given again after this. */
 #define AGAIN_MS 400
 /* A plan whose worker does not empty within this is dropped; another machine is taken. */
 #define PATIENCE_MS 9000
-/* A desk's view older than this proves nothing about a worker being empty. */
+/* A scheduler's view older than this proves nothing about a worker being empty. */
 #define FRESH_MS 700
-/* Desks are told for so long that a worker's life has ended; its entry may stay listed. */
+/* Schedulers are told for so long that a worker's life has ended; its entry may stay listed. */
 #define TELL_ENDED_MS 10000
 
 static void
 free_pool (void *data)
 {
-  struct mt_keeper_pool *p = data;
+  struct mt_controller_pool *p = data;
 
   g_free (p->name);
   g_free (p);
@@ -25,7 +25,7 @@
 static void
 free_machine (void *data)
 {
-  struct mt_keeper_machine *m = data;
+  struct mt_controller_machine *m = data;
 
   g_free (m->id);
   g_free (m->rack);
@@ -37,17 +37,17 @@
 static void
 free_wave (void *data)
 {
-  struct mt_keeper_wave *w = data;
+  struct mt_controller_wave *w = data;
 
   g_hash_table_unref (w->left);
   g_hash_table_unref (w->done);
   g_free (w);
 }
 
-struct mt_steward *
-mt_steward_create (const struct mt_steward_settings *settings)
+struct mt_controller *
+mt_controller_create (const struct mt_controller_settings *settings)
 {
-  struct mt_steward *s = g_new0 (struct mt_steward, 1);
+  struct mt_controller *s = g_new0 (struct mt_controller, 1);
 
   s->settings = *settings;
   s->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_pool);
@@ -58,7 +58,7 @@
 }
 
 void
-mt_steward_destroy (struct mt_steward *s)
+mt_controller_destroy (struct mt_controller *s)
 {
   if (s == NULL)
     return;
@@ -69,42 +69,42 @@
   g_free (s);
 }
 
-static struct mt_keeper_pool *
-get_pool (struct mt_steward *s, const char *name)
+static struct mt_controller_pool *
+get_pool (struct mt_controller *s, const char *name)
 {
-  struct mt_keeper_pool *p = g_hash_table_lookup (s->pools, name);
+  struct mt_controller_pool *p = g_hash_table_lookup (s->pools, name);
 
   if (p != NULL)
     return p;
-  p = g_new0 (struct mt_keeper_pool, 1);
+  p = g_new0 (struct mt_controller_pool, 1);
   p->name = g_strdup (name);
   g_hash_table_insert (s->pools, p->name, p);
   return p;
 }
 
 void
-mt_steward_set_pool (struct mt_steward *s, const char *name, bool standby)
+mt_controller_set_pool (struct mt_controller *s, const char *name, bool standby)
 {
   get_pool (s, name)->standby = standby;
 }
 
 /* ---- machines ---- */
 
-static struct mt_keeper_machine *
-get_machine (struct mt_steward *s, const char *id)
+static struct mt_controller_machine *
+get_machine (struct mt_controller *s, const char *id)
 {
-  struct mt_keeper_machine *m = g_hash_table_lookup (s->machines, id);
+  struct mt_controller_machine *m = g_hash_table_lookup (s->machines, id);
 
   if (m != NULL)
     return m;
-  m = g_new0 (struct mt_keeper_machine, 1);
+  m = g_new0 (struct mt_controller_machine, 1);
   m->id = g_strdup (id);
   g_hash_table_insert (s->machines, m->id, m);
   return m;
 }
 
 static void
-drop_plan (struct mt_keeper_machine *m)
+drop_plan (struct mt_controller_machine *m)
 {
   m->plan = MT_PLAN_NONE;
   m->cordoned = 0;
@@ -115,7 +115,7 @@
 
 /* Takes the name over; NULL for none. */
 static void
-set_worker (struct mt_steward *s, struct mt_keeper_machine *m, char *worker)
+set_worker (struct mt_controller *s, struct mt_controller_machine *m, char *worker)
 {
   if (m->worker != NULL && g_hash_table_lookup (s->by_worker, m->worker) == m)
     g_hash_table_remove (s->by_worker, m->worker);
@@ -130,7 +130,7 @@
  * done now: the worker is then another life, and runs on. Only the list tells; its tasks must not
  * be started elsewhere on the answer alone. */
 static void
-settle_ended (struct mt_keeper_machine *m, const struct mt_steward_machine *row, int64_t now)
+settle_ended (struct mt_controller_machine *m, const struct mt_controller_row *row, int64_t now)
 {
   if (m->ended_worker == NULL || m->ended_at != 0)
     return;
@@ -141,12 +141,12 @@
 }
 
 static void
-take_machine (struct mt_steward *s,
-              const struct mt_steward_machine *row,
+take_machine (struct mt_controller *s,
+              const struct mt_controller_row *row,
               int64_t asked,
               int64_t now)
 {
-  struct mt_keeper_machine *m = get_machine (s, row->id);
+  struct mt_controller_machine *m = get_machine (s, row->id);
 
   m->listed = true;
   if (m->rack == NULL)
@@ -170,7 +170,7 @@
 static gboolean
 drop_unlisted (gpointer key, gpointer value, gpointer ctx)
 {
-  struct mt_keeper_machine *m = value;
+  struct mt_controller_machine *m = value;
 
   if (m->listed || m->sent)
     return FALSE;
@@ -179,10 +179,10 @@
 }
 
 static void
-forget_in_waves (struct mt_steward *s, const char *id)
+forget_in_waves (struct mt_controller *s, const char *id)
 {
   GHashTableIter it;
-  struct mt_keeper_wave *w;
+  struct mt_controller_wave *w;
 
   g_hash_table_iter_init (&it, s->waves);
   while (g_hash_table_iter_next (&it, NULL, (void **) &w))
@@ -190,14 +190,14 @@
 }
 
 void
-mt_steward_machines (struct mt_steward *s,
-                     const struct mt_steward_machine *machines,
-                     size_t n,
-                     int64_t asked,
-                     int64_t now)
+mt_controller_machines (struct mt_controller *s,
+                        const struct mt_controller_row *machines,
+                        size_t n,
+                        int64_t asked,
+                        int64_t now)
 {
   GHashTableIter it;
-  struct mt_keeper_machine *m;
+  struct mt_controller_machine *m;
 
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
@@ -217,15 +217,15 @@
 /* ---- pools ---- */
 
 bool
-mt_keeper_is_short (const struct mt_keeper_pool *p)
+mt_controller_pool_is_short (const struct mt_controller_pool *p)
 {
   return p->load.urgent > 0;
 }
 
 static void
-take_view (struct mt_steward *s, const struct mt_worker_view *view, int64_t now)
+take_view (struct mt_controller *s, const struct mt_worker_view *view, int64_t now)
 {
-  struct mt_keeper_machine *m = g_hash_table_lookup (s->by_worker, view->id);
+  struct mt_controller_machine *m = g_hash_table_lookup (s->by_worker, view->id);
 
   if (m == NULL)
     return;
@@ -238,14 +238,14 @@
 }
 
 void
-mt_steward_pool (struct mt_steward *s,
-                 const char *name,
-                 const struct mt_desk_load *load,
-                 const struct mt_worker_view *workers,
-                 size_t n,
-                 int64_t now)
+mt_controller_pool (struct mt_controller *s,
+                    const char *name,
+                    const struct mt_scheduler_load *load,
+                    const struct mt_worker_view *workers,
+                    size_t n,
+                    int64_t now)
 {
-  struct mt_keeper_pool *p = get_pool (s, name);
+  struct mt_controller_pool *p = get_pool (s, name);
 
   p->seen = true;
   p->told = now;
@@ -257,14 +257,18 @@
 /* ---- waves ---- */
 
 void
-mt_steward_wave (
-    struct mt_steward *s, int64_t number, char **machines, char **done, unsigned cap, int64_t due)
+mt_controller_wave (struct mt_controller *s,
+                    int64_t number,
+                    char **machines,
+                    char **done,
+                    unsigned cap,
+                    int64_t due)
 {
-  struct mt_keeper_wave *w = g_hash_table_lookup (s->waves, &number);
+  struct mt_controller_wave *w = g_hash_table_lookup (s->waves, &number);
 
   if (w == NULL)
     {
-      w = g_new0 (struct mt_keeper_wave, 1);
+      w = g_new0 (struct mt_controller_wave, 1);
       w->number = number;
       w->left = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
       w->done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -283,10 +287,10 @@
 }
 
 bool
-mt_steward_is_busy (const struct mt_steward *s)
+mt_controller_is_busy (const struct mt_controller *s)
 {
   GHashTableIter it;
-  struct mt_keeper_machine *m;
+  struct mt_controller_machine *m;
 
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
@@ -296,17 +300,17 @@
 }
 
 bool
-mt_steward_wave_done (const struct mt_steward *s, int64_t number)
+mt_controller_wave_done (const struct mt_controller *s, int64_t number)
 {
-  const struct mt_keeper_wave *w = g_hash_table_lookup (s->waves, &number);
+  const struct mt_controller_wave *w = g_hash_table_lookup (s->waves, &number);
 
   return w != NULL && s->listed && g_hash_table_size (w->left) == 0;
 }
 
 char **
-mt_steward_wave_progress (const struct mt_steward *s, int64_t number)
+mt_controller_wave_progress (const struct mt_controller *s, int64_t number)
 {
-  const struct mt_keeper_wave *w = g_hash_table_lookup (s->waves, &number);
+  const struct mt_controller_wave *w = g_hash_table_lookup (s->waves, &number);
   GPtrArray *out = g_ptr_array_new ();
   GHashTableIter it;
   const char *id;
@@ -323,10 +327,10 @@
 
 /* ---- orders ---- */
 
-/* Nothing runs on it and nothing can come: its desk has it cordoned, and told so after that. One of
- * a pool that is off runs nothing anyway. */
+/* Nothing runs on it and nothing can come: its scheduler has it cordoned, and told so after that.
+ * One of a pool that is off runs nothing anyway. */
 static bool
-is_empty (const struct mt_keeper_machine *m, int64_t now)
+is_empty (const struct mt_controller_machine *m, int64_t now)
 {
   if (m->pool->standby)
     return true;
@@ -336,26 +340,26 @@
 }
 
 void
-mt_steward_home (struct mt_steward *s, const char *machine, const char *pool)
+mt_controller_home (struct mt_controller *s, const char *machine, const char *pool)
 {
-  struct mt_keeper_machine *m = get_machine (s, machine);
+  struct mt_controller_machine *m = get_machine (s, machine);
 
   m->home = get_pool (s, pool);
   m->home_stored = true;
 }
 
 static bool
-is_away (const struct mt_keeper_machine *m)
+is_away (const struct mt_controller_machine *m)
 {
   return m->home != NULL && (m->pool != m->home || m->plan == MT_PLAN_MOVE);
 }
 
 char **
-mt_steward_homes (struct mt_steward *s)
+mt_controller_homes (struct mt_controller *s)
 {
   GPtrArray *out = g_ptr_array_new ();
   GHashTableIter it;
-  struct mt_keeper_machine *m;
+  struct mt_controller_machine *m;
   bool stored = true;
 
   g_hash_table_iter_init (&it, s->machines);
@@ -375,10 +379,10 @@
 }
 
 void
-mt_steward_homes_stored (struct mt_steward *s, char **homes)
+mt_controller_homes_stored (struct mt_controller *s, char **homes)
 {
   GHashTableIter it;
-  struct mt_keeper_machine *m;
+  struct mt_controller_machine *m;
 
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
@@ -392,10 +396,10 @@
 }
 
 void
-mt_steward_plan (struct mt_steward *s, int64_t now)
+mt_controller_plan (struct mt_controller *s, int64_t now)
 {
   GHashTableIter it;
-  struct mt_keeper_machine *m;
+  struct mt_controller_machine *m;
 
   if (!s->listed || now - s->last_plan < PLAN_MS)
     return;
@@ -406,18 +410,18 @@
         && (!m->up || now - m->planned > PATIENCE_MS
             || (m->wave != NULL && !g_hash_table_contains (m->wave->left, m->id))))
       drop_plan (m);
-  mt_steward_plan_waves (s, now);
+  mt_controller_plan_waves (s, now);
   if (s->settings.moves)
-    mt_steward_plan_moves (s, now);
+    mt_controller_plan_moves (s, now);
 }
 
 bool
-mt_steward_next (struct mt_steward *s, int64_t now, struct mt_steward_order *order)
+mt_controller_next (struct mt_controller *s, int64_t now, struct mt_controller_order *order)
 {
   GHashTableIter it;
-  struct mt_keeper_machine *m;
+  struct mt_controller_machine *m;
 
-  mt_steward_plan (s, now);
+  mt_controller_plan (s, now);
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
     {
@@ -426,8 +430,8 @@
       if (m->plan == MT_PLAN_MOVE && !m->home_stored)
         continue;
       m->sent = true;
-      *order = (struct mt_steward_order){
-        .kind = m->plan == MT_PLAN_UPKEEP ? MT_STEWARD_UPKEEP : MT_STEWARD_MOVE,
+      *order = (struct mt_controller_order){
+        .kind = m->plan == MT_PLAN_UPKEEP ? MT_CONTROLLER_UPKEEP : MT_CONTROLLER_MOVE,
         .machine = m->id,
         .worker = m->worker,
         .pool = m->pool->name,
@@ -440,7 +444,7 @@
 }
 
 static void
-carried_out (struct mt_steward *s, struct mt_keeper_machine *m, int64_t now)
+carried_out (struct mt_controller *s, struct mt_controller_machine *m, int64_t now)
 {
   bool upkeep = m->plan == MT_PLAN_UPKEEP;
 
@@ -462,31 +466,31 @@
 }
 
 void
-mt_steward_answered (struct mt_steward *s,
-                     const char *machine,
-                     enum mt_steward_answer answer,
-                     int64_t now)
+mt_controller_answered (struct mt_controller *s,
+                        const char *machine,
+                        enum mt_controller_answer answer,
+                        int64_t now)
 {
-  struct mt_keeper_machine *m = g_hash_table_lookup (s->machines, machine);
+  struct mt_controller_machine *m = g_hash_table_lookup (s->machines, machine);
 
   if (m == NULL || !m->sent)
     return;
   m->sent = false;
   switch (answer)
     {
-    case MT_STEWARD_DONE:
+    case MT_CONTROLLER_DONE:
       carried_out (s, m, now);
       return;
-    case MT_STEWARD_NEVER:
+    case MT_CONTROLLER_NEVER:
       if (m->wave != NULL)
         g_hash_table_remove (m->wave->left, m->id);
       drop_plan (m);
       return;
-    case MT_STEWARD_UNKNOWN:
+    case MT_CONTROLLER_UNKNOWN:
       /* It may have been done: until the next try tells, it counts as away. */
       m->again_at = now + AGAIN_MS;
       return;
-    case MT_STEWARD_NOT_NOW:
+    case MT_CONTROLLER_NOT_NOW:
       m->again_at = now + AGAIN_MS;
       if (m->plan == MT_PLAN_MOVE)
         drop_plan (m);
@@ -495,13 +499,13 @@
 }
 
 void
-mt_steward_of_pool (
-    struct mt_steward *s, const char *pool, int64_t now, char ***cordon, char ***ended)
+mt_controller_of_pool (
+    struct mt_controller *s, const char *pool, int64_t now, char ***cordon, char ***ended)
 {
   GPtrArray *cordons = g_ptr_array_new ();
   GPtrArray *ends = g_ptr_array_new ();
   GHashTableIter it;
-  struct mt_keeper_machine *m;
+  struct mt_controller_machine *m;
 
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
--- a/core/desk/steward_internal.h
+++ b/core/controller/controller_internal.h
@@ -1,16 +1,16 @@
-/* The steward's structures, shared by its own files only. */
-#ifndef MT_STEWARD_INTERNAL_H
-#define MT_STEWARD_INTERNAL_H
+/* The fleet controller's structures, shared by its own files only. */
+#ifndef MT_CONTROLLER_INTERNAL_H
+#define MT_CONTROLLER_INTERNAL_H
 
-#include "medlartrack/steward.h"
+#include "medlartrack/controller.h"
 
-struct mt_keeper_pool
+struct mt_controller_pool
 {
   char *name;
   bool standby;
-  bool seen; /* its desk has told of itself */
+  bool seen; /* its scheduler has told of itself */
   int64_t told;
-  struct mt_desk_load load;
+  struct mt_scheduler_load load;
 
   unsigned have; /* machines that work in it or are on their way */
   unsigned need; /* for what it does and what waits */
@@ -24,34 +24,34 @@
   int64_t spare_since; /* it has had more than it wants since; 0 */
 };
 
-enum mt_keeper_plan
+enum mt_controller_plan
 {
   MT_PLAN_NONE,
   MT_PLAN_UPKEEP,
   MT_PLAN_MOVE,
 };
 
-struct mt_keeper_machine
+struct mt_controller_machine
 {
   char *id;
   char *rack;
   char *worker;
-  struct mt_keeper_pool *pool;
-  struct mt_keeper_pool *home; /* where it belongs; NULL until it is known */
+  struct mt_controller_pool *pool;
+  struct mt_controller_pool *home; /* where it belongs; NULL until it is known */
   bool home_stored;
   bool up;
   bool listed;
   struct mt_room room;
 
-  bool viewed; /* the desk sees its worker, as follows */
+  bool viewed; /* the scheduler sees its worker, as follows */
   struct mt_worker_view view;
   int64_t viewed_at;
 
-  enum mt_keeper_plan plan;
+  enum mt_controller_plan plan;
   int64_t planned;
-  int64_t cordoned; /* since when its desk has it cordoned; 0 */
-  struct mt_keeper_pool *to;
-  struct mt_keeper_wave *wave;
+  int64_t cordoned; /* since when its scheduler has it cordoned; 0 */
+  struct mt_controller_pool *to;
+  struct mt_controller_wave *wave;
   bool sent;
   int64_t again_at;
   int64_t ordered;    /* when */
@@ -60,7 +60,7 @@
   bool in_upkeep;
 };
 
-struct mt_keeper_wave
+struct mt_controller_wave
 {
   int64_t number;
   unsigned cap;
@@ -69,24 +69,24 @@
   GHashTable *done;
 };
 
-struct mt_steward
+struct mt_controller
 {
-  struct mt_steward_settings settings;
+  struct mt_controller_settings settings;
   GHashTable *pools;
   GHashTable *machines;
   GHashTable *by_worker; /* present life to its machine; borrows both */
-  GHashTable *waves;     /* number to struct mt_keeper_wave */
+  GHashTable *waves;     /* number to struct mt_controller_wave */
   bool listed;
   int64_t first_listed;
   int64_t last_plan;
 };
 
-/* steward_waves.c */
-void mt_steward_plan_waves (struct mt_steward *s, int64_t now);
-/* steward_moves.c */
-void mt_steward_plan_moves (struct mt_steward *s, int64_t now);
+/* controller_waves.c */
+void mt_controller_plan_waves (struct mt_controller *s, int64_t now);
+/* controller_moves.c */
+void mt_controller_plan_moves (struct mt_controller *s, int64_t now);
 /* A pool that lacks room for what can still be in time gives no machine away. Work that is late
  * anyway does not count: it would hold machines that others need to be in time. */
-bool mt_keeper_is_short (const struct mt_keeper_pool *pool);
+bool mt_controller_pool_is_short (const struct mt_controller_pool *pool);
 
 #endif
--- a/core/desk/steward_moves.c
+++ b/core/controller/controller_moves.c
@@ -7,7 +7,7 @@
  * A pool in its trough keeps a share of what belongs to it: the next surge begins without notice,
  * and until machines arrive, what it has must carry it. The share is small, since all that idles
  * here is missing where the surge is now. */
-#include "steward_internal.h"
+#include "controller_internal.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -39,8 +39,8 @@
 #define CALM_MS 600
 /* A pool's need counts at its highest of so long: arrivals come in bunches. */
 #define HOLD_MS 800
-/* After it begins, a steward gives no machine to the standby pool for so long: not all are up yet,
- * and none of the pools' surges is known. */
+/* After it begins, a fleet controller gives no machine to the standby pool for so long: not all are
+ * up yet, and none of the pools' surges is known. */
 #define SETTLE_MS 5000
 /* Ordered moves are expected to have arrived after this much more than they should take. */
 #define LATE_MS 4000
@@ -48,7 +48,7 @@
 #define UNSIZED_CPU 16000
 
 static bool
-is_on_its_way (const struct mt_steward *s, const struct mt_keeper_machine *m, int64_t now)
+is_on_its_way (const struct mt_controller *s, const struct mt_controller_machine *m, int64_t now)
 {
   return !m->up && m->ordered != 0 && now < m->ordered + s->settings.move_ms + LATE_MS;
 }
@@ -56,11 +56,11 @@
 /* What each pool has, and what was given to it by those who know its load: one look at all
  * machines. */
 static void
-tally (struct mt_steward *s, int64_t now)
+tally (struct mt_controller *s, int64_t now)
 {
   GHashTableIter it;
-  struct mt_keeper_pool *p;
-  struct mt_keeper_machine *m;
+  struct mt_controller_pool *p;
+  struct mt_controller_machine *m;
 
   g_hash_table_iter_init (&it, s->pools);
   while (g_hash_table_iter_next (&it, NULL, (void **) &p))
@@ -86,7 +86,7 @@
 
 /* Of one machine, on average. */
 static int64_t
-machine_cpu (const struct mt_keeper_pool *p)
+machine_cpu (const struct mt_controller_pool *p)
 {
   return p->sized > 0 ? p->room_cpu / p->sized : UNSIZED_CPU;
 }
@@ -94,7 +94,7 @@
 /* Where nothing that can be in time waits, haste would keep machines that stand idle while the pool
  * that surges next goes short. */
 static double
-wanted_cpu (const struct mt_desk_load *load)
+wanted_cpu (const struct mt_scheduler_load *load)
 {
   double hasty = HASTE * (double) load->demand_cpu;
 
@@ -102,7 +102,7 @@
 }
 
 static void
-learn_need (struct mt_keeper_pool *p, int64_t now)
+learn_need (struct mt_controller_pool *p, int64_t now)
 {
   double demand = wanted_cpu (&p->load);
   double cpu = (double) machine_cpu (p);
@@ -121,7 +121,7 @@
 }
 
 static unsigned
-with_share (const struct mt_keeper_pool *p, double share)
+with_share (const struct mt_controller_pool *p, double share)
 {
   unsigned keep = (unsigned) ceil (MAX (KEEP_SHARE * p->peak, share * p->base));
 
@@ -130,7 +130,7 @@
 
 /* What the pool should have while others want its machines. */
 static unsigned
-wanted (const struct mt_keeper_pool *p)
+wanted (const struct mt_controller_pool *p)
 {
   return with_share (p, BASE_SHARE);
 }
@@ -138,7 +138,7 @@
 /* What it keeps while nobody does: all that belongs to it, until its first surge has shown what it
  * needs. */
 static unsigned
-wanted_idle (const struct mt_keeper_pool *p)
+wanted_idle (const struct mt_controller_pool *p)
 {
   bool surged = p->peak >= SURGED_SHARE * p->base;
 
@@ -146,7 +146,7 @@
 }
 
 static bool
-may_go (const struct mt_keeper_machine *m)
+may_go (const struct mt_controller_machine *m)
 {
   if (!m->up || m->plan != MT_PLAN_NONE || m->sent)
     return false;
@@ -157,7 +157,7 @@
 
 /* What is expected to be empty first; of equals, what holds least. */
 static bool
-is_emptier (const struct mt_keeper_machine *a, const struct mt_keeper_machine *b)
+is_emptier (const struct mt_controller_machine *a, const struct mt_controller_machine *b)
 {
   if (a->view.free_ms != b->view.free_ms)
     return a->view.free_ms < b->view.free_ms;
@@ -165,12 +165,12 @@
 }
 
 /* The emptiest of the pool that may go; NULL for none. */
-static struct mt_keeper_machine *
-emptiest (const struct mt_steward *s, const struct mt_keeper_pool *p)
+static struct mt_controller_machine *
+emptiest (const struct mt_controller *s, const struct mt_controller_pool *p)
 {
   GHashTableIter it;
-  struct mt_keeper_machine *m;
-  struct mt_keeper_machine *best = NULL;
+  struct mt_controller_machine *m;
+  struct mt_controller_machine *best = NULL;
 
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
@@ -180,12 +180,12 @@
 }
 
 static bool
-plan_move (struct mt_steward *s,
-           struct mt_keeper_pool *from,
-           struct mt_keeper_pool *to,
+plan_move (struct mt_controller *s,
+           struct mt_controller_pool *from,
+           struct mt_controller_pool *to,
            int64_t now)
 {
-  struct mt_keeper_machine *m = emptiest (s, from);
+  struct mt_controller_machine *m = emptiest (s, from);
 
   if (m == NULL)
     return false;
@@ -201,11 +201,11 @@
 /* A machine that is being emptied for the standby pool goes to the pool that is short instead:
  * there and back would take two moves' time. */
 static bool
-redirect_move (struct mt_steward *s, struct mt_keeper_pool *to)
+redirect_move (struct mt_controller *s, struct mt_controller_pool *to)
 {
   GHashTableIter it;
-  struct mt_keeper_machine *m;
-  struct mt_keeper_machine *best = NULL;
+  struct mt_controller_machine *m;
+  struct mt_controller_machine *best = NULL;
 
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
@@ -220,11 +220,11 @@
   return true;
 }
 
-static struct mt_keeper_pool *
-find_standby (const struct mt_steward *s)
+static struct mt_controller_pool *
+find_standby (const struct mt_controller *s)
 {
   GHashTableIter it;
-  struct mt_keeper_pool *p;
+  struct mt_controller_pool *p;
 
   g_hash_table_iter_init (&it, s->pools);
   while (g_hash_table_iter_next (&it, NULL, (void **) &p))
@@ -234,12 +234,12 @@
 }
 
 /* The pool with the most to spare. */
-static struct mt_keeper_pool *
-richest (const struct mt_steward *s)
+static struct mt_controller_pool *
+richest (const struct mt_controller *s)
 {
   GHashTableIter it;
-  struct mt_keeper_pool *p;
-  struct mt_keeper_pool *best = NULL;
+  struct mt_controller_pool *p;
+  struct mt_controller_pool *best = NULL;
   int most = 0;
 
   g_hash_table_iter_init (&it, s->pools);
@@ -256,14 +256,14 @@
 }
 
 static void
-fill_pool (struct mt_steward *s,
-           struct mt_keeper_pool *standby,
-           struct mt_keeper_pool *p,
+fill_pool (struct mt_controller *s,
+           struct mt_controller_pool *standby,
+           struct mt_controller_pool *p,
            int64_t now)
 {
   while (p->have < wanted (p))
     {
-      struct mt_keeper_pool *from;
+      struct mt_controller_pool *from;
 
       if (redirect_move (s, p) || (standby != NULL && plan_move (s, standby, p, now)))
         continue;
@@ -274,12 +274,12 @@
 }
 
 static void
-release_spare (struct mt_steward *s,
-               struct mt_keeper_pool *standby,
-               struct mt_keeper_pool *p,
+release_spare (struct mt_controller *s,
+               struct mt_controller_pool *standby,
+               struct mt_controller_pool *p,
                int64_t now)
 {
-  if (p->have <= wanted_idle (p) || mt_keeper_is_short (p))
+  if (p->have <= wanted_idle (p) || mt_controller_pool_is_short (p))
     {
       p->spare_since = 0;
       return;
@@ -293,11 +293,11 @@
 }
 
 void
-mt_steward_plan_moves (struct mt_steward *s, int64_t now)
+mt_controller_plan_moves (struct mt_controller *s, int64_t now)
 {
-  struct mt_keeper_pool *standby = find_standby (s);
+  struct mt_controller_pool *standby = find_standby (s);
   GHashTableIter it;
-  struct mt_keeper_pool *p;
+  struct mt_controller_pool *p;
 
   tally (s, now);
   g_hash_table_iter_init (&it, s->pools);
--- a/core/desk/steward_waves.c
+++ b/core/controller/controller_waves.c
@@ -1,7 +1,7 @@
 /* Upkeep: each machine of a wave is down once, before the wave is due, `cap` at a time at most. The
  * emptiest go first, and while there is time, none of a pool that is short of room: the pools are
  * short by turns. */
-#include "steward_internal.h"
+#include "controller_internal.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -18,7 +18,7 @@
 
 struct candidate
 {
-  struct mt_keeper_machine *machine;
+  struct mt_controller_machine *machine;
   double cost;
 };
 
@@ -32,10 +32,10 @@
 }
 
 static unsigned
-count_down (const struct mt_steward *s, const struct mt_keeper_wave *w)
+count_down (const struct mt_controller *s, const struct mt_controller_wave *w)
 {
   GHashTableIter it;
-  struct mt_keeper_machine *m;
+  struct mt_controller_machine *m;
   unsigned n = 0;
 
   g_hash_table_iter_init (&it, s->machines);
@@ -53,28 +53,29 @@
 /* What it costs the pool to do without this machine for a while; a machine that is off costs
  * nothing, one with lasting tasks has to have them moved first. */
 static double
-cost_of (const struct mt_keeper_machine *m)
+cost_of (const struct mt_controller_machine *m)
 {
   if (m->pool->standby || m->worker == NULL)
     return -1;
   if (!m->viewed)
     return 50;
   return share_used (&m->view) + LASTING_COST * m->view.lasting
-         + (mt_keeper_is_short (m->pool) ? SHORT_COST : 0);
+         + (mt_controller_pool_is_short (m->pool) ? SHORT_COST : 0);
 }
 
 /* Lasting tasks take seconds to move, one after the other: their machines are begun with while
  * there is time, in a trough like the others. */
 static bool
-is_quiet (const struct mt_keeper_machine *m)
+is_quiet (const struct mt_controller_machine *m)
 {
   if (m->pool->standby || m->worker == NULL)
     return true;
-  return m->viewed && !mt_keeper_is_short (m->pool) && share_used (&m->view) <= QUIET_SHARE;
+  return m->viewed && !mt_controller_pool_is_short (m->pool)
+         && share_used (&m->view) <= QUIET_SHARE;
 }
 
 static bool
-may_wait (const struct mt_steward *s, const struct mt_keeper_wave *w, int64_t now)
+may_wait (const struct mt_controller *s, const struct mt_controller_wave *w, int64_t now)
 {
   int64_t rounds = (g_hash_table_size (w->left) + w->cap - 1) / w->cap;
   int64_t need = rounds * (EMPTYING_MS + s->settings.upkeep_ms);
@@ -83,7 +84,7 @@
 }
 
 static GArray *
-find_candidates (struct mt_steward *s, const struct mt_keeper_wave *w, bool waits)
+find_candidates (struct mt_controller *s, const struct mt_controller_wave *w, bool waits)
 {
   GArray *out = g_array_new (FALSE, FALSE, sizeof (struct candidate));
   GHashTableIter it;
@@ -92,7 +93,7 @@
   g_hash_table_iter_init (&it, w->left);
   while (g_hash_table_iter_next (&it, (void **) &id, NULL))
     {
-      struct mt_keeper_machine *m = g_hash_table_lookup (s->machines, id);
+      struct mt_controller_machine *m = g_hash_table_lookup (s->machines, id);
       struct candidate c = { .machine = m };
 
       if (m == NULL || !m->up || m->plan == MT_PLAN_UPKEEP || m->sent)
@@ -108,10 +109,10 @@
 
 /* While it may wait, a pool gives up no more than a third of its machines at a time. */
 static unsigned
-away_of_pool (const struct mt_steward *s, const struct mt_keeper_pool *p, unsigned *all)
+away_of_pool (const struct mt_controller *s, const struct mt_controller_pool *p, unsigned *all)
 {
   GHashTableIter it;
-  struct mt_keeper_machine *m;
+  struct mt_controller_machine *m;
   unsigned away = 0;
 
   *all = 0;
@@ -127,7 +128,7 @@
 }
 
 static void
-plan_wave (struct mt_steward *s, struct mt_keeper_wave *w, int64_t now)
+plan_wave (struct mt_controller *s, struct mt_controller_wave *w, int64_t now)
 {
   unsigned down = count_down (s, w);
   bool waits = may_wait (s, w, now);
@@ -138,7 +139,7 @@
   list = find_candidates (s, w, waits);
   for (guint i = 0; i < list->len && down < w->cap; i++)
     {
-      struct mt_keeper_machine *m = g_array_index (list, struct candidate, i).machine;
+      struct mt_controller_machine *m = g_array_index (list, struct candidate, i).machine;
       unsigned all;
       unsigned away = away_of_pool (s, m->pool, &all);
 
@@ -154,10 +155,10 @@
 }
 
 void
-mt_steward_plan_waves (struct mt_steward *s, int64_t now)
+mt_controller_plan_waves (struct mt_controller *s, int64_t now)
 {
   GHashTableIter it;
-  struct mt_keeper_wave *w;
+  struct mt_controller_wave *w;
 
   g_hash_table_iter_init (&it, s->waves);
   while (g_hash_table_iter_next (&it, NULL, (void **) &w))
--- a/core/desk/desk.c
+++ b/core/scheduler/scheduler.c
@@ -1,4 +1,4 @@
-#include "desk_internal.h"
+#include "scheduler_internal.h"
 
 #include <math.h>
 #include <stdio.h>
@@ -19,21 +19,21 @@
 };
 
 void
-mt_desk_tell (struct mt_desk *desk, const char *name, const char *format, ...)
+mt_scheduler_tell (struct mt_scheduler *sched, const char *name, const char *format, ...)
 {
   char detail[512];
   va_list args;
 
-  if (desk->told == NULL)
+  if (sched->told == NULL)
     return;
   va_start (args, format);
   g_vsnprintf (detail, sizeof detail, format, args);
   va_end (args);
-  desk->told (desk->told_ctx, name, detail);
+  sched->told (sched->told_ctx, name, detail);
 }
 
 void
-mt_task_tell (struct mt_desk *desk,
+mt_task_tell (struct mt_scheduler *sched,
               const struct mt_task *task,
               const struct mt_worker *w,
               const char *name,
@@ -46,8 +46,8 @@
   va_start (args, format);
   g_vsnprintf (detail, sizeof detail, format, args);
   va_end (args);
-  mt_desk_tell (desk, name, "id=%s step=%u index=%u run=%u worker=%s %s", task->part->job->spec->id,
-                task->step, task->index, task->run, w->id, detail);
+  mt_scheduler_tell (sched, name, "id=%s step=%u index=%u run=%u worker=%s %s",
+                     task->part->job->spec->id, task->step, task->index, task->run, w->id, detail);
 }
 
 enum mt_job_state
@@ -66,10 +66,10 @@
 }
 
 void
-mt_desk_on_told (struct mt_desk *desk, mt_desk_told told, void *ctx)
+mt_scheduler_on_told (struct mt_scheduler *sched, mt_scheduler_told told, void *ctx)
 {
-  desk->told = told;
-  desk->told_ctx = ctx;
+  sched->told = told;
+  sched->told_ctx = ctx;
 }
 
 static void
@@ -147,78 +147,80 @@
   g_free (stray);
 }
 
-struct mt_desk *
-mt_desk_create (const struct mt_desk_settings *settings)
+struct mt_scheduler *
+mt_scheduler_create (const struct mt_scheduler_settings *settings)
 {
-  struct mt_desk *desk = g_new0 (struct mt_desk, 1);
+  struct mt_scheduler *sched = g_new0 (struct mt_scheduler, 1);
 
-  desk->settings = *settings;
-  desk->settings.name = g_strdup (settings->name);
-  desk->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_job);
-  desk->routes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_route);
-  desk->workers = g_hash_table_new (g_str_hash, g_str_equal);
-  desk->advices = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_advice);
-  desk->dirty = g_ptr_array_new ();
-  desk->writing = g_ptr_array_new ();
-  desk->graveyard = g_ptr_array_new_with_free_func (free_worker);
-  return desk;
+  sched->settings = *settings;
+  sched->settings.name = g_strdup (settings->name);
+  sched->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_job);
+  sched->routes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_route);
+  sched->workers = g_hash_table_new (g_str_hash, g_str_equal);
+  sched->advices = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_advice);
+  sched->dirty = g_ptr_array_new ();
+  sched->writing = g_ptr_array_new ();
+  sched->graveyard = g_ptr_array_new_with_free_func (free_worker);
+  return sched;
 }
 
 void
-mt_desk_destroy (struct mt_desk *desk)
+mt_scheduler_destroy (struct mt_scheduler *sched)
 {
-  if (desk == NULL)
+  if (sched == NULL)
     return;
-  g_queue_clear (&desk->starts);
-  g_queue_clear (&desk->stops);
-  g_queue_clear (&desk->paces);
-  g_queue_clear_full (&desk->strays, free_stray);
-  g_hash_table_unref (desk->jobs);
-  g_hash_table_unref (desk->routes);
-  g_hash_table_unref (desk->workers);
-  g_hash_table_unref (desk->advices);
-  g_ptr_array_unref (desk->dirty);
-  g_ptr_array_unref (desk->writing);
-  g_ptr_array_unref (desk->graveyard);
-  g_free ((char *) desk->settings.name);
-  g_free (desk);
+  g_queue_clear (&sched->starts);
+  g_queue_clear (&sched->stops);
+  g_queue_clear (&sched->paces);
+  g_queue_clear_full (&sched->strays, free_stray);
+  g_hash_table_unref (sched->jobs);
+  g_hash_table_unref (sched->routes);
+  g_hash_table_unref (sched->workers);
+  g_hash_table_unref (sched->advices);
+  g_ptr_array_unref (sched->dirty);
+  g_ptr_array_unref (sched->writing);
+  g_ptr_array_unref (sched->graveyard);
+  g_free ((char *) sched->settings.name);
+  g_free (sched);
 }
 
 static struct mt_route *
-get_route (struct mt_desk *desk, const char *name)
+get_route (struct mt_scheduler *sched, const char *name)
 {
-  struct mt_route *route = g_hash_table_lookup (desk->routes, name);
+  struct mt_route *route = g_hash_table_lookup (sched->routes, name);
 
   if (route != NULL)
     return route;
   route = g_new0 (struct mt_route, 1);
   route->name = g_strdup (name);
   route->terms = (struct mt_route_terms){ .max_attempts = 1, .stretch = 1 };
-  g_hash_table_insert (desk->routes, route->name, route);
+  g_hash_table_insert (sched->routes, route->name, route);
   return route;
 }
 
 void
-mt_desk_set_route (struct mt_desk *desk, const char *name, const struct mt_route_terms *terms)
+mt_scheduler_set_route (struct mt_scheduler *sched,
+                        const char *name,
+                        const struct mt_route_terms *terms)
 {
-  get_route (desk, name)->terms = *terms;
+  get_route (sched, name)->terms = *terms;
 }
 
 void
-mt_desk_set_advice (struct mt_desk *desk, const char *name, bool wanted)
+mt_scheduler_set_advice (struct mt_scheduler *sched, const char *name, bool wanted)
 {
-  get_route (desk, name)->advice = wanted;
+  get_route (sched, name)->advice = wanted;
 }
 
 void
-mt_job_mark (struct mt_desk *desk, struct mt_job *job)
+mt_job_mark (struct mt_scheduler *sched, struct mt_job *job)
 {
   job->dirty = true;
-  desk->changed = true;
+  sched->changed = true;
   if (job->listed)
     return;
   job->listed = true;
-  g_ptr_array_add (desk->dirty, job);
+  g_ptr_array_add (sched->dirty, job);
 }
 
 void
@@ -278,9 +280,9 @@
 
 /* Timed occurrences that have come due. A jump of the wall clock is the owner's to smooth. */
 void
-mt_job_open_due (struct mt_desk *desk, int64_t now, int64_t wall)
+mt_job_open_due (struct mt_scheduler *sched, int64_t now, int64_t wall)
 {
-  for (GList *l = desk->open.head; l != NULL; l = l->next)
+  for (GList *l = sched->open.head; l != NULL; l = l->next)
     {
       struct mt_job *job = l->data;
 
@@ -295,7 +297,7 @@
           if (job->parts[k] != NULL)
             continue;
           open_part (job, k, now - (wall - due));
-          desk->changed = true;
+          sched->changed = true;
         }
     }
 }
@@ -303,9 +305,9 @@
 /* ---- jobs ---- */
 
 bool
-mt_desk_knows (const struct mt_desk *desk, const char *id)
+mt_scheduler_knows (const struct mt_scheduler *sched, const char *id)
 {
-  return g_hash_table_contains (desk->jobs, id);
+  return g_hash_table_contains (sched->jobs, id);
 }
 
 /* One large job is no surge: arrivals of long jobs are taken over a longer time. */
@@ -322,13 +324,13 @@
 }
 
 double
-mt_desk_arriving (const struct mt_desk *desk, int64_t now)
+mt_scheduler_arriving (const struct mt_scheduler *sched, int64_t now)
 {
   GHashTableIter it;
   struct mt_route *route;
   double sum = 0;
 
-  g_hash_table_iter_init (&it, desk->routes);
+  g_hash_table_iter_init (&it, sched->routes);
   while (g_hash_table_iter_next (&it, NULL, (void **) &route))
     sum += route_arriving (route, now);
   return sum;
@@ -356,25 +358,28 @@
 }
 
 bool
-mt_desk_submit (struct mt_desk *desk, struct mt_job_spec *spec, int64_t now, int64_t wall)
+mt_scheduler_submit (struct mt_scheduler *sched,
+                     struct mt_job_spec *spec,
+                     int64_t now,
+                     int64_t wall)
 {
   struct mt_job *job;
   int64_t age = CLAMP (wall - spec->accepted_ms, 0, 3600 * 1000);
 
-  if (mt_desk_knows (desk, spec->id))
+  if (mt_scheduler_knows (sched, spec->id))
     {
       mt_job_spec_destroy (spec);
       return false;
     }
   job = g_new0 (struct mt_job, 1);
   job->spec = spec;
-  job->route = get_route (desk, spec->route);
+  job->route = get_route (sched, spec->route);
   job->n_parts = spec->repeats > 0 ? spec->repeats : 1;
   job->parts = g_new0 (struct mt_part *, job->n_parts);
   job->submitted = now - age;
   job->link.data = job;
-  g_hash_table_insert (desk->jobs, spec->id, job);
-  g_queue_push_tail_link (&desk->open, &job->link);
+  g_hash_table_insert (sched->jobs, spec->id, job);
+  g_queue_push_tail_link (&sched->open, &job->link);
   if (spec->repeats == 0)
     {
       open_part (job, 0, job->submitted);
@@ -382,21 +387,21 @@
       if (age < FRESH_MS)
         count_arrival (job, now);
     }
-  desk->changed = true;
+  sched->changed = true;
   return true;
 }
 
 /* Every run of an ended job is stopped; what waits will never start. */
 void
-mt_job_stop_tasks (struct mt_desk *desk, struct mt_job *job, int64_t now)
+mt_job_stop_tasks (struct mt_scheduler *sched, struct mt_job *job, int64_t now)
 {
   for (unsigned k = 0; k < job->n_parts; k++)
     for (unsigned i = 0; job->parts[k] != NULL && i < job->parts[k]->n_tasks; i++)
-      mt_task_stop (desk, &job->parts[k]->tasks[i], now);
+      mt_task_stop (sched, &job->parts[k]->tasks[i], now);
 }
 
 void
-mt_job_end (struct mt_desk *desk, struct mt_job *job, enum mt_job_state state, int64_t now)
+mt_job_end (struct mt_scheduler *sched, struct mt_job *job, enum mt_job_state state, int64_t now)
 {
   if (mt_job_state_is_final (job->state))
     return;
@@ -404,16 +409,17 @@
     job->route->pending--;
   job->state = state;
   job->ended_at = now;
-  g_queue_unlink (&desk->open, &job->link);
-  g_queue_push_tail_link (&desk->closed, &job->link);
-  mt_job_mark (desk, job);
-  mt_job_stop_tasks (desk, job, now);
-  mt_desk_tell (desk, "JOB_ENDED", "id=%s route=%s state=%s age_ms=%" G_GINT64_FORMAT,
-                job->spec->id, job->route->name, mt_job_state_names[state], now - job->submitted);
+  g_queue_unlink (&sched->open, &job->link);
+  g_queue_push_tail_link (&sched->closed, &job->link);
+  mt_job_mark (sched, job);
+  mt_job_stop_tasks (sched, job, now);
+  mt_scheduler_tell (sched, "JOB_ENDED", "id=%s route=%s state=%s age_ms=%" G_GINT64_FORMAT,
+                     job->spec->id, job->route->name, mt_job_state_names[state],
+                     now - job->submitted);
 }
 
 void
-mt_job_check_end (struct mt_desk *desk, struct mt_job *job, int64_t now)
+mt_job_check_end (struct mt_scheduler *sched, struct mt_job *job, int64_t now)
 {
   unsigned ended = 0;
 
@@ -428,17 +434,17 @@
     }
   job->n_ended = ended;
   if (ended == job->n_parts)
-    mt_job_end (desk, job, MT_JOB_COMPLETED, now);
+    mt_job_end (sched, job, MT_JOB_COMPLETED, now);
 }
 
 bool
-mt_desk_cancel (struct mt_desk *desk, const char *id, int64_t now)
+mt_scheduler_cancel (struct mt_scheduler *sched, const char *id, int64_t now)
 {
-  struct mt_job *job = g_hash_table_lookup (desk->jobs, id);
+  struct mt_job *job = g_hash_table_lookup (sched->jobs, id);
 
   if (job == NULL)
     return false;
-  mt_job_end (desk, job, MT_JOB_CANCELLED, now);
+  mt_job_end (sched, job, MT_JOB_CANCELLED, now);
   /* The cancelling itself is in the store already. */
   if (job->state == MT_JOB_CANCELLED)
     job->durable = MT_JOB_CANCELLED;
@@ -446,9 +452,9 @@
 }
 
 enum mt_job_state
-mt_desk_state (const struct mt_desk *desk, const char *id)
+mt_scheduler_state (const struct mt_scheduler *sched, const char *id)
 {
-  const struct mt_job *job = g_hash_table_lookup (desk->jobs, id);
+  const struct mt_job *job = g_hash_table_lookup (sched->jobs, id);
 
   if (job == NULL)
     return MT_JOB_UNKNOWN;
@@ -458,9 +464,9 @@
 }
 
 unsigned
-mt_desk_pending (const struct mt_desk *desk, const char *name)
+mt_scheduler_pending (const struct mt_scheduler *sched, const char *name)
 {
-  const struct mt_route *route = g_hash_table_lookup (desk->routes, name);
+  const struct mt_route *route = g_hash_table_lookup (sched->routes, name);
 
   return route != NULL ? route->pending : 0;
 }
@@ -468,24 +474,24 @@
 /* ---- durability ---- */
 
 bool
-mt_desk_is_idle (const struct mt_desk *desk)
+mt_scheduler_is_idle (const struct mt_scheduler *sched)
 {
-  return desk->open.length == 0;
+  return sched->open.length == 0;
 }
 
 bool
-mt_desk_wants_cycle (struct mt_desk *desk, int64_t now)
+mt_scheduler_wants_cycle (struct mt_scheduler *sched, int64_t now)
 {
-  return !desk->in_cycle && desk->changed;
+  return !sched->in_cycle && sched->changed;
 }
 
 static void
-note_ends (struct mt_desk *desk, bool begin)
+note_ends (struct mt_scheduler *sched, bool begin)
 {
   GHashTableIter it;
   struct mt_worker *w;
 
-  g_hash_table_iter_init (&it, desk->workers);
+  g_hash_table_iter_init (&it, sched->workers);
   while (g_hash_table_iter_next (&it, NULL, (void **) &w))
     if (begin)
       w->cycle_end = w->seen_end;
@@ -494,11 +500,11 @@
 }
 
 static void
-collect_dirty (struct mt_desk *desk, GPtrArray *out)
+collect_dirty (struct mt_scheduler *sched, GPtrArray *out)
 {
-  for (guint i = 0; i < desk->dirty->len; i++)
+  for (guint i = 0; i < sched->dirty->len; i++)
     {
-      struct mt_job *job = desk->dirty->pdata[i];
+      struct mt_job *job = sched->dirty->pdata[i];
 
       job->listed = false;
       if (!job->dirty)
@@ -506,38 +512,38 @@
       job->dirty = false;
       job->in_cycle = true;
       job->cycle = job->state;
-      g_ptr_array_add (desk->writing, job);
+      g_ptr_array_add (sched->writing, job);
       g_ptr_array_add (out, g_strdup (job->spec->id));
     }
-  g_ptr_array_set_size (desk->dirty, 0);
+  g_ptr_array_set_size (sched->dirty, 0);
 }
 
 GPtrArray *
-mt_desk_cycle_begin (struct mt_desk *desk, int64_t now, int64_t wall)
+mt_scheduler_cycle_begin (struct mt_scheduler *sched, int64_t now, int64_t wall)
 {
   GPtrArray *out;
 
-  if (desk->in_cycle)
+  if (sched->in_cycle)
     return NULL;
-  desk->changed = false;
-  mt_job_open_due (desk, now, wall);
-  mt_desk_place (desk, now);
+  sched->changed = false;
+  mt_job_open_due (sched, now, wall);
+  mt_scheduler_place (sched, now);
   out = g_ptr_array_new_with_free_func (g_free);
-  collect_dirty (desk, out);
-  note_ends (desk, true);
+  collect_dirty (sched, out);
+  note_ends (sched, true);
   if (out->len == 0)
     {
-      note_ends (desk, false);
+      note_ends (sched, false);
       g_ptr_array_unref (out);
       return NULL;
     }
-  desk->in_cycle = true;
+  sched->in_cycle = true;
   return out;
 }
 
 /* What the cycle made durable may be sent now, unless its worker leaves meanwhile. */
 static void
-release_starts (struct mt_desk *desk, struct mt_job *job, int64_t now)
+release_starts (struct mt_scheduler *sched, struct mt_job *job, int64_t now)
 {
   for (unsigned k = 0; k < job->n_parts; k++)
     for (unsigned i = 0; job->parts[k] != NULL && i < job->parts[k]->n_tasks; i++)
@@ -548,75 +554,75 @@
           continue;
         if (task->worker->leaving)
           {
-            mt_task_wait (desk, task, now);
+            mt_task_wait (sched, task, now);
             continue;
           }
         task->state = MT_TASK_ORDERED;
         task->since = now;
         task->order_due = true;
-        g_queue_push_tail (&desk->starts, task);
+        g_queue_push_tail (&sched->starts, task);
       }
 }
 
 void
-mt_desk_cycle_done (struct mt_desk *desk, int64_t now)
+mt_scheduler_cycle_done (struct mt_scheduler *sched, int64_t now)
 {
-  for (guint i = 0; i < desk->writing->len; i++)
+  for (guint i = 0; i < sched->writing->len; i++)
     {
-      struct mt_job *job = desk->writing->pdata[i];
+      struct mt_job *job = sched->writing->pdata[i];
 
       job->in_cycle = false;
       if (job->cycle != MT_JOB_QUEUED && job->cycle != MT_JOB_ACTIVE)
         job->durable = job->cycle;
-      release_starts (desk, job, now);
+      release_starts (sched, job, now);
     }
-  g_ptr_array_set_size (desk->writing, 0);
-  note_ends (desk, false);
-  desk->in_cycle = false;
+  g_ptr_array_set_size (sched->writing, 0);
+  note_ends (sched, false);
+  sched->in_cycle = false;
 }
 
 int64_t
-mt_desk_revision (const struct mt_desk *desk, const char *id)
+mt_scheduler_revision (const struct mt_scheduler *sched, const char *id)
 {
-  const struct mt_job *job = g_hash_table_lookup (desk->jobs, id);
+  const struct mt_job *job = g_hash_table_lookup (sched->jobs, id);
 
   return job != NULL ? job->revision : 0;
 }
 
 void
-mt_desk_set_revision (struct mt_desk *desk, const char *id, int64_t revision)
+mt_scheduler_set_revision (struct mt_scheduler *sched, const char *id, int64_t revision)
 {
-  struct mt_job *job = g_hash_table_lookup (desk->jobs, id);
+  struct mt_job *job = g_hash_table_lookup (sched->jobs, id);
 
   if (job != NULL)
     job->revision = revision;
 }
 
 const char *
-mt_desk_expired (const struct mt_desk *desk, int64_t now)
+mt_scheduler_expired (const struct mt_scheduler *sched, int64_t now)
 {
-  const struct mt_job *job = g_queue_peek_head ((GQueue *) &desk->closed);
+  const struct mt_job *job = g_queue_peek_head ((GQueue *) &sched->closed);
 
   if (job == NULL || job->dirty || job->in_cycle)
     return NULL;
-  if (now - job->ended_at < 2 * desk->settings.status_ms && desk->closed.length <= MAX_CLOSED)
+  if (now - job->ended_at < 2 * sched->settings.status_ms && sched->closed.length <= MAX_CLOSED)
     return NULL;
-  if (now - job->ended_at < desk->settings.status_ms)
+  if (now - job->ended_at < sched->settings.status_ms)
     return NULL;
   return job->spec->id;
 }
 
 void
-mt_desk_forget (struct mt_desk *desk, const char *id)
+mt_scheduler_forget (struct mt_scheduler *sched, const char *id)
 {
-  struct mt_job *job = g_hash_table_lookup (desk->jobs, id);
+  struct mt_job *job = g_hash_table_lookup (sched->jobs, id);
 
   if (job == NULL || job->ended_at == 0 || job->in_cycle)
     return;
   for (unsigned k = 0; k < job->n_parts; k++)
     for (unsigned i = 0; job->parts[k] != NULL && i < job->parts[k]->n_tasks; i++)
-      mt_task_wait (desk, &job->parts[k]->tasks[i], 0);
-  g_queue_unlink (&desk->closed, &job->link);
-  g_ptr_array_remove_fast (desk->dirty, job);
-  g_hash_table_remove (desk->jobs, id);
+      mt_task_wait (sched, &job->parts[k]->tasks[i], 0);
+  g_queue_unlink (&sched->closed, &job->link);
+  g_ptr_array_remove_fast (sched->dirty, job);
+  g_hash_table_remove (sched->jobs, id);
 }
--- a/core/desk/desk_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -1,5 +1,5 @@
 /* What workers answer, and what follows from it for the tasks. */
-#include "desk_internal.h"
+#include "scheduler_internal.h"
 
 #include <string.h>
 
@@ -16,80 +16,80 @@
 #define IDLE_HOLD_MS 15000
 
 static struct mt_worker *
-find_worker (const struct mt_desk *desk, const char *id)
+find_worker (const struct mt_scheduler *sched, const char *id)
 {
-  return g_hash_table_lookup (desk->workers, id);
+  return g_hash_table_lookup (sched->workers, id);
 }
 
 static void
-fence_off (struct mt_desk *desk, const char *worker)
+fence_off (struct mt_scheduler *sched, const char *worker)
 {
-  if (!desk->fenced_off)
-    mt_desk_tell (desk, "DESK_FENCED", "worker=%s", worker);
-  desk->fenced_off = true;
+  if (!sched->fenced_off)
+    mt_scheduler_tell (sched, "SCHEDULER_FENCED", "worker=%s", worker);
+  sched->fenced_off = true;
 }
 
 bool
-mt_desk_is_fenced_off (const struct mt_desk *desk)
+mt_scheduler_is_fenced_off (const struct mt_scheduler *sched)
 {
-  return desk->fenced_off;
+  return sched->fenced_off;
 }
 
 static void
-heard (struct mt_desk *desk, struct mt_worker *w, int64_t now)
+heard (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
   if (w->silent_since != 0)
     {
-      mt_desk_tell (desk, "WORKER_BACK", "worker=%s silent_ms=%" G_GINT64_FORMAT, w->id,
-                    now - w->silent_since);
-      desk->changed = true;
+      mt_scheduler_tell (sched, "WORKER_BACK", "worker=%s silent_ms=%" G_GINT64_FORMAT, w->id,
+                         now - w->silent_since);
+      sched->changed = true;
     }
   w->heard = now;
   w->silent_since = 0;
 }
 
 static void
-unheard (struct mt_desk *desk, struct mt_worker *w, int64_t now)
+unheard (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
   if (w->silent_since != 0)
     return;
   w->silent_since = now;
-  mt_desk_tell (desk, "WORKER_SILENT", "worker=%s tasks=%u", w->id, w->tasks.length);
+  mt_scheduler_tell (sched, "WORKER_SILENT", "worker=%s tasks=%u", w->id, w->tasks.length);
 }
 
 /* One order without an answer, from a worker that answers others: it may be carried out late, and
  * so may more. The worker goes on taking work, and holds wait less long: each lost one delays the
  * news of all its ends. */
 static void
-order_unheard (struct mt_desk *desk, struct mt_worker *w, int64_t now)
+order_unheard (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
   if (now - w->heard > MT_SILENT_MS)
-    unheard (desk, w, now);
+    unheard (sched, w, now);
   else
-    desk->losses_at = now;
+    sched->losses_at = now;
 }
 
 static void
-begin_job (struct mt_desk *desk, struct mt_job *job, int64_t now)
+begin_job (struct mt_scheduler *sched, struct mt_job *job, int64_t now)
 {
   if (job->begun)
     return;
   mt_job_begin (job);
-  mt_desk_tell (desk, "JOB_BEGUN", "id=%s route=%s waited_ms=%" G_GINT64_FORMAT, job->spec->id,
-                job->route->name, now - job->submitted);
+  mt_scheduler_tell (sched, "JOB_BEGUN", "id=%s route=%s waited_ms=%" G_GINT64_FORMAT,
+                     job->spec->id, job->route->name, now - job->submitted);
 }
 
 static void
-mark_running (struct mt_desk *desk, struct mt_task *task, int64_t now)
+mark_running (struct mt_scheduler *sched, struct mt_task *task, int64_t now)
 {
   if (task->state != MT_TASK_ORDERED)
     return;
-  mt_task_unqueue (desk, task);
+  mt_task_unqueue (sched, task);
   task->state = MT_TASK_RUNNING;
   task->since = now;
   task->moved = now;
   task->doubtful = false;
-  begin_job (desk, task->part->job, now);
+  begin_job (sched, task->part->job, now);
 }
 
 /* ---- ends ---- */
@@ -113,28 +113,28 @@
 }
 
 static void
-gang_done (struct mt_desk *desk, struct mt_task *task, int64_t now)
+gang_done (struct mt_scheduler *sched, struct mt_task *task, int64_t now)
 {
   struct mt_part *part = task->part;
   unsigned first = part->step_first[task->step];
 
   for (unsigned i = 0; i < mt_task_step (task)->count; i++)
-    mt_task_finish (desk, &part->tasks[first + i], now);
+    mt_task_finish (sched, &part->tasks[first + i], now);
 }
 
 static void
-task_done (struct mt_desk *desk, struct mt_task *task, struct mt_worker *w, int64_t now)
+task_done (struct mt_scheduler *sched, struct mt_task *task, struct mt_worker *w, int64_t now)
 {
   struct mt_job *job = task->part->job;
 
-  begin_job (desk, job, now);
+  begin_job (sched, job, now);
   learn (task, w, now);
-  mt_worker_evidence (desk, w, true, now);
+  mt_worker_evidence (sched, w, true, now);
   if (mt_task_step (task)->gang)
-    gang_done (desk, task, now);
+    gang_done (sched, task, now);
   else
-    mt_task_finish (desk, task, now);
-  mt_job_check_end (desk, job, now);
+    mt_task_finish (sched, task, now);
+  mt_job_check_end (sched, job, now);
 }
 
 /* One failed run of a gang counts once, for all its members. */
@@ -153,35 +153,38 @@
 }
 
 static void
-task_failed (struct mt_desk *desk, struct mt_task *task, struct mt_worker *w, int64_t now)
+task_failed (struct mt_scheduler *sched, struct mt_task *task, struct mt_worker *w, int64_t now)
 {
   struct mt_job *job = task->part->job;
   const struct mt_step *step = mt_task_step (task);
 
-  begin_job (desk, job, now);
+  begin_job (sched, job, now);
   task->shunned = w;
   task->not_before = now + AGAIN_MS;
-  mt_task_wait (desk, task, now);
+  mt_task_wait (sched, task, now);
   if (step->lasting)
     return;
-  mt_worker_evidence (desk, w, false, now);
-  mt_task_tell (desk, task, w, "TASK_FAILED", "attempts=%u of=%d", task->attempts + 1U,
+  mt_worker_evidence (sched, w, false, now);
+  mt_task_tell (sched, task, w, "TASK_FAILED", "attempts=%u of=%d", task->attempts + 1U,
                 job->route->terms.max_attempts);
   if ((int) count_attempt (task) >= job->route->terms.max_attempts)
-    mt_job_end (desk, job, MT_JOB_FAILED, now);
+    mt_job_end (sched, job, MT_JOB_FAILED, now);
 }
 
 static void
-finish_elsewhere (struct mt_desk *desk, struct mt_task *task, int64_t now)
+finish_elsewhere (struct mt_scheduler *sched, struct mt_task *task, int64_t now)
 {
-  mt_task_finish (desk, task, now);
-  mt_job_check_end (desk, task->part->job, now);
+  mt_task_finish (sched, task, now);
+  mt_job_check_end (sched, task->part->job, now);
 }
 
 static void
-take_end (struct mt_desk *desk, struct mt_worker *w, const struct mt_end_row *end, int64_t now)
+take_end (struct mt_scheduler *sched,
+          struct mt_worker *w,
+          const struct mt_end_row *end,
+          int64_t now)
 {
-  struct mt_task *task = mt_desk_find_task (desk, end->task);
+  struct mt_task *task = mt_scheduler_find_task (sched, end->task);
   bool current;
 
   if (task == NULL || task->state == MT_TASK_DONE)
@@ -194,27 +197,27 @@
     {
       task->done_elsewhere = true;
       if (task->worker != NULL)
-        mt_task_stop (desk, task, now);
+        mt_task_stop (sched, task, now);
       else
-        finish_elsewhere (desk, task, now);
+        finish_elsewhere (sched, task, now);
       return;
     }
   if (!current)
     return;
   if (end->how == MT_END_DONE)
-    task_done (desk, task, w, now);
+    task_done (sched, task, w, now);
   else if (end->how == MT_END_FAILED)
-    task_failed (desk, task, w, now);
+    task_failed (sched, task, w, now);
   else
     {
       if (end->how == MT_END_ALONE || end->how == MT_END_BROKEN)
         task->not_before = now + AGAIN_MS;
-      mt_task_wait (desk, task, now);
+      mt_task_wait (sched, task, now);
     }
 }
 
 static void
-take_ends (struct mt_desk *desk,
+take_ends (struct mt_scheduler *sched,
            struct mt_worker *w,
            const struct mt_hold_report *report,
            int64_t now)
@@ -225,20 +228,20 @@
 
       if (end->number <= w->seen_end)
         continue;
-      take_end (desk, w, end, now);
+      take_end (sched, w, end, now);
       w->seen_end = end->number;
-      desk->changed = true;
+      sched->changed = true;
     }
 }
 
 /* ---- runs ---- */
 
 static void
-add_stray (struct mt_desk *desk, struct mt_worker *w, const struct mt_run_row *row)
+add_stray (struct mt_scheduler *sched, struct mt_worker *w, const struct mt_run_row *row)
 {
   struct mt_stray *stray;
 
-  for (GList *l = desk->strays.head; l != NULL; l = l->next)
+  for (GList *l = sched->strays.head; l != NULL; l = l->next)
     {
       stray = l->data;
       if (stray->worker == w && strcmp (stray->task, row->task) == 0)
@@ -246,40 +249,40 @@
     }
   stray = g_new0 (struct mt_stray, 1);
   *stray = (struct mt_stray){ w, g_strdup (row->task), row->run };
-  g_queue_push_tail (&desk->strays, stray);
+  g_queue_push_tail (&sched->strays, stray);
 }
 
 /* What a listing shows and no open job wants is stopped, whatever path left it there, and a stop
  * that was acknowledged and has not taken effect is sent again: a run that is forgotten once is
  * held with the others on its worker, and so never lapses. */
 static void
-stop_unwanted (struct mt_desk *desk, struct mt_task *task, int64_t sent, int64_t now)
+stop_unwanted (struct mt_scheduler *sched, struct mt_task *task, int64_t sent, int64_t now)
 {
   if (task->part->job->ended_at != 0)
-    mt_task_stop (desk, task, now);
+    mt_task_stop (sched, task, now);
   if (task->state == MT_TASK_STOPPING && task->stop_answered
       && sent > task->answered + MT_STOP_AGAIN_MS)
     task->stop_answered = false;
 }
 
 static void
-take_run (struct mt_desk *desk,
+take_run (struct mt_scheduler *sched,
           struct mt_worker *w,
           const struct mt_run_row *row,
           int64_t sent,
           int64_t now)
 {
-  struct mt_task *task = mt_desk_find_task (desk, row->task);
+  struct mt_task *task = mt_scheduler_find_task (sched, row->task);
 
   if (task == NULL || task->worker != w || task->run != row->run)
     {
       w->strays++;
-      add_stray (desk, w, row);
+      add_stray (sched, w, row);
       return;
     }
   task->stamp = w->stamp;
   mt_task_keep_checkpoint (task, row->checkpoint);
-  mark_running (desk, task, now);
+  mark_running (sched, task, now);
   task->inherited = false;
   if (row->percent != task->percent)
     {
@@ -289,25 +292,26 @@
   task->gauge = row->gauge;
   if (mt_task_step (task)->lasting)
     task->away_since = task->percent == 100 ? 0 : task->away_since != 0 ? task->away_since : now;
-  stop_unwanted (desk, task, sent, now);
+  stop_unwanted (sched, task, sent, now);
 }
 
 /* The worker's own list is believed over ours: what it may still begin is stopped by name. */
 static void
-stop_missed (struct mt_desk *desk, struct mt_task *task, const char *why, int64_t sent, int64_t now)
+stop_missed (
+    struct mt_scheduler *sched, struct mt_task *task, const char *why, int64_t sent, int64_t now)
 {
-  mt_task_tell (desk, task, task->worker, "TASK_MISSED",
+  mt_task_tell (sched, task, task->worker, "TASK_MISSED",
                 "why=%s listing_age_ms=%" G_GINT64_FORMAT " since_ms=%" G_GINT64_FORMAT, why,
                 now - sent, now - task->since);
   task->shunned = task->worker;
-  mt_task_stop (desk, task, now);
+  mt_task_stop (sched, task, now);
 }
 
 /* The start is lost, or comes late. Sent again under its run number it can't run twice: whichever
  * comes second finds the run there. Stopping instead would end a run that the late one has begun,
  * and a caller would wait for three more calls. A worker that leaves must start nothing. */
 static void
-doubt_start (struct mt_desk *desk, struct mt_task *task, int64_t sent, int64_t now)
+doubt_start (struct mt_scheduler *sched, struct mt_task *task, int64_t sent, int64_t now)
 {
   if (task->repeats < START_REPEATS && !task->worker->leaving)
     {
@@ -316,16 +320,16 @@
       task->repeats++;
       task->doubtful = false;
       task->order_due = true;
-      g_queue_push_tail (&desk->starts, task);
+      g_queue_push_tail (&sched->starts, task);
     }
   else if (now - task->since > MT_DOUBT_MS)
-    stop_missed (desk, task, "start unanswered", sent, now);
+    stop_missed (sched, task, "start unanswered", sent, now);
 }
 
 /* What the worker did not list though it should have. A listing counts only where it was asked for
  * after the worker had acknowledged the order: answers overtake each other. */
 static void
-miss_run (struct mt_desk *desk, struct mt_task *task, int64_t sent, int64_t now)
+miss_run (struct mt_scheduler *sched, struct mt_task *task, int64_t sent, int64_t now)
 {
   bool after = task->answered != 0 && sent > task->answered;
 
@@ -334,17 +338,17 @@
     case MT_TASK_ORDERED:
       /* The predecessor's orders are refused from our first hold on: it was never started. */
       if (task->inherited)
-        mt_task_wait (desk, task, now);
+        mt_task_wait (sched, task, now);
       else if (task->doubtful)
-        doubt_start (desk, task, sent, now);
+        doubt_start (sched, task, sent, now);
       return;
     case MT_TASK_RUNNING:
       if (after)
-        stop_missed (desk, task, "not listed", sent, now);
+        stop_missed (sched, task, "not listed", sent, now);
       return;
     case MT_TASK_STOPPING:
       if (task->stop_answered && after)
-        mt_task_wait (desk, task, now);
+        mt_task_wait (sched, task, now);
       return;
     default:
       return;
@@ -352,7 +356,7 @@
 }
 
 static void
-take_runs (struct mt_desk *desk,
+take_runs (struct mt_scheduler *sched,
            struct mt_worker *w,
            const struct mt_hold_report *report,
            int64_t sent,
@@ -363,25 +367,25 @@
   w->stamp++;
   w->strays = 0;
   for (size_t i = 0; i < report->n_running; i++)
-    take_run (desk, w, &report->running[i], sent, now);
+    take_run (sched, w, &report->running[i], sent, now);
   for (GList *l = w->tasks.head; l != NULL; l = next)
     {
       struct mt_task *task = l->data;
 
       next = l->next;
       if (task->stamp != w->stamp)
-        miss_run (desk, task, sent, now);
+        miss_run (sched, task, sent, now);
     }
 }
 
 void
-mt_desk_hold_answered (struct mt_desk *desk,
-                       const char *worker,
-                       const struct mt_hold_report *report,
-                       int64_t sent,
-                       int64_t now)
+mt_scheduler_hold_answered (struct mt_scheduler *sched,
+                            const char *worker,
+                            const struct mt_hold_report *report,
+                            int64_t sent,
+                            int64_t now)
 {
-  struct mt_worker *w = find_worker (desk, worker);
+  struct mt_worker *w = find_worker (sched, worker);
 
   if (w == NULL)
     return;
@@ -391,13 +395,13 @@
     case MT_ANSWER_OK:
       break;
     case MT_ANSWER_FENCED:
-      fence_off (desk, worker);
+      fence_off (sched, worker);
       return;
     case MT_ANSWER_OTHER_LIFE:
-      mt_desk_worker_ended (desk, worker, now, "another answers at its address");
+      mt_scheduler_worker_ended (sched, worker, now, "another answers at its address");
       return;
     default:
-      order_unheard (desk, w, now);
+      order_unheard (sched, w, now);
       w->next_hold = w->lost_holds++ == 0 ? now : now + SILENT_AGAIN_MS;
       return;
     }
@@ -416,22 +420,22 @@
                                         .zone = w->zone,
                                         .room = w->room };
 
-      mt_desk_worker_seen (desk, &reborn, now);
+      mt_scheduler_worker_seen (sched, &reborn, now);
     }
   else if (w->born == 0)
     w->born = report->born_ms;
-  heard (desk, w, now);
+  heard (sched, w, now);
   w->listing_at = now;
   w->lost_holds = 0;
   mt_worker_clock (w, report->clock_ms, now);
   if (!w->held)
     {
       w->held = true;
-      desk->changed = true;
+      sched->changed = true;
     }
-  take_ends (desk, w, report, now);
-  take_runs (desk, w, report, sent, now);
-  mt_worker_pace (desk, w, now);
+  take_ends (sched, w, report, now);
+  take_runs (sched, w, report, sent, now);
+  mt_worker_pace (sched, w, now);
   w->next_hold = w->tasks.length > 0 || w->strays > 0 || w->seen_end > w->durable_end
                      ? now
                      : now + IDLE_HOLD_MS;
@@ -440,7 +444,7 @@
 /* ---- orders ---- */
 
 static void
-start_refused (struct mt_desk *desk,
+start_refused (struct mt_scheduler *sched,
                struct mt_task *task,
                struct mt_worker *w,
                enum mt_answer answer,
@@ -459,19 +463,19 @@
       char name[80];
 
       mt_task_step_name (task, name, sizeof name);
-      g_hash_table_remove (desk->advices, name);
+      g_hash_table_remove (sched->advices, name);
     }
   task->not_before = now + AGAIN_MS;
-  mt_task_tell (desk, task, w, "START_REFUSED", "why=%s", why[answer]);
+  mt_task_tell (sched, task, w, "START_REFUSED", "why=%s", why[answer]);
   /* One sent before may still arrive, and find room: the task would run twice. */
   if (task->repeats > 0)
-    mt_task_stop (desk, task, now);
+    mt_task_stop (sched, task, now);
   else
-    mt_task_wait (desk, task, now);
+    mt_task_wait (sched, task, now);
 }
 
 static void
-start_answered (struct mt_desk *desk,
+start_answered (struct mt_scheduler *sched,
                 struct mt_task *task,
                 struct mt_worker *w,
                 enum mt_answer answer,
@@ -483,7 +487,7 @@
   switch (answer)
     {
     case MT_ANSWER_OK:
-      mark_running (desk, task, now);
+      mark_running (sched, task, now);
       task->answered = now;
       w->next_hold = MIN (w->next_hold, now);
       return;
@@ -494,23 +498,23 @@
       return;
     default:
       if (task->state == MT_TASK_ORDERED)
-        start_refused (desk, task, w, answer, now);
+        start_refused (sched, task, w, answer, now);
       return;
     }
 }
 
 void
-mt_desk_order_answered (struct mt_desk *desk,
-                        enum mt_order_kind kind,
-                        const char *worker,
-                        const char *name,
-                        unsigned run,
-                        enum mt_answer answer,
-                        int64_t clock_ms,
-                        int64_t now)
+mt_scheduler_order_answered (struct mt_scheduler *sched,
+                             enum mt_order_kind kind,
+                             const char *worker,
+                             const char *name,
+                             unsigned run,
+                             enum mt_answer answer,
+                             int64_t clock_ms,
+                             int64_t now)
 {
-  struct mt_worker *w = find_worker (desk, worker);
-  struct mt_task *task = mt_desk_find_task (desk, name);
+  struct mt_worker *w = find_worker (sched, worker);
+  struct mt_task *task = mt_scheduler_find_task (sched, name);
 
   if (w == NULL)
     return;
@@ -518,25 +522,25 @@
     w->order_load--;
   if (answer == MT_ANSWER_FENCED)
     {
-      fence_off (desk, worker);
+      fence_off (sched, worker);
       return;
     }
   if (answer == MT_ANSWER_OTHER_LIFE)
     {
-      mt_desk_worker_ended (desk, worker, now, "another answers at its address");
+      mt_scheduler_worker_ended (sched, worker, now, "another answers at its address");
       return;
     }
   if (answer == MT_ANSWER_NONE)
-    order_unheard (desk, w, now);
+    order_unheard (sched, w, now);
   else
     {
-      heard (desk, w, now);
+      heard (sched, w, now);
       mt_worker_clock (w, clock_ms, now);
     }
   if (task == NULL || task->worker != w || task->run != run)
     return;
   if (kind == MT_ORDER_START)
-    start_answered (desk, task, w, answer, now);
+    start_answered (sched, task, w, answer, now);
   else if (kind == MT_ORDER_STOP && task->state == MT_TASK_STOPPING)
     {
       task->order_sent = false;
--- a/core/desk/desk_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -1,8 +1,8 @@
-/* The desk's structures, shared by its own files only. All on the owner's one thread. */
-#ifndef MT_DESK_INTERNAL_H
-#define MT_DESK_INTERNAL_H
+/* The scheduler's structures, shared by its own files only. All on the owner's one thread. */
+#ifndef MT_SCHEDULER_INTERNAL_H
+#define MT_SCHEDULER_INTERNAL_H
 
-#include "medlartrack/desk.h"
+#include "medlartrack/scheduler.h"
 
 enum mt_task_state
 {
@@ -76,12 +76,12 @@
   enum mt_job_state cycle;   /* the state that is being written */
   bool begun;
   bool dirty;    /* to be written in the next cycle */
-  bool listed;   /* among the desk's dirty ones */
+  bool listed;   /* among the scheduler's dirty ones */
   bool in_cycle; /* being written */
   int64_t ended_at;
   int64_t submitted;
   int64_t revision;
-  GList link; /* in the desk's open jobs */
+  GList link; /* in the scheduler's open jobs */
 };
 
 struct mt_route
@@ -167,9 +167,9 @@
   unsigned run;
 };
 
-struct mt_desk
+struct mt_scheduler
 {
-  struct mt_desk_settings settings;
+  struct mt_scheduler_settings settings;
   GHashTable *jobs;     /* id to struct mt_job */
   GHashTable *routes;   /* name to struct mt_route */
   GHashTable *workers;  /* id to struct mt_worker */
@@ -178,7 +178,7 @@
   GQueue closed;        /* ended ones, in order of their end */
   GPtrArray *dirty;     /* jobs to be written, or that were */
   GPtrArray *writing;   /* jobs of the running cycle */
-  GPtrArray *graveyard; /* workers that are gone but still pointed to; freed with the desk */
+  GPtrArray *graveyard; /* workers that are gone but still pointed to; freed with the scheduler */
   GQueue starts;        /* tasks whose start is due */
   GQueue stops;         /* tasks whose stop is due */
   GQueue paces;
@@ -189,7 +189,7 @@
   int64_t last_plan;
   int64_t last_watch;
   int64_t losses_at; /* when an order to a worker that answers others had no answer */
-  mt_desk_told told;
+  mt_scheduler_told told;
   void *told_ctx;
 };
 
@@ -205,52 +205,55 @@
 /* The worker's clock may run slow by this much (parts of a thousand). */
 #define MT_CLOCK_SLOW 20
 
-void mt_desk_tell (struct mt_desk *desk, const char *name, const char *format, ...)
+void mt_scheduler_tell (struct mt_scheduler *sched, const char *name, const char *format, ...)
     G_GNUC_PRINTF (3, 4);
 /* The same of the run that a task has, or had last, on the worker: named before what the format
  * says. */
-void mt_task_tell (struct mt_desk *desk,
+void mt_task_tell (struct mt_scheduler *sched,
                    const struct mt_task *task,
                    const struct mt_worker *w,
                    const char *name,
                    const char *format,
                    ...) G_GNUC_PRINTF (5, 6);
 
-/* desk.c */
+/* scheduler.c */
 void mt_ticket_free (void *data);
-void mt_job_mark (struct mt_desk *desk, struct mt_job *job);
+void mt_job_mark (struct mt_scheduler *sched, struct mt_job *job);
 /* A task of it has started: it is no longer among those that wait. */
 void mt_job_begin (struct mt_job *job);
-void mt_job_check_end (struct mt_desk *desk, struct mt_job *job, int64_t now);
-void mt_job_end (struct mt_desk *desk, struct mt_job *job, enum mt_job_state state, int64_t now);
-void mt_job_stop_tasks (struct mt_desk *desk, struct mt_job *job, int64_t now);
+void mt_job_check_end (struct mt_scheduler *sched, struct mt_job *job, int64_t now);
+void
+mt_job_end (struct mt_scheduler *sched, struct mt_job *job, enum mt_job_state state, int64_t now);
+void mt_job_stop_tasks (struct mt_scheduler *sched, struct mt_job *job, int64_t now);
 struct mt_part *mt_job_part (struct mt_job *job, unsigned number);
-void mt_job_open_due (struct mt_desk *desk, int64_t now, int64_t wall);
+void mt_job_open_due (struct mt_scheduler *sched, int64_t now, int64_t wall);
 
-/* desk_tasks.c: the one place where a task changes its state */
+/* scheduler_tasks.c: the one place where a task changes its state */
 const struct mt_step *mt_task_step (const struct mt_task *task);
-struct mt_task *mt_desk_find_task (struct mt_desk *desk, const char *name);
+struct mt_task *mt_scheduler_find_task (struct mt_scheduler *sched, const char *name);
 void mt_task_name (const struct mt_task *task, char *out, size_t size);
 /* ID.OCCURRENCE.STEP: what advice is asked for. */
 void mt_task_step_name (const struct mt_task *task, char *out, size_t size);
 /* The advice on the task's step; NULL where none was asked for. */
-struct mt_advice *mt_task_advice (const struct mt_desk *desk, const struct mt_task *task);
-void mt_task_place (struct mt_desk *desk, struct mt_task *task, struct mt_worker *w, int64_t now);
-void mt_task_wait (struct mt_desk *desk, struct mt_task *task, int64_t now);
-void mt_task_finish (struct mt_desk *desk, struct mt_task *task, int64_t now);
-void mt_task_stop (struct mt_desk *desk, struct mt_task *task, int64_t now);
+struct mt_advice *mt_task_advice (const struct mt_scheduler *sched, const struct mt_task *task);
+void
+mt_task_place (struct mt_scheduler *sched, struct mt_task *task, struct mt_worker *w, int64_t now);
+void mt_task_wait (struct mt_scheduler *sched, struct mt_task *task, int64_t now);
+void mt_task_finish (struct mt_scheduler *sched, struct mt_task *task, int64_t now);
+void mt_task_stop (struct mt_scheduler *sched, struct mt_task *task, int64_t now);
 void mt_task_keep_checkpoint (struct mt_task *task, const char *checkpoint);
-void mt_task_unqueue (struct mt_desk *desk, struct mt_task *task);
+void mt_task_unqueue (struct mt_scheduler *sched, struct mt_task *task);
 
 /* Work that has come of late, in thousandths of a core. */
-double mt_desk_arriving (const struct mt_desk *desk, int64_t now);
+double mt_scheduler_arriving (const struct mt_scheduler *sched, int64_t now);
 
-/* desk_workers.c */
-struct mt_worker *mt_desk_worker (struct mt_desk *desk, const char *id);
+/* scheduler_workers.c */
+struct mt_worker *mt_scheduler_worker (struct mt_scheduler *sched, const char *id);
 bool mt_worker_takes (const struct mt_worker *w, int64_t now);
 bool mt_worker_fits (const struct mt_worker *w, const struct mt_step *step);
-void mt_worker_evidence (struct mt_desk *desk, struct mt_worker *w, bool good, int64_t now);
-void mt_worker_release (struct mt_desk *desk, struct mt_worker *w, int64_t now, const char *why);
+void mt_worker_evidence (struct mt_scheduler *sched, struct mt_worker *w, bool good, int64_t now);
+void
+mt_worker_release (struct mt_scheduler *sched, struct mt_worker *w, int64_t now, const char *why);
 void mt_worker_clock (struct mt_worker *w, int64_t clock_ms, int64_t now);
 int64_t mt_worker_lease (const struct mt_worker *w, int64_t now, int64_t hold_ms);
 void mt_worker_granted (struct mt_worker *w, int64_t hold_ms, int64_t now);
@@ -259,16 +262,16 @@
  * take. */
 int64_t mt_task_left_ms (const struct mt_task *task, int64_t now);
 
-/* desk_place.c */
-void mt_desk_place (struct mt_desk *desk, int64_t now);
+/* scheduler_place.c */
+void mt_scheduler_place (struct mt_scheduler *sched, int64_t now);
 bool mt_part_ready (const struct mt_part *part, unsigned step);
 /* It can still be done within its objective. */
 bool mt_part_is_timely (const struct mt_part *part, int64_t now);
 double mt_step_expected_ms (const struct mt_route *route, const struct mt_step *step);
 
-/* desk_watch.c: what is done about what stands still */
-void mt_desk_watch (struct mt_desk *desk, int64_t now);
-/* desk_pace.c */
-void mt_worker_pace (struct mt_desk *desk, struct mt_worker *w, int64_t now);
+/* scheduler_watch.c: what is done about what stands still */
+void mt_scheduler_watch (struct mt_scheduler *sched, int64_t now);
+/* scheduler_pace.c */
+void mt_worker_pace (struct mt_scheduler *sched, struct mt_worker *w, int64_t now);
 
 #endif
--- a/core/desk/desk_orders.c
+++ b/core/scheduler/scheduler_orders.c
@@ -1,5 +1,5 @@
 /* What is to be sent next. */
-#include "desk_internal.h"
+#include "scheduler_internal.h"
 
 /* Orders on their way to one worker at most; more would only wait in its connections. */
 #define ORDERS_PER_WORKER 4U
@@ -16,10 +16,13 @@
 #define ADVISED_WORKERS 30U
 
 static void
-fill_task (const struct mt_desk *desk, struct mt_task *task, struct mt_order *order, int64_t now)
+fill_task (const struct mt_scheduler *sched,
+           struct mt_task *task,
+           struct mt_order *order,
+           int64_t now)
 {
   struct mt_worker *w = task->worker;
-  const struct mt_advice *advice = mt_task_advice (desk, task);
+  const struct mt_advice *advice = mt_task_advice (sched, task);
   const struct mt_ticket *ticket = NULL;
 
   mt_task_name (task, order->task, sizeof order->task);
@@ -28,7 +31,7 @@
   order->run = task->run;
   order->payload = task->part->job->spec->payload;
   order->checkpoint = task->checkpoint;
-  order->lease_ms = mt_worker_lease (w, now, desk->settings.hold_ms);
+  order->lease_ms = mt_worker_lease (w, now, sched->settings.hold_ms);
   if (advice != NULL)
     ticket = g_hash_table_lookup (advice->tickets, w->id);
   order->ticket = ticket != NULL ? ticket->text : NULL;
@@ -53,21 +56,21 @@
 }
 
 static bool
-next_stop (struct mt_desk *desk, int64_t now, struct mt_order *order)
+next_stop (struct mt_scheduler *sched, int64_t now, struct mt_order *order)
 {
-  struct mt_task *task = take_task (&desk->stops);
+  struct mt_task *task = take_task (&sched->stops);
 
   if (task == NULL)
     return false;
   order->kind = MT_ORDER_STOP;
-  fill_task (desk, task, order, now);
+  fill_task (sched, task, order, now);
   return true;
 }
 
 static bool
-next_stray (struct mt_desk *desk, struct mt_order *order)
+next_stray (struct mt_scheduler *sched, struct mt_order *order)
 {
-  struct mt_stray *stray = g_queue_pop_head (&desk->strays);
+  struct mt_stray *stray = g_queue_pop_head (&sched->strays);
 
   if (stray == NULL)
     return false;
@@ -77,35 +80,35 @@
   order->run = stray->run;
   g_strlcpy (order->task, stray->task, sizeof order->task);
   stray->worker->order_load++;
-  mt_desk_tell (desk, "RUN_STRAY", "task=%s run=%u worker=%s", stray->task, stray->run,
-                stray->worker->id);
+  mt_scheduler_tell (sched, "RUN_STRAY", "task=%s run=%u worker=%s", stray->task, stray->run,
+                     stray->worker->id);
   g_free (stray->task);
   g_free (stray);
   return order->address != NULL;
 }
 
 static bool
-next_start (struct mt_desk *desk, int64_t now, struct mt_order *order)
+next_start (struct mt_scheduler *sched, int64_t now, struct mt_order *order)
 {
-  struct mt_task *task = take_task (&desk->starts);
+  struct mt_task *task = take_task (&sched->starts);
 
   if (task == NULL)
     return false;
   order->kind = MT_ORDER_START;
-  fill_task (desk, task, order, now);
-  mt_worker_granted (task->worker, desk->settings.hold_ms, now);
+  fill_task (sched, task, order, now);
+  mt_worker_granted (task->worker, sched->settings.hold_ms, now);
   return true;
 }
 
 static bool
-next_pace (struct mt_desk *desk, int64_t now, struct mt_order *order)
+next_pace (struct mt_scheduler *sched, int64_t now, struct mt_order *order)
 {
-  struct mt_task *task = g_queue_pop_head (&desk->paces);
+  struct mt_task *task = g_queue_pop_head (&sched->paces);
 
   if (task == NULL || task->state != MT_TASK_RUNNING)
     return false;
   order->kind = MT_ORDER_PACE;
-  fill_task (desk, task, order, now);
+  fill_task (sched, task, order, now);
   order->percent = task->pace;
   task->worker->order_load++;
   return true;
@@ -125,19 +128,19 @@
 }
 
 static int64_t
-hold_wait (const struct mt_desk *desk, int64_t now)
+hold_wait (const struct mt_scheduler *sched, int64_t now)
 {
-  return desk->losses_at != 0 && now - desk->losses_at < LOSSES_MS ? SHORT_WAIT_MS
-                                                                   : MT_HOLD_WAIT_MS;
+  return sched->losses_at != 0 && now - sched->losses_at < LOSSES_MS ? SHORT_WAIT_MS
+                                                                     : MT_HOLD_WAIT_MS;
 }
 
 static bool
-next_hold (struct mt_desk *desk, int64_t now, struct mt_order *order)
+next_hold (struct mt_scheduler *sched, int64_t now, struct mt_order *order)
 {
   GHashTableIter it;
   struct mt_worker *w;
 
-  g_hash_table_iter_init (&it, desk->workers);
+  g_hash_table_iter_init (&it, sched->workers);
   while (g_hash_table_iter_next (&it, NULL, (void **) &w))
     {
       bool blocked;
@@ -151,13 +154,13 @@
       order->worker = w->id;
       order->address = w->address;
       order->seen_end = w->durable_end;
-      order->wait_ms = w->tasks.length > 0 && w->held && !blocked ? hold_wait (desk, now) : 0;
+      order->wait_ms = w->tasks.length > 0 && w->held && !blocked ? hold_wait (sched, now) : 0;
       /* A hold without an answer may have been carried out. Were the lease renewed with each try,
        * a cut-off worker's tasks would never be known to be over. */
       if (w->silent_since == 0)
         {
-          order->lease_ms = mt_worker_lease (w, now, desk->settings.hold_ms);
-          mt_worker_granted (w, desk->settings.hold_ms, now);
+          order->lease_ms = mt_worker_lease (w, now, sched->settings.hold_ms);
+          mt_worker_granted (w, sched->settings.hold_ms, now);
         }
       return true;
     }
@@ -165,14 +168,14 @@
 }
 
 static bool
-next_advice (struct mt_desk *desk, int64_t now, struct mt_order *order)
+next_advice (struct mt_scheduler *sched, int64_t now, struct mt_order *order)
 {
   GHashTableIter it;
   struct mt_advice *advice;
   GPtrArray *names;
   struct mt_worker *w;
 
-  g_hash_table_iter_init (&it, desk->advices);
+  g_hash_table_iter_init (&it, sched->advices);
   do
     if (!g_hash_table_iter_next (&it, NULL, (void **) &advice))
       return false;
@@ -180,7 +183,7 @@
   advice->asked = false;
   advice->on_way = true;
   names = g_ptr_array_new ();
-  g_hash_table_iter_init (&it, desk->workers);
+  g_hash_table_iter_init (&it, sched->workers);
   while (names->len < ADVISED_WORKERS && g_hash_table_iter_next (&it, NULL, (void **) &w))
     if (mt_worker_takes (w, now))
       g_ptr_array_add (names, g_strdup (w->id));
@@ -192,25 +195,25 @@
 }
 
 bool
-mt_desk_next_order (struct mt_desk *desk, int64_t now, struct mt_order *order)
+mt_scheduler_next_order (struct mt_scheduler *sched, int64_t now, struct mt_order *order)
 {
   *order = (struct mt_order){ 0 };
-  if (desk->fenced_off)
+  if (sched->fenced_off)
     return false;
-  mt_desk_watch (desk, now);
-  while (!g_queue_is_empty (&desk->strays))
-    if (next_stray (desk, order))
+  mt_scheduler_watch (sched, now);
+  while (!g_queue_is_empty (&sched->strays))
+    if (next_stray (sched, order))
       return true;
-  return next_stop (desk, now, order) || next_start (desk, now, order)
-         || next_pace (desk, now, order) || next_hold (desk, now, order)
-         || next_advice (desk, now, order);
+  return next_stop (sched, now, order) || next_start (sched, now, order)
+         || next_pace (sched, now, order) || next_hold (sched, now, order)
+         || next_advice (sched, now, order);
 }
 
 bool
-mt_desk_next_hold (struct mt_desk *desk, int64_t now, struct mt_order *order)
+mt_scheduler_next_hold (struct mt_scheduler *sched, int64_t now, struct mt_order *order)
 {
   *order = (struct mt_order){ 0 };
-  return !desk->fenced_off && next_hold (desk, now, order);
+  return !sched->fenced_off && next_hold (sched, now, order);
 }
 
 void
@@ -221,13 +224,13 @@
 }
 
 void
-mt_desk_advised (struct mt_desk *desk,
-                 const char *step_name,
-                 const char *worker,
-                 const char *text,
-                 int64_t until)
+mt_scheduler_advised (struct mt_scheduler *sched,
+                      const char *step_name,
+                      const char *worker,
+                      const char *text,
+                      int64_t until)
 {
-  struct mt_advice *advice = g_hash_table_lookup (desk->advices, step_name);
+  struct mt_advice *advice = g_hash_table_lookup (sched->advices, step_name);
   struct mt_ticket *ticket;
 
   if (advice == NULL)
@@ -239,13 +242,16 @@
 }
 
 void
-mt_desk_advice_answered (struct mt_desk *desk, const char *step_name, int64_t now, bool ok)
+mt_scheduler_advice_answered (struct mt_scheduler *sched,
+                              const char *step_name,
+                              int64_t now,
+                              bool ok)
 {
-  struct mt_advice *advice = g_hash_table_lookup (desk->advices, step_name);
+  struct mt_advice *advice = g_hash_table_lookup (sched->advices, step_name);
 
   if (advice == NULL)
     return;
   advice->on_way = false;
   advice->again_at = now + (ok ? 500 : 200);
-  desk->changed = true;
+  sched->changed = true;
 }
--- a/core/desk/desk_pace.c
+++ b/core/scheduler/scheduler_pace.c
@@ -1,6 +1,6 @@
 /* Fill work beside serving work: it gives way before the tail of those who serve has been over its
  * target for long, and comes back by steps. */
-#include "desk_internal.h"
+#include "scheduler_internal.h"
 
 /* Share of the target at which fill work begins to give way, and below which it comes back. */
 #define TIGHT 0.9
@@ -43,7 +43,7 @@
 }
 
 static void
-pace_fills (struct mt_desk *desk, struct mt_worker *w, bool down, int64_t now)
+pace_fills (struct mt_scheduler *sched, struct mt_worker *w, bool down, int64_t now)
 {
   for (GList *l = w->tasks.head; l != NULL; l = l->next)
     {
@@ -54,18 +54,18 @@
         continue;
       task->pace = pace;
       w->pace_at = now;
-      g_queue_push_tail (&desk->paces, task);
-      mt_task_tell (desk, task, w, "TASK_PACED", "percent=%u", pace);
+      g_queue_push_tail (&sched->paces, task);
+      mt_task_tell (sched, task, w, "TASK_PACED", "percent=%u", pace);
     }
 }
 
 void
-mt_worker_pace (struct mt_desk *desk, struct mt_worker *w, int64_t now)
+mt_worker_pace (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
   int tight = tightness (w);
 
   if (tight > 0 && now - w->pace_at >= SETTLE_MS)
-    pace_fills (desk, w, true, now);
+    pace_fills (sched, w, true, now);
   else if (tight < 0 && now - w->pace_at >= RETURN_MS)
-    pace_fills (desk, w, false, now);
+    pace_fills (sched, w, false, now);
 }
--- a/core/desk/desk_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -4,7 +4,7 @@
  * and a twentieth in between. In the surge not all can be in time, so room goes to the jobs that
  * earn most for what they still need, and a job that can't be in time any more gives way; it runs,
  * oldest first, as soon as nothing timely wants the room. Nothing that was accepted is dropped. */
-#include "desk_internal.h"
+#include "scheduler_internal.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -197,7 +197,7 @@
 
 struct site
 {
-  struct mt_desk *desk;
+  struct mt_scheduler *sched;
   int64_t now;
   GPtrArray *takers;
   double mean_slow;
@@ -265,7 +265,7 @@
 
   if (step->rack != NULL
       && (w->labels == NULL || !g_strv_contains ((const char *const *) w->labels, step->rack)))
-    cost *= site->desk->settings.remote_factor;
+    cost *= site->sched->settings.remote_factor;
   cost += (w->dones >= PROVED_DONES ? -PACK_GAIN : PACK_GAIN) * load;
   return cost + neighbours_cost (w, step);
 }
@@ -287,7 +287,7 @@
   struct mt_route *route = task->part->job->route;
   bool last = !step->lasting && task->attempts + 1 >= route->terms.max_attempts
               && task->attempts > 0 && site->now - task->since < LAST_ATTEMPT_MS;
-  const struct mt_advice *advice = route->advice ? mt_task_advice (site->desk, task) : NULL;
+  const struct mt_advice *advice = route->advice ? mt_task_advice (site->sched, task) : NULL;
   struct mt_worker *best = NULL;
   double best_cost = 0;
 
@@ -312,9 +312,9 @@
 
 /* Steps under advice that wait and have no tickets that hold ask for some. */
 static void
-want_advice (struct mt_desk *desk, const struct mt_task *task, int64_t now)
+want_advice (struct mt_scheduler *sched, const struct mt_task *task, int64_t now)
 {
-  struct mt_advice *advice = mt_task_advice (desk, task);
+  struct mt_advice *advice = mt_task_advice (sched, task);
 
   if (advice == NULL)
     {
@@ -324,7 +324,7 @@
       advice = g_new0 (struct mt_advice, 1);
       advice->step_name = g_strdup (name);
       advice->tickets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, mt_ticket_free);
-      g_hash_table_insert (desk->advices, advice->step_name, advice);
+      g_hash_table_insert (sched->advices, advice->step_name, advice);
     }
   if (!advice->on_way && advice->again_at <= now)
     advice->asked = true;
@@ -367,17 +367,17 @@
     {
       note_full (site, task);
       if (task->part->job->route->advice)
-        want_advice (site->desk, task, site->now);
+        want_advice (site->sched, task, site->now);
       return false;
     }
-  mt_task_place (site->desk, task, w, site->now);
+  mt_task_place (site->sched, task, w, site->now);
   return true;
 }
 
 static void
-unplace (struct mt_desk *desk, struct mt_task *task, int64_t now)
+unplace (struct mt_scheduler *sched, struct mt_task *task, int64_t now)
 {
-  mt_task_wait (desk, task, now);
+  mt_task_wait (sched, task, now);
   task->run--;
 }
 
@@ -410,7 +410,7 @@
       return;
     }
   while (placed-- > 0)
-    unplace (site->desk, &tasks[placed], site->now);
+    unplace (site->sched, &tasks[placed], site->now);
 }
 
 static void
@@ -436,7 +436,7 @@
   struct mt_worker *w;
   double sum = 0;
 
-  g_hash_table_iter_init (&it, site->desk->workers);
+  g_hash_table_iter_init (&it, site->sched->workers);
   while (g_hash_table_iter_next (&it, NULL, (void **) &w))
     if (mt_worker_takes (w, site->now))
       {
@@ -456,13 +456,13 @@
 }
 
 void
-mt_desk_place (struct mt_desk *desk, int64_t now)
+mt_scheduler_place (struct mt_scheduler *sched, int64_t now)
 {
   g_autoptr (GArray) bundles = g_array_new (FALSE, FALSE, sizeof (struct bundle));
-  struct site site = { .desk = desk, .now = now, .takers = g_ptr_array_new () };
+  struct site site = { .sched = sched, .now = now, .takers = g_ptr_array_new () };
 
   find_takers (&site);
-  for (GList *l = desk->open.head; l != NULL; l = l->next)
+  for (GList *l = sched->open.head; l != NULL; l = l->next)
     {
       struct mt_job *job = l->data;
 
@@ -485,5 +485,5 @@
         place_bundle (&site, &g_array_index (bundles, struct bundle, i));
     }
   g_ptr_array_unref (site.takers);
-  desk->last_plan = now;
+  sched->last_plan = now;
 }
--- a/core/desk/desk_record.c
+++ b/core/scheduler/scheduler_record.c
@@ -1,5 +1,5 @@
 /* A job's progress as text: what a successor needs to go on. */
-#include "desk_internal.h"
+#include "scheduler_internal.h"
 
 #include "medlartrack/json_text.h"
 
@@ -53,9 +53,9 @@
 }
 
 char *
-mt_desk_record (const struct mt_desk *desk, const char *id)
+mt_scheduler_record (const struct mt_scheduler *sched, const char *id)
 {
-  const struct mt_job *job = g_hash_table_lookup (desk->jobs, id);
+  const struct mt_job *job = g_hash_table_lookup (sched->jobs, id);
   GString *out;
   bool first = true;
 
@@ -101,7 +101,7 @@
 }
 
 static void
-restore_done (struct mt_desk *desk, struct mt_job *job, json_t *done, int64_t now)
+restore_done (struct mt_scheduler *sched, struct mt_job *job, json_t *done, int64_t now)
 {
   const char *key;
   json_t *value;
@@ -117,12 +117,12 @@
     part = part_of (job, number);
     for (unsigned i = 0; part != NULL && i < job->spec->steps[step].count && marks[i] != '\0'; i++)
       if (marks[i] == 'd')
-        mt_task_finish (desk, &part->tasks[part->step_first[step] + i], now);
+        mt_task_finish (sched, &part->tasks[part->step_first[step] + i], now);
   }
 }
 
 static void
-restore_task (struct mt_desk *desk, struct mt_job *job, json_t *row, int64_t now)
+restore_task (struct mt_scheduler *sched, struct mt_job *job, json_t *row, int64_t now)
 {
   unsigned number = (unsigned) json_integer_value (json_array_get (row, COLUMN_PART));
   unsigned step = (unsigned) json_integer_value (json_array_get (row, COLUMN_STEP));
@@ -143,23 +143,24 @@
   mt_task_keep_checkpoint (task, json_string_value (json_array_get (row, COLUMN_CHECKPOINT)));
   if (worker == NULL || worker[0] == '\0')
     return;
-  w = mt_desk_worker (desk, worker);
+  w = mt_scheduler_worker (sched, worker);
   if (born != 0 && w->born != 0 && w->born != born)
     return; /* that life is over, and what it ran with it */
   if (w->born == 0)
     w->born = born;
   task->run--; /* placing counts one up */
-  mt_task_place (desk, task, w, now);
+  mt_task_place (sched, task, w, now);
   task->state = MT_TASK_ORDERED;
   task->inherited = true;
-  w->lapse_by = MAX (w->lapse_by, now + desk->settings.max_hold_ms * 1000 / (1000 - MT_CLOCK_SLOW));
+  w->lapse_by
+      = MAX (w->lapse_by, now + sched->settings.max_hold_ms * 1000 / (1000 - MT_CLOCK_SLOW));
 }
 
 bool
-mt_desk_restore (
-    struct mt_desk *desk, const char *id, const char *record, int64_t revision, int64_t now)
+mt_scheduler_restore (
+    struct mt_scheduler *sched, const char *id, const char *record, int64_t revision, int64_t now)
 {
-  struct mt_job *job = g_hash_table_lookup (desk->jobs, id);
+  struct mt_job *job = g_hash_table_lookup (sched->jobs, id);
   json_t *root = json_loads (record, 0, NULL);
   const char *state_name;
   enum mt_job_state state;
@@ -176,21 +177,21 @@
   state = state_name != NULL ? mt_job_state_read (mt_str_from (state_name)) : MT_JOB_UNKNOWN;
   if (json_integer_value (json_object_get (root, "b")) != 0)
     mt_job_begin (job);
-  restore_done (desk, job, json_object_get (root, "d"), now);
-  json_array_foreach (json_object_get (root, "t"), i, row) restore_task (desk, job, row, now);
+  restore_done (sched, job, json_object_get (root, "d"), now);
+  json_array_foreach (json_object_get (root, "t"), i, row) restore_task (sched, job, row, now);
   job->dirty = false;
   if (mt_job_state_is_final (state))
     {
-      mt_job_end (desk, job, state, now);
+      mt_job_end (sched, job, state, now);
       job->durable = state;
       job->dirty = false; /* it is stored already */
     }
   /* A cancelling read from the queue has ended the job before its runs were known, whatever state
    * the record tells: they would run on for ever, as nobody's strays and nobody's work. */
   if (job->ended_at != 0)
-    mt_job_stop_tasks (desk, job, now);
+    mt_job_stop_tasks (sched, job, now);
   else
-    mt_job_check_end (desk, job, now);
+    mt_job_check_end (sched, job, now);
   json_decref (root);
   return state != MT_JOB_UNKNOWN;
 }
--- a/core/desk/desk_tasks.c
+++ b/core/scheduler/scheduler_tasks.c
@@ -1,4 +1,4 @@
-#include "desk_internal.h"
+#include "scheduler_internal.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -24,12 +24,12 @@
 }
 
 struct mt_advice *
-mt_task_advice (const struct mt_desk *desk, const struct mt_task *task)
+mt_task_advice (const struct mt_scheduler *sched, const struct mt_task *task)
 {
   char name[80];
 
   mt_task_step_name (task, name, sizeof name);
-  return g_hash_table_lookup (desk->advices, name);
+  return g_hash_table_lookup (sched->advices, name);
 }
 
 /* Reads ".NUMBER"; moves *at behind it. */
@@ -46,7 +46,7 @@
 }
 
 struct mt_task *
-mt_desk_find_task (struct mt_desk *desk, const char *name)
+mt_scheduler_find_task (struct mt_scheduler *sched, const char *name)
 {
   const char *at = strchr (name, '.');
   unsigned number, step, index;
@@ -57,7 +57,7 @@
     return NULL;
   memcpy (id, name, (size_t) (at - name));
   id[at - name] = '\0';
-  job = g_hash_table_lookup (desk->jobs, id);
+  job = g_hash_table_lookup (sched->jobs, id);
   if (job == NULL || !read_number (&at, &number) || !read_number (&at, &step)
       || !read_number (&at, &index))
     return NULL;
@@ -76,21 +76,21 @@
 }
 
 void
-mt_task_unqueue (struct mt_desk *desk, struct mt_task *task)
+mt_task_unqueue (struct mt_scheduler *sched, struct mt_task *task)
 {
   if (!task->order_due)
     return;
-  g_queue_remove (&desk->starts, task);
-  g_queue_remove (&desk->stops, task);
+  g_queue_remove (&sched->starts, task);
+  g_queue_remove (&sched->stops, task);
   task->order_due = false;
 }
 
 static void
-leave_worker (struct mt_desk *desk, struct mt_task *task)
+leave_worker (struct mt_scheduler *sched, struct mt_task *task)
 {
   struct mt_worker *w = task->worker;
 
-  mt_task_unqueue (desk, task);
+  mt_task_unqueue (sched, task);
   if (w == NULL)
     return;
   g_queue_unlink (&w->tasks, &task->link);
@@ -100,7 +100,7 @@
 }
 
 void
-mt_task_place (struct mt_desk *desk, struct mt_task *task, struct mt_worker *w, int64_t now)
+mt_task_place (struct mt_scheduler *sched, struct mt_task *task, struct mt_worker *w, int64_t now)
 {
   task->part->step_waiting[task->step]--;
   task->state = MT_TASK_PLACED;
@@ -117,15 +117,15 @@
   task->link.data = task;
   g_queue_push_tail_link (&w->tasks, &task->link);
   add_room (w, mt_task_step (task), 1);
-  mt_job_mark (desk, task->part->job);
+  mt_job_mark (sched, task->part->job);
 }
 
 void
-mt_task_finish (struct mt_desk *desk, struct mt_task *task, int64_t now)
+mt_task_finish (struct mt_scheduler *sched, struct mt_task *task, int64_t now)
 {
   if (task->state == MT_TASK_DONE)
     return;
-  leave_worker (desk, task);
+  leave_worker (sched, task);
   if (task->state == MT_TASK_WAITING)
     task->part->step_waiting[task->step]--;
   task->state = MT_TASK_DONE;
@@ -133,46 +133,46 @@
   task->part->step_done[task->step]++;
   task->part->n_done++;
   g_clear_pointer (&task->checkpoint, g_free);
-  mt_job_mark (desk, task->part->job);
+  mt_job_mark (sched, task->part->job);
 }
 
 /* The run is over and the task has to run again. */
 void
-mt_task_wait (struct mt_desk *desk, struct mt_task *task, int64_t now)
+mt_task_wait (struct mt_scheduler *sched, struct mt_task *task, int64_t now)
 {
   if (task->state == MT_TASK_WAITING || task->state == MT_TASK_DONE)
     return;
-  leave_worker (desk, task);
+  leave_worker (sched, task);
   task->state = MT_TASK_WAITING;
   task->since = now;
   task->part->step_waiting[task->step]++;
-  mt_job_mark (desk, task->part->job);
+  mt_job_mark (sched, task->part->job);
   if (!task->done_elsewhere)
     return;
-  mt_task_finish (desk, task, now);
-  mt_job_check_end (desk, task->part->job, now);
+  mt_task_finish (sched, task, now);
+  mt_job_check_end (sched, task->part->job, now);
 }
 
 /* Ends what runs, or might. A task that was only placed has not been sent and just waits again. */
 void
-mt_task_stop (struct mt_desk *desk, struct mt_task *task, int64_t now)
+mt_task_stop (struct mt_scheduler *sched, struct mt_task *task, int64_t now)
 {
   if (task->state == MT_TASK_PLACED && !task->part->job->in_cycle)
     {
-      mt_task_wait (desk, task, now);
+      mt_task_wait (sched, task, now);
       return;
     }
   if (task->state != MT_TASK_ORDERED && task->state != MT_TASK_RUNNING
       && task->state != MT_TASK_PLACED)
     return;
-  mt_task_unqueue (desk, task);
+  mt_task_unqueue (sched, task);
   task->state = MT_TASK_STOPPING;
   task->since = now;
   task->answered = 0;
   task->stop_answered = false;
   task->order_due = true;
-  g_queue_push_tail (&desk->stops, task);
-  mt_job_mark (desk, task->part->job);
+  g_queue_push_tail (&sched->stops, task);
+  mt_job_mark (sched, task->part->job);
 }
 
 void
--- a/core/desk/desk_watch.c
+++ b/core/scheduler/scheduler_watch.c
@@ -1,5 +1,5 @@
 /* Tasks that stand still, stops without an answer, and workers that fell silent for good. */
-#include "desk_internal.h"
+#include "scheduler_internal.h"
 
 #define WATCH_MS 50 /* between two looks over everything */
 /* A task whose progress has not moved for this many of its expected run times stands still; never
@@ -19,7 +19,7 @@
 /* The caller learns nothing from a run that stands still: the task is stopped and runs elsewhere,
  * which costs what the run had done since its last checkpoint. */
 static void
-watch_progress (struct mt_desk *desk, struct mt_worker *w, struct mt_task *task, int64_t now)
+watch_progress (struct mt_scheduler *sched, struct mt_worker *w, struct mt_task *task, int64_t now)
 {
   const struct mt_step *step = mt_task_step (task);
   double expected = mt_step_expected_ms (task->part->job->route, step);
@@ -37,24 +37,24 @@
   if (task->pace < 100 || now - task->moved < bound
       || w->listing_at - task->moved < bound - MT_HOLD_WAIT_MS)
     return;
-  mt_task_tell (desk, task, w, "TASK_STILL", "percent=%u for_ms=%" G_GINT64_FORMAT, task->percent,
+  mt_task_tell (sched, task, w, "TASK_STILL", "percent=%u for_ms=%" G_GINT64_FORMAT, task->percent,
                 now - task->moved);
-  mt_worker_evidence (desk, w, false, now);
+  mt_worker_evidence (sched, w, false, now);
   task->shunned = w;
-  mt_task_stop (desk, task, now);
+  mt_task_stop (sched, task, now);
 }
 
 static void
-watch_task (struct mt_desk *desk, struct mt_worker *w, struct mt_task *task, int64_t now)
+watch_task (struct mt_scheduler *sched, struct mt_worker *w, struct mt_task *task, int64_t now)
 {
   if (task->state == MT_TASK_RUNNING && w->silent_since == 0)
-    watch_progress (desk, w, task, now);
+    watch_progress (sched, w, task, now);
   else if (task->state == MT_TASK_STOPPING && !task->order_due && !task->order_sent
            && !task->stop_answered && now - task->since > MT_STOP_AGAIN_MS)
     {
       task->since = now;
       task->order_due = true;
-      g_queue_push_tail (&desk->stops, task);
+      g_queue_push_tail (&sched->stops, task);
     }
 }
 
@@ -68,7 +68,7 @@
 /* A lasting task on a worker that leaves, or is to be emptied, goes elsewhere while others of its
  * step are at work: no more than max_unavailable may be away at once. */
 static void
-move_lasting (struct mt_desk *desk, struct mt_worker *w, struct mt_task *task, int64_t now)
+move_lasting (struct mt_scheduler *sched, struct mt_worker *w, struct mt_task *task, int64_t now)
 {
   const struct mt_step *step = mt_task_step (task);
   struct mt_part *part = task->part;
@@ -86,18 +86,18 @@
   if (away >= MAX (step->max_unavailable, 1U)
       && (!w->leaving || now - w->leaving_since < LEAVING_PATIENCE_MS))
     return;
-  mt_task_tell (desk, task, w, "TASK_MOVED", "away=%u", away);
+  mt_task_tell (sched, task, w, "TASK_MOVED", "away=%u", away);
   task->shunned = w;
-  mt_task_stop (desk, task, now);
+  mt_task_stop (sched, task, now);
 }
 
 static bool
-has_room_elsewhere (const struct mt_desk *desk, const struct mt_task *task, int64_t now)
+has_room_elsewhere (const struct mt_scheduler *sched, const struct mt_task *task, int64_t now)
 {
   GHashTableIter it;
   struct mt_worker *w;
 
-  g_hash_table_iter_init (&it, desk->workers);
+  g_hash_table_iter_init (&it, sched->workers);
   while (g_hash_table_iter_next (&it, NULL, (void **) &w))
     if (mt_worker_takes (w, now) && mt_worker_fits (w, mt_task_step (task)))
       return true;
@@ -129,7 +129,7 @@
 /* A worker that is to be emptied is wanted elsewhere, or goes: a task that alone would keep it for
  * long is stopped, to go on where there is room. */
 static void
-move_checkpointed (struct mt_desk *desk, struct mt_worker *w, int64_t now)
+move_checkpointed (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
   int64_t bound = stay_ms (w, now) + MOVE_LEAST_MS;
   GList *next;
@@ -140,15 +140,15 @@
       int64_t left = mt_task_left_ms (task, now);
 
       next = l->next;
-      if (!may_be_moved (task) || left < bound || !has_room_elsewhere (desk, task, now))
+      if (!may_be_moved (task) || left < bound || !has_room_elsewhere (sched, task, now))
         continue;
-      mt_task_tell (desk, task, w, "TASK_MOVED", "left_ms=%" G_GINT64_FORMAT, left);
-      mt_task_stop (desk, task, now);
+      mt_task_tell (sched, task, w, "TASK_MOVED", "left_ms=%" G_GINT64_FORMAT, left);
+      mt_task_stop (sched, task, now);
     }
 }
 
 static void
-watch_worker (struct mt_desk *desk, struct mt_worker *w, int64_t now)
+watch_worker (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
   bool empties = w->leaving || (w->move_lasting && w->cordon_until > now);
   GList *next;
@@ -157,12 +157,12 @@
     {
       w->cordon_until = 0;
       w->move_lasting = false;
-      desk->changed = true;
+      sched->changed = true;
     }
   if (w->shun_until != 0 && w->shun_until <= now)
     {
       w->shun_until = 0;
-      desk->changed = true;
+      sched->changed = true;
     }
   if (w->tasks.length == 0)
     return;
@@ -170,7 +170,7 @@
    * last lease given to it has run out on the slowest clock. Sooner, a task could run twice. */
   if ((w->silent_since != 0 || w->address == NULL) && now > w->lapse_by)
     {
-      mt_worker_release (desk, w, now, "lease over");
+      mt_worker_release (sched, w, now, "lease over");
       return;
     }
   for (GList *l = w->tasks.head; l != NULL; l = next)
@@ -178,24 +178,24 @@
       struct mt_task *task = l->data;
 
       next = l->next;
-      watch_task (desk, w, task, now);
+      watch_task (sched, w, task, now);
       if (empties)
-        move_lasting (desk, w, task, now);
+        move_lasting (sched, w, task, now);
     }
   if (empties)
-    move_checkpointed (desk, w, now);
+    move_checkpointed (sched, w, now);
 }
 
 void
-mt_desk_watch (struct mt_desk *desk, int64_t now)
+mt_scheduler_watch (struct mt_scheduler *sched, int64_t now)
 {
   GHashTableIter it;
   struct mt_worker *w;
 
-  if (now - desk->last_watch < WATCH_MS)
+  if (now - sched->last_watch < WATCH_MS)
     return;
-  desk->last_watch = now;
-  g_hash_table_iter_init (&it, desk->workers);
+  sched->last_watch = now;
+  g_hash_table_iter_init (&it, sched->workers);
   while (g_hash_table_iter_next (&it, NULL, (void **) &w))
-    watch_worker (desk, w, now);
+    watch_worker (sched, w, now);
 }
--- a/core/desk/desk_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -1,4 +1,4 @@
-#include "desk_internal.h"
+#include "scheduler_internal.h"
 
 #include <math.h>
 #include <string.h>
@@ -15,17 +15,17 @@
 #define DEMAND_LEAST_MS  400.0
 
 struct mt_worker *
-mt_desk_worker (struct mt_desk *desk, const char *id)
+mt_scheduler_worker (struct mt_scheduler *sched, const char *id)
 {
-  struct mt_worker *w = g_hash_table_lookup (desk->workers, id);
+  struct mt_worker *w = g_hash_table_lookup (sched->workers, id);
 
   if (w != NULL)
     return w;
   w = g_new0 (struct mt_worker, 1);
   w->id = g_strdup (id);
   w->slow = 1.0;
-  g_hash_table_insert (desk->workers, w->id, w);
-  g_ptr_array_add (desk->graveyard, w);
+  g_hash_table_insert (sched->workers, w->id, w);
+  g_ptr_array_add (sched->graveyard, w);
   return w;
 }
 
@@ -40,9 +40,9 @@
 
 /* The life is over: its runs, its ends and its clock are gone. */
 static void
-begin_life (struct mt_desk *desk, struct mt_worker *w, int64_t born, int64_t now)
+begin_life (struct mt_scheduler *sched, struct mt_worker *w, int64_t born, int64_t now)
 {
-  mt_worker_release (desk, w, now, "reborn");
+  mt_worker_release (sched, w, now, "reborn");
   w->born = born;
   w->ended = w->leaving = false;
   w->held = false;
@@ -60,13 +60,13 @@
  * One that has not been sent at all goes elsewhere at once; one that is to be repeated may have
  * begun. */
 static void
-leave (struct mt_desk *desk, struct mt_worker *w, int64_t now)
+leave (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
   GList *next;
 
   w->leaving = true;
   w->leaving_since = now;
-  mt_desk_tell (desk, "WORKER_LEAVING", "worker=%s tasks=%u", w->id, w->tasks.length);
+  mt_scheduler_tell (sched, "WORKER_LEAVING", "worker=%s tasks=%u", w->id, w->tasks.length);
   for (GList *l = w->tasks.head; l != NULL; l = next)
     {
       struct mt_task *task = l->data;
@@ -75,19 +75,21 @@
       if (task->state != MT_TASK_ORDERED || !task->order_due)
         continue;
       if (task->repeats > 0)
-        mt_task_stop (desk, task, now);
+        mt_task_stop (sched, task, now);
       else
-        mt_task_wait (desk, task, now);
+        mt_task_wait (sched, task, now);
     }
 }
 
 void
-mt_desk_worker_seen (struct mt_desk *desk, const struct mt_worker_entry *entry, int64_t now)
+mt_scheduler_worker_seen (struct mt_scheduler *sched,
+                          const struct mt_worker_entry *entry,
+                          int64_t now)
 {
-  struct mt_worker *w = mt_desk_worker (desk, entry->id);
+  struct mt_worker *w = mt_scheduler_worker (sched, entry->id);
 
   if (entry->born_ms != 0 && w->born != 0 && entry->born_ms > w->born)
-    begin_life (desk, w, entry->born_ms, now);
+    begin_life (sched, w, entry->born_ms, now);
   else if (entry->born_ms != 0 && w->born == 0)
     w->born = entry->born_ms;
   if (w->ended)
@@ -95,11 +97,11 @@
   if (!w->listed)
     {
       w->listed_since = now;
-      mt_desk_tell (desk, "WORKER_LISTED", "worker=%s zone=%s cpu=%" G_GINT64_FORMAT, w->id,
-                    entry->zone, entry->room.cpu);
+      mt_scheduler_tell (sched, "WORKER_LISTED", "worker=%s zone=%s cpu=%" G_GINT64_FORMAT, w->id,
+                         entry->zone, entry->room.cpu);
     }
   if (entry->leaving && !w->leaving)
-    leave (desk, w, now);
+    leave (sched, w, now);
   w->listed = true;
   w->room = entry->room;
   if (g_strcmp0 (w->address, entry->address) != 0)
@@ -111,38 +113,41 @@
     w->zone = g_strdup (entry->zone);
   if (w->labels == NULL)
     w->labels = g_strdupv ((char **) entry->labels);
-  desk->changed = true;
+  sched->changed = true;
 }
 
 void
-mt_desk_worker_unlisted (struct mt_desk *desk, const char *id, int64_t now)
+mt_scheduler_worker_unlisted (struct mt_scheduler *sched, const char *id, int64_t now)
 {
-  struct mt_worker *w = g_hash_table_lookup (desk->workers, id);
+  struct mt_worker *w = g_hash_table_lookup (sched->workers, id);
 
   if (w == NULL || !w->listed)
     return;
   w->listed = false;
   w->listed_since = now;
-  mt_desk_tell (desk, "WORKER_UNLISTED", "worker=%s tasks=%u silent=%d", id, w->tasks.length,
-                w->silent_since != 0);
+  mt_scheduler_tell (sched, "WORKER_UNLISTED", "worker=%s tasks=%u silent=%d", id, w->tasks.length,
+                     w->silent_since != 0);
 }
 
 void
-mt_desk_worker_ended (struct mt_desk *desk, const char *id, int64_t now, const char *proof)
+mt_scheduler_worker_ended (struct mt_scheduler *sched,
+                           const char *id,
+                           int64_t now,
+                           const char *proof)
 {
-  struct mt_worker *w = g_hash_table_lookup (desk->workers, id);
+  struct mt_worker *w = g_hash_table_lookup (sched->workers, id);
 
   if (w == NULL || w->ended)
     return;
-  mt_worker_release (desk, w, now, proof);
+  mt_worker_release (sched, w, now, proof);
   w->ended = true;
   w->listed = false;
 }
 
 void
-mt_desk_cordon (struct mt_desk *desk, const char *id, int64_t until, bool move_lasting)
+mt_scheduler_cordon (struct mt_scheduler *sched, const char *id, int64_t until, bool move_lasting)
 {
-  struct mt_worker *w = g_hash_table_lookup (desk->workers, id);
+  struct mt_worker *w = g_hash_table_lookup (sched->workers, id);
 
   if (w == NULL)
     return;
@@ -152,17 +157,18 @@
 
 /* Frees every task of a worker on which nothing can run any more. */
 void
-mt_worker_release (struct mt_desk *desk, struct mt_worker *w, int64_t now, const char *why)
+mt_worker_release (struct mt_scheduler *sched, struct mt_worker *w, int64_t now, const char *why)
 {
   if (w->tasks.length > 0)
-    mt_desk_tell (desk, "WORKER_LOST", "worker=%s why=%s tasks=%u", w->id, why, w->tasks.length);
+    mt_scheduler_tell (sched, "WORKER_LOST", "worker=%s why=%s tasks=%u", w->id, why,
+                       w->tasks.length);
   while (w->tasks.length > 0)
     {
       struct mt_task *task = g_queue_peek_head (&w->tasks);
 
-      mt_task_tell (desk, task, w, "TASK_LOST", "why=%s", why);
+      mt_task_tell (sched, task, w, "TASK_LOST", "why=%s", why);
       task->shunned = w;
-      mt_task_wait (desk, task, now);
+      mt_task_wait (sched, task, now);
     }
 }
 
@@ -186,7 +192,7 @@
 /* A worker that fails what others finish takes nothing for a while, longer each time; then one or
  * two tasks try it again. Evidence is of all jobs together: a hopeless job fails everywhere. */
 void
-mt_worker_evidence (struct mt_desk *desk, struct mt_worker *w, bool good, int64_t now)
+mt_worker_evidence (struct mt_scheduler *sched, struct mt_worker *w, bool good, int64_t now)
 {
   double kept = exp2 (-(double) (now - w->evidence_at) / EVIDENCE_HALF_MS);
 
@@ -202,8 +208,9 @@
     return;
   w->shun_until = now + MIN (SHUN_FIRST_MS << MIN (w->shun_times, 3U), SHUN_MOST_MS);
   w->shun_times++;
-  mt_desk_tell (desk, "WORKER_SHUNNED", "worker=%s fails=%.1f dones=%.1f for_ms=%" G_GINT64_FORMAT,
-                w->id, w->fails, w->dones, w->shun_until - now);
+  mt_scheduler_tell (sched, "WORKER_SHUNNED",
+                     "worker=%s fails=%.1f dones=%.1f for_ms=%" G_GINT64_FORMAT, w->id, w->fails,
+                     w->dones, w->shun_until - now);
 }
 
 /* ---- leases ---- */
@@ -262,13 +269,16 @@
 }
 
 size_t
-mt_desk_workers (const struct mt_desk *desk, int64_t now, struct mt_worker_view *out, size_t max)
+mt_scheduler_workers (const struct mt_scheduler *sched,
+                      int64_t now,
+                      struct mt_worker_view *out,
+                      size_t max)
 {
   GHashTableIter it;
   struct mt_worker *w;
   size_t n = 0;
 
-  g_hash_table_iter_init (&it, desk->workers);
+  g_hash_table_iter_init (&it, sched->workers);
   while (n < max && g_hash_table_iter_next (&it, NULL, (void **) &w))
     {
       if (w->ended || (!w->listed && w->tasks.length == 0))
@@ -289,7 +299,7 @@
 }
 
 static void
-add_used (struct mt_desk_load *load, const struct mt_worker *w, int64_t now)
+add_used (struct mt_scheduler_load *load, const struct mt_worker *w, int64_t now)
 {
   for (GList *l = w->tasks.head; l != NULL; l = l->next)
     {
@@ -326,7 +336,7 @@
 }
 
 static void
-add_waiting (struct mt_desk_load *load, const struct mt_part *part, int64_t now)
+add_waiting (struct mt_scheduler_load *load, const struct mt_part *part, int64_t now)
 {
   bool timely = mt_part_is_timely (part, now);
 
@@ -350,14 +360,15 @@
 }
 
 void
-mt_desk_load (const struct mt_desk *desk, int64_t now, struct mt_desk_load *load)
+mt_scheduler_load (const struct mt_scheduler *sched, int64_t now, struct mt_scheduler_load *load)
 {
   GHashTableIter it;
   struct mt_worker *w;
 
-  *load = (struct mt_desk_load){ .jobs = desk->open.length,
-                                 .arriving_cpu = (int64_t) mt_desk_arriving (desk, now) };
-  for (GList *l = desk->open.head; l != NULL; l = l->next)
+  *load
+      = (struct mt_scheduler_load){ .jobs = sched->open.length,
+                                    .arriving_cpu = (int64_t) mt_scheduler_arriving (sched, now) };
+  for (GList *l = sched->open.head; l != NULL; l = l->next)
     {
       struct mt_job *job = l->data;
 
@@ -365,7 +376,7 @@
         if (job->parts[k] != NULL && !job->parts[k]->ended)
           add_waiting (load, job->parts[k], now);
     }
-  g_hash_table_iter_init (&it, desk->workers);
+  g_hash_table_iter_init (&it, sched->workers);
   while (g_hash_table_iter_next (&it, NULL, (void **) &w))
     {
       load->running += w->tasks.length;
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -468,7 +468,7 @@
   struct mt_gather *gather = mt_gather_create (&control->options);
 
   note_refusals (control);
-  mt_wards_register (control->options.wards, control->store);
+  mt_proxied_register (control->options.proxied, control->store);
   keep_lease (control);
   if (control->planning)
     {
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -7,7 +7,7 @@
 #include "medlartrack/membership.h"
 #include "medlartrack/store.h"
 #include "pools.h"
-#include "wards.h"
+#include "proxied.h"
 
 struct mt_control;
 
@@ -27,7 +27,7 @@
                        void *visit_ctx);
   void *members;
   const struct mt_capacity_policy *policy;
-  struct mt_wards *wards; /* whose keys are written here */
+  struct mt_proxied *proxied; /* whose keys are written here */
 };
 
 /* Listens to the views and starts the threads: before any other thread offers to the views. */
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -27,7 +27,7 @@
   struct mt_platform *platform;
   struct mt_claims *claims;
   struct mt_view_holder *views;
-  struct mt_wards *wards;
+  struct mt_proxied *proxied;
   struct mt_assign_source assign; /* that peers are served from */
   struct mt_pools *pools;
   struct mt_peer_server *peer_server;
@@ -70,8 +70,8 @@
   options.ctx = daemon->heartbeat;
   daemon->peers = mt_peers_create (&options);
   mt_peers_carry (daemon->peers, mt_document_tables (), daemon->views);
-  mt_heartbeat_set_wards (daemon->heartbeat, daemon->wards);
-  daemon->assign = (struct mt_assign_source){ daemon->views, daemon->wards };
+  mt_heartbeat_set_proxied (daemon->heartbeat, daemon->proxied);
+  daemon->assign = (struct mt_assign_source){ daemon->views, daemon->proxied };
   mt_peers_carry (daemon->peers, mt_document_assign (), &daemon->assign);
   mt_peer_server_handle (daemon->peer_server, MT_PEER_DUMP, serve_dump, daemon);
   mt_view_listen_after (daemon->views, mt_peers_kick, daemon->peers);
@@ -101,7 +101,7 @@
     .each_member = each_member,
     .members = daemon->peers,
     .policy = &mt_capacity_policies[0],
-    .wards = daemon->wards,
+    .proxied = daemon->proxied,
   };
 
   return mt_control_create (&options);
@@ -136,7 +136,7 @@
   daemon->platform = mt_platform_create (daemon->client, daemon->clock, settings->platform.data,
                                          settings->limits.platform_ms * MT_MS);
   daemon->views = mt_view_holder_create (daemon->clock);
-  daemon->wards = mt_wards_create (daemon->views, settings->zone.data);
+  daemon->proxied = mt_proxied_create (daemon->views, settings->zone.data);
   daemon->pools = mt_pools_create (daemon->clock, daemon->views, settings->zone.data);
   mt_view_listen (daemon->views, mt_pools_refresh, daemon->pools);
   create_peers (daemon);
@@ -228,7 +228,7 @@
   mt_front_destroy (daemon->front);
   mt_pools_destroy (daemon->pools);
   mt_heartbeat_destroy (daemon->heartbeat);
-  mt_wards_destroy (daemon->wards);
+  mt_proxied_destroy (daemon->proxied);
   mt_view_holder_destroy (daemon->views);
   mt_platform_destroy (daemon->platform);
   mt_http_client_destroy (daemon->client);
--- a/daemon/document_assign.c
+++ b/daemon/document_assign.c
@@ -14,7 +14,7 @@
 {
   const struct mt_assign_source *source = ctx;
 
-  return mt_wards_note (source->wards, name);
+  return mt_proxied_note (source->proxied, name);
 }
 
 static char *
--- a/daemon/documents.h
+++ b/daemon/documents.h
@@ -6,7 +6,7 @@
 
 #include "medlartrack/membership.h"
 #include "peer.h"
-#include "wards.h"
+#include "proxied.h"
 
 /* Calls may come from any thread. */
 struct mt_document
@@ -36,7 +36,7 @@
 struct mt_assign_source
 {
   struct mt_view_holder *views;
-  struct mt_wards *wards;
+  struct mt_proxied *proxied;
 };
 
 struct mt_documents;
--- a/daemon/heartbeat.c
+++ b/daemon/heartbeat.c
@@ -4,9 +4,9 @@
 {
   struct mt_pools *pools;
   const struct mt_settings *settings;
-  struct mt_jobs_part *jobs; /* set before the heartbeat thread starts */
-  struct mt_wards *wards;    /* likewise */
-  struct mt_shares *shares;  /* that the pools hold now; of the heartbeat thread */
+  struct mt_jobs_part *jobs;  /* set before the heartbeat thread starts */
+  struct mt_proxied *proxied; /* likewise */
+  struct mt_shares *shares;   /* that the pools hold now; of the heartbeat thread */
 };
 
 struct collected
@@ -58,7 +58,7 @@
   mt_pools_each (heartbeat->pools, &visitor);
   /* Tasks on an instance that drains are in flight too: else it would be rebooted under them. */
   mt_jobs_part_each_held (heartbeat->jobs, collect_minion, &collected);
-  mt_wards_each_held (heartbeat->wards, collect_minion, &collected);
+  mt_proxied_each_held (heartbeat->proxied, collect_minion, &collected);
   mt_peers_set_loads (peers, (struct mt_member_load *) collected.loads->data, collected.loads->len,
                       (struct mt_member_demand *) collected.demands->data, collected.demands->len);
   g_array_unref (collected.loads);
@@ -107,9 +107,9 @@
 }
 
 void
-mt_heartbeat_set_wards (struct mt_heartbeat *heartbeat, struct mt_wards *wards)
+mt_heartbeat_set_proxied (struct mt_heartbeat *heartbeat, struct mt_proxied *proxied)
 {
-  heartbeat->wards = wards;
+  heartbeat->proxied = proxied;
 }
 
 void
--- a/daemon/heartbeat.h
+++ b/daemon/heartbeat.h
@@ -5,7 +5,7 @@
 #include "jobs_part.h"
 #include "peers.h"
 #include "pools.h"
-#include "wards.h"
+#include "proxied.h"
 
 struct mt_heartbeat;
 
@@ -15,7 +15,7 @@
 /* Whose tasks hold instances too; before the peers start, NULL for none. */
 void mt_heartbeat_set_jobs (struct mt_heartbeat *heartbeat, struct mt_jobs_part *jobs);
 /* Who hold drains up; before the peers start. */
-void mt_heartbeat_set_wards (struct mt_heartbeat *heartbeat, struct mt_wards *wards);
+void mt_heartbeat_set_proxied (struct mt_heartbeat *heartbeat, struct mt_proxied *proxied);
 /* Once neither peers nor pools are called any more, and before the pools are destroyed. */
 void mt_heartbeat_destroy (struct mt_heartbeat *heartbeat);
 /* For mt_peers_options; their ctx is the heartbeat. */
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -1,9 +1,9 @@
 #include "fleet.h"
 
 #include "adapter.h"
-#include "care.h"
 #include "cluster.h"
-#include "gate.h"
+#include "fleet_leader.h"
+#include "frontend.h"
 #include "http_calls.h"
 #include "http_front.h"
 #include "journal.h"
@@ -57,15 +57,15 @@
   struct mt_mesh *mesh;
   struct mt_relay *relay;
   struct mt_neighbours neighbours;
-  struct mt_gate *gate;
+  struct mt_frontend *frontend;
   struct mt_http_front *front;
   struct mt_http_front *ready;
   struct mt_http_front *scrape;
   struct mt_roster *roster;
   struct mt_watcher *config_watch;
   struct mt_fleet_config *config;
-  GHashTable *pools;    /* name to struct mt_pool, those led here */
-  struct mt_care *care; /* NULL unless this daemon has the fleet's duty */
+  GHashTable *pools;              /* name to struct mt_pool, those led here */
+  struct mt_fleet_leader *leader; /* NULL unless this daemon has the fleet's duty */
   struct mt_timer *housekeeping;
   struct event *signals[4];
   bool store_lost;
@@ -92,7 +92,7 @@
 
   if (pool == NULL)
     return;
-  mt_desk_worker_seen (mt_pool_desk (pool), &entry->worker, mt_loop_now ());
+  mt_scheduler_worker_seen (mt_pool_desk (pool), &entry->worker, mt_loop_now ());
   mt_pool_wake (pool);
 }
 
@@ -102,7 +102,7 @@
   struct mt_pool *pool = local_pool (ctx, name);
 
   if (pool != NULL)
-    mt_desk_worker_unlisted (mt_pool_desk (pool), id, mt_loop_now ());
+    mt_scheduler_worker_unlisted (mt_pool_desk (pool), id, mt_loop_now ());
 }
 
 static void
@@ -114,20 +114,20 @@
 
       if (strcmp (route->pool, name) != 0)
         continue;
-      mt_desk_set_route (mt_pool_desk (pool), route->name, &route->terms);
-      mt_desk_set_advice (mt_pool_desk (pool), route->name, route->advice);
+      mt_scheduler_set_route (mt_pool_desk (pool), route->name, &route->terms);
+      mt_scheduler_set_advice (mt_pool_desk (pool), route->name, route->advice);
     }
 }
 
-static struct mt_desk_settings
-desk_settings (const struct mt_fleet *f)
+static struct mt_scheduler_settings
+scheduler_settings (const struct mt_fleet *f)
 {
   const struct mt_fleet_bounds *b = &f->settings->bounds;
 
-  return (struct mt_desk_settings){ .hold_ms = MIN (HOLD_MS, b->max_hold_ms),
-                                    .max_hold_ms = b->max_hold_ms,
-                                    .remote_factor = b->remote_factor,
-                                    .status_ms = (int64_t) (1000 * b->status_s) };
+  return (struct mt_scheduler_settings){ .hold_ms = MIN (HOLD_MS, b->max_hold_ms),
+                                         .max_hold_ms = b->max_hold_ms,
+                                         .remote_factor = b->remote_factor,
+                                         .status_ms = (int64_t) (1000 * b->status_s) };
 }
 
 static bool
@@ -140,24 +140,24 @@
 begin_care (struct mt_fleet *f, int64_t token)
 {
   const struct mt_fleet_bounds *b = &f->settings->bounds;
-  struct mt_care_options options = { .duty = leading_duty,
-                                     .token = token,
-                                     .kv = mt_adapter_kv (f->platform),
-                                     .machines = mt_adapter_machines (f->platform),
-                                     .words = &f->words,
-                                     .cluster = f->cluster,
-                                     .mesh = f->mesh,
-                                     .journal = f->journal,
-                                     .move_ms = (int64_t) (1000 * b->move_s),
-                                     .upkeep_ms = (int64_t) (1000 * b->upkeep_s),
-                                     .local = local_pool,
-                                     .ctx = f };
+  struct mt_fleet_leader_options options = { .duty = leading_duty,
+                                             .token = token,
+                                             .kv = mt_adapter_kv (f->platform),
+                                             .machines = mt_adapter_machines (f->platform),
+                                             .words = &f->words,
+                                             .cluster = f->cluster,
+                                             .mesh = f->mesh,
+                                             .journal = f->journal,
+                                             .move_ms = (int64_t) (1000 * b->move_s),
+                                             .upkeep_ms = (int64_t) (1000 * b->upkeep_s),
+                                             .local = local_pool,
+                                             .ctx = f };
 
   if (f->settings->machines.len == 0)
     return;
-  f->care = mt_care_create (f->base, &options);
+  f->leader = mt_fleet_leader_create (f->base, &options);
   if (f->config != NULL)
-    mt_care_set_config (f->care, f->config);
+    mt_fleet_leader_set_config (f->leader, f->config);
 }
 
 static void
@@ -175,7 +175,7 @@
                                      .workers = mt_adapter_workers (f->platform),
                                      .words = &f->words,
                                      .cluster = f->cluster,
-                                     .desk = desk_settings (f),
+                                     .sched = scheduler_settings (f),
                                      .store_is_out = store_is_out,
                                      .ctx = f,
                                      .journal = f->journal };
@@ -204,7 +204,7 @@
   mt_journal_tell (f->journal, "DUTY_LOST", "duty=%s why=%s", duty, why);
   mt_metrics_count (f->metrics, MT_COUNT_DUTIES_LOST);
   if (strcmp (duty, leading_duty) == 0)
-    g_clear_pointer (&f->care, mt_care_destroy);
+    g_clear_pointer (&f->leader, mt_fleet_leader_destroy);
   else
     g_hash_table_remove (f->pools, duty);
 }
@@ -221,7 +221,7 @@
   struct mt_pool *pool;
 
   f->config = config;
-  mt_gate_set_config (f->gate, config);
+  mt_frontend_set_config (f->frontend, config);
   for (size_t i = 0; i < config->n_pools; i++)
     if (!config->pools[i].standby)
       g_ptr_array_add (duties, config->pools[i].name);
@@ -231,8 +231,8 @@
   g_hash_table_iter_init (&it, f->pools);
   while (g_hash_table_iter_next (&it, (void **) &name, (void **) &pool))
     set_routes (f, name, pool);
-  if (f->care != NULL)
-    mt_care_set_config (f->care, config);
+  if (f->leader != NULL)
+    mt_fleet_leader_set_config (f->leader, config);
   mt_fleet_config_free (old);
   mt_metrics_set (f->metrics, MT_GAUGE_CONFIG, config->version);
   mt_journal_tell (f->journal, "CONFIG_IN_FORCE", "version=%" G_GINT64_FORMAT " routes=%zu",
@@ -263,7 +263,7 @@
 static void
 on_request (void *ctx, struct mt_exchange *exchange)
 {
-  mt_gate_handle (((struct mt_fleet *) ctx)->gate, exchange);
+  mt_frontend_handle (((struct mt_fleet *) ctx)->frontend, exchange);
 }
 
 static bool
@@ -292,9 +292,9 @@
   g_hash_table_iter_init (&it, f->pools);
   while (g_hash_table_iter_next (&it, (void **) &name, (void **) &pool))
     {
-      struct mt_desk_load load;
+      struct mt_scheduler_load load;
 
-      mt_desk_load (mt_pool_desk (pool), mt_loop_now (), &load);
+      mt_scheduler_load (mt_pool_desk (pool), mt_loop_now (), &load);
       if (load.jobs > 0)
         mt_journal_tell (f->journal, "POOL_LOAD",
                          "pool=%s jobs=%u waiting=%u urgent=%u running=%u workers=%u silent=%u "
@@ -309,16 +309,16 @@
 static void
 count_load (struct mt_fleet *f)
 {
-  struct mt_desk_load sum = { 0 };
+  struct mt_scheduler_load sum = { 0 };
   GHashTableIter it;
   struct mt_pool *pool;
 
   g_hash_table_iter_init (&it, f->pools);
   while (g_hash_table_iter_next (&it, NULL, (void **) &pool))
     {
-      struct mt_desk_load load;
+      struct mt_scheduler_load load;
 
-      mt_desk_load (mt_pool_desk (pool), mt_loop_now (), &load);
+      mt_scheduler_load (mt_pool_desk (pool), mt_loop_now (), &load);
       sum.jobs += load.jobs;
       sum.waiting += load.waiting;
       sum.running += load.running;
@@ -361,7 +361,7 @@
     return;
   f->stopping = true;
   f->stop_began = mt_loop_now ();
-  mt_journal_tell (f->journal, "FLEET_STOPPING", "requests=%u", mt_gate_busy (f->gate));
+  mt_journal_tell (f->journal, "FLEET_STOPPING", "requests=%u", mt_frontend_busy (f->frontend));
   mt_http_front_close_after_answers (f->front);
   mt_cluster_leave (f->cluster, on_left, f);
 }
@@ -374,7 +374,7 @@
 
   if (!f->stopping)
     return false;
-  return since >= grace || (since >= LINGER_MS && f->left && mt_gate_busy (f->gate) == 0);
+  return since >= grace || (since >= LINGER_MS && f->left && mt_frontend_busy (f->frontend) == 0);
 }
 
 static void
@@ -478,17 +478,17 @@
 static void
 make_gate (struct mt_fleet *f)
 {
-  struct mt_gate_options options = { .kv = mt_adapter_kv (f->platform),
-                                     .words = &f->words,
-                                     .cluster = f->cluster,
-                                     .mesh = f->mesh,
-                                     .journal = f->journal,
-                                     .metrics = f->metrics,
-                                     .local = local_pool,
-                                     .store_answers = store_answers,
-                                     .ctx = f };
+  struct mt_frontend_options options = { .kv = mt_adapter_kv (f->platform),
+                                         .words = &f->words,
+                                         .cluster = f->cluster,
+                                         .mesh = f->mesh,
+                                         .journal = f->journal,
+                                         .metrics = f->metrics,
+                                         .local = local_pool,
+                                         .store_answers = store_answers,
+                                         .ctx = f };
 
-  f->gate = mt_gate_create (f->base, &options);
+  f->frontend = mt_frontend_create (f->base, &options);
 }
 
 static struct mt_http_front *
@@ -586,7 +586,7 @@
       mt_mesh_port (f->mesh), f->scrape != NULL ? mt_http_front_port (f->scrape) : 0);
   mt_timer_set (f->housekeeping, HOUSEKEEPING_MS);
   event_base_dispatch (f->base);
-  mt_journal_tell (f->journal, "FLEET_STOPPED", "requests=%u", mt_gate_busy (f->gate));
+  mt_journal_tell (f->journal, "FLEET_STOPPED", "requests=%u", mt_frontend_busy (f->frontend));
   mt_journal_flush (f->journal);
 }
 
@@ -597,7 +597,7 @@
 {
   if (f == NULL)
     return;
-  g_clear_pointer (&f->care, mt_care_destroy);
+  g_clear_pointer (&f->leader, mt_fleet_leader_destroy);
   g_hash_table_remove_all (f->pools);
   mt_calls_destroy (f->calls);
   mt_mesh_destroy (f->mesh);
@@ -606,7 +606,7 @@
   mt_http_front_destroy (f->front);
   mt_http_front_destroy (f->ready);
   mt_http_front_destroy (f->scrape);
-  mt_gate_destroy (f->gate);
+  mt_frontend_destroy (f->frontend);
   mt_relay_destroy (f->relay);
   mt_cluster_destroy (f->cluster);
   mt_adapter_destroy (f->platform);
--- a/fleet/care.c
+++ b/fleet/fleet_leader.c
@@ -1,8 +1,8 @@
-#include "care.h"
+#include "fleet_leader.h"
 
 #include "journal.h"
 #include "loop.h"
-#include "medlartrack/steward.h"
+#include "medlartrack/controller.h"
 #include "pool_report.h"
 #include "watcher.h"
 
@@ -22,7 +22,7 @@
 #define REPORT_MS 400
 /* A write of progress without an answer for so long is sent again; it is the same each time. */
 #define TXN_MS 800
-/* A cordon that is not renewed ends: its steward may be gone. */
+/* A cordon that is not renewed ends: its fleet controller may be gone. */
 #define CORDON_MS       1200
 #define PROGRESS_PREFIX "medlartrack/wave/"
 #define HOMES_KEY       "medlartrack/homes"
@@ -31,7 +31,7 @@
 {
   struct mt_wave *asked;
   int64_t number;
-  int64_t seen_wall; /* when it was first seen by any steward */
+  int64_t seen_wall; /* when it was first seen by any fleet controller */
   char **done;       /* as stored */
   bool known;        /* the stored progress was read */
   bool active_written;
@@ -41,11 +41,11 @@
 };
 
 /* Counted: the owner's reference, and one for each call under way. */
-struct mt_care
+struct mt_fleet_leader
 {
-  struct mt_care_options options;
+  struct mt_fleet_leader_options options;
   char *duty_key;
-  struct mt_steward *steward;
+  struct mt_controller *controller;
   struct mt_watcher *watch;
   struct mt_timer *tick;
   GHashTable *waves; /* key to struct wave */
@@ -59,8 +59,8 @@
   char **homes_sent;
 };
 
-static struct mt_care *
-ref (struct mt_care *c)
+static struct mt_fleet_leader *
+ref (struct mt_fleet_leader *c)
 {
   return g_rc_box_acquire (c);
 }
@@ -78,9 +78,9 @@
 static void
 clear_care (void *data)
 {
-  struct mt_care *c = data;
+  struct mt_fleet_leader *c = data;
 
-  mt_steward_destroy (c->steward);
+  mt_controller_destroy (c->controller);
   mt_timer_destroy (c->tick);
   g_hash_table_unref (c->waves);
   g_ptr_array_unref (c->pools);
@@ -89,7 +89,7 @@
 }
 
 static void
-unref (struct mt_care *c)
+unref (struct mt_fleet_leader *c)
 {
   g_rc_box_release_full (c, clear_care);
 }
@@ -97,16 +97,16 @@
 /* A call under way, and what it is about: a wave's key, a pool's name. */
 struct named_call
 {
-  struct mt_care *care;
+  struct mt_fleet_leader *leader;
   char *name;
 };
 
 static struct named_call *
-new_named_call (struct mt_care *c, const char *name)
+new_named_call (struct mt_fleet_leader *c, const char *name)
 {
   struct named_call *call = g_new0 (struct named_call, 1);
 
-  call->care = ref (c);
+  call->leader = ref (c);
   call->name = g_strdup (name);
   return call;
 }
@@ -114,7 +114,7 @@
 static void
 free_named_call (struct named_call *call)
 {
-  unref (call->care);
+  unref (call->leader);
   g_free (call->name);
   g_free (call);
 }
@@ -128,12 +128,12 @@
 }
 
 static void
-tell_steward (struct mt_care *c, struct wave *w)
+tell_controller (struct mt_fleet_leader *c, struct wave *w)
 {
   int64_t age = CLAMP (mt_loop_wall () - w->seen_wall, 0, w->asked->due_ms);
 
-  mt_steward_wave (c->steward, w->number, w->asked->machines, w->done, w->asked->cap,
-                   mt_loop_now () + w->asked->due_ms - age);
+  mt_controller_wave (c->controller, w->number, w->asked->machines, w->done, w->asked->cap,
+                      mt_loop_now () + w->asked->due_ms - age);
   w->known = true;
 }
 
@@ -159,7 +159,7 @@
 on_progress (void *data, const struct mt_kv_reply *reply)
 {
   struct named_call *call = data;
-  struct mt_care *c = call->care;
+  struct mt_fleet_leader *c = call->leader;
   struct wave *w = !c->destroyed ? g_hash_table_lookup (c->waves, call->name) : NULL;
 
   if (w != NULL && !w->known)
@@ -167,7 +167,7 @@
       if (reply->status == MT_KV_OK && reply->n_items > 0)
         read_progress (w, reply->items[0].value);
       if (reply->status == MT_KV_OK || reply->status == MT_KV_MISSING)
-        tell_steward (c, w);
+        tell_controller (c, w);
     }
   if (w != NULL)
     w->writing = false;
@@ -175,7 +175,7 @@
 }
 
 static void
-read_wave (struct mt_care *c, const char *key)
+read_wave (struct mt_fleet_leader *c, const char *key)
 {
   struct wave *w = g_hash_table_lookup (c->waves, key);
   g_autofree char *at = progress_key (w);
@@ -187,7 +187,7 @@
 static void
 on_wave (void *ctx, const struct mt_kv_item *item)
 {
-  struct mt_care *c = ctx;
+  struct mt_fleet_leader *c = ctx;
   struct mt_wave *asked = item->deleted ? NULL : c->options.words->ops->wave (item->value);
   struct wave *w;
 
@@ -227,7 +227,7 @@
 {
   struct named_call *call = data;
   struct wave *w
-      = !call->care->destroyed ? g_hash_table_lookup (call->care->waves, call->name) : NULL;
+      = !call->leader->destroyed ? g_hash_table_lookup (call->leader->waves, call->name) : NULL;
 
   if (w != NULL)
     {
@@ -242,13 +242,13 @@
   free_named_call (call);
 }
 
-/* The progress, and for whoever asked for the wave its state: completed only once the steward has
- * seen each machine begin. Written on the condition that the duty is still ours. */
+/* The progress, and for whoever asked for the wave its state: completed only once the fleet
+ * controller has seen each machine begin. Written on the condition that the duty is still ours. */
 static void
-write_wave (struct mt_care *c, const char *key, struct wave *w)
+write_wave (struct mt_fleet_leader *c, const char *key, struct wave *w)
 {
-  bool completed = mt_steward_wave_done (c->steward, w->number);
-  g_auto (GStrv) done = mt_steward_wave_progress (c->steward, w->number);
+  bool completed = mt_controller_wave_done (c->controller, w->number);
+  g_auto (GStrv) done = mt_controller_wave_progress (c->controller, w->number);
   guint n = g_strv_length (done);
   g_autofree char *at = NULL;
   g_autofree char *status_at = NULL;
@@ -280,7 +280,7 @@
 }
 
 static bool
-step_waves (struct mt_care *c)
+step_waves (struct mt_fleet_leader *c)
 {
   GHashTableIter it;
   const char *key;
@@ -306,31 +306,31 @@
 static void
 on_machines (void *data, const struct mt_machine *machines, size_t n)
 {
-  struct mt_care *c = data;
-  struct mt_steward_machine *rows = g_new0 (struct mt_steward_machine, n + 1);
+  struct mt_fleet_leader *c = data;
+  struct mt_controller_row *rows = g_new0 (struct mt_controller_row, n + 1);
 
   c->listing = false;
   if (!c->destroyed && machines != NULL)
     {
       for (size_t i = 0; i < n; i++)
-        rows[i] = (struct mt_steward_machine){ .id = machines[i].id,
-                                               .pool = machines[i].pool,
-                                               .rack = machines[i].rack,
-                                               .worker = machines[i].worker != NULL
-                                                                 && machines[i].worker[0] != '\0'
-                                                             ? machines[i].worker
-                                                             : NULL,
-                                               .up = machines[i].state == MT_MACHINE_UP,
-                                               .in_upkeep = machines[i].state == MT_MACHINE_UPKEEP,
-                                               .room = machines[i].room };
-      mt_steward_machines (c->steward, rows, n, c->list_asked, mt_loop_now ());
+        rows[i] = (struct mt_controller_row){ .id = machines[i].id,
+                                              .pool = machines[i].pool,
+                                              .rack = machines[i].rack,
+                                              .worker = machines[i].worker != NULL
+                                                                && machines[i].worker[0] != '\0'
+                                                            ? machines[i].worker
+                                                            : NULL,
+                                              .up = machines[i].state == MT_MACHINE_UP,
+                                              .in_upkeep = machines[i].state == MT_MACHINE_UPKEEP,
+                                              .room = machines[i].room };
+      mt_controller_machines (c->controller, rows, n, c->list_asked, mt_loop_now ());
     }
   g_free (rows);
   unref (c);
 }
 
 static void
-list_machines (struct mt_care *c, bool open)
+list_machines (struct mt_fleet_leader *c, bool open)
 {
   int64_t now = mt_loop_now ();
 
@@ -344,14 +344,14 @@
 /* ---- pools ---- */
 
 static void
-take_report (struct mt_care *c, const char *pool, struct mt_str bytes)
+take_report (struct mt_fleet_leader *c, const char *pool, struct mt_str bytes)
 {
   struct mt_pool_report report;
 
   if (!mt_pool_report_unpack (bytes, &report))
     return;
-  mt_steward_pool (c->steward, pool, &report.load, report.workers, report.n_workers,
-                   mt_loop_now ());
+  mt_controller_pool (c->controller, pool, &report.load, report.workers, report.n_workers,
+                      mt_loop_now ());
   mt_pool_report_clear (&report);
 }
 
@@ -360,13 +360,13 @@
 {
   struct named_call *call = ctx;
 
-  if (!call->care->destroyed && args != NULL && args->n == 1)
-    take_report (call->care, call->name, args->at[0]);
+  if (!call->leader->destroyed && args != NULL && args->n == 1)
+    take_report (call->leader, call->name, args->at[0]);
   free_named_call (call);
 }
 
 static void
-ask_pool (struct mt_care *c, const char *name)
+ask_pool (struct mt_fleet_leader *c, const char *name)
 {
   struct mt_pool *local = c->options.local (c->options.ctx, name);
   const char *holder = mt_cluster_holder (c->options.cluster, name);
@@ -375,14 +375,14 @@
   g_autofree char *cordon_text = NULL;
   g_autofree char *ended_text = NULL;
 
-  mt_steward_of_pool (c->steward, name, mt_loop_now (), &cordon, &ended);
+  mt_controller_of_pool (c->controller, name, mt_loop_now (), &cordon, &ended);
   cordon_text = g_strjoinv (",", cordon);
   ended_text = g_strjoinv (",", ended);
   if (local != NULL)
     {
       size_t len = 0;
-      g_autofree char *bytes
-          = mt_care_serve (local, mt_str_from (cordon_text), mt_str_from (ended_text), &len);
+      g_autofree char *bytes = mt_fleet_leader_serve (local, mt_str_from (cordon_text),
+                                                      mt_str_from (ended_text), &len);
 
       if (bytes != NULL)
         take_report (c, name, (struct mt_str){ bytes, len });
@@ -398,7 +398,7 @@
 }
 
 char *
-mt_care_serve (struct mt_pool *pool, struct mt_str cordon, struct mt_str ended, size_t *len)
+mt_fleet_leader_serve (struct mt_pool *pool, struct mt_str cordon, struct mt_str ended, size_t *len)
 {
   g_autofree char *cordon_text = g_strndup (cordon.data, cordon.len);
   g_autofree char *ended_text = g_strndup (ended.data, ended.len);
@@ -409,9 +409,9 @@
   if (!mt_pool_is_loaded (pool))
     return NULL;
   for (char **id = ends; *id != NULL; id++)
-    mt_desk_worker_ended (mt_pool_desk (pool), *id, now, "its machine was ordered away");
+    mt_scheduler_worker_ended (mt_pool_desk (pool), *id, now, "its machine was ordered away");
   for (char **id = cordons; *id != NULL; id++)
-    mt_desk_cordon (mt_pool_desk (pool), *id, now + CORDON_MS, true);
+    mt_scheduler_cordon (mt_pool_desk (pool), *id, now + CORDON_MS, true);
   mt_pool_wake (pool);
   return mt_pool_report_pack (mt_pool_desk (pool), now, len);
 }
@@ -420,7 +420,7 @@
 
 struct order_call
 {
-  struct mt_care *care;
+  struct mt_fleet_leader *leader;
   char *machine;
   char *what;
 };
@@ -430,24 +430,24 @@
 {
   static const struct
   {
-    enum mt_steward_answer means;
+    enum mt_controller_answer means;
     const char *text;
   } answers[] = {
-    [MT_MACHINE_DONE] = { MT_STEWARD_DONE, "done" },
-    [MT_MACHINE_FENCED] = { MT_STEWARD_NOT_NOW, "fenced" },
-    [MT_MACHINE_BUSY] = { MT_STEWARD_NOT_NOW, "busy" },
-    [MT_MACHINE_REFUSED] = { MT_STEWARD_NEVER, "refused" },
-    [MT_MACHINE_UNKNOWN] = { MT_STEWARD_UNKNOWN, "no answer" },
+    [MT_MACHINE_DONE] = { MT_CONTROLLER_DONE, "done" },
+    [MT_MACHINE_FENCED] = { MT_CONTROLLER_NOT_NOW, "fenced" },
+    [MT_MACHINE_BUSY] = { MT_CONTROLLER_NOT_NOW, "busy" },
+    [MT_MACHINE_REFUSED] = { MT_CONTROLLER_NEVER, "refused" },
+    [MT_MACHINE_UNKNOWN] = { MT_CONTROLLER_UNKNOWN, "no answer" },
   };
   struct order_call *call = data;
-  struct mt_care *c = call->care;
+  struct mt_fleet_leader *c = call->leader;
 
   if (!c->destroyed)
     {
       if (answer != MT_MACHINE_DONE)
         mt_journal_tell (c->options.journal, "MACHINE_REFUSED", "machine=%s order=%s why=%s",
                          call->machine, call->what, answers[answer].text);
-      mt_steward_answered (c->steward, call->machine, answers[answer].means, mt_loop_now ());
+      mt_controller_answered (c->controller, call->machine, answers[answer].means, mt_loop_now ());
       if (answer == MT_MACHINE_FENCED)
         mt_cluster_give_up (c->options.cluster, c->options.duty,
                             "a higher token ordered a machine");
@@ -459,13 +459,13 @@
 }
 
 static void
-send_order (struct mt_care *c, const struct mt_steward_order *order)
+send_order (struct mt_fleet_leader *c, const struct mt_controller_order *order)
 {
   const struct mt_machines *machines = &c->options.machines;
   struct order_call *call = g_new0 (struct order_call, 1);
-  bool upkeep = order->kind == MT_STEWARD_UPKEEP;
+  bool upkeep = order->kind == MT_CONTROLLER_UPKEEP;
 
-  call->care = ref (c);
+  call->leader = ref (c);
   call->machine = g_strdup (order->machine);
   call->what = g_strdup (upkeep ? "upkeep" : order->to);
   mt_journal_tell (c->options.journal, upkeep ? "UPKEEP_ORDERED" : "MACHINE_MOVED",
@@ -482,12 +482,12 @@
 
 /* An order of a holder whose lease is over could meet those of its successor. */
 static void
-send_orders (struct mt_care *c)
+send_orders (struct mt_fleet_leader *c)
 {
-  struct mt_steward_order order;
+  struct mt_controller_order order;
 
   while (mt_cluster_is_sure (c->options.cluster)
-         && mt_steward_next (c->steward, mt_loop_now (), &order))
+         && mt_controller_next (c->controller, mt_loop_now (), &order))
     send_order (c, &order);
 }
 
@@ -496,7 +496,7 @@
 static void
 on_homes_read (void *data, const struct mt_kv_reply *reply)
 {
-  struct mt_care *c = data;
+  struct mt_fleet_leader *c = data;
 
   c->homes_busy = false;
   if (!c->destroyed && (reply->status == MT_KV_OK || reply->status == MT_KV_MISSING))
@@ -509,7 +509,7 @@
       json_t *pool;
 
       json_object_foreach (root, machine, pool) if (json_is_string (pool))
-          mt_steward_home (c->steward, machine, json_string_value (pool));
+          mt_controller_home (c->controller, machine, json_string_value (pool));
       json_decref (root);
       c->homes_known = true;
     }
@@ -519,21 +519,21 @@
 static void
 on_homes_written (void *data, const struct mt_kv_reply *reply)
 {
-  struct mt_care *c = data;
+  struct mt_fleet_leader *c = data;
 
   c->homes_busy = false;
   if (!c->destroyed && reply->status == MT_KV_OK)
     {
-      mt_steward_homes_stored (c->steward, c->homes_sent);
+      mt_controller_homes_stored (c->controller, c->homes_sent);
       send_orders (c);
     }
   unref (c);
 }
 
 static void
-write_homes (struct mt_care *c)
+write_homes (struct mt_fleet_leader *c)
 {
-  char **homes = c->homes_busy ? NULL : mt_steward_homes (c->steward);
+  char **homes = c->homes_busy ? NULL : mt_controller_homes (c->controller);
   json_t *root;
   char *text;
   struct mt_kv_expect expect = { c->duty_key, c->options.token };
@@ -556,7 +556,7 @@
 }
 
 static void
-read_homes (struct mt_care *c)
+read_homes (struct mt_fleet_leader *c)
 {
   if (c->homes_busy)
     return;
@@ -567,7 +567,7 @@
 static void
 on_tick (void *ctx)
 {
-  struct mt_care *c = ctx;
+  struct mt_fleet_leader *c = ctx;
   bool open = step_waves (c);
 
   mt_timer_set (c->tick, TICK_MS);
@@ -576,11 +576,11 @@
       read_homes (c);
       return;
     }
-  list_machines (c, open || mt_steward_is_busy (c->steward));
+  list_machines (c, open || mt_controller_is_busy (c->controller));
   for (guint i = 0; i < c->pools->len; i++)
     ask_pool (c, c->pools->pdata[i]);
   ref (c);
-  mt_steward_plan (c->steward, mt_loop_now ());
+  mt_controller_plan (c->controller, mt_loop_now ());
   write_homes (c);
   send_orders (c);
   unref (c);
@@ -589,22 +589,22 @@
 /* ---- life ---- */
 
 void
-mt_care_set_config (struct mt_care *c, const struct mt_fleet_config *config)
+mt_fleet_leader_set_config (struct mt_fleet_leader *c, const struct mt_fleet_config *config)
 {
   g_ptr_array_set_size (c->pools, 0);
   for (size_t i = 0; i < config->n_pools; i++)
     {
-      mt_steward_set_pool (c->steward, config->pools[i].name, config->pools[i].standby);
+      mt_controller_set_pool (c->controller, config->pools[i].name, config->pools[i].standby);
       if (!config->pools[i].standby)
         g_ptr_array_add (c->pools, g_strdup (config->pools[i].name));
     }
 }
 
-struct mt_care *
-mt_care_create (struct event_base *base, const struct mt_care_options *options)
+struct mt_fleet_leader *
+mt_fleet_leader_create (struct event_base *base, const struct mt_fleet_leader_options *options)
 {
-  struct mt_care *c = g_rc_box_new0 (struct mt_care);
-  struct mt_steward_settings settings
+  struct mt_fleet_leader *c = g_rc_box_new0 (struct mt_fleet_leader);
+  struct mt_controller_settings settings
       = { .move_ms = options->move_ms, .upkeep_ms = options->upkeep_ms, .moves = true };
   struct mt_watcher_options watch = {
     .prefix = options->words->waves_prefix, .wait_ms = WAVES_WAIT_MS, .on_item = on_wave, .ctx = c
@@ -612,7 +612,7 @@
 
   c->options = *options;
   c->duty_key = mt_cluster_duty_key (options->duty);
-  c->steward = mt_steward_create (&settings);
+  c->controller = mt_controller_create (&settings);
   c->waves = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_wave);
   c->pools = g_ptr_array_new_with_free_func (g_free);
   c->list_asked = -LIST_IDLE_MS;
@@ -623,7 +623,7 @@
 }
 
 void
-mt_care_destroy (struct mt_care *c)
+mt_fleet_leader_destroy (struct mt_fleet_leader *c)
 {
   if (c == NULL)
     return;
--- /dev/null
+++ b/fleet/frontend.c
@@ -0,0 +1,143 @@
+#include "frontend_internal.h"
+
+#include <string.h>
+
+/* Hexadecimal digits of a job's id, as callers send it. */
+#define ID_CHARS 16
+
+void
+mt_frontend_answer (struct mt_exchange *exchange,
+                    unsigned status,
+                    const char *body,
+                    unsigned retry_after_s)
+{
+  mt_exchange_answer (exchange, status, "application/json",
+                      mt_str_from (body != NULL ? body : "{}"), retry_after_s);
+}
+
+bool
+mt_frontend_send_leader (struct mt_frontend *frontend,
+                         const char *pool,
+                         enum mt_mesh_method method,
+                         const struct mt_mesh_args *args,
+                         mt_mesh_done done,
+                         void *data)
+{
+  const char *holder = mt_cluster_holder (frontend->options.cluster, pool);
+
+  if (holder == NULL)
+    return false;
+  mt_mesh_send (frontend->options.mesh, holder, method, args, MT_FRONTEND_LEADER_MS, done, data);
+  return true;
+}
+
+static void
+on_noted (void *ctx, const struct mt_mesh_args *args)
+{
+}
+
+void
+mt_frontend_note_leader (struct mt_frontend *frontend,
+                         const char *pool,
+                         enum mt_mesh_method method,
+                         const struct mt_mesh_args *args)
+{
+  mt_frontend_send_leader (frontend, pool, method, args, on_noted, frontend);
+}
+
+static bool
+same_host (const char *header, const char *host)
+{
+  size_t len = header != NULL ? strcspn (header, ":") : 0;
+
+  return host == NULL
+         || (header != NULL && strlen (host) == len
+             && g_ascii_strncasecmp (header, host, len) == 0);
+}
+
+static const struct mt_fleet_route *
+find_route (const struct mt_frontend *frontend, const struct mt_exchange *exchange)
+{
+  const char *host = mt_exchange_header (exchange, "Host");
+  const char *path = mt_exchange_path (exchange);
+  const struct mt_fleet_route *best = NULL;
+
+  for (size_t i = 0; i < frontend->config->n_routes; i++)
+    {
+      const struct mt_fleet_route *route = &frontend->config->routes[i];
+
+      if (same_host (host, route->host) && g_str_has_prefix (path, route->prefix)
+          && (best == NULL || strlen (route->prefix) > strlen (best->prefix)))
+        best = route;
+    }
+  return best;
+}
+
+static bool
+is_id (const char *text)
+{
+  size_t n = 0;
+
+  while (g_ascii_isxdigit (text[n]))
+    n++;
+  return n == ID_CHARS && text[n] == '\0';
+}
+
+void
+mt_frontend_handle (struct mt_frontend *frontend, struct mt_exchange *exchange)
+{
+  const char *method = mt_exchange_method (exchange);
+  const struct mt_fleet_route *route;
+  const char *rest;
+
+  if (frontend->config == NULL)
+    {
+      mt_frontend_answer (exchange, 503, NULL, MT_FRONTEND_RETRY_AFTER_S);
+      return;
+    }
+  route = find_route (frontend, exchange);
+  rest = route != NULL ? mt_exchange_path (exchange) + strlen (route->prefix) : NULL;
+  if (route == NULL || (rest[0] != '\0' && !is_id (rest)))
+    mt_frontend_answer (exchange, 404, NULL, 0);
+  else if (strcmp (method, "GET") == 0 && rest[0] == '\0')
+    mt_frontend_ask_pending (frontend, exchange, route);
+  else if (strcmp (method, "POST") == 0 && rest[0] != '\0')
+    mt_frontend_submit (frontend, exchange, route, rest);
+  else if (strcmp (method, "GET") == 0)
+    mt_frontend_ask_state (frontend, exchange, route, rest);
+  else if (strcmp (method, "DELETE") == 0 && rest[0] != '\0')
+    mt_frontend_cancel (frontend, exchange, route, rest);
+  else
+    mt_frontend_answer (exchange, 405, NULL, 0);
+}
+
+void
+mt_frontend_set_config (struct mt_frontend *frontend, const struct mt_fleet_config *config)
+{
+  frontend->config = config;
+}
+
+unsigned
+mt_frontend_busy (const struct mt_frontend *frontend)
+{
+  return frontend->busy;
+}
+
+struct mt_frontend *
+mt_frontend_create (struct event_base *base, const struct mt_frontend_options *options)
+{
+  struct mt_frontend *frontend = g_new0 (struct mt_frontend, 1);
+
+  frontend->base = base;
+  frontend->options = *options;
+  return frontend;
+}
+
+void
+mt_frontend_destroy (struct mt_frontend *frontend)
+{
+  if (frontend == NULL)
+    return;
+  g_queue_clear (&frontend->submits);
+  g_free (frontend);
+}
--- a/fleet/gate.h
+++ b/fleet/frontend.h
@@ -1,8 +1,8 @@
 /* Callers' requests: jobs submitted, asked for, cancelled and counted. A submission is answered
  * once the store has it; questions go to whoever leads the pool, or to the store where nobody does.
  * On the loop's one thread. */
-#ifndef MT_FLEET_GATE_H
-#define MT_FLEET_GATE_H
+#ifndef MT_FLEET_FRONTEND_H
+#define MT_FLEET_FRONTEND_H
 
 #include "cluster.h"
 #include "http_front.h"
@@ -10,10 +10,10 @@
 #include "metrics.h"
 #include "pool.h"
 
-struct mt_gate;
+struct mt_frontend;
 struct mt_journal;
 
-struct mt_gate_options
+struct mt_frontend_options
 {
   struct mt_kv kv;
   const struct mt_words *words;
@@ -28,12 +28,13 @@
   void *ctx;
 };
 
-struct mt_gate *mt_gate_create (struct event_base *base, const struct mt_gate_options *options);
-void mt_gate_destroy (struct mt_gate *gate);
+struct mt_frontend *mt_frontend_create (struct event_base *base,
+                                        const struct mt_frontend_options *options);
+void mt_frontend_destroy (struct mt_frontend *frontend);
 /* Borrowed until the next call; NULL for none. */
-void mt_gate_set_config (struct mt_gate *gate, const struct mt_fleet_config *config);
-void mt_gate_handle (struct mt_gate *gate, struct mt_exchange *exchange);
+void mt_frontend_set_config (struct mt_frontend *frontend, const struct mt_fleet_config *config);
+void mt_frontend_handle (struct mt_frontend *frontend, struct mt_exchange *exchange);
 /* Submissions and questions under way. */
-unsigned mt_gate_busy (const struct mt_gate *gate);
+unsigned mt_frontend_busy (const struct mt_frontend *frontend);
 
 #endif
--- a/fleet/gate_ask.c
+++ b/fleet/frontend_ask.c
@@ -1,5 +1,5 @@
 /* Jobs asked for, counted and cancelled. */
-#include "gate_internal.h"
+#include "frontend_internal.h"
 
 #include "journal.h"
 #include "loop.h"
@@ -12,7 +12,7 @@
 
 struct question
 {
-  struct mt_gate *gate;
+  struct mt_frontend *frontend;
   struct mt_exchange *exchange;
   char *pool;
   char *id; /* of the job; NULL where the queue is asked for */
@@ -22,28 +22,28 @@
 };
 
 static struct question *
-new_question (struct mt_gate *gate,
+new_question (struct mt_frontend *frontend,
               struct mt_exchange *exchange,
               const struct mt_fleet_route *route,
               const char *id)
 {
   struct question *q = g_new0 (struct question, 1);
 
-  *q = (struct question){ .gate = gate,
+  *q = (struct question){ .frontend = frontend,
                           .exchange = exchange,
                           .pool = g_strdup (route->pool),
                           .id = g_strdup (id),
                           .route = g_strdup (route->name),
                           .began = mt_loop_now () };
-  gate->busy++;
+  frontend->busy++;
   return q;
 }
 
 static void
 free_question (struct question *q)
 {
-  q->gate->busy--;
-  mt_metrics_took (q->gate->options.metrics, MT_LATENCY_ASK, mt_loop_now () - q->began);
+  q->frontend->busy--;
+  mt_metrics_took (q->frontend->options.metrics, MT_LATENCY_ASK, mt_loop_now () - q->began);
   g_free (q->pool);
   g_free (q->id);
   g_free (q->route);
@@ -53,27 +53,27 @@
 static void
 end_unanswered (struct question *q, unsigned status, const char *why)
 {
-  mt_metrics_count (q->gate->options.metrics, MT_COUNT_UNANSWERED);
-  mt_journal_tell (q->gate->options.journal, "CALL_FAILED",
+  mt_metrics_count (q->frontend->options.metrics, MT_COUNT_UNANSWERED);
+  mt_journal_tell (q->frontend->options.journal, "CALL_FAILED",
                    "id=%s pool=%s status=%u why=%s took_ms=%" G_GINT64_FORMAT,
                    q->id != NULL ? q->id : "-", q->pool, status, why, mt_loop_now () - q->began);
-  mt_gate_answer (q->exchange, status, NULL, MT_GATE_RETRY_AFTER_S);
+  mt_frontend_answer (q->exchange, status, NULL, MT_FRONTEND_RETRY_AFTER_S);
   free_question (q);
 }
 
 static void
 end_state (struct question *q, enum mt_job_state state)
 {
-  g_autofree char *body = q->gate->options.words->ops->job_state (state);
+  g_autofree char *body = q->frontend->options.words->ops->job_state (state);
 
-  mt_gate_answer (q->exchange, 200, body, 0);
+  mt_frontend_answer (q->exchange, 200, body, 0);
   free_question (q);
 }
 
 static void
 end_no_job (struct question *q)
 {
-  mt_gate_answer (q->exchange, 410, NULL, 0);
+  mt_frontend_answer (q->exchange, 410, NULL, 0);
   free_question (q);
 }
 
@@ -111,7 +111,7 @@
     }
   q->open_state = state == MT_JOB_UNKNOWN ? MT_JOB_QUEUED : state;
   key = mt_pool_cancel_key (q->pool, q->id);
-  mt_kv_read (&q->gate->options.kv, key, STORE_MS, on_cancel_key, q);
+  mt_kv_read (&q->frontend->options.kv, key, STORE_MS, on_cancel_key, q);
 }
 
 static void
@@ -131,7 +131,7 @@
       return;
     }
   key = mt_pool_progress_key (q->pool, q->id);
-  mt_kv_read (&q->gate->options.kv, key, STORE_MS, on_progress_key, q);
+  mt_kv_read (&q->frontend->options.kv, key, STORE_MS, on_progress_key, q);
 }
 
 /* Nobody leads the pool, or its leader doesn't know the job: only the store can say that a job does
@@ -141,8 +141,8 @@
 {
   g_autofree char *key = mt_pool_job_key (q->pool, q->id);
 
-  mt_metrics_count (q->gate->options.metrics, MT_COUNT_ASKED_STORE);
-  mt_kv_read (&q->gate->options.kv, key, STORE_MS, on_job_key, q);
+  mt_metrics_count (q->frontend->options.metrics, MT_COUNT_ASKED_STORE);
+  mt_kv_read (&q->frontend->options.kv, key, STORE_MS, on_job_key, q);
 }
 
 static void
@@ -157,37 +157,38 @@
       ask_store (q);
       return;
     }
-  mt_metrics_count (q->gate->options.metrics, MT_COUNT_ASKED_LEADER);
+  mt_metrics_count (q->frontend->options.metrics, MT_COUNT_ASKED_LEADER);
   end_state (q, state);
 }
 
 static struct mt_pool *
-loaded_pool (struct mt_gate *gate, const char *name)
+loaded_pool (struct mt_frontend *frontend, const char *name)
 {
-  struct mt_pool *pool = gate->options.local (gate->options.ctx, name);
+  struct mt_pool *pool = frontend->options.local (frontend->options.ctx, name);
 
   return pool != NULL && mt_pool_is_loaded (pool) ? pool : NULL;
 }
 
 void
-mt_gate_ask_state (struct mt_gate *gate,
-                   struct mt_exchange *exchange,
-                   const struct mt_fleet_route *route,
-                   const char *id)
+mt_frontend_ask_state (struct mt_frontend *frontend,
+                       struct mt_exchange *exchange,
+                       const struct mt_fleet_route *route,
+                       const char *id)
 {
-  struct mt_pool *local = loaded_pool (gate, route->pool);
-  struct question *q = new_question (gate, exchange, route, id);
+  struct mt_pool *local = loaded_pool (frontend, route->pool);
+  struct question *q = new_question (frontend, exchange, route, id);
   struct mt_mesh_args args = { 2, { mt_str_from (q->pool), mt_str_from (q->id) } };
   enum mt_job_state state = MT_JOB_UNKNOWN;
 
-  mt_metrics_count (gate->options.metrics, MT_COUNT_ASKED);
+  mt_metrics_count (frontend->options.metrics, MT_COUNT_ASKED);
   /* A leader that may have been replaced unnoticed must not tell what is no longer true. */
-  if (local != NULL && mt_cluster_is_sure (gate->options.cluster))
-    state = mt_desk_state (mt_pool_desk (local), id);
+  if (local != NULL && mt_cluster_is_sure (frontend->options.cluster))
+    state = mt_scheduler_state (mt_pool_desk (local), id);
   if (state != MT_JOB_UNKNOWN)
     end_state (q, state);
   else if (local != NULL
-           || !mt_gate_send_leader (gate, q->pool, MT_MESH_STATE, &args, on_leader_state, q))
+           || !mt_frontend_send_leader (frontend, q->pool, MT_MESH_STATE, &args, on_leader_state,
+                                        q))
     ask_store (q);
 }
 
@@ -203,30 +204,31 @@
       end_unanswered (q, 503, "the pool's leader did not answer");
       return;
     }
-  body = q->gate->options.words->ops->pending ((unsigned) jobs);
-  mt_gate_answer (q->exchange, 200, body, 0);
+  body = q->frontend->options.words->ops->pending ((unsigned) jobs);
+  mt_frontend_answer (q->exchange, 200, body, 0);
   free_question (q);
 }
 
 void
-mt_gate_ask_pending (struct mt_gate *gate,
-                     struct mt_exchange *exchange,
-                     const struct mt_fleet_route *route)
+mt_frontend_ask_pending (struct mt_frontend *frontend,
+                         struct mt_exchange *exchange,
+                         const struct mt_fleet_route *route)
 {
-  struct mt_pool *local = loaded_pool (gate, route->pool);
-  struct question *q = new_question (gate, exchange, route, NULL);
+  struct mt_pool *local = loaded_pool (frontend, route->pool);
+  struct question *q = new_question (frontend, exchange, route, NULL);
   struct mt_mesh_args args = { 2, { mt_str_from (q->pool), mt_str_from (q->route) } };
 
-  mt_metrics_count (gate->options.metrics, MT_COUNT_ASKED);
+  mt_metrics_count (frontend->options.metrics, MT_COUNT_ASKED);
   if (local != NULL)
     {
-      g_autofree char *body
-          = gate->options.words->ops->pending (mt_desk_pending (mt_pool_desk (local), route->name));
+      g_autofree char *body = frontend->options.words->ops->pending (
+          mt_scheduler_pending (mt_pool_desk (local), route->name));
 
-      mt_gate_answer (exchange, 200, body, 0);
+      mt_frontend_answer (exchange, 200, body, 0);
       free_question (q);
     }
-  else if (!mt_gate_send_leader (gate, q->pool, MT_MESH_PENDING, &args, on_leader_pending, q))
+  else if (!mt_frontend_send_leader (frontend, q->pool, MT_MESH_PENDING, &args, on_leader_pending,
+                                     q))
     end_unanswered (q, 503, "nobody leads the pool");
 }
 
@@ -237,26 +239,26 @@
 static void
 end_cancel (struct question *q)
 {
-  struct mt_gate *gate = q->gate;
-  struct mt_pool *local = gate->options.local (gate->options.ctx, q->pool);
+  struct mt_frontend *frontend = q->frontend;
+  struct mt_pool *local = frontend->options.local (frontend->options.ctx, q->pool);
   struct mt_mesh_args args = { 2, { mt_str_from (q->pool), mt_str_from (q->id) } };
 
   if (local != NULL)
     mt_pool_cancelled (local, q->id);
   else
-    mt_gate_note_leader (gate, q->pool, MT_MESH_CANCELLED, &args);
-  mt_metrics_count (gate->options.metrics, MT_COUNT_CANCELS);
-  mt_journal_tell (gate->options.journal, "CANCEL_ACCEPTED",
+    mt_frontend_note_leader (frontend, q->pool, MT_MESH_CANCELLED, &args);
+  mt_metrics_count (frontend->options.metrics, MT_COUNT_CANCELS);
+  mt_journal_tell (frontend->options.journal, "CANCEL_ACCEPTED",
                    "id=%s pool=%s took_ms=%" G_GINT64_FORMAT, q->id, q->pool,
                    mt_loop_now () - q->began);
-  mt_gate_answer (q->exchange, 200, NULL, 0);
+  mt_frontend_answer (q->exchange, 200, NULL, 0);
   free_question (q);
 }
 
 static bool
 out_of_time (const struct question *q)
 {
-  return mt_loop_now () - q->began >= MT_GATE_SETTLE_MS;
+  return mt_loop_now () - q->began >= MT_FRONTEND_SETTLE_MS;
 }
 
 static void
@@ -280,7 +282,7 @@
   struct mt_kv_put put = { .key = key, .value = MT_STR ("{}") };
   struct mt_kv_txn txn = { &expect, 1, &put, 1, NULL, 0 };
 
-  mt_kv_write (&q->gate->options.kv, &txn, MT_GATE_TXN_MS, on_cancel_stored, q);
+  mt_kv_write (&q->frontend->options.kv, &txn, MT_FRONTEND_TXN_MS, on_cancel_stored, q);
 }
 
 static void
@@ -297,13 +299,13 @@
 }
 
 void
-mt_gate_cancel (struct mt_gate *gate,
-                struct mt_exchange *exchange,
-                const struct mt_fleet_route *route,
-                const char *id)
+mt_frontend_cancel (struct mt_frontend *frontend,
+                    struct mt_exchange *exchange,
+                    const struct mt_fleet_route *route,
+                    const char *id)
 {
-  struct question *q = new_question (gate, exchange, route, id);
+  struct question *q = new_question (frontend, exchange, route, id);
   g_autofree char *key = mt_pool_job_key (q->pool, q->id);
 
-  mt_kv_read (&gate->options.kv, key, MT_GATE_TXN_MS, on_cancel_job, q);
+  mt_kv_read (&frontend->options.kv, key, MT_FRONTEND_TXN_MS, on_cancel_job, q);
 }
--- a/fleet/gate_submit.c
+++ b/fleet/frontend_submit.c
@@ -1,5 +1,5 @@
 /* Jobs handed in: stored first, then acknowledged, then told to the pool's leader. */
-#include "gate_internal.h"
+#include "frontend_internal.h"
 
 #include "journal.h"
 #include "loop.h"
@@ -16,7 +16,7 @@
 
 struct submit
 {
-  struct mt_gate *gate;
+  struct mt_frontend *frontend;
   struct mt_exchange *exchange;
   char *pool;
   char *id;
@@ -29,12 +29,12 @@
 
 struct txn
 {
-  struct mt_gate *gate;
+  struct mt_frontend *frontend;
   GPtrArray *submits;
   struct mt_timer *again;
 };
 
-static void send_submits (struct mt_gate *gate);
+static void send_submits (struct mt_frontend *frontend);
 
 static void
 free_submit (void *data)
@@ -50,16 +50,16 @@
 
 /* The pool's leader learns of it at once; where it doesn't, its watch brings it later. */
 static void
-tell_leader (struct mt_gate *gate, const struct submit *s)
+tell_leader (struct mt_frontend *frontend, const struct submit *s)
 {
-  struct mt_pool *local = gate->options.local (gate->options.ctx, s->pool);
+  struct mt_pool *local = frontend->options.local (frontend->options.ctx, s->pool);
   struct mt_str value = { s->value, s->value_len };
   struct mt_mesh_args args = { 3, { mt_str_from (s->pool), mt_str_from (s->key), value } };
 
   if (local != NULL)
     mt_pool_submitted (local, s->key, value, true);
   else
-    mt_gate_note_leader (gate, s->pool, MT_MESH_SUBMITTED, &args);
+    mt_frontend_note_leader (frontend, s->pool, MT_MESH_SUBMITTED, &args);
 }
 
 static void
@@ -80,21 +80,21 @@
 
   while (ways[way].status != 0 && ways[way].status != status)
     way++;
-  mt_metrics_count (s->gate->options.metrics, ways[way].counter);
-  mt_metrics_took (s->gate->options.metrics, MT_LATENCY_SUBMIT, took);
-  mt_journal_tell (s->gate->options.journal, ways[way].event,
+  mt_metrics_count (s->frontend->options.metrics, ways[way].counter);
+  mt_metrics_took (s->frontend->options.metrics, MT_LATENCY_SUBMIT, took);
+  mt_journal_tell (s->frontend->options.journal, ways[way].event,
                    "id=%s pool=%s status=%u why=%s took_ms=%" G_GINT64_FORMAT, s->id, s->pool,
                    status, why, took);
-  mt_gate_answer (s->exchange, status, NULL,
-                  status == 503 || status == 504 ? MT_GATE_RETRY_AFTER_S : 0);
-  s->gate->busy--;
+  mt_frontend_answer (s->exchange, status, NULL,
+                      status == 503 || status == 504 ? MT_FRONTEND_RETRY_AFTER_S : 0);
+  s->frontend->busy--;
   free_submit (s);
 }
 
 static void
 accept_submit (struct submit *s, const char *why)
 {
-  tell_leader (s->gate, s);
+  tell_leader (s->frontend, s);
   end_submit (s, 200, why);
 }
 
@@ -127,7 +127,7 @@
 static void
 free_txn (struct txn *t)
 {
-  t->gate->txns--;
+  t->frontend->txns--;
   g_ptr_array_unref (t->submits);
   mt_timer_destroy (t->again);
   g_free (t);
@@ -136,10 +136,10 @@
 static void
 end_txn (struct txn *t)
 {
-  struct mt_gate *gate = t->gate;
+  struct mt_frontend *frontend = t->frontend;
 
   free_txn (t);
-  send_submits (gate);
+  send_submits (frontend);
 }
 
 static void
@@ -153,15 +153,15 @@
       if (item != NULL && item->revision > 0)
         settle_submit (s, item);
       else
-        g_queue_push_tail (&t->gate->submits, s);
+        g_queue_push_tail (&t->frontend->submits, s);
     }
   end_txn (t);
 }
 
 static bool
-store_answers (const struct mt_gate *gate)
+store_answers (const struct mt_frontend *frontend)
 {
-  return gate->options.store_answers (gate->options.ctx);
+  return frontend->options.store_answers (frontend->options.ctx);
 }
 
 /* A write without an answer may be done later still, so the job is never said to be refused after
@@ -171,14 +171,14 @@
 try_again (struct txn *t, bool unsettled)
 {
   int64_t now = mt_loop_now ();
-  bool hopeless = !store_answers (t->gate);
+  bool hopeless = !store_answers (t->frontend);
 
   for (guint i = 0; i < t->submits->len;)
     {
       struct submit *s = t->submits->pdata[i];
 
       s->unsettled |= unsettled;
-      if (!hopeless && now - s->began < MT_GATE_SETTLE_MS)
+      if (!hopeless && now - s->began < MT_FRONTEND_SETTLE_MS)
         {
           i++;
           continue;
@@ -230,61 +230,61 @@
       expects[i] = (struct mt_kv_expect){ s->key, 0 };
       puts[i] = (struct mt_kv_put){ s->key, { s->value, s->value_len }, 0 };
     }
-  mt_kv_write (&t->gate->options.kv, &txn, MT_GATE_TXN_MS, on_stored, t);
+  mt_kv_write (&t->frontend->options.kv, &txn, MT_FRONTEND_TXN_MS, on_stored, t);
 }
 
 /* What came while others were on their way goes into one write. */
 static void
-send_submits (struct mt_gate *gate)
+send_submits (struct mt_frontend *frontend)
 {
-  while (!g_queue_is_empty (&gate->submits) && gate->txns < TXNS_AT_A_TIME)
+  while (!g_queue_is_empty (&frontend->submits) && frontend->txns < TXNS_AT_A_TIME)
     {
       struct txn *t = g_new0 (struct txn, 1);
 
-      t->gate = gate;
+      t->frontend = frontend;
       t->submits = g_ptr_array_new ();
-      t->again = mt_timer_create (gate->base, send_txn, t);
-      gate->txns++;
-      while (t->submits->len < PER_TXN && !g_queue_is_empty (&gate->submits))
-        g_ptr_array_add (t->submits, g_queue_pop_head (&gate->submits));
+      t->again = mt_timer_create (frontend->base, send_txn, t);
+      frontend->txns++;
+      while (t->submits->len < PER_TXN && !g_queue_is_empty (&frontend->submits))
+        g_ptr_array_add (t->submits, g_queue_pop_head (&frontend->submits));
       send_txn (t);
     }
 }
 
 void
-mt_gate_submit (struct mt_gate *gate,
-                struct mt_exchange *exchange,
-                const struct mt_fleet_route *route,
-                const char *id)
+mt_frontend_submit (struct mt_frontend *frontend,
+                    struct mt_exchange *exchange,
+                    const struct mt_fleet_route *route,
+                    const char *id)
 {
   g_autoptr (GError) error = NULL;
   struct mt_str body = mt_exchange_body (exchange);
-  struct mt_job_spec *spec = gate->options.words->ops->job (id, route->name, body, &error);
+  struct mt_job_spec *spec = frontend->options.words->ops->job (id, route->name, body, &error);
   struct submit *s;
 
   if (spec == NULL)
     {
-      mt_metrics_count (gate->options.metrics, MT_COUNT_REFUSED);
-      mt_journal_tell (gate->options.journal, "JOB_REFUSED", "id=%s pool=%s status=400 why=%s", id,
-                       route->pool, error->message);
+      mt_metrics_count (frontend->options.metrics, MT_COUNT_REFUSED);
+      mt_journal_tell (frontend->options.journal, "JOB_REFUSED", "id=%s pool=%s status=400 why=%s",
+                       id, route->pool, error->message);
       mt_exchange_answer (exchange, 400, "text/plain", mt_str_from (error->message), 0);
       return;
     }
   mt_job_spec_destroy (spec);
   s = g_new0 (struct submit, 1);
-  s->gate = gate;
+  s->frontend = frontend;
   s->exchange = exchange;
   s->pool = g_strdup (route->pool);
   s->id = g_strdup (id);
   s->key = mt_pool_job_key (route->pool, id);
   s->value = mt_pool_value (route->name, mt_loop_wall (), body, &s->value_len);
   s->began = mt_loop_now ();
-  gate->busy++;
-  if (!store_answers (gate))
+  frontend->busy++;
+  if (!store_answers (frontend))
     {
       end_submit (s, 503, "the store does not answer, nothing was sent");
       return;
     }
-  g_queue_push_tail (&gate->submits, s);
-  send_submits (gate);
+  g_queue_push_tail (&frontend->submits, s);
+  send_submits (frontend);
 }
--- a/fleet/neighbours.c
+++ b/fleet/neighbours.c
@@ -1,6 +1,6 @@
 #include "neighbours.h"
 
-#include "care.h"
+#include "fleet_leader.h"
 
 static void
 reply_text (struct mt_mesh_call *call, const char *text)
@@ -27,10 +27,10 @@
     }
   if (method == MT_MESH_STATE)
     {
-      reply_text (call, mt_job_state_names[mt_desk_state (mt_pool_desk (pool), what)]);
+      reply_text (call, mt_job_state_names[mt_scheduler_state (mt_pool_desk (pool), what)]);
       return;
     }
-  g_snprintf (text, sizeof text, "%u", mt_desk_pending (mt_pool_desk (pool), what));
+  g_snprintf (text, sizeof text, "%u", mt_scheduler_pending (mt_pool_desk (pool), what));
   reply_text (call, text);
 }
 
@@ -38,7 +38,7 @@
 reply_report (struct mt_mesh_call *call, struct mt_pool *pool, const struct mt_mesh_args *args)
 {
   size_t len = 0;
-  g_autofree char *bytes = mt_care_serve (pool, args->at[1], args->at[2], &len);
+  g_autofree char *bytes = mt_fleet_leader_serve (pool, args->at[1], args->at[2], &len);
   struct mt_mesh_args reply = { 1, { { bytes, len } } };
 
   mt_mesh_reply (call, bytes != NULL ? &reply : NULL);
--- a/fleet/pool.c
+++ b/fleet/pool.c
@@ -17,7 +17,7 @@
 #define TXN_MS 800
 /* ... after this: where the first was done after all, the second conflicts with it. */
 #define TXN_AGAIN_MS 60
-/* How often a pool looks at its desk without being told of anything. */
+/* How often a pool looks at its scheduler without being told of anything. */
 #define TICK_MS      20
 #define IDLE_TICK_MS 100
 /* The queue's watch is a backstop: submissions are told by the daemon that took them. */
@@ -36,7 +36,7 @@
   struct mt_pool_options options;
   char *name;
   char *duty_key;
-  struct mt_desk *desk;
+  struct mt_scheduler *sched;
   struct mt_watcher *queue;
   struct mt_timer *tick;
   GHashTable *early_cancels; /* ids cancelled before their job was known */
@@ -72,7 +72,7 @@
 {
   struct mt_pool *pool = data;
 
-  mt_desk_destroy (pool->desk);
+  mt_scheduler_destroy (pool->sched);
   g_hash_table_unref (pool->early_cancels);
   mt_timer_destroy (pool->tick);
   mt_timer_destroy (pool->load_timer);
@@ -108,14 +108,15 @@
   g_free (w);
   if (!pool->destroyed && --pool->writes_left == 0)
     {
-      mt_desk_cycle_done (pool->desk, mt_loop_now ());
+      mt_scheduler_cycle_done (pool->sched, mt_loop_now ());
       wake (pool);
     }
   unref (pool);
 }
 
-/* Someone else wrote the duty's key, or it is gone: whatever this desk believes is over. Else a
- * progress key stands at another revision than thought: an earlier write whose answer was lost. */
+/* Someone else wrote the duty's key, or it is gone: whatever this scheduler believes is over. Else
+ * a progress key stands at another revision than thought: an earlier write whose answer was lost.
+ */
 static bool
 settle_conflict (struct write *w, const struct mt_kv_reply *reply)
 {
@@ -131,7 +132,7 @@
             return false;
           continue;
         }
-      mt_desk_set_revision (pool->desk, mt_pool_key_id (item->key), item->revision);
+      mt_scheduler_set_revision (pool->sched, mt_pool_key_id (item->key), item->revision);
     }
   return true;
 }
@@ -151,7 +152,7 @@
     {
     case MT_KV_OK:
       for (guint i = 0; i < w->ids->len; i++)
-        mt_desk_set_revision (pool->desk, w->ids->pdata[i], reply->revision);
+        mt_scheduler_set_revision (pool->sched, w->ids->pdata[i], reply->revision);
       end_write (w);
       return;
     case MT_KV_CONFLICT:
@@ -188,7 +189,7 @@
   for (guint i = 0; i < w->ids->len; i++)
     {
       const char *id = w->ids->pdata[i];
-      char *record = mt_desk_record (pool->desk, id);
+      char *record = mt_scheduler_record (pool->sched, id);
 
       if (record == NULL)
         continue;
@@ -196,7 +197,7 @@
       puts[n].value = mt_str_from (record);
       puts[n].lease = 0;
       expects[1 + n].key = puts[n].key;
-      expects[1 + n].revision = mt_desk_revision (pool->desk, id);
+      expects[1 + n].revision = mt_scheduler_revision (pool->sched, id);
       n++;
     }
   txn.n_expects = 1 + n;
@@ -212,7 +213,7 @@
 static void
 begin_cycle (struct mt_pool *pool, int64_t now)
 {
-  GPtrArray *ids = mt_desk_cycle_begin (pool->desk, now, mt_loop_wall ());
+  GPtrArray *ids = mt_scheduler_cycle_begin (pool->sched, now, mt_loop_wall ());
 
   if (ids == NULL)
     return;
@@ -270,7 +271,7 @@
 
   if (!s->pool->destroyed)
     {
-      mt_desk_hold_answered (s->pool->desk, s->worker, report, s->at, mt_loop_now ());
+      mt_scheduler_hold_answered (s->pool->sched, s->worker, report, s->at, mt_loop_now ());
       wake (s->pool);
     }
   free_sent (s);
@@ -283,8 +284,8 @@
 
   if (!s->pool->destroyed)
     {
-      mt_desk_order_answered (s->pool->desk, s->kind, s->worker, s->task, s->run, answer, clock_ms,
-                              mt_loop_now ());
+      mt_scheduler_order_answered (s->pool->sched, s->kind, s->worker, s->task, s->run, answer,
+                                   clock_ms, mt_loop_now ());
       wake (s->pool);
     }
   free_sent (s);
@@ -294,13 +295,13 @@
 on_advice (void *data, char **rows, int64_t validity_ms)
 {
   struct sent *s = data;
-  struct mt_desk *desk = s->pool->desk;
+  struct mt_scheduler *sched = s->pool->sched;
 
   for (char **row = rows; !s->pool->destroyed && row != NULL && row[0] != NULL; row += 2)
-    mt_desk_advised (desk, s->task, row[0], row[1], s->at + validity_ms);
+    mt_scheduler_advised (sched, s->task, row[0], row[1], s->at + validity_ms);
   if (!s->pool->destroyed)
     {
-      mt_desk_advice_answered (desk, s->task, mt_loop_now (), rows != NULL);
+      mt_scheduler_advice_answered (sched, s->task, mt_loop_now (), rows != NULL);
       wake (s->pool);
     }
   free_sent (s);
@@ -331,7 +332,7 @@
   while (!mt_cluster_is_sure (pool->options.cluster)
          && mt_cluster_unsure_ms (pool->options.cluster) < OUTAGE_MS
          && pool->options.store_is_out (pool->options.ctx)
-         && mt_desk_next_hold (pool->desk, mt_loop_now (), &order))
+         && mt_scheduler_next_hold (pool->sched, mt_loop_now (), &order))
     {
       send_order (pool, &order, mt_loop_now ());
       mt_order_clear (&order);
@@ -346,13 +347,13 @@
   struct mt_order order;
 
   while (mt_cluster_is_sure (pool->options.cluster)
-         && mt_desk_next_order (pool->desk, mt_loop_now (), &order))
+         && mt_scheduler_next_order (pool->sched, mt_loop_now (), &order))
     {
       send_order (pool, &order, mt_loop_now ());
       mt_order_clear (&order);
     }
   hold_on (pool);
-  if (mt_desk_is_fenced_off (pool->desk))
+  if (mt_scheduler_is_fenced_off (pool->sched))
     give_up (pool, "a worker has seen a higher token");
 }
 
@@ -366,7 +367,7 @@
   w->pool->forgetting = false;
   if (!w->pool->destroyed && reply->status == MT_KV_OK)
     for (guint i = 0; i < w->ids->len; i++)
-      mt_desk_forget (w->pool->desk, w->ids->pdata[i]);
+      mt_scheduler_forget (w->pool->sched, w->ids->pdata[i]);
   unref (w->pool);
   g_ptr_array_unref (w->ids);
   g_free (w);
@@ -376,7 +377,7 @@
 static void
 forget_expired (struct mt_pool *pool, int64_t now)
 {
-  const char *id = mt_desk_expired (pool->desk, now);
+  const char *id = mt_scheduler_expired (pool->sched, now);
   g_autoptr (GPtrArray) keys = g_ptr_array_new_with_free_func (g_free);
   struct mt_kv_expect expect = { pool->duty_key, pool->options.token };
   struct mt_kv_txn txn = { .expects = &expect, .n_expects = 1 };
@@ -408,7 +409,7 @@
     return;
   pool->waking = true;
   ref (pool);
-  if (mt_desk_wants_cycle (pool->desk, now))
+  if (mt_scheduler_wants_cycle (pool->sched, now))
     {
       if (now - pool->cycle_began >= CYCLE_MS)
         begin_cycle (pool, now);
@@ -426,7 +427,7 @@
 {
   struct mt_pool *pool = ctx;
 
-  mt_timer_set (pool->tick, mt_desk_is_idle (pool->desk) ? IDLE_TICK_MS : TICK_MS);
+  mt_timer_set (pool->tick, mt_scheduler_is_idle (pool->sched) ? IDLE_TICK_MS : TICK_MS);
   forget_expired (pool, mt_loop_now ());
   wake (pool);
 }
@@ -471,8 +472,8 @@
       const struct mt_kv_item *item = &reply->items[i];
       g_autofree char *record = g_strndup (item->value.data, item->value.len);
 
-      if (!mt_desk_restore (pool->desk, mt_pool_key_id (item->key), record, item->revision,
-                            mt_loop_now ()))
+      if (!mt_scheduler_restore (pool->sched, mt_pool_key_id (item->key), record, item->revision,
+                                 mt_loop_now ()))
         mt_journal_tell (pool->options.journal, "RECORD_UNREADABLE", "pool=%s key=%s", pool->name,
                          item->key);
     }
@@ -529,7 +530,7 @@
   struct mt_str body;
   struct mt_job_spec *spec;
 
-  if (mt_desk_knows (pool->desk, id))
+  if (mt_scheduler_knows (pool->sched, id))
     return;
   if (!mt_pool_read_value (value, &route, &accepted_ms, &body))
     {
@@ -545,16 +546,16 @@
       return;
     }
   spec->accepted_ms = accepted_ms;
-  mt_desk_submit (pool->desk, spec, mt_loop_now (), fresh ? accepted_ms : mt_loop_wall ());
+  mt_scheduler_submit (pool->sched, spec, mt_loop_now (), fresh ? accepted_ms : mt_loop_wall ());
   if (g_hash_table_contains (pool->early_cancels, id))
-    mt_desk_cancel (pool->desk, id, mt_loop_now ());
+    mt_scheduler_cancel (pool->sched, id, mt_loop_now ());
   wake (pool);
 }
 
 void
 mt_pool_cancelled (struct mt_pool *pool, const char *id)
 {
-  if (mt_desk_cancel (pool->desk, id, mt_loop_now ()))
+  if (mt_scheduler_cancel (pool->sched, id, mt_loop_now ()))
     wake (pool);
   else
     g_hash_table_add (pool->early_cancels, g_strdup (id));
@@ -585,10 +586,10 @@
   pool->base = base;
   pool->options = *options;
   pool->name = g_strdup (options->name);
-  pool->options.name = pool->options.desk.name = pool->name;
+  pool->options.name = pool->options.sched.name = pool->name;
   pool->duty_key = mt_cluster_duty_key (options->name);
-  pool->desk = mt_desk_create (&pool->options.desk);
-  mt_desk_on_told (pool->desk, on_told, pool);
+  pool->sched = mt_scheduler_create (&pool->options.sched);
+  mt_scheduler_on_told (pool->sched, on_told, pool);
   pool->early_cancels = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   pool->tick = mt_timer_create (base, on_tick, pool);
   pool->load_timer = mt_timer_create (base, load_page, pool);
@@ -614,10 +615,10 @@
   return pool->loaded;
 }
 
-struct mt_desk *
+struct mt_scheduler *
 mt_pool_desk (struct mt_pool *pool)
 {
-  return pool->desk;
+  return pool->sched;
 }
 
 int64_t
--- a/fleet/pool.h
+++ b/fleet/pool.h
@@ -1,5 +1,5 @@
-/* One pool's desk at work: loads its jobs from the store, makes what it decides durable, and sends
- * its orders. Lives while this daemon has the pool's duty. On the loop's one thread. */
+/* One pool's scheduler at work: loads its jobs from the store, makes what it decides durable, and
+ * sends its orders. Lives while this daemon has the pool's duty. On the loop's one thread. */
 #ifndef MT_FLEET_POOL_H
 #define MT_FLEET_POOL_H
 
@@ -18,7 +18,7 @@
   struct mt_workers workers;
   const struct mt_words *words;
   struct mt_cluster *cluster;
-  struct mt_desk_settings desk; /* its name is the pool's */
+  struct mt_scheduler_settings sched; /* its name is the pool's */
   /* Nobody reaches the store, as far as this daemon can learn. */
   bool (*store_is_out) (void *ctx);
   void *ctx;
@@ -31,9 +31,9 @@
 
 /* All jobs of the time before are known. */
 bool mt_pool_is_loaded (const struct mt_pool *pool);
-struct mt_desk *mt_pool_desk (struct mt_pool *pool);
+struct mt_scheduler *mt_pool_desk (struct mt_pool *pool);
 int64_t mt_pool_token (const struct mt_pool *pool);
-/* Does what has become due; to be called after the desk was fed from elsewhere. */
+/* Does what has become due; to be called after the scheduler was fed from elsewhere. */
 void mt_pool_wake (struct mt_pool *pool);
 
 /* key: of the job in the store; value: as it is stored. The job is durable. */
--- a/fleet/pool_keys.h
+++ b/fleet/pool_keys.h
@@ -2,7 +2,7 @@
 #ifndef MT_FLEET_POOL_KEYS_H
 #define MT_FLEET_POOL_KEYS_H
 
-#include "medlartrack/desk.h"
+#include "medlartrack/scheduler.h"
 #include "medlartrack/str.h"
 
 /* Submissions and cancellings of a pool, in one prefix so that one watch brings both. */
--- a/fleet/pool_report.c
+++ b/fleet/pool_report.c
@@ -34,7 +34,7 @@
 }
 
 static void
-pack_load (msgpack_packer *packer, const struct mt_desk_load *load)
+pack_load (msgpack_packer *packer, const struct mt_scheduler_load *load)
 {
   msgpack_pack_array (packer, LOAD_FIELDS);
   msgpack_pack_unsigned_int (packer, load->jobs);
@@ -51,17 +51,17 @@
 }
 
 char *
-mt_pool_report_pack (const struct mt_desk *desk, int64_t now, size_t *len)
+mt_pool_report_pack (const struct mt_scheduler *sched, int64_t now, size_t *len)
 {
   g_autofree struct mt_worker_view *views
       = g_new0 (struct mt_worker_view, MT_POOL_REPORT_MAX_WORKERS);
-  size_t n = mt_desk_workers (desk, now, views, MT_POOL_REPORT_MAX_WORKERS);
-  struct mt_desk_load load;
+  size_t n = mt_scheduler_workers (sched, now, views, MT_POOL_REPORT_MAX_WORKERS);
+  struct mt_scheduler_load load;
   msgpack_sbuffer buffer;
   msgpack_packer packer;
   char *bytes;
 
-  mt_desk_load (desk, now, &load);
+  mt_scheduler_load (sched, now, &load);
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
   msgpack_pack_array (&packer, 2);
@@ -87,7 +87,7 @@
 }
 
 static bool
-unpack_load (const msgpack_object *object, struct mt_desk_load *out)
+unpack_load (const msgpack_object *object, struct mt_scheduler_load *out)
 {
   const msgpack_object *f = mt_pack_get_array (object, LOAD_FIELDS);
 
--- a/fleet/pool_report.h
+++ b/fleet/pool_report.h
@@ -1,21 +1,21 @@
-/* What a pool's leader tells the steward, as msgpack bytes. Pure functions. */
+/* What a pool's leader tells the fleet controller, as msgpack bytes. Pure functions. */
 #ifndef MT_FLEET_POOL_REPORT_H
 #define MT_FLEET_POOL_REPORT_H
 
-#include "medlartrack/desk.h"
+#include "medlartrack/scheduler.h"
 #include "medlartrack/str.h"
 
 #define MT_POOL_REPORT_MAX_WORKERS 1024
 
 struct mt_pool_report
 {
-  struct mt_desk_load load;
+  struct mt_scheduler_load load;
   struct mt_worker_view *workers; /* their ids belong to the report */
   size_t n_workers;
 };
 
 /* g_free the bytes. */
-char *mt_pool_report_pack (const struct mt_desk *desk, int64_t now, size_t *len);
+char *mt_pool_report_pack (const struct mt_scheduler *sched, int64_t now, size_t *len);
 bool mt_pool_report_unpack (struct mt_str bytes, struct mt_pool_report *out);
 void mt_pool_report_clear (struct mt_pool_report *report);
 
--- a/fleet/ports.h
+++ b/fleet/ports.h
@@ -5,7 +5,7 @@
 #ifndef MT_FLEET_PORTS_H
 #define MT_FLEET_PORTS_H
 
-#include "medlartrack/desk.h"
+#include "medlartrack/scheduler.h"
 #include "medlartrack/str.h"
 
 /* ---- store ---- */
--- /dev/null
+++ b/include/medlartrack/controller.h
@@ -0,0 +1,121 @@
+/* The fleet controller: which machine is emptied, kept up or moved next, over all pools together.
+ * Without I/O: the owner feeds it what pools and machines look like and carries out what it wants.
+ * One thread. Times are milliseconds of a clock that counts suspension. */
+#ifndef MEDLARTRACK_CONTROLLER_H
+#define MEDLARTRACK_CONTROLLER_H
+
+#include "medlartrack/scheduler.h"
+
+#include <glib.h>
+
+struct mt_controller;
+
+struct mt_controller_settings
+{
+  int64_t move_ms;   /* a machine is away so long for a move ... */
+  int64_t upkeep_ms; /* ... and for its upkeep */
+  bool moves;        /* machines may change their pool */
+};
+
+struct mt_controller *mt_controller_create (const struct mt_controller_settings *settings);
+void mt_controller_destroy (struct mt_controller *controller);
+
+/* ---- what the owner tells ---- */
+
+/* A pool whose machines are off and cost nothing takes what is not needed elsewhere. */
+void mt_controller_set_pool (struct mt_controller *controller, const char *name, bool standby);
+
+struct mt_controller_row
+{
+  const char *id;
+  const char *pool;
+  const char *rack;
+  const char *worker; /* its present life; NULL for none */
+  bool up;
+  bool in_upkeep; /* down for its upkeep, whoever ordered that */
+  struct mt_room room;
+};
+
+/* All machines that there are. asked: when the list was asked for; orders given later are newer. */
+void mt_controller_machines (struct mt_controller *controller,
+                             const struct mt_controller_row *machines,
+                             size_t n,
+                             int64_t asked,
+                             int64_t now);
+/* What a pool's scheduler sees. */
+void mt_controller_pool (struct mt_controller *controller,
+                         const char *name,
+                         const struct mt_scheduler_load *load,
+                         const struct mt_worker_view *workers,
+                         size_t n,
+                         int64_t now);
+/* A wave that is to be done by due; done: machines that have had it, as far as it is known. */
+void mt_controller_wave (struct mt_controller *controller,
+                         int64_t number,
+                         char **machines,
+                         char **done,
+                         unsigned cap,
+                         int64_t due);
+
+/* Where a machine belongs, as a predecessor stored it; to be told before the first list. A machine
+ * of which nothing is told belongs where it is first seen. */
+void mt_controller_home (struct mt_controller *controller, const char *machine, const char *pool);
+
+/* ---- what it wants ---- */
+
+/* Decides; mt_controller_next follows from it. */
+void mt_controller_plan (struct mt_controller *controller, int64_t now);
+/* Machines that are, or are about to be, away from home, and their homes, by turns;
+ * NULL-terminated, freed with g_strfreev. A move is ordered only once its machine's home is stored:
+ * a successor would take the pool that it finds the machine in for its home. NULL where all is
+ * stored. */
+char **mt_controller_homes (struct mt_controller *controller);
+void mt_controller_homes_stored (struct mt_controller *controller, char **homes);
+
+enum mt_controller_kind
+{
+  MT_CONTROLLER_UPKEEP,
+  MT_CONTROLLER_MOVE,
+};
+
+/* Borrows from the fleet controller until it is fed again. */
+struct mt_controller_order
+{
+  enum mt_controller_kind kind;
+  const char *machine;
+  const char *worker; /* whose life it ends; NULL for none */
+  const char *pool;   /* where it is */
+  const char *to;     /* of a move */
+  int64_t wave;
+};
+
+/* False where nothing is to be ordered now. Each order is to be answered. */
+bool mt_controller_next (struct mt_controller *controller,
+                         int64_t now,
+                         struct mt_controller_order *order);
+
+enum mt_controller_answer
+{
+  MT_CONTROLLER_DONE,
+  MT_CONTROLLER_NOT_NOW,
+  MT_CONTROLLER_NEVER,
+  MT_CONTROLLER_UNKNOWN, /* it may have been done, or be done yet */
+};
+
+void mt_controller_answered (struct mt_controller *controller,
+                             const char *machine,
+                             enum mt_controller_answer answer,
+                             int64_t now);
+
+/* Workers of the pool that are to be emptied (cordon) and those whose life an order has ended
+ * (ended); both NULL-terminated, freed with g_strfreev. */
+void mt_controller_of_pool (
+    struct mt_controller *controller, const char *pool, int64_t now, char ***cordon, char ***ended);
+/* Something is on its way: the list of machines will change. */
+bool mt_controller_is_busy (const struct mt_controller *controller);
+/* All of its machines that stay have begun their upkeep. */
+bool mt_controller_wave_done (const struct mt_controller *controller, int64_t number);
+/* Machines of the wave that have had it, NULL-terminated, freed with g_strfreev. */
+char **mt_controller_wave_progress (const struct mt_controller *controller, int64_t number);
+
+#endif
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -67,7 +67,7 @@
 MT_EVENT (8012, POOL_LOADED, G_LOG_LEVEL_MESSAGE, "a pool's jobs are known, work goes on")
 MT_EVENT (8013, RECORD_UNREADABLE, G_LOG_LEVEL_CRITICAL, "a stored record can't be read")
 MT_EVENT (8015, POOL_LOAD, G_LOG_LEVEL_MESSAGE, "what a pool has to do and to do it with")
-MT_EVENT (8014, DESK_FENCED, G_LOG_LEVEL_WARNING, "a worker has seen a higher token than ours")
+MT_EVENT (8014, SCHEDULER_FENCED, G_LOG_LEVEL_WARNING, "a worker has seen a higher token than ours")
 
 MT_EVENT (8101, JOB_ACCEPTED, G_LOG_LEVEL_MESSAGE, "a job is stored, its caller was told so")
 MT_EVENT (8102, JOB_REFUSED, G_LOG_LEVEL_WARNING, "a job was refused: it is not stored, never runs")
--- a/include/medlartrack/job_spec.h
+++ b/include/medlartrack/job_spec.h
@@ -1,6 +1,6 @@
 /* What a caller asks of a job: steps of equal tasks, and when they run. Plain data, decoded by
- * whoever speaks the caller's protocol. A spec belongs to whoever created it; the desk takes it
- * over at submission. */
+ * whoever speaks the caller's protocol. A spec belongs to whoever created it; the scheduler takes
+ * it over at submission. */
 #ifndef MEDLARTRACK_JOB_SPEC_H
 #define MEDLARTRACK_JOB_SPEC_H
 
