--- a/include/medlartrack/desk.h
+++ b/include/medlartrack/scheduler.h
@@ -1,10 +1,10 @@
-/* The desk: one pool's jobs and workers, and every decision on them. It keeps which task runs
+/* The scheduler: one pool's jobs and workers, and every decision on them. It keeps which task runs
  * where, places waiting tasks, judges workers by what they do, and says what has to be durable
  * before what is sent. Without I/O: the owner feeds it what was heard and carries out the orders it
  * takes from it. One thread. Times are milliseconds of a clock that counts suspension, but for
  * those that say "wall" (Unix time). */
-#ifndef MEDLARTRACK_DESK_H
-#define MEDLARTRACK_DESK_H
+#ifndef MEDLARTRACK_SCHEDULER_H
+#define MEDLARTRACK_SCHEDULER_H
 
 #include "medlartrack/job_spec.h"
 #include "medlartrack/str.h"
@@ -12,9 +12,9 @@
 #include <glib.h>
 #include <stddef.h>
 
-struct mt_desk;
+struct mt_scheduler;
 
-struct mt_desk_settings
+struct mt_scheduler_settings
 {
   const char *name;
   int64_t hold_ms;      /* lease given to a worker's tasks with each hold */
@@ -33,21 +33,26 @@
 
 /* ---- what the owner tells ---- */
 
-struct mt_desk *mt_desk_create (const struct mt_desk_settings *settings);
-void mt_desk_destroy (struct mt_desk *desk);
+struct mt_scheduler *mt_scheduler_create (const struct mt_scheduler_settings *settings);
+void mt_scheduler_destroy (struct mt_scheduler *sched);
 
-void mt_desk_set_route (struct mt_desk *desk, const char *name, const struct mt_route_terms *terms);
+void mt_scheduler_set_route (struct mt_scheduler *sched,
+                             const char *name,
+                             const struct mt_route_terms *terms);
 
 /* Takes spec over, also when the job is known already. False where it is known. */
-bool mt_desk_submit (struct mt_desk *desk, struct mt_job_spec *spec, int64_t now, int64_t wall);
-/* The durable progress of a submitted job, as mt_desk_record wrote it, and the store's revision of
- * it. False where it can't be read; the job then starts from nothing known, which is only safe
- * where nothing of it can run. */
-bool mt_desk_restore (
-    struct mt_desk *desk, const char *id, const char *record, int64_t revision, int64_t now);
+bool mt_scheduler_submit (struct mt_scheduler *sched,
+                          struct mt_job_spec *spec,
+                          int64_t now,
+                          int64_t wall);
+/* The durable progress of a submitted job, as mt_scheduler_record wrote it, and the store's
+ * revision of it. False where it can't be read; the job then starts from nothing known, which is
+ * only safe where nothing of it can run. */
+bool mt_scheduler_restore (
+    struct mt_scheduler *sched, const char *id, const char *record, int64_t revision, int64_t now);
 /* The cancelling is durable already. False where the job isn't known. */
-bool mt_desk_cancel (struct mt_desk *desk, const char *id, int64_t now);
-bool mt_desk_knows (const struct mt_desk *desk, const char *id);
+bool mt_scheduler_cancel (struct mt_scheduler *sched, const char *id, int64_t now);
+bool mt_scheduler_knows (const struct mt_scheduler *sched, const char *id);
 
 enum mt_job_state
 {
@@ -66,9 +71,9 @@
 bool mt_job_state_is_final (enum mt_job_state state);
 
 /* As far as it is durable. */
-enum mt_job_state mt_desk_state (const struct mt_desk *desk, const char *id);
+enum mt_job_state mt_scheduler_state (const struct mt_scheduler *sched, const char *id);
 /* Accepted jobs of the route of which no task has started. */
-unsigned mt_desk_pending (const struct mt_desk *desk, const char *name);
+unsigned mt_scheduler_pending (const struct mt_scheduler *sched, const char *name);
 
 /* A worker as the registry shows it. */
 struct mt_worker_entry
@@ -82,23 +87,32 @@
   bool leaving;
 };
 
-void mt_desk_worker_seen (struct mt_desk *desk, const struct mt_worker_entry *entry, int64_t now);
+void mt_scheduler_worker_seen (struct mt_scheduler *sched,
+                               const struct mt_worker_entry *entry,
+                               int64_t now);
 /* Its entry is gone; it may run on. */
-void mt_desk_worker_unlisted (struct mt_desk *desk, const char *id, int64_t now);
+void mt_scheduler_worker_unlisted (struct mt_scheduler *sched, const char *id, int64_t now);
 /* It is proved that this life has ended: nothing of it runs. */
-void mt_desk_worker_ended (struct mt_desk *desk, const char *id, int64_t now, const char *proof);
+void mt_scheduler_worker_ended (struct mt_scheduler *sched,
+                                const char *id,
+                                int64_t now,
+                                const char *proof);
 /* No new work goes there until `until`; with move_lasting, lasting tasks are moved off within
  * their budget. */
-void mt_desk_cordon (struct mt_desk *desk, const char *id, int64_t until, bool move_lasting);
+void
+mt_scheduler_cordon (struct mt_scheduler *sched, const char *id, int64_t until, bool move_lasting);
 
 /* Advice: only the workers named in tickets may run the step. */
-void mt_desk_advised (struct mt_desk *desk,
-                      const char *step_name,
-                      const char *worker,
-                      const char *text,
-                      int64_t until);
-void mt_desk_advice_answered (struct mt_desk *desk, const char *step_name, int64_t now, bool ok);
-void mt_desk_set_advice (struct mt_desk *desk, const char *name, bool wanted);
+void mt_scheduler_advised (struct mt_scheduler *sched,
+                           const char *step_name,
+                           const char *worker,
+                           const char *text,
+                           int64_t until);
+void mt_scheduler_advice_answered (struct mt_scheduler *sched,
+                                   const char *step_name,
+                                   int64_t now,
+                                   bool ok);
+void mt_scheduler_set_advice (struct mt_scheduler *sched, const char *name, bool wanted);
 
 /* ---- orders ---- */
 
@@ -111,7 +125,7 @@
   MT_ORDER_ADVISE,
 };
 
-/* Borrows its strings from the desk; valid until the desk is fed again. */
+/* Borrows its strings from the scheduler; valid until the scheduler is fed again. */
 struct mt_order
 {
   enum mt_order_kind kind;
@@ -130,15 +144,15 @@
 };
 
 /* False where nothing is to be sent now. */
-bool mt_desk_next_order (struct mt_desk *desk, int64_t now, struct mt_order *order);
+bool mt_scheduler_next_order (struct mt_scheduler *sched, int64_t now, struct mt_order *order);
 /* The same for holds alone, which change nothing but the end of leases. */
-bool mt_desk_next_hold (struct mt_desk *desk, int64_t now, struct mt_order *order);
+bool mt_scheduler_next_hold (struct mt_scheduler *sched, int64_t now, struct mt_order *order);
 void mt_order_clear (struct mt_order *order);
 
 enum mt_answer
 {
   MT_ANSWER_OK,
-  MT_ANSWER_FENCED,  /* a higher token was seen there: this desk is no longer in charge */
+  MT_ANSWER_FENCED,  /* a higher token was seen there: this scheduler is no longer in charge */
   MT_ANSWER_OLD_RUN, /* the run number is not higher than one ended there */
   MT_ANSWER_LATE,    /* the lease was over on arrival */
   MT_ANSWER_NO_ROOM,
@@ -188,39 +202,39 @@
   size_t n_ended;
 };
 
-void mt_desk_hold_answered (struct mt_desk *desk,
-                            const char *worker,
-                            const struct mt_hold_report *report,
-                            int64_t sent,
-                            int64_t now);
+void mt_scheduler_hold_answered (struct mt_scheduler *sched,
+                                 const char *worker,
+                                 const struct mt_hold_report *report,
+                                 int64_t sent,
+                                 int64_t now);
 /* For START, STOP and PACE. */
-void mt_desk_order_answered (struct mt_desk *desk,
-                             enum mt_order_kind kind,
-                             const char *worker,
-                             const char *name,
-                             unsigned run,
-                             enum mt_answer answer,
-                             int64_t clock_ms,
-                             int64_t now);
+void mt_scheduler_order_answered (struct mt_scheduler *sched,
+                                  enum mt_order_kind kind,
+                                  const char *worker,
+                                  const char *name,
+                                  unsigned run,
+                                  enum mt_answer answer,
+                                  int64_t clock_ms,
+                                  int64_t now);
 /* A worker has answered with a higher token than ours. */
-bool mt_desk_is_fenced_off (const struct mt_desk *desk);
+bool mt_scheduler_is_fenced_off (const struct mt_scheduler *sched);
 
 /* ---- durability ---- */
 
 /* Places what can be placed and collects what has changed; returns the ids of the jobs to write
  * (owned by the caller, freed with g_ptr_array_unref), NULL where nothing has changed. Until
- * mt_desk_cycle_done no other cycle begins. Orders that the changes allow come after that. */
-GPtrArray *mt_desk_cycle_begin (struct mt_desk *desk, int64_t now, int64_t wall);
-void mt_desk_cycle_done (struct mt_desk *desk, int64_t now);
+ * mt_scheduler_cycle_done no other cycle begins. Orders that the changes allow come after that. */
+GPtrArray *mt_scheduler_cycle_begin (struct mt_scheduler *sched, int64_t now, int64_t wall);
+void mt_scheduler_cycle_done (struct mt_scheduler *sched, int64_t now);
 /* Whether a cycle would have anything to do. */
-bool mt_desk_wants_cycle (struct mt_desk *desk, int64_t now);
+bool mt_scheduler_wants_cycle (struct mt_scheduler *sched, int64_t now);
 /* The job's progress as it is to be stored; NULL where the job is gone. */
-char *mt_desk_record (const struct mt_desk *desk, const char *id);
-int64_t mt_desk_revision (const struct mt_desk *desk, const char *id);
-void mt_desk_set_revision (struct mt_desk *desk, const char *id, int64_t revision);
-/* A job whose records may be removed; NULL for none. It stays until mt_desk_forget. */
-const char *mt_desk_expired (const struct mt_desk *desk, int64_t now);
-void mt_desk_forget (struct mt_desk *desk, const char *id);
+char *mt_scheduler_record (const struct mt_scheduler *sched, const char *id);
+int64_t mt_scheduler_revision (const struct mt_scheduler *sched, const char *id);
+void mt_scheduler_set_revision (struct mt_scheduler *sched, const char *id, int64_t revision);
+/* A job whose records may be removed; NULL for none. It stays until mt_scheduler_forget. */
+const char *mt_scheduler_expired (const struct mt_scheduler *sched, int64_t now);
+void mt_scheduler_forget (struct mt_scheduler *sched, const char *id);
 
 /* ---- what others decide from ---- */
 
@@ -238,10 +252,12 @@
 };
 
 /* In no order; returns how many were written. */
-size_t
-mt_desk_workers (const struct mt_desk *desk, int64_t now, struct mt_worker_view *out, size_t max);
+size_t mt_scheduler_workers (const struct mt_scheduler *sched,
+                             int64_t now,
+                             struct mt_worker_view *out,
+                             size_t max);
 
-struct mt_desk_load
+struct mt_scheduler_load
 {
   unsigned jobs;    /* not ended */
   unsigned waiting; /* tasks that could start now */
@@ -257,13 +273,14 @@
 };
 
 /* No job is open. */
-bool mt_desk_is_idle (const struct mt_desk *desk);
-void mt_desk_load (const struct mt_desk *desk, int64_t now, struct mt_desk_load *load);
+bool mt_scheduler_is_idle (const struct mt_scheduler *sched);
+void
+mt_scheduler_load (const struct mt_scheduler *sched, int64_t now, struct mt_scheduler_load *load);
 
 /* ---- what happened, for the log ---- */
 
 /* name: an event's name; detail: "key=value ..." */
-typedef void (*mt_desk_told) (void *ctx, const char *name, const char *detail);
-void mt_desk_on_told (struct mt_desk *desk, mt_desk_told told, void *ctx);
+typedef void (*mt_scheduler_told) (void *ctx, const char *name, const char *detail);
+void mt_scheduler_on_told (struct mt_scheduler *sched, mt_scheduler_told told, void *ctx);
 
 #endif
--- a/tests/control/test_wards.c
+++ b/tests/control/test_proxied.c
@@ -1,5 +1,5 @@
 #include "fake_store.h"
-#include "wards.h"
+#include "proxied.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -14,7 +14,7 @@
   struct mt_clock_manual *manual;
   struct fake_store *fake;
   struct mt_view_holder *views;
-  struct mt_wards *wards;
+  struct mt_proxied *proxied;
   unsigned held;
 };
 
@@ -28,7 +28,7 @@
   f->manual = mt_clock_manual_create (MT_SECOND);
   f->fake = fake_store_create (mt_clock_manual_clock (f->manual));
   f->views = mt_view_holder_create (mt_clock_manual_clock (f->manual));
-  f->wards = mt_wards_create (f->views, "west");
+  f->proxied = mt_proxied_create (f->views, "west");
   mt_assign_add (next, "serving", "p", 1);
   mt_assign_drain (next, mt_assign_add (next, "draining", "p", 1), MT_GOAL_MOVE, "q", 1);
   mt_view_offer_assign (f->views, next);
@@ -42,7 +42,7 @@
 {
   struct fixture *f = *state;
 
-  mt_wards_destroy (f->wards);
+  mt_proxied_destroy (f->proxied);
   mt_view_holder_destroy (f->views);
   fake_store_destroy (f->fake);
   mt_clock_manual_destroy (f->manual);
@@ -63,7 +63,7 @@
 held (struct fixture *f)
 {
   f->held = 0;
-  mt_wards_each_held (f->wards, count_held, f);
+  mt_proxied_each_held (f->proxied, count_held, f);
   return f->held;
 }
 
@@ -79,11 +79,11 @@
 
   assert_int_equal (held (f), 0);
   fake_store_set_down (f->fake, true);
-  assert_true (mt_wards_note (f->wards, MT_STR ("cut-off")));
-  mt_wards_register (f->wards, store);
+  assert_true (mt_proxied_note (f->proxied, MT_STR ("cut-off")));
+  mt_proxied_register (f->proxied, store);
   assert_int_equal (held (f), 1);
   fake_store_set_down (f->fake, false);
-  mt_wards_register (f->wards, store);
+  mt_proxied_register (f->proxied, store);
   assert_int_equal (held (f), 0);
   assert_int_equal (fake_store_count (f->fake, MT_HOLDERS_PREFIX "west/cut-off/"), 1);
 }
@@ -96,11 +96,11 @@
   struct fixture *f = *state;
   const struct mt_store *store = fake_store_store (f->fake);
 
-  assert_true (mt_wards_note (f->wards, MT_STR ("cut-off")));
+  assert_true (mt_proxied_note (f->proxied, MT_STR ("cut-off")));
   fake_store_fault_next (f->fake, FAKE_FAULT_DROP, 1, true);
-  mt_wards_register (f->wards, store);
+  mt_proxied_register (f->proxied, store);
   assert_int_equal (held (f), 1);
-  mt_wards_register (f->wards, store);
+  mt_proxied_register (f->proxied, store);
   assert_int_equal (held (f), 0);
 }
 
@@ -112,9 +112,9 @@
 
   fake_store_force (f->fake, MT_HOLDERS_PREFIX "west/known/", "{}");
   writes = fake_store_writes (f->fake);
-  assert_true (mt_wards_note (f->wards, MT_STR ("known")));
-  mt_wards_register (f->wards, fake_store_store (f->fake));
-  assert_int_equal (mt_wards_count (f->wards), 0);
+  assert_true (mt_proxied_note (f->proxied, MT_STR ("known")));
+  mt_proxied_register (f->proxied, fake_store_store (f->fake));
+  assert_int_equal (mt_proxied_count (f->proxied), 0);
   assert_true (fake_store_writes (f->fake) == writes);
 }
 
@@ -124,17 +124,17 @@
 {
   struct fixture *f = *state;
 
-  assert_false (mt_wards_note (f->wards, MT_STR ("")));
-  assert_false (mt_wards_note (f->wards, MT_STR ("../tables")));
-  assert_false (mt_wards_note (f->wards, MT_STR ("a?cas=0")));
+  assert_false (mt_proxied_note (f->proxied, MT_STR ("")));
+  assert_false (mt_proxied_note (f->proxied, MT_STR ("../tables")));
+  assert_false (mt_proxied_note (f->proxied, MT_STR ("a?cas=0")));
   for (unsigned i = 0; i < 300; i++)
     {
       g_autofree char *name = g_strdup_printf ("d%u", i);
 
-      mt_wards_note (f->wards, mt_str_from (name));
+      mt_proxied_note (f->proxied, mt_str_from (name));
     }
-  assert_int_equal (mt_wards_count (f->wards), 256);
-  assert_false (mt_wards_note (f->wards, MT_STR ("one-more")));
+  assert_int_equal (mt_proxied_count (f->proxied), 256);
+  assert_false (mt_proxied_note (f->proxied, MT_STR ("one-more")));
 }
 
 int
--- a/tests/fleet/test_pool_report.c
+++ b/tests/fleet/test_pool_report.c
@@ -8,15 +8,15 @@
 
 #include <cmocka.h>
 
-/* The steward decides from what a leader tells it over the wire: a figure that was lost or came in
- * another's place would send the wrong machine away. */
+/* The fleet controller decides from what a leader tells it over the wire: a figure that was lost or
+ * came in another's place would send the wrong machine away. */
 static void
 test_report_arrives_as_it_was_packed (void **state)
 {
   struct world *world = world_create ();
   struct mt_pool_report report;
   struct mt_worker_view view;
-  struct mt_desk_load load;
+  struct mt_scheduler_load load;
   g_autofree char *bytes = NULL;
   size_t len;
 
@@ -24,10 +24,10 @@
   world->run_ms = 4000;
   world_submit (world, world_job ("aa", 3, 2000, 4000));
   world_run (world, 1500);
-  mt_desk_cordon (world->desk, "i-0", world->now + 1000, false);
-  mt_desk_load (world->desk, world->now, &load);
-  assert_int_equal (mt_desk_workers (world->desk, world->now, &view, 1), 1);
-  bytes = mt_pool_report_pack (world->desk, world->now, &len);
+  mt_scheduler_cordon (world->sched, "i-0", world->now + 1000, false);
+  mt_scheduler_load (world->sched, world->now, &load);
+  assert_int_equal (mt_scheduler_workers (world->sched, world->now, &view, 1), 1);
+  bytes = mt_pool_report_pack (world->sched, world->now, &len);
   assert_true (mt_pool_report_unpack ((struct mt_str){ bytes, len }, &report));
   assert_int_equal (report.n_workers, 1);
   assert_string_equal (report.workers[0].id, "i-0");
@@ -55,7 +55,7 @@
 
   world_add_worker (world, "r1");
   world_run (world, 200);
-  bytes = mt_pool_report_pack (world->desk, world->now, &len);
+  bytes = mt_pool_report_pack (world->sched, world->now, &len);
   for (size_t cut = 0; cut < len; cut++)
     {
       assert_false (mt_pool_report_unpack ((struct mt_str){ bytes, cut }, &report));
--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -426,10 +426,10 @@
   return done;
 }
 
-/* Every machine is kept up, two at a time at most, while a job runs; the steward is killed in the
- * middle. The job ends, and the wave is told completed once. */
+/* Every machine is kept up, two at a time at most, while a job runs; the fleet controller is killed
+ * in the middle. The job ends, and the wave is told completed once. */
 static void
-test_wave_under_a_killed_steward (void **state)
+test_wave_under_a_killed_controller (void **state)
 {
   struct fixture *f = create_fixture ("300");
 
@@ -464,7 +464,7 @@
     cmocka_unit_test (test_forgotten_history_hides_no_configuration),
     cmocka_unit_test (test_configuration_never_goes_back),
     cmocka_unit_test (test_lost_orders_run_nothing_twice),
-    cmocka_unit_test (test_wave_under_a_killed_steward),
+    cmocka_unit_test (test_wave_under_a_killed_controller),
   };
 
   assert_true (argc >= 2);
--- a/tests/desk/property_desk.cpp
+++ b/tests/scheduler/property_scheduler.cpp
@@ -107,7 +107,7 @@
 
   job.cancelled = true;
   if (tell)
-    job.told = mt_desk_cancel (m.world->desk, job.id.c_str (), m.world->now);
+    job.told = mt_scheduler_cancel (m.world->sched, job.id.c_str (), m.world->now);
 }
 
 void
@@ -115,7 +115,7 @@
 {
   for (Job &job : m.jobs)
     if (job.cancelled && !job.told)
-      job.told = mt_desk_cancel (m.world->desk, job.id.c_str (), m.world->now);
+      job.told = mt_scheduler_cancel (m.world->sched, job.id.c_str (), m.world->now);
 }
 
 void
@@ -156,8 +156,8 @@
     tell_all (m);
   g_hash_table_iter_init (&it, records);
   while (g_hash_table_iter_next (&it, &id, &record))
-    RC_ASSERT (mt_desk_restore (m.world->desk, static_cast<const char *> (id),
-                                static_cast<const char *> (record), 1, m.world->now));
+    RC_ASSERT (mt_scheduler_restore (m.world->sched, static_cast<const char *> (id),
+                                     static_cast<const char *> (record), 1, m.world->now));
   tell_all (m);
   g_hash_table_unref (m.world->records);
   m.world->records = records;
@@ -253,7 +253,7 @@
       else if (job.lasting && room)
         RC_ASSERT (running == job.count);
       else if (!job.lasting && room)
-        RC_ASSERT (mt_desk_state (m.world->desk, job.id.c_str ()) == MT_JOB_COMPLETED);
+        RC_ASSERT (mt_scheduler_state (m.world->sched, job.id.c_str ()) == MT_JOB_COMPLETED);
     }
 }
 
--- a/tests/desk/test_steward.c
+++ b/tests/scheduler/test_controller.c
@@ -1,4 +1,4 @@
-#include "medlartrack/steward.h"
+#include "medlartrack/controller.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -11,37 +11,37 @@
 
 #define MACHINES 12
 
-/* Machines of one pool and what its desk tells of them. */
+/* Machines of one pool and what its scheduler tells of them. */
 struct site
 {
-  struct mt_steward *steward;
+  struct mt_controller *controller;
   int64_t now;
-  struct mt_steward_machine machines[MACHINES];
+  struct mt_controller_row machines[MACHINES];
   struct mt_worker_view views[MACHINES];
   char names[MACHINES][8];
   char workers[MACHINES][8];
-  struct mt_desk_load load;
+  struct mt_scheduler_load load;
 };
 
 static struct site *
 site_create (void)
 {
-  static const struct mt_steward_settings settings = { .move_ms = 1500, .upkeep_ms = 2000 };
+  static const struct mt_controller_settings settings = { .move_ms = 1500, .upkeep_ms = 2000 };
   struct site *site = g_new0 (struct site, 1);
 
-  site->steward = mt_steward_create (&settings);
+  site->controller = mt_controller_create (&settings);
   site->now = 1000;
-  mt_steward_set_pool (site->steward, "pool", false);
+  mt_controller_set_pool (site->controller, "pool", false);
   for (int i = 0; i < MACHINES; i++)
     {
       snprintf (site->names[i], sizeof site->names[i], "m%d", i);
       snprintf (site->workers[i], sizeof site->workers[i], "w%d", i);
-      site->machines[i] = (struct mt_steward_machine){ .id = site->names[i],
-                                                       .pool = "pool",
-                                                       .rack = "r1",
-                                                       .worker = site->workers[i],
-                                                       .up = true,
-                                                       .room = { .cpu = 16000, .mem = 32768 } };
+      site->machines[i] = (struct mt_controller_row){ .id = site->names[i],
+                                                      .pool = "pool",
+                                                      .rack = "r1",
+                                                      .worker = site->workers[i],
+                                                      .up = true,
+                                                      .room = { .cpu = 16000, .mem = 32768 } };
       site->views[i] = (struct mt_worker_view){ .id = site->workers[i],
                                                 .room = { .cpu = 16000, .mem = 32768 } };
     }
@@ -51,11 +51,11 @@
 static void
 site_destroy (struct site *site)
 {
-  mt_steward_destroy (site->steward);
+  mt_controller_destroy (site->controller);
   g_free (site);
 }
 
-/* The desk does as it is told: cordons what it should, and tells what it sees. */
+/* The scheduler does as it is told: cordons what it should, and tells what it sees. */
 static void
 site_tell (struct site *site)
 {
@@ -63,11 +63,11 @@
   g_auto (GStrv) ended = NULL;
 
   site->now += 150;
-  mt_steward_machines (site->steward, site->machines, MACHINES, site->now - 10, site->now);
-  mt_steward_of_pool (site->steward, "pool", site->now, &cordon, &ended);
+  mt_controller_machines (site->controller, site->machines, MACHINES, site->now - 10, site->now);
+  mt_controller_of_pool (site->controller, "pool", site->now, &cordon, &ended);
   for (int i = 0; i < MACHINES; i++)
     site->views[i].cordoned = g_strv_contains ((const char *const *) cordon, site->workers[i]);
-  mt_steward_pool (site->steward, "pool", &site->load, site->views, MACHINES, site->now);
+  mt_controller_pool (site->controller, "pool", &site->load, site->views, MACHINES, site->now);
 }
 
 static void
@@ -77,24 +77,24 @@
 
   for (int i = 0; i < MACHINES; i++)
     machines[i] = site->names[i];
-  mt_steward_wave (site->steward, 1, machines, NULL, cap, site->now + due_ms);
+  mt_controller_wave (site->controller, 1, machines, NULL, cap, site->now + due_ms);
 }
 
 static unsigned
-site_orders (struct site *site, enum mt_steward_answer answer)
+site_orders (struct site *site, enum mt_controller_answer answer)
 {
-  struct mt_steward_order order;
+  struct mt_controller_order order;
   unsigned n = 0;
 
-  while (mt_steward_next (site->steward, site->now, &order))
+  while (mt_controller_next (site->controller, site->now, &order))
     {
       g_autofree char *machine = g_strdup (order.machine);
       int i = machine[1] - '0';
 
       n++;
-      if (answer == MT_STEWARD_DONE && i < MACHINES)
+      if (answer == MT_CONTROLLER_DONE && i < MACHINES)
         site->machines[i].up = false;
-      mt_steward_answered (site->steward, machine, answer, site->now);
+      mt_controller_answered (site->controller, machine, answer, site->now);
     }
   return n;
 }
@@ -109,8 +109,8 @@
   return n;
 }
 
-/* An upkeep ends all that runs on its machine. It is ordered only once the desk has told, after it
- * was asked to keep the worker empty, that nothing is there. */
+/* An upkeep ends all that runs on its machine. It is ordered only once the scheduler has told,
+ * after it was asked to keep the worker empty, that nothing is there. */
 static void
 test_only_an_empty_machine_is_ordered (void **state)
 {
@@ -123,12 +123,12 @@
   for (int i = 0; i < 10; i++)
     {
       site_tell (site);
-      assert_int_equal (site_orders (site, MT_STEWARD_DONE), 0);
+      assert_int_equal (site_orders (site, MT_CONTROLLER_DONE), 0);
     }
   for (int i = 0; i < MACHINES; i++)
     site->views[i].tasks = 0;
   site_tell (site);
-  assert_int_equal (site_orders (site, MT_STEWARD_DONE), 3);
+  assert_int_equal (site_orders (site, MT_CONTROLLER_DONE), 3);
   site_destroy (site);
 }
 
@@ -140,45 +140,45 @@
 
   site_tell (site);
   site_wave (site, 2, 60000);
-  assert_int_equal (site_orders (site, MT_STEWARD_UNKNOWN), 0); /* planned, not empty yet */
+  assert_int_equal (site_orders (site, MT_CONTROLLER_UNKNOWN), 0); /* planned, not empty yet */
   site_tell (site);
-  assert_int_equal (site_orders (site, MT_STEWARD_UNKNOWN), 2);
+  assert_int_equal (site_orders (site, MT_CONTROLLER_UNKNOWN), 2);
   for (int i = 0; i < 10; i++)
     {
       site_tell (site);
-      assert_true (site_orders (site, MT_STEWARD_UNKNOWN) <= 2);
+      assert_true (site_orders (site, MT_CONTROLLER_UNKNOWN) <= 2);
       assert_int_equal (site_planned (site), 2);
     }
-  assert_false (mt_steward_wave_done (site->steward, 1));
+  assert_false (mt_controller_wave_done (site->controller, 1));
   site_destroy (site);
 }
 
 /* The upkeep of a machine was done before, by a call without an answer; ordered again it is
- * answered as done. The worker there is the life after it, and runs on: its desk must not be told
- * that it has ended, or its tasks would be started a second time. */
+ * answered as done. The worker there is the life after it, and runs on: its scheduler must not be
+ * told that it has ended, or its tasks would be started a second time. */
 static void
 test_order_done_before_ends_no_life (void **state)
 {
   struct site *site = site_create ();
-  struct mt_steward_order order;
+  struct mt_controller_order order;
   g_auto (GStrv) cordon = NULL;
   g_auto (GStrv) ended = NULL;
   g_autofree char *machine = NULL;
 
   site_tell (site);
   site_wave (site, 1, 60000);
-  assert_int_equal (site_orders (site, MT_STEWARD_DONE), 0);
+  assert_int_equal (site_orders (site, MT_CONTROLLER_DONE), 0);
   site_tell (site);
-  assert_true (mt_steward_next (site->steward, site->now, &order));
+  assert_true (mt_controller_next (site->controller, site->now, &order));
   machine = g_strdup (order.machine);
-  mt_steward_answered (site->steward, machine, MT_STEWARD_DONE, site->now);
-  mt_steward_of_pool (site->steward, "pool", site->now, &cordon, &ended);
+  mt_controller_answered (site->controller, machine, MT_CONTROLLER_DONE, site->now);
+  mt_controller_of_pool (site->controller, "pool", site->now, &cordon, &ended);
   assert_int_equal (g_strv_length (ended), 0);
   assert_true (g_strv_length (cordon) >= 1);
   site_tell (site);
   g_strfreev (ended);
   g_strfreev (cordon);
-  mt_steward_of_pool (site->steward, "pool", site->now, &cordon, &ended);
+  mt_controller_of_pool (site->controller, "pool", site->now, &cordon, &ended);
   assert_int_equal (g_strv_length (ended), 0);
   site_destroy (site);
 }
@@ -199,14 +199,14 @@
   for (int i = 0; i < 20; i++)
     {
       site_tell (site);
-      ordered += site_orders (site, MT_STEWARD_DONE);
+      ordered += site_orders (site, MT_CONTROLLER_DONE);
     }
   assert_int_equal (ordered, 0);
   site->now += 45000;
   for (int i = 0; i < 4; i++)
     {
       site_tell (site);
-      ordered += site_orders (site, MT_STEWARD_DONE);
+      ordered += site_orders (site, MT_CONTROLLER_DONE);
     }
   assert_true (ordered > 0);
   site_destroy (site);
@@ -223,23 +223,23 @@
 
   site_tell (site);
   site_wave (site, 12, 60000);
-  mt_steward_wave (site->steward, 1, gone, NULL, 12, site->now + 60000);
+  mt_controller_wave (site->controller, 1, gone, NULL, 12, site->now + 60000);
   for (int i = 0; i < 60 && ordered < MACHINES; i++)
     {
-      assert_false (mt_steward_wave_done (site->steward, 1));
+      assert_false (mt_controller_wave_done (site->controller, 1));
       site_tell (site);
-      ordered += site_orders (site, MT_STEWARD_DONE);
+      ordered += site_orders (site, MT_CONTROLLER_DONE);
       for (int m = 0; m < MACHINES; m++)
         site->machines[m].up = true;
     }
   assert_int_equal (ordered, MACHINES);
-  mt_steward_wave (site->steward, 1, NULL, gone, 12, site->now + 60000);
-  assert_true (mt_steward_wave_done (site->steward, 1));
+  mt_controller_wave (site->controller, 1, NULL, gone, 12, site->now + 60000);
+  assert_true (mt_controller_wave_done (site->controller, 1));
   site_destroy (site);
 }
 
-/* A steward takes over while machines are down for their upkeep: they count, though it ordered none
- * of them, and until they are up again no other goes down beyond the cap. */
+/* A fleet controller takes over while machines are down for their upkeep: they count, though it
+ * ordered none of them, and until they are up again no other goes down beyond the cap. */
 static void
 test_machines_that_a_predecessor_sent_down_count (void **state)
 {
@@ -256,7 +256,7 @@
   for (int i = 0; i < 10; i++)
     {
       site_tell (site);
-      assert_int_equal (site_orders (site, MT_STEWARD_DONE), 0);
+      assert_int_equal (site_orders (site, MT_CONTROLLER_DONE), 0);
     }
   site_destroy (site);
 }
@@ -265,12 +265,12 @@
 
 #define POOL_MACHINES 8
 
-/* Two pools of eight, a standby pool of four, and desks that do as they are told. */
+/* Two pools of eight, a standby pool of four, and schedulers that do as they are told. */
 struct fleet
 {
-  struct mt_steward *steward;
+  struct mt_controller *controller;
   int64_t now;
-  struct mt_steward_machine machines[20];
+  struct mt_controller_row machines[20];
   char names[20][8];
   char workers[20][8];
   int64_t away_until[20];
@@ -292,24 +292,24 @@
 static struct fleet *
 fleet_create (void)
 {
-  static const struct mt_steward_settings settings
+  static const struct mt_controller_settings settings
       = { .move_ms = 1500, .upkeep_ms = 2000, .moves = true };
   struct fleet *fleet = g_new0 (struct fleet, 1);
 
-  fleet->steward = mt_steward_create (&settings);
+  fleet->controller = mt_controller_create (&settings);
   fleet->now = 1000;
   for (int i = 0; i < 3; i++)
-    mt_steward_set_pool (fleet->steward, pools[i], i == 2);
+    mt_controller_set_pool (fleet->controller, pools[i], i == 2);
   for (int i = 0; i < 20; i++)
     {
       snprintf (fleet->names[i], sizeof fleet->names[i], "m%d", i);
       snprintf (fleet->workers[i], sizeof fleet->workers[i], "w%d", i);
-      fleet->machines[i] = (struct mt_steward_machine){ .id = fleet->names[i],
-                                                        .pool = pools[i / POOL_MACHINES],
-                                                        .rack = "r1",
-                                                        .worker = fleet->workers[i],
-                                                        .up = true,
-                                                        .room = { .cpu = 16000, .mem = 32768 } };
+      fleet->machines[i] = (struct mt_controller_row){ .id = fleet->names[i],
+                                                       .pool = pools[i / POOL_MACHINES],
+                                                       .rack = "r1",
+                                                       .worker = fleet->workers[i],
+                                                       .up = true,
+                                                       .room = { .cpu = 16000, .mem = 32768 } };
     }
   return fleet;
 }
@@ -317,7 +317,7 @@
 static void
 fleet_destroy (struct fleet *fleet)
 {
-  mt_steward_destroy (fleet->steward);
+  mt_controller_destroy (fleet->controller);
   g_strfreev (fleet->homes);
   g_free (fleet);
 }
@@ -336,13 +336,13 @@
 fleet_tell_pool (struct fleet *fleet, int pool)
 {
   struct mt_worker_view views[20];
-  struct mt_desk_load load = { 0 };
+  struct mt_scheduler_load load = { 0 };
   g_auto (GStrv) cordon = NULL;
   g_auto (GStrv) ended = NULL;
   int64_t left = fleet->demand[pool];
   size_t n = 0;
 
-  mt_steward_of_pool (fleet->steward, pools[pool], fleet->now, &cordon, &ended);
+  mt_controller_of_pool (fleet->controller, pools[pool], fleet->now, &cordon, &ended);
   for (int i = 0; i < 20; i++)
     {
       bool cordoned = g_strv_contains ((const char *const *) cordon, fleet->workers[i]);
@@ -366,20 +366,20 @@
     }
   load.urgent = left > 0 ? 10 : 0;
   load.demand_cpu = fleet->demand[pool];
-  mt_steward_pool (fleet->steward, pools[pool], &load, views, n, fleet->now);
+  mt_controller_pool (fleet->controller, pools[pool], &load, views, n, fleet->now);
 }
 
 static void
 fleet_store_homes (struct fleet *fleet)
 {
-  char **homes = mt_steward_homes (fleet->steward);
+  char **homes = mt_controller_homes (fleet->controller);
 
   if (homes == NULL || fleet->store_down)
     {
       g_strfreev (homes);
       return;
     }
-  mt_steward_homes_stored (fleet->steward, homes);
+  mt_controller_homes_stored (fleet->controller, homes);
   g_strfreev (fleet->homes);
   fleet->homes = homes;
 }
@@ -387,19 +387,19 @@
 static void
 fleet_run (struct fleet *fleet, int64_t ms)
 {
-  struct mt_steward_order order;
+  struct mt_controller_order order;
 
   for (int64_t end = fleet->now + ms; fleet->now < end; fleet->now += 150)
     {
       for (int i = 0; i < 20; i++)
         if (!fleet->machines[i].up && fleet->now >= fleet->away_until[i])
           fleet->machines[i].up = true;
-      mt_steward_machines (fleet->steward, fleet->machines, 20, fleet->now, fleet->now);
+      mt_controller_machines (fleet->controller, fleet->machines, 20, fleet->now, fleet->now);
       fleet_tell_pool (fleet, 0);
       fleet_tell_pool (fleet, 1);
-      mt_steward_plan (fleet->steward, fleet->now);
+      mt_controller_plan (fleet->controller, fleet->now);
       fleet_store_homes (fleet);
-      while (mt_steward_next (fleet->steward, fleet->now, &order))
+      while (mt_controller_next (fleet->controller, fleet->now, &order))
         {
           int i = atoi (order.machine + 1);
           g_autofree char *machine = g_strdup (order.machine);
@@ -411,13 +411,14 @@
           fleet->away_until[i] = fleet->now + 1500;
           fleet->moves++;
           fleet->to_standby += fleet->machines[i].pool == pools[2];
-          mt_steward_answered (fleet->steward, machine, MT_STEWARD_DONE, fleet->now);
+          mt_controller_answered (fleet->controller, machine, MT_CONTROLLER_DONE, fleet->now);
         }
     }
 }
 
-/* The steward begins while nobody asks for anything. It must not take that for the pools' need and
- * switch them off: the first surge would meet empty pools, and its callers would wait for seconds.
+/* The fleet controller begins while nobody asks for anything. It must not take that for the pools'
+ * need and switch them off: the first surge would meet empty pools, and its callers would wait for
+ * seconds.
  */
 static void
 test_calm_beginning_switches_nothing_off (void **state)
@@ -448,12 +449,13 @@
   fleet_destroy (fleet);
 }
 
-/* The steward dies in a surge, with the standby machines in the surging pool. Its successor must
- * not take that pool for their home: they would stay, and the next pool's surge would find none. */
+/* The fleet controller dies in a surge, with the standby machines in the surging pool. Its
+ * successor must not take that pool for their home: they would stay, and the next pool's surge
+ * would find none. */
 static void
 test_successor_knows_where_machines_belong (void **state)
 {
-  static const struct mt_steward_settings settings
+  static const struct mt_controller_settings settings
       = { .move_ms = 1500, .upkeep_ms = 2000, .moves = true };
   struct fleet *fleet = fleet_create ();
 
@@ -461,12 +463,12 @@
   fleet->demand[0] = 12 * 16000;
   fleet_run (fleet, 3000);
   assert_true (fleet_count (fleet, 0) >= POOL_MACHINES + 4);
-  mt_steward_destroy (fleet->steward);
-  fleet->steward = mt_steward_create (&settings);
+  mt_controller_destroy (fleet->controller);
+  fleet->controller = mt_controller_create (&settings);
   for (int i = 0; i < 3; i++)
-    mt_steward_set_pool (fleet->steward, pools[i], i == 2);
+    mt_controller_set_pool (fleet->controller, pools[i], i == 2);
   for (char **at = fleet->homes; at[0] != NULL; at += 2)
-    mt_steward_home (fleet->steward, at[0], at[1]);
+    mt_controller_home (fleet->controller, at[0], at[1]);
   fleet->demand[0] = 8000;
   fleet_run (fleet, 9000);
   assert_true (fleet_count (fleet, 0) <= POOL_MACHINES);
@@ -551,7 +553,7 @@
   fleet_run (fleet, 6000);
   fleet->demand[1] = 14 * 16000;
   fleet_run (fleet, 600);
-  mt_steward_of_pool (fleet->steward, "left", fleet->now, &cordon, &ended);
+  mt_controller_of_pool (fleet->controller, "left", fleet->now, &cordon, &ended);
   assert_in_range (g_strv_length (cordon), 2, 4);
   for (char **id = cordon; *id != NULL; id++)
     assert_true (atoi (*id + 1) < 4);
--- a/tests/desk/test_desk.c
+++ b/tests/scheduler/test_scheduler.c
@@ -60,11 +60,11 @@
   spec = world_job ("aa", 3, 1000, 1000);
   spec->steps[0].lasting = true;
   world_submit (world, spec);
-  mt_desk_cancel (world->desk, "aa", world->now);
-  mt_desk_restore (world->desk, "aa", record, 1, world->now);
+  mt_scheduler_cancel (world->sched, "aa", world->now);
+  mt_scheduler_restore (world->sched, "aa", record, 1, world->now);
   world_run (world, 1000);
   assert_int_equal (world_running (world, "aa.0.0.0"), 0);
-  assert_int_equal (mt_desk_state (world->desk, "aa"), MT_JOB_CANCELLED);
+  assert_int_equal (mt_scheduler_state (world->sched, "aa"), MT_JOB_CANCELLED);
   world_destroy (world);
 }
 
@@ -87,7 +87,7 @@
   world_run (world, 500);
   assert_int_equal (world->started, 3);
   w->silent = true;
-  mt_desk_cancel (world->desk, "aa", world->now);
+  mt_scheduler_cancel (world->sched, "aa", world->now);
   world_run (world, 100);
   record = g_strdup (g_hash_table_lookup (world->records, "aa"));
   assert_non_null (strstr (record, "\"s\":\"cancelled\""));
@@ -97,8 +97,8 @@
   spec = world_job ("aa", 3, 1000, 1000);
   spec->steps[0].lasting = true;
   world_submit (world, spec);
-  mt_desk_cancel (world->desk, "aa", world->now);
-  mt_desk_restore (world->desk, "aa", record, 1, world->now);
+  mt_scheduler_cancel (world->sched, "aa", world->now);
+  mt_scheduler_restore (world->sched, "aa", record, 1, world->now);
   world_run (world, 1000);
   for (guint i = 0; i < 3; i++)
     {
@@ -120,8 +120,8 @@
   g_autofree char *record = NULL;
 
   world_submit (world, world_job ("aa", 1, 1000, 1000));
-  assert_true (mt_desk_restore (world->desk, "aa", stored, 1, world->now));
-  record = mt_desk_record (world->desk, "aa");
+  assert_true (mt_scheduler_restore (world->sched, "aa", stored, 1, world->now));
+  record = mt_scheduler_record (world->sched, "aa");
   assert_string_equal (record, stored);
   world_destroy (world);
 }
@@ -245,7 +245,7 @@
     {
       g_autofree char *id = g_strdup_printf ("a%d", i);
 
-      assert_int_equal (mt_desk_state (world->desk, id), MT_JOB_COMPLETED);
+      assert_int_equal (mt_scheduler_state (world->sched, id), MT_JOB_COMPLETED);
     }
   assert_true (sick->starts < 30);
   world_destroy (world);
@@ -323,11 +323,11 @@
   world->store_down = true;
   world_submit (world, world_job ("aa", 4, 1000, 1000));
   world_run (world, 100);
-  ids = mt_desk_cycle_begin (world->desk, world->now, world->now);
+  ids = mt_scheduler_cycle_begin (world->sched, world->now, world->now);
   assert_non_null (ids);
   g_ptr_array_unref (ids);
   world_leave (world, leaves);
-  mt_desk_cycle_done (world->desk, world->now);
+  mt_scheduler_cycle_done (world->sched, world->now);
   world->store_down = false;
   world_add_worker (world, "r1");
   assert_true (world_until (world, "aa", MT_JOB_COMPLETED, 3000));
@@ -380,7 +380,7 @@
     {
       world_run (world, 20);
       if (i == 20)
-        mt_desk_cancel (world->desk, "a0", world->now);
+        mt_scheduler_cancel (world->sched, "a0", world->now);
       assert_true (w->runs->len <= 5);
     }
   world_destroy (world);
@@ -406,13 +406,13 @@
   world_submit (world, world_job ("bb", 1, 16000, 1000));
   cut->gone = true;
   cut->silent = false;
-  mt_desk_cordon (world->desk, cut->id, world->now + 60000, false);
+  mt_scheduler_cordon (world->sched, cut->id, world->now + 60000, false);
   for (int i = 0; i < 200; i++)
     {
       world_run (world, 5);
       assert_true (other->runs->len <= 1);
     }
-  assert_int_equal (mt_desk_state (world->desk, "aa"), MT_JOB_COMPLETED);
+  assert_int_equal (mt_scheduler_state (world->sched, "aa"), MT_JOB_COMPLETED);
   assert_int_equal (world_running (world, "bb.0.0.0"), 1);
   world_destroy (world);
 }
@@ -427,10 +427,10 @@
 
   world_submit (world, world_job ("aa", 1, 1000, 1000));
   world_submit (world, world_job ("bb", 1, 1000, 1000));
-  mt_desk_cancel (world->desk, "aa", world->now);
-  assert_true (mt_desk_restore (world->desk, "aa", "{\"s\":\"active\",\"b\":1,\"d\":{},\"t\":[]}",
-                                1, world->now));
-  assert_int_equal (mt_desk_pending (world->desk, "route"), 1);
+  mt_scheduler_cancel (world->sched, "aa", world->now);
+  assert_true (mt_scheduler_restore (
+      world->sched, "aa", "{\"s\":\"active\",\"b\":1,\"d\":{},\"t\":[]}", 1, world->now));
+  assert_int_equal (mt_scheduler_pending (world->sched, "route"), 1);
   world_destroy (world);
 }
 
@@ -455,7 +455,7 @@
   world_add_worker (world, "r1");
   w[0]->silent = true;
   world_run (world, 500);
-  mt_desk_cordon (world->desk, w[1]->id, world->now + 60000, true);
+  mt_scheduler_cordon (world->sched, w[1]->id, world->now + 60000, true);
   world_run (world, 1000);
   assert_int_equal (w[1]->runs->len, 1);
   w[0]->silent = false;
@@ -465,8 +465,9 @@
 }
 
 /* Two workers are to be emptied at once, each with one of a step's lasting tasks that has just
- * begun and is not known to be at work. Taking both for away already, the desk would stop both; by
- * the time that the orders arrive they are at work, and two are away by its doing where one may be.
+ * begun and is not known to be at work. Taking both for away already, the scheduler would stop
+ * both; by the time that the orders arrive they are at work, and two are away by its doing where
+ * one may be.
  */
 static void
 test_lasting_tasks_are_moved_one_after_the_other (void **state)
@@ -486,7 +487,7 @@
   world_add_worker (world, "r1");
   world_add_worker (world, "r1");
   for (int i = 0; i < 2; i++)
-    mt_desk_cordon (world->desk, w[i]->id, world->now + 60000, true);
+    mt_scheduler_cordon (world->sched, w[i]->id, world->now + 60000, true);
   for (int i = 0; i < 20; i++)
     {
       world_run (world, 10);
@@ -501,14 +502,14 @@
 test_late_work_is_not_urgent (void **state)
 {
   struct world *world = world_create ();
-  struct mt_desk_load load;
+  struct mt_scheduler_load load;
 
   world_submit (world, world_job ("aa", 4, 1000, 1000));
   world_run (world, 100);
-  mt_desk_load (world->desk, world->now, &load);
+  mt_scheduler_load (world->sched, world->now, &load);
   assert_int_equal (load.urgent, 4);
   world_run (world, 3000);
-  mt_desk_load (world->desk, world->now, &load);
+  mt_scheduler_load (world->sched, world->now, &load);
   assert_int_equal (load.waiting, 4);
   assert_int_equal (load.urgent, 0);
   assert_int_equal (load.demand_cpu, 0);
@@ -523,7 +524,7 @@
 test_surge_shows_before_anything_waits (void **state)
 {
   struct world *world = world_create ();
-  struct mt_desk_load load;
+  struct mt_scheduler_load load;
 
   for (int i = 0; i < 12; i++)
     world_add_worker (world, "r1");
@@ -535,11 +536,11 @@
       world_submit (world, world_job (id, 10, 1000, 1000));
       world_run (world, 50);
     }
-  mt_desk_load (world->desk, world->now, &load);
+  mt_scheduler_load (world->sched, world->now, &load);
   assert_int_equal (load.urgent, 0);
   assert_true (load.arriving_cpu > 80000);
   world_run (world, 4000);
-  mt_desk_load (world->desk, world->now, &load);
+  mt_scheduler_load (world->sched, world->now, &load);
   assert_true (load.arriving_cpu < 1000);
   world_destroy (world);
 }
@@ -600,12 +601,12 @@
 
   world->run_ms = 5000;
   world_run (world, 100);
-  mt_desk_worker_seen (world->desk, &next, world->now);
+  mt_scheduler_worker_seen (world->sched, &next, world->now);
   w->born = 8;
   world_submit (world, world_job ("aa", 2, 1000, 5000));
   world_run (world, 500);
   assert_int_equal (w->runs->len, 2);
-  mt_desk_hold_answered (world->desk, w->id, &late, world->now - 1, world->now);
+  mt_scheduler_hold_answered (world->sched, w->id, &late, world->now - 1, world->now);
   world_run (world, 1000);
   assert_int_equal (world->started, 2);
   assert_int_equal (world->twice, 0);
@@ -629,7 +630,7 @@
   world->run_ms = 2000;
   world_submit (world, world_job ("bb", 2, 8000, 1000));
   world_run (world, 1500);
-  assert_int_equal (mt_desk_workers (world->desk, world->now, views, 2), 2);
+  assert_int_equal (mt_scheduler_workers (world->sched, world->now, views, 2), 2);
   late = views[0].tasks == 1 ? 0 : 1;
   assert_true (views[1 - late].free_ms < 1200);
   assert_true (views[late].free_ms > 3000);
@@ -657,7 +658,7 @@
       assert_int_equal (first->runs->len, 1 + with_other);
       world_add_worker (world, "r1");
       world_run (world, 1500);
-      mt_desk_cordon (world->desk, first->id, world->now + 5000, true);
+      mt_scheduler_cordon (world->sched, first->id, world->now + 5000, true);
       world_run (world, 1000);
       assert_int_equal (first->runs->len, 2 * with_other);
       assert_int_equal (world_running (world, "aa.0.0.0"), 1);
--- a/tests/desk/world.c
+++ b/tests/scheduler/world.c
@@ -7,7 +7,7 @@
 #define STOP_MS 60
 #define LOST_MS 400
 
-static const struct mt_desk_settings settings = {
+static const struct mt_scheduler_settings settings = {
   .name = "pool", .hold_ms = 4500, .max_hold_ms = 6000, .remote_factor = 2, .status_ms = 120000
 };
 static const struct mt_route_terms terms
@@ -22,8 +22,8 @@
   world->run_ms = 1000;
   world->token = 1;
   world->late = g_array_new (FALSE, TRUE, sizeof (struct world_late));
-  world->desk = mt_desk_create (&settings);
-  mt_desk_set_route (world->desk, "route", &terms);
+  world->sched = mt_scheduler_create (&settings);
+  mt_scheduler_set_route (world->sched, "route", &terms);
   world->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return world;
 }
@@ -38,7 +38,7 @@
       g_hash_table_unref (world->workers[i].past);
     }
   g_array_unref (world->late);
-  mt_desk_destroy (world->desk);
+  mt_scheduler_destroy (world->sched);
   g_hash_table_unref (world->records);
   g_free (world);
 }
@@ -55,7 +55,7 @@
                                    .room = w->room,
                                    .leaving = w->leaving };
 
-  mt_desk_worker_seen (world->desk, &entry, world->now);
+  mt_scheduler_worker_seen (world->sched, &entry, world->now);
 }
 
 void
@@ -98,7 +98,7 @@
 world_submit (struct world *world, struct mt_job_spec *spec)
 {
   spec->accepted_ms = world->now;
-  mt_desk_submit (world->desk, spec, world->now, world->now);
+  mt_scheduler_submit (world->sched, spec, world->now, world->now);
 }
 
 /* ---- workers ---- */
@@ -305,7 +305,7 @@
       ends[report.n_ended++] = (struct mt_end_row){ e->number, e->task, e->run, e->how, NULL };
     }
   w->holding = false;
-  mt_desk_hold_answered (world->desk, w->id, &report, w->hold_sent, world->now);
+  mt_scheduler_hold_answered (world->sched, w->id, &report, w->hold_sent, world->now);
 }
 
 static void
@@ -333,7 +333,7 @@
   struct mt_hold_report none = { .answer = MT_ANSWER_NONE, .clock_ms = -1 };
 
   w->holding = false;
-  mt_desk_hold_answered (world->desk, w->id, &none, w->hold_sent, world->now);
+  mt_scheduler_hold_answered (world->sched, w->id, &none, w->hold_sent, world->now);
 }
 
 /* A hold that waits is answered by an end, or when its time is over. */
@@ -376,20 +376,20 @@
     answer = carry_out (world, w, order, world->token);
   if (lost)
     answer = MT_ANSWER_NONE;
-  mt_desk_order_answered (world->desk, order->kind, id, task, order->run, answer,
-                          lost ? -1 : world->now, world->now);
+  mt_scheduler_order_answered (world->sched, order->kind, id, task, order->run, answer,
+                               lost ? -1 : world->now, world->now);
 }
 
 static void
 store (struct world *world)
 {
-  GPtrArray *ids = mt_desk_cycle_begin (world->desk, world->now, world->now);
+  GPtrArray *ids = mt_scheduler_cycle_begin (world->sched, world->now, world->now);
 
   if (ids == NULL)
     return;
   for (guint i = 0; i < ids->len; i++)
     g_hash_table_insert (world->records, g_strdup (ids->pdata[i]),
-                         mt_desk_record (world->desk, ids->pdata[i]));
+                         mt_scheduler_record (world->sched, ids->pdata[i]));
   g_ptr_array_unref (ids);
   world->in_cycle = true;
 }
@@ -409,12 +409,12 @@
   if (!world->store_down && world->in_cycle)
     {
       world->in_cycle = false;
-      mt_desk_cycle_done (world->desk, world->now);
+      mt_scheduler_cycle_done (world->sched, world->now);
     }
   answer_holds (world);
   while (bound-- > 0 && !world->silent_leader
-         && (world->holds_only ? mt_desk_next_hold (world->desk, world->now, &order)
-                               : mt_desk_next_order (world->desk, world->now, &order)))
+         && (world->holds_only ? mt_scheduler_next_hold (world->sched, world->now, &order)
+                               : mt_scheduler_next_order (world->sched, world->now, &order)))
     {
       obey (world, &order);
       mt_order_clear (&order);
@@ -433,11 +433,11 @@
 {
   for (int64_t at = 0; at < ms; at += STEP_MS)
     {
-      if (mt_desk_state (world->desk, id) == state)
+      if (mt_scheduler_state (world->sched, id) == state)
         return true;
       step (world);
     }
-  return mt_desk_state (world->desk, id) == state;
+  return mt_scheduler_state (world->sched, id) == state;
 }
 
 void
@@ -446,18 +446,18 @@
   GHashTableIter it;
   const char *id, *record;
 
-  mt_desk_destroy (world->desk);
-  world->desk = mt_desk_create (&settings);
+  mt_scheduler_destroy (world->sched);
+  world->sched = mt_scheduler_create (&settings);
   world->token++;
   world->in_cycle = false;
   for (unsigned i = 0; i < world->n_workers; i++)
     world->workers[i].holding = false;
-  mt_desk_set_route (world->desk, "route", &terms);
+  mt_scheduler_set_route (world->sched, "route", &terms);
   for (guint i = 0; i < specs->len; i++)
-    mt_desk_submit (world->desk, specs->pdata[i], world->now, world->now);
+    mt_scheduler_submit (world->sched, specs->pdata[i], world->now, world->now);
   g_hash_table_iter_init (&it, world->records);
   while (g_hash_table_iter_next (&it, (void **) &id, (void **) &record))
-    mt_desk_restore (world->desk, id, record, 1, world->now);
+    mt_scheduler_restore (world->sched, id, record, 1, world->now);
   for (unsigned i = 0; i < world->n_workers; i++)
     if (!world->workers[i].gone)
       show (world, &world->workers[i]);
--- a/tests/desk/world.h
+++ b/tests/scheduler/world.h
@@ -1,10 +1,10 @@
-/* Workers for a desk, on a paused clock: they take orders, run tasks for as long as the test says,
- * and list ends, as the published protocol has it. Each order and each write takes effect at once
- * unless the test holds it back. */
+/* Workers for a scheduler, on a paused clock: they take orders, run tasks for as long as the test
+ * says, and list ends, as the published protocol has it. Each order and each write takes effect at
+ * once unless the test holds it back. */
 #ifndef TESTS_WORK_WORLD_H
 #define TESTS_WORK_WORLD_H
 
-#include "medlartrack/desk.h"
+#include "medlartrack/scheduler.h"
 
 #define WORLD_MAX_WORKERS 64
 #define WORLD_MAX_RUNS    8192
@@ -77,7 +77,7 @@
 
 struct world
 {
-  struct mt_desk *desk;
+  struct mt_scheduler *sched;
   unsigned token; /* the leader's, counted up by each takeover */
   int64_t now;
   GArray *late; /* struct world_late */
