scheduler: what was not placed yet is no want of room

Hypothesis: a pool's leader is asked while tasks of the last 25 ms wait for the next placing; counted as waiting, a pool under a steady stream looks short at every other look, keeps machines in a surge's end, and never counts as calm.

Change: only what the last placing found no room for counts as waiting and urgent.

--- a/core/scheduler/scheduler.c
+++ b/core/scheduler/scheduler.c
@@ -82,6 +82,7 @@
   g_free (occ->tasks);
   g_free (occ->step_first);
   g_free (occ->step_waiting);
+  g_free (occ->step_left);
   g_free (occ->step_done);
   g_free (occ);
 }
@@ -251,6 +252,7 @@
   occ->tasks = g_new0 (struct mt_task, occ->n_tasks);
   occ->step_first = g_new0 (unsigned, spec->n_steps);
   occ->step_waiting = g_new0 (unsigned, spec->n_steps);
+  occ->step_left = g_new0 (unsigned, spec->n_steps);
   occ->step_done = g_new0 (unsigned, spec->n_steps);
   for (unsigned s = 0; s < spec->n_steps; s++)
     {
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -57,6 +57,7 @@
   unsigned n_done;
   unsigned *step_first;   /* index of each step's first task */
   unsigned *step_waiting; /* tasks of each step that wait */
+  unsigned *step_left;    /* ... of these, those that the last placing found no room for */
   unsigned *step_done;
   int64_t since; /* when it became due */
   int64_t objective_by;
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -478,11 +478,14 @@
           add_bundles (bundles, occ, now);
         }
     }
-  if (site.takers->len > 0)
+  g_array_sort (bundles, compare);
+  for (guint i = 0; i < bundles->len; i++)
     {
-      g_array_sort (bundles, compare);
-      for (guint i = 0; i < bundles->len; i++)
-        place_bundle (&site, &g_array_index (bundles, struct bundle, i));
+      const struct bundle *b = &g_array_index (bundles, struct bundle, i);
+
+      if (site.takers->len > 0)
+        place_bundle (&site, b);
+      b->occ->step_left[b->step] = b->occ->step_waiting[b->step];
     }
   g_ptr_array_unref (site.takers);
   sched->last_plan = now;
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -349,16 +349,15 @@
     {
       const struct mt_step *step = &occ->job->spec->steps[s];
 
-      bool ready = occ->step_waiting[s] > 0 && mt_occurrence_ready (occ, s);
+      /* What came since the last placing does not lack room: were it counted, a pool under a steady
+       * stream would look short at every other look, and keep machines that others lack. */
+      unsigned left = MIN (occ->step_left[s], occ->step_waiting[s]);
 
       if (step->fill)
         continue;
-      if (ready)
-        load->waiting += occ->step_waiting[s];
-      if (!timely && !step->long_running)
-        continue;
-      if (ready)
-        load->urgent += occ->step_waiting[s];
+      load->waiting += left;
+      if (timely || step->long_running)
+        load->urgent += left;
     }
 }
 
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -695,6 +695,27 @@
   world_destroy (world);
 }
 
+/* Tasks come one by one and room is plenty. What has not been placed yet, 25 ms at most, is no want
+ * of room: counted as such, the pool would keep machines that others lack. */
+static void
+test_what_was_not_placed_yet_lacks_no_room (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_scheduler_load load;
+
+  world_add_worker (world, "r1");
+  world_run (world, 100);
+  world_submit (world, world_job ("aa", 4, 1000, 1000));
+  mt_scheduler_load (world->sched, world->now, &load);
+  assert_int_equal (load.waiting, 0);
+  world_submit (world, world_job ("bb", 20, 1000, 1000));
+  world_run (world, 50);
+  mt_scheduler_load (world->sched, world->now, &load);
+  assert_int_equal (load.waiting, 8);
+  assert_int_equal (load.urgent, 8);
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -728,6 +749,7 @@
     cmocka_unit_test (test_job_is_taken_off_the_waiting_ones_once),
     cmocka_unit_test (test_second_run_keeps_its_room_until_it_has_ended),
     cmocka_unit_test (test_task_returns_to_the_only_worker_with_room),
+    cmocka_unit_test (test_what_was_not_placed_yet_lacks_no_room),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
