controller: a pool keeps machines for its next surge by how long its jobs can wait

Hypothesis: jobs of a second can't wait for a machine that comes after two, large jobs can; one share for all pools keeps too little here and too much there.

Change: the leader tells how long its jobs may wait and still be in time; the share kept in a trough grows as that falls short of a move's time. What late jobs use does not count when nothing timely waits.

--- a/core/controller/controller_moves.c
+++ b/core/controller/controller_moves.c
@@ -30,6 +30,10 @@
  * machine comes after two seconds, so too small a share is as bad: mean worth over 48 days is 0.54
  * with 0.7, 0.57 with 0.5, 0.58 with 0.4, 0.57 with 0.25. */
 #define BASE_SHARE 0.4
+#define REACT_MS 700
+#define RESERVE_GAIN 1.0
+#define RESERVE_LEAST 0.15
+#define RESERVE_MOST 0.7
 /* A pool has surged once it has used this share of what belongs to it. */
 #define SURGED_SHARE 0.6
 /* The memory of a surge halves in this time. */
@@ -98,7 +102,7 @@
 {
   double hasty = HASTE * (double) load->demand_cpu;
 
-  return load->urgent == 0 ? MIN (hasty, NEXT_STEP * (double) load->used_cpu) : hasty;
+  return load->urgent == 0 ? MIN (hasty, NEXT_STEP * (double) load->urgent_used_cpu) : hasty;
 }
 
 static void
@@ -128,21 +132,33 @@
   return MAX (MAX (p->held, keep), 1U);
 }
 
+/* Of the machines that belong to it: as much as its jobs can't wait for machines that come. */
+static double
+reserve_share (const struct mt_controller *ctl, const struct mt_controller_pool *p)
+{
+  double away = (double) (ctl->settings.move_ms + REACT_MS);
+  double missing = 1 - (double) p->load.slack_ms / away;
+
+  if (p->load.slack_ms == 0)
+    return BASE_SHARE;
+  return CLAMP (RESERVE_GAIN * missing, RESERVE_LEAST, RESERVE_MOST);
+}
+
 /* What the pool should have while others want its machines. */
 static unsigned
-wanted (const struct mt_controller_pool *p)
+wanted (const struct mt_controller *ctl, const struct mt_controller_pool *p)
 {
-  return with_share (p, BASE_SHARE);
+  return with_share (p, reserve_share (ctl, p));
 }
 
 /* What it keeps while nobody does: all that belongs to it, until its first surge has shown what it
  * needs. */
 static unsigned
-wanted_idle (const struct mt_controller_pool *p)
+wanted_idle (const struct mt_controller *ctl, const struct mt_controller_pool *p)
 {
   bool surged = p->peak >= SURGED_SHARE * p->base;
 
-  return with_share (p, surged ? BASE_SHARE : 1);
+  return with_share (p, surged ? reserve_share (ctl, p) : 1);
 }
 
 static bool
@@ -245,7 +261,7 @@
   g_hash_table_iter_init (&it, ctl->pools);
   while (g_hash_table_iter_next (&it, NULL, (void **) &p))
     {
-      int spare = (int) p->have - (int) wanted (p);
+      int spare = (int) p->have - (int) wanted (ctl, p);
 
       if (p->standby || spare <= most || emptiest (ctl, p) == NULL)
         continue;
@@ -261,7 +277,7 @@
            struct mt_controller_pool *p,
            int64_t now)
 {
-  while (p->have < wanted (p))
+  while (p->have < wanted (ctl, p))
     {
       struct mt_controller_pool *from;
 
@@ -279,7 +295,7 @@
                struct mt_controller_pool *p,
                int64_t now)
 {
-  if (p->have <= wanted_idle (p) || mt_controller_pool_is_short (p))
+  if (p->have <= wanted_idle (ctl, p) || mt_controller_pool_is_short (p))
     {
       p->spare_since = 0;
       return;
@@ -288,7 +304,7 @@
     p->spare_since = now;
   if (now - p->spare_since < CALM_MS)
     return;
-  while (p->have > wanted_idle (p) && plan_move (ctl, p, standby, now))
+  while (p->have > wanted_idle (ctl, p) && plan_move (ctl, p, standby, now))
     continue;
 }
 
