scheduler: a job's end tells what it was late by

JOB_ENDED names the time that the job had, how long a task of it found no room, and how many runs were repeated: whoever asks why a job was late needs no other line.

--- a/core/controller/controller_moves.c
+++ b/core/controller/controller_moves.c
@@ -29,11 +29,11 @@
 /* ... and this one of the machines that belong to it. A surge begins without notice and its first
  * machine comes after two seconds, so too small a share is as bad: mean worth over 48 days is 0.54
  * with 0.7, 0.57 with 0.5, 0.58 with 0.4, 0.57 with 0.25. */
-#define BASE_SHARE 0.4
-#define REACT_MS 700
-#define RESERVE_GAIN 1.0
+#define BASE_SHARE    0.4
+#define REACT_MS      700
+#define RESERVE_GAIN  1.0
 #define RESERVE_LEAST 0.15
-#define RESERVE_MOST 0.7
+#define RESERVE_MOST  0.7
 /* A pool has surged once it has used this share of what belongs to it. */
 #define SURGED_SHARE 0.6
 /* The memory of a surge halves in this time. */
--- a/core/scheduler/scheduler.c
+++ b/core/scheduler/scheduler.c
@@ -349,7 +349,8 @@
   g_hash_table_iter_init (&it, sched->routes);
   while (g_hash_table_iter_next (&it, NULL, (void **) &route))
     {
-      double slack = (route->terms.stretch - 1) * route->chain_ms + (double) route->terms.objective_ms;
+      double slack
+          = (route->terms.stretch - 1) * route->chain_ms + (double) route->terms.objective_ms;
 
       sum += route->mean_work * slack;
       weight += route->mean_work;
@@ -421,6 +422,23 @@
       mt_task_stop (sched, &job->occurrences[k]->tasks[i], now);
 }
 
+/* Of a job that is due more than once, what its occurrences have taken is not one figure. */
+static void
+tell_end (struct mt_scheduler *sched, const struct mt_job *job, int64_t now)
+{
+  const struct mt_occurrence *occ = job->spec->repeats == 0 ? job->occurrences[0] : NULL;
+  int64_t allowed = occ != NULL ? occ->objective_by - occ->since : 0;
+  int64_t short_ms = occ != NULL ? occ->short_ms : 0;
+
+  if (occ != NULL && occ->short_since != 0)
+    short_ms += now - occ->short_since;
+  mt_scheduler_tell (sched, "JOB_ENDED",
+                     "id=%s route=%s state=%s age_ms=%" G_GINT64_FORMAT
+                     " objective_ms=%" G_GINT64_FORMAT " no_room_ms=%" G_GINT64_FORMAT " reruns=%u",
+                     job->spec->id, job->route->name, mt_job_state_names[job->state],
+                     now - job->submitted, allowed, short_ms, occ != NULL ? occ->reruns : 0);
+}
+
 void
 mt_job_end (struct mt_scheduler *sched, struct mt_job *job, enum mt_job_state state, int64_t now)
 {
@@ -434,9 +452,7 @@
   g_queue_push_tail_link (&sched->closed, &job->link);
   mt_job_mark (sched, job);
   mt_job_stop_tasks (sched, job, now);
-  mt_scheduler_tell (sched, "JOB_ENDED", "id=%s route=%s state=%s age_ms=%" G_GINT64_FORMAT,
-                     job->spec->id, job->route->name, mt_job_state_names[state],
-                     now - job->submitted);
+  tell_end (sched, job, now);
 }
 
 void
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -61,6 +61,9 @@
   unsigned *step_done;
   int64_t since; /* when it became due */
   int64_t objective_by;
+  int64_t short_since; /* a task of it that could start has found no room since; 0 */
+  int64_t short_ms;    /* ... in all before that */
+  unsigned reruns;     /* starts of tasks that had run before */
   bool ended;
   bool counted; /* its work is in the route's mean */
 };
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -455,6 +455,35 @@
   route->mean_work += (route->mean_work == 0 ? 1.0 : 1.0 / 32) * (o.all_work - route->mean_work);
 }
 
+static void
+note_shortage_of (struct mt_occurrence *occ, int64_t now)
+{
+  bool is_short = false;
+
+  for (unsigned s = 0; s < occ->job->spec->n_steps; s++)
+    is_short |= MIN (occ->step_left[s], occ->step_waiting[s]) > 0;
+  if (is_short && occ->short_since == 0)
+    occ->short_since = now;
+  if (is_short || occ->short_since == 0)
+    return;
+  occ->short_ms += now - occ->short_since;
+  occ->short_since = 0;
+}
+
+/* Why a job was late is asked for later: by want of room, or by runs that had to be repeated. */
+static void
+note_shortage (struct mt_scheduler *sched, int64_t now)
+{
+  for (GList *l = sched->open.head; l != NULL; l = l->next)
+    {
+      struct mt_job *job = l->data;
+
+      for (unsigned k = 0; k < job->n_occurrences; k++)
+        if (job->occurrences[k] != NULL && !job->occurrences[k]->ended)
+          note_shortage_of (job->occurrences[k], now);
+    }
+}
+
 void
 mt_scheduler_place (struct mt_scheduler *sched, int64_t now)
 {
@@ -487,6 +516,7 @@
         place_bundle (&site, b);
       b->occ->step_left[b->step] = b->occ->step_waiting[b->step];
     }
+  note_shortage (sched, now);
   g_ptr_array_unref (site.takers);
   sched->last_plan = now;
 }
--- a/core/scheduler/scheduler_tasks.c
+++ b/core/scheduler/scheduler_tasks.c
@@ -103,6 +103,7 @@
 mt_task_place (struct mt_scheduler *sched, struct mt_task *task, struct mt_worker *w, int64_t now)
 {
   task->occ->step_waiting[task->step]--;
+  task->occ->reruns += task->run > 0;
   task->state = MT_TASK_PLACED;
   task->since = now;
   task->answered = 0;
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -271,7 +271,7 @@
   int64_t used_cpu;
   int64_t
       urgent_used_cpu; /* of that, by long-running tasks and by jobs that can still be in time */
-  int64_t slack_ms; /* a job may wait so long and still be in time; 0 until one has come */
+  int64_t slack_ms;    /* a job may wait so long and still be in time; 0 until one has come */
   unsigned workers;
   unsigned silent;
 };
