scheduler: the objective goes by how long steps really take

The callers' guesses are off by a factor; by the guess a job that runs longer counts as late and gives way, though its true objective is further off.

Change: a step that has ended tells how long it takes, of the others what is expected of the route; the objective is reckoned anew at each.

--- a/core/scheduler/scheduler.c
+++ b/core/scheduler/scheduler.c
@@ -84,6 +84,7 @@
   g_free (occ->step_waiting);
   g_free (occ->step_left);
   g_free (occ->step_done);
+  g_free (occ->step_ms);
   g_free (occ);
 }
 
@@ -254,6 +255,7 @@
   occ->step_waiting = g_new0 (unsigned, spec->n_steps);
   occ->step_left = g_new0 (unsigned, spec->n_steps);
   occ->step_done = g_new0 (unsigned, spec->n_steps);
+  occ->step_ms = g_new0 (double, spec->n_steps);
   for (unsigned s = 0; s < spec->n_steps; s++)
     {
       occ->step_first[s] = at;
@@ -273,11 +275,9 @@
 open_occurrence (struct mt_job *job, unsigned number, int64_t since)
 {
   struct mt_occurrence *occ = mt_job_occurrence (job, number);
-  double chain = (double) mt_job_spec_chain_ms (job->spec, 1.0);
 
   occ->since = since;
-  occ->objective_by
-      = since + (int64_t) (job->route->terms.stretch * chain) + job->route->terms.objective_ms;
+  mt_occurrence_set_objective (occ);
 }
 
 /* Timed occurrences that have come due. A jump of the wall clock is the owner's to smooth. */
--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -104,6 +104,12 @@
 
   if (task->state != MT_TASK_RUNNING || took <= 0)
     return;
+  /* On a worker that is known to be slow it tells of the worker. */
+  if (w->slow < MT_SLOW_FACTOR)
+    {
+      task->occ->step_ms[task->step] = MAX (task->occ->step_ms[task->step], took);
+      mt_occurrence_set_objective (task->occ);
+    }
   if (expected > 0)
     w->slow += 0.15 * (took / expected - w->slow);
   /* A smoothing of 1/32 follows a change of load within a surge and forgets one odd job. */
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -59,7 +59,8 @@
   unsigned *step_waiting; /* tasks of each step that wait */
   unsigned *step_left;    /* ... of these, those that the last placing found no room for */
   unsigned *step_done;
-  int64_t since; /* when it became due */
+  double *step_ms; /* longest run of each step that ended well; 0 until one has */
+  int64_t since;   /* when it became due */
   int64_t objective_by;
   int64_t short_since; /* a task of it that could start has found no room since; 0 */
   int64_t short_ms;    /* ... in all before that */
@@ -206,6 +207,8 @@
 #define MT_SILENT_MS 700
 /* A stop without an answer, or without effect, is sent again after this: a worker takes 200 ms. */
 #define MT_STOP_AGAIN_MS 300
+/* A worker that runs slower than the others by this factor is avoided. */
+#define MT_SLOW_FACTOR 1.4
 /* The worker's clock may run slow by this much (parts of a thousand). */
 #define MT_CLOCK_SLOW 20
 
@@ -274,6 +277,8 @@
 bool mt_occurrence_ready (const struct mt_occurrence *occ, unsigned step);
 /* It can still be done within its objective. */
 bool mt_occurrence_is_timely (const struct mt_occurrence *occ, int64_t now);
+/* Sets objective_by by what is known now of how long its steps take. */
+void mt_occurrence_set_objective (struct mt_occurrence *occ);
 double mt_step_expected_ms (const struct mt_route *route, const struct mt_step *step);
 
 /* scheduler_watch.c: what is done about what stands still */
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -17,8 +17,6 @@
 #define SURE_SHARE 0.8
 /* Late up to so many times its objective, a job still earns a little. */
 #define LATE_FACTOR 3
-/* A worker that runs slower than the others by this factor is avoided. */
-#define SLOW_FACTOR 1.4
 /* A worker under suspicion is tried with so many tasks at a time. */
 #define TRIAL_TASKS 2U
 /* A task avoids the worker where its last run ended badly, or that left, for so long; then it may
@@ -38,6 +36,9 @@
  * them may be sick, and all that it was given would fail before it shows. */
 #define PROVED_DONES 0.5
 
+/* Steps of which chains are reckoned; none after these counts as waited for. */
+#define MAX_CHAINED 64
+
 /* The tasks of one step of one occurrence that wait. */
 struct bundle
 {
@@ -80,6 +81,35 @@
   return (guess * route->mean_ms / route->estimate_ms + route->mean_ms) / 2;
 }
 
+/* The objective goes by how long the steps really take, of which the caller only guesses: a step
+ * that has ended tells, of the others what is expected. By the guess alone every second job that
+ * runs longer than guessed would count as late, and give way, though it can still be in time. */
+void
+mt_occurrence_set_objective (struct mt_occurrence *occ)
+{
+  const struct mt_job_spec *spec = occ->job->spec;
+  const struct mt_route_terms *terms = &occ->job->route->terms;
+  double ends[MAX_CHAINED] = { 0 };
+  double chain = 0;
+
+  for (unsigned i = 0; i < spec->n_steps; i++)
+    {
+      const struct mt_step *step = &spec->steps[i];
+      bool done = occ->step_done[i] == step->count && occ->step_ms[i] > 0;
+      double ms = done ? occ->step_ms[i]
+                       : MAX (occ->step_ms[i], mt_step_expected_ms (occ->job->route, step));
+      double end = ms;
+
+      for (unsigned a = 0; a < step->n_after; a++)
+        if (step->after[a] < MAX_CHAINED)
+          end = MAX (end, ends[step->after[a]] + ms);
+      if (i < MAX_CHAINED)
+        ends[i] = end;
+      chain = MAX (chain, end);
+    }
+  occ->objective_by = occ->since + (int64_t) (terms->stretch * chain) + terms->objective_ms;
+}
+
 /* ---- order ---- */
 
 struct outlook
@@ -93,7 +123,7 @@
 look_ahead (const struct mt_occurrence *occ)
 {
   const struct mt_job_spec *spec = occ->job->spec;
-  double ends[64];
+  double ends[MAX_CHAINED];
   struct outlook out = { 0 };
 
   for (unsigned i = 0; i < spec->n_steps; i++)
@@ -104,11 +134,11 @@
       double cpu = (double) step->need.cpu;
 
       for (unsigned a = 0; a < step->n_after; a++)
-        if (step->after[a] < G_N_ELEMENTS (ends))
+        if (step->after[a] < MAX_CHAINED)
           end = MAX (end, ends[step->after[a]]);
       if (occ->step_done[i] < step->count)
         end += ms;
-      if (i < G_N_ELEMENTS (ends))
+      if (i < MAX_CHAINED)
         ends[i] = end;
       out.chain_ms = MAX (out.chain_ms, end);
       out.work += ms * cpu * occ->step_waiting[i];
@@ -261,7 +291,7 @@
 {
   double slow = w->slow / MAX (site->mean_slow, 0.1);
   double load = w->room.cpu > 0 ? (double) w->used.cpu / (double) w->room.cpu : 0;
-  double cost = slow > SLOW_FACTOR ? slow : 1;
+  double cost = slow > MT_SLOW_FACTOR ? slow : 1;
 
   if (step->rack != NULL
       && (w->labels == NULL || !g_strv_contains ((const char *const *) w->labels, step->rack)))
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -716,6 +716,38 @@
   world_destroy (world);
 }
 
+/* The caller guessed 200 ms and the tasks take a second: by the guess the job has no chance from
+ * the start of its second step. Its objective goes by what the first step took, so it can still be
+ * in time and keeps its place before a job that is really late. */
+static void
+test_objective_goes_by_what_steps_take (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_job_spec *spec = mt_job_spec_create ("aa", "route", 2);
+  struct mt_scheduler_load load;
+
+  world_add_worker (world, "r1");
+  spec->payload = g_strdup ("payload");
+  for (unsigned i = 0; i < 2; i++)
+    {
+      spec->steps[i].count = 2;
+      spec->steps[i].need = (struct mt_room){ .cpu = 8000, .mem = 100 };
+      spec->steps[i].estimate_ms = 200;
+    }
+  spec->steps[1].after = g_new0 (unsigned, 1);
+  spec->steps[1].n_after = 1;
+  world->run_ms = 1000;
+  world_submit (world, spec);
+  world_run (world, 1300);
+  mt_scheduler_load (world->sched, world->now, &load);
+  assert_int_equal (load.used_cpu, 16000);
+  assert_int_equal (load.urgent_used_cpu, 16000);
+  world_run (world, 900);
+  mt_scheduler_load (world->sched, world->now, &load);
+  assert_int_equal (load.urgent_used_cpu, load.used_cpu);
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -750,6 +782,7 @@
     cmocka_unit_test (test_second_run_keeps_its_room_until_it_has_ended),
     cmocka_unit_test (test_task_returns_to_the_only_worker_with_room),
     cmocka_unit_test (test_what_was_not_placed_yet_lacks_no_room),
+    cmocka_unit_test (test_objective_goes_by_what_steps_take),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
