controller: haste by how long a pool's jobs can wait

Hypothesis: a pool of large jobs is given five times what keeps them in time, and ends them long before their objective, on machines that short jobs wait for.

Change: haste and the share of arrivals that counts are scaled by a move's time over the time that jobs can wait.

--- a/core/controller/controller_moves.c
+++ b/core/controller/controller_moves.c
@@ -31,6 +31,9 @@
  * with 0.7, 0.57 with 0.5, 0.58 with 0.4, 0.57 with 0.25. */
 #define BASE_SHARE    0.4
 #define REACT_MS      700
+#define URGENCY_GAIN 0.8
+#define URGENCY_LEAST 0.3
+#define ARR_URG urgency
 #define RESERVE_GAIN  1.0
 #define RESERVE_LEAST 0.15
 #define RESERVE_MOST  0.7
@@ -95,22 +98,44 @@
   return p->sized > 0 ? p->room_cpu / p->sized : UNSIZED_CPU;
 }
 
+/* How long a pool waits for a machine that it asks for, against how long its jobs can wait. */
+static double
+pressure (const struct mt_controller *ctl, const struct mt_controller_pool *p)
+{
+  double away = (double) (ctl->settings.move_ms + REACT_MS);
+
+  return p->load.slack_ms > 0 ? away / (double) p->load.slack_ms : 1;
+}
+
+/* Of the machines that belong to it: as much as its jobs can't wait for machines that come. */
+static double
+reserve_share (const struct mt_controller *ctl, const struct mt_controller_pool *p)
+{
+  double away = (double) (ctl->settings.move_ms + REACT_MS);
+  double missing = 1 - (double) p->load.slack_ms / away;
+
+  if (p->load.slack_ms == 0)
+    return BASE_SHARE;
+  return CLAMP (RESERVE_GAIN * missing, RESERVE_LEAST, RESERVE_MOST);
+}
+
 /* Where nothing that can be in time waits, haste would keep machines that stand idle while the pool
  * that surges next goes short. */
 static double
-wanted_cpu (const struct mt_scheduler_load *load)
+wanted_cpu (const struct mt_scheduler_load *load, double urgency)
 {
-  double hasty = HASTE * (double) load->demand_cpu;
+  double hasty = HASTE * urgency * (double) load->demand_cpu;
 
   return load->urgent == 0 ? MIN (hasty, NEXT_STEP * (double) load->urgent_used_cpu) : hasty;
 }
 
 static void
-learn_need (struct mt_controller_pool *p, int64_t now)
+learn_need (const struct mt_controller *ctl, struct mt_controller_pool *p, int64_t now)
 {
-  double demand = wanted_cpu (&p->load);
+  double urgency = CLAMP (URGENCY_GAIN * pressure (ctl, p), URGENCY_LEAST, 1);
+  double demand = wanted_cpu (&p->load, urgency);
   double cpu = (double) machine_cpu (p);
-  double coming = ARRIVING_SHARE * (double) p->load.arriving_cpu;
+  double coming = ARRIVING_SHARE * ARR_URG * (double) p->load.arriving_cpu;
   double kept = p->learned_at != 0 ? exp2 (-(double) (now - p->learned_at) / PEAK_HALF_MS) : 0;
 
   p->need = (unsigned) ceil (MAX (demand, coming) / (FULL_SHARE * cpu));
@@ -132,18 +157,6 @@
   return MAX (MAX (p->held, keep), 1U);
 }
 
-/* Of the machines that belong to it: as much as its jobs can't wait for machines that come. */
-static double
-reserve_share (const struct mt_controller *ctl, const struct mt_controller_pool *p)
-{
-  double away = (double) (ctl->settings.move_ms + REACT_MS);
-  double missing = 1 - (double) p->load.slack_ms / away;
-
-  if (p->load.slack_ms == 0)
-    return BASE_SHARE;
-  return CLAMP (RESERVE_GAIN * missing, RESERVE_LEAST, RESERVE_MOST);
-}
-
 /* What the pool should have while others want its machines. */
 static unsigned
 wanted (const struct mt_controller *ctl, const struct mt_controller_pool *p)
@@ -319,7 +332,7 @@
   g_hash_table_iter_init (&it, ctl->pools);
   while (g_hash_table_iter_next (&it, NULL, (void **) &p))
     if (!p->standby && p->seen)
-      learn_need (p, now);
+      learn_need (ctl, p, now);
   g_hash_table_iter_init (&it, ctl->pools);
   while (g_hash_table_iter_next (&it, NULL, (void **) &p))
     if (!p->standby && p->seen && p->need > p->have)
