controller: a pool gets a machine for long-running tasks that find no worker

Change: a long-running task is not stopped before it has a place elsewhere; the leader tells how many have none, and the pool gets one machine at a time for them.

--- a/core/controller/controller_internal.h
+++ b/core/controller/controller_internal.h
@@ -12,9 +12,10 @@
   int64_t told;
   struct mt_scheduler_load load;
 
-  unsigned have; /* machines that work in it or are on their way */
-  unsigned need; /* for what it does and what waits */
-  unsigned held; /* its highest of the last moments */
+  unsigned have;   /* machines that work in it or are on their way */
+  unsigned coming; /* of these, those on their way */
+  unsigned need;   /* for what it does and what waits */
+  unsigned held;   /* its highest of the last moments */
   int64_t held_at;
   unsigned base;    /* machines that belong to it */
   unsigned sized;   /* machines in it whose size is known */
--- a/core/controller/controller_moves.c
+++ b/core/controller/controller_moves.c
@@ -31,9 +31,9 @@
  * with 0.7, 0.57 with 0.5, 0.58 with 0.4, 0.57 with 0.25. */
 #define BASE_SHARE    0.4
 #define REACT_MS      700
-#define URGENCY_GAIN 0.8
+#define URGENCY_GAIN  0.8
 #define URGENCY_LEAST 0.3
-#define ARR_URG urgency
+#define ARR_URG       urgency
 #define RESERVE_GAIN  1.0
 #define RESERVE_LEAST 0.15
 #define RESERVE_MOST  0.7
@@ -72,15 +72,23 @@
   g_hash_table_iter_init (&it, ctl->pools);
   while (g_hash_table_iter_next (&it, NULL, (void **) &p))
     {
-      p->have = p->base = p->sized = 0;
+      p->have = p->base = p->sized = p->coming = 0;
       p->room_cpu = 0;
     }
   g_hash_table_iter_init (&it, ctl->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
     {
       if (m->plan == MT_PLAN_MOVE)
-        m->to->have++;
-      else if (m->pool != NULL && (m->up || is_on_its_way (ctl, m, now)))
+        {
+          m->to->have++;
+          m->to->coming++;
+        }
+      else if (m->pool != NULL && is_on_its_way (ctl, m, now))
+        {
+          m->pool->have++;
+          m->pool->coming++;
+        }
+      else if (m->pool != NULL && m->up)
         m->pool->have += !(m->viewed && (m->view.silent || m->view.leaving));
       if (m->home != NULL)
         m->home->base++;
@@ -139,6 +147,10 @@
   double kept = p->learned_at != 0 ? exp2 (-(double) (now - p->learned_at) / PEAK_HALF_MS) : 0;
 
   p->need = (unsigned) ceil (MAX (demand, coming) / (FULL_SHARE * cpu));
+  /* Long-running tasks that may not share a worker wait for another worker, however empty those
+   * are that there are: without one they stay away, or keep machines from their upkeep. */
+  if (p->load.stranded > 0 && p->coming == 0)
+    p->need = MAX (p->need, p->have + 1);
   if (p->need >= p->held || now - p->held_at > HOLD_MS)
     {
       p->held = p->need;
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -261,6 +261,12 @@
 struct mt_worker *mt_scheduler_worker (struct mt_scheduler *sched, const char *id);
 bool mt_worker_takes (const struct mt_worker *w, int64_t now);
 bool mt_worker_fits (const struct mt_worker *w, const struct mt_step *step);
+/* Room, label, and no more tasks of the step there than may be. */
+bool mt_worker_has_place (const struct mt_worker *w, const struct mt_task *task);
+/* Some other worker that takes work has a place for it. */
+bool mt_task_has_place_elsewhere (const struct mt_scheduler *sched,
+                                  const struct mt_task *task,
+                                  int64_t now);
 void mt_worker_evidence (struct mt_scheduler *sched, struct mt_worker *w, bool good, int64_t now);
 void
 mt_worker_release (struct mt_scheduler *sched, struct mt_worker *w, int64_t now, const char *why);
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -235,31 +235,13 @@
   bool any_full;
 };
 
-static unsigned
-tasks_of_step (const struct mt_worker *w, const struct mt_occurrence *occ, unsigned step)
-{
-  unsigned n = 0;
-
-  for (GList *l = w->tasks.head; l != NULL; l = l->next)
-    {
-      const struct mt_task *task = l->data;
-
-      n += task->occ == occ && task->step == step;
-    }
-  return n;
-}
-
 static bool
 may_run (const struct site *site, const struct mt_worker *w, const struct mt_task *task)
 {
-  const struct mt_step *step = mt_task_step (task);
-
-  if (!mt_worker_fits (w, step))
+  if (!mt_worker_has_place (w, task))
     return false;
   if (w->fails >= 1 && w->fails > w->dones && w->tasks.length >= TRIAL_TASKS)
     return false;
-  if (step->max_per_worker > 0 && tasks_of_step (w, task->occ, task->step) >= step->max_per_worker)
-    return false;
   return task->shunned != w || site->takers->len == 1 || site->now - task->since > AVOID_MS;
 }
 
--- a/core/scheduler/scheduler_watch.c
+++ b/core/scheduler/scheduler_watch.c
@@ -85,6 +85,10 @@
 
       away += other != task && is_away (other);
     }
+  /* Stopped without a place to go to it would be away for as long as none comes. On a worker that
+   * leaves it is lost anyway. */
+  if (!w->leaving && !mt_task_has_place_elsewhere (sched, task, now))
+    return;
   /* Also one that is not at work itself waits: what is known of it is up to a hold old. */
   if (away >= MAX (step->max_unavailable, 1U)
       && (!w->leaving || now - w->leaving_since < LEAVING_PATIENCE_MS))
@@ -94,19 +98,6 @@
   mt_task_stop (sched, task, now);
 }
 
-static bool
-has_room_elsewhere (const struct mt_scheduler *sched, const struct mt_task *task, int64_t now)
-{
-  GHashTableIter it;
-  struct mt_worker *w;
-
-  g_hash_table_iter_init (&it, sched->workers);
-  while (g_hash_table_iter_next (&it, NULL, (void **) &w))
-    if (mt_worker_takes (w, now) && mt_worker_fits (w, mt_task_step (task)))
-      return true;
-  return false;
-}
-
 /* It goes on elsewhere from where it is stopped. */
 static bool
 may_be_moved (const struct mt_task *task)
@@ -143,7 +134,7 @@
       int64_t left = mt_task_left_ms (task, now);
 
       next = l->next;
-      if (!may_be_moved (task) || left < bound || !has_room_elsewhere (sched, task, now))
+      if (!may_be_moved (task) || left < bound || !mt_task_has_place_elsewhere (sched, task, now))
         continue;
       mt_task_tell (sched, task, w, "TASK_MOVED", "left_ms=%" G_GINT64_FORMAT, left);
       mt_task_stop (sched, task, now);
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -192,6 +192,45 @@
   return step->label == NULL || has_label (w, step->label);
 }
 
+static unsigned
+tasks_of_step (const struct mt_worker *w, const struct mt_occurrence *occ, unsigned step)
+{
+  unsigned n = 0;
+
+  for (GList *l = w->tasks.head; l != NULL; l = l->next)
+    {
+      const struct mt_task *task = l->data;
+
+      n += task->occ == occ && task->step == step;
+    }
+  return n;
+}
+
+bool
+mt_worker_has_place (const struct mt_worker *w, const struct mt_task *task)
+{
+  const struct mt_step *step = mt_task_step (task);
+
+  return mt_worker_fits (w, step)
+         && (step->max_per_worker == 0
+             || tasks_of_step (w, task->occ, task->step) < step->max_per_worker);
+}
+
+bool
+mt_task_has_place_elsewhere (const struct mt_scheduler *sched,
+                             const struct mt_task *task,
+                             int64_t now)
+{
+  GHashTableIter it;
+  struct mt_worker *w;
+
+  g_hash_table_iter_init (&it, sched->workers);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &w))
+    if (w != task->worker && mt_worker_takes (w, now) && mt_worker_has_place (w, task))
+      return true;
+  return false;
+}
+
 /* A worker that fails what others finish takes nothing for a while, longer each time; then one or
  * two tasks try it again. Evidence is of all jobs together: a hopeless job fails everywhere. */
 void
@@ -356,11 +395,26 @@
       if (step->fill)
         continue;
       load->waiting += left;
+      if (step->long_running)
+        load->stranded += left;
       if (timely || step->long_running)
         load->urgent += left;
     }
 }
 
+/* Its long-running tasks that can't be moved off though they should be. */
+static unsigned
+count_stranded (const struct mt_scheduler *sched, const struct mt_worker *w, int64_t now)
+{
+  unsigned n = 0;
+
+  if (!w->leaving && (!w->move_long_running || w->cordon_until <= now))
+    return 0;
+  for (GList *l = w->tasks.head; l != NULL; l = l->next)
+    n += mt_task_step (l->data)->long_running && !mt_task_has_place_elsewhere (sched, l->data, now);
+  return n;
+}
+
 void
 mt_scheduler_load (const struct mt_scheduler *sched, int64_t now, struct mt_scheduler_load *load)
 {
@@ -386,6 +440,7 @@
         continue;
       load->workers++;
       load->silent += w->silent_since != 0;
+      load->stranded += count_stranded (sched, w, now);
       if (!mt_worker_takes (w, now))
         continue;
       load->room_cpu += w->room.cpu;
--- a/tests/scheduler/test_controller.c
+++ b/tests/scheduler/test_controller.c
@@ -275,6 +275,7 @@
   char workers[20][8];
   int64_t away_until[20];
   int64_t demand[2]; /* processors' worth, in thousandths of a core */
+  unsigned stranded[2];
   int64_t slack_ms;
   unsigned moves;
   unsigned to_standby;
@@ -367,6 +368,7 @@
     }
   load.urgent = left > 0 ? 10 : 0;
   load.demand_cpu = fleet->demand[pool];
+  load.stranded = fleet->stranded[pool];
   load.slack_ms = fleet->slack_ms;
   mt_controller_pool (fleet->controller, pools[pool], &load, views, n, fleet->now);
 }
@@ -600,6 +602,21 @@
   fleet_destroy (fleet);
 }
 
+/* The left pool's long-running tasks may not share a worker, and one of them finds none though the
+ * machines that there are stand half empty. The pool must get a machine, and not one at each look
+ * while that is on its way. */
+static void
+test_stranded_task_brings_one_machine (void **state)
+{
+  struct fleet *fleet = fleet_create ();
+
+  fleet_run (fleet, 6000);
+  fleet->stranded[0] = 1;
+  fleet_run (fleet, 1300);
+  assert_int_equal (fleet_count (fleet, 0), POOL_MACHINES + 1);
+  fleet_destroy (fleet);
+}
+
 /* Both pools are in their trough after a surge, and the right one surges to more than there is. The
  * left one's callers can't wait for a machine to come back, or they can: it keeps more machines in
  * the first case. */
@@ -639,6 +656,7 @@
     cmocka_unit_test (test_no_move_before_its_home_is_stored),
     cmocka_unit_test (test_surges_by_turns_share_the_machines),
     cmocka_unit_test (test_trough_gives_most_of_its_machines),
+    cmocka_unit_test (test_stranded_task_brings_one_machine),
     cmocka_unit_test (test_pool_whose_jobs_can_wait_keeps_less),
     cmocka_unit_test (test_machines_that_empty_first_go_first),
     cmocka_unit_test (test_pool_without_waiting_work_spares_what_it_does_not_use),
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -748,6 +748,38 @@
   world_destroy (world);
 }
 
+/* Two tasks that last may not share a worker, and there are two workers, one of which is to be
+ * emptied. Stopped without a place to go to its task would be away until one comes, and the caller
+ * counts it: it stays, and the pool is told to lack a worker. With a third one it moves. */
+static void
+test_long_running_task_stays_until_it_has_a_place (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *first = world_add_worker (world, "r1");
+  struct mt_job_spec *spec = world_job ("aa", 2, 1000, 1000);
+  struct mt_scheduler_load load;
+
+  world_add_worker (world, "r1");
+  world->run_ms = -1;
+  spec->steps[0].long_running = true;
+  spec->steps[0].max_per_worker = 1;
+  spec->steps[0].max_unavailable = 1;
+  world_submit (world, spec);
+  world_run (world, 1500);
+  assert_int_equal (first->runs->len, 1);
+  mt_scheduler_cordon (world->sched, first->id, world->now + 20000, true);
+  world_run (world, 3000);
+  assert_int_equal (first->runs->len, 1);
+  mt_scheduler_load (world->sched, world->now, &load);
+  assert_int_equal (load.stranded, 1);
+  world_add_worker (world, "r1");
+  world_run (world, 2500);
+  assert_int_equal (first->runs->len, 0);
+  mt_scheduler_load (world->sched, world->now, &load);
+  assert_int_equal (load.stranded, 0);
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -783,6 +815,7 @@
     cmocka_unit_test (test_task_returns_to_the_only_worker_with_room),
     cmocka_unit_test (test_what_was_not_placed_yet_lacks_no_room),
     cmocka_unit_test (test_objective_goes_by_what_steps_take),
+    cmocka_unit_test (test_long_running_task_stays_until_it_has_a_place),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
