controller: machines that drain slowly begin their upkeep early

In every one traced the last machine held many tasks of one long-running step; they go one after the other, 1.2 s each, and the wave began with it 5 s before it was due.

Change: the leader tells in how many rounds a worker empties; each machine waits for a trough only as long as its own draining allows, slow ones go first while there is time.

--- a/core/controller/controller.c
+++ b/core/controller/controller.c
@@ -6,8 +6,9 @@
 #define PLAN_MS 100
 /* An order that could not be carried out is given again after this. */
 #define AGAIN_MS 400
-/* A plan whose worker does not empty within this is dropped; another machine is taken. */
-#define PATIENCE_MS 9000
+/* A plan whose worker does not empty within so many times what is expected is dropped; another
+ * machine is taken. */
+#define PATIENCE_FACTOR 3
 /* A scheduler's view older than this proves nothing about a worker being empty. */
 #define FRESH_MS 700
 /* Schedulers are told for so long that a worker's life has ended; its entry may stay listed. */
@@ -407,7 +408,7 @@
   g_hash_table_iter_init (&it, ctl->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
     if (m->plan != MT_PLAN_NONE && !m->sent
-        && (!m->up || now - m->planned > PATIENCE_MS
+        && (!m->up || now - m->planned > PATIENCE_FACTOR * mt_controller_drain_ms (m)
             || (m->wave != NULL && !g_hash_table_contains (m->wave->left, m->id))))
       drop_plan (m);
   mt_controller_plan_waves (ctl, now);
--- a/core/controller/controller_internal.h
+++ b/core/controller/controller_internal.h
@@ -83,6 +83,8 @@
 };
 
 /* controller_waves.c */
+/* How long it is expected to take until the machine is empty. */
+int64_t mt_controller_drain_ms (const struct mt_controller_machine *m);
 void mt_controller_plan_waves (struct mt_controller *ctl, int64_t now);
 /* controller_moves.c */
 void mt_controller_plan_moves (struct mt_controller *ctl, int64_t now);
--- a/core/controller/controller_waves.c
+++ b/core/controller/controller_waves.c
@@ -8,18 +8,25 @@
 
 /* From the decision to empty a worker until it is empty: its longest tasks, some 3 s. */
 #define EMPTYING_MS 3000
+/* A long-running task is at work elsewhere so long after it was stopped; the next of its step waits
+ * for that. */
+#define ROUND_MS 1200
 /* So many times the time that the rest of a wave needs must be left for it to wait for a trough. */
 #define SLACK_FACTOR 1.6
 /* Up to this share of its processors in use, a worker counts as quiet. */
 #define QUIET_SHARE 0.5
-/* Against a share of processors in use: a long-running task on the machine, and its pool being
- * short. */
-#define LONG_RUNNING_COST 0.1
-#define SHORT_COST        10
+/* Against a share of processors in use: a pool that is short gives none while there is time. */
+#define SHORT_COST 10
+/* Machines that take long to empty go first while there is time, since they can't be hurried later;
+ * in shares of processors in use for each round. */
+#define ROUND_GAIN 0.1
+/* What can't wait any more goes before all else. */
+#define DUE_GAIN 100
 
 struct candidate
 {
   struct mt_controller_machine *machine;
+  bool waits; /* there is time to wait for a better moment */
   double cost;
 };
 
@@ -52,7 +59,7 @@
 }
 
 /* What it costs the pool to do without this machine for a while; a machine that is off costs
- * nothing, one with long-running tasks has to have them moved first. */
+ * nothing. */
 static double
 cost_of (const struct mt_controller_machine *m)
 {
@@ -60,7 +67,7 @@
     return -1;
   if (!m->viewed)
     return 50;
-  return share_used (&m->view) + LONG_RUNNING_COST * m->view.long_running
+  return share_used (&m->view) - ROUND_GAIN * m->view.drain_rounds
          + (mt_controller_pool_is_short (m->pool) ? SHORT_COST : 0);
 }
 
@@ -75,17 +82,27 @@
          && share_used (&m->view) <= QUIET_SHARE;
 }
 
+int64_t
+mt_controller_drain_ms (const struct mt_controller_machine *m)
+{
+  return EMPTYING_MS + (m->viewed ? (int64_t) m->view.drain_rounds * ROUND_MS : 0);
+}
+
 static bool
-may_wait (const struct mt_controller *ctl, const struct mt_controller_wave *w, int64_t now)
+may_wait (const struct mt_controller *ctl,
+          const struct mt_controller_wave *w,
+          const struct mt_controller_machine *m,
+          int64_t now)
 {
-  int64_t rounds = (g_hash_table_size (w->left) + w->cap - 1) / w->cap;
-  int64_t need = rounds * (EMPTYING_MS + ctl->settings.upkeep_ms);
+  int64_t others = (g_hash_table_size (w->left) - 1) / w->cap;
+  int64_t need = others * (EMPTYING_MS + ctl->settings.upkeep_ms) + mt_controller_drain_ms (m)
+                 + ctl->settings.upkeep_ms;
 
   return (double) (w->due - now) > SLACK_FACTOR * (double) need;
 }
 
 static GArray *
-find_candidates (struct mt_controller *ctl, const struct mt_controller_wave *w, bool waits)
+find_candidates (struct mt_controller *ctl, const struct mt_controller_wave *w, int64_t now)
 {
   GArray *out = g_array_new (FALSE, FALSE, sizeof (struct candidate));
   GHashTableIter it;
@@ -99,9 +116,10 @@
 
       if (m == NULL || !m->up || m->plan == MT_PLAN_UPKEEP || m->sent)
         continue;
-      c.cost = cost_of (m);
-      if (waits && !is_quiet (m))
+      c.waits = may_wait (ctl, w, m, now);
+      if (c.waits && !is_quiet (m))
         continue;
+      c.cost = cost_of (m) - (c.waits ? 0 : DUE_GAIN);
       g_array_append_val (out, c);
     }
   g_array_sort (out, compare);
@@ -132,19 +150,19 @@
 plan_wave (struct mt_controller *ctl, struct mt_controller_wave *w, int64_t now)
 {
   unsigned down = count_down (ctl, w);
-  bool waits = may_wait (ctl, w, now);
   GArray *list;
 
   if (down >= w->cap || g_hash_table_size (w->left) == 0)
     return;
-  list = find_candidates (ctl, w, waits);
+  list = find_candidates (ctl, w, now);
   for (guint i = 0; i < list->len && down < w->cap; i++)
     {
-      struct mt_controller_machine *m = g_array_index (list, struct candidate, i).machine;
+      const struct candidate *c = &g_array_index (list, struct candidate, i);
+      struct mt_controller_machine *m = c->machine;
       unsigned all;
       unsigned away = away_of_pool (ctl, m->pool, &all);
 
-      if (waits && !m->pool->standby && 3 * (away + 1) > all)
+      if (c->waits && !m->pool->standby && 3 * (away + 1) > all)
         continue;
       m->plan = MT_PLAN_UPKEEP;
       m->planned = now;
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -299,6 +299,24 @@
   return MAX ((int64_t) expected - (now - task->since), 0);
 }
 
+/* As many rounds as its most numerous step needs within its budget. */
+static unsigned
+drain_rounds (const struct mt_worker *w)
+{
+  unsigned most = 0;
+
+  for (GList *l = w->tasks.head; l != NULL; l = l->next)
+    {
+      const struct mt_task *task = l->data;
+      const struct mt_step *step = mt_task_step (task);
+      unsigned budget = MAX (step->max_unavailable, 1U);
+
+      if (step->long_running)
+        most = MAX (most, (tasks_of_step (w, task->occ, task->step) + budget - 1) / budget);
+    }
+  return most;
+}
+
 static int64_t
 worker_free_ms (const struct mt_worker *w, int64_t now)
 {
@@ -327,6 +345,7 @@
         continue;
       out[n] = (struct mt_worker_view){ .id = w->id,
                                         .tasks = w->tasks.length,
+                                        .drain_rounds = drain_rounds (w),
                                         .free_ms = worker_free_ms (w, now),
                                         .cordoned = w->cordon_until > 0,
                                         .leaving = w->leaving,
--- a/fleet/pool_report.c
+++ b/fleet/pool_report.c
@@ -6,7 +6,7 @@
 
 /* Values of each packed row; another number is refused as another version. */
 #define LOAD_FIELDS   13
-#define WORKER_FIELDS 9
+#define WORKER_FIELDS 10
 
 enum flag
 {
@@ -31,6 +31,7 @@
   msgpack_pack_int64 (packer, MAX (w->room.mem, 0));
   msgpack_pack_int64 (packer, MAX (w->used.mem, 0));
   msgpack_pack_int64 (packer, MAX (w->free_ms, 0));
+  msgpack_pack_unsigned_int (packer, w->drain_rounds);
 }
 
 static void
@@ -115,7 +116,7 @@
       || !mt_pack_get_unsigned (&f[2], &out->long_running) || !mt_pack_get_unsigned (&f[3], &flags)
       || !get_i64 (&f[4], &out->room.cpu) || !get_i64 (&f[5], &out->used.cpu)
       || !get_i64 (&f[6], &out->room.mem) || !get_i64 (&f[7], &out->used.mem)
-      || !get_i64 (&f[8], &out->free_ms))
+      || !get_i64 (&f[8], &out->free_ms) || !mt_pack_get_unsigned (&f[9], &out->drain_rounds))
     return false;
   out->id = g_strndup (id.data, id.len);
   out->cordoned = flags & FLAG_CORDONED;
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -245,7 +245,8 @@
   const char *id;
   unsigned tasks;
   unsigned long_running;
-  int64_t free_ms; /* until the last of its other tasks is expected to have ended */
+  unsigned drain_rounds; /* its long-running tasks go in so many steps, one after the other */
+  int64_t free_ms;       /* until the last of its other tasks is expected to have ended */
   bool cordoned;
   bool leaving;
   bool silent;
--- a/tests/scheduler/test_controller.c
+++ b/tests/scheduler/test_controller.c
@@ -212,6 +212,34 @@
   site_destroy (site);
 }
 
+/* The pool is busy all the time, so no moment is good. One machine has eight long-running tasks of
+ * one step, which go one after the other: it must begin so early that they are gone when the wave
+ * is due, while the others still wait for a trough. */
+static void
+test_machine_that_drains_slowly_begins_early (void **state)
+{
+  struct site *site = site_create ();
+
+  for (int i = 0; i < MACHINES; i++)
+    {
+      site->views[i].used.cpu = 15000;
+      site->views[i].tasks = 8;
+    }
+  site->views[3].long_running = 8;
+  site->views[3].drain_rounds = 8;
+  site_tell (site);
+  site_wave (site, MACHINES, 30000);
+  for (int i = 0; i < 60; i++) /* 9 s */
+    {
+      site_tell (site);
+      site_orders (site, MT_CONTROLLER_DONE);
+    }
+  site_tell (site);
+  assert_int_equal (site_planned (site), 1);
+  assert_true (site->views[3].cordoned);
+  site_destroy (site);
+}
+
 /* Whoever asked for the wave is told that it is completed only after each machine has begun; one
  * that is no longer there is not waited for. */
 static void
@@ -664,6 +692,7 @@
     cmocka_unit_test (test_cap_holds_with_orders_in_doubt),
     cmocka_unit_test (test_order_done_before_ends_no_life),
     cmocka_unit_test (test_wave_waits_for_a_trough_while_it_can),
+    cmocka_unit_test (test_machine_that_drains_slowly_begins_early),
     cmocka_unit_test (test_wave_is_done_when_every_machine_has_begun),
   };
 
