fleet: a daemon that refuses submissions is not ready

Cause: in a cut of a data centre its daemons refuse submissions after half a second, and told the balancer so only after 2.5 s without the store; until then every caller of that data centre was refused.

Change: ready is who has answers from the store.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -277,7 +277,8 @@
 on_ready (void *ctx, struct mt_exchange *exchange)
 {
   struct mt_fleet *f = ctx;
-  bool ready = f->config != NULL && !f->stopping && store_is_heard (f);
+  bool ready = f->config != NULL && !f->stopping && store_is_heard (f)
+               && mt_adapter_store_answers (f->platform);
 
   mt_exchange_answer (exchange, ready ? 200 : 503, "text/plain",
                       ready ? MT_STR ("ready\n") : MT_STR ("not ready\n"), 0);
--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -9,6 +9,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/wait.h>
 
@@ -356,6 +357,40 @@
   destroy_fixture (f);
 }
 
+/* What the platform's balancer is told of the first daemon. */
+static int
+ready_status (struct fixture *f)
+{
+  g_autofree char *text = NULL;
+  const char *at;
+  struct process ready = *f->daemons[0];
+
+  assert_true (g_file_get_contents (f->daemons[0]->log_path, &text, NULL, NULL));
+  at = strstr (text, "\"ready_port\":");
+  assert_non_null (at);
+  ready.port = (unsigned) strtoul (strchr (at, ':') + 1, NULL, 10);
+  return harness_status (f->harness, &ready, "GET", "/readiness", NULL, NULL);
+}
+
+/* The store falls silent. From the moment at which a daemon refuses what it is asked to store, the
+ * balancer must be told to send callers elsewhere: in a data centre that alone is cut off each of
+ * them would be refused here while other data centres could serve it. */
+static void
+test_daemon_that_refuses_is_not_ready (void **state)
+{
+  struct fixture *f = create_fixture ("200");
+
+  wait_ready (f);
+  assert_int_equal (ready_status (f), 200);
+  assert_int_equal (test_call (f, "/test/store?mode=busy", ""), 200);
+  assert_true (harness_wait (is_refused, f));
+  assert_int_equal (ready_status (f), 503);
+  assert_int_equal (test_call (f, "/test/store?mode=up", ""), 200);
+  assert_true (harness_wait (is_submitted, f));
+  assert_int_equal (ready_status (f), 200);
+  destroy_fixture (f);
+}
+
 /* The store forgets its history and cuts the watches, and the configuration changes: the daemons
  * list again, and the new route is there. */
 static void
@@ -461,6 +496,7 @@
     cmocka_unit_test (test_frozen_leader_does_no_harm),
     cmocka_unit_test (test_lost_answers_make_one_job),
     cmocka_unit_test (test_outage_refuses_and_holds),
+    cmocka_unit_test (test_daemon_that_refuses_is_not_ready),
     cmocka_unit_test (test_forgotten_history_hides_no_configuration),
     cmocka_unit_test (test_configuration_never_goes_back),
     cmocka_unit_test (test_lost_orders_run_nothing_twice),
