frontend: what can't be stored in time is refused at once

The queue of submissions had no bound: behind a slow store callers waited until they gave up. Now who could not be stored within the time after which an outcome is told as unknown is refused as it comes, by how long the last writes took; nothing of it was sent, so the refusal is true. Retry-After is when its turn would come, spread over as long again. A conflict that names no submission is no longer repeated without end.

--- /dev/null
+++ b/core/scheduler/admission.c
@@ -0,0 +1,60 @@
+#include "medlartrack/admission.h"
+
+#include <glib.h>
+#include <math.h>
+
+/* Batches count with this weight each: a store that turns slow shows after some three of them, and
+ * one slow answer refuses nobody. */
+#define BATCH_WEIGHT (1.0 / 4)
+
+struct mt_admission
+{
+  struct mt_admission_settings settings;
+  double batch_ms; /* of late; 0 until one was stored */
+};
+
+struct mt_admission *
+mt_admission_create (const struct mt_admission_settings *settings)
+{
+  struct mt_admission *admission = g_new0 (struct mt_admission, 1);
+
+  admission->settings = *settings;
+  return admission;
+}
+
+void
+mt_admission_destroy (struct mt_admission *admission)
+{
+  g_free (admission);
+}
+
+void
+mt_admission_stored (struct mt_admission *admission, int64_t took_ms)
+{
+  double weight = admission->batch_ms == 0 ? 1 : BATCH_WEIGHT;
+
+  admission->batch_ms += weight * ((double) took_ms - admission->batch_ms);
+}
+
+int64_t
+mt_admission_wait_ms (const struct mt_admission *admission, unsigned waiting)
+{
+  unsigned per_round = admission->settings.per_batch * admission->settings.at_a_time;
+
+  return (int64_t) (admission->batch_ms * (1 + waiting / per_round));
+}
+
+bool
+mt_admission_admits (const struct mt_admission *admission, unsigned waiting)
+{
+  return waiting == 0
+         || mt_admission_wait_ms (admission, waiting) <= admission->settings.patience_ms;
+}
+
+unsigned
+mt_admission_retry_after_s (const struct mt_admission *admission, unsigned waiting, double draw)
+{
+  double wait_s = (double) mt_admission_wait_ms (admission, waiting) / 1000;
+
+  return (unsigned) MAX (ceil (wait_s * (1 + draw)), 1);
+}
--- a/fleet/frontend.c
+++ b/fleet/frontend.c
@@ -130,6 +130,7 @@
 
   frontend->base = base;
   frontend->options = *options;
+  frontend->admission = mt_frontend_new_admission ();
   return frontend;
 }
 
@@ -139,5 +140,6 @@
   if (frontend == NULL)
     return;
   g_queue_clear (&frontend->submits);
+  mt_admission_destroy (frontend->admission);
   g_free (frontend);
 }
--- a/fleet/frontend_internal.h
+++ b/fleet/frontend_internal.h
@@ -4,6 +4,8 @@
 
 #include "frontend.h"
 
+#include "medlartrack/admission.h"
+
 /* The store's answer to a submission is waited for so long in all; then its outcome is unknown, and
  * the caller's retry under the same id settles it. A caller gives up after some 3 s. */
 #define MT_FRONTEND_SETTLE_MS 1200
@@ -20,6 +22,7 @@
   struct mt_frontend_options options;
   const struct mt_fleet_config *config;
   GQueue submits; /* not in a transaction yet */
+  struct mt_admission *admission;
   unsigned txns;
   unsigned busy;
 };
@@ -43,6 +46,7 @@
                               const struct mt_mesh_args *args);
 
 /* frontend_submit.c */
+struct mt_admission *mt_frontend_new_admission (void);
 void mt_frontend_submit (struct mt_frontend *frontend,
                          struct mt_exchange *exchange,
                          const struct mt_fleet_route *route,
--- a/fleet/frontend_submit.c
+++ b/fleet/frontend_submit.c
@@ -32,8 +32,18 @@
   struct mt_frontend *frontend;
   GPtrArray *submits;
   struct mt_timer *again;
+  int64_t sent;
 };
 
+struct mt_admission *
+mt_frontend_new_admission (void)
+{
+  static const struct mt_admission_settings settings
+      = { .per_batch = PER_TXN, .at_a_time = TXNS_AT_A_TIME, .patience_ms = MT_FRONTEND_SETTLE_MS };
+
+  return mt_admission_create (&settings);
+}
+
 static void send_submits (struct mt_frontend *frontend);
 
 static void
@@ -62,6 +72,17 @@
     mt_frontend_note_leader (frontend, s->pool, MT_MESH_SUBMITTED, &args);
 }
 
+/* A true refusal, of which nothing is under way, says when its turn would come; a caller whose
+ * outcome is unknown settles it by asking again soon. */
+static unsigned
+retry_after_s (const struct mt_frontend *frontend, unsigned status)
+{
+  if (status == 503)
+    return mt_admission_retry_after_s (frontend->admission, frontend->submits.length,
+                                       g_random_double ());
+  return status == 504 ? MT_FRONTEND_RETRY_AFTER_S : 0;
+}
+
 static void
 end_submit (struct submit *s, unsigned status, const char *why)
 {
@@ -85,8 +106,7 @@
   mt_journal_tell (s->frontend->options.journal, ways[way].event,
                    "id=%s pool=%s status=%u why=%s took_ms=%" G_GINT64_FORMAT, s->id, s->pool,
                    status, why, took);
-  mt_frontend_answer (s->exchange, status, NULL,
-                      status == 503 || status == 504 ? MT_FRONTEND_RETRY_AFTER_S : 0);
+  mt_frontend_answer (s->exchange, status, NULL, retry_after_s (s->frontend, status));
   s->frontend->busy--;
   free_submit (s);
 }
@@ -142,6 +162,22 @@
   send_submits (frontend);
 }
 
+/* A conflict that names none of the submissions: the store contradicts itself for the moment, and
+ * asking at once again would have no end. */
+static bool
+names_none (const struct txn *t, const struct mt_kv_reply *reply)
+{
+  for (guint i = 0; i < t->submits->len; i++)
+    {
+      const struct submit *s = t->submits->pdata[i];
+      const struct mt_kv_item *item = find_item (reply, s->key);
+
+      if (item != NULL && item->revision > 0)
+        return false;
+    }
+  return true;
+}
+
 static void
 conflict (struct txn *t, const struct mt_kv_reply *reply)
 {
@@ -197,6 +233,7 @@
 {
   struct txn *t = data;
 
+  mt_admission_stored (t->frontend->admission, mt_loop_now () - t->sent);
   switch (reply->status)
     {
     case MT_KV_OK:
@@ -205,7 +242,10 @@
       end_txn (t);
       return;
     case MT_KV_CONFLICT:
-      conflict (t, reply);
+      if (names_none (t, reply))
+        try_again (t, false);
+      else
+        conflict (t, reply);
       return;
     default:
       try_again (t, reply->status == MT_KV_UNKNOWN);
@@ -230,6 +270,7 @@
       expects[i] = (struct mt_kv_expect){ s->key, 0 };
       puts[i] = (struct mt_kv_put){ s->key, { s->value, s->value_len }, 0 };
     }
+  t->sent = mt_loop_now ();
   mt_kv_write (&t->frontend->options.kv, &txn, MT_FRONTEND_TXN_MS, on_stored, t);
 }
 
@@ -285,6 +326,11 @@
       end_submit (s, 503, "the store does not answer, nothing was sent");
       return;
     }
+  if (!mt_admission_admits (frontend->admission, frontend->submits.length))
+    {
+      end_submit (s, 503, "more wait than can be stored in time, nothing was sent");
+      return;
+    }
   g_queue_push_tail (&frontend->submits, s);
   send_submits (frontend);
 }
