--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -253,6 +253,9 @@
 void mt_task_keep_checkpoint (struct mt_task *task, const char *checkpoint);
 void mt_task_unqueue (struct mt_scheduler *sched, struct mt_task *task);
 
+/* scheduler_arrivals.c */
+/* A job has come just now. */
+void mt_route_count_arrival (const struct mt_job *job, int64_t now);
 /* How long a job of the scheduler's routes may wait and still be in time: mean, each route by the
  * work of its jobs. 0 until a job has come. */
 int64_t mt_scheduler_slack_ms (const struct mt_scheduler *sched);
@@ -263,6 +266,8 @@
 struct mt_worker *mt_scheduler_worker (struct mt_scheduler *sched, const char *id);
 bool mt_worker_takes (const struct mt_worker *w, int64_t now);
 bool mt_worker_fits (const struct mt_worker *w, const struct mt_step *step);
+unsigned
+mt_worker_tasks_of_step (const struct mt_worker *w, const struct mt_occurrence *occ, unsigned step);
 /* Room, label, and no more tasks of the step there than may be. */
 bool mt_worker_has_place (const struct mt_worker *w, const struct mt_task *task);
 /* Some other worker that takes work has a place for it. */
@@ -276,6 +281,7 @@
 int64_t mt_worker_lease (const struct mt_worker *w, int64_t now, int64_t hold_ms);
 void mt_worker_granted (struct mt_worker *w, int64_t hold_ms, int64_t now);
 
+/* scheduler_load.c */
 /* How much longer the task will run: by its progress where there is some, else by what such tasks
  * take. */
 int64_t mt_task_left_ms (const struct mt_task *task, int64_t now);
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -9,12 +9,6 @@
 #define SICK_FAILS    2.0
 #define SHUN_FIRST_MS 1500
 #define SHUN_MOST_MS  12000
-/* Of the time to a job's objective this is kept back for orders and news of ends, and no less than
- * the least is counted: what is nearly late does not ask for all machines. */
-#define DEMAND_MARGIN_MS 200
-/* What is busy shortly is reckoned for so far ahead: about as long as a machine takes to come. */
-#define SOON_MS         1000
-#define DEMAND_LEAST_MS 400.0
 
 struct mt_worker *
 mt_scheduler_worker (struct mt_scheduler *sched, const char *id)
@@ -194,8 +188,8 @@
   return step->label == NULL || has_label (w, step->label);
 }
 
-static unsigned
-tasks_of_step (const struct mt_worker *w, const struct mt_occurrence *occ, unsigned step)
+unsigned
+mt_worker_tasks_of_step (const struct mt_worker *w, const struct mt_occurrence *occ, unsigned step)
 {
   unsigned n = 0;
 
@@ -215,7 +209,7 @@
 
   return mt_worker_fits (w, step)
          && (step->max_per_worker == 0
-             || tasks_of_step (w, task->occ, task->step) < step->max_per_worker);
+             || mt_worker_tasks_of_step (w, task->occ, task->step) < step->max_per_worker);
 }
 
 bool
@@ -285,238 +279,3 @@
 
   w->lapse_by = MAX (w->lapse_by, by);
 }
-
-/* ---- views ---- */
-
-int64_t
-mt_task_left_ms (const struct mt_task *task, int64_t now)
-{
-  double expected = mt_step_expected_ms (task->occ->job->route, mt_task_step (task));
-  int64_t known = task->moved - task->since;
-
-  if (task->state == MT_TASK_STOPPING)
-    return 0;
-  if (task->state == MT_TASK_RUNNING && task->percent > 0 && known > 0)
-    expected = (double) known * 100.0 / task->percent;
-  return MAX ((int64_t) expected - (now - task->since), 0);
-}
-
-/* As many rounds as its most numerous step needs within its budget. */
-static unsigned
-drain_rounds (const struct mt_worker *w)
-{
-  unsigned most = 0;
-
-  for (GList *l = w->tasks.head; l != NULL; l = l->next)
-    {
-      const struct mt_task *task = l->data;
-      const struct mt_step *step = mt_task_step (task);
-      unsigned budget = MAX (step->max_unavailable, 1U);
-
-      if (step->long_running)
-        most = MAX (most, (tasks_of_step (w, task->occ, task->step) + budget - 1) / budget);
-    }
-  return most;
-}
-
-static int64_t
-worker_free_ms (const struct mt_worker *w, int64_t now)
-{
-  int64_t most = 0;
-
-  for (GList *l = w->tasks.head; l != NULL; l = l->next)
-    if (!mt_task_step (l->data)->long_running)
-      most = MAX (most, mt_task_left_ms (l->data, now));
-  return most;
-}
-
-size_t
-mt_scheduler_workers (const struct mt_scheduler *sched,
-                      int64_t now,
-                      struct mt_worker_view *out,
-                      size_t max)
-{
-  GHashTableIter it;
-  struct mt_worker *w;
-  size_t n = 0;
-
-  g_hash_table_iter_init (&it, sched->workers);
-  while (n < max && g_hash_table_iter_next (&it, NULL, (void **) &w))
-    {
-      if (w->ended || (!w->listed && w->tasks.length == 0))
-        continue;
-      out[n] = (struct mt_worker_view){ .id = w->id,
-                                        .tasks = w->tasks.length,
-                                        .drain_rounds = drain_rounds (w),
-                                        .free_ms = worker_free_ms (w, now),
-                                        .cordoned = w->cordon_until > 0,
-                                        .leaving = w->leaving,
-                                        .silent = w->silent_since != 0 || !w->held,
-                                        .room = w->room,
-                                        .used = w->used };
-      for (GList *l = w->tasks.head; l != NULL; l = l->next)
-        out[n].long_running += mt_task_step (l->data)->long_running;
-      n++;
-    }
-  return n;
-}
-
-static void
-add_used (struct mt_scheduler_load *load, const struct mt_worker *w, int64_t now)
-{
-  for (GList *l = w->tasks.head; l != NULL; l = l->next)
-    {
-      const struct mt_task *task = l->data;
-      const struct mt_step *step = mt_task_step (task);
-
-      if (step->fill || task->occ->job->ended_at != 0)
-        continue;
-      if (step->long_running)
-        load->demand_cpu += step->need.cpu;
-      if (step->long_running || task->occ->objective_by > now)
-        load->urgent_used_cpu += step->need.cpu;
-    }
-}
-
-/* What the job needs on average to be done by its objective. One with a long objective is content
- * with fewer processors than its tasks could use at once. */
-static int64_t
-demand_of (const struct mt_occurrence *occ, int64_t now)
-{
-  double work = 0;
-  double left = MAX ((double) (occ->objective_by - now - DEMAND_MARGIN_MS), DEMAND_LEAST_MS);
-
-  for (unsigned s = 0; s < occ->job->spec->n_steps; s++)
-    {
-      const struct mt_step *step = &occ->job->spec->steps[s];
-      unsigned running = step->count - occ->step_waiting[s] - occ->step_done[s];
-
-      if (!step->long_running && !step->fill)
-        work += (occ->step_waiting[s] + 0.5 * running) * (double) step->need.cpu
-                * mt_step_expected_ms (occ->job->route, step);
-    }
-  return (int64_t) (work / left);
-}
-
-/* When what runs of the step will have ended, from now; counts those that go on beyond SOON_MS. */
-static double
-step_left_ms (const struct mt_occurrence *occ, unsigned s, int64_t now, unsigned *going_on)
-{
-  int64_t most = 0;
-
-  for (unsigned i = 0; i < occ->job->spec->steps[s].count; i++)
-    {
-      const struct mt_task *task = &occ->tasks[occ->step_first[s] + i];
-      int64_t left;
-
-      if (task->state == MT_TASK_WAITING || task->state == MT_TASK_DONE)
-        continue;
-      left = mt_task_left_ms (task, now);
-      most = MAX (most, left);
-      *going_on += left > SOON_MS;
-    }
-  return (double) most;
-}
-
-/* By then a step that is nearly done needs nothing, and the one after it all its width. */
-static int64_t
-soon_cpu (const struct mt_occurrence *occ, int64_t now)
-{
-  const struct mt_job_spec *spec = occ->job->spec;
-  double ends[MT_MAX_CHAINED] = { 0 };
-  int64_t sum = 0;
-
-  for (unsigned s = 0; s < spec->n_steps && s < MT_MAX_CHAINED; s++)
-    {
-      const struct mt_step *step = &spec->steps[s];
-      unsigned busy = occ->step_waiting[s];
-      double begins = 0;
-      double ends_at;
-
-      for (unsigned a = 0; a < step->n_after; a++)
-        if (step->after[a] < MT_MAX_CHAINED)
-          begins = MAX (begins, ends[step->after[a]]);
-      if (!mt_occurrence_ready (occ, s))
-        busy = begins <= SOON_MS ? step->count : 0;
-      ends_at = step_left_ms (occ, s, now, &busy);
-      ends[s] = MAX (ends_at, begins);
-      if (occ->step_waiting[s] > 0)
-        ends[s] = begins + mt_step_expected_ms (occ->job->route, step);
-      sum += step->fill ? 0 : (int64_t) busy * step->need.cpu;
-    }
-  return sum;
-}
-
-static void
-add_waiting (struct mt_scheduler_load *load, const struct mt_occurrence *occ, int64_t now)
-{
-  bool timely = mt_occurrence_is_timely (occ, now);
-
-  if (timely)
-    load->demand_cpu += demand_of (occ, now);
-  if (occ->objective_by > now || occ->job->spec->steps[0].long_running)
-    load->soon_cpu += soon_cpu (occ, now);
-  for (unsigned s = 0; s < occ->job->spec->n_steps; s++)
-    {
-      const struct mt_step *step = &occ->job->spec->steps[s];
-
-      /* What came since the last placing does not lack room: were it counted, a pool under a steady
-       * stream would look short at every other look, and keep machines that others lack. */
-      unsigned left = MIN (occ->step_left[s], occ->step_waiting[s]);
-
-      if (step->fill)
-        continue;
-      load->waiting += left;
-      if (step->long_running)
-        load->stranded += left;
-      if (timely || step->long_running)
-        load->urgent += left;
-    }
-}
-
-/* Its long-running tasks that can't be moved off though they should be. */
-static unsigned
-count_stranded (const struct mt_scheduler *sched, const struct mt_worker *w, int64_t now)
-{
-  unsigned n = 0;
-
-  if (!w->leaving && (!w->move_long_running || w->cordon_until <= now))
-    return 0;
-  for (GList *l = w->tasks.head; l != NULL; l = l->next)
-    n += mt_task_step (l->data)->long_running && !mt_task_has_place_elsewhere (sched, l->data, now);
-  return n;
-}
-
-void
-mt_scheduler_load (const struct mt_scheduler *sched, int64_t now, struct mt_scheduler_load *load)
-{
-  GHashTableIter it;
-  struct mt_worker *w;
-
-  *load = (struct mt_scheduler_load){ .jobs = sched->open.length,
-                                      .arriving_cpu = (int64_t) mt_scheduler_arriving (sched, now),
-                                      .slack_ms = mt_scheduler_slack_ms (sched) };
-  for (GList *l = sched->open.head; l != NULL; l = l->next)
-    {
-      struct mt_job *job = l->data;
-
-      for (unsigned k = 0; k < job->n_occurrences; k++)
-        if (job->occurrences[k] != NULL && !job->occurrences[k]->ended)
-          add_waiting (load, job->occurrences[k], now);
-    }
-  g_hash_table_iter_init (&it, sched->workers);
-  while (g_hash_table_iter_next (&it, NULL, (void **) &w))
-    {
-      load->running += w->tasks.length;
-      if (w->ended || !w->listed)
-        continue;
-      load->workers++;
-      load->silent += w->silent_since != 0;
-      load->stranded += count_stranded (sched, w, now);
-      if (!mt_worker_takes (w, now))
-        continue;
-      load->room_cpu += w->room.cpu;
-      load->used_cpu += w->used.cpu;
-      add_used (load, w, now);
-    }
-}
