--- a/core/controller/controller_moves.c
+++ b/core/controller/controller_moves.c
@@ -27,20 +27,10 @@
  * but the one that surges, just when it lacks them: with 0.4 in place of 0.1 mean worth is lower by
  * 0.02. */
 #define KEEP_SHARE 0.1
-/* ... and a share of the machines that belong to it. A surge begins without notice and its first
- * machine comes after a move's time, so too small a share is as bad: mean worth over 48 days is
- * 0.54 with 0.7, 0.57 with 0.5, 0.58 with 0.4, 0.57 with 0.25. This one goes for a pool of whose
- * jobs nothing is known; else the share is what its jobs can't wait of a move's time, within
- * bounds. */
-#define BASE_SHARE    0.4
-#define RESERVE_LEAST 0.15
-#define RESERVE_MOST  0.7
-/* Beside the move itself: until a surge is seen, a machine empty, and its worker known. */
-#define REACT_MS 700
-/* Haste falls where jobs can wait longer than a machine takes to come: a pool of large jobs would
- * take all machines to end them long before they are due. */
-#define URGENCY_GAIN  0.8
-#define URGENCY_LEAST 0.3
+/* ... and this share of the machines that belong to it. A surge begins without notice and its first
+ * machine comes after two seconds, so too small a share is as bad: mean worth over 48 days is 0.54
+ * with 0.7, 0.57 with 0.5, 0.58 with 0.4, 0.57 with 0.25. */
+#define BASE_SHARE 0.4
 /* A pool has surged once it has used this share of what belongs to it. */
 #define SURGED_SHARE 0.6
 /* The memory of a surge halves in this time. */
@@ -107,42 +97,20 @@
   return p->sized > 0 ? p->room_cpu / p->sized : UNSIZED_CPU;
 }
 
-/* How long a pool waits for a machine that it asks for, against how long its jobs can wait. */
-static double
-pressure (const struct mt_controller *ctl, const struct mt_controller_pool *p)
-{
-  double away = (double) (ctl->settings.move_ms + REACT_MS);
-
-  return p->load.slack_ms > 0 ? away / (double) p->load.slack_ms : 1;
-}
-
-/* Of the machines that belong to it: as much as its jobs can't wait for machines that come. */
-static double
-reserve_share (const struct mt_controller *ctl, const struct mt_controller_pool *p)
-{
-  double away = (double) (ctl->settings.move_ms + REACT_MS);
-  double missing = 1 - (double) p->load.slack_ms / away;
-
-  if (p->load.slack_ms == 0)
-    return BASE_SHARE;
-  return CLAMP (missing, RESERVE_LEAST, RESERVE_MOST);
-}
-
 /* Where nothing that can be in time waits, haste would keep machines that stand idle while the pool
  * that surges next goes short. */
 static double
-wanted_cpu (const struct mt_scheduler_load *load, double urgency)
+wanted_cpu (const struct mt_scheduler_load *load)
 {
-  double hasty = HASTE * urgency * (double) load->demand_cpu;
+  double hasty = HASTE * (double) load->demand_cpu;
 
   return load->urgent == 0 ? MIN (hasty, (double) load->soon_cpu * NEXT_STEP) : hasty;
 }
 
 static void
-learn_need (const struct mt_controller *ctl, struct mt_controller_pool *p, int64_t now)
+learn_need (struct mt_controller_pool *p, int64_t now)
 {
-  double urgency = CLAMP (URGENCY_GAIN * pressure (ctl, p), URGENCY_LEAST, 1);
-  double demand = wanted_cpu (&p->load, urgency);
+  double demand = wanted_cpu (&p->load);
   double cpu = (double) machine_cpu (p);
   double coming = ARRIVING_SHARE * (double) p->load.arriving_cpu;
   double kept = p->learned_at != 0 ? exp2 (-(double) (now - p->learned_at) / PEAK_HALF_MS) : 0;
@@ -172,19 +140,19 @@
 
 /* What the pool should have while others want its machines. */
 static unsigned
-wanted (const struct mt_controller *ctl, const struct mt_controller_pool *p)
+wanted (const struct mt_controller_pool *p)
 {
-  return with_share (p, reserve_share (ctl, p));
+  return with_share (p, BASE_SHARE);
 }
 
 /* What it keeps while nobody does: all that belongs to it, until its first surge has shown what it
  * needs. */
 static unsigned
-wanted_idle (const struct mt_controller *ctl, const struct mt_controller_pool *p)
+wanted_idle (const struct mt_controller_pool *p)
 {
   bool surged = p->peak >= SURGED_SHARE * p->base;
 
-  return with_share (p, surged ? reserve_share (ctl, p) : 1);
+  return with_share (p, surged ? BASE_SHARE : 1);
 }
 
 static bool
@@ -287,7 +255,7 @@
   g_hash_table_iter_init (&it, ctl->pools);
   while (g_hash_table_iter_next (&it, NULL, (void **) &p))
     {
-      int spare = (int) p->have - (int) wanted (ctl, p);
+      int spare = (int) p->have - (int) wanted (p);
 
       if (p->standby || spare <= most || emptiest (ctl, p) == NULL)
         continue;
@@ -303,7 +271,7 @@
            struct mt_controller_pool *p,
            int64_t now)
 {
-  while (p->have < wanted (ctl, p))
+  while (p->have < wanted (p))
     {
       struct mt_controller_pool *from;
 
@@ -321,7 +289,7 @@
                struct mt_controller_pool *p,
                int64_t now)
 {
-  if (p->have <= wanted_idle (ctl, p) || mt_controller_pool_is_short (p))
+  if (p->have <= wanted_idle (p) || mt_controller_pool_is_short (p))
     {
       p->spare_since = 0;
       return;
@@ -333,7 +301,7 @@
    * days is lower by 0.009 (12 plays). */
   if (now - p->spare_since < ctl->settings.move_ms)
     return;
-  while (p->have > wanted_idle (ctl, p) && plan_move (ctl, p, standby, now))
+  while (p->have > wanted_idle (p) && plan_move (ctl, p, standby, now))
     continue;
 }
 
@@ -348,7 +316,7 @@
   g_hash_table_iter_init (&it, ctl->pools);
   while (g_hash_table_iter_next (&it, NULL, (void **) &p))
     if (!p->standby && p->seen)
-      learn_need (ctl, p, now);
+      learn_need (p, now);
   g_hash_table_iter_init (&it, ctl->pools);
   while (g_hash_table_iter_next (&it, NULL, (void **) &p))
     if (!p->standby && p->seen && p->need > p->have)
--- a/core/scheduler/admission.c
+++ b/core/scheduler/admission.c
@@ -40,8 +40,9 @@
 mt_admission_wait_ms (const struct mt_admission *admission, unsigned waiting)
 {
   unsigned per_round = admission->settings.per_batch * admission->settings.at_a_time;
+  unsigned rounds = 1 + waiting / per_round;
 
-  return (int64_t) (admission->batch_ms * (1 + waiting / per_round));
+  return (int64_t) (admission->batch_ms * rounds);
 }
 
 bool
--- a/core/scheduler/scheduler_arrivals.c
+++ b/core/scheduler/scheduler_arrivals.c
@@ -34,26 +34,6 @@
   return sum;
 }
 
-int64_t
-mt_scheduler_slack_ms (const struct mt_scheduler *sched)
-{
-  GHashTableIter it;
-  const struct mt_route *route;
-  double sum = 0;
-  double weight = 0;
-
-  g_hash_table_iter_init (&it, sched->routes);
-  while (g_hash_table_iter_next (&it, NULL, (void **) &route))
-    {
-      double slack
-          = (route->terms.stretch - 1) * route->chain_ms + (double) route->terms.objective_ms;
-
-      sum += route->mean_work * slack;
-      weight += route->mean_work;
-    }
-  return weight > 0 ? (int64_t) (sum / weight) : 0;
-}
-
 /* A surge shows in what arrives well before it shows in what runs, and before anything waits. */
 void
 mt_route_count_arrival (const struct mt_job *job, int64_t now)
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -256,9 +256,6 @@
 /* scheduler_arrivals.c */
 /* A job has come just now. */
 void mt_route_count_arrival (const struct mt_job *job, int64_t now);
-/* How long a job of the scheduler's routes may wait and still be in time: mean, each route by the
- * work of its jobs. 0 until a job has come. */
-int64_t mt_scheduler_slack_ms (const struct mt_scheduler *sched);
 /* Work that has come of late, in thousandths of a core. */
 double mt_scheduler_arriving (const struct mt_scheduler *sched, int64_t now);
 
--- a/core/scheduler/scheduler_load.c
+++ b/core/scheduler/scheduler_load.c
@@ -214,9 +214,9 @@
   GHashTableIter it;
   struct mt_worker *w;
 
-  *load = (struct mt_scheduler_load){ .jobs = sched->open.length,
-                                      .arriving_cpu = (int64_t) mt_scheduler_arriving (sched, now),
-                                      .slack_ms = mt_scheduler_slack_ms (sched) };
+  *load
+      = (struct mt_scheduler_load){ .jobs = sched->open.length,
+                                    .arriving_cpu = (int64_t) mt_scheduler_arriving (sched, now) };
   for (GList *l = sched->open.head; l != NULL; l = l->next)
     {
       struct mt_job *job = l->data;
--- a/fleet/pool_report.c
+++ b/fleet/pool_report.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* Values of each packed row; another number is refused as another version. */
-#define LOAD_FIELDS   14
+#define LOAD_FIELDS   13
 #define WORKER_FIELDS 10
 
 enum flag
@@ -49,7 +49,6 @@
   msgpack_pack_int64 (packer, MAX (load->urgent_used_cpu, 0));
   msgpack_pack_unsigned_int (packer, load->workers);
   msgpack_pack_unsigned_int (packer, load->silent);
-  msgpack_pack_int64 (packer, MAX (load->slack_ms, 0));
   msgpack_pack_unsigned_int (packer, load->stranded);
   msgpack_pack_int64 (packer, MAX (load->soon_cpu, 0));
 }
@@ -102,8 +101,8 @@
          && get_i64 (&f[5], &out->room_cpu) && get_i64 (&f[6], &out->arriving_cpu)
          && get_i64 (&f[7], &out->used_cpu) && get_i64 (&f[8], &out->urgent_used_cpu)
          && mt_pack_get_unsigned (&f[9], &out->workers)
-         && mt_pack_get_unsigned (&f[10], &out->silent) && get_i64 (&f[11], &out->slack_ms)
-         && mt_pack_get_unsigned (&f[12], &out->stranded) && get_i64 (&f[13], &out->soon_cpu);
+         && mt_pack_get_unsigned (&f[10], &out->silent)
+         && mt_pack_get_unsigned (&f[11], &out->stranded) && get_i64 (&f[12], &out->soon_cpu);
 }
 
 static bool
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -276,7 +276,6 @@
       soon_cpu; /* what jobs that can still be in time will keep busy shortly, without new ones */
   unsigned stranded; /* long-running tasks for which no worker that takes work may do, whether they
                       * wait or their worker is to be emptied */
-  int64_t slack_ms;  /* a job may wait so long and still be in time; 0 until one has come */
   unsigned workers;
   unsigned silent;
 };
