names: what the renaming had left; a job of two steps is made in one place in the tests

mt_pool_desk, duty and care in the fleet's files, DUTY_PREFIX, lasting in two tests. No behaviour changed: unit tests pass as before.

--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -6,9 +6,9 @@
 
 #include <string.h>
 
-#define CLUSTER_PREFIX "medlartrack/cluster/"
-#define MEMBER_PREFIX  CLUSTER_PREFIX "member/"
-#define DUTY_PREFIX    CLUSTER_PREFIX "leadership/"
+#define CLUSTER_PREFIX    "medlartrack/cluster/"
+#define MEMBER_PREFIX     CLUSTER_PREFIX "member/"
+#define LEADERSHIP_PREFIX CLUSTER_PREFIX "leadership/"
 
 /* A daemon that dies is replaced after this; renewed three times within it, so that one lost call
  * or a short stall costs nothing. */
@@ -87,11 +87,11 @@
 char *
 mt_cluster_leader_key (const char *leadership)
 {
-  return g_strconcat (DUTY_PREFIX, leadership, NULL);
+  return g_strconcat (LEADERSHIP_PREFIX, leadership, NULL);
 }
 
 static void
-free_duty (void *data)
+free_leadership (void *data)
 {
   struct leadership *d = data;
 
@@ -101,7 +101,7 @@
 }
 
 static struct leadership *
-get_duty (struct mt_cluster *c, const char *name)
+get_leadership (struct mt_cluster *c, const char *name)
 {
   struct leadership *d = g_hash_table_lookup (c->leaderships, name);
 
@@ -137,9 +137,9 @@
 /* ---- view ---- */
 
 static void
-see_duty (struct mt_cluster *c, const char *name, const struct mt_kv_item *item)
+see_leadership (struct mt_cluster *c, const char *name, const struct mt_kv_item *item)
 {
-  struct leadership *d = get_duty (c, name);
+  struct leadership *d = get_leadership (c, name);
 
   if (item->deleted)
     {
@@ -190,8 +190,8 @@
 {
   struct mt_cluster *c = ctx;
 
-  if (g_str_has_prefix (item->key, DUTY_PREFIX))
-    see_duty (c, item->key + strlen (DUTY_PREFIX), item);
+  if (g_str_has_prefix (item->key, LEADERSHIP_PREFIX))
+    see_leadership (c, item->key + strlen (LEADERSHIP_PREFIX), item);
   else if (!g_str_has_prefix (item->key, MEMBER_PREFIX))
     return;
   else if (item->deleted)
@@ -387,7 +387,7 @@
 static struct leadership *
 end_attempt (struct attempt *a)
 {
-  struct leadership *d = get_duty (a->cluster, a->leadership);
+  struct leadership *d = get_leadership (a->cluster, a->leadership);
 
   d->trying = false;
   g_free (a->leadership);
@@ -414,9 +414,9 @@
     drop_lease (c, "lease ended");
   else if (reply->status == MT_KV_CONFLICT)
     for (size_t i = 0; i < reply->n_items; i++)
-      if (g_str_has_prefix (reply->items[i].key, DUTY_PREFIX) && reply->items[i].revision > 0)
+      if (g_str_has_prefix (reply->items[i].key, LEADERSHIP_PREFIX) && reply->items[i].revision > 0)
         {
-          see_duty (c, d->name, &reply->items[i]);
+          see_leadership (c, d->name, &reply->items[i]);
           /* A write of ours whose answer was lost: the key is ours. */
           if (d->token == 0 && same_lease && g_strcmp0 (d->holder, c->address) == 0)
             {
@@ -427,7 +427,7 @@
 }
 
 static void
-try_duty (struct mt_cluster *c, struct leadership *d)
+try_leadership (struct mt_cluster *c, struct leadership *d)
 {
   g_autofree char *key = mt_cluster_leader_key (d->name);
   struct mt_kv_expect expect = { key, 0 };
@@ -447,7 +447,7 @@
  * restart, or of a leadership that it gave up. Nobody else would take it before that lease is over.
  */
 static void
-clear_duty (struct mt_cluster *c, struct leadership *d)
+clear_leadership (struct mt_cluster *c, struct leadership *d)
 {
   g_autofree char *key = mt_cluster_leader_key (d->name);
   const char *remove = key;
@@ -458,7 +458,7 @@
 }
 
 static void
-try_duties (struct mt_cluster *c, int64_t now)
+try_leaderships (struct mt_cluster *c, int64_t now)
 {
   GHashTableIter it;
   struct leadership *d;
@@ -474,12 +474,12 @@
       if (!d->wanted || d->trying || d->token != 0)
         continue;
       if (g_strcmp0 (d->holder, c->address) == 0)
-        clear_duty (c, d);
+        clear_leadership (c, d);
       if (d->revision != 0)
         continue;
       if (mine || now - free_since >= RANK_MS * (int64_t) rank (c, d))
         {
-          try_duty (c, d);
+          try_leadership (c, d);
           return; /* one at a time, so that they spread by who has how many */
         }
     }
@@ -503,7 +503,7 @@
   if (!c->joined)
     join (c);
   else
-    try_duties (c, now);
+    try_leaderships (c, now);
 }
 
 /* ---- public ---- */
@@ -527,7 +527,7 @@
   c->zone = g_strdup (options->zone);
   c->cores = options->cores;
   c->members = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_member);
-  c->leaderships = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_duty);
+  c->leaderships = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_leadership);
   c->born = mt_loop_now ();
   c->tick = mt_timer_create (base, on_tick, c);
   c->watcher = mt_watcher_create (base, kv, &watch);
@@ -551,13 +551,13 @@
 }
 
 void
-mt_cluster_set_duties (struct mt_cluster *c, const char *const *names)
+mt_cluster_set_leaderships (struct mt_cluster *c, const char *const *names)
 {
   GHashTableIter it;
   struct leadership *d;
 
   for (const char *const *name = names; *name != NULL; name++)
-    get_duty (c, *name);
+    get_leadership (c, *name);
   g_hash_table_iter_init (&it, c->leaderships);
   while (g_hash_table_iter_next (&it, NULL, (void **) &d))
     d->wanted = g_strv_contains (names, d->name);
--- a/fleet/cluster.h
+++ b/fleet/cluster.h
@@ -27,7 +27,7 @@
 void mt_cluster_destroy (struct mt_cluster *cluster);
 
 /* The leaderships that there are; those that are no longer named are given back. */
-void mt_cluster_set_duties (struct mt_cluster *cluster, const char *const *names);
+void mt_cluster_set_leaderships (struct mt_cluster *cluster, const char *const *names);
 /* Address of who has it; NULL where nobody is known to. */
 const char *mt_cluster_holder (const struct mt_cluster *cluster, const char *leadership);
 /* 0 where this daemon does not have it. */
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -40,7 +40,7 @@
  * its successor has held every worker. */
 #define HOLD_MS 4500
 
-static const char *const leading_duty = "fleet";
+static const char *const fleet_leadership = "fleet";
 
 struct mt_fleet
 {
@@ -92,7 +92,7 @@
 
   if (pool == NULL)
     return;
-  mt_scheduler_worker_seen (mt_pool_desk (pool), &entry->worker, mt_loop_now ());
+  mt_scheduler_worker_seen (mt_pool_scheduler (pool), &entry->worker, mt_loop_now ());
   mt_pool_wake (pool);
 }
 
@@ -102,7 +102,7 @@
   struct mt_pool *pool = local_pool (ctx, name);
 
   if (pool != NULL)
-    mt_scheduler_worker_unlisted (mt_pool_desk (pool), id, mt_loop_now ());
+    mt_scheduler_worker_unlisted (mt_pool_scheduler (pool), id, mt_loop_now ());
 }
 
 static void
@@ -114,8 +114,8 @@
 
       if (strcmp (route->pool, name) != 0)
         continue;
-      mt_scheduler_set_route (mt_pool_desk (pool), route->name, &route->terms);
-      mt_scheduler_set_advice (mt_pool_desk (pool), route->name, route->advice);
+      mt_scheduler_set_route (mt_pool_scheduler (pool), route->name, &route->terms);
+      mt_scheduler_set_advice (mt_pool_scheduler (pool), route->name, route->advice);
     }
 }
 
@@ -137,10 +137,10 @@
 }
 
 static void
-begin_care (struct mt_fleet *f, int64_t token)
+begin_leading (struct mt_fleet *f, int64_t token)
 {
   const struct mt_fleet_bounds *b = &f->settings->bounds;
-  struct mt_fleet_leader_options options = { .leadership = leading_duty,
+  struct mt_fleet_leader_options options = { .leadership = fleet_leadership,
                                              .token = token,
                                              .kv = mt_adapter_kv (f->platform),
                                              .machines = mt_adapter_machines (f->platform),
@@ -183,9 +183,9 @@
 
   mt_journal_tell (f->journal, "LEADERSHIP_GAINED", "leadership=%s token=%" G_GINT64_FORMAT,
                    leadership, token);
-  if (strcmp (leadership, leading_duty) == 0)
+  if (strcmp (leadership, fleet_leadership) == 0)
     {
-      begin_care (f, token);
+      begin_leading (f, token);
       return;
     }
   pool = mt_pool_create (f->base, &options);
@@ -204,7 +204,7 @@
 
   mt_journal_tell (f->journal, "LEADERSHIP_LOST", "leadership=%s why=%s", leadership, why);
   mt_metrics_count (f->metrics, MT_COUNT_DUTIES_LOST);
-  if (strcmp (leadership, leading_duty) == 0)
+  if (strcmp (leadership, fleet_leadership) == 0)
     g_clear_pointer (&f->leader, mt_fleet_leader_destroy);
   else
     g_hash_table_remove (f->pools, leadership);
@@ -226,9 +226,9 @@
   for (size_t i = 0; i < config->n_pools; i++)
     if (!config->pools[i].standby)
       g_ptr_array_add (leaderships, config->pools[i].name);
-  g_ptr_array_add (leaderships, (char *) leading_duty);
+  g_ptr_array_add (leaderships, (char *) fleet_leadership);
   g_ptr_array_add (leaderships, NULL);
-  mt_cluster_set_duties (f->cluster, (const char *const *) leaderships->pdata);
+  mt_cluster_set_leaderships (f->cluster, (const char *const *) leaderships->pdata);
   g_hash_table_iter_init (&it, f->pools);
   while (g_hash_table_iter_next (&it, (void **) &name, (void **) &pool))
     set_routes (f, name, pool);
@@ -296,7 +296,7 @@
     {
       struct mt_scheduler_load load;
 
-      mt_scheduler_load (mt_pool_desk (pool), mt_loop_now (), &load);
+      mt_scheduler_load (mt_pool_scheduler (pool), mt_loop_now (), &load);
       if (load.jobs > 0)
         mt_journal_tell (f->journal, "POOL_LOAD",
                          "pool=%s jobs=%u waiting=%u urgent=%u running=%u workers=%u silent=%u "
@@ -320,14 +320,14 @@
     {
       struct mt_scheduler_load load;
 
-      mt_scheduler_load (mt_pool_desk (pool), mt_loop_now (), &load);
+      mt_scheduler_load (mt_pool_scheduler (pool), mt_loop_now (), &load);
       sum.jobs += load.jobs;
       sum.waiting += load.waiting;
       sum.running += load.running;
       sum.workers += load.workers;
       sum.silent += load.silent;
     }
-  mt_metrics_set (f->metrics, MT_GAUGE_DUTIES, g_hash_table_size (f->pools));
+  mt_metrics_set (f->metrics, MT_GAUGE_LEADERSHIPS, g_hash_table_size (f->pools));
   mt_metrics_set (f->metrics, MT_GAUGE_JOBS, sum.jobs);
   mt_metrics_set (f->metrics, MT_GAUGE_TASKS_WAITING, sum.waiting);
   mt_metrics_set (f->metrics, MT_GAUGE_TASKS_RUNNING, sum.running);
--- a/fleet/fleet_leader.c
+++ b/fleet/fleet_leader.c
@@ -80,7 +80,7 @@
 }
 
 static void
-clear_care (void *data)
+clear_leader (void *data)
 {
   struct mt_fleet_leader *lead = data;
 
@@ -95,7 +95,7 @@
 static void
 unref (struct mt_fleet_leader *lead)
 {
-  g_rc_box_release_full (lead, clear_care);
+  g_rc_box_release_full (lead, clear_leader);
 }
 
 /* A call under way, and what it is about: a wave's key, a pool's name. */
@@ -420,11 +420,11 @@
   if (!mt_pool_is_loaded (pool))
     return NULL;
   for (char **id = ends; *id != NULL; id++)
-    mt_scheduler_worker_ended (mt_pool_desk (pool), *id, now, "its machine was ordered away");
+    mt_scheduler_worker_ended (mt_pool_scheduler (pool), *id, now, "its machine was ordered away");
   for (char **id = cordons; *id != NULL; id++)
-    mt_scheduler_cordon (mt_pool_desk (pool), *id, now + CORDON_MS, true);
+    mt_scheduler_cordon (mt_pool_scheduler (pool), *id, now + CORDON_MS, true);
   mt_pool_wake (pool);
-  return mt_pool_report_pack (mt_pool_desk (pool), now, len);
+  return mt_pool_report_pack (mt_pool_scheduler (pool), now, len);
 }
 
 /* ---- orders ---- */
--- a/fleet/frontend_ask.c
+++ b/fleet/frontend_ask.c
@@ -183,7 +183,7 @@
   mt_metrics_count (frontend->options.metrics, MT_COUNT_ASKED);
   /* A leader that may have been replaced unnoticed must not tell what is no longer true. */
   if (local != NULL && mt_cluster_is_sure (frontend->options.cluster))
-    state = mt_scheduler_state (mt_pool_desk (local), id);
+    state = mt_scheduler_state (mt_pool_scheduler (local), id);
   if (state != MT_JOB_UNKNOWN)
     end_state (q, state);
   else if (local != NULL
@@ -222,7 +222,7 @@
   if (local != NULL)
     {
       g_autofree char *body = frontend->options.words->ops->pending (
-          mt_scheduler_pending (mt_pool_desk (local), route->name));
+          mt_scheduler_pending (mt_pool_scheduler (local), route->name));
 
       mt_frontend_answer (exchange, 200, body, 0);
       free_question (q);
--- a/fleet/metrics.c
+++ b/fleet/metrics.c
@@ -26,7 +26,7 @@
 
 static const struct meaning gauges[MT_GAUGES] = {
   [MT_GAUGE_CONFIG] = { "config_version", "Version of the configuration in force." },
-  [MT_GAUGE_DUTIES] = { "leaderships", "Leaderships that this daemon has." },
+  [MT_GAUGE_LEADERSHIPS] = { "leaderships", "Leaderships that this daemon has." },
   [MT_GAUGE_STORE_CALLS] = { "store_calls", "Calls on the store so far." },
   [MT_GAUGE_CONNECTIONS_OPENED] = { "connections_opened", "Outgoing connections so far." },
   [MT_GAUGE_JOBS] = { "jobs_open", "Jobs not ended in the pools led here." },
--- a/fleet/neighbours.c
+++ b/fleet/neighbours.c
@@ -27,10 +27,10 @@
     }
   if (method == MT_MESH_STATE)
     {
-      reply_text (call, mt_job_state_names[mt_scheduler_state (mt_pool_desk (pool), what)]);
+      reply_text (call, mt_job_state_names[mt_scheduler_state (mt_pool_scheduler (pool), what)]);
       return;
     }
-  g_snprintf (text, sizeof text, "%u", mt_scheduler_pending (mt_pool_desk (pool), what));
+  g_snprintf (text, sizeof text, "%u", mt_scheduler_pending (mt_pool_scheduler (pool), what));
   reply_text (call, text);
 }
 
--- a/fleet/pool.c
+++ b/fleet/pool.c
@@ -617,7 +617,7 @@
 }
 
 struct mt_scheduler *
-mt_pool_desk (struct mt_pool *pool)
+mt_pool_scheduler (struct mt_pool *pool)
 {
   return pool->sched;
 }
--- a/fleet/pool.h
+++ b/fleet/pool.h
@@ -31,7 +31,7 @@
 
 /* All jobs of the time before are known. */
 bool mt_pool_is_loaded (const struct mt_pool *pool);
-struct mt_scheduler *mt_pool_desk (struct mt_pool *pool);
+struct mt_scheduler *mt_pool_scheduler (struct mt_pool *pool);
 int64_t mt_pool_token (const struct mt_pool *pool);
 /* Does what has become due; to be called after the scheduler was fed from elsewhere. */
 void mt_pool_wake (struct mt_pool *pool);
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -438,7 +438,7 @@
  * though no end of them is listed. A third must not be moved off its worker then: its budget is
  * one. */
 static void
-test_no_lasting_task_is_moved_while_others_are_away (void **state)
+test_no_long_running_task_is_moved_while_others_are_away (void **state)
 {
   struct world *world = world_create ();
   struct mt_job_spec *spec = world_job ("aa", 3, 4000, 1000);
@@ -471,7 +471,7 @@
  * one may be.
  */
 static void
-test_lasting_tasks_are_moved_one_after_the_other (void **state)
+test_long_running_tasks_are_moved_one_after_the_other (void **state)
 {
   struct world *world = world_create ();
   struct mt_job_spec *spec = world_job ("aa", 3, 4000, 1000);
@@ -723,21 +723,12 @@
 test_objective_goes_by_what_steps_take (void **state)
 {
   struct world *world = world_create ();
-  struct mt_job_spec *spec = mt_job_spec_create ("aa", "route", 2);
+  const unsigned counts[] = { 2, 2 };
   struct mt_scheduler_load load;
 
   world_add_worker (world, "r1");
-  spec->payload = g_strdup ("payload");
-  for (unsigned i = 0; i < 2; i++)
-    {
-      spec->steps[i].count = 2;
-      spec->steps[i].need = (struct mt_room){ .cpu = 8000, .mem = 100 };
-      spec->steps[i].estimate_ms = 200;
-    }
-  spec->steps[1].after = g_new0 (unsigned, 1);
-  spec->steps[1].n_after = 1;
   world->run_ms = 1000;
-  world_submit (world, spec);
+  world_submit (world, world_two_steps ("aa", counts, 8000, 200));
   world_run (world, 1300);
   mt_scheduler_load (world->sched, world->now, &load);
   assert_int_equal (load.used_cpu, 16000);
@@ -787,21 +778,12 @@
 test_load_tells_what_is_busy_soon (void **state)
 {
   struct world *world = world_create ();
-  struct mt_job_spec *spec = mt_job_spec_create ("aa", "route", 2);
+  const unsigned counts[] = { 1, 2 };
   struct mt_scheduler_load load;
 
   world_add_worker (world, "r1");
-  spec->payload = g_strdup ("payload");
-  for (unsigned i = 0; i < 2; i++)
-    {
-      spec->steps[i].count = i + 1;
-      spec->steps[i].need = (struct mt_room){ .cpu = 3000, .mem = 100 };
-      spec->steps[i].estimate_ms = 2000;
-    }
-  spec->steps[1].after = g_new0 (unsigned, 1);
-  spec->steps[1].n_after = 1;
   world->run_ms = 2000;
-  world_submit (world, spec);
+  world_submit (world, world_two_steps ("aa", counts, 3000, 2000));
   world_submit (world, world_job ("bb", 1, 5000, 2000));
   world_run (world, 300);
   mt_scheduler_load (world->sched, world->now, &load);
@@ -841,8 +823,8 @@
     cmocka_unit_test (test_work_outlives_an_outage_of_the_store),
     cmocka_unit_test (test_surge_shows_before_anything_waits),
     cmocka_unit_test (test_late_work_is_not_urgent),
-    cmocka_unit_test (test_lasting_tasks_are_moved_one_after_the_other),
-    cmocka_unit_test (test_no_lasting_task_is_moved_while_others_are_away),
+    cmocka_unit_test (test_long_running_tasks_are_moved_one_after_the_other),
+    cmocka_unit_test (test_no_long_running_task_is_moved_while_others_are_away),
     cmocka_unit_test (test_job_is_taken_off_the_waiting_ones_once),
     cmocka_unit_test (test_second_run_keeps_its_room_until_it_has_ended),
     cmocka_unit_test (test_task_returns_to_the_only_worker_with_room),
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -81,16 +81,34 @@
   return w;
 }
 
+static void
+set_step (struct mt_step *step, unsigned count, int64_t cpu, int64_t ms)
+{
+  step->count = count;
+  step->need = (struct mt_room){ .cpu = cpu, .mem = 100 };
+  step->estimate_ms = ms;
+}
+
 struct mt_job_spec *
 world_job (const char *id, unsigned count, int64_t cpu, int64_t ms)
 {
   struct mt_job_spec *spec = mt_job_spec_create (id, "route", 1);
 
   spec->payload = g_strdup ("payload");
-  spec->steps[0].count = count;
-  spec->steps[0].need.cpu = cpu;
-  spec->steps[0].need.mem = 100;
-  spec->steps[0].estimate_ms = ms;
+  set_step (&spec->steps[0], count, cpu, ms);
+  return spec;
+}
+
+struct mt_job_spec *
+world_two_steps (const char *id, const unsigned counts[2], int64_t cpu, int64_t ms)
+{
+  struct mt_job_spec *spec = mt_job_spec_create (id, "route", 2);
+
+  spec->payload = g_strdup ("payload");
+  for (unsigned i = 0; i < 2; i++)
+    set_step (&spec->steps[i], counts[i], cpu, ms);
+  spec->steps[1].after = g_new0 (unsigned, 1);
+  spec->steps[1].n_after = 1;
   return spec;
 }
 
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -101,6 +101,9 @@
 void world_leave (struct world *world, struct world_worker *w);
 /* One step of `count` tasks of `cpu` thousandths, each estimated at ms. */
 struct mt_job_spec *world_job (const char *id, unsigned count, int64_t cpu, int64_t ms);
+/* Two steps of so many tasks, the second after the first. */
+struct mt_job_spec *
+world_two_steps (const char *id, const unsigned counts[2], int64_t cpu, int64_t ms);
 void world_submit (struct world *world, struct mt_job_spec *spec);
 /* In steps of 5 ms. */
 void world_run (struct world *world, int64_t ms);
