cluster: after an outage that ended all leases, leaderships wait for the others to show up

The outage had removed all members' keys; whoever joined first saw no other and came first in rank.

Ruled out: the processor of large leaders (0.07 of 0.5 cores at most), room (180 machines, 70% in use, 4,000 tasks waiting), a lost leadership (each changed hands once).

Change: the wait for the others counts from when a daemon has joined, not from its start; the decision stands in the core with a test of its own. What a daemon had it takes back at once, as before.

--- a/core/scheduler/leader_rank.c
+++ b/core/scheduler/leader_rank.c
@@ -6,6 +6,11 @@
  * second behind. A little more of one is not worth an order. */
 #define CLEARLY_MORE 1.5
 
+/* A free leadership is taken by the first in rank; the next one steps in so much later each. */
+#define RANK_MS 120
+/* After joining, time for the others to show up: all that lost their keys join within this. */
+#define SETTLE_MS 350
+
 static guint
 weight (const char *leadership, const char *member)
 {
@@ -45,3 +50,11 @@
     before += i != self && comes_first (leadership, &members[i], &members[self]);
   return before;
 }
+
+bool
+mt_leader_may_take (const struct mt_leader_turn *turn, int64_t now)
+{
+  int64_t from = MAX (turn->free_since, turn->joined_at + SETTLE_MS);
+
+  return turn->had || now - from >= RANK_MS * (int64_t) turn->rank;
+}
--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -26,13 +26,9 @@
 #define WATCH_MS 5000
 /* How late a free leadership may be noticed beyond its rank. */
 #define TICK_MS 60
-/* A free leadership is taken by the first in rank; the next one steps in so much later each. */
-#define RANK_MS 120
 /* Where many come first, the later ones step in together: a free leadership is not left for
  * seconds. */
 #define MAX_RANK 8U
-/* After a start, time for the others to show up, so that leaderships spread. */
-#define SETTLE_MS 350
 /* A write of membership without an answer is of no use later: half a lease. */
 #define TXN_MS 700
 
@@ -67,7 +63,7 @@
   GHashTable *members;     /* name to struct member */
   GHashTable *leaderships; /* name to struct leadership */
   bool listed;
-  int64_t born;
+  int64_t joined_at; /* when our own key was written last */
 
   int64_t lease;
   int64_t sure_until;
@@ -308,6 +304,8 @@
 
   c->joining = false;
   c->joined = reply->status == MT_KV_OK && c->lease != 0;
+  if (c->joined)
+    c->joined_at = mt_loop_now ();
   if (reply->status == MT_KV_MISSING)
     drop_lease (c, "lease ended");
 }
@@ -463,13 +461,13 @@
   GHashTableIter it;
   struct leadership *d;
 
-  if (!c->listed || !mt_cluster_is_sure (c) || now - c->born < SETTLE_MS)
+  if (!c->listed || !mt_cluster_is_sure (c))
     return;
   g_hash_table_iter_init (&it, c->leaderships);
   while (g_hash_table_iter_next (&it, NULL, (void **) &d))
     {
-      int64_t free_since = MAX (d->free_since, c->born + SETTLE_MS);
-      bool mine = d->free_since == 0;
+      struct mt_leader_turn turn
+          = { .had = d->free_since == 0, .free_since = d->free_since, .joined_at = c->joined_at };
 
       if (!d->wanted || d->trying || d->token != 0)
         continue;
@@ -477,7 +475,8 @@
         clear_leadership (c, d);
       if (d->revision != 0)
         continue;
-      if (mine || now - free_since >= RANK_MS * (int64_t) rank (c, d))
+      turn.rank = rank (c, d);
+      if (mt_leader_may_take (&turn, now))
         {
           try_leadership (c, d);
           return; /* one at a time, so that they spread by who has how many */
@@ -528,7 +527,6 @@
   c->cores = options->cores;
   c->members = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_member);
   c->leaderships = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_leadership);
-  c->born = mt_loop_now ();
   c->tick = mt_timer_create (base, on_tick, c);
   c->watcher = mt_watcher_create (base, kv, &watch);
   mt_timer_set (c->tick, 0);
--- a/include/medlartrack/leader_rank.h
+++ b/include/medlartrack/leader_rank.h
@@ -2,7 +2,9 @@
 #ifndef MEDLARTRACK_LEADER_RANK_H
 #define MEDLARTRACK_LEADER_RANK_H
 
+#include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 struct mt_leader_candidate
 {
@@ -19,4 +21,18 @@
                          size_t n,
                          size_t self);
 
+struct mt_leader_turn
+{
+  bool had;           /* it was this daemon's when all leases ended */
+  unsigned rank;      /* of this daemon, as mt_leader_rank has it */
+  int64_t free_since; /* milliseconds, as all of these */
+  int64_t joined_at;  /* when this daemon's own key was written last */
+};
+
+/* Whether the daemon may take a free leadership. What it had it takes at once; else each rank waits
+ * for those before it, and all wait after they have joined until the others have shown up: with a
+ * table of members that is empty after an outage, each daemon would come first, and a small machine
+ * would lead the pool that surges. */
+bool mt_leader_may_take (const struct mt_leader_turn *turn, int64_t now);
+
 #endif
--- a/tests/scheduler/test_leader_rank.c
+++ b/tests/scheduler/test_leader_rank.c
@@ -59,12 +59,43 @@
   assert_int_equal (mt_leader_rank ("pool", members, 7, 3), 6);
 }
 
+/* An outage ends all leases while a pool's leader is away. The daemons join again one after the
+ * other, and the first to do so sees no other: on a small machine it must not lead the pool that
+ * surges because it was quick. What a daemon had before the outage it takes back at once. */
+static void
+test_who_joins_first_waits_for_the_others (void **state)
+{
+  struct mt_leader_turn turn = { .rank = 0, .free_since = 1000, .joined_at = 5000 };
+
+  assert_false (mt_leader_may_take (&turn, 5100));
+  assert_true (mt_leader_may_take (&turn, 5400));
+  turn.rank = 2; /* the larger ones have shown up meanwhile */
+  assert_false (mt_leader_may_take (&turn, 5400));
+  assert_true (mt_leader_may_take (&turn, 5600));
+  turn.had = true;
+  assert_true (mt_leader_may_take (&turn, 5000));
+}
+
+/* In calm a leader dies: the first in rank takes its pool at once, the next one a little later. */
+static void
+test_calm_takeover_waits_for_rank_only (void **state)
+{
+  struct mt_leader_turn turn = { .rank = 0, .free_since = 90000, .joined_at = 1000 };
+
+  assert_true (mt_leader_may_take (&turn, 90000));
+  turn.rank = 1;
+  assert_false (mt_leader_may_take (&turn, 90100));
+  assert_true (mt_leader_may_take (&turn, 90120));
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_duties_go_where_most_cores_are),
     cmocka_unit_test (test_equal_machines_share_the_duties),
+    cmocka_unit_test (test_who_joins_first_waits_for_the_others),
+    cmocka_unit_test (test_calm_takeover_waits_for_rank_only),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
