scheduler: after a cordon a worker takes work once it has answered

Change: when a cordon ends, the worker has to answer a hold before it takes work.

Test: test_worker_answers_before_it_takes_work_after_a_cordon.

--- a/core/scheduler/scheduler_watch.c
+++ b/core/scheduler/scheduler_watch.c
@@ -151,6 +151,11 @@
     {
       w->cordon_until = 0;
       w->move_long_running = false;
+      /* Whoever cordoned it may have had its machine moved and died before it could tell: the
+       * worker takes work again once it has answered, or a task would wait there for the longest
+       * lease. */
+      w->held = false;
+      w->next_hold = now;
       sched->changed = true;
     }
   if (w->shun_until != 0 && w->shun_until <= now)
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -795,6 +795,24 @@
   world_destroy (world);
 }
 
+/* A worker's machine was moved, and whoever ordered that died before it told. The cordon runs out;
+ * nothing may be placed on what is gone, or the caller's task waits there for a lease to end. */
+static void
+test_worker_answers_before_it_takes_work_after_a_cordon (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *gone = world_add_worker (world, "r1");
+
+  world_run (world, 300);
+  mt_scheduler_cordon (world->sched, gone->id, world->now + 500, true);
+  gone->silent = true;
+  world_run (world, 800);
+  world_add_worker (world, "r1");
+  world_submit (world, world_job ("aa", 2, 1000, 1000));
+  assert_true (world_until (world, "aa", MT_JOB_COMPLETED, 2000));
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -832,6 +850,7 @@
     cmocka_unit_test (test_objective_goes_by_what_steps_take),
     cmocka_unit_test (test_long_running_task_stays_until_it_has_a_place),
     cmocka_unit_test (test_load_tells_what_is_busy_soon),
+    cmocka_unit_test (test_worker_answers_before_it_takes_work_after_a_cordon),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
