scheduler, net: a thin link laps no lease, and nothing that was done runs again behind it

In a surge a pool's leader sent all starts at once (300 of 430 bytes in a second beside holds, writes and reports, against 250 KB/s). Their answers came after the 350 ms in which they were waited for, so they were sent again, and the link carried less and less; renewals of leases went out too late behind them.

Change: - bytes and messages are counted by kind, in the metrics (net/traffic); from what was sent and link_mbps, a new setting, a daemon reckons what waits in its link (core/path/uplink); - starts wait at the leader while the link is full; stops and holds go first, ends are gathered for longer; an order's time-out is counted from when it can have left; - where the link was late within the time of a hold the leader doubts itself: silent workers keep their leases and their tasks until they were asked in time; - a clock reading that was long on its way no longer shortens leases.

Tests, each fails without its part: test_surge_on_a_thin_link_starts_each_task_once, test_silence_behind_a_late_link_frees_no_task, test_late_answers_shorten_no_lease; the property test has thin links, links that stand still, and counts what is done again under a lease.

--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -193,7 +193,9 @@
   bool fenced_off;
   int64_t last_plan;
   int64_t last_watch;
-  int64_t losses_at; /* when an order to a worker that answers others had no answer */
+  int64_t link_ms;      /* what is sent waits for so long in the owner's link */
+  int64_t link_late_at; /* when that was last too long for answers to come in time; 0 for never */
+  int64_t losses_at;    /* when an order to a worker that answers others had no answer */
   mt_scheduler_told told;
   void *told_ctx;
 };
@@ -292,6 +294,11 @@
 void mt_occurrence_set_objective (struct mt_occurrence *occ);
 double mt_step_expected_ms (const struct mt_route *route, const struct mt_step *step);
 
+/* scheduler_orders.c */
+/* The owner's own link was late within the time of a hold: silence then says nothing of a worker.
+ */
+bool mt_scheduler_doubts_itself (const struct mt_scheduler *sched, int64_t now);
+
 /* scheduler_watch.c: what is done about what stands still */
 void mt_scheduler_watch (struct mt_scheduler *sched, int64_t now);
 /* scheduler_pace.c */
--- a/core/scheduler/scheduler_orders.c
+++ b/core/scheduler/scheduler_orders.c
@@ -12,6 +12,15 @@
 /* Ends are gathered for this long before a worker is asked again: under load a hold then brings
  * several, and costs one call. */
 #define GATHER_MS 15
+/* A link is full when what is sent now waits for so long: well under the time in which the answer
+ * to an order is expected. It is late when answers to what was sent may be overdue. */
+#define FULL_LINK_MS 60
+#define LATE_LINK_MS 200
+/* A hold has its whole wait and its answer in this. */
+#define FAIR_HOLD_MS (MT_HOLD_WAIT_MS + 500)
+/* While the link is slow ends are gathered for so many of its waits more: holds then take less of
+ * it, and starts get through. */
+#define GATHER_WAITS 3
 /* Workers named in one call for advice. */
 #define ADVISED_WORKERS 30U
 
@@ -116,15 +125,17 @@
 
 /* A worker that has nothing and was held under our token needs no calls. */
 static bool
-hold_due (const struct mt_worker *w, int64_t now)
+hold_due (const struct mt_scheduler *sched, const struct mt_worker *w, int64_t now)
 {
+  int64_t gather = MIN (GATHER_MS + GATHER_WAITS * sched->link_ms, BLOCKED_HOLD_MS);
+
   if (w->hold_on_way || w->ended || w->address == NULL || now < w->next_hold)
     return false;
   if (!w->listed && w->tasks.length == 0)
     return false;
   if (w->seen_end > w->durable_end)
     return now - w->hold_sent >= BLOCKED_HOLD_MS;
-  return now - w->hold_sent >= GATHER_MS;
+  return now - w->hold_sent >= gather;
 }
 
 static int64_t
@@ -145,7 +156,7 @@
     {
       bool blocked;
 
-      if (!hold_due (w, now))
+      if (!hold_due (sched, w, now))
         continue;
       blocked = w->seen_end > w->durable_end;
       w->hold_on_way = true;
@@ -156,8 +167,9 @@
       order->seen_end = w->durable_end;
       order->wait_ms = w->tasks.length > 0 && w->held && !blocked ? hold_wait (sched, now) : 0;
       /* A hold without an answer may have been carried out. Were the lease renewed with each try,
-       * a cut-off worker's tasks would never be known to be over. */
-      if (w->silent_since == 0)
+       * a cut-off worker's tasks would never be known to be over. Where it is our own link that is
+       * late, the tasks of workers that are well would lapse instead. */
+      if (w->silent_since == 0 || mt_scheduler_doubts_itself (sched, now))
         {
           order->lease_ms = mt_worker_lease (w, now, sched->settings.hold_ms);
           mt_worker_granted (w, sched->settings.hold_ms, now);
@@ -194,25 +206,43 @@
   return true;
 }
 
+void
+mt_scheduler_link_waits (struct mt_scheduler *sched, int64_t wait_ms, int64_t now)
+{
+  sched->link_ms = wait_ms;
+  if (wait_ms > LATE_LINK_MS)
+    sched->link_late_at = now;
+}
+
+bool
+mt_scheduler_doubts_itself (const struct mt_scheduler *sched, int64_t now)
+{
+  return sched->link_late_at != 0 && now - sched->link_late_at < FAIR_HOLD_MS;
+}
+
+/* In the order of what is lost if it comes late: room that is to be freed, leases, then starts. A
+ * surge's starts alone fill a thin link for longer than their answers are waited for; renewals
+ * would go out too late behind them, and tasks that run would lapse. What waits here can still be
+ * placed elsewhere. */
 bool
 mt_scheduler_next_order (struct mt_scheduler *sched, int64_t now, struct mt_order *order)
 {
-  *order = (struct mt_order){ 0 };
+  *order = (struct mt_order){ .link_ms = sched->link_ms };
   if (sched->fenced_off)
     return false;
   mt_scheduler_watch (sched, now);
   while (!g_queue_is_empty (&sched->strays))
     if (next_stray (sched, order))
       return true;
-  return next_stop (sched, now, order) || next_start (sched, now, order)
-         || next_pace (sched, now, order) || next_hold (sched, now, order)
-         || next_advice (sched, now, order);
+  return next_stop (sched, now, order) || next_hold (sched, now, order)
+         || (sched->link_ms <= FULL_LINK_MS && next_start (sched, now, order))
+         || next_pace (sched, now, order) || next_advice (sched, now, order);
 }
 
 bool
 mt_scheduler_next_hold (struct mt_scheduler *sched, int64_t now, struct mt_order *order)
 {
-  *order = (struct mt_order){ 0 };
+  *order = (struct mt_order){ .link_ms = sched->link_ms };
   return !sched->fenced_off && next_hold (sched, now, order);
 }
 
--- a/core/scheduler/scheduler_watch.c
+++ b/core/scheduler/scheduler_watch.c
@@ -166,8 +166,11 @@
   if (w->tasks.length == 0)
     return;
   /* A worker that does not answer, or is in no registry, may run on; its tasks are free once the
-   * last lease given to it has run out on the slowest clock. Sooner, a task could run twice. */
-  if ((w->silent_since != 0 || w->address == NULL) && now > w->lapse_by)
+   * last lease given to it has run out on the slowest clock. Sooner, a task could run twice. Where
+   * it is our own link that is late the worker may have done all of them, and have it to tell: they
+   * are not free before it has been asked in time. */
+  if ((w->silent_since != 0 || w->address == NULL) && now > w->lapse_by
+      && !mt_scheduler_doubts_itself (sched, now))
     {
       mt_worker_release (sched, w, now, "lease over");
       return;
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -253,10 +253,20 @@
 
 /* ---- leases ---- */
 
+/* As low as the worker's clock can stand now. */
+static int64_t
+least_clock (const struct mt_worker *w, int64_t now)
+{
+  return w->clock_ms + (now - w->clock_at) * (1000 - MT_CLOCK_SLOW) / 1000;
+}
+
+/* An answer that was long on its way shows the clock as it stood then. Taken for now's, each lease
+ * would be shorter by that way, and what runs would lapse behind a slow link: a reading counts only
+ * where it is higher than what is known already. */
 void
 mt_worker_clock (struct mt_worker *w, int64_t clock_ms, int64_t now)
 {
-  if (clock_ms < 0)
+  if (clock_ms < 0 || (w->clock_at != 0 && clock_ms < least_clock (w, now)))
     return;
   w->clock_ms = clock_ms;
   w->clock_at = now;
@@ -266,9 +276,7 @@
 int64_t
 mt_worker_lease (const struct mt_worker *w, int64_t now, int64_t hold_ms)
 {
-  if (w->clock_at == 0)
-    return 0;
-  return w->clock_ms + (now - w->clock_at) * (1000 - MT_CLOCK_SLOW) / 1000 + hold_ms;
+  return w->clock_at != 0 ? least_clock (w, now) + hold_ms : 0;
 }
 
 /* Counted from when it is sent, answered or not: an order without an answer may have arrived. */
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -8,12 +8,14 @@
 #include "http_front.h"
 #include "journal.h"
 #include "loop.h"
+#include "medlartrack/uplink.h"
 #include "mesh.h"
 #include "metrics.h"
 #include "neighbours.h"
 #include "pool.h"
 #include "relay.h"
 #include "roster.h"
+#include "traffic.h"
 #include "watcher.h"
 
 #include <event2/event.h>
@@ -50,6 +52,8 @@
   struct event_base *base;
   struct mt_journal *journal;
   struct mt_metrics *metrics;
+  struct mt_traffic *traffic;
+  struct mt_uplink uplink;
   struct mt_calls *calls;
   struct mt_adapter *platform;
   struct mt_words words;
@@ -136,6 +140,14 @@
   return mt_relay_sees_outage (((struct mt_fleet *) ctx)->relay);
 }
 
+static int64_t
+link_wait_ms (void *ctx)
+{
+  struct mt_fleet *f = ctx;
+
+  return mt_uplink_wait_ms (&f->uplink, mt_traffic_total (f->traffic).bytes_out, mt_loop_now ());
+}
+
 static void
 begin_leading (struct mt_fleet *f, int64_t token)
 {
@@ -177,6 +189,7 @@
                                      .cluster = f->cluster,
                                      .sched = scheduler_settings (f),
                                      .store_is_out = store_is_out,
+                                     .link_wait_ms = link_wait_ms,
                                      .ctx = f,
                                      .journal = f->journal };
   struct mt_pool *pool;
@@ -344,7 +357,7 @@
   g_autofree char *text = NULL;
 
   count_load (f);
-  text = mt_metrics_text (f->metrics);
+  text = mt_metrics_text (f->metrics, f->traffic);
   mt_exchange_answer (exchange, 200, "text/plain; version=0.0.4", mt_str_from (text), 0);
 }
 
@@ -448,7 +461,7 @@
       g_autofree char *text = NULL;
 
       count_load (f);
-      text = mt_metrics_text (f->metrics);
+      text = mt_metrics_text (f->metrics, f->traffic);
       fprintf (stderr, "%s", text);
     }
   else
@@ -494,12 +507,18 @@
 }
 
 static struct mt_http_front *
-make_front (struct mt_fleet *f, const char *address, mt_http_front_handler handle, GError **error)
+make_front (struct mt_fleet *f,
+            const char *address,
+            const char *kind,
+            mt_http_front_handler handle,
+            GError **error)
 {
   struct mt_http_front_options options = { .address = address,
                                            .connections = f->settings->connections,
                                            .idle_s = f->settings->idle_s,
                                            .body_bytes = f->settings->body_bytes,
+                                           .kind = kind,
+                                           .traffic = f->traffic,
                                            .handle = handle,
                                            .ctx = f };
 
@@ -512,15 +531,15 @@
   const struct mt_fleet_settings *s = f->settings;
   g_autofree char *scrape = g_strdup_printf ("%s:%u", s->ip.data, s->metrics_port);
 
-  f->front = make_front (f, s->listen.data, on_request, error);
+  f->front = make_front (f, s->listen.data, "callers", on_request, error);
   if (f->front == NULL)
     return false;
-  f->ready = make_front (f, s->ready_listen.data, on_ready, error);
+  f->ready = make_front (f, s->ready_listen.data, "readiness", on_ready, error);
   if (f->ready == NULL)
     return false;
   if (s->metrics_port == 0)
     return true;
-  f->scrape = make_front (f, scrape, on_scrape, error);
+  f->scrape = make_front (f, scrape, "metrics", on_scrape, error);
   return f->scrape != NULL;
 }
 
@@ -557,11 +576,13 @@
   f->journal = mt_journal_create (STDOUT_FILENO, s->name.data);
   f->metrics = mt_metrics_create ();
   f->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, destroy_pool);
-  f->calls = mt_calls_create (f->base);
+  f->traffic = mt_traffic_create ();
+  f->uplink = mt_uplink_make (s->link_mbps, mt_loop_now ());
+  f->calls = mt_calls_create (f->base, f->traffic);
   f->platform = mt_adapter_create (f->calls, &platform);
   f->words = mt_adapter_words ();
-  f->mesh
-      = mt_mesh_create (f->base, peer, s->name.data, mt_neighbours_handle, &f->neighbours, error);
+  f->mesh = mt_mesh_create (f->base, f->traffic, peer, s->name.data, mt_neighbours_handle,
+                            &f->neighbours, error);
   if (f->mesh == NULL)
     return NULL;
   g_free (peer);
@@ -618,6 +639,7 @@
     event_free (f->signals[i]);
   mt_fleet_config_free (f->config);
   mt_fleet_settings_destroy (f->reread);
+  mt_traffic_destroy (f->traffic);
   mt_metrics_destroy (f->metrics);
   mt_journal_destroy (f->journal);
   event_base_free (f->base);
--- a/fleet/metrics.c
+++ b/fleet/metrics.c
@@ -1,5 +1,7 @@
 #include "metrics.h"
 
+#include "traffic.h"
+
 struct meaning
 {
   const char *name;
@@ -113,8 +115,34 @@
                           name, sum, name, m->sums[which], name, sum);
 }
 
+/* One family of counters with a row for each kind of message. */
+static void
+append_traffic (GString *out, const struct mt_traffic *traffic)
+{
+  static const struct meaning families[]
+      = { { "messages_sent_total", "Messages sent, by kind." },
+          { "messages_received_total", "Messages received, by kind." },
+          { "bytes_sent_total", "Bytes of messages sent, by kind." },
+          { "bytes_received_total", "Bytes of messages received, by kind." } };
+  const struct mt_traffic_row *rows;
+  size_t n = mt_traffic_rows (traffic, &rows);
+
+  for (size_t f = 0; f < G_N_ELEMENTS (families); f++)
+    {
+      append_head (out, &families[f], "counter");
+      for (size_t i = 0; i < n; i++)
+        {
+          const uint64_t values[]
+              = { rows[i].sent, rows[i].received, rows[i].bytes_out, rows[i].bytes_in };
+
+          g_string_append_printf (out, "medlartrack_%s{kind=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                                  families[f].name, rows[i].kind, values[f]);
+        }
+    }
+}
+
 char *
-mt_metrics_text (const struct mt_metrics *m)
+mt_metrics_text (const struct mt_metrics *m, const struct mt_traffic *traffic)
 {
   GString *out = g_string_sized_new (4096);
 
@@ -132,5 +160,6 @@
     }
   for (int i = 0; i < MT_LATENCIES; i++)
     append_latency (out, m, i);
+  append_traffic (out, traffic);
   return g_string_free (out, FALSE);
 }
--- a/fleet/metrics.h
+++ b/fleet/metrics.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 struct mt_metrics;
+struct mt_traffic;
 
 enum mt_counter
 {
@@ -48,6 +49,6 @@
 void mt_metrics_took (struct mt_metrics *metrics, enum mt_latency latency, int64_t ms);
 void mt_metrics_set (struct mt_metrics *metrics, enum mt_gauge gauge, int64_t value);
 /* g_free the text. */
-char *mt_metrics_text (const struct mt_metrics *metrics);
+char *mt_metrics_text (const struct mt_metrics *metrics, const struct mt_traffic *traffic);
 
 #endif
--- a/fleet/pool.c
+++ b/fleet/pool.c
@@ -340,6 +340,15 @@
     }
 }
 
+static bool
+next_order (struct mt_pool *pool, struct mt_order *order)
+{
+  int64_t now = mt_loop_now ();
+
+  mt_scheduler_link_waits (pool->sched, pool->options.link_wait_ms (pool->options.ctx), now);
+  return mt_scheduler_next_order (pool->sched, now, order);
+}
+
 /* A daemon that was frozen or cut off past its lease may have a successor: it sends nothing until
  * the store has confirmed the lease. The clock is read before each order. */
 static void
@@ -347,8 +356,7 @@
 {
   struct mt_order order;
 
-  while (mt_cluster_is_sure (pool->options.cluster)
-         && mt_scheduler_next_order (pool->sched, mt_loop_now (), &order))
+  while (mt_cluster_is_sure (pool->options.cluster) && next_order (pool, &order))
     {
       send_order (pool, &order, mt_loop_now ());
       mt_order_clear (&order);
--- a/fleet/pool.h
+++ b/fleet/pool.h
@@ -21,6 +21,8 @@
   struct mt_scheduler_settings sched; /* its name is the pool's */
   /* Nobody reaches the store, as far as this daemon can learn. */
   bool (*store_is_out) (void *ctx);
+  /* How long what is sent now waits before it leaves this machine. */
+  int64_t (*link_wait_ms) (void *ctx);
   void *ctx;
   struct mt_journal *journal;
 };
--- a/fleet/settings.c
+++ b/fleet/settings.c
@@ -21,6 +21,7 @@
   { "machines", MT_FIELD_TEXT, FIELD (machines), .form = &mt_form_address },
   { "advisor", MT_FIELD_TEXT, FIELD (advisor), .form = &mt_form_address },
   { "cores", MT_FIELD_WEIGHT, FIELD (cores), .min = 0.01, .max = 1024, .fallback = 1 },
+  { "link_mbps", MT_FIELD_WEIGHT, FIELD (link_mbps), .max = 1e6 },
   { "connections", MT_FIELD_COUNT, FIELD (connections), .min = 1, .max = 20000, .fallback = 2000 },
   { "idle_s", MT_FIELD_COUNT, FIELD (idle_s), .min = 1, .max = 3600, .fallback = 30 },
   { "body_bytes", MT_FIELD_COUNT, FIELD (body_bytes), .min = 1, .max = 64e6, .fallback = 262144 },
--- a/fleet/settings.h
+++ b/fleet/settings.h
@@ -28,7 +28,8 @@
   struct mt_str store;        /* IP:PORT of the platform's store */
   struct mt_str machines;     /* IP:PORT of the platform's machines; empty for none */
   struct mt_str advisor;      /* IP:PORT; empty for none */
-  double cores; /* of this machine, for the daemon; leaders are had where there are most */
+  double cores;     /* of this machine, for the daemon; leaders are had where there are most */
+  double link_mbps; /* of this machine's link, in millions of bits a second; 0: not known */
   unsigned connections;
   unsigned idle_s;
   unsigned body_bytes;
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -142,13 +142,17 @@
   unsigned percent;
   int64_t seen_end; /* ends up to here are durable */
   int64_t wait_ms;
-  char **workers; /* of an advice, NULL-terminated, owned by the order */
+  int64_t link_ms; /* it may lie in the owner's link for so long before it leaves */
+  char **workers;  /* of an advice, NULL-terminated, owned by the order */
 };
 
 /* False where nothing is to be sent now. */
 bool mt_scheduler_next_order (struct mt_scheduler *sched, int64_t now, struct mt_order *order);
 /* The same for holds alone, which change nothing but the end of leases. */
 bool mt_scheduler_next_hold (struct mt_scheduler *sched, int64_t now, struct mt_order *order);
+/* What is sent now waits for so long before it leaves the owner's machine. To be told before orders
+ * are taken. */
+void mt_scheduler_link_waits (struct mt_scheduler *sched, int64_t wait_ms, int64_t now);
 void mt_order_clear (struct mt_order *order);
 
 enum mt_answer
--- a/net/http_calls.c
+++ b/net/http_calls.c
@@ -1,5 +1,7 @@
 #include "http_calls.h"
 
+#include "traffic.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -15,6 +17,10 @@
 
 #define MAX_ANSWER_BYTES (4 * 1024 * 1024)
 #define MAX_HEADER_BYTES (16 * 1024)
+/* First line, Host, Content-Type and Content-Length of a call; status line and headers of an
+ * answer. */
+#define CALL_HEAD_BYTES   100U
+#define ANSWER_HEAD_BYTES 110U
 
 struct lane;
 
@@ -31,6 +37,7 @@
   struct lane *lane;
   struct connection *connection; /* NULL while it waits */
   struct event *timer;
+  const char *kind;
   enum mt_call_method method;
   char *path;
   char *body;
@@ -55,6 +62,7 @@
 struct mt_calls
 {
   struct event_base *base;
+  struct mt_traffic *traffic;
   GHashTable *lanes;
   GPtrArray *doomed; /* connections to free once libevent has let go of them */
   struct event *reaper;
@@ -167,6 +175,7 @@
   answer.status = evhttp_request_get_response_code (request);
   answer.body.len = evbuffer_get_length (input);
   answer.body.data = (const char *) evbuffer_pullup (input, -1);
+  mt_traffic_received (c->lane->calls->traffic, p->kind, ANSWER_HEAD_BYTES + answer.body.len);
   c->busy = NULL;
   c->up = true;
   finish (p, &answer);
@@ -199,6 +208,16 @@
   return lane->connections->len < lane->most ? open_connection (lane) : NULL;
 }
 
+static size_t
+call_bytes (const struct pending *p)
+{
+  size_t bytes = CALL_HEAD_BYTES + strlen (p->path) + p->body_len;
+
+  for (const struct mt_call_header *h = p->headers; h != NULL && h->name != NULL; h++)
+    bytes += strlen (h->name) + strlen (h->value);
+  return bytes;
+}
+
 static void
 send_on (struct connection *c, struct pending *p)
 {
@@ -222,6 +241,7 @@
     }
   c->busy = p;
   p->connection = c;
+  mt_traffic_sent (c->lane->calls->traffic, p->kind, call_bytes (p));
   /* On failure libevent frees the request without calling back; the timer then ends the call. */
   evhttp_make_request (c->evcon, request, methods[p->method], p->path);
 }
@@ -286,6 +306,7 @@
   struct timeval limit = { call->timeout_ms / 1000, call->timeout_ms % 1000 * 1000 };
 
   p->lane = get_lane (calls, call);
+  p->kind = call->kind;
   p->method = call->method;
   p->path = g_strdup (call->path);
   p->body = g_memdup2 (call->body.data, call->body.len);
@@ -323,11 +344,12 @@
 }
 
 struct mt_calls *
-mt_calls_create (struct event_base *base)
+mt_calls_create (struct event_base *base, struct mt_traffic *traffic)
 {
   struct mt_calls *calls = g_new0 (struct mt_calls, 1);
 
   calls->base = base;
+  calls->traffic = traffic;
   calls->lanes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_lane);
   calls->doomed = g_ptr_array_new_with_free_func (free_connection);
   calls->reaper = event_new (base, -1, 0, reap, calls);
--- a/net/http_calls.h
+++ b/net/http_calls.h
@@ -10,6 +10,7 @@
 
 struct event_base;
 struct mt_calls;
+struct mt_traffic;
 
 enum mt_call_method
 {
@@ -27,6 +28,7 @@
 struct mt_call
 {
   const char *address; /* IP:PORT */
+  const char *kind;    /* a constant: what the call counts as in the traffic */
   enum mt_call_method method;
   const char *path;
   struct mt_str body;                   /* JSON; empty for none */
@@ -48,7 +50,8 @@
 /* The answer's memory is gone after the callback. */
 typedef void (*mt_call_done) (void *ctx, const struct mt_call_answer *answer);
 
-struct mt_calls *mt_calls_create (struct event_base *base);
+/* traffic: counts what is sent and received; NULL for nobody. */
+struct mt_calls *mt_calls_create (struct event_base *base, struct mt_traffic *traffic);
 /* Calls under way end without an answer, by their callbacks. */
 void mt_calls_destroy (struct mt_calls *calls);
 /* done is called later, exactly once, never from within. */
--- a/net/http_front.c
+++ b/net/http_front.c
@@ -2,6 +2,7 @@
 
 #include "address.h"
 #include "medlartrack/error.h"
+#include "traffic.h"
 
 #include <event2/event.h>
 #include <microhttpd.h>
@@ -11,6 +12,9 @@
 /* Digits of the seconds in Retry-After, and its end. */
 #define RETRY_HEADER_CHARS 16
 #define CONNECTION_MEMORY  (16 * 1024)
+/* First line and headers of a request; status line and headers of an answer. */
+#define REQUEST_HEAD_BYTES 200U
+#define ANSWER_HEAD_BYTES  140U
 
 struct mt_exchange
 {
@@ -37,6 +41,8 @@
   mt_http_front_handler handle;
   void *ctx;
   size_t body_bytes;
+  const char *kind;
+  struct mt_traffic *traffic;
   GQueue suspended; /* struct mt_exchange */
   unsigned busy;
   bool closing;
@@ -140,6 +146,7 @@
 {
   char retry[RETRY_HEADER_CHARS];
 
+  mt_traffic_sent (exchange->front->traffic, exchange->front->kind, ANSWER_HEAD_BYTES + body.len);
   exchange->status = status;
   exchange->response
       = MHD_create_response_from_buffer (body.len, (void *) body.data, MHD_RESPMEM_MUST_COPY);
@@ -215,6 +222,7 @@
   if (!exchange->handed)
     {
       exchange->handed = true;
+      mt_traffic_received (front->traffic, front->kind, REQUEST_HEAD_BYTES + exchange->body->len);
       front->handle (front->ctx, exchange);
       if (exchange->response == NULL)
         {
@@ -257,6 +265,8 @@
   front->handle = options->handle;
   front->ctx = options->ctx;
   front->body_bytes = options->body_bytes;
+  front->kind = options->kind;
+  front->traffic = options->traffic;
   if (mt_address_parse (options->address, &address, error))
     front->daemon = MHD_start_daemon (
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request, front,
--- a/net/http_front.h
+++ b/net/http_front.h
@@ -12,6 +12,7 @@
 
 struct event_base;
 struct mt_http_front;
+struct mt_traffic;
 
 /* One request; lives from the handler's call to its answer. */
 struct mt_exchange;
@@ -39,7 +40,9 @@
   const char *address; /* IP:PORT; port 0 takes a free one */
   unsigned connections;
   unsigned idle_s;
-  size_t body_bytes; /* longest request body; beyond it 413 */
+  size_t body_bytes;          /* longest request body; beyond it 413 */
+  const char *kind;           /* a constant: what its requests count as in the traffic */
+  struct mt_traffic *traffic; /* NULL for none */
   mt_http_front_handler handle;
   void *ctx;
 };
--- a/net/mesh.c
+++ b/net/mesh.c
@@ -5,6 +5,7 @@
 #include "medlartrack/error.h"
 #include "medlartrack/pack.h"
 #include "peer.h"
+#include "traffic.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -31,6 +32,7 @@
 struct waiting
 {
   struct mt_mesh *mesh;
+  enum mt_mesh_method method;
   uint64_t id;
   char *address;
   struct event *timer;
@@ -41,12 +43,14 @@
 struct mt_mesh_call
 {
   struct link *link;
+  enum mt_mesh_method method;
   uint64_t id;
 };
 
 struct mt_mesh
 {
   struct event_base *base;
+  struct mt_traffic *traffic;
   struct evconnlistener *listener;
   char *name;
   mt_mesh_handler handler;
@@ -57,6 +61,18 @@
   uint64_t next_id;
 };
 
+const char *
+mt_mesh_method_name (enum mt_mesh_method method)
+{
+  static const char *const names[] = {
+    [MT_MESH_SUBMITTED] = "submitted", [MT_MESH_CANCELLED] = "cancelled",
+    [MT_MESH_STATE] = "state",         [MT_MESH_PENDING] = "pending",
+    [MT_MESH_STORE] = "passed on",     [MT_MESH_CORDON] = "report",
+  };
+
+  return method > 0 && method < G_N_ELEMENTS (names) ? names[method] : "other";
+}
+
 /* ---- bytes ---- */
 
 static char *
@@ -162,18 +178,21 @@
   struct mt_mesh_call *call = g_new0 (struct mt_mesh_call, 1);
 
   call->link = link;
+  call->method = (enum mt_mesh_method) method;
   call->id = id;
   g_rc_box_acquire (link);
   link->mesh->handler (link->mesh->ctx, call, (enum mt_mesh_method) method, args);
 }
 
 static void
-take_reply (struct mt_mesh *mesh, uint64_t id, const struct mt_mesh_args *args)
+take_reply (struct mt_mesh *mesh, uint64_t id, const struct mt_mesh_args *args, size_t bytes)
 {
   struct waiting *w = g_hash_table_lookup (mesh->waiting, &id);
 
-  if (w != NULL)
-    answer_waiting (w, args);
+  if (w == NULL)
+    return;
+  mt_traffic_received (mesh->traffic, mt_mesh_method_name (w->method), bytes);
+  answer_waiting (w, args);
 }
 
 static bool
@@ -189,9 +208,13 @@
     return false;
   ok = decode (&unpacked.data, &id, &method, &args);
   if (ok && frame.type == MT_PEER_MESH_CALL)
-    take_call (link, id, method, &args);
+    {
+      mt_traffic_received (link->mesh->traffic, mt_mesh_method_name ((enum mt_mesh_method) method),
+                           payload.len);
+      take_call (link, id, method, &args);
+    }
   else if (ok && frame.type == MT_PEER_MESH_REPLY)
-    take_reply (link->mesh, id, &args);
+    take_reply (link->mesh, id, &args, payload.len);
   else
     ok = false;
   msgpack_unpacked_destroy (&unpacked);
@@ -316,6 +339,7 @@
   g_autofree char *frame = NULL;
 
   w->mesh = mesh;
+  w->method = method;
   w->id = ++mesh->next_id;
   w->address = g_strdup (address);
   w->done = done;
@@ -327,7 +351,10 @@
       || evbuffer_get_length (bufferevent_get_output (link->bev)) + len > MAX_QUEUED_BYTES)
     limit = (struct timeval){ 0 };
   else
-    bufferevent_write (link->bev, frame, len);
+    {
+      mt_traffic_sent (mesh->traffic, mt_mesh_method_name (method), len);
+      bufferevent_write (link->bev, frame, len);
+    }
   event_add (w->timer, &limit);
 }
 
@@ -342,7 +369,10 @@
       g_autofree char *frame = encode (link->mesh, MT_PEER_MESH_REPLY, call->id, 0, args, &len);
 
       if (frame != NULL)
-        bufferevent_write (link->bev, frame, len);
+        {
+          mt_traffic_sent (link->mesh->traffic, mt_mesh_method_name (call->method), len);
+          bufferevent_write (link->bev, frame, len);
+        }
     }
   unref_link (link);
   g_free (call);
@@ -352,6 +382,7 @@
 
 struct mt_mesh *
 mt_mesh_create (struct event_base *base,
+                struct mt_traffic *traffic,
                 const char *address,
                 const char *name,
                 mt_mesh_handler handler,
@@ -362,6 +393,7 @@
   struct sockaddr_in at;
 
   mesh->base = base;
+  mesh->traffic = traffic;
   mesh->name = g_strndup (name, MT_FRAME_MAX_SENDER);
   mesh->handler = handler;
   mesh->ctx = ctx;
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -14,6 +14,7 @@
 
 struct event_base;
 struct mt_mesh;
+struct mt_traffic;
 
 /* What a call is about. Numbers are part of the protocol: never reused. */
 enum mt_mesh_method
@@ -35,6 +36,9 @@
 /* A call that was received; lives until it is replied to. */
 struct mt_mesh_call;
 
+/* As the traffic counts it. */
+const char *mt_mesh_method_name (enum mt_mesh_method method);
+
 typedef void (*mt_mesh_handler) (void *ctx,
                                  struct mt_mesh_call *call,
                                  enum mt_mesh_method method,
@@ -42,7 +46,9 @@
 /* args is NULL where no reply came: not delivered, or not answered in time. */
 typedef void (*mt_mesh_done) (void *ctx, const struct mt_mesh_args *args);
 
+/* traffic: counts what is sent and received; NULL for nobody. */
 struct mt_mesh *mt_mesh_create (struct event_base *base,
+                                struct mt_traffic *traffic,
                                 const char *address,
                                 const char *name,
                                 mt_mesh_handler handler,
--- a/tests/scheduler/property_scheduler.cpp
+++ b/tests/scheduler/property_scheduler.cpp
@@ -1,5 +1,6 @@
 /* Workers fall silent, lose orders or carry them out late, restart and leave; leaders die in the
- * midst of a cancelling, the store is out, and callers hand in and cancel jobs at any moment. Once
+ * midst of a cancelling, their links are thin or stand still for seconds, the store is out, and
+ * callers hand in and cancel jobs at any moment. Once
  * all that is over, nothing runs that is not wanted, and all that is wanted runs, once. */
 #include <glib.h>
 
@@ -20,6 +21,10 @@
 constexpr unsigned max_workers = 4;
 constexpr int64_t task_cpu = 4000; /* four tasks fill a worker */
 constexpr int64_t task_ms = 700;
+/* Bytes a millisecond: a start takes 130 ms of the thinnest link. */
+constexpr double thinnest_link = 8;
+constexpr double wide_link = 1000;
+constexpr int64_t longest_stall_ms = 8000;
 /* Every lease given to a silent worker is over, and all that waited has run. */
 constexpr int64_t settle_ms = 25000;
 
@@ -44,14 +49,17 @@
   take_over,
   store_out,
   store_back,
+  thin_link,
+  wide_link,
+  stall_link,
 };
 
 std::ostream &
 operator<< (std::ostream &out, Step step)
 {
   static const char *const names[]
-      = { "submit", "cancel", "cancel_untold", "disturb",   "heal",
-          "reboot", "leave",  "take_over",     "store_out", "store_back" };
+      = { "submit",    "cancel",    "cancel_untold", "disturb",   "heal",      "reboot",    "leave",
+          "take_over", "store_out", "store_back",    "thin_link", "wide_link", "stall_link" };
 
   return out << names[static_cast<int> (step)];
 }
@@ -203,6 +211,15 @@
     case Step::store_back:
       m.world->store_down = false;
       return;
+    case Step::thin_link:
+      m.world->link_bytes_per_ms = thinnest_link + draw % 20;
+      return;
+    case Step::wide_link:
+      m.world->link_bytes_per_ms = wide_link;
+      return;
+    case Step::stall_link:
+      m.world->link_free = m.world->now + longest_stall_ms * draw / 1000;
+      return;
     }
 }
 
@@ -211,6 +228,7 @@
 check_always (const Model &m)
 {
   RC_ASSERT (m.world->twice == 0U);
+  RC_ASSERT (m.world->redone == 0U);
   for (unsigned i = 0; i < max_workers; i++)
     {
       const struct world_worker *w = &m.world->workers[i];
@@ -223,6 +241,8 @@
 settle (Model &m)
 {
   m.world->store_down = false;
+  m.world->link_bytes_per_ms = wide_link;
+  m.world->link_free = m.world->now;
   for (unsigned i = 0; i < max_workers; i++)
     {
       struct world_worker *w = &m.world->workers[i];
@@ -272,7 +292,10 @@
                                            { 1, Step::leave },
                                            { 3, Step::take_over },
                                            { 1, Step::store_out },
-                                           { 1, Step::store_back } });
+                                           { 1, Step::store_back },
+                                           { 1, Step::thin_link },
+                                           { 1, Step::wide_link },
+                                           { 2, Step::stall_link } });
 }
 
 int
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -813,6 +813,90 @@
   world_destroy (world);
 }
 
+/* A surge releases 300 starts at once at a leader whose link carries 30 bytes a millisecond:
+ * 10 s of it. Sent at once they would push back the renewals of leases, which go out behind them,
+ * and long-running tasks would lapse. They wait at the leader instead; each runs once, and as fast
+ * as the link carries them. */
+static void
+test_surge_on_a_thin_link_starts_each_task_once (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_job_spec *spec = world_job ("L1", 10, 1000, 1000);
+
+  world->link_bytes_per_ms = 30;
+  for (unsigned i = 0; i < 40; i++)
+    world_add_worker (world, "r1");
+  spec->steps[0].long_running = true;
+  world_submit (world, spec);
+  world_run (world, 1000);
+  for (unsigned i = 0; i < 15; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%02u", i);
+
+      world_submit (world, world_job (id, 20, 1000, 1000));
+    }
+  world_run (world, 20000);
+  for (unsigned i = 0; i < 15; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%02u", i);
+
+      assert_int_equal (mt_scheduler_state (world->sched, id), MT_JOB_COMPLETED);
+    }
+  assert_int_equal (world->started, 10 + 300);
+  assert_int_equal (world->twice, 0);
+  world_destroy (world);
+}
+
+/* For 8 s the leader's link is late again and again, and two of its three workers are not heard.
+ * They run on, end their tasks, and can't tell; their leases are over then. A task that ran to its
+ * end must not run again on the third: where its own link was late the leader asks first. */
+static void
+test_silence_behind_a_late_link_frees_no_task (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *w[2];
+
+  for (unsigned i = 0; i < 2; i++)
+    w[i] = world_add_worker (world, "r1");
+  world_run (world, 500);
+  world_submit (world, world_job ("aa", 20, 1000, 1000));
+  world_run (world, 300);
+  assert_int_equal (w[0]->starts + w[1]->starts, 20);
+  w[0]->mute = w[1]->mute = true;
+  world_add_worker (world, "r1");
+  for (unsigned i = 0; i < 16; i++)
+    {
+      mt_scheduler_link_waits (world->sched, 300, world->now);
+      mt_scheduler_link_waits (world->sched, 0, world->now);
+      world_run (world, 500);
+    }
+  w[0]->mute = w[1]->mute = false;
+  world_run (world, 2000);
+  assert_int_equal (world->started, 20);
+  assert_int_equal (mt_scheduler_state (world->sched, "aa"), MT_JOB_COMPLETED);
+  world_destroy (world);
+}
+
+/* Answers take 4.4 s on their way to the leader, so the clock that they show is as old. Leases
+ * reckoned from it would end 100 ms after they are given, long before the next renewal. */
+static void
+test_late_answers_shorten_no_lease (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *w = world_add_worker (world, "r1");
+  struct mt_job_spec *spec = world_job ("aa", 1, 1000, 1000);
+
+  spec->steps[0].long_running = true;
+  world->run_ms = -1;
+  world_submit (world, spec);
+  world_run (world, 2000);
+  w->clock_lag_ms = 4400;
+  world_run (world, 10000);
+  assert_int_equal (world->started, 1);
+  assert_int_equal (world_running (world, "aa.0.0.0"), 1);
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -825,6 +909,9 @@
     cmocka_unit_test (test_takeover_goes_on_with_what_runs),
     cmocka_unit_test (test_silent_worker_keeps_its_tasks_until_the_lease_is_over),
     cmocka_unit_test (test_unanswered_start_is_found_by_the_next_hold),
+    cmocka_unit_test (test_surge_on_a_thin_link_starts_each_task_once),
+    cmocka_unit_test (test_silence_behind_a_late_link_frees_no_task),
+    cmocka_unit_test (test_late_answers_shorten_no_lease),
     cmocka_unit_test (test_lost_start_is_sent_again),
     cmocka_unit_test (test_worker_that_loses_every_start_is_left),
     cmocka_unit_test (test_sick_worker_costs_few_attempts),
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -6,6 +6,11 @@
 #define STEP_MS 5
 #define STOP_MS 60
 #define LOST_MS 400
+/* So long the answer to an order is waited for from when it should have left. */
+#define ORDER_MS 350
+/* On the wire, headers included; a start carries what its caller sent. */
+#define START_BYTES 1000
+#define ORDER_BYTES 215
 
 static const struct mt_scheduler_settings settings = {
   .name = "pool", .hold_ms = 4500, .max_hold_ms = 6000, .remote_factor = 2, .status_ms = 120000
@@ -22,12 +27,19 @@
   world->run_ms = 1000;
   world->token = 1;
   world->late = g_array_new (FALSE, TRUE, sizeof (struct world_late));
+  world->sent = g_array_new (FALSE, TRUE, sizeof (struct world_sent));
   world->sched = mt_scheduler_create (&settings);
   mt_scheduler_set_route (world->sched, "route", &terms);
   world->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return world;
 }
 
+static void
+free_sent (struct world_sent *sent)
+{
+  g_free ((char *) sent->order.worker);
+}
+
 void
 world_destroy (struct world *world)
 {
@@ -37,6 +49,9 @@
       g_array_unref (world->workers[i].ends);
       g_hash_table_unref (world->workers[i].past);
     }
+  for (guint i = 0; i < world->sent->len; i++)
+    free_sent (&g_array_index (world->sent, struct world_sent, i));
+  g_array_unref (world->sent);
   g_array_unref (world->late);
   mt_scheduler_destroy (world->sched);
   g_hash_table_unref (world->records);
@@ -202,6 +217,25 @@
              : world->now + (int64_t) (w->slow * (double) world->run_ms);
 }
 
+/* A worker whose lease is not over has it among its ends. */
+static bool
+is_done (const struct world *world, const char *task)
+{
+  for (unsigned i = 0; i < world->n_workers; i++)
+    {
+      const struct world_worker *w = &world->workers[i];
+
+      for (guint j = 0; w->lease >= world->now && j < w->ends->len; j++)
+        {
+          const struct world_end *e = &g_array_index (w->ends, struct world_end, j);
+
+          if (e->how == MT_END_DONE && strcmp (e->task, task) == 0)
+            return true;
+        }
+    }
+  return false;
+}
+
 static void
 start (struct world *world, struct world_worker *w, const struct mt_order *order)
 {
@@ -214,6 +248,8 @@
 
   if (world_running (world, order->task) > 0)
     world->twice++;
+  if (is_done (world, order->task))
+    world->redone++;
   memcpy (r.task, order->task, sizeof r.task);
   w->lease = MAX (w->lease, order->lease_ms);
   w->starts++;
@@ -304,7 +340,7 @@
   struct mt_run_row runs[512];
   struct mt_end_row ends[512];
   struct mt_hold_report report = { .answer = MT_ANSWER_OK,
-                                   .clock_ms = world->now,
+                                   .clock_ms = world->now - w->clock_lag_ms,
                                    .born_ms = w->born,
                                    .running = runs,
                                    .ended = ends };
@@ -395,7 +431,103 @@
   if (lost)
     answer = MT_ANSWER_NONE;
   mt_scheduler_order_answered (world->sched, order->kind, id, task, order->run, answer,
-                               lost ? -1 : world->now, world->now);
+                               lost ? -1 : world->now - w->clock_lag_ms, world->now);
+}
+
+/* ---- a link that carries so much ---- */
+
+static void
+send (struct world *world, const struct mt_order *order)
+{
+  size_t bytes = order->kind == MT_ORDER_START ? START_BYTES : ORDER_BYTES;
+  int64_t patience = order->kind == MT_ORDER_HOLD ? order->wait_ms + LOST_MS : ORDER_MS;
+  struct world_sent sent = { .order = *order, .token = world->token };
+
+  sent.order.worker = g_strdup (order->worker);
+  sent.born = find (world, order->worker)->born;
+  sent.order.payload = sent.order.checkpoint = sent.order.ticket = NULL;
+  sent.order.workers = NULL;
+  world->link_free
+      = MAX (world->link_free, world->now) + (int64_t) ((double) bytes / world->link_bytes_per_ms);
+  sent.leaves = world->link_free;
+  sent.given_up = world->now + order->link_ms + patience;
+  g_array_append_val (world->sent, sent);
+}
+
+static void
+give_up (struct world *world, struct world_sent *sent)
+{
+  struct world_worker *w = find (world, sent->order.worker);
+
+  sent->unanswered = true;
+  if (sent->order.kind == MT_ORDER_HOLD)
+    lose_hold (world, w);
+  else
+    mt_scheduler_order_answered (world->sched, sent->order.kind, w->id, sent->order.task,
+                                 sent->order.run, MT_ANSWER_NONE, -1, world->now);
+}
+
+/* It was given up, and is carried out all the same. */
+static void
+obey_unheard (struct world *world, const struct world_sent *sent)
+{
+  struct world_worker *w = find (world, sent->order.worker);
+
+  if (sent->born != w->born)
+    return;
+  if (sent->order.kind != MT_ORDER_HOLD)
+    {
+      carry_out (world, w, &sent->order, sent->token);
+      return;
+    }
+  if (sent->token < w->fence)
+    return;
+  w->fence = sent->token;
+  w->lease = MAX (w->lease, sent->order.lease_ms);
+}
+
+static void
+pass_link (struct world *world)
+{
+  for (guint i = 0; i < world->sent->len;)
+    {
+      struct world_sent sent = g_array_index (world->sent, struct world_sent, i);
+
+      if (!sent.unanswered
+          && (world->now >= sent.given_up
+              || (world->now >= sent.leaves && sent.born != find (world, sent.order.worker)->born)))
+        give_up (world, &g_array_index (world->sent, struct world_sent, i));
+      if (world->now < sent.leaves)
+        {
+          i++;
+          continue;
+        }
+      sent = g_array_index (world->sent, struct world_sent, i);
+      g_array_remove_index (world->sent, i);
+      if (sent.unanswered)
+        obey_unheard (world, &sent);
+      else
+        obey (world, &sent.order);
+      free_sent (&sent);
+    }
+}
+
+static void
+send_or_obey (struct world *world, const struct mt_order *order)
+{
+  if (world->link_bytes_per_ms > 0)
+    send (world, order);
+  else
+    obey (world, order);
+}
+
+static bool
+next_order (struct world *world, struct mt_order *order)
+{
+  if (world->link_bytes_per_ms > 0)
+    mt_scheduler_link_waits (world->sched, MAX (world->link_free - world->now, 0), world->now);
+  return world->holds_only ? mt_scheduler_next_hold (world->sched, world->now, order)
+                           : mt_scheduler_next_order (world->sched, world->now, order);
 }
 
 static void
@@ -429,12 +561,11 @@
       world->in_cycle = false;
       mt_scheduler_cycle_done (world->sched, world->now);
     }
+  pass_link (world);
   answer_holds (world);
-  while (bound-- > 0 && !world->silent_leader
-         && (world->holds_only ? mt_scheduler_next_hold (world->sched, world->now, &order)
-                               : mt_scheduler_next_order (world->sched, world->now, &order)))
+  while (bound-- > 0 && !world->silent_leader && next_order (world, &order))
     {
-      obey (world, &order);
+      send_or_obey (world, &order);
       mt_order_clear (&order);
     }
 }
@@ -470,6 +601,9 @@
   world->in_cycle = false;
   for (unsigned i = 0; i < world->n_workers; i++)
     world->workers[i].holding = false;
+  for (guint i = 0; i < world->sent->len; i++)
+    g_array_index (world->sent, struct world_sent, i).unanswered = true;
+  world->link_free = world->now; /* the successor's machine has a link of its own */
   mt_scheduler_set_route (world->sched, "route", &terms);
   for (guint i = 0; i < specs->len; i++)
     mt_scheduler_submit (world->sched, specs->pdata[i], world->now, world->now);
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -34,18 +34,19 @@
 struct world_worker
 {
   char id[16];
-  bool silent;     /* orders get no answer and are not carried out */
-  bool mute;       /* orders are carried out, and get no answer */
-  bool loses;      /* orders are carried out, and get no answer; holds do */
-  bool unlisted;   /* holds get no answer; orders do */
-  unsigned drops;  /* so many starts to come are not carried out and get no answer */
-  int64_t late_ms; /* orders get no answer and are carried out so much later; 0: at once */
-  bool sick;       /* all that it starts fails at once */
-  bool stalls;     /* all that it starts stands still */
-  double slow;     /* run times in multiples */
-  bool gone;       /* not in the registry */
-  bool leaving;    /* the registry says that it leaves */
-  int64_t gauge;   /* what it says of each run */
+  bool silent;          /* orders get no answer and are not carried out */
+  bool mute;            /* orders are carried out, and get no answer */
+  bool loses;           /* orders are carried out, and get no answer; holds do */
+  bool unlisted;        /* holds get no answer; orders do */
+  unsigned drops;       /* so many starts to come are not carried out and get no answer */
+  int64_t clock_lag_ms; /* its answers show its clock as it was so long ago */
+  int64_t late_ms;      /* orders get no answer and are carried out so much later; 0: at once */
+  bool sick;            /* all that it starts fails at once */
+  bool stalls;          /* all that it starts stands still */
+  double slow;          /* run times in multiples */
+  bool gone;            /* not in the registry */
+  bool leaving;         /* the registry says that it leaves */
+  int64_t gauge;        /* what it says of each run */
   struct mt_room room;
   struct mt_room used;
   int64_t born;
@@ -75,12 +76,26 @@
   int64_t at;
 };
 
+/* An order on its way through the leader's link. */
+struct world_sent
+{
+  struct mt_order order; /* its worker's id is owned, other strings are left out */
+  unsigned token;        /* of the leader that sent it */
+  int64_t born;          /* of the life that it is meant for */
+  int64_t leaves;
+  int64_t given_up; /* when its answer is no longer waited for */
+  bool unanswered;  /* it was given up before it left, or its leader is gone */
+};
+
 struct world
 {
   struct mt_scheduler *sched;
   unsigned token; /* the leader's, counted up by each takeover */
   int64_t now;
-  GArray *late; /* struct world_late */
+  GArray *late;             /* struct world_late */
+  double link_bytes_per_ms; /* what the leader's link carries; 0: all at once */
+  int64_t link_free;        /* when all that was sent has left */
+  GArray *sent;             /* struct world_sent */
   struct world_worker workers[WORLD_MAX_WORKERS];
   unsigned n_workers;
   bool store_down; /* cycles don't end */
@@ -90,6 +105,7 @@
   int64_t run_ms;     /* of a task whose job says nothing else; -1: never ends */
   unsigned started;
   unsigned twice;      /* starts of a task that runs elsewhere */
+  unsigned redone;     /* starts of a task that a worker under a lease has done */
   GHashTable *records; /* job id to what was stored last */
 };
 
