controller: machines are dealt out in tiers, late work gets what nobody wants, waves are spread

Change: - what each pool should have is dealt out in tiers (core/controller/controller_shares.c): pinned or stranded, kept, timely, hasty, late. While a pool has lacked for 1.5 s what keeps its jobs in time the tiers are shared in proportion and haste goes by arrivals; else as before; - late work asks for what does it in 4 s, of machines that nobody else wants; no pool's late work takes machines from another's; - machines cordoned for upkeep don't count as a pool's; - while callers wait a wave takes as many machines at a time as it needs to be done; of a pool's machines with long-running tasks one begins at a time, more only as the time left asks for it; - pools are told which workers are due, and place long-running tasks elsewhere.

Tests: test_second_surge_gets_its_part_of_a_full_fleet, test_late_work_gets_what_nobody_wants, test_machines_with_long_running_tasks_drain_in_turn, test_wave_is_spread_while_callers_wait, test_long_running_task_avoids_workers_that_are_due; each fails without its part.

--- a/core/controller/controller.c
+++ b/core/controller/controller.c
@@ -301,16 +301,26 @@
 }
 
 bool
-mt_controller_is_pressed (const struct mt_controller *ctl)
+mt_controller_is_short (const struct mt_controller *ctl)
 {
   GHashTableIter it;
-  const struct mt_controller_machine *m;
   const struct mt_controller_pool *p;
 
   g_hash_table_iter_init (&it, ctl->pools);
   while (g_hash_table_iter_next (&it, NULL, (void **) &p))
     if (mt_controller_pool_is_short (p))
       return true;
+  return false;
+}
+
+bool
+mt_controller_is_pressed (const struct mt_controller *ctl)
+{
+  GHashTableIter it;
+  const struct mt_controller_machine *m;
+
+  if (mt_controller_is_short (ctl))
+    return true;
   g_hash_table_iter_init (&it, ctl->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
     if (m->plan != MT_PLAN_NONE)
@@ -518,26 +528,54 @@
 }
 
 void
-mt_controller_of_pool (
-    struct mt_controller *ctl, const char *pool, int64_t now, char ***cordon, char ***ended)
+mt_controller_notes_clear (struct mt_controller_notes *notes)
+{
+  g_strfreev (notes->cordon);
+  g_strfreev (notes->ended);
+  g_strfreev (notes->due);
+  *notes = (struct mt_controller_notes){ 0 };
+}
+
+static bool
+is_due (const struct mt_controller *ctl, const struct mt_controller_machine *m)
 {
-  GPtrArray *cordons = g_ptr_array_new ();
-  GPtrArray *ends = g_ptr_array_new ();
+  GHashTableIter it;
+  const struct mt_controller_wave *w;
+
+  g_hash_table_iter_init (&it, ctl->waves);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &w))
+    if (g_hash_table_contains (w->left, m->id))
+      return true;
+  return false;
+}
+
+struct mt_controller_notes
+mt_controller_of_pool (struct mt_controller *ctl, const char *pool, int64_t now)
+{
+  GPtrArray *cordon = g_ptr_array_new ();
+  GPtrArray *ended = g_ptr_array_new ();
+  GPtrArray *due = g_ptr_array_new ();
   GHashTableIter it;
   struct mt_controller_machine *m;
 
   g_hash_table_iter_init (&it, ctl->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
     {
-      if (m->plan != MT_PLAN_NONE && m->worker != NULL && strcmp (m->pool->name, pool) == 0)
-        g_ptr_array_add (cordons, g_strdup (m->worker));
+      bool here = m->worker != NULL && strcmp (m->pool->name, pool) == 0;
+
+      if (here && m->plan != MT_PLAN_NONE)
+        g_ptr_array_add (cordon, g_strdup (m->worker));
+      else if (here && is_due (ctl, m))
+        g_ptr_array_add (due, g_strdup (m->worker));
       if (m->ended_worker != NULL && m->ended_at == 0)
-        g_ptr_array_add (cordons, g_strdup (m->ended_worker));
+        g_ptr_array_add (cordon, g_strdup (m->ended_worker));
       else if (m->ended_worker != NULL && now - m->ended_at < TELL_ENDED_MS)
-        g_ptr_array_add (ends, g_strdup (m->ended_worker));
+        g_ptr_array_add (ended, g_strdup (m->ended_worker));
     }
-  g_ptr_array_add (cordons, NULL);
-  g_ptr_array_add (ends, NULL);
-  *cordon = (char **) g_ptr_array_free (cordons, FALSE);
-  *ended = (char **) g_ptr_array_free (ends, FALSE);
+  g_ptr_array_add (cordon, NULL);
+  g_ptr_array_add (ended, NULL);
+  g_ptr_array_add (due, NULL);
+  return (struct mt_controller_notes){ (char **) g_ptr_array_free (cordon, FALSE),
+                                       (char **) g_ptr_array_free (ended, FALSE),
+                                       (char **) g_ptr_array_free (due, FALSE) };
 }
--- a/core/controller/controller_internal.h
+++ b/core/controller/controller_internal.h
@@ -4,6 +4,13 @@
 
 #include "medlartrack/controller.h"
 
+/* The highest count of the last moments. */
+struct mt_controller_peak
+{
+  unsigned machines;
+  int64_t at;
+};
+
 struct mt_controller_pool
 {
   char *name;
@@ -12,15 +19,18 @@
   int64_t told;
   struct mt_scheduler_load load;
 
-  unsigned have;   /* machines that work in it or are on their way */
-  unsigned coming; /* of these, those on their way */
-  unsigned need;   /* for what it does and what waits */
-  unsigned held;   /* its highest of the last moments */
-  int64_t held_at;
-  unsigned base;    /* machines that belong to it */
-  unsigned sized;   /* machines in it whose size is known */
-  int64_t room_cpu; /* ... of all these */
-  double peak;      /* highest need of late, fading */
+  unsigned have;       /* machines that work in it or are on their way */
+  unsigned coming;     /* of these, those on their way */
+  unsigned pinned;     /* of these, those that can't go: they have long-running tasks */
+  unsigned wanted;     /* its part of all machines */
+  int64_t short_since; /* it has had less than keeps its jobs in time since; 0 */
+  unsigned claimed;    /* of that, what it may take from other pools */
+  struct mt_controller_peak timely; /* what keeps its jobs in time on average */
+  struct mt_controller_peak hasty;  /* ... and more, since machines come late */
+  unsigned base;                    /* machines that belong to it */
+  unsigned sized;                   /* machines in it whose size is known */
+  int64_t room_cpu;                 /* ... of all these */
+  double peak;                      /* highest need of late, fading */
   int64_t learned_at;
   int64_t spare_since; /* it has had more than it wants since; 0 */
 };
@@ -77,6 +87,7 @@
   GHashTable *machines;
   GHashTable *by_worker; /* present life to its machine; borrows both */
   GHashTable *waves;     /* number to struct mt_controller_wave */
+  bool starved;          /* some pool has long lacked what keeps its jobs in time */
   bool listed;
   int64_t first_listed;
   int64_t last_plan;
@@ -86,10 +97,22 @@
 /* How long it is expected to take until the machine is empty. */
 int64_t mt_controller_drain_ms (const struct mt_controller_machine *m);
 void mt_controller_plan_waves (struct mt_controller *ctl, int64_t now);
+/* controller_shares.c */
+/* Reckons what the pool needs from what its scheduler told last. */
+void mt_controller_learn_need (struct mt_controller_pool *p, bool starved, int64_t now);
+/* Some pool has lacked for long what keeps its jobs in time. */
+bool mt_controller_find_starved (struct mt_controller *ctl, int64_t now);
+/* Sets what each pool should have of so many machines. */
+void mt_controller_deal (struct mt_controller *ctl, unsigned machines);
+/* What it keeps while nobody else wants its machines: all that belongs to it, until its first surge
+ * has shown what it needs. */
+unsigned mt_controller_wanted_idle (const struct mt_controller_pool *p);
 /* controller_moves.c */
 void mt_controller_plan_moves (struct mt_controller *ctl, int64_t now);
 /* A pool that lacks room for what can still be in time gives no machine away. Work that is late
  * anyway does not count: it would hold machines that others need to be in time. */
 bool mt_controller_pool_is_short (const struct mt_controller_pool *pool);
+/* Some pool is. */
+bool mt_controller_is_short (const struct mt_controller *ctl);
 
 #endif
--- a/core/controller/controller_moves.c
+++ b/core/controller/controller_moves.c
@@ -9,41 +9,14 @@
  * here is missing where the surge is now. */
 #include "controller_internal.h"
 
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* Machines arrive late and arrivals come in bunches: so much more than what keeps jobs in time on
- * average. With 2.5 mean worth is lower by 0.02. */
-#define HASTE 5.0
-/* Processors in use at most, of those that there are, so that wide tasks still fit. */
-#define FULL_SHARE 0.9
-/* What is known to be busy shortly, and what arrives until then: by so much more on the whole. Mean
- * worth of 60 days with trouble is lower by 0.007 with 1.0. */
-#define NEXT_STEP 1.4
-/* Of what arrives, this share is expected to go on: short bunches look like surges. */
-#define ARRIVING_SHARE 0.8
-/* A pool keeps this share of the machines that its last surge needed. More stand idle in every pool
- * but the one that surges, just when it lacks them: with 0.4 in place of 0.1 mean worth is lower by
- * 0.02. */
-#define KEEP_SHARE 0.1
-/* ... and this share of the machines that belong to it. A surge begins without notice and its first
- * machine comes after two seconds, so too small a share is as bad: mean worth over 48 days is 0.54
- * with 0.7, 0.57 with 0.5, 0.58 with 0.4, 0.57 with 0.25. */
-#define BASE_SHARE 0.4
-/* A pool has surged once it has used this share of what belongs to it. */
-#define SURGED_SHARE 0.6
-/* The memory of a surge halves in this time. */
-#define PEAK_HALF_MS 60000.0
-/* A pool's need counts at its highest of so long: arrivals come in bunches. */
-#define HOLD_MS 800
 /* After it begins, a fleet controller gives no machine to the standby pool for so long: not all are
  * up yet, and none of the pools' surges is known. */
 #define SETTLE_MS 5000
 /* Ordered moves are expected to have arrived after this much more than they should take. */
 #define LATE_MS 4000
-/* Of a machine whose size isn't known yet, in thousandths of a core. */
-#define UNSIZED_CPU 16000
 
 static bool
 is_on_its_way (const struct mt_controller *ctl, const struct mt_controller_machine *m, int64_t now)
@@ -63,7 +36,7 @@
   g_hash_table_iter_init (&it, ctl->pools);
   while (g_hash_table_iter_next (&it, NULL, (void **) &p))
     {
-      p->have = p->base = p->sized = p->coming = 0;
+      p->have = p->base = p->sized = p->coming = p->pinned = 0;
       p->room_cpu = 0;
     }
   g_hash_table_iter_init (&it, ctl->machines);
@@ -79,8 +52,11 @@
           m->pool->have++;
           m->pool->coming++;
         }
-      else if (m->pool != NULL && m->up)
-        m->pool->have += !(m->viewed && (m->view.silent || m->view.leaving));
+      else if (m->pool != NULL && m->up && m->plan != MT_PLAN_UPKEEP)
+        {
+          m->pool->have += !(m->viewed && (m->view.silent || m->view.leaving));
+          m->pool->pinned += m->viewed && m->view.long_running > 0;
+        }
       if (m->home != NULL)
         m->home->base++;
       if (m->pool == NULL || m->room.cpu <= 0)
@@ -90,71 +66,6 @@
     }
 }
 
-/* Of one machine, on average. */
-static int64_t
-machine_cpu (const struct mt_controller_pool *p)
-{
-  return p->sized > 0 ? p->room_cpu / p->sized : UNSIZED_CPU;
-}
-
-/* Where nothing that can be in time waits, haste would keep machines that stand idle while the pool
- * that surges next goes short. */
-static double
-wanted_cpu (const struct mt_scheduler_load *load)
-{
-  double hasty = HASTE * (double) load->demand_cpu;
-
-  return load->urgent == 0 ? MIN (hasty, (double) load->soon_cpu * NEXT_STEP) : hasty;
-}
-
-static void
-learn_need (struct mt_controller_pool *p, int64_t now)
-{
-  double demand = wanted_cpu (&p->load);
-  double cpu = (double) machine_cpu (p);
-  double coming = ARRIVING_SHARE * (double) p->load.arriving_cpu;
-  double kept = p->learned_at != 0 ? exp2 (-(double) (now - p->learned_at) / PEAK_HALF_MS) : 0;
-
-  p->need = (unsigned) ceil (MAX (demand, coming) / (FULL_SHARE * cpu));
-  /* Long-running tasks that may not share a worker wait for another worker, however empty those
-   * are that there are: without one they stay away, or keep machines from their upkeep. */
-  if (p->load.stranded > 0 && p->coming == 0)
-    p->need = MAX (p->need, p->have + 1);
-  if (p->need >= p->held || now - p->held_at > HOLD_MS)
-    {
-      p->held = p->need;
-      p->held_at = now;
-    }
-  /* What was at work, not what waited: a starved pool would remember more than all machines. */
-  p->peak = MAX (p->peak * kept, (double) p->load.urgent_used_cpu / (FULL_SHARE * cpu));
-  p->learned_at = now;
-}
-
-static unsigned
-with_share (const struct mt_controller_pool *p, double share)
-{
-  unsigned keep = (unsigned) ceil (MAX (KEEP_SHARE * p->peak, share * p->base));
-
-  return MAX (MAX (p->held, keep), 1U);
-}
-
-/* What the pool should have while others want its machines. */
-static unsigned
-wanted (const struct mt_controller_pool *p)
-{
-  return with_share (p, BASE_SHARE);
-}
-
-/* What it keeps while nobody does: all that belongs to it, until its first surge has shown what it
- * needs. */
-static unsigned
-wanted_idle (const struct mt_controller_pool *p)
-{
-  bool surged = p->peak >= SURGED_SHARE * p->base;
-
-  return with_share (p, surged ? BASE_SHARE : 1);
-}
-
 static bool
 may_go (const struct mt_controller_machine *m)
 {
@@ -255,7 +166,7 @@
   g_hash_table_iter_init (&it, ctl->pools);
   while (g_hash_table_iter_next (&it, NULL, (void **) &p))
     {
-      int spare = (int) p->have - (int) wanted (p);
+      int spare = (int) p->have - (int) p->claimed;
 
       if (p->standby || spare <= most || emptiest (ctl, p) == NULL)
         continue;
@@ -271,13 +182,14 @@
            struct mt_controller_pool *p,
            int64_t now)
 {
-  while (p->have < wanted (p))
+  while (p->have < p->wanted)
     {
       struct mt_controller_pool *from;
 
       if (redirect_move (ctl, p) || (standby != NULL && plan_move (ctl, standby, p, now)))
         continue;
-      from = richest (ctl);
+      /* From one pool's late work to another's a machine would only lose the time of its move. */
+      from = p->have < p->claimed ? richest (ctl) : NULL;
       if (from == NULL || from == p || !plan_move (ctl, from, p, now))
         return;
     }
@@ -289,7 +201,7 @@
                struct mt_controller_pool *p,
                int64_t now)
 {
-  if (p->have <= wanted_idle (p) || mt_controller_pool_is_short (p))
+  if (p->have <= mt_controller_wanted_idle (p) || mt_controller_pool_is_short (p))
     {
       p->spare_since = 0;
       return;
@@ -297,11 +209,10 @@
   if (p->spare_since == 0)
     p->spare_since = now;
   /* On its way to the standby pool a machine can't be had for a move's time, and the next pool
-   * often surges as this one's surge ends: given up after 0.6 s in place of 1.5, worth of quiet
-   * days is lower by 0.020 +- 0.011 (8 plays). */
+   * often surges as this one's surge ends. */
   if (now - p->spare_since < ctl->settings.move_ms)
     return;
-  while (p->have > wanted_idle (p) && plan_move (ctl, p, standby, now))
+  while (p->have > mt_controller_wanted_idle (p) && plan_move (ctl, p, standby, now))
     continue;
 }
 
@@ -311,15 +222,21 @@
   struct mt_controller_pool *standby = find_standby (ctl);
   GHashTableIter it;
   struct mt_controller_pool *p;
+  unsigned machines = 0;
 
   tally (ctl, now);
   g_hash_table_iter_init (&it, ctl->pools);
   while (g_hash_table_iter_next (&it, NULL, (void **) &p))
-    if (!p->standby && p->seen)
-      learn_need (p, now);
+    {
+      machines += p->have;
+      if (!p->standby && p->seen)
+        mt_controller_learn_need (p, ctl->starved, now);
+    }
+  ctl->starved = mt_controller_find_starved (ctl, now);
+  mt_controller_deal (ctl, machines);
   g_hash_table_iter_init (&it, ctl->pools);
   while (g_hash_table_iter_next (&it, NULL, (void **) &p))
-    if (!p->standby && p->seen && p->need > p->have)
+    if (!p->standby && p->seen && p->wanted > p->have)
       fill_pool (ctl, standby, p, now);
   if (standby == NULL || now - ctl->first_listed < SETTLE_MS)
     return;
--- a/core/controller/controller_waves.c
+++ b/core/controller/controller_waves.c
@@ -3,6 +3,7 @@
  * short by turns. */
 #include "controller_internal.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -58,6 +59,12 @@
   return v->room.cpu > 0 ? (double) v->used.cpu / (double) v->room.cpu : 1;
 }
 
+static bool
+is_pinned (const struct mt_controller_machine *m)
+{
+  return m->viewed && m->view.long_running > 0;
+}
+
 /* What it costs the pool to do without this machine for a while; a machine that is off costs
  * nothing. */
 static double
@@ -88,6 +95,28 @@
   return EMPTYING_MS + (m->viewed ? (int64_t) m->view.drain_rounds * ROUND_MS : 0);
 }
 
+/* Long-running tasks go one after the other, of all machines of a pool together: so long it takes
+ * until the last of the wave's machines there has none. */
+static int64_t
+pool_drain_ms (const struct mt_controller *ctl,
+               const struct mt_controller_wave *w,
+               const struct mt_controller_pool *p)
+{
+  GHashTableIter it;
+  const char *id;
+  int64_t sum = 0;
+
+  g_hash_table_iter_init (&it, w->left);
+  while (g_hash_table_iter_next (&it, (void **) &id, NULL))
+    {
+      const struct mt_controller_machine *m = g_hash_table_lookup (ctl->machines, id);
+
+      if (m != NULL && m->pool == p && m->viewed)
+        sum += (int64_t) m->view.drain_rounds * ROUND_MS;
+    }
+  return sum;
+}
+
 static bool
 may_wait (const struct mt_controller *ctl,
           const struct mt_controller_wave *w,
@@ -95,12 +124,41 @@
           int64_t now)
 {
   int64_t others = (g_hash_table_size (w->left) - 1) / w->cap;
-  int64_t need = others * (EMPTYING_MS + ctl->settings.upkeep_ms) + mt_controller_drain_ms (m)
-                 + ctl->settings.upkeep_ms;
+  int64_t by_cap = others * (EMPTYING_MS + ctl->settings.upkeep_ms) + mt_controller_drain_ms (m);
+  int64_t by_pool
+      = is_pinned (m) ? EMPTYING_MS + pool_drain_ms (ctl, w, m->pool) : mt_controller_drain_ms (m);
+  int64_t need = MAX (by_cap, by_pool) + ctl->settings.upkeep_ms;
 
   return (double) (w->due - now) > SLACK_FACTOR * (double) need;
 }
 
+/* How many may be down or emptied at once. While callers wait for machines a wave is spread over
+ * the time that it has: as many as that takes, with some to spare, and not all that its cap allows.
+ */
+static unsigned
+at_a_time (const struct mt_controller *ctl, const struct mt_controller_wave *w, int64_t now)
+{
+  double each = (double) (EMPTYING_MS + ctl->settings.upkeep_ms);
+  double left = (double) MAX (w->due - now, 1);
+
+  if (!mt_controller_is_short (ctl))
+    return w->cap;
+  return MIN (w->cap, (unsigned) ceil (SLACK_FACTOR * g_hash_table_size (w->left) * each / left));
+}
+
+/* One machine of the pool that moves its long-running tasks off keeps the budgets of most jobs in
+ * use; more only as the time that is left asks for it. */
+static unsigned
+draining_at_a_time (const struct mt_controller *ctl,
+                    const struct mt_controller_wave *w,
+                    const struct mt_controller_pool *p,
+                    int64_t now)
+{
+  double left = (double) MAX (w->due - now, 1);
+
+  return (unsigned) MAX (ceil (SLACK_FACTOR * (double) pool_drain_ms (ctl, w, p) / left), 1);
+}
+
 static GArray *
 find_candidates (struct mt_controller *ctl, const struct mt_controller_wave *w, int64_t now)
 {
@@ -126,43 +184,70 @@
   return out;
 }
 
-/* While it may wait, a pool gives up no more than a third of its machines at a time. */
-static unsigned
-away_of_pool (const struct mt_controller *ctl, const struct mt_controller_pool *p, unsigned *all)
+/* Machines of a pool that are away or about to be, and those of them that still have long-running
+ * tasks to move off. */
+struct away
+{
+  unsigned all;
+  unsigned away;
+  unsigned draining;
+};
+
+static struct away
+away_of_pool (const struct mt_controller *ctl, const struct mt_controller_pool *p)
 {
   GHashTableIter it;
-  struct mt_controller_machine *m;
-  unsigned away = 0;
+  const struct mt_controller_machine *m;
+  struct away out = { 0 };
 
-  *all = 0;
   g_hash_table_iter_init (&it, ctl->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
     {
       if (m->pool != p)
         continue;
-      *all += 1;
-      away += !m->up || m->plan != MT_PLAN_NONE;
+      out.all++;
+      out.away += !m->up || m->plan != MT_PLAN_NONE;
+      out.draining += m->plan == MT_PLAN_UPKEEP && is_pinned (m);
     }
-  return away;
+  return out;
+}
+
+/* While it may wait, a pool gives up no more than a third of its machines at a time. Of those with
+ * long-running tasks, whose tasks wait for each other wherever they are, the next begins as the one
+ * before it is done: begun together all would be kept from other work for the time of all. */
+static bool
+may_begin (const struct mt_controller *ctl,
+           const struct mt_controller_wave *w,
+           const struct candidate *c,
+           int64_t now)
+{
+  const struct mt_controller_machine *m = c->machine;
+  struct away pool;
+
+  if (m->pool->standby)
+    return true;
+  pool = away_of_pool (ctl, m->pool);
+  if (is_pinned (m) && pool.draining >= draining_at_a_time (ctl, w, m->pool, now))
+    return false;
+  return !c->waits || 3 * (pool.away + 1) <= pool.all;
 }
 
 static void
 plan_wave (struct mt_controller *ctl, struct mt_controller_wave *w, int64_t now)
 {
   unsigned down = count_down (ctl, w);
+  unsigned most = at_a_time (ctl, w, now);
   GArray *list;
 
-  if (down >= w->cap || g_hash_table_size (w->left) == 0)
+  if (down >= most || g_hash_table_size (w->left) == 0)
     return;
   list = find_candidates (ctl, w, now);
-  for (guint i = 0; i < list->len && down < w->cap; i++)
+  for (guint i = 0; i < list->len && down < most; i++)
     {
       const struct candidate *c = &g_array_index (list, struct candidate, i);
       struct mt_controller_machine *m = c->machine;
-      unsigned all;
-      unsigned away = away_of_pool (ctl, m->pool, &all);
 
-      if (c->waits && !m->pool->standby && 3 * (away + 1) > all)
+      if (!may_begin (ctl, w, c, now))
         continue;
       m->plan = MT_PLAN_UPKEEP;
       m->planned = now;
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -131,6 +131,7 @@
   int64_t clock_at;     /* ... when we read it */
   int64_t lapse_by;     /* our clock: every lease given has run out by then */
   int64_t cordon_until;
+  int64_t due_until; /* it is to be emptied later, as far as is known until then */
   bool move_long_running;
 
   int64_t seen_end;    /* highest end taken into the jobs */
--- a/core/scheduler/scheduler_load.c
+++ b/core/scheduler/scheduler_load.c
@@ -7,6 +7,8 @@
 #define DEMAND_LEAST_MS  400.0
 /* What is busy shortly is reckoned for so far ahead: about as long as a machine takes to come. */
 #define SOON_MS 1000
+/* Work that can't be in time any more is to be done within so long, once there is room for it. */
+#define LATE_WORK_MS 4000.0
 
 int64_t
 mt_task_left_ms (const struct mt_task *task, int64_t now)
@@ -99,13 +101,11 @@
     }
 }
 
-/* What the job needs on average to be done by its objective. One with a long objective is content
- * with fewer processors than its tasks could use at once. */
-static int64_t
-demand_of (const struct mt_occurrence *occ, int64_t now)
+/* What is still to run of it, in thousandths of a core times ms. */
+static double
+work_left (const struct mt_occurrence *occ)
 {
   double work = 0;
-  double left = MAX ((double) (occ->objective_by - now - DEMAND_MARGIN_MS), DEMAND_LEAST_MS);
 
   for (unsigned s = 0; s < occ->job->spec->n_steps; s++)
     {
@@ -116,7 +116,17 @@
         work += (occ->step_waiting[s] + 0.5 * running) * (double) step->need.cpu
                 * mt_step_expected_ms (occ->job->route, step);
     }
-  return (int64_t) (work / left);
+  return work;
+}
+
+/* What the job needs on average to be done by its objective. One with a long objective is content
+ * with fewer processors than its tasks could use at once. */
+static int64_t
+demand_of (const struct mt_occurrence *occ, int64_t now)
+{
+  double left = MAX ((double) (occ->objective_by - now - DEMAND_MARGIN_MS), DEMAND_LEAST_MS);
+
+  return (int64_t) (work_left (occ) / left);
 }
 
 /* When what runs of the step will have ended, from now; counts those that go on beyond SOON_MS. */
@@ -175,6 +185,8 @@
 
   if (timely)
     load->demand_cpu += demand_of (occ, now);
+  else
+    load->late_cpu += (int64_t) (work_left (occ) / LATE_WORK_MS);
   if (occ->objective_by > now || occ->job->spec->steps[0].long_running)
     load->soon_cpu += soon_cpu (occ, now);
   for (unsigned s = 0; s < occ->job->spec->n_steps; s++)
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -32,6 +32,10 @@
  * every machine from leaving for the pool that surges: packed, the worst windows of calm days are
  * served by 0.05 to 0.1 better. */
 #define PACK_GAIN 0.3
+/* A long-running task that is placed on a worker that is to be emptied would be moved once more,
+ * and its step's budget used twice: any other worker is better, but for one that is slow or where
+ * fill work disturbs it. */
+#define DUE_COST 1.0
 /* Only a worker that has ended so much well of late is packed. On the others work is spread: one of
  * them may be sick, and all that it was given would fail before it shows. */
 #define PROVED_DONES 0.5
@@ -243,9 +247,9 @@
 }
 
 static double
-neighbours_cost (const struct mt_worker *w, const struct mt_step *step)
+long_running_cost (const struct site *site, const struct mt_worker *w, const struct mt_step *step)
 {
-  double cost = 0;
+  double cost = w->due_until > site->now ? DUE_COST : 0;
 
   if (!step->long_running)
     return 0;
@@ -276,7 +280,7 @@
       && (w->labels == NULL || !g_strv_contains ((const char *const *) w->labels, step->rack)))
     cost *= site->sched->settings.remote_factor;
   cost += (w->dones >= PROVED_DONES ? -PACK_GAIN : PACK_GAIN) * load;
-  return cost + neighbours_cost (w, step);
+  return cost + long_running_cost (site, w, step);
 }
 
 /* The ticket holds long enough for a start to arrive. */
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -154,6 +154,15 @@
   w->move_long_running = move_long_running;
 }
 
+void
+mt_scheduler_due (struct mt_scheduler *sched, const char *id, int64_t until)
+{
+  struct mt_worker *w = g_hash_table_lookup (sched->workers, id);
+
+  if (w != NULL)
+    w->due_until = until;
+}
+
 /* Frees every task of a worker on which nothing can run any more. */
 void
 mt_worker_release (struct mt_scheduler *sched, struct mt_worker *w, int64_t now, const char *why)
--- a/fleet/fleet_leader.c
+++ b/fleet/fleet_leader.c
@@ -381,19 +381,18 @@
 {
   struct mt_pool *local = lead->options.local (lead->options.ctx, name);
   const char *holder = mt_cluster_holder (lead->options.cluster, name);
-  g_auto (GStrv) cordon = NULL;
-  g_auto (GStrv) ended = NULL;
-  g_autofree char *cordon_text = NULL;
-  g_autofree char *ended_text = NULL;
-
-  mt_controller_of_pool (lead->controller, name, mt_loop_now (), &cordon, &ended);
-  cordon_text = g_strjoinv (",", cordon);
-  ended_text = g_strjoinv (",", ended);
+  struct mt_controller_notes notes = mt_controller_of_pool (lead->controller, name, mt_loop_now ());
+  g_autofree char *cordon = g_strjoinv (",", notes.cordon);
+  g_autofree char *ended = g_strjoinv (",", notes.ended);
+  g_autofree char *due = g_strjoinv (",", notes.due);
+  struct mt_fleet_leader_notes texts
+      = { mt_str_from (cordon), mt_str_from (ended), mt_str_from (due) };
+
+  mt_controller_notes_clear (&notes);
   if (local != NULL)
     {
       size_t len = 0;
-      g_autofree char *bytes = mt_fleet_leader_serve (local, mt_str_from (cordon_text),
-                                                      mt_str_from (ended_text), &len);
+      g_autofree char *bytes = mt_fleet_leader_serve (local, &texts, &len);
 
       if (bytes != NULL)
         take_report (lead, name, (struct mt_str){ bytes, len });
@@ -401,28 +400,37 @@
   else if (holder != NULL)
     {
       struct mt_mesh_args args
-          = { 3, { mt_str_from (name), mt_str_from (cordon_text), mt_str_from (ended_text) } };
+          = { 4, { mt_str_from (name), texts.cordon, texts.ended, texts.due } };
 
       mt_mesh_send (lead->options.mesh, holder, MT_MESH_CORDON, &args, REPORT_MS, on_report,
                     new_named_call (lead, name));
     }
 }
 
+static char **
+split_ids (struct mt_str ids)
+{
+  g_autofree char *text = g_strndup (ids.data, ids.len);
+
+  return g_strsplit (text, ",", 0);
+}
+
 char *
-mt_fleet_leader_serve (struct mt_pool *pool, struct mt_str cordon, struct mt_str ended, size_t *len)
+mt_fleet_leader_serve (struct mt_pool *pool, const struct mt_fleet_leader_notes *notes, size_t *len)
 {
-  g_autofree char *cordon_text = g_strndup (cordon.data, cordon.len);
-  g_autofree char *ended_text = g_strndup (ended.data, ended.len);
-  g_auto (GStrv) cordons = g_strsplit (cordon_text, ",", 0);
-  g_auto (GStrv) ends = g_strsplit (ended_text, ",", 0);
+  g_auto (GStrv) cordon = split_ids (notes->cordon);
+  g_auto (GStrv) ended = split_ids (notes->ended);
+  g_auto (GStrv) due = split_ids (notes->due);
   int64_t now = mt_loop_now ();
 
   if (!mt_pool_is_loaded (pool))
     return NULL;
-  for (char **id = ends; *id != NULL; id++)
+  for (char **id = ended; *id != NULL; id++)
     mt_scheduler_worker_ended (mt_pool_scheduler (pool), *id, now, "its machine was ordered away");
-  for (char **id = cordons; *id != NULL; id++)
+  for (char **id = cordon; *id != NULL; id++)
     mt_scheduler_cordon (mt_pool_scheduler (pool), *id, now + CORDON_MS, true);
+  for (char **id = due; *id != NULL; id++)
+    mt_scheduler_due (mt_pool_scheduler (pool), *id, now + CORDON_MS);
   mt_pool_wake (pool);
   return mt_pool_report_pack (mt_pool_scheduler (pool), now, len);
 }
--- a/fleet/fleet_leader.h
+++ b/fleet/fleet_leader.h
@@ -32,11 +32,18 @@
 void mt_fleet_leader_set_config (struct mt_fleet_leader *leader,
                                  const struct mt_fleet_config *config);
 
-/* The part of a pool's leader: empties what it is told to and reports. cordon and ended are worker
- * ids joined by commas; the bytes are g_freed by the caller. */
+/* What a pool's leader is told: worker ids joined by commas. */
+struct mt_fleet_leader_notes
+{
+  struct mt_str cordon; /* to be emptied */
+  struct mt_str ended;  /* their machines were ordered away */
+  struct mt_str due;    /* to be emptied later */
+};
+
+/* The part of a pool's leader: empties what it is told to and reports; the bytes are g_freed by the
+ * caller. */
 char *mt_fleet_leader_serve (struct mt_pool *pool,
-                             struct mt_str cordon,
-                             struct mt_str ended,
+                             const struct mt_fleet_leader_notes *notes,
                              size_t *len);
 
 #endif
--- a/fleet/neighbours.c
+++ b/fleet/neighbours.c
@@ -37,8 +37,9 @@
 static void
 reply_report (struct mt_mesh_call *call, struct mt_pool *pool, const struct mt_mesh_args *args)
 {
+  struct mt_fleet_leader_notes notes = { args->at[1], args->at[2], args->at[3] };
   size_t len = 0;
-  g_autofree char *bytes = mt_fleet_leader_serve (pool, args->at[1], args->at[2], &len);
+  g_autofree char *bytes = mt_fleet_leader_serve (pool, &notes, &len);
   struct mt_mesh_args reply = { 1, { { bytes, len } } };
 
   mt_mesh_reply (call, bytes != NULL ? &reply : NULL);
@@ -76,7 +77,7 @@
         }
       break;
     case MT_MESH_CORDON:
-      if (pool != NULL && args->n == 3)
+      if (pool != NULL && args->n == 4)
         {
           reply_report (call, pool, args);
           return;
--- a/fleet/pool_report.c
+++ b/fleet/pool_report.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* Values of each packed row; another number is refused as another version. */
-#define LOAD_FIELDS   13
+#define LOAD_FIELDS   14
 #define WORKER_FIELDS 10
 
 enum flag
@@ -51,6 +51,7 @@
   msgpack_pack_unsigned_int (packer, load->silent);
   msgpack_pack_unsigned_int (packer, load->stranded);
   msgpack_pack_int64 (packer, MAX (load->soon_cpu, 0));
+  msgpack_pack_int64 (packer, MAX (load->late_cpu, 0));
 }
 
 char *
@@ -102,7 +103,8 @@
          && get_i64 (&f[7], &out->used_cpu) && get_i64 (&f[8], &out->urgent_used_cpu)
          && mt_pack_get_unsigned (&f[9], &out->workers)
          && mt_pack_get_unsigned (&f[10], &out->silent)
-         && mt_pack_get_unsigned (&f[11], &out->stranded) && get_i64 (&f[12], &out->soon_cpu);
+         && mt_pack_get_unsigned (&f[11], &out->stranded) && get_i64 (&f[12], &out->soon_cpu)
+         && get_i64 (&f[13], &out->late_cpu);
 }
 
 static bool
--- a/include/medlartrack/controller.h
+++ b/include/medlartrack/controller.h
@@ -105,10 +105,18 @@
                              enum mt_controller_answer answer,
                              int64_t now);
 
-/* Workers of the pool that are to be emptied (cordon) and those whose life an order has ended
- * (ended); both NULL-terminated, freed with g_strfreev. */
-void mt_controller_of_pool (
-    struct mt_controller *ctl, const char *pool, int64_t now, char ***cordon, char ***ended);
+/* What a pool's scheduler is to know; each NULL-terminated. */
+struct mt_controller_notes
+{
+  char **cordon; /* workers to be emptied */
+  char **ended;  /* workers whose life an order has ended */
+  char **due;    /* workers to be emptied later, for upkeep */
+};
+
+void mt_controller_notes_clear (struct mt_controller_notes *notes);
+/* To be cleared by the caller. */
+struct mt_controller_notes
+mt_controller_of_pool (struct mt_controller *ctl, const char *pool, int64_t now);
 /* Something is on its way: the list of machines will change. */
 bool mt_controller_is_busy (const struct mt_controller *ctl);
 /* A pool lacks room or a machine is being emptied: news from the pools is worth its price. */
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -104,6 +104,10 @@
                           int64_t until,
                           bool move_long_running);
 
+/* It is to be emptied later, as far as is known until `until`: what is long-running goes elsewhere
+ * first. */
+void mt_scheduler_due (struct mt_scheduler *sched, const char *id, int64_t until);
+
 /* Advice: only the workers named in tickets may run the step. */
 void mt_scheduler_advised (struct mt_scheduler *sched,
                            const char *step_name,
@@ -278,6 +282,8 @@
       urgent_used_cpu; /* of that, by long-running tasks and by jobs that can still be in time */
   int64_t
       soon_cpu; /* what jobs that can still be in time will keep busy shortly, without new ones */
+  int64_t
+      late_cpu; /* processors that would do what can't be in time any more within some seconds */
   unsigned stranded; /* long-running tasks for which no worker that takes work may do, whether they
                       * wait or their worker is to be emptied */
   unsigned workers;
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -24,7 +24,7 @@
   MT_MESH_STATE = 3,     /* [pool, job id] -> [state's name] */
   MT_MESH_PENDING = 4,   /* [pool, route] -> [number] */
   MT_MESH_STORE = 5,     /* [method, path, body] -> [status, body]: a store call for a neighbour */
-  MT_MESH_CORDON = 6,    /* [pool, workers to empty] -> [the pool's load and workers] */
+  MT_MESH_CORDON = 6,    /* [pool, workers to empty, ended ones, due ones] -> [its load, workers] */
 };
 
 struct mt_mesh_args
--- a/tests/scheduler/test_controller.c
+++ b/tests/scheduler/test_controller.c
@@ -59,14 +59,15 @@
 static void
 site_tell (struct site *site)
 {
-  g_auto (GStrv) cordon = NULL;
-  g_auto (GStrv) ended = NULL;
+  struct mt_controller_notes notes;
 
   site->now += 150;
   mt_controller_machines (site->controller, site->machines, MACHINES, site->now - 10, site->now);
-  mt_controller_of_pool (site->controller, "pool", site->now, &cordon, &ended);
+  notes = mt_controller_of_pool (site->controller, "pool", site->now);
   for (int i = 0; i < MACHINES; i++)
-    site->views[i].cordoned = g_strv_contains ((const char *const *) cordon, site->workers[i]);
+    site->views[i].cordoned
+        = g_strv_contains ((const char *const *) notes.cordon, site->workers[i]);
+  mt_controller_notes_clear (&notes);
   mt_controller_pool (site->controller, "pool", &site->load, site->views, MACHINES, site->now);
 }
 
@@ -161,8 +162,7 @@
 {
   struct site *site = site_create ();
   struct mt_controller_order order;
-  g_auto (GStrv) cordon = NULL;
-  g_auto (GStrv) ended = NULL;
+  struct mt_controller_notes notes;
   g_autofree char *machine = NULL;
 
   site_tell (site);
@@ -172,14 +172,14 @@
   assert_true (mt_controller_next (site->controller, site->now, &order));
   machine = g_strdup (order.machine);
   mt_controller_answered (site->controller, machine, MT_CONTROLLER_DONE, site->now);
-  mt_controller_of_pool (site->controller, "pool", site->now, &cordon, &ended);
-  assert_int_equal (g_strv_length (ended), 0);
-  assert_true (g_strv_length (cordon) >= 1);
+  notes = mt_controller_of_pool (site->controller, "pool", site->now);
+  assert_int_equal (g_strv_length (notes.ended), 0);
+  assert_true (g_strv_length (notes.cordon) >= 1);
   site_tell (site);
-  g_strfreev (ended);
-  g_strfreev (cordon);
-  mt_controller_of_pool (site->controller, "pool", site->now, &cordon, &ended);
-  assert_int_equal (g_strv_length (ended), 0);
+  mt_controller_notes_clear (&notes);
+  notes = mt_controller_of_pool (site->controller, "pool", site->now);
+  assert_int_equal (g_strv_length (notes.ended), 0);
+  mt_controller_notes_clear (&notes);
   site_destroy (site);
 }
 
@@ -303,8 +303,10 @@
   char workers[20][8];
   int64_t away_until[20];
   int64_t demand[2]; /* processors' worth, in thousandths of a core */
+  int64_t late[2];   /* what can't be in time any more asks for */
   unsigned stranded[2];
   unsigned moves;
+  unsigned upkeeps;
   unsigned to_standby;
   char **homes; /* as stored */
   bool store_down;
@@ -366,15 +368,14 @@
 {
   struct mt_worker_view views[20];
   struct mt_scheduler_load load = { 0 };
-  g_auto (GStrv) cordon = NULL;
-  g_auto (GStrv) ended = NULL;
+  struct mt_controller_notes notes;
   int64_t left = fleet->demand[pool];
   size_t n = 0;
 
-  mt_controller_of_pool (fleet->controller, pools[pool], fleet->now, &cordon, &ended);
+  notes = mt_controller_of_pool (fleet->controller, pools[pool], fleet->now);
   for (int i = 0; i < 20; i++)
     {
-      bool cordoned = g_strv_contains ((const char *const *) cordon, fleet->workers[i]);
+      bool cordoned = g_strv_contains ((const char *const *) notes.cordon, fleet->workers[i]);
       int64_t used = cordoned ? 0 : MIN (left, 16000);
 
       if (!fleet->machines[i].up || strcmp (fleet->machines[i].pool, pools[pool]) != 0)
@@ -394,8 +395,10 @@
                                             .room = { .cpu = 16000, .mem = 32768 },
                                             .used = { .cpu = used } };
     }
+  mt_controller_notes_clear (&notes);
   load.urgent = left > 0 ? 10 : 0;
   load.demand_cpu = fleet->demand[pool];
+  load.late_cpu = fleet->late[pool];
   load.stranded = fleet->stranded[pool];
   mt_controller_pool (fleet->controller, pools[pool], &load, views, n, fleet->now);
 }
@@ -415,6 +418,16 @@
   fleet->homes = homes;
 }
 
+static void
+fleet_move (struct fleet *fleet, int machine, const char *to)
+{
+  fleet->machines[machine].pool = strcmp (to, "left") == 0    ? pools[0]
+                                  : strcmp (to, "right") == 0 ? pools[1]
+                                                              : pools[2];
+  fleet->moves++;
+  fleet->to_standby += fleet->machines[machine].pool == pools[2];
+}
+
 static void
 fleet_run (struct fleet *fleet, int64_t ms)
 {
@@ -435,13 +448,12 @@
           int i = atoi (order.machine + 1);
           g_autofree char *machine = g_strdup (order.machine);
 
-          fleet->machines[i].pool = strcmp (order.to, "left") == 0    ? pools[0]
-                                    : strcmp (order.to, "right") == 0 ? pools[1]
-                                                                      : pools[2];
+          if (order.kind == MT_CONTROLLER_UPKEEP)
+            fleet->upkeeps++;
+          else
+            fleet_move (fleet, i, order.to);
           fleet->machines[i].up = false;
-          fleet->away_until[i] = fleet->now + 1500;
-          fleet->moves++;
-          fleet->to_standby += fleet->machines[i].pool == pools[2];
+          fleet->away_until[i] = fleet->now + (order.kind == MT_CONTROLLER_UPKEEP ? 2000 : 1500);
           mt_controller_answered (fleet->controller, machine, MT_CONTROLLER_DONE, fleet->now);
         }
     }
@@ -573,8 +585,7 @@
 test_machines_that_empty_first_go_first (void **state)
 {
   struct fleet *fleet = fleet_create ();
-  g_auto (GStrv) cordon = NULL;
-  g_auto (GStrv) ended = NULL;
+  struct mt_controller_notes notes;
 
   for (int i = 0; i < POOL_MACHINES; i++)
     {
@@ -584,10 +595,11 @@
   fleet_run (fleet, 6000);
   fleet->demand[1] = 14 * 16000;
   fleet_run (fleet, 600);
-  mt_controller_of_pool (fleet->controller, "left", fleet->now, &cordon, &ended);
-  assert_in_range (g_strv_length (cordon), 2, 4);
-  for (char **id = cordon; *id != NULL; id++)
+  notes = mt_controller_of_pool (fleet->controller, "left", fleet->now);
+  assert_in_range (g_strv_length (notes.cordon), 2, 4);
+  for (char **id = notes.cordon; *id != NULL; id++)
     assert_true (atoi (*id + 1) < 4);
+  mt_controller_notes_clear (&notes);
   fleet_destroy (fleet);
 }
 
@@ -662,6 +674,111 @@
   fleet_destroy (fleet);
 }
 
+/* The left pool asks for all machines and more, and goes on doing so when the right one surges as
+ * well. Whoever came first must not keep all: callers of the right pool would get nothing for as
+ * long as the left one's work is waiting. */
+static void
+test_second_surge_gets_its_part_of_a_full_fleet (void **state)
+{
+  struct fleet *fleet = fleet_create ();
+
+  fleet_run (fleet, 6000);
+  fleet->demand[0] = 40 * 16000;
+  fleet_run (fleet, 6000);
+  assert_true (fleet_count (fleet, 0) >= POOL_MACHINES + 8);
+  fleet->demand[1] = 40 * 16000;
+  fleet_run (fleet, 6000);
+  assert_in_range (fleet_count (fleet, 1), POOL_MACHINES, POOL_MACHINES + 4);
+  assert_in_range (fleet_count (fleet, 0), POOL_MACHINES, POOL_MACHINES + 4);
+  fleet_destroy (fleet);
+}
+
+/* Both pools are calm but for work that was accepted and can't be in time any more. It gets the
+ * machines that nobody else wants; it takes none from the other pool's. */
+static void
+test_late_work_gets_what_nobody_wants (void **state)
+{
+  struct fleet *fleet = fleet_create ();
+
+  fleet_run (fleet, 6000);
+  fleet->demand[0] = fleet->demand[1] = 12 * 16000;
+  fleet_run (fleet, 4000);
+  fleet->demand[0] = fleet->demand[1] = 8000;
+  fleet_run (fleet, 8000);
+  assert_true (fleet_count (fleet, 2) >= 8);
+  fleet->late[0] = 6 * 16000;
+  fleet_run (fleet, 4000);
+  assert_in_range (fleet_count (fleet, 0), 7, 9);
+  fleet->moves = 0;
+  fleet->late[0] = fleet->late[1] = 40 * 16000;
+  fleet_run (fleet, 4000);
+  assert_int_equal (fleet_count (fleet, 2), 0);
+  fleet->moves = 0;
+  fleet->late[1] = 60 * 16000;
+  fleet_run (fleet, 4000);
+  assert_int_equal (fleet->moves, 0);
+  fleet_destroy (fleet);
+}
+
+/* Every machine of the pool has long-running tasks, whose budget lets one go at a time. Begun
+ * together, all would be kept from other work for as long as the last one takes: the next begins as
+ * the one before it is empty, and the wave is in time all the same. */
+static void
+test_machines_with_long_running_tasks_drain_in_turn (void **state)
+{
+  struct site *site = site_create ();
+  unsigned ordered = 0;
+  unsigned most = 0;
+
+  for (int i = 0; i < MACHINES; i++)
+    {
+      site->views[i].tasks = site->views[i].long_running = 2;
+      site->views[i].drain_rounds = 2;
+    }
+  site_tell (site);
+  site_wave (site, MACHINES, 60000);
+  for (int i = 0; i < 400; i++) /* 60 s; a machine is empty 1.2 s after it is begun with */
+    {
+      site_tell (site);
+      most = MAX (most, site_planned (site));
+      for (int m = 0; m < MACHINES; m++)
+        if (site->views[m].cordoned && i % 16 == 15)
+          site->views[m].tasks = site->views[m].long_running = site->views[m].drain_rounds = 0;
+      ordered += site_orders (site, MT_CONTROLLER_DONE);
+      for (int m = 0; m < MACHINES; m++)
+        site->machines[m].up = true;
+    }
+  assert_in_range (most, 1, 2);
+  assert_int_equal (ordered, MACHINES);
+  site_destroy (site);
+}
+
+/* A surge begins, and a wave of all machines is due in 40 s. Its cap would let it take all that are
+ * off, and a third of each pool, just when callers wait for them; it takes as many at a time as it
+ * needs to be done. */
+static void
+test_wave_is_spread_while_callers_wait (void **state)
+{
+  struct fleet *fleet = fleet_create ();
+  char *machines[21] = { NULL };
+  struct mt_controller_notes notes;
+
+  fleet_run (fleet, 6000);
+  fleet->demand[0] = 40 * 16000;
+  fleet_run (fleet, 150);
+  for (int i = 0; i < 20; i++)
+    machines[i] = fleet->names[i];
+  mt_controller_wave (fleet->controller, 1, machines, NULL, 20, fleet->now + 40000);
+  fleet_run (fleet, 900);
+  assert_in_range (fleet->upkeeps, 1, 5);
+  notes = mt_controller_of_pool (fleet->controller, "right", fleet->now);
+  assert_true (g_strv_length (notes.due) >= 1);
+  mt_controller_notes_clear (&notes);
+  fleet_run (fleet, 40000);
+  assert_true (mt_controller_wave_done (fleet->controller, 1));
+  fleet_destroy (fleet);
+}
+
 int
 main (void)
 {
@@ -675,6 +792,10 @@
     cmocka_unit_test (test_surges_by_turns_share_the_machines),
     cmocka_unit_test (test_trough_gives_most_of_its_machines),
     cmocka_unit_test (test_stranded_task_brings_one_machine),
+    cmocka_unit_test (test_second_surge_gets_its_part_of_a_full_fleet),
+    cmocka_unit_test (test_late_work_gets_what_nobody_wants),
+    cmocka_unit_test (test_machines_with_long_running_tasks_drain_in_turn),
+    cmocka_unit_test (test_wave_is_spread_while_callers_wait),
     cmocka_unit_test (test_controller_is_pressed_while_a_surge_waits),
     cmocka_unit_test (test_machines_that_empty_first_go_first),
     cmocka_unit_test (test_pool_without_waiting_work_spares_what_it_does_not_use),
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -897,6 +897,26 @@
   world_destroy (world);
 }
 
+/* Two of three workers are to be emptied later. A long-running task that comes, or is moved, goes
+ * to the third, or it would be moved once more, in the next one's time. */
+static void
+test_long_running_task_avoids_workers_that_are_due (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_job_spec *spec = world_job ("L1", 6, 1000, 1000);
+
+  for (unsigned i = 0; i < 3; i++)
+    world_add_worker (world, "r1");
+  world_run (world, 200);
+  for (unsigned i = 0; i < 2; i++)
+    mt_scheduler_due (world->sched, world->workers[i].id, world->now + 5000);
+  spec->steps[0].long_running = true;
+  world_submit (world, spec);
+  world_run (world, 500);
+  assert_int_equal (world->workers[2].starts, 6);
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -912,6 +932,7 @@
     cmocka_unit_test (test_surge_on_a_thin_link_starts_each_task_once),
     cmocka_unit_test (test_silence_behind_a_late_link_frees_no_task),
     cmocka_unit_test (test_late_answers_shorten_no_lease),
+    cmocka_unit_test (test_long_running_task_avoids_workers_that_are_due),
     cmocka_unit_test (test_lost_start_is_sent_again),
     cmocka_unit_test (test_worker_that_loses_every_start_is_left),
     cmocka_unit_test (test_sick_worker_costs_few_attempts),
