tests: the spread of a wave is seen in what is ordered, and fails without it

The machines of the test now say when they are down for their upkeep, and two at a time is what 20 machines in 80 s need.

--- a/tests/scheduler/test_controller.c
+++ b/tests/scheduler/test_controller.c
@@ -437,7 +437,10 @@
     {
       for (int i = 0; i < 20; i++)
         if (!fleet->machines[i].up && fleet->now >= fleet->away_until[i])
-          fleet->machines[i].up = true;
+          {
+            fleet->machines[i].up = true;
+            fleet->machines[i].in_upkeep = false;
+          }
       mt_controller_machines (fleet->controller, fleet->machines, 20, fleet->now, fleet->now);
       fleet_tell_pool (fleet, 0);
       fleet_tell_pool (fleet, 1);
@@ -453,6 +456,7 @@
           else
             fleet_move (fleet, i, order.to);
           fleet->machines[i].up = false;
+          fleet->machines[i].in_upkeep = order.kind == MT_CONTROLLER_UPKEEP;
           fleet->away_until[i] = fleet->now + (order.kind == MT_CONTROLLER_UPKEEP ? 2000 : 1500);
           mt_controller_answered (fleet->controller, machine, MT_CONTROLLER_DONE, fleet->now);
         }
@@ -753,7 +757,7 @@
   site_destroy (site);
 }
 
-/* A surge begins, and a wave of all machines is due in 40 s. Its cap would let it take all that are
+/* A surge begins, and a wave of all machines is due in 80 s. Its cap would let it take all that are
  * off, and a third of each pool, just when callers wait for them; it takes as many at a time as it
  * needs to be done. */
 static void
@@ -765,16 +769,18 @@
 
   fleet_run (fleet, 6000);
   fleet->demand[0] = 40 * 16000;
+  fleet->store_down = true; /* no move is ordered yet */
   fleet_run (fleet, 150);
   for (int i = 0; i < 20; i++)
     machines[i] = fleet->names[i];
-  mt_controller_wave (fleet->controller, 1, machines, NULL, 20, fleet->now + 40000);
+  mt_controller_wave (fleet->controller, 1, machines, NULL, 20, fleet->now + 80000);
   fleet_run (fleet, 900);
-  assert_in_range (fleet->upkeeps, 1, 5);
+  assert_in_range (fleet->upkeeps, 1, 2);
+  fleet->store_down = false;
   notes = mt_controller_of_pool (fleet->controller, "right", fleet->now);
   assert_true (g_strv_length (notes.due) >= 1);
   mt_controller_notes_clear (&notes);
-  fleet_run (fleet, 40000);
+  fleet_run (fleet, 80000);
   assert_true (mt_controller_wave_done (fleet->controller, 1));
   fleet_destroy (fleet);
 }
