frontend, scheduler: what can't be done while it is of use is refused at once

Change: - before a submission is stored the pool's leader is asked for its outlook, one frame of some 80 bytes: what goes before the job, by what the pool has or is promised by the fleet's leader; a job that would be done long after its answer is of use (three times its objective, with twice the machines) is answered 503 with Retry-After, spread. Nothing of it was sent, so the refusal is true. Without an answer within 250 ms, of a leader that is not sure of its lease, or of a pool without workers nothing is known, and nobody is refused; long-running and timed jobs are not asked about; - a leader whose link is full places no more than it starts shortly, gives back what was placed and not sent, and asks for no more machines than it keeps at work.

Tests: test_outlook_refuses_what_is_hopeless, test_leader_with_a_full_link_takes_no_more_room_than_it_uses; each fails without its part.

--- a/core/controller/controller.c
+++ b/core/controller/controller.c
@@ -555,6 +555,7 @@
   GPtrArray *cordon = g_ptr_array_new ();
   GPtrArray *ended = g_ptr_array_new ();
   GPtrArray *due = g_ptr_array_new ();
+  const struct mt_controller_pool *p = g_hash_table_lookup (ctl->pools, pool);
   GHashTableIter it;
   struct mt_controller_machine *m;
 
@@ -577,5 +578,6 @@
   g_ptr_array_add (due, NULL);
   return (struct mt_controller_notes){ (char **) g_ptr_array_free (cordon, FALSE),
                                        (char **) g_ptr_array_free (ended, FALSE),
-                                       (char **) g_ptr_array_free (due, FALSE) };
+                                       (char **) g_ptr_array_free (due, FALSE),
+                                       p != NULL ? mt_controller_promised_cpu (p) : 0 };
 }
--- a/core/controller/controller_internal.h
+++ b/core/controller/controller_internal.h
@@ -104,6 +104,8 @@
 bool mt_controller_find_starved (struct mt_controller *ctl, int64_t now);
 /* Sets what each pool should have of so many machines. */
 void mt_controller_deal (struct mt_controller *ctl, unsigned machines);
+/* Of the machines that it should have, in thousandths of a core. */
+int64_t mt_controller_promised_cpu (const struct mt_controller_pool *p);
 /* What it keeps while nobody else wants its machines: all that belongs to it, until its first surge
  * has shown what it needs. */
 unsigned mt_controller_wanted_idle (const struct mt_controller_pool *p);
--- a/core/controller/controller_shares.c
+++ b/core/controller/controller_shares.c
@@ -91,6 +91,12 @@
   p->learned_at = now;
 }
 
+int64_t
+mt_controller_promised_cpu (const struct mt_controller_pool *p)
+{
+  return (int64_t) (p->wanted * machine_cpu (p));
+}
+
 static unsigned
 keep_of (const struct mt_controller_pool *p, double share)
 {
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -196,7 +196,14 @@
   int64_t last_watch;
   int64_t link_ms;      /* what is sent waits for so long in the owner's link */
   int64_t link_late_at; /* when that was last too long for answers to come in time; 0 for never */
+  int64_t link_full_at; /* when starts last waited for it; 0 for never */
   int64_t losses_at;    /* when an order to a worker that answers others had no answer */
+  int64_t promised_cpu; /* room that the pool will have, as far as is known until then */
+  int64_t promised_until;
+  int64_t looked_at;  /* when the following was reckoned */
+  double timely_work; /* still to be run of jobs that can be in time, in thousandths of a core ms */
+  double all_work;
+  double capacity; /* 0: not known */
   mt_scheduler_told told;
   void *told_ctx;
 };
@@ -282,6 +289,8 @@
 void mt_worker_granted (struct mt_worker *w, int64_t hold_ms, int64_t now);
 
 /* scheduler_load.c */
+/* What is still to run of it, in thousandths of a core times ms; long-running tasks left out. */
+double mt_occurrence_work_left (const struct mt_occurrence *occ);
 /* How much longer the task will run: by its progress where there is some, else by what such tasks
  * take. */
 int64_t mt_task_left_ms (const struct mt_task *task, int64_t now);
@@ -299,6 +308,8 @@
 /* The owner's own link was late within the time of a hold: silence then says nothing of a worker.
  */
 bool mt_scheduler_doubts_itself (const struct mt_scheduler *sched, int64_t now);
+/* Starts have had to wait for it of late: it bounds what gets done. */
+bool mt_scheduler_is_link_bound (const struct mt_scheduler *sched, int64_t now);
 
 /* scheduler_watch.c: what is done about what stands still */
 void mt_scheduler_watch (struct mt_scheduler *sched, int64_t now);
--- a/core/scheduler/scheduler_load.c
+++ b/core/scheduler/scheduler_load.c
@@ -7,6 +7,9 @@
 #define DEMAND_LEAST_MS  400.0
 /* What is busy shortly is reckoned for so far ahead: about as long as a machine takes to come. */
 #define SOON_MS 1000
+/* A leader that its link holds up asks for so much more than it keeps at work: the link may have
+ * more to spare the next moment. */
+#define LINK_BOUND_MORE 1.3
 /* Work that can't be in time any more is to be done within so long, once there is room for it. */
 #define LATE_WORK_MS 4000.0
 
@@ -95,15 +98,17 @@
       if (step->fill || task->occ->job->ended_at != 0)
         continue;
       if (step->long_running)
-        load->demand_cpu += step->need.cpu;
+        {
+          load->demand_cpu += step->need.cpu;
+          load->long_running_cpu += step->need.cpu;
+        }
       if (step->long_running || task->occ->objective_by > now)
         load->urgent_used_cpu += step->need.cpu;
     }
 }
 
-/* What is still to run of it, in thousandths of a core times ms. */
-static double
-work_left (const struct mt_occurrence *occ)
+double
+mt_occurrence_work_left (const struct mt_occurrence *occ)
 {
   double work = 0;
 
@@ -126,7 +131,7 @@
 {
   double left = MAX ((double) (occ->objective_by - now - DEMAND_MARGIN_MS), DEMAND_LEAST_MS);
 
-  return (int64_t) (work_left (occ) / left);
+  return (int64_t) (mt_occurrence_work_left (occ) / left);
 }
 
 /* When what runs of the step will have ended, from now; counts those that go on beyond SOON_MS. */
@@ -186,7 +191,7 @@
   if (timely)
     load->demand_cpu += demand_of (occ, now);
   else
-    load->late_cpu += (int64_t) (work_left (occ) / LATE_WORK_MS);
+    load->late_cpu += (int64_t) (mt_occurrence_work_left (occ) / LATE_WORK_MS);
   if (occ->objective_by > now || occ->job->spec->steps[0].long_running)
     load->soon_cpu += soon_cpu (occ, now);
   for (unsigned s = 0; s < occ->job->spec->n_steps; s++)
@@ -220,6 +225,17 @@
   return n;
 }
 
+/* A leader whose link is full has no use for more machines than it keeps at work. */
+static void
+bound_by_link (struct mt_scheduler_load *load)
+{
+  int64_t most = (int64_t) (LINK_BOUND_MORE * (double) load->used_cpu);
+
+  load->demand_cpu = MIN (load->demand_cpu, most);
+  load->arriving_cpu = MIN (load->arriving_cpu, most);
+  load->late_cpu = MIN (load->late_cpu, MAX (most - load->demand_cpu, 0));
+}
+
 void
 mt_scheduler_load (const struct mt_scheduler *sched, int64_t now, struct mt_scheduler_load *load)
 {
@@ -252,4 +268,6 @@
       load->used_cpu += w->used.cpu;
       add_used (load, w, now);
     }
+  if (mt_scheduler_is_link_bound (sched, now))
+    bound_by_link (load);
 }
--- a/core/scheduler/scheduler_orders.c
+++ b/core/scheduler/scheduler_orders.c
@@ -16,6 +16,8 @@
  * to an order is expected. It is late when answers to what was sent may be overdue. */
 #define FULL_LINK_MS 60
 #define LATE_LINK_MS 200
+/* Starts that waited for a full link say for so long that the link bounds what gets done. */
+#define FULL_LINK_LASTS_MS 1000
 /* A hold has its whole wait and its answer in this. */
 #define FAIR_HOLD_MS (MT_HOLD_WAIT_MS + 500)
 /* While the link is slow ends are gathered for so many of its waits more: holds then take less of
@@ -210,6 +212,8 @@
 mt_scheduler_link_waits (struct mt_scheduler *sched, int64_t wait_ms, int64_t now)
 {
   sched->link_ms = wait_ms;
+  if (wait_ms > FULL_LINK_MS && !g_queue_is_empty (&sched->starts))
+    sched->link_full_at = now;
   if (wait_ms > LATE_LINK_MS)
     sched->link_late_at = now;
 }
@@ -220,6 +224,12 @@
   return sched->link_late_at != 0 && now - sched->link_late_at < FAIR_HOLD_MS;
 }
 
+bool
+mt_scheduler_is_link_bound (const struct mt_scheduler *sched, int64_t now)
+{
+  return sched->link_full_at != 0 && now - sched->link_full_at < FULL_LINK_LASTS_MS;
+}
+
 /* In the order of what is lost if it comes late: room that is to be freed, leases, then starts. A
  * surge's starts alone fill a thin link for longer than their answers are waited for; renewals
  * would go out too late behind them, and tasks that run would lapse. What waits here can still be
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -32,6 +32,8 @@
  * every machine from leaving for the pool that surges: packed, the worst windows of calm days are
  * served by 0.05 to 0.1 better. */
 #define PACK_GAIN 0.3
+/* Starts that wait at a leader whose link is full: some 100 ms of a thin one. */
+#define UNSENT_MOST 40U
 /* A long-running task that is placed on a worker that is to be emptied would be moved once more,
  * and its step's budget used twice: any other worker is better, but for one that is slow or where
  * fill work disturbs it. */
@@ -234,6 +236,8 @@
   double mean_slow;
   struct mt_room full; /* so much has found no room; as much or more needn't be tried */
   bool any_full;
+  unsigned placed;
+  unsigned most; /* tasks to be placed */
 };
 
 static bool
@@ -384,6 +388,7 @@
       return false;
     }
   mt_task_place (site->sched, task, w, site->now);
+  site->placed++;
   return true;
 }
 
@@ -426,6 +431,27 @@
     unplace (site->sched, &tasks[placed], site->now);
 }
 
+/* A start that waits for the link takes the room of its worker meanwhile: placed in advance of what
+ * the link carries, a surge's tasks would keep a hundred machines that stand idle. */
+static unsigned
+link_room (struct mt_scheduler *sched, int64_t now)
+{
+  GList *before;
+
+  if (!mt_scheduler_is_link_bound (sched, now))
+    return G_MAXUINT;
+  for (GList *l = sched->starts.tail; l != NULL && sched->starts.length > UNSENT_MOST; l = before)
+    {
+      struct mt_task *task = l->data;
+
+      before = l->prev;
+      /* One that is to be repeated may have begun. */
+      if (task->repeats == 0)
+        mt_task_wait (sched, task, now);
+    }
+  return UNSENT_MOST - MIN (sched->starts.length, UNSENT_MOST);
+}
+
 static void
 place_bundle (struct site *site, const struct bundle *b)
 {
@@ -437,7 +463,7 @@
       place_gang (site, b->occ, b->step);
       return;
     }
-  for (unsigned i = 0; i < step->count; i++)
+  for (unsigned i = 0; i < step->count && site->placed < site->most; i++)
     if (!place_task (site, &tasks[i]))
       return;
 }
@@ -503,6 +529,8 @@
   g_autoptr (GArray) bundles = g_array_new (FALSE, FALSE, sizeof (struct bundle));
   struct site site = { .sched = sched, .now = now, .takers = g_ptr_array_new () };
 
+  site.most = link_room (sched, now);
+
   find_takers (&site);
   for (GList *l = sched->open.head; l != NULL; l = l->next)
     {
@@ -525,9 +553,10 @@
     {
       const struct bundle *b = &g_array_index (bundles, struct bundle, i);
 
-      if (site.takers->len > 0)
+      if (site.takers->len > 0 && site.placed < site.most)
         place_bundle (&site, b);
-      b->occ->step_left[b->step] = b->occ->step_waiting[b->step];
+      /* What waits for the link does not lack room. */
+      b->occ->step_left[b->step] = site.placed < site.most ? b->occ->step_waiting[b->step] : 0;
     }
   note_shortage (sched, now);
   g_ptr_array_unref (site.takers);
--- a/fleet/fleet_leader.c
+++ b/fleet/fleet_leader.c
@@ -385,8 +385,9 @@
   g_autofree char *cordon = g_strjoinv (",", notes.cordon);
   g_autofree char *ended = g_strjoinv (",", notes.ended);
   g_autofree char *due = g_strjoinv (",", notes.due);
+  g_autofree char *room = g_strdup_printf ("%" G_GINT64_FORMAT, notes.room_cpu);
   struct mt_fleet_leader_notes texts
-      = { mt_str_from (cordon), mt_str_from (ended), mt_str_from (due) };
+      = { mt_str_from (cordon), mt_str_from (ended), mt_str_from (due), mt_str_from (room) };
 
   mt_controller_notes_clear (&notes);
   if (local != NULL)
@@ -400,7 +401,7 @@
   else if (holder != NULL)
     {
       struct mt_mesh_args args
-          = { 4, { mt_str_from (name), texts.cordon, texts.ended, texts.due } };
+          = { 5, { mt_str_from (name), texts.cordon, texts.ended, texts.due, texts.room } };
 
       mt_mesh_send (lead->options.mesh, holder, MT_MESH_CORDON, &args, REPORT_MS, on_report,
                     new_named_call (lead, name));
@@ -421,10 +422,13 @@
   g_auto (GStrv) cordon = split_ids (notes->cordon);
   g_auto (GStrv) ended = split_ids (notes->ended);
   g_auto (GStrv) due = split_ids (notes->due);
+  unsigned long long room = 0;
   int64_t now = mt_loop_now ();
 
   if (!mt_pool_is_loaded (pool))
     return NULL;
+  if (mt_str_to_u64 (notes->room, &room))
+    mt_scheduler_promise (mt_pool_scheduler (pool), (int64_t) room, now + CORDON_MS);
   for (char **id = ended; *id != NULL; id++)
     mt_scheduler_worker_ended (mt_pool_scheduler (pool), *id, now, "its machine was ordered away");
   for (char **id = cordon; *id != NULL; id++)
--- a/fleet/frontend.c
+++ b/fleet/frontend.c
@@ -1,5 +1,6 @@
 #include "frontend_internal.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Hexadecimal digits of a job's id, as callers send it. */
@@ -15,6 +16,12 @@
                       mt_str_from (body != NULL ? body : "{}"), retry_after_s);
 }
 
+unsigned
+mt_frontend_spread_s (int64_t wait_ms, double draw)
+{
+  return (unsigned) MAX (ceil ((double) wait_ms * (1 + draw) / 1000), 1);
+}
+
 bool
 mt_frontend_send_leader (struct mt_frontend *frontend,
                          const char *pool,
--- a/fleet/frontend_internal.h
+++ b/fleet/frontend_internal.h
@@ -25,6 +25,7 @@
   struct mt_admission *admission;
   unsigned txns;
   unsigned busy;
+  int64_t no_outlook_until; /* a leader that was asked for one did not answer */
 };
 
 /* body NULL: an empty object. */
@@ -45,6 +46,10 @@
                               enum mt_mesh_method method,
                               const struct mt_mesh_args *args);
 
+/* Whole seconds after which to come back, at least the wait and spread over as long again by draw
+ * (0 to 1): all that were refused would return together. */
+unsigned mt_frontend_spread_s (int64_t wait_ms, double draw);
+
 /* frontend_submit.c */
 struct mt_admission *mt_frontend_new_admission (void);
 void mt_frontend_submit (struct mt_frontend *frontend,
--- a/fleet/frontend_submit.c
+++ b/fleet/frontend_submit.c
@@ -14,6 +14,11 @@
 /* Transactions of submissions on their way: what comes meanwhile goes into the next one. */
 #define TXNS_AT_A_TIME 2U
 
+/* The pool's leader answers from memory in a few ms. One that did not is not asked for a while:
+ * each submission would wait for it. */
+#define OUTLOOK_MS    250
+#define NO_OUTLOOK_MS 1000
+
 struct submit
 {
   struct mt_frontend *frontend;
@@ -24,7 +29,8 @@
   char *value;
   size_t value_len;
   int64_t began;
-  bool unsettled; /* a write of it had no answer */
+  int64_t again_ms; /* it is refused, and could be served so much later; 0 */
+  bool unsettled;   /* a write of it had no answer */
 };
 
 struct txn
@@ -75,8 +81,12 @@
 /* A true refusal, of which nothing is under way, says when its turn would come; a caller whose
  * outcome is unknown settles it by asking again soon. */
 static unsigned
-retry_after_s (const struct mt_frontend *frontend, unsigned status)
+retry_after_s (const struct submit *s, unsigned status)
 {
+  const struct mt_frontend *frontend = s->frontend;
+
+  if (s->again_ms > 0)
+    return mt_frontend_spread_s (s->again_ms, g_random_double ());
   if (status == 503)
     return mt_admission_retry_after_s (frontend->admission, frontend->submits.length,
                                        g_random_double ());
@@ -106,7 +116,7 @@
   mt_journal_tell (s->frontend->options.journal, ways[way].event,
                    "id=%s pool=%s status=%u why=%s took_ms=%" G_GINT64_FORMAT, s->id, s->pool,
                    status, why, took);
-  mt_frontend_answer (s->exchange, status, NULL, retry_after_s (s->frontend, status));
+  mt_frontend_answer (s->exchange, status, NULL, retry_after_s (s, status));
   s->frontend->busy--;
   free_submit (s);
 }
@@ -292,6 +302,72 @@
     }
 }
 
+/* ---- outlook ---- */
+
+static void
+take_submit (struct submit *s)
+{
+  g_queue_push_tail (&s->frontend->submits, s);
+  send_submits (s->frontend);
+}
+
+/* Nothing of it was sent, so the refusal is true. */
+static void
+settle_outlook (struct submit *s, int64_t again_ms)
+{
+  s->again_ms = again_ms;
+  if (again_ms > 0)
+    end_submit (s, 503, "it can't be done while it is of use, nothing was sent");
+  else
+    take_submit (s);
+}
+
+/* Without an answer nothing is known of the pool, and nobody is refused for it. */
+static void
+on_outlook (void *data, const struct mt_mesh_args *args)
+{
+  struct submit *s = data;
+  unsigned long long again_ms = 0;
+
+  if (args == NULL)
+    s->frontend->no_outlook_until = mt_loop_now () + NO_OUTLOOK_MS;
+  else if (args->n == 1)
+    mt_str_to_u64 (args->at[0], &again_ms);
+  settle_outlook (s, (int64_t) again_ms);
+}
+
+/* The pool's leader is asked before anything is stored: what it can't do is refused at once. */
+static void
+ask_outlook (struct submit *s, const char *route, int64_t chain_ms)
+{
+  struct mt_frontend *frontend = s->frontend;
+  struct mt_pool *local = frontend->options.local (frontend->options.ctx, s->pool);
+  const char *holder = mt_cluster_holder (frontend->options.cluster, s->pool);
+  g_autofree char *chain = g_strdup_printf ("%" G_GINT64_FORMAT, chain_ms);
+  struct mt_mesh_args args
+      = { 3, { mt_str_from (s->pool), mt_str_from (route), mt_str_from (chain) } };
+
+  if (local != NULL && mt_pool_is_loaded (local) && mt_cluster_is_sure (frontend->options.cluster))
+    settle_outlook (
+        s,
+        mt_scheduler_outlook (mt_pool_scheduler (local), route, chain_ms, mt_loop_now ()).again_ms);
+  else if (local != NULL || holder == NULL || mt_loop_now () < frontend->no_outlook_until)
+    take_submit (s);
+  else
+    mt_mesh_send (frontend->options.mesh, holder, MT_MESH_OUTLOOK, &args, OUTLOOK_MS, on_outlook,
+                  s);
+}
+
+/* Of a job that is due later, or lasts, no outlook of now tells anything. */
+static bool
+has_outlook (const struct mt_job_spec *spec)
+{
+  for (unsigned i = 0; i < spec->n_steps; i++)
+    if (spec->steps[i].long_running)
+      return false;
+  return spec->repeats == 0;
+}
+
 void
 mt_frontend_submit (struct mt_frontend *frontend,
                     struct mt_exchange *exchange,
@@ -302,6 +378,8 @@
   struct mt_str body = mt_exchange_body (exchange);
   struct mt_job_spec *spec = frontend->options.words->ops->job (id, route->name, body, &error);
   struct submit *s;
+  int64_t chain_ms;
+  bool asks;
 
   if (spec == NULL)
     {
@@ -311,6 +389,8 @@
       mt_exchange_answer (exchange, 400, "text/plain", mt_str_from (error->message), 0);
       return;
     }
+  chain_ms = mt_job_spec_chain_ms (spec, 1.0);
+  asks = has_outlook (spec);
   mt_job_spec_destroy (spec);
   s = g_new0 (struct submit, 1);
   s->frontend = frontend;
@@ -331,6 +411,8 @@
       end_submit (s, 503, "more wait than can be stored in time, nothing was sent");
       return;
     }
-  g_queue_push_tail (&frontend->submits, s);
-  send_submits (frontend);
+  if (asks)
+    ask_outlook (s, route->name, chain_ms);
+  else
+    take_submit (s);
 }
--- a/fleet/neighbours.c
+++ b/fleet/neighbours.c
@@ -1,6 +1,7 @@
 #include "neighbours.h"
 
 #include "fleet_leader.h"
+#include "loop.h"
 
 static void
 reply_text (struct mt_mesh_call *call, const char *text)
@@ -34,10 +35,34 @@
   reply_text (call, text);
 }
 
+/* A leader that is not sure of itself knows nothing of what its pool can do. */
+static void
+reply_outlook (const struct mt_neighbours *n,
+               struct mt_mesh_call *call,
+               struct mt_pool *pool,
+               const struct mt_mesh_args *args)
+{
+  g_autofree char *route = g_strndup (args->at[1].data, args->at[1].len);
+  unsigned long long chain_ms = 0;
+  struct mt_outlook outlook;
+  char text[24];
+
+  if (!mt_pool_is_loaded (pool) || !mt_cluster_is_sure (n->cluster)
+      || !mt_str_to_u64 (args->at[2], &chain_ms))
+    {
+      mt_mesh_reply (call, NULL);
+      return;
+    }
+  outlook
+      = mt_scheduler_outlook (mt_pool_scheduler (pool), route, (int64_t) chain_ms, mt_loop_now ());
+  g_snprintf (text, sizeof text, "%" G_GINT64_FORMAT, outlook.again_ms);
+  reply_text (call, text);
+}
+
 static void
 reply_report (struct mt_mesh_call *call, struct mt_pool *pool, const struct mt_mesh_args *args)
 {
-  struct mt_fleet_leader_notes notes = { args->at[1], args->at[2], args->at[3] };
+  struct mt_fleet_leader_notes notes = { args->at[1], args->at[2], args->at[3], args->at[4] };
   size_t len = 0;
   g_autofree char *bytes = mt_fleet_leader_serve (pool, &notes, &len);
   struct mt_mesh_args reply = { 1, { { bytes, len } } };
@@ -77,12 +102,19 @@
         }
       break;
     case MT_MESH_CORDON:
-      if (pool != NULL && args->n == 4)
+      if (pool != NULL && args->n == 5)
         {
           reply_report (call, pool, args);
           return;
         }
       break;
+    case MT_MESH_OUTLOOK:
+      if (pool != NULL && args->n == 3)
+        {
+          reply_outlook (n, call, pool, args);
+          return;
+        }
+      break;
     case MT_MESH_STORE:
       mt_relay_serve (n->relay, call, args);
       return;
--- a/include/medlartrack/controller.h
+++ b/include/medlartrack/controller.h
@@ -108,9 +108,10 @@
 /* What a pool's scheduler is to know; each NULL-terminated. */
 struct mt_controller_notes
 {
-  char **cordon; /* workers to be emptied */
-  char **ended;  /* workers whose life an order has ended */
-  char **due;    /* workers to be emptied later, for upkeep */
+  char **cordon;    /* workers to be emptied */
+  char **ended;     /* workers whose life an order has ended */
+  char **due;       /* workers to be emptied later, for upkeep */
+  int64_t room_cpu; /* of the machines that the pool should have; 0 where that isn't known */
 };
 
 void mt_controller_notes_clear (struct mt_controller_notes *notes);
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -120,6 +120,22 @@
                                    bool ok);
 void mt_scheduler_set_advice (struct mt_scheduler *sched, const char *name, bool wanted);
 
+/* Room that the pool is about to have, in thousandths of a core, as far as is known until then. */
+void mt_scheduler_promise (struct mt_scheduler *sched, int64_t cpu, int64_t until);
+
+/* ---- what a caller can expect ---- */
+
+struct mt_outlook
+{
+  int64_t waits_ms; /* behind what goes first */
+  int64_t again_ms; /* it can't be done while it is of use; it could, handed in so much later; 0: it
+                     * can, or nothing is known that says otherwise */
+};
+
+/* Of a job of the route that is handed in now, whose longest chain is guessed at so much. */
+struct mt_outlook
+mt_scheduler_outlook (struct mt_scheduler *sched, const char *route, int64_t chain_ms, int64_t now);
+
 /* ---- orders ---- */
 
 enum mt_order_kind
@@ -277,6 +293,7 @@
   int64_t demand_cpu;   /* processors that keep long-running tasks, and those jobs in time */
   int64_t arriving_cpu; /* what the jobs of the last moments will keep busy if they go on coming */
   int64_t room_cpu;     /* of workers that take work */
+  int64_t long_running_cpu; /* of these, in use by long-running tasks */
   int64_t used_cpu;
   int64_t
       urgent_used_cpu; /* of that, by long-running tasks and by jobs that can still be in time */
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -917,6 +917,76 @@
   world_destroy (world);
 }
 
+/* A pool of two workers has work for a minute. A caller whose job would be done long after its
+ * answer is of use is told so, and when to come back; a job that goes in before what is late
+ * anyway, a pool that will have forty machines shortly, and one of which nothing is known yet,
+ * refuse nobody. */
+static void
+test_outlook_refuses_what_is_hopeless (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_outlook outlook;
+
+  outlook = mt_scheduler_outlook (world->sched, "route", 1000, world->now);
+  assert_int_equal (outlook.again_ms, 0);
+  world_add_worker (world, "r1");
+  world_add_worker (world, "r1");
+  world_run (world, 200);
+  world_submit (world, world_job ("aa", 8, 4000, 1000));
+  world_run (world, 100);
+  outlook = mt_scheduler_outlook (world->sched, "route", 1000, world->now);
+  assert_int_equal (outlook.again_ms, 0);
+  for (unsigned i = 0; i < 10; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("b%u", i);
+
+      world_submit (world, world_job (id, 40, 4000, 1000));
+    }
+  world_run (world, 100);
+  outlook = mt_scheduler_outlook (world->sched, "route", 1000, world->now);
+  assert_in_range (outlook.again_ms, 15000, 30000);
+  mt_scheduler_promise (world->sched, 40 * 16000, world->now + 1000);
+  world_run (world, 100);
+  outlook = mt_scheduler_outlook (world->sched, "route", 1000, world->now);
+  assert_int_equal (outlook.again_ms, 0);
+  world_run (world, 4000);
+  outlook = mt_scheduler_outlook (world->sched, "route", 1000, world->now);
+  assert_int_equal (outlook.again_ms, 0);
+  world_destroy (world);
+}
+
+/* A surge of 600 tasks meets 40 idle workers and a link that carries 30 starts in a second. Were
+ * all placed at once their workers would be full of tasks that are not there, and other pools lack
+ * the machines: no more are placed than the link starts shortly, and the pool asks for no more room
+ * than it keeps at work. */
+static void
+test_leader_with_a_full_link_takes_no_more_room_than_it_uses (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_scheduler_load load;
+  int64_t used = 0;
+
+  world->link_bytes_per_ms = 30;
+  for (unsigned i = 0; i < 40; i++)
+    world_add_worker (world, "r1");
+  world_run (world, 1000);
+  for (unsigned i = 0; i < 30; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%02u", i);
+
+      world_submit (world, world_job (id, 20, 1000, 1000));
+    }
+  world_run (world, 2000);
+  mt_scheduler_load (world->sched, world->now, &load);
+  used = load.used_cpu;
+  assert_in_range (used, 10000, 200000);
+  assert_in_range (load.demand_cpu + load.late_cpu, 1000, 2 * used);
+  assert_int_equal (load.urgent, 0);
+  world_run (world, 30000);
+  assert_int_equal (world->started, 600);
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -933,6 +1003,8 @@
     cmocka_unit_test (test_silence_behind_a_late_link_frees_no_task),
     cmocka_unit_test (test_late_answers_shorten_no_lease),
     cmocka_unit_test (test_long_running_task_avoids_workers_that_are_due),
+    cmocka_unit_test (test_outlook_refuses_what_is_hopeless),
+    cmocka_unit_test (test_leader_with_a_full_link_takes_no_more_room_than_it_uses),
     cmocka_unit_test (test_lost_start_is_sent_again),
     cmocka_unit_test (test_worker_that_loses_every_start_is_left),
     cmocka_unit_test (test_sick_worker_costs_few_attempts),
