--- a/core/scheduler/scheduler_outlook.c
+++ b/core/scheduler/scheduler_outlook.c
@@ -77,9 +77,12 @@
 }
 
 struct mt_outlook
-mt_scheduler_outlook (struct mt_scheduler *sched, const char *name, int64_t chain_ms, int64_t now)
+mt_scheduler_outlook (struct mt_scheduler *sched,
+                      const char *route_name,
+                      int64_t chain_ms,
+                      int64_t now)
 {
-  const struct mt_route *route = g_hash_table_lookup (sched->routes, name);
+  const struct mt_route *route = g_hash_table_lookup (sched->routes, route_name);
   struct mt_outlook out = { 0 };
   double chain, allowed, over;
 
