frontend: callers are known by their workspace's key

Cause: the system knew nothing of keys.

Change: a configuration may list workspaces with keys, quotas and rates. A call to a route that asks for a key gets 401 before anything is stored or sent (event 8108, counter, explain); a job is stored with its workspace, and does not exist for any other. keys_stale_ms refuses callers whose keys could not be confirmed for that long; off unless the platform asks for it. Bad rows refuse the whole configuration, the one in force stays, and no error shows a key. Values of an older daemon are read as nobody's jobs.

Ruled out: comparing keys as text (they would lie in dumps and cores); 403 for another workspace's job (it would tell that the id exists).

--- /dev/null
+++ b/core/config/workspaces.c
@@ -0,0 +1,160 @@
+#include "medlartrack/workspaces.h"
+
+#include "medlartrack/error.h"
+
+#include <string.h>
+
+#define DIGEST_BYTES 32
+
+struct mt_workspaces
+{
+  GPtrArray *rows;     /* struct mt_workspace */
+  GHashTable *names;   /* to struct mt_workspace; borrows both */
+  GHashTable *digests; /* of keys, GBytes, to struct mt_workspace */
+};
+
+static void
+free_workspace (void *data)
+{
+  struct mt_workspace *workspace = data;
+
+  g_free (workspace->name);
+  g_free (workspace);
+}
+
+struct mt_workspaces *
+mt_workspaces_create (void)
+{
+  struct mt_workspaces *list = g_new0 (struct mt_workspaces, 1);
+
+  list->rows = g_ptr_array_new_with_free_func (free_workspace);
+  list->names = g_hash_table_new (g_str_hash, g_str_equal);
+  list->digests
+      = g_hash_table_new_full (g_bytes_hash, g_bytes_equal, (GDestroyNotify) g_bytes_unref, NULL);
+  return list;
+}
+
+void
+mt_workspaces_destroy (struct mt_workspaces *list)
+{
+  if (list == NULL)
+    return;
+  g_hash_table_unref (list->digests);
+  g_hash_table_unref (list->names);
+  g_ptr_array_unref (list->rows);
+  g_free (list);
+}
+
+static bool
+is_name (const char *name)
+{
+  size_t len = name != NULL ? strlen (name) : 0;
+
+  for (size_t i = 0; i < len; i++)
+    if (!g_ascii_isgraph (name[i]))
+      return false;
+  return len > 0 && len <= MT_WORKSPACE_NAME_BYTES;
+}
+
+bool
+mt_workspaces_add (struct mt_workspaces *list,
+                   const char *name,
+                   const struct mt_room *quota,
+                   int64_t rate,
+                   GError **error)
+{
+  struct mt_workspace *workspace;
+
+  if (!is_name (name))
+    {
+      g_set_error (error, MT_ERROR, MT_ERROR_SYNTAX,
+                   "workspace %u has no name of 1 to %d printable characters without spaces; give "
+                   "it one",
+                   list->rows->len + 1, MT_WORKSPACE_NAME_BYTES);
+      return false;
+    }
+  if (g_hash_table_contains (list->names, name))
+    {
+      g_set_error (error, MT_ERROR, MT_ERROR_SYNTAX,
+                   "workspace \"%s\" stands twice; leave one of them out", name);
+      return false;
+    }
+  if (quota->cpu < 0 || quota->mem < 0 || quota->gpu < 0 || rate < 0)
+    {
+      g_set_error (error, MT_ERROR, MT_ERROR_SYNTAX,
+                   "workspace \"%s\" has a negative limit; write 0 for no limit", name);
+      return false;
+    }
+  workspace = g_new0 (struct mt_workspace, 1);
+  *workspace = (struct mt_workspace){ .name = g_strdup (name), .quota = *quota, .rate = rate };
+  g_ptr_array_add (list->rows, workspace);
+  g_hash_table_insert (list->names, workspace->name, workspace);
+  return true;
+}
+
+static GBytes *
+digest_of (const char *key)
+{
+  g_autoptr (GChecksum) sum = g_checksum_new (G_CHECKSUM_SHA256);
+  guint8 digest[DIGEST_BYTES];
+  gsize len = sizeof digest;
+
+  g_checksum_update (sum, (const guchar *) key, (gssize) strlen (key));
+  g_checksum_get_digest (sum, digest, &len);
+  return g_bytes_new (digest, len);
+}
+
+static struct mt_workspace *
+find_key (const struct mt_workspaces *list, const char *key)
+{
+  g_autoptr (GBytes) digest = digest_of (key);
+
+  return g_hash_table_lookup (list->digests, digest);
+}
+
+bool
+mt_workspaces_add_key (struct mt_workspaces *list, const char *key, GError **error)
+{
+  struct mt_workspace *last = list->rows->pdata[list->rows->len - 1];
+  const struct mt_workspace *holder;
+
+  if (key == NULL || key[0] == '\0' || strlen (key) > MT_WORKSPACE_KEY_BYTES)
+    {
+      g_set_error (error, MT_ERROR, MT_ERROR_SYNTAX,
+                   "key %u of workspace \"%s\" is no text of 1 to %d bytes; replace it",
+                   last->n_keys + 1, last->name, MT_WORKSPACE_KEY_BYTES);
+      return false;
+    }
+  holder = find_key (list, key);
+  if (holder != NULL && holder != last)
+    {
+      g_set_error (error, MT_ERROR, MT_ERROR_SYNTAX,
+                   "key %u of workspace \"%s\" is workspace \"%s\"'s too; give each its own",
+                   last->n_keys + 1, last->name, holder->name);
+      return false;
+    }
+  if (holder == NULL)
+    g_hash_table_insert (list->digests, digest_of (key), last);
+  last->n_keys++;
+  return true;
+}
+
+unsigned
+mt_workspaces_count (const struct mt_workspaces *list)
+{
+  return list->rows->len;
+}
+
+const struct mt_workspace *
+mt_workspaces_at (const struct mt_workspaces *list, unsigned index)
+{
+  return list->rows->pdata[index];
+}
+
+const struct mt_workspace *
+mt_workspaces_by_key (const struct mt_workspaces *list, const char *key)
+{
+  if (key == NULL || strlen (key) > MT_WORKSPACE_KEY_BYTES)
+    return NULL;
+  return find_key (list, key);
+}
--- a/core/scheduler/job_spec.c
+++ b/core/scheduler/job_spec.c
@@ -27,6 +27,7 @@
       g_free (spec->steps[i].image);
     }
   g_free (spec->steps);
+  g_free (spec->workspace);
   g_free (spec->payload);
   g_free (spec->route);
   g_free (spec->id);
--- a/core/scheduler/scheduler.c
+++ b/core/scheduler/scheduler.c
@@ -415,6 +415,16 @@
   return true;
 }
 
+const char *
+mt_scheduler_workspace (const struct mt_scheduler *sched, const char *id)
+{
+  const struct mt_job *job = g_hash_table_lookup (sched->jobs, id);
+
+  if (job == NULL)
+    return NULL;
+  return job->spec->workspace != NULL ? job->spec->workspace : "";
+}
+
 enum mt_job_state
 mt_scheduler_state (const struct mt_scheduler *sched, const char *id)
 {
--- a/ctl/command_explain.c
+++ b/ctl/command_explain.c
@@ -20,6 +20,7 @@
   const json_t *accepted;
   const json_t *refused;
   const json_t *unsettled;
+  const json_t *caller;
   const json_t *begun;
   const json_t *ended;
   unsigned lost;
@@ -92,6 +93,7 @@
     { "JOB_ACCEPTED", offsetof (struct story, accepted) },
     { "JOB_REFUSED", offsetof (struct story, refused) },
     { "JOB_UNSETTLED", offsetof (struct story, unsettled) },
+    { "CALLER_REFUSED", offsetof (struct story, caller) },
     { "JOB_BEGUN", offsetof (struct story, begun) },
     { "JOB_ENDED", offsetof (struct story, ended) },
   };
@@ -183,6 +185,9 @@
                             text_of (story->unsettled, "why"));
   else if (story->accepted == NULL && story->refused != NULL)
     g_string_append_printf (out, "refused, it never ran: %s", text_of (story->refused, "why"));
+  else if (story->accepted == NULL && story->caller != NULL)
+    g_string_append_printf (out, "its caller was refused, nothing was stored: %s",
+                            text_of (story->caller, "why"));
   else if (story->accepted == NULL)
     g_string_append (out, "no daemon's log tells of its acceptance");
   else if (story->ended == NULL)
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -490,6 +490,12 @@
   return mt_adapter_store_answers (((struct mt_fleet *) ctx)->platform);
 }
 
+static int64_t
+config_age_ms (void *ctx)
+{
+  return mt_loop_now () - mt_watcher_heard (((struct mt_fleet *) ctx)->config_watch);
+}
+
 static void
 make_frontend (struct mt_fleet *f)
 {
@@ -501,6 +507,8 @@
                                          .metrics = f->metrics,
                                          .local = local_pool,
                                          .store_answers = store_answers,
+                                         .config_age_ms = config_age_ms,
+                                         .keys_stale_ms = f->settings->bounds.keys_stale_ms,
                                          .ctx = f };
 
   f->frontend = mt_frontend_create (f->base, &options);
--- a/fleet/frontend.c
+++ b/fleet/frontend.c
@@ -1,5 +1,7 @@
 #include "frontend_internal.h"
 
+#include "journal.h"
+
 #include <math.h>
 #include <string.h>
 
@@ -90,12 +92,85 @@
   return n == ID_CHARS && text[n] == '\0';
 }
 
+/* A configuration that has not been confirmed for so long may lack a key's removal. */
+static bool
+keys_are_stale (const struct mt_frontend *frontend)
+{
+  int64_t most = frontend->options.keys_stale_ms;
+
+  return most > 0 && frontend->options.config_age_ms (frontend->options.ctx) > most;
+}
+
+static void
+refuse_caller (struct mt_frontend *frontend,
+               struct mt_exchange *exchange,
+               const struct mt_fleet_route *route,
+               const char *id,
+               bool stale)
+{
+  const char *key = mt_exchange_header (exchange, frontend->options.words->key_header);
+  unsigned status = stale ? 503 : 401;
+
+  mt_metrics_count (frontend->options.metrics, MT_COUNT_UNAUTHORIZED);
+  mt_journal_tell (frontend->options.journal, "CALLER_REFUSED",
+                   "id=%s route=%s pool=%s status=%u version=%" G_GINT64_FORMAT " why=%s",
+                   id[0] != '\0' ? id : "-", route->name, route->pool, status,
+                   frontend->config->version,
+                   stale         ? "keys can't be confirmed"
+                   : key == NULL ? "no key"
+                                 : "unknown key");
+  mt_frontend_answer (exchange, status, NULL, stale ? MT_FRONTEND_RETRY_AFTER_S : 0);
+}
+
+/* The caller's workspace, "" where the route asks for no key; NULL where the caller was refused. */
+static const char *
+authenticate (struct mt_frontend *frontend,
+              struct mt_exchange *exchange,
+              const struct mt_fleet_route *route,
+              const char *id)
+{
+  const struct mt_workspaces *list = frontend->config->workspaces;
+  const struct mt_workspace *workspace;
+  bool stale;
+
+  if (list == NULL || route->keyless)
+    return "";
+  stale = keys_are_stale (frontend);
+  workspace = mt_workspaces_by_key (
+      list, mt_exchange_header (exchange, frontend->options.words->key_header));
+  if (workspace != NULL && !stale)
+    return workspace->name;
+  refuse_caller (frontend, exchange, route, id, workspace != NULL && stale);
+  return NULL;
+}
+
+static void
+dispatch (struct mt_frontend *frontend,
+          struct mt_exchange *exchange,
+          const struct mt_fleet_route *route,
+          const char *id,
+          const char *workspace)
+{
+  const char *method = mt_exchange_method (exchange);
+
+  if (strcmp (method, "GET") == 0 && id[0] == '\0')
+    mt_frontend_ask_pending (frontend, exchange, route);
+  else if (strcmp (method, "POST") == 0 && id[0] != '\0')
+    mt_frontend_submit (frontend, exchange, route, id, workspace);
+  else if (strcmp (method, "GET") == 0)
+    mt_frontend_ask_state (frontend, exchange, route, id, workspace);
+  else if (strcmp (method, "DELETE") == 0 && id[0] != '\0')
+    mt_frontend_cancel (frontend, exchange, route, id, workspace);
+  else
+    mt_frontend_answer (exchange, 405, NULL, 0);
+}
+
 void
 mt_frontend_handle (struct mt_frontend *frontend, struct mt_exchange *exchange)
 {
-  const char *method = mt_exchange_method (exchange);
   const struct mt_fleet_route *route;
-  const char *rest;
+  const char *workspace;
+  const char *id;
 
   if (frontend->config == NULL)
     {
@@ -103,19 +178,15 @@
       return;
     }
   route = find_route (frontend, exchange);
-  rest = route != NULL ? mt_exchange_path (exchange) + strlen (route->prefix) : NULL;
-  if (route == NULL || (rest[0] != '\0' && !is_id (rest)))
-    mt_frontend_answer (exchange, 404, NULL, 0);
-  else if (strcmp (method, "GET") == 0 && rest[0] == '\0')
-    mt_frontend_ask_pending (frontend, exchange, route);
-  else if (strcmp (method, "POST") == 0 && rest[0] != '\0')
-    mt_frontend_submit (frontend, exchange, route, rest);
-  else if (strcmp (method, "GET") == 0)
-    mt_frontend_ask_state (frontend, exchange, route, rest);
-  else if (strcmp (method, "DELETE") == 0 && rest[0] != '\0')
-    mt_frontend_cancel (frontend, exchange, route, rest);
-  else
-    mt_frontend_answer (exchange, 405, NULL, 0);
+  id = route != NULL ? mt_exchange_path (exchange) + strlen (route->prefix) : "";
+  if (route == NULL || (id[0] != '\0' && !is_id (id)))
+    {
+      mt_frontend_answer (exchange, 404, NULL, 0);
+      return;
+    }
+  workspace = authenticate (frontend, exchange, route, id);
+  if (workspace != NULL)
+    dispatch (frontend, exchange, route, id, workspace);
 }
 
 void
--- a/fleet/frontend.h
+++ b/fleet/frontend.h
@@ -25,6 +25,9 @@
   struct mt_pool *(*local) (void *ctx, const char *pool);
   /* Whether the store can be expected to answer. */
   bool (*store_answers) (void *ctx);
+  /* How long ago the store last confirmed the configuration in force. */
+  int64_t (*config_age_ms) (void *ctx);
+  int64_t keys_stale_ms; /* callers with keys are refused beyond that age; 0: never */
   void *ctx;
 };
 
--- a/fleet/frontend_ask.c
+++ b/fleet/frontend_ask.c
@@ -17,6 +17,7 @@
   char *pool;
   char *id; /* of the job; NULL where the queue is asked for */
   char *route;
+  char *workspace; /* who asks */
   int64_t began;
   enum mt_job_state open_state; /* unless it is cancelled */
 };
@@ -25,7 +26,8 @@
 new_question (struct mt_frontend *frontend,
               struct mt_exchange *exchange,
               const struct mt_fleet_route *route,
-              const char *id)
+              const char *id,
+              const char *workspace)
 {
   struct question *q = g_new0 (struct question, 1);
 
@@ -34,6 +36,7 @@
                           .pool = g_strdup (route->pool),
                           .id = g_strdup (id),
                           .route = g_strdup (route->name),
+                          .workspace = g_strdup (workspace),
                           .began = mt_loop_now () };
   frontend->busy++;
   return q;
@@ -47,6 +50,7 @@
   g_free (q->pool);
   g_free (q->id);
   g_free (q->route);
+  g_free (q->workspace);
   g_free (q);
 }
 
@@ -114,13 +118,28 @@
   mt_kv_read (&q->frontend->options.kv, key, STORE_MS, on_cancel_key, q);
 }
 
+/* Another workspace's job does not exist for whoever asks. */
+static bool
+finds_job (const struct question *q, const struct mt_kv_reply *reply)
+{
+  struct mt_pool_submission stored;
+  bool found = reply->status == MT_KV_OK && reply->n_items > 0;
+
+  if (found && mt_pool_read_value (reply->items[0].value, &stored))
+    found = mt_pool_may_see (stored.workspace, q->workspace);
+  else
+    stored = (struct mt_pool_submission){ 0 };
+  mt_pool_submission_clear (&stored);
+  return found;
+}
+
 static void
 on_job_key (void *data, const struct mt_kv_reply *reply)
 {
   struct question *q = data;
   g_autofree char *key = NULL;
 
-  if (reply->status == MT_KV_MISSING)
+  if (reply->status == MT_KV_MISSING || (reply->status == MT_KV_OK && !finds_job (q, reply)))
     {
       end_no_job (q);
       return;
@@ -173,17 +192,19 @@
 mt_frontend_ask_state (struct mt_frontend *frontend,
                        struct mt_exchange *exchange,
                        const struct mt_fleet_route *route,
-                       const char *id)
+                       const char *id,
+                       const char *workspace)
 {
   struct mt_pool *local = loaded_pool (frontend, route->pool);
-  struct question *q = new_question (frontend, exchange, route, id);
-  struct mt_mesh_args args = { 2, { mt_str_from (q->pool), mt_str_from (q->id) } };
+  struct question *q = new_question (frontend, exchange, route, id, workspace);
+  struct mt_mesh_args args
+      = { 3, { mt_str_from (q->pool), mt_str_from (q->id), mt_str_from (q->workspace) } };
   enum mt_job_state state = MT_JOB_UNKNOWN;
 
   mt_metrics_count (frontend->options.metrics, MT_COUNT_ASKED);
   /* A leader that may have been replaced unnoticed must not tell what is no longer true. */
   if (local != NULL && mt_cluster_is_sure (frontend->options.cluster))
-    state = mt_scheduler_state (mt_pool_scheduler (local), id);
+    state = mt_pool_state_for (local, id, workspace);
   if (state != MT_JOB_UNKNOWN)
     end_state (q, state);
   else if (local != NULL
@@ -215,7 +236,7 @@
                          const struct mt_fleet_route *route)
 {
   struct mt_pool *local = loaded_pool (frontend, route->pool);
-  struct question *q = new_question (frontend, exchange, route, NULL);
+  struct question *q = new_question (frontend, exchange, route, NULL, "");
   struct mt_mesh_args args = { 2, { mt_str_from (q->pool), mt_str_from (q->route) } };
 
   mt_metrics_count (frontend->options.metrics, MT_COUNT_ASKED);
@@ -290,7 +311,7 @@
 {
   struct question *q = data;
 
-  if (reply->status == MT_KV_MISSING)
+  if (reply->status == MT_KV_MISSING || (reply->status == MT_KV_OK && !finds_job (q, reply)))
     end_no_job (q);
   else if (reply->status == MT_KV_OK)
     send_cancel (q);
@@ -302,9 +323,10 @@
 mt_frontend_cancel (struct mt_frontend *frontend,
                     struct mt_exchange *exchange,
                     const struct mt_fleet_route *route,
-                    const char *id)
+                    const char *id,
+                    const char *workspace)
 {
-  struct question *q = new_question (frontend, exchange, route, id);
+  struct question *q = new_question (frontend, exchange, route, id, workspace);
   g_autofree char *key = mt_pool_job_key (q->pool, q->id);
 
   mt_kv_read (&frontend->options.kv, key, MT_FRONTEND_TXN_MS, on_cancel_job, q);
--- a/fleet/frontend_internal.h
+++ b/fleet/frontend_internal.h
@@ -50,23 +50,27 @@
  * (0 to 1): all that were refused would return together. */
 unsigned mt_frontend_spread_s (int64_t wait_ms, double draw);
 
+/* workspace: the caller's; "" where the route asks for no key. */
 /* frontend_submit.c */
 struct mt_admission *mt_frontend_new_admission (void);
 void mt_frontend_submit (struct mt_frontend *frontend,
                          struct mt_exchange *exchange,
                          const struct mt_fleet_route *route,
-                         const char *id);
+                         const char *id,
+                         const char *workspace);
 /* frontend_ask.c */
 void mt_frontend_ask_state (struct mt_frontend *frontend,
                             struct mt_exchange *exchange,
                             const struct mt_fleet_route *route,
-                            const char *id);
+                            const char *id,
+                            const char *workspace);
 void mt_frontend_ask_pending (struct mt_frontend *frontend,
                               struct mt_exchange *exchange,
                               const struct mt_fleet_route *route);
 void mt_frontend_cancel (struct mt_frontend *frontend,
                          struct mt_exchange *exchange,
                          const struct mt_fleet_route *route,
-                         const char *id);
+                         const char *id,
+                         const char *workspace);
 
 #endif
--- a/fleet/frontend_submit.c
+++ b/fleet/frontend_submit.c
@@ -25,7 +25,7 @@
   struct mt_exchange *exchange;
   char *pool;
   char *id;
-  char *key;
+  char *key; /* in the store */
   char *value;
   size_t value_len;
   int64_t began;
@@ -132,14 +132,17 @@
 static void
 settle_submit (struct submit *s, const struct mt_kv_item *item)
 {
-  g_autofree char *route = NULL;
-  g_autofree char *my_route = NULL;
-  int64_t at, my_at;
-  struct mt_str body, my_body;
-
-  mt_pool_read_value ((struct mt_str){ s->value, s->value_len }, &my_route, &my_at, &my_body);
-  if (mt_pool_read_value (item->value, &route, &at, &body) && mt_str_equal (body, my_body)
-      && strcmp (route, my_route) == 0)
+  struct mt_pool_submission mine;
+  struct mt_pool_submission theirs;
+  bool same;
+
+  mt_pool_read_value ((struct mt_str){ s->value, s->value_len }, &mine);
+  same = mt_pool_read_value (item->value, &theirs) && mt_str_equal (theirs.body, mine.body)
+         && strcmp (theirs.route, mine.route) == 0
+         && strcmp (theirs.workspace, mine.workspace) == 0;
+  mt_pool_submission_clear (&theirs);
+  mt_pool_submission_clear (&mine);
+  if (same)
     accept_submit (s, "known already");
   else
     end_submit (s, 409, "another job has this id");
@@ -372,10 +375,15 @@
 mt_frontend_submit (struct mt_frontend *frontend,
                     struct mt_exchange *exchange,
                     const struct mt_fleet_route *route,
-                    const char *id)
+                    const char *id,
+                    const char *workspace)
 {
   g_autoptr (GError) error = NULL;
   struct mt_str body = mt_exchange_body (exchange);
+  struct mt_pool_submission submission = { .route = route->name,
+                                           .workspace = (char *) workspace,
+                                           .accepted_ms = mt_loop_wall (),
+                                           .body = body };
   struct mt_job_spec *spec = frontend->options.words->ops->job (id, route->name, body, &error);
   struct submit *s;
   int64_t chain_ms;
@@ -398,7 +406,7 @@
   s->pool = g_strdup (route->pool);
   s->id = g_strdup (id);
   s->key = mt_pool_job_key (route->pool, id);
-  s->value = mt_pool_value (route->name, mt_loop_wall (), body, &s->value_len);
+  s->value = mt_pool_value (&submission, &s->value_len);
   s->began = mt_loop_now ();
   frontend->busy++;
   if (!store_answers (frontend))
--- a/fleet/metrics.c
+++ b/fleet/metrics.c
@@ -18,6 +18,7 @@
   = { "questions_leader_total", "Questions answered by the pool's leader." },
   [MT_COUNT_ASKED_STORE] = { "questions_store_total", "Questions that needed the store." },
   [MT_COUNT_UNANSWERED] = { "questions_unanswered_total", "Questions without an answer in time." },
+  [MT_COUNT_UNAUTHORIZED] = { "calls_unauthorized_total", "Calls without a key that holds." },
   [MT_COUNT_DUTIES_LOST] = { "duties_lost_total", "Leaderships lost." },
 };
 
--- a/fleet/neighbours.c
+++ b/fleet/neighbours.c
@@ -17,7 +17,8 @@
                struct mt_mesh_call *call,
                enum mt_mesh_method method,
                struct mt_pool *pool,
-               const char *what)
+               const char *what,
+               const char *workspace)
 {
   char text[24];
 
@@ -28,7 +29,7 @@
     }
   if (method == MT_MESH_STATE)
     {
-      reply_text (call, mt_job_state_names[mt_scheduler_state (mt_pool_scheduler (pool), what)]);
+      reply_text (call, mt_job_state_names[mt_pool_state_for (pool, what, workspace)]);
       return;
     }
   g_snprintf (text, sizeof text, "%u", mt_scheduler_pending (mt_pool_scheduler (pool), what));
@@ -94,10 +95,18 @@
       mt_mesh_reply (call, NULL);
       return;
     case MT_MESH_STATE:
+      if (args->n == 3)
+        {
+          g_autofree char *workspace = g_strndup (args->at[2].data, args->at[2].len);
+
+          reply_of_pool (n, call, method, pool, what, workspace);
+          return;
+        }
+      break;
     case MT_MESH_PENDING:
       if (args->n == 2)
         {
-          reply_of_pool (n, call, method, pool, what);
+          reply_of_pool (n, call, method, pool, what, "");
           return;
         }
       break;
--- a/fleet/pool.c
+++ b/fleet/pool.c
@@ -533,29 +533,26 @@
 mt_pool_submitted (struct mt_pool *pool, const char *key, struct mt_str value, bool fresh)
 {
   const char *id = mt_pool_key_id (key);
-  g_autofree char *route = NULL;
+  struct mt_pool_submission submission;
   g_autoptr (GError) error = NULL;
-  int64_t accepted_ms;
-  struct mt_str body;
-  struct mt_job_spec *spec;
+  struct mt_job_spec *spec = NULL;
 
   if (mt_scheduler_knows (pool->sched, id))
     return;
-  if (!mt_pool_read_value (value, &route, &accepted_ms, &body))
-    {
-      mt_journal_tell (pool->options.journal, "RECORD_UNREADABLE", "pool=%s key=%s", pool->name,
-                       key);
-      return;
-    }
-  spec = pool->options.words->ops->job (id, route, body, &error);
+  if (mt_pool_read_value (value, &submission))
+    spec = pool->options.words->ops->job (id, submission.route, submission.body, &error);
   if (spec == NULL)
     {
       mt_journal_tell (pool->options.journal, "RECORD_UNREADABLE", "pool=%s key=%s why=%s",
-                       pool->name, key, error->message);
+                       pool->name, key, error != NULL ? error->message : "no submission");
+      mt_pool_submission_clear (&submission);
       return;
     }
-  spec->accepted_ms = accepted_ms;
-  mt_scheduler_submit (pool->sched, spec, mt_loop_now (), fresh ? accepted_ms : mt_loop_wall ());
+  spec->accepted_ms = submission.accepted_ms;
+  spec->workspace = g_strdup (submission.workspace);
+  mt_scheduler_submit (pool->sched, spec, mt_loop_now (),
+                       fresh ? submission.accepted_ms : mt_loop_wall ());
+  mt_pool_submission_clear (&submission);
   if (g_hash_table_contains (pool->early_cancels, id))
     mt_scheduler_cancel (pool->sched, id, mt_loop_now ());
   wake (pool);
@@ -630,6 +627,16 @@
   return pool->sched;
 }
 
+enum mt_job_state
+mt_pool_state_for (const struct mt_pool *pool, const char *id, const char *workspace)
+{
+  const char *owner = mt_scheduler_workspace (pool->sched, id);
+
+  if (owner == NULL || !mt_pool_may_see (owner, workspace))
+    return MT_JOB_UNKNOWN;
+  return mt_scheduler_state (pool->sched, id);
+}
+
 int64_t
 mt_pool_token (const struct mt_pool *pool)
 {
--- a/fleet/pool.h
+++ b/fleet/pool.h
@@ -35,6 +35,9 @@
 bool mt_pool_is_loaded (const struct mt_pool *pool);
 struct mt_scheduler *mt_pool_scheduler (struct mt_pool *pool);
 int64_t mt_pool_token (const struct mt_pool *pool);
+/* The job's state as the workspace may see it: another's job is unknown to it. */
+enum mt_job_state
+mt_pool_state_for (const struct mt_pool *pool, const char *id, const char *workspace);
 /* Does what has become due; to be called after the scheduler was fed from elsewhere. */
 void mt_pool_wake (struct mt_pool *pool);
 
--- a/fleet/pool_keys.c
+++ b/fleet/pool_keys.c
@@ -62,27 +62,49 @@
 }
 
 char *
-mt_pool_value (const char *route, int64_t accepted_ms, struct mt_str body, size_t *len)
+mt_pool_value (const struct mt_pool_submission *submission, size_t *len)
 {
+  struct mt_str body = submission->body;
   GString *out = g_string_sized_new (body.len + 64);
 
-  g_string_printf (out, "%s\n%" G_GINT64_FORMAT "\n", route, accepted_ms);
+  g_string_printf (out, "%s\n%" G_GINT64_FORMAT " %s\n", submission->route, submission->accepted_ms,
+                   submission->workspace);
   g_string_append_len (out, body.data, (gssize) body.len);
   *len = out->len;
   return g_string_free (out, FALSE);
 }
 
+/* Of a value that was written before there were workspaces the second line ends with the time. */
 bool
-mt_pool_read_value (struct mt_str value, char **route, int64_t *accepted_ms, struct mt_str *body)
+mt_pool_read_value (struct mt_str value, struct mt_pool_submission *out)
 {
   const char *end = value.data + value.len;
   const char *first = value.len > 0 ? memchr (value.data, '\n', value.len) : NULL;
   const char *second = first != NULL ? memchr (first + 1, '\n', (size_t) (end - first - 1)) : NULL;
+  const char *space;
 
+  *out = (struct mt_pool_submission){ 0 };
   if (second == NULL)
     return false;
-  *route = g_strndup (value.data, (gsize) (first - value.data));
-  *accepted_ms = strtoll (first + 1, NULL, 10);
-  *body = (struct mt_str){ second + 1, (size_t) (end - second - 1) };
+  space = memchr (first + 1, ' ', (size_t) (second - first - 1));
+  out->route = g_strndup (value.data, (gsize) (first - value.data));
+  out->workspace
+      = space != NULL ? g_strndup (space + 1, (gsize) (second - space - 1)) : g_strdup ("");
+  out->accepted_ms = strtoll (first + 1, NULL, 10);
+  out->body = (struct mt_str){ second + 1, (size_t) (end - second - 1) };
   return true;
 }
+
+bool
+mt_pool_may_see (const char *owner, const char *workspace)
+{
+  return owner[0] == '\0' || strcmp (owner, workspace) == 0;
+}
+
+void
+mt_pool_submission_clear (struct mt_pool_submission *submission)
+{
+  g_free (submission->route);
+  g_free (submission->workspace);
+  *submission = (struct mt_pool_submission){ 0 };
+}
--- a/fleet/pool_keys.h
+++ b/fleet/pool_keys.h
@@ -17,10 +17,21 @@
 /* The state that a progress record tells; MT_JOB_UNKNOWN where it can't be read. */
 enum mt_job_state mt_pool_record_state (struct mt_str record);
 
-/* A stored submission: its route, when it was accepted (Unix time), and the body as it came. */
-char *mt_pool_value (const char *route, int64_t accepted_ms, struct mt_str body, size_t *len);
-/* body borrows from value. */
-bool
-mt_pool_read_value (struct mt_str value, char **route, int64_t *accepted_ms, struct mt_str *body);
+/* A submission as it is stored. */
+struct mt_pool_submission
+{
+  char *route;
+  char *workspace;     /* whose job it is; "" for nobody's */
+  int64_t accepted_ms; /* Unix time */
+  struct mt_str body;  /* as it came */
+};
+
+char *mt_pool_value (const struct mt_pool_submission *submission, size_t *len);
+/* False for what can't be read. The body borrows from value; the rest is freed by
+ * mt_pool_submission_clear, also after false. */
+bool mt_pool_read_value (struct mt_str value, struct mt_pool_submission *out);
+void mt_pool_submission_clear (struct mt_pool_submission *submission);
+/* A job is seen and cancelled by its own workspace only; one of nobody's by whoever has a key. */
+bool mt_pool_may_see (const char *owner, const char *workspace);
 
 #endif
--- a/fleet/ports.c
+++ b/fleet/ports.c
@@ -19,6 +19,7 @@
     mt_fleet_route_clear (&config->routes[i]);
   for (size_t i = 0; i < config->n_pools; i++)
     g_free (config->pools[i].name);
+  mt_workspaces_destroy (config->workspaces);
   g_free (config->routes);
   g_free (config->pools);
   g_free (config);
--- a/fleet/ports.h
+++ b/fleet/ports.h
@@ -7,6 +7,7 @@
 
 #include "medlartrack/scheduler.h"
 #include "medlartrack/str.h"
+#include "medlartrack/workspaces.h"
 
 /* ---- store ---- */
 
@@ -205,7 +206,8 @@
   char *prefix;
   char *pool;
   struct mt_route_terms terms;
-  bool advice; /* only workers named by the advisor may run its steps */
+  bool advice;  /* only workers named by the advisor may run its steps */
+  bool keyless; /* its callers need no key */
 };
 
 struct mt_fleet_pool
@@ -221,6 +223,7 @@
   size_t n_routes;
   struct mt_fleet_pool *pools;
   size_t n_pools;
+  struct mt_workspaces *workspaces; /* NULL: callers need no key */
 };
 
 struct mt_registry_entry
@@ -259,6 +262,7 @@
 struct mt_words
 {
   const struct mt_words_ops *ops;
+  const char *key_header; /* in which a caller sends its key */
   /* Where the platform keeps what others write. */
   const char *config_key;
   const char *workers_prefix;
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -80,6 +80,7 @@
           "a caller was told that it is not known whether its job is stored")
 MT_EVENT (8104, CANCEL_ACCEPTED, G_LOG_LEVEL_MESSAGE, "a cancelling is stored")
 MT_EVENT (8105, CALL_FAILED, G_LOG_LEVEL_WARNING, "a question about a job had no answer in time")
+MT_EVENT (8108, CALLER_REFUSED, G_LOG_LEVEL_WARNING, "a call came without a key that holds")
 MT_EVENT (8106, JOB_BEGUN, G_LOG_LEVEL_MESSAGE, "the first task of a job runs")
 MT_EVENT (8107, JOB_ENDED, G_LOG_LEVEL_MESSAGE, "a job has ended")
 
--- a/include/medlartrack/job_spec.h
+++ b/include/medlartrack/job_spec.h
@@ -43,7 +43,8 @@
 {
   char *id;
   char *route;
-  char *payload; /* handed to the tasks as it came */
+  char *workspace; /* whose quota it counts against; NULL or "" for nobody's */
+  char *payload;   /* handed to the tasks as it came */
   unsigned n_steps;
   struct mt_step *steps;
   unsigned repeats;     /* 0: once, now */
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -70,6 +70,8 @@
 /* Nothing of the job runs or will. */
 bool mt_job_state_is_final (enum mt_job_state state);
 
+/* Whose job it is, "" for nobody's; NULL where the job isn't known. */
+const char *mt_scheduler_workspace (const struct mt_scheduler *sched, const char *id);
 /* As far as it is durable. */
 enum mt_job_state mt_scheduler_state (const struct mt_scheduler *sched, const char *id);
 /* Accepted jobs of the route of which no task has started. */
--- a/net/http_front.c
+++ b/net/http_front.c
@@ -157,6 +157,8 @@
       g_snprintf (retry, sizeof retry, "%u", retry_after_s);
       MHD_add_response_header (exchange->response, MHD_HTTP_HEADER_RETRY_AFTER, retry);
     }
+  if (status == MHD_HTTP_UNAUTHORIZED)
+    MHD_add_response_header (exchange->response, MHD_HTTP_HEADER_WWW_AUTHENTICATE, "ApiKey");
   if (exchange->front->closing)
     MHD_add_response_header (exchange->response, MHD_HTTP_HEADER_CONNECTION, "close");
   if (!exchange->suspended)
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -21,7 +21,7 @@
 {
   MT_MESH_SUBMITTED = 1, /* [pool, job's key, stored value]: it is durable */
   MT_MESH_CANCELLED = 2, /* [pool, job id]: it is durable */
-  MT_MESH_STATE = 3,     /* [pool, job id] -> [state's name] */
+  MT_MESH_STATE = 3,     /* [pool, job id, who asks] -> [state's name] */
   MT_MESH_PENDING = 4,   /* [pool, route] -> [number] */
   MT_MESH_STORE = 5,     /* [method, path, body] -> [status, body]: a store call for a neighbour */
   MT_MESH_CORDON = 6,    /* [pool, workers to empty, ended ones, due ones, room] -> [the pool's load
--- a/tests/ctl/test_explain.c
+++ b/tests/ctl/test_explain.c
@@ -105,6 +105,19 @@
                               "for certainty");
 }
 
+/* Guards against a caller whose key was taken away and who is told nothing of it. */
+static void
+test_refused_caller_is_told_why (void **state)
+{
+  const char *lines = "{\"at\":1.0,\"event\":8108,\"name\":\"CALLER_REFUSED\","
+                      "\"id\":\"00f6226332f5636d\",\"status\":401,\"why\":\"unknown key\"}\n";
+  int code;
+  g_autofree char *cause = cause_of (lines, "00f6226332f5636d", &code);
+
+  assert_int_equal (code, MT_EXIT_OK);
+  assert_string_equal (cause, "its caller was refused, nothing was stored: unknown key");
+}
+
 /* A job of which no line tells is an error that says what to collect; lines that are no events are
  * passed over. */
 static void
@@ -126,6 +139,7 @@
     cmocka_unit_test (test_accepted_but_late),
     cmocka_unit_test (test_run_again_after_its_worker_was_lost),
     cmocka_unit_test (test_start_without_an_answer_is_named),
+    cmocka_unit_test (test_refused_caller_is_told_why),
     cmocka_unit_test (test_unknown_job_is_an_error),
   };
 
--- a/tests/platform/test_words.c
+++ b/tests/platform/test_words.c
@@ -57,10 +57,69 @@
     }
 }
 
+#define ROUTES                                                                                     \
+  "{\"version\":7,\"routes\":[{\"name\":\"one\",\"prefix\":\"/a/\",\"service\":\"s\"},"            \
+  "{\"name\":\"two\",\"prefix\":\"/b/\",\"service\":\"s\",\"auth-exempt\":true}],"                 \
+  "\"services\":[{\"name\":\"s\"}]"
+
+static void
+test_workspaces_are_read_with_keys_and_quotas (void **state)
+{
+  struct mt_words words = mt_adapter_words ();
+  struct mt_fleet_config *config
+      = words.ops->config (MT_STR (ROUTES ",\"tenants\":[{\"name\":\"yard\",\"api-keys\":[\"k1\","
+                                          "\"k2\"],\"weight\":12,\"cap\":{\"cpu\":4000,"
+                                          "\"mem-mb\":512,\"gpu\":0}},{\"name\":\"press\"}]}"),
+                           NULL);
+  const struct mt_workspace *yard;
+
+  assert_non_null (config);
+  assert_false (config->routes[0].keyless);
+  assert_true (config->routes[1].keyless);
+  yard = mt_workspaces_by_key (config->workspaces, "k2");
+  assert_string_equal (yard->name, "yard");
+  assert_int_equal (yard->rate, 12);
+  assert_int_equal (yard->quota.cpu, 4000);
+  assert_int_equal (yard->quota.mem, 512);
+  assert_null (mt_workspaces_by_key (config->workspaces, "k3"));
+  mt_fleet_config_free (config);
+  config = words.ops->config (MT_STR (ROUTES "}"), NULL);
+  assert_null (config->workspaces);
+  mt_fleet_config_free (config);
+}
+
+/* Guards against callers of one workspace taken for another's: what is ambiguous is refused whole,
+ * and the configuration in force stays. */
+static void
+test_unreadable_workspaces_are_refused_whole (void **state)
+{
+  static const char *const rows[]
+      = { "{}",
+          "7",
+          "{\"name\":\"a\"},{\"name\":\"a\"}",
+          "{\"name\":\"a\",\"api-keys\":[\"secret\"]},{\"name\":\"b\",\"api-keys\":[\"secret\"]}",
+          "{\"name\":\"a\",\"api-keys\":[5]}",
+          "{\"name\":\"a\",\"cap\":{\"cpu\":-1}}",
+          "{\"name\":\"a\",\"weight\":-3}" };
+  struct mt_words words = mt_adapter_words ();
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      g_autofree char *text = g_strdup_printf (ROUTES ",\"tenants\":[%s]}", rows[i]);
+      g_autoptr (GError) error = NULL;
+
+      assert_null (words.ops->config (mt_str_from (text), &error));
+      assert_non_null (strstr (error->message, "workspace"));
+      assert_null (strstr (error->message, "secret"));
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_workspaces_are_read_with_keys_and_quotas),
+    cmocka_unit_test (test_unreadable_workspaces_are_refused_whole),
     cmocka_unit_test (test_rows_without_a_name_are_passed_over),
     cmocka_unit_test (test_unreadable_configuration_names_the_remedy),
   };
--- a/tests/process/harness.c
+++ b/tests/process/harness.c
@@ -262,12 +262,13 @@
               const char *body)
 {
   g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", process->port);
-  struct mt_http_header header
-      = { MT_STR ("Idempotency-Key"), mt_str_from (key != NULL ? key : "") };
+  struct mt_str text = mt_str_from (key != NULL ? key : "");
+  struct mt_http_header headers[]
+      = { { MT_STR ("Idempotency-Key"), text }, { MT_STR ("Api-Key"), text } };
   struct mt_http_call call = { .method = method,
                                .path = path,
-                               .headers = &header,
-                               .n_headers = key != NULL ? 1 : 0,
+                               .headers = headers,
+                               .n_headers = key != NULL ? G_N_ELEMENTS (headers) : 0,
                                .body = mt_str_from (body != NULL ? body : ""),
                                .fresh = true,
                                .deadline_us = mt_clock_now (mt_clock_system ()) + SEND_LIMIT_US,
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -62,7 +62,8 @@
 int harness_stop (struct process *process);
 void harness_signal (const struct process *process, int number);
 
-/* Sends one request on a connection of its own; key may be NULL. */
+/* Sends one request on a connection of its own. key: its idempotency key, and the caller's API key;
+ * NULL for none. */
 struct reply harness_send (struct harness *harness,
                            const struct process *process,
                            const char *method,
--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -37,9 +37,10 @@
   return harness_status (f->harness, f->platform, "POST", path, NULL, body);
 }
 
-/* Version n of the configuration has routes r1 to rn, all of one pool. */
+/* Version n of the configuration has routes r1 to rn, all of one pool; workspaces: JSON rows, NULL
+ * where callers need no key. */
 static void
-configure (struct fixture *f, unsigned version)
+configure_workspaces (struct fixture *f, unsigned version, const char *workspaces)
 {
   g_autoptr (GString) text = g_string_new (NULL);
 
@@ -50,10 +51,19 @@
         "%s{\"name\":\"r%u\",\"host\":\"127.0.0.1\",\"prefix\":\"/r%u/\",\"service\":\"quotes\","
         "\"max-attempts\":3,\"stretch\":1.6,\"target-duration-ms\":600,\"priority\":0}",
         i > 1 ? "," : "", i, i);
-  g_string_append (text, "],\"services\":[{\"name\":\"quotes\",\"standby\":false}],\"limits\":{}}");
+  g_string_append (text, "],\"services\":[{\"name\":\"quotes\",\"standby\":false}],\"limits\":{}");
+  if (workspaces != NULL)
+    g_string_append_printf (text, ",\"tenants\":[%s]", workspaces);
+  g_string_append_c (text, '}');
   assert_int_equal (test_call (f, "/test/put?key=op/config", text->str), 200);
 }
 
+static void
+configure (struct fixture *f, unsigned version)
+{
+  configure_workspaces (f, version, NULL);
+}
+
 static struct process *
 start_daemon (struct fixture *f, unsigned i)
 {
@@ -423,6 +433,92 @@
   destroy_fixture (f);
 }
 
+/* ---- workspaces ---- */
+
+#define YARD_KEY     "k0-yard-secret"
+#define YARD_KEY_TWO "k1-yard-secret"
+#define PRESS_KEY    "k2-press-secret"
+#define PRESS        "{\"name\":\"press\",\"api-keys\":[\"" PRESS_KEY "\"]}"
+#define YARD(keys)   "{\"name\":\"yard\",\"api-keys\":[" keys "],\"cap\":{\"cpu\":2000}}"
+
+static int
+call (struct fixture *f, unsigned daemon, const char *method, const char *id, const char *key)
+{
+  g_autofree char *path = g_strdup_printf ("/r1/%s", id);
+  g_autofree char *body = g_strdup_printf (JOB, 2, 300);
+
+  return harness_status (f->harness, f->daemons[daemon], method, path, key,
+                         strcmp (method, "POST") == 0 ? body : NULL);
+}
+
+static bool
+is_refused_by_all (void *ctx)
+{
+  struct fixture *f = ctx;
+
+  for (unsigned i = 0; i < DAEMONS; i++)
+    if (call (f, i, "GET", f->id, f->state) != 401)
+      return false;
+  return true;
+}
+
+/* f->state: a key. */
+static void
+wait_refused (struct fixture *f, const char *id, const char *key)
+{
+  f->id = id;
+  f->state = key;
+  assert_true (harness_wait (is_refused_by_all, f));
+}
+
+/* Guards against keys in what operators and their collectors read. */
+static void
+check_logs_without_keys (struct fixture *f)
+{
+  for (unsigned i = 0; i < DAEMONS; i++)
+    {
+      g_autofree char *text = NULL;
+
+      harness_signal (f->daemons[i], SIGUSR1);
+      g_usleep (100 * 1000);
+      assert_true (g_file_get_contents (f->daemons[i]->log_path, &text, NULL, NULL));
+      assert_non_null (strstr (text, "CALLER_REFUSED"));
+      assert_null (strstr (text, "secret"));
+    }
+}
+
+/* Guards against callers that are let in without a key, with one that was taken away, or to
+ * another workspace's jobs. */
+static void
+test_keys_decide_who_is_served (void **state)
+{
+  struct fixture *f = create_fixture ("200");
+  const char *id = "00000000000000bb";
+
+  wait_ready (f);
+  wait_state (f, "00000000000000aa", "completed");
+  configure_workspaces (f, 2, PRESS "," YARD ("\"" YARD_KEY "\",\"" YARD_KEY_TWO "\""));
+  wait_refused (f, id, "k9-nobodys-secret");
+  assert_int_equal (call (f, 0, "POST", id, NULL), 401);
+  assert_int_equal (call (f, 1, "DELETE", id, "k9-nobodys-secret"), 401);
+  assert_int_equal (call (f, 0, "POST", id, YARD_KEY), 200);
+  assert_int_equal (call (f, 1, "GET", id, YARD_KEY_TWO), 200);
+  assert_int_equal (call (f, 1, "POST", id, YARD_KEY_TWO), 200);
+  for (unsigned i = 0; i < DAEMONS; i++)
+    {
+      assert_int_equal (call (f, i, "GET", id, PRESS_KEY), 410);
+      assert_int_equal (call (f, i, "DELETE", id, PRESS_KEY), 410);
+      assert_int_equal (call (f, i, "POST", id, PRESS_KEY), 409);
+    }
+  configure_workspaces (f, 3, PRESS "," YARD ("\"" YARD_KEY_TWO "\""));
+  wait_refused (f, id, YARD_KEY);
+  assert_int_equal (call (f, 2, "GET", id, YARD_KEY_TWO), 200);
+  configure_workspaces (f, 4, PRESS "," YARD (""));
+  wait_refused (f, id, YARD_KEY_TWO);
+  check_logs_without_keys (f);
+  destroy_fixture (f);
+}
+
 /* ---- workers and machines ---- */
 
 /* A third of the orders is carried out without an answer. Each job ends, and no task runs twice. */
@@ -499,6 +595,7 @@
     cmocka_unit_test (test_daemon_that_refuses_is_not_ready),
     cmocka_unit_test (test_forgotten_history_hides_no_configuration),
     cmocka_unit_test (test_configuration_never_goes_back),
+    cmocka_unit_test (test_keys_decide_who_is_served),
     cmocka_unit_test (test_lost_orders_run_nothing_twice),
     cmocka_unit_test (test_wave_under_a_killed_controller),
   };
