--- a/core/scheduler/scheduler.c
+++ b/core/scheduler/scheduler.c
@@ -154,6 +154,7 @@
   sched->routes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_route);
   sched->workers = g_hash_table_new (g_str_hash, g_str_equal);
   sched->advices = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_advice);
+  sched->accounts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, mt_account_free);
   sched->dirty = g_ptr_array_new ();
   sched->writing = g_ptr_array_new ();
   sched->graveyard = g_ptr_array_new_with_free_func (free_worker);
@@ -173,6 +174,7 @@
   g_hash_table_unref (sched->routes);
   g_hash_table_unref (sched->workers);
   g_hash_table_unref (sched->advices);
+  g_hash_table_unref (sched->accounts);
   g_ptr_array_unref (sched->dirty);
   g_ptr_array_unref (sched->writing);
   g_ptr_array_unref (sched->graveyard);
@@ -323,6 +325,7 @@
   job = g_new0 (struct mt_job, 1);
   job->spec = spec;
   job->route = get_route (sched, spec->route);
+  job->account = mt_scheduler_account (sched, spec->workspace);
   job->n_occurrences = spec->repeats > 0 ? spec->repeats : 1;
   job->occurrences = g_new0 (struct mt_occurrence *, job->n_occurrences);
   job->submitted = now - age;
--- /dev/null
+++ b/core/scheduler/scheduler_accounts.c
@@ -0,0 +1,250 @@
+/* Quotas of workspaces: what each may have running in all pools together.
+ *
+ * The load: pools are placed by different daemons at the same moment, and a workspace's jobs come
+ * to one of them in a surge. Each pool keeps to a part of the quota that the fleet's leader deals
+ * out and takes back (grants.c). */
+#include "scheduler_internal.h"
+
+/* Of an even share: what a pool may use before it has heard of its part. All pools together stay
+ * within the overrun that operators allow for. */
+#define UNTOLD_SHARE 0.1
+/* ... and for how long: by then whoever deals has missed it for a while, and what the others had
+ * running beyond their shares has ended. */
+#define UNTOLD_MS 4000
+
+void
+mt_account_free (void *data)
+{
+  struct mt_account *account = data;
+
+  g_free (account->name);
+  g_free (account);
+}
+
+struct mt_account *
+mt_scheduler_account (struct mt_scheduler *sched, const char *workspace)
+{
+  struct mt_account *account;
+
+  if (workspace == NULL || workspace[0] == '\0')
+    return NULL;
+  account = g_hash_table_lookup (sched->accounts, workspace);
+  if (account != NULL)
+    return account;
+  account = g_new0 (struct mt_account, 1);
+  account->name = g_strdup (workspace);
+  g_hash_table_insert (sched->accounts, account->name, account);
+  return account;
+}
+
+/* All pools shrink their parts alike, whether or not somebody who deals them out reaches them. */
+static void
+shrink_part (struct mt_account *account, const struct mt_room *quota, unsigned i)
+{
+  int64_t before = mt_room_get (&account->terms.quota, i);
+  int64_t after = mt_room_get (quota, i);
+  int64_t *granted = mt_room_part (&account->granted, i);
+
+  if (after > 0 && after < before)
+    *granted = (int64_t) ((double) *granted * (double) after / (double) before);
+}
+
+void
+mt_scheduler_set_workspace (struct mt_scheduler *sched,
+                            const char *name,
+                            const struct mt_workspace_terms *terms)
+{
+  struct mt_account *account = mt_scheduler_account (sched, name);
+
+  if (account == NULL)
+    return;
+  for (unsigned i = 0; i < MT_ROOM_PARTS; i++)
+    shrink_part (account, &terms->quota, i);
+  account->terms = *terms;
+  sched->changed = true;
+}
+
+void
+mt_account_count (struct mt_account *account, const struct mt_step *step, int sign)
+{
+  if (account == NULL)
+    return;
+  for (unsigned i = 0; i < MT_ROOM_PARTS; i++)
+    *mt_room_part (&account->used, i) += sign * mt_room_get (&step->need, i);
+}
+
+static int64_t
+even_share (const struct mt_account *account, unsigned i)
+{
+  return mt_room_get (&account->terms.quota, i) / MAX (account->terms.pools, 1U);
+}
+
+/* A pool that hears nothing keeps no more than an even share: whoever deals counts on that, and can
+ * give the rest to others. One that has never heard waits until the others have made room for it.
+ */
+static int64_t
+part_of (const struct mt_scheduler *sched,
+         const struct mt_account *account,
+         unsigned i,
+         int64_t now)
+{
+  int64_t quota = mt_room_get (&account->terms.quota, i);
+  int64_t even = even_share (account, i);
+  int64_t granted = mt_room_get (&account->granted, i);
+
+  if (account->told)
+    return MIN (granted, now < sched->grants_until ? quota : even);
+  if (now - sched->created < UNTOLD_MS)
+    return (int64_t) (UNTOLD_SHARE * (double) even);
+  return even;
+}
+
+/* A pool that has the whole quota may go beyond it by one task: one that is larger than all of it
+ * would never run. */
+bool
+mt_account_has_room (const struct mt_scheduler *sched,
+                     const struct mt_account *account,
+                     const struct mt_step *step,
+                     int64_t now)
+{
+  for (unsigned i = 0; account != NULL && i < MT_ROOM_PARTS; i++)
+    {
+      int64_t quota = mt_room_get (&account->terms.quota, i);
+      int64_t used = mt_room_get (&account->used, i);
+      int64_t part;
+
+      if (quota == 0)
+        continue;
+      part = part_of (sched, account, i, now);
+      if (used + mt_room_get (&step->need, i) > part && (part < quota || used >= quota))
+        return false;
+    }
+  return true;
+}
+
+/* ---- parts ---- */
+
+/* What a lease allowed beyond an even share does not come back with the next message: others have
+ * it by now. */
+static void
+drop_lapsed (struct mt_scheduler *sched, int64_t now)
+{
+  GHashTableIter it;
+  struct mt_account *account;
+
+  if (now < sched->grants_until)
+    return;
+  g_hash_table_iter_init (&it, sched->accounts);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &account))
+    for (unsigned i = 0; i < MT_ROOM_PARTS; i++)
+      {
+        int64_t *granted = mt_room_part (&account->granted, i);
+
+        *granted = MIN (*granted, even_share (account, i));
+      }
+}
+
+bool
+mt_scheduler_granted (struct mt_scheduler *sched,
+                      const struct mt_grant_message *message,
+                      int64_t now)
+{
+  if (message->token < sched->grants_token
+      || (message->token == sched->grants_token && message->number <= sched->grants_number))
+    return false;
+  drop_lapsed (sched, now);
+  sched->grants_token = message->token;
+  sched->grants_number = message->number;
+  sched->grants_all = message->all;
+  sched->grants_until = now + MT_GRANT_MS;
+  for (size_t i = 0; i < message->n_grants; i++)
+    {
+      struct mt_account *account = mt_scheduler_account (sched, message->grants[i].workspace);
+
+      if (account == NULL)
+        continue;
+      account->granted = message->grants[i].room;
+      account->told = true;
+      sched->changed = true;
+    }
+  return true;
+}
+
+static bool
+is_limited (const struct mt_account *account)
+{
+  const struct mt_room *quota = &account->terms.quota;
+
+  return quota->cpu > 0 || quota->mem > 0 || quota->gpu > 0;
+}
+
+static bool
+has_news (const struct mt_account_view *view)
+{
+  return !view->told || view->used.mem > 0 || view->used.cpu > 0 || view->waiting.mem > 0
+         || view->waiting.cpu > 0;
+}
+
+static void
+add_waiting (const struct mt_occurrence *occ, struct mt_account_view *view)
+{
+  for (unsigned s = 0; s < occ->job->spec->n_steps; s++)
+    {
+      const struct mt_step *step = &occ->job->spec->steps[s];
+
+      if (occ->step_waiting[s] == 0 || !mt_occurrence_ready (occ, s))
+        continue;
+      for (unsigned i = 0; i < MT_ROOM_PARTS; i++)
+        {
+          int64_t need = mt_room_get (&step->need, i);
+          int64_t *unit = mt_room_part (&view->unit, i);
+
+          *mt_room_part (&view->waiting, i) += occ->step_waiting[s] * need;
+          *unit = MAX (*unit, need);
+        }
+    }
+}
+
+static void
+add_jobs (const struct mt_scheduler *sched, GHashTable *views)
+{
+  for (GList *l = sched->open.head; l != NULL; l = l->next)
+    {
+      const struct mt_job *job = l->data;
+      struct mt_account_view *view
+          = job->account != NULL ? g_hash_table_lookup (views, job->account) : NULL;
+
+      for (unsigned k = 0; view != NULL && k < job->n_occurrences; k++)
+        if (job->occurrences[k] != NULL && !job->occurrences[k]->ended)
+          add_waiting (job->occurrences[k], view);
+    }
+}
+
+size_t
+mt_scheduler_accounts (const struct mt_scheduler *sched, struct mt_account_view *out, size_t max)
+{
+  g_autoptr (GHashTable) views = g_hash_table_new (NULL, NULL);
+  GHashTableIter it;
+  struct mt_account *account;
+  struct mt_account_view *view;
+  size_t n = 0;
+  size_t kept = 0;
+
+  g_hash_table_iter_init (&it, sched->accounts);
+  while (n < max && g_hash_table_iter_next (&it, NULL, (void **) &account))
+    {
+      if (!is_limited (account))
+        continue;
+      view = &out[n++];
+      *view = (struct mt_account_view){ .workspace = account->name,
+                                        .used = account->used,
+                                        .granted = account->granted,
+                                        .told = account->told };
+      g_hash_table_insert (views, account, view);
+    }
+  add_jobs (sched, views);
+  for (size_t i = 0; i < n; i++)
+    if (sched->grants_all || has_news (&out[i]))
+      out[kept++] = out[i];
+  return kept;
+}
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -69,10 +69,23 @@
   bool counted; /* its work is in the route's mean */
 };
 
+/* A workspace's tasks in this pool. */
+struct mt_account
+{
+  char *name;
+  struct mt_workspace_terms terms;
+  struct mt_room used;    /* by tasks that have a worker */
+  struct mt_room granted; /* this pool's part of the quota */
+  bool told;              /* granted was said by a message */
+  double jobs;            /* of late, beyond none a second; see scheduler_accounts.c */
+  int64_t jobs_at;
+};
+
 struct mt_job
 {
   struct mt_job_spec *spec;
   struct mt_route *route;
+  struct mt_account *account;         /* NULL where it is nobody's */
   struct mt_occurrence **occurrences; /* of each occurrence, NULL until it is due */
   unsigned n_occurrences;
   unsigned n_ended;
@@ -180,6 +193,12 @@
   GHashTable *routes;   /* name to struct mt_route */
   GHashTable *workers;  /* id to struct mt_worker */
   GHashTable *advices;  /* step name to struct mt_advice */
+  GHashTable *accounts; /* workspace to struct mt_account */
+  int64_t grants_token; /* of the last message ... */
+  uint64_t grants_number;
+  bool grants_all;      /* it asked for every account */
+  int64_t grants_until; /* what it said holds until then */
+  int64_t created;      /* when it first placed; 0 */
   GQueue open;          /* jobs not ended, in order of submission */
   GQueue closed;        /* ended ones, in order of their end */
   GPtrArray *dirty;     /* jobs to be written, or that were */
@@ -263,6 +282,18 @@
 void mt_task_keep_checkpoint (struct mt_task *task, const char *checkpoint);
 void mt_task_unqueue (struct mt_scheduler *sched, struct mt_task *task);
 
+/* scheduler_accounts.c */
+/* NULL for no workspace's. */
+struct mt_account *mt_scheduler_account (struct mt_scheduler *sched, const char *workspace);
+void mt_account_free (void *data);
+/* A task of the step takes room, or gives it back (sign -1). */
+void mt_account_count (struct mt_account *account, const struct mt_step *step, int sign);
+/* One more task of the step may run in this pool. */
+bool mt_account_has_room (const struct mt_scheduler *sched,
+                          const struct mt_account *account,
+                          const struct mt_step *step,
+                          int64_t now);
+
 /* scheduler_arrivals.c */
 /* A job has come just now. */
 void mt_route_count_arrival (const struct mt_job *job, int64_t now);
--- a/core/scheduler/scheduler_load.c
+++ b/core/scheduler/scheduler_load.c
@@ -183,11 +183,27 @@
   return sum;
 }
 
+/* Machines are of no use to a job that waits for its workspace's quota. */
+static bool
+waits_for_quota (const struct mt_scheduler *sched, const struct mt_occurrence *occ, int64_t now)
+{
+  for (unsigned s = 0; s < occ->job->spec->n_steps; s++)
+    if (occ->step_waiting[s] > 0 && mt_occurrence_ready (occ, s)
+        && !mt_account_has_room (sched, occ->job->account, &occ->job->spec->steps[s], now))
+      return true;
+  return false;
+}
+
 static void
-add_waiting (struct mt_scheduler_load *load, const struct mt_occurrence *occ, int64_t now)
+add_waiting (const struct mt_scheduler *sched,
+             struct mt_scheduler_load *load,
+             const struct mt_occurrence *occ,
+             int64_t now)
 {
   bool timely = mt_occurrence_is_timely (occ, now);
 
+  if (waits_for_quota (sched, occ, now))
+    return;
   if (timely)
     load->demand_cpu += demand_of (occ, now);
   else
@@ -251,7 +267,7 @@
 
       for (unsigned k = 0; k < job->n_occurrences; k++)
         if (job->occurrences[k] != NULL && !job->occurrences[k]->ended)
-          add_waiting (load, job->occurrences[k], now);
+          add_waiting (sched, load, job->occurrences[k], now);
     }
   g_hash_table_iter_init (&it, sched->workers);
   while (g_hash_table_iter_next (&it, NULL, (void **) &w))
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -377,7 +377,9 @@
 
   if (task->state != MT_TASK_WAITING || task->not_before > site->now)
     return true;
-  if (is_hopeless (site, mt_task_step (task)))
+  if (is_hopeless (site, mt_task_step (task))
+      || !mt_account_has_room (site->sched, task->occ->job->account, mt_task_step (task),
+                               site->now))
     return false;
   w = choose (site, task);
   if (w == NULL)
@@ -523,12 +525,21 @@
     }
 }
 
+static bool
+is_over_quota (const struct site *site, const struct bundle *b)
+{
+  return !mt_account_has_room (site->sched, b->occ->job->account,
+                               &b->occ->job->spec->steps[b->step], site->now);
+}
+
 void
 mt_scheduler_place (struct mt_scheduler *sched, int64_t now)
 {
   g_autoptr (GArray) bundles = g_array_new (FALSE, FALSE, sizeof (struct bundle));
   struct site site = { .sched = sched, .now = now, .takers = g_ptr_array_new () };
 
+  if (sched->created == 0)
+    sched->created = now;
   site.most = link_room (sched, now);
 
   find_takers (&site);
@@ -555,8 +566,10 @@
 
       if (site.takers->len > 0 && site.placed < site.most)
         place_bundle (&site, b);
-      /* What waits for the link does not lack room. */
-      b->occ->step_left[b->step] = site.placed < site.most ? b->occ->step_waiting[b->step] : 0;
+      /* What waits for the link or for its quota does not lack room. */
+      b->occ->step_left[b->step] = site.placed < site.most && !is_over_quota (&site, b)
+                                       ? b->occ->step_waiting[b->step]
+                                       : 0;
     }
   note_shortage (sched, now);
   g_ptr_array_unref (site.takers);
--- a/core/scheduler/scheduler_tasks.c
+++ b/core/scheduler/scheduler_tasks.c
@@ -95,6 +95,7 @@
     return;
   g_queue_unlink (&w->tasks, &task->link);
   add_room (w, mt_task_step (task), -1);
+  mt_account_count (task->occ->job->account, mt_task_step (task), -1);
   task->worker = NULL;
   w->pace_at = 0;
 }
@@ -118,6 +119,7 @@
   task->link.data = task;
   g_queue_push_tail_link (&w->tasks, &task->link);
   add_room (w, mt_task_step (task), 1);
+  mt_account_count (task->occ->job->account, mt_task_step (task), 1);
   mt_job_mark (sched, task->occ->job);
 }
 
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -112,7 +112,7 @@
 static void
 set_routes (struct mt_fleet *f, const char *name, struct mt_pool *pool)
 {
-  for (size_t i = 0; f->config != NULL && i < f->config->n_routes; i++)
+  for (size_t i = 0; i < f->config->n_routes; i++)
     {
       const struct mt_fleet_route *route = &f->config->routes[i];
 
@@ -123,6 +123,34 @@
     }
 }
 
+static void
+set_workspaces (const struct mt_fleet_config *config, struct mt_scheduler *sched)
+{
+  struct mt_workspace_terms terms = { 0 };
+
+  for (size_t i = 0; i < config->n_pools; i++)
+    terms.pools += !config->pools[i].standby;
+  for (unsigned i = 0; config->workspaces != NULL && i < mt_workspaces_count (config->workspaces);
+       i++)
+    {
+      const struct mt_workspace *workspace = mt_workspaces_at (config->workspaces, i);
+
+      terms.quota = workspace->quota;
+      terms.rate = workspace->rate;
+      mt_scheduler_set_workspace (sched, workspace->name, &terms);
+    }
+}
+
+/* What the configuration says of a pool that is led here. */
+static void
+configure_pool (struct mt_fleet *f, const char *name, struct mt_pool *pool)
+{
+  if (f->config == NULL)
+    return;
+  set_routes (f, name, pool);
+  set_workspaces (f->config, mt_pool_scheduler (pool));
+}
+
 static struct mt_scheduler_settings
 scheduler_settings (const struct mt_fleet *f)
 {
@@ -203,7 +231,7 @@
     }
   pool = mt_pool_create (f->base, &options);
   g_hash_table_insert (f->pools, g_strdup (leadership), pool);
-  set_routes (f, leadership, pool);
+  configure_pool (f, leadership, pool);
   if (f->roster == NULL)
     f->roster = mt_roster_create (f->base, &registry);
   else
@@ -244,7 +272,7 @@
   mt_cluster_set_leaderships (f->cluster, (const char *const *) leaderships->pdata);
   g_hash_table_iter_init (&it, f->pools);
   while (g_hash_table_iter_next (&it, (void **) &name, (void **) &pool))
-    set_routes (f, name, pool);
+    configure_pool (f, name, pool);
   if (f->leader != NULL)
     mt_fleet_leader_set_config (f->leader, config);
   mt_fleet_config_free (old);
--- a/fleet/fleet_leader.c
+++ b/fleet/fleet_leader.c
@@ -1,8 +1,10 @@
 #include "fleet_leader.h"
 
+#include "grants_wire.h"
 #include "journal.h"
 #include "loop.h"
 #include "medlartrack/controller.h"
+#include "medlartrack/grants.h"
 #include "pool_report.h"
 #include "watcher.h"
 
@@ -50,6 +52,7 @@
   struct mt_fleet_leader_options options;
   char *leader_key;
   struct mt_controller *controller;
+  struct mt_grants *grants;
   struct mt_watcher *watch;
   struct mt_timer *tick;
   GHashTable *waves; /* key to struct wave */
@@ -85,6 +88,7 @@
   struct mt_fleet_leader *lead = data;
 
   mt_controller_destroy (lead->controller);
+  mt_grants_destroy (lead->grants);
   mt_timer_destroy (lead->tick);
   g_hash_table_unref (lead->waves);
   g_ptr_array_unref (lead->pools);
@@ -103,6 +107,7 @@
 {
   struct mt_fleet_leader *leader;
   char *name;
+  uint64_t number; /* of the parts of quotas that it tells */
 };
 
 static struct named_call *
@@ -351,7 +356,7 @@
 static void decide (struct mt_fleet_leader *lead);
 
 static void
-take_report (struct mt_fleet_leader *lead, const char *pool, struct mt_str bytes)
+take_report (struct mt_fleet_leader *lead, const char *pool, uint64_t number, struct mt_str bytes)
 {
   struct mt_pool_report report;
 
@@ -359,6 +364,8 @@
     return;
   mt_controller_pool (lead->controller, pool, &report.load, report.workers, report.n_workers,
                       mt_loop_now ());
+  mt_grants_answered (lead->grants, pool, number, report.accounts, report.n_accounts,
+                      mt_loop_now ());
   mt_pool_report_clear (&report);
 }
 
@@ -370,7 +377,7 @@
 
   if (!call->leader->destroyed && args != NULL && args->n == 1)
     {
-      take_report (call->leader, call->name, args->at[0]);
+      take_report (call->leader, call->name, call->number, args->at[0]);
       decide (call->leader);
     }
   free_named_call (call);
@@ -386,9 +393,16 @@
   g_autofree char *ended = g_strjoinv (",", notes.ended);
   g_autofree char *due = g_strjoinv (",", notes.due);
   g_autofree char *room = g_strdup_printf ("%" G_GINT64_FORMAT, notes.room_cpu);
-  struct mt_fleet_leader_notes texts
-      = { mt_str_from (cordon), mt_str_from (ended), mt_str_from (due), mt_str_from (room) };
-
+  struct mt_grant_message message = mt_grants_message (lead->grants, name, mt_loop_now ());
+  size_t grants_len = 0;
+  g_autofree char *grants = mt_grants_pack (&message, &grants_len);
+  struct mt_fleet_leader_notes texts = { mt_str_from (cordon),
+                                         mt_str_from (ended),
+                                         mt_str_from (due),
+                                         mt_str_from (room),
+                                         { grants, grants_len } };
+
+  g_free ((struct mt_grant *) message.grants);
   mt_controller_notes_clear (&notes);
   if (local != NULL)
     {
@@ -396,15 +410,17 @@
       g_autofree char *bytes = mt_fleet_leader_serve (local, &texts, &len);
 
       if (bytes != NULL)
-        take_report (lead, name, (struct mt_str){ bytes, len });
+        take_report (lead, name, message.number, (struct mt_str){ bytes, len });
     }
   else if (holder != NULL)
     {
-      struct mt_mesh_args args
-          = { 5, { mt_str_from (name), texts.cordon, texts.ended, texts.due, texts.room } };
+      struct mt_mesh_args args = {
+        6, { mt_str_from (name), texts.cordon, texts.ended, texts.due, texts.room, texts.grants }
+      };
+      struct named_call *call = new_named_call (lead, name);
 
-      mt_mesh_send (lead->options.mesh, holder, MT_MESH_CORDON, &args, REPORT_MS, on_report,
-                    new_named_call (lead, name));
+      call->number = message.number;
+      mt_mesh_send (lead->options.mesh, holder, MT_MESH_CORDON, &args, REPORT_MS, on_report, call);
     }
 }
 
@@ -416,6 +432,18 @@
   return g_strsplit (text, ",", 0);
 }
 
+/* False for an older message than the last one: whoever sent it must not take an answer to it for
+ * an answer to what came after. */
+static bool
+take_grants (struct mt_scheduler *sched, struct mt_str bytes, int64_t now)
+{
+  struct mt_grant_message message;
+  bool taken = mt_grants_unpack (bytes, &message) && mt_scheduler_granted (sched, &message, now);
+
+  mt_grants_clear (&message);
+  return taken;
+}
+
 char *
 mt_fleet_leader_serve (struct mt_pool *pool, const struct mt_fleet_leader_notes *notes, size_t *len)
 {
@@ -425,7 +453,7 @@
   unsigned long long room = 0;
   int64_t now = mt_loop_now ();
 
-  if (!mt_pool_is_loaded (pool))
+  if (!mt_pool_is_loaded (pool) || !take_grants (mt_pool_scheduler (pool), notes->grants, now))
     return NULL;
   if (mt_str_to_u64 (notes->room, &room))
     mt_scheduler_promise (mt_pool_scheduler (pool), (int64_t) room, now + CORDON_MS);
@@ -622,13 +650,19 @@
 void
 mt_fleet_leader_set_config (struct mt_fleet_leader *lead, const struct mt_fleet_config *config)
 {
+  g_autoptr (GPtrArray) names = g_ptr_array_new ();
+
   g_ptr_array_set_size (lead->pools, 0);
   for (size_t i = 0; i < config->n_pools; i++)
     {
       mt_controller_set_pool (lead->controller, config->pools[i].name, config->pools[i].standby);
-      if (!config->pools[i].standby)
-        g_ptr_array_add (lead->pools, g_strdup (config->pools[i].name));
+      if (config->pools[i].standby)
+        continue;
+      g_ptr_array_add (lead->pools, g_strdup (config->pools[i].name));
+      g_ptr_array_add (names, config->pools[i].name);
     }
+  g_ptr_array_add (names, NULL);
+  mt_grants_configure (lead->grants, (const char *const *) names->pdata, config->workspaces);
 }
 
 struct mt_fleet_leader *
@@ -645,6 +679,7 @@
   lead->options = *options;
   lead->leader_key = mt_cluster_leader_key (options->leadership);
   lead->controller = mt_controller_create (&settings);
+  lead->grants = mt_grants_create (options->token, mt_loop_now ());
   lead->waves = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_wave);
   lead->pools = g_ptr_array_new_with_free_func (g_free);
   lead->list_asked = -LIST_IDLE_MS;
--- /dev/null
+++ b/fleet/grants_wire.c
@@ -0,0 +1,191 @@
+#include "grants_wire.h"
+
+#include "medlartrack/pack.h"
+
+#include <glib.h>
+
+/* Values of each packed row; another number is refused as another version. */
+#define MESSAGE_FIELDS 4
+#define GRANT_FIELDS   2
+#define ACCOUNT_FIELDS 6
+
+static void
+pack_bool (msgpack_packer *packer, bool value)
+{
+  if (value)
+    msgpack_pack_true (packer);
+  else
+    msgpack_pack_false (packer);
+}
+
+static void
+pack_room (msgpack_packer *packer, const struct mt_room *room)
+{
+  msgpack_pack_array (packer, MT_ROOM_PARTS);
+  for (unsigned i = 0; i < MT_ROOM_PARTS; i++)
+    msgpack_pack_int64 (packer, MAX (mt_room_get (room, i), 0));
+}
+
+static bool
+unpack_room (const msgpack_object *object, struct mt_room *out)
+{
+  const msgpack_object *f = mt_pack_get_array (object, MT_ROOM_PARTS);
+  uint64_t value;
+
+  for (unsigned i = 0; f != NULL && i < MT_ROOM_PARTS; i++)
+    {
+      if (!mt_pack_get_u64 (&f[i], INT64_MAX, &value))
+        return false;
+      *mt_room_part (out, i) = (int64_t) value;
+    }
+  return f != NULL;
+}
+
+static bool
+unpack_name (const msgpack_object *object, const char **out)
+{
+  struct mt_str name;
+
+  if (!mt_pack_get_bin (object, &name))
+    return false;
+  *out = g_strndup (name.data, name.len);
+  return true;
+}
+
+/* ---- messages ---- */
+
+char *
+mt_grants_pack (const struct mt_grant_message *message, size_t *len)
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  char *bytes;
+
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, MESSAGE_FIELDS);
+  msgpack_pack_int64 (&packer, message->token);
+  msgpack_pack_uint64 (&packer, message->number);
+  pack_bool (&packer, message->all);
+  msgpack_pack_array (&packer, message->n_grants);
+  for (size_t i = 0; i < message->n_grants; i++)
+    {
+      msgpack_pack_array (&packer, GRANT_FIELDS);
+      mt_pack_bin (&packer, mt_str_from (message->grants[i].workspace));
+      pack_room (&packer, &message->grants[i].room);
+    }
+  *len = buffer.size;
+  bytes = g_memdup2 (buffer.data, buffer.size);
+  msgpack_sbuffer_destroy (&buffer);
+  return bytes;
+}
+
+static bool
+read_grants (const msgpack_object *object, struct mt_grant_message *out)
+{
+  struct mt_grant *rows;
+
+  if (object->type != MSGPACK_OBJECT_ARRAY)
+    return false;
+  rows = g_new0 (struct mt_grant, object->via.array.size + 1);
+  out->grants = rows;
+  for (uint32_t i = 0; i < object->via.array.size; i++)
+    {
+      const msgpack_object *f = mt_pack_get_array (&object->via.array.ptr[i], GRANT_FIELDS);
+
+      if (f == NULL || !unpack_name (&f[0], &rows[i].workspace))
+        return false;
+      out->n_grants++;
+      if (!unpack_room (&f[1], &rows[i].room))
+        return false;
+    }
+  return true;
+}
+
+static bool
+read_message (const msgpack_object *root, struct mt_grant_message *out)
+{
+  const msgpack_object *f = mt_pack_get_array (root, MESSAGE_FIELDS);
+  uint64_t token;
+
+  if (f == NULL || !mt_pack_get_u64 (&f[0], INT64_MAX, &token)
+      || !mt_pack_get_u64 (&f[1], UINT64_MAX, &out->number) || !mt_pack_get_bool (&f[2], &out->all))
+    return false;
+  out->token = (int64_t) token;
+  return read_grants (&f[3], out);
+}
+
+bool
+mt_grants_unpack (struct mt_str bytes, struct mt_grant_message *out)
+{
+  msgpack_unpacked unpacked;
+  bool ok;
+
+  *out = (struct mt_grant_message){ 0 };
+  if (!mt_pack_read (bytes, &unpacked, NULL))
+    return false;
+  ok = read_message (&unpacked.data, out);
+  msgpack_unpacked_destroy (&unpacked);
+  return ok;
+}
+
+void
+mt_grants_clear (struct mt_grant_message *message)
+{
+  for (size_t i = 0; i < message->n_grants; i++)
+    g_free ((char *) message->grants[i].workspace);
+  g_free ((struct mt_grant *) message->grants);
+  *message = (struct mt_grant_message){ 0 };
+}
+
+/* ---- accounts ---- */
+
+void
+mt_accounts_pack (msgpack_packer *packer, const struct mt_account_view *views, size_t n)
+{
+  msgpack_pack_array (packer, n);
+  for (size_t i = 0; i < n; i++)
+    {
+      msgpack_pack_array (packer, ACCOUNT_FIELDS);
+      mt_pack_bin (packer, mt_str_from (views[i].workspace));
+      pack_room (packer, &views[i].used);
+      pack_room (packer, &views[i].waiting);
+      pack_room (packer, &views[i].unit);
+      pack_room (packer, &views[i].granted);
+      pack_bool (packer, views[i].told);
+    }
+}
+
+bool
+mt_accounts_unpack (const msgpack_object *object, struct mt_account_view **out, size_t *n)
+{
+  struct mt_account_view *views;
+
+  *out = NULL;
+  *n = 0;
+  if (object->type != MSGPACK_OBJECT_ARRAY)
+    return false;
+  views = g_new0 (struct mt_account_view, object->via.array.size + 1);
+  *out = views;
+  for (uint32_t i = 0; i < object->via.array.size; i++)
+    {
+      const msgpack_object *f = mt_pack_get_array (&object->via.array.ptr[i], ACCOUNT_FIELDS);
+
+      if (f == NULL || !unpack_name (&f[0], &views[i].workspace))
+        return false;
+      (*n)++;
+      if (!unpack_room (&f[1], &views[i].used) || !unpack_room (&f[2], &views[i].waiting)
+          || !unpack_room (&f[3], &views[i].unit) || !unpack_room (&f[4], &views[i].granted)
+          || !mt_pack_get_bool (&f[5], &views[i].told))
+        return false;
+    }
+  return true;
+}
+
+void
+mt_accounts_free (struct mt_account_view *views, size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    g_free ((char *) views[i].workspace);
+  g_free (views);
+}
--- a/fleet/neighbours.c
+++ b/fleet/neighbours.c
@@ -63,7 +63,8 @@
 static void
 reply_report (struct mt_mesh_call *call, struct mt_pool *pool, const struct mt_mesh_args *args)
 {
-  struct mt_fleet_leader_notes notes = { args->at[1], args->at[2], args->at[3], args->at[4] };
+  struct mt_fleet_leader_notes notes
+      = { args->at[1], args->at[2], args->at[3], args->at[4], args->at[5] };
   size_t len = 0;
   g_autofree char *bytes = mt_fleet_leader_serve (pool, &notes, &len);
   struct mt_mesh_args reply = { 1, { { bytes, len } } };
@@ -111,7 +112,7 @@
         }
       break;
     case MT_MESH_CORDON:
-      if (pool != NULL && args->n == 5)
+      if (pool != NULL && args->n == 6)
         {
           reply_report (call, pool, args);
           return;
--- a/fleet/pool_report.c
+++ b/fleet/pool_report.c
@@ -1,10 +1,13 @@
 #include "pool_report.h"
 
+#include "grants_wire.h"
+
 #include "medlartrack/pack.h"
 
 #include <string.h>
 
 /* Values of each packed row; another number is refused as another version. */
+#define REPORT_PARTS  3
 #define LOAD_FIELDS   14
 #define WORKER_FIELDS 10
 
@@ -59,6 +62,8 @@
 {
   g_autofree struct mt_worker_view *views
       = g_new0 (struct mt_worker_view, MT_POOL_REPORT_MAX_WORKERS);
+  g_autofree struct mt_account_view *accounts
+      = g_new0 (struct mt_account_view, MT_POOL_REPORT_MAX_ACCOUNTS);
   size_t n = mt_scheduler_workers (sched, now, views, MT_POOL_REPORT_MAX_WORKERS);
   struct mt_scheduler_load load;
   msgpack_sbuffer buffer;
@@ -68,11 +73,13 @@
   mt_scheduler_load (sched, now, &load);
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, 2);
+  msgpack_pack_array (&packer, REPORT_PARTS);
   pack_load (&packer, &load);
   msgpack_pack_array (&packer, n);
   for (size_t i = 0; i < n; i++)
     pack_worker (&packer, &views[i]);
+  mt_accounts_pack (&packer, accounts,
+                    mt_scheduler_accounts (sched, accounts, MT_POOL_REPORT_MAX_ACCOUNTS));
   *len = buffer.size;
   bytes = g_memdup2 (buffer.data, buffer.size);
   msgpack_sbuffer_destroy (&buffer);
@@ -130,7 +137,7 @@
 static bool
 read_report (const msgpack_object *root, struct mt_pool_report *out)
 {
-  const msgpack_object *parts = mt_pack_get_array (root, 2);
+  const msgpack_object *parts = mt_pack_get_array (root, REPORT_PARTS);
 
   if (parts == NULL || !unpack_load (&parts[0], &out->load)
       || parts[1].type != MSGPACK_OBJECT_ARRAY)
@@ -139,7 +146,7 @@
   for (uint32_t i = 0; i < parts[1].via.array.size; i++, out->n_workers++)
     if (!unpack_worker (&parts[1].via.array.ptr[i], &out->workers[i]))
       return false;
-  return true;
+  return mt_accounts_unpack (&parts[2], &out->accounts, &out->n_accounts);
 }
 
 bool
@@ -165,4 +172,7 @@
     g_free ((char *) report->workers[i].id);
   g_clear_pointer (&report->workers, g_free);
   report->n_workers = 0;
+  mt_accounts_free (report->accounts, report->n_accounts);
+  report->accounts = NULL;
+  report->n_accounts = 0;
 }
--- a/fleet/pool_report.h
+++ b/fleet/pool_report.h
@@ -5,13 +5,16 @@
 #include "medlartrack/scheduler.h"
 #include "medlartrack/str.h"
 
-#define MT_POOL_REPORT_MAX_WORKERS 1024
+#define MT_POOL_REPORT_MAX_WORKERS  1024
+#define MT_POOL_REPORT_MAX_ACCOUNTS 1024
 
 struct mt_pool_report
 {
   struct mt_scheduler_load load;
   struct mt_worker_view *workers; /* their ids belong to the report */
   size_t n_workers;
+  struct mt_account_view *accounts; /* their names belong to the report */
+  size_t n_accounts;
 };
 
 /* g_free the bytes. */
--- a/include/medlartrack/job_spec.h
+++ b/include/medlartrack/job_spec.h
@@ -15,6 +15,20 @@
   int64_t gpu;
 };
 
+/* Its figures by number, for what is done with each alike. */
+#define MT_ROOM_PARTS 3
+static inline int64_t *
+mt_room_part (struct mt_room *room, unsigned part)
+{
+  return part == 0 ? &room->cpu : part == 1 ? &room->mem : &room->gpu;
+}
+
+static inline int64_t
+mt_room_get (const struct mt_room *room, unsigned part)
+{
+  return part == 0 ? room->cpu : part == 1 ? room->mem : room->gpu;
+}
+
 struct mt_step
 {
   unsigned count; /* tasks */
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -40,6 +40,57 @@
                              const char *name,
                              const struct mt_route_terms *terms);
 
+/* What one workspace may have running in all pools together, of which this is one of `pools`. */
+struct mt_workspace_terms
+{
+  struct mt_room quota; /* 0 for no limit */
+  int64_t rate;         /* jobs a second that are its due; 0 for no limit */
+  unsigned pools;
+};
+
+void mt_scheduler_set_workspace (struct mt_scheduler *sched,
+                                 const char *name,
+                                 const struct mt_workspace_terms *terms);
+
+/* This pool's part of a workspace's quota, as whoever deals it out says. What is beyond an even
+ * share is a lease of MT_GRANT_MS from the last message. False where the message is older than the
+ * last one; then nothing is taken. */
+#define MT_GRANT_MS 2000
+struct mt_grant
+{
+  const char *workspace;
+  struct mt_room room;
+};
+
+struct mt_grant_message
+{
+  int64_t token;                 /* of whoever deals; a higher one wins */
+  uint64_t number;               /* of that one's messages */
+  bool all;                      /* every account is asked for */
+  const struct mt_grant *grants; /* what has changed */
+  size_t n_grants;
+};
+
+bool mt_scheduler_granted (struct mt_scheduler *sched,
+                           const struct mt_grant_message *message,
+                           int64_t now);
+
+/* What a pool has and lacks of a workspace's quota. */
+struct mt_account_view
+{
+  const char *workspace;
+  struct mt_room used;    /* running, ordered, or being stopped */
+  struct mt_room waiting; /* of tasks that could start */
+  struct mt_room unit;    /* the largest of these */
+  struct mt_room granted; /* as said by the last message that did */
+  bool told;              /* one did */
+};
+
+/* Of workspaces with a limit. Those that have heard of their part and use nothing are left out,
+ * unless the last message asked for all. Returns how many were written. */
+size_t
+mt_scheduler_accounts (const struct mt_scheduler *sched, struct mt_account_view *out, size_t max);
+
 /* Takes spec over, also when the job is known already. False where it is known. */
 bool mt_scheduler_submit (struct mt_scheduler *sched,
                           struct mt_job_spec *spec,
--- /dev/null
+++ b/tests/fleet/test_grants_wire.c
@@ -0,0 +1,92 @@
+#include "grants_wire.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+static const struct mt_grant grants[] = { { "yard", { 4000, 512, 0 } }, { "press", { 0, 1, 2 } } };
+static const struct mt_grant_message sample
+    = { .token = 7, .number = 41, .all = true, .grants = grants, .n_grants = 2 };
+
+/* Guards against a part of a quota that is read as another's, or as another figure. */
+static void
+test_message_arrives_as_it_was_packed (void **state)
+{
+  struct mt_grant_message read;
+  size_t len;
+  g_autofree char *bytes = mt_grants_pack (&sample, &len);
+
+  assert_true (mt_grants_unpack ((struct mt_str){ bytes, len }, &read));
+  assert_int_equal (read.token, 7);
+  assert_int_equal (read.number, 41);
+  assert_true (read.all);
+  assert_int_equal (read.n_grants, 2);
+  for (size_t i = 0; i < read.n_grants; i++)
+    {
+      assert_string_equal (read.grants[i].workspace, grants[i].workspace);
+      assert_memory_equal (&read.grants[i].room, &grants[i].room, sizeof grants[i].room);
+    }
+  mt_grants_clear (&read);
+}
+
+/* Guards against a broken frame that is taken for a message, and against what it leaves behind. */
+static void
+test_message_cut_anywhere_is_refused (void **state)
+{
+  size_t len;
+  g_autofree char *bytes = mt_grants_pack (&sample, &len);
+
+  for (size_t cut = 0; cut < len; cut++)
+    {
+      struct mt_grant_message read;
+
+      assert_false (mt_grants_unpack ((struct mt_str){ bytes, cut }, &read));
+      mt_grants_clear (&read);
+    }
+}
+
+static void
+test_accounts_arrive_as_they_were_packed (void **state)
+{
+  const struct mt_account_view view = { .workspace = "yard",
+                                        .used = { 1, 2, 3 },
+                                        .waiting = { 4, 5, 6 },
+                                        .unit = { 7, 8, 9 },
+                                        .granted = { 10, 11, 12 },
+                                        .told = true };
+  struct mt_account_view *read;
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  msgpack_unpacked unpacked;
+  size_t n;
+
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  mt_accounts_pack (&packer, &view, 1);
+  msgpack_unpacked_init (&unpacked);
+  assert_int_equal (msgpack_unpack_next (&unpacked, buffer.data, buffer.size, NULL),
+                    MSGPACK_UNPACK_SUCCESS);
+  assert_true (mt_accounts_unpack (&unpacked.data, &read, &n));
+  assert_int_equal (n, 1);
+  assert_string_equal (read->workspace, "yard");
+  assert_memory_equal (&read->used, &view.used, 4 * sizeof view.used);
+  assert_true (read->told);
+  mt_accounts_free (read, n);
+  msgpack_unpacked_destroy (&unpacked);
+  msgpack_sbuffer_destroy (&buffer);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_message_arrives_as_it_was_packed),
+    cmocka_unit_test (test_message_cut_anywhere_is_refused),
+    cmocka_unit_test (test_accounts_arrive_as_they_were_packed),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/scheduler/property_quota.cpp
@@ -0,0 +1,448 @@
+/* Two pools place the jobs of two workspaces at the same moment. Leaders of pools and of the fleet
+ * die, messages between them are lost or late, workers fall silent and carry orders out late,
+ * quotas shrink and grow. Nobody ever has more running than its quota and the overrun allow, and
+ * once all that is over whatever was accepted is done. */
+#include <glib.h>
+
+extern "C"
+{
+#include "medlartrack/grants.h"
+#include "world.h"
+}
+
+#include <algorithm>
+#include <cstring>
+#include <ostream>
+#include <rapidcheck.h>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace
+{
+
+constexpr unsigned pools = 2;
+constexpr unsigned workspaces = 2;
+constexpr unsigned workers_each = 3;
+/* The largest is more than an even share of the least quota. */
+constexpr int64_t unit_cpus[] = { 2000, 1000, 3000 };
+constexpr int64_t task_ms = 700;
+constexpr int64_t least_quota = 4000;
+constexpr int64_t message_every_ms = 100;
+/* A configuration is in force everywhere so long after it was accepted. */
+constexpr int64_t in_force_ms = 3000;
+/* Every lease given to a silent worker is over, and all that waited has run in its turn. */
+constexpr int64_t settle_ms = 60000;
+const char *const pool_names[pools + 1] = { "p0", "p1", nullptr };
+const char *const names[workspaces] = { "yard", "press" };
+
+struct Job
+{
+  std::string id;
+  unsigned pool;
+  unsigned workspace;
+  unsigned count;
+  int64_t unit_cpu;
+  bool cancelled;
+};
+
+/* A message under way to a pool, or its answer on the way back. */
+struct Message
+{
+  unsigned pool;
+  struct mt_grant_message message;
+  std::vector<struct mt_grant> rows;
+  int64_t arrives;
+};
+
+enum class Step
+{
+  submit,
+  surge,
+  cancel,
+  disturb,
+  heal,
+  pool_dies,
+  fleet_dies,
+  cut,
+  late,
+  join,
+  quota,
+};
+
+std::ostream &
+operator<< (std::ostream &out, Step step)
+{
+  static const char *const text[]
+      = { "submit",     "surge", "cancel", "disturb", "heal", "pool_dies",
+          "fleet_dies", "cut",   "late",   "join",    "quota" };
+
+  return out << text[static_cast<int> (step)];
+}
+
+struct Model
+{
+  struct world *worlds[pools];
+  struct mt_grants *grants = nullptr;
+  int64_t token = 0;
+  int64_t quotas[workspaces] = { 16000, 12000 };
+  std::vector<std::pair<int64_t, int64_t>> in_force[workspaces]; /* quota, until */
+  bool unreachable[pools] = {};
+  int64_t delay[pools] = {};
+  std::vector<Message> sent;
+  std::vector<Job> jobs;
+  int64_t now = 0;
+
+  Model ()
+  {
+    for (auto &world : worlds)
+      {
+        world = world_create ();
+        for (unsigned i = 0; i < workers_each; i++)
+          world_add_worker (world, "r1");
+        world->run_ms = task_ms;
+      }
+    now = worlds[0]->now;
+    begin_fleet ();
+    configure ();
+  }
+  ~Model ()
+  {
+    for (auto *world : worlds)
+      world_destroy (world);
+    mt_grants_destroy (grants);
+  }
+  Model (const Model &) = delete;
+  Model &operator= (const Model &) = delete;
+
+  void
+  begin_fleet ()
+  {
+    mt_grants_destroy (grants);
+    grants = mt_grants_create (++token, now);
+    sent.clear ();
+  }
+
+  void
+  configure ()
+  {
+    struct mt_workspaces *list = mt_workspaces_create ();
+
+    for (unsigned w = 0; w < workspaces; w++)
+      {
+        struct mt_room quota = { quotas[w], 0, 0 };
+
+        mt_workspaces_add (list, names[w], &quota, 0, nullptr);
+      }
+    mt_grants_configure (grants, pool_names, list);
+    mt_workspaces_destroy (list);
+    for (unsigned p = 0; p < pools; p++)
+      configure_pool (p);
+  }
+
+  void
+  configure_pool (unsigned pool)
+  {
+    for (unsigned w = 0; w < workspaces; w++)
+      {
+        struct mt_workspace_terms terms = { { quotas[w], 0, 0 }, 0, pools };
+
+        mt_scheduler_set_workspace (worlds[pool]->sched, names[w], &terms);
+      }
+  }
+};
+
+struct mt_job_spec *
+spec_of (const Model &m, const Job &job)
+{
+  struct mt_job_spec *spec = world_job (job.id.c_str (), job.count, job.unit_cpu, task_ms);
+
+  spec->workspace = g_strdup (names[job.workspace]);
+  spec->accepted_ms = m.now;
+  return spec;
+}
+
+void
+submit (Model &m, unsigned draw, unsigned count)
+{
+  const unsigned pool = draw % pools;
+  const Job job = { "j" + std::to_string (m.jobs.size ()),   pool, draw / pools % workspaces, count,
+                    unit_cpus[draw % std::size (unit_cpus)], false };
+
+  m.jobs.push_back (job);
+  world_submit (m.worlds[pool], spec_of (m, job));
+}
+
+void
+cancel (Model &m, unsigned draw)
+{
+  if (m.jobs.empty ())
+    return;
+  Job &job = m.jobs[draw % m.jobs.size ()];
+
+  job.cancelled = true;
+  mt_scheduler_cancel (m.worlds[job.pool]->sched, job.id.c_str (), m.now);
+}
+
+void
+pool_dies (Model &m, unsigned pool)
+{
+  g_autoptr (GPtrArray) specs = g_ptr_array_new ();
+
+  for (const Job &job : m.jobs)
+    if (job.pool == pool)
+      g_ptr_array_add (specs, spec_of (m, job));
+  world_take_over (m.worlds[pool], specs);
+  for (const Job &job : m.jobs)
+    if (job.pool == pool && job.cancelled)
+      mt_scheduler_cancel (m.worlds[pool]->sched, job.id.c_str (), m.now);
+  m.configure_pool (pool);
+}
+
+void
+disturb (struct world_worker *w, unsigned draw)
+{
+  w->silent = draw % 4 == 0;
+  w->mute = draw % 4 == 1;
+  w->loses = draw % 4 == 2;
+  w->late_ms = draw % 4 == 3 ? 300 : 0;
+}
+
+void
+heal (struct world_worker *w)
+{
+  w->silent = w->mute = w->loses = w->unlisted = false;
+  w->late_ms = 0;
+}
+
+void
+change_quota (Model &m, unsigned draw)
+{
+  const unsigned w = draw % workspaces;
+
+  m.in_force[w].push_back ({ m.quotas[w], m.now + in_force_ms });
+  m.quotas[w] = least_quota + static_cast<int64_t> (draw) * 20;
+  m.configure ();
+}
+
+void
+act (Model &m, Step step, unsigned draw)
+{
+  struct world_worker *w = &m.worlds[draw % pools]->workers[draw / pools % workers_each];
+
+  switch (step)
+    {
+    case Step::submit:
+      submit (m, draw, 1 + draw % 3);
+      return;
+    case Step::surge:
+      submit (m, draw, 12);
+      return;
+    case Step::cancel:
+      cancel (m, draw);
+      return;
+    case Step::disturb:
+      disturb (w, draw / 6);
+      return;
+    case Step::heal:
+      heal (w);
+      return;
+    case Step::pool_dies:
+      pool_dies (m, draw % pools);
+      return;
+    case Step::fleet_dies:
+      m.begin_fleet ();
+      m.configure ();
+      return;
+    case Step::cut:
+      m.unreachable[draw % pools] = true;
+      return;
+    case Step::late:
+      m.delay[draw % pools] = draw / 2;
+      return;
+    case Step::join:
+      m.unreachable[draw % pools] = false;
+      m.delay[draw % pools] = 0;
+      return;
+    case Step::quota:
+      change_quota (m, draw);
+      return;
+    }
+}
+
+/* ---- messages ---- */
+
+void
+send_messages (Model &m)
+{
+  for (unsigned p = 0; p < pools; p++)
+    {
+      Message message = { p,
+                          mt_grants_message (m.grants, pool_names[p], m.now),
+                          {},
+                          m.now + m.delay[p] * (m.now / message_every_ms % 2) };
+
+      message.rows.assign (message.message.grants,
+                           message.message.grants + message.message.n_grants);
+      g_free (const_cast<struct mt_grant *> (message.message.grants));
+      if (!m.unreachable[p])
+        m.sent.push_back (message);
+    }
+}
+
+void
+deliver (Model &m, Message &message)
+{
+  struct mt_account_view views[workspaces];
+  struct mt_scheduler *sched = m.worlds[message.pool]->sched;
+  size_t n;
+
+  message.message.grants = message.rows.data ();
+  if (!mt_scheduler_granted (sched, &message.message, m.now))
+    return;
+  n = mt_scheduler_accounts (sched, views, workspaces);
+  if (message.message.token == m.token && !m.unreachable[message.pool])
+    mt_grants_answered (m.grants, pool_names[message.pool], message.message.number, views, n,
+                        m.now);
+}
+
+void
+deliver_messages (Model &m)
+{
+  std::vector<Message> due;
+
+  for (const Message &message : m.sent)
+    if (message.arrives <= m.now)
+      due.push_back (message);
+  m.sent.erase (std::remove_if (m.sent.begin (), m.sent.end (),
+                                [&m] (const Message &each) { return each.arrives <= m.now; }),
+                m.sent.end ());
+  for (Message &message : due)
+    deliver (m, message);
+}
+
+/* ---- what holds ---- */
+
+int64_t
+running_cpu (const Model &m, unsigned workspace)
+{
+  int64_t sum = 0;
+
+  for (const auto *world : m.worlds)
+    for (unsigned i = 0; i < world->n_workers; i++)
+      for (guint r = 0; r < world->workers[i].runs->len; r++)
+        {
+          const auto *run = &g_array_index (world->workers[i].runs, struct world_run, r);
+          const std::string id (run->task, std::strcspn (run->task, "."));
+          const auto job = std::find_if (m.jobs.begin (), m.jobs.end (),
+                                         [&id] (const Job &each) { return each.id == id; });
+
+          sum += job != m.jobs.end () && job->workspace == workspace ? job->unit_cpu : 0;
+        }
+  return sum;
+}
+
+int64_t
+highest_quota (const Model &m, unsigned workspace)
+{
+  int64_t most = m.quotas[workspace];
+
+  for (const auto &[quota, until] : m.in_force[workspace])
+    if (until > m.now)
+      most = std::max (most, quota);
+  return most;
+}
+
+/* A start brings no workspace above its quota, a tenth of it, and one task more. */
+void
+check_quotas (const Model &m, const int64_t before[workspaces])
+{
+  for (unsigned w = 0; w < workspaces; w++)
+    {
+      const int64_t running = running_cpu (m, w);
+
+      if (running > before[w])
+        RC_ASSERT (running <= highest_quota (m, w) * 11 / 10 + unit_cpus[2]);
+    }
+}
+
+void
+run (Model &m, int64_t ms)
+{
+  const int64_t until = m.now + ms;
+
+  while (m.now < until)
+    {
+      int64_t before[workspaces];
+
+      for (unsigned w = 0; w < workspaces; w++)
+        before[w] = running_cpu (m, w);
+      if (m.now % message_every_ms == 0)
+        send_messages (m);
+      deliver_messages (m);
+      for (auto *world : m.worlds)
+        world_run (world, 5);
+      m.now = m.worlds[0]->now;
+      check_quotas (m, before);
+    }
+}
+
+void
+settle (Model &m)
+{
+  for (unsigned p = 0; p < pools; p++)
+    {
+      m.unreachable[p] = false;
+      m.delay[p] = 0;
+      for (unsigned i = 0; i < workers_each; i++)
+        heal (&m.worlds[p]->workers[i]);
+    }
+  run (m, settle_ms);
+}
+
+rc::Gen<Step>
+any_step ()
+{
+  return rc::gen::weightedElement<Step> ({ { 3, Step::submit },
+                                           { 4, Step::surge },
+                                           { 1, Step::cancel },
+                                           { 1, Step::disturb },
+                                           { 1, Step::heal },
+                                           { 2, Step::pool_dies },
+                                           { 2, Step::fleet_dies },
+                                           { 2, Step::cut },
+                                           { 1, Step::late },
+                                           { 2, Step::join },
+                                           { 1, Step::quota } });
+}
+
+int
+run_property ()
+{
+  bool good = rc::check ("no workspace runs more than its quota, and all is done in the end", [] {
+    const auto steps = *rc::gen::container<std::vector<std::tuple<Step, unsigned, int>>> (
+        rc::gen::tuple (any_step (), rc::gen::inRange (0U, 1000U), rc::gen::inRange (5, 1500)));
+    Model m;
+
+    for (const auto &[step, draw, ms] : steps)
+      {
+        act (m, step, draw);
+        run (m, ms / 5 * 5);
+      }
+    settle (m);
+    for (const Job &job : m.jobs)
+      RC_ASSERT (job.cancelled
+                 || mt_scheduler_state (m.worlds[job.pool]->sched, job.id.c_str ())
+                        == MT_JOB_COMPLETED);
+  });
+
+  return good ? 0 : 1;
+}
+
+} // namespace
+
+int
+main ()
+{
+  return run_property ();
+}
--- /dev/null
+++ b/tests/scheduler/test_grants.c
@@ -0,0 +1,206 @@
+#include "medlartrack/grants.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define QUOTA    16000
+#define ROUND_MS 100
+
+static const char *const pools[] = { "a", "b", "c", "d", NULL };
+
+/* Pools that do as they are told at once. */
+struct fixture
+{
+  struct mt_grants *grants;
+  int64_t now;
+  struct mt_account_view views[4];
+  bool silent[4];
+};
+
+static void
+configure (struct fixture *f, int64_t quota)
+{
+  struct mt_workspaces *list = mt_workspaces_create ();
+
+  assert_true (mt_workspaces_add (list, "yard", &(struct mt_room){ .cpu = quota }, 0, NULL));
+  mt_grants_configure (f->grants, pools, list);
+  mt_workspaces_destroy (list);
+}
+
+static struct fixture *
+create_fixture (void)
+{
+  struct fixture *f = g_new0 (struct fixture, 1);
+
+  f->now = 1000;
+  f->grants = mt_grants_create (1, f->now);
+  for (unsigned i = 0; i < 4; i++)
+    f->views[i].workspace = "yard";
+  configure (f, QUOTA);
+  return f;
+}
+
+static void
+destroy_fixture (struct fixture *f)
+{
+  mt_grants_destroy (f->grants);
+  g_free (f);
+}
+
+static void
+run_round (struct fixture *f)
+{
+  for (unsigned i = 0; i < 4; i++)
+    {
+      struct mt_grant_message message = mt_grants_message (f->grants, pools[i], f->now);
+
+      if (!f->silent[i] && message.n_grants > 0)
+        {
+          f->views[i].granted = message.grants[0].room;
+          f->views[i].told = true;
+        }
+      if (!f->silent[i])
+        mt_grants_answered (f->grants, pools[i], message.number, &f->views[i], 1, f->now);
+      g_free ((struct mt_grant *) message.grants);
+    }
+  f->now += ROUND_MS;
+}
+
+static void
+run_rounds (struct fixture *f, unsigned n)
+{
+  while (n-- > 0)
+    run_round (f);
+}
+
+static void
+test_what_nobody_wants_is_spread_evenly (void **state)
+{
+  struct fixture *f = create_fixture ();
+
+  run_rounds (f, 5);
+  for (unsigned i = 0; i < 4; i++)
+    assert_int_equal (f->views[i].granted.cpu, QUOTA / 4);
+  destroy_fixture (f);
+}
+
+/* Guards against a quota that lies idle in three pools while a workspace's surge waits in one. */
+static void
+test_surge_gets_what_other_pools_leave (void **state)
+{
+  struct fixture *f = create_fixture ();
+
+  run_rounds (f, 5);
+  f->views[2].waiting.cpu = 4 * (int64_t) QUOTA;
+  run_rounds (f, 3);
+  assert_int_equal (f->views[2].granted.cpu, QUOTA);
+  f->views[2].waiting.cpu = 0;
+  f->views[2].used.cpu = QUOTA;
+  f->views[0].waiting.cpu = 4000;
+  run_rounds (f, 3);
+  assert_true (f->views[0].granted.cpu + QUOTA <= QUOTA + 4000);
+  f->views[2].used.cpu = 8000;
+  run_rounds (f, 3);
+  assert_true (f->views[0].granted.cpu >= 4000);
+  assert_true (f->views[0].granted.cpu + MAX (f->views[2].granted.cpu, 8000) <= QUOTA);
+  destroy_fixture (f);
+}
+
+/* Guards against a pool that is cut off and uses a part that was given away meanwhile. */
+static void
+test_silent_pool_keeps_its_part (void **state)
+{
+  struct fixture *f = create_fixture ();
+
+  f->views[1].waiting.cpu = 4 * (int64_t) QUOTA;
+  run_rounds (f, 5);
+  assert_int_equal (f->views[1].granted.cpu, QUOTA);
+  f->silent[1] = true;
+  f->views[0].waiting.cpu = 4000;
+  run_rounds (f, MT_GRANT_MS / ROUND_MS);
+  assert_int_equal (f->views[0].granted.cpu, 0);
+  run_rounds (f, 2 * MT_GRANT_MS / ROUND_MS);
+  assert_true (f->views[0].granted.cpu >= 4000);
+  assert_true (f->views[0].granted.cpu <= QUOTA - QUOTA / 4);
+  destroy_fixture (f);
+}
+
+/* Guards against a new leader who deals out what its predecessor's pools still have. */
+static void
+test_new_leader_waits_for_every_pool (void **state)
+{
+  struct fixture *f = create_fixture ();
+
+  f->views[1].waiting.cpu = 4 * (int64_t) QUOTA;
+  run_rounds (f, 5);
+  mt_grants_destroy (f->grants);
+  f->grants = mt_grants_create (2, f->now);
+  configure (f, QUOTA);
+  f->silent[1] = true;
+  f->views[0].waiting.cpu = 4000;
+  run_rounds (f, MT_GRANT_MS / ROUND_MS);
+  assert_int_equal (f->views[0].granted.cpu, 0);
+  f->silent[1] = false;
+  run_rounds (f, 4);
+  assert_true (f->views[0].granted.cpu >= 4000);
+  destroy_fixture (f);
+}
+
+/* Guards against parts that stay above a quota that was lowered. */
+static void
+test_lowered_quota_is_taken_back (void **state)
+{
+  struct fixture *f = create_fixture ();
+  int64_t sum = 0;
+
+  f->views[1].waiting.cpu = 4 * (int64_t) QUOTA;
+  run_rounds (f, 5);
+  configure (f, QUOTA / 8);
+  run_rounds (f, 5);
+  for (unsigned i = 0; i < 4; i++)
+    sum += f->views[i].granted.cpu;
+  assert_true (sum <= QUOTA / 8);
+  destroy_fixture (f);
+}
+
+/* Guards against a task larger than an even part that waits for ever. */
+static void
+test_large_task_has_its_turn (void **state)
+{
+  struct fixture *f = create_fixture ();
+  bool had[4] = { false };
+
+  for (unsigned i = 0; i < 4; i++)
+    {
+      f->views[i].waiting.cpu = 2 * 9000;
+      f->views[i].unit.cpu = 9000;
+    }
+  for (unsigned round = 0; round < 400; round++)
+    {
+      run_round (f);
+      for (unsigned i = 0; i < 4; i++)
+        had[i] |= f->views[i].granted.cpu >= 9000;
+    }
+  for (unsigned i = 0; i < 4; i++)
+    assert_true (had[i]);
+  destroy_fixture (f);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_what_nobody_wants_is_spread_evenly),
+    cmocka_unit_test (test_surge_gets_what_other_pools_leave),
+    cmocka_unit_test (test_silent_pool_keeps_its_part),
+    cmocka_unit_test (test_new_leader_waits_for_every_pool),
+    cmocka_unit_test (test_lowered_quota_is_taken_back),
+    cmocka_unit_test (test_large_task_has_its_turn),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -987,10 +987,49 @@
   world_destroy (world);
 }
 
+/* ---- quotas ---- */
+
+static void
+submit_of (struct world *world, const char *workspace, const char *id, unsigned count)
+{
+  struct mt_job_spec *spec = world_job (id, count, 2000, 500);
+
+  spec->workspace = g_strdup (workspace);
+  world_submit (world, spec);
+}
+
+/* Guards against a workspace that takes machines from others which its quota lets it not use. */
+static void
+test_quota_bounds_a_workspace_and_nobody_else (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_workspace_terms terms = { .quota = { .cpu = 4000 }, .pools = 1 };
+  struct mt_grant grant = { "yard", { .cpu = 4000 } };
+  struct mt_grant_message message = { .token = 1, .number = 1, .grants = &grant, .n_grants = 1 };
+  struct mt_scheduler_load load;
+
+  world_add_worker (world, "r1");
+  world->run_ms = 500;
+  mt_scheduler_set_workspace (world->sched, "yard", &terms);
+  assert_true (mt_scheduler_granted (world->sched, &message, world->now));
+  submit_of (world, "yard", "aa", 10);
+  world_run (world, 200);
+  assert_int_equal (world->workers[0].runs->len, 2);
+  mt_scheduler_load (world->sched, world->now, &load);
+  assert_int_equal (load.urgent, 0);
+  assert_int_equal (load.waiting, 0);
+  submit_of (world, "press", "bb", 6);
+  world_run (world, 200);
+  assert_int_equal (world->workers[0].runs->len, 8);
+  assert_true (world_until (world, "aa", MT_JOB_COMPLETED, 10000));
+  world_destroy (world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_quota_bounds_a_workspace_and_nobody_else),
     cmocka_unit_test (test_job_runs_to_its_end),
     cmocka_unit_test (test_nothing_starts_that_is_not_stored),
     cmocka_unit_test (test_cancelled_before_its_progress_was_read),
