--- a/core/controller/grants.c
+++ b/core/controller/grants.c
@@ -252,7 +252,7 @@
   int64_t unit = MIN (figure (l, &part_at (l, turn)->unit), l->quota);
   int64_t level = fill_level (l);
 
-  if (unit > level)
+  if (n > 1 && unit > level)
     level = pool == turn ? unit : (l->quota - unit) / (n - 1);
   return MIN (wanted (l, pool), level);
 }
--- a/tests/scheduler/test_grants.c
+++ b/tests/scheduler/test_grants.c
@@ -19,6 +19,7 @@
   int64_t now;
   struct mt_account_view views[4];
   bool silent[4];
+  bool unheard[4]; /* it gets its messages, its answers are lost */
 };
 
 static void
@@ -63,7 +64,7 @@
           f->views[i].granted = message.grants[0].room;
           f->views[i].told = true;
         }
-      if (!f->silent[i])
+      if (!f->silent[i] && !f->unheard[i])
         mt_grants_answered (f->grants, pools[i], message.number, &f->views[i], 1, f->now);
       g_free ((struct mt_grant *) message.grants);
     }
@@ -129,6 +130,26 @@
   destroy_fixture (f);
 }
 
+/* Guards against a part that counts as not given because the answer to its message was lost. */
+static void
+test_unanswered_message_counts_as_taken (void **state)
+{
+  struct fixture *f = create_fixture ();
+
+  f->views[1].waiting.cpu = 4 * (int64_t) QUOTA;
+  run_round (f);
+  run_round (f);
+  f->unheard[1] = true;
+  run_rounds (f, 2);
+  f->views[0].waiting.cpu = 4 * (int64_t) QUOTA;
+  for (unsigned round = 0; round < 8; round++)
+    {
+      run_round (f);
+      assert_true (f->views[0].granted.cpu + f->views[1].granted.cpu <= QUOTA);
+    }
+  destroy_fixture (f);
+}
+
 /* Guards against a new leader who deals out what its predecessor's pools still have. */
 static void
 test_new_leader_waits_for_every_pool (void **state)
@@ -197,6 +218,7 @@
     cmocka_unit_test (test_what_nobody_wants_is_spread_evenly),
     cmocka_unit_test (test_surge_gets_what_other_pools_leave),
     cmocka_unit_test (test_silent_pool_keeps_its_part),
+    cmocka_unit_test (test_unanswered_message_counts_as_taken),
     cmocka_unit_test (test_new_leader_waits_for_every_pool),
     cmocka_unit_test (test_lowered_quota_is_taken_back),
     cmocka_unit_test (test_large_task_has_its_turn),
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -998,6 +998,55 @@
   world_submit (world, spec);
 }
 
+static int64_t
+granted_cpu (const struct world *world)
+{
+  struct mt_account_view view;
+
+  assert_int_equal (mt_scheduler_accounts (world->sched, &view, 1), 1);
+  return view.granted.cpu;
+}
+
+/* Guards against a larger part of before that comes late and counts beside what was taken back. */
+static void
+test_older_message_on_quotas_is_not_taken (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_workspace_terms terms = { .quota = { .cpu = 8000 }, .pools = 2 };
+  struct mt_grant less = { "yard", { .cpu = 1000 } };
+  struct mt_grant more = { "yard", { .cpu = 8000 } };
+  struct mt_grant_message newer = { .token = 3, .number = 5, .all = true, .grants = &less, 1 };
+  struct mt_grant_message older = { .token = 3, .number = 4, .all = true, .grants = &more, 1 };
+  struct mt_grant_message other = { .token = 2, .number = 9, .all = true, .grants = &more, 1 };
+
+  mt_scheduler_set_workspace (world->sched, "yard", &terms);
+  assert_true (mt_scheduler_granted (world->sched, &newer, world->now));
+  assert_false (mt_scheduler_granted (world->sched, &older, world->now));
+  assert_false (mt_scheduler_granted (world->sched, &other, world->now));
+  assert_int_equal (granted_cpu (world), 1000);
+  world_destroy (world);
+}
+
+/* Guards against pools that keep parts of a quota that was lowered while nobody reached them. */
+static void
+test_part_shrinks_with_its_quota (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_workspace_terms terms = { .quota = { .cpu = 8000 }, .pools = 2 };
+  struct mt_grant grant = { "yard", { .cpu = 6000 } };
+  struct mt_grant_message message = { .token = 1, .number = 1, .all = true, .grants = &grant, 1 };
+
+  mt_scheduler_set_workspace (world->sched, "yard", &terms);
+  assert_true (mt_scheduler_granted (world->sched, &message, world->now));
+  terms.quota.cpu = 4000;
+  mt_scheduler_set_workspace (world->sched, "yard", &terms);
+  assert_int_equal (granted_cpu (world), 3000);
+  terms.quota.cpu = 40000;
+  mt_scheduler_set_workspace (world->sched, "yard", &terms);
+  assert_int_equal (granted_cpu (world), 3000);
+  world_destroy (world);
+}
+
 /* Guards against a workspace that takes machines from others which its quota lets it not use. */
 static void
 test_quota_bounds_a_workspace_and_nobody_else (void **state)
@@ -1030,6 +1079,8 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_quota_bounds_a_workspace_and_nobody_else),
+    cmocka_unit_test (test_older_message_on_quotas_is_not_taken),
+    cmocka_unit_test (test_part_shrinks_with_its_quota),
     cmocka_unit_test (test_job_runs_to_its_end),
     cmocka_unit_test (test_nothing_starts_that_is_not_stored),
     cmocka_unit_test (test_cancelled_before_its_progress_was_read),
