scheduler: what a workspace sends beyond its rate goes behind the rest

A workspace that sends many times its due would take the room of the others' jobs, which callers of its own have lost anyway. Jobs beyond the rate (a token bucket of one second at each pool's leader) run oldest first, when nothing else wants the room. The new test fails without the class.

--- a/core/scheduler/scheduler.c
+++ b/core/scheduler/scheduler.c
@@ -332,6 +332,7 @@
   job->link.data = job;
   g_hash_table_insert (sched->jobs, spec->id, job);
   g_queue_push_tail_link (&sched->open, &job->link);
+  job->excess = age < FRESH_MS && mt_account_count_job (job->account, now);
   if (spec->repeats == 0)
     {
       open_occurrence (job, 0, job->submitted);
--- a/core/scheduler/scheduler_accounts.c
+++ b/core/scheduler/scheduler_accounts.c
@@ -5,6 +5,8 @@
  * out and takes back (grants.c). */
 #include "scheduler_internal.h"
 
+/* A workspace may hand in so many seconds' worth of its rate at once. */
+#define BURST_S 1
 /* Of an even share: what a pool may use before it has heard of its part. All pools together stay
  * within the overrun that operators allow for. */
 #define UNTOLD_SHARE 0.1
@@ -73,6 +75,25 @@
     *mt_room_part (&account->used, i) += sign * mt_room_get (&step->need, i);
 }
 
+/* A pool sees its own jobs only, so it lets pass what a workspace sends beyond its rate to several
+ * at once; a surge comes to one at a time. */
+bool
+mt_account_count_job (struct mt_account *account, int64_t now)
+{
+  double rate;
+
+  if (account == NULL || account->terms.rate == 0)
+    return false;
+  rate = (double) account->terms.rate;
+  account->burst -= rate * (double) (now - account->burst_at) / 1000;
+  account->burst = MAX (account->burst, 0) + 1;
+  account->burst_at = now;
+  if (account->burst <= BURST_S * rate)
+    return false;
+  account->burst--;
+  return true;
+}
+
 static int64_t
 even_share (const struct mt_account *account, unsigned i)
 {
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -77,8 +77,8 @@
   struct mt_room used;    /* by tasks that have a worker */
   struct mt_room granted; /* this pool's part of the quota */
   bool told;              /* granted was said by a message */
-  double jobs;            /* of late, beyond none a second; see scheduler_accounts.c */
-  int64_t jobs_at;
+  double burst;           /* jobs beyond its rate, as of burst_at; the rate wears it off */
+  int64_t burst_at;
 };
 
 struct mt_job
@@ -92,6 +92,7 @@
   enum mt_job_state state;
   enum mt_job_state durable; /* what callers are shown */
   enum mt_job_state cycle;   /* the state that is being written */
+  bool excess;               /* handed in beyond its workspace's rate */
   bool begun;
   bool dirty;    /* to be written in the next cycle */
   bool listed;   /* among the scheduler's dirty ones */
@@ -288,6 +289,8 @@
 void mt_account_free (void *data);
 /* A task of the step takes room, or gives it back (sign -1). */
 void mt_account_count (struct mt_account *account, const struct mt_step *step, int sign);
+/* A job has come just now; true where it is beyond the workspace's rate. */
+bool mt_account_count_job (struct mt_account *account, int64_t now);
 /* One more task of the step may run in this pool. */
 bool mt_account_has_room (const struct mt_scheduler *sched,
                           const struct mt_account *account,
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -58,6 +58,7 @@
   CLASS_TIMELY,
   CLASS_LATE,
   CLASS_OVER,
+  CLASS_EXCESS,
 };
 
 bool
@@ -177,6 +178,11 @@
       b->class = CLASS_LONG_RUNNING;
       b->key = (double) b->occ->since;
     }
+  else if (job->excess)
+    {
+      b->class = CLASS_EXCESS;
+      b->key = (double) b->occ->since;
+    }
   else if (fits_in_time (b->occ, o, now))
     {
       b->class = CLASS_TIMELY;
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -998,6 +998,36 @@
   world_submit (world, spec);
 }
 
+/* Guards against a workspace that crowds out the others by sending far more than is its due. */
+static void
+test_jobs_beyond_a_rate_go_behind_the_rest (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_workspace_terms terms = { .rate = 4, .pools = 1 };
+
+  world_add_worker (world, "r1");
+  world->run_ms = 400;
+  mt_scheduler_set_workspace (world->sched, "yard", &terms);
+  for (unsigned i = 0; i < 40; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("y%02u", i);
+
+      submit_of (world, "yard", id, 8);
+    }
+  world_run (world, 100);
+  submit_of (world, "press", "bb", 8);
+  assert_true (world_until (world, "bb", MT_JOB_COMPLETED, 3000));
+  for (unsigned i = 0; i < 4; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("y%02u", i);
+
+      assert_int_equal (mt_scheduler_state (world->sched, id), MT_JOB_COMPLETED);
+    }
+  assert_int_equal (mt_scheduler_state (world->sched, "y20"), MT_JOB_QUEUED);
+  assert_true (world_until (world, "y39", MT_JOB_COMPLETED, 60000));
+  world_destroy (world);
+}
+
 static int64_t
 granted_cpu (const struct world *world)
 {
@@ -1080,6 +1110,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_quota_bounds_a_workspace_and_nobody_else),
     cmocka_unit_test (test_older_message_on_quotas_is_not_taken),
+    cmocka_unit_test (test_jobs_beyond_a_rate_go_behind_the_rest),
     cmocka_unit_test (test_part_shrinks_with_its_quota),
     cmocka_unit_test (test_job_runs_to_its_end),
     cmocka_unit_test (test_nothing_starts_that_is_not_stored),
