scheduler: a run that a predecessor has told to stop counts as away

Traced by its log: edge-gyor-b-1 stops tasks 0, 1 and 2 of a step of which 3 may be away, and hands its leadership over 0.3 s later; a stop takes up to 0.9 s here (0.2 s elsewhere), so the workers list two of them as at work to the successor, which moves a fourth.

Ruled out: the budget's count itself (away=2 of 3 by what the successor knew), late orders (fenced by its first hold), a machine ordered away.

Change: what a successor finds running counts as away for the grace of a stop (stop_grace_ms, from the platform's bounds) from its first listing. The new test fails without it.

--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -12,6 +12,8 @@
 /* A start without an answer is sent again so often. Of the starts on a worker that loses every
  * second one, one in sixteen is still in doubt then. */
 #define START_REPEATS 3
+/* An end is listed so long after it, at the latest. */
+#define STOP_LISTED_MS 100
 /* Idle workers are asked so often, to read their clocks: 2% of it is the error of a lease. */
 #define IDLE_HOLD_MS 15000
 
@@ -289,6 +291,8 @@
   task->stamp = w->stamp;
   mt_task_keep_checkpoint (task, row->checkpoint);
   mark_running (sched, task, now);
+  if (task->inherited)
+    task->sure_from = now + sched->settings.stop_grace_ms + STOP_LISTED_MS;
   task->inherited = false;
   if (row->percent != task->percent)
     {
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -39,6 +39,7 @@
   int64_t answered; /* when the worker last acknowledged an order on it; 0 for never */
   int64_t moved;    /* when its percent last changed */
   int64_t not_before;
+  int64_t sure_from;  /* a stop that a predecessor has sent has taken effect by then */
   int64_t away_since; /* long-running: not at work since; 0 while at work */
   int64_t gauge;
   struct mt_worker *worker;
--- a/core/scheduler/scheduler_tasks.c
+++ b/core/scheduler/scheduler_tasks.c
@@ -113,6 +113,7 @@
   task->pace = 100;
   task->gauge = 0;
   task->repeats = 0;
+  task->sure_from = 0;
   task->doubtful = task->stop_answered = task->order_sent = task->inherited = false;
   task->run++;
   task->worker = w;
--- a/core/scheduler/scheduler_watch.c
+++ b/core/scheduler/scheduler_watch.c
@@ -58,11 +58,13 @@
     }
 }
 
-/* A worker that does not answer may have stopped working long ago. */
+/* A worker that does not answer may have stopped working long ago. One that a predecessor has told
+ * to stop a run lists it as at work until the stop takes effect. */
 static bool
-is_away (const struct mt_task *task)
+is_away (const struct mt_task *task, int64_t now)
 {
-  return task->state != MT_TASK_RUNNING || task->percent < 100 || task->worker->silent_since != 0;
+  return task->state != MT_TASK_RUNNING || task->percent < 100 || task->worker->silent_since != 0
+         || now < task->sure_from;
 }
 
 /* A long-running task on a worker that leaves, or is to be emptied, goes elsewhere while others of
@@ -83,7 +85,7 @@
     {
       const struct mt_task *other = &occ->tasks[occ->step_first[task->step] + i];
 
-      away += other != task && is_away (other);
+      away += other != task && is_away (other, now);
     }
   /* Stopped without a place to go to it would be away for as long as none comes. On a worker that
    * leaves it is lost anyway. */
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -159,7 +159,8 @@
   return (struct mt_scheduler_settings){ .hold_ms = MIN (HOLD_MS, b->max_hold_ms),
                                          .max_hold_ms = b->max_hold_ms,
                                          .remote_factor = b->remote_factor,
-                                         .status_ms = (int64_t) (1000 * b->status_s) };
+                                         .status_ms = (int64_t) (1000 * b->status_s),
+                                         .stop_grace_ms = b->stop_grace_ms };
 }
 
 static bool
--- a/fleet/settings.h
+++ b/fleet/settings.h
@@ -14,6 +14,7 @@
   double grace_s;
   double move_s;
   double upkeep_s;
+  unsigned stop_grace_ms;
   unsigned keys_stale_ms; /* keys unconfirmed for longer are refused; 0: never */
 };
 
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -17,10 +17,11 @@
 struct mt_scheduler_settings
 {
   const char *name;
-  int64_t hold_ms;      /* lease given to a worker's tasks with each hold */
-  int64_t max_hold_ms;  /* longest lease that a worker grants */
-  double remote_factor; /* run time away from the data, in multiples */
-  int64_t status_ms;    /* records outlive the end of their job by this */
+  int64_t hold_ms;       /* lease given to a worker's tasks with each hold */
+  int64_t max_hold_ms;   /* longest lease that a worker grants */
+  double remote_factor;  /* run time away from the data, in multiples */
+  int64_t status_ms;     /* records outlive the end of their job by this */
+  int64_t stop_grace_ms; /* a run goes on for so long after it was told to stop */
 };
 
 struct mt_route_terms
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -497,6 +497,63 @@
   world_destroy (world);
 }
 
+/* At work, and not told to stop. */
+static unsigned
+at_work (const struct world *world)
+{
+  unsigned n = 0;
+
+  for (unsigned i = 0; i < world->n_workers; i++)
+    for (guint r = 0; r < world->workers[i].runs->len; r++)
+      n += g_array_index (world->workers[i].runs, struct world_run, r).stops == 0;
+  return n;
+}
+
+static struct mt_job_spec *
+apart_job (void)
+{
+  struct mt_job_spec *spec = world_job ("aa", 3, 4000, 1000);
+
+  spec->steps[0].long_running = true;
+  spec->steps[0].max_unavailable = 1;
+  spec->steps[0].max_per_worker = 1;
+  return spec;
+}
+
+/* Guards against a successor that takes a task for at work which its predecessor has told to stop,
+ * and moves another beyond the step's budget. */
+static void
+test_successor_counts_what_its_predecessor_stops_as_away (void **state)
+{
+  struct world *world = world_create ();
+  g_autoptr (GPtrArray) specs = g_ptr_array_new ();
+
+  world->run_ms = -1;
+  world->stop_ms = 900;
+  for (int i = 0; i < 3; i++)
+    world_add_worker (world, "r1");
+  world_submit (world, apart_job ());
+  world_run (world, 2500);
+  assert_int_equal (at_work (world), 3);
+  world_add_worker (world, "r1");
+  world_add_worker (world, "r1");
+  world_run (world, 500);
+  mt_scheduler_cordon (world->sched, "i-0", world->now + 60000, true);
+  world_run (world, 100);
+  assert_int_equal (at_work (world), 2);
+  g_ptr_array_add (specs, apart_job ());
+  world_take_over (world, specs);
+  mt_scheduler_cordon (world->sched, "i-1", world->now + 60000, true);
+  for (int i = 0; i < 1000; i++)
+    {
+      world_run (world, 5);
+      assert_true (at_work (world) >= 2);
+    }
+  assert_int_equal (world->workers[1].runs->len, 0);
+  assert_int_equal (at_work (world), 3);
+  world_destroy (world);
+}
+
 /* What can't be in time any more is run when there is room, and asks for no machines: it would hold
  * those that another pool needs to be in time. */
 static void
@@ -1141,6 +1198,7 @@
     cmocka_unit_test (test_lost_order_makes_no_silent_worker),
     cmocka_unit_test (test_work_outlives_an_outage_of_the_store),
     cmocka_unit_test (test_surge_shows_before_anything_waits),
+    cmocka_unit_test (test_successor_counts_what_its_predecessor_stops_as_away),
     cmocka_unit_test (test_late_work_is_not_urgent),
     cmocka_unit_test (test_long_running_tasks_are_moved_one_after_the_other),
     cmocka_unit_test (test_no_long_running_task_is_moved_while_others_are_away),
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -13,7 +13,12 @@
 #define ORDER_BYTES 215
 
 static const struct mt_scheduler_settings settings = {
-  .name = "pool", .hold_ms = 4500, .max_hold_ms = 6000, .remote_factor = 2, .status_ms = 120000
+  .name = "pool",
+  .hold_ms = 4500,
+  .max_hold_ms = 6000,
+  .remote_factor = 2,
+  .status_ms = 120000,
+  .stop_grace_ms = 900,
 };
 static const struct mt_route_terms terms
     = { .priority = 0, .max_attempts = 3, .stretch = 1.6, .objective_ms = 600 };
@@ -25,6 +30,7 @@
 
   world->now = 100000;
   world->run_ms = 1000;
+  world->stop_ms = STOP_MS;
   world->token = 1;
   world->late = g_array_new (FALSE, TRUE, sizeof (struct world_late));
   world->sent = g_array_new (FALSE, TRUE, sizeof (struct world_sent));
@@ -286,7 +292,7 @@
   if (order->kind == MT_ORDER_STOP && r == NULL)
     note_past (w, order->task, order->run);
   else if (order->kind == MT_ORDER_STOP && r->stops == 0)
-    r->stops = world->now + STOP_MS;
+    r->stops = world->now + world->stop_ms;
   else if (order->kind == MT_ORDER_PACE && r != NULL)
     r->pace = order->percent;
   return MT_ANSWER_OK;
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -103,6 +103,7 @@
   bool holds_only;    /* the leader isn't sure of its lease, in an outage of the store */
   bool silent_leader; /* ... or cut off: it sends nothing */
   int64_t run_ms;     /* of a task whose job says nothing else; -1: never ends */
+  int64_t stop_ms;    /* from the order to the end of the run */
   unsigned started;
   unsigned twice;      /* starts of a task that runs elsewhere */
   unsigned redone;     /* starts of a task that a worker under a lease has done */
