grants: the field's words for allocation

Names and comments only: share, grant, acknowledged, max-min fairness, rotation, in place of part, told, confirmed, deal and turn, which a newcomer would have to guess.

--- a/core/controller/grants.c
+++ b/core/controller/grants.c
@@ -1,34 +1,34 @@
-/* How a quota is shared by pools that surge in turn.
+/* Allocation of a quota to pools that surge in turn.
  *
  * The load: a workspace's jobs come to one pool for some seconds, then to the next. A fixed share
  * for each pool would leave most of the quota idle while its jobs wait; a pool that asked for each
- * task would wait for the answer. So each pool has a part, what it does not use goes to the pool
- * that lacks it, and what is left over is spread evenly. */
+ * task would wait for the answer. So each pool has a granted share, what it does not use goes to
+ * the pool that lacks it, and what is left over is spread evenly. */
 #include "medlartrack/grants.h"
 
 #include <string.h>
 
-/* A pool that has not answered for so long may have a new leader, who takes an even share in the
+/* A pool that has not answered for so long may have a new leader, which takes an even share in the
  * end: the others make room for it. */
 #define MISSED_MS 1000
-/* ... and for so long, it has fallen back to an even share by its own clock: longer than the lease
- * by what a message may be on its way. */
-#define SILENT_MS (MT_GRANT_MS + 1000)
+/* ... and for so long, its grant has lapsed to an even share by its own clock: longer than the
+ * lease by what a message may be on its way. */
+#define SILENT_MS (MT_GRANT_LEASE_MS + 1000)
 /* Where not all that is wanted can be had, another pool goes first after so long: a task that is
- * larger than an even share must have its turn. */
-#define TURN_MS 4000
+ * larger than an even share must run in the end. */
+#define ROTATION_MS 4000
 
-/* One pool's part of one workspace's quota. */
-struct part
+/* One pool's share of one workspace's quota. */
+struct share
 {
   struct mt_room used;
   struct mt_room waiting;
-  struct mt_room unit;
-  struct mt_room held; /* as far as the pool has confirmed */
+  struct mt_room largest; /* task that waits */
+  struct mt_room acked;   /* granted, as far as the pool has acknowledged */
   struct mt_room sent;
-  uint64_t sent_number; /* of the message that said so; 0 for none */
-  bool confirmed;       /* by its answer */
-  bool told;            /* its present leader was told of its part */
+  uint64_t sent_number; /* of the message that granted it; 0 for none */
+  bool is_acked;
+  bool has_grant; /* the pool's present leader has received one */
 };
 
 struct pool
@@ -37,7 +37,7 @@
   uint64_t number; /* of the last message */
   bool heard;
   int64_t heard_at;
-  struct part *parts; /* by workspace */
+  struct share *shares; /* by workspace */
 };
 
 struct mt_grants
@@ -68,7 +68,7 @@
   for (unsigned i = 0; i < n; i++)
     {
       g_free (pools[i].name);
-      g_free (pools[i].parts);
+      g_free (pools[i].shares);
     }
   g_free (pools);
 }
@@ -93,21 +93,21 @@
   return NULL;
 }
 
-static struct part *
-find_part (const struct mt_grants *grants, const struct pool *pool, const char *workspace)
+static struct share *
+find_share (const struct mt_grants *grants, const struct pool *pool, const char *workspace)
 {
   for (unsigned i = 0; i < grants->n_workspaces; i++)
     if (strcmp (grants->names[i], workspace) == 0)
-      return &pool->parts[i];
+      return &pool->shares[i];
   return NULL;
 }
 
-/* What is known of a pool's parts outlives a change of the configuration. */
+/* What is known of a pool's shares outlives a change of the configuration. */
 static struct pool
 take_pool (const struct mt_grants *old, const char *name, char *const *names, unsigned n)
 {
   const struct pool *known = find_pool (old, name);
-  struct pool out = { .name = g_strdup (name), .parts = g_new0 (struct part, n + 1) };
+  struct pool out = { .name = g_strdup (name), .shares = g_new0 (struct share, n + 1) };
 
   if (known == NULL)
     return out;
@@ -116,10 +116,10 @@
   out.heard_at = known->heard_at;
   for (unsigned i = 0; i < n; i++)
     {
-      const struct part *part = find_part (old, known, names[i]);
+      const struct share *share = find_share (old, known, names[i]);
 
-      if (part != NULL)
-        out.parts[i] = *part;
+      if (share != NULL)
+        out.shares[i] = *share;
     }
   return out;
 }
@@ -165,10 +165,10 @@
   int64_t now;
 };
 
-static const struct part *
-part_at (const struct ledger *l, unsigned pool)
+static const struct share *
+share_at (const struct ledger *l, unsigned pool)
 {
-  return &l->grants->pools[pool].parts[l->workspace];
+  return &l->grants->pools[pool].shares[l->workspace];
 }
 
 static int64_t
@@ -189,41 +189,41 @@
 static int64_t
 reserved (const struct ledger *l, unsigned pool)
 {
-  const struct part *part = part_at (l, pool);
+  const struct share *share = share_at (l, pool);
   int64_t even = l->quota / l->n_pools;
-  int64_t used = figure (l, &part->used);
-  int64_t told = figure (l, &part->held);
+  int64_t used = figure (l, &share->used);
+  int64_t granted = figure (l, &share->acked);
 
   if (is_silent (l, pool, SILENT_MS))
     return MAX (used, even);
-  if (!part->confirmed)
-    told = MAX (told, figure (l, &part->sent));
-  /* Whoever was not told of a part takes an even one in the end. */
-  if (!part->told || is_silent (l, pool, MISSED_MS))
-    told = MAX (told, even);
-  return MAX (used, told);
+  if (!share->is_acked)
+    granted = MAX (granted, figure (l, &share->sent));
+  /* A leader without a grant takes an even share in the end. */
+  if (!share->has_grant || is_silent (l, pool, MISSED_MS))
+    granted = MAX (granted, even);
+  return MAX (used, granted);
 }
 
 static int64_t
 wanted (const struct ledger *l, unsigned pool)
 {
-  const struct part *part = part_at (l, pool);
+  const struct share *share = share_at (l, pool);
 
   return is_silent (l, pool, MISSED_MS) ? reserved (l, pool)
-                                        : figure (l, &part->used) + figure (l, &part->waiting);
+                                        : figure (l, &share->used) + figure (l, &share->waiting);
 }
 
-/* Where all wants can be met, each pool gets its own and an even part of the rest. */
+/* Where all can have what they want, each pool gets that and an even part of the rest. */
 static int64_t
-generous_share (const struct ledger *l, unsigned pool, int64_t all_wanted)
+surplus_share (const struct ledger *l, unsigned pool, int64_t all_wanted)
 {
   return wanted (l, pool) + (l->quota - all_wanted) / l->n_pools;
 }
 
-/* The quota is filled up evenly: nobody gets more than it wants, nor more than an even part of what
- * those leave who want less. */
+/* Max-min fairness: nobody gets more than it wants, nor more than an even part of what those leave
+ * who want less. */
 static int64_t
-fill_level (const struct ledger *l)
+fair_level (const struct ledger *l)
 {
   unsigned n = l->n_pools;
   int64_t level = l->quota / n;
@@ -243,32 +243,33 @@
   return level;
 }
 
-/* A task that is larger than an even part has its turn: the others leave room for it meanwhile. */
+/* Pools whose next task is larger than the fair level go first by rotation; the others leave room
+ * for it meanwhile. */
 static int64_t
-scarce_share (const struct ledger *l, unsigned pool)
+fair_share (const struct ledger *l, unsigned pool)
 {
   unsigned n = l->n_pools;
-  unsigned turn = (unsigned) (l->now / TURN_MS) % n;
-  int64_t unit = MIN (figure (l, &part_at (l, turn)->unit), l->quota);
-  int64_t level = fill_level (l);
+  unsigned first = (unsigned) (l->now / ROTATION_MS) % n;
+  int64_t largest = MIN (figure (l, &share_at (l, first)->largest), l->quota);
+  int64_t level = fair_level (l);
 
-  if (n > 1 && unit > level)
-    level = pool == turn ? unit : (l->quota - unit) / (n - 1);
+  if (n > 1 && largest > level)
+    level = pool == first ? largest : (l->quota - largest) / (n - 1);
   return MIN (wanted (l, pool), level);
 }
 
-/* What the pool should be told to have of this figure. Nothing is taken from a pool that has more
- * than its share while nobody lacks it. */
+/* What the pool is to be granted of this figure. Nothing is taken from a pool that has more than
+ * its share while nobody lacks it. */
 static int64_t
-decide (const struct ledger *l, unsigned pool)
+target_share (const struct ledger *l, unsigned pool)
 {
   unsigned n = l->n_pools;
-  const struct part *part = part_at (l, pool);
-  int64_t held = figure (l, part->confirmed ? &part->held : &part->sent);
+  const struct share *share = share_at (l, pool);
+  int64_t granted = figure (l, share->is_acked ? &share->acked : &share->sent);
   int64_t all_wanted = 0;
   int64_t others = 0;
   bool lacked = false;
-  int64_t share;
+  int64_t target;
 
   for (unsigned i = 0; i < n; i++)
     {
@@ -276,23 +277,23 @@
       lacked |= wanted (l, i) > reserved (l, i);
       others += i != pool ? reserved (l, i) : 0;
     }
-  share = all_wanted <= l->quota ? generous_share (l, pool, all_wanted) : scarce_share (l, pool);
-  if (share > held)
-    return MAX (MIN (share, l->quota - others), held);
-  return lacked || others + held > l->quota ? share : held;
+  target = all_wanted <= l->quota ? surplus_share (l, pool, all_wanted) : fair_share (l, pool);
+  if (target > granted)
+    return MAX (MIN (target, l->quota - others), granted);
+  return lacked || others + granted > l->quota ? target : granted;
 }
 
 static bool
-decide_room (const struct mt_grants *grants,
+target_room (const struct mt_grants *grants,
              unsigned workspace,
              unsigned pool,
              int64_t now,
              struct mt_room *out)
 {
-  const struct part *part = &grants->pools[pool].parts[workspace];
+  const struct share *share = &grants->pools[pool].shares[workspace];
   bool changed = false;
 
-  *out = part->confirmed ? part->held : part->sent;
+  *out = share->is_acked ? share->acked : share->sent;
   for (unsigned i = 0; i < MT_ROOM_PARTS; i++)
     {
       struct ledger l = { .grants = grants,
@@ -304,15 +305,15 @@
 
       if (l.quota == 0)
         continue;
-      *mt_room_part (out, i) = decide (&l, pool);
-      changed |= mt_room_get (out, i) != mt_room_get (&part->held, i)
-                 || mt_room_get (out, i) != mt_room_get (&part->sent, i);
+      *mt_room_part (out, i) = target_share (&l, pool);
+      changed |= mt_room_get (out, i) != mt_room_get (&share->acked, i)
+                 || mt_room_get (out, i) != mt_room_get (&share->sent, i);
     }
   return changed;
 }
 
-/* A pool that was not heard of yet may have been told anything by the leader before this one: until
- * it has answered, or fallen back to an even share, nobody is told anything else. */
+/* A pool that has not answered yet may have been granted anything by the leader before this one:
+ * until it answers, or its grant has lapsed, no other grant changes. */
 static bool
 knows_all_pools (const struct mt_grants *grants, int64_t now)
 {
@@ -340,32 +341,31 @@
     return out;
   for (unsigned i = 0; i < grants->n_workspaces; i++)
     {
-      struct part *part = &pool->parts[i];
+      struct share *share = &pool->shares[i];
       struct mt_room room;
 
-      if (!decide_room (grants, i, (unsigned) (pool - grants->pools), now, &room) && part->confirmed
-          && part->told)
+      if (!target_room (grants, i, (unsigned) (pool - grants->pools), now, &room) && share->is_acked
+          && share->has_grant)
         continue;
       rows[out.n_grants++] = (struct mt_grant){ grants->names[i], room };
-      /* What was said before and not confirmed may hold as well: the higher one counts until then.
-       */
-      for (unsigned k = 0; !part->confirmed && k < MT_ROOM_PARTS; k++)
-        *mt_room_part (&part->held, k)
-            = MAX (mt_room_get (&part->held, k), mt_room_get (&part->sent, k));
-      part->sent = room;
-      part->sent_number = out.number;
-      part->confirmed = false;
+      /* An earlier grant without an acknowledgement may be in force: the higher one counts. */
+      for (unsigned k = 0; !share->is_acked && k < MT_ROOM_PARTS; k++)
+        *mt_room_part (&share->acked, k)
+            = MAX (mt_room_get (&share->acked, k), mt_room_get (&share->sent, k));
+      share->sent = room;
+      share->sent_number = out.number;
+      share->is_acked = false;
     }
   return out;
 }
 
 static void
-confirm (struct part *part, uint64_t number)
+acknowledge (struct share *share, uint64_t number)
 {
-  if (part->sent_number == 0 || part->sent_number > number)
+  if (share->sent_number == 0 || share->sent_number > number)
     return;
-  part->held = part->sent;
-  part->confirmed = true;
+  share->acked = share->sent;
+  share->is_acked = true;
 }
 
 void
@@ -384,24 +384,25 @@
   pool->heard_at = now;
   for (unsigned i = 0; i < grants->n_workspaces; i++)
     {
-      pool->parts[i].used = pool->parts[i].waiting = pool->parts[i].unit = (struct mt_room){ 0 };
-      confirm (&pool->parts[i], number);
-      pool->parts[i].told = true;
+      pool->shares[i].used = pool->shares[i].waiting = pool->shares[i].largest
+          = (struct mt_room){ 0 };
+      acknowledge (&pool->shares[i], number);
+      pool->shares[i].has_grant = true;
     }
   for (size_t i = 0; i < n; i++)
     {
-      struct part *part = find_part (grants, pool, views[i].workspace);
+      struct share *share = find_share (grants, pool, views[i].workspace);
 
-      if (part == NULL)
+      if (share == NULL)
         continue;
-      part->used = views[i].used;
-      part->waiting = views[i].waiting;
-      part->unit = views[i].unit;
-      part->told = views[i].told;
-      if (part->sent_number <= number)
+      share->used = views[i].used;
+      share->waiting = views[i].waiting;
+      share->largest = views[i].largest;
+      share->has_grant = views[i].has_grant;
+      if (share->sent_number <= number)
         {
-          part->held = views[i].granted;
-          part->confirmed = true;
+          share->acked = views[i].granted;
+          share->is_acked = true;
         }
     }
 }
--- a/core/scheduler/scheduler_accounts.c
+++ b/core/scheduler/scheduler_accounts.c
@@ -1,18 +1,18 @@
 /* Quotas of workspaces: what each may have running in all pools together.
  *
  * The load: pools are placed by different daemons at the same moment, and a workspace's jobs come
- * to one of them in a surge. Each pool keeps to a part of the quota that the fleet's leader deals
- * out and takes back (grants.c). */
+ * to one of them in a surge. Each pool keeps to the share of the quota that the fleet's leader
+ * grants it and takes back (grants.c). */
 #include "scheduler_internal.h"
 
 /* A workspace may hand in so many seconds' worth of its rate at once. */
 #define BURST_S 1
-/* Of an even share: what a pool may use before it has heard of its part. All pools together stay
- * within the overrun that operators allow for. */
-#define UNTOLD_SHARE 0.1
-/* ... and for how long: by then whoever deals has missed it for a while, and what the others had
+/* Of an even share: what a pool may use before its first grant. All pools together stay within the
+ * overrun that operators allow for. */
+#define INITIAL_SHARE 0.1
+/* ... and for how long: by then whoever grants has missed it for a while, and what the others had
  * running beyond their shares has ended. */
-#define UNTOLD_MS 4000
+#define INITIAL_MS 4000
 
 void
 mt_account_free (void *data)
@@ -39,9 +39,9 @@
   return account;
 }
 
-/* All pools shrink their parts alike, whether or not somebody who deals them out reaches them. */
+/* All pools shrink their shares alike, whether or not the fleet's leader reaches them. */
 static void
-shrink_part (struct mt_account *account, const struct mt_room *quota, unsigned i)
+shrink_share (struct mt_account *account, const struct mt_room *quota, unsigned i)
 {
   int64_t before = mt_room_get (&account->terms.quota, i);
   int64_t after = mt_room_get (quota, i);
@@ -61,7 +61,7 @@
   if (account == NULL)
     return;
   for (unsigned i = 0; i < MT_ROOM_PARTS; i++)
-    shrink_part (account, &terms->quota, i);
+    shrink_share (account, &terms->quota, i);
   account->terms = *terms;
   sched->changed = true;
 }
@@ -100,23 +100,23 @@
   return mt_room_get (&account->terms.quota, i) / MAX (account->terms.pools, 1U);
 }
 
-/* A pool that hears nothing keeps no more than an even share: whoever deals counts on that, and can
- * give the rest to others. One that has never heard waits until the others have made room for it.
+/* A pool that hears nothing keeps no more than an even share: whoever grants counts on that, and
+ * can give the rest to others. One without any grant waits until the others have made room for it.
  */
 static int64_t
-part_of (const struct mt_scheduler *sched,
-         const struct mt_account *account,
-         unsigned i,
-         int64_t now)
+share_limit (const struct mt_scheduler *sched,
+             const struct mt_account *account,
+             unsigned i,
+             int64_t now)
 {
   int64_t quota = mt_room_get (&account->terms.quota, i);
   int64_t even = even_share (account, i);
   int64_t granted = mt_room_get (&account->granted, i);
 
-  if (account->told)
+  if (account->has_grant)
     return MIN (granted, now < sched->grants_until ? quota : even);
-  if (now - sched->created < UNTOLD_MS)
-    return (int64_t) (UNTOLD_SHARE * (double) even);
+  if (now - sched->created < INITIAL_MS)
+    return (int64_t) (INITIAL_SHARE * (double) even);
   return even;
 }
 
@@ -132,18 +132,18 @@
     {
       int64_t quota = mt_room_get (&account->terms.quota, i);
       int64_t used = mt_room_get (&account->used, i);
-      int64_t part;
+      int64_t limit;
 
       if (quota == 0)
         continue;
-      part = part_of (sched, account, i, now);
-      if (used + mt_room_get (&step->need, i) > part && (part < quota || used >= quota))
+      limit = share_limit (sched, account, i, now);
+      if (used + mt_room_get (&step->need, i) > limit && (limit < quota || used >= quota))
         return false;
     }
   return true;
 }
 
-/* ---- parts ---- */
+/* ---- grants ---- */
 
 /* What a lease allowed beyond an even share does not come back with the next message: others have
  * it by now. */
@@ -177,7 +177,7 @@
   sched->grants_token = message->token;
   sched->grants_number = message->number;
   sched->grants_all = message->all;
-  sched->grants_until = now + MT_GRANT_MS;
+  sched->grants_until = now + MT_GRANT_LEASE_MS;
   for (size_t i = 0; i < message->n_grants; i++)
     {
       struct mt_account *account = mt_scheduler_account (sched, message->grants[i].workspace);
@@ -185,7 +185,7 @@
       if (account == NULL)
         continue;
       account->granted = message->grants[i].room;
-      account->told = true;
+      account->has_grant = true;
       sched->changed = true;
     }
   return true;
@@ -202,7 +202,7 @@
 static bool
 has_news (const struct mt_account_view *view)
 {
-  return !view->told || view->used.mem > 0 || view->used.cpu > 0 || view->waiting.mem > 0
+  return !view->has_grant || view->used.mem > 0 || view->used.cpu > 0 || view->waiting.mem > 0
          || view->waiting.cpu > 0;
 }
 
@@ -218,10 +218,10 @@
       for (unsigned i = 0; i < MT_ROOM_PARTS; i++)
         {
           int64_t need = mt_room_get (&step->need, i);
-          int64_t *unit = mt_room_part (&view->unit, i);
+          int64_t *largest = mt_room_part (&view->largest, i);
 
           *mt_room_part (&view->waiting, i) += occ->step_waiting[s] * need;
-          *unit = MAX (*unit, need);
+          *largest = MAX (*largest, need);
         }
     }
 }
@@ -260,7 +260,7 @@
       *view = (struct mt_account_view){ .workspace = account->name,
                                         .used = account->used,
                                         .granted = account->granted,
-                                        .told = account->told };
+                                        .has_grant = account->has_grant };
       g_hash_table_insert (views, account, view);
     }
   add_jobs (sched, views);
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -76,8 +76,8 @@
   char *name;
   struct mt_workspace_terms terms;
   struct mt_room used;    /* by tasks that have a worker */
-  struct mt_room granted; /* this pool's part of the quota */
-  bool told;              /* granted was said by a message */
+  struct mt_room granted; /* this pool's share of the quota */
+  bool has_grant;         /* granted was set by a message */
   double burst;           /* jobs beyond its rate, as of burst_at; the rate wears it off */
   int64_t burst_at;
 };
--- a/fleet/fleet_leader.c
+++ b/fleet/fleet_leader.c
@@ -107,7 +107,7 @@
 {
   struct mt_fleet_leader *leader;
   char *name;
-  uint64_t number; /* of the parts of quotas that it tells */
+  uint64_t number; /* of the grants that it carries */
 };
 
 static struct named_call *
--- a/fleet/fleet_leader.h
+++ b/fleet/fleet_leader.h
@@ -39,7 +39,7 @@
   struct mt_str ended;  /* their machines were ordered away */
   struct mt_str due;    /* to be emptied later */
   struct mt_str room; /* a number: processors that the pool should have, in thousandths of a core */
-  struct mt_str grants; /* its parts of quotas, as grants_wire.h packs them */
+  struct mt_str grants; /* its shares of quotas, as grants_wire.h packs them */
 };
 
 /* The part of a pool's leader: empties what it is told to and reports; the bytes are g_freed by the
--- a/fleet/grants_wire.c
+++ b/fleet/grants_wire.c
@@ -150,9 +150,9 @@
       mt_pack_bin (packer, mt_str_from (views[i].workspace));
       pack_room (packer, &views[i].used);
       pack_room (packer, &views[i].waiting);
-      pack_room (packer, &views[i].unit);
+      pack_room (packer, &views[i].largest);
       pack_room (packer, &views[i].granted);
-      pack_bool (packer, views[i].told);
+      pack_bool (packer, views[i].has_grant);
     }
 }
 
@@ -175,8 +175,8 @@
         return false;
       (*n)++;
       if (!unpack_room (&f[1], &views[i].used) || !unpack_room (&f[2], &views[i].waiting)
-          || !unpack_room (&f[3], &views[i].unit) || !unpack_room (&f[4], &views[i].granted)
-          || !mt_pack_get_bool (&f[5], &views[i].told))
+          || !unpack_room (&f[3], &views[i].largest) || !unpack_room (&f[4], &views[i].granted)
+          || !mt_pack_get_bool (&f[5], &views[i].has_grant))
         return false;
     }
   return true;
--- a/fleet/grants_wire.h
+++ b/fleet/grants_wire.h
@@ -1,5 +1,5 @@
-/* Parts of quotas on the wire, as msgpack bytes: what the fleet's leader tells a pool's, and the
- * accounts that this answers. Pure functions. */
+/* Shares of quotas on the wire, as msgpack bytes: what the fleet's leader grants a pool's, and the
+ * accounts in its answer. Pure functions. */
 #ifndef MT_FLEET_GRANTS_WIRE_H
 #define MT_FLEET_GRANTS_WIRE_H
 
--- a/include/medlartrack/grants.h
+++ b/include/medlartrack/grants.h
@@ -1,6 +1,8 @@
-/* Quotas of workspaces, dealt out to the pools by the fleet's leader. Each pool's leader keeps to
- * the part that it was told of; a part is taken back before it is given to another pool, and counts
- * as taken back only once the pool has answered. Without I/O; one thread; times in ms. */
+/* Quotas of workspaces, allocated to the pools by the fleet's leader. Each pool's leader keeps to
+ * the share that it was granted; a share is taken back before it is granted to another pool, and
+ * counts as taken back only once the pool has acknowledged it. Without I/O; one thread; times in
+ * ms.
+ */
 #ifndef MEDLARTRACK_GRANTS_H
 #define MEDLARTRACK_GRANTS_H
 
@@ -9,7 +11,7 @@
 
 struct mt_grants;
 
-/* token: of the leadership that deals. */
+/* token: of the leadership that allocates. */
 struct mt_grants *mt_grants_create (int64_t token, int64_t now);
 void mt_grants_destroy (struct mt_grants *grants);
 
@@ -21,7 +23,7 @@
 /* The next message to the pool of that name; its rows are g_freed by the caller and borrow their
  * names until the next call to mt_grants_configure. */
 struct mt_grant_message mt_grants_message (struct mt_grants *grants, const char *name, int64_t now);
-/* The pool has answered that message: it keeps to it, and has these accounts. */
+/* The pool has acknowledged that message, and has these accounts. */
 void mt_grants_answered (struct mt_grants *grants,
                          const char *name,
                          uint64_t number,
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -53,10 +53,10 @@
                                  const char *name,
                                  const struct mt_workspace_terms *terms);
 
-/* This pool's part of a workspace's quota, as whoever deals it out says. What is beyond an even
- * share is a lease of MT_GRANT_MS from the last message. False where the message is older than the
- * last one; then nothing is taken. */
-#define MT_GRANT_MS 2000
+/* This pool's share of a workspace's quota, as the fleet's leader grants it. What is beyond an even
+ * share is a lease of MT_GRANT_LEASE_MS from the last message. False where the message is older
+ * than the last one; then nothing is taken. */
+#define MT_GRANT_LEASE_MS 2000
 struct mt_grant
 {
   const char *workspace;
@@ -65,7 +65,7 @@
 
 struct mt_grant_message
 {
-  int64_t token;                 /* of whoever deals; a higher one wins */
+  int64_t token;                 /* of the leader that grants; a higher one wins */
   uint64_t number;               /* of that one's messages */
   bool all;                      /* every account is asked for */
   const struct mt_grant *grants; /* what has changed */
@@ -82,12 +82,12 @@
   const char *workspace;
   struct mt_room used;    /* running, ordered, or being stopped */
   struct mt_room waiting; /* of tasks that could start */
-  struct mt_room unit;    /* the largest of these */
-  struct mt_room granted; /* as said by the last message that did */
-  bool told;              /* one did */
+  struct mt_room largest; /* of these */
+  struct mt_room granted; /* by the last message that named it */
+  bool has_grant;         /* one did */
 };
 
-/* Of workspaces with a limit. Those that have heard of their part and use nothing are left out,
+/* Of workspaces with a limit. Those that have a grant and use nothing are left out,
  * unless the last message asked for all. Returns how many were written. */
 size_t
 mt_scheduler_accounts (const struct mt_scheduler *sched, struct mt_account_view *out, size_t max);
--- a/tests/fleet/test_grants_wire.c
+++ b/tests/fleet/test_grants_wire.c
@@ -11,7 +11,7 @@
 static const struct mt_grant_message sample
     = { .token = 7, .number = 41, .all = true, .grants = grants, .n_grants = 2 };
 
-/* Guards against a part of a quota that is read as another's, or as another figure. */
+/* Guards against a share of a quota that is read as another's, or as another figure. */
 static void
 test_message_arrives_as_it_was_packed (void **state)
 {
@@ -54,9 +54,9 @@
   const struct mt_account_view view = { .workspace = "yard",
                                         .used = { 1, 2, 3 },
                                         .waiting = { 4, 5, 6 },
-                                        .unit = { 7, 8, 9 },
+                                        .largest = { 7, 8, 9 },
                                         .granted = { 10, 11, 12 },
-                                        .told = true };
+                                        .has_grant = true };
   struct mt_account_view *read;
   msgpack_sbuffer buffer;
   msgpack_packer packer;
@@ -73,7 +73,7 @@
   assert_int_equal (n, 1);
   assert_string_equal (read->workspace, "yard");
   assert_memory_equal (&read->used, &view.used, 4 * sizeof view.used);
-  assert_true (read->told);
+  assert_true (read->has_grant);
   mt_accounts_free (read, n);
   msgpack_unpacked_destroy (&unpacked);
   msgpack_sbuffer_destroy (&buffer);
--- a/tests/scheduler/property_quota.cpp
+++ b/tests/scheduler/property_quota.cpp
@@ -31,7 +31,7 @@
 constexpr int64_t message_every_ms = 100;
 /* A configuration is in force everywhere so long after it was accepted. */
 constexpr int64_t in_force_ms = 3000;
-/* Every lease given to a silent worker is over, and all that waited has run in its turn. */
+/* Every lease given to a silent worker is over, and all that waited has run. */
 constexpr int64_t settle_ms = 60000;
 const char *const pool_names[pools + 1] = { "p0", "p1", nullptr };
 const char *const names[workspaces] = { "yard", "press" };
--- a/tests/scheduler/test_grants.c
+++ b/tests/scheduler/test_grants.c
@@ -60,7 +60,7 @@
   if (!f->silent[i] && message.n_grants > 0)
     {
       f->views[i].granted = message.grants[0].room;
-      f->views[i].told = true;
+      f->views[i].has_grant = true;
     }
   if (!f->silent[i] && !f->unheard[i])
     mt_grants_answered (f->grants, pools[i], message.number, &f->views[i], 1, f->now);
@@ -115,9 +115,9 @@
   destroy_fixture (f);
 }
 
-/* Guards against a pool that is cut off and uses a part that was given away meanwhile. */
+/* Guards against a pool that is cut off and uses a share that was granted to others meanwhile. */
 static void
-test_silent_pool_keeps_its_part (void **state)
+test_silent_pool_keeps_its_share (void **state)
 {
   struct fixture *f = create_fixture ();
 
@@ -126,17 +126,17 @@
   assert_int_equal (f->views[1].granted.cpu, QUOTA);
   f->silent[1] = true;
   f->views[0].waiting.cpu = 4000;
-  run_rounds (f, MT_GRANT_MS / ROUND_MS);
+  run_rounds (f, MT_GRANT_LEASE_MS / ROUND_MS);
   assert_int_equal (f->views[0].granted.cpu, 0);
-  run_rounds (f, 2 * MT_GRANT_MS / ROUND_MS);
+  run_rounds (f, 2 * MT_GRANT_LEASE_MS / ROUND_MS);
   assert_true (f->views[0].granted.cpu >= 4000);
   assert_true (f->views[0].granted.cpu <= QUOTA - QUOTA / 4);
   destroy_fixture (f);
 }
 
-/* Guards against a part that counts as not given because the answer to its message was lost. */
+/* Guards against a share that counts as not granted because its acknowledgement was lost. */
 static void
-test_unanswered_message_counts_as_taken (void **state)
+test_unacknowledged_grant_counts (void **state)
 {
   struct fixture *f = create_fixture ();
 
@@ -155,7 +155,7 @@
   destroy_fixture (f);
 }
 
-/* Guards against a new leader who deals out what its predecessor's pools still have. */
+/* Guards against a new leader who grants what its predecessor's pools still have. */
 static void
 test_new_leader_waits_for_every_pool (void **state)
 {
@@ -168,7 +168,7 @@
   configure (f, QUOTA);
   f->silent[1] = true;
   f->views[0].waiting.cpu = 4000;
-  run_rounds (f, MT_GRANT_MS / ROUND_MS);
+  run_rounds (f, MT_GRANT_LEASE_MS / ROUND_MS);
   assert_int_equal (f->views[0].granted.cpu, 0);
   f->silent[1] = false;
   run_rounds (f, 4);
@@ -176,7 +176,7 @@
   destroy_fixture (f);
 }
 
-/* Guards against parts that stay above a quota that was lowered. */
+/* Guards against shares that stay above a quota that was lowered. */
 static void
 test_lowered_quota_is_taken_back (void **state)
 {
@@ -193,7 +193,7 @@
   destroy_fixture (f);
 }
 
-/* Guards against a task larger than an even part that waits for ever. */
+/* Guards against a task larger than an even share that waits for ever. */
 static void
 test_large_task_has_its_turn (void **state)
 {
@@ -203,7 +203,7 @@
   for (unsigned i = 0; i < 4; i++)
     {
       f->views[i].waiting.cpu = 2 * 9000;
-      f->views[i].unit.cpu = 9000;
+      f->views[i].largest.cpu = 9000;
     }
   for (unsigned round = 0; round < 400; round++)
     {
@@ -222,8 +222,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_what_nobody_wants_is_spread_evenly),
     cmocka_unit_test (test_surge_gets_what_other_pools_leave),
-    cmocka_unit_test (test_silent_pool_keeps_its_part),
-    cmocka_unit_test (test_unanswered_message_counts_as_taken),
+    cmocka_unit_test (test_silent_pool_keeps_its_share),
+    cmocka_unit_test (test_unacknowledged_grant_counts),
     cmocka_unit_test (test_new_leader_waits_for_every_pool),
     cmocka_unit_test (test_lowered_quota_is_taken_back),
     cmocka_unit_test (test_large_task_has_its_turn),
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -1094,7 +1094,7 @@
   return view.granted.cpu;
 }
 
-/* Guards against a larger part of before that comes late and counts beside what was taken back. */
+/* Guards against a larger grant of before that comes late and counts beside what was taken back. */
 static void
 test_older_message_on_quotas_is_not_taken (void **state)
 {
@@ -1114,9 +1114,9 @@
   world_destroy (world);
 }
 
-/* Guards against pools that keep parts of a quota that was lowered while nobody reached them. */
+/* Guards against pools that keep shares of a quota that was lowered while nobody reached them. */
 static void
-test_part_shrinks_with_its_quota (void **state)
+test_share_shrinks_with_its_quota (void **state)
 {
   struct world *world = world_create ();
   struct mt_workspace_terms terms = { .quota = { .cpu = 8000 }, .pools = 2 };
@@ -1168,7 +1168,7 @@
     cmocka_unit_test (test_quota_bounds_a_workspace_and_nobody_else),
     cmocka_unit_test (test_older_message_on_quotas_is_not_taken),
     cmocka_unit_test (test_jobs_beyond_a_rate_go_behind_the_rest),
-    cmocka_unit_test (test_part_shrinks_with_its_quota),
+    cmocka_unit_test (test_share_shrinks_with_its_quota),
     cmocka_unit_test (test_job_runs_to_its_end),
     cmocka_unit_test (test_nothing_starts_that_is_not_stored),
     cmocka_unit_test (test_cancelled_before_its_progress_was_read),
