scheduler, metrics: lost workers and tasks tell what they had just been given

WORKER_LOST tells the address and how long ago the worker answered last and was last sent a start; TASK_LOST the state of the lost run, for how long it was known to be there, and how many runs of the task were lost so. medlartrack_events_total counts each event by name, lines left out included. No decision reads any of it. The tests' workers can crash by a task.

--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -14,6 +14,8 @@
   MT_TASK_DONE,
 };
 
+extern const char *const mt_task_state_names[];
+
 struct mt_occurrence;
 struct mt_worker;
 
@@ -24,6 +26,7 @@
   uint16_t index;
   uint8_t state;
   uint8_t attempts; /* runs that ended failed */
+  uint8_t losses;   /* runs that were lost with their worker */
   uint8_t repeats;  /* times the start of this run was sent again */
   uint8_t percent;
   uint8_t pace;
@@ -140,6 +143,7 @@
   int64_t hold_sent;
   int64_t next_hold;
   int64_t heard;        /* last answer; 0 for none */
+  int64_t start_sent;   /* when the last start was sent to it; 0 for none */
   int64_t listing_at;   /* last listing of what it runs; 0 for none */
   int64_t silent_since; /* 0 while it answers */
   int64_t clock_ms;     /* the worker's clock ... */
--- a/core/scheduler/scheduler_orders.c
+++ b/core/scheduler/scheduler_orders.c
@@ -107,6 +107,7 @@
     return false;
   order->kind = MT_ORDER_START;
   fill_task (sched, task, order, now);
+  task->worker->start_sent = now;
   mt_worker_granted (task->worker, sched->settings.hold_ms, now);
   return true;
 }
--- a/core/scheduler/scheduler_tasks.c
+++ b/core/scheduler/scheduler_tasks.c
@@ -4,6 +4,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+const char *const mt_task_state_names[] = {
+  [MT_TASK_WAITING] = "waiting", [MT_TASK_PLACED] = "placed",     [MT_TASK_ORDERED] = "ordered",
+  [MT_TASK_RUNNING] = "running", [MT_TASK_STOPPING] = "stopping", [MT_TASK_DONE] = "done",
+};
+
 const struct mt_step *
 mt_task_step (const struct mt_task *task)
 {
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -43,6 +43,7 @@
   w->ended = w->leaving = false;
   w->held = false;
   w->clock_at = 0;
+  w->start_sent = 0;
   w->lapse_by = 0;
   w->seen_end = w->cycle_end = w->durable_end = 0;
   w->fails = w->dones = 0;
@@ -163,18 +164,43 @@
     w->due_until = until;
 }
 
+static int64_t
+age_of (int64_t at, int64_t now)
+{
+  return at != 0 ? now - at : -1;
+}
+
+static void
+tell_lost (struct mt_scheduler *sched, const struct mt_worker *w, int64_t now, const char *why)
+{
+  mt_scheduler_tell (sched, "WORKER_LOST",
+                     "worker=%s address=%s why=%s tasks=%u heard_age_ms=%" G_GINT64_FORMAT
+                     " start_age_ms=%" G_GINT64_FORMAT,
+                     w->id, w->address != NULL ? w->address : "", why, w->tasks.length,
+                     age_of (w->heard, now), age_of (w->start_sent, now));
+}
+
+/* For how long the run was known to be there. */
+static int64_t
+seen_ms (const struct mt_task *task)
+{
+  return task->state == MT_TASK_RUNNING ? MAX (task->worker->heard - task->since, 0) : 0;
+}
+
 /* Frees every task of a worker on which nothing can run any more. */
 void
 mt_worker_release (struct mt_scheduler *sched, struct mt_worker *w, int64_t now, const char *why)
 {
   if (w->tasks.length > 0)
-    mt_scheduler_tell (sched, "WORKER_LOST", "worker=%s why=%s tasks=%u", w->id, why,
-                       w->tasks.length);
+    tell_lost (sched, w, now, why);
   while (w->tasks.length > 0)
     {
       struct mt_task *task = g_queue_peek_head (&w->tasks);
 
-      mt_task_tell (sched, task, w, "TASK_LOST", "why=%s", why);
+      task->losses += task->losses < G_MAXUINT8;
+      mt_task_tell (sched, task, w, "TASK_LOST",
+                    "why=%s state=%s seen_ms=%" G_GINT64_FORMAT " losses=%u", why,
+                    mt_task_state_names[task->state], seen_ms (task), task->losses);
       task->shunned = w;
       mt_task_wait (sched, task, now);
     }
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -386,7 +386,7 @@
   g_autofree char *text = NULL;
 
   count_load (f);
-  text = mt_metrics_text (f->metrics, f->traffic);
+  text = mt_metrics_text (f->metrics, f->traffic, f->journal);
   mt_exchange_answer (exchange, 200, "text/plain; version=0.0.4", mt_str_from (text), 0);
 }
 
@@ -490,7 +490,7 @@
       g_autofree char *text = NULL;
 
       count_load (f);
-      text = mt_metrics_text (f->metrics, f->traffic);
+      text = mt_metrics_text (f->metrics, f->traffic, f->journal);
       fprintf (stderr, "%s", text);
     }
   else
--- a/fleet/journal.c
+++ b/fleet/journal.c
@@ -21,6 +21,7 @@
 {
   unsigned lines; /* in this second */
   unsigned left_out;
+  uint64_t told; /* so far, lines left out included */
 };
 
 struct mt_journal
@@ -195,6 +196,7 @@
   char fields[768];
   va_list args;
 
+  bound->told++;
   if (mt_loop_now () / 1000 != j->second)
     mt_journal_flush (j);
   if (bound->lines >= LINES_PER_EVENT || j->held->len > MAX_HELD_BYTES)
@@ -209,3 +211,16 @@
   append_line (j, info != NULL ? info->id : 0, event, fields);
   write_held (j);
 }
+
+void
+mt_journal_append_metrics (const struct mt_journal *j, GString *out)
+{
+  const struct mt_event_info *catalogue = mt_event_catalogue ();
+
+  g_string_append (out, "# HELP medlartrack_events_total Log events, by name.\n"
+                        "# TYPE medlartrack_events_total counter\n");
+  for (size_t i = 0; catalogue[i].id != 0 && i < MAX_EVENTS; i++)
+    if (j->bounds[i].told > 0)
+      g_string_append_printf (out, "medlartrack_events_total{event=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                              catalogue[i].name, j->bounds[i].told);
+}
--- a/fleet/journal.h
+++ b/fleet/journal.h
@@ -15,5 +15,7 @@
     G_GNUC_PRINTF (3, 4);
 /* Tells what was left out since the last call; once a second. */
 void mt_journal_flush (struct mt_journal *journal);
+/* A counter of each event told so far, in the text form of metrics; lines left out are counted. */
+void mt_journal_append_metrics (const struct mt_journal *journal, GString *out);
 
 #endif
--- a/fleet/metrics.c
+++ b/fleet/metrics.c
@@ -1,5 +1,6 @@
 #include "metrics.h"
 
+#include "journal.h"
 #include "traffic.h"
 
 struct meaning
@@ -143,7 +144,9 @@
 }
 
 char *
-mt_metrics_text (const struct mt_metrics *m, const struct mt_traffic *traffic)
+mt_metrics_text (const struct mt_metrics *m,
+                 const struct mt_traffic *traffic,
+                 const struct mt_journal *journal)
 {
   GString *out = g_string_sized_new (4096);
 
@@ -162,5 +165,6 @@
   for (int i = 0; i < MT_LATENCIES; i++)
     append_latency (out, m, i);
   append_traffic (out, traffic);
+  mt_journal_append_metrics (journal, out);
   return g_string_free (out, FALSE);
 }
--- a/fleet/metrics.h
+++ b/fleet/metrics.h
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <stdint.h>
 
+struct mt_journal;
 struct mt_metrics;
 struct mt_traffic;
 
@@ -50,6 +51,8 @@
 void mt_metrics_took (struct mt_metrics *metrics, enum mt_latency latency, int64_t ms);
 void mt_metrics_set (struct mt_metrics *metrics, enum mt_gauge gauge, int64_t value);
 /* g_free the text. */
-char *mt_metrics_text (const struct mt_metrics *metrics, const struct mt_traffic *traffic);
+char *mt_metrics_text (const struct mt_metrics *metrics,
+                       const struct mt_traffic *traffic,
+                       const struct mt_journal *journal);
 
 #endif
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -1154,6 +1154,39 @@
   world_destroy (world);
 }
 
+static void
+keep_last_loss (void *ctx, const char *name, const char *detail)
+{
+  if (strcmp (name, "TASK_LOST") == 0)
+    g_strlcpy (ctx, detail, 200);
+}
+
+/* Guards against a log that can't tell a task that takes its worker down from one that was there.
+ */
+static void
+test_lost_task_tells_how_long_it_was_seen (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *w = world_add_worker (world, "r1");
+  char detail[200] = "";
+
+  world->run_ms = 2000;
+  mt_scheduler_on_told (world->sched, keep_last_loss, detail);
+  world_submit (world, world_job ("aa", 1, 1000, 2000));
+  world_run (world, 1500);
+  world_crash (world, w);
+  world_run (world, WORLD_DOWN_MS + 500);
+  assert_non_null (strstr (detail, "state=running"));
+  assert_non_null (strstr (detail, "losses=1"));
+  assert_null (strstr (detail, "seen_ms=0 "));
+  world_add_crashing (world, "bb.0.0.0");
+  world_submit (world, world_job ("bb", 1, 1000, 2000));
+  world_run (world, WORLD_DOWN_MS + 500);
+  assert_non_null (strstr (detail, "id=bb"));
+  assert_non_null (strstr (detail, "seen_ms=0 "));
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -1162,6 +1195,7 @@
     cmocka_unit_test (test_older_message_on_quotas_is_not_taken),
     cmocka_unit_test (test_jobs_beyond_a_rate_go_behind_the_rest),
     cmocka_unit_test (test_share_shrinks_with_its_quota),
+    cmocka_unit_test (test_lost_task_tells_how_long_it_was_seen),
     cmocka_unit_test (test_job_runs_to_its_end),
     cmocka_unit_test (test_nothing_starts_that_is_not_stored),
     cmocka_unit_test (test_cancelled_before_its_progress_was_read),
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -3,9 +3,10 @@
 #include <stdio.h>
 #include <string.h>
 
-#define STEP_MS 5
-#define STOP_MS 60
-#define LOST_MS 400
+#define STEP_MS  5
+#define STOP_MS  60
+#define CRASH_MS 10
+#define LOST_MS  400
 /* So long the answer to an order is waited for from when it should have left. */
 #define ORDER_MS 350
 /* On the wire, headers included; a start carries what its caller sent. */
@@ -37,6 +38,8 @@
   world->sched = mt_scheduler_create (&settings);
   mt_scheduler_set_route (world->sched, "route", &terms);
   world->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  world->crashing = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  world->crash_ms = CRASH_MS;
   return world;
 }
 
@@ -61,6 +64,7 @@
   g_array_unref (world->late);
   mt_scheduler_destroy (world->sched);
   g_hash_table_unref (world->records);
+  g_hash_table_unref (world->crashing);
   g_free (world);
 }
 
@@ -196,9 +200,74 @@
   g_array_remove_index (w->runs, at);
 }
 
+static void
+lose_hold (struct world *world, struct world_worker *w)
+{
+  struct mt_hold_report none = { .answer = MT_ANSWER_NONE, .clock_ms = -1 };
+
+  w->holding = false;
+  mt_scheduler_hold_answered (world->sched, w->id, &none, w->hold_sent, world->now);
+}
+
+void
+world_add_crashing (struct world *world, const char *task)
+{
+  g_hash_table_insert (world->crashing, g_strdup (task), GUINT_TO_POINTER (0));
+}
+
+unsigned
+world_crashes_by (const struct world *world, const char *task)
+{
+  return GPOINTER_TO_UINT (g_hash_table_lookup (world->crashing, task));
+}
+
+static void
+note_crashing (struct world *world, struct world_worker *w, const char *task)
+{
+  void *count;
+
+  if (!g_hash_table_lookup_extended (world->crashing, task, NULL, &count))
+    return;
+  g_hash_table_insert (world->crashing, g_strdup (task),
+                       GUINT_TO_POINTER (GPOINTER_TO_UINT (count) + 1));
+  if (w->crashes_at == 0)
+    w->crashes_at = world->now + world->crash_ms;
+}
+
+void
+world_crash (struct world *world, struct world_worker *w)
+{
+  w->crashes_at = 0;
+  w->back_at = world->now + WORLD_DOWN_MS;
+  w->silent = true;
+  g_array_set_size (w->runs, 0);
+  g_array_set_size (w->ends, 0);
+}
+
+static void
+come_back (struct world *world, struct world_worker *w)
+{
+  w->back_at = 0;
+  w->silent = false;
+  if (!world->new_ids)
+    {
+      world_reboot (world, w);
+      return;
+    }
+  w->replaced = w->gone = true;
+  w->born++;
+  if (w->holding)
+    lose_hold (world, w);
+  world_add_worker (world, "r1");
+}
+
 static void
 work (struct world *world, struct world_worker *w)
 {
+  if (w->crashes_at != 0 && world->now >= w->crashes_at)
+    world_crash (world, w);
+  if (w->back_at != 0 && world->now >= w->back_at)
+    come_back (world, w);
   if (w->lease != 0 && world->now > w->lease)
     while (w->runs->len > 0)
       end_run (w, 0, MT_END_LAPSED);
@@ -262,6 +331,7 @@
   w->last_run = order->run;
   world->started++;
   g_array_append_val (w->runs, r);
+  note_crashing (world, w, order->task);
 }
 
 static enum mt_answer
@@ -371,6 +441,13 @@
 static void
 hold (struct world *world, struct world_worker *w, const struct mt_order *order)
 {
+  if (w->replaced)
+    {
+      struct mt_hold_report other = { .answer = MT_ANSWER_OTHER_LIFE, .clock_ms = -1 };
+
+      mt_scheduler_hold_answered (world->sched, w->id, &other, world->now - 1, world->now);
+      return;
+    }
   if (w->silent)
     {
       w->holding = true;
@@ -387,15 +464,6 @@
   w->hold_until = world->now + order->wait_ms;
 }
 
-static void
-lose_hold (struct world *world, struct world_worker *w)
-{
-  struct mt_hold_report none = { .answer = MT_ANSWER_NONE, .clock_ms = -1 };
-
-  w->holding = false;
-  mt_scheduler_hold_answered (world->sched, w->id, &none, w->hold_sent, world->now);
-}
-
 /* A hold that waits is answered by an end, or when its time is over. */
 static void
 answer_holds (struct world *world)
@@ -428,7 +496,9 @@
       hold (world, w, order);
       return;
     }
-  if (dropped)
+  if (w->replaced)
+    answer = MT_ANSWER_OTHER_LIFE;
+  else if (dropped)
     w->drops--;
   else if (w->late_ms > 0)
     put_off (world, w, order);
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -10,6 +10,8 @@
 #define WORLD_MAX_RUNS    8192
 /* Tasks of jobs whose id begins so never end by themselves. */
 #define WORLD_LONG_RUNNING_ID 'L'
+/* A worker that crashed is back after so long. */
+#define WORLD_DOWN_MS 3000
 
 struct world_run
 {
@@ -41,6 +43,9 @@
   unsigned drops;       /* so many starts to come are not carried out and get no answer */
   int64_t clock_lag_ms; /* its answers show its clock as it was so long ago */
   int64_t late_ms;      /* orders get no answer and are carried out so much later; 0: at once */
+  int64_t crashes_at;   /* by what it runs; 0 */
+  int64_t back_at;      /* it crashed, and is back then; 0 while it is up */
+  bool replaced;        /* another worker answers at its address */
   bool sick;            /* all that it starts fails at once */
   bool stalls;          /* all that it starts stands still */
   double slow;          /* run times in multiples */
@@ -105,8 +110,12 @@
   int64_t run_ms;     /* of a task whose job says nothing else; -1: never ends */
   int64_t stop_ms;    /* from the order to the end of the run */
   unsigned started;
-  unsigned twice;      /* starts of a task that runs elsewhere */
-  unsigned redone;     /* starts of a task that a worker under a lease has done */
+  unsigned twice;  /* starts of a task that runs elsewhere */
+  unsigned redone; /* starts of a task that a worker under a lease has done */
+  GHashTable
+      *crashing;    /* tasks that take down each worker that starts them, to how often they did */
+  int64_t crash_ms; /* ... so long after the start */
+  bool new_ids;     /* a machine that crashed is back as another worker, at the same address */
   GHashTable *records; /* job id to what was stored last */
 };
 
@@ -131,5 +140,11 @@
 unsigned world_running (const struct world *world, const char *task);
 /* The machine restarts: nothing of before is left, under the same id. */
 void world_reboot (struct world *world, struct world_worker *w);
+/* The worker is silent and runs nothing; back after WORLD_DOWN_MS. */
+void world_crash (struct world *world, struct world_worker *w);
+/* Each worker that starts the task crashes. */
+void world_add_crashing (struct world *world, const char *task);
+/* So many starts of it were carried out. */
+unsigned world_crashes_by (const struct world *world, const char *task);
 
 #endif
