scheduler: a task that waits for a moment is placed at that moment

A task keeps away from the worker that lost it for a second, and from any for 20 ms after a failure. When that time was over nothing looked at it again: the next placing came with whatever else happened, mostly an entry of the registry. Where nothing else happens it waits beside an idle worker.

The tests' pools placed at every step, whether the scheduler asked for it or not, and so did not see it. Now they ask first, as the daemon does; test_task_returns_to_the_only_worker_with_room fails with that and without this change. The scheduler says when the next wait is over, and wants to place then.

--- a/core/scheduler/scheduler_cycle.c
+++ b/core/scheduler/scheduler_cycle.c
@@ -14,7 +14,7 @@
 bool
 mt_scheduler_wants_cycle (struct mt_scheduler *sched, int64_t now)
 {
-  return !sched->in_cycle && sched->changed;
+  return !sched->in_cycle && (sched->changed || (sched->place_at != 0 && now >= sched->place_at));
 }
 
 static void
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -215,7 +215,8 @@
   GQueue paces;
   GQueue strays; /* runs found on workers that are nobody's */
   bool in_cycle;
-  bool changed; /* something may be placed or written */
+  bool changed;     /* something may be placed or written */
+  int64_t place_at; /* something that waits may be placed from then on; 0 */
   bool fenced_off;
   int64_t last_plan;
   int64_t last_watch;
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -293,6 +293,15 @@
   return cost + long_running_cost (site, w, step);
 }
 
+/* It still waits for a worker that is proved good. */
+static bool
+is_last_attempt (const struct site *site, const struct mt_task *task)
+{
+  return !mt_task_step (task)->long_running && task->attempts > 0
+         && task->attempts + 1 >= task->occ->job->route->terms.max_attempts
+         && site->now - task->since < LAST_ATTEMPT_MS;
+}
+
 /* The ticket holds long enough for a start to arrive. */
 static bool
 is_advised (const struct mt_advice *advice, const struct mt_worker *w, int64_t now)
@@ -308,8 +317,7 @@
 {
   const struct mt_step *step = mt_task_step (task);
   struct mt_route *route = task->occ->job->route;
-  bool last = !step->long_running && task->attempts + 1 >= route->terms.max_attempts
-              && task->attempts > 0 && site->now - task->since < LAST_ATTEMPT_MS;
+  bool last = is_last_attempt (site, task);
   const struct mt_advice *advice = route->advice ? mt_task_advice (site->sched, task) : NULL;
   struct mt_worker *best = NULL;
   double best_cost = 0;
@@ -375,13 +383,26 @@
   site->full = step->need;
 }
 
+/* Placing is due then, whatever else happens meanwhile. */
+static void
+place_again (const struct site *site, int64_t at)
+{
+  struct mt_scheduler *sched = site->sched;
+
+  if (at > site->now && (sched->place_at == 0 || at < sched->place_at))
+    sched->place_at = at;
+}
+
 /* False once no worker has room for the step: the rest of it needn't be tried. */
 static bool
 place_task (struct site *site, struct mt_task *task)
 {
   struct mt_worker *w;
 
-  if (task->state != MT_TASK_WAITING || task->not_before > site->now)
+  if (task->state != MT_TASK_WAITING)
+    return true;
+  place_again (site, task->not_before);
+  if (task->not_before > site->now)
     return true;
   if (is_hopeless (site, mt_task_step (task))
       || !mt_account_has_room (site->sched, task->occ->job->account, mt_task_step (task),
@@ -391,6 +412,10 @@
   if (w == NULL)
     {
       note_full (site, task);
+      if (task->shunned != NULL)
+        place_again (site, task->since + AVOID_MS + 1);
+      if (is_last_attempt (site, task))
+        place_again (site, task->since + LAST_ATTEMPT_MS);
       if (task->occ->job->route->advice)
         want_advice (site->sched, task, site->now);
       return false;
@@ -546,6 +571,7 @@
 
   if (sched->created == 0)
     sched->created = now;
+  sched->place_at = 0;
   site.most = link_room (sched, now);
 
   find_takers (&site);
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -630,7 +630,7 @@
   carry_out_late (world);
   for (unsigned i = 0; i < world->n_workers; i++)
     work (world, &world->workers[i]);
-  if (!world->store_down && !world->in_cycle)
+  if (!world->store_down && !world->in_cycle && mt_scheduler_wants_cycle (world->sched, world->now))
     store (world);
   if (!world->store_down && world->in_cycle)
     {
