scheduler: what was lost with a crash runs apart until its cause is known

Cause: all tasks of a lost worker become free at the same moment, with the same history, and the same worker is then the best one for each of them. They go together from worker to worker, and the one that crashed the last one crashes the next.

Ruled out: bad machines (six of three data centres in a row), a wrong choice of the best worker (it is right for each task alone).

A worker that is lost counts that for each task whose start it may have begun, durable with the job's progress.

--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -48,6 +48,7 @@
     }
   w->heard = now;
   w->silent_since = 0;
+  mt_worker_settle (sched, w);
 }
 
 static void
@@ -55,7 +56,7 @@
 {
   if (w->silent_since != 0)
     return;
-  w->silent_since = now;
+  w->silent_since = w->fell_silent = now;
   mt_scheduler_tell (sched, "WORKER_SILENT", "worker=%s tasks=%u", w->id, w->tasks.length);
 }
 
@@ -88,7 +89,7 @@
     return;
   mt_task_unqueue (sched, task);
   task->state = MT_TASK_RUNNING;
-  task->since = now;
+  task->since = task->began = now;
   task->moved = now;
   task->doubtful = false;
   begin_job (sched, task->occ->job, now);
@@ -212,6 +213,8 @@
     }
   if (!current)
     return;
+  /* The worker is there to tell of it. */
+  task->suspect &= end->how != MT_END_DONE && end->how != MT_END_FAILED;
   if (end->how == MT_END_DONE)
     task_done (sched, task, w, now);
   else if (end->how == MT_END_FAILED)
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -26,7 +26,7 @@
   uint16_t index;
   uint8_t state;
   uint8_t attempts; /* runs that ended failed */
-  uint8_t losses;   /* runs that were lost with their worker */
+  uint8_t losses;   /* runs that were lost with their worker, in a row */
   uint8_t repeats;  /* times the start of this run was sent again */
   uint8_t percent;
   uint8_t pace;
@@ -36,11 +36,15 @@
   bool stop_answered;  /* the worker knows that the run is to be stopped */
   bool done_elsewhere; /* an earlier run did it; this one only has to end */
   bool inherited;      /* started by a predecessor, whom our token keeps from sending more */
+  bool suspect;        /* its last run may have taken its worker down */
+  bool isolated;       /* a suspect whose run has not settled: it keeps other jobs off its worker */
   uint32_t run;
-  uint32_t stamp;   /* the worker's hold that last listed it */
-  int64_t since;    /* when it came to its state */
-  int64_t answered; /* when the worker last acknowledged an order on it; 0 for never */
-  int64_t moved;    /* when its percent last changed */
+  uint32_t stamp;     /* the worker's hold that last listed it */
+  int64_t since;      /* when it came to its state */
+  int64_t began;      /* when its run was first known to be there; 0 for not yet */
+  int64_t settled_ms; /* it has to be seen for so long to count as settled, if that is longer */
+  int64_t answered;   /* when the worker last acknowledged an order on it; 0 for never */
+  int64_t moved;      /* when its percent last changed */
   int64_t not_before;
   int64_t sure_from;  /* a stop that a predecessor has sent has taken effect by then */
   int64_t away_since; /* long-running: not at work since; 0 while at work */
@@ -146,6 +150,7 @@
   int64_t start_sent;   /* when the last start was sent to it; 0 for none */
   int64_t listing_at;   /* last listing of what it runs; 0 for none */
   int64_t silent_since; /* 0 while it answers */
+  int64_t fell_silent;  /* when it last did; 0 for never */
   int64_t clock_ms;     /* the worker's clock ... */
   int64_t clock_at;     /* ... when we read it */
   int64_t lapse_by;     /* our clock: every lease given has run out by then */
@@ -165,7 +170,9 @@
   unsigned shun_times;
   unsigned strays;     /* runs in its last listing that are nobody's: they take room uncounted */
   unsigned lost_holds; /* in a row */
-  unsigned order_load; /* orders on their way */
+  unsigned isolated;   /* isolated tasks on it */
+  const struct mt_job *isolated_for; /* the job of all of them */
+  unsigned order_load;               /* orders on their way */
   int64_t pace_at;
 };
 
@@ -328,6 +335,19 @@
 int64_t mt_worker_lease (const struct mt_worker *w, int64_t now, int64_t hold_ms);
 void mt_worker_granted (struct mt_worker *w, int64_t hold_ms, int64_t now);
 
+/* scheduler_crashes.c */
+/* For how long its run was known to be there. */
+int64_t mt_task_seen_ms (const struct mt_task *task);
+/* The worker's life has ended with these tasks on it; before they are released. */
+void mt_worker_count_losses (struct mt_scheduler *sched, struct mt_worker *w, int64_t now);
+/* False where the task, or one that is there, is to be kept apart from other jobs. */
+bool mt_task_may_join (const struct mt_task *task, const struct mt_worker *w, int64_t now);
+/* A task was placed; only a suspect is isolated. */
+void mt_task_isolate (struct mt_task *task);
+void mt_task_end_isolation (struct mt_task *task);
+/* The worker was heard: suspects that have settled there are none any more. */
+void mt_worker_settle (struct mt_scheduler *sched, struct mt_worker *w);
+
 /* scheduler_load.c */
 /* What is still to run of it, in thousandths of a core times ms; long-running tasks left out. */
 double mt_occurrence_work_left (const struct mt_occurrence *occ);
--- a/core/scheduler/scheduler_orders.c
+++ b/core/scheduler/scheduler_orders.c
@@ -141,11 +141,13 @@
   return now - w->hold_sent >= gather;
 }
 
+/* A worker with a suspect takes nothing else until that has settled. */
 static int64_t
-hold_wait (const struct mt_scheduler *sched, int64_t now)
+hold_wait (const struct mt_scheduler *sched, const struct mt_worker *w, int64_t now)
 {
-  return sched->losses_at != 0 && now - sched->losses_at < LOSSES_MS ? SHORT_WAIT_MS
-                                                                     : MT_HOLD_WAIT_MS;
+  bool losses = sched->losses_at != 0 && now - sched->losses_at < LOSSES_MS;
+
+  return losses || w->isolated > 0 ? SHORT_WAIT_MS : MT_HOLD_WAIT_MS;
 }
 
 static bool
@@ -168,7 +170,7 @@
       order->worker = w->id;
       order->address = w->address;
       order->seen_end = w->durable_end;
-      order->wait_ms = w->tasks.length > 0 && w->held && !blocked ? hold_wait (sched, now) : 0;
+      order->wait_ms = w->tasks.length > 0 && w->held && !blocked ? hold_wait (sched, w, now) : 0;
       /* A hold without an answer may have been carried out. Were the lease renewed with each try,
        * a cut-off worker's tasks would never be known to be over. Where it is our own link that is
        * late, the tasks of workers that are well would lapse instead. */
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -42,6 +42,11 @@
  * them may be sick, and all that it was given would fail before it shows. */
 #define PROVED_DONES 0.5
 
+/* What a suspect may take down is worth so much, in multiples of a task's run time. */
+#define SUSPECT_COST 0.5
+/* While a suspect waits for a worker that it can be kept apart on, it is looked at so often. */
+#define SUSPECT_AGAIN_MS 100
+
 /* The tasks of one step of one occurrence that wait. */
 struct bundle
 {
@@ -249,7 +254,7 @@
 static bool
 may_run (const struct site *site, const struct mt_worker *w, const struct mt_task *task)
 {
-  if (!mt_worker_has_place (w, task))
+  if (!mt_worker_has_place (w, task) || !mt_task_may_join (task, w, site->now))
     return false;
   if (w->fails >= 1 && w->fails > w->dones && w->tasks.length >= TRIAL_TASKS)
     return false;
@@ -279,9 +284,17 @@
   return cost;
 }
 
+/* Of what its worker runs, all is lost with it. */
+static double
+suspect_cost (const struct mt_worker *w)
+{
+  return SUSPECT_COST * (double) w->tasks.length;
+}
+
 static double
-cost_of (const struct site *site, const struct mt_worker *w, const struct mt_step *step)
+cost_of (const struct site *site, const struct mt_worker *w, const struct mt_task *task)
 {
+  const struct mt_step *step = mt_task_step (task);
   double slow = w->slow / MAX (site->mean_slow, 0.1);
   double load = w->room.cpu > 0 ? (double) w->used.cpu / (double) w->room.cpu : 0;
   double cost = slow > MT_SLOW_FACTOR ? slow : 1;
@@ -289,7 +302,10 @@
   if (step->rack != NULL
       && (w->labels == NULL || !g_strv_contains ((const char *const *) w->labels, step->rack)))
     cost *= site->sched->settings.remote_factor;
-  cost += (w->dones >= PROVED_DONES ? -PACK_GAIN : PACK_GAIN) * load;
+  if (task->suspect)
+    cost += suspect_cost (w);
+  else
+    cost += (w->dones >= PROVED_DONES ? -PACK_GAIN : PACK_GAIN) * load;
   return cost + long_running_cost (site, w, step);
 }
 
@@ -315,7 +331,6 @@
 static struct mt_worker *
 choose (const struct site *site, const struct mt_task *task)
 {
-  const struct mt_step *step = mt_task_step (task);
   struct mt_route *route = task->occ->job->route;
   bool last = is_last_attempt (site, task);
   const struct mt_advice *advice = route->advice ? mt_task_advice (site->sched, task) : NULL;
@@ -331,7 +346,7 @@
         continue;
       if (route->advice && !is_advised (advice, w, site->now))
         continue;
-      cost = cost_of (site, w, step);
+      cost = cost_of (site, w, task);
       if (best == NULL || cost < best_cost)
         {
           best = w;
@@ -416,9 +431,12 @@
         place_again (site, task->since + AVOID_MS + 1);
       if (is_last_attempt (site, task))
         place_again (site, task->since + LAST_ATTEMPT_MS);
+      if (task->suspect)
+        place_again (site, site->now + SUSPECT_AGAIN_MS);
       if (task->occ->job->route->advice)
         want_advice (site->sched, task, site->now);
-      return false;
+      /* A suspect lacks a worker of its own, the rest of its step may find room. */
+      return task->suspect && !mt_task_step (task)->gang;
     }
   mt_task_place (site->sched, task, w, site->now);
   site->placed++;
--- a/core/scheduler/scheduler_record.c
+++ b/core/scheduler/scheduler_record.c
@@ -7,8 +7,9 @@
 #include <stdio.h>
 #include <string.h>
 
-/* Rows of "t": occurrence, step, index, run, failed attempts, worker, its birth, checkpoint. A
- * worker of "" means that nothing of the task can run. */
+/* Rows of "t": occurrence, step, index, run, failed attempts, worker, its birth, checkpoint, runs
+ * lost with their worker, whether it is a suspect. A worker of "" means that nothing of the task
+ * can run. */
 enum column
 {
   COLUMN_OCCURRENCE,
@@ -19,6 +20,8 @@
   COLUMN_WORKER,
   COLUMN_BORN,
   COLUMN_CHECKPOINT,
+  COLUMN_LOSSES,
+  COLUMN_SUSPECT,
   COLUMNS,
 };
 
@@ -49,6 +52,8 @@
   g_string_append_printf (out, ",%" G_GINT64_FORMAT ",",
                           task->worker != NULL ? task->worker->born : 0);
   mt_json_append_text (out, task->checkpoint);
+  if (task->losses > 0)
+    g_string_append_printf (out, ",%u,%d", task->losses, task->suspect);
   g_string_append_c (out, ']');
 }
 
@@ -141,11 +146,18 @@
   task->run = (uint32_t) json_integer_value (json_array_get (row, COLUMN_RUN));
   task->attempts = (uint8_t) json_integer_value (json_array_get (row, COLUMN_ATTEMPTS));
   mt_task_keep_checkpoint (task, json_string_value (json_array_get (row, COLUMN_CHECKPOINT)));
+  task->losses = (uint8_t) json_integer_value (json_array_get (row, COLUMN_LOSSES));
+  task->suspect = json_integer_value (json_array_get (row, COLUMN_SUSPECT)) != 0;
   if (worker == NULL || worker[0] == '\0')
     return;
   w = mt_scheduler_worker (sched, worker);
   if (born != 0 && w->born != 0 && w->born != born)
-    return; /* that life is over, and what it ran with it */
+    {
+      /* That life is over, and what it ran with it. */
+      task->losses += task->losses < G_MAXUINT8;
+      task->suspect = true;
+      return;
+    }
   if (w->born == 0)
     w->born = born;
   task->run--; /* placing counts one up */
--- a/core/scheduler/scheduler_tasks.c
+++ b/core/scheduler/scheduler_tasks.c
@@ -98,6 +98,7 @@
   mt_task_unqueue (sched, task);
   if (w == NULL)
     return;
+  mt_task_end_isolation (task);
   g_queue_unlink (&w->tasks, &task->link);
   add_room (w, mt_task_step (task), -1);
   mt_account_count (task->occ->job->account, mt_task_step (task), -1);
@@ -113,6 +114,7 @@
   task->state = MT_TASK_PLACED;
   task->since = now;
   task->answered = 0;
+  task->began = 0;
   task->moved = now;
   task->percent = 0;
   task->pace = 100;
@@ -125,6 +127,7 @@
   task->link.data = task;
   g_queue_push_tail_link (&w->tasks, &task->link);
   add_room (w, mt_task_step (task), 1);
+  mt_task_isolate (task);
   mt_account_count (task->occ->job->account, mt_task_step (task), 1);
   mt_job_mark (sched, task->occ->job);
 }
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -180,27 +180,21 @@
                      age_of (w->heard, now), age_of (w->start_sent, now));
 }
 
-/* For how long the run was known to be there. */
-static int64_t
-seen_ms (const struct mt_task *task)
-{
-  return task->state == MT_TASK_RUNNING ? MAX (task->worker->heard - task->since, 0) : 0;
-}
-
 /* Frees every task of a worker on which nothing can run any more. */
 void
 mt_worker_release (struct mt_scheduler *sched, struct mt_worker *w, int64_t now, const char *why)
 {
   if (w->tasks.length > 0)
     tell_lost (sched, w, now, why);
+  mt_worker_count_losses (sched, w, now);
   while (w->tasks.length > 0)
     {
       struct mt_task *task = g_queue_peek_head (&w->tasks);
 
-      task->losses += task->losses < G_MAXUINT8;
       mt_task_tell (sched, task, w, "TASK_LOST",
-                    "why=%s state=%s seen_ms=%" G_GINT64_FORMAT " losses=%u", why,
-                    mt_task_state_names[task->state], seen_ms (task), task->losses);
+                    "why=%s state=%s seen_ms=%" G_GINT64_FORMAT " losses=%u suspect=%d", why,
+                    mt_task_state_names[task->state], mt_task_seen_ms (task), task->losses,
+                    task->suspect);
       task->shunned = w;
       mt_task_wait (sched, task, now);
     }
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -96,6 +96,10 @@
           "fill work gives way to serving work, or comes back")
 MT_EVENT (8205, START_REFUSED, G_LOG_LEVEL_WARNING, "a worker refused a start")
 MT_EVENT (8207, TASK_LOST, G_LOG_LEVEL_WARNING, "a task was lost with its worker and is run again")
+MT_EVENT (8209,
+          TASK_SETTLED,
+          G_LOG_LEVEL_MESSAGE,
+          "a task that may have taken its worker down has run on another one for a while")
 MT_EVENT (8208, TASK_MISSED, G_LOG_LEVEL_WARNING, "a worker does not list a task; it is stopped")
 MT_EVENT (8206, RUN_STRAY, G_LOG_LEVEL_WARNING, "a worker runs what no job knows; it is stopped")
 
