scheduler: a task that takes its workers down is given up

Cause: attempts are counted where a worker reports a run as failed. A worker that is gone reports nothing, so its tasks waited again as if they had never run; nothing bounds that. The class: an end that nobody reports is not counted.

Why this works: each loss of a worker counts for what it may have begun, durable with the job's progress before the next start is sent. A suspect runs where no other job's new run is, on a worker that has just answered, so a second loss right after the start has one possible cause, and its job fails: two crashes are enough. Three for a long-running task, since its job's other tasks are at work. Where the cause stays open (takeovers, several losses at once, crashes later in a run) the count alone ends it, at the fourth or fifth loss; a run that was lost where the cause is known counts nothing for what was only there. A lapsed lease is no crash, nor is the end of a worker that had said that it leaves.

The property test takes workers down by tasks and by themselves: at most five starts of such a task, no job fails under which fewer than two workers have crashed. Its model counted a done end that a lapsed lease had voided, and carried out late orders on a worker that was down; both were wrong by the platform's protocol.

--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -56,7 +56,8 @@
 {
   if (w->silent_since != 0)
     return;
-  w->silent_since = w->fell_silent = now;
+  w->silent_since = now;
+  mt_worker_fell_silent (w, now);
   mt_scheduler_tell (sched, "WORKER_SILENT", "worker=%s tasks=%u", w->id, w->tasks.length);
 }
 
@@ -92,6 +93,9 @@
   task->since = task->began = now;
   task->moved = now;
   task->doubtful = false;
+  /* Its worker may be down the next moment, and this daemon too: a successor has to know. */
+  if (task->isolated)
+    mt_job_mark (sched, task->occ->job);
   begin_job (sched, task->occ->job, now);
 }
 
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -26,7 +26,8 @@
   uint16_t index;
   uint8_t state;
   uint8_t attempts; /* runs that ended failed */
-  uint8_t losses;   /* runs that were lost with their worker, in a row */
+  uint8_t losses;   /* runs that were lost with their worker, in a row ... */
+  uint8_t crashes;  /* ... and of these, runs that had begun shortly before */
   uint8_t repeats;  /* times the start of this run was sent again */
   uint8_t percent;
   uint8_t pace;
@@ -36,6 +37,7 @@
   bool stop_answered;  /* the worker knows that the run is to be stopped */
   bool done_elsewhere; /* an earlier run did it; this one only has to end */
   bool inherited;      /* started by a predecessor, whom our token keeps from sending more */
+  bool begun_before;   /* ... and known to have begun under that one */
   bool suspect;        /* its last run may have taken its worker down */
   bool isolated;       /* a suspect whose run has not settled: it keeps other jobs off its worker */
   uint32_t run;
@@ -151,6 +153,7 @@
   int64_t listing_at;   /* last listing of what it runs; 0 for none */
   int64_t silent_since; /* 0 while it answers */
   int64_t fell_silent;  /* when it last did; 0 for never */
+  bool fell_isolated;   /* a suspect was isolated there then */
   int64_t clock_ms;     /* the worker's clock ... */
   int64_t clock_at;     /* ... when we read it */
   int64_t lapse_by;     /* our clock: every lease given has run out by then */
@@ -329,17 +332,28 @@
                                   const struct mt_task *task,
                                   int64_t now);
 void mt_worker_evidence (struct mt_scheduler *sched, struct mt_worker *w, bool good, int64_t now);
-void
-mt_worker_release (struct mt_scheduler *sched, struct mt_worker *w, int64_t now, const char *why);
+/* Nothing runs there any more: its life is over, or its lease has lapsed. */
+void mt_worker_release (
+    struct mt_scheduler *sched, struct mt_worker *w, bool life_over, int64_t now, const char *why);
 void mt_worker_clock (struct mt_worker *w, int64_t clock_ms, int64_t now);
 int64_t mt_worker_lease (const struct mt_worker *w, int64_t now, int64_t hold_ms);
 void mt_worker_granted (struct mt_worker *w, int64_t hold_ms, int64_t now);
 
 /* scheduler_crashes.c */
-/* For how long its run was known to be there. */
+/* Its run is known to have been there, ... */
+bool mt_task_has_begun (const struct mt_task *task);
+/* ... for so long. */
 int64_t mt_task_seen_ms (const struct mt_task *task);
-/* The worker's life has ended with these tasks on it; before they are released. */
-void mt_worker_count_losses (struct mt_scheduler *sched, struct mt_worker *w, int64_t now);
+void mt_worker_fell_silent (struct mt_worker *w, int64_t now);
+/* The worker was lost with its tasks; before they are released. Returns those whose jobs are to be
+ * given up (g_ptr_array_unref). */
+GPtrArray *mt_worker_count_losses (struct mt_scheduler *sched,
+                                   struct mt_worker *w,
+                                   bool life_over,
+                                   int64_t now);
+void mt_task_give_up (struct mt_scheduler *sched, struct mt_task *task, int64_t now);
+/* The same for a job whose losses a predecessor has counted. */
+void mt_job_give_up_lost (struct mt_scheduler *sched, struct mt_job *job, int64_t now);
 /* False where the task, or one that is there, is to be kept apart from other jobs. */
 bool mt_task_may_join (const struct mt_task *task, const struct mt_worker *w, int64_t now);
 /* A task was placed; only a suspect is isolated. */
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -44,6 +44,9 @@
 
 /* What a suspect may take down is worth so much, in multiples of a task's run time. */
 #define SUSPECT_COST 0.5
+#define NEW_COST     2.0
+/* A worker that came within this time says little of how long it stays. */
+#define NEW_WORKER_MS 8000
 /* While a suspect waits for a worker that it can be kept apart on, it is looked at so often. */
 #define SUSPECT_AGAIN_MS 100
 
@@ -284,11 +287,14 @@
   return cost;
 }
 
-/* Of what its worker runs, all is lost with it. */
+/* All that its worker runs is lost with it; and one that has only come may be down and up by turns,
+ * and be lost without its doing. */
 static double
-suspect_cost (const struct mt_worker *w)
+suspect_cost (const struct site *site, const struct mt_worker *w)
 {
-  return SUSPECT_COST * (double) w->tasks.length;
+  bool is_new = site->now - w->listed_since < NEW_WORKER_MS;
+
+  return SUSPECT_COST * (double) w->tasks.length + (is_new ? NEW_COST : 0);
 }
 
 static double
@@ -303,7 +309,7 @@
       && (w->labels == NULL || !g_strv_contains ((const char *const *) w->labels, step->rack)))
     cost *= site->sched->settings.remote_factor;
   if (task->suspect)
-    cost += suspect_cost (w);
+    cost += suspect_cost (site, w);
   else
     cost += (w->dones >= PROVED_DONES ? -PACK_GAIN : PACK_GAIN) * load;
   return cost + long_running_cost (site, w, step);
@@ -408,6 +414,19 @@
     sched->place_at = at;
 }
 
+/* A suspect has found no worker: those that answer in time will do at the next look. */
+static void
+seek_isolation (const struct site *site)
+{
+  for (guint i = 0; i < site->takers->len; i++)
+    {
+      struct mt_worker *w = site->takers->pdata[i];
+
+      w->next_hold = MIN (w->next_hold, site->now);
+    }
+  place_again (site, site->now + SUSPECT_AGAIN_MS);
+}
+
 /* False once no worker has room for the step: the rest of it needn't be tried. */
 static bool
 place_task (struct site *site, struct mt_task *task)
@@ -432,7 +451,7 @@
       if (is_last_attempt (site, task))
         place_again (site, task->since + LAST_ATTEMPT_MS);
       if (task->suspect)
-        place_again (site, site->now + SUSPECT_AGAIN_MS);
+        seek_isolation (site);
       if (task->occ->job->route->advice)
         want_advice (site->sched, task, site->now);
       /* A suspect lacks a worker of its own, the rest of its step may find room. */
--- a/core/scheduler/scheduler_record.c
+++ b/core/scheduler/scheduler_record.c
@@ -8,8 +8,8 @@
 #include <string.h>
 
 /* Rows of "t": occurrence, step, index, run, failed attempts, worker, its birth, checkpoint, runs
- * lost with their worker, whether it is a suspect. A worker of "" means that nothing of the task
- * can run. */
+ * lost with their worker, of these the ones that had begun, whether it is a suspect, whether its
+ * run has begun. A worker of "" means that nothing of the task can run. */
 enum column
 {
   COLUMN_OCCURRENCE,
@@ -21,7 +21,9 @@
   COLUMN_BORN,
   COLUMN_CHECKPOINT,
   COLUMN_LOSSES,
+  COLUMN_CRASHES,
   COLUMN_SUSPECT,
+  COLUMN_BEGUN,
   COLUMNS,
 };
 
@@ -53,7 +55,8 @@
                           task->worker != NULL ? task->worker->born : 0);
   mt_json_append_text (out, task->checkpoint);
   if (task->losses > 0)
-    g_string_append_printf (out, ",%u,%d", task->losses, task->suspect);
+    g_string_append_printf (out, ",%u,%u,%d,%d", task->losses, task->crashes, task->suspect,
+                            task->worker != NULL && mt_task_has_begun (task));
   g_string_append_c (out, ']');
 }
 
@@ -134,6 +137,7 @@
   unsigned index = (unsigned) json_integer_value (json_array_get (row, COLUMN_INDEX));
   const char *worker = json_string_value (json_array_get (row, COLUMN_WORKER));
   int64_t born = json_integer_value (json_array_get (row, COLUMN_BORN));
+  bool begun = json_integer_value (json_array_get (row, COLUMN_BEGUN)) != 0;
   struct mt_occurrence *occ = occurrence_of (job, number);
   struct mt_task *task;
   struct mt_worker *w;
@@ -147,6 +151,7 @@
   task->attempts = (uint8_t) json_integer_value (json_array_get (row, COLUMN_ATTEMPTS));
   mt_task_keep_checkpoint (task, json_string_value (json_array_get (row, COLUMN_CHECKPOINT)));
   task->losses = (uint8_t) json_integer_value (json_array_get (row, COLUMN_LOSSES));
+  task->crashes = (uint8_t) json_integer_value (json_array_get (row, COLUMN_CRASHES));
   task->suspect = json_integer_value (json_array_get (row, COLUMN_SUSPECT)) != 0;
   if (worker == NULL || worker[0] == '\0')
     return;
@@ -155,6 +160,7 @@
     {
       /* That life is over, and what it ran with it. */
       task->losses += task->losses < G_MAXUINT8;
+      task->crashes += begun && task->crashes < G_MAXUINT8;
       task->suspect = true;
       return;
     }
@@ -164,6 +170,7 @@
   mt_task_place (sched, task, w, now);
   task->state = MT_TASK_ORDERED;
   task->inherited = true;
+  task->begun_before = begun;
   w->lapse_by
       = MAX (w->lapse_by, now + sched->settings.max_hold_ms * 1000 / (1000 - MT_CLOCK_SLOW));
 }
@@ -203,7 +210,10 @@
   if (job->ended_at != 0)
     mt_job_stop_tasks (sched, job, now);
   else
-    mt_job_check_end (sched, job, now);
+    {
+      mt_job_check_end (sched, job, now);
+      mt_job_give_up_lost (sched, job, now);
+    }
   json_decref (root);
   return state != MT_JOB_UNKNOWN;
 }
--- a/core/scheduler/scheduler_tasks.c
+++ b/core/scheduler/scheduler_tasks.c
@@ -121,7 +121,8 @@
   task->gauge = 0;
   task->repeats = 0;
   task->sure_from = 0;
-  task->doubtful = task->stop_answered = task->order_sent = task->inherited = false;
+  task->doubtful = task->stop_answered = task->order_sent = false;
+  task->inherited = task->begun_before = false;
   task->run++;
   task->worker = w;
   task->link.data = task;
--- a/core/scheduler/scheduler_watch.c
+++ b/core/scheduler/scheduler_watch.c
@@ -174,7 +174,7 @@
   if ((w->silent_since != 0 || w->address == NULL) && now > w->lapse_by
       && !mt_scheduler_doubts_itself (sched, now))
     {
-      mt_worker_release (sched, w, now, "lease over");
+      mt_worker_release (sched, w, false, now, "lease over");
       return;
     }
   for (GList *l = w->tasks.head; l != NULL; l = next)
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -38,8 +38,9 @@
 static void
 begin_life (struct mt_scheduler *sched, struct mt_worker *w, int64_t born, int64_t now)
 {
-  mt_worker_release (sched, w, now, "reborn");
+  mt_worker_release (sched, w, true, now, "reborn");
   w->born = born;
+  w->listed_since = now;
   w->ended = w->leaving = false;
   w->held = false;
   w->clock_at = 0;
@@ -136,7 +137,7 @@
 
   if (w == NULL || w->ended)
     return;
-  mt_worker_release (sched, w, now, proof);
+  mt_worker_release (sched, w, true, now, proof);
   w->ended = true;
   w->listed = false;
 }
@@ -182,11 +183,13 @@
 
 /* Frees every task of a worker on which nothing can run any more. */
 void
-mt_worker_release (struct mt_scheduler *sched, struct mt_worker *w, int64_t now, const char *why)
+mt_worker_release (
+    struct mt_scheduler *sched, struct mt_worker *w, bool life_over, int64_t now, const char *why)
 {
+  g_autoptr (GPtrArray) given_up = mt_worker_count_losses (sched, w, life_over, now);
+
   if (w->tasks.length > 0)
     tell_lost (sched, w, now, why);
-  mt_worker_count_losses (sched, w, now);
   while (w->tasks.length > 0)
     {
       struct mt_task *task = g_queue_peek_head (&w->tasks);
@@ -198,6 +201,8 @@
       task->shunned = w;
       mt_task_wait (sched, task, now);
     }
+  for (guint i = 0; i < given_up->len; i++)
+    mt_task_give_up (sched, given_up->pdata[i], now);
 }
 
 bool
--- a/ctl/command_explain.c
+++ b/ctl/command_explain.c
@@ -28,6 +28,7 @@
   unsigned still;
   unsigned missed;
   const json_t *last_loss;
+  const json_t *given_up;
 };
 
 static const char *
@@ -96,6 +97,7 @@
     { "CALLER_REFUSED", offsetof (struct story, caller) },
     { "JOB_BEGUN", offsetof (struct story, begun) },
     { "JOB_ENDED", offsetof (struct story, ended) },
+    { "TASK_GIVEN_UP", offsetof (struct story, given_up) },
   };
 
   json_array_append (story->own, line);
@@ -165,6 +167,13 @@
     g_string_append_printf (out, "; %u of its tasks were lost with worker %s (%s) and run again",
                             story->lost, text_of (story->last_loss, "worker"),
                             text_of (story->last_loss, "why"));
+  if (story->given_up != NULL)
+    g_string_append_printf (
+        out,
+        "; given up, since the workers that started task %lld.%lld of it crashed, %lld in a row",
+        (long long) json_integer_value (json_object_get (story->given_up, "step")),
+        (long long) json_integer_value (json_object_get (story->given_up, "index")),
+        (long long) json_integer_value (json_object_get (story->given_up, "losses")));
   if (story->still > 0)
     g_string_append_printf (out, "; %u of its runs stood still and were begun elsewhere",
                             story->still);
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -100,6 +100,10 @@
           TASK_SETTLED,
           G_LOG_LEVEL_MESSAGE,
           "a task that may have taken its worker down has run on another one for a while")
+MT_EVENT (8210,
+          TASK_GIVEN_UP,
+          G_LOG_LEVEL_WARNING,
+          "a task took down the workers that started it; its job has failed")
 MT_EVENT (8208, TASK_MISSED, G_LOG_LEVEL_WARNING, "a worker does not list a task; it is stopped")
 MT_EVENT (8206, RUN_STRAY, G_LOG_LEVEL_WARNING, "a worker runs what no job knows; it is stopped")
 
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -31,6 +31,7 @@
   char task[80];
   unsigned run;
   enum mt_end_how how;
+  bool lapsed; /* the worker's lease was over after it: it proves nothing any more */
 };
 
 struct world_worker
@@ -115,7 +116,8 @@
   GHashTable
       *crashing;    /* tasks that take down each worker that starts them, to how often they did */
   int64_t crash_ms; /* ... so long after the start */
-  bool new_ids;     /* a machine that crashed is back as another worker, at the same address */
+  GHashTable *crashes; /* tasks to how many workers have crashed under them */
+  bool new_ids;        /* a machine that crashed is back as another worker, at the same address */
   GHashTable *records; /* job id to what was stored last */
 };
 
@@ -146,5 +148,7 @@
 void world_add_crashing (struct world *world, const char *task);
 /* So many starts of it were carried out. */
 unsigned world_crashes_by (const struct world *world, const char *task);
+/* So many workers have crashed, or were rebooted, while they ran it. */
+unsigned world_crashes_under (const struct world *world, const char *task);
 
 #endif
