--- a/core/scheduler/scheduler_crashes.c
+++ b/core/scheduler/scheduler_crashes.c
@@ -9,8 +9,11 @@
 
 /* A run that was seen for so long did not take its worker down. */
 #define SETTLED_MS 500
-/* Workers that fall silent within so long of each other were lost to one event, not to a task. */
+/* Workers that fall silent within so long of each other may have been lost to one event. */
 #define TOGETHER_MS 1000
+/* So many of them, and this part of the pool, are unrest that no task makes. */
+#define UNREST_LEAST 3U
+#define UNREST_PART  8
 /* A task that was lost again though it had settled is kept apart for as long as it ran, up to this.
  */
 #define SETTLED_MOST_MS 3000
@@ -58,20 +61,27 @@
          || task->state == MT_TASK_STOPPING || (task->state == MT_TASK_ORDERED && !task->order_due);
 }
 
-/* Others fell silent at that moment, and not by what was isolated on them: a rack, a link, or
- * workers that are down and up by turns. */
-static bool
-is_lost_with_others (const struct mt_scheduler *sched, const struct mt_worker *w)
+struct others
+{
+  unsigned lost; /* fell silent at that moment, and not by what was isolated on them */
+  unsigned listed;
+};
+
+static struct others
+count_others (const struct mt_scheduler *sched, const struct mt_worker *w)
 {
   GHashTableIter it;
   const struct mt_worker *other;
+  struct others out = { 0 };
 
   g_hash_table_iter_init (&it, sched->workers);
   while (g_hash_table_iter_next (&it, NULL, (void **) &other))
-    if (other != w && other->fell_silent != 0 && !other->fell_isolated
-        && ABS (other->fell_silent - w->fell_silent) < TOGETHER_MS)
-      return true;
-  return false;
+    {
+      out.listed += other->listed;
+      out.lost += other != w && other->fell_silent != 0 && !other->fell_isolated
+                  && ABS (other->fell_silent - w->fell_silent) < TOGETHER_MS;
+    }
+  return out;
 }
 
 void
@@ -110,14 +120,15 @@
 is_lost_too_often (const struct mt_task *task)
 {
   return task->losses >= MOST_LOSSES
-         || (task->losses >= MANY_LOSSES && task->crashes >= least_crashes (task));
+         || (task->losses >= MANY_LOSSES && task->crashes >= LEAST_CRASHES);
 }
 
 /* What is known of how a worker was lost. */
 struct crash
 {
-  bool life_over;            /* it has crashed; else its lease has lapsed, and it may run on */
-  bool with_others;          /* by something else than tasks, perhaps */
+  bool life_over;   /* it has crashed; else its lease has lapsed, and it may run on */
+  bool with_others; /* another one was lost at that moment */
+  bool in_unrest;   /* many were: a rack, a link, or workers that are down and up by turns */
   const struct mt_job *sole; /* the job of all runs that had not settled */
   bool attributed;           /* ... and it was isolated there */
 };
@@ -125,16 +136,19 @@
 static bool
 is_cause (const struct crash *crash, const struct mt_task *task)
 {
-  return crash->attributed && !crash->with_others && crash->sole == task->occ->job && task->suspect
+  return crash->attributed && !crash->in_unrest && crash->sole == task->occ->job && task->suspect
          && !has_settled (task);
 }
 
 static struct crash
 examine (const struct mt_scheduler *sched, const struct mt_worker *w, bool life_over)
 {
-  struct crash crash = { .life_over = life_over,
-                         .with_others = is_lost_with_others (sched, w),
-                         .sole = sole_unsettled_job (w) };
+  struct others others = count_others (sched, w);
+  struct crash crash
+      = { .life_over = life_over,
+          .with_others = others.lost > 0,
+          .in_unrest = others.lost >= MAX (UNREST_LEAST, others.listed / UNREST_PART),
+          .sole = sole_unsettled_job (w) };
 
   crash.attributed = crash.sole != NULL && crash.sole == w->isolated_for;
   return crash;
@@ -159,6 +173,21 @@
   return (cause && task->crashes >= least_crashes (task)) || is_lost_too_often (task);
 }
 
+/* A worker that has gone as it said tells nothing of what ran there; but a suspect may have been
+ * started there once more. */
+static bool
+has_gone_as_said (const struct mt_worker *w)
+{
+  return w->leaving && w->heard - w->leaving_since > SETTLED_MS;
+}
+
+static bool
+count_suspect (struct mt_task *task)
+{
+  task->losses += task->suspect && task->losses < G_MAXUINT8;
+  return task->suspect && is_lost_too_often (task);
+}
+
 GPtrArray *
 mt_worker_count_losses (struct mt_scheduler *sched,
                         struct mt_worker *w,
@@ -166,12 +195,10 @@
                         int64_t now)
 {
   GPtrArray *given_up = g_ptr_array_new ();
+  bool planned = has_gone_as_said (w);
   struct crash crash;
 
-  /* It has gone as it said: its end tells nothing of what ran there. */
-  if (w->leaving && w->heard - w->leaving_since > SETTLED_MS)
-    return given_up;
-  if (w->silent_since == 0)
+  if (!planned && w->silent_since == 0)
     mt_worker_fell_silent (w, now);
   crash = examine (sched, w, life_over);
   for (GList *l = w->tasks.head; l != NULL; l = l->next)
@@ -181,7 +208,7 @@
       /* Where the cause is known the others were only there. */
       if (!may_have_begun (task) || (crash.attributed && crash.sole != task->occ->job))
         continue;
-      if (count_loss (task, &crash))
+      if (planned ? count_suspect (task) : count_loss (task, &crash))
         g_ptr_array_add (given_up, task);
     }
   return given_up;
--- a/tests/scheduler/test_crash_victims.c
+++ b/tests/scheduler/test_crash_victims.c
@@ -55,11 +55,82 @@
   world_destroy (world);
 }
 
+#define SURGE_MS    4000
+#define PERIOD_MS   16000
+#define LOAD_MS     48000
+#define STEP_MS     5
+#define CRASH_SHARE 50 /* one job of so many takes its workers down */
+#define MOST_STARTS 5  /* three crashes, and three more starts are too many */
+#define MAX_JOBS    2000
+
+struct load
+{
+  struct world *world;
+  GRand *rand;
+  unsigned n_jobs;
+  bool crashing[MAX_JOBS];
+};
+
+/* 38 jobs a second in a surge, 3 between. */
+static void
+submit_some (struct load *load, int64_t at)
+{
+  double a_second = at % PERIOD_MS < SURGE_MS ? 38 : 3;
+  unsigned n = load->n_jobs;
+  char id[16];
+  char task[32];
+
+  if (n == MAX_JOBS || g_rand_double (load->rand) > a_second * STEP_MS / 1000)
+    return;
+  g_snprintf (id, sizeof id, "j%u", n);
+  g_snprintf (task, sizeof task, "%s.0.0.0", id);
+  load->crashing[n] = g_rand_int_range (load->rand, 0, CRASH_SHARE) == 0;
+  if (load->crashing[n])
+    world_add_crashing (load->world, task);
+  world_submit (load->world,
+                world_job (id, (unsigned) g_rand_int_range (load->rand, 1, 12), 880, 800));
+  load->n_jobs++;
+}
+
+/* Guards against jobs that are given up, or never done, beside those that take their workers down,
+ * in surges to more than the pool holds. */
+static void
+test_jobs_are_done_beside_crashing_ones_in_surges (void **state)
+{
+  struct load load = { .world = world_create (), .rand = g_rand_new_with_seed (20261203) };
+  unsigned crashing = 0;
+
+  for (unsigned i = 0; i < WORKERS + 3; i++)
+    world_add_worker (load.world, "r1");
+  load.world->run_ms = 800;
+  for (int64_t at = 0; at < LOAD_MS; at += STEP_MS)
+    {
+      submit_some (&load, at);
+      world_run (load.world, STEP_MS);
+    }
+  world_run (load.world, 8 * WORLD_DOWN_MS);
+  for (unsigned i = 0; i < load.n_jobs; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("j%u", i);
+      g_autofree char *task = g_strdup_printf ("%s.0.0.0", id);
+
+      assert_int_equal (mt_scheduler_state (load.world->sched, id),
+                        load.crashing[i] ? MT_JOB_FAILED : MT_JOB_COMPLETED);
+      assert_in_range (world_crashes_by (load.world, task), 0, MOST_STARTS);
+      crashing += load.crashing[i];
+    }
+  assert_true (crashing > 5);
+  assert_int_equal (load.world->twice, 0);
+  g_rand_free (load.rand);
+  world_destroy (load.world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_tasks_lost_with_a_crash_are_lost_once),
+    cmocka_unit_test (test_jobs_are_done_beside_crashing_ones_in_surges),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
