jobs: a job of the tables that takes its workers down is not started without end

A worker that starts anew reports nothing; its jobs were queued again as if they had never run, together, and went together to the next one.

A worker that is lost within a minute of a job's start counts for that job like a failure on it, and the job runs next where nothing else does; three workers end it. The count, that of failures too, is in the record, so that a planner that takes over goes on with it: it began anew before. The record's entry has a sixth field for such jobs only; a planner of an older release can't read it.

test_job_that_takes_its_workers_down_is_bad, test_jobs_lost_with_a_worker_run_apart and test_crashes_are_counted_across_planners failed before: 20 crashes and still running, both jobs on w0 again, still running after 8 takeovers.

Looked at and left: requests of minions (core/path): one that may not repeat is tried once, others cost a retry token each. Tasks that stand still everywhere (TASK_STILL) are moved without a bound; the users' rules let a job fail by failed ends and crashes only.

--- a/core/jobs/book.c
+++ b/core/jobs/book.c
@@ -11,6 +11,7 @@
   .quarantine_us = 300 * MT_SECOND,
   .quarantine_after = 3,
   .bad_job_after = 3,
+  .crash_window_us = 60 * MT_SECOND,
   .most_starts = 1000,
 };
 
--- a/core/jobs/events.c
+++ b/core/jobs/events.c
@@ -62,18 +62,26 @@
 }
 
 static void
-note_failure (struct mt_jobs *jobs, struct mt_job *job)
+retry_or_end (struct mt_jobs *jobs, struct mt_job *job, const char *what)
 {
-  mt_worker_note_failure (jobs, job->worker, job);
-  if (job->state == MT_JOB_STOPPING || job->failed_on->len < jobs->options.bad_job_after)
+  unsigned workers = mt_job_bad_workers (job);
+
+  if (job->state == MT_JOB_STOPPING || workers < jobs->options.bad_job_after)
     {
       mt_jobs_requeue (jobs, job);
       return;
     }
-  job->reason = g_strdup_printf ("failed on %u different workers", job->failed_on->len);
+  job->reason = g_strdup_printf ("%s %u different workers", what, workers);
   mt_jobs_end (jobs, job, MT_JOB_BAD);
 }
 
+static void
+note_failure (struct mt_jobs *jobs, struct mt_job *job)
+{
+  mt_worker_note_failure (jobs, job->worker, job);
+  retry_or_end (jobs, job, "failed on");
+}
+
 static void
 note_stray (struct mt_jobs *jobs, const struct mt_job_report *report)
 {
@@ -144,6 +152,7 @@
   if (worker == NULL || lease != worker->lease)
     return;
   worker->lost = true;
+  worker->lost_us = mt_clock_now (jobs->clock);
   for (guint i = worker->tasks->len; i-- > 0;)
     lose_task (jobs, worker->tasks->pdata[i]);
 }
@@ -154,8 +163,10 @@
   struct mt_worker *worker = mt_jobs_find_worker (jobs, name);
 
   /* What was begun to be fenced stays so until the worker itself confirms. */
-  if (worker != NULL && lease == worker->lease)
-    worker->lost = false;
+  if (worker == NULL || lease != worker->lease)
+    return;
+  worker->lost = false;
+  worker->lost_us = 0;
 }
 
 void
@@ -165,8 +176,11 @@
 
   if (worker == NULL || lease <= worker->lease)
     return;
+  for (guint i = 0; i < worker->tasks->len; i++)
+    mt_worker_note_crash (jobs, worker, worker->tasks->pdata[i]);
   worker->lease = lease;
   worker->lost = false;
+  worker->lost_us = 0;
   for (guint i = worker->tasks->len; i-- > 0;)
-    mt_jobs_requeue (jobs, worker->tasks->pdata[i]);
+    retry_or_end (jobs, worker->tasks->pdata[i], "took down");
 }
--- a/core/jobs/internal.h
+++ b/core/jobs/internal.h
@@ -43,10 +43,12 @@
   bool throttled;
   bool reported; /* the worker said that this epoch runs */
   int64_t started_us;
-  int64_t asked_us;     /* a stop, checkpoint or fence was last asked for; 0: not yet */
-  struct mt_size used;  /* as last reported */
-  uint64_t lease;       /* of its worker when it started */
-  GPtrArray *failed_on; /* of struct mt_worker, distinct */
+  int64_t asked_us;       /* a stop, checkpoint or fence was last asked for; 0: not yet */
+  struct mt_size used;    /* as last reported */
+  uint64_t lease;         /* of its worker when it started */
+  GPtrArray *failed_on;   /* of struct mt_worker, distinct */
+  unsigned failed_before; /* so many more under earlier planners */
+  bool suspect;           /* may have taken down the worker that ran it last */
   char *reason;
   uint64_t never_at; /* the fleet's generation that MT_JOB_NEVER was judged at */
   bool changed;      /* listed in the book's changes */
@@ -62,6 +64,7 @@
   uint64_t lease;
   bool draining;
   bool lost;
+  int64_t lost_us;              /* when it was */
   GPtrArray *tasks;             /* of struct mt_job that hold room here */
   GPtrArray *failures;          /* names of distinct jobs that failed in a row */
   int64_t quarantined_until_us; /* 0: not quarantined */
@@ -140,6 +143,12 @@
 /* quarantine.c */
 void mt_worker_note_failure (struct mt_jobs *jobs, struct mt_worker *worker, struct mt_job *job);
 void mt_worker_note_success (struct mt_worker *worker);
+/* The worker starts anew with nothing of before: what the job has to do with that. */
+void mt_worker_note_crash (struct mt_jobs *jobs, struct mt_worker *worker, struct mt_job *job);
+/* Workers that it failed on or took down, as far as is known. */
+unsigned mt_job_bad_workers (const struct mt_job *job);
+/* Until a suspect has run for a while its worker takes nothing else. */
+bool mt_job_is_isolated (const struct mt_jobs *jobs, const struct mt_job *job);
 bool mt_worker_accepts (struct mt_jobs *jobs, struct mt_worker *worker);
 
 #endif
--- a/core/jobs/plan.c
+++ b/core/jobs/plan.c
@@ -179,7 +179,7 @@
       double cost;
 
       if (!need_on (job, worker, &wanted) || !mt_size_fits (wanted, room)
-          || !may_start_on (jobs, job, worker))
+          || !may_start_on (jobs, job, worker) || (job->suspect && worker->tasks->len > 0))
         continue;
       cost = jobs->options.placement->cost (worker->size, room, wanted,
                                             running_beside (job, worker));
--- a/core/jobs/quarantine.c
+++ b/core/jobs/quarantine.c
@@ -47,7 +47,7 @@
 {
   if (!g_ptr_array_find (job->failed_on, worker, NULL))
     g_ptr_array_add (job->failed_on, worker);
-  if (job->failed_on->len >= jobs->options.bad_job_after)
+  if (mt_job_bad_workers (job) >= jobs->options.bad_job_after)
     {
       forgive (job);
       return;
@@ -58,6 +58,42 @@
     quarantine (jobs, worker);
 }
 
+unsigned
+mt_job_bad_workers (const struct mt_job *job)
+{
+  return job->failed_on->len + job->failed_before;
+}
+
+bool
+mt_job_is_isolated (const struct mt_jobs *jobs, const struct mt_job *job)
+{
+  return job->suspect
+         && mt_clock_now (jobs->clock) - job->started_us < jobs->options.crash_window_us;
+}
+
+static bool
+is_alone (const struct mt_jobs *jobs, const struct mt_worker *worker, const struct mt_job *job)
+{
+  for (guint i = 0; i < worker->tasks->len; i++)
+    if (worker->tasks->pdata[i] != job && mt_job_is_isolated (jobs, worker->tasks->pdata[i]))
+      return false;
+  return true;
+}
+
+/* What ran for longer was not the cause, nor what stands beside a suspect: that one is. */
+void
+mt_worker_note_crash (struct mt_jobs *jobs, struct mt_worker *worker, struct mt_job *job)
+{
+  int64_t lost_us = worker->lost_us != 0 ? worker->lost_us : mt_clock_now (jobs->clock);
+
+  if (!job->reported || lost_us - job->started_us >= jobs->options.crash_window_us
+      || !is_alone (jobs, worker, job))
+    return;
+  job->suspect = true;
+  if (!g_ptr_array_find (job->failed_on, worker, NULL))
+    g_ptr_array_add (job->failed_on, worker);
+}
+
 void
 mt_worker_note_success (struct mt_worker *worker)
 {
@@ -77,5 +113,8 @@
         return false;
       worker->quarantined_until_us = 0;
     }
+  for (guint i = 0; i < worker->tasks->len; i++)
+    if (mt_job_is_isolated (jobs, worker->tasks->pdata[i]))
+      return false;
   return !worker->probation || worker->tasks->len == 0;
 }
--- a/core/jobs/record.c
+++ b/core/jobs/record.c
@@ -1,5 +1,6 @@
 /* What must last of the book: one entry [name, state, epoch, worker or nil, lease] for each job
- * whose state changed. A planner that takes over replays the entries over the declared jobs. */
+ * whose state changed, and for one that workers failed or went down with how many did. A planner
+ * that takes over replays the entries over the declared jobs. */
 #include "internal.h"
 
 #include "medlartrack/error.h"
@@ -9,6 +10,7 @@
 
 #define RECORD_VERSION    1
 #define ENTRY_FIELDS      5
+#define ENTRY_FIELDS_BAD  6
 #define MAX_RECORDED_NAME 200
 
 struct entry
@@ -18,6 +20,7 @@
   enum mt_job_state state;
   uint64_t epoch;
   uint64_t lease;
+  uint64_t bad_workers;
 };
 
 static int
@@ -37,22 +40,32 @@
 }
 
 static void
-pack_entry (msgpack_packer *pk,
-            const char *name,
-            enum mt_job_state state,
-            uint64_t epoch,
-            const struct mt_worker *worker,
-            uint64_t lease)
+pack_tombstone (msgpack_packer *pk, const char *name)
 {
   msgpack_pack_array (pk, ENTRY_FIELDS);
   pack_text (pk, name);
-  msgpack_pack_int (pk, (int) state);
-  msgpack_pack_uint64 (pk, epoch);
-  if (worker != NULL)
-    pack_text (pk, worker->name);
+  msgpack_pack_int (pk, (int) MT_JOB_CANCELLED);
+  msgpack_pack_uint64 (pk, 0);
+  msgpack_pack_nil (pk);
+  msgpack_pack_uint64 (pk, 0);
+}
+
+static void
+pack_entry (msgpack_packer *pk, const struct mt_job *job)
+{
+  unsigned bad_workers = mt_job_bad_workers (job);
+
+  msgpack_pack_array (pk, bad_workers > 0 ? ENTRY_FIELDS_BAD : ENTRY_FIELDS);
+  pack_text (pk, job->name);
+  msgpack_pack_int (pk, (int) job->state);
+  msgpack_pack_uint64 (pk, job->epoch);
+  if (job->worker != NULL)
+    pack_text (pk, job->worker->name);
   else
     msgpack_pack_nil (pk);
-  msgpack_pack_uint64 (pk, lease);
+  msgpack_pack_uint64 (pk, job->lease);
+  if (bad_workers > 0)
+    msgpack_pack_uint64 (pk, bad_workers);
 }
 
 static bool
@@ -81,9 +94,12 @@
   uint64_t state;
 
   *entry = (struct entry){ 0 };
-  if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size != ENTRY_FIELDS)
+  if (object->type != MSGPACK_OBJECT_ARRAY
+      || (object->via.array.size != ENTRY_FIELDS && object->via.array.size != ENTRY_FIELDS_BAD))
     return false;
   fields = object->via.array.ptr;
+  if (object->via.array.size == ENTRY_FIELDS_BAD && !read_number (&fields[5], &entry->bad_workers))
+    return false;
   if (!read_text (&fields[0], entry->name) || !read_number (&fields[1], &state)
       || state > MT_JOB_BAD || !read_number (&fields[2], &entry->epoch)
       || !read_number (&fields[4], &entry->lease))
@@ -155,6 +171,9 @@
     }
   job->epoch = MAX (job->epoch, entry->epoch);
   job->state = entry->state;
+  job->failed_before = (unsigned) MIN (entry->bad_workers, G_MAXUINT / 2);
+  job->suspect = job->failed_before > 0;
+  g_ptr_array_set_size (job->failed_on, 0);
   if (holds_worker (entry->state))
     restore_on_worker (jobs, job, entry);
   else if (entry->state == MT_JOB_WAITING)
@@ -192,11 +211,11 @@
     {
       struct mt_job *job = jobs->changes->pdata[i];
 
-      pack_entry (&pk, job->name, job->state, job->epoch, job->worker, job->lease);
+      pack_entry (&pk, job);
       job->changed = false;
     }
   for (guint i = 0; i < jobs->new_tombstones->len; i++)
-    pack_entry (&pk, jobs->new_tombstones->pdata[i], MT_JOB_CANCELLED, 0, NULL, 0);
+    pack_tombstone (&pk, jobs->new_tombstones->pdata[i]);
   g_ptr_array_set_size (jobs->changes, 0);
   g_ptr_array_set_size (jobs->new_tombstones, 0);
 }
@@ -238,11 +257,11 @@
       const struct mt_job *job = value;
 
       if (differs_from_declared (job))
-        pack_entry (&pk, job->name, job->state, job->epoch, job->worker, job->lease);
+        pack_entry (&pk, job);
     }
   g_hash_table_iter_init (&iter, jobs->tombstones);
   while (g_hash_table_iter_next (&iter, &name, NULL))
-    pack_entry (&pk, name, MT_JOB_CANCELLED, 0, NULL, 0);
+    pack_tombstone (&pk, name);
 }
 
 bool
--- a/include/medlartrack/jobs.h
+++ b/include/medlartrack/jobs.h
@@ -76,8 +76,9 @@
   int64_t usage_lag_us;      /* usage older than the task's start plus this says nothing of it */
   int64_t quarantine_us;     /* first quarantine; doubles with each relapse */
   unsigned quarantine_after; /* distinct jobs that fail in a row on one worker */
-  unsigned bad_job_after;    /* distinct workers that one job fails on */
-  unsigned most_starts;      /* per plan */
+  unsigned bad_job_after;    /* distinct workers that one job fails on, or takes down */
+  int64_t crash_window_us; /* a worker lost so soon after a start may have been taken down by it */
+  unsigned most_starts;    /* per plan */
   const struct mt_placement *placement;
 };
 
@@ -94,7 +95,7 @@
   MT_JOB_DONE,
   MT_JOB_CANCELLED,
   MT_JOB_NEVER, /* can't run on any worker of its pool; the reason says why */
-  MT_JOB_BAD,   /* failed on several workers; not tried again */
+  MT_JOB_BAD,   /* failed on several workers, or took them down; not tried again */
 };
 
 const char *mt_job_state_name (enum mt_job_state state);
--- a/tests/jobs/test_jobs.c
+++ b/tests/jobs/test_jobs.c
@@ -404,6 +404,161 @@
   assert_non_null (error);
 }
 
+/* The worker of a started job goes down and starts anew, with nothing of before. */
+static void
+crash_worker_of (struct fixture *f, const struct mt_job_action *start)
+{
+  g_autofree char *worker = g_strdup (start->worker);
+  uint64_t lease = start->lease;
+
+  mt_clock_manual_advance (f->manual, 5 * MT_SECOND);
+  mt_jobs_lose_worker (f->jobs, worker, lease);
+  mt_clock_manual_advance (f->manual, 5 * MT_SECOND);
+  mt_jobs_worker_clean (f->jobs, worker, lease + 1);
+}
+
+/* All starts of the plan are reported as running. */
+static void
+plan_and_run (struct fixture *f)
+{
+  plan (f);
+  for (guint i = 0; i < f->actions->len; i++)
+    {
+      const struct mt_job_action *action = &g_array_index (f->actions, struct mt_job_action, i);
+
+      if (action->kind == MT_JOB_START)
+        report (f, action, MT_REPORT_RUNNING, nothing);
+    }
+}
+
+static void
+add_workers (struct fixture *f, unsigned n)
+{
+  for (unsigned i = 0; i < n; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("w%u", i);
+
+      add_worker (f, name, 8);
+    }
+}
+
+/* Guards against a job that takes down one worker after the other, without end, and the jobs that
+ * are there with it. */
+static void
+test_job_that_takes_its_workers_down_is_bad (void **state)
+{
+  struct fixture *f = *state;
+  unsigned crashes = 0;
+
+  add_workers (f, 6);
+  submit (f, "crashing", MT_URGENCY_NORMAL, 1, false);
+  submit (f, "good", MT_URGENCY_NORMAL, 1, false);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      const struct mt_job_action *start;
+
+      plan_and_run (f);
+      start = find_action (f, MT_JOB_START, "crashing");
+      if (start != NULL)
+        {
+          crash_worker_of (f, start);
+          crashes++;
+        }
+    }
+  assert_int_equal (mt_jobs_state (f->jobs, "crashing"), MT_JOB_BAD);
+  assert_in_range (crashes, 1, 3);
+  assert_int_equal (mt_jobs_state (f->jobs, "good"), MT_JOB_RUNNING);
+}
+
+/* Guards against jobs that were lost with a worker and go together to the next one. */
+static void
+test_jobs_lost_with_a_worker_run_apart (void **state)
+{
+  struct fixture *f = *state;
+  struct mt_job_action first;
+  struct mt_job_action second;
+
+  add_workers (f, 4);
+  submit (f, "crashing", MT_URGENCY_NORMAL, 1, false);
+  submit (f, "good", MT_URGENCY_NORMAL, 1, false);
+  plan_and_run (f);
+  first = *find_action (f, MT_JOB_START, "crashing");
+  second = *find_action (f, MT_JOB_START, "good");
+  assert_string_equal (first.worker, second.worker);
+  crash_worker_of (f, &first);
+  plan_and_run (f);
+  assert_string_not_equal (find_action (f, MT_JOB_START, "crashing")->worker,
+                           find_action (f, MT_JOB_START, "good")->worker);
+}
+
+/* Guards against a suspect that waits for an empty worker while others keep all of them. */
+static void
+test_suspect_gets_a_worker_under_load (void **state)
+{
+  struct fixture *f = *state;
+  struct mt_job_action first;
+  unsigned n = 0;
+
+  add_workers (f, 2);
+  submit (f, "lost", MT_URGENCY_NORMAL, 1, false);
+  plan_and_run (f);
+  first = *find_action (f, MT_JOB_START, "lost");
+  crash_worker_of (f, &first);
+  for (unsigned i = 0; i < 200 && mt_jobs_state (f->jobs, "lost") != MT_JOB_RUNNING; i++)
+    {
+      for (unsigned k = 0; k < 20; k++)
+        {
+          g_autofree char *name = g_strdup_printf ("n%u", n++);
+
+          submit (f, name, MT_URGENCY_NORMAL, 1, true);
+        }
+      plan_and_run (f);
+      mt_clock_manual_advance (f->manual, 10 * MT_SECOND);
+      for (guint k = 0; k < f->actions->len; k++)
+        {
+          struct mt_job_action done = g_array_index (f->actions, struct mt_job_action, k);
+
+          if (done.kind == MT_JOB_START && strcmp (done.job, "lost") != 0)
+            report (f, &done, MT_REPORT_DONE, nothing);
+        }
+    }
+  assert_int_equal (mt_jobs_state (f->jobs, "lost"), MT_JOB_RUNNING);
+}
+
+/* Guards against a planner that takes over and counts anew. */
+static void
+test_crashes_are_counted_across_planners (void **state)
+{
+  struct fixture *f = *state;
+  struct mt_jobs_options options = mt_jobs_default_options ();
+  g_autoptr (GString) batch = g_string_new (NULL);
+  unsigned crashes = 0;
+
+  add_workers (f, 6);
+  submit (f, "crashing", MT_URGENCY_NORMAL, 1, false);
+  for (unsigned i = 0; i < 8; i++)
+    {
+      const struct mt_job_action *start;
+
+      plan_and_run (f);
+      start = find_action (f, MT_JOB_START, "crashing");
+      if (start != NULL)
+        {
+          crash_worker_of (f, start);
+          crashes++;
+        }
+      g_string_truncate (batch, 0);
+      mt_jobs_snapshot (f->jobs, batch);
+      mt_jobs_destroy (f->jobs);
+      f->jobs = mt_jobs_create (mt_clock_manual_clock (f->manual), &options);
+      add_workers (f, 6);
+      submit (f, "crashing", MT_URGENCY_NORMAL, 1, false);
+      assert_true (mt_jobs_replay (f->jobs, (struct mt_str){ batch->str, batch->len }, NULL));
+    }
+  assert_int_equal (mt_jobs_state (f->jobs, "crashing"), MT_JOB_BAD);
+  assert_in_range (crashes, 1, 3);
+}
+
 int
 main (void)
 {
@@ -421,6 +576,10 @@
     JOB_TEST (test_overcommitted_worker_is_relieved),
     JOB_TEST (test_successor_goes_on_from_the_record),
     JOB_TEST (test_replay_refuses_garbage),
+    JOB_TEST (test_job_that_takes_its_workers_down_is_bad),
+    JOB_TEST (test_jobs_lost_with_a_worker_run_apart),
+    JOB_TEST (test_suspect_gets_a_worker_under_load),
+    JOB_TEST (test_crashes_are_counted_across_planners),
   };
 
   return cmocka_run_group_tests_name ("jobs", tests, NULL, NULL);
