scheduler: nothing is sent beyond the room of a worker that has shrunk

A new rule: what a worker has room for may shrink and grow while it runs. The room was read from each entry of the registry already, and nothing new was placed beyond it. Not covered was what had been decided before: placings that were being stored, starts that waited for the leader's link, and starts that are sent again since they got no answer; a worker that doesn't guard itself begins them.

All three go through one check now, as for a worker that leaves: what was not sent goes elsewhere, what may have begun is stopped. WORKER_SHRUNK tells of it.

--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -326,11 +326,12 @@
 
 /* The start is lost, or comes late. Sent again under its run number it can't run twice: whichever
  * comes second finds the run there. Stopping instead would end a run that the late one has begun,
- * and a caller would wait for three more calls. A worker that leaves must start nothing. */
+ * and a caller would wait for three more calls. A worker that leaves, or has shrunk, must start
+ * nothing. */
 static void
 doubt_start (struct mt_scheduler *sched, struct mt_task *task, int64_t sent, int64_t now)
 {
-  if (task->repeats < START_REPEATS && !task->worker->leaving)
+  if (task->repeats < START_REPEATS && !task->worker->leaving && !mt_worker_is_over (task->worker))
     {
       if (sent <= task->since)
         return;
--- a/core/scheduler/scheduler_cycle.c
+++ b/core/scheduler/scheduler_cycle.c
@@ -73,7 +73,7 @@
   return out;
 }
 
-/* What the cycle made durable may be sent now, unless its worker leaves meanwhile. */
+/* What the cycle made durable may be sent now, unless its worker leaves or has shrunk meanwhile. */
 static void
 release_starts (struct mt_scheduler *sched, struct mt_job *job, int64_t now)
 {
@@ -84,7 +84,7 @@
 
         if (task->state != MT_TASK_PLACED)
           continue;
-        if (task->worker->leaving)
+        if (task->worker->leaving || mt_worker_is_over (task->worker))
           {
             mt_task_wait (sched, task, now);
             continue;
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -322,6 +322,8 @@
 /* scheduler_workers.c */
 struct mt_worker *mt_scheduler_worker (struct mt_scheduler *sched, const char *id);
 bool mt_worker_takes (const struct mt_worker *w, int64_t now);
+/* It has shrunk below what it runs. */
+bool mt_worker_is_over (const struct mt_worker *w);
 bool mt_worker_fits (const struct mt_worker *w, const struct mt_step *step);
 unsigned
 mt_worker_tasks_of_step (const struct mt_worker *w, const struct mt_occurrence *occ, unsigned step);
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -54,9 +54,20 @@
   w->next_hold = 0;
 }
 
+/* What has not been sent at all goes elsewhere at once; what is to be repeated may have begun. */
+static void
+withdraw_start (struct mt_scheduler *sched, struct mt_task *task, int64_t now)
+{
+  if (task->state != MT_TASK_ORDERED || !task->order_due)
+    return;
+  if (task->repeats > 0)
+    mt_task_stop (sched, task, now);
+  else
+    mt_task_wait (sched, task, now);
+}
+
 /* A start that is sent to a worker that leaves is lost with it, and its caller waits for another.
- * One that has not been sent at all goes elsewhere at once; one that is to be repeated may have
- * begun. */
+ */
 static void
 leave (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
@@ -67,24 +78,42 @@
   mt_scheduler_tell (sched, "WORKER_LEAVING", "worker=%s tasks=%u", w->id, w->tasks.length);
   for (GList *l = w->tasks.head; l != NULL; l = next)
     {
-      struct mt_task *task = l->data;
-
       next = l->next;
-      if (task->state != MT_TASK_ORDERED || !task->order_due)
-        continue;
-      if (task->repeats > 0)
-        mt_task_stop (sched, task, now);
-      else
-        mt_task_wait (sched, task, now);
+      withdraw_start (sched, l->data, now);
     }
 }
 
+/* The worker starts what it is sent, whether it has room or not. What was placed last goes first.
+ */
+static void
+shrink (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
+{
+  GList *before;
+
+  mt_scheduler_tell (sched, "WORKER_SHRUNK",
+                     "worker=%s cpu=%" G_GINT64_FORMAT " used_cpu=%" G_GINT64_FORMAT
+                     " mem=%" G_GINT64_FORMAT " used_mem=%" G_GINT64_FORMAT,
+                     w->id, w->room.cpu, w->used.cpu, w->room.mem, w->used.mem);
+  for (GList *l = w->tasks.tail; l != NULL && mt_worker_is_over (w); l = before)
+    {
+      before = l->prev;
+      withdraw_start (sched, l->data, now);
+    }
+}
+
+bool
+mt_worker_is_over (const struct mt_worker *w)
+{
+  return w->used.cpu > w->room.cpu || w->used.mem > w->room.mem || w->used.gpu > w->room.gpu;
+}
+
 void
 mt_scheduler_worker_seen (struct mt_scheduler *sched,
                           const struct mt_worker_entry *entry,
                           int64_t now)
 {
   struct mt_worker *w = mt_scheduler_worker (sched, entry->id);
+  bool resized;
 
   if (entry->born_ms != 0 && w->born != 0 && entry->born_ms > w->born)
     begin_life (sched, w, entry->born_ms, now);
@@ -101,7 +130,10 @@
   if (entry->leaving && !w->leaving)
     leave (sched, w, now);
   w->listed = true;
+  resized = memcmp (&w->room, &entry->room, sizeof w->room) != 0;
   w->room = entry->room;
+  if (resized && mt_worker_is_over (w))
+    shrink (sched, w, now);
   if (g_strcmp0 (w->address, entry->address) != 0)
     {
       g_free (w->address);
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -116,6 +116,10 @@
           WORKER_LOST,
           G_LOG_LEVEL_WARNING,
           "nothing runs on a worker any more; its tasks wait again")
+MT_EVENT (8308,
+          WORKER_SHRUNK,
+          G_LOG_LEVEL_MESSAGE,
+          "a worker has less room than it uses and takes nothing until it has")
 MT_EVENT (8307,
           WORKER_SHUNNED,
           G_LOG_LEVEL_WARNING,
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -386,6 +386,59 @@
   world_destroy (world);
 }
 
+/* Guards against starts that were decided before a worker shrank and are sent after that. */
+static void
+test_nothing_is_sent_beyond_a_shrunk_room (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *w = world_add_worker (world, "r1");
+
+  world->task_cpu = 4000;
+  world_run (world, 200);
+  world_submit (world, world_job ("aa", 4, 4000, 1000));
+  g_ptr_array_unref (mt_scheduler_cycle_begin (world->sched, world->now, world->now));
+  world_resize (world, w, 8000);
+  mt_scheduler_cycle_done (world->sched, world->now);
+  assert_true (world_until (world, "aa", MT_JOB_COMPLETED, 5000));
+  assert_int_equal (world->overbooked, 0);
+  world_destroy (world);
+}
+
+/* The same of a start that got no answer and is to be sent again. */
+static void
+test_lost_start_is_not_sent_again_to_a_shrunk_worker (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *w = world_add_worker (world, "r1");
+
+  world->task_cpu = 8000;
+  world_run (world, 200);
+  w->drops = 1;
+  world_submit (world, world_job ("aa", 2, 8000, 1000));
+  world_run (world, 20);
+  world_resize (world, w, 8000);
+  assert_true (world_until (world, "aa", MT_JOB_COMPLETED, 6000));
+  assert_int_equal (world->overbooked, 0);
+  world_destroy (world);
+}
+
+/* Guards against a worker that is left unused once its room has grown again. */
+static void
+test_grown_room_is_used (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *w = world_add_worker (world, "r1");
+
+  world_resize (world, w, 0);
+  world_submit (world, world_job ("aa", 4, 4000, 500));
+  world_run (world, 1000);
+  assert_int_equal (world->started, 0);
+  world_resize (world, w, 16000);
+  world_run (world, 50);
+  assert_int_equal (world->started, 4);
+  world_destroy (world);
+}
+
 /* A worker is cut off, its lease runs out, its task is started again elsewhere; then it comes back
  * and lists that it had finished in time. The second run takes room until it is stopped: room that
  * was given away at once would overbook its worker. */
@@ -1219,6 +1272,9 @@
     cmocka_unit_test (test_placings_on_a_worker_that_leaves_meanwhile_are_not_sent),
     cmocka_unit_test (test_small_jobs_leave_workers_empty),
     cmocka_unit_test (test_room_is_never_overbooked),
+    cmocka_unit_test (test_nothing_is_sent_beyond_a_shrunk_room),
+    cmocka_unit_test (test_lost_start_is_not_sent_again_to_a_shrunk_worker),
+    cmocka_unit_test (test_grown_room_is_used),
     cmocka_unit_test (test_answer_of_an_earlier_life_is_passed_over),
     cmocka_unit_test (test_view_tells_when_a_worker_will_be_empty),
     cmocka_unit_test (test_long_task_with_checkpoints_is_moved_off),
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -92,6 +92,13 @@
   show (world, w);
 }
 
+void
+world_resize (struct world *world, struct world_worker *w, int64_t cpu)
+{
+  w->room.cpu = cpu;
+  show (world, w);
+}
+
 struct world_worker *
 world_add_worker (struct world *world, const char *rack)
 {
@@ -640,6 +647,22 @@
                            : mt_scheduler_next_order (world->sched, world->now, order);
 }
 
+/* What is there counts, also while it is being stopped; a start that is sent again is there
+ * already.
+ */
+static void
+check_room (struct world *world, const struct mt_order *order)
+{
+  struct world_worker *w = find (world, order->worker);
+  guint at;
+
+  if (world->task_cpu == 0 || order->kind != MT_ORDER_START
+      || find_run (w, order->task, order->run, &at) != NULL)
+    return;
+  if ((w->runs->len + 1) * world->task_cpu > w->room.cpu)
+    world->overbooked++;
+}
+
 static void
 store (struct world *world)
 {
@@ -675,6 +698,7 @@
   answer_holds (world);
   while (bound-- > 0 && !world->silent_leader && next_order (world, &order))
     {
+      check_room (world, &order);
       send_or_obey (world, &order);
       mt_order_clear (&order);
     }
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -111,8 +111,10 @@
   int64_t run_ms;     /* of a task whose job says nothing else; -1: never ends */
   int64_t stop_ms;    /* from the order to the end of the run */
   unsigned started;
-  unsigned twice;  /* starts of a task that runs elsewhere */
-  unsigned redone; /* starts of a task that a worker under a lease has done */
+  unsigned twice;      /* starts of a task that runs elsewhere */
+  unsigned redone;     /* starts of a task that a worker under a lease has done */
+  int64_t task_cpu;    /* of each task, where overbooking is looked for; 0 */
+  unsigned overbooked; /* starts that were sent though they bring a worker over its listed room */
   GHashTable
       *crashing;    /* tasks that take down each worker that starts them, to how often they did */
   int64_t crash_ms; /* ... so long after the start */
@@ -125,6 +127,8 @@
 void world_destroy (struct world *world);
 /* In the registry at once; 16 cores and 32 GB. */
 struct world_worker *world_add_worker (struct world *world, const char *rack);
+/* The registry says from now on that the worker has that much room. */
+void world_resize (struct world *world, struct world_worker *w, int64_t cpu);
 /* The registry says from now on that the worker leaves. */
 void world_leave (struct world *world, struct world_worker *w);
 /* One step of `count` tasks of `cpu` thousandths, each estimated at ms. */
