tests, ctl: tasks that crash workers and workers that shrink by real processes; a lost job is explained

The platform's stand-in takes workers down by what they start, and shrinks them: test_task_that_crashes_its_workers_is_given_up and test_shrunk_workers_are_not_overbooked by daemons over HTTP. The first play showed a fault of the fix: at the address of a worker that has just crashed, the first hold for its next life waits behind the one that hangs, and the new life counted as a second worker that was lost at that moment; so the task was no suspect the first time, and crashed a third worker. A life that has not answered yet counts for nothing now: two crashes in place of three.

--- a/core/scheduler/scheduler_crashes.c
+++ b/core/scheduler/scheduler_crashes.c
@@ -87,6 +87,10 @@
 void
 mt_worker_fell_silent (struct mt_worker *w, int64_t now)
 {
+  /* A life that has not answered yet may wait behind what was sent to the one before it, at the
+   * same address. */
+  if (w->heard == 0)
+    return;
   w->fell_silent = now;
   w->fell_isolated = w->isolated > 0;
 }
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -50,7 +50,7 @@
   w->fails = w->dones = 0;
   w->slow = 1.0;
   w->shun_until = 0;
-  w->silent_since = 0;
+  w->silent_since = w->heard = 0;
   w->next_hold = 0;
 }
 
--- a/tests/ctl/test_explain.c
+++ b/tests/ctl/test_explain.c
@@ -91,6 +91,15 @@
 }
 
 /* A start of which the worker never told is named as what cost the caller its time. */
+static void
+test_job_that_was_given_up_is_told_why (void **state)
+{
+  explain_page ("## Accepted, and given up", "7cca71efe496b5e0",
+                "failed 5425 ms after its acceptance; 2 of its tasks were lost with worker i-m1-1 "
+                "(another answers at its address) and run again; given up, since the workers that "
+                "started task 0.0 of it crashed, 2 in a row");
+}
+
 static void
 test_start_without_an_answer_is_named (void **state)
 {
@@ -137,6 +146,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_refused_in_an_outage),
     cmocka_unit_test (test_accepted_but_late),
+    cmocka_unit_test (test_job_that_was_given_up_is_told_why),
     cmocka_unit_test (test_run_again_after_its_worker_was_lost),
     cmocka_unit_test (test_start_without_an_answer_is_named),
     cmocka_unit_test (test_refused_caller_is_told_why),
--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -19,6 +19,10 @@
 #define JOB                                                                                        \
   "{\"spec\":\"s\",\"steps\":[{\"count\":%u,\"cpu\":1000,\"mem-mb\":64,\"est-runtime-ms\":%u}]}"
 
+#define CRASHING_JOB                                                                               \
+  "{\"spec\":\"crash\",\"steps\":[{\"count\":4,\"cpu\":1000,\"mem-mb\":64,\"est-runtime-ms\":300}" \
+  "]}"
+
 static const char *build;
 
 struct fixture
@@ -545,6 +549,60 @@
   destroy_fixture (f);
 }
 
+/* Guards against a task that takes worker after worker down, and work that is lost beside it. */
+static void
+test_task_that_crashes_its_workers_is_given_up (void **state)
+{
+  struct fixture *f = create_fixture ("300");
+
+  wait_ready (f);
+  wait_state (f, "00000000000000aa", "completed");
+  assert_int_equal (submit (f, 0, "00000000000000bb", 8, 300), 200);
+  assert_int_equal (harness_status (f->harness, f->daemons[1], "POST", "/r1/00000000000000cc", NULL,
+                                    CRASHING_JOB),
+                    200);
+  assert_int_equal (submit (f, 2, "00000000000000dd", 8, 300), 200);
+  wait_state (f, "00000000000000cc", "failed");
+  wait_state (f, "00000000000000bb", "completed");
+  wait_state (f, "00000000000000dd", "completed");
+  assert_in_range (report (f, "crashes"), 2, 5);
+  assert_int_equal (report (f, "twice"), 0);
+  destroy_fixture (f);
+}
+
+static bool
+knows_small_workers (void *ctx)
+{
+  struct fixture *f = ctx;
+  g_autofree char *text = NULL;
+
+  return g_file_get_contents (f->daemons[leader_of (f, "quotes")]->log_path, &text, NULL, NULL)
+         && strstr (text, "\"room_cpu\":8000") != NULL;
+}
+
+/* Guards against starts beyond the room of workers that have shrunk. */
+static void
+test_shrunk_workers_are_not_overbooked (void **state)
+{
+  struct fixture *f = create_fixture ("500");
+  json_int_t before;
+
+  wait_ready (f);
+  wait_state (f, "00000000000000aa", "completed");
+  assert_int_equal (test_call (f, "/test/resize?cpu=2000", ""), 200);
+  assert_int_equal (submit (f, 0, "00000000000000bb", 120, 300), 200);
+  assert_true (harness_wait (knows_small_workers, f));
+  before = report (f, "overbooked");
+  assert_int_equal (submit (f, 0, "00000000000000cc", 40, 300), 200);
+  wait_state (f, "00000000000000bb", "completed");
+  wait_state (f, "00000000000000cc", "completed");
+  assert_int_equal (report (f, "overbooked"), before);
+  assert_int_equal (test_call (f, "/test/resize?cpu=16000", ""), 200);
+  assert_int_equal (submit (f, 1, "00000000000000dd", 40, 300), 200);
+  wait_state (f, "00000000000000dd", "completed");
+  destroy_fixture (f);
+}
+
 static bool
 is_wave_done (void *ctx)
 {
@@ -597,6 +655,8 @@
     cmocka_unit_test (test_configuration_never_goes_back),
     cmocka_unit_test (test_keys_decide_who_is_served),
     cmocka_unit_test (test_lost_orders_run_nothing_twice),
+    cmocka_unit_test (test_task_that_crashes_its_workers_is_given_up),
+    cmocka_unit_test (test_shrunk_workers_are_not_overbooked),
     cmocka_unit_test (test_wave_under_a_killed_controller),
   };
 
--- a/tests/standins/fleet_main.c
+++ b/tests/standins/fleet_main.c
@@ -2,7 +2,8 @@
  * number of workers, run time of a task in ms (0: it never ends). Prints "port=N" of the store.
  * Besides the platform's own calls the store's port takes, for tests: POST
  * /test/store?mode=up|busy|silent|lost    POST /test/forget    POST /test/lose?percent=N POST
- * /test/put?key=K (the value is the body)   GET /test/get?key=K    GET /test/report */
+ * /test/resize?cpu=N    POST /test/put?key=K (the value is the body)   GET /test/get?key=K    GET
+ * /test/report */
 #include "fleet_store.h"
 #include "fleet_workers.h"
 
@@ -64,6 +65,8 @@
     fleet_store_forget (p->store);
   else if (strcmp (what, "lose") == 0)
     fleet_workers_lose (p->workers, (unsigned) atoi (mt_exchange_query (exchange, "percent")));
+  else if (strcmp (what, "resize") == 0)
+    fleet_workers_resize (p->workers, atoi (mt_exchange_query (exchange, "cpu")));
   fleet_answer (exchange, 200, json_object ());
 }
 
--- a/tests/standins/fleet_workers.c
+++ b/tests/standins/fleet_workers.c
@@ -10,7 +10,11 @@
 #define MAX_HOLD_MS 6000
 #define LOST_MS     2500
 #define CPU         16000
-#define MEM         32768
+#define TASK_CPU    1000
+#define CRASH_MS    1500
+/* The first task of each step of a job with this spec takes its worker down. */
+#define CRASH_SPEC "crash"
+#define MEM        32768
 
 struct run
 {
@@ -43,6 +47,8 @@
   char *machine;
   int64_t born;
   int64_t up_at; /* down for upkeep until then; 0 */
+  bool crashing; /* goes down at the next tick */
+  bool crashed;  /* down, and answers nobody */
   int64_t token;
   int64_t lease;
   GQueue runs;
@@ -68,6 +74,9 @@
   unsigned twice;
   unsigned lapsed;
   unsigned down_most;
+  unsigned crashes;
+  unsigned overbooked; /* starts beyond a worker's room */
+  int64_t cpu;
   int64_t beat_at;
 };
 
@@ -155,6 +164,9 @@
   extend (w, root);
   if (run != NULL && run->run == number)
     return 200;
+  w->all->overbooked += (int64_t) (w->runs.length + 1) * TASK_CPU > w->all->cpu;
+  w->crashing |= g_str_has_suffix (task, ".0")
+                 && g_strcmp0 (json_string_value (json_object_get (root, "spec")), CRASH_SPEC) == 0;
   for (unsigned i = 0; i < w->all->n; i++)
     w->all->twice += find_run (&w->all->workers[i], task) != NULL;
   run = g_new0 (struct run, 1);
@@ -276,7 +288,9 @@
   unsigned status = 404;
   bool lost = ++w->all->orders % 100 < w->all->lose_percent;
 
-  if (w->up_at != 0)
+  if (w->crashed)
+    answer_late (w, exchange);
+  else if (w->up_at != 0)
     fleet_answer (exchange, 503, json_object ());
   else if (expected == NULL || strcmp (expected, w->id) != 0)
     fleet_answer (exchange, 421, json_object ());
@@ -313,8 +327,8 @@
   json_t *entry = json_pack (
       "{ss so ss ss si ss si s{si si si} s[ss] sI sI}", "service", w->all->pool, "address",
       json_sprintf ("127.0.0.1:%u", mt_http_front_port (w->front)), "zone", "west", "version", "v1",
-      "slots", 8, "state", "ready", "cold-remaining-ms", 0, "capacity", "cpu", CPU, "mem-mb", MEM,
-      "gpu", 0, "labels", "a", "r1", "seq-no", ++w->seq, "born", w->born);
+      "slots", 8, "state", "ready", "cold-remaining-ms", 0, "capacity", "cpu", (int) w->all->cpu,
+      "mem-mb", MEM, "gpu", 0, "labels", "a", "r1", "seq-no", ++w->seq, "born", w->born);
   char *text = json_dumps (entry, JSON_COMPACT);
 
   fleet_store_put (w->all->store, key, text);
@@ -329,6 +343,7 @@
   w->id = g_strdup_printf ("i-%s-%u", w->machine, ++w->lives);
   w->born = now_ms ();
   w->up_at = 0;
+  w->crashing = w->crashed = false;
   w->token = w->lease = w->last_end = 0;
   beat (w);
 }
@@ -348,6 +363,31 @@
   w->all->down_most = MAX (w->all->down_most, down);
 }
 
+/* Its entry stays until it is back as another life. */
+static void
+crash (struct worker *w)
+{
+  while (!g_queue_is_empty (&w->runs))
+    {
+      struct run *run = g_queue_pop_head (&w->runs);
+
+      g_free (run->task);
+      g_free (run);
+    }
+  g_queue_clear_full (&w->ends, g_free);
+  for (GList *l = w->held.head; l != NULL; l = l->next)
+    {
+      struct held *held = l->data;
+
+      held->lost = true;
+      held->until = now_ms () + LOST_MS;
+    }
+  w->crashing = false;
+  w->crashed = true;
+  w->up_at = now_ms () + CRASH_MS;
+  w->all->crashes++;
+}
+
 static void
 list_machines (const struct fleet_workers *all, struct mt_exchange *exchange)
 {
@@ -414,6 +454,8 @@
 {
   GList *next;
 
+  if (w->crashing)
+    crash (w);
   if (w->up_at != 0 && now_ms () >= w->up_at)
     begin_life (w);
   if (w->lease != 0 && clock_of (w) > w->lease)
@@ -464,6 +506,7 @@
   all->pool = g_strdup (pool);
   all->n = n;
   all->run_ms = run_ms;
+  all->cpu = CPU;
   all->workers = g_new0 (struct worker, n);
   all->token_of = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   for (unsigned i = 0; i < n; i++)
@@ -492,8 +535,15 @@
 
   for (unsigned i = 0; i < all->n; i++)
     running += all->workers[i].runs.length;
-  return json_pack ("{si si si si si}", "started", all->started, "twice", all->twice, "running",
-                    running, "lapsed", all->lapsed, "down_most", all->down_most);
+  return json_pack ("{si si si si si si si}", "started", all->started, "twice", all->twice,
+                    "running", running, "lapsed", all->lapsed, "down_most", all->down_most,
+                    "crashes", all->crashes, "overbooked", all->overbooked);
+}
+
+void
+fleet_workers_resize (struct fleet_workers *all, int64_t cpu)
+{
+  all->cpu = cpu;
 }
 
 void
