--- a/tests/control/world.cpp
+++ b/tests/control/world.cpp
@@ -1,5 +1,7 @@
 #include "world.h"
 
+#include <sstream>
+
 static const char *const POOLS[] = { "a", "b", "spare" };
 
 void
@@ -12,11 +14,22 @@
 static std::string
 instance_json (const std::string &pool, int i, const std::string &more)
 {
-  std::string name = pool + std::to_string (i);
-  std::string address = "10.0." + std::to_string (pool[0]) + "." + std::to_string (i) + ":1";
+  std::ostringstream out;
+
+  out << "{\"name\":\"" << pool << i << "\",\"address\":\"10.0." << static_cast<int> (pool[0])
+      << "." << i << ":1\",\"zone\":\"z\",\"rack\":\"r" << i << "\"" << more << "}";
+  return out.str ();
+}
+
+static std::string
+wave_json (const std::string &wave, bool stopped)
+{
+  std::ostringstream out;
 
-  return "{\"name\":\"" + name + "\",\"address\":\"" + address + "\",\"zone\":\"z\",\"rack\":\"r"
-         + std::to_string (i) + "\"" + more + "}";
+  if (!wave.empty ())
+    out << ",\"wave\":{\"id\":\"" << wave
+        << "\",\"drain_limit_s\":50,\"stopped\":" << (stopped ? "true" : "false") << "}";
+  return out.str ();
 }
 
 std::string
@@ -26,33 +39,32 @@
              bool swap,
              bool stopped)
 {
-  std::string pools;
+  std::ostringstream out;
+  const char *comma = "";
 
+  out << "{\"version\":" << version
+      << ",\"id\":\"t\",\"routes\":[{\"route\":\"r\",\"path\":\"/\",\"pool\":\"a\",\"repeat\":"
+         "\"safe\"}],\"pools\":[";
   for (const char *name : POOLS)
     {
-      std::string pool = name;
-      std::string rows;
+      const std::string pool = name;
 
+      out << comma << "{\"pool\":\"" << pool << "\",\"service\":\"s-" << pool
+          << "\",\"min_instances\":1" << (pool == "spare" ? ",\"spare\":true" : "")
+          << ",\"instances\":[";
       for (int i = 1; i <= 3; i++)
         {
-          std::string owner = swap && i == 3 && pool != "spare" ? (pool == "a" ? "b" : "a") : pool;
+          const std::string owner
+              = swap && i == 3 && pool != "spare" ? (pool == "a" ? "b" : "a") : pool;
 
-          rows += (i > 1 ? "," : "")
-                  + instance_json (owner, i, owner == "a" && i == 1 ? more_of_a1 : "");
+          out << (i > 1 ? "," : "")
+              << instance_json (owner, i, owner == "a" && i == 1 ? more_of_a1 : "");
         }
-      pools += (pools.empty () ? "" : ",") + std::string ("{\"pool\":\"") + pool
-               + "\",\"service\":\"s-" + pool + "\",\"min_instances\":1"
-               + (pool == "spare" ? ",\"spare\":true" : "") + ",\"instances\":[" + rows + "]"
-               + (wave.empty ()
-                      ? ""
-                      : ",\"wave\":{\"id\":\"" + wave + "\",\"drain_limit_s\":50,\"stopped\":"
-                            + (stopped ? "true" : "false") + "}")
-               + "}";
+      out << "]" << wave_json (wave, stopped) << "}";
+      comma = ",";
     }
-  return "{\"version\":" + std::to_string (version)
-         + ",\"id\":\"t\",\"routes\":[{\"route\":\"r\",\"path\":\"/\",\"pool\":\"a\",\"repeat\":"
-           "\"safe\"}],\"pools\":["
-         + pools + "]}";
+  out << "]}";
+  return out.str ();
 }
 
 World::World (const std::vector<std::string> &documents, size_t n_daemons, size_t n_planners)
@@ -135,7 +147,8 @@
 {
   Input known (*this, planner);
   mt_planner_result *result = mt_planner_result_create ();
-  Doc next = own (mt_assign_next (stored.get (), ("w" + std::to_string (++ids)).c_str ()));
+  const std::string number = std::to_string (++ids);
+  Doc next = own (mt_assign_next (stored.get (), number.c_str ()));
 
   mt_planner_step (&known.input, next.get (), result);
   check_budgets (planner, stored.get (), next.get ());
