scheduler: resend a lost stop only within max_unavailable

Cause: a stop that moves a task gets no answer (its worker is silent, or executes orders late). Meanwhile a task of the same step on a leaving worker is moved beyond max_unavailable after 1 s, as it would be lost anyway, and is starting elsewhere. The stop is resent every 300 ms without looking at the step again, and ends the first task while it works.

Ruled out: a successor that counts stopped tasks as active (has a test), a job that was given up (all of its tasks are stopped), registry entries of an earlier incarnation.

Change: before the resend the step's other tasks are counted as for a first stop, while the last listing still has the run. Of several unanswered stops that of the first task is resent. Tasks on leaving workers and of ended jobs are not affected.

--- a/core/scheduler/scheduler_watch.c
+++ b/core/scheduler/scheduler_watch.c
@@ -45,13 +45,53 @@
   mt_task_stop (sched, task, now);
 }
 
+/* Returns whether the long-running task may be unavailable. A worker that does not answer may have
+ * stopped working long ago. A run that the previous leader has ordered to stop is listed as working
+ * until the stop takes effect. */
+static bool
+is_unavailable (const struct mt_task *task, int64_t now)
+{
+  return task->state != MT_TASK_RUNNING || task->percent < 100 || task->worker->silent_since != 0
+         || now < task->predecessor_stop_by;
+}
+
+static bool
+has_unacked_stop (const struct mt_task *task)
+{
+  return task->state == MT_TASK_STOPPING && !task->stop_acked;
+}
+
+/* Returns whether a stop without an answer must not be resent now. The run still works, and since
+ * the stop was first sent other tasks of its step may have become unavailable: a leaving worker's
+ * tasks are moved beyond max_unavailable. Of several such stops that of the first task is resent,
+ * or each would wait for the others. */
+static bool
+must_postpone_stop (const struct mt_worker *w, const struct mt_task *task, int64_t now)
+{
+  const struct mt_step *step = mt_task_step (task);
+  struct mt_occurrence *occ = task->occ;
+  unsigned unavailable = 0;
+
+  if (!step->long_running || w->leaving || occ->job->ended_at != 0 || task->listing != w->listing)
+    return false;
+  for (unsigned i = 0; i < step->count; i++)
+    {
+      const struct mt_task *other = &occ->tasks[occ->step_first[task->step] + i];
+
+      unavailable += other != task && is_unavailable (other, now)
+                     && !(has_unacked_stop (other) && other->index > task->index);
+    }
+  return unavailable >= MAX (step->max_unavailable, 1U);
+}
+
 static void
 check_task (struct mt_scheduler *sched, struct mt_worker *w, struct mt_task *task, int64_t now)
 {
   if (task->state == MT_TASK_RUNNING && w->silent_since == 0)
     stop_if_stalled (sched, w, task, now);
   else if (task->state == MT_TASK_STOPPING && !task->order_queued && !task->order_in_flight
-           && !task->stop_acked && now - task->state_since > MT_STOP_RETRY_MS)
+           && !task->stop_acked && now - task->state_since > MT_STOP_RETRY_MS
+           && !must_postpone_stop (w, task, now))
     {
       task->state_since = now;
       task->order_queued = true;
@@ -59,16 +99,6 @@
     }
 }
 
-/* Returns whether the long-running task may be unavailable. A worker that does not answer may have
- * stopped working long ago. A run that the previous leader has ordered to stop is listed as working
- * until the stop takes effect. */
-static bool
-is_unavailable (const struct mt_task *task, int64_t now)
-{
-  return task->state != MT_TASK_RUNNING || task->percent < 100 || task->worker->silent_since != 0
-         || now < task->predecessor_stop_by;
-}
-
 /* Moves a long-running task off a worker that leaves or is drained, while enough other tasks of its
  * step are available: no more than max_unavailable may be unavailable at once. */
 static void
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -600,6 +600,53 @@
   world_destroy (world);
 }
 
+static struct world_worker *
+find_worker_of (struct world *world, const char *task)
+{
+  for (unsigned i = 0; i < world->n_workers; i++)
+    for (guint r = 0; r < world->workers[i].runs->len; r++)
+      if (strcmp (g_array_index (world->workers[i].runs, struct world_run, r).task, task) == 0)
+        return &world->workers[i];
+  return NULL;
+}
+
+/* A stop that moves a task is lost, and before it is resent a task on a leaving worker is moved
+ * beyond max_unavailable. Guards against the resent stop, which would make a second task
+ * unavailable. */
+static void
+test_lost_stop_is_not_resent_while_others_are_unavailable (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *w;
+
+  world->run_ms = -1;
+  world->startup_ms = 100;
+  world->max_unavailable = 1;
+  for (int i = 0; i < 6; i++)
+    world_add_worker (world, "r1");
+  world_submit (world, one_per_worker_job ());
+  world_run (world, 1000);
+  mt_scheduler_cordon (world->sched, find_worker_of (world, "aa.0.0.1")->id, world->now + 1200,
+                       true);
+  world_run (world, 120);
+  w = find_worker_of (world, "aa.0.0.1");
+  assert_non_null (w);
+  w->silent = true;
+  mt_scheduler_cordon (world->sched, w->id, world->now + 1200, true);
+  world_mark_leaving (world, find_worker_of (world, "aa.0.0.0"));
+  world_run (world, 1040);
+  w->silent = false;
+  world_run (world, 500);
+  assert_int_equal (world->excess_stops, 0);
+  assert_int_equal (world_count_running (world, "aa.0.0.1"), 1);
+  mt_scheduler_cordon (world->sched, w->id, world->now + 60000, true);
+  world_run (world, 3000);
+  assert_int_equal (world->excess_stops, 0);
+  assert_int_equal (w->runs->len, 0);
+  assert_int_equal (world_count_running (world, "aa.0.0.1"), 1);
+  world_destroy (world);
+}
+
 /* Tasks that can no longer meet their objective run when resources are free, and request no
  * machines: they would take those that another pool needs to meet its objectives. */
 static void
@@ -1293,6 +1340,7 @@
     cmocka_unit_test (test_runs_survive_a_store_outage),
     cmocka_unit_test (test_surge_shows_in_the_load_before_tasks_wait),
     cmocka_unit_test (test_successor_counts_tasks_stopped_by_its_predecessor_as_unavailable),
+    cmocka_unit_test (test_lost_stop_is_not_resent_while_others_are_unavailable),
     cmocka_unit_test (test_overdue_work_is_not_urgent),
     cmocka_unit_test (test_long_running_tasks_are_moved_one_at_a_time),
     cmocka_unit_test (test_long_running_task_is_not_moved_while_others_are_unavailable),
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -41,6 +41,7 @@
   world->crashing_tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   world->crashes_by_task = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   world->crash_delay_ms = DEFAULT_CRASH_DELAY_MS;
+  world->stopped_tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return world;
 }
 
@@ -67,6 +68,7 @@
   g_hash_table_unref (world->records);
   g_hash_table_unref (world->crashing_tasks);
   g_hash_table_unref (world->crashes_by_task);
+  g_hash_table_unref (world->stopped_tasks);
   g_free (world);
 }
 
@@ -387,11 +389,66 @@
   return MT_ANSWER_OK;
 }
 
+static bool
+is_active (const struct world *world, const struct world_run *r)
+{
+  return r->ends_at < 0 && !r->stalled && r->stops_at == 0
+         && world->now >= r->started_at + world->startup_ms;
+}
+
+/* Returns the length of the step's part of a task's name, ID.OCCURRENCE.STEP.INDEX. */
+static size_t
+step_name_length (const char *task)
+{
+  return (size_t) (strrchr (task, '.') - task);
+}
+
+static unsigned
+count_stopped_others (const struct world *world, const char *task)
+{
+  size_t length = step_name_length (task);
+  GHashTableIter it;
+  const char *other;
+  unsigned n = 0;
+
+  g_hash_table_iter_init (&it, world->stopped_tasks);
+  while (g_hash_table_iter_next (&it, (void **) &other, NULL))
+    n += strcmp (other, task) != 0 && step_name_length (other) == length
+         && strncmp (other, task, length) == 0;
+  return n;
+}
+
+/* A worker that leaves ends its runs anyway, and the leader can't know what an order does that the
+ * worker executes late: neither counts as an excess stop. */
+static void
+stop_run (struct world *world, struct world_worker *w, struct world_run *r, bool delayed)
+{
+  if (world->max_unavailable > 0 && is_active (world, r) && !w->leaving && !delayed
+      && count_stopped_others (world, r->task) >= world->max_unavailable)
+    world->excess_stops++;
+  g_hash_table_add (world->stopped_tasks, g_strdup (r->task));
+  r->stops_at = world->now + world->stop_ms;
+}
+
+static void
+clear_stopped (struct world *world, const struct world_worker *w)
+{
+  for (guint i = 0; i < w->runs->len; i++)
+    {
+      const struct world_run *r = &g_array_index (w->runs, struct world_run, i);
+
+      if (is_active (world, r))
+        g_hash_table_remove (world->stopped_tasks, r->task);
+    }
+}
+
+/* delayed: the order is executed after the leader stopped waiting for its answer. */
 static enum mt_answer
 execute_order (struct world *world,
                struct world_worker *w,
                const struct mt_order *order,
-               unsigned token)
+               unsigned token,
+               bool delayed)
 {
   guint index;
   struct world_run *r = find_run (w, order->task, order->run, &index);
@@ -404,7 +461,7 @@
   if (order->kind == MT_ORDER_STOP && r == NULL)
     record_ended_run (w, order->task, order->run);
   else if (order->kind == MT_ORDER_STOP && r->stops_at == 0)
-    r->stops_at = world->now + world->stop_ms;
+    stop_run (world, w, r, delayed);
   else if (order->kind == MT_ORDER_PACE && r != NULL)
     r->pace_percent = order->percent;
   return MT_ANSWER_OK;
@@ -441,7 +498,7 @@
       memcpy (order.task, delayed.task, sizeof order.task);
       if (delayed.worker->started_at_ms == delayed.worker_started_at_ms
           && delayed.worker->recovers_at == 0)
-        execute_order (world, delayed.worker, &order, delayed.token);
+        execute_order (world, delayed.worker, &order, delayed.token, true);
     }
 }
 
@@ -451,7 +508,7 @@
   if (r->stalled)
     return 3;
   if (r->ends_at < 0)
-    return 100;
+    return world->now >= r->started_at + world->startup_ms ? 100 : 1;
   return (unsigned) (100 * (world->now - r->started_at) / MAX (r->ends_at - r->started_at, 1));
 }
 
@@ -550,7 +607,7 @@
   else if (w->order_delay_ms > 0)
     delay_order (world, w, order);
   else if (!is_unreachable (w))
-    answer = execute_order (world, w, order, world->token);
+    answer = execute_order (world, w, order, world->token, false);
   if (answer_lost)
     answer = MT_ANSWER_NONE;
   mt_scheduler_order_answered (world->sched, order->kind, id, task, order->run, answer,
@@ -601,7 +658,7 @@
     return;
   if (sent->order.kind != MT_ORDER_HOLD)
     {
-      execute_order (world, w, &sent->order, sent->token);
+      execute_order (world, w, &sent->order, sent->token, true);
       return;
     }
   if (sent->token < w->highest_token)
@@ -695,7 +752,10 @@
   world->now += STEP_MS;
   execute_delayed_orders (world);
   for (unsigned i = 0; i < world->n_workers; i++)
-    advance_worker (world, &world->workers[i]);
+    {
+      advance_worker (world, &world->workers[i]);
+      clear_stopped (world, &world->workers[i]);
+    }
   if (!world->store_down && !world->in_cycle && mt_scheduler_needs_cycle (world->sched, world->now))
     begin_cycle (world);
   if (!world->store_down && world->in_cycle)
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -111,11 +111,16 @@
   bool leader_silent; /* the leader is partitioned and sends nothing */
   int64_t run_ms;     /* run time of tasks that are not long-running; -1: until stopped */
   int64_t stop_ms;    /* from the stop order to the end of the run */
+  int64_t startup_ms; /* from the start of a long-running run until it is active */
   unsigned n_starts;
   unsigned duplicate_starts;      /* starts of a task that is running already */
   unsigned redundant_starts;      /* starts of a task completed by a worker with a valid lease */
   int64_t task_cpu;               /* CPU per task, to count overcommitting starts; 0: not counted */
   unsigned overcommitting_starts; /* starts sent beyond the worker's registered resources */
+  unsigned max_unavailable;       /* of each step, to count excess stops; 0: they are not counted */
+  unsigned excess_stops;     /* stops of an active run while max_unavailable other tasks of its step
+                                were stopped and not active again */
+  GHashTable *stopped_tasks; /* set of tasks whose last run was stopped, until another is active */
   GHashTable *crashing_tasks;  /* tasks that crash any worker that starts them, to their starts */
   int64_t crash_delay_ms;      /* from the start of a crashing task to the crash */
   GHashTable *crashes_by_task; /* tasks to the number of workers that crashed while running them */
