design: heavy load, its parts and their interfaces

The headers of the parts are fixed before they are built, so that they can be built at the same time. mt_scheduler_fair_share and mt_scheduler_is_above_share answer as without workspaces until the shares are there. No decision changes.

--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -97,6 +97,13 @@
 size_t
 mt_scheduler_accounts (const struct mt_scheduler *sched, struct mt_account_view *out, size_t max);
 
+/* Returns the workspace's fair share of the pool's capacity, 0 to 1; 1 without workspaces. */
+double
+mt_scheduler_fair_share (const struct mt_scheduler *sched, const char *workspace, int64_t now);
+/* Returns whether the workspace uses more than its fair share, in this pool and the others. */
+bool
+mt_scheduler_is_above_share (const struct mt_scheduler *sched, const char *workspace, int64_t now);
+
 /* Adds a job. Takes ownership of spec. Returns false, and frees spec, if a job of that id is known.
  * wall: time from which the job's age since spec->accepted_ms is computed. */
 bool mt_scheduler_submit (struct mt_scheduler *sched,
