scheduler: reserve a worker for a long-running task that has to leave another

A worker that is drained for maintenance kept its long-running tasks for seconds while its pool surged: resources that became free were taken by waiting tasks in the next 25 ms, and a task is only stopped once another worker can run it.

Ruled out: stopping the task first, which leaves it unavailable until something ends.

Change: when such a task fits nowhere and its step allows the move, the worker whose other tasks end first takes only long-running ones for 1.5 s; one worker of a pool at a time.

The test fails without the change.

--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -163,6 +163,7 @@
   int64_t cordon_until;
   int64_t drain_announced_until; /* when the announcement of a later drain expires */
   bool move_long_running;
+  int64_t reserved_until; /* until then only long-running tasks are placed on it */
 
   int64_t applied_end; /* sequence number of the last end of a run that was applied */
   int64_t cycle_end;   /* applied_end when the running cycle began */
@@ -226,7 +227,8 @@
   GQueue starts;            /* tasks whose start is queued */
   GQueue stops;             /* tasks whose stop is queued */
   GQueue pace_changes;
-  GQueue orphaned_runs; /* orphaned runs to be stopped */
+  GQueue orphaned_runs;   /* orphaned runs to be stopped */
+  int64_t reserved_until; /* until then a worker is reserved for a long-running task */
   bool in_cycle;
   bool changed;     /* a cycle may have something to place or write */
   int64_t place_at; /* next time at which a waiting task may become placeable; 0: none */
@@ -332,6 +334,8 @@
 /* Returns whether the worker's tasks use more resources than it has, as after it has shrunk. */
 bool mt_worker_is_overcommitted (const struct mt_worker *w);
 bool mt_worker_fits (const struct mt_worker *w, const struct mt_step *step);
+/* Returns whether the worker has the label; any worker has NULL. */
+bool mt_worker_has_label (const struct mt_worker *w, const char *label);
 unsigned
 mt_worker_tasks_of_step (const struct mt_worker *w, const struct mt_occurrence *occ, unsigned step);
 /* Returns whether resources, label and max_per_worker allow the task to run on the worker. */
@@ -384,6 +388,9 @@
 /* Returns the remaining run time of the task, by its progress if known, otherwise by the expected
  * run time. */
 int64_t mt_task_remaining_ms (const struct mt_task *task, int64_t now);
+/* Returns the expected time until the last of the worker's tasks has ended, without long-running
+ * ones. */
+int64_t mt_worker_batch_remaining_ms (const struct mt_worker *w, int64_t now);
 
 /* scheduler_place.c */
 void mt_scheduler_place (struct mt_scheduler *sched, int64_t now);
--- a/core/scheduler/scheduler_load.c
+++ b/core/scheduler/scheduler_load.c
@@ -49,8 +49,8 @@
   return rounds;
 }
 
-static int64_t
-worker_batch_remaining_ms (const struct mt_worker *w, int64_t now)
+int64_t
+mt_worker_batch_remaining_ms (const struct mt_worker *w, int64_t now)
 {
   int64_t longest = 0;
 
@@ -78,7 +78,7 @@
       out[n] = (struct mt_worker_view){ .id = w->id,
                                         .tasks = w->tasks.length,
                                         .drain_rounds = drain_rounds (w),
-                                        .batch_remaining_ms = worker_batch_remaining_ms (w, now),
+                                        .batch_remaining_ms = mt_worker_batch_remaining_ms (w, now),
                                         .cordoned = w->cordon_until > 0,
                                         .leaving = w->leaving,
                                         .silent = w->silent_since != 0 || !w->confirmed,
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -269,6 +269,8 @@
 {
   if (!mt_worker_can_run (w, task) || !mt_task_may_share_worker (task, w, placement->now))
     return false;
+  if (w->reserved_until > placement->now && !mt_task_step (task)->long_running)
+    return false;
   if (w->failures >= 1 && w->failures > w->successes && w->tasks.length >= MAX_TRIAL_TASKS)
     return false;
   return task->avoided != w || placement->workers->len == 1
--- a/core/scheduler/scheduler_watch.c
+++ b/core/scheduler/scheduler_watch.c
@@ -12,6 +12,9 @@
  * at once: a task that is still there when the worker is gone is unavailable for longer. */
 #define LEAVING_MOVES_MS 1000
 
+/* A worker is reserved for this long at a time: most tasks of a surge end within it. */
+#define RESERVATION_MS 1500
+
 /* A task that is expected to end within this time is not moved off a draining worker: a move costs
  * 200 to 300 ms. */
 #define MIN_MOVE_REMAINING_MS 400
@@ -99,6 +102,56 @@
     }
 }
 
+/* Returns whether the worker could run the task if it had no other than long-running tasks. */
+static bool
+could_run (const struct mt_worker *w, const struct mt_task *task)
+{
+  const struct mt_step *step = mt_task_step (task);
+  struct mt_resources used = { 0 };
+
+  for (GList *l = w->tasks.head; l != NULL; l = l->next)
+    {
+      const struct mt_step *other = mt_task_step (l->data);
+
+      if (!other->long_running)
+        continue;
+      used.cpu += other->fill ? 0 : other->need.cpu;
+      used.mem += other->need.mem;
+      used.gpu += other->need.gpu;
+    }
+  return used.cpu + step->need.cpu <= w->resources.cpu
+         && used.mem + step->need.mem <= w->resources.mem
+         && used.gpu + step->need.gpu <= w->resources.gpu && mt_worker_has_label (w, step->label)
+         && (step->max_per_worker == 0
+             || mt_worker_tasks_of_step (w, task->occ, task->step) < step->max_per_worker);
+}
+
+/* Reserves a worker for a long-running task that no worker has resources for: in a surge every
+ * resource that becomes free is taken by other tasks at once, and the drained worker would never
+ * become empty. Takes the worker whose other tasks end first, one at a time for the whole pool. */
+static void
+reserve_worker (struct mt_scheduler *sched, const struct mt_task *task, int64_t now)
+{
+  struct mt_worker *best = NULL;
+  GHashTableIter it;
+  struct mt_worker *w;
+
+  if (now < sched->reserved_until)
+    return;
+  g_hash_table_iter_init (&it, sched->workers);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &w))
+    if (w != task->worker && mt_worker_accepts_work (w, now) && could_run (w, task)
+        && w->drain_announced_until <= now
+        && (best == NULL
+            || mt_worker_batch_remaining_ms (w, now) < mt_worker_batch_remaining_ms (best, now)))
+      best = w;
+  if (best == NULL)
+    return;
+  sched->reserved_until = best->reserved_until = now + RESERVATION_MS;
+  mt_task_log_event (sched, task, best, "WORKER_RESERVED", "for_ms=%d tasks=%u", RESERVATION_MS,
+                     best->tasks.length);
+}
+
 /* Moves a long-running task off a worker that leaves or is drained, while enough other tasks of its
  * step are available: no more than max_unavailable may be unavailable at once. */
 static void
@@ -122,7 +175,11 @@
   /* Without another worker to run on, the stopped task would be unavailable until there is one. On
    * a leaving worker it is lost anyway. */
   if (!w->leaving && !mt_task_can_run_elsewhere (sched, task, now))
-    return;
+    {
+      if (unavailable < MAX (step->max_unavailable, 1U))
+        reserve_worker (sched, task, now);
+      return;
+    }
   /* This also holds for a task that seems unavailable itself: its known state may be as old as one
    * hold. */
   if (unavailable >= MAX (step->max_unavailable, 1U)
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -26,9 +26,11 @@
   return w;
 }
 
-static bool
-has_label (const struct mt_worker *w, const char *label)
+bool
+mt_worker_has_label (const struct mt_worker *w, const char *label)
 {
+  if (label == NULL)
+    return true;
   for (char **l = w->labels; l != NULL && *l != NULL; l++)
     if (strcmp (*l, label) == 0)
       return true;
@@ -261,7 +263,7 @@
   if (w->used.mem + step->need.mem > w->resources.mem
       || w->used.gpu + step->need.gpu > w->resources.gpu)
     return false;
-  return step->label == NULL || has_label (w, step->label);
+  return mt_worker_has_label (w, step->label);
 }
 
 unsigned
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -187,6 +187,10 @@
           WORKER_SHUNNED,
           G_LOG_LEVEL_WARNING,
           "a worker fails tasks that complete elsewhere and gets no new tasks for a while")
+MT_EVENT (8309,
+          WORKER_RESERVED,
+          G_LOG_LEVEL_MESSAGE,
+          "a worker takes only long-running tasks for now, since one of them fits on no worker")
 
 MT_EVENT (8401, WAVE_SEEN, G_LOG_LEVEL_MESSAGE, "a maintenance wave was requested")
 MT_EVENT (8402, WAVE_ENDED, G_LOG_LEVEL_MESSAGE, "a maintenance wave completed")
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -647,6 +647,45 @@
   world_destroy (world);
 }
 
+static unsigned
+count_workers_without_runs (const struct world *world)
+{
+  unsigned n = 0;
+
+  for (unsigned i = 0; i < world->n_workers; i++)
+    n += world->workers[i].runs->len == 0;
+  return n;
+}
+
+/* A worker is drained in a surge: waiting jobs take all resources that become free. Guards against
+ * a long-running task that fits nowhere and stays, so that the machine's maintenance is late. */
+static void
+test_long_running_task_leaves_a_drained_worker_in_a_surge (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_job_spec *spec = world_job ("La", 1, 8000, 1000);
+
+  spec->steps[0].long_running = true;
+  spec->steps[0].max_unavailable = 1;
+  for (int i = 0; i < 3; i++)
+    world_add_worker (world, "r1");
+  world_submit (world, spec);
+  world_run (world, 300);
+  for (int i = 0; i < 100; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("j%d", i);
+
+      world_submit (world, world_job (id, 1, 3000, 1000));
+      world_run (world, 25); /* the tasks end one by one */
+    }
+  mt_scheduler_cordon (world->sched, find_worker_of (world, "La.0.0.0")->id, world->now + 60000,
+                       true);
+  world_run (world, 3500);
+  assert_int_equal (world_count_running (world, "La.0.0.0"), 1);
+  assert_int_equal (count_workers_without_runs (world), 1);
+  world_destroy (world);
+}
+
 /* Tasks that can no longer meet their objective run when resources are free, and request no
  * machines: they would take those that another pool needs to meet its objectives. */
 static void
@@ -1341,6 +1380,7 @@
     cmocka_unit_test (test_surge_shows_in_the_load_before_tasks_wait),
     cmocka_unit_test (test_successor_counts_tasks_stopped_by_its_predecessor_as_unavailable),
     cmocka_unit_test (test_lost_stop_is_not_resent_while_others_are_unavailable),
+    cmocka_unit_test (test_long_running_task_leaves_a_drained_worker_in_a_surge),
     cmocka_unit_test (test_overdue_work_is_not_urgent),
     cmocka_unit_test (test_long_running_tasks_are_moved_one_at_a_time),
     cmocka_unit_test (test_long_running_task_is_not_moved_while_others_are_unavailable),
