controller: maintenance before a move, and in time for the longest tasks

Change: a due machine moves to another pool only if there is time for its maintenance afterwards, and machines that are not due are taken from standby first; a wave begins early enough for the longest remaining task that the pool reported within 10 s; a round takes the stop grace and 1.1 s.

Two tests fail without the change.

--- a/core/controller/controller.c
+++ b/core/controller/controller.c
@@ -11,6 +11,9 @@
 #define DRAIN_TIMEOUT_FACTOR 3
 /* A scheduler's report that is older than this does not prove that a worker is empty. */
 #define MAX_VIEW_AGE_MS 700
+/* Window of a pool's longest remaining task time: some tasks run several times as long as others,
+ * and not every report shows one. */
+#define LONGEST_BATCH_WINDOW_MS 10000
 /* How long schedulers are notified that a worker's incarnation has ended: its registry entry may
  * remain for that long. */
 #define REPORT_ENDED_MS 10000
@@ -228,6 +231,18 @@
   return p->load.urgent > 0;
 }
 
+static void
+update_longest_batch (struct mt_controller_pool *p, const struct mt_worker_view *view, int64_t now)
+{
+  struct mt_controller_longest_batch *longest = &p->longest_batch;
+
+  if (view->silent
+      || (view->batch_remaining_ms < longest->ms && now - longest->at <= LONGEST_BATCH_WINDOW_MS))
+    return;
+  longest->ms = view->batch_remaining_ms;
+  longest->at = now;
+}
+
 static void
 update_view (struct mt_controller *ctl, const struct mt_worker_view *view, int64_t now)
 {
@@ -257,7 +272,10 @@
   p->reported_at = now;
   p->load = *load;
   for (size_t i = 0; i < n; i++)
-    update_view (ctl, &workers[i], now);
+    {
+      update_longest_batch (p, &workers[i], now);
+      update_view (ctl, &workers[i], now);
+    }
 }
 
 /* ---- waves ---- */
@@ -442,7 +460,7 @@
   g_hash_table_iter_init (&it, ctl->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
     if (m->plan != MT_PLAN_NONE && !m->order_pending
-        && (!m->up || now - m->planned_at > DRAIN_TIMEOUT_FACTOR * mt_controller_drain_ms (m)
+        && (!m->up || now - m->planned_at > DRAIN_TIMEOUT_FACTOR * mt_controller_drain_ms (ctl, m)
             || (m->wave != NULL && !g_hash_table_contains (m->wave->remaining, m->id))))
       drop_plan (m);
   mt_controller_plan_waves (ctl, now);
@@ -543,19 +561,6 @@
   *directives = (struct mt_controller_directives){ 0 };
 }
 
-static bool
-needs_maintenance (const struct mt_controller *ctl, const struct mt_controller_machine *m)
-{
-  GHashTableIter it;
-  const struct mt_controller_wave *w;
-
-  g_hash_table_iter_init (&it, ctl->waves);
-  while (g_hash_table_iter_next (&it, NULL, (void **) &w))
-    if (g_hash_table_contains (w->remaining, m->id))
-      return true;
-  return false;
-}
-
 struct mt_controller_directives
 mt_controller_pool_directives (struct mt_controller *ctl, const char *pool, int64_t now)
 {
@@ -573,7 +578,7 @@
 
       if (is_in_pool && m->plan != MT_PLAN_NONE)
         g_ptr_array_add (cordon, g_strdup (m->worker));
-      else if (is_in_pool && needs_maintenance (ctl, m))
+      else if (is_in_pool && mt_controller_is_due (ctl, m))
         g_ptr_array_add (maintenance_due, g_strdup (m->worker));
       if (m->ended_worker != NULL && m->end_confirmed_at == 0)
         g_ptr_array_add (cordon, g_strdup (m->ended_worker));
--- a/core/controller/controller_internal.h
+++ b/core/controller/controller_internal.h
@@ -11,6 +11,13 @@
   int64_t at;
 };
 
+/* The longest remaining time of a task, other than long-running ones, within a time window. */
+struct mt_controller_longest_batch
+{
+  int64_t ms;
+  int64_t at;
+};
+
 struct mt_controller_pool
 {
   char *name;
@@ -19,6 +26,7 @@
   int64_t reported_at;
   struct mt_scheduler_load load;
 
+  struct mt_controller_longest_batch longest_batch;
   unsigned n_machines;  /* machines that work in the pool or are on their way to it */
   unsigned n_arriving;  /* of n_machines, those on their way to it */
   unsigned n_pinned;    /* of n_machines, those with long-running tasks, which can't leave */
@@ -96,8 +104,16 @@
 
 /* controller_waves.c */
 /* Returns the expected time to drain the machine, in ms. */
-int64_t mt_controller_drain_ms (const struct mt_controller_machine *m);
+int64_t mt_controller_drain_ms (const struct mt_controller *ctl,
+                                const struct mt_controller_machine *m);
 void mt_controller_plan_waves (struct mt_controller *ctl, int64_t now);
+/* Returns whether the machine's maintenance for a wave has not begun. */
+bool mt_controller_is_due (const struct mt_controller *ctl, const struct mt_controller_machine *m);
+/* Returns whether the machine's maintenance, if it is due, is still in time when the machine begins
+ * to drain at `until`. */
+bool mt_controller_can_defer (const struct mt_controller *ctl,
+                              const struct mt_controller_machine *m,
+                              int64_t until);
 /* controller_shares.c */
 /* Updates the pool's need from its scheduler's last report. starved: whether any pool is
  * starved. */
--- a/core/controller/controller_moves.c
+++ b/core/controller/controller_moves.c
@@ -17,6 +17,9 @@
 #define STARTUP_HOLD_MS 5000
 /* A machine counts as arriving for this long beyond the expected duration of its move. */
 #define ARRIVAL_GRACE_MS 4000
+/* Shortest time for which a machine works in a pool that it moves to: a surge lasts some seconds.
+ */
+#define MIN_STAY_MS 3000
 
 static bool
 is_arriving (const struct mt_controller *ctl, const struct mt_controller_machine *m, int64_t now)
@@ -76,20 +79,39 @@
   return m->has_view && !m->view.silent && !m->view.leaving && m->view.long_running == 0;
 }
 
-/* Returns whether machine a is expected to be empty before b; if both at the same time, whether a
- * has fewer tasks. */
+/* Returns whether the machine may move to that pool. One that is due for maintenance has it first,
+ * unless it can't begin now and there is time for it afterwards: in a surging pool the machine
+ * would be busy until the wave is late, while in its present pool it is or will soon be empty. */
 static bool
-is_empty_sooner (const struct mt_controller_machine *a, const struct mt_controller_machine *b)
+may_move_to (const struct mt_controller *ctl,
+             const struct mt_controller_machine *m,
+             const struct mt_controller_pool *to,
+             int64_t now)
 {
+  return to->standby || !mt_controller_is_due (ctl, m)
+         || mt_controller_can_defer (ctl, m, now + ctl->settings.move_ms + MIN_STAY_MS);
+}
+
+/* Returns whether machine a is better to move than b: a machine that is off and needs no
+ * maintenance, then the one expected to be empty first, then the one with fewer tasks. */
+static bool
+is_better_to_move (const struct mt_controller *ctl,
+                   const struct mt_controller_machine *a,
+                   const struct mt_controller_machine *b)
+{
+  if (a->pool->standby && mt_controller_is_due (ctl, a) != mt_controller_is_due (ctl, b))
+    return mt_controller_is_due (ctl, b);
   if (a->view.batch_remaining_ms != b->view.batch_remaining_ms)
     return a->view.batch_remaining_ms < b->view.batch_remaining_ms;
   return a->view.tasks < b->view.tasks;
 }
 
-/* Returns the machine of the pool that can be moved and will be empty first; NULL if there is
- * none. */
+/* Returns the machine of the pool that is best moved to the other pool; NULL if there is none. */
 static struct mt_controller_machine *
-find_soonest_empty (const struct mt_controller *ctl, const struct mt_controller_pool *p)
+find_movable (const struct mt_controller *ctl,
+              const struct mt_controller_pool *p,
+              const struct mt_controller_pool *to,
+              int64_t now)
 {
   GHashTableIter it;
   struct mt_controller_machine *m;
@@ -97,7 +119,8 @@
 
   g_hash_table_iter_init (&it, ctl->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
-    if (m->pool == p && can_move (m) && (best == NULL || is_empty_sooner (m, best)))
+    if (m->pool == p && can_move (m) && may_move_to (ctl, m, to, now)
+        && (best == NULL || is_better_to_move (ctl, m, best)))
       best = m;
   return best;
 }
@@ -108,7 +131,7 @@
            struct mt_controller_pool *to,
            int64_t now)
 {
-  struct mt_controller_machine *m = find_soonest_empty (ctl, from);
+  struct mt_controller_machine *m = find_movable (ctl, from, to, now);
 
   if (m == NULL)
     return false;
@@ -124,7 +147,7 @@
 /* Changes the destination of a machine that is being drained for the standby pool: by way of the
  * standby pool it would reach `to` only after two moves. Returns false if there is none. */
 static bool
-redirect_move (struct mt_controller *ctl, struct mt_controller_pool *to)
+redirect_move (struct mt_controller *ctl, struct mt_controller_pool *to, int64_t now)
 {
   GHashTableIter it;
   struct mt_controller_machine *m;
@@ -133,7 +156,7 @@
   g_hash_table_iter_init (&it, ctl->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
     if (m->plan == MT_PLAN_MOVE && !m->order_pending && m->destination->standby && m->pool != to
-        && (best == NULL || is_empty_sooner (m, best)))
+        && may_move_to (ctl, m, to, now) && (best == NULL || is_better_to_move (ctl, m, best)))
       best = m;
   if (best == NULL)
     return false;
@@ -158,7 +181,9 @@
 
 /* Returns the pool with the largest surplus of which a machine can be moved; NULL if none. */
 static struct mt_controller_pool *
-find_largest_surplus (const struct mt_controller *ctl)
+find_largest_surplus (const struct mt_controller *ctl,
+                      const struct mt_controller_pool *to,
+                      int64_t now)
 {
   GHashTableIter it;
   struct mt_controller_pool *p;
@@ -170,7 +195,7 @@
     {
       int surplus = (int) p->n_machines - (int) p->n_claimed;
 
-      if (p->standby || surplus <= largest || find_soonest_empty (ctl, p) == NULL)
+      if (p->standby || surplus <= largest || find_movable (ctl, p, to, now) == NULL)
         continue;
       largest = surplus;
       best = p;
@@ -188,11 +213,11 @@
     {
       struct mt_controller_pool *from;
 
-      if (redirect_move (ctl, p) || (standby != NULL && plan_move (ctl, standby, p, now)))
+      if (redirect_move (ctl, p, now) || (standby != NULL && plan_move (ctl, standby, p, now)))
         continue;
       /* Takes no machine from another pool for overdue work: that pool may use it for overdue work
        * too, and only the time of the move would be lost. */
-      from = p->n_machines < p->n_claimed ? find_largest_surplus (ctl) : NULL;
+      from = p->n_machines < p->n_claimed ? find_largest_surplus (ctl, p, now) : NULL;
       if (from == NULL || from == p || !plan_move (ctl, from, p, now))
         return;
     }
--- a/core/controller/controller_waves.c
+++ b/core/controller/controller_waves.c
@@ -10,14 +10,16 @@
 
 /* Time to drain a worker: its longest tasks take some 3 s. */
 #define DRAIN_MS 3000
-/* Time from stopping a long-running task until it runs elsewhere; the next task of its step waits
- * for that. */
-#define DRAIN_ROUND_MS 1200
+/* Time from the end of a long-running task's run until it is active elsewhere; the next task of its
+ * step waits for that. */
+#define RESTART_MS 1100
 /* A wave waits for low load only while the time until its deadline exceeds the time that the rest
  * of the wave needs by this factor. */
 #define SLACK_FACTOR 1.6
 /* A worker with at most this share of its processors in use has low load. */
 #define LOW_LOAD_SHARE 0.5
+/* Time from planning a machine's maintenance until its pool's leader has cordoned it. */
+#define PLAN_MARGIN_MS 500
 /* Added to the cost of a machine, which is the share of its processors in use: a pool that is short
  * gives up no machine while there is time. */
 #define SHORT_POOL_COST 10
@@ -93,10 +95,19 @@
          && cpu_share_used (&m->view) <= LOW_LOAD_SHARE;
 }
 
+/* Returns the expected time to move the machine's long-running tasks off, one round after the
+ * other. */
+static int64_t
+rounds_ms (const struct mt_controller *ctl, const struct mt_controller_machine *m)
+{
+  return m->has_view ? (int64_t) m->view.drain_rounds * (ctl->settings.stop_grace_ms + RESTART_MS)
+                     : 0;
+}
+
 int64_t
-mt_controller_drain_ms (const struct mt_controller_machine *m)
+mt_controller_drain_ms (const struct mt_controller *ctl, const struct mt_controller_machine *m)
 {
-  return DRAIN_MS + (m->has_view ? (int64_t) m->view.drain_rounds * DRAIN_ROUND_MS : 0);
+  return DRAIN_MS + rounds_ms (ctl, m);
 }
 
 /* Returns the time until none of the wave's machines in the pool has a long-running task any more:
@@ -115,8 +126,8 @@
     {
       const struct mt_controller_machine *m = g_hash_table_lookup (ctl->machines, id);
 
-      if (m != NULL && m->pool == p && m->has_view)
-        sum += (int64_t) m->view.drain_rounds * DRAIN_ROUND_MS;
+      if (m != NULL && m->pool == p)
+        sum += rounds_ms (ctl, m);
     }
   return sum;
 }
@@ -128,12 +139,29 @@
           int64_t now)
 {
   int64_t others = (g_hash_table_size (w->remaining) - 1) / w->max_down;
-  int64_t by_cap = others * (DRAIN_MS + ctl->settings.maintenance_ms) + mt_controller_drain_ms (m);
-  int64_t by_pool
-      = is_pinned (m) ? DRAIN_MS + pool_drain_ms (ctl, w, m->pool) : mt_controller_drain_ms (m);
+  int64_t by_cap
+      = others * (DRAIN_MS + ctl->settings.maintenance_ms) + mt_controller_drain_ms (ctl, m);
+  int64_t by_pool = is_pinned (m) ? DRAIN_MS + pool_drain_ms (ctl, w, m->pool)
+                                  : mt_controller_drain_ms (ctl, m);
   int64_t needed_ms = MAX (by_cap, by_pool) + ctl->settings.maintenance_ms;
 
-  return (double) (w->deadline - now) > SLACK_FACTOR * (double) needed_ms;
+  /* A task as long as the pool's longest ones may start on the machine just before it is drained.
+   */
+  return (double) (w->deadline - now) > SLACK_FACTOR * (double) needed_ms
+         && w->deadline - now > m->pool->longest_batch.ms + PLAN_MARGIN_MS;
+}
+
+bool
+mt_controller_is_due (const struct mt_controller *ctl, const struct mt_controller_machine *m)
+{
+  GHashTableIter it;
+  const struct mt_controller_wave *w;
+
+  g_hash_table_iter_init (&it, ctl->waves);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &w))
+    if (g_hash_table_contains (w->remaining, m->id))
+      return true;
+  return false;
 }
 
 /* Returns how many machines may be down or draining at once. While a pool is short of machines, the
@@ -151,6 +179,21 @@
                                             * per_machine_ms / remaining_ms));
 }
 
+bool
+mt_controller_can_defer (const struct mt_controller *ctl,
+                         const struct mt_controller_machine *m,
+                         int64_t until)
+{
+  GHashTableIter it;
+  const struct mt_controller_wave *w;
+
+  g_hash_table_iter_init (&it, ctl->waves);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &w))
+    if (g_hash_table_contains (w->remaining, m->id) && !can_wait (ctl, w, m, until))
+      return false;
+  return true;
+}
+
 /* Returns how many machines of the pool may move their long-running tasks at once. A single machine
  * already uses up the disruption budgets of most jobs; more are allowed only if the remaining time
  * requires it. */
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -194,6 +194,7 @@
                                              .journal = f->journal,
                                              .move_ms = (int64_t) (1000 * b->move_s),
                                              .maintenance_ms = (int64_t) (1000 * b->upkeep_s),
+                                             .stop_grace_ms = b->stop_grace_ms,
                                              .local_pool = local_pool,
                                              .ctx = f };
 
--- a/fleet/fleet_leader.c
+++ b/fleet/fleet_leader.c
@@ -685,6 +685,7 @@
   struct mt_fleet_leader *lead = g_rc_box_new0 (struct mt_fleet_leader);
   struct mt_controller_settings settings = { .move_ms = options->move_ms,
                                              .maintenance_ms = options->maintenance_ms,
+                                             .stop_grace_ms = options->stop_grace_ms,
                                              .allow_moves = true };
   struct mt_watcher_options watch = { .prefix = options->codec->waves_prefix,
                                       .wait_ms = WAVES_WAIT_MS,
--- a/fleet/fleet_leader.h
+++ b/fleet/fleet_leader.h
@@ -22,6 +22,7 @@
   struct mt_journal *journal;
   int64_t move_ms;
   int64_t maintenance_ms;
+  int64_t stop_grace_ms;
   /* Returns the pool if this daemon leads it, else NULL. */
   struct mt_pool *(*local_pool) (void *ctx, const char *pool);
   void *ctx;
--- a/include/medlartrack/controller.h
+++ b/include/medlartrack/controller.h
@@ -14,6 +14,7 @@
 {
   int64_t move_ms;        /* time that a machine is down for a move */
   int64_t maintenance_ms; /* time that a machine is down for maintenance */
+  int64_t stop_grace_ms;  /* longest time that a run goes on after it was ordered to stop */
   bool allow_moves;       /* machines may change pool */
 };
 
--- a/tests/scheduler/test_controller.c
+++ b/tests/scheduler/test_controller.c
@@ -26,7 +26,8 @@
 static struct site *
 site_create (void)
 {
-  static const struct mt_controller_settings settings = { .move_ms = 1500, .maintenance_ms = 2000 };
+  static const struct mt_controller_settings settings
+      = { .move_ms = 1500, .maintenance_ms = 2000, .stop_grace_ms = 200 };
   struct site *site = g_new0 (struct site, 1);
 
   site->controller = mt_controller_create (&settings);
@@ -330,7 +331,7 @@
 fleet_create (void)
 {
   static const struct mt_controller_settings settings
-      = { .move_ms = 1500, .maintenance_ms = 2000, .allow_moves = true };
+      = { .move_ms = 1500, .maintenance_ms = 2000, .stop_grace_ms = 200, .allow_moves = true };
   struct fleet *fleet = g_new0 (struct fleet, 1);
 
   fleet->controller = mt_controller_create (&settings);
@@ -513,7 +514,7 @@
 test_new_controller_restores_homes (void **state)
 {
   static const struct mt_controller_settings settings
-      = { .move_ms = 1500, .maintenance_ms = 2000, .allow_moves = true };
+      = { .move_ms = 1500, .maintenance_ms = 2000, .stop_grace_ms = 200, .allow_moves = true };
   struct fleet *fleet = fleet_create ();
 
   fleet_run (fleet, 6000);
@@ -796,6 +797,57 @@
   fleet_destroy (fleet);
 }
 
+/* Some tasks of the pool run for 12 s. Guards against a wave that waits for a trough until the time
+ * of ordinary tasks is left: a machine that has just started a long one would be late. */
+static void
+test_wave_begins_in_time_for_the_longest_tasks (void **state)
+{
+  struct site *site = site_create ();
+
+  site->load.urgent = 50;
+  for (int i = 0; i < MACHINES; i++)
+    {
+      site->views[i].tasks = 2;
+      site->views[i].used.cpu = 15000;
+      site->views[i].batch_remaining_ms = 900;
+    }
+  site->views[0].batch_remaining_ms = 12000;
+  site_report (site);
+  site->views[0].batch_remaining_ms = 900;
+  site_wave (site, MACHINES, 20000);
+  for (int i = 0; i < 54; i++)
+    {
+      assert_int_equal (site_carry_out (site, MT_CONTROLLER_ORDER_DONE), 0);
+      site_report (site);
+      assert_true (i < 52 || site_planned (site) > 0);
+      assert_true (i > 45 || site_planned (site) == 0);
+    }
+  site_destroy (site);
+}
+
+/* A pool surges while machines that are off are due for maintenance. Guards against a due machine
+ * that goes to the surge first: it would be busy there until the wave is late. */
+static void
+test_due_machine_has_its_maintenance_before_a_surge (void **state)
+{
+  struct fleet *fleet = fleet_create ();
+  char *machines[] = { fleet->names[16], fleet->names[17], NULL };
+
+  fleet_run (fleet, 6000);
+  mt_controller_update_wave (fleet->controller, 1, machines, NULL, 1, fleet->now + 9000);
+  fleet->demand[0] = 40 * 16000;
+  fleet->stay_busy = true;
+  fleet_run (fleet, 1050);
+  assert_string_equal (fleet->machines[18].pool, "left");
+  assert_string_equal (fleet->machines[19].pool, "left");
+  assert_string_equal (fleet->machines[16].pool, "standby");
+  assert_string_equal (fleet->machines[17].pool, "standby");
+  fleet_run (fleet, 6000);
+  assert_true (mt_controller_wave_done (fleet->controller, 1));
+  assert_int_equal (fleet_count (fleet, 2), 0);
+  fleet_destroy (fleet);
+}
+
 int
 main (void)
 {
@@ -813,6 +865,8 @@
     cmocka_unit_test (test_overdue_work_gets_only_unwanted_machines),
     cmocka_unit_test (test_machines_with_long_running_tasks_drain_in_turn),
     cmocka_unit_test (test_wave_is_spread_while_callers_wait),
+    cmocka_unit_test (test_due_machine_has_its_maintenance_before_a_surge),
+    cmocka_unit_test (test_wave_begins_in_time_for_the_longest_tasks),
     cmocka_unit_test (test_frequent_loads_needed_while_a_surge_waits),
     cmocka_unit_test (test_machines_that_empty_first_go_first),
     cmocka_unit_test (test_pool_without_waiting_work_releases_unused_machines),
