scheduler: a long-running task that survives its isolation is cleared

Cause, by the log: one of its tasks was lost four times within 11 s, each time 0 to 600 ms after a crashing task had come to its worker. In between it had run alone for longer than the time in which a run settles (TASK_SETTLED), but its counts of losses and crashes stayed, and the fourth loss with two crashes gave the job up.

Ruled out: a higher limit (the users allow three crashes and two more starts, also for long-running tasks that do crash). Clearing the counts of all tasks: test_late_crashes_are_bounded_in_surges fails, since a task may crash its worker at the end of its run.

Change: a long-running task that has run isolated for as long as any lost run of it starts again at zero. The new test (one of 14 jobs crashes its workers, 8 seeds) fails without it.

--- a/core/scheduler/scheduler_crashes.c
+++ b/core/scheduler/scheduler_crashes.c
@@ -320,5 +320,11 @@
       sched->changed = true;
       mt_task_log_event (sched, task, w, "TASK_SETTLED", "seen_ms=%" G_GINT64_FORMAT " losses=%u",
                          mt_task_observed_ms (task), task->losses);
+      /* The run has lasted for as long as any that was lost, so another task caused those losses.
+       * Without this, a long-running task on workers that others crash again and again would be
+       * given up in the end, and all tasks of its job stopped. Other tasks may crash their worker
+       * at the end of their run. */
+      if (mt_task_step (task)->long_running)
+        task->losses = task->crashes = 0;
     }
 }
--- a/tests/scheduler/test_crash_victims.c
+++ b/tests/scheduler/test_crash_victims.c
@@ -55,22 +55,26 @@
   world_destroy (world);
 }
 
-#define N_LOAD_WORKERS        11
-#define SURGE_MS              4000
-#define PERIOD_MS             16000
-#define LOAD_MS               48000
-#define STEP_MS               5
-#define JOBS_PER_CRASHING_JOB 50 /* one in this many jobs crashes its workers */
-#define MAX_STARTS            5  /* three crashes and two more starts */
-#define MAX_JOBS              2000
-#define N_SEEDS               8
-#define EARLY_CRASH_DELAY_MS  10
-#define LATE_CRASH_DELAY_MS   750 /* of a run time of 800 ms */
+#define N_LOAD_WORKERS 11
+#define SURGE_MS       4000
+#define PERIOD_MS      16000
+#define LOAD_MS        48000
+#define STEP_MS        5
+/* One in this many jobs crashes its workers. */
+#define JOBS_PER_CRASHING_JOB      50
+#define JOBS_PER_CRASHING_JOB_MANY 14
+#define N_LONG_RUNNING             10
+#define MAX_STARTS                 5 /* three crashes and two more starts */
+#define MAX_JOBS                   2000
+#define N_SEEDS                    8
+#define EARLY_CRASH_DELAY_MS       10
+#define LATE_CRASH_DELAY_MS        750 /* of a run time of 800 ms */
 
 struct load
 {
   struct world *world;
   GRand *rand;
+  int jobs_per_crashing_job;
   unsigned n_jobs;
   bool crashing[MAX_JOBS];
 };
@@ -88,7 +92,7 @@
     return;
   g_snprintf (id, sizeof id, "j%u", n);
   g_snprintf (task, sizeof task, "%s.0.0.0", id);
-  load->crashing[n] = g_rand_int_range (load->rand, 0, JOBS_PER_CRASHING_JOB) == 0;
+  load->crashing[n] = g_rand_int_range (load->rand, 0, load->jobs_per_crashing_job) == 0;
   if (load->crashing[n])
     world_add_crashing (load->world, task);
   world_submit (load->world,
@@ -97,14 +101,24 @@
 }
 
 static struct load
-run_load (uint32_t seed, int64_t crash_ms)
+create_load (uint32_t seed, int64_t crash_ms, int jobs_per_crashing_job)
 {
-  struct load load = { .world = world_create (), .rand = g_rand_new_with_seed (seed) };
+  struct load load = { .world = world_create (),
+                       .rand = g_rand_new_with_seed (seed),
+                       .jobs_per_crashing_job = jobs_per_crashing_job };
 
   for (unsigned i = 0; i < N_LOAD_WORKERS; i++)
     world_add_worker (load.world, "r1");
   load.world->run_ms = 800;
   load.world->crash_delay_ms = crash_ms;
+  return load;
+}
+
+static struct load
+run_load (uint32_t seed, int64_t crash_ms)
+{
+  struct load load = create_load (seed, crash_ms, JOBS_PER_CRASHING_JOB);
+
   for (int64_t at = 0; at < LOAD_MS; at += STEP_MS)
     {
       submit_at_random (&load, at);
@@ -178,6 +192,32 @@
     }
 }
 
+/* Guards against giving up a long-running job whose tasks are lost with workers that other jobs
+ * crash: all of its tasks would be stopped at once. */
+static void
+test_long_running_job_survives_many_crashes_of_others (void **state)
+{
+  for (uint32_t seed = 1; seed <= N_SEEDS; seed++)
+    {
+      struct load load = create_load (seed, EARLY_CRASH_DELAY_MS, JOBS_PER_CRASHING_JOB_MANY);
+      struct mt_job_spec *spec = world_job ("Lx", N_LONG_RUNNING, 880, 1000);
+
+      spec->steps[0].long_running = true;
+      spec->steps[0].max_unavailable = 1;
+      world_submit (load.world, spec);
+      world_run (load.world, 1000);
+      for (int64_t at = 0; at < LOAD_MS; at += STEP_MS)
+        {
+          submit_at_random (&load, at);
+          world_run (load.world, STEP_MS);
+        }
+      world_run (load.world, 8 * WORLD_DOWNTIME_MS);
+      assert_int_equal (mt_scheduler_job_state (load.world->sched, "Lx"), MT_JOB_ACTIVE);
+      check_crashing_jobs_fail (&load);
+      clear_load (&load);
+    }
+}
+
 int
 main (void)
 {
@@ -185,6 +225,7 @@
     cmocka_unit_test (test_tasks_lost_in_a_crash_are_lost_only_once),
     cmocka_unit_test (test_other_jobs_complete_beside_crashing_ones_in_surges),
     cmocka_unit_test (test_late_crashes_are_bounded_in_surges),
+    cmocka_unit_test (test_long_running_job_survives_many_crashes_of_others),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
