scheduler: wait estimates count the work that shares put first

The estimate takes everything in the pool as ahead of a new job, so that a workspace with little work is refused for the flood of another, although its work would be placed first.

A workspace below its fair share waits until running tasks free resources and then behind its own work, served at its share of the capacity, but never behind more than everything. One above its share waits behind everything, as all do where the share is unknown (0) or whole (1). Taking its own work at the full capacity was ruled out: twenty workspaces would each be promised the whole pool. A refusal that a workspace below its share would not get names both shares.

Until the shares are there the answers are those for a whole share.

--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -92,6 +92,9 @@
   bool has_grant;              /* a grant message has set granted */
   double burst;                /* level of the leaky bucket of submitted jobs, as of burst_at */
   int64_t burst_at;
+  double timely_work;  /* as in struct mt_scheduler, of this workspace's jobs */
+  double total_work;   /* ... */
+  double running_work; /* ... */
 };
 
 struct mt_job
@@ -239,9 +242,11 @@
   int64_t order_lost_at; /* when an order to a worker that answers others was last lost; 0: never */
   int64_t expected_cpu;  /* announced, in thousandths of a core; valid until expected_until */
   int64_t expected_until;
-  int64_t estimated_at; /* when timely_work, total_work and batch_cpu were calculated */
+  int64_t estimated_at; /* when the following fields and the accounts' work were calculated */
   double timely_work;   /* work of jobs that can meet their objective; thousandths of a core * ms */
   double total_work;    /* work of all jobs; thousandths of a core * ms */
+  double running_work;  /* remaining work of tasks that have a worker; thousandths of a core * ms */
+  int64_t pool_cpu;     /* all processors, in thousandths of a core */
   double batch_cpu;     /* for all but long-running tasks; thousandths of a core; 0: unknown */
   mt_scheduler_event_callback on_event;
   void *event_ctx;
@@ -305,6 +310,23 @@
 void mt_task_set_checkpoint (struct mt_task *task, const char *checkpoint);
 void mt_task_dequeue (struct mt_scheduler *sched, struct mt_task *task);
 
+/* wait estimate */
+/* A workspace's share of the pool, as mt_scheduler_fair_share and mt_scheduler_is_above_share
+ * return it. */
+struct mt_share_view
+{
+  double fair;
+  bool is_above;
+};
+
+/* mt_scheduler_estimate_wait with a given share of the workspace. */
+struct mt_wait_estimate mt_scheduler_estimate_wait_by_share (struct mt_scheduler *sched,
+                                                             const char *route,
+                                                             int64_t chain_ms,
+                                                             const char *workspace,
+                                                             const struct mt_share_view *share,
+                                                             int64_t now);
+
 /* scheduler_accounts.c */
 /* Returns the workspace's account, created if needed; NULL for no workspace (NULL or ""). */
 struct mt_account *mt_scheduler_get_account (struct mt_scheduler *sched, const char *workspace);
--- a/fleet/frontend_submit.c
+++ b/fleet/frontend_submit.c
@@ -26,7 +26,8 @@
   struct mt_exchange *exchange;
   char *pool;
   char *id;
-  char *key; /* key in the store */
+  char *workspace; /* of the caller; "" for none */
+  char *key;       /* key in the store */
   char *value;
   size_t value_len;
   int64_t began;
@@ -61,6 +62,7 @@
 
   g_free (s->pool);
   g_free (s->id);
+  g_free (s->workspace);
   g_free (s->key);
   g_free (s->value);
   g_free (s);
@@ -358,7 +360,7 @@
   if (local_pool != NULL && mt_pool_is_loaded (local_pool)
       && mt_cluster_lease_is_valid (frontend->options.cluster))
     apply_estimate (s, mt_scheduler_estimate_wait (mt_pool_scheduler (local_pool), route, chain_ms,
-                                                   mt_loop_now ())
+                                                   s->workspace, mt_loop_now ())
                            .retry_after_ms);
   else if (local_pool != NULL || holder == NULL || mt_loop_now () < frontend->estimate_paused_until)
     enqueue_submit (s);
@@ -413,6 +415,7 @@
   s->exchange = exchange;
   s->pool = g_strdup (route->pool);
   s->id = g_strdup (id);
+  s->workspace = g_strdup (workspace);
   s->key = mt_pool_job_key (route->pool, id);
   s->value = mt_pool_submission_pack (&submission, &s->value_len);
   s->began = mt_loop_now ();
--- a/fleet/neighbours.c
+++ b/fleet/neighbours.c
@@ -56,7 +56,7 @@
       mt_mesh_reply (call, NULL);
       return;
     }
-  estimate = mt_scheduler_estimate_wait (mt_pool_scheduler (pool), route, (int64_t) chain_ms,
+  estimate = mt_scheduler_estimate_wait (mt_pool_scheduler (pool), route, (int64_t) chain_ms, NULL,
                                          mt_loop_now ());
   g_snprintf (text, sizeof text, "%" G_GINT64_FORMAT, estimate.retry_after_ms);
   reply_text (call, text);
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -209,13 +209,18 @@
   /* 0: the job can complete while its result is useful, or nothing indicates otherwise; else the
    * delay after which a new submission could. */
   int64_t retry_after_ms;
+  /* The workspace's share of the pool's cores and its fair share, in thousandths, if a job is
+   * refused that would not be if the workspace used less than its fair share; else 0. */
+  unsigned share;
+  unsigned fair;
 };
 
-/* Estimates the wait of a job of the route that is submitted now and whose longest chain takes
- * chain_ms by the caller's estimate. */
+/* Estimates the wait of a job of the route that is submitted now by the workspace ("" or NULL:
+ * none) and whose longest chain takes chain_ms by the caller's estimate. */
 struct mt_wait_estimate mt_scheduler_estimate_wait (struct mt_scheduler *sched,
                                                     const char *route,
                                                     int64_t chain_ms,
+                                                    const char *workspace,
                                                     int64_t now);
 
 /* ---- orders ---- */
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -1084,14 +1084,14 @@
   struct world *world = world_create ();
   struct mt_wait_estimate estimate;
 
-  estimate = mt_scheduler_estimate_wait (world->sched, "route", 1000, world->now);
+  estimate = mt_scheduler_estimate_wait (world->sched, "route", 1000, NULL, world->now);
   assert_int_equal (estimate.retry_after_ms, 0);
   world_add_worker (world, "r1");
   world_add_worker (world, "r1");
   world_run (world, 200);
   world_submit (world, world_job ("aa", 8, 4000, 1000));
   world_run (world, 100);
-  estimate = mt_scheduler_estimate_wait (world->sched, "route", 1000, world->now);
+  estimate = mt_scheduler_estimate_wait (world->sched, "route", 1000, NULL, world->now);
   assert_int_equal (estimate.retry_after_ms, 0);
   for (unsigned i = 0; i < 10; i++)
     {
@@ -1100,14 +1100,14 @@
       world_submit (world, world_job (id, 40, 4000, 1000));
     }
   world_run (world, 100);
-  estimate = mt_scheduler_estimate_wait (world->sched, "route", 1000, world->now);
+  estimate = mt_scheduler_estimate_wait (world->sched, "route", 1000, NULL, world->now);
   assert_in_range (estimate.retry_after_ms, 15000, 30000);
   mt_scheduler_expect_capacity (world->sched, 40 * 16000, world->now + 1000);
   world_run (world, 100);
-  estimate = mt_scheduler_estimate_wait (world->sched, "route", 1000, world->now);
+  estimate = mt_scheduler_estimate_wait (world->sched, "route", 1000, NULL, world->now);
   assert_int_equal (estimate.retry_after_ms, 0);
   world_run (world, 4000);
-  estimate = mt_scheduler_estimate_wait (world->sched, "route", 1000, world->now);
+  estimate = mt_scheduler_estimate_wait (world->sched, "route", 1000, NULL, world->now);
   assert_int_equal (estimate.retry_after_ms, 0);
   world_destroy (world);
 }
