frontend: submissions wait in shares of their workspaces; refusals by cause

Submissions wait in the queue by workspace, with their stored bytes as cost. The places are the number that the admission's estimate allows, so that one workspace, or none, is admitted and refused as before. Once they are taken, a workspace at its share is refused with a Retry-After from its own backlog, and a workspace below its share displaces the newest submission of the one furthest above.

A flood that is alone may fill all places, and is then served at its share once others arrive. So that nobody is held longer than in order of arrival, a submission that later ones were served before is refused at its deadline of 1.2 s. A displaced submission whose earlier write got no answer gets "outcome unknown" as before, not "refused".

The wait estimate's call carries the workspace as its fourth argument, if there is one, and its reply then also the shares that are the cause of a refusal. Calls with three arguments get one number as before. A leader of the older form replies with nothing and is then asked in the older form; ruled out was treating that as no answer, since overdue work would be accepted during a roll-out.

JOB_REFUSED gains cause, and for share the fields share and fair; events of jobs of a workspace gain workspace. medlartrack_submissions_refused_total counts refusals by cause.

--- a/core/scheduler/admission.c
+++ b/core/scheduler/admission.c
@@ -1,6 +1,7 @@
 #include "medlartrack/admission.h"
 
 #include <glib.h>
+#include <limits.h>
 #include <math.h>
 
 /* Weight of the last batch in batch_ms: a slower store shows after about three batches, while a
@@ -52,6 +53,23 @@
          || mt_admission_wait_ms (admission, waiting) <= admission->settings.max_wait_ms;
 }
 
+unsigned
+mt_admission_places (const struct mt_admission *admission)
+{
+  unsigned per_round = admission->settings.batch_size * admission->settings.parallel_writes;
+  double rounds = admission->batch_ms > 0
+                      ? ceil (((double) admission->settings.max_wait_ms + 1) / admission->batch_ms)
+                      : UINT_MAX;
+  unsigned places;
+
+  if (rounds * per_round >= UINT_MAX)
+    return UINT_MAX;
+  places = (unsigned) rounds * per_round;
+  while (places >= per_round && !mt_admission_admits (admission, places - 1))
+    places -= per_round;
+  return MAX (places, 1U);
+}
+
 unsigned
 mt_admission_retry_after_s (const struct mt_admission *admission, unsigned waiting, double draw)
 {
--- a/fleet/frontend.c
+++ b/fleet/frontend.c
@@ -196,6 +196,7 @@
 mt_frontend_set_config (struct mt_frontend *frontend, const struct mt_fleet_config *config)
 {
   frontend->config = config;
+  mt_submit_queue_set_workspaces (frontend->submits, config != NULL ? config->workspaces : NULL);
 }
 
 unsigned
@@ -212,6 +213,7 @@
   frontend->base = base;
   frontend->options = *options;
   frontend->admission = mt_frontend_new_admission ();
+  frontend->submits = mt_submit_queue_create (frontend->admission);
   return frontend;
 }
 
@@ -220,7 +222,7 @@
 {
   if (frontend == NULL)
     return;
-  g_queue_clear (&frontend->submits);
+  mt_submit_queue_destroy (frontend->submits);
   mt_admission_destroy (frontend->admission);
   g_free (frontend);
 }
--- a/fleet/frontend_internal.h
+++ b/fleet/frontend_internal.h
@@ -3,6 +3,7 @@
 #define MT_FLEET_FRONTEND_INTERNAL_H
 
 #include "frontend.h"
+#include "submit_queue.h"
 
 #include "medlartrack/admission.h"
 
@@ -22,8 +23,8 @@
   struct event_base *base;
   struct mt_frontend_options options;
   const struct mt_fleet_config *config;
-  GQueue submits; /* queued, not in a transaction yet */
   struct mt_admission *admission;
+  struct mt_submit_queue *submits; /* queued, not in a transaction yet */
   unsigned txns;
   unsigned in_flight;
   int64_t estimate_paused_until; /* no estimate is requested before this time: a leader did not
--- a/fleet/frontend_submit.c
+++ b/fleet/frontend_submit.c
@@ -1,6 +1,7 @@
 /* Submits jobs: stores them, acknowledges them and then notifies the pool's leader. */
 #include "frontend_internal.h"
 
+#include "estimate_wire.h"
 #include "journal.h"
 #include "loop.h"
 #include "pool_keys.h"
@@ -20,6 +21,11 @@
 #define ESTIMATE_TIMEOUT_MS 250
 #define ESTIMATE_PAUSE_MS   1000
 
+/* Reasons of refusals. */
+#define TOO_MANY "too many submissions wait to be stored, nothing was sent"
+#define TOO_MANY_OF_WORKSPACE                                                                      \
+  "its workspace has more than its share of the waiting submissions, nothing was sent"
+
 struct submit
 {
   struct mt_frontend *frontend;
@@ -27,12 +33,17 @@
   char *pool;
   char *id;
   char *workspace; /* of the caller; "" for none */
-  char *key;       /* key in the store */
+  char *route;
+  char *key; /* key in the store */
   char *value;
   size_t value_len;
   int64_t began;
   int64_t retry_ms;     /* of a refused job: delay after which it could be served; else 0 */
   bool outcome_unknown; /* a write of it had no answer, so it may be stored */
+  int64_t chain_ms;     /* duration of the job's longest chain of steps */
+  bool older_estimate;  /* the leader did not answer the estimate's form with a workspace */
+  enum mt_refusal cause;
+  struct mt_submit_share share; /* of a refusal because of the workspace's share */
 };
 
 struct txn
@@ -63,6 +74,7 @@
   g_free (s->pool);
   g_free (s->id);
   g_free (s->workspace);
+  g_free (s->route);
   g_free (s->key);
   g_free (s->value);
   g_free (s);
@@ -93,11 +105,27 @@
   if (s->retry_ms > 0)
     return mt_frontend_retry_after_s (s->retry_ms, g_random_double ());
   if (status == 503)
-    return mt_admission_retry_after_s (frontend->admission, frontend->submits.length,
-                                       g_random_double ());
+    return mt_submit_queue_retry_after_s (frontend->submits, s->workspace, s->cause,
+                                          g_random_double ());
   return status == 504 ? MT_FRONTEND_RETRY_AFTER_S : 0;
 }
 
+/* Returns the log fields of the workspace and of a refusal, each with a blank before it; free the
+ * text with g_free. */
+static char *
+describe_submit (const struct submit *s, unsigned status)
+{
+  GString *out = g_string_new (NULL);
+
+  if (s->workspace[0] != '\0')
+    g_string_append_printf (out, " workspace=%s", s->workspace);
+  if (status == 503 && s->cause != MT_REFUSAL_NONE)
+    g_string_append_printf (out, " cause=%s", mt_refusal_names[s->cause]);
+  if (status == 503 && s->cause == MT_REFUSAL_SHARE)
+    g_string_append_printf (out, " share=%u fair=%u", s->share.share, s->share.fair);
+  return g_string_free (out, FALSE);
+}
+
 static void
 end_submit (struct submit *s, unsigned status, const char *why)
 {
@@ -113,19 +141,47 @@
   };
   size_t outcome = 0;
   int64_t took = mt_loop_now () - s->began;
+  g_autofree char *detail = describe_submit (s, status);
 
   while (outcomes[outcome].status != 0 && outcomes[outcome].status != status)
     outcome++;
   mt_metrics_increment (s->frontend->options.metrics, outcomes[outcome].counter);
+  if (status == 503)
+    mt_metrics_count_refusal (s->frontend->options.metrics, s->cause);
   mt_metrics_observe (s->frontend->options.metrics, MT_LATENCY_SUBMIT, took);
   mt_journal_log (s->frontend->options.journal, outcomes[outcome].event,
-                  "id=%s pool=%s status=%u why=%s took_ms=%" G_GINT64_FORMAT, s->id, s->pool,
-                  status, why, took);
+                  "id=%s pool=%s status=%u why=%s took_ms=%" G_GINT64_FORMAT "%s", s->id, s->pool,
+                  status, why, took, detail);
   mt_frontend_answer (s->exchange, status, NULL, retry_after_s (s, status));
   s->frontend->in_flight--;
   free_submit (s);
 }
 
+/* Refuses a submission that is not in a transaction. One that was in an earlier transaction without
+ * an answer may be stored all the same. */
+static void
+refuse_submit (struct submit *s, enum mt_refusal cause, const char *why)
+{
+  s->cause = cause;
+  if (cause == MT_REFUSAL_SHARE && s->share.fair == 0)
+    s->share = mt_submit_queue_share (s->frontend->submits, s->workspace);
+  if (s->outcome_unknown)
+    end_submit (s, 504, "the store did not answer");
+  else
+    end_submit (s, 503, why);
+}
+
+/* A submission that another workspace's displaces was never sent. */
+static void
+queue_submit (struct submit *s)
+{
+  struct submit *displaced
+      = mt_submit_queue_push (s->frontend->submits, s->workspace, s->value_len, s->began, s);
+
+  if (displaced != NULL)
+    refuse_submit (displaced, MT_REFUSAL_SHARE, TOO_MANY_OF_WORKSPACE);
+}
+
 static void
 accept_submit (struct submit *s, const char *why)
 {
@@ -208,7 +264,7 @@
       if (item != NULL && item->revision > 0)
         resolve_existing (s, item);
       else
-        g_queue_push_tail (&t->frontend->submits, s);
+        queue_submit (s);
     }
   end_txn (t);
 }
@@ -238,7 +294,7 @@
           i++;
           continue;
         }
-      end_submit (s, s->outcome_unknown ? 504 : 503, "the store did not answer");
+      refuse_submit (s, MT_REFUSAL_STORE, "the store did not answer");
       g_ptr_array_remove_index (t->submits, i);
     }
   if (t->submits->len == 0)
@@ -293,11 +349,26 @@
   mt_kv_write (&t->frontend->options.kv, &txn, MT_FRONTEND_TXN_TIMEOUT_MS, on_stored, t);
 }
 
+/* A submission that other workspaces' later ones were served before is not held longer than its
+ * deadline. In order of arrival, admission keeps the wait within it. */
+static void
+refuse_overdue (struct mt_frontend *frontend)
+{
+  int64_t before = mt_loop_now () - MT_FRONTEND_DEADLINE_MS;
+  struct submit *s;
+
+  while ((s = mt_submit_queue_pop_overdue (frontend->submits, before)) != NULL)
+    refuse_submit (s, MT_REFUSAL_SHARE,
+                   "its workspace's share of the submissions did not reach it in time, nothing was "
+                   "sent");
+}
+
 /* Submissions that arrive while transactions are in flight share the next one. */
 static void
 send_submits (struct mt_frontend *frontend)
 {
-  while (!g_queue_is_empty (&frontend->submits) && frontend->txns < MAX_TXNS_IN_FLIGHT)
+  refuse_overdue (frontend);
+  while (mt_submit_queue_length (frontend->submits) > 0 && frontend->txns < MAX_TXNS_IN_FLIGHT)
     {
       struct txn *t = g_new0 (struct txn, 1);
 
@@ -305,68 +376,97 @@
       t->submits = g_ptr_array_new ();
       t->retry_timer = mt_timer_create (frontend->base, send_txn, t);
       frontend->txns++;
-      while (t->submits->len < SUBMITS_PER_TXN && !g_queue_is_empty (&frontend->submits))
-        g_ptr_array_add (t->submits, g_queue_pop_head (&frontend->submits));
+      while (t->submits->len < SUBMITS_PER_TXN && mt_submit_queue_length (frontend->submits) > 0)
+        g_ptr_array_add (t->submits, mt_submit_queue_pop (frontend->submits));
       send_txn (t);
     }
 }
 
 /* ---- wait estimate ---- */
 
+/* Submissions that arrived while the estimate was under way may have taken the workspace's share of
+ * the places since its admission. */
 static void
 enqueue_submit (struct submit *s)
 {
-  g_queue_push_tail (&s->frontend->submits, s);
-  send_submits (s->frontend);
+  struct mt_frontend *frontend = s->frontend;
+
+  if (mt_submit_queue_check (frontend->submits, s->workspace) == MT_REFUSAL_SHARE)
+    {
+      refuse_submit (s, MT_REFUSAL_SHARE, TOO_MANY_OF_WORKSPACE);
+      return;
+    }
+  queue_submit (s);
+  send_submits (frontend);
 }
 
 /* Nothing was written yet, so the job can be refused for certain. */
 static void
-apply_estimate (struct submit *s, int64_t retry_ms)
+apply_estimate (struct submit *s, const struct mt_wait_estimate *estimate)
 {
-  s->retry_ms = retry_ms;
-  if (retry_ms > 0)
-    end_submit (s, 503, "the job cannot complete in time, nothing was sent");
-  else
+  s->retry_ms = estimate->retry_after_ms;
+  s->share = (struct mt_submit_share){ estimate->share, estimate->fair };
+  if (s->retry_ms <= 0)
     enqueue_submit (s);
+  else if (estimate->fair > 0)
+    refuse_submit (
+        s, MT_REFUSAL_SHARE,
+        "the job cannot complete in time, since its workspace has more than its share of "
+        "the pool, nothing was sent");
+  else
+    refuse_submit (s, MT_REFUSAL_WAIT, "the job cannot complete in time, nothing was sent");
 }
 
-/* Without an answer the pool's state is unknown, and the job is not refused for it. */
+static void request_estimate (struct submit *s);
+
+/* Without an answer the pool's state is unknown, and the job is not refused for it. A leader that
+ * doesn't know the form with a workspace replies with nothing; it is asked in the older form. */
 static void
 on_estimate (void *data, const struct mt_mesh_args *args)
 {
   struct submit *s = data;
-  unsigned long long retry_ms = 0;
+  struct mt_wait_estimate estimate = { 0 };
 
+  if (args != NULL && args->n == 0 && s->workspace[0] != '\0' && !s->older_estimate)
+    {
+      s->older_estimate = true;
+      request_estimate (s);
+      return;
+    }
   if (args == NULL)
     s->frontend->estimate_paused_until = mt_loop_now () + ESTIMATE_PAUSE_MS;
-  else if (args->n == 1)
-    mt_str_to_u64 (args->at[0], &retry_ms);
-  apply_estimate (s, (int64_t) retry_ms);
+  else
+    mt_estimate_reply_unpack (args, &estimate);
+  apply_estimate (s, &estimate);
 }
 
 /* Asks the pool's leader for a wait estimate before anything is stored: a job that cannot be done
- * in time is refused at once. chain_ms: duration of the job's longest chain of steps. */
+ * in time is refused at once. */
 static void
-request_estimate (struct submit *s, const char *route, int64_t chain_ms)
+request_estimate (struct submit *s)
 {
   struct mt_frontend *frontend = s->frontend;
   struct mt_pool *local_pool = frontend->options.local_pool (frontend->options.ctx, s->pool);
   const char *holder = mt_cluster_holder (frontend->options.cluster, s->pool);
-  g_autofree char *chain = g_strdup_printf ("%" G_GINT64_FORMAT, chain_ms);
-  struct mt_mesh_args args
-      = { 3, { mt_str_from (s->pool), mt_str_from (route), mt_str_from (chain) } };
+  struct mt_wait_estimate estimate;
+  struct mt_estimate_call call;
 
   if (local_pool != NULL && mt_pool_is_loaded (local_pool)
       && mt_cluster_lease_is_valid (frontend->options.cluster))
-    apply_estimate (s, mt_scheduler_estimate_wait (mt_pool_scheduler (local_pool), route, chain_ms,
-                                                   s->workspace, mt_loop_now ())
-                           .retry_after_ms);
+    {
+      estimate = mt_scheduler_estimate_wait (mt_pool_scheduler (local_pool), s->route, s->chain_ms,
+                                             s->workspace, mt_loop_now ());
+      apply_estimate (s, &estimate);
+    }
   else if (local_pool != NULL || holder == NULL || mt_loop_now () < frontend->estimate_paused_until)
     enqueue_submit (s);
   else
-    mt_mesh_send (frontend->options.mesh, holder, MT_MESH_WAIT_ESTIMATE, &args, ESTIMATE_TIMEOUT_MS,
-                  on_estimate, s);
+    {
+      mt_estimate_call_pack (&call, s->pool, s->route, s->chain_ms,
+                             s->older_estimate ? "" : s->workspace);
+      mt_mesh_send (frontend->options.mesh, holder, MT_MESH_WAIT_ESTIMATE, &call.args,
+                    ESTIMATE_TIMEOUT_MS, on_estimate, s);
+    }
 }
 
 /* Returns whether a wait estimate makes sense: not for a job that is scheduled for later or has a
@@ -398,6 +498,7 @@
   struct submit *s;
   int64_t chain_ms;
   bool wants_estimate;
+  enum mt_refusal cause;
 
   if (spec == NULL)
     {
@@ -416,22 +517,25 @@
   s->pool = g_strdup (route->pool);
   s->id = g_strdup (id);
   s->workspace = g_strdup (workspace);
+  s->route = g_strdup (route->name);
   s->key = mt_pool_job_key (route->pool, id);
   s->value = mt_pool_submission_pack (&submission, &s->value_len);
+  s->chain_ms = chain_ms;
   s->began = mt_loop_now ();
   frontend->in_flight++;
   if (!store_answers (frontend))
     {
-      end_submit (s, 503, "the store does not answer, nothing was sent");
+      refuse_submit (s, MT_REFUSAL_STORE, "the store does not answer, nothing was sent");
       return;
     }
-  if (!mt_admission_admits (frontend->admission, frontend->submits.length))
+  cause = mt_submit_queue_check (frontend->submits, workspace);
+  if (cause != MT_REFUSAL_NONE)
     {
-      end_submit (s, 503, "too many submissions wait to be stored, nothing was sent");
+      refuse_submit (s, cause, cause == MT_REFUSAL_SHARE ? TOO_MANY_OF_WORKSPACE : TOO_MANY);
       return;
     }
   if (wants_estimate)
-    request_estimate (s, route->name, chain_ms);
+    request_estimate (s);
   else
     enqueue_submit (s);
 }
--- a/fleet/metrics.c
+++ b/fleet/metrics.c
@@ -24,6 +24,14 @@
   [MT_COUNT_LEADERSHIPS_LOST] = { "duties_lost_total", "Leaderships lost." },
 };
 
+static const struct metric_info refusals
+    = { "submissions_refused_total", "Submissions refused with status 503, by cause." };
+
+const char *const mt_refusal_names[MT_REFUSALS] = {
+  [MT_REFUSAL_NONE] = "none",   [MT_REFUSAL_STORE] = "store", [MT_REFUSAL_BACKLOG] = "backlog",
+  [MT_REFUSAL_SHARE] = "share", [MT_REFUSAL_WAIT] = "wait",
+};
+
 static const struct metric_info latencies[MT_LATENCIES] = {
   [MT_LATENCY_SUBMIT] = { "submit_milliseconds", "From a whole submission to its answer." },
   [MT_LATENCY_QUERY] = { "question_milliseconds", "From a whole question to its answer." },
@@ -49,6 +57,7 @@
 struct mt_metrics
 {
   uint64_t counts[MT_COUNTERS];
+  uint64_t refusals[MT_REFUSALS];
   int64_t values[MT_GAUGES];
   uint64_t buckets[MT_LATENCIES][BUCKETS + 1];
   int64_t sums[MT_LATENCIES];
@@ -72,6 +81,12 @@
   m->counts[counter]++;
 }
 
+void
+mt_metrics_count_refusal (struct mt_metrics *m, enum mt_refusal cause)
+{
+  m->refusals[cause]++;
+}
+
 void
 mt_metrics_set (struct mt_metrics *m, enum mt_gauge gauge, int64_t value)
 {
@@ -96,6 +111,15 @@
                           m->help, m->name, type);
 }
 
+static void
+append_refusals (GString *out, const struct mt_metrics *m)
+{
+  append_head (out, &refusals, "counter");
+  for (int i = MT_REFUSAL_NONE + 1; i < MT_REFUSALS; i++)
+    g_string_append_printf (out, "medlartrack_%s{cause=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                            refusals.name, mt_refusal_names[i], m->refusals[i]);
+}
+
 static void
 append_latency (GString *out, const struct mt_metrics *m, int which)
 {
@@ -157,6 +181,7 @@
       g_string_append_printf (out, "medlartrack_%s %" G_GUINT64_FORMAT "\n", counters[i].name,
                               m->counts[i]);
     }
+  append_refusals (out, m);
   for (int i = 0; i < MT_GAUGES; i++)
     {
       append_head (out, &gauges[i], "gauge");
--- a/fleet/metrics.h
+++ b/fleet/metrics.h
@@ -25,6 +25,20 @@
   MT_COUNTERS,
 };
 
+/* Causes of refusals with status 503. */
+enum mt_refusal
+{
+  MT_REFUSAL_NONE,
+  MT_REFUSAL_STORE,   /* the store does not answer */
+  MT_REFUSAL_BACKLOG, /* more submissions wait than can be stored in time */
+  MT_REFUSAL_SHARE,   /* the workspace has more than its share of submissions or of the pool */
+  MT_REFUSAL_WAIT,    /* the pool could not complete the job while its result is useful */
+  MT_REFUSALS,
+};
+
+/* Names of the causes in metrics and log fields, by enum mt_refusal. */
+extern const char *const mt_refusal_names[MT_REFUSALS];
+
 enum mt_latency
 {
   MT_LATENCY_SUBMIT,
@@ -49,6 +63,8 @@
 struct mt_metrics *mt_metrics_create (void);
 void mt_metrics_destroy (struct mt_metrics *metrics);
 void mt_metrics_increment (struct mt_metrics *metrics, enum mt_counter counter);
+/* Counts a refusal of the cause; MT_REFUSAL_NONE is not counted. */
+void mt_metrics_count_refusal (struct mt_metrics *metrics, enum mt_refusal cause);
 void mt_metrics_observe (struct mt_metrics *metrics, enum mt_latency latency, int64_t ms);
 void mt_metrics_set (struct mt_metrics *metrics, enum mt_gauge gauge, int64_t value);
 /* Free the text with g_free. */
--- a/fleet/neighbours.c
+++ b/fleet/neighbours.c
@@ -1,5 +1,6 @@
 #include "neighbours.h"
 
+#include "estimate_wire.h"
 #include "fleet_leader.h"
 #include "loop.h"
 
@@ -45,21 +46,21 @@
                 struct mt_pool *pool,
                 const struct mt_mesh_args *args)
 {
-  g_autofree char *route = g_strndup (args->at[1].data, args->at[1].len);
-  unsigned long long chain_ms = 0;
+  struct mt_estimate_query query = { 0 };
+  struct mt_estimate_reply reply;
   struct mt_wait_estimate estimate;
-  char text[24];
 
   if (!mt_pool_is_loaded (pool) || !mt_cluster_lease_is_valid (n->cluster)
-      || !mt_str_to_u64 (args->at[2], &chain_ms))
+      || !mt_estimate_query_unpack (args, &query))
     {
       mt_mesh_reply (call, NULL);
       return;
     }
-  estimate = mt_scheduler_estimate_wait (mt_pool_scheduler (pool), route, (int64_t) chain_ms, NULL,
-                                         mt_loop_now ());
-  g_snprintf (text, sizeof text, "%" G_GINT64_FORMAT, estimate.retry_after_ms);
-  reply_text (call, text);
+  estimate = mt_scheduler_estimate_wait (mt_pool_scheduler (pool), query.route, query.chain_ms,
+                                         query.workspace, mt_loop_now ());
+  mt_estimate_reply_pack (&reply, &estimate, args);
+  mt_mesh_reply (call, &reply.args);
+  mt_estimate_query_clear (&query);
 }
 
 static void
@@ -121,7 +122,7 @@
         }
       break;
     case MT_MESH_WAIT_ESTIMATE:
-      if (pool != NULL && args->n == 3)
+      if (pool != NULL)
         {
           reply_estimate (n, call, pool, args);
           return;
--- a/include/medlartrack/admission.h
+++ b/include/medlartrack/admission.h
@@ -27,6 +27,9 @@
 /* Returns false if the submission could not be stored within max_wait_ms. It is then to be refused
  * at once: nothing of it was sent, and the caller can go elsewhere. */
 bool mt_admission_admits (const struct mt_admission *admission, unsigned waiting);
+/* Returns the number of submissions that may wait: mt_admission_admits returns true for any smaller
+ * number and false for this and any greater one. UINT_MAX until a batch was stored. */
+unsigned mt_admission_places (const struct mt_admission *admission);
 /* Returns the delay, in whole seconds, after which a refused caller should retry: the time to store
  * the submissions before it, plus up to as long again by draw (random, 0 to 1), so that refused
  * callers don't all return together. */
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -25,7 +25,9 @@
   MT_MESH_STORE = 5,     /* [method, path, body] -> [status, body]: a forwarded store call */
   MT_MESH_CORDON = 6,    /* [pool, workers to cordon, ended workers, workers due for maintenance,
                             planned CPU, grants] -> [the pool's load, workers and accounts] */
-  MT_MESH_WAIT_ESTIMATE = 7, /* [pool, route, job's chain in ms] -> [ms until a retry; 0: now] */
+  MT_MESH_WAIT_ESTIMATE = 7, /* [pool, route, job's chain in ms] -> [ms until a retry; 0: now];
+                                [..., workspace] -> [..., the workspace's share and fair share in
+                                thousandths, 0 unless they are the cause] */
 };
 
 struct mt_mesh_args
--- a/tests/scheduler/test_admission.c
+++ b/tests/scheduler/test_admission.c
@@ -1,5 +1,6 @@
 #include "medlartrack/admission.h"
 
+#include <limits.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -70,6 +71,26 @@
   mt_admission_destroy (admission);
 }
 
+/* Guards against a number of places that admits one submission more or less than the estimate:
+ * decisions without workspaces would change. */
+static void
+test_places_are_those_that_the_estimate_admits (void **state)
+{
+  struct mt_admission *admission = mt_admission_create (&settings);
+
+  assert_true (mt_admission_places (admission) == UINT_MAX);
+  for (int i = 0; i < 3000; i++)
+    {
+      unsigned places;
+
+      mt_admission_record_batch (admission, 1 + (i * 7919) % (i % 50 < 25 ? 40 : 2500));
+      places = mt_admission_places (admission);
+      assert_true (mt_admission_admits (admission, places - 1));
+      assert_false (mt_admission_admits (admission, places));
+    }
+  mt_admission_destroy (admission);
+}
+
 int
 main (void)
 {
@@ -78,6 +99,7 @@
     cmocka_unit_test (test_submissions_that_a_slow_store_can_not_write_in_time_are_refused),
     cmocka_unit_test (test_submission_is_admitted_if_none_waits),
     cmocka_unit_test (test_retry_times_are_spread),
+    cmocka_unit_test (test_places_are_those_that_the_estimate_admits),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
