explain: a job's wait for its workspace's share, and a refusal because of it

Neither was visible from logs: a refused job showed only the reason's text, and a late one the load of its pool. The shares come from JOB_REFUSED (cause, share, fair), from the field share_wait_ms of JOB_ENDED and from SHARE_STATE (pool, workspace, share, fair, waiting), of which the one with the most waiting tasks between the job's acceptance and its end is shown. Logs without these fields read as before.

--- a/ctl/command_explain.c
+++ b/ctl/command_explain.c
@@ -122,6 +122,12 @@
   job->last_loss = line;
 }
 
+static long long
+number_of (const json_t *line, const char *name)
+{
+  return (long long) json_integer_value (json_object_get (line, name));
+}
+
 /* Returns the POOL_LOAD event of the job's pool with the most waiting tasks between the job's
  * acceptance and its first start; NULL if there is none. */
 static const json_t *
@@ -164,6 +170,65 @@
         (long long) json_integer_value (json_object_get (load, "room_cpu")));
 }
 
+/* Returns the SHARE_STATE event of the job's workspace in its pool with the most waiting tasks
+ * between the job's acceptance and its end, or any later time if it has not ended; NULL if there is
+ * none. */
+static const json_t *
+find_share_state (const struct job_history *job)
+{
+  double from = json_number_value (json_object_get (job->accepted, "at"));
+  double to
+      = job->ended != NULL ? json_number_value (json_object_get (job->ended, "at")) : G_MAXDOUBLE;
+  const char *workspace = text_of (job->accepted, "workspace");
+  const json_t *peak = NULL;
+
+  for (guint i = 0; i < job->lines->len && workspace[0] != '\0'; i++)
+    {
+      const json_t *line = job->lines->pdata[i];
+      double at = json_number_value (json_object_get (line, "at"));
+
+      if (is_event (line, "SHARE_STATE") && at >= from && at <= to
+          && strcmp (text_of (line, "workspace"), workspace) == 0
+          && strcmp (text_of (line, "pool"), job->pool) == 0
+          && (peak == NULL || number_of (line, "waiting") > number_of (peak, "waiting")))
+        peak = line;
+    }
+  return peak;
+}
+
+static void
+append_share_wait (const struct job_history *job, GString *out)
+{
+  long long waited = number_of (job->ended, "share_wait_ms");
+  const json_t *share;
+
+  if (job->ended != NULL && waited == 0)
+    return;
+  share = find_share_state (job);
+  if (job->ended != NULL)
+    g_string_append_printf (out, "; its tasks waited %lld ms behind the shares of other workspaces",
+                            waited);
+  else if (share != NULL)
+    g_string_append (out, "; its workspace waited for its share");
+  if (share != NULL)
+    g_string_append_printf (out,
+                            ", when workspace %s had %lld thousandths of the pool, a fair share of "
+                            "%lld and %lld tasks waiting",
+                            text_of (share, "workspace"), number_of (share, "share"),
+                            number_of (share, "fair"), number_of (share, "waiting"));
+}
+
+/* Of a job that was refused because of its workspace's share. */
+static void
+append_refusal_share (const struct job_history *job, GString *out)
+{
+  if (strcmp (text_of (job->refused, "cause"), "share") != 0)
+    return;
+  g_string_append_printf (out, "; workspace %s had %lld thousandths, and its fair share was %lld",
+                          text_of (job->refused, "workspace"), number_of (job->refused, "share"),
+                          number_of (job->refused, "fair"));
+}
+
 static void
 append_reruns (const struct job_history *job, GString *out)
 {
@@ -198,7 +263,10 @@
     g_string_append_printf (out, "its submission was answered with an unknown outcome: %s",
                             text_of (job->outcome_unknown, "why"));
   else if (job->accepted == NULL && job->refused != NULL)
-    g_string_append_printf (out, "refused, it never ran: %s", text_of (job->refused, "why"));
+    {
+      g_string_append_printf (out, "refused, it never ran: %s", text_of (job->refused, "why"));
+      append_refusal_share (job, out);
+    }
   else if (job->accepted == NULL && job->caller_refused != NULL)
     g_string_append_printf (out, "its caller was refused, nothing was stored: %s",
                             text_of (job->caller_refused, "why"));
@@ -214,6 +282,7 @@
   if (job->accepted != NULL)
     {
       append_wait (job, out);
+      append_share_wait (job, out);
       append_reruns (job, out);
     }
   return g_string_free (out, FALSE);
--- a/tests/ctl/test_explain.c
+++ b/tests/ctl/test_explain.c
@@ -130,6 +130,86 @@
   assert_string_equal (cause, "its caller was refused, nothing was stored: unknown key");
 }
 
+/* Guards against a refusal whose cause, the workspace's share, an operator can't see. */
+static void
+test_refused_because_of_the_share_names_both_shares (void **state)
+{
+  const char *lines
+      = "{\"at\":1.0,\"event\":8102,\"name\":\"JOB_REFUSED\",\"id\":\"00f6226332f5636d\","
+        "\"pool\":\"p\",\"status\":503,\"why\":\"its workspace has more than its share of the "
+        "waiting "
+        "submissions, nothing was sent\",\"took_ms\":0,\"workspace\":\"press\",\"cause\":\"share\","
+        "\"share\":983,\"fair\":500}\n";
+  int code;
+  g_autofree char *cause = explain_cause (lines, "00f6226332f5636d", &code);
+
+  assert_int_equal (code, MT_EXIT_OK);
+  assert_string_equal (cause, "refused, it never ran: its workspace has more than its share of the "
+                              "waiting submissions, nothing was sent; workspace press had 983 "
+                              "thousandths, and its fair share was 500");
+}
+
+#define ACCEPTED_BY_PRESS                                                                          \
+  "{\"at\":1.0,\"event\":8101,\"name\":\"JOB_ACCEPTED\",\"id\":\"00f6226332f5636d\","              \
+  "\"pool\":\"p\",\"status\":200,\"workspace\":\"press\"}\n"
+/* Of other workspaces, pools and times, and of this job's. */
+#define SHARE_STATES                                                                               \
+  "{\"at\":0.5,\"event\":8110,\"name\":\"SHARE_STATE\",\"pool\":\"p\",\"workspace\":\"press\","    \
+  "\"share\":1,\"fair\":1,\"waiting\":900}\n"                                                      \
+  "{\"at\":1.5,\"event\":8110,\"name\":\"SHARE_STATE\",\"pool\":\"p\",\"workspace\":\"yard\","     \
+  "\"share\":2,\"fair\":2,\"waiting\":900}\n"                                                      \
+  "{\"at\":1.5,\"event\":8110,\"name\":\"SHARE_STATE\",\"pool\":\"q\",\"workspace\":\"press\","    \
+  "\"share\":3,\"fair\":3,\"waiting\":900}\n"                                                      \
+  "{\"at\":2.0,\"event\":8110,\"name\":\"SHARE_STATE\",\"pool\":\"p\",\"workspace\":\"press\","    \
+  "\"share\":620,\"fair\":50,\"waiting\":300}\n"                                                   \
+  "{\"at\":3.0,\"event\":8110,\"name\":\"SHARE_STATE\",\"pool\":\"p\",\"workspace\":\"press\","    \
+  "\"share\":40,\"fair\":50,\"waiting\":0}\n"
+
+static void
+check_cause_of_late_job (const char *lines, const char *expected)
+{
+  int code;
+  g_autofree char *cause = explain_cause (lines, "00f6226332f5636d", &code);
+
+  assert_int_equal (code, MT_EXIT_OK);
+  assert_string_equal (cause, expected);
+}
+
+/* Guards against a late job whose cause, the shares of other workspaces, an operator can't see, and
+ * against figures of another workspace, pool or time. */
+static void
+test_wait_for_the_share_is_named (void **state)
+{
+  check_cause_of_late_job (
+      ACCEPTED_BY_PRESS SHARE_STATES
+      "{\"at\":5.0,\"event\":8107,\"name\":\"JOB_ENDED\",\"id\":\"00f6226332f5636d\","
+      "\"pool\":\"p\",\"state\":\"completed\",\"age_ms\":4000,\"share_wait_ms\":1700}\n",
+      "completed 4000 ms after its acceptance; its tasks waited 1700 ms behind the shares of other "
+      "workspaces, when workspace press had 620 thousandths of the pool, a fair share of 50 and "
+      "300 "
+      "tasks waiting");
+  check_cause_of_late_job (
+      ACCEPTED_BY_PRESS SHARE_STATES,
+      "accepted, not started; its workspace waited for its share, when workspace "
+      "press had 620 thousandths of the pool, a fair share of 50 and 300 tasks "
+      "waiting");
+}
+
+/* Guards against blaming shares for a job that waited for none, or that has no workspace. */
+static void
+test_job_that_did_not_wait_for_a_share_names_none (void **state)
+{
+  check_cause_of_late_job (
+      ACCEPTED_BY_PRESS SHARE_STATES
+      "{\"at\":5.0,\"event\":8107,\"name\":\"JOB_ENDED\",\"id\":\"00f6226332f5636d\","
+      "\"pool\":\"p\",\"state\":\"completed\",\"age_ms\":4000,\"share_wait_ms\":0}\n",
+      "completed 4000 ms after its acceptance");
+  check_cause_of_late_job (
+      "{\"at\":1.0,\"event\":8101,\"name\":\"JOB_ACCEPTED\",\"id\":\"00f6226332f5636d\","
+      "\"pool\":\"p\",\"status\":200}\n" SHARE_STATES,
+      "accepted, not started");
+}
+
 /* A job that no log line mentions is an error; lines that are not events are skipped. */
 static void
 test_unknown_job_is_an_error (void **state)
@@ -152,6 +232,9 @@
     cmocka_unit_test (test_run_again_after_its_worker_was_lost),
     cmocka_unit_test (test_start_without_an_answer_names_the_cause),
     cmocka_unit_test (test_refused_caller_names_the_reason),
+    cmocka_unit_test (test_refused_because_of_the_share_names_both_shares),
+    cmocka_unit_test (test_wait_for_the_share_is_named),
+    cmocka_unit_test (test_job_that_did_not_wait_for_a_share_names_none),
     cmocka_unit_test (test_unknown_job_is_an_error),
   };
 
