--- a/fleet/frontend_submit.c
+++ b/fleet/frontend_submit.c
@@ -157,7 +157,7 @@
   free_submit (s);
 }
 
-/* Refuses a submission that is not in a transaction. One that was in an earlier transaction without
+/* Refuses a submission that no transaction holds any more. One that was in a transaction without
  * an answer may be stored all the same. */
 static void
 refuse_submit (struct submit *s, enum mt_refusal cause, const char *why)
