scheduler: store the jobs of a cycle independently

A pool's leader started no job for 0.82 to 1.82 s at a time while one transaction of its write cycle had no answer (time-out 800 ms, retry after 60 ms): the cycle waited for all of its transactions, and the next one for the cycle.

Each transaction now stands for itself. When it is stored, the starts of its jobs are released (mt_scheduler_jobs_stored, which replaces mt_scheduler_cycle_done). Jobs that are being written are left out of placing and of the next cycle, so no placement is released that the written record does not have. The next cycle may begin with at most four transactions unanswered; further ones are queued in the pool. An end is durable once its job, and the jobs of all earlier ends of its worker, are stored with the version that the end led to. durable_end is computed when a hold is due, not by a pass over all workers.

The restart had not been stored yet. mt_scheduler_restore now begins the later incarnation. test_records_of_an_earlier_incarnation_hide_no_runs fails without the line.

--- a/core/scheduler/scheduler.c
+++ b/core/scheduler/scheduler.c
@@ -102,6 +102,7 @@
 {
   struct mt_worker *w = data;
 
+  mt_worker_clear_ends (w);
   g_strfreev (w->labels);
   g_free (w->address);
   g_free (w->zone);
@@ -159,7 +160,6 @@
   sched->step_tickets = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_step_tickets);
   sched->accounts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, mt_account_free);
   sched->dirty = g_ptr_array_new ();
-  sched->writing = g_ptr_array_new ();
   sched->owned_workers = g_ptr_array_new_with_free_func (free_worker);
   return sched;
 }
@@ -179,7 +179,6 @@
   g_hash_table_unref (sched->step_tickets);
   g_hash_table_unref (sched->accounts);
   g_ptr_array_unref (sched->dirty);
-  g_ptr_array_unref (sched->writing);
   g_ptr_array_unref (sched->owned_workers);
   g_free ((char *) sched->settings.name);
   g_free (sched);
@@ -217,6 +216,7 @@
 mt_job_mark_dirty (struct mt_scheduler *sched, struct mt_job *job)
 {
   job->dirty = true;
+  job->version++;
   sched->changed = true;
   if (job->in_dirty_list)
     return;
--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -245,11 +245,13 @@
   for (size_t i = 0; i < report->n_ended; i++)
     {
       const struct mt_end_row *end = &report->ended[i];
+      const struct mt_task *task;
 
       if (end->sequence <= w->applied_end)
         continue;
       apply_end (sched, w, end, now);
-      w->applied_end = end->sequence;
+      task = mt_scheduler_find_task (sched, end->task);
+      mt_worker_add_end (w, end->sequence, task != NULL ? task->occ->job : NULL);
       sched->changed = true;
     }
 }
--- a/core/scheduler/scheduler_cycle.c
+++ b/core/scheduler/scheduler_cycle.c
@@ -1,5 +1,7 @@
-/* Cycles. A cycle collects the changed jobs, has the owner store them, then releases the orders
- * that depend on the changes. So no order is sent of which the next leader would not know. */
+/* Cycles. A cycle collects the changed jobs and has the owner store them. As each job is stored,
+ * the orders that depend on it are released, so no order is sent of which the next leader would not
+ * know. Jobs are stored independently of each other: one transaction without an answer, for up to
+ * its time-out of 0.8 s in a surge of 440 tasks a second, delays only its own jobs. */
 #include "scheduler_internal.h"
 
 /* Most ended jobs that are kept beyond retention_ms; each takes about 2 KB. */
@@ -14,40 +16,87 @@
 bool
 mt_scheduler_needs_cycle (struct mt_scheduler *sched, int64_t now)
 {
-  return !sched->in_cycle && (sched->changed || (sched->place_at != 0 && now >= sched->place_at));
+  return sched->changed || (sched->place_at != 0 && now >= sched->place_at);
 }
 
+/* ---- ends ---- */
+
+void
+mt_worker_update_durable_end (struct mt_worker *w)
+{
+  struct mt_pending_end *end;
+
+  while ((end = g_queue_peek_head (&w->pending_ends)) != NULL
+         && (end->job == NULL || end->job->stored_version >= end->version))
+    {
+      w->durable_end = end->sequence;
+      g_free (g_queue_pop_head (&w->pending_ends));
+    }
+}
+
+void
+mt_worker_add_end (struct mt_worker *w, int64_t sequence, const struct mt_job *job)
+{
+  struct mt_pending_end *end = g_new0 (struct mt_pending_end, 1);
+
+  *end = (struct mt_pending_end){ sequence, job, job != NULL ? job->version : 0 };
+  w->applied_end = sequence;
+  g_queue_push_tail (&w->pending_ends, end);
+  mt_worker_update_durable_end (w);
+}
+
+void
+mt_worker_clear_ends (struct mt_worker *w)
+{
+  g_queue_clear_full (&w->pending_ends, g_free);
+}
+
+/* Removes the job from the pending ends of all workers. An ended job is removed only when all of
+ * its changes are stored. */
 static void
-update_durable_ends (struct mt_scheduler *sched, bool cycle_begins)
+forget_job_in_ends (struct mt_scheduler *sched, const struct mt_job *job)
 {
   GHashTableIter it;
   struct mt_worker *w;
 
   g_hash_table_iter_init (&it, sched->workers);
   while (g_hash_table_iter_next (&it, NULL, (void **) &w))
-    if (cycle_begins)
-      w->cycle_end = w->applied_end;
-    else
-      w->durable_end = MAX (w->durable_end, w->cycle_end);
+    for (GList *l = w->pending_ends.head; l != NULL; l = l->next)
+      {
+        struct mt_pending_end *end = l->data;
+
+        if (end->job == job)
+          end->job = NULL;
+      }
 }
 
+/* ---- cycles ---- */
+
+/* Jobs that are being written stay in the list. */
 static void
 collect_dirty_jobs (struct mt_scheduler *sched, GPtrArray *out)
 {
+  guint kept = 0;
+
   for (guint i = 0; i < sched->dirty->len; i++)
     {
       struct mt_job *job = sched->dirty->pdata[i];
 
+      if (job->dirty && job->in_cycle)
+        {
+          sched->dirty->pdata[kept++] = job;
+          continue;
+        }
       job->in_dirty_list = false;
       if (!job->dirty)
         continue;
       job->dirty = false;
       job->in_cycle = true;
       job->cycle_state = job->state;
-      g_ptr_array_add (sched->writing, job);
+      job->writing_version = job->version;
       g_ptr_array_add (out, g_strdup (job->spec->id));
     }
-  g_ptr_array_set_size (sched->dirty, 0);
+  g_ptr_array_set_size (sched->dirty, (int) kept);
 }
 
 GPtrArray *
@@ -55,26 +104,19 @@
 {
   GPtrArray *out;
 
-  if (sched->in_cycle)
-    return NULL;
   sched->changed = false;
   mt_scheduler_open_due_occurrences (sched, now, wall);
   mt_scheduler_place (sched, now);
   out = g_ptr_array_new_with_free_func (g_free);
   collect_dirty_jobs (sched, out);
-  update_durable_ends (sched, true);
-  if (out->len == 0)
-    {
-      update_durable_ends (sched, false);
-      g_ptr_array_unref (out);
-      return NULL;
-    }
-  sched->in_cycle = true;
-  return out;
+  if (out->len > 0)
+    return out;
+  g_ptr_array_unref (out);
+  return NULL;
 }
 
-/* Queues the starts that the cycle has made durable, except to workers that are leaving or have
- * shrunk since. */
+/* Queues the starts that are durable now, except to workers that are leaving or have shrunk
+ * since. */
 static void
 release_starts (struct mt_scheduler *sched, struct mt_job *job, int64_t now)
 {
@@ -98,20 +140,28 @@
 }
 
 void
-mt_scheduler_cycle_done (struct mt_scheduler *sched, int64_t now)
+mt_job_mark_stored (struct mt_job *job)
 {
-  for (guint i = 0; i < sched->writing->len; i++)
+  job->dirty = false;
+  job->stored_version = job->version;
+}
+
+void
+mt_scheduler_jobs_stored (struct mt_scheduler *sched, const char *const *ids, size_t n, int64_t now)
+{
+  for (size_t i = 0; i < n; i++)
     {
-      struct mt_job *job = sched->writing->pdata[i];
+      struct mt_job *job = g_hash_table_lookup (sched->jobs, ids[i]);
 
+      if (job == NULL || !job->in_cycle)
+        continue;
       job->in_cycle = false;
-      if (job->cycle_state != MT_JOB_QUEUED && job->cycle_state != MT_JOB_ACTIVE)
+      job->stored_version = job->writing_version;
+      if (mt_job_state_is_final (job->cycle_state))
         job->durable_state = job->cycle_state;
       release_starts (sched, job, now);
+      sched->changed |= job->dirty || job->left_out;
     }
-  g_ptr_array_set_size (sched->writing, 0);
-  update_durable_ends (sched, false);
-  sched->in_cycle = false;
 }
 
 int64_t
@@ -156,6 +206,7 @@
   for (unsigned k = 0; k < job->n_occurrences; k++)
     for (unsigned i = 0; job->occurrences[k] != NULL && i < job->occurrences[k]->n_tasks; i++)
       mt_task_set_waiting (sched, &job->occurrences[k]->tasks[i], 0);
+  forget_job_in_ends (sched, job);
   g_queue_unlink (&sched->closed, &job->link);
   g_ptr_array_remove_fast (sched->dirty, job);
   g_hash_table_remove (sched->jobs, id);
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -104,12 +104,16 @@
   unsigned n_ended;
   enum mt_job_state state;
   enum mt_job_state durable_state; /* the last stored state, which callers are shown */
-  enum mt_job_state cycle_state;   /* the state that the running cycle writes */
+  enum mt_job_state cycle_state;   /* the state that is being written */
   bool over_rate;                  /* submitted above its workspace's rate */
   bool begun;
-  bool dirty;         /* to be written in the next cycle */
-  bool in_dirty_list; /* in the scheduler's dirty list */
-  bool in_cycle;      /* its record is being written */
+  bool dirty;               /* to be written in the next cycle */
+  bool in_dirty_list;       /* in the scheduler's dirty list */
+  bool in_cycle;            /* its record is being written */
+  bool left_out;            /* the last placing left it out because its record was being written */
+  uint64_t version;         /* number of changes so far */
+  uint64_t writing_version; /* version that is being written */
+  uint64_t stored_version;  /* version that is stored */
   int64_t ended_at;
   int64_t submitted_at;
   int64_t revision;
@@ -165,8 +169,8 @@
   bool move_long_running;
 
   int64_t applied_end; /* sequence number of the last end of a run that was applied */
-  int64_t cycle_end;   /* applied_end when the running cycle began */
-  int64_t durable_end; /* highest end whose effects are durable */
+  int64_t durable_end; /* highest end whose effects, and those of all earlier ones, are durable */
+  GQueue pending_ends; /* struct mt_pending_end, applied and not durable yet, by sequence */
 
   double failures; /* recent failures, decayed */
   double successes;
@@ -197,6 +201,14 @@
   int64_t until; /* end of its validity */
 };
 
+/* An end whose effects are durable once the job is stored with this version or a later one. */
+struct mt_pending_end
+{
+  int64_t sequence;
+  const struct mt_job *job; /* NULL: no job depends on the end */
+  uint64_t version;
+};
+
 /* A run that a worker lists and that belongs to no job. */
 struct mt_orphaned_run
 {
@@ -221,15 +233,13 @@
   GQueue open;              /* jobs that have not ended, in order of submission */
   GQueue closed;            /* ended jobs, in order of their end */
   GPtrArray *dirty;         /* jobs to be written; entries whose dirty flag is clear are skipped */
-  GPtrArray *writing;       /* jobs of the running cycle */
   GPtrArray *owned_workers; /* every worker ever known; freed with the scheduler */
   GQueue starts;            /* tasks whose start is queued */
   GQueue stops;             /* tasks whose stop is queued */
   GQueue pace_changes;
   GQueue orphaned_runs; /* orphaned runs to be stopped */
-  bool in_cycle;
-  bool changed;     /* a cycle may have something to place or write */
-  int64_t place_at; /* next time at which a waiting task may become placeable; 0: none */
+  bool changed;         /* a cycle may have something to place or write */
+  int64_t place_at;     /* next time at which a waiting task may become placeable; 0: none */
   bool fenced;
   int64_t last_placed_at;
   int64_t last_check_at;
@@ -328,6 +338,11 @@
 /* scheduler_workers.c */
 /* Returns the worker, created if needed. */
 struct mt_worker *mt_scheduler_get_worker (struct mt_scheduler *sched, const char *id);
+/* Resets the worker for a new incarnation: runs, ends and clock of the previous one are gone. */
+void mt_worker_begin_incarnation (struct mt_scheduler *sched,
+                                  struct mt_worker *w,
+                                  int64_t started_at,
+                                  int64_t now);
 bool mt_worker_accepts_work (const struct mt_worker *w, int64_t now);
 /* Returns whether the worker's tasks use more resources than it has, as after it has shrunk. */
 bool mt_worker_is_overcommitted (const struct mt_worker *w);
@@ -378,6 +393,17 @@
 /* To be called when the worker has answered: clears suspicion of its tasks that have settled. */
 void mt_worker_clear_settled (struct mt_scheduler *sched, struct mt_worker *w);
 
+/* scheduler_cycle.c */
+/* To be called after an end was applied, in the order of the ends. job: of the run; NULL if the
+ * scheduler doesn't know it. */
+void mt_worker_add_end (struct mt_worker *w, int64_t sequence, const struct mt_job *job);
+/* Raises durable_end to the last end that is durable by now. */
+void mt_worker_update_durable_end (struct mt_worker *w);
+/* Forgets the pending ends of the worker. */
+void mt_worker_clear_ends (struct mt_worker *w);
+/* To be called when the job's present state is known to be stored. */
+void mt_job_mark_stored (struct mt_job *job);
+
 /* scheduler_load.c */
 /* Returns the remaining work in thousandths of a core * ms, without long-running and fill tasks. */
 double mt_occurrence_remaining_work (const struct mt_occurrence *occ);
--- a/core/scheduler/scheduler_orders.c
+++ b/core/scheduler/scheduler_orders.c
@@ -132,7 +132,7 @@
 /* Returns whether a hold is to be sent to the worker now. A confirmed worker without tasks gets
  * none before next_hold_at. */
 static bool
-is_hold_due (const struct mt_scheduler *sched, const struct mt_worker *w, int64_t now)
+is_hold_due (const struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
   int64_t gather_ms
       = MIN (GATHER_ENDS_MS + GATHER_LINK_DELAYS * sched->link_delay_ms, BLOCKED_HOLD_INTERVAL_MS);
@@ -141,6 +141,7 @@
     return false;
   if (!w->listed && w->tasks.length == 0)
     return false;
+  mt_worker_update_durable_end (w);
   if (w->applied_end > w->durable_end)
     return now - w->hold_sent_at >= BLOCKED_HOLD_INTERVAL_MS;
   return now - w->hold_sent_at >= gather_ms;
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -640,7 +640,10 @@
     {
       struct mt_job *job = l->data;
 
-      for (unsigned k = 0; k < job->n_occurrences; k++)
+      /* A placement made now is not in the record that is being written, and its start would be
+       * released with the others once that record is stored. */
+      job->left_out = job->in_cycle;
+      for (unsigned k = 0; !job->left_out && k < job->n_occurrences; k++)
         {
           struct mt_occurrence *occ = job->occurrences[k];
 
--- a/core/scheduler/scheduler_record.c
+++ b/core/scheduler/scheduler_record.c
@@ -157,6 +157,10 @@
   if (worker == NULL || worker[0] == '\0')
     return;
   w = mt_scheduler_get_worker (sched, worker);
+  /* Records of an earlier incarnation, which a restart has not changed yet, may be read first: the
+   * runs of the present one would otherwise count as ended, and run twice. */
+  if (w->started_at != 0 && started_at > w->started_at)
+    mt_worker_begin_incarnation (sched, w, started_at, now);
   if (started_at != 0 && w->started_at != 0 && w->started_at != started_at)
     {
       /* The run's incarnation of the worker has ended, and the run with it. */
@@ -199,12 +203,12 @@
     mt_job_mark_begun (job);
   restore_done (sched, job, json_object_get (root, "d"), now);
   json_array_foreach (json_object_get (root, "t"), i, row) restore_task (sched, job, row, now);
-  job->dirty = false;
+  mt_job_mark_stored (job);
   if (mt_job_state_is_final (state))
     {
       mt_job_end (sched, job, state, now);
       job->durable_state = state;
-      job->dirty = false; /* the record is already stored */
+      mt_job_mark_stored (job);
     }
   /* Whatever state the record has, a cancellation read from the queue may have ended the job before
    * its runs were known. Unless stopped here, they would run for ever: they are neither orphaned
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -35,9 +35,11 @@
   return false;
 }
 
-/* Resets the worker for a new incarnation: runs, ends and clock of the previous one are gone. */
-static void
-begin_incarnation (struct mt_scheduler *sched, struct mt_worker *w, int64_t started_at, int64_t now)
+void
+mt_worker_begin_incarnation (struct mt_scheduler *sched,
+                             struct mt_worker *w,
+                             int64_t started_at,
+                             int64_t now)
 {
   mt_worker_release_tasks (sched, w, true, now, "reborn");
   w->started_at = started_at;
@@ -47,7 +49,8 @@
   w->clock_at = 0;
   w->start_sent_at = 0;
   w->lease_end = 0;
-  w->applied_end = w->cycle_end = w->durable_end = 0;
+  w->applied_end = w->durable_end = 0;
+  mt_worker_clear_ends (w);
   w->failures = w->successes = 0;
   w->slowness = 1.0;
   w->avoid_until = 0;
@@ -119,7 +122,7 @@
   bool resized;
 
   if (entry->started_at_ms != 0 && w->started_at != 0 && entry->started_at_ms > w->started_at)
-    begin_incarnation (sched, w, entry->started_at_ms, now);
+    mt_worker_begin_incarnation (sched, w, entry->started_at_ms, now);
   else if (entry->started_at_ms != 0 && w->started_at == 0)
     w->started_at = entry->started_at_ms;
   if (w->ended)
--- a/fleet/pool.c
+++ b/fleet/pool.c
@@ -14,6 +14,10 @@
 /* Most jobs in one transaction: each takes a precondition and a put, and the leadership takes one
  * precondition. */
 #define JOBS_PER_TXN 15
+/* Most transactions without an answer. A transaction whose answer is lost holds back its own jobs
+ * for up to TXN_TIMEOUT_MS; with four, the others go on until four in a row are lost. The limit
+ * bounds the jobs that wait for one answer, and the writes in flight to a slow store. */
+#define MAX_TXNS_IN_FLIGHT 4U
 /* Time-out of a write, which is then sent again; the store answers in 10 ms when it is not
  * overloaded. */
 #define TXN_TIMEOUT_MS 800
@@ -53,8 +57,10 @@
   char *load_after; /* key after which the next page begins; NULL: first page */
   struct mt_timer *load_timer;
 
-  unsigned writes_remaining; /* unfinished transactions of the running cycle */
-  int64_t cycle_began;       /* when the last cycle began */
+  unsigned
+      writes_in_flight; /* transactions that are not stored yet, except those in queued_writes */
+  GQueue queued_writes; /* struct write, to be sent once fewer are in flight */
+  int64_t cycle_began;  /* when the last cycle began */
   bool removal_in_flight;
   bool in_run;
 };
@@ -113,12 +119,33 @@
   g_ptr_array_unref (w->ids);
   mt_timer_destroy (w->retry_timer);
   g_free (w);
-  if (!pool->destroyed && --pool->writes_remaining == 0)
+  unref (pool);
+}
+
+static void
+send_queued_writes (struct mt_pool *pool)
+{
+  while (!pool->destroyed && pool->writes_in_flight < MAX_TXNS_IN_FLIGHT
+         && !g_queue_is_empty (&pool->queued_writes))
     {
-      mt_scheduler_cycle_done (pool->sched, mt_loop_now ());
-      run_scheduler (pool);
+      pool->writes_in_flight++;
+      send_write (g_queue_pop_head (&pool->queued_writes));
     }
-  unref (pool);
+}
+
+static void
+complete_write (struct write *w, int64_t revision)
+{
+  struct mt_pool *pool = w->pool;
+
+  for (guint i = 0; i < w->ids->len; i++)
+    mt_scheduler_set_job_revision (pool->sched, w->ids->pdata[i], revision);
+  mt_scheduler_jobs_stored (pool->sched, (const char *const *) w->ids->pdata, w->ids->len,
+                            mt_loop_now ());
+  pool->writes_in_flight--;
+  send_queued_writes (pool);
+  run_scheduler (pool);
+  end_write (w);
 }
 
 /* Handles a write refused because keys have other revisions than expected. For a progress key, the
@@ -158,9 +185,7 @@
   switch (reply->status)
     {
     case MT_KV_OK:
-      for (guint i = 0; i < w->ids->len; i++)
-        mt_scheduler_set_job_revision (pool->sched, w->ids->pdata[i], reply->revision);
-      end_write (w);
+      complete_write (w, reply->revision);
       return;
     case MT_KV_CONFLICT:
       if (!resolve_conflict (w, reply))
@@ -225,7 +250,6 @@
   if (ids == NULL)
     return;
   pool->cycle_began = now;
-  pool->writes_remaining = (ids->len + JOBS_PER_TXN - 1) / JOBS_PER_TXN;
   for (guint at = 0; at < ids->len; at += JOBS_PER_TXN)
     {
       struct write *w = g_new0 (struct write, 1);
@@ -235,9 +259,10 @@
       w->retry_timer = mt_timer_create (pool->base, send_write, w);
       for (guint i = at; i < MIN (at + JOBS_PER_TXN, ids->len); i++)
         g_ptr_array_add (w->ids, g_strdup (ids->pdata[i]));
-      send_write (w);
+      g_queue_push_tail (&pool->queued_writes, w);
     }
   g_ptr_array_unref (ids);
+  send_queued_writes (pool);
 }
 
 /* ---- orders ---- */
@@ -425,7 +450,7 @@
     return;
   pool->in_run = true;
   ref (pool);
-  if (mt_scheduler_needs_cycle (pool->sched, now))
+  if (pool->writes_in_flight < MAX_TXNS_IN_FLIGHT && mt_scheduler_needs_cycle (pool->sched, now))
     {
       if (now - pool->cycle_began >= CYCLE_MS)
         begin_cycle (pool, now);
@@ -618,6 +643,7 @@
   pool->destroyed = true;
   mt_timer_clear (pool->tick);
   mt_timer_clear (pool->load_timer);
+  g_queue_clear_full (&pool->queued_writes, (GDestroyNotify) end_write);
   mt_watcher_destroy (pool->queue);
   unref (pool);
 }
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -340,11 +340,16 @@
 /* ---- durability ---- */
 
 /* Begins a cycle: places waiting tasks and collects changed jobs. Returns the ids of the jobs to
- * store, to be freed with g_ptr_array_unref; NULL if nothing has changed or a cycle is running. No
- * other cycle begins before mt_scheduler_cycle_done, which is to be called once the jobs are
- * stored: it releases the orders that depend on the changes. */
+ * store, to be freed with g_ptr_array_unref; NULL if there are none. Jobs of earlier cycles that
+ * are not stored yet are left out. */
 GPtrArray *mt_scheduler_cycle_begin (struct mt_scheduler *sched, int64_t now, int64_t wall);
-void mt_scheduler_cycle_done (struct mt_scheduler *sched, int64_t now);
+/* To be called once the records of these n jobs are stored as of their cycle or later, in any
+ * order: releases the starts of their tasks, and the ends that led to their changes become durable.
+ * Ids of jobs that are not being written are ignored. */
+void mt_scheduler_jobs_stored (struct mt_scheduler *sched,
+                               const char *const *ids,
+                               size_t n,
+                               int64_t now);
 /* Returns whether a cycle would have anything to do now. */
 bool mt_scheduler_needs_cycle (struct mt_scheduler *sched, int64_t now);
 /* Returns the job's progress as text to be stored; free it with g_free. NULL if the job isn't
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -126,6 +126,73 @@
   world_destroy (world);
 }
 
+/* One transaction gets no answer. Only its own jobs wait for the retry: guards against a cycle that
+ * waits for all of its transactions, during which the pool's leader started nothing. */
+static void
+test_unanswered_transaction_delays_only_its_own_jobs (void **state)
+{
+  struct world *world = world_create ();
+  unsigned n_started = 0;
+
+  for (int i = 0; i < 4; i++)
+    world_add_worker (world, "r1");
+  world_run (world, 100);
+  world->jobs_per_txn = 1;
+  world->n_write_fates = 8;
+  world->n_writes_sent = 0;
+  world->write_fates[0] = (struct world_write_fate){ -1, 0 };
+  for (int i = 0; i < 8; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("a%d", i);
+
+      world_submit (world, world_job (id, 1, 1000, 1000));
+    }
+  world_run (world, 100);
+  assert_int_equal (world->n_starts, 7);
+  world->write_fates[0] = (struct world_write_fate){ 0, 0 };
+  world_submit (world, world_job ("later", 1, 1000, 1000));
+  world_run (world, 50);
+  assert_int_equal (world->n_starts, 8);
+  world->n_write_fates = 0;
+  world_run (world, 1000);
+  for (unsigned i = 0; i < world->n_workers; i++)
+    n_started += world->workers[i].n_starts;
+  assert_int_equal (n_started, 9);
+  assert_int_equal (world->unstored_starts, 0);
+  world_destroy (world);
+}
+
+/* A worker's second end is stored before its first. Acknowledging it would make the worker forget
+ * the first one too: after a takeover nobody would know of it. */
+static void
+test_end_is_not_acknowledged_before_earlier_ones_are_stored (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *w = world_add_worker (world, "r1");
+
+  world_run (world, 100);
+  world->run_ms = 300;
+  world_submit (world, world_job ("a0", 1, 1000, 300));
+  world_submit (world, world_job ("a1", 1, 1000, 300));
+  world_run (world, 200);
+  assert_int_equal (w->n_starts, 2);
+  world->jobs_per_txn = 1;
+  world->n_write_fates = 2;
+  world->n_writes_sent = 0;
+  world->write_fates[0] = (struct world_write_fate){ -1, 0 };
+  world_run (world, 400);
+  assert_int_equal (w->ends->len, 2); /* a1 ended first, its transaction is lost */
+  assert_string_equal (g_array_index (w->ends, struct world_end, 0).task, "a1.0.0.0");
+  assert_int_equal (mt_scheduler_job_state (world->sched, "a0"), MT_JOB_COMPLETED);
+  assert_int_not_equal (mt_scheduler_job_state (world->sched, "a1"), MT_JOB_COMPLETED);
+  world->n_write_fates = 0;
+  world_run (world, 2000);
+  assert_int_equal (mt_scheduler_job_state (world->sched, "a1"), MT_JOB_COMPLETED);
+  assert_int_equal (w->ends->len, 0);
+  assert_int_equal (world->unstored_ends, 0);
+  world_destroy (world);
+}
+
 /* The leader dies while tasks run. Its successor finds them by the stored placements, holds the
  * workers under its own token and lets the tasks run on: none is started again. */
 static void
@@ -147,6 +214,40 @@
   world_destroy (world);
 }
 
+/* A worker has restarted, and the leader dies before the tasks that the restart ended are stored as
+ * such. The successor reads their records before those of the tasks that run there now, and the
+ * registry last. It must not take the present runs for ended ones: they would run twice. */
+static void
+test_records_of_an_earlier_incarnation_hide_no_runs (void **state)
+{
+  struct world *world = world_create ();
+  g_autoptr (GPtrArray) specs = g_ptr_array_new ();
+  struct world_worker *w = world_add_worker (world, "r1");
+  static const char stale[]
+      = "{\"s\":\"active\",\"b\":1,\"d\":{},\"t\":[[0,0,0,1,0,\"i-0\",6,\"\"]]}";
+  static const char present[]
+      = "{\"s\":\"active\",\"b\":1,\"d\":{},\"t\":[[0,0,0,1,0,\"i-0\",7,\"\"]]}";
+
+  world->run_ms = 3000;
+  world_submit (world, world_job ("aa", 1, 1000, 3000));
+  world_run (world, 200);
+  assert_int_equal (w->n_starts, 1);
+  mt_scheduler_destroy (world->sched);
+  world->sched = mt_scheduler_create (
+      &(struct mt_scheduler_settings){ .name = "pool", .lease_ms = 4500, .max_lease_ms = 6000 });
+  world->token++;
+  mt_scheduler_submit (world->sched, world_job ("old", 1, 1000, 3000), world->now, world->now);
+  mt_scheduler_submit (world->sched, world_job ("aa", 1, 1000, 3000), world->now, world->now);
+  assert_true (mt_scheduler_restore (world->sched, "old", stale, 1, world->now));
+  assert_true (mt_scheduler_restore (world->sched, "aa", present, 1, world->now));
+  world_mark_leaving (world, w); /* updates the registry's entry */
+  world_run (world, 200);
+  assert_int_equal (world_count_running (world, "aa.0.0.0"), 1);
+  assert_int_equal (w->runs->len, 1);
+  assert_int_equal (g_array_index (w->runs, struct world_run, 0).stops_at, 0);
+  world_destroy (world);
+}
+
 /* A worker falls silent and its tasks run on. They must not start elsewhere before every lease
  * given to the worker has expired by the slowest clock, or a task would run twice. */
 static void
@@ -318,6 +419,7 @@
 {
   struct world *world = world_create ();
   struct world_worker *leaving = world_add_worker (world, "r1");
+  const char *id = "aa";
   GPtrArray *ids;
 
   world_run (world, 100);
@@ -328,7 +430,7 @@
   assert_non_null (ids);
   g_ptr_array_unref (ids);
   world_mark_leaving (world, leaving);
-  mt_scheduler_cycle_done (world->sched, world->now);
+  mt_scheduler_jobs_stored (world->sched, &id, 1, world->now);
   world->store_down = false;
   world_add_worker (world, "r1");
   assert_true (world_run_until_state (world, "aa", MT_JOB_COMPLETED, 3000));
@@ -393,13 +495,14 @@
 {
   struct world *world = world_create ();
   struct world_worker *w = world_add_worker (world, "r1");
+  const char *id = "aa";
 
   world->task_cpu = 4000;
   world_run (world, 200);
   world_submit (world, world_job ("aa", 4, 4000, 1000));
   g_ptr_array_unref (mt_scheduler_cycle_begin (world->sched, world->now, world->now));
   world_resize (world, w, 8000);
-  mt_scheduler_cycle_done (world->sched, world->now);
+  mt_scheduler_jobs_stored (world->sched, &id, 1, world->now);
   assert_true (world_run_until_state (world, "aa", MT_JOB_COMPLETED, 5000));
   assert_int_equal (world->overcommitting_starts, 0);
   world_destroy (world);
@@ -1312,7 +1415,10 @@
     cmocka_unit_test (test_job_cancelled_before_restore_is_stopped),
     cmocka_unit_test (test_successor_stops_runs_of_a_job_recorded_as_cancelled),
     cmocka_unit_test (test_checkpoint_text_survives_a_takeover),
+    cmocka_unit_test (test_unanswered_transaction_delays_only_its_own_jobs),
+    cmocka_unit_test (test_end_is_not_acknowledged_before_earlier_ones_are_stored),
     cmocka_unit_test (test_takeover_keeps_running_tasks),
+    cmocka_unit_test (test_records_of_an_earlier_incarnation_hide_no_runs),
     cmocka_unit_test (test_silent_worker_keeps_its_tasks_until_its_lease_expires),
     cmocka_unit_test (test_unanswered_start_is_confirmed_by_the_next_hold),
     cmocka_unit_test (test_surge_on_a_slow_link_starts_each_task_once),
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #define STEP_MS                5
+#define MAX_TXNS_IN_FLIGHT     4U
+#define WRITE_RETRY_MS         860
 #define DEFAULT_STOP_MS        60
 #define DEFAULT_CRASH_DELAY_MS 10
 #define HOLD_TIMEOUT_MARGIN_MS 400
@@ -24,6 +26,17 @@
 static const struct mt_route_policy route_policy
     = { .priority = 0, .max_attempts = 3, .stretch = 1.6, .objective_ms = 600 };
 
+static void
+free_write (void *data)
+{
+  struct world_write *write = data;
+
+  g_ptr_array_unref (write->ids);
+  if (write->records != NULL)
+    g_ptr_array_unref (write->records);
+  g_free (write);
+}
+
 struct world *
 world_create (void)
 {
@@ -42,6 +55,7 @@
   world->crashes_by_task = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   world->crash_delay_ms = DEFAULT_CRASH_DELAY_MS;
   world->stopped_tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  world->writes = g_ptr_array_new_with_free_func (free_write);
   return world;
 }
 
@@ -64,6 +78,7 @@
     clear_sent_order (&g_array_index (world->sent_orders, struct world_sent_order, i));
   g_array_unref (world->sent_orders);
   g_array_unref (world->delayed_orders);
+  g_ptr_array_unref (world->writes);
   mt_scheduler_destroy (world->sched);
   g_hash_table_unref (world->records);
   g_hash_table_unref (world->crashing_tasks);
@@ -197,6 +212,73 @@
   return n;
 }
 
+/* ---- stored records ---- */
+
+struct stored_run
+{
+  bool found;
+  unsigned run;
+  char worker[16]; /* empty: no run can be active */
+  int64_t worker_started_at;
+};
+
+/* Reads the task's row from its job's stored record. */
+static struct stored_run
+find_stored_run (const struct world *world, const char *task)
+{
+  struct stored_run stored = { .found = false };
+  g_auto (GStrv) parts = g_strsplit (task, ".", 4);
+  g_autofree char *row = g_strdup_printf ("[%s,%s,%s,", parts[1], parts[2], parts[3]);
+  const char *record = g_hash_table_lookup (world->records, parts[0]);
+  const char *at = record != NULL ? strstr (record, row) : NULL;
+  unsigned attempts;
+
+  if (at != NULL)
+    stored.found = sscanf (at + strlen (row), "%u,%u,\"%15[^\"]\",%" G_GINT64_FORMAT, &stored.run,
+                           &attempts, stored.worker, &stored.worker_started_at)
+                   >= 2;
+  return stored;
+}
+
+static bool
+is_run_stored (const struct world *world,
+               const struct world_worker *w,
+               const char *task,
+               unsigned run)
+{
+  struct stored_run stored = find_stored_run (world, task);
+
+  return w != NULL && stored.found && stored.run == run && strcmp (stored.worker, w->id) == 0
+         && stored.worker_started_at == w->started_at_ms;
+}
+
+unsigned
+world_count_unstored_runs (const struct world *world)
+{
+  unsigned n = 0;
+
+  for (unsigned i = 0; i < world->n_workers; i++)
+    for (guint j = 0; j < world->workers[i].runs->len; j++)
+      {
+        const struct world_run *r = &g_array_index (world->workers[i].runs, struct world_run, j);
+
+        n += !is_run_stored (world, &world->workers[i], r->task, r->run);
+      }
+  return n;
+}
+
+/* After the acknowledgement, the stored record alone tells a successor that the run has ended. */
+static void
+check_end_stored (struct world *world, const struct world_worker *w, const struct world_end *end)
+{
+  struct stored_run stored = find_stored_run (world, end->task);
+
+  if (!stored.found || stored.run != end->run)
+    return;
+  if (end->kind == MT_END_DONE || strcmp (stored.worker, w->id) == 0)
+    world->unstored_ends++;
+}
+
 static void
 record_ended_run (struct world_worker *w, const char *task, unsigned run)
 {
@@ -561,7 +643,10 @@
   w->lease_end_ms = MAX (w->lease_end_ms, order->lease_end_ms);
   while (w->ends->len > 0
          && g_array_index (w->ends, struct world_end, 0).sequence <= order->acked_end)
-    g_array_remove_index (w->ends, 0);
+    {
+      check_end_stored (world, w, &g_array_index (w->ends, struct world_end, 0));
+      g_array_remove_index (w->ends, 0);
+    }
   w->hold_pending = true;
   w->hold_sent_at = world->now - 1;
   w->hold_deadline = world->now + order->wait_ms;
@@ -729,18 +814,93 @@
     world->overcommitting_starts++;
 }
 
+static void
+check_start_stored (struct world *world, const struct mt_order *order)
+{
+  if (order->kind == MT_ORDER_START
+      && !is_run_stored (world, find_worker (world, order->worker), order->task, order->run))
+    world->unstored_starts++;
+}
+
+/* ---- the store ---- */
+
+static void
+send_write (struct world *world, struct world_write *write)
+{
+  static const struct world_write_fate at_once = { 0, 0 };
+  struct world_write_fate fate
+      = world->n_write_fates > 0 ? world->write_fates[world->n_writes_sent % world->n_write_fates]
+                                 : at_once;
+
+  world->n_writes_sent++;
+  if (write->records != NULL)
+    g_ptr_array_unref (write->records);
+  write->records = g_ptr_array_new_with_free_func (g_free);
+  for (guint i = 0; i < write->ids->len; i++)
+    g_ptr_array_add (write->records, mt_scheduler_job_record (world->sched, write->ids->pdata[i]));
+  write->stores_at = fate.store_ms < 0 ? -1 : world->now + fate.store_ms;
+  write->answers_at
+      = fate.store_ms < 0 || fate.answer_ms < 0 ? -1 : write->stores_at + fate.answer_ms;
+  write->resends_at = world->now + WRITE_RETRY_MS;
+}
+
 static void
 begin_cycle (struct world *world)
 {
-  GPtrArray *ids = mt_scheduler_cycle_begin (world->sched, world->now, world->now);
+  g_autoptr (GPtrArray) ids = mt_scheduler_cycle_begin (world->sched, world->now, world->now);
+  guint per_txn = world->jobs_per_txn > 0 ? world->jobs_per_txn : G_MAXINT;
 
-  if (ids == NULL)
-    return;
-  for (guint i = 0; i < ids->len; i++)
-    g_hash_table_insert (world->records, g_strdup (ids->pdata[i]),
-                         mt_scheduler_job_record (world->sched, ids->pdata[i]));
-  g_ptr_array_unref (ids);
-  world->in_cycle = true;
+  for (guint at = 0; ids != NULL && at < ids->len; at += per_txn)
+    {
+      struct world_write *write = g_new0 (struct world_write, 1);
+
+      write->ids = g_ptr_array_new_with_free_func (g_free);
+      for (guint i = at; i < ids->len && i - at < per_txn; i++)
+        g_ptr_array_add (write->ids, g_strdup (ids->pdata[i]));
+      g_ptr_array_add (world->writes, write);
+    }
+}
+
+static void
+store_write (struct world *world, struct world_write *write)
+{
+  for (guint i = 0; i < write->ids->len; i++)
+    g_hash_table_insert (world->records, g_strdup (write->ids->pdata[i]),
+                         g_strdup (write->records->pdata[i]));
+  write->stores_at = 0;
+}
+
+/* Returns whether the transaction was answered. */
+static bool
+advance_write (struct world *world, struct world_write *write)
+{
+  if (write->records == NULL || (write->answers_at < 0 && world->now >= write->resends_at))
+    send_write (world, write);
+  if (write->stores_at > 0 && world->now >= write->stores_at)
+    store_write (world, write);
+  return write->answers_at >= 0 && world->now >= write->answers_at;
+}
+
+/* Transactions beyond MAX_TXNS_IN_FLIGHT wait until earlier ones are answered. */
+static void
+advance_writes (struct world *world)
+{
+  guint in_flight = 0;
+
+  for (guint i = 0; i < world->writes->len && in_flight < MAX_TXNS_IN_FLIGHT;)
+    {
+      struct world_write *write = world->writes->pdata[i];
+
+      if (!advance_write (world, write))
+        {
+          in_flight++;
+          i++;
+          continue;
+        }
+      mt_scheduler_jobs_stored (world->sched, (const char *const *) write->ids->pdata,
+                                write->ids->len, world->now);
+      g_ptr_array_remove_index (world->writes, i);
+    }
 }
 
 static void
@@ -756,18 +916,17 @@
       advance_worker (world, &world->workers[i]);
       clear_stopped (world, &world->workers[i]);
     }
-  if (!world->store_down && !world->in_cycle && mt_scheduler_needs_cycle (world->sched, world->now))
+  if (!world->store_down && world->writes->len < MAX_TXNS_IN_FLIGHT
+      && mt_scheduler_needs_cycle (world->sched, world->now))
     begin_cycle (world);
-  if (!world->store_down && world->in_cycle)
-    {
-      world->in_cycle = false;
-      mt_scheduler_cycle_done (world->sched, world->now);
-    }
+  if (!world->store_down)
+    advance_writes (world);
   advance_link (world);
   answer_pending_holds (world);
   while (max_orders-- > 0 && !world->leader_silent && next_order (world, &order))
     {
       check_capacity (world, &order);
+      check_start_stored (world, &order);
       dispatch_order (world, &order);
       mt_order_clear (&order);
     }
@@ -801,7 +960,7 @@
   mt_scheduler_destroy (world->sched);
   world->sched = mt_scheduler_create (&settings);
   world->token++;
-  world->in_cycle = false;
+  g_ptr_array_set_size (world->writes, 0);
   for (unsigned i = 0; i < world->n_workers; i++)
     world->workers[i].hold_pending = false;
   for (guint i = 0; i < world->sent_orders->len; i++)
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -94,6 +94,23 @@
   bool abandoned;       /* timed out before it departed, or its leader was replaced */
 };
 
+/* What happens to one transaction of the leader. */
+struct world_write_fate
+{
+  int64_t store_ms;  /* from sending it until it takes effect; -1: it never does */
+  int64_t answer_ms; /* from its effect to its answer; -1: the answer is lost */
+};
+
+/* A transaction that is not known to be stored yet. */
+struct world_write
+{
+  GPtrArray *ids;
+  GPtrArray *records; /* as of its last sending; NULL: not sent yet */
+  int64_t stores_at;  /* -1: never; 0 once it has taken effect */
+  int64_t answers_at; /* -1: never */
+  int64_t resends_at;
+};
+
 struct world
 {
   struct mt_scheduler *sched;
@@ -105,8 +122,14 @@
   GArray *sent_orders;      /* struct world_sent_order */
   struct world_worker workers[WORLD_MAX_WORKERS];
   unsigned n_workers;
-  bool store_down; /* write cycles don't complete */
-  bool in_cycle;
+  bool store_down;                        /* write cycles don't complete */
+  GPtrArray *writes;                      /* struct world_write, in the order of sending */
+  unsigned jobs_per_txn;                  /* 0: one transaction for each cycle */
+  struct world_write_fate write_fates[8]; /* of the transactions, in turn */
+  unsigned n_write_fates;                 /* 0: each is stored and answered at once */
+  unsigned n_writes_sent;
+  unsigned unstored_starts; /* starts sent of runs that the stored record does not show */
+  unsigned unstored_ends;   /* acknowledged ends whose effect the stored record does not show */
   bool holds_only;    /* the leader sends holds only: a store outage leaves its lease uncertain */
   bool leader_silent; /* the leader is partitioned and sends nothing */
   int64_t run_ms;     /* run time of tasks that are not long-running; -1: until stopped */
@@ -150,6 +173,9 @@
 /* The leader dies. Its successor, under a higher token, loads the specs and the stored records. */
 void world_take_over (struct world *world, GPtrArray *specs);
 unsigned world_count_running (const struct world *world, const char *task);
+/* Number of runs on workers that the stored records do not show there: a successor would not find
+ * them. */
+unsigned world_count_unstored_runs (const struct world *world);
 /* Restarts the worker under the same id, without any of its former state. */
 void world_reboot (struct world *world, struct world_worker *w);
 /* The worker loses its runs and answers nothing; it restarts after WORLD_DOWNTIME_MS. */
