path: decide Retry-After values during store outages

In an outage of 6 s at the start of a surge 100 of 294 jobs were refused for good: Retry-After was one second, and callers used up their four retries before the store was back.

mt_retry_plan gives each refused caller a place on a timeline of quarter seconds that holds no more callers than this daemon may store (four fifths of its writes), after the expected end of the outage and behind more urgent callers (priority, then objective), refused already or expected until the end. The expected end comes from the decaying mean and the longest recent outage of the same kind, before any was seen from 2 s. The answer is never so short that a caller which was first refused when the outage began could use up its retries within 12 s: the plan keeps the earliest time at which a caller may make each retry. A caller whose time of use ends before its place gets an earlier one if the store is expected back by then and has one. Nothing uses the plan yet.

The header loses the random draw, as places spread the callers, and gains the objective, the longest outage and the duration of the present one.

--- /dev/null
+++ b/core/path/retry_plan.c
@@ -0,0 +1,291 @@
+/* Retry-After values during store outages.
+ *
+ * Designed for outages of 1 to 12 s at the start of a surge of up to ten times the mean, with
+ * callers that retry at most four times: a fixed second used up the retries of 100 of 294 callers
+ * in an outage of 6 s. Each refused caller gets a place on a timeline that holds no more callers
+ * than the store takes, after the expected end of the outage, and behind the more urgent ones. */
+#include "medlartrack/retry_plan.h"
+
+#include <glib.h>
+#include <math.h>
+
+/* Places are counted in slots of this length: shorter than the second of Retry-After, so that
+ * callers refused together at one moment of a second don't fill it. */
+#define SLOT_MS 250
+/* 64 s of places: 12 s of a surge of ten times the mean return within half of that. */
+#define SLOTS 256
+/* Share of the store's writes that returning callers may use; the rest is for new submissions. */
+#define RETURNING_SHARE 0.8
+/* Expected length of an outage before any was seen. */
+#define FIRST_OUTAGE_MS 2000
+/* Shortest expectation while an outage is longer than the past ones. */
+#define MIN_REMAINING_MS 500
+/* Weight of the last outage in the mean. */
+#define OUTAGE_WEIGHT (1.0 / 3)
+/* The longest outage counts this much less with each later one. */
+#define LONGEST_DECAY 0.7
+/* How long the store's return may go unnoticed: a call is retried every 80 ms. */
+#define NOTICE_MS 500
+/* Jobs are ranked by priority, then by their objective. */
+#define PRIORITIES 4
+#define OBJECTIVES 4
+#define RANKS      (PRIORITIES * OBJECTIVES)
+
+struct slot
+{
+  int64_t number; /* time / SLOT_MS; another number than expected: the slot is empty */
+  uint16_t callers[RANKS];
+};
+
+struct mt_retry_plan
+{
+  struct mt_retry_settings settings;
+  bool away;
+  bool everywhere;
+  enum mt_store_failure failure;
+  int64_t away_since;
+  double mean_ms[MT_STORE_FAILURES];    /* decaying mean of past outages; 0: none yet */
+  double longest_ms[MT_STORE_FAILURES]; /* longest recent outage; 0: none yet */
+  /* By number of the retry, the earliest time since away_since at which a caller that was first
+   * refused in this outage may make it; -1: none yet. */
+  int64_t earliest_retry_ms[MT_RETRY_MAX_RETRIES + 1];
+  struct slot slots[SLOTS];
+};
+
+const char *const mt_store_failure_names[] = {
+  [MT_STORE_REFUSES] = "refuses", [MT_STORE_RESETS] = "resets", [MT_STORE_NO_ANSWER] = "no_answer"
+};
+
+struct mt_retry_plan *
+mt_retry_plan_create (const struct mt_retry_settings *settings)
+{
+  struct mt_retry_plan *plan = g_new0 (struct mt_retry_plan, 1);
+
+  plan->settings = *settings;
+  plan->settings.max_retries = CLAMP (settings->max_retries, 1U, MT_RETRY_MAX_RETRIES);
+  return plan;
+}
+
+void
+mt_retry_plan_destroy (struct mt_retry_plan *plan)
+{
+  g_free (plan);
+}
+
+/* ---- outages ---- */
+
+void
+mt_retry_plan_store_away (struct mt_retry_plan *plan,
+                          enum mt_store_failure failure,
+                          bool everywhere,
+                          int64_t now)
+{
+  plan->failure = failure;
+  plan->everywhere = everywhere;
+  if (plan->away)
+    return;
+  plan->away = true;
+  plan->away_since = now;
+  plan->earliest_retry_ms[0] = 0;
+  for (unsigned i = 1; i <= MT_RETRY_MAX_RETRIES; i++)
+    plan->earliest_retry_ms[i] = -1;
+}
+
+void
+mt_retry_plan_store_back (struct mt_retry_plan *plan, int64_t now)
+{
+  double length = (double) (now - plan->away_since);
+  double *mean = &plan->mean_ms[plan->failure];
+  double *longest = &plan->longest_ms[plan->failure];
+
+  if (!plan->away)
+    return;
+  plan->away = false;
+  *mean = *mean == 0 ? length : *mean + OUTAGE_WEIGHT * (length - *mean);
+  *longest = MAX (length, LONGEST_DECAY * *longest);
+}
+
+int64_t
+mt_retry_plan_away_ms (const struct mt_retry_plan *plan, int64_t now)
+{
+  return plan->away ? now - plan->away_since : 0;
+}
+
+/* Longest time between two retries with which a caller's retries last for the longest outage, if
+ * the first one comes early. */
+static int64_t
+max_step_ms (const struct mt_retry_plan *plan)
+{
+  return plan->settings.longest_outage_ms * 4 / 3 / plan->settings.max_retries;
+}
+
+int64_t
+mt_retry_plan_remaining_ms (const struct mt_retry_plan *plan, int64_t now)
+{
+  int64_t away_ms = mt_retry_plan_away_ms (plan, now);
+  int64_t mean_ms = (int64_t) plan->mean_ms[plan->failure];
+  int64_t longest_ms = (int64_t) plan->longest_ms[plan->failure];
+
+  if (!plan->away)
+    return 0;
+  for (unsigned i = 0; mean_ms == 0 && i < MT_STORE_FAILURES; i++)
+    {
+      mean_ms = (int64_t) plan->mean_ms[i];
+      longest_ms = (int64_t) plan->longest_ms[i];
+    }
+  if (mean_ms == 0)
+    mean_ms = FIRST_OUTAGE_MS;
+  if (away_ms < mean_ms)
+    return mean_ms - away_ms;
+  if (away_ms < longest_ms)
+    return longest_ms - away_ms;
+  /* Of outages of unknown length, those that have lasted longer last longer. */
+  return CLAMP (away_ms / 2, MIN_REMAINING_MS, max_step_ms (plan));
+}
+
+bool
+mt_retry_plan_may_wait (const struct mt_retry_plan *plan,
+                        const struct mt_retry_request *request,
+                        unsigned waiting,
+                        int64_t now)
+{
+  int64_t longest_wait = MIN (request->remaining_ms, plan->settings.max_wait_ms);
+
+  return waiting < plan->settings.max_waiting
+         && mt_retry_plan_remaining_ms (plan, now) < longest_wait;
+}
+
+/* ---- places ---- */
+
+static unsigned
+find_rank (const struct mt_retry_request *request)
+{
+  static const int64_t objectives_ms[OBJECTIVES - 1] = { 2000, 4000, 8000 };
+  unsigned priority = (unsigned) CLAMP (request->priority, 0, PRIORITIES - 1);
+  unsigned objective = 0;
+
+  while (objective < OBJECTIVES - 1 && request->objective_ms >= objectives_ms[objective])
+    objective++;
+  return priority * OBJECTIVES + objective;
+}
+
+static struct slot *
+find_slot (struct mt_retry_plan *plan, int64_t at)
+{
+  struct slot *slot = &plan->slots[(at / SLOT_MS) % SLOTS];
+
+  if (slot->number != at / SLOT_MS)
+    *slot = (struct slot){ .number = at / SLOT_MS };
+  return slot;
+}
+
+static bool
+has_place (struct mt_retry_plan *plan, int64_t at)
+{
+  const struct slot *slot = find_slot (plan, at);
+  double capacity = plan->settings.writes_per_s * RETURNING_SHARE * SLOT_MS / 1000;
+  unsigned callers = 0;
+
+  for (unsigned i = 0; i < RANKS; i++)
+    callers += slot->callers[i];
+  return callers < (unsigned) MAX (capacity, 1);
+}
+
+/* Returns the number of more urgent callers that are expected to return after now: those refused
+ * already, and as many as their rate so far gives for the rest of the outage. */
+static double
+count_more_urgent (const struct mt_retry_plan *plan, unsigned rank, int64_t now)
+{
+  int64_t away_ms = MAX (mt_retry_plan_away_ms (plan, now), MIN_REMAINING_MS);
+  double growth = 1 + (double) mt_retry_plan_remaining_ms (plan, now) / (double) away_ms;
+  unsigned callers = 0;
+
+  for (unsigned i = 0; i < SLOTS; i++)
+    for (unsigned r = 0; plan->slots[i].number >= now / SLOT_MS && r < rank; r++)
+      callers += plan->slots[i].callers[r];
+  return callers * growth;
+}
+
+/* Returns the most retries that a caller refused now may have made in this outage. */
+static unsigned
+count_retries_made (const struct mt_retry_plan *plan, int64_t now)
+{
+  unsigned made = 0;
+
+  while (made + 1 < plan->settings.max_retries && plan->earliest_retry_ms[made + 1] >= 0
+         && plan->earliest_retry_ms[made + 1] <= mt_retry_plan_away_ms (plan, now))
+    made++;
+  return made;
+}
+
+/* Returns the shortest time until the next retry with which the caller's further retries last for
+ * the longest outage. */
+static int64_t
+min_retry_ms (const struct mt_retry_plan *plan, int64_t now)
+{
+  unsigned further = plan->settings.max_retries - 1 - count_retries_made (plan, now);
+
+  return plan->settings.longest_outage_ms + NOTICE_MS - mt_retry_plan_away_ms (plan, now)
+         - further * max_step_ms (plan);
+}
+
+static unsigned
+round_up_s (int64_t ms)
+{
+  return (unsigned) MAX ((ms + 999) / 1000, 1);
+}
+
+/* Returns the first second from `from` to `to` with a place; 0 if there is none. */
+static unsigned
+find_place (struct mt_retry_plan *plan, unsigned from, unsigned to, int64_t now)
+{
+  for (unsigned s = from; s <= to; s++)
+    if (has_place (plan, now + s * 1000))
+      return s;
+  return 0;
+}
+
+static void
+record_retry (struct mt_retry_plan *plan, unsigned after_s, int64_t now)
+{
+  unsigned next = count_retries_made (plan, now) + 1;
+  int64_t at = now - plan->away_since + after_s * 1000;
+
+  if (plan->earliest_retry_ms[next] < 0 || at < plan->earliest_retry_ms[next])
+    plan->earliest_retry_ms[next] = at;
+}
+
+unsigned
+mt_retry_plan_retry_after_s (struct mt_retry_plan *plan,
+                             const struct mt_retry_request *request,
+                             int64_t now)
+{
+  static const unsigned last_s = (SLOTS - 1) * SLOT_MS / 1000;
+  unsigned rank = find_rank (request);
+  unsigned useful_s = (unsigned) (request->useful_ms / 1000);
+  int64_t remaining_ms = mt_retry_plan_remaining_ms (plan, now);
+  int64_t behind_ms;
+  unsigned after_s;
+
+  /* Another daemon stores the job at once; the balancer leaves this one out. */
+  if (plan->away && !plan->everywhere)
+    {
+      record_retry (plan, 1, now);
+      return 1;
+    }
+  behind_ms = (int64_t) (1000 * count_more_urgent (plan, rank, now) / plan->settings.writes_per_s);
+  after_s = round_up_s (MAX (remaining_ms + behind_ms, plan->away ? min_retry_ms (plan, now) : 0));
+  after_s = find_place (plan, MIN (after_s, last_s), last_s, now);
+  if (after_s == 0)
+    after_s = last_s;
+  if (request->useful_ms > 0 && after_s > useful_s)
+    {
+      unsigned useful = find_place (plan, round_up_s (remaining_ms), useful_s, now);
+
+      after_s = useful > 0 ? useful : after_s;
+    }
+  find_slot (plan, now + after_s * 1000)->callers[rank]++;
+  if (plan->away)
+    record_retry (plan, after_s, now);
+  return after_s;
+}
--- a/include/medlartrack/retry_plan.h
+++ b/include/medlartrack/retry_plan.h
@@ -14,21 +14,29 @@
   MT_STORE_REFUSES,   /* answers that nothing was done */
   MT_STORE_RESETS,    /* connections are refused or reset */
   MT_STORE_NO_ANSWER, /* calls time out */
+  MT_STORE_FAILURES,
 };
 
+extern const char *const mt_store_failure_names[];
+
 struct mt_retry_settings
 {
-  double writes_per_s;  /* submissions that this daemon may store per second after an outage */
-  unsigned max_retries; /* retries of a caller after which it gives up */
-  unsigned max_waiting; /* submissions that may wait for the store at a time */
-  int64_t max_wait_ms;  /* longest wait of one submission */
+  double writes_per_s;       /* submissions that this daemon may store per second after an outage */
+  unsigned max_retries;      /* retries of a caller after which it gives up; at most
+                                MT_RETRY_MAX_RETRIES */
+  int64_t longest_outage_ms; /* outage that a caller's retries must last for */
+  unsigned max_waiting;      /* submissions that may wait for the store at a time */
+  int64_t max_wait_ms;       /* longest wait of one submission */
 };
 
+#define MT_RETRY_MAX_RETRIES 8U
+
 /* A submission that can't be stored now. */
 struct mt_retry_request
 {
   int64_t remaining_ms; /* time for which the caller waits for this answer */
-  int64_t useful_ms;    /* time for which a result would still be of use; 0: unknown */
+  int64_t useful_ms;    /* time within which it must be submitted to be of use; 0: unknown */
+  int64_t objective_ms; /* of its job; 0: unknown */
   int priority;         /* of its route; 0 is first */
 };
 
@@ -36,13 +44,15 @@
 struct mt_retry_plan *mt_retry_plan_create (const struct mt_retry_settings *settings);
 void mt_retry_plan_destroy (struct mt_retry_plan *plan);
 
-/* To be called when the store has ceased to answer this daemon, or the kind of failure has changed.
- * everywhere: no daemon reaches the store. */
+/* To be called when the store has ceased to answer this daemon, and when the kind of failure or
+ * `everywhere` has changed since. everywhere: as far as known no daemon reaches the store. */
 void mt_retry_plan_store_away (struct mt_retry_plan *plan,
                                enum mt_store_failure failure,
                                bool everywhere,
                                int64_t now);
 void mt_retry_plan_store_back (struct mt_retry_plan *plan, int64_t now);
+/* Returns the time since the present outage began; 0 if there is none. */
+int64_t mt_retry_plan_away_ms (const struct mt_retry_plan *plan, int64_t now);
 /* Returns how long the present outage is expected to last from now; 0 if there is none. */
 int64_t mt_retry_plan_remaining_ms (const struct mt_retry_plan *plan, int64_t now);
 /* Returns whether the submission may wait for the store. waiting: submissions that wait already. */
@@ -50,11 +60,10 @@
                              const struct mt_retry_request *request,
                              unsigned waiting,
                              int64_t now);
-/* Returns the Retry-After value of a refusal in whole seconds, at least 1, and counts the caller.
- * draw: random, 0 to 1. */
+/* Returns the Retry-After value of a refusal in whole seconds, at least 1, and reserves the
+ * caller's place at that time. */
 unsigned mt_retry_plan_retry_after_s (struct mt_retry_plan *plan,
                                       const struct mt_retry_request *request,
-                                      double draw,
                                       int64_t now);
 
 #endif
