fleet: submissions wait for the store, retries follow a plan

Queued submissions are not sent to a store that does not answer.

An unanswered write is settled within the caller's time (X-Medlartrack-Deadline-Ms, 3 s without it): its keys are read, then the same write is sent again. Meanwhile other transactions are sent. A submission with an unanswered write never gets 503. Without the setting every decision is as before.

Found by test_surge_in_an_outage_is_served_after_it, and now with tests of the plan: - Where no other data centre confirms the outage it was taken for a partition, each Retry-After was 1 s and callers gave up within 4 s. The shortest time between retries now holds there as well. - A watch that was in flight is answered during the outage, so the store seemed to be back after 47 ms and the plan learned an outage of that length. One that begins within 1 s of the last continues it.

The stand-in store has a mode "slow".

--- a/core/path/retry_plan.c
+++ b/core/path/retry_plan.c
@@ -24,6 +24,9 @@
 #define OUTAGE_WEIGHT (1.0 / 3)
 /* The longest outage counts this much less with each later one. */
 #define LONGEST_DECAY 0.7
+/* An outage that begins this soon after the last one continues it: calls that were in flight, such
+ * as watches, are answered during an outage and look like its end. */
+#define SAME_OUTAGE_MS 1000
 /* How long the store's return may go unnoticed: a call is retried every 80 ms. */
 #define NOTICE_MS 500
 /* Jobs are ranked by priority, then by their objective. */
@@ -37,6 +40,13 @@
   uint16_t callers[RANKS];
 };
 
+/* Past outages of one kind. */
+struct history
+{
+  double mean_ms;    /* decaying mean; 0: none yet */
+  double longest_ms; /* longest recent one; 0: none yet */
+};
+
 struct mt_retry_plan
 {
   struct mt_retry_settings settings;
@@ -44,8 +54,10 @@
   bool everywhere;
   enum mt_store_failure failure;
   int64_t away_since;
-  double mean_ms[MT_STORE_FAILURES];    /* decaying mean of past outages; 0: none yet */
-  double longest_ms[MT_STORE_FAILURES]; /* longest recent outage; 0: none yet */
+  int64_t back_since;                 /* when the last outage ended; 0: never */
+  enum mt_store_failure last_failure; /* kind of the last outage, and its figures before it */
+  struct history before;
+  struct history past[MT_STORE_FAILURES];
   /* By number of the retry, the earliest time since away_since at which a caller that was first
    * refused in this outage may make it; -1: none yet. */
   int64_t earliest_retry_ms[MT_RETRY_MAX_RETRIES + 1];
@@ -85,6 +97,11 @@
   if (plan->away)
     return;
   plan->away = true;
+  if (plan->back_since != 0 && now - plan->back_since < SAME_OUTAGE_MS)
+    {
+      plan->past[plan->last_failure] = plan->before;
+      return;
+    }
   plan->away_since = now;
   plan->earliest_retry_ms[0] = 0;
   for (unsigned i = 1; i <= MT_RETRY_MAX_RETRIES; i++)
@@ -95,14 +112,17 @@
 mt_retry_plan_store_back (struct mt_retry_plan *plan, int64_t now)
 {
   double length = (double) (now - plan->away_since);
-  double *mean = &plan->mean_ms[plan->failure];
-  double *longest = &plan->longest_ms[plan->failure];
+  struct history *past = &plan->past[plan->failure];
 
   if (!plan->away)
     return;
   plan->away = false;
-  *mean = *mean == 0 ? length : *mean + OUTAGE_WEIGHT * (length - *mean);
-  *longest = MAX (length, LONGEST_DECAY * *longest);
+  plan->back_since = now;
+  plan->last_failure = plan->failure;
+  plan->before = *past;
+  past->mean_ms
+      = past->mean_ms == 0 ? length : past->mean_ms + OUTAGE_WEIGHT * (length - past->mean_ms);
+  past->longest_ms = MAX (length, LONGEST_DECAY * past->longest_ms);
 }
 
 int64_t
@@ -123,15 +143,15 @@
 mt_retry_plan_remaining_ms (const struct mt_retry_plan *plan, int64_t now)
 {
   int64_t away_ms = mt_retry_plan_away_ms (plan, now);
-  int64_t mean_ms = (int64_t) plan->mean_ms[plan->failure];
-  int64_t longest_ms = (int64_t) plan->longest_ms[plan->failure];
+  int64_t mean_ms = (int64_t) plan->past[plan->failure].mean_ms;
+  int64_t longest_ms = (int64_t) plan->past[plan->failure].longest_ms;
 
   if (!plan->away)
     return 0;
   for (unsigned i = 0; mean_ms == 0 && i < MT_STORE_FAILURES; i++)
     {
-      mean_ms = (int64_t) plan->mean_ms[i];
-      longest_ms = (int64_t) plan->longest_ms[i];
+      mean_ms = (int64_t) plan->past[i].mean_ms;
+      longest_ms = (int64_t) plan->past[i].longest_ms;
     }
   if (mean_ms == 0)
     mean_ms = FIRST_OUTAGE_MS;
@@ -162,7 +182,7 @@
 {
   static const int64_t objectives_ms[OBJECTIVES - 1] = { 2000, 4000, 8000 };
   unsigned priority = (unsigned) CLAMP (request->priority, 0, PRIORITIES - 1);
-  unsigned objective = 0;
+  unsigned objective = request->objective_ms == 0 ? OBJECTIVES - 1 : 0;
 
   while (objective < OBJECTIVES - 1 && request->objective_ms >= objectives_ms[objective])
     objective++;
@@ -263,17 +283,14 @@
   static const unsigned last_s = (SLOTS - 1) * SLOT_MS / 1000;
   unsigned rank = find_rank (request);
   unsigned useful_s = (unsigned) (request->useful_ms / 1000);
-  int64_t remaining_ms = mt_retry_plan_remaining_ms (plan, now);
-  int64_t behind_ms;
+  /* Another daemon may store the job at once; the balancer leaves this one out. As that is not
+   * certain, the caller's retries must last all the same. */
+  bool elsewhere = plan->away && !plan->everywhere;
+  int64_t remaining_ms = elsewhere ? 0 : mt_retry_plan_remaining_ms (plan, now);
+  double ahead = elsewhere ? 0 : count_more_urgent (plan, rank, now);
+  int64_t behind_ms = (int64_t) (1000 * ahead / plan->settings.writes_per_s);
   unsigned after_s;
 
-  /* Another daemon stores the job at once; the balancer leaves this one out. */
-  if (plan->away && !plan->everywhere)
-    {
-      record_retry (plan, 1, now);
-      return 1;
-    }
-  behind_ms = (int64_t) (1000 * count_more_urgent (plan, rank, now) / plan->settings.writes_per_s);
   after_s = round_up_s (MAX (remaining_ms + behind_ms, plan->away ? min_retry_ms (plan, now) : 0));
   after_s = find_place (plan, MIN (after_s, last_s), last_s, now);
   if (after_s == 0)
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -542,6 +542,8 @@
                                          .metrics = f->metrics,
                                          .local_pool = local_pool,
                                          .store_answers = store_answers,
+                                         .store_is_down = store_is_down,
+                                         .store_wait = f->settings->store_wait,
                                          .config_age_ms = config_age_ms,
                                          .keys_stale_ms = f->settings->bounds.keys_stale_ms,
                                          .ctx = f };
--- a/fleet/frontend.c
+++ b/fleet/frontend.c
@@ -212,6 +212,8 @@
   frontend->base = base;
   frontend->options = *options;
   frontend->admission = mt_frontend_new_admission ();
+  if (options->store_wait)
+    frontend->store_wait = mt_frontend_new_store_wait (frontend);
   return frontend;
 }
 
@@ -220,6 +222,7 @@
 {
   if (frontend == NULL)
     return;
+  mt_store_wait_destroy (frontend->store_wait, mt_frontend_drop_submit);
   g_queue_clear (&frontend->submits);
   mt_admission_destroy (frontend->admission);
   g_free (frontend);
--- a/fleet/frontend.h
+++ b/fleet/frontend.h
@@ -25,6 +25,9 @@
   struct mt_pool *(*local_pool) (void *ctx, const char *pool);
   /* Returns whether the store is expected to answer. */
   bool (*store_answers) (void *ctx);
+  /* Returns whether, as far as known, the store answers no daemon. */
+  bool (*store_is_down) (void *ctx);
+  bool store_wait; /* submissions wait for the store in an outage */
   /* Milliseconds since the store last confirmed the current configuration. */
   int64_t (*config_age_ms) (void *ctx);
   int64_t keys_stale_ms; /* callers with keys are refused if the configuration is older; 0: never */
--- a/fleet/frontend_internal.h
+++ b/fleet/frontend_internal.h
@@ -3,6 +3,7 @@
 #define MT_FLEET_FRONTEND_INTERNAL_H
 
 #include "frontend.h"
+#include "store_wait.h"
 
 #include "medlartrack/admission.h"
 
@@ -24,7 +25,9 @@
   const struct mt_fleet_config *config;
   GQueue submits; /* queued, not in a transaction yet */
   struct mt_admission *admission;
-  unsigned txns;
+  struct mt_store_wait *store_wait; /* NULL: submissions don't wait for the store */
+  unsigned txns;                    /* in flight, except those in settling */
+  unsigned settling;                /* transactions whose outcome is being found out */
   unsigned in_flight;
   int64_t estimate_paused_until; /* no estimate is requested before this time: a leader did not
                                     answer */
@@ -55,6 +58,9 @@
 /* workspace: of the caller; "" if the route asks for no key. */
 /* frontend_submit.c */
 struct mt_admission *mt_frontend_new_admission (void);
+struct mt_store_wait *mt_frontend_new_store_wait (struct mt_frontend *frontend);
+/* Frees a submission that is not answered any more. */
+void mt_frontend_drop_submit (void *submit);
 void mt_frontend_submit (struct mt_frontend *frontend,
                          struct mt_exchange *exchange,
                          const struct mt_fleet_route *route,
--- a/fleet/frontend_submit.c
+++ b/fleet/frontend_submit.c
@@ -20,6 +20,19 @@
 #define ESTIMATE_TIMEOUT_MS 250
 #define ESTIMATE_PAUSE_MS   1000
 
+/* Time for which a caller waits that does not say so, and the header in which it does. */
+#define CALLER_WAIT_MS  3000
+#define DEADLINE_HEADER "X-Medlartrack-Deadline-Ms"
+/* Share of a caller's time after which it is answered; the rest is for the way there and back. */
+#define ANSWER_SHARE (5.0 / 6)
+/* Time-out of the look-up of an unanswered write. */
+#define LOOKUP_TIMEOUT_MS 300
+/* Most transactions whose outcome is being found out besides those of MAX_TXNS_IN_FLIGHT: with
+ * lost answers each takes up to 2.5 s. */
+#define MAX_SETTLING 16U
+/* A job earns something until this many times its objective. */
+#define USEFUL_OBJECTIVES 3
+
 struct submit
 {
   struct mt_frontend *frontend;
@@ -29,7 +42,14 @@
   char *key; /* key in the store */
   char *value;
   size_t value_len;
+  char *route;
+  int64_t chain_ms; /* duration of the job's longest chain of steps */
+  bool wants_estimate;
+  struct mt_retry_request request;
   int64_t began;
+  int64_t settle_by; /* time by which an unknown outcome is answered */
+  bool waited;       /* it has waited for the store's return */
+  bool refused_by_store;
   int64_t retry_ms;     /* of a refused job: delay after which it could be served; else 0 */
   bool outcome_unknown; /* a write of it had no answer, so it may be stored */
 };
@@ -40,6 +60,8 @@
   GPtrArray *submits;
   struct mt_timer *retry_timer;
   int64_t sent;
+  bool settling;
+  unsigned lookups; /* look-ups in flight */
 };
 
 struct mt_admission *
@@ -60,6 +82,7 @@
   struct submit *s = data;
 
   g_free (s->pool);
+  g_free (s->route);
   g_free (s->id);
   g_free (s->key);
   g_free (s->value);
@@ -90,6 +113,8 @@
 
   if (s->retry_ms > 0)
     return mt_frontend_retry_after_s (s->retry_ms, g_random_double ());
+  if (status == 503 && s->refused_by_store && frontend->store_wait != NULL)
+    return mt_store_wait_retry_after_s (frontend->store_wait, &s->request);
   if (status == 503)
     return mt_admission_retry_after_s (frontend->admission, frontend->submits.length,
                                        g_random_double ());
@@ -109,18 +134,27 @@
     { 504, MT_COUNT_OUTCOME_UNKNOWN, "JOB_UNSETTLED" },
     { 0, MT_COUNT_REFUSED, "JOB_REFUSED" },
   };
+  struct mt_frontend *frontend = s->frontend;
   size_t outcome = 0;
   int64_t took = mt_loop_now () - s->began;
+  unsigned retry_s = retry_after_s (s, status);
+  g_autofree char *detail = NULL;
 
   while (outcomes[outcome].status != 0 && outcomes[outcome].status != status)
     outcome++;
-  mt_metrics_increment (s->frontend->options.metrics, outcomes[outcome].counter);
-  mt_metrics_observe (s->frontend->options.metrics, MT_LATENCY_SUBMIT, took);
-  mt_journal_log (s->frontend->options.journal, outcomes[outcome].event,
-                  "id=%s pool=%s status=%u why=%s took_ms=%" G_GINT64_FORMAT, s->id, s->pool,
-                  status, why, took);
-  mt_frontend_answer (s->exchange, status, NULL, retry_after_s (s, status));
-  s->frontend->in_flight--;
+  mt_metrics_increment (frontend->options.metrics, outcomes[outcome].counter);
+  mt_metrics_observe (frontend->options.metrics, MT_LATENCY_SUBMIT, took);
+  if (s->waited && (status == 200 || status == 503))
+    mt_metrics_increment (frontend->options.metrics,
+                          status == 200 ? MT_COUNT_WAITED_STORED : MT_COUNT_WAITED_REFUSED);
+  if (outcomes[outcome].counter == MT_COUNT_REFUSED && frontend->store_wait != NULL)
+    detail = g_strdup_printf (" retry_s=%u away_ms=%" G_GINT64_FORMAT, retry_s,
+                              mt_store_wait_away_ms (frontend->store_wait));
+  mt_journal_log (frontend->options.journal, outcomes[outcome].event,
+                  "id=%s pool=%s status=%u why=%s took_ms=%" G_GINT64_FORMAT "%s", s->id, s->pool,
+                  status, why, took, detail != NULL ? detail : "");
+  mt_frontend_answer (s->exchange, status, NULL, retry_s);
+  frontend->in_flight--;
   free_submit (s);
 }
 
@@ -164,7 +198,10 @@
 static void
 free_txn (struct txn *t)
 {
-  t->frontend->txns--;
+  if (t->settling)
+    t->frontend->settling--;
+  else
+    t->frontend->txns--;
   g_ptr_array_unref (t->submits);
   mt_timer_destroy (t->retry_timer);
   g_free (t);
@@ -214,7 +251,145 @@
 static bool
 store_answers (const struct mt_frontend *frontend)
 {
-  return frontend->options.store_answers (frontend->options.ctx);
+  return frontend->store_wait != NULL ? mt_store_wait_store_answers (frontend->store_wait)
+                                      : frontend->options.store_answers (frontend->options.ctx);
+}
+
+/* ---- waiting for the store ---- */
+
+static int64_t
+wait_until (const struct submit *s)
+{
+  return MIN (s->began + MT_FRONTEND_DEADLINE_MS, s->settle_by);
+}
+
+/* Holds a submission of which nothing is stored until the store is back, or refuses it. */
+static void
+wait_or_refuse (struct submit *s, const char *why)
+{
+  s->refused_by_store = true;
+  if (s->frontend->store_wait != NULL
+      && mt_store_wait_add (s->frontend->store_wait, s, s->value_len, &s->request, wait_until (s)))
+    s->waited = true;
+  else
+    end_submit (s, 503, why);
+}
+
+static void
+on_store_not_back (void *ctx, void *submit)
+{
+  end_submit (submit, 503, "the store is not expected back in time");
+}
+
+/* ---- unknown outcomes ---- */
+
+/* Handles a failed transaction of submissions whose outcome may be unknown. Those with an unknown
+ * outcome stay, until their callers' time is over; the others wait for the store or are refused. */
+static void
+keep_unsettled (struct txn *t)
+{
+  int64_t now = mt_loop_now ();
+  bool store_is_down = !store_answers (t->frontend);
+
+  for (guint i = 0; i < t->submits->len;)
+    {
+      struct submit *s = t->submits->pdata[i];
+      bool keep = s->outcome_unknown ? now < s->settle_by : !store_is_down && now < wait_until (s);
+
+      if (keep)
+        {
+          i++;
+          continue;
+        }
+      g_ptr_array_remove_index (t->submits, i);
+      if (s->outcome_unknown)
+        end_submit (s, 504, "the store did not answer");
+      else
+        wait_or_refuse (s, "the store did not answer");
+    }
+}
+
+static bool
+has_unknown_outcome (const struct txn *t)
+{
+  for (guint i = 0; i < t->submits->len; i++)
+    if (((const struct submit *) t->submits->pdata[i])->outcome_unknown)
+      return true;
+  return false;
+}
+
+/* Lets other transactions be sent while this one's outcome is being found out. */
+static void
+begin_settling (struct txn *t)
+{
+  if (t->settling || t->frontend->settling >= MAX_SETTLING || !has_unknown_outcome (t))
+    return;
+  t->settling = true;
+  t->frontend->txns--;
+  t->frontend->settling++;
+}
+
+struct lookup
+{
+  struct txn *txn;
+  struct submit *submit;
+};
+
+static void
+on_looked_up (void *data, const struct mt_kv_reply *reply)
+{
+  struct lookup *lookup = data;
+  struct txn *t = lookup->txn;
+
+  if (reply->status == MT_KV_OK && reply->n_items > 0 && reply->items[0].revision > 0)
+    {
+      g_ptr_array_remove (t->submits, lookup->submit);
+      resolve_existing (lookup->submit, &reply->items[0]);
+    }
+  g_free (lookup);
+  if (--t->lookups > 0)
+    return;
+  if (t->submits->len == 0)
+    end_txn (t);
+  else
+    mt_timer_set (t->retry_timer, 0);
+}
+
+/* Reads the keys of unanswered writes. A key that is missing proves nothing, as the write may still
+ * be done: the same write follows, and its precondition settles the outcome. */
+static void
+look_up (struct txn *t)
+{
+  const struct mt_kv *kv = &t->frontend->options.kv;
+  g_autoptr (GPtrArray) submits = g_ptr_array_copy (t->submits, NULL, NULL);
+
+  t->lookups = submits->len;
+  for (guint i = 0; i < submits->len; i++)
+    {
+      struct lookup *lookup = g_new0 (struct lookup, 1);
+
+      *lookup = (struct lookup){ t, submits->pdata[i] };
+      mt_kv_read (kv, lookup->submit->key, LOOKUP_TIMEOUT_MS, on_looked_up, lookup);
+    }
+}
+
+static void
+settle (struct txn *t, bool unanswered)
+{
+  for (guint i = 0; unanswered && i < t->submits->len; i++)
+    ((struct submit *) t->submits->pdata[i])->outcome_unknown = true;
+  keep_unsettled (t);
+  if (t->submits->len == 0)
+    {
+      end_txn (t);
+      return;
+    }
+  begin_settling (t);
+  if (unanswered && store_answers (t->frontend))
+    look_up (t);
+  else
+    mt_timer_set (t->retry_timer, RETRY_MS);
+  send_submits (t->frontend);
 }
 
 /* A write without an answer may still be done later, so its job must not be reported as refused:
@@ -224,8 +399,14 @@
 retry_or_end (struct txn *t, bool outcome_unknown)
 {
   int64_t now = mt_loop_now ();
-  bool store_is_down = !store_answers (t->frontend);
+  bool store_is_down;
 
+  if (t->frontend->store_wait != NULL)
+    {
+      settle (t, outcome_unknown);
+      return;
+    }
+  store_is_down = !store_answers (t->frontend);
   for (guint i = 0; i < t->submits->len;)
     {
       struct submit *s = t->submits->pdata[i];
@@ -245,11 +426,25 @@
     mt_timer_set (t->retry_timer, RETRY_MS);
 }
 
+/* A write that fails long before its time-out was not waited for: its connection failed. */
+static void
+record_failure (const struct txn *t, enum mt_kv_status status)
+{
+  bool timed_out = mt_loop_now () - t->sent >= MT_FRONTEND_TXN_TIMEOUT_MS / 2;
+
+  if (t->frontend->store_wait != NULL && (status == MT_KV_REFUSED || status == MT_KV_UNKNOWN))
+    mt_store_wait_record_failure (t->frontend->store_wait, status == MT_KV_REFUSED
+                                                               ? MT_STORE_REFUSES
+                                                           : timed_out ? MT_STORE_NO_ANSWER
+                                                                       : MT_STORE_RESETS);
+}
+
 static void
 on_stored (void *data, const struct mt_kv_reply *reply)
 {
   struct txn *t = data;
 
+  record_failure (t, reply->status);
   mt_admission_record_batch (t->frontend->admission, mt_loop_now () - t->sent);
   switch (reply->status)
     {
@@ -291,17 +486,46 @@
   mt_kv_write (&t->frontend->options.kv, &txn, MT_FRONTEND_TXN_TIMEOUT_MS, on_stored, t);
 }
 
+/* While the store does not answer, a retry would only add to its load when it is back. */
+static void
+retry_txn (void *ctx)
+{
+  struct txn *t = ctx;
+
+  if (t->frontend->store_wait != NULL && !store_answers (t->frontend))
+    settle (t, false);
+  else
+    send_txn (t);
+}
+
+/* Nothing of the queued submissions is sent to a store that does not answer: their outcomes would
+ * be unknown. */
+static void
+hold_queued_submits (struct mt_frontend *frontend)
+{
+  struct submit *s;
+
+  while ((s = g_queue_pop_head (&frontend->submits)) != NULL)
+    if (s->outcome_unknown)
+      end_submit (s, 504, "the store did not answer");
+    else
+      wait_or_refuse (s, "the store does not answer, nothing was sent");
+}
+
 /* Submissions that arrive while transactions are in flight share the next one. */
 static void
 send_submits (struct mt_frontend *frontend)
 {
+  if (frontend->store_wait != NULL && !g_queue_is_empty (&frontend->submits)
+      && !store_answers (frontend))
+    hold_queued_submits (frontend);
   while (!g_queue_is_empty (&frontend->submits) && frontend->txns < MAX_TXNS_IN_FLIGHT)
     {
       struct txn *t = g_new0 (struct txn, 1);
 
       t->frontend = frontend;
       t->submits = g_ptr_array_new ();
-      t->retry_timer = mt_timer_create (frontend->base, send_txn, t);
+      t->retry_timer = mt_timer_create (frontend->base, retry_txn, t);
       frontend->txns++;
       while (t->submits->len < SUBMITS_PER_TXN && !g_queue_is_empty (&frontend->submits))
         g_ptr_array_add (t->submits, g_queue_pop_head (&frontend->submits));
@@ -378,6 +602,74 @@
   return spec->repeats == 0;
 }
 
+/* Stores the submission, or refuses it for want of time. */
+static void
+admit_submit (struct submit *s)
+{
+  struct mt_frontend *frontend = s->frontend;
+
+  s->refused_by_store = false;
+  if (!mt_admission_admits (frontend->admission, frontend->submits.length))
+    end_submit (s, 503, "too many submissions wait to be stored, nothing was sent");
+  else if (s->wants_estimate)
+    request_estimate (s, s->route, s->chain_ms);
+  else
+    enqueue_submit (s);
+}
+
+static void
+on_store_back (void *ctx, void *submit)
+{
+  admit_submit (submit);
+}
+
+struct mt_store_wait *
+mt_frontend_new_store_wait (struct mt_frontend *frontend)
+{
+  struct mt_store_wait_options options = { .journal = frontend->options.journal,
+                                           .max_wait_ms = MT_FRONTEND_DEADLINE_MS,
+                                           .store_answers = frontend->options.store_answers,
+                                           .store_is_down = frontend->options.store_is_down,
+                                           .release = on_store_back,
+                                           .refuse = on_store_not_back,
+                                           .ctx = frontend->options.ctx };
+
+  return mt_store_wait_create (frontend->base, &options);
+}
+
+void
+mt_frontend_drop_submit (void *submit)
+{
+  free_submit (submit);
+}
+
+/* Returns the time for which the caller waits for its answer. */
+static int64_t
+caller_wait_ms (const struct mt_exchange *exchange)
+{
+  const char *text = mt_exchange_header (exchange, DEADLINE_HEADER);
+  unsigned long long ms = 0;
+
+  return text != NULL && mt_str_to_u64 (mt_str_from (text), &ms) && ms <= 3600 * 1000
+             ? (int64_t) ms
+             : CALLER_WAIT_MS;
+}
+
+/* Jobs that are scheduled for later or run until they are stopped have no objective. */
+static struct mt_retry_request
+make_request (const struct submit *s, const struct mt_fleet_route *route)
+{
+  struct mt_retry_request request
+      = { .remaining_ms = caller_wait_ms (s->exchange), .priority = route->terms.priority };
+
+  if (!s->wants_estimate)
+    return request;
+  request.objective_ms
+      = (int64_t) (route->terms.stretch * (double) s->chain_ms) + route->terms.objective_ms;
+  request.useful_ms = MAX (USEFUL_OBJECTIVES * request.objective_ms - s->chain_ms, 0);
+  return request;
+}
+
 void
 mt_frontend_submit (struct mt_frontend *frontend,
                     struct mt_exchange *exchange,
@@ -394,8 +686,6 @@
   struct mt_job_spec *spec
       = frontend->options.codec->ops->parse_job (id, route->name, body, &error);
   struct submit *s;
-  int64_t chain_ms;
-  bool wants_estimate;
 
   if (spec == NULL)
     {
@@ -405,30 +695,23 @@
       mt_exchange_answer (exchange, 400, "text/plain", mt_str_from (error->message), 0);
       return;
     }
-  chain_ms = mt_job_spec_chain_ms (spec, 1.0);
-  wants_estimate = can_estimate (spec);
-  mt_job_spec_destroy (spec);
   s = g_new0 (struct submit, 1);
+  s->chain_ms = mt_job_spec_chain_ms (spec, 1.0);
+  s->wants_estimate = can_estimate (spec);
+  mt_job_spec_destroy (spec);
   s->frontend = frontend;
   s->exchange = exchange;
+  s->route = g_strdup (route->name);
+  s->request = make_request (s, route);
   s->pool = g_strdup (route->pool);
   s->id = g_strdup (id);
   s->key = mt_pool_job_key (route->pool, id);
   s->value = mt_pool_submission_pack (&submission, &s->value_len);
   s->began = mt_loop_now ();
+  s->settle_by = s->began + (int64_t) (ANSWER_SHARE * (double) s->request.remaining_ms);
   frontend->in_flight++;
-  if (!store_answers (frontend))
-    {
-      end_submit (s, 503, "the store does not answer, nothing was sent");
-      return;
-    }
-  if (!mt_admission_admits (frontend->admission, frontend->submits.length))
-    {
-      end_submit (s, 503, "too many submissions wait to be stored, nothing was sent");
-      return;
-    }
-  if (wants_estimate)
-    request_estimate (s, route->name, chain_ms);
+  if (store_answers (frontend))
+    admit_submit (s);
   else
-    enqueue_submit (s);
+    wait_or_refuse (s, "the store does not answer, nothing was sent");
 }
--- a/fleet/metrics.c
+++ b/fleet/metrics.c
@@ -22,6 +22,10 @@
   = { "questions_unanswered_total", "Questions without an answer in time." },
   [MT_COUNT_UNAUTHORIZED] = { "calls_unauthorized_total", "Calls without a key that holds." },
   [MT_COUNT_LEADERSHIPS_LOST] = { "duties_lost_total", "Leaderships lost." },
+  [MT_COUNT_WAITED_STORED]
+  = { "submissions_waited_stored_total", "Submissions stored after they waited for the store." },
+  [MT_COUNT_WAITED_REFUSED]
+  = { "submissions_waited_refused_total", "Submissions refused after they waited for the store." },
 };
 
 static const struct metric_info latencies[MT_LATENCIES] = {
--- a/fleet/settings.c
+++ b/fleet/settings.c
@@ -24,6 +24,7 @@
   { "link_mbps", MT_FIELD_WEIGHT, FIELD (link_mbps), .max = 1e6 },
   { "connections", MT_FIELD_COUNT, FIELD (connections), .min = 1, .max = 20000, .fallback = 2000 },
   { "idle_s", MT_FIELD_COUNT, FIELD (idle_s), .min = 1, .max = 3600, .fallback = 30 },
+  { "store_wait", MT_FIELD_FLAG, FIELD (store_wait) },
   { "body_bytes", MT_FIELD_COUNT, FIELD (body_bytes), .min = 1, .max = 64e6, .fallback = 262144 },
   { NULL },
 };
--- a/fleet/settings.h
+++ b/fleet/settings.h
@@ -35,6 +35,7 @@
   unsigned connections;
   unsigned idle_s;
   unsigned body_bytes;
+  bool store_wait; /* submissions wait for the store in an outage, and retries are planned */
   struct mt_fleet_bounds bounds;
 };
 
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -109,6 +109,10 @@
           "a pool's jobs were loaded and are scheduled again")
 MT_EVENT (8013, RECORD_UNREADABLE, G_LOG_LEVEL_CRITICAL, "a stored record could not be read")
 MT_EVENT (8015, POOL_LOAD, G_LOG_LEVEL_MESSAGE, "load and capacity of a pool")
+MT_EVENT (8020,
+          STORE_AWAY,
+          G_LOG_LEVEL_WARNING,
+          "submissions can't be stored: callers wait or are refused")
 MT_EVENT (8014,
           SCHEDULER_FENCED,
           G_LOG_LEVEL_WARNING,
--- a/tests/path/test_retry_plan.c
+++ b/tests/path/test_retry_plan.c
@@ -42,6 +42,7 @@
   struct mt_retry_plan *plan;
   int64_t outage_ms;
   unsigned surge;    /* times the mean */
+  bool alone;        /* as far as known, other daemons reach the store */
   int64_t useful_ms; /* of each job, from its first submission; 0: unknown */
   struct caller callers[MAX_CALLERS];
   unsigned n_callers;
@@ -160,7 +161,7 @@
 
   r->began = START_MS;
   end = r->began + r->outage_ms;
-  mt_retry_plan_store_away (r->plan, MT_STORE_REFUSES, true, r->began);
+  mt_retry_plan_store_away (r->plan, MT_STORE_REFUSES, !r->alone, r->began);
   for (int64_t now = r->began; now < end + 60000; now += STEP_MS)
     {
       if (now == end)
@@ -302,6 +303,23 @@
         }
 }
 
+/* All daemons have lost the store and none knows it, as in a fleet of one data centre. Guards
+ * against callers that are sent to other daemons until they give up. */
+static void
+test_retries_last_although_the_outage_is_taken_for_a_partition (void **state)
+{
+  for (int64_t outage_ms = 1000; outage_ms <= MAX_OUTAGE_MS; outage_ms += 1000)
+    for (unsigned surge = 1; surge <= 10; surge++)
+      {
+        struct replay *r = create_replay (outage_ms, surge);
+
+        r->alone = true;
+        run (r);
+        assert_int_equal (r->n_given_up, 0);
+        destroy_replay (r);
+      }
+}
+
 /* A daemon that alone has lost the store: another one serves the caller at once. */
 static void
 test_caller_of_a_partitioned_daemon_returns_at_once (void **state)
@@ -317,6 +335,27 @@
   destroy_replay (r);
 }
 
+/* A watch that was in flight is answered during the outage, and the store seems to be back for a
+ * moment. Guards against a history of short outages that never were: callers would return at once
+ * and use up their retries. */
+static void
+test_moment_of_answers_does_not_end_the_outage (void **state)
+{
+  struct replay *r = create_replay (1, 1);
+  const struct mt_retry_request request = { .remaining_ms = DEADLINE_MS };
+
+  learn (r, 6000);
+  mt_retry_plan_store_away (r->plan, MT_STORE_REFUSES, true, START_MS);
+  mt_retry_plan_store_back (r->plan, START_MS + 50);
+  mt_retry_plan_store_away (r->plan, MT_STORE_REFUSES, true, START_MS + 500);
+  assert_int_equal (mt_retry_plan_away_ms (r->plan, START_MS + 1000), 1000);
+  assert_int_equal (mt_retry_plan_retry_after_s (r->plan, &request, START_MS + 1000), 5);
+  mt_retry_plan_store_back (r->plan, START_MS + 6000);
+  mt_retry_plan_store_away (r->plan, MT_STORE_REFUSES, true, START_MS + 60000);
+  assert_int_equal (mt_retry_plan_remaining_ms (r->plan, START_MS + 60000), 6000);
+  destroy_replay (r);
+}
+
 /* Guards against submissions that are held although the store can't be back in time: the caller
  * would lose the time in which it could act on the refusal. */
 static void
@@ -349,7 +388,9 @@
     cmocka_unit_test (test_short_objectives_return_first),
     cmocka_unit_test (test_callers_return_when_past_outages_ended),
     cmocka_unit_test (test_no_caller_is_sent_beyond_its_time_of_use),
+    cmocka_unit_test (test_retries_last_although_the_outage_is_taken_for_a_partition),
     cmocka_unit_test (test_caller_of_a_partitioned_daemon_returns_at_once),
+    cmocka_unit_test (test_moment_of_answers_does_not_end_the_outage),
     cmocka_unit_test (test_submission_waits_only_for_an_expected_return),
   };
 
--- a/tests/process/harness.c
+++ b/tests/process/harness.c
@@ -279,6 +279,8 @@
   struct mt_http_answer answer = { 0 };
   struct reply reply = { 0 };
   struct mt_str outcome;
+  struct mt_str retry_after;
+  unsigned long long seconds = 0;
 
   if (mt_http_client_call (harness->client, address, &call, arena, &answer, NULL)
       == MT_HTTP_COMPLETE)
@@ -288,6 +290,9 @@
       outcome
           = mt_http_header_find (answer.headers, answer.n_headers, MT_STR ("Medlartrack-Outcome"));
       reply.outcome = outcome.data != NULL ? g_strndup (outcome.data, outcome.len) : NULL;
+      retry_after = mt_http_header_find (answer.headers, answer.n_headers, MT_STR ("Retry-After"));
+      if (retry_after.data != NULL && mt_str_to_u64 (retry_after, &seconds))
+        reply.retry_after_s = (unsigned) seconds;
     }
   mt_arena_destroy (arena);
   return reply;
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -18,9 +18,10 @@
 
 struct reply
 {
-  int status;    /* 0: no complete answer */
-  char *body;    /* freed by reply_clear */
-  char *outcome; /* Medlartrack-Outcome, or NULL */
+  int status;             /* 0: no complete answer */
+  char *body;             /* freed by reply_clear */
+  char *outcome;          /* Medlartrack-Outcome, or NULL */
+  unsigned retry_after_s; /* Retry-After; 0 for none */
 };
 
 struct harness *harness_create (const char *build);
--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -33,6 +33,15 @@
   const char *id;    /* job that harness_wait conditions query */
   const char *state; /* its expected state, or the API key to send */
   unsigned route;    /* route that every daemon must serve */
+  bool store_wait;   /* submissions wait for the store */
+};
+
+struct surge_caller
+{
+  struct fixture *fixture;
+  unsigned number;
+  unsigned calls;
+  int status; /* of the last call */
 };
 
 static int
@@ -68,27 +77,37 @@
   configure_workspaces (f, version, NULL);
 }
 
-static struct process *
-start_daemon (struct fixture *f, unsigned i)
+/* Returns the path of the file, freed by the caller with g_free. */
+static char *
+write_settings (struct fixture *f, unsigned i, unsigned store_port)
 {
   g_autofree char *name = g_strdup_printf ("d%u.json", i);
   g_autofree char *text
       = g_strdup_printf ("{\"name\":\"d%u\",\"zone\":\"west\",\"listen\":\"127.0.0.1:0\","
                          "\"ready_listen\":\"127.0.0.1:0\",\"ip\":\"127.0.0.1\",\"peer_port\":0,"
-                         "\"store\":\"127.0.0.1:%u\",\"machines\":\"127.0.0.1:%u\"}",
-                         i, f->platform->port, f->platform->port);
-  g_autofree char *path = harness_write_file (f->harness, name, text);
+                         "\"store\":\"127.0.0.1:%u\",\"machines\":\"127.0.0.1:%u\","
+                         "\"store_wait\":%s}",
+                         i, store_port, f->platform->port, f->store_wait ? "true" : "false");
+
+  return harness_write_file (f->harness, name, text);
+}
+
+static struct process *
+start_daemon (struct fixture *f, unsigned i)
+{
+  g_autofree char *path = write_settings (f, i, f->platform->port);
   const char *args[] = { "--settings", path, NULL };
 
   return harness_start (f->harness, "daemon/medlartrackd", args);
 }
 
 static struct fixture *
-create_fixture (const char *run_ms)
+create_fixture_with (const char *run_ms, bool store_wait)
 {
   struct fixture *f = g_new0 (struct fixture, 1);
   const char *args[] = { "4", run_ms, NULL };
 
+  f->store_wait = store_wait;
   f->harness = harness_create (build);
   f->platform = harness_start (f->harness, "tests/standins/medlartrack-standin-fleet", args);
   configure (f, 1);
@@ -98,6 +117,12 @@
   return f;
 }
 
+static struct fixture *
+create_fixture (const char *run_ms)
+{
+  return create_fixture_with (run_ms, false);
+}
+
 static void
 destroy_fixture (struct fixture *f)
 {
@@ -187,15 +212,22 @@
 }
 
 static bool
-has_logged_leadership (const struct process *process, const char *leadership)
+has_logged (const struct process *process, const char *marker)
 {
   g_autofree char *text = NULL;
-  g_autofree char *marker = g_strdup_printf ("\"leadership\":\"%s\",\"token\"", leadership);
 
   return g_file_get_contents (process->log_path, &text, NULL, NULL)
          && strstr (text, marker) != NULL;
 }
 
+static bool
+has_logged_leadership (const struct process *process, const char *leadership)
+{
+  g_autofree char *marker = g_strdup_printf ("\"leadership\":\"%s\",\"token\"", leadership);
+
+  return has_logged (process, marker);
+}
+
 static unsigned
 find_leader (struct fixture *f, const char *leadership)
 {
@@ -372,6 +404,124 @@
   destroy_fixture (f);
 }
 
+/* Each write is executed and none is answered. The look-up of the key settles the outcome within
+ * the caller's time: without it each of these callers would get 504. */
+static void
+test_settled_despite_lost_write_answers (void **state)
+{
+  struct fixture *f = create_fixture_with ("200", true);
+
+  wait_until_ready (f);
+  wait_for_state (f, "00000000000000aa", "completed");
+  assert_int_equal (post_to_platform (f, "/test/store?mode=lost", ""), 200);
+  assert_int_equal (submit (f, 0, "00000000000000bb", 3, 300), 200);
+  assert_int_equal (submit (f, 1, "00000000000000bb", 4, 300), 409);
+  assert_int_equal (post_to_platform (f, "/test/store?mode=up", ""), 200);
+  wait_for_state (f, "00000000000000bb", "completed");
+  assert_int_equal (read_counter (f, "started"), 6);
+  destroy_fixture (f);
+}
+
+/* Each write is answered after its time-out. The outcome is known all the same. */
+static void
+test_settled_despite_a_slow_store (void **state)
+{
+  struct fixture *f = create_fixture_with ("200", true);
+
+  wait_until_ready (f);
+  wait_for_state (f, "00000000000000aa", "completed");
+  assert_int_equal (post_to_platform (f, "/test/store?mode=slow", ""), 200);
+  assert_int_equal (submit (f, 0, "00000000000000bb", 3, 300), 200);
+  assert_int_equal (post_to_platform (f, "/test/store?mode=up", ""), 200);
+  wait_for_state (f, "00000000000000bb", "completed");
+  assert_int_equal (read_counter (f, "started"), 6);
+  destroy_fixture (f);
+}
+
+#define SURGE       24U
+#define MAX_RETRIES 4U
+
+/* A caller that retries as it is told. */
+static void *
+call_with_retries (void *data)
+{
+  struct surge_caller *c = data;
+  g_autofree char *path = g_strdup_printf ("/r1/%016x", 0xc00U + c->number);
+  g_autofree char *body = g_strdup_printf (JOB_JSON, 1U, 100U);
+
+  for (c->calls = 0; c->calls <= MAX_RETRIES; c->calls++)
+    {
+      struct reply reply = harness_send (c->fixture->harness, c->fixture->daemons[c->number % 3],
+                                         "POST", path, NULL, body);
+
+      unsigned retry_after_s = reply.retry_after_s;
+
+      c->status = reply.status;
+      reply_clear (&reply);
+      if (c->status != 503)
+        break;
+      g_usleep (1000UL * 1000 * retry_after_s);
+    }
+  return NULL;
+}
+
+/* The store is away as a surge begins. Callers that follow Retry-After are all served with their
+ * four retries, none is told that its outcome is unknown, and each job is stored once. */
+static void
+test_surge_in_an_outage_is_served_after_it (void **state)
+{
+  struct fixture *f = create_fixture_with ("100", true);
+  struct surge_caller callers[SURGE] = { 0 };
+  GThread *threads[SURGE];
+
+  wait_until_ready (f);
+  wait_for_state (f, "00000000000000aa", "completed");
+  assert_int_equal (post_to_platform (f, "/test/store?mode=busy", ""), 200);
+  assert_true (harness_wait (is_refused, f));
+  for (unsigned i = 0; i < SURGE; i++)
+    {
+      callers[i] = (struct surge_caller){ .fixture = f, .number = i };
+      threads[i] = g_thread_new ("caller", call_with_retries, &callers[i]);
+    }
+  g_usleep (3000 * 1000); /* the outage's length; the test holds for any up to 12 s */
+  assert_int_equal (post_to_platform (f, "/test/store?mode=up", ""), 200);
+  for (unsigned i = 0; i < SURGE; i++)
+    {
+      g_thread_join (threads[i]);
+      assert_int_equal (callers[i].status, 200);
+    }
+  for (unsigned i = 0; i < SURGE; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%016x", 0xc00U + i);
+
+      wait_for_state (f, id, "completed");
+    }
+  assert_int_equal (read_counter (f, "started"), 3 + SURGE);
+  assert_int_equal (read_counter (f, "twice"), 0);
+  assert_true (has_logged (f->daemons[0], "\"event\":8020"));
+  assert_true (has_logged (f->daemons[0], "\"retry_s\""));
+  destroy_fixture (f);
+}
+
+/* One daemon alone loses the store. It stores through another one, or refuses for the moment: its
+ * callers get no unknown outcome for good, and the job runs once. */
+static void
+test_relayed_when_the_store_refuses_one_daemon (void **state)
+{
+  struct fixture *f = create_fixture_with ("200", true);
+
+  wait_until_ready (f);
+  wait_for_state (f, "00000000000000aa", "completed");
+  g_free (write_settings (f, 0, 1)); /* nothing listens on port 1 */
+  harness_signal (f->daemons[0], SIGHUP);
+  f->id = "00000000000000bb";
+  assert_true (harness_wait (is_submitted, f));
+  wait_for_state (f, "00000000000000bb", "completed");
+  assert_int_equal (read_counter (f, "started"), 6);
+  assert_int_equal (read_counter (f, "twice"), 0);
+  destroy_fixture (f);
+}
+
 /* Status of the first daemon's readiness probe, which the platform's balancer uses. */
 static int
 ready_status (struct fixture *f)
@@ -654,6 +804,10 @@
     cmocka_unit_test (test_frozen_leader_is_fenced),
     cmocka_unit_test (test_lost_answers_create_one_job),
     cmocka_unit_test (test_outage_refuses_new_jobs_and_keeps_runs),
+    cmocka_unit_test (test_settled_despite_lost_write_answers),
+    cmocka_unit_test (test_settled_despite_a_slow_store),
+    cmocka_unit_test (test_surge_in_an_outage_is_served_after_it),
+    cmocka_unit_test (test_relayed_when_the_store_refuses_one_daemon),
     cmocka_unit_test (test_daemon_that_refuses_is_not_ready),
     cmocka_unit_test (test_forgotten_history_loses_no_configuration),
     cmocka_unit_test (test_configuration_never_goes_back),
--- a/tests/standins/fleet_store.c
+++ b/tests/standins/fleet_store.c
@@ -7,6 +7,7 @@
 #define TICK_MS        20
 #define MAX_PAGE_ITEMS 200
 #define UNANSWERED_S   3 /* an unanswered exchange gets status 500 after this time */
+#define SLOW_MS        700
 
 struct item
 {
@@ -34,6 +35,14 @@
   int64_t deadline_ms; /* answered without events at this time */
 };
 
+struct late_answer
+{
+  struct mt_exchange *exchange;
+  unsigned status;
+  json_t *body;
+  int64_t due_ms;
+};
+
 struct fleet_store
 {
   struct event_base *base;
@@ -45,6 +54,7 @@
   GHashTable *leases;         /* id -> int64_t[3]: id, TTL in ms, expiry time in ms */
   int64_t next_lease;
   GQueue watches;
+  GQueue late;       /* struct late_answer, by time */
   GQueue unanswered; /* struct watch without prefix: exchanges held back, by deadline */
   char *mode;
 };
@@ -311,6 +321,28 @@
   g_queue_push_tail (&s->unanswered, held);
 }
 
+static void
+answer_late (struct fleet_store *s, struct mt_exchange *exchange, unsigned status, json_t *body)
+{
+  struct late_answer *late = g_new0 (struct late_answer, 1);
+
+  *late = (struct late_answer){ exchange, status, body, now_ms () + SLOW_MS };
+  g_queue_push_tail (&s->late, late);
+}
+
+static void
+send_late_answers (struct fleet_store *s)
+{
+  struct late_answer *late;
+
+  while ((late = g_queue_peek_head (&s->late)) != NULL && late->due_ms <= now_ms ())
+    {
+      g_queue_pop_head (&s->late);
+      fleet_answer (late->exchange, late->status, late->body);
+      g_free (late);
+    }
+}
+
 static void
 handle_txn (struct fleet_store *s, struct mt_exchange *exchange)
 {
@@ -320,7 +352,9 @@
   json_t *answer = root != NULL ? apply_txn (s, root, &status) : json_object ();
 
   json_decref (root);
-  if (strcmp (s->mode, "lost") != 0)
+  if (strcmp (s->mode, "slow") == 0)
+    answer_late (s, exchange, status, answer);
+  else if (strcmp (s->mode, "lost") != 0)
     fleet_answer (exchange, status, answer);
   else
     {
@@ -430,7 +464,7 @@
   int64_t *lease;
   int64_t expired_id = 0;
 
-  if (strcmp (s->mode, "up") != 0 && strcmp (s->mode, "lost") != 0)
+  if (strcmp (s->mode, "up") != 0 && strcmp (s->mode, "lost") != 0 && strcmp (s->mode, "slow") != 0)
     {
       g_hash_table_iter_init (&it, s->leases);
       while (g_hash_table_iter_next (&it, NULL, (void **) &lease))
@@ -449,6 +483,7 @@
 on_tick (evutil_socket_t fd, short what, void *ctx)
 {
   end_unanswered (ctx);
+  send_late_answers (ctx);
   expire_leases (ctx);
   answer_watches (ctx);
 }
--- a/tests/standins/fleet_store.h
+++ b/tests/standins/fleet_store.h
@@ -17,7 +17,8 @@
 /* Returns the value, to be freed with g_free, or NULL if the key does not exist. */
 char *fleet_store_get (const struct fleet_store *store, const char *key);
 /* Modes: "up", "busy" (every call gets 503), "silent" (no call is answered, nor does it take
- * effect), "lost" (writes take effect and are not answered). */
+ * effect), "lost" (writes take effect and are not answered), "slow" (writes take effect and are
+ * answered after 700 ms). */
 void fleet_store_set_mode (struct fleet_store *store, const char *mode);
 /* Compacts the history: answers all open watches with 410, and later ones that start before the
  * current revision. */
