path: a caller's retries last whichever daemon answers them

The shortest time between retries was computed from the answers of one plan. A balancer sends each retry to another daemon, whose plan does not know the caller's earlier ones and notices the outage up to 0.6 s earlier or later.

The n-th of a caller's four retries now comes not before 13.1 s x (n/4)^1.5 after the outage began, 1.6, 4.6, 8.5 and 13.1 s, and a plan assumes that a caller has made as many as the schedule allows. This needs no state of callers; the tracking of answers is gone. A caller with little time is sent before the schedule only for the expected end of the outage, also where another daemon may reach the store.

The price: at a daemon that alone has lost the store the first retry comes after 2 s instead of 1 s, and after 1 s of outage after up to 4 s.

A further process test has a write take effect without an answer while the store refuses everything after it: the caller must not get 503.

--- a/core/path/retry_plan.c
+++ b/core/path/retry_plan.c
@@ -29,6 +29,10 @@
 #define SAME_OUTAGE_MS 1000
 /* How long the store's return may go unnoticed: a call is retried every 80 ms. */
 #define NOTICE_MS 500
+/* Daemons notice an outage at times that differ by up to this; 0.59 s were seen among three. */
+#define SKEW_MS 600
+/* Growth of the time between a caller's retries, with which the first retry comes after 2 s. */
+#define RETRY_EXPONENT 1.5
 /* Jobs are ranked by priority, then by their objective. */
 #define PRIORITIES 4
 #define OBJECTIVES 4
@@ -58,9 +62,6 @@
   enum mt_store_failure last_failure; /* kind of the last outage, and its figures before it */
   struct history before;
   struct history past[MT_STORE_FAILURES];
-  /* By number of the retry, the earliest time since away_since at which a caller that was first
-   * refused in this outage may make it; -1: none yet. */
-  int64_t earliest_retry_ms[MT_RETRY_MAX_RETRIES + 1];
   struct slot slots[SLOTS];
 };
 
@@ -74,7 +75,7 @@
   struct mt_retry_plan *plan = g_new0 (struct mt_retry_plan, 1);
 
   plan->settings = *settings;
-  plan->settings.max_retries = CLAMP (settings->max_retries, 1U, MT_RETRY_MAX_RETRIES);
+  plan->settings.max_retries = MAX (settings->max_retries, 1U);
   return plan;
 }
 
@@ -103,9 +104,6 @@
       return;
     }
   plan->away_since = now;
-  plan->earliest_retry_ms[0] = 0;
-  for (unsigned i = 1; i <= MT_RETRY_MAX_RETRIES; i++)
-    plan->earliest_retry_ms[i] = -1;
 }
 
 void
@@ -131,12 +129,11 @@
   return plan->away ? now - plan->away_since : 0;
 }
 
-/* Longest time between two retries with which a caller's retries last for the longest outage, if
- * the first one comes early. */
+/* Longest expectation while an outage is longer than the past ones. */
 static int64_t
-max_step_ms (const struct mt_retry_plan *plan)
+max_remaining_ms (const struct mt_retry_plan *plan)
 {
-  return plan->settings.longest_outage_ms * 4 / 3 / plan->settings.max_retries;
+  return plan->settings.longest_outage_ms / plan->settings.max_retries;
 }
 
 int64_t
@@ -160,7 +157,7 @@
   if (away_ms < longest_ms)
     return longest_ms - away_ms;
   /* Of outages of unknown length, those that have lasted longer last longer. */
-  return CLAMP (away_ms / 2, MIN_REMAINING_MS, max_step_ms (plan));
+  return CLAMP (away_ms / 2, MIN_REMAINING_MS, max_remaining_ms (plan));
 }
 
 bool
@@ -226,27 +223,30 @@
   return callers * growth;
 }
 
-/* Returns the most retries that a caller refused now may have made in this outage. */
-static unsigned
-count_retries_made (const struct mt_retry_plan *plan, int64_t now)
+/* Returns the earliest time since the outage began at which a caller makes its n-th retry. The last
+ * one comes after the longest outage. The first ones come sooner after each other, as most outages
+ * are short. */
+static int64_t
+earliest_retry_ms (const struct mt_retry_plan *plan, unsigned n)
 {
-  unsigned made = 0;
+  double share = (double) n / plan->settings.max_retries;
 
-  while (made + 1 < plan->settings.max_retries && plan->earliest_retry_ms[made + 1] >= 0
-         && plan->earliest_retry_ms[made + 1] <= mt_retry_plan_away_ms (plan, now))
-    made++;
-  return made;
+  return (int64_t) ((double) (plan->settings.longest_outage_ms + NOTICE_MS + SKEW_MS)
+                    * pow (share, RETRY_EXPONENT));
 }
 
-/* Returns the shortest time until the next retry with which the caller's further retries last for
- * the longest outage. */
+/* Returns the shortest time until the next retry. A caller may have made as many retries as the
+ * schedule allows by now, at other daemons too, which noticed the outage a little earlier. */
 static int64_t
 min_retry_ms (const struct mt_retry_plan *plan, int64_t now)
 {
-  unsigned further = plan->settings.max_retries - 1 - count_retries_made (plan, now);
+  int64_t away_ms = mt_retry_plan_away_ms (plan, now);
+  unsigned made = 0;
 
-  return plan->settings.longest_outage_ms + NOTICE_MS - mt_retry_plan_away_ms (plan, now)
-         - further * max_step_ms (plan);
+  while (made + 1 < plan->settings.max_retries
+         && earliest_retry_ms (plan, made + 1) <= away_ms + SKEW_MS)
+    made++;
+  return earliest_retry_ms (plan, made + 1) - away_ms;
 }
 
 static unsigned
@@ -265,16 +265,6 @@
   return 0;
 }
 
-static void
-record_retry (struct mt_retry_plan *plan, unsigned after_s, int64_t now)
-{
-  unsigned next = count_retries_made (plan, now) + 1;
-  int64_t at = now - plan->away_since + after_s * 1000;
-
-  if (plan->earliest_retry_ms[next] < 0 || at < plan->earliest_retry_ms[next])
-    plan->earliest_retry_ms[next] = at;
-}
-
 unsigned
 mt_retry_plan_retry_after_s (struct mt_retry_plan *plan,
                              const struct mt_retry_request *request,
@@ -297,12 +287,11 @@
     after_s = last_s;
   if (request->useful_ms > 0 && after_s > useful_s)
     {
-      unsigned useful = find_place (plan, round_up_s (remaining_ms), useful_s, now);
+      unsigned useful
+          = find_place (plan, round_up_s (mt_retry_plan_remaining_ms (plan, now)), useful_s, now);
 
       after_s = useful > 0 ? useful : after_s;
     }
   find_slot (plan, now + after_s * 1000)->callers[rank]++;
-  if (plan->away)
-    record_retry (plan, after_s, now);
   return after_s;
 }
--- a/include/medlartrack/retry_plan.h
+++ b/include/medlartrack/retry_plan.h
@@ -22,15 +22,12 @@
 struct mt_retry_settings
 {
   double writes_per_s;       /* submissions that this daemon may store per second after an outage */
-  unsigned max_retries;      /* retries of a caller after which it gives up; at most
-                                MT_RETRY_MAX_RETRIES */
+  unsigned max_retries;      /* retries of a caller after which it gives up */
   int64_t longest_outage_ms; /* outage that a caller's retries must last for */
   unsigned max_waiting;      /* submissions that may wait for the store at a time */
   int64_t max_wait_ms;       /* longest wait of one submission */
 };
 
-#define MT_RETRY_MAX_RETRIES 8U
-
 /* A submission that can't be stored now. */
 struct mt_retry_request
 {
--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -422,6 +422,44 @@
   destroy_fixture (f);
 }
 
+static bool
+is_stored (void *ctx)
+{
+  struct fixture *f = ctx;
+  g_autofree char *path
+      = g_strdup_printf ("/test/get?key=medlartrack/pool/quotes/queue/job/%s", f->id);
+
+  return harness_status (f->harness, f->platform, "GET", path, NULL, NULL) == 200;
+}
+
+/* A write takes effect without an answer, and the store refuses everything that follows. The
+ * refusals must not be taken for the outcome: the caller would be told that its job never runs. */
+static void
+test_settled_only_by_the_store_after_an_unanswered_write (void **state)
+{
+  struct fixture *f = create_fixture_with ("200", true);
+  g_autofree char *body = g_strdup_printf (JOB_JSON, 3U, 300U);
+  struct async_request *request;
+  struct reply reply;
+
+  wait_until_ready (f);
+  wait_for_state (f, "00000000000000aa", "completed");
+  assert_int_equal (post_to_platform (f, "/test/store?mode=lost", ""), 200);
+  request
+      = harness_send_async (f->harness, f->daemons[0], "POST", "/r1/00000000000000bb", NULL, body);
+  f->id = "00000000000000bb";
+  assert_true (harness_wait (is_stored, f));
+  assert_int_equal (post_to_platform (f, "/test/store?mode=busy", ""), 200);
+  reply = harness_join (request);
+  assert_true (reply.status == 504 || reply.status == 200);
+  reply_clear (&reply);
+  assert_int_equal (post_to_platform (f, "/test/store?mode=up", ""), 200);
+  assert_true (harness_wait (is_submitted, f));
+  wait_for_state (f, "00000000000000bb", "completed");
+  assert_int_equal (read_counter (f, "started"), 6);
+  destroy_fixture (f);
+}
+
 /* Each write is answered after its time-out. The outcome is known all the same. */
 static void
 test_settled_despite_a_slow_store (void **state)
@@ -806,6 +844,7 @@
     cmocka_unit_test (test_outage_refuses_new_jobs_and_keeps_runs),
     cmocka_unit_test (test_settled_despite_lost_write_answers),
     cmocka_unit_test (test_settled_despite_a_slow_store),
+    cmocka_unit_test (test_settled_only_by_the_store_after_an_unanswered_write),
     cmocka_unit_test (test_surge_in_an_outage_is_served_after_it),
     cmocka_unit_test (test_relayed_when_the_store_refuses_one_daemon),
     cmocka_unit_test (test_daemon_that_refuses_is_not_ready),
