--- a/fleet/frontend.c
+++ b/fleet/frontend.c
@@ -214,6 +214,8 @@
   frontend->options = *options;
   frontend->admission = mt_frontend_new_admission ();
   frontend->submits = mt_submit_queue_create (frontend->admission);
+  if (options->store_wait)
+    frontend->store_wait = mt_frontend_new_store_wait (frontend);
   return frontend;
 }
 
@@ -223,6 +225,7 @@
   if (frontend == NULL)
     return;
   mt_submit_queue_destroy (frontend->submits);
+  mt_store_wait_destroy (frontend->store_wait, mt_frontend_drop_submit);
   mt_admission_destroy (frontend->admission);
   g_free (frontend);
 }
