net, relay: a call counts as sent only if its bytes left through a connected socket

mt_call_answer.sent was true for each call that had been given to a connection, also one that was never established. Bytes are now counted as they leave the output buffer of an open socket.

A connection whose call waits longer than a given time while other calls to the address are answered takes no further call and no longer counts towards the limit of its lane; at most as many connections again are opened. Nothing sets that time yet.

--- a/net/http_calls.c
+++ b/net/http_calls.c
@@ -24,12 +24,18 @@
 
 struct lane;
 
+/* What the lanes of one address share. */
+struct server
+{
+  int64_t answered_at; /* when a call to the address was last answered */
+  GPtrArray *lanes;    /* of struct lane */
+};
+
 struct connection
 {
   struct lane *lane;
   struct evhttp_connection *evcon;
   struct pending_call *pending; /* NULL while idle */
-  bool connected;               /* has carried an answer; a later failure is not a failed connect */
 };
 
 struct pending_call
@@ -37,6 +43,9 @@
   struct lane *lane;
   struct connection *connection; /* NULL while queued */
   struct event *timer;
+  bool sent;               /* bytes of it were given to a connected socket */
+  int64_t began;           /* when it was given to its connection */
+  int64_t unresponsive_ms; /* as in struct mt_call */
   const char *kind;
   enum mt_call_method method;
   char *path;
@@ -51,6 +60,7 @@
 struct lane
 {
   struct mt_calls *calls;
+  struct server *server;
   char *key;
   char *ip;
   uint16_t port;
@@ -64,6 +74,7 @@
   struct event_base *base;
   struct mt_traffic *traffic;
   GHashTable *lanes;
+  GHashTable *servers;
   GPtrArray *retired; /* closed connections, freed by the reaper */
   struct event *reaper;
   uint64_t connections_opened;
@@ -71,6 +82,13 @@
 };
 
 static void send_waiting (struct lane *lane);
+static void send_waiting_of_server (struct lane *lane);
+
+static int64_t
+now_ms (void)
+{
+  return g_get_monotonic_time () / 1000;
+}
 
 static void
 free_pending (struct pending_call *pending)
@@ -87,11 +105,25 @@
   g_free (pending);
 }
 
+/* Notes that bytes of the call were written. Bytes dropped with a closed socket do not count. */
+static void
+on_output (struct evbuffer *output, const struct evbuffer_cb_info *info, void *ctx)
+{
+  struct connection *c = ctx;
+
+  if (info->n_deleted > 0 && c->pending != NULL
+      && bufferevent_getfd (evhttp_connection_get_bufferevent (c->evcon)) >= 0)
+    c->pending->sent = true;
+}
+
 static void
 free_connection (void *data)
 {
   struct connection *c = data;
 
+  /* libevent frees the buffer later than the connection. */
+  evbuffer_remove_cb (bufferevent_get_output (evhttp_connection_get_bufferevent (c->evcon)),
+                      on_output, c);
   evhttp_connection_free (c->evcon);
   if (c->pending != NULL)
     free_pending (c->pending);
@@ -110,6 +142,15 @@
   g_free (lane);
 }
 
+static void
+free_server (void *data)
+{
+  struct server *server = data;
+
+  g_ptr_array_unref (server->lanes);
+  g_free (server);
+}
+
 /* libevent still uses a connection during its callback, so a failed one is freed by a separate
  * event. */
 static void
@@ -147,7 +188,7 @@
 on_timeout (evutil_socket_t fd, short what, void *ctx)
 {
   struct pending_call *pending = ctx;
-  struct mt_call_answer answer = { .sent = pending->connection != NULL };
+  struct mt_call_answer answer = { .sent = pending->sent };
 
   if (pending->connection != NULL)
     retire_connection (pending->connection);
@@ -156,22 +197,37 @@
   complete_call (pending, &answer);
 }
 
+/* Returns whether other calls to the address were answered after this connection's call had waited
+ * for too long. */
+static bool
+is_unresponsive (const struct connection *c)
+{
+  const struct pending_call *pending = c->pending;
+
+  return pending != NULL && pending->unresponsive_ms > 0
+         && c->lane->server->answered_at - pending->began > pending->unresponsive_ms;
+}
+
 static void
 on_answer (struct evhttp_request *request, void *ctx)
 {
   struct connection *c = ctx;
   struct pending_call *pending = c->pending;
-  struct mt_call_answer answer = { .sent = true };
+  struct mt_call_answer answer = { 0 };
   struct evbuffer *input;
+  bool unresponsive;
 
   if (pending == NULL)
     return; /* already timed out */
+  answer.sent = pending->sent;
   if (request == NULL || evhttp_request_get_response_code (request) == 0)
     {
       retire_connection (c);
       complete_call (pending, &answer);
       return;
     }
+  unresponsive = is_unresponsive (c);
+  c->lane->server->answered_at = now_ms ();
   input = evhttp_request_get_input_buffer (request);
   answer.status = evhttp_request_get_response_code (request);
   answer.body.len = evbuffer_get_length (input);
@@ -179,7 +235,9 @@
   mt_traffic_add_received (c->lane->calls->traffic, pending->kind,
                            ANSWER_HEAD_BYTES + answer.body.len);
   c->pending = NULL;
-  c->connected = true;
+  if (unresponsive)
+    retire_connection (c);
+  send_waiting_of_server (c->lane);
   complete_call (pending, &answer);
 }
 
@@ -192,11 +250,25 @@
   c->evcon = evhttp_connection_base_new (lane->calls->base, NULL, lane->ip, lane->port);
   evhttp_connection_set_max_body_size (c->evcon, MAX_ANSWER_BYTES);
   evhttp_connection_set_max_headers_size (c->evcon, MAX_HEADER_BYTES);
+  evbuffer_add_cb (bufferevent_get_output (evhttp_connection_get_bufferevent (c->evcon)), on_output,
+                   c);
   g_ptr_array_add (lane->connections, c);
   lane->calls->connections_opened++;
   return c;
 }
 
+/* Unresponsive connections do not count towards the limit, so that calls do not queue behind them.
+ * At most as many more connections are opened. */
+static unsigned
+connection_limit (const struct lane *lane)
+{
+  unsigned unresponsive = 0;
+
+  for (guint i = 0; i < lane->connections->len; i++)
+    unresponsive += is_unresponsive (lane->connections->pdata[i]);
+  return lane->max_connections + MIN (unresponsive, lane->max_connections);
+}
+
 static struct connection *
 get_connection (struct lane *lane)
 {
@@ -207,7 +279,7 @@
       if (c->pending == NULL)
         return c;
     }
-  return lane->connections->len < lane->max_connections ? open_connection (lane) : NULL;
+  return lane->connections->len < connection_limit (lane) ? open_connection (lane) : NULL;
 }
 
 static size_t
@@ -243,6 +315,7 @@
     }
   c->pending = pending;
   pending->connection = c;
+  pending->began = now_ms ();
   mt_traffic_add_sent (c->lane->calls->traffic, pending->kind, get_request_bytes (pending));
   /* On failure libevent frees the request without a callback; the timer then completes the call. */
   evhttp_make_request (c->evcon, request, methods[pending->method], pending->path);
@@ -261,6 +334,28 @@
     }
 }
 
+/* An answer on one lane may show that connections of another are unresponsive. */
+static void
+send_waiting_of_server (struct lane *lane)
+{
+  for (guint i = 0; i < lane->server->lanes->len; i++)
+    if (lane->server->lanes->pdata[i] != lane)
+      send_waiting (lane->server->lanes->pdata[i]);
+}
+
+static struct server *
+get_server (struct mt_calls *calls, const char *address)
+{
+  struct server *server = g_hash_table_lookup (calls->servers, address);
+
+  if (server != NULL)
+    return server;
+  server = g_new0 (struct server, 1);
+  server->lanes = g_ptr_array_new ();
+  g_hash_table_insert (calls->servers, g_strdup (address), server);
+  return server;
+}
+
 static struct lane *
 get_lane (struct mt_calls *calls, const struct mt_call *call)
 {
@@ -274,6 +369,8 @@
     {
       lane = g_new0 (struct lane, 1);
       lane->calls = calls;
+      lane->server = get_server (calls, call->address);
+      g_ptr_array_add (lane->server->lanes, lane);
       lane->key = g_strdup (key);
       lane->ip = colon != NULL ? g_strndup (call->address, (gsize) (colon - call->address))
                                : g_strdup (call->address);
@@ -309,6 +406,7 @@
 
   pending->lane = get_lane (calls, call);
   pending->kind = call->kind;
+  pending->unresponsive_ms = call->unresponsive_ms;
   pending->method = call->method;
   pending->path = g_strdup (call->path);
   pending->body = g_memdup2 (call->body.data, call->body.len);
@@ -339,6 +437,12 @@
     }
 }
 
+struct event_base *
+mt_calls_base (const struct mt_calls *calls)
+{
+  return calls->base;
+}
+
 uint64_t
 mt_calls_connections_opened (const struct mt_calls *calls)
 {
@@ -353,6 +457,7 @@
   calls->base = base;
   calls->traffic = traffic;
   calls->lanes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_lane);
+  calls->servers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_server);
   calls->retired = g_ptr_array_new_with_free_func (free_connection);
   calls->reaper = event_new (base, -1, 0, free_retired, calls);
   return calls;
@@ -371,7 +476,7 @@
     {
       struct connection *c = lane->connections->len > 0 ? lane->connections->pdata[0] : NULL;
       struct pending_call *pending = c != NULL ? c->pending : g_queue_pop_head (&lane->waiting);
-      struct mt_call_answer answer = { .sent = c != NULL };
+      struct mt_call_answer answer = { .sent = pending != NULL && pending->sent };
 
       if (c != NULL)
         retire_connection (c);
@@ -393,6 +498,7 @@
     continue;
   g_ptr_array_unref (calls->retired);
   g_hash_table_unref (calls->lanes);
+  g_hash_table_unref (calls->servers);
   event_free (calls->reaper);
   g_free (calls);
 }
--- a/net/http_calls.h
+++ b/net/http_calls.h
@@ -38,12 +38,15 @@
    * are queued; their timeout includes the time in the queue. */
   unsigned lane;
   unsigned max_connections;
+  /* After this time without an answer, while other calls to the address are answered, the
+   * connection takes no further call and does not count towards max_connections; 0: never. */
+  int64_t unresponsive_ms;
 };
 
 struct mt_call_answer
 {
   int status; /* 0: no complete answer */
-  bool sent;  /* the call was sent: the server may have acted on it, even without an answer */
+  bool sent;  /* bytes were given to a connected socket: the server may have acted on the call */
   struct mt_str body;
 };
 
@@ -54,6 +57,7 @@
 struct mt_calls *mt_calls_create (struct event_base *base, struct mt_traffic *traffic);
 /* Completes the pending calls without an answer, by their callbacks. */
 void mt_calls_destroy (struct mt_calls *calls);
+struct event_base *mt_calls_base (const struct mt_calls *calls);
 /* Starts or queues the call. done is called exactly once, never before the function has
  * returned. */
 void
