platform: hedge reads and transactions of the store (setting second_tries)

A second copy is sent after the hedge delay, through another daemon, or on connections of its own if there is none or it does not reach the store. The first definite answer counts; the call is refused only if no copy can have been carried out. A call that was not sent is refused instead of unknown. A status of 500 and above other than 503 no longer counts as "nothing was done".

Only a transaction that changes a key of its own preconditions is hedged. With a leadership as its only precondition (waves, home pools, removal of ended jobs) both copies hold, and a late one would overwrite or remove what was written since.

Found by test_calls_do_not_wait_for_unresponsive_connections while it was written: connections of calls that are not hedged were never taken for unresponsive.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -358,6 +358,7 @@
 update_gauges (struct mt_fleet *f)
 {
   struct mt_scheduler_load sum = { 0 };
+  struct mt_hedge_counts hedges = mt_adapter_hedge_counts (f->platform);
   GHashTableIter it;
   struct mt_pool *pool;
 
@@ -380,6 +381,9 @@
   mt_metrics_set (f->metrics, MT_GAUGE_WORKERS, sum.workers);
   mt_metrics_set (f->metrics, MT_GAUGE_WORKERS_SILENT, sum.silent);
   mt_metrics_set (f->metrics, MT_GAUGE_STORE_CALLS, (int64_t) mt_adapter_store_calls (f->platform));
+  mt_metrics_set (f->metrics, MT_GAUGE_STORE_HEDGES, (int64_t) hedges.sent);
+  mt_metrics_set (f->metrics, MT_GAUGE_STORE_HEDGES_FIRST, (int64_t) hedges.answered_first);
+  mt_metrics_set (f->metrics, MT_GAUGE_STORE_HEDGES_DENIED, (int64_t) hedges.denied);
   mt_metrics_set (f->metrics, MT_GAUGE_CONNECTIONS_OPENED,
                   (int64_t) mt_calls_connections_opened (f->calls));
 }
@@ -454,7 +458,8 @@
   return (struct mt_adapter_settings){ .daemon = s->name.data,
                                        .store = s->store.data,
                                        .machines = s->machines.data,
-                                       .advisor = s->advisor.data };
+                                       .advisor = s->advisor.data,
+                                       .hedge = s->second_tries };
 }
 
 /* Reloads the settings that can change at run time: the platform's addresses and the bounds. New
--- a/fleet/metrics.c
+++ b/fleet/metrics.c
@@ -33,6 +33,11 @@
   [MT_GAUGE_CONFIG] = { "config_version", "Version of the configuration in force." },
   [MT_GAUGE_LEADERSHIPS] = { "leaderships", "Leaderships that this daemon has." },
   [MT_GAUGE_STORE_CALLS] = { "store_calls", "Calls on the store so far." },
+  [MT_GAUGE_STORE_HEDGES] = { "store_hedges", "Second copies of calls on the store so far." },
+  [MT_GAUGE_STORE_HEDGES_FIRST]
+  = { "store_hedges_answered_first", "Second copies that were answered before the first." },
+  [MT_GAUGE_STORE_HEDGES_DENIED]
+  = { "store_hedges_denied", "Second copies not sent for lack of budget." },
   [MT_GAUGE_CONNECTIONS_OPENED] = { "connections_opened", "Outgoing connections so far." },
   [MT_GAUGE_JOBS] = { "jobs_open", "Jobs not ended in the pools led here." },
   [MT_GAUGE_TASKS_WAITING] = { "tasks_waiting", "Tasks that could start now." },
--- a/fleet/ports.c
+++ b/fleet/ports.c
@@ -1,5 +1,7 @@
 #include "ports.h"
 
+#include <string.h>
+
 void
 mt_fleet_route_clear (struct mt_fleet_route *route)
 {
@@ -43,3 +45,24 @@
   g_free (machine->rack);
   g_free (machine->worker);
 }
+
+static bool
+changes_key (const struct mt_kv_txn *txn, const struct mt_kv_expect *expect)
+{
+  for (size_t i = 0; i < txn->n_puts; i++)
+    if (strcmp (txn->puts[i].key, expect->key) == 0)
+      return true;
+  for (size_t i = 0; i < txn->n_removes; i++)
+    if (expect->revision != 0 && strcmp (txn->removes[i], expect->key) == 0)
+      return true;
+  return false;
+}
+
+bool
+mt_kv_txn_excludes_repeat (const struct mt_kv_txn *txn)
+{
+  for (size_t i = 0; i < txn->n_expects; i++)
+    if (changes_key (txn, &txn->expects[i]))
+      return true;
+  return false;
+}
--- a/fleet/ports.h
+++ b/fleet/ports.h
@@ -17,16 +17,19 @@
   const char *key;
   struct mt_str value;
   int64_t revision; /* of its last change; 0 if the key does not exist */
+  int64_t lease;    /* under which it was written; 0 for none */
   bool deleted;
 };
 
 enum mt_kv_status
 {
   MT_KV_OK,
-  MT_KV_MISSING,   /* no such key or lease */
-  MT_KV_CONFLICT,  /* a precondition did not hold; nothing was done */
+  MT_KV_MISSING, /* no such key or lease */
+  /* A precondition did not hold. The items show what the keys hold now: it may be what this write
+   * put, if a copy of it was carried out before. */
+  MT_KV_CONFLICT,
   MT_KV_COMPACTED, /* the history since that revision was compacted: list again */
-  MT_KV_REFUSED,   /* the store refused the call; nothing was done */
+  MT_KV_REFUSED,   /* the store refused the call or was not reached; nothing was done */
   MT_KV_UNKNOWN,   /* no answer; it may have been done, or may still be done later */
 };
 
@@ -67,6 +70,11 @@
   size_t n_removes;
 };
 
+/* Returns whether a second copy of the transaction conflicts once the first took effect: the first
+ * changes the revision of one of its preconditions. A precondition on another key alone, such as a
+ * leadership's, holds for both copies, and a late one would overwrite what was written since. */
+bool mt_kv_txn_excludes_repeat (const struct mt_kv_txn *txn);
+
 /* Largest number of entries in a transaction, of all kinds together. */
 #define MT_KV_MAX_ENTRIES 32
 
--- a/fleet/settings.c
+++ b/fleet/settings.c
@@ -25,6 +25,7 @@
   { "connections", MT_FIELD_COUNT, FIELD (connections), .min = 1, .max = 20000, .fallback = 2000 },
   { "idle_s", MT_FIELD_COUNT, FIELD (idle_s), .min = 1, .max = 3600, .fallback = 30 },
   { "body_bytes", MT_FIELD_COUNT, FIELD (body_bytes), .min = 1, .max = 64e6, .fallback = 262144 },
+  { "second_tries", MT_FIELD_FLAG, FIELD (second_tries) },
   { NULL },
 };
 
--- a/fleet/settings.h
+++ b/fleet/settings.h
@@ -35,6 +35,7 @@
   unsigned connections;
   unsigned idle_s;
   unsigned body_bytes;
+  bool second_tries; /* reads and transactions of the store are hedged */
   struct mt_fleet_bounds bounds;
 };
 
--- a/tests/standins/fleet_store.c
+++ b/tests/standins/fleet_store.c
@@ -47,6 +47,9 @@
   GQueue watches;
   GQueue unanswered; /* struct watch without prefix: exchanges held back, by deadline */
   char *mode;
+  GQueue faults; /* of the next calls, as GINT_TO_POINTER */
+  GQueue late;   /* of struct mt_exchange */
+  unsigned calls;
 };
 
 static int64_t
@@ -378,6 +381,86 @@
 
 /* ---- calls ---- */
 
+static void
+handle_key_call (struct fleet_store *s, struct mt_exchange *exchange)
+{
+  if (strcmp (mt_exchange_path (exchange), "/kv-key") == 0)
+    handle_get (s, exchange);
+  else
+    handle_txn (s, exchange);
+}
+
+static void
+handle_with_fault (struct fleet_store *s, struct mt_exchange *exchange)
+{
+  enum fleet_fault fault = (enum fleet_fault) GPOINTER_TO_INT (g_queue_pop_head (&s->faults));
+
+  s->calls++;
+  switch (fault)
+    {
+    case FLEET_FAULT_LOSE_ANSWER:
+      if (strcmp (mt_exchange_path (exchange), "/kv-txn") == 0)
+        {
+          fleet_store_set_mode (s, "lost");
+          handle_txn (s, exchange);
+          fleet_store_set_mode (s, "up");
+          return;
+        }
+      leave_unanswered (s, exchange);
+      return;
+    case FLEET_FAULT_LOSE_REQUEST:
+      leave_unanswered (s, exchange);
+      return;
+    case FLEET_FAULT_BUSY:
+      fleet_answer (exchange, 503, json_object ());
+      return;
+    case FLEET_FAULT_LATE:
+      g_queue_push_tail (&s->late, exchange);
+      return;
+    default:
+      handle_key_call (s, exchange);
+    }
+}
+
+void
+fleet_store_fault_next (struct fleet_store *s, const enum fleet_fault *faults, size_t n)
+{
+  g_queue_clear (&s->faults);
+  for (size_t i = 0; i < n; i++)
+    g_queue_push_tail (&s->faults, GINT_TO_POINTER (faults[i]));
+}
+
+void
+fleet_store_release_late (struct fleet_store *s)
+{
+  while (!g_queue_is_empty (&s->late))
+    handle_key_call (s, g_queue_pop_head (&s->late));
+}
+
+unsigned
+fleet_store_count_puts (const struct fleet_store *s, const char *value)
+{
+  unsigned n = 0;
+
+  for (guint i = 0; i < s->changes->len; i++)
+    n += g_strcmp0 (g_array_index (s->changes, struct change, i).value, value) == 0;
+  return n;
+}
+
+int64_t
+fleet_store_revision (const struct fleet_store *s, const char *key)
+{
+  const struct item *item = g_hash_table_lookup (s->items, key);
+
+  return item != NULL ? item->revision : 0;
+}
+
+unsigned
+fleet_store_calls (const struct fleet_store *s)
+{
+  return s->calls;
+}
+
 void
 fleet_store_handle (struct fleet_store *s, struct mt_exchange *exchange)
 {
@@ -387,14 +470,12 @@
     fleet_answer (exchange, 503, json_object ());
   else if (strcmp (s->mode, "silent") == 0)
     leave_unanswered (s, exchange);
-  else if (strcmp (path, "/kv-key") == 0)
-    handle_get (s, exchange);
+  else if (strcmp (path, "/kv-key") == 0 || strcmp (path, "/kv-txn") == 0)
+    handle_with_fault (s, exchange);
   else if (strcmp (path, "/kv-range") == 0)
     handle_range (s, exchange);
   else if (strcmp (path, "/kv-watch") == 0)
     handle_watch (s, exchange);
-  else if (strcmp (path, "/kv-txn") == 0)
-    handle_txn (s, exchange);
   else if (strcmp (path, "/kv-lease") == 0)
     handle_grant (s, exchange);
   else if (g_str_has_prefix (path, "/kv-keep/"))
@@ -470,6 +551,31 @@
   return s;
 }
 
+static void
+free_change (void *data)
+{
+  struct change *change = data;
+
+  g_free (change->key);
+  g_free (change->value);
+}
+
+void
+fleet_store_destroy (struct fleet_store *s)
+{
+  event_free (s->tick);
+  g_hash_table_unref (s->items);
+  g_array_set_clear_func (s->changes, free_change);
+  g_array_unref (s->changes);
+  g_hash_table_unref (s->leases);
+  g_queue_clear_full (&s->watches, free_watch);
+  g_queue_clear_full (&s->unanswered, free_watch);
+  g_queue_clear (&s->faults);
+  g_queue_clear (&s->late);
+  g_free (s->mode);
+  g_free (s);
+}
+
 void
 fleet_store_put (struct fleet_store *s, const char *key, const char *value)
 {
