fleet: callers of writes tell their own first copy from another daemon's write

Pool, front end and removal of stale leadership keys were right.

A claim of a leadership that conflicted with a key of this daemon's address was taken for an own claim, also if the key was written under an earlier lease, for instance before a restart. Such a leadership ends unnoticed with the earlier lease. The key's lease now has to be this daemon's.

A cancellation ended with 504 after refusals too. It now gets 503 unless one of its writes was not answered, and refused writes are sent again after 80 ms instead of at once. Refusals are logged as such, also for submissions.

--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -420,8 +420,10 @@
       if (g_str_has_prefix (reply->items[i].key, LEADERSHIP_PREFIX) && reply->items[i].revision > 0)
         {
           update_leadership (c, l->name, &reply->items[i]);
-          /* An earlier write succeeded but its answer was lost: the key is this daemon's. */
-          if (l->token == 0 && same_lease && g_strcmp0 (l->holder, c->address) == 0)
+          /* An earlier write succeeded but its answer was lost: the key is this daemon's. A key
+           * under an earlier lease is not: it ends with that lease, unnoticed. */
+          if (l->token == 0 && same_lease && reply->items[i].lease == c->lease
+              && g_strcmp0 (l->holder, c->address) == 0)
             {
               l->token = l->revision;
               c->options.gained (c->options.ctx, l->name, l->token);
--- a/fleet/frontend_ask.c
+++ b/fleet/frontend_ask.c
@@ -9,6 +9,8 @@
 
 /* Time-out of the store for a state query; the caller may ask again at once. */
 #define STORE_TIMEOUT_MS 700
+/* A refused write of a cancellation is sent again after this time. */
+#define CANCEL_RETRY_MS 80
 
 struct query
 {
@@ -19,6 +21,8 @@
   char *route;
   char *workspace; /* of the caller */
   int64_t began;
+  bool outcome_unknown; /* an unanswered write of the cancellation may still be done */
+  struct mt_timer *retry_timer;
   enum mt_job_state open_state; /* the job's state unless it was cancelled */
 };
 
@@ -47,6 +51,7 @@
 {
   q->frontend->in_flight--;
   mt_metrics_observe (q->frontend->options.metrics, MT_LATENCY_QUERY, mt_loop_now () - q->began);
+  mt_timer_destroy (q->retry_timer);
   g_free (q->pool);
   g_free (q->id);
   g_free (q->route);
@@ -65,6 +70,13 @@
   free_query (q);
 }
 
+static const char *
+describe_failure (const struct mt_kv_reply *reply)
+{
+  return reply->status == MT_KV_REFUSED ? "the store refused the call or was not reached"
+                                        : "the store did not answer";
+}
+
 static void
 end_state (struct query *q, enum mt_job_state state)
 {
@@ -91,7 +103,7 @@
   else if (reply->status == MT_KV_MISSING)
     end_state (q, q->open_state);
   else
-    end_failed (q, 503, "the store did not answer");
+    end_failed (q, 503, describe_failure (reply));
 }
 
 static void
@@ -103,7 +115,7 @@
 
   if (reply->status != MT_KV_OK && reply->status != MT_KV_MISSING)
     {
-      end_failed (q, 503, "the store did not answer");
+      end_failed (q, 503, describe_failure (reply));
       return;
     }
   if (reply->status == MT_KV_OK && reply->n_items > 0)
@@ -145,7 +157,7 @@
     }
   if (reply->status != MT_KV_OK)
     {
-      end_failed (q, 503, "the store did not answer");
+      end_failed (q, 503, describe_failure (reply));
       return;
     }
   key = mt_pool_progress_key (q->pool, q->id);
@@ -255,7 +267,7 @@
 
 /* ---- cancels ---- */
 
-static void send_cancel (struct query *q);
+static void send_cancel (void *ctx);
 
 static void
 end_cancel (struct query *q)
@@ -287,17 +299,25 @@
 {
   struct query *q = data;
 
+  /* The key only says that the job is cancelled: whoever wrote it, the outcome is the same. */
   if (reply->status == MT_KV_OK || reply->status == MT_KV_CONFLICT)
-    end_cancel (q);
-  else if (deadline_passed (q))
+    {
+      end_cancel (q);
+      return;
+    }
+  q->outcome_unknown |= reply->status == MT_KV_UNKNOWN;
+  if (!deadline_passed (q))
+    mt_timer_set (q->retry_timer, CANCEL_RETRY_MS);
+  else if (q->outcome_unknown)
     end_failed (q, 504, "the store did not answer");
   else
-    send_cancel (q);
+    end_failed (q, 503, describe_failure (reply));
 }
 
 static void
-send_cancel (struct query *q)
+send_cancel (void *ctx)
 {
+  struct query *q = ctx;
   g_autofree char *key = mt_pool_cancel_key (q->pool, q->id);
   struct mt_kv_expect expect = { key, 0 };
   struct mt_kv_put put = { .key = key, .value = MT_STR ("{}") };
@@ -314,9 +334,12 @@
   if (reply->status == MT_KV_MISSING || (reply->status == MT_KV_OK && !has_visible_job (q, reply)))
     end_no_job (q);
   else if (reply->status == MT_KV_OK)
-    send_cancel (q);
+    {
+      q->retry_timer = mt_timer_create (q->frontend->base, send_cancel, q);
+      send_cancel (q);
+    }
   else
-    end_failed (q, reply->status == MT_KV_REFUSED ? 503 : 504, "the store did not answer");
+    end_failed (q, reply->status == MT_KV_REFUSED ? 503 : 504, describe_failure (reply));
 }
 
 void
--- a/fleet/frontend_submit.c
+++ b/fleet/frontend_submit.c
@@ -236,7 +236,10 @@
           i++;
           continue;
         }
-      end_submit (s, s->outcome_unknown ? 504 : 503, "the store did not answer");
+      if (s->outcome_unknown)
+        end_submit (s, 504, "the store did not answer");
+      else
+        end_submit (s, 503, "the store refused the write or was not reached");
       g_ptr_array_remove_index (t->submits, i);
     }
   if (t->submits->len == 0)
--- a/tests/standins/fleet_store.c
+++ b/tests/standins/fleet_store.c
@@ -455,6 +455,14 @@
   return item != NULL ? item->revision : 0;
 }
 
+int64_t
+fleet_store_lease (const struct fleet_store *s, const char *key)
+{
+  const struct item *item = g_hash_table_lookup (s->items, key);
+
+  return item != NULL ? item->lease : 0;
+}
+
 unsigned
 fleet_store_calls (const struct fleet_store *s)
 {
--- a/tests/standins/fleet_store.h
+++ b/tests/standins/fleet_store.h
@@ -40,6 +40,8 @@
 unsigned fleet_store_count_puts (const struct fleet_store *store, const char *value);
 /* Returns the key's revision; 0 if it does not exist. */
 int64_t fleet_store_revision (const struct fleet_store *store, const char *key);
+/* Returns the lease under which the key was written; 0 for none. */
+int64_t fleet_store_lease (const struct fleet_store *store, const char *key);
 /* Number of reads of a key and transactions received. */
 unsigned fleet_store_calls (const struct fleet_store *store);
 /* Compacts the history: answers all open watches with 410, and later ones that start before the
