net, relay: tell whether a call between daemons was delivered

A store call that was to be forwarded, but whose connection to the other daemon was never established, was reported as unknown although nobody can have acted on it. It is now refused, so that callers get 503 instead of 504. Without the change test_mesh does not compile; with `connected` always set it fails.

--- a/fleet/relay.c
+++ b/fleet/relay.c
@@ -80,8 +80,9 @@
 
   if (args != NULL && args->n == 2 && mt_str_to_u64 (args->at[0], &status))
     body = args->at[1];
-  else if (args != NULL && args->n == 0)
-    status = 503; /* the other daemon does not reach the store and did not send the call */
+  else if (args != NULL ? args->n == 0 : mt_mesh_call_undelivered (relay->mesh))
+    status = 503; /* the store was not called: the other daemon does not reach it, or was not
+                     reached */
   if (args != NULL && args->n == 0 && mt_cluster_can_confirm_outage (relay->cluster, p->peer))
     relay->outage_confirmed_at = mt_loop_now ();
   else if (status != 0 && status != 503)
--- a/net/mesh.c
+++ b/net/mesh.c
@@ -26,6 +26,7 @@
   struct bufferevent *bev;
   char *address; /* of the peer; NULL if the peer opened the connection */
   GList node;
+  bool connected; /* bytes may have been sent on it */
   bool closed;
 };
 
@@ -35,6 +36,7 @@
   enum mt_mesh_method method;
   uint64_t id;
   char *address;
+  struct link *link; /* on which it was queued; NULL if it was not */
   struct event *timer;
   mt_mesh_done done;
   void *ctx;
@@ -58,6 +60,7 @@
   GHashTable *links;         /* address to struct link, for connections that this side opened */
   GQueue all_links;          /* of struct link */
   GHashTable *pending_calls; /* id to struct pending_call */
+  bool undelivered;          /* of the call that is being completed */
   uint64_t next_id;
 };
 
@@ -158,6 +161,7 @@
   mt_mesh_done done = pending->done;
   void *ctx = pending->ctx;
 
+  pending->mesh->undelivered = args == NULL && (pending->link == NULL || !pending->link->connected);
   g_hash_table_remove (pending->mesh->pending_calls, &pending->id);
   if (done != NULL)
     done (ctx, args);
@@ -258,8 +262,12 @@
 static void
 on_event (struct bufferevent *bev, short what, void *ctx)
 {
+  struct link *link = ctx;
+
+  if (what & BEV_EVENT_CONNECTED)
+    link->connected = true;
   if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-    close_link (ctx);
+    close_link (link);
 }
 
 static void
@@ -323,6 +331,8 @@
   struct pending_call *pending = data;
 
   event_free (pending->timer);
+  if (pending->link != NULL)
+    unref_link (pending->link);
   g_free (pending->address);
   g_free (pending);
 }
@@ -358,10 +368,17 @@
     {
       mt_traffic_add_sent (mesh->traffic, mt_mesh_method_name (method), len);
       bufferevent_write (link->bev, frame, len);
+      pending->link = g_rc_box_acquire (link);
     }
   event_add (pending->timer, &timeout);
 }
 
+bool
+mt_mesh_call_undelivered (const struct mt_mesh *mesh)
+{
+  return mesh->undelivered;
+}
+
 void
 mt_mesh_reply (struct mt_mesh_call *call, const struct mt_mesh_args *args)
 {
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -70,6 +70,9 @@
                    int64_t timeout_ms,
                    mt_mesh_done done,
                    void *ctx);
+/* During a done callback without a reply: returns whether no byte of the call was sent, so that the
+ * other daemon can't have acted on it. */
+bool mt_mesh_call_undelivered (const struct mt_mesh *mesh);
 /* Replies to the call and frees it. args may be NULL or empty. */
 void mt_mesh_reply (struct mt_mesh_call *call, const struct mt_mesh_args *args);
 
--- /dev/null
+++ b/tests/net/test_mesh.c
@@ -0,0 +1,82 @@
+#include "mesh.h"
+
+#include <event2/event.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+struct fixture
+{
+  struct event_base *base;
+  struct mt_mesh *caller;
+  struct mt_mesh *server;
+  bool answered;
+  bool undelivered;
+};
+
+/* Never replies: the call is left to its time-out. */
+static void
+keep_call (void *ctx,
+           struct mt_mesh_call *call,
+           enum mt_mesh_method method,
+           const struct mt_mesh_args *args)
+{
+  *(struct mt_mesh_call **) ctx = call;
+}
+
+static void
+on_done (void *ctx, const struct mt_mesh_args *args)
+{
+  struct fixture *f = ctx;
+
+  assert_null (args);
+  f->undelivered = mt_mesh_call_undelivered (f->caller);
+  f->answered = true;
+}
+
+static void
+send_and_wait (struct fixture *f, const char *address)
+{
+  struct mt_mesh_args args = { 1, { MT_STR ("x") } };
+
+  f->answered = false;
+  mt_mesh_send (f->caller, address, MT_MESH_STORE, &args, 300, on_done, f);
+  while (!f->answered)
+    event_base_loop (f->base, EVLOOP_ONCE);
+}
+
+/* Guards against "outcome unknown" for a store call that was to be forwarded and never left this
+ * daemon, and against "nothing was done" for one that the other daemon has. */
+static void
+test_call_is_undelivered_only_without_a_connection (void **state)
+{
+  struct fixture f = { .base = event_base_new () };
+  struct mt_mesh_call *call = NULL;
+  g_autofree char *address = NULL;
+
+  f.caller = mt_mesh_create (f.base, NULL, "127.0.0.1:0", "a", keep_call, &call, NULL);
+  f.server = mt_mesh_create (f.base, NULL, "127.0.0.1:0", "b", keep_call, &call, NULL);
+  address = g_strdup_printf ("127.0.0.1:%u", mt_mesh_port (f.server));
+  send_and_wait (&f, address);
+  assert_non_null (call);
+  assert_false (f.undelivered);
+  mt_mesh_reply (call, NULL);
+  /* No process listens there. */
+  send_and_wait (&f, "127.0.0.1:1");
+  assert_true (f.undelivered);
+  mt_mesh_destroy (f.caller);
+  mt_mesh_destroy (f.server);
+  event_base_free (f.base);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_call_is_undelivered_only_without_a_connection),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
