Merge the hedged store calls

Conflicts with waiting for the store: a refusal of a write that the store refused, or that reached no server, says so.

--- a/fleet/frontend_submit.c
+++ b/fleet/frontend_submit.c
@@ -22,7 +22,8 @@
 #define ESTIMATE_PAUSE_MS   1000
 
 /* Reasons of refusals. */
-#define TOO_MANY "too many submissions wait to be stored, nothing was sent"
+#define NOT_STORED "the store refused the write or was not reached"
+#define TOO_MANY   "too many submissions wait to be stored, nothing was sent"
 #define TOO_MANY_OF_WORKSPACE                                                                      \
   "its workspace has more than its share of the waiting submissions, nothing was sent"
 /* Time for which a caller waits that does not say so, and the header in which it does. */
@@ -359,7 +360,7 @@
       if (s->outcome_unknown)
         end_submit (s, 504, "the store did not answer");
       else
-        wait_or_refuse (s, "the store did not answer");
+        wait_or_refuse (s, NOT_STORED);
     }
 }
 
@@ -471,7 +472,7 @@
           i++;
           continue;
         }
-      refuse_submit (s, MT_REFUSAL_STORE, "the store did not answer");
+      refuse_submit (s, MT_REFUSAL_STORE, NOT_STORED);
       g_ptr_array_remove_index (t->submits, i);
     }
   if (t->submits->len == 0)
--- a/fleet/settings.h
+++ b/fleet/settings.h
@@ -35,7 +35,8 @@
   unsigned connections;
   unsigned idle_s;
   unsigned body_bytes;
-  bool store_wait; /* submissions wait for the store in an outage, and retries are planned */
+  bool store_wait;   /* submissions wait for the store in an outage, and retries are planned */
+  bool second_tries; /* reads and transactions of the store are hedged */
   struct mt_fleet_bounds bounds;
 };
 
