scheduler: workspaces share a full pool by weight

Cause: the wire's weight was read as a rate in jobs a second. A job above the rate, counted in one pool, was marked for good and went last, whether or not its workspace used anything.

Change: the weight sets a share. Each placing computes the fair shares by weighted max-min filling of the dominant shares, over the workspaces that use or wait for something. A table of policies orders the waiting steps: none, floor (default), deficit; the setting share_policy selects one. Placing makes three passes: tasks that fit within the limits, one task more for workspaces below theirs, the rest. A step that found no worker is not tried again in a later pass, so thousands of waiting steps cost little more than one pass. For a workspace that has waited below its share for one second, workers are kept free of others' new tasks for up to three: otherwise smaller tasks take each freed resource. Long-running tasks and suspects are placed as before. Without a weight the old order is used as it is.

There is no rate any more.

Rates over the rate counter are gone: over_rate, CLASS_OVER_RATE, mt_account_record_job.

--- a/core/config/workspaces.c
+++ b/core/config/workspaces.c
@@ -60,7 +60,7 @@
 mt_workspaces_add (struct mt_workspaces *list,
                    const char *name,
                    const struct mt_resources *quota,
-                   int64_t rate,
+                   int64_t weight,
                    GError **error)
 {
   struct mt_workspace *workspace;
@@ -79,14 +79,14 @@
                    "workspace \"%s\" is listed twice; remove one of them", name);
       return false;
     }
-  if (quota->cpu < 0 || quota->mem < 0 || quota->gpu < 0 || rate < 0)
+  if (quota->cpu < 0 || quota->mem < 0 || quota->gpu < 0 || weight < 0)
     {
       g_set_error (error, MT_ERROR, MT_ERROR_SYNTAX,
-                   "workspace \"%s\" has a negative limit; write 0 for no limit", name);
+                   "workspace \"%s\" has a negative limit or weight; write 0 for none", name);
       return false;
     }
   workspace = g_new0 (struct mt_workspace, 1);
-  *workspace = (struct mt_workspace){ .name = g_strdup (name), .quota = *quota, .rate = rate };
+  *workspace = (struct mt_workspace){ .name = g_strdup (name), .quota = *quota, .weight = weight };
   g_ptr_array_add (list->rows, workspace);
   g_hash_table_insert (list->names, workspace->name, workspace);
   return true;
--- a/core/scheduler/scheduler.c
+++ b/core/scheduler/scheduler.c
@@ -153,6 +153,8 @@
 
   sched->settings = *settings;
   sched->settings.name = g_strdup (settings->name);
+  if (sched->settings.share_policy == NULL)
+    sched->settings.share_policy = mt_share_policy_find (MT_STR (MT_DEFAULT_SHARE_POLICY));
   sched->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_job);
   sched->routes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_route);
   sched->workers = g_hash_table_new (g_str_hash, g_str_equal);
@@ -336,7 +338,6 @@
   job->link.data = job;
   g_hash_table_insert (sched->jobs, spec->id, job);
   g_queue_push_tail_link (&sched->open, &job->link);
-  job->over_rate = age < MAX_ARRIVAL_AGE_MS && mt_account_record_job (job->account, now);
   if (spec->repeats == 0)
     {
       open_occurrence (job, 0, job->submitted_at);
@@ -365,15 +366,18 @@
   const struct mt_occurrence *occ = job->spec->repeats == 0 ? job->occurrences[0] : NULL;
   int64_t allowed = occ != NULL ? occ->objective_at - occ->due_at : 0;
   int64_t shortage_ms = occ != NULL ? occ->shortage_ms : 0;
+  int64_t share_wait_ms = occ != NULL ? occ->share_wait_ms : 0;
 
   if (occ != NULL && occ->shortage_since != 0)
     shortage_ms += now - occ->shortage_since;
+  if (occ != NULL && occ->share_wait_since != 0)
+    share_wait_ms += now - occ->share_wait_since;
   mt_scheduler_log_event (
       sched, "JOB_ENDED",
       "id=%s route=%s state=%s age_ms=%" G_GINT64_FORMAT " objective_ms=%" G_GINT64_FORMAT
-      " no_room_ms=%" G_GINT64_FORMAT " reruns=%u",
+      " no_room_ms=%" G_GINT64_FORMAT " reruns=%u share_wait_ms=%" G_GINT64_FORMAT,
       job->spec->id, job->route->name, mt_job_state_names[job->state], now - job->submitted_at,
-      allowed, shortage_ms, occ != NULL ? occ->reruns : 0);
+      allowed, shortage_ms, occ != NULL ? occ->reruns : 0, share_wait_ms);
 }
 
 void
--- a/core/scheduler/scheduler_accounts.c
+++ b/core/scheduler/scheduler_accounts.c
@@ -5,8 +5,6 @@
  * grants it and later takes back (grants.c). */
 #include "scheduler_internal.h"
 
-/* Burst: a workspace may submit this many seconds of its rate at once. */
-#define BURST_S 1
 /* Fraction of an even share that a pool may use before its first grant. It keeps all pools together
  * within the overrun that operators allow for. */
 #define INITIAL_SHARE 0.1
@@ -64,6 +62,7 @@
     return;
   for (unsigned i = 0; i < MT_RESOURCE_KINDS; i++)
     shrink_share (account, &limits->quota, i);
+  sched->n_weighted += (limits->weight > 0) - (account->limits.weight > 0);
   account->limits = *limits;
   sched->changed = true;
 }
@@ -77,25 +76,6 @@
     *mt_resources_field (&account->used, i) += sign * mt_resources_get (&step->need, i);
 }
 
-/* Counts the jobs of this pool only: a workspace that spreads its submissions over several pools
- * can exceed its rate unnoticed. A surge arrives at one pool at a time. */
-bool
-mt_account_record_job (struct mt_account *account, int64_t now)
-{
-  double rate;
-
-  if (account == NULL || account->limits.rate == 0)
-    return false;
-  rate = (double) account->limits.rate;
-  account->burst -= rate * (double) (now - account->burst_at) / 1000;
-  account->burst = MAX (account->burst, 0) + 1;
-  account->burst_at = now;
-  if (account->burst <= BURST_S * rate)
-    return false;
-  account->burst--;
-  return true;
-}
-
 static int64_t
 even_share (const struct mt_account *account, unsigned i)
 {
@@ -122,6 +102,17 @@
   return even;
 }
 
+int64_t
+mt_account_limit (const struct mt_scheduler *sched,
+                  const struct mt_account *account,
+                  unsigned kind,
+                  int64_t now)
+{
+  if (mt_resources_get (&account->limits.quota, kind) == 0)
+    return INT64_MAX;
+  return share_limit (sched, account, kind, now);
+}
+
 /* A pool that was granted the whole quota may exceed it by one task: a task larger than the quota
  * would otherwise never run. */
 bool
@@ -190,6 +181,15 @@
       account->has_grant = true;
       sched->changed = true;
     }
+  for (size_t i = 0; i < message->n_uses; i++)
+    {
+      struct mt_account *account = mt_scheduler_get_account (sched, message->uses[i].workspace);
+
+      if (account == NULL)
+        continue;
+      account->elsewhere = message->uses[i].resources;
+      account->elsewhere_at = now;
+    }
   return true;
 }
 
@@ -202,10 +202,10 @@
 }
 
 static bool
-needs_report (const struct mt_account_view *view)
+is_in_use (const struct mt_account_view *view)
 {
-  return !view->has_grant || view->used.mem > 0 || view->used.cpu > 0 || view->waiting.mem > 0
-         || view->waiting.cpu > 0;
+  return view->used.mem > 0 || view->used.cpu > 0 || view->used.gpu > 0 || view->waiting.mem > 0
+         || view->waiting.cpu > 0 || view->waiting.gpu > 0;
 }
 
 static void
@@ -243,31 +243,45 @@
     }
 }
 
-size_t
-mt_scheduler_accounts (const struct mt_scheduler *sched, struct mt_account_view *out, size_t max)
+/* Adds the accounts with a quota, or those without one; returns their number. */
+static size_t
+add_accounts (const struct mt_scheduler *sched,
+              bool limited,
+              GHashTable *views,
+              struct mt_account_view *out,
+              size_t max)
 {
-  g_autoptr (GHashTable) views = g_hash_table_new (NULL, NULL);
   GHashTableIter it;
   struct mt_account *account;
-  struct mt_account_view *view;
   size_t n = 0;
-  size_t kept = 0;
 
   g_hash_table_iter_init (&it, sched->accounts);
   while (n < max && g_hash_table_iter_next (&it, NULL, (void **) &account))
     {
-      if (!is_limited (account))
+      if (is_limited (account) != limited)
         continue;
-      view = &out[n++];
-      *view = (struct mt_account_view){ .workspace = account->name,
-                                        .used = account->used,
-                                        .granted = account->granted,
-                                        .has_grant = account->has_grant };
-      g_hash_table_insert (views, account, view);
+      out[n] = (struct mt_account_view){ .workspace = account->name,
+                                         .used = account->used,
+                                         .granted = account->granted,
+                                         .has_grant = account->has_grant };
+      g_hash_table_insert (views, account, &out[n++]);
     }
+  return n;
+}
+
+size_t
+mt_scheduler_accounts (const struct mt_scheduler *sched, struct mt_account_view *out, size_t max)
+{
+  g_autoptr (GHashTable) views = g_hash_table_new (NULL, NULL);
+  size_t n_limited = add_accounts (sched, true, views, out, max);
+  size_t n = n_limited;
+  size_t kept = 0;
+
+  if (sched->n_weighted > 0)
+    n += add_accounts (sched, false, views, out + n, max - n);
   add_waiting_jobs (sched, views);
   for (size_t i = 0; i < n; i++)
-    if (sched->grants_all || needs_report (&out[i]))
+    if (is_in_use (&out[i]) || (i < n_limited && (sched->grants_all || !out[i].has_grant)))
       out[kept++] = out[i];
   return kept;
 }
--- a/core/scheduler/scheduler_crashes.c
+++ b/core/scheduler/scheduler_crashes.c
@@ -176,7 +176,10 @@
   if (settled && task->losses > 1)
     task->settle_ms = MIN (mt_task_observed_ms (task) + SETTLED_MS, MAX_SETTLED_MS);
   if (task->losses > 1 || (!settled && !crash->with_others))
-    task->suspect = true;
+    {
+      task->suspect = true;
+      task->occ->has_suspects = true;
+    }
   return (cause && task->crashes >= min_crashes (task)) || is_lost_too_often (task);
 }
 
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -74,10 +74,13 @@
   double *step_ms; /* longest successful run of each step; 0: none yet */
   int64_t due_at;  /* when it was scheduled to start */
   int64_t objective_at;
-  int64_t shortage_since; /* start of the present lack of resources for ready tasks; 0: none lacks
-                             any */
-  int64_t shortage_ms;    /* total duration of earlier shortages */
-  unsigned reruns;        /* starts of tasks that had run before */
+  int64_t shortage_since;   /* start of the present lack of resources for ready tasks; 0: none lacks
+                               any */
+  int64_t shortage_ms;      /* total duration of earlier shortages */
+  int64_t share_wait_since; /* start of the present wait behind other workspaces' shares; 0: none */
+  int64_t share_wait_ms;    /* total duration of earlier such waits */
+  unsigned reruns;          /* starts of tasks that had run before */
+  bool has_suspects;        /* one of its tasks is or was a suspect */
   bool ended;
   bool work_recorded; /* its work is included in the route's mean_work */
 };
@@ -87,11 +90,24 @@
 {
   char *name;
   struct mt_workspace_limits limits;
-  struct mt_resources used;    /* by tasks assigned to a worker */
-  struct mt_resources granted; /* this pool's share of the quota */
-  bool has_grant;              /* a grant message has set granted */
-  double burst;                /* level of the leaky bucket of submitted jobs, as of burst_at */
-  int64_t burst_at;
+  struct mt_resources used;      /* by tasks assigned to a worker */
+  struct mt_resources granted;   /* this pool's share of the quota */
+  bool has_grant;                /* a grant message has set granted */
+  struct mt_resources elsewhere; /* used in other pools, as of elsewhere_at */
+  int64_t elsewhere_at;          /* arrival of that figure; 0: none */
+
+  /* As of the last placing. Shares are fractions of the pool's capacity, from 0 to 1. */
+  struct mt_resources waiting; /* needs of ready tasks before the placing */
+  unsigned unplaced;           /* ready tasks that lacked resources after it */
+  double fair;                 /* fair share, at most what it uses and waits for */
+  double limit;                /* share up to which the policy places its tasks first */
+  double window_use;           /* mean of its share in the last seconds, all pools */
+  int64_t window_at;           /* when window_use was last calculated; 0: never */
+  int64_t below_since;         /* since when it waits below its fair share; 0: it does not */
+  int64_t logged_at;           /* of the last event SHARE_STATE; 0: none */
+  bool logged_below;           /* that event showed it below its share */
+  guint first_ready; /* its waiting steps in order of value, as indices; G_MAXUINT: none */
+  guint last_ready;
 };
 
 struct mt_job
@@ -105,7 +121,6 @@
   enum mt_job_state state;
   enum mt_job_state durable_state; /* the last stored state, which callers are shown */
   enum mt_job_state cycle_state;   /* the state that the running cycle writes */
-  bool over_rate;                  /* submitted above its workspace's rate */
   bool begun;
   bool dirty;         /* to be written in the next cycle */
   bool in_dirty_list; /* in the scheduler's dirty list */
@@ -180,6 +195,7 @@
   const struct mt_job *isolated_job; /* job of all isolated tasks on the worker */
   unsigned orders_in_flight;
   int64_t paced_at; /* last change of its fill tasks' pace; 0: none since a task left it */
+  const struct mt_account *reserved_for; /* places no new tasks of others; NULL: not reserved */
 };
 
 struct mt_step_tickets
@@ -208,12 +224,17 @@
 struct mt_scheduler
 {
   struct mt_scheduler_settings settings;
-  GHashTable *jobs;         /* id to struct mt_job */
-  GHashTable *routes;       /* name to struct mt_route */
-  GHashTable *workers;      /* id to struct mt_worker */
-  GHashTable *step_tickets; /* step name to struct mt_step_tickets */
-  GHashTable *accounts;     /* workspace to struct mt_account */
-  int64_t grants_token;     /* leader token of the last grant message ... */
+  GHashTable *jobs;          /* id to struct mt_job */
+  GHashTable *routes;        /* name to struct mt_route */
+  GHashTable *workers;       /* id to struct mt_worker */
+  GHashTable *step_tickets;  /* step name to struct mt_step_tickets */
+  GHashTable *accounts;      /* workspace to struct mt_account */
+  struct mt_account unowned; /* tasks without a workspace share as one workspace of weight 1 */
+  unsigned n_weighted;       /* accounts with a weight; 0: workspaces do not share by weight */
+  struct mt_resources share_capacity;    /* of the pool, as of the last placing */
+  const struct mt_account *reserved_for; /* whose task some workers are reserved for; NULL: none */
+  int64_t reserved_until;
+  int64_t grants_token; /* leader token of the last grant message ... */
   uint64_t grants_sequence;
   bool grants_all;          /* the last grant message asked for all accounts */
   int64_t grants_until;     /* when the last message's grants expire */
@@ -311,14 +332,54 @@
 void mt_account_free (void *data);
 /* Adds the resources of one task of the step to the usage; sign -1 subtracts them. */
 void mt_account_add_usage (struct mt_account *account, const struct mt_step *step, int sign);
-/* Counts a job submitted now. Returns true if it exceeds the workspace's rate. */
-bool mt_account_record_job (struct mt_account *account, int64_t now);
+/* Returns the most of the resource that the account may use in this pool now; INT64_MAX without a
+ * quota. */
+int64_t mt_account_limit (const struct mt_scheduler *sched,
+                          const struct mt_account *account,
+                          unsigned kind,
+                          int64_t now);
 /* Returns whether the quota allows one more task of the step in this pool. */
 bool mt_account_allows (const struct mt_scheduler *sched,
                         const struct mt_account *account,
                         const struct mt_step *step,
                         int64_t now);
 
+/* scheduler_shares.c */
+#define MT_DEFAULT_SHARE_POLICY "floor"
+struct mt_share_policy
+{
+  const char *name;
+  const char *description;
+  /* Sets limit of all accounts from their use and the needs of their waiting tasks; NULL: all tasks
+   * are placed in order of value alone. */
+  void (*set_limits) (struct mt_scheduler *sched, int64_t now);
+  /* Returns the order of two workspaces whose tasks are placed one by one. */
+  int (*compare) (const struct mt_account *a, const struct mt_account *b);
+  /* All tasks below the limit are placed workspace by workspace; false: in order of value. */
+  bool by_workspace;
+};
+
+/* Returns the account that the job's tasks count against, the unowned one without a workspace. */
+struct mt_account *mt_job_account (struct mt_scheduler *sched, const struct mt_job *job);
+/* Returns whether the policy changes the order of value at all. */
+bool mt_shares_are_active (const struct mt_scheduler *sched);
+/* Begins a placing: forgets the waiting tasks of the last one. */
+void mt_shares_begin (struct mt_scheduler *sched, int64_t now);
+void mt_shares_add_waiting (struct mt_account *account, const struct mt_step *step, unsigned n);
+/* Sets the fair shares and the limits, once all waiting tasks were added. */
+void mt_shares_set_limits (struct mt_scheduler *sched, int64_t now);
+/* Returns the accounts that use or wait for something, in the policy's order; free with
+ * g_ptr_array_unref. */
+GPtrArray *mt_shares_order (struct mt_scheduler *sched);
+/* Returns whether the account is below its limit, and stays within it with `n` more tasks of the
+ * step; step NULL: whether it is below. */
+bool mt_account_is_within_limit (const struct mt_scheduler *sched,
+                                 const struct mt_account *account,
+                                 const struct mt_step *step,
+                                 unsigned n);
+/* Ends a placing, with each account's unplaced set: logs which workspaces wait for their share. */
+void mt_shares_end (struct mt_scheduler *sched, int64_t now);
+
 /* scheduler_arrivals.c */
 /* Counts the work of a job submitted now. */
 void mt_route_record_arrival (const struct mt_job *job, int64_t now);
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -9,6 +9,7 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* Share of a job's value that does not depend on its size. */
 #define BASE_VALUE_SHARE 0.3
@@ -52,6 +53,13 @@
 /* Interval of attempts to place a suspect that waits for a worker for its isolation. */
 #define SUSPECT_RETRY_MS 100
 
+/* A workspace that has been below its share for this long with tasks waiting gets workers reserved:
+ * most tasks run for 0.7 to 2.1 s, so that most resources there were have been freed since. */
+#define RESERVE_AFTER_MS 1000
+/* Longest reservation: more than the run time of most tasks. Workers with longer tasks are given up
+ * for others. */
+#define RESERVED_MS 3000
+
 /* The waiting tasks of one step of an occurrence. */
 struct ready_step
 {
@@ -60,6 +68,8 @@
   int class; /* lower is placed first */
   int priority;
   double rank; /* within class and priority, lower is placed first */
+  bool failed; /* a task of it found no worker in this placing */
+  guint next;  /* next step of the same workspace in this order, as index; G_MAXUINT: none */
 };
 
 enum
@@ -68,7 +78,6 @@
   CLASS_TIMELY,
   CLASS_OVERDUE,
   CLASS_HOPELESS,
-  CLASS_OVER_RATE,
 };
 
 bool
@@ -191,11 +200,6 @@
       ready->class = CLASS_LONG_RUNNING;
       ready->rank = (double) ready->occ->due_at;
     }
-  else if (job->over_rate)
-    {
-      ready->class = CLASS_OVER_RATE;
-      ready->rank = (double) ready->occ->due_at;
-    }
   else if (can_meet_objective (ready->occ, remaining, now))
     {
       ready->class = CLASS_TIMELY;
@@ -250,14 +254,31 @@
 
 /* ---- place ---- */
 
+/* Which tasks are placed, by the limits of their workspaces. Long-running tasks and suspects are
+ * placed whatever the limits are. */
+enum share_pass
+{
+  PASS_ALL,
+  PASS_WITHIN_LIMIT, /* only tasks with which the workspace stays within its limit */
+  PASS_BELOW_LIMIT,  /* as long as the workspace is below its limit: one task may exceed it */
+};
+
+/* A need that no worker met; equal or larger ones are skipped. */
+struct unplaceable
+{
+  struct mt_resources need;
+  bool is_set;
+};
+
 struct placement
 {
   struct mt_scheduler *sched;
   int64_t now;
   GPtrArray *workers;
   double mean_slowness;
-  struct mt_resources unplaceable; /* need that no worker met; equal or larger ones are skipped */
-  bool has_unplaceable;
+  enum share_pass pass;
+  struct unplaceable unplaceable;          /* of all tasks ... */
+  struct unplaceable reserved_unplaceable; /* ... except those for which workers are reserved */
   unsigned placed;
   unsigned max_placed; /* limit on placed */
 };
@@ -349,6 +370,15 @@
   return ticket != NULL && ticket->until > now + TICKET_MARGIN_MS;
 }
 
+static bool
+is_reserved_for_others (const struct placement *placement,
+                        const struct mt_worker *w,
+                        const struct mt_task *task)
+{
+  return w->reserved_for != NULL && !mt_task_step (task)->long_running
+         && w->reserved_for != mt_job_account (placement->sched, task->occ->job);
+}
+
 static struct mt_worker *
 choose_worker (const struct placement *placement, const struct mt_task *task)
 {
@@ -364,6 +394,8 @@
       struct mt_worker *w = placement->workers->pdata[i];
       double cost;
 
+      if (is_reserved_for_others (placement, w, task))
+        continue;
       if (!can_place_on (placement, w, task) || (last && (w->successes < 1 || w->failures > 0.5)))
         continue;
       if (route->needs_tickets && !has_valid_ticket (tickets, w, placement->now))
@@ -398,27 +430,44 @@
     tickets->request_pending = true;
 }
 
+/* Returns whether the task can use workers that the others can't. */
+static bool
+has_reserved_workers (const struct placement *placement, const struct mt_task *task)
+{
+  return placement->sched->reserved_for != NULL
+         && (mt_task_step (task)->long_running
+             || placement->sched->reserved_for
+                    == mt_job_account (placement->sched, task->occ->job));
+}
+
 /* Returns whether a need no larger than the step's has found no worker in this placing. In a surge
  * this rejects thousands of waiting tasks by a few comparisons each, not trying every worker. */
 static bool
-is_unplaceable (const struct placement *placement, const struct mt_step *step)
+is_unplaceable (const struct placement *placement, const struct mt_task *task)
 {
-  return placement->has_unplaceable && !step->fill && step->need.cpu >= placement->unplaceable.cpu
-         && step->need.mem >= placement->unplaceable.mem
-         && step->need.gpu >= placement->unplaceable.gpu;
+  const struct mt_step *step = mt_task_step (task);
+  const struct unplaceable *unplaceable = has_reserved_workers (placement, task)
+                                              ? &placement->reserved_unplaceable
+                                              : &placement->unplaceable;
+
+  return unplaceable->is_set && !step->fill && step->need.cpu >= unplaceable->need.cpu
+         && step->need.mem >= unplaceable->need.mem && step->need.gpu >= unplaceable->need.gpu;
 }
 
 static void
 record_unplaceable (struct placement *placement, const struct mt_task *task)
 {
   const struct mt_step *step = mt_task_step (task);
+  struct unplaceable *unplaceable = has_reserved_workers (placement, task)
+                                        ? &placement->reserved_unplaceable
+                                        : &placement->unplaceable;
 
   /* Returns if anything but resources may have kept the task from being placed. */
   if (step->fill || step->label != NULL || step->max_per_worker > 0 || task->avoided != NULL
       || task->occ->job->route->needs_tickets || task->attempts > 0)
     return;
-  placement->has_unplaceable = true;
-  placement->unplaceable = step->need;
+  unplaceable->is_set = true;
+  unplaceable->need = step->need;
 }
 
 /* Makes sure that placing runs at that time. */
@@ -456,7 +505,7 @@
   schedule_placing (placement, task->not_before);
   if (task->not_before > placement->now)
     return true;
-  if (is_unplaceable (placement, mt_task_step (task))
+  if (is_unplaceable (placement, task)
       || !mt_account_allows (placement->sched, task->occ->job->account, mt_task_step (task),
                              placement->now))
     return false;
@@ -544,7 +593,21 @@
   return MAX_UNSENT_STARTS - MIN (sched->starts.length, MAX_UNSENT_STARTS);
 }
 
-static void
+/* Returns whether this pass places n such tasks more. */
+static bool
+is_admitted (const struct placement *placement, const struct mt_task *task, unsigned n)
+{
+  const struct mt_step *step = mt_task_step (task);
+
+  if (placement->pass == PASS_ALL || step->long_running || task->suspect)
+    return true;
+  return mt_account_is_within_limit (placement->sched,
+                                     mt_job_account (placement->sched, task->occ->job),
+                                     placement->pass == PASS_WITHIN_LIMIT ? step : NULL, n);
+}
+
+/* Returns false if a task found no worker: later passes need not try the step. */
+static bool
 place_ready_step (struct placement *placement, const struct ready_step *ready)
 {
   const struct mt_step *step = &ready->occ->job->spec->steps[ready->step];
@@ -552,12 +615,24 @@
 
   if (step->gang)
     {
+      if (!is_admitted (placement, &tasks[0], step->count))
+        return true;
       place_gang (placement, ready->occ, ready->step);
-      return;
+      return ready->occ->step_waiting[ready->step] == 0;
     }
   for (unsigned i = 0; i < step->count && placement->placed < placement->max_placed; i++)
-    if (!place_task (placement, &tasks[i]))
-      return;
+    {
+      if (tasks[i].state != MT_TASK_WAITING)
+        continue;
+      if (is_admitted (placement, &tasks[i], 1))
+        {
+          if (!place_task (placement, &tasks[i]))
+            return false;
+        }
+      else if (!ready->occ->has_suspects)
+        return true;
+    }
+  return true;
 }
 
 static void
@@ -587,13 +662,33 @@
       += (route->mean_work == 0 ? 1.0 : 1.0 / 32) * (remaining.total_work - route->mean_work);
 }
 
+/* Records how long the occurrence lacked resources while its workspace was not below its share:
+ * others' shares went first. */
+static void
+update_share_wait (struct mt_scheduler *sched,
+                   struct mt_occurrence *occ,
+                   bool has_shortage,
+                   int64_t now)
+{
+  bool waits = has_shortage && mt_shares_are_active (sched)
+               && !mt_account_is_within_limit (sched, mt_job_account (sched, occ->job), NULL, 0);
+
+  if (waits && occ->share_wait_since == 0)
+    occ->share_wait_since = now;
+  if (waits || occ->share_wait_since == 0)
+    return;
+  occ->share_wait_ms += now - occ->share_wait_since;
+  occ->share_wait_since = 0;
+}
+
 static void
-update_occurrence_shortage (struct mt_occurrence *occ, int64_t now)
+update_occurrence_shortage (struct mt_scheduler *sched, struct mt_occurrence *occ, int64_t now)
 {
   bool has_shortage = false;
 
   for (unsigned s = 0; s < occ->job->spec->n_steps; s++)
     has_shortage |= MIN (occ->step_unplaced[s], occ->step_waiting[s]) > 0;
+  update_share_wait (sched, occ, has_shortage, now);
   if (has_shortage && occ->shortage_since == 0)
     occ->shortage_since = now;
   if (has_shortage || occ->shortage_since == 0)
@@ -613,7 +708,7 @@
 
       for (unsigned k = 0; k < job->n_occurrences; k++)
         if (job->occurrences[k] != NULL && !job->occurrences[k]->ended)
-          update_occurrence_shortage (job->occurrences[k], now);
+          update_occurrence_shortage (sched, job->occurrences[k], now);
     }
 }
 
@@ -624,18 +719,9 @@
                              &ready->occ->job->spec->steps[ready->step], placement->now);
 }
 
-void
-mt_scheduler_place (struct mt_scheduler *sched, int64_t now)
+static void
+collect_ready_steps (struct mt_scheduler *sched, GArray *ready_steps, int64_t now)
 {
-  g_autoptr (GArray) ready_steps = g_array_new (FALSE, FALSE, sizeof (struct ready_step));
-  struct placement placement = { .sched = sched, .now = now, .workers = g_ptr_array_new () };
-
-  if (sched->first_placed_at == 0)
-    sched->first_placed_at = now;
-  sched->place_at = 0;
-  placement.max_placed = limit_placing_to_link (sched, now);
-
-  find_workers (&placement);
   for (GList *l = sched->open.head; l != NULL; l = l->next)
     {
       struct mt_job *job = l->data;
@@ -653,17 +739,275 @@
         }
     }
   g_array_sort (ready_steps, compare_ready_steps);
+}
+
+/* Tasks that wait for the link or for a quota don't lack resources. */
+static void
+set_unplaced (const struct placement *placement, const struct ready_step *ready)
+{
+  ready->occ->step_unplaced[ready->step]
+      = placement->placed < placement->max_placed && !is_over_quota (placement, ready)
+            ? ready->occ->step_waiting[ready->step]
+            : 0;
+}
+
+static void
+place_if_possible (struct placement *placement, struct ready_step *ready)
+{
+  if (placement->workers->len > 0 && placement->placed < placement->max_placed && !ready->failed)
+    ready->failed = !place_ready_step (placement, ready);
+}
+
+static void
+place_by_value (struct placement *placement, GArray *ready_steps)
+{
+  for (guint i = 0; i < ready_steps->len; i++)
+    {
+      struct ready_step *ready = &g_array_index (ready_steps, struct ready_step, i);
+
+      place_if_possible (placement, ready);
+      set_unplaced (placement, ready);
+    }
+}
+
+/* ---- place by share ---- */
+
+/* Adds each step's needs to its workspace, and links the steps of each workspace in order. */
+static void
+group_by_workspace (struct mt_scheduler *sched, GArray *ready_steps)
+{
   for (guint i = 0; i < ready_steps->len; i++)
+    {
+      struct ready_step *ready = &g_array_index (ready_steps, struct ready_step, i);
+      struct mt_account *account = mt_job_account (sched, ready->occ->job);
+
+      ready->next = G_MAXUINT;
+      if (account->first_ready == G_MAXUINT)
+        account->first_ready = i;
+      else
+        g_array_index (ready_steps, struct ready_step, account->last_ready).next = i;
+      account->last_ready = i;
+      mt_shares_add_waiting (account, &ready->occ->job->spec->steps[ready->step],
+                             ready->occ->step_waiting[ready->step]);
+    }
+}
+
+static void
+place_steps (struct placement *placement, GArray *ready_steps, enum share_pass pass)
+{
+  placement->pass = pass;
+  for (guint i = 0; i < ready_steps->len; i++)
+    place_if_possible (placement, &g_array_index (ready_steps, struct ready_step, i));
+}
+
+static void
+place_workspaces (struct placement *placement,
+                  GArray *ready_steps,
+                  const GPtrArray *accounts,
+                  enum share_pass pass)
+{
+  placement->pass = pass;
+  for (guint a = 0; a < accounts->len; a++)
+    {
+      const struct mt_account *account = accounts->pdata[a];
+
+      for (guint i = account->first_ready; i != G_MAXUINT;)
+        {
+          struct ready_step *ready = &g_array_index (ready_steps, struct ready_step, i);
+
+          place_if_possible (placement, ready);
+          i = ready->next;
+        }
+    }
+}
+
+/* Long-running steps are the first in order. */
+static void
+place_long_running (struct placement *placement, GArray *ready_steps)
+{
+  for (guint i = 0; i < ready_steps->len; i++)
+    {
+      struct ready_step *ready = &g_array_index (ready_steps, struct ready_step, i);
+
+      if (ready->class != CLASS_LONG_RUNNING)
+        return;
+      place_if_possible (placement, ready);
+    }
+}
+
+static void
+release_reservation (struct mt_scheduler *sched)
+{
+  if (sched->reserved_for == NULL)
+    return;
+  sched->reserved_for = NULL;
+  for (guint i = 0; i < sched->owned_workers->len; i++)
+    ((struct mt_worker *) sched->owned_workers->pdata[i])->reserved_for = NULL;
+}
+
+/* Returns the workspace that has waited longest for its share, if it has for RESERVE_AFTER_MS. */
+static const struct mt_account *
+find_starving (const struct placement *placement, const GPtrArray *accounts)
+{
+  const struct mt_account *longest = NULL;
+
+  for (guint i = 0; i < accounts->len; i++)
+    {
+      const struct mt_account *account = accounts->pdata[i];
+
+      if (account->below_since != 0 && placement->now - account->below_since >= RESERVE_AFTER_MS
+          && mt_account_is_within_limit (placement->sched, account, NULL, 0)
+          && (longest == NULL || account->below_since < longest->below_since))
+        longest = account;
+    }
+  return longest;
+}
+
+/* Returns the first waiting step that lacks nothing but resources; NULL if there is none. */
+static const struct ready_step *
+find_step_to_reserve (const struct placement *placement,
+                      const struct mt_account *account,
+                      GArray *ready_steps)
+{
+  for (guint i = account->first_ready; i != G_MAXUINT;)
     {
       const struct ready_step *ready = &g_array_index (ready_steps, struct ready_step, i);
+      const struct mt_step *step = &ready->occ->job->spec->steps[ready->step];
+
+      if (ready->occ->step_waiting[ready->step] > 0 && !step->fill && step->max_per_worker == 0
+          && !ready->occ->has_suspects && !ready->occ->job->route->needs_tickets
+          && !is_over_quota (placement, ready))
+        return ready;
+      i = ready->next;
+    }
+  return NULL;
+}
+
+static unsigned
+count_tasks_that_fit (const struct mt_resources *resources, const struct mt_resources *need)
+{
+  int64_t n = G_MAXINT;
+
+  for (unsigned i = 0; i < MT_RESOURCE_KINDS; i++)
+    if (mt_resources_get (need, i) > 0)
+      n = MIN (n, mt_resources_get (resources, i) / mt_resources_get (need, i));
+  return (unsigned) MAX (n, 0);
+}
 
-      if (placement.workers->len > 0 && placement.placed < placement.max_placed)
-        place_ready_step (&placement, ready);
-      /* Tasks that wait for the link or for a quota don't lack resources. */
-      ready->occ->step_unplaced[ready->step]
-          = placement.placed < placement.max_placed && !is_over_quota (&placement, ready)
-                ? ready->occ->step_waiting[ready->step]
-                : 0;
+/* Returns how many tasks of the step the worker can run once its present tasks have ended, without
+ * the long-running ones. */
+static unsigned
+count_reservable_tasks (const struct mt_worker *w, const struct mt_step *step)
+{
+  struct mt_resources left = w->resources;
+
+  if (step->label != NULL
+      && (w->labels == NULL || !g_strv_contains ((const char *const *) w->labels, step->label)))
+    return 0;
+  for (const GList *l = w->tasks.head; l != NULL; l = l->next)
+    if (mt_task_step (l->data)->long_running)
+      for (unsigned i = 0; i < MT_RESOURCE_KINDS; i++)
+        *mt_resources_field (&left, i) -= mt_resources_get (&mt_task_step (l->data)->need, i);
+  return count_tasks_that_fit (&left, &step->need);
+}
+
+static int
+compare_used_cpu (const void *left, const void *right)
+{
+  const struct mt_worker *const *a = left;
+  const struct mt_worker *const *b = right;
+
+  if ((*a)->used.cpu != (*b)->used.cpu)
+    return (*a)->used.cpu < (*b)->used.cpu ? -1 : 1;
+  return strcmp ((*a)->id, (*b)->id);
+}
+
+/* Tasks larger than what single ends free would wait for good: smaller tasks of other workspaces
+ * take each freed resource first. For the workspace that has waited longest below its share, the
+ * workers with the least use are kept free of other workspaces' new tasks, until its first step
+ * fits or RESERVED_MS have passed. */
+static void
+reserve_workers (struct placement *placement, GArray *ready_steps, const GPtrArray *accounts)
+{
+  struct mt_scheduler *sched = placement->sched;
+  const struct mt_account *starving = find_starving (placement, accounts);
+  g_autoptr (GPtrArray) workers = NULL;
+  const struct ready_step *ready;
+  const struct mt_step *step;
+  unsigned n = 0;
+
+  if (starving != NULL && starving == sched->reserved_for && placement->now < sched->reserved_until)
+    return;
+  release_reservation (sched);
+  ready = starving != NULL ? find_step_to_reserve (placement, starving, ready_steps) : NULL;
+  if (ready == NULL)
+    return;
+  step = &ready->occ->job->spec->steps[ready->step];
+  workers = g_ptr_array_copy (placement->workers, NULL, NULL);
+  g_ptr_array_sort (workers, compare_used_cpu);
+  for (guint i = 0; i < workers->len && n < (step->gang ? step->count : 1); i++)
+    {
+      struct mt_worker *w = workers->pdata[i];
+      unsigned fitting = count_reservable_tasks (w, step);
+
+      w->reserved_for = fitting > 0 ? starving : NULL;
+      n += fitting;
+    }
+  sched->reserved_for = starving;
+  sched->reserved_until = placement->now + RESERVED_MS;
+  if (n < (step->gang ? step->count : 1))
+    release_reservation (sched);
+}
+
+static void
+place_by_share (struct placement *placement, GArray *ready_steps)
+{
+  struct mt_scheduler *sched = placement->sched;
+  g_autoptr (GPtrArray) accounts = NULL;
+
+  mt_shares_begin (sched, placement->now);
+  group_by_workspace (sched, ready_steps);
+  mt_shares_set_limits (sched, placement->now);
+  accounts = mt_shares_order (sched);
+
+  place_long_running (placement, ready_steps);
+  if (sched->settings.share_policy->by_workspace)
+    place_workspaces (placement, ready_steps, accounts, PASS_WITHIN_LIMIT);
+  else
+    place_steps (placement, ready_steps, PASS_WITHIN_LIMIT);
+  place_workspaces (placement, ready_steps, accounts, PASS_BELOW_LIMIT);
+  reserve_workers (placement, ready_steps, accounts);
+  place_steps (placement, ready_steps, PASS_ALL);
+
+  for (guint i = 0; i < ready_steps->len; i++)
+    {
+      const struct ready_step *ready = &g_array_index (ready_steps, struct ready_step, i);
+
+      set_unplaced (placement, ready);
+      mt_job_account (sched, ready->occ->job)->unplaced += ready->occ->step_unplaced[ready->step];
+    }
+  mt_shares_end (sched, placement->now);
+}
+
+void
+mt_scheduler_place (struct mt_scheduler *sched, int64_t now)
+{
+  g_autoptr (GArray) ready_steps = g_array_new (FALSE, FALSE, sizeof (struct ready_step));
+  struct placement placement = { .sched = sched, .now = now, .workers = g_ptr_array_new () };
+
+  if (sched->first_placed_at == 0)
+    sched->first_placed_at = now;
+  sched->place_at = 0;
+  placement.max_placed = limit_placing_to_link (sched, now);
+
+  find_workers (&placement);
+  collect_ready_steps (sched, ready_steps, now);
+  if (mt_shares_are_active (sched))
+    place_by_share (&placement, ready_steps);
+  else
+    {
+      release_reservation (sched);
+      place_by_value (&placement, ready_steps);
     }
   update_shortages (sched, now);
   g_ptr_array_unref (placement.workers);
--- a/core/scheduler/scheduler_record.c
+++ b/core/scheduler/scheduler_record.c
@@ -154,6 +154,7 @@
   task->losses = (uint8_t) json_integer_value (json_array_get (row, COLUMN_LOSSES));
   task->crashes = (uint8_t) json_integer_value (json_array_get (row, COLUMN_CRASHES));
   task->suspect = json_integer_value (json_array_get (row, COLUMN_SUSPECT)) != 0;
+  occ->has_suspects |= task->suspect;
   if (worker == NULL || worker[0] == '\0')
     return;
   w = mt_scheduler_get_worker (sched, worker);
@@ -163,6 +164,7 @@
       task->losses += task->losses < G_MAXUINT8;
       task->crashes += begun && task->crashes < G_MAXUINT8;
       task->suspect = true;
+      occ->has_suspects = true;
       return;
     }
   if (w->started_at == 0)
--- a/core/scheduler/scheduler_tasks.c
+++ b/core/scheduler/scheduler_tasks.c
@@ -101,7 +101,7 @@
   mt_task_end_isolation (task);
   g_queue_unlink (&w->tasks, &task->link);
   add_usage (w, mt_task_step (task), -1);
-  mt_account_add_usage (task->occ->job->account, mt_task_step (task), -1);
+  mt_account_add_usage (mt_job_account (sched, task->occ->job), mt_task_step (task), -1);
   task->worker = NULL;
   w->paced_at = 0;
 }
@@ -129,7 +129,7 @@
   g_queue_push_tail_link (&w->tasks, &task->link);
   add_usage (w, mt_task_step (task), 1);
   mt_task_isolate (task);
-  mt_account_add_usage (task->occ->job->account, mt_task_step (task), 1);
+  mt_account_add_usage (mt_job_account (sched, task->occ->job), mt_task_step (task), 1);
   mt_job_mark_dirty (sched, task->occ->job);
 }
 
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -139,7 +139,7 @@
       const struct mt_workspace *workspace = mt_workspaces_at (config->workspaces, i);
 
       limits.quota = workspace->quota;
-      limits.rate = workspace->rate;
+      limits.weight = workspace->weight;
       mt_scheduler_set_workspace (sched, workspace->name, &limits);
     }
 }
@@ -163,7 +163,9 @@
                                          .max_lease_ms = b->max_hold_ms,
                                          .remote_factor = b->remote_factor,
                                          .retention_ms = (int64_t) (1000 * b->status_s),
-                                         .stop_grace_ms = b->stop_grace_ms };
+                                         .stop_grace_ms = b->stop_grace_ms,
+                                         .share_policy
+                                         = mt_share_policy_find (f->settings->share_policy) };
 }
 
 static bool
--- a/fleet/settings.c
+++ b/fleet/settings.c
@@ -1,6 +1,7 @@
 #include "settings.h"
 
 #include "fields.h"
+#include "medlartrack/scheduler.h"
 
 #include <stddef.h>
 #include <talloc.h>
@@ -8,6 +9,15 @@
 #define FIELD(member) offsetof (struct mt_fleet_settings, member)
 #define BOUND(member) offsetof (struct mt_fleet_bounds, member)
 
+static bool
+accepts_share_policy (struct mt_str text)
+{
+  return mt_share_policy_find (text) != NULL;
+}
+
+static const struct mt_text_format share_policy_format
+    = { "share policy", "write none, floor or deficit", accepts_share_policy };
+
 static const struct mt_field top_fields[] = {
   { "name", MT_FIELD_TEXT, FIELD (name), .required = true, .form = &mt_text_format_name },
   { "zone", MT_FIELD_TEXT, FIELD (zone), .required = true, .form = &mt_text_format_name },
@@ -25,6 +35,8 @@
   { "connections", MT_FIELD_COUNT, FIELD (connections), .min = 1, .max = 20000, .fallback = 2000 },
   { "idle_s", MT_FIELD_COUNT, FIELD (idle_s), .min = 1, .max = 3600, .fallback = 30 },
   { "body_bytes", MT_FIELD_COUNT, FIELD (body_bytes), .min = 1, .max = 64e6, .fallback = 262144 },
+  { "share_policy", MT_FIELD_TEXT, FIELD (share_policy), .text = "floor",
+    .form = &share_policy_format },
   { NULL },
 };
 
--- a/fleet/settings.h
+++ b/fleet/settings.h
@@ -35,6 +35,7 @@
   unsigned connections;
   unsigned idle_s;
   unsigned body_bytes;
+  struct mt_str share_policy; /* name of a policy by which workspaces share a pool */
   struct mt_fleet_bounds bounds;
 };
 
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -134,6 +134,10 @@
 MT_EVENT (8108, CALLER_REFUSED, G_LOG_LEVEL_WARNING, "a call without a valid API key was refused")
 MT_EVENT (8106, JOB_BEGUN, G_LOG_LEVEL_MESSAGE, "the first task of a job started")
 MT_EVENT (8107, JOB_ENDED, G_LOG_LEVEL_MESSAGE, "a job ended")
+MT_EVENT (8109,
+          SHARE_STATE,
+          G_LOG_LEVEL_MESSAGE,
+          "a workspace began or stopped waiting for its share of a pool")
 
 MT_EVENT (8201, TASK_FAILED, G_LOG_LEVEL_WARNING, "a run of a task failed")
 MT_EVENT (8202,
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -14,6 +14,13 @@
 
 struct mt_scheduler;
 
+/* How the workspaces share a pool that can't run all waiting tasks. */
+struct mt_share_policy;
+
+/* Returns the policy of that name, "none", "floor" or "deficit"; NULL if there is none. Any
+ * thread. */
+const struct mt_share_policy *mt_share_policy_find (struct mt_str name);
+
 struct mt_scheduler_settings
 {
   const char *name;      /* of the pool */
@@ -22,6 +29,7 @@
   double remote_factor;  /* run time on a worker outside the step's rack, relative to one inside */
   int64_t retention_ms;  /* shortest time for which a job's records are kept after its end */
   int64_t stop_grace_ms; /* longest time that a run goes on after it was ordered to stop */
+  const struct mt_share_policy *share_policy; /* NULL: the default, "floor" */
 };
 
 struct mt_route_policy
@@ -47,7 +55,7 @@
 struct mt_workspace_limits
 {
   struct mt_resources quota; /* 0: no limit */
-  int64_t rate;              /* jobs per second; 0: no limit */
+  int64_t weight;            /* of its share of a full pool; 0 counts as 1 */
   unsigned pools;            /* number of pools that share the quota */
 };
 
@@ -65,6 +73,13 @@
   struct mt_resources resources;
 };
 
+/* What a workspace uses in all other pools. */
+struct mt_use_elsewhere
+{
+  const char *workspace;
+  struct mt_resources resources;
+};
+
 struct mt_grant_message
 {
   int64_t token;                 /* fencing token of the granting leader; a higher one wins */
@@ -72,6 +87,8 @@
   bool all;                      /* asks for a report on all accounts */
   const struct mt_grant *grants; /* changed grants only */
   size_t n_grants;
+  const struct mt_use_elsewhere *uses; /* changed figures, and those due for renewal */
+  size_t n_uses;
 };
 
 /* Applies the grants of a message. Returns false without any change if the message is not newer
@@ -93,14 +110,18 @@
 
 /* Fills out with up to max accounts of workspaces that have a limit and returns their number.
  * Unless the last grant message asked for all accounts, those with a grant and without usage or
- * waiting tasks are left out. The names are valid until the scheduler is destroyed. */
+ * waiting tasks are left out. If any workspace has a weight, those without a limit are included
+ * while they have usage or waiting tasks. The names are valid until the scheduler is destroyed. */
 size_t
 mt_scheduler_accounts (const struct mt_scheduler *sched, struct mt_account_view *out, size_t max);
 
-/* Returns the workspace's fair share of the pool's capacity, 0 to 1; 1 without workspaces. */
+/* Returns the share of the pool's capacity, 0 to 1, that the workspace would get if it had more
+ * work than that; 1 unless a workspace has a weight and the policy shares by weight. Other
+ * workspaces count with their use now and their waiting tasks as of the last placing. */
 double
 mt_scheduler_fair_share (const struct mt_scheduler *sched, const char *workspace, int64_t now);
-/* Returns whether the workspace uses more than its fair share, in this pool and the others. */
+/* Returns whether the workspace uses more of this pool than its fair share, which is smaller the
+ * more it uses in other pools. */
 bool
 mt_scheduler_is_above_share (const struct mt_scheduler *sched, const char *workspace, int64_t now);
 
--- a/include/medlartrack/workspaces.h
+++ b/include/medlartrack/workspaces.h
@@ -17,7 +17,7 @@
 {
   char *name;
   struct mt_resources quota; /* resources in use at a time, in all pools together; 0 for no limit */
-  int64_t rate;              /* jobs per second that it is entitled to; 0 for no limit */
+  int64_t weight;            /* sets its share when all capacity is in use; 0 counts as 1 */
   unsigned n_keys;
 };
 
@@ -28,11 +28,11 @@
 void mt_workspaces_destroy (struct mt_workspaces *list);
 
 /* Adds a workspace. Returns false with an error that names the workspace and the remedy if the name
- * is missing, invalid, too long or already used, or if a limit is negative. */
+ * is missing, invalid, too long or already used, or if a limit or the weight is negative. */
 bool mt_workspaces_add (struct mt_workspaces *list,
                         const char *name,
                         const struct mt_resources *quota,
-                        int64_t rate,
+                        int64_t weight,
                         GError **error);
 /* Adds a key to the workspace added last. Returns false with an error if the key is empty, too long
  * or belongs to another workspace; the error never contains the key. */
