grants: pools learn what their workspaces use in the other pools

Cause: each pool knows only its own use. A workspace that floods several pools counts as small in each.

Change: the fleet's leader keeps each workspace's total use, by the pools' reports, and returns the use in other pools with the grant message, for the workspaces that the pool works for: changed figures, those not acknowledged, and each again after 500 ms. A pool counts a figure for 2 s. Pools that have been silent for 2 s are left out. Workspaces are found by a hash table: with weights, those without a quota are reported too, while they use or wait for something.

A message without uses has the bytes it had before, so a fleet without weights can run both releases. With weights, a daemon of the previous release refuses messages with uses, and falls back to an even share of each quota until it is updated.

--- a/core/controller/grants.c
+++ b/core/controller/grants.c
@@ -17,6 +17,9 @@
 /* If demand exceeds the quota, precedence passes to the next pool after this time: a task that is
  * larger than an even share must run eventually. */
 #define ROTATION_MS 4000
+/* A use in other pools that has not changed is sent again after this time: a quarter of the time
+ * for which a pool counts it, so that a lost message does not end its validity. */
+#define RENEWAL_MS (MT_GRANT_LEASE_MS / 4)
 
 /* One pool's share of one workspace's quota. */
 struct share
@@ -29,6 +32,10 @@
   uint64_t sent_sequence;              /* of the message that carried it; 0: none sent */
   bool is_acked;                       /* the pool has acknowledged `sent` */
   bool has_grant;                      /* the pool's current leader has received a grant */
+  struct mt_resources elsewhere;       /* use in other pools, as last sent */
+  uint64_t elsewhere_sequence;         /* of the message that carried it; 0: none sent */
+  int64_t elsewhere_at;                /* when it was last sent */
+  bool elsewhere_acked;                /* the pool has acknowledged it */
 };
 
 struct pool
@@ -37,6 +44,7 @@
   uint64_t sequence; /* of the last message */
   bool answered;
   int64_t answered_at;
+  bool is_counted;      /* what it uses is included in the totals */
   struct share *shares; /* by index of the workspace */
 };
 
@@ -44,8 +52,12 @@
 {
   int64_t token;
   int64_t created;
-  char **names; /* of workspaces */
+  char **names;        /* of workspaces */
+  GHashTable *indices; /* name of a workspace to its index plus 1 */
   struct mt_resources *quotas;
+  struct mt_resources *totals;   /* used by each workspace in all pools that are counted */
+  bool is_weighted;              /* a workspace has a weight */
+  struct mt_use_elsewhere *uses; /* of the last message */
   unsigned n_workspaces;
   struct pool *pools;
   unsigned n_pools;
@@ -59,6 +71,7 @@
   grants->token = token;
   grants->created = now;
   grants->names = g_new0 (char *, 1);
+  grants->indices = g_hash_table_new (g_str_hash, g_str_equal);
   return grants;
 }
 
@@ -79,8 +92,11 @@
   if (grants == NULL)
     return;
   free_pools (grants->pools, grants->n_pools);
+  g_hash_table_unref (grants->indices);
   g_strfreev (grants->names);
   g_free (grants->quotas);
+  g_free (grants->totals);
+  g_free (grants->uses);
   g_free (grants);
 }
 
@@ -95,11 +111,85 @@
 
 static struct share *
 find_share (const struct mt_grants *grants, const struct pool *pool, const char *workspace)
+{
+  unsigned index = GPOINTER_TO_UINT (g_hash_table_lookup (grants->indices, workspace));
+
+  return index > 0 ? &pool->shares[index - 1] : NULL;
+}
+
+/* ---- use in other pools ---- */
+
+/* Adds what the pool uses to the totals; sign -1 subtracts it. */
+static void
+add_to_totals (struct mt_grants *grants, const struct pool *pool, int sign)
 {
   for (unsigned i = 0; i < grants->n_workspaces; i++)
-    if (strcmp (grants->names[i], workspace) == 0)
-      return &pool->shares[i];
-  return NULL;
+    for (unsigned k = 0; k < MT_RESOURCE_KINDS; k++)
+      *mt_resources_field (&grants->totals[i], k)
+          += sign * mt_resources_get (&pool->shares[i].used, k);
+}
+
+static void
+set_counted (struct mt_grants *grants, struct pool *pool, bool counted)
+{
+  if (pool->is_counted == counted)
+    return;
+  pool->is_counted = counted;
+  add_to_totals (grants, pool, counted ? 1 : -1);
+}
+
+/* Leaves out pools that have not answered for as long as a pool counts a figure: what they use now
+ * is not known. */
+static void
+leave_out_silent_pools (struct mt_grants *grants, int64_t now)
+{
+  for (unsigned i = 0; i < grants->n_pools; i++)
+    if (now - grants->pools[i].answered_at >= MT_GRANT_LEASE_MS)
+      set_counted (grants, &grants->pools[i], false);
+}
+
+static bool
+is_used (const struct mt_resources *resources)
+{
+  return resources->cpu > 0 || resources->mem > 0 || resources->gpu > 0;
+}
+
+static bool
+needs_use_elsewhere (const struct share *share, const struct mt_resources *elsewhere, int64_t now)
+{
+  if (!is_used (&share->used) && !is_used (&share->waiting))
+    return false;
+  return !share->elsewhere_acked || now - share->elsewhere_at >= RENEWAL_MS
+         || memcmp (elsewhere, &share->elsewhere, sizeof *elsewhere) != 0;
+}
+
+/* Adds what each workspace that the pool works for uses in the other pools: figures that have
+ * changed, that the pool has not acknowledged, or that it would soon stop counting. */
+static void
+add_uses_elsewhere (struct mt_grants *grants,
+                    struct pool *pool,
+                    struct mt_grant_message *out,
+                    int64_t now)
+{
+  if (!grants->is_weighted)
+    return;
+  leave_out_silent_pools (grants, now);
+  for (unsigned i = 0; i < grants->n_workspaces; i++)
+    {
+      struct share *share = &pool->shares[i];
+      struct mt_resources elsewhere = grants->totals[i];
+
+      for (unsigned k = 0; pool->is_counted && k < MT_RESOURCE_KINDS; k++)
+        *mt_resources_field (&elsewhere, k) -= mt_resources_get (&share->used, k);
+      if (!needs_use_elsewhere (share, &elsewhere, now))
+        continue;
+      share->elsewhere = elsewhere;
+      share->elsewhere_sequence = out->sequence;
+      share->elsewhere_at = now;
+      share->elsewhere_acked = false;
+      grants->uses[out->n_uses++] = (struct mt_use_elsewhere){ grants->names[i], elsewhere };
+    }
+  out->uses = grants->uses;
 }
 
 /* Returns the pool's state for a new configuration: copied from the old one for the workspaces that
@@ -115,6 +205,7 @@
   out.sequence = known->sequence;
   out.answered = known->answered;
   out.answered_at = known->answered_at;
+  out.is_counted = known->is_counted;
   for (unsigned i = 0; i < n; i++)
     {
       const struct share *share = find_share (old, known, names[i]);
@@ -135,22 +226,35 @@
   char **names = g_new0 (char *, n + 1);
   struct mt_resources *quotas = g_new0 (struct mt_resources, n + 1);
   struct pool *next = g_new0 (struct pool, n_pools + 1);
+  bool weighted = false;
 
   for (unsigned i = 0; i < n; i++)
     {
       names[i] = g_strdup (mt_workspaces_at (workspaces, i)->name);
       quotas[i] = mt_workspaces_at (workspaces, i)->quota;
+      weighted |= mt_workspaces_at (workspaces, i)->weight > 0;
     }
   for (unsigned i = 0; i < n_pools; i++)
     next[i] = copy_pool (grants, pools[i], names, n);
   free_pools (grants->pools, grants->n_pools);
   g_strfreev (grants->names);
   g_free (grants->quotas);
+  g_free (grants->totals);
+  g_free (grants->uses);
+  g_hash_table_remove_all (grants->indices);
+  for (unsigned i = 0; i < n; i++)
+    g_hash_table_insert (grants->indices, names[i], GUINT_TO_POINTER (i + 1));
+  grants->totals = g_new0 (struct mt_resources, n + 1);
+  grants->uses = g_new0 (struct mt_use_elsewhere, n + 1);
+  grants->is_weighted = weighted;
   grants->names = names;
   grants->quotas = quotas;
   grants->n_workspaces = n;
   grants->pools = next;
   grants->n_pools = n_pools;
+  for (unsigned i = 0; i < n_pools; i++)
+    if (next[i].is_counted)
+      add_to_totals (grants, &next[i], 1);
 }
 
 /* ---- the share of each pool ---- */
@@ -342,6 +446,8 @@
   out.all = !pool->answered;
   rows = g_new0 (struct mt_grant, grants->n_workspaces + 1);
   out.grants = rows;
+  if (pool->answered)
+    add_uses_elsewhere (grants, pool, &out, now);
   if (!pool->answered || !all_pools_answered (grants, now))
     return out;
   for (unsigned i = 0; i < grants->n_workspaces; i++)
@@ -385,6 +491,7 @@
 
   if (pool == NULL)
     return;
+  set_counted (grants, pool, false);
   pool->answered = true;
   pool->answered_at = now;
   for (unsigned i = 0; i < grants->n_workspaces; i++)
@@ -392,6 +499,8 @@
       pool->shares[i].used = pool->shares[i].waiting = pool->shares[i].largest_waiting
           = (struct mt_resources){ 0 };
       acknowledge (&pool->shares[i], sequence);
+      if (pool->shares[i].elsewhere_sequence <= sequence)
+        pool->shares[i].elsewhere_acked = pool->shares[i].elsewhere_sequence > 0;
       pool->shares[i].has_grant = true;
     }
   for (size_t i = 0; i < n; i++)
@@ -410,4 +519,5 @@
           share->is_acked = true;
         }
     }
+  set_counted (grants, pool, true);
 }
--- a/fleet/grants_wire.c
+++ b/fleet/grants_wire.c
@@ -5,9 +5,11 @@
 #include <glib.h>
 
 /* Number of values in each packed row; any other number means another version and is refused. */
-#define MESSAGE_FIELDS 4
-#define GRANT_FIELDS   2
-#define ACCOUNT_FIELDS 6
+#define MESSAGE_FIELDS      4
+#define MESSAGE_FIELDS_USES 5 /* with the uses in other pools, sent only if there are any */
+#define GRANT_FIELDS        2
+#define USE_FIELDS          2
+#define ACCOUNT_FIELDS      6
 
 static void
 pack_bool (msgpack_packer *packer, bool value)
@@ -63,7 +65,7 @@
 
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, MESSAGE_FIELDS);
+  msgpack_pack_array (&packer, message->n_uses > 0 ? MESSAGE_FIELDS_USES : MESSAGE_FIELDS);
   msgpack_pack_int64 (&packer, message->token);
   msgpack_pack_uint64 (&packer, message->sequence);
   pack_bool (&packer, message->all);
@@ -74,6 +76,14 @@
       mt_pack_bin (&packer, mt_str_from (message->grants[i].workspace));
       pack_resources (&packer, &message->grants[i].resources);
     }
+  if (message->n_uses > 0)
+    msgpack_pack_array (&packer, message->n_uses);
+  for (size_t i = 0; i < message->n_uses; i++)
+    {
+      msgpack_pack_array (&packer, USE_FIELDS);
+      mt_pack_bin (&packer, mt_str_from (message->uses[i].workspace));
+      pack_resources (&packer, &message->uses[i].resources);
+    }
   *len = buffer.size;
   bytes = g_memdup2 (buffer.data, buffer.size);
   msgpack_sbuffer_destroy (&buffer);
@@ -102,10 +112,34 @@
   return true;
 }
 
+static bool
+read_uses (const msgpack_object *object, struct mt_grant_message *out)
+{
+  struct mt_use_elsewhere *rows;
+
+  if (object->type != MSGPACK_OBJECT_ARRAY)
+    return false;
+  rows = g_new0 (struct mt_use_elsewhere, object->via.array.size + 1);
+  out->uses = rows;
+  for (uint32_t i = 0; i < object->via.array.size; i++)
+    {
+      const msgpack_object *f = mt_pack_get_array (&object->via.array.ptr[i], USE_FIELDS);
+
+      if (f == NULL || !unpack_name (&f[0], &rows[i].workspace))
+        return false;
+      out->n_uses++;
+      if (!unpack_resources (&f[1], &rows[i].resources))
+        return false;
+    }
+  return true;
+}
+
 static bool
 read_message (const msgpack_object *root, struct mt_grant_message *out)
 {
-  const msgpack_object *f = mt_pack_get_array (root, MESSAGE_FIELDS);
+  const msgpack_object *with_uses = mt_pack_get_array (root, MESSAGE_FIELDS_USES);
+  const msgpack_object *f
+      = with_uses != NULL ? with_uses : mt_pack_get_array (root, MESSAGE_FIELDS);
   uint64_t token;
 
   if (f == NULL || !mt_pack_get_u64 (&f[0], INT64_MAX, &token)
@@ -113,7 +147,7 @@
       || !mt_pack_get_bool (&f[2], &out->all))
     return false;
   out->token = (int64_t) token;
-  return read_grants (&f[3], out);
+  return read_grants (&f[3], out) && (with_uses == NULL || read_uses (&f[4], out));
 }
 
 bool
@@ -136,6 +170,9 @@
   for (size_t i = 0; i < message->n_grants; i++)
     g_free ((char *) message->grants[i].workspace);
   g_free ((struct mt_grant *) message->grants);
+  for (size_t i = 0; i < message->n_uses; i++)
+    g_free ((char *) message->uses[i].workspace);
+  g_free ((struct mt_use_elsewhere *) message->uses);
   *message = (struct mt_grant_message){ 0 };
 }
 
--- a/fleet/grants_wire.h
+++ b/fleet/grants_wire.h
@@ -1,5 +1,5 @@
-/* Encodes shares of quotas as msgpack: the grants that the fleet's leader sends to a pool's leader,
- * and the accounts in the reply. Pure functions. */
+/* Encodes shares of quotas as msgpack: the grants and the uses in other pools that the fleet's
+ * leader sends to a pool's leader, and the accounts in the reply. Pure functions. */
 #ifndef MT_FLEET_GRANTS_WIRE_H
 #define MT_FLEET_GRANTS_WIRE_H
 
--- a/include/medlartrack/grants.h
+++ b/include/medlartrack/grants.h
@@ -1,4 +1,5 @@
-/* Allocates the quotas of workspaces to the pools; runs on the fleet leader. Each pool's leader
+/* Allocates the quotas of workspaces to the pools, and tells each pool what its workspaces use in
+ * the other pools; runs on the fleet leader. Each pool's leader
  * stays within the share that it was granted. A share is revoked before it is granted to another
  * pool, and counts as revoked only once the pool has acknowledged it. Does no I/O. Not thread-safe.
  * Times are milliseconds of a clock that counts suspension. */
@@ -22,7 +23,8 @@
                           const struct mt_workspaces *workspaces);
 
 /* Returns the next message to the pool of that name. The caller frees its array of grants with
- * g_free; their workspace names stay valid until the next call to mt_grants_configure. */
+ * g_free; its array of uses stays valid until the next call of this function, and the workspace
+ * names until the next call to mt_grants_configure. */
 struct mt_grant_message
 mt_grants_next_message (struct mt_grants *grants, const char *name, int64_t now);
 /* Handles a pool's acknowledgement of the message with that sequence number. views: the pool's
--- a/tests/fleet/test_grants_wire.c
+++ b/tests/fleet/test_grants_wire.c
@@ -33,6 +33,39 @@
   mt_grants_clear (&read);
 }
 
+/* Guards against a use that is decoded for another workspace, and against a message without uses
+ * that daemons of the previous release could not read. */
+static void
+test_uses_round_trip (void **state)
+{
+  static const struct mt_use_elsewhere uses[] = { { "yard", { 9000, 70, 1 } }, { "press", { 0 } } };
+  struct mt_grant_message with_uses = sample;
+  struct mt_grant_message read;
+  size_t len;
+  size_t plain_len;
+  g_autofree char *bytes = NULL;
+  g_autofree char *plain = mt_grants_pack (&sample, &plain_len);
+
+  with_uses.uses = uses;
+  with_uses.n_uses = 2;
+  bytes = mt_grants_pack (&with_uses, &len);
+  assert_true (mt_grants_unpack ((struct mt_str){ bytes, len }, &read));
+  assert_int_equal (read.n_grants, 2);
+  assert_int_equal (read.n_uses, 2);
+  for (size_t i = 0; i < read.n_uses; i++)
+    {
+      assert_string_equal (read.uses[i].workspace, uses[i].workspace);
+      assert_memory_equal (&read.uses[i].resources, &uses[i].resources, sizeof uses[i].resources);
+    }
+  mt_grants_clear (&read);
+  assert_int_equal ((unsigned char) plain[0], 0x94); /* an array of four, as before */
+  for (size_t cut = 0; cut < len; cut++)
+    {
+      assert_false (mt_grants_unpack ((struct mt_str){ bytes, cut }, &read));
+      mt_grants_clear (&read);
+    }
+}
+
 /* Guards against a truncated frame that is accepted as a message, and against leaks from one. */
 static void
 test_truncated_grant_message_is_refused (void **state)
@@ -85,6 +118,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_grant_message_round_trip),
+    cmocka_unit_test (test_uses_round_trip),
     cmocka_unit_test (test_truncated_grant_message_is_refused),
     cmocka_unit_test (test_accounts_round_trip),
   };
--- a/tests/scheduler/test_grants.c
+++ b/tests/scheduler/test_grants.c
@@ -217,10 +217,147 @@
   destroy_fixture (f);
 }
 
+/* ---- use in other pools ---- */
+
+static void
+configure_weights (struct fixture *f)
+{
+  struct mt_workspaces *list = mt_workspaces_create ();
+
+  assert_true (mt_workspaces_add (list, "press", &(struct mt_resources){ 0 }, 0, NULL));
+  assert_true (mt_workspaces_add (list, "yard", &(struct mt_resources){ 0 }, 3, NULL));
+  mt_grants_configure (f->grants, pools, list);
+  mt_workspaces_destroy (list);
+}
+
+/* Returns the figure for "yard" in the pool's next message, which is acknowledged if the pool
+ * answers; -1: it carries none. */
+static int64_t
+exchange_use (struct fixture *f, unsigned i)
+{
+  struct mt_grant_message message = mt_grants_next_message (f->grants, pools[i], f->now);
+  int64_t cpu = -1;
+
+  for (size_t k = 0; k < message.n_uses; k++)
+    {
+      assert_string_equal (message.uses[k].workspace, "yard");
+      cpu = message.uses[k].resources.cpu;
+    }
+  if (!f->silent[i] && !f->answers_lost[i])
+    mt_grants_acknowledge (f->grants, pools[i], message.sequence, &f->views[i], 1, f->now);
+  g_free ((struct mt_grant *) message.grants);
+  return cpu;
+}
+
+static struct fixture *
+create_weighted_fixture (void)
+{
+  struct fixture *f = create_fixture ();
+
+  configure_weights (f);
+  f->views[0].used.cpu = 3000;
+  f->views[1].used.cpu = 2000;
+  f->views[2].waiting.cpu = 1000;
+  for (unsigned i = 0; i < 4; i++)
+    exchange_use (f, i);
+  f->now += ROUND_MS;
+  return f;
+}
+
+/* Guards against a workspace that counts as small in each of the pools that it floods. */
+static void
+test_pools_learn_the_use_in_other_pools (void **state)
+{
+  struct fixture *f = create_weighted_fixture ();
+
+  assert_int_equal (exchange_use (f, 0), 2000);
+  assert_int_equal (exchange_use (f, 1), 3000);
+  assert_int_equal (exchange_use (f, 2), 5000);
+  assert_int_equal (exchange_use (f, 3), -1);
+  f->now += ROUND_MS;
+  assert_int_equal (exchange_use (f, 2), -1);
+  f->views[1].used.cpu = 0;
+  exchange_use (f, 1);
+  assert_int_equal (exchange_use (f, 2), 3000);
+  destroy_fixture (f);
+}
+
+/* Guards against a figure that expires in the pool, or stays old there, because a message or its
+ * answer was lost. */
+static void
+test_use_in_other_pools_is_sent_until_acknowledged (void **state)
+{
+  struct fixture *f = create_weighted_fixture ();
+
+  f->answers_lost[2] = true;
+  for (unsigned i = 0; i < 3; i++)
+    assert_int_equal (exchange_use (f, 2), 5000);
+  f->answers_lost[2] = false;
+  assert_int_equal (exchange_use (f, 2), 5000);
+  assert_int_equal (exchange_use (f, 2), -1);
+  f->now += MT_GRANT_LEASE_MS / 4;
+  assert_int_equal (exchange_use (f, 2), 5000);
+  destroy_fixture (f);
+}
+
+/* Guards against a share that stays small because a pool that is gone once used much. */
+static void
+test_use_of_a_silent_pool_expires (void **state)
+{
+  struct fixture *f = create_weighted_fixture ();
+
+  f->now += MT_GRANT_LEASE_MS - 2 * ROUND_MS;
+  exchange_use (f, 1);
+  f->now += 2 * ROUND_MS;
+  assert_int_equal (exchange_use (f, 2), 2000);
+  exchange_use (f, 0);
+  assert_int_equal (exchange_use (f, 2), 5000);
+  destroy_fixture (f);
+}
+
+/* Guards against figures that are lost or counted twice when the configuration changes, and when
+ * another leader begins. */
+static void
+test_use_survives_configurations_and_leaders (void **state)
+{
+  struct fixture *f = create_weighted_fixture ();
+
+  configure_weights (f);
+  assert_int_equal (exchange_use (f, 2), 5000);
+  mt_grants_destroy (f->grants);
+  f->grants = mt_grants_create (2, f->now);
+  configure_weights (f);
+  for (unsigned i = 0; i < 3; i++)
+    exchange_use (f, i);
+  assert_int_equal (exchange_use (f, 2), 5000);
+  assert_int_equal (exchange_use (f, 0), 2000);
+  destroy_fixture (f);
+}
+
+/* Guards against messages that daemons of the previous release refuse, where nothing is shared by
+ * weight. */
+static void
+test_without_weights_no_use_is_sent (void **state)
+{
+  struct fixture *f = create_fixture ();
+
+  f->views[0].used.cpu = 3000;
+  f->views[1].used.cpu = 2000;
+  for (unsigned round = 0; round < 3; round++)
+    for (unsigned i = 0; i < 4; i++)
+      assert_int_equal (exchange_use (f, i), -1);
+  destroy_fixture (f);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_pools_learn_the_use_in_other_pools),
+    cmocka_unit_test (test_use_in_other_pools_is_sent_until_acknowledged),
+    cmocka_unit_test (test_use_of_a_silent_pool_expires),
+    cmocka_unit_test (test_use_survives_configurations_and_leaders),
+    cmocka_unit_test (test_without_weights_no_use_is_sent),
     cmocka_unit_test (test_unused_quota_is_spread_evenly),
     cmocka_unit_test (test_surge_gets_unused_shares),
     cmocka_unit_test (test_silent_pool_keeps_its_share),
