--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -846,14 +846,14 @@
 }
 
 /* Returns the workspace that has waited longest for its share, if it has for RESERVE_AFTER_MS. */
-static const struct mt_account *
+static struct mt_account *
 find_starving (const struct placement *placement, const GPtrArray *accounts)
 {
-  const struct mt_account *longest = NULL;
+  struct mt_account *longest = NULL;
 
   for (guint i = 0; i < accounts->len; i++)
     {
-      const struct mt_account *account = accounts->pdata[i];
+      struct mt_account *account = accounts->pdata[i];
 
       if (account->below_since != 0 && placement->now - account->below_since >= RESERVE_AFTER_MS
           && mt_account_is_within_limit (placement->sched, account, NULL, 0)
@@ -925,19 +925,27 @@
 /* Tasks larger than what single ends free would wait for good: smaller tasks of other workspaces
  * take each freed resource first. For the workspace that has waited longest below its share, the
  * workers with the least use are kept free of other workspaces' new tasks, until its first step
- * fits or RESERVED_MS have passed. */
+ * fits or RESERVED_MS have passed; it then counts as waiting anew. */
 static void
 reserve_workers (struct placement *placement, GArray *ready_steps, const GPtrArray *accounts)
 {
   struct mt_scheduler *sched = placement->sched;
-  const struct mt_account *starving = find_starving (placement, accounts);
+  struct mt_account *starving = find_starving (placement, accounts);
   g_autoptr (GPtrArray) workers = NULL;
   const struct ready_step *ready;
   const struct mt_step *step;
   unsigned n = 0;
 
   if (starving != NULL && starving == sched->reserved_for && placement->now < sched->reserved_until)
-    return;
+    {
+      schedule_placing (placement, sched->reserved_until);
+      return;
+    }
+  if (starving != NULL && starving == sched->reserved_for)
+    {
+      starving->below_since = placement->now;
+      starving = NULL;
+    }
   release_reservation (sched);
   ready = starving != NULL ? find_step_to_reserve (placement, starving, ready_steps) : NULL;
   if (ready == NULL)
@@ -955,6 +963,7 @@
     }
   sched->reserved_for = starving;
   sched->reserved_until = placement->now + RESERVED_MS;
+  schedule_placing (placement, sched->reserved_until);
   if (n < (step->gang ? step->count : 1))
     release_reservation (sched);
 }
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -24,6 +24,26 @@
 static const struct mt_route_policy route_policy
     = { .priority = 0, .max_attempts = 3, .stretch = 1.6, .objective_ms = 600 };
 
+static struct mt_scheduler *
+create_scheduler (const struct world *world)
+{
+  struct mt_scheduler_settings with_policy = settings;
+  struct mt_scheduler *sched;
+
+  with_policy.share_policy = world->share_policy;
+  sched = mt_scheduler_create (&with_policy);
+  mt_scheduler_set_route (sched, "route", &route_policy);
+  return sched;
+}
+
+void
+world_set_share_policy (struct world *world, const char *name)
+{
+  world->share_policy = mt_share_policy_find (mt_str_from (name));
+  mt_scheduler_destroy (world->sched);
+  world->sched = create_scheduler (world);
+}
+
 struct world *
 world_create (void)
 {
@@ -35,8 +55,7 @@
   world->token = 1;
   world->delayed_orders = g_array_new (FALSE, TRUE, sizeof (struct world_delayed_order));
   world->sent_orders = g_array_new (FALSE, TRUE, sizeof (struct world_sent_order));
-  world->sched = mt_scheduler_create (&settings);
-  mt_scheduler_set_route (world->sched, "route", &route_policy);
+  world->sched = create_scheduler (world);
   world->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   world->crashing_tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   world->crashes_by_task = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -799,7 +818,7 @@
   const char *id, *record;
 
   mt_scheduler_destroy (world->sched);
-  world->sched = mt_scheduler_create (&settings);
+  world->sched = create_scheduler (world);
   world->token++;
   world->in_cycle = false;
   for (unsigned i = 0; i < world->n_workers; i++)
@@ -807,7 +826,6 @@
   for (guint i = 0; i < world->sent_orders->len; i++)
     g_array_index (world->sent_orders, struct world_sent_order, i).abandoned = true;
   world->link_idle_at = world->now; /* the successor's machine has its own link */
-  mt_scheduler_set_route (world->sched, "route", &route_policy);
   for (guint i = 0; i < specs->len; i++)
     mt_scheduler_submit (world->sched, specs->pdata[i], world->now, world->now);
   g_hash_table_iter_init (&it, world->records);
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -125,10 +125,14 @@
   int64_t crash_delay_ms;      /* from the start of a crashing task to the crash */
   GHashTable *crashes_by_task; /* tasks to the number of workers that crashed while running them */
   bool new_id_after_crash;     /* a crashed machine returns as another worker, same address */
-  GHashTable *records;         /* job id to its last stored record */
+  const struct mt_share_policy *share_policy; /* NULL: the default */
+  GHashTable *records;                        /* job id to its last stored record */
 };
 
 struct world *world_create (void);
+/* Makes this and later leaders share by the policy of that name; to be called before anything else.
+ */
+void world_set_share_policy (struct world *world, const char *name);
 void world_destroy (struct world *world);
 /* Registers a worker with 16 cores and 32 GB at once. */
 struct world_worker *world_add_worker (struct world *world, const char *rack);
