--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -922,38 +922,55 @@
   return strcmp ((*a)->id, (*b)->id);
 }
 
-/* Tasks larger than what single ends free would wait for good: smaller tasks of other workspaces
- * take each freed resource first. For the workspace that has waited longest below its share, the
- * workers with the least use are kept free of other workspaces' new tasks, until its first step
- * fits or RESERVED_MS have passed; it then counts as waiting anew. */
+/* Ends a reservation whose workspace has its share, or whose time is over: then the workspace
+ * counts as waiting anew, since its task may lack something else than resources. */
 static void
-reserve_workers (struct placement *placement, GArray *ready_steps, const GPtrArray *accounts)
+check_reservation (const struct placement *placement, const GPtrArray *accounts)
 {
   struct mt_scheduler *sched = placement->sched;
   struct mt_account *starving = find_starving (placement, accounts);
-  g_autoptr (GPtrArray) workers = NULL;
-  const struct ready_step *ready;
-  const struct mt_step *step;
-  unsigned n = 0;
 
-  if (starving != NULL && starving == sched->reserved_for && placement->now < sched->reserved_until)
-    {
-      schedule_placing (placement, sched->reserved_until);
-      return;
-    }
   if (starving != NULL && starving == sched->reserved_for)
     {
+      if (placement->now < sched->reserved_until)
+        {
+          schedule_placing (placement, sched->reserved_until);
+          return;
+        }
       starving->below_since = placement->now;
-      starving = NULL;
     }
   release_reservation (sched);
-  ready = starving != NULL ? find_step_to_reserve (placement, starving, ready_steps) : NULL;
-  if (ready == NULL)
+}
+
+/* To be called when tasks of workspaces that are not below their share were placed although others
+ * are. The tasks of those are larger than what single ends free, and would wait for good. For the
+ * workspace that has waited longest, as many workers as it is entitled to, those with the least
+ * use, are kept free of other workspaces' new tasks until it has its share or RESERVED_MS have
+ * passed. */
+static void
+reserve_workers (struct placement *placement, GArray *ready_steps, const GPtrArray *accounts)
+{
+  struct mt_scheduler *sched = placement->sched;
+  struct mt_account *starving = find_starving (placement, accounts);
+  const struct ready_step *ready
+      = starving != NULL ? find_step_to_reserve (placement, starving, ready_steps) : NULL;
+  g_autoptr (GPtrArray) workers = NULL;
+  const struct mt_step *step;
+  unsigned wanted;
+  unsigned n = 0;
+
+  if (ready == NULL || sched->reserved_for != NULL)
     return;
   step = &ready->occ->job->spec->steps[ready->step];
+  wanted = step->gang ? step->count : 1;
+  while (!step->gang && wanted < ready->occ->step_waiting[ready->step]
+         && mt_account_is_within_limit (sched, starving, step, wanted + 1))
+    wanted++;
   workers = g_ptr_array_copy (placement->workers, NULL, NULL);
   g_ptr_array_sort (workers, compare_used_cpu);
-  for (guint i = 0; i < workers->len && n < (step->gang ? step->count : 1); i++)
+  sched->reserved_for = starving;
+  sched->reserved_until = placement->now + RESERVED_MS;
+  for (guint i = 0; i < workers->len && n < wanted; i++)
     {
       struct mt_worker *w = workers->pdata[i];
       unsigned fitting = count_reservable_tasks (w, step);
@@ -961,11 +978,10 @@
       w->reserved_for = fitting > 0 ? starving : NULL;
       n += fitting;
     }
-  sched->reserved_for = starving;
-  sched->reserved_until = placement->now + RESERVED_MS;
-  schedule_placing (placement, sched->reserved_until);
-  if (n < (step->gang ? step->count : 1))
+  if (n < (step->gang ? wanted : 1))
     release_reservation (sched);
+  else
+    schedule_placing (placement, sched->reserved_until);
 }
 
 static void
@@ -973,6 +989,7 @@
 {
   struct mt_scheduler *sched = placement->sched;
   g_autoptr (GPtrArray) accounts = NULL;
+  unsigned placed;
 
   mt_shares_begin (sched, placement->now);
   group_by_workspace (sched, ready_steps);
@@ -985,8 +1002,11 @@
   else
     place_steps (placement, ready_steps, PASS_WITHIN_LIMIT);
   place_workspaces (placement, ready_steps, accounts, PASS_BELOW_LIMIT);
-  reserve_workers (placement, ready_steps, accounts);
+  check_reservation (placement, accounts);
+  placed = placement->placed;
   place_steps (placement, ready_steps, PASS_ALL);
+  if (placement->placed > placed)
+    reserve_workers (placement, ready_steps, accounts);
 
   for (guint i = 0; i < ready_steps->len; i++)
     {
--- a/tests/scheduler/test_shares.c
+++ b/tests/scheduler/test_shares.c
@@ -402,6 +402,35 @@
     }
 }
 
+/* Guards against workers that are reserved for workspaces whose share is smaller than a task, while
+ * their tasks fit anywhere: two at a time then took from the whole tasks of another's share. */
+static void
+test_fitting_tasks_reserve_no_workers (void **state)
+{
+  static const char *const names[] = { "a", "b", "c" };
+  struct world *world = create_pool ("floor", 2);
+
+  set_weight (world, "press", 100);
+  for (unsigned i = 0; i < 3; i++)
+    set_weight (world, names[i], 1);
+  flood (world, "a", 20, 2000);
+  world_run (world, 900);
+  flood (world, "press", 60, 2000);
+  flood (world, "b", 20, 2000);
+  flood (world, "c", 20, 2000);
+  world_run (world, 2 * REGAIN_MS);
+  for (unsigned i = 0; i < 1200; i++)
+    {
+      unsigned others = 0;
+
+      world_run (world, 5);
+      for (unsigned k = 0; k < 3; k++)
+        others += count_running (world, names[k]);
+      assert_in_range (others, 0, 1);
+    }
+  world_destroy (world);
+}
+
 static void
 test_weight_0_counts_as_1 (void **state)
 {
@@ -658,6 +687,7 @@
     cmocka_unit_test (test_weights_from_1_to_100),
     cmocka_unit_test (test_shares_smaller_than_a_task_take_turns),
     cmocka_unit_test (test_gangs_and_large_tasks_get_their_share),
+    cmocka_unit_test (test_fitting_tasks_reserve_no_workers),
     cmocka_unit_test (test_weight_0_counts_as_1),
     cmocka_unit_test (test_quota_below_the_share),
     cmocka_unit_test (test_weights_apply_at_the_next_placing),
