tests: runs of different length in the property of shares

Where task sizes differ, run times differ too (340 to 700 ms), so that tasks end one after the other. A leader without reservations is still caught only by test_gangs_and_large_tasks_get_their_share.

--- a/tests/scheduler/property_shares.cpp
+++ b/tests/scheduler/property_shares.cpp
@@ -265,6 +265,9 @@
 void
 apply_step (Model &m, Step step, unsigned draw)
 {
+  /* Runs of different length end at different times. */
+  if (m.task_cpu == 0)
+    m.worlds[draw % pools]->run_ms = task_ms - draw % 10 * 40;
   switch (step)
     {
     case Step::submit:
