Merge the weighted shares in the pools

Conflicts: the queue of submissions takes its weights from the configuration's weight; the two reservations of workers are told apart by name (for one workspace's large tasks, and for long-running tasks that leave a drained worker).

--- a/core/scheduler/scheduler_watch.c
+++ b/core/scheduler/scheduler_watch.c
@@ -136,7 +136,7 @@
   GHashTableIter it;
   struct mt_worker *w;
 
-  if (now < sched->reserved_until)
+  if (now < sched->long_running_only_until)
     return;
   g_hash_table_iter_init (&it, sched->workers);
   while (g_hash_table_iter_next (&it, NULL, (void **) &w))
@@ -147,7 +147,7 @@
       best = w;
   if (best == NULL)
     return;
-  sched->reserved_until = best->reserved_until = now + RESERVATION_MS;
+  sched->long_running_only_until = best->long_running_only_until = now + RESERVATION_MS;
   mt_task_log_event (sched, task, best, "WORKER_RESERVED", "for_ms=%d tasks=%u", RESERVATION_MS,
                      best->tasks.length);
 }
--- a/fleet/submit_queue.c
+++ b/fleet/submit_queue.c
@@ -45,9 +45,8 @@
     {
       const struct mt_workspace *workspace = mt_workspaces_at (workspaces, i);
 
-      /* The wire's weight is decoded as rate. */
       mt_workspace_queue_set_weight (queue->waiting, workspace->name,
-                                     (double) MAX (workspace->rate, 1));
+                                     (double) MAX (workspace->weight, 1));
     }
 }
 
