path: retries in an outage follow the length of past ones

With the fixed schedule a caller refused after 5 s of an outage was sent 3.5 s or more away, although past outages ended after 6 s: the schedule assumes that it may have made two retries already. Once outages of more than 2.5 s were seen, the schedule's second retry now comes at their mean length, so that a plan may send every caller there; the other two are spread from there to 13.1 s. The first one stays at 2.5 s for daemons that take the outage for their own. A failed attempt put the first retry at the mean length: callers of a partitioned data centre were then sent away for 6 s.

The exponent of the schedule is 1.2 instead of 1.5. In a model of the schedule (callers arriving evenly in outages of 1 to 12 s, no history, waiting at the front end) callers return 1.75 s after the end on average instead of 1.84 s, and 1.72 s instead of 2.99 s for an outage of 6 s. With 1 it is 1.69 s on average, but 0.71 s instead of 0.41 s for an outage of 2 s. A caller of a partitioned daemon is sent away for 3 s instead of 2 s; the test of that case says so.

--- a/core/path/retry_plan.c
+++ b/core/path/retry_plan.c
@@ -31,8 +31,10 @@
 #define NOTICE_MS 500
 /* Daemons notice an outage at times that differ by up to this; 0.59 s were seen among three. */
 #define SKEW_MS 600
-/* Growth of the time between a caller's retries, with which the first retry comes after 2 s. */
-#define RETRY_EXPONENT 1.5
+/* Growth of the time between a caller's retries. In a model of outages of 1 to 12 s, callers return
+ * 1.84 s after the end on average with 1.5, 1.75 s with 1.2 and 1.69 s with 1, but 0.71 s instead
+ * of 0.41 s after an outage of 2 s with 1. */
+#define RETRY_EXPONENT 1.2
 /* Jobs are ranked by priority, then by their objective. */
 #define PRIORITIES 4
 #define OBJECTIVES 4
@@ -58,7 +60,8 @@
   bool everywhere;
   enum mt_store_failure failure;
   int64_t away_since;
-  int64_t back_since;                 /* when the last outage ended; 0: never */
+  double past_ms;     /* mean length of past outages when the present one began; 0: none yet */
+  int64_t back_since; /* when the last outage ended; 0: never */
   enum mt_store_failure last_failure; /* kind of the last outage, and its figures before it */
   struct history before;
   struct history past[MT_STORE_FAILURES];
@@ -87,6 +90,17 @@
 
 /* ---- outages ---- */
 
+/* Returns the history of the kind of failure, or of another kind if there is none. */
+static const struct history *
+find_history (const struct mt_retry_plan *plan)
+{
+  const struct history *past = &plan->past[plan->failure];
+
+  for (unsigned i = 0; past->mean_ms == 0 && i < MT_STORE_FAILURES; i++)
+    past = &plan->past[i];
+  return past;
+}
+
 void
 mt_retry_plan_store_away (struct mt_retry_plan *plan,
                           enum mt_store_failure failure,
@@ -104,6 +118,7 @@
       return;
     }
   plan->away_since = now;
+  plan->past_ms = find_history (plan)->mean_ms;
 }
 
 void
@@ -140,18 +155,12 @@
 mt_retry_plan_remaining_ms (const struct mt_retry_plan *plan, int64_t now)
 {
   int64_t away_ms = mt_retry_plan_away_ms (plan, now);
-  int64_t mean_ms = (int64_t) plan->past[plan->failure].mean_ms;
-  int64_t longest_ms = (int64_t) plan->past[plan->failure].longest_ms;
+  const struct history *past = find_history (plan);
+  int64_t mean_ms = past->mean_ms > 0 ? (int64_t) past->mean_ms : FIRST_OUTAGE_MS;
+  int64_t longest_ms = (int64_t) past->longest_ms;
 
   if (!plan->away)
     return 0;
-  for (unsigned i = 0; mean_ms == 0 && i < MT_STORE_FAILURES; i++)
-    {
-      mean_ms = (int64_t) plan->past[i].mean_ms;
-      longest_ms = (int64_t) plan->past[i].longest_ms;
-    }
-  if (mean_ms == 0)
-    mean_ms = FIRST_OUTAGE_MS;
   if (away_ms < mean_ms)
     return mean_ms - away_ms;
   if (away_ms < longest_ms)
@@ -224,15 +233,19 @@
 }
 
 /* Returns the earliest time since the outage began at which a caller makes its n-th retry. The last
- * one comes after the longest outage. The first ones come sooner after each other, as most outages
- * are short. */
+ * one comes after the longest outage. The second one comes when past outages ended; the first is
+ * for a daemon that takes the outage for its own, and sends the caller to another. */
 static int64_t
 earliest_retry_ms (const struct mt_retry_plan *plan, unsigned n)
 {
-  double share = (double) n / plan->settings.max_retries;
-
-  return (int64_t) ((double) (plan->settings.longest_outage_ms + NOTICE_MS + SKEW_MS)
-                    * pow (share, RETRY_EXPONENT));
+  unsigned retries = plan->settings.max_retries;
+  double last = (double) (plan->settings.longest_outage_ms + NOTICE_MS + SKEW_MS);
+  double first = last * pow (1.0 / retries, RETRY_EXPONENT);
+  double past = MIN (plan->past_ms, last);
+
+  if (n < 2 || retries < 3 || past <= first)
+    return (int64_t) (last * pow ((double) n / retries, RETRY_EXPONENT));
+  return (int64_t) (past + (last - past) * pow ((double) (n - 2) / (retries - 2), RETRY_EXPONENT));
 }
 
 /* Returns the shortest time until the next retry. A caller may have made as many retries as the
--- a/tests/path/test_retry_plan.c
+++ b/tests/path/test_retry_plan.c
@@ -279,6 +279,7 @@
   mt_retry_plan_store_away (r->plan, MT_STORE_REFUSES, true, START_MS);
   assert_int_equal (mt_retry_plan_retry_after_s (r->plan, &request, START_MS), 6);
   assert_int_equal (mt_retry_plan_retry_after_s (r->plan, &request, START_MS + 2000), 4);
+  assert_int_equal (mt_retry_plan_retry_after_s (r->plan, &request, START_MS + 5000), 1);
   mt_retry_plan_store_back (r->plan, START_MS + 6000);
   assert_int_equal (mt_retry_plan_retry_after_s (r->plan, &request, START_MS + 9000), 1);
   destroy_replay (r);
@@ -314,9 +315,10 @@
 };
 
 /* Runs one outage of all daemons, which notice it at different times; some take it for a partition
- * of their own at first. Returns the number of callers that gave up. */
+ * of their own. past_ms: length of an earlier outage, which each daemon saw a little differently; 0
+ * for none. Returns the number of callers that gave up. */
 static unsigned
-run_daemons (int64_t outage_ms, unsigned surge, GRand *random)
+run_daemons (int64_t outage_ms, int64_t past_ms, unsigned surge, GRand *random)
 {
   struct mt_retry_plan *plans[DAEMONS];
   int64_t noticed_at[DAEMONS];
@@ -328,8 +330,14 @@
 
   for (unsigned i = 0; i < DAEMONS; i++)
     {
-      noticed_at[i] = START_MS + g_rand_int_range (random, 0, 600);
+      noticed_at[i] = START_MS + g_rand_int_range (random, 0, past_ms > 0 ? 400 : 600);
       plans[i] = mt_retry_plan_create (&settings);
+      if (past_ms > 0)
+        {
+          mt_retry_plan_store_away (plans[i], MT_STORE_REFUSES, true, START_MS - 60000);
+          mt_retry_plan_store_back (plans[i],
+                                    START_MS - 60000 + past_ms + g_rand_int_range (random, 0, 200));
+        }
       mt_retry_plan_store_away (plans[i], MT_STORE_REFUSES, g_rand_boolean (random), noticed_at[i]);
     }
   for (unsigned i = 0; i < n; i++)
@@ -360,9 +368,10 @@
 {
   GRand *random = g_rand_new_with_seed (20261202);
 
-  for (int64_t outage_ms = 1000; outage_ms <= MAX_OUTAGE_MS; outage_ms += 1000)
-    for (unsigned surge = 1; surge <= 10; surge++)
-      assert_int_equal (run_daemons (outage_ms, surge, random), 0);
+  for (int64_t past_ms = 0; past_ms <= MAX_OUTAGE_MS; past_ms += 3000)
+    for (int64_t outage_ms = 1000; outage_ms <= MAX_OUTAGE_MS; outage_ms += 1000)
+      for (unsigned surge = 1; surge <= 10; surge++)
+        assert_int_equal (run_daemons (outage_ms, past_ms, surge, random), 0);
   g_rand_free (random);
 }
 
@@ -393,7 +402,7 @@
 
   learn (r, 6000);
   mt_retry_plan_store_away (r->plan, MT_STORE_NO_ANSWER, false, START_MS);
-  assert_int_equal (mt_retry_plan_retry_after_s (r->plan, &request, START_MS + 100), 2);
+  assert_int_equal (mt_retry_plan_retry_after_s (r->plan, &request, START_MS + 100), 3);
   mt_retry_plan_store_away (r->plan, MT_STORE_NO_ANSWER, true, START_MS + 200);
   assert_int_equal (mt_retry_plan_retry_after_s (r->plan, &request, START_MS + 200), 6);
   destroy_replay (r);
