--- a/tests/platform/test_store_callers.c
+++ b/tests/platform/test_store_callers.c
@@ -443,11 +443,14 @@
 {
   struct world *w = create_world ();
   g_autofree char *key = mt_pool_progress_key (POOL, ID);
+  unsigned calls;
 
   lead_pool (w, 0);
+  calls = fleet_store_calls (w->store);
   fault_next (w, FLEET_FAULT_LOSE_ANSWER);
   submit_and_cancel (w);
-  while (fleet_store_revision (w->store, key) == 0
+  /* Both copies of the write, and the retry after the conflict. */
+  while (fleet_store_calls (w->store) < calls + 3
          || mt_scheduler_job_revision (mt_pool_scheduler (w->pool), ID)
                 != fleet_store_revision (w->store, key))
     event_base_loop (w->base, EVLOOP_ONCE);
