--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -68,6 +68,7 @@
   configure_workspaces (f, version, NULL);
 }
 
+/* Every other daemon hedges its store calls, as during a change of the setting. */
 static struct process *
 start_daemon (struct fixture *f, unsigned i)
 {
@@ -75,8 +76,9 @@
   g_autofree char *text
       = g_strdup_printf ("{\"name\":\"d%u\",\"zone\":\"west\",\"listen\":\"127.0.0.1:0\","
                          "\"ready_listen\":\"127.0.0.1:0\",\"ip\":\"127.0.0.1\",\"peer_port\":0,"
-                         "\"store\":\"127.0.0.1:%u\",\"machines\":\"127.0.0.1:%u\"}",
-                         i, f->platform->port, f->platform->port);
+                         "\"store\":\"127.0.0.1:%u\",\"machines\":\"127.0.0.1:%u\","
+                         "\"second_tries\":%s}",
+                         i, f->platform->port, f->platform->port, i % 2 == 1 ? "true" : "false");
   g_autofree char *path = harness_write_file (f->harness, name, text);
   const char *args[] = { "--settings", path, NULL };
 
