--- a/tests/platform/test_store_hedge.c
+++ b/tests/platform/test_store_hedge.c
@@ -377,6 +377,9 @@
   for (unsigned i = 0; i < G_N_ELEMENTS (faults); i++, sent++)
     mt_kv_write (&f->kv, &txn, LONG_TIMEOUT_MS, on_reply, f);
   wait_for_calls (f, sent, sent);
+  /* Times are in whole ms: answered within the same one, the second copy would come exactly after
+   * the time after which a connection counts as unresponsive, and not later. */
+  g_usleep (2000);
   /* The queued first copy is sent once the answer to the second one, which has connections of its
    * own, has shown that the four are unresponsive. */
   put (f, "k", 0, "mine", LONG_TIMEOUT_MS);
--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -77,7 +77,8 @@
   configure_workspaces (f, version, NULL);
 }
 
-/* Returns the path of the file, freed by the caller with g_free. */
+/* Every other daemon hedges its store calls, as during a change of the setting. Returns the path of
+ * the file, freed by the caller with g_free. */
 static char *
 write_settings (struct fixture *f, unsigned i, unsigned store_port)
 {
@@ -86,8 +87,9 @@
       = g_strdup_printf ("{\"name\":\"d%u\",\"zone\":\"west\",\"listen\":\"127.0.0.1:0\","
                          "\"ready_listen\":\"127.0.0.1:0\",\"ip\":\"127.0.0.1\",\"peer_port\":0,"
                          "\"store\":\"127.0.0.1:%u\",\"machines\":\"127.0.0.1:%u\","
-                         "\"store_wait\":%s}",
-                         i, store_port, f->platform->port, f->store_wait ? "true" : "false");
+                         "\"store_wait\":%s,\"second_tries\":%s}",
+                         i, store_port, f->platform->port, f->store_wait ? "true" : "false",
+                         i % 2 == 1 ? "true" : "false");
 
   return harness_write_file (f->harness, name, text);
 }
