frontend: an unknown outcome is answered within the caller's time

A caller that waits 3 s got no answer when the store lost the answers to its submission and to the look-ups: its 504 came after 3.3 s instead of 2.5 s.

The time by which an unknown outcome is answered was compared only when a transaction failed. A write sent just before it ran for its full time-out of 600 ms, and after the look-ups the write was sent again without a comparison.

Look-ups and repeated writes now end when the first caller with an unknown outcome is to be answered, but not before 30 ms, and callers whose time is over are answered before the write is sent again. A time-out is told from a failed connection by the time-out that the write had.

test_unknown_outcome_is_answered_within_the_callers_time failed before (3300 ms, at most 2600 allowed).

--- a/fleet/frontend_submit.c
+++ b/fleet/frontend_submit.c
@@ -33,6 +33,8 @@
 #define ANSWER_SHARE (5.0 / 6)
 /* Time-out of the look-up of an unanswered write. */
 #define LOOKUP_TIMEOUT_MS 300
+/* Shortest time-out of a call that finds out an outcome; the store answers in 4 to 13 ms. */
+#define MIN_SETTLE_MS 30
 /* Most transactions whose outcome is being found out besides those of MAX_TXNS_IN_FLIGHT: with
  * lost answers each takes up to 2.5 s. */
 #define MAX_SETTLING 16U
@@ -69,7 +71,8 @@
   struct mt_frontend *frontend;
   GPtrArray *submits;
   struct mt_timer *retry_timer;
-  int64_t sent;
+  int64_t sent; /* when it was last sent; 0: not yet */
+  int64_t timeout_ms;
   bool settling;
   unsigned lookups; /* look-ups in flight */
 };
@@ -410,6 +413,23 @@
     mt_timer_set (t->retry_timer, 0);
 }
 
+/* Returns the time-out of a call that finds out the transaction's outcome: at most longest_ms, and
+ * no longer than until the first caller with an unknown outcome is to be answered. */
+static int64_t
+settle_timeout_ms (const struct txn *t, int64_t longest_ms)
+{
+  int64_t now = mt_loop_now ();
+
+  for (guint i = 0; i < t->submits->len; i++)
+    {
+      const struct submit *s = t->submits->pdata[i];
+
+      if (s->outcome_unknown)
+        longest_ms = MIN (longest_ms, s->settle_by - now);
+    }
+  return MAX (longest_ms, MIN_SETTLE_MS);
+}
+
 /* Reads the keys of unanswered writes. A key that is missing proves nothing, as the write may still
  * be done: the same write follows, and its precondition settles the outcome. */
 static void
@@ -417,6 +437,7 @@
 {
   const struct mt_kv *kv = &t->frontend->options.kv;
   g_autoptr (GPtrArray) submits = g_ptr_array_copy (t->submits, NULL, NULL);
+  int64_t timeout_ms = settle_timeout_ms (t, LOOKUP_TIMEOUT_MS);
 
   t->lookups = submits->len;
   for (guint i = 0; i < submits->len; i++)
@@ -424,7 +445,7 @@
       struct lookup *lookup = g_new0 (struct lookup, 1);
 
       *lookup = (struct lookup){ t, submits->pdata[i] };
-      mt_kv_read (kv, lookup->submit->key, LOOKUP_TIMEOUT_MS, on_looked_up, lookup);
+      mt_kv_read (kv, lookup->submit->key, timeout_ms, on_looked_up, lookup);
     }
 }
 
@@ -485,7 +506,7 @@
 static void
 record_failure (const struct txn *t, enum mt_kv_status status)
 {
-  bool timed_out = mt_loop_now () - t->sent >= MT_FRONTEND_TXN_TIMEOUT_MS / 2;
+  bool timed_out = mt_loop_now () - t->sent >= t->timeout_ms / 2;
 
   if (t->frontend->store_wait != NULL && (status == MT_KV_REFUSED || status == MT_KV_UNKNOWN))
     mt_store_wait_record_failure (t->frontend->store_wait, status == MT_KV_REFUSED
@@ -537,8 +558,11 @@
       expects[i] = (struct mt_kv_expect){ s->key, 0 };
       puts[i] = (struct mt_kv_put){ s->key, { s->value, s->value_len }, 0 };
     }
+  t->timeout_ms = t->frontend->store_wait != NULL && t->sent != 0
+                      ? settle_timeout_ms (t, MT_FRONTEND_TXN_TIMEOUT_MS)
+                      : MT_FRONTEND_TXN_TIMEOUT_MS;
   t->sent = mt_loop_now ();
-  mt_kv_write (&t->frontend->options.kv, &txn, MT_FRONTEND_TXN_TIMEOUT_MS, on_stored, t);
+  mt_kv_write (&t->frontend->options.kv, &txn, t->timeout_ms, on_stored, t);
 }
 
 /* A submission that other workspaces' later ones were served before is not held longer than its
@@ -555,14 +579,22 @@
                    "sent");
 }
 
-/* While the store does not answer, a retry would only add to its load when it is back. */
+/* While the store does not answer, a retry would only add to its load when it is back. Callers
+ * whose time passed during the look-ups are answered first. */
 static void
 retry_txn (void *ctx)
 {
   struct txn *t = ctx;
 
   if (t->frontend->store_wait != NULL && !store_answers (t->frontend))
-    settle (t, false);
+    {
+      settle (t, false);
+      return;
+    }
+  if (t->frontend->store_wait != NULL)
+    keep_unsettled (t);
+  if (t->submits->len == 0)
+    end_txn (t);
   else
     send_txn (t);
 }
--- a/tests/fleet/test_frontend_submit.c
+++ b/tests/fleet/test_frontend_submit.c
@@ -38,6 +38,7 @@
 {
   mt_kv_done done;
   void *data;
+  int64_t timeout_ms;
   GPtrArray *keys;
 };
 
@@ -62,6 +63,7 @@
   struct caller callers[MAX_CALLERS];
   unsigned n_callers;
   GQueue txns; /* struct txn, not answered */
+  bool store_wait;
   struct call calls[MAX_CALLS];
   unsigned n_calls;
 };
@@ -172,12 +174,21 @@
 
   txn->done = done;
   txn->data = data;
+  txn->timeout_ms = timeout_ms;
   txn->keys = g_ptr_array_new_with_free_func (g_free);
   for (size_t i = 0; i < request->n_puts; i++)
     g_ptr_array_add (txn->keys, g_strdup (request->puts[i].key));
   g_queue_push_tail (&world->txns, txn);
 }
 
+static void
+start_read (void *ctx, const char *key, int64_t timeout_ms, mt_kv_done done, void *data)
+{
+  static const struct mt_kv_txn nothing = { 0 };
+
+  start_txn (ctx, &nothing, timeout_ms, done, data);
+}
+
 static struct mt_pool *
 no_pool (void *ctx, const char *pool)
 {
@@ -190,13 +201,19 @@
   return true;
 }
 
+static bool
+store_is_down (void *ctx)
+{
+  return false;
+}
+
 static int64_t
 config_age (void *ctx)
 {
   return 0;
 }
 
-static const struct mt_kv_ops kv_ops = { .name = "test", .txn = start_txn };
+static const struct mt_kv_ops kv_ops = { .name = "test", .get = start_read, .txn = start_txn };
 static const struct mt_codec_ops codec_ops = { .name = "test", .parse_job = parse_job };
 static const struct mt_codec codec = { .ops = &codec_ops, .key_header = "X-Key" };
 static const struct mt_fleet_route route = { .name = "route", .pool = "pool" };
@@ -210,6 +227,8 @@
                                          .metrics = world->metrics,
                                          .local_pool = no_pool,
                                          .store_answers = store_answers,
+                                         .store_is_down = store_is_down,
+                                         .store_wait = world->store_wait,
                                          .config_age_ms = config_age,
                                          .ctx = world };
 
@@ -476,6 +495,50 @@
   destroy_world (world);
 }
 
+/* ---- unknown outcomes ---- */
+
+static void
+restart_with_store_wait (struct world *world)
+{
+  mt_frontend_destroy (world->frontend);
+  world->store_wait = true;
+  start_frontend (world);
+}
+
+/* Lets the oldest call of the store time out. */
+static void
+time_out_call (struct world *world)
+{
+  static const struct mt_kv_reply unknown = { .status = MT_KV_UNKNOWN };
+  struct txn *txn = g_queue_pop_head (&world->txns);
+
+  world->now += txn->timeout_ms;
+  txn->done (txn->data, &unknown);
+  g_ptr_array_unref (txn->keys);
+  g_free (txn);
+}
+
+/* Guards against an outcome that is still being found out when its caller has stopped waiting:
+ * look-ups and repeated writes without an answer took until 3.3 s, and the caller waits 3 s. */
+static void
+test_unknown_outcome_is_answered_within_the_callers_time (void **state)
+{
+  struct world *world = create_world ();
+  int64_t began = world->now;
+  struct caller *caller;
+
+  restart_with_store_wait (world);
+  caller = submit (world, "");
+  while (caller->status == 0)
+    if (g_queue_is_empty (&world->txns))
+      event_base_loop (world->base, EVLOOP_ONCE);
+    else
+      time_out_call (world);
+  assert_int_equal (caller->status, 504);
+  assert_in_range (world->now - began, 0, 2600);
+  destroy_world (world);
+}
+
 /* ---- without workspaces ---- */
 
 /* The queue as it was before shares: in order of arrival, with one limit. */
@@ -682,6 +745,7 @@
     cmocka_unit_test (test_overtaken_submission_is_refused_at_its_deadline),
     cmocka_unit_test (test_displaced_submission_with_unknown_outcome_is_not_called_refused),
     cmocka_unit_test (test_queue_is_empty_after_a_restart),
+    cmocka_unit_test (test_unknown_outcome_is_answered_within_the_callers_time),
     cmocka_unit_test (test_without_workspaces_every_decision_is_the_same_as_before),
     cmocka_unit_test (test_estimate_without_an_answer_refuses_nothing),
     cmocka_unit_test (test_leader_of_the_older_form_is_asked_without_the_workspace),
