frontend: jobs of one id in one transaction are told apart

Two callers that submitted different jobs under one id at nearly the same time both got 200, and one of the jobs was never run.

Submissions that wait for a transaction share it. Its precondition, that the key is new, held for both, and the second put overwrote the first. In separate transactions the second gets 409.

Only the first submission of a key is written now; the others are compared with it once it is stored: 200 for the same job, 409 for another.

test_jobs_of_one_id_in_one_transaction_are_told_apart failed before (3 puts of one key in the transaction).

--- a/fleet/frontend_submit.c
+++ b/fleet/frontend_submit.c
@@ -253,6 +253,37 @@
   return NULL;
 }
 
+/* Returns the submission with the same key that precedes the i-th one in the transaction; NULL if
+ * there is none. */
+static const struct submit *
+find_earlier (const struct txn *t, guint i)
+{
+  const struct submit *s = t->submits->pdata[i];
+
+  for (guint k = 0; k < i; k++)
+    if (strcmp (((const struct submit *) t->submits->pdata[k])->key, s->key) == 0)
+      return t->submits->pdata[k];
+  return NULL;
+}
+
+/* Of several submissions with one key only the first was written, so that no other overwrote it. */
+static void
+resolve_repeated (struct txn *t)
+{
+  for (guint i = t->submits->len; i > 1; i--)
+    {
+      struct submit *s = t->submits->pdata[i - 1];
+      const struct submit *stored = find_earlier (t, i - 1);
+      struct mt_kv_item item = { 0 };
+
+      if (stored == NULL)
+        continue;
+      item.value = (struct mt_str){ stored->value, stored->value_len };
+      g_ptr_array_remove_index (t->submits, i - 1);
+      resolve_existing (s, &item);
+    }
+}
+
 static void
 free_txn (struct txn *t)
 {
@@ -525,6 +556,7 @@
   switch (reply->status)
     {
     case MT_KV_OK:
+      resolve_repeated (t);
       for (guint i = 0; i < t->submits->len; i++)
         accept_submit (t->submits->pdata[i], "stored");
       end_txn (t);
@@ -547,17 +579,19 @@
   struct txn *t = ctx;
   struct mt_kv_expect expects[SUBMITS_PER_TXN];
   struct mt_kv_put puts[SUBMITS_PER_TXN];
-  struct mt_kv_txn txn = {
-    .expects = expects, .n_expects = t->submits->len, .puts = puts, .n_puts = t->submits->len
-  };
+  struct mt_kv_txn txn = { .expects = expects, .puts = puts };
+  size_t n = 0;
 
   for (guint i = 0; i < t->submits->len; i++)
     {
       const struct submit *s = t->submits->pdata[i];
 
-      expects[i] = (struct mt_kv_expect){ s->key, 0 };
-      puts[i] = (struct mt_kv_put){ s->key, { s->value, s->value_len }, 0 };
+      if (find_earlier (t, i) != NULL)
+        continue;
+      expects[n] = (struct mt_kv_expect){ s->key, 0 };
+      puts[n++] = (struct mt_kv_put){ s->key, { s->value, s->value_len }, 0 };
     }
+  txn.n_expects = txn.n_puts = n;
   t->timeout_ms = t->frontend->store_wait != NULL && t->sent != 0
                       ? settle_timeout_ms (t, MT_FRONTEND_TXN_TIMEOUT_MS)
                       : MT_FRONTEND_TXN_TIMEOUT_MS;
--- a/tests/fleet/test_frontend_submit.c
+++ b/tests/fleet/test_frontend_submit.c
@@ -297,17 +297,24 @@
 }
 
 static struct caller *
-submit (struct world *world, const char *workspace)
+submit_job (struct world *world, const char *workspace, const char *id, const char *body)
 {
-  struct caller *caller = &world->callers[world->n_callers];
-  g_autofree char *id = g_strdup_printf ("%016x", world->n_callers++);
+  struct caller *caller = &world->callers[world->n_callers++];
 
   assert_true (world->n_callers < MAX_CALLERS);
-  g_snprintf (caller->body, sizeof caller->body, "%s", id);
+  g_snprintf (caller->body, sizeof caller->body, "%s", body);
   mt_frontend_submit (world->frontend, (void *) caller, &route, id, workspace);
   return caller;
 }
 
+static struct caller *
+submit (struct world *world, const char *workspace)
+{
+  g_autofree char *id = g_strdup_printf ("%016x", world->n_callers);
+
+  return submit_job (world, workspace, id, id);
+}
+
 static unsigned
 count_status (const struct world *world, unsigned status)
 {
@@ -495,6 +502,33 @@
   destroy_world (world);
 }
 
+/* ---- equal ids ---- */
+
+/* Guards against two jobs of one id that are both accepted, of which one is overwritten: they
+ * arrived together and were stored by one transaction. */
+static void
+test_jobs_of_one_id_in_one_transaction_are_told_apart (void **state)
+{
+  struct world *world = create_world ();
+  const struct caller *first, *again, *other;
+  GPtrArray *keys;
+
+  for (unsigned i = 0; i < IN_FLIGHT; i++)
+    submit (world, "");
+  first = submit_job (world, "", "00000000000000aa", "a");
+  again = submit_job (world, "", "00000000000000aa", "a");
+  other = submit_job (world, "", "00000000000000aa", "b");
+  for (unsigned i = 0; i < IN_FLIGHT; i++)
+    g_ptr_array_unref (store_txn (world));
+  keys = store_txn (world);
+  assert_int_equal (keys->len, 1);
+  g_ptr_array_unref (keys);
+  assert_int_equal (first->status, 200);
+  assert_int_equal (again->status, 200);
+  assert_int_equal (other->status, 409);
+  destroy_world (world);
+}
+
 /* ---- unknown outcomes ---- */
 
 static void
@@ -745,6 +779,7 @@
     cmocka_unit_test (test_overtaken_submission_is_refused_at_its_deadline),
     cmocka_unit_test (test_displaced_submission_with_unknown_outcome_is_not_called_refused),
     cmocka_unit_test (test_queue_is_empty_after_a_restart),
+    cmocka_unit_test (test_jobs_of_one_id_in_one_transaction_are_told_apart),
     cmocka_unit_test (test_unknown_outcome_is_answered_within_the_callers_time),
     cmocka_unit_test (test_without_workspaces_every_decision_is_the_same_as_before),
     cmocka_unit_test (test_estimate_without_an_answer_refuses_nothing),
