retry plan: a long outage does not stretch the retries of later short ones

After one outage of 300 s, for instance of a partitioned daemon, callers that were refused at the start of the next outage got Retry-After 63, however short that outage was, and no submission waited for the store.

The whole length went into the mean of past outages, which decays by a third with each later outage, so the expected end lay minutes away. The plan is designed for outages of up to 12 s (longest_outage_ms); a past one now counts for at most that.

test_one_long_outage_does_not_stretch_later_retries failed before (63 s, at most 12 s allowed).

--- a/core/path/retry_plan.c
+++ b/core/path/retry_plan.c
@@ -109,7 +109,9 @@
 void
 mt_retry_plan_store_back (struct mt_retry_plan *plan, int64_t now)
 {
-  double length = (double) (now - plan->away_since);
+  /* A longer one, such as a partition of this daemon, says little about the next: callers would be
+   * told a minute in each short outage after it. */
+  double length = (double) MIN (now - plan->away_since, plan->settings.longest_outage_ms);
   struct history *past = &plan->past[plan->failure];
 
   if (!plan->away)
--- a/include/medlartrack/retry_plan.h
+++ b/include/medlartrack/retry_plan.h
@@ -23,7 +23,7 @@
 {
   double writes_per_s;       /* submissions that this daemon may store per second after an outage */
   unsigned max_retries;      /* retries of a caller after which it gives up */
-  int64_t longest_outage_ms; /* outage that a caller's retries must last for */
+  int64_t longest_outage_ms; /* outage that retries must last for; past ones count no longer */
   unsigned max_waiting;      /* submissions that may wait for the store at a time */
   int64_t max_wait_ms;       /* longest wait of one submission */
 };
--- a/tests/path/test_retry_plan.c
+++ b/tests/path/test_retry_plan.c
@@ -442,6 +442,23 @@
   destroy_replay (r);
 }
 
+/* Guards against callers that are told a minute in each short outage after a single long one, for
+ * instance of a partitioned daemon. */
+static void
+test_one_long_outage_does_not_stretch_later_retries (void **state)
+{
+  struct replay *r = create_replay (0, 1);
+  const struct mt_retry_request request = { .remaining_ms = DEADLINE_MS, .useful_ms = 5000 };
+  int64_t again_at = START_MS + 330000;
+
+  mt_retry_plan_store_away (r->plan, MT_STORE_NO_ANSWER, true, START_MS);
+  mt_retry_plan_store_back (r->plan, START_MS + 300000);
+  mt_retry_plan_store_away (r->plan, MT_STORE_NO_ANSWER, true, again_at);
+  assert_in_range (mt_retry_plan_retry_after_s (r->plan, &request, again_at), 1,
+                   MAX_OUTAGE_MS / 1000);
+  destroy_replay (r);
+}
+
 int
 main (void)
 {
@@ -457,6 +474,7 @@
     cmocka_unit_test (test_caller_of_a_partitioned_daemon_returns_soon),
     cmocka_unit_test (test_moment_of_answers_does_not_end_the_outage),
     cmocka_unit_test (test_submission_waits_only_for_an_expected_return),
+    cmocka_unit_test (test_one_long_outage_does_not_stretch_later_retries),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
