pool: writes to be retried are freed with the pool

Only the timer of the retry noticed that the pool was destroyed, and the loop no longer ran it. Such writes are kept in a list now, and ended at destruction like the queued ones.

test_pool_is_freed_while_a_write_is_to_be_retried failed before under ASan (its pool and write leaked).

--- a/fleet/pool.c
+++ b/fleet/pool.c
@@ -60,6 +60,7 @@
   unsigned
       writes_in_flight; /* transactions that are not stored yet, except those in queued_writes */
   GQueue queued_writes; /* struct write, to be sent once fewer are in flight */
+  GQueue failed_writes; /* struct write, to be sent again by their timers; count as in flight */
   int64_t cycle_began;  /* when the last cycle began */
   bool removal_in_flight;
   bool in_run;
@@ -109,7 +110,7 @@
 
 /* ---- durability ---- */
 
-static void send_write (void *ctx);
+static void send_write (struct write *w);
 
 static void
 end_write (struct write *w)
@@ -199,24 +200,28 @@
       break;
     }
   /* Retries the write; if the first one was done after all, the second conflicts with it. */
+  g_queue_push_tail (&pool->failed_writes, w);
   mt_timer_set (w->retry_timer, TXN_RETRY_MS);
 }
 
 static void
-send_write (void *ctx)
+retry_write (void *ctx)
 {
   struct write *w = ctx;
+
+  g_queue_remove (&w->pool->failed_writes, w);
+  send_write (w);
+}
+
+static void
+send_write (struct write *w)
+{
   struct mt_pool *pool = w->pool;
   struct mt_kv_expect expects[1 + JOBS_PER_TXN];
   struct mt_kv_put puts[JOBS_PER_TXN];
   size_t n = 0;
   struct mt_kv_txn txn = { .expects = expects, .puts = puts };
 
-  if (pool->destroyed)
-    {
-      end_write (w);
-      return;
-    }
   expects[0] = (struct mt_kv_expect){ pool->leader_key, pool->options.token };
   for (guint i = 0; i < w->ids->len; i++)
     {
@@ -256,7 +261,7 @@
 
       w->pool = ref (pool);
       w->ids = g_ptr_array_new_with_free_func (g_free);
-      w->retry_timer = mt_timer_create (pool->base, send_write, w);
+      w->retry_timer = mt_timer_create (pool->base, retry_write, w);
       for (guint i = at; i < MIN (at + JOBS_PER_TXN, ids->len); i++)
         g_ptr_array_add (w->ids, g_strdup (ids->pdata[i]));
       g_queue_push_tail (&pool->queued_writes, w);
@@ -644,6 +649,7 @@
   mt_timer_clear (pool->tick);
   mt_timer_clear (pool->load_timer);
   g_queue_clear_full (&pool->queued_writes, (GDestroyNotify) end_write);
+  g_queue_clear_full (&pool->failed_writes, (GDestroyNotify) end_write);
   mt_watcher_destroy (pool->queue);
   unref (pool);
 }
--- a/tests/platform/test_store_callers.c
+++ b/tests/platform/test_store_callers.c
@@ -399,12 +399,31 @@
 
 /* ---- pool ---- */
 
+static void
+refuse_txn (void *ctx, const struct mt_kv_txn *txn, int64_t timeout_ms, mt_kv_done done, void *data)
+{
+  static const struct mt_kv_reply refused = { .status = MT_KV_REFUSED };
+
+  done (data, &refused);
+}
+
+/* The adapter's store, except that it refuses all transactions. */
+static struct mt_kv
+refusing_kv (struct world *w)
+{
+  static struct mt_kv_ops ops;
+
+  ops = *mt_adapter_kv (w->adapter).ops;
+  ops.txn = refuse_txn;
+  return (struct mt_kv){ &ops, mt_adapter_kv (w->adapter).ctx };
+}
+
 /* behind: by how much the pool's token is lower than the leadership's. */
 static void
-lead_pool (struct world *w, int64_t behind)
+lead_pool (struct world *w, struct mt_kv kv, int64_t behind)
 {
   struct mt_pool_options options = { .name = POOL,
-                                     .kv = mt_adapter_kv (w->adapter),
+                                     .kv = kv,
                                      .workers = mt_adapter_workers (w->adapter),
                                      .codec = &w->codec,
                                      .cluster = w->cluster,
@@ -436,6 +455,18 @@
   mt_pool_handle_cancel (w->pool, ID);
 }
 
+/* Guards against a pool and its writes that are never freed, because the pool is destroyed between
+ * a failed write and its retry. Only the leak check of ASan shows it. */
+static void
+test_pool_is_freed_while_a_write_is_to_be_retried (void **state)
+{
+  struct world *w = create_world ();
+
+  lead_pool (w, refusing_kv (w), 0);
+  submit_and_cancel (w);
+  destroy_world (w);
+}
+
 /* Guards against a leader that resigns, or a cycle that never ends, because a write conflicts with
  * its own first copy. */
 static void
@@ -444,7 +475,7 @@
   struct world *w = create_world ();
   g_autofree char *key = mt_pool_progress_key (POOL, ID);
 
-  lead_pool (w, 0);
+  lead_pool (w, mt_adapter_kv (w->adapter), 0);
   fault_next (w, FLEET_FAULT_LOSE_ANSWER);
   submit_and_cancel (w);
   while (fleet_store_revision (w->store, key) == 0
@@ -463,7 +494,7 @@
   struct world *w = create_world ();
   unsigned calls;
 
-  lead_pool (w, 0);
+  lead_pool (w, mt_adapter_kv (w->adapter), 0);
   calls = fleet_store_calls (w->store);
   fault_next (w, FLEET_FAULT_LOSE_ANSWER);
   submit_and_cancel (w);
@@ -481,7 +512,7 @@
 {
   struct world *w = create_world ();
 
-  lead_pool (w, 1);
+  lead_pool (w, mt_adapter_kv (w->adapter), 1);
   submit_and_cancel (w);
   wait_until (w, has_lost);
   destroy_world (w);
@@ -499,6 +530,7 @@
     cmocka_unit_test (test_submission_that_lost_to_another_job_gets_409),
     cmocka_unit_test (test_cancellation_stored_by_its_first_copy_is_accepted),
     cmocka_unit_test (test_calls_without_a_store_are_refused),
+    cmocka_unit_test (test_pool_is_freed_while_a_write_is_to_be_retried),
     cmocka_unit_test (test_cycle_stored_by_its_first_copy_ends),
     cmocka_unit_test (test_conflict_after_a_takeover_ends_the_leadership),
     cmocka_unit_test (test_conflict_on_the_leadership_ends_it),
