frontend: unanswered submissions are freed with the front end

A daemon that stopped while submissions were queued, or while a transaction waited for its retry, leaked them (callers saw nothing of it: their connections were closed).

The queue is destroyed without its items, and only the timer of the retry knew the transaction. Such transactions are kept in a list now. Submissions that wait for the store were freed already.

--- a/fleet/frontend.c
+++ b/fleet/frontend.c
@@ -224,6 +224,7 @@
 {
   if (frontend == NULL)
     return;
+  mt_frontend_drop_submits (frontend);
   mt_submit_queue_destroy (frontend->submits);
   mt_store_wait_destroy (frontend->store_wait, mt_frontend_drop_submit);
   mt_admission_destroy (frontend->admission);
--- a/fleet/frontend_internal.h
+++ b/fleet/frontend_internal.h
@@ -29,6 +29,7 @@
   struct mt_store_wait *store_wait; /* NULL: submissions don't wait for the store */
   unsigned txns;                    /* in flight, except those in settling */
   unsigned settling;                /* transactions whose outcome is being found out */
+  GQueue failed_txns;               /* to be sent again by their timers; counted in the above */
   unsigned in_flight;
   int64_t estimate_paused_until; /* no estimate is requested before this time: a leader did not
                                     answer */
@@ -62,6 +63,8 @@
 struct mt_store_wait *mt_frontend_new_store_wait (struct mt_frontend *frontend);
 /* Frees a submission that is not answered any more. */
 void mt_frontend_drop_submit (void *submit);
+/* Frees the queued submissions, and those of failed transactions. */
+void mt_frontend_drop_submits (struct mt_frontend *frontend);
 void mt_frontend_submit (struct mt_frontend *frontend,
                          struct mt_exchange *exchange,
                          const struct mt_fleet_route *route,
--- a/fleet/frontend_submit.c
+++ b/fleet/frontend_submit.c
@@ -424,6 +424,13 @@
   struct submit *submit;
 };
 
+static void
+schedule_retry (struct txn *t, int64_t delay_ms)
+{
+  g_queue_push_tail (&t->frontend->failed_txns, t);
+  mt_timer_set (t->retry_timer, delay_ms);
+}
+
 static void
 on_looked_up (void *data, const struct mt_kv_reply *reply)
 {
@@ -441,7 +448,7 @@
   if (t->submits->len == 0)
     end_txn (t);
   else
-    mt_timer_set (t->retry_timer, 0);
+    schedule_retry (t, 0);
 }
 
 /* Returns the time-out of a call that finds out the transaction's outcome: at most longest_ms, and
@@ -495,7 +502,7 @@
   if (unanswered && store_answers (t->frontend))
     look_up (t);
   else
-    mt_timer_set (t->retry_timer, RETRY_MS);
+    schedule_retry (t, RETRY_MS);
   send_submits (t->frontend);
 }
 
@@ -530,7 +537,7 @@
   if (t->submits->len == 0)
     end_txn (t);
   else
-    mt_timer_set (t->retry_timer, RETRY_MS);
+    schedule_retry (t, RETRY_MS);
 }
 
 /* A write that fails long before its time-out was not waited for: its connection failed. */
@@ -620,6 +627,7 @@
 {
   struct txn *t = ctx;
 
+  g_queue_remove (&t->frontend->failed_txns, t);
   if (t->frontend->store_wait != NULL && !store_answers (t->frontend))
     {
       settle (t, false);
@@ -808,6 +816,21 @@
   free_submit (submit);
 }
 
+void
+mt_frontend_drop_submits (struct mt_frontend *frontend)
+{
+  struct submit *s;
+  struct txn *t;
+
+  while ((s = mt_submit_queue_pop (frontend->submits)) != NULL)
+    free_submit (s);
+  while ((t = g_queue_pop_head (&frontend->failed_txns)) != NULL)
+    {
+      g_ptr_array_foreach (t->submits, (GFunc) (void (*) (void)) free_submit, NULL);
+      free_txn (t);
+    }
+}
+
 /* Returns the time for which the caller waits for its answer. */
 static int64_t
 caller_wait_ms (const struct mt_exchange *exchange)
--- a/tests/fleet/test_frontend_submit.c
+++ b/tests/fleet/test_frontend_submit.c
@@ -573,6 +573,27 @@
   destroy_world (world);
 }
 
+/* ---- destruction ---- */
+
+/* Guards against submissions that are never freed, because the front end is destroyed while they
+ * are queued or their transaction is to be retried. Only the leak check of ASan shows it. */
+static void
+test_unanswered_submissions_are_freed_with_the_front_end (void **state)
+{
+  static const struct mt_kv_reply unknown = { .status = MT_KV_UNKNOWN };
+  struct world *world = create_world ();
+
+  for (unsigned i = 0; i < IN_FLIGHT + 3; i++)
+    submit (world, "");
+  for (unsigned i = 0; i < IN_FLIGHT; i++)
+    g_ptr_array_unref (answer_txn (world, &unknown));
+  assert_int_equal (mt_frontend_in_flight (world->frontend), IN_FLIGHT + 3);
+  mt_frontend_destroy (world->frontend);
+  world->n_callers = 0;
+  start_frontend (world);
+  destroy_world (world);
+}
+
 /* ---- without workspaces ---- */
 
 /* The queue as it was before shares: in order of arrival, with one limit. */
@@ -781,6 +802,7 @@
     cmocka_unit_test (test_queue_is_empty_after_a_restart),
     cmocka_unit_test (test_jobs_of_one_id_in_one_transaction_are_told_apart),
     cmocka_unit_test (test_unknown_outcome_is_answered_within_the_callers_time),
+    cmocka_unit_test (test_unanswered_submissions_are_freed_with_the_front_end),
     cmocka_unit_test (test_without_workspaces_every_decision_is_the_same_as_before),
     cmocka_unit_test (test_estimate_without_an_answer_refuses_nothing),
     cmocka_unit_test (test_leader_of_the_older_form_is_asked_without_the_workspace),
