http calls: unresponsive connections are found at the hedged call's answer

The hedged copy is sent when the hedge delay is over by libevent's timer, which follows a clock with ticks of 4 ms. Measured by the exact clock, the connections had waited for 29 ms of 30 at its answer (seen in the failed run), so they did not count as unresponsive.

--- a/net/http_calls.c
+++ b/net/http_calls.c
@@ -21,6 +21,9 @@
  * call; status line and headers of an answer. */
 #define REQUEST_HEAD_BYTES 100U
 #define ANSWER_HEAD_BYTES  110U
+/* libevent's timers follow a clock with ticks of 4 ms and may run that much early: a hedged call,
+ * sent after unresponsive_ms, was answered when the first one had waited for 29 of 30 ms. */
+#define TIMER_TICK_MS 4
 
 struct lane;
 
@@ -205,7 +208,8 @@
   const struct pending_call *pending = c->pending;
 
   return pending != NULL && pending->unresponsive_ms > 0
-         && c->lane->server->answered_at - pending->began > pending->unresponsive_ms;
+         && c->lane->server->answered_at - pending->began
+                > pending->unresponsive_ms - TIMER_TICK_MS;
 }
 
 static void
