--- a/fleet/frontend_submit.c
+++ b/fleet/frontend_submit.c
@@ -33,6 +33,8 @@
 #define ANSWER_SHARE (5.0 / 6)
 /* Time-out of the look-up of an unanswered write. */
 #define LOOKUP_TIMEOUT_MS 300
+/* Shortest time-out of a call that finds out an outcome; the store answers in 4 to 13 ms. */
+#define MIN_SETTLE_MS 30
 /* Most transactions whose outcome is being found out besides those of MAX_TXNS_IN_FLIGHT: with
  * lost answers each takes up to 2.5 s. */
 #define MAX_SETTLING 16U
@@ -69,7 +71,8 @@
   struct mt_frontend *frontend;
   GPtrArray *submits;
   struct mt_timer *retry_timer;
-  int64_t sent;
+  int64_t sent; /* when it was last sent; 0: not yet */
+  int64_t timeout_ms;
   bool settling;
   unsigned lookups; /* look-ups in flight */
 };
@@ -250,6 +253,37 @@
   return NULL;
 }
 
+/* Returns the submission with the same key that precedes the i-th one in the transaction; NULL if
+ * there is none. */
+static const struct submit *
+find_earlier (const struct txn *t, guint i)
+{
+  const struct submit *s = t->submits->pdata[i];
+
+  for (guint k = 0; k < i; k++)
+    if (strcmp (((const struct submit *) t->submits->pdata[k])->key, s->key) == 0)
+      return t->submits->pdata[k];
+  return NULL;
+}
+
+/* Of several submissions with one key only the first was written, so that no other overwrote it. */
+static void
+resolve_repeated (struct txn *t)
+{
+  for (guint i = t->submits->len; i > 1; i--)
+    {
+      struct submit *s = t->submits->pdata[i - 1];
+      const struct submit *stored = find_earlier (t, i - 1);
+      struct mt_kv_item item = { 0 };
+
+      if (stored == NULL)
+        continue;
+      item.value = (struct mt_str){ stored->value, stored->value_len };
+      g_ptr_array_remove_index (t->submits, i - 1);
+      resolve_existing (s, &item);
+    }
+}
+
 static void
 free_txn (struct txn *t)
 {
@@ -390,6 +424,13 @@
   struct submit *submit;
 };
 
+static void
+schedule_retry (struct txn *t, int64_t delay_ms)
+{
+  g_queue_push_tail (&t->frontend->failed_txns, t);
+  mt_timer_set (t->retry_timer, delay_ms);
+}
+
 static void
 on_looked_up (void *data, const struct mt_kv_reply *reply)
 {
@@ -407,7 +448,24 @@
   if (t->submits->len == 0)
     end_txn (t);
   else
-    mt_timer_set (t->retry_timer, 0);
+    schedule_retry (t, 0);
+}
+
+/* Returns the time-out of a call that finds out the transaction's outcome: at most longest_ms, and
+ * no longer than until the first caller with an unknown outcome is to be answered. */
+static int64_t
+settle_timeout_ms (const struct txn *t, int64_t longest_ms)
+{
+  int64_t now = mt_loop_now ();
+
+  for (guint i = 0; i < t->submits->len; i++)
+    {
+      const struct submit *s = t->submits->pdata[i];
+
+      if (s->outcome_unknown)
+        longest_ms = MIN (longest_ms, s->settle_by - now);
+    }
+  return MAX (longest_ms, MIN_SETTLE_MS);
 }
 
 /* Reads the keys of unanswered writes. A key that is missing proves nothing, as the write may still
@@ -417,6 +475,7 @@
 {
   const struct mt_kv *kv = &t->frontend->options.kv;
   g_autoptr (GPtrArray) submits = g_ptr_array_copy (t->submits, NULL, NULL);
+  int64_t timeout_ms = settle_timeout_ms (t, LOOKUP_TIMEOUT_MS);
 
   t->lookups = submits->len;
   for (guint i = 0; i < submits->len; i++)
@@ -424,7 +483,7 @@
       struct lookup *lookup = g_new0 (struct lookup, 1);
 
       *lookup = (struct lookup){ t, submits->pdata[i] };
-      mt_kv_read (kv, lookup->submit->key, LOOKUP_TIMEOUT_MS, on_looked_up, lookup);
+      mt_kv_read (kv, lookup->submit->key, timeout_ms, on_looked_up, lookup);
     }
 }
 
@@ -443,7 +502,7 @@
   if (unanswered && store_answers (t->frontend))
     look_up (t);
   else
-    mt_timer_set (t->retry_timer, RETRY_MS);
+    schedule_retry (t, RETRY_MS);
   send_submits (t->frontend);
 }
 
@@ -478,14 +537,14 @@
   if (t->submits->len == 0)
     end_txn (t);
   else
-    mt_timer_set (t->retry_timer, RETRY_MS);
+    schedule_retry (t, RETRY_MS);
 }
 
 /* A write that fails long before its time-out was not waited for: its connection failed. */
 static void
 record_failure (const struct txn *t, enum mt_kv_status status)
 {
-  bool timed_out = mt_loop_now () - t->sent >= MT_FRONTEND_TXN_TIMEOUT_MS / 2;
+  bool timed_out = mt_loop_now () - t->sent >= t->timeout_ms / 2;
 
   if (t->frontend->store_wait != NULL && (status == MT_KV_REFUSED || status == MT_KV_UNKNOWN))
     mt_store_wait_record_failure (t->frontend->store_wait, status == MT_KV_REFUSED
@@ -504,6 +563,7 @@
   switch (reply->status)
     {
     case MT_KV_OK:
+      resolve_repeated (t);
       for (guint i = 0; i < t->submits->len; i++)
         accept_submit (t->submits->pdata[i], "stored");
       end_txn (t);
@@ -526,19 +586,24 @@
   struct txn *t = ctx;
   struct mt_kv_expect expects[SUBMITS_PER_TXN];
   struct mt_kv_put puts[SUBMITS_PER_TXN];
-  struct mt_kv_txn txn = {
-    .expects = expects, .n_expects = t->submits->len, .puts = puts, .n_puts = t->submits->len
-  };
+  struct mt_kv_txn txn = { .expects = expects, .puts = puts };
+  size_t n = 0;
 
   for (guint i = 0; i < t->submits->len; i++)
     {
       const struct submit *s = t->submits->pdata[i];
 
-      expects[i] = (struct mt_kv_expect){ s->key, 0 };
-      puts[i] = (struct mt_kv_put){ s->key, { s->value, s->value_len }, 0 };
+      if (find_earlier (t, i) != NULL)
+        continue;
+      expects[n] = (struct mt_kv_expect){ s->key, 0 };
+      puts[n++] = (struct mt_kv_put){ s->key, { s->value, s->value_len }, 0 };
     }
+  txn.n_expects = txn.n_puts = n;
+  t->timeout_ms = t->frontend->store_wait != NULL && t->sent != 0
+                      ? settle_timeout_ms (t, MT_FRONTEND_TXN_TIMEOUT_MS)
+                      : MT_FRONTEND_TXN_TIMEOUT_MS;
   t->sent = mt_loop_now ();
-  mt_kv_write (&t->frontend->options.kv, &txn, MT_FRONTEND_TXN_TIMEOUT_MS, on_stored, t);
+  mt_kv_write (&t->frontend->options.kv, &txn, t->timeout_ms, on_stored, t);
 }
 
 /* A submission that other workspaces' later ones were served before is not held longer than its
@@ -555,14 +620,23 @@
                    "sent");
 }
 
-/* While the store does not answer, a retry would only add to its load when it is back. */
+/* While the store does not answer, a retry would only add to its load when it is back. Callers
+ * whose time passed during the look-ups are answered first. */
 static void
 retry_txn (void *ctx)
 {
   struct txn *t = ctx;
 
+  g_queue_remove (&t->frontend->failed_txns, t);
   if (t->frontend->store_wait != NULL && !store_answers (t->frontend))
-    settle (t, false);
+    {
+      settle (t, false);
+      return;
+    }
+  if (t->frontend->store_wait != NULL)
+    keep_unsettled (t);
+  if (t->submits->len == 0)
+    end_txn (t);
   else
     send_txn (t);
 }
@@ -742,6 +816,21 @@
   free_submit (submit);
 }
 
+void
+mt_frontend_drop_submits (struct mt_frontend *frontend)
+{
+  struct submit *s;
+  struct txn *t;
+
+  while ((s = mt_submit_queue_pop (frontend->submits)) != NULL)
+    free_submit (s);
+  while ((t = g_queue_pop_head (&frontend->failed_txns)) != NULL)
+    {
+      g_ptr_array_foreach (t->submits, (GFunc) (void (*) (void)) free_submit, NULL);
+      free_txn (t);
+    }
+}
+
 /* Returns the time for which the caller waits for its answer. */
 static int64_t
 caller_wait_ms (const struct mt_exchange *exchange)
