controller: forecast of surges, and machines moved ahead of them

Pools surge in turn, so what one round shows applies to the next.

mt_forecast learns height, length, pause, period and order of the surges from the reported arriving work, with the methods none, onset, cycle and successor. The controller asks it for the time at which a machine ordered now arrives (measured moves): it moves machines ahead of an expected surge, limits the margin of a surge of known height, and keeps no reserve where the probability of a surge costs less than idle machines do (idle_cost). With a forecast no machine is moved if that makes its maintenance late; a planned move is dropped if a wave announces one.

The first round is as before.

--- a/core/controller/controller.c
+++ b/core/controller/controller.c
@@ -11,6 +11,10 @@
 #define DRAIN_TIMEOUT_FACTOR 3
 /* A scheduler's report that is older than this does not prove that a worker is empty. */
 #define MAX_VIEW_AGE_MS 700
+/* Weight of the latest move in the measured time of a move, and its highest value: a machine that
+ * is up later than that was held up by something else. */
+#define MOVE_WEIGHT 0.25
+#define MAX_MOVE_MS 10000
 /* How long schedulers are notified that a worker's incarnation has ended: its registry entry may
  * remain for that long. */
 #define REPORT_ENDED_MS 10000
@@ -52,6 +56,8 @@
   struct mt_controller *ctl = g_new0 (struct mt_controller, 1);
 
   ctl->settings = *settings;
+  if (settings->forecast != NULL && !mt_forecast_method_is_none (settings->forecast))
+    ctl->forecast = mt_forecast_create (settings->forecast);
   ctl->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_pool);
   ctl->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_machine);
   ctl->by_worker = g_hash_table_new (g_str_hash, g_str_equal);
@@ -68,6 +74,7 @@
   g_hash_table_unref (ctl->by_worker);
   g_hash_table_unref (ctl->machines);
   g_hash_table_unref (ctl->pools);
+  mt_forecast_destroy (ctl->forecast);
   g_free (ctl);
 }
 
@@ -145,6 +152,18 @@
     m->end_confirmed_at = now;
 }
 
+static void
+measure_move (struct mt_controller *ctl, struct mt_controller_machine *m, int64_t now)
+{
+  double took = (double) MIN (now - m->planned_at, MAX_MOVE_MS);
+
+  m->is_moving = false;
+  if (ctl->move_took_ms == 0)
+    ctl->move_took_ms = took;
+  else
+    ctl->move_took_ms += MOVE_WEIGHT * (took - ctl->move_took_ms);
+}
+
 static void
 update_machine (struct mt_controller *ctl,
                 const struct mt_controller_machine_info *row,
@@ -165,6 +184,8 @@
   if (m->home == NULL)
     m->home = m->pool;
   m->up = row->up;
+  if (m->is_moving && m->up)
+    measure_move (ctl, m, now);
   m->resources = row->resources;
   m->in_maintenance = row->in_maintenance;
   if (g_strcmp0 (m->worker, row->worker) == 0)
@@ -256,6 +277,8 @@
   p->reported = true;
   p->reported_at = now;
   p->load = *load;
+  if (ctl->forecast != NULL)
+    mt_forecast_observe (ctl->forecast, name, load->arriving_cpu, now);
   for (size_t i = 0; i < n; i++)
     update_view (ctl, &workers[i], now);
 }
@@ -430,6 +453,18 @@
     }
 }
 
+/* Returns whether the plan can't be carried out in time any more or has become pointless. A wave
+ * may become known after a move of one of its machines has been planned. */
+static bool
+plan_is_void (const struct mt_controller *ctl, const struct mt_controller_machine *m, int64_t now)
+{
+  if (!m->up || now - m->planned_at > DRAIN_TIMEOUT_FACTOR * mt_controller_drain_ms (m))
+    return true;
+  if (m->wave != NULL)
+    return !g_hash_table_contains (m->wave->remaining, m->id);
+  return ctl->forecast != NULL && !mt_controller_has_time_to_move (ctl, m, now);
+}
+
 void
 mt_controller_plan (struct mt_controller *ctl, int64_t now)
 {
@@ -441,9 +476,7 @@
   ctl->last_plan_at = now;
   g_hash_table_iter_init (&it, ctl->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
-    if (m->plan != MT_PLAN_NONE && !m->order_pending
-        && (!m->up || now - m->planned_at > DRAIN_TIMEOUT_FACTOR * mt_controller_drain_ms (m)
-            || (m->wave != NULL && !g_hash_table_contains (m->wave->remaining, m->id))))
+    if (m->plan != MT_PLAN_NONE && !m->order_pending && plan_is_void (ctl, m, now))
       drop_plan (m);
   mt_controller_plan_waves (ctl, now);
   if (ctl->settings.allow_moves)
@@ -492,6 +525,7 @@
     m->pool = m->destination;
   m->ordered_at = now;
   m->in_maintenance = maintenance;
+  m->is_moving = !maintenance;
   m->up = false;
   g_free (m->ended_worker);
   m->ended_worker = g_strdup (m->worker);
@@ -534,6 +568,26 @@
     }
 }
 
+struct mt_forecast *
+mt_controller_forecast (struct mt_controller *ctl)
+{
+  return ctl->forecast;
+}
+
+bool
+mt_controller_count (const struct mt_controller *ctl,
+                     const char *pool,
+                     struct mt_controller_counts *out)
+{
+  const struct mt_controller_pool *p = g_hash_table_lookup (ctl->pools, pool);
+
+  if (p == NULL)
+    return false;
+  *out = (struct mt_controller_counts){ p->n_allocated, p->n_machines - p->n_arriving,
+                                        p->n_arriving };
+  return true;
+}
+
 void
 mt_controller_directives_clear (struct mt_controller_directives *directives)
 {
--- a/core/controller/controller_internal.h
+++ b/core/controller/controller_internal.h
@@ -33,6 +33,10 @@
   double peak_machines; /* highest recent need in machines, decaying */
   int64_t peak_at;
   int64_t surplus_since; /* since when it has had more machines than it needs; 0: it has not */
+  unsigned n_forecast;   /* machines for a surge that is forecast; 0: none is */
+  unsigned n_surge;      /* machines for the present surge, by its forecast height; 0: unknown */
+  bool quiet_ahead;      /* a reserve for a surge is not worth its cost */
+  bool gave_up_reserve;  /* ... or has not been, so that it has to come from the standby pool */
 };
 
 enum mt_controller_plan
@@ -66,6 +70,7 @@
   bool order_pending;
   int64_t retry_at;
   int64_t ordered_at;       /* when its last order was carried out */
+  bool is_moving;           /* that order was a move, and the machine is not yet up */
   char *ended_worker;       /* worker that its last order ended, if it was not carried out before */
   int64_t end_confirmed_at; /* when the list of machines confirmed the end of ended_worker; 0: not
                                yet */
@@ -86,9 +91,11 @@
   struct mt_controller_settings settings;
   GHashTable *pools;
   GHashTable *machines;
-  GHashTable *by_worker; /* worker id to its machine; borrows both */
-  GHashTable *waves;     /* number to struct mt_controller_wave */
-  bool starved;          /* a pool has had fewer machines than its mean_need for too long */
+  GHashTable *by_worker;        /* worker id to its machine; borrows both */
+  GHashTable *waves;            /* number to struct mt_controller_wave */
+  struct mt_forecast *forecast; /* NULL: none */
+  double move_took_ms; /* measured from the plan of a move until the machine is up; 0: unknown */
+  bool starved;        /* a pool has had fewer machines than its mean_need for too long */
   bool listed;
   int64_t first_listed_at;
   int64_t last_plan_at;
@@ -98,10 +105,21 @@
 /* Returns the expected time to drain the machine, in ms. */
 int64_t mt_controller_drain_ms (const struct mt_controller_machine *m);
 void mt_controller_plan_waves (struct mt_controller *ctl, int64_t now);
+/* Returns whether the machine, if moved now, still has time for the maintenance that it is due
+ * for. */
+bool mt_controller_has_time_to_move (const struct mt_controller *ctl,
+                                     const struct mt_controller_machine *m,
+                                     int64_t now);
 /* controller_shares.c */
 /* Updates the pool's need from its scheduler's last report. starved: whether any pool is
  * starved. */
 void mt_controller_update_need (struct mt_controller_pool *p, bool starved, int64_t now);
+/* Returns the time from the plan of a move until the machine is up in its new pool, in ms. */
+int64_t mt_controller_move_ms (const struct mt_controller *ctl);
+/* Updates n_forecast and quiet_ahead of the pool. */
+void mt_controller_update_forecast (const struct mt_controller *ctl,
+                                    struct mt_controller_pool *p,
+                                    int64_t now);
 /* Returns whether any pool is starved: for some time it has had fewer machines than mean_need. */
 bool mt_controller_update_starved (struct mt_controller *ctl, int64_t now);
 /* Sets n_allocated and n_claimed of each pool. machines: the number of machines of all pools. */
--- a/core/controller/controller_moves.c
+++ b/core/controller/controller_moves.c
@@ -86,10 +86,13 @@
   return a->view.tasks < b->view.tasks;
 }
 
-/* Returns the machine of the pool that can be moved and will be empty first; NULL if there is
- * none. */
+/* Returns the machine of the pool that can be moved and will be empty first; NULL if there is none.
+ * With a forecast, machines are moved before any work waits, which is no reason to make their
+ * maintenance late. */
 static struct mt_controller_machine *
-find_soonest_empty (const struct mt_controller *ctl, const struct mt_controller_pool *p)
+find_soonest_empty (const struct mt_controller *ctl,
+                    const struct mt_controller_pool *p,
+                    int64_t now)
 {
   GHashTableIter it;
   struct mt_controller_machine *m;
@@ -97,7 +100,8 @@
 
   g_hash_table_iter_init (&it, ctl->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
-    if (m->pool == p && can_move (m) && (best == NULL || is_empty_sooner (m, best)))
+    if (m->pool == p && can_move (m) && (best == NULL || is_empty_sooner (m, best))
+        && (ctl->forecast == NULL || mt_controller_has_time_to_move (ctl, m, now)))
       best = m;
   return best;
 }
@@ -108,7 +112,7 @@
            struct mt_controller_pool *to,
            int64_t now)
 {
-  struct mt_controller_machine *m = find_soonest_empty (ctl, from);
+  struct mt_controller_machine *m = find_soonest_empty (ctl, from, now);
 
   if (m == NULL)
     return false;
@@ -118,6 +122,7 @@
   m->wave = NULL;
   from->n_machines--;
   to->n_machines++;
+  to->n_arriving++;
   return true;
 }
 
@@ -138,8 +143,10 @@
   if (best == NULL)
     return false;
   best->destination->n_machines--;
+  best->destination->n_arriving--;
   best->destination = to;
   to->n_machines++;
+  to->n_arriving++;
   return true;
 }
 
@@ -158,7 +165,7 @@
 
 /* Returns the pool with the largest surplus of which a machine can be moved; NULL if none. */
 static struct mt_controller_pool *
-find_largest_surplus (const struct mt_controller *ctl)
+find_largest_surplus (const struct mt_controller *ctl, int64_t now)
 {
   GHashTableIter it;
   struct mt_controller_pool *p;
@@ -170,7 +177,7 @@
     {
       int surplus = (int) p->n_machines - (int) p->n_claimed;
 
-      if (p->standby || surplus <= largest || find_soonest_empty (ctl, p) == NULL)
+      if (p->standby || surplus <= largest || find_soonest_empty (ctl, p, now) == NULL)
         continue;
       largest = surplus;
       best = p;
@@ -192,7 +199,7 @@
         continue;
       /* Takes no machine from another pool for overdue work: that pool may use it for overdue work
        * too, and only the time of the move would be lost. */
-      from = p->n_machines < p->n_claimed ? find_largest_surplus (ctl) : NULL;
+      from = p->n_machines < p->n_claimed ? find_largest_surplus (ctl, now) : NULL;
       if (from == NULL || from == p || !plan_move (ctl, from, p, now))
         return;
     }
@@ -233,7 +240,10 @@
     {
       machines += p->n_machines;
       if (!p->standby && p->reported)
-        mt_controller_update_need (p, ctl->starved, now);
+        {
+          mt_controller_update_forecast (ctl, p, now);
+          mt_controller_update_need (p, ctl->starved, now);
+        }
     }
   ctl->starved = mt_controller_update_starved (ctl, now);
   mt_controller_allocate (ctl, machines);
--- a/core/controller/controller_shares.c
+++ b/core/controller/controller_shares.c
@@ -40,6 +40,12 @@
 #define PEAK_HALF_LIFE_MS 60000.0
 /* A pool's need is the highest within this time: jobs arrive in bursts. */
 #define NEED_WINDOW_MS 800
+/* Share of the time in which a pool of the designed load surges (6.5 s of 26 s): the probability of
+ * a surge where a forecast of quiet is wrong. */
+#define SURGE_TIME_SHARE 0.25
+/* Need with a margin during a surge of known height, as a multiple of that height. More would be
+ * idle; work that waits counts as demand, for which this is no limit. */
+#define KNOWN_SURGE_FACTOR 1.15
 /* Capacity assumed for a machine of unknown size, in thousandths of a core. */
 #define DEFAULT_MACHINE_CPU 16000
 
@@ -86,6 +92,11 @@
   unsigned burst = machines_for (p, MAX (burst_cpu (&p->load, starved), lasting));
   unsigned mean = machines_for (p, MAX ((double) p->load.demand_cpu, lasting));
 
+  if (p->n_surge > 0)
+    {
+      burst = MIN (burst, MAX (mean, (unsigned) ceil (KNOWN_SURGE_FACTOR * p->n_surge)));
+      p->burst_need.machines = MIN (p->burst_need.machines, burst);
+    }
   update_recent_max (&p->burst_need, burst, now);
   update_recent_max (&p->mean_need, MIN (mean, burst), now);
   /* Counts processors in use and no waiting work: for a starved pool the peak would otherwise
@@ -101,6 +112,43 @@
   return (int64_t) (p->n_allocated * machine_cpu (p));
 }
 
+int64_t
+mt_controller_move_ms (const struct mt_controller *ctl)
+{
+  return ctl->move_took_ms > 0 ? (int64_t) ctl->move_took_ms : ctl->settings.move_ms;
+}
+
+static unsigned
+machines_for_surge (const struct mt_controller *ctl,
+                    const struct mt_controller_pool *p,
+                    const struct mt_forecast_value *value)
+{
+  return value->surge && value->confidence > ctl->settings.idle_cost ? machines_for (p, value->cpu)
+                                                                     : 0;
+}
+
+/* A machine is held for a time if the probability that it is needed then exceeds its cost in the
+ * same unit, the work of a full machine. It is looked at for the time at which a machine that is
+ * ordered now would arrive. */
+void
+mt_controller_update_forecast (const struct mt_controller *ctl,
+                               struct mt_controller_pool *p,
+                               int64_t now)
+{
+  struct mt_forecast_value value;
+
+  if (ctl->forecast == NULL)
+    return;
+  mt_forecast_expect (ctl->forecast, p->name, now, now, &value);
+  p->n_surge = machines_for_surge (ctl, p, &value);
+  mt_forecast_expect (ctl->forecast, p->name, now + mt_controller_move_ms (ctl), now, &value);
+  p->n_forecast = machines_for_surge (ctl, p, &value);
+  p->quiet_ahead = !value.surge
+                   && SURGE_TIME_SHARE * (1 - value.confidence) < ctl->settings.idle_cost
+                   && value.confidence > 0;
+  p->gave_up_reserve |= p->quiet_ahead;
+}
+
 static unsigned
 reserve_of (const struct mt_controller_pool *p, double share)
 {
@@ -112,6 +160,8 @@
 {
   bool surged = p->peak_machines >= SURGED_SHARE * p->n_home;
 
+  if (p->quiet_ahead)
+    return MAX (p->n_allocated, 1U);
   return MAX (p->n_allocated, reserve_of (p, surged ? HOME_RESERVE_SHARE : 1));
 }
 
@@ -137,15 +187,30 @@
 static unsigned
 need_reserve (const struct mt_controller_pool *p)
 {
+  if (p->quiet_ahead)
+    return 1;
   return MIN (reserve_of (p, HOME_RESERVE_SHARE), p->n_machines);
 }
 
+static unsigned
+need_forecast (const struct mt_controller_pool *p)
+{
+  return p->n_forecast;
+}
+
 static unsigned
 need_burst (const struct mt_controller_pool *p)
 {
   return p->burst_need.machines;
 }
 
+/* The reserve that the pool gave up while it was quiet. */
+static unsigned
+need_lost_reserve (const struct mt_controller_pool *p)
+{
+  return p->gave_up_reserve && !p->quiet_ahead ? reserve_of (p, HOME_RESERVE_SHARE) : 0;
+}
+
 static unsigned
 need_overdue (const struct mt_controller_pool *p)
 {
@@ -163,7 +228,9 @@
   { "pinned", "machines that can't leave, or one more if a task fits on no worker", need_pinned },
   { "keep", "reserve for the start of the next surge", need_reserve },
   { "timely", "machines that keep jobs within their objectives on average", need_mean },
+  { "forecast", "surge that is expected when a machine ordered now arrives", need_forecast },
   { "hasty", "margin for machines that arrive late and for bursts of jobs", need_burst },
+  { "restore", "reserve that was given up in a pause", need_lost_reserve, .overdue = true },
   { "late", "accepted work that can't meet its objective any more", need_overdue, .overdue = true },
 };
 
--- a/core/controller/controller_waves.c
+++ b/core/controller/controller_waves.c
@@ -136,6 +136,22 @@
   return (double) (w->deadline - now) > SLACK_FACTOR * (double) needed_ms;
 }
 
+bool
+mt_controller_has_time_to_move (const struct mt_controller *ctl,
+                                const struct mt_controller_machine *m,
+                                int64_t now)
+{
+  int64_t arrives_at = now + mt_controller_move_ms (ctl) + mt_controller_drain_ms (m);
+  GHashTableIter it;
+  const struct mt_controller_wave *w;
+
+  g_hash_table_iter_init (&it, ctl->waves);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &w))
+    if (g_hash_table_contains (w->remaining, m->id) && !can_wait (ctl, w, m, arrives_at))
+      return false;
+  return true;
+}
+
 /* Returns how many machines may be down or draining at once. While a pool is short of machines, the
  * wave is spread over the time until its deadline: the number is what this takes, with a margin,
  * instead of max_down. */
--- a/include/medlartrack/controller.h
+++ b/include/medlartrack/controller.h
@@ -4,6 +4,7 @@
 #ifndef MEDLARTRACK_CONTROLLER_H
 #define MEDLARTRACK_CONTROLLER_H
 
+#include "medlartrack/forecast.h"
 #include "medlartrack/scheduler.h"
 
 #include <glib.h>
@@ -12,9 +13,13 @@
 
 struct mt_controller_settings
 {
-  int64_t move_ms;        /* time that a machine is down for a move */
-  int64_t maintenance_ms; /* time that a machine is down for maintenance */
-  bool allow_moves;       /* machines may change pool */
+  int64_t move_ms;                           /* time that a machine is down for a move */
+  int64_t maintenance_ms;                    /* time that a machine is down for maintenance */
+  bool allow_moves;                          /* machines may change pool */
+  const struct mt_forecast_method *forecast; /* NULL: none */
+  /* Value lost for one idle machine second, as a share of the value of one second of a full
+   * machine's work. */
+  double idle_cost;
 };
 
 /* Returns a controller without pools and machines; free it with mt_controller_destroy. */
@@ -129,6 +134,21 @@
 /* Returns the directives for a pool; clear them with mt_controller_directives_clear. */
 struct mt_controller_directives
 mt_controller_pool_directives (struct mt_controller *ctl, const char *pool, int64_t now);
+/* Returns the forecast that the controller feeds, to be saved and loaded; NULL without a method. It
+ * belongs to the controller. */
+struct mt_forecast *mt_controller_forecast (struct mt_controller *ctl);
+/* A pool's machines as of the last plan. A machine counts for one pool only. */
+struct mt_controller_counts
+{
+  unsigned planned;  /* that the pool should have */
+  unsigned present;  /* that work there */
+  unsigned arriving; /* that are on their way there, or are drained for it elsewhere */
+};
+
+/* Returns false if the pool is unknown. */
+bool mt_controller_count (const struct mt_controller *ctl,
+                          const char *pool,
+                          struct mt_controller_counts *out);
 /* Returns whether a machine is down or to be drained, so that the list of machines will change. */
 bool mt_controller_expects_changes (const struct mt_controller *ctl);
 /* Returns whether a pool is short of machines or a machine is to be drained: only then are more
