fleet: settings, store, log and gauges of the forecast

Events FORECAST (8406) and FORECAST_UNREADABLE (8407), gauges medlartrack_pool_machines_planned and _present.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -8,6 +8,7 @@
 #include "http_front.h"
 #include "journal.h"
 #include "loop.h"
+#include "medlartrack/forecast.h"
 #include "medlartrack/uplink.h"
 #include "mesh.h"
 #include "metrics.h"
@@ -184,18 +185,21 @@
 create_fleet_leader (struct mt_fleet *f, int64_t token)
 {
   const struct mt_fleet_bounds *b = &f->settings->bounds;
-  struct mt_fleet_leader_options options = { .leadership = fleet_leadership,
-                                             .token = token,
-                                             .kv = mt_adapter_kv (f->platform),
-                                             .machines = mt_adapter_machines (f->platform),
-                                             .codec = &f->codec,
-                                             .cluster = f->cluster,
-                                             .mesh = f->mesh,
-                                             .journal = f->journal,
-                                             .move_ms = (int64_t) (1000 * b->move_s),
-                                             .maintenance_ms = (int64_t) (1000 * b->upkeep_s),
-                                             .local_pool = local_pool,
-                                             .ctx = f };
+  struct mt_fleet_leader_options options
+      = { .leadership = fleet_leadership,
+          .token = token,
+          .kv = mt_adapter_kv (f->platform),
+          .machines = mt_adapter_machines (f->platform),
+          .codec = &f->codec,
+          .cluster = f->cluster,
+          .mesh = f->mesh,
+          .journal = f->journal,
+          .move_ms = (int64_t) (1000 * b->move_s),
+          .maintenance_ms = (int64_t) (1000 * b->upkeep_s),
+          .forecast = mt_forecast_method_at ((size_t) f->settings->forecast),
+          .idle_cost = f->settings->idle_cost,
+          .local_pool = local_pool,
+          .ctx = f };
 
   if (f->settings->machines.len == 0)
     return;
@@ -354,6 +358,12 @@
     }
 }
 
+static void
+set_pool_machines (void *ctx, const char *pool, const struct mt_controller_counts *counts)
+{
+  mt_metrics_set_pool_machines (ctx, pool, counts->planned, counts->present);
+}
+
 static void
 update_gauges (struct mt_fleet *f)
 {
@@ -373,6 +383,9 @@
       sum.workers += load.workers;
       sum.silent += load.silent;
     }
+  mt_metrics_clear_pools (f->metrics);
+  if (f->leader != NULL)
+    mt_fleet_leader_for_each_pool (f->leader, set_pool_machines, f->metrics);
   mt_metrics_set (f->metrics, MT_GAUGE_LEADERSHIPS, g_hash_table_size (f->pools));
   mt_metrics_set (f->metrics, MT_GAUGE_JOBS, sum.jobs);
   mt_metrics_set (f->metrics, MT_GAUGE_TASKS_WAITING, sum.waiting);
--- a/fleet/fleet_leader.c
+++ b/fleet/fleet_leader.c
@@ -1,5 +1,6 @@
 #include "fleet_leader.h"
 
+#include "forecast_store.h"
 #include "grants_wire.h"
 #include "journal.h"
 #include "loop.h"
@@ -52,6 +53,7 @@
   struct mt_fleet_leader_options options;
   char *leader_key;
   struct mt_controller *controller;
+  struct mt_forecast_store *forecast_store; /* NULL: no method of forecasting */
   struct mt_grants *grants;
   struct mt_watcher *watch;
   struct mt_timer *tick;
@@ -374,6 +376,32 @@
   mt_pool_report_clear (&report);
 }
 
+static void
+log_forecast (struct mt_fleet_leader *lead, const struct mt_forecast_event *event)
+{
+  int64_t unix_offset = mt_loop_wall_ms () - mt_loop_now ();
+  struct mt_controller_counts counts = { 0 };
+
+  mt_controller_count (lead->controller, event->pool, &counts);
+  mt_journal_log (lead->options.journal, "FORECAST",
+                  "pool=%s began=%d expected_ms=%" G_GINT64_FORMAT " began_ms=%" G_GINT64_FORMAT
+                  " cpu=%.0f confidence=%.0f planned=%u present=%u arriving=%u",
+                  event->pool, event->began,
+                  event->expected_at != 0 ? event->expected_at + unix_offset : 0,
+                  event->began_at != 0 ? event->began_at + unix_offset : 0, event->cpu,
+                  1000 * event->confidence, counts.planned, counts.present, counts.arriving);
+}
+
+static void
+log_forecasts (struct mt_fleet_leader *lead)
+{
+  struct mt_forecast *forecast = mt_controller_forecast (lead->controller);
+  struct mt_forecast_event event;
+
+  while (forecast != NULL && mt_forecast_next_event (forecast, &event))
+    log_forecast (lead, &event);
+}
+
 /* Applies the report, and sends the orders that it allows without waiting for the next tick. */
 static void
 on_report (void *ctx, const struct mt_mesh_args *args)
@@ -653,10 +681,13 @@
       read_homes (lead);
       return;
     }
+  if (lead->forecast_store != NULL)
+    mt_forecast_store_tick (lead->forecast_store, mt_loop_now (), mt_loop_wall_ms ());
   list_machines (lead, unfinished || mt_controller_expects_changes (lead->controller));
   for (guint i = 0; i < lead->pools->len; i++)
     query_pool (lead, lead->pools->pdata[i]);
   plan_and_send (lead);
+  log_forecasts (lead);
 }
 
 /* ---- creation and destruction ---- */
@@ -679,13 +710,43 @@
   mt_grants_configure (lead->grants, (const char *const *) names->pdata, config->workspaces);
 }
 
+void
+mt_fleet_leader_for_each_pool (struct mt_fleet_leader *lead,
+                               void (*each) (void *ctx,
+                                             const char *pool,
+                                             const struct mt_controller_counts *counts),
+                               void *ctx)
+{
+  struct mt_controller_counts counts;
+
+  for (guint i = 0; i < lead->pools->len; i++)
+    if (mt_controller_count (lead->controller, lead->pools->pdata[i], &counts))
+      each (ctx, lead->pools->pdata[i], &counts);
+}
+
+static void
+create_forecast_store (struct mt_fleet_leader *lead)
+{
+  struct mt_forecast_store_options options
+      = { .kv = lead->options.kv,
+          .leader_key = lead->leader_key,
+          .token = lead->options.token,
+          .forecast = mt_controller_forecast (lead->controller),
+          .journal = lead->options.journal };
+
+  if (options.forecast != NULL)
+    lead->forecast_store = mt_forecast_store_create (&options);
+}
+
 struct mt_fleet_leader *
 mt_fleet_leader_create (struct event_base *base, const struct mt_fleet_leader_options *options)
 {
   struct mt_fleet_leader *lead = g_rc_box_new0 (struct mt_fleet_leader);
   struct mt_controller_settings settings = { .move_ms = options->move_ms,
                                              .maintenance_ms = options->maintenance_ms,
-                                             .allow_moves = true };
+                                             .allow_moves = true,
+                                             .forecast = options->forecast,
+                                             .idle_cost = options->idle_cost };
   struct mt_watcher_options watch = { .prefix = options->codec->waves_prefix,
                                       .wait_ms = WAVES_WAIT_MS,
                                       .on_item = on_wave,
@@ -694,6 +755,7 @@
   lead->options = *options;
   lead->leader_key = mt_cluster_leader_key (options->leadership);
   lead->controller = mt_controller_create (&settings);
+  create_forecast_store (lead);
   lead->grants = mt_grants_create (options->token, mt_loop_now ());
   lead->waves = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_wave);
   lead->pools = g_ptr_array_new_with_free_func (g_free);
@@ -710,6 +772,7 @@
   if (lead == NULL)
     return;
   lead->destroyed = true;
+  mt_forecast_store_destroy (lead->forecast_store);
   mt_timer_clear (lead->tick);
   mt_watcher_destroy (lead->watch);
   unref (lead);
--- a/fleet/fleet_leader.h
+++ b/fleet/fleet_leader.h
@@ -5,6 +5,7 @@
 #define MT_FLEET_LEADER_H
 
 #include "cluster.h"
+#include "medlartrack/controller.h"
 #include "mesh.h"
 #include "pool.h"
 
@@ -22,6 +23,8 @@
   struct mt_journal *journal;
   int64_t move_ms;
   int64_t maintenance_ms;
+  const struct mt_forecast_method *forecast;
+  double idle_cost; /* see mt_controller_settings */
   /* Returns the pool if this daemon leads it, else NULL. */
   struct mt_pool *(*local_pool) (void *ctx, const char *pool);
   void *ctx;
@@ -33,6 +36,14 @@
 void mt_fleet_leader_set_config (struct mt_fleet_leader *leader,
                                  const struct mt_fleet_config *config);
 
+/* Calls each for every pool that is not on standby, with the numbers of machines that it should
+ * have and that are up there. */
+void mt_fleet_leader_for_each_pool (struct mt_fleet_leader *leader,
+                                    void (*each) (void *ctx,
+                                                  const char *pool,
+                                                  const struct mt_controller_counts *counts),
+                                    void *ctx);
+
 /* Directives to a pool's leader. Worker ids are joined by commas. */
 struct mt_pool_directives
 {
--- a/fleet/metrics.c
+++ b/fleet/metrics.c
@@ -3,6 +3,8 @@
 #include "journal.h"
 #include "traffic.h"
 
+#include <string.h>
+
 struct metric_info
 {
   const char *name;
@@ -52,17 +54,30 @@
   int64_t values[MT_GAUGES];
   uint64_t buckets[MT_LATENCIES][BUCKETS + 1];
   int64_t sums[MT_LATENCIES];
+  GHashTable *pools; /* name to struct pool_machines */
+};
+
+struct pool_machines
+{
+  unsigned planned;
+  unsigned present;
 };
 
 struct mt_metrics *
 mt_metrics_create (void)
 {
-  return g_new0 (struct mt_metrics, 1);
+  struct mt_metrics *m = g_new0 (struct mt_metrics, 1);
+
+  m->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return m;
 }
 
 void
 mt_metrics_destroy (struct mt_metrics *m)
 {
+  if (m == NULL)
+    return;
+  g_hash_table_unref (m->pools);
   g_free (m);
 }
 
@@ -89,6 +104,24 @@
   m->sums[latency] += ms;
 }
 
+void
+mt_metrics_set_pool_machines (struct mt_metrics *m,
+                              const char *pool,
+                              unsigned planned,
+                              unsigned present)
+{
+  struct pool_machines *row = g_new (struct pool_machines, 1);
+
+  *row = (struct pool_machines){ planned, present };
+  g_hash_table_replace (m->pools, g_strdup (pool), row);
+}
+
+void
+mt_metrics_clear_pools (struct mt_metrics *m)
+{
+  g_hash_table_remove_all (m->pools);
+}
+
 static void
 append_head (GString *out, const struct metric_info *m, const char *type)
 {
@@ -144,6 +177,27 @@
     }
 }
 
+static void
+append_pools (GString *out, const struct mt_metrics *m)
+{
+  static const struct metric_info families[]
+      = { { "pool_machines_planned", "Machines that the pool should have." },
+          { "pool_machines_present", "Machines that are up in the pool." } };
+  g_autoptr (GList) names = g_list_sort (g_hash_table_get_keys (m->pools), (GCompareFunc) strcmp);
+
+  for (size_t f = 0; names != NULL && f < G_N_ELEMENTS (families); f++)
+    {
+      append_head (out, &families[f], "gauge");
+      for (GList *at = names; at != NULL; at = at->next)
+        {
+          const struct pool_machines *row = g_hash_table_lookup (m->pools, at->data);
+
+          g_string_append_printf (out, "medlartrack_%s{pool=\"%s\"} %u\n", families[f].name,
+                                  (const char *) at->data, f == 0 ? row->planned : row->present);
+        }
+    }
+}
+
 char *
 mt_metrics_text (const struct mt_metrics *m,
                  const struct mt_traffic *traffic,
@@ -165,6 +219,7 @@
     }
   for (int i = 0; i < MT_LATENCIES; i++)
     append_latency (out, m, i);
+  append_pools (out, m);
   append_traffic (out, traffic);
   mt_journal_append_metrics (journal, out);
   return g_string_free (out, FALSE);
--- a/fleet/metrics.h
+++ b/fleet/metrics.h
@@ -51,6 +51,13 @@
 void mt_metrics_increment (struct mt_metrics *metrics, enum mt_counter counter);
 void mt_metrics_observe (struct mt_metrics *metrics, enum mt_latency latency, int64_t ms);
 void mt_metrics_set (struct mt_metrics *metrics, enum mt_gauge gauge, int64_t value);
+/* Sets the machines of a pool, which the fleet's leader plans; other daemons have no such rows. */
+void mt_metrics_set_pool_machines (struct mt_metrics *metrics,
+                                   const char *pool,
+                                   unsigned planned,
+                                   unsigned present);
+/* Removes the rows of all pools. */
+void mt_metrics_clear_pools (struct mt_metrics *metrics);
 /* Free the text with g_free. */
 char *mt_metrics_text (const struct mt_metrics *metrics,
                        const struct mt_traffic *traffic,
--- a/fleet/settings.c
+++ b/fleet/settings.c
@@ -8,6 +8,9 @@
 #define FIELD(member) offsetof (struct mt_fleet_settings, member)
 #define BOUND(member) offsetof (struct mt_fleet_bounds, member)
 
+/* In the order of mt_forecast_method_at. */
+static const char *const forecast_methods[] = { "none", "onset", "cycle", "successor", NULL };
+
 static const struct mt_field top_fields[] = {
   { "name", MT_FIELD_TEXT, FIELD (name), .required = true, .form = &mt_text_format_name },
   { "zone", MT_FIELD_TEXT, FIELD (zone), .required = true, .form = &mt_text_format_name },
@@ -25,6 +28,8 @@
   { "connections", MT_FIELD_COUNT, FIELD (connections), .min = 1, .max = 20000, .fallback = 2000 },
   { "idle_s", MT_FIELD_COUNT, FIELD (idle_s), .min = 1, .max = 3600, .fallback = 30 },
   { "body_bytes", MT_FIELD_COUNT, FIELD (body_bytes), .min = 1, .max = 64e6, .fallback = 262144 },
+  { "forecast", MT_FIELD_CHOICE, FIELD (forecast), .choices = forecast_methods },
+  { "idle_cost", MT_FIELD_WEIGHT, FIELD (idle_cost), .max = 1, .fallback = 0.1 },
   { NULL },
 };
 
--- a/fleet/settings.h
+++ b/fleet/settings.h
@@ -35,6 +35,8 @@
   unsigned connections;
   unsigned idle_s;
   unsigned body_bytes;
+  int forecast;     /* index of the method; see mt_forecast_method_at */
+  double idle_cost; /* value lost for one idle machine second, as a share of a busy one's */
   struct mt_fleet_bounds bounds;
 };
 
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -196,3 +196,11 @@
           MACHINE_REFUSED,
           G_LOG_LEVEL_WARNING,
           "an order for a machine was refused or not answered")
+MT_EVENT (8406,
+          FORECAST,
+          G_LOG_LEVEL_MESSAGE,
+          "a pool's surge began, or an expected one did not come")
+MT_EVENT (8407,
+          FORECAST_UNREADABLE,
+          G_LOG_LEVEL_WARNING,
+          "the stored forecast can't be read; it is learned again and written over")
--- /dev/null
+++ b/tests/fleet/test_settings.c
@@ -0,0 +1,71 @@
+#include "settings.h"
+
+#include "medlartrack/forecast.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define WITH(more)                                                                                 \
+  "{\"name\":\"d\",\"zone\":\"z\",\"listen\":\"127.0.0.1:1\",\"ready_listen\":\"127.0.0.1:2\","    \
+  "\"ip\":\"127.0.0.1\",\"peer_port\":0,\"store\":\"127.0.0.1:3\"" more "}"
+
+/* Guards against a forecast that is in use without having been asked for. */
+static void
+test_forecast_is_none_by_default (void **state)
+{
+  struct mt_fleet_settings *s = mt_fleet_settings_parse (MT_STR (WITH ("")), NULL);
+
+  assert_non_null (s);
+  assert_true (mt_forecast_method_is_none (mt_forecast_method_at ((size_t) s->forecast)));
+  assert_true (s->idle_cost == 0.1);
+  mt_fleet_settings_destroy (s);
+}
+
+/* Guards against a setting that selects another method than the one it names. */
+static void
+test_forecast_setting_selects_the_method_of_its_name (void **state)
+{
+  for (size_t i = 0; mt_forecast_method_at (i) != NULL; i++)
+    {
+      const char *name = mt_forecast_method_name (mt_forecast_method_at (i));
+      g_autofree char *text = g_strdup_printf (WITH (",\"forecast\":\"%s\""), name);
+      struct mt_fleet_settings *s = mt_fleet_settings_parse (mt_str_from (text), NULL);
+
+      assert_non_null (s);
+      assert_string_equal (mt_forecast_method_name (mt_forecast_method_at ((size_t) s->forecast)),
+                           name);
+      mt_fleet_settings_destroy (s);
+    }
+}
+
+/* Guards against a mistyped method or cost that is taken for the default. */
+static void
+test_unknown_method_and_cost_are_rejected (void **state)
+{
+  static const char *const texts[] = { WITH (",\"forecast\":\"tides\""), WITH (",\"forecast\":1"),
+                                       WITH (",\"idle_cost\":1.5"), WITH (",\"idle_cost\":-1") };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      g_autoptr (GError) error = NULL;
+
+      assert_null (mt_fleet_settings_parse (mt_str_from (texts[i]), &error));
+      assert_non_null (strstr (error->message, i < 2 ? "forecast" : "idle_cost"));
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_forecast_is_none_by_default),
+    cmocka_unit_test (test_forecast_setting_selects_the_method_of_its_name),
+    cmocka_unit_test (test_unknown_method_and_cost_are_rejected),
+  };
+
+  return cmocka_run_group_tests_name ("fleet_settings", tests, NULL, NULL);
+}
--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -30,9 +30,12 @@
   struct harness *harness;
   struct process *platform;
   struct process *daemons[N_DAEMONS];
-  const char *id;    /* job that harness_wait conditions query */
-  const char *state; /* its expected state, or the API key to send */
-  unsigned route;    /* route that every daemon must serve */
+  const char *id;      /* job that harness_wait conditions query */
+  const char *state;   /* its expected state, or the API key to send */
+  unsigned route;      /* route that every daemon must serve */
+  const char *more;    /* further settings of the daemons, each followed by a comma */
+  unsigned jobs;       /* submitted by submit_until_surge */
+  gint64 submitted_ms; /* its last submission */
 };
 
 static int
@@ -73,10 +76,10 @@
 {
   g_autofree char *name = g_strdup_printf ("d%u.json", i);
   g_autofree char *text
-      = g_strdup_printf ("{\"name\":\"d%u\",\"zone\":\"west\",\"listen\":\"127.0.0.1:0\","
+      = g_strdup_printf ("{%s\"name\":\"d%u\",\"zone\":\"west\",\"listen\":\"127.0.0.1:0\","
                          "\"ready_listen\":\"127.0.0.1:0\",\"ip\":\"127.0.0.1\",\"peer_port\":0,"
                          "\"store\":\"127.0.0.1:%u\",\"machines\":\"127.0.0.1:%u\"}",
-                         i, f->platform->port, f->platform->port);
+                         f->more, i, f->platform->port, f->platform->port);
   g_autofree char *path = harness_write_file (f->harness, name, text);
   const char *args[] = { "--settings", path, NULL };
 
@@ -84,11 +87,12 @@
 }
 
 static struct fixture *
-create_fixture (const char *run_ms)
+create_fixture_with_settings (const char *run_ms, const char *more)
 {
   struct fixture *f = g_new0 (struct fixture, 1);
   const char *args[] = { "4", run_ms, NULL };
 
+  f->more = more;
   f->harness = harness_create (build);
   f->platform = harness_start (f->harness, "tests/standins/medlartrack-standin-fleet", args);
   configure (f, 1);
@@ -98,6 +102,12 @@
   return f;
 }
 
+static struct fixture *
+create_fixture (const char *run_ms)
+{
+  return create_fixture_with_settings (run_ms, "");
+}
+
 static void
 destroy_fixture (struct fixture *f)
 {
@@ -642,6 +652,63 @@
   destroy_fixture (f);
 }
 
+/* True if the daemon has logged the event, as a fleet's daemon does: one JSON object a line. */
+static bool
+has_logged (const struct process *daemon, const char *event)
+{
+  g_autofree char *text = NULL;
+  g_autofree char *marker = g_strdup_printf ("\"name\":\"%s\"", event);
+
+  return g_file_get_contents (daemon->log_path, &text, NULL, NULL) && strstr (text, marker) != NULL;
+}
+
+/* Submits ten jobs a second for 4 s of each 8 s until a daemon has logged FORECAST. The first surge
+ * may come before the fleet's leader knows the level between surges. */
+static bool
+submit_until_surge (void *ctx)
+{
+  struct fixture *f = ctx;
+  gint64 now_ms = g_get_monotonic_time () / 1000;
+
+  if (now_ms % 8000 < 4000 && now_ms - f->submitted_ms >= 100)
+    {
+      g_autofree char *id = g_strdup_printf ("%016x", 0x1000 + f->jobs++);
+
+      f->submitted_ms = now_ms;
+      submit (f, 0, id, 12, 300);
+    }
+  for (unsigned i = 0; i < N_DAEMONS; i++)
+    if (has_logged (f->daemons[i], "FORECAST"))
+      return true;
+  return false;
+}
+
+static bool
+is_forecast_stored (void *ctx)
+{
+  struct fixture *f = ctx;
+  struct reply reply = harness_send (f->harness, f->platform, "GET",
+                                     "/test/get?key=medlartrack/forecast", NULL, NULL);
+  bool stored = reply.body != NULL && strstr (reply.body, "quotes") != NULL;
+
+  reply_clear (&reply);
+  return stored;
+}
+
+/* Guards against a forecast that is not fed, logged or stored by the daemons: a surge of the pool
+ * is logged as it is recognised, and stored with its pool once it has ended. */
+static void
+test_forecast_of_a_surge_is_stored (void **state)
+{
+  struct fixture *f = create_fixture_with_settings ("300", "\"forecast\":\"cycle\",");
+
+  wait_until_ready (f);
+  wait_for_state (f, "00000000000000aa", "completed");
+  assert_true (harness_wait (submit_until_surge, f));
+  assert_true (harness_wait (is_forecast_stored, f));
+  destroy_fixture (f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -662,6 +729,7 @@
     cmocka_unit_test (test_task_that_crashes_its_workers_fails_its_job),
     cmocka_unit_test (test_shrunk_workers_are_not_overcommitted),
     cmocka_unit_test (test_wave_survives_a_killed_controller),
+    cmocka_unit_test (test_forecast_of_a_surge_is_stored),
   };
 
   assert_true (argc >= 2);
