--- a/core/controller/forecast.c
+++ b/core/controller/forecast.c
@@ -43,6 +43,9 @@
 #define TOLERANCE_SHARE  0.1
 #define MIN_TOLERANCE_MS 1000
 #define MAX_TOLERANCE_MS 3000
+/* A beginning is expected this much early, since a machine that is missing costs more than one that
+ * idles for as long. */
+#define EARLY_MS 500
 /* Weight of a forecast that came true and of one that did not. A load without a pattern, of which
  * about one forecast in six comes true by chance, stays below SCORE_FLOOR most of the time. */
 #define HIT_WEIGHT  0.6
@@ -184,8 +187,6 @@
   return MAX ((f->score - SCORE_FLOOR) / (1 - SCORE_FLOOR), 0);
 }
 
-/* A beginning is expected half its tolerance early, since a machine that is missing costs more than
- * one that idles for as long. */
 static void
 expect_beginning (const struct mt_forecast *f,
                   const struct forecast_pool *p,
@@ -198,7 +199,7 @@
   expect_onset (f, p, at, now, out);
   if (p->recognised || p->expected_at == 0 || confidence <= 0)
     return;
-  if (at >= p->expected_at - p->tolerance_ms / 2 && (double) (at - p->expected_at) <= p->length_ms)
+  if (at >= p->expected_at - EARLY_MS && (double) (at - p->expected_at) <= p->length_ms)
     *out = (struct mt_forecast_value){ p->height, confidence, true };
   else if (at < p->expected_at - p->tolerance_ms && confidence > out->confidence)
     *out = (struct mt_forecast_value){ p->quiet, confidence, false };
