tests: surges with pauses in the process test of the forecast

The test submitted for 4 s of each 8 s. A fleet's leader that begins during a surge takes it for the level between surges, which does not decay in pauses of 4 s: no later surge stands out by the factor 3, and the test timed out in one of two full runs.

--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -662,15 +662,16 @@
   return g_file_get_contents (daemon->log_path, &text, NULL, NULL) && strstr (text, marker) != NULL;
 }
 
-/* Submits ten jobs a second for 4 s of each 8 s until a daemon has logged FORECAST. The first surge
- * may come before the fleet's leader knows the level between surges. */
+/* Submits ten jobs a second for 4 s of each 16 s until a daemon has logged FORECAST. The fleet's
+ * leader may take a surge during which it begins for the level between surges; that has decayed
+ * before the next one. */
 static bool
 submit_until_surge (void *ctx)
 {
   struct fixture *f = ctx;
   gint64 now_ms = g_get_monotonic_time () / 1000;
 
-  if (now_ms % 8000 < 4000 && now_ms - f->submitted_ms >= 100)
+  if (now_ms % 16000 < 4000 && now_ms - f->submitted_ms >= 100)
     {
       g_autofree char *id = g_strdup_printf ("%016x", 0x1000 + f->jobs++);
 
