--- a/fleet/settings.c
+++ b/fleet/settings.c
@@ -18,6 +18,9 @@
 static const struct mt_text_format share_policy_format
     = { "share policy", "write none, floor or deficit", accepts_share_policy };
 
+/* In the order of mt_forecast_method_at. */
+static const char *const forecast_methods[] = { "none", "onset", "cycle", "successor", NULL };
+
 static const struct mt_field top_fields[] = {
   { "name", MT_FIELD_TEXT, FIELD (name), .required = true, .form = &mt_text_format_name },
   { "zone", MT_FIELD_TEXT, FIELD (zone), .required = true, .form = &mt_text_format_name },
@@ -39,6 +42,8 @@
   { "second_tries", MT_FIELD_FLAG, FIELD (second_tries) },
   { "share_policy", MT_FIELD_TEXT, FIELD (share_policy), .text = "floor",
     .form = &share_policy_format },
+  { "forecast", MT_FIELD_CHOICE, FIELD (forecast), .choices = forecast_methods },
+  { "idle_cost", MT_FIELD_WEIGHT, FIELD (idle_cost), .max = 1, .fallback = 0.1 },
   { NULL },
 };
 
