--- a/core/controller/controller_moves.c
+++ b/core/controller/controller_moves.c
@@ -79,17 +79,23 @@
   return m->has_view && !m->view.silent && !m->view.leaving && m->view.long_running == 0;
 }
 
-/* Returns whether the machine may move to that pool. One that is due for maintenance has it first,
- * unless it can't begin now and there is time for it afterwards: in a surging pool the machine
- * would be busy until the wave is late, while in its present pool it is or will soon be empty. */
-static bool
-may_move_to (const struct mt_controller *ctl,
-             const struct mt_controller_machine *m,
-             const struct mt_controller_pool *to,
-             int64_t now)
+/* One that is due for maintenance has it first, unless it can't begin now and there is time for it
+ * afterwards: in a surging pool the machine would be busy until the wave is late, while in its
+ * present pool it is or will soon be empty. A forecast moves more machines to the standby pool than
+ * are moved there without it, so that they need time for the move, too. */
+bool
+mt_controller_may_move_to (const struct mt_controller *ctl,
+                           const struct mt_controller_machine *m,
+                           const struct mt_controller_pool *to,
+                           int64_t now)
 {
-  return to->standby || !mt_controller_is_due (ctl, m)
-         || mt_controller_can_defer (ctl, m, now + ctl->settings.move_ms + MIN_STAY_MS);
+  if (!mt_controller_is_due (ctl, m))
+    return true;
+  if (!to->standby)
+    return mt_controller_can_defer (ctl, m, now + ctl->settings.move_ms + MIN_STAY_MS);
+  return ctl->forecast == NULL
+         || mt_controller_can_defer (
+             ctl, m, now + mt_controller_move_ms (ctl) + mt_controller_drain_ms (ctl, m));
 }
 
 /* Returns whether machine a is better to move than b: a machine that is off and needs no
@@ -119,7 +125,7 @@
 
   g_hash_table_iter_init (&it, ctl->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
-    if (m->pool == p && can_move (m) && may_move_to (ctl, m, to, now)
+    if (m->pool == p && can_move (m) && mt_controller_may_move_to (ctl, m, to, now)
         && (best == NULL || is_better_to_move (ctl, m, best)))
       best = m;
   return best;
@@ -141,6 +147,7 @@
   m->wave = NULL;
   from->n_machines--;
   to->n_machines++;
+  to->n_arriving++;
   return true;
 }
 
@@ -156,13 +163,16 @@
   g_hash_table_iter_init (&it, ctl->machines);
   while (g_hash_table_iter_next (&it, NULL, (void **) &m))
     if (m->plan == MT_PLAN_MOVE && !m->order_pending && m->destination->standby && m->pool != to
-        && may_move_to (ctl, m, to, now) && (best == NULL || is_better_to_move (ctl, m, best)))
+        && mt_controller_may_move_to (ctl, m, to, now)
+        && (best == NULL || is_better_to_move (ctl, m, best)))
       best = m;
   if (best == NULL)
     return false;
   best->destination->n_machines--;
+  best->destination->n_arriving--;
   best->destination = to;
   to->n_machines++;
+  to->n_arriving++;
   return true;
 }
 
@@ -258,7 +268,10 @@
     {
       machines += p->n_machines;
       if (!p->standby && p->reported)
-        mt_controller_update_need (p, ctl->starved, now);
+        {
+          mt_controller_update_forecast (ctl, p, now);
+          mt_controller_update_need (p, ctl->starved, now);
+        }
     }
   ctl->starved = mt_controller_update_starved (ctl, now);
   mt_controller_allocate (ctl, machines);
