scheduler: new work prefers fast workers, by their measured speed

Workers were compared by one smoothed ratio of actual to expected run time, in which one task of seven times the length weighs as much as a slow worker, and which says nothing before the first run ends. A pool with slow workers reported their processors in full.

With the new setting worker_speed (default no) each worker's speed is estimated by route from the ended runs of the last 30 s and the progress of running ones: a median of samples, one for each step, against the median of the other workers. Runs reported late are left out. The estimate replaces the ratio in placing_cost, corrects the expected remaining time and the route's mean run time, and scales the processors of slow workers in the load report. Event WORKER_SLOW names them; JOB_ENDED says how many of the job's tasks were placed on one.

The reference is the median of the workers instead of the mean that the design named: a third of slow workers raises the mean. Samples are grouped by step, since packing puts most tasks of a hard job on one worker. A failed attempt asked for six different steps and kept samples for 12 s: a worker ten times slower whose eight slots held tasks of two jobs was then not found before its runs ended.

--- a/core/scheduler/scheduler.c
+++ b/core/scheduler/scheduler.c
@@ -103,6 +103,7 @@
   struct mt_worker *w = data;
 
   mt_worker_clear_ends (w);
+  mt_worker_forget_speed (w);
   g_strfreev (w->labels);
   g_free (w->address);
   g_free (w->zone);
@@ -196,6 +197,7 @@
   route = g_new0 (struct mt_route, 1);
   route->name = g_strdup (name);
   route->policy = (struct mt_route_policy){ .max_attempts = 1, .stretch = 1 };
+  route->index = g_hash_table_size (sched->routes);
   g_hash_table_insert (sched->routes, route->name, route);
   return route;
 }
@@ -367,7 +369,11 @@
   int64_t allowed = occ != NULL ? occ->objective_at - occ->due_at : 0;
   int64_t shortage_ms = occ != NULL ? occ->shortage_ms : 0;
   int64_t share_wait_ms = occ != NULL ? occ->share_wait_ms : 0;
+  g_autofree char *slow = NULL;
 
+  if (occ != NULL && occ->slow_starts > 0)
+    slow = g_strdup_printf (" slow_starts=%u slow_worker=%s", occ->slow_starts,
+                            occ->slow_worker->id);
   if (occ != NULL && occ->shortage_since != 0)
     shortage_ms += now - occ->shortage_since;
   if (occ != NULL && occ->share_wait_since != 0)
@@ -375,9 +381,9 @@
   mt_scheduler_log_event (
       sched, "JOB_ENDED",
       "id=%s route=%s state=%s age_ms=%" G_GINT64_FORMAT " objective_ms=%" G_GINT64_FORMAT
-      " no_room_ms=%" G_GINT64_FORMAT " reruns=%u share_wait_ms=%" G_GINT64_FORMAT,
+      " no_room_ms=%" G_GINT64_FORMAT " reruns=%u share_wait_ms=%" G_GINT64_FORMAT "%s",
       job->spec->id, job->route->name, mt_job_state_names[job->state], now - job->submitted_at,
-      allowed, shortage_ms, occ != NULL ? occ->reruns : 0, share_wait_ms);
+      allowed, shortage_ms, occ != NULL ? occ->reruns : 0, share_wait_ms, slow != NULL ? slow : "");
 }
 
 void
--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -105,7 +105,10 @@
 /* ---- ends ---- */
 
 static void
-update_run_times (struct mt_task *task, struct mt_worker *w, int64_t now)
+update_run_times (struct mt_scheduler *sched,
+                  struct mt_task *task,
+                  struct mt_worker *w,
+                  int64_t now)
 {
   struct mt_route *route = task->occ->job->route;
   const struct mt_step *step = mt_task_step (task);
@@ -115,13 +118,16 @@
   if (task->state != MT_TASK_RUNNING || run_ms <= 0)
     return;
   /* On a slow worker the run time does not characterize the step. */
-  if (w->slowness < MT_SLOW_FACTOR)
+  if (mt_worker_run_factor (w, route, w->slowness) < MT_SLOW_FACTOR)
     {
       task->occ->step_ms[task->step] = MAX (task->occ->step_ms[task->step], run_ms);
       mt_occurrence_set_objective (task->occ);
     }
   if (expected > 0)
     w->slowness += 0.15 * (run_ms / expected - w->slowness);
+  mt_worker_record_run (sched, w, task, run_ms, now);
+  /* Demand is stated for workers of normal speed, as is the capacity of the slow ones. */
+  run_ms /= MAX (mt_worker_run_factor (w, route, 1), 1);
   /* With a weight of 1/32 the mean follows a change of load within a surge, and one unusual job has
    * little effect on it. */
   route->mean_ms += (route->mean_ms == 0 ? 1.0 : 1.0 / 32) * (run_ms - route->mean_ms);
@@ -145,7 +151,7 @@
   struct mt_job *job = task->occ->job;
 
   mark_job_begun (sched, job, now);
-  update_run_times (task, w, now);
+  update_run_times (sched, task, w, now);
   mt_worker_record_outcome (sched, w, true, now);
   if (mt_task_step (task)->gang)
     finish_gang (sched, task, now);
@@ -455,6 +461,7 @@
   else if (w->started_at == 0)
     w->started_at = report->started_at_ms;
   record_answer (sched, w, now);
+  w->listed_before_at = w->listing_at;
   w->listing_at = now;
   w->lost_holds = 0;
   mt_worker_update_clock (w, report->clock_ms, now);
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -80,7 +80,9 @@
   int64_t share_wait_since; /* start of the present wait behind other workspaces' shares; 0: none */
   int64_t share_wait_ms;    /* total duration of earlier such waits */
   unsigned reruns;          /* starts of tasks that had run before */
-  bool has_suspects;        /* one of its tasks is or was a suspect */
+  unsigned slow_starts;     /* tasks placed on workers known to be slow */
+  const struct mt_worker *slow_worker; /* the last of these workers; NULL: none */
+  bool has_suspects;                   /* one of its tasks is or was a suspect */
   bool ended;
   bool work_recorded; /* its work is included in the route's mean_work */
 };
@@ -148,6 +150,7 @@
   double estimate_ms;  /* mean of the callers' estimates for the same tasks */
   double mean_work;    /* mean work of an occurrence, in thousandths of a core * ms */
   double chain_ms;     /* mean estimated run time of its jobs' longest chains */
+  unsigned index;      /* of the route among those of the scheduler */
   double arriving_cpu; /* rate of arriving work in thousandths of a core, as of arriving_at */
   int64_t arriving_at;
 };
@@ -173,15 +176,16 @@
   int64_t leaving_since;
   int64_t hold_sent_at;
   int64_t next_hold_at;
-  int64_t answered_at;    /* time of the last answer; 0: none */
-  int64_t start_sent_at;  /* when the last start was sent to it; 0: never */
-  int64_t listing_at;     /* time of its last listing of runs; 0: none */
-  int64_t silent_since;   /* since when the worker has not answered; 0: it answers */
-  int64_t fell_silent_at; /* when it last became silent; 0: never */
-  bool was_isolating;     /* a suspect was isolated on it at fell_silent_at */
-  int64_t clock_ms;       /* last reading of the worker's clock ... */
-  int64_t clock_at;       /* ... and our clock at that reading; 0: none */
-  int64_t lease_end;      /* time on our clock by which all leases granted to it have expired */
+  int64_t answered_at;      /* time of the last answer; 0: none */
+  int64_t start_sent_at;    /* when the last start was sent to it; 0: never */
+  int64_t listing_at;       /* time of its last listing of runs; 0: none */
+  int64_t listed_before_at; /* ... and of the listing before; 0: none */
+  int64_t silent_since;     /* since when the worker has not answered; 0: it answers */
+  int64_t fell_silent_at;   /* when it last became silent; 0: never */
+  bool was_isolating;       /* a suspect was isolated on it at fell_silent_at */
+  int64_t clock_ms;         /* last reading of the worker's clock ... */
+  int64_t clock_at;         /* ... and our clock at that reading; 0: none */
+  int64_t lease_end;        /* time on our clock by which all leases granted to it have expired */
   int64_t cordon_until;
   int64_t drain_announced_until; /* when the announcement of a later drain expires */
   bool move_long_running;
@@ -193,7 +197,9 @@
 
   double failures; /* recent failures, decayed */
   double successes;
-  double slowness; /* smoothed ratio of actual to expected run time */
+  double slowness;      /* smoothed ratio of actual to expected run time */
+  GPtrArray *speeds;    /* struct mt_worker_speed by index of the route; NULL: none yet */
+  double lost_capacity; /* share of its processors that it lacks for its speed, 0 to 1 */
   int64_t outcome_at;
   int64_t avoid_until;
   unsigned avoid_count;
@@ -269,6 +275,7 @@
   bool fenced;
   int64_t last_placed_at;
   int64_t last_check_at;
+  int64_t speeds_at;     /* last update of the workers' speeds */
   int64_t link_delay_ms; /* delay of outgoing messages in the owner's link */
   int64_t link_late_at;  /* when link_delay_ms was last too long for timely answers; 0: never */
   int64_t link_full_at;  /* when starts last waited for a full link; 0: never */
@@ -521,6 +528,23 @@
 
 /* scheduler_watch.c: stalled tasks, unanswered stops, moves, and lost workers */
 void mt_scheduler_check_workers (struct mt_scheduler *sched, int64_t now);
+/* scheduler_speed.c */
+/* Counts a successful run as a sample of the worker's speed, unless its duration is not reliable.
+ */
+void mt_worker_record_run (struct mt_scheduler *sched,
+                           struct mt_worker *w,
+                           const struct mt_task *task,
+                           double run_ms,
+                           int64_t now);
+/* Returns the run time of the route's tasks on the worker relative to that on the route's other
+ * workers; `unknown` without evidence. */
+double
+mt_worker_run_factor (const struct mt_worker *w, const struct mt_route *route, double unknown);
+/* Forgets all samples of the worker. */
+void mt_worker_forget_speed (struct mt_worker *w);
+/* Updates the factors of all workers and logs which of them are slow. */
+void mt_scheduler_update_speeds (struct mt_scheduler *sched, int64_t now);
+
 /* scheduler_pace.c */
 void mt_worker_adjust_pace (struct mt_scheduler *sched, struct mt_worker *w, int64_t now);
 
--- a/core/scheduler/scheduler_load.c
+++ b/core/scheduler/scheduler_load.c
@@ -22,6 +22,8 @@
   double expected = mt_step_expected_ms (task->occ->job->route, mt_task_step (task));
   int64_t known = task->progress_at - task->state_since;
 
+  if (task->worker != NULL)
+    expected *= mt_worker_run_factor (task->worker, task->occ->job->route, 1);
   if (task->state == MT_TASK_STOPPING)
     return 0;
   if (task->state == MT_TASK_RUNNING && task->percent > 0 && known > 0)
@@ -91,6 +93,13 @@
   return n;
 }
 
+/* Returns the processors as a number of processors of workers of normal speed. */
+static int64_t
+at_normal_speed (const struct mt_worker *w, int64_t cpu)
+{
+  return (int64_t) ((double) cpu * (1 - w->lost_capacity));
+}
+
 static void
 add_worker_usage (struct mt_scheduler_load *load, const struct mt_worker *w, int64_t now)
 {
@@ -107,7 +116,7 @@
           load->long_running_cpu += step->need.cpu;
         }
       if (step->long_running || task->occ->objective_at > now)
-        load->urgent_used_cpu += step->need.cpu;
+        load->urgent_used_cpu += at_normal_speed (w, step->need.cpu);
     }
 }
 
@@ -291,8 +300,8 @@
       load->unplaceable += count_unplaceable (sched, w, now);
       if (!mt_worker_accepts_work (w, now))
         continue;
-      load->capacity_cpu += w->resources.cpu;
-      load->used_cpu += w->used.cpu;
+      load->capacity_cpu += at_normal_speed (w, w->resources.cpu);
+      load->used_cpu += at_normal_speed (w, w->used.cpu);
       add_worker_usage (load, w, now);
     }
   if (mt_scheduler_is_link_bound (sched, now))
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -341,7 +341,8 @@
   const struct mt_step *step = mt_task_step (task);
   double slowness = w->slowness / MAX (placement->mean_slowness, 0.1);
   double load = w->resources.cpu > 0 ? (double) w->used.cpu / (double) w->resources.cpu : 0;
-  double cost = slowness > MT_SLOW_FACTOR ? slowness : 1;
+  double cost
+      = mt_worker_run_factor (w, task->occ->job->route, slowness > MT_SLOW_FACTOR ? slowness : 1);
 
   if (step->rack != NULL
       && (w->labels == NULL || !g_strv_contains ((const char *const *) w->labels, step->rack)))
--- a/core/scheduler/scheduler_tasks.c
+++ b/core/scheduler/scheduler_tasks.c
@@ -111,6 +111,11 @@
 {
   task->occ->step_waiting[task->step]--;
   task->occ->reruns += task->run > 0;
+  if (mt_worker_run_factor (w, task->occ->job->route, 1) > MT_SLOW_FACTOR)
+    {
+      task->occ->slow_starts++;
+      task->occ->slow_worker = w;
+    }
   task->state = MT_TASK_PLACED;
   task->state_since = now;
   task->acked_at = 0;
--- a/core/scheduler/scheduler_watch.c
+++ b/core/scheduler/scheduler_watch.c
@@ -290,6 +290,7 @@
   if (now - sched->last_check_at < CHECK_INTERVAL_MS)
     return;
   sched->last_check_at = now;
+  mt_scheduler_update_speeds (sched, now);
   g_hash_table_iter_init (&it, sched->workers);
   while (g_hash_table_iter_next (&it, NULL, (void **) &w))
     check_worker (sched, w, now);
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -55,6 +55,7 @@
   mt_worker_clear_ends (w);
   w->failures = w->successes = 0;
   w->slowness = 1.0;
+  mt_worker_forget_speed (w);
   w->avoid_until = 0;
   w->silent_since = w->answered_at = 0;
   w->next_hold_at = 0;
@@ -180,6 +181,7 @@
   mt_worker_release_tasks (sched, w, true, now, proof);
   w->ended = true;
   w->listed = false;
+  mt_worker_forget_speed (w);
 }
 
 void
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -165,7 +165,8 @@
                                          .retention_ms = (int64_t) (1000 * b->status_s),
                                          .stop_grace_ms = b->stop_grace_ms,
                                          .share_policy
-                                         = mt_share_policy_find (f->settings->share_policy) };
+                                         = mt_share_policy_find (f->settings->share_policy),
+                                         .worker_speed = f->settings->worker_speed };
 }
 
 static bool
--- a/fleet/settings.c
+++ b/fleet/settings.c
@@ -37,6 +37,7 @@
   { "store_wait", MT_FIELD_FLAG, FIELD (store_wait) },
   { "body_bytes", MT_FIELD_COUNT, FIELD (body_bytes), .min = 1, .max = 64e6, .fallback = 262144 },
   { "second_tries", MT_FIELD_FLAG, FIELD (second_tries) },
+  { "worker_speed", MT_FIELD_FLAG, FIELD (worker_speed) },
   { "share_policy", MT_FIELD_TEXT, FIELD (share_policy), .text = "floor",
     .form = &share_policy_format },
   { NULL },
--- a/fleet/settings.h
+++ b/fleet/settings.h
@@ -37,6 +37,7 @@
   unsigned body_bytes;
   bool store_wait;   /* submissions wait for the store in an outage, and retries are planned */
   bool second_tries; /* reads and transactions of the store are hedged */
+  bool worker_speed; /* work is placed by the measured speed of the workers */
   struct mt_str share_policy; /* name of a policy by which workspaces share a pool */
   struct mt_fleet_bounds bounds;
 };
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -199,6 +199,10 @@
           WORKER_RESERVED,
           G_LOG_LEVEL_MESSAGE,
           "a worker takes only long-running tasks for now, since one of them fits on no worker")
+MT_EVENT (8310,
+          WORKER_SLOW,
+          G_LOG_LEVEL_MESSAGE,
+          "a worker's run times on a route pass those of the other workers, or no longer do")
 
 MT_EVENT (8401, WAVE_SEEN, G_LOG_LEVEL_MESSAGE, "a maintenance wave was requested")
 MT_EVENT (8402, WAVE_ENDED, G_LOG_LEVEL_MESSAGE, "a maintenance wave completed")
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -30,6 +30,7 @@
   int64_t retention_ms;  /* shortest time for which a job's records are kept after its end */
   int64_t stop_grace_ms; /* longest time that a run goes on after it was ordered to stop */
   const struct mt_share_policy *share_policy; /* NULL: the default, "floor" */
+  bool worker_speed; /* workers are compared by their run times; see scheduler_speed.c */
 };
 
 struct mt_route_policy
--- a/tests/fleet/test_settings.c
+++ b/tests/fleet/test_settings.c
@@ -36,12 +36,26 @@
   assert_non_null (strstr (error->message, "floor"));
 }
 
+/* Guards against deployments whose placing changes although they have not asked for it. */
+static void
+test_worker_speed_is_off_unless_set (void **state)
+{
+  struct mt_fleet_settings *settings = mt_fleet_settings_parse (MT_STR ("{" REQUIRED "}"), NULL);
+
+  assert_false (settings->worker_speed);
+  mt_fleet_settings_destroy (settings);
+  settings = mt_fleet_settings_parse (MT_STR ("{" REQUIRED ",\"worker_speed\":true}"), NULL);
+  assert_true (settings->worker_speed);
+  mt_fleet_settings_destroy (settings);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_share_policy_is_floor_unless_set),
     cmocka_unit_test (test_unknown_share_policy_is_refused),
+    cmocka_unit_test (test_worker_speed_is_off_unless_set),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -44,6 +44,7 @@
   struct mt_scheduler *sched;
 
   with_policy.share_policy = world->share_policy;
+  with_policy.worker_speed = world->worker_speed;
   sched = mt_scheduler_create (&with_policy);
   mt_scheduler_set_route (sched, "route", &route_policy);
   return sched;
@@ -57,6 +58,14 @@
   world->sched = create_scheduler (world);
 }
 
+void
+world_set_worker_speed (struct world *world)
+{
+  world->worker_speed = true;
+  mt_scheduler_destroy (world->sched);
+  world->sched = create_scheduler (world);
+}
+
 struct world *
 world_create (void)
 {
@@ -432,9 +441,11 @@
 static int64_t
 run_end_time (const struct world *world, const struct world_worker *w, const char *task)
 {
+  double factor = world->task_factor != NULL ? world->task_factor (task) : 1;
+
   return world->run_ms < 0 || task[0] == WORLD_LONG_RUNNING_PREFIX
              ? -1
-             : world->now + (int64_t) (w->run_time_factor * (double) world->run_ms);
+             : world->now + (int64_t) (factor * w->run_time_factor * (double) world->run_ms);
 }
 
 /* True if a worker with a valid lease lists the task as done. */
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -149,6 +149,8 @@
   GHashTable *crashes_by_task; /* tasks to the number of workers that crashed while running them */
   bool new_id_after_crash;     /* a crashed machine returns as another worker, same address */
   const struct mt_share_policy *share_policy; /* NULL: the default */
+  bool worker_speed;                          /* setting of the leaders */
+  double (*task_factor) (const char *task);   /* multiplies a task's run time; NULL: 1 */
   GHashTable *records;                        /* job id to its last stored record */
 };
 
@@ -156,6 +158,8 @@
 /* Makes this and later leaders share by the policy of that name; to be called before anything else.
  */
 void world_set_share_policy (struct world *world, const char *name);
+/* Makes this and later leaders compare the speed of workers; to be called before anything else. */
+void world_set_worker_speed (struct world *world);
 void world_destroy (struct world *world);
 /* Registers a worker with 16 cores and 32 GB at once. */
 struct world_worker *world_add_worker (struct world *world, const char *rack);
