scheduler: tasks with a checkpoint leave slow workers

A task on a worker ten times slower kept its job waiting for up to a minute, though others had free resources: only new work took the speed into account.

With worker_speed a running task is stopped and continues elsewhere from its checkpoint if the rest would take at least 0.4 s longer on its worker than a move and the rest elsewhere, by the progress of the run. It is moved in its first run only, one task in 0.4 s for each pool, and not while tasks lack resources: these would take those meant for it. One check looks for faster workers for at most 8 tasks, since a scan for each task of a hundred slow workers would be half a million steps every 50 ms.

--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -309,7 +309,9 @@
       return;
     }
   task->listing = w->listing;
-  mt_task_set_checkpoint (task, row->checkpoint);
+  /* Written since the last listing, so not before the progress known from it. */
+  if (mt_task_set_checkpoint (task, row->checkpoint))
+    task->checkpoint_percent = task->percent;
   mark_running (sched, task, now);
   if (task->inherited)
     task->predecessor_stop_by = now + sched->settings.stop_grace_ms + MAX_END_LISTING_MS;
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -26,18 +26,19 @@
   uint16_t step;
   uint16_t index;
   uint8_t state;
-  uint8_t attempts;      /* failed runs */
-  uint8_t losses;        /* consecutive runs lost with their worker */
-  uint8_t crashes;       /* ... of these, losses shortly after the run began */
-  uint8_t start_retries; /* times the start of this run was resent */
-  uint8_t percent;       /* progress, as last reported */
-  uint8_t pace;          /* speed of a fill task, in percent of full speed */
-  bool order_queued;     /* a start or stop is queued */
-  bool order_in_flight;  /* a start or stop was sent and has no answer yet */
-  bool unconfirmed;      /* the last start sent got no answer */
-  bool stop_acked;       /* the worker has acknowledged the stop */
-  bool done_elsewhere;   /* an earlier run completed the task; this run only has to end */
-  bool inherited;        /* ordered by the previous leader and not listed by its worker since */
+  uint8_t attempts;           /* failed runs */
+  uint8_t losses;             /* consecutive runs lost with their worker */
+  uint8_t crashes;            /* ... of these, losses shortly after the run began */
+  uint8_t start_retries;      /* times the start of this run was resent */
+  uint8_t percent;            /* progress, as last reported */
+  uint8_t checkpoint_percent; /* least progress of this run at its last checkpoint */
+  uint8_t pace;               /* speed of a fill task, in percent of full speed */
+  bool order_queued;          /* a start or stop is queued */
+  bool order_in_flight;       /* a start or stop was sent and has no answer yet */
+  bool unconfirmed;           /* the last start sent got no answer */
+  bool stop_acked;            /* the worker has acknowledged the stop */
+  bool done_elsewhere;        /* an earlier run completed the task; this run only has to end */
+  bool inherited; /* ordered by the previous leader and not listed by its worker since */
   bool begun_under_predecessor; /* the previous leader recorded that the run had begun */
   bool suspect;                 /* its last run may have crashed its worker */
   bool isolated; /* suspect whose run has not settled; no other job's task starts on its worker */
@@ -275,10 +276,12 @@
   bool fenced;
   int64_t last_placed_at;
   int64_t last_check_at;
-  int64_t speeds_at;     /* last update of the workers' speeds */
-  int64_t link_delay_ms; /* delay of outgoing messages in the owner's link */
-  int64_t link_late_at;  /* when link_delay_ms was last too long for timely answers; 0: never */
-  int64_t link_full_at;  /* when starts last waited for a full link; 0: never */
+  int64_t slow_move_at;     /* when a task was last moved off a slow worker */
+  unsigned slow_scans_left; /* scans for such moves in the present check */
+  int64_t speeds_at;        /* last update of the workers' speeds */
+  int64_t link_delay_ms;    /* delay of outgoing messages in the owner's link */
+  int64_t link_late_at;     /* when link_delay_ms was last too long for timely answers; 0: never */
+  int64_t link_full_at;     /* when starts last waited for a full link; 0: never */
   int64_t order_lost_at; /* when an order to a worker that answers others was last lost; 0: never */
   int64_t expected_cpu;  /* announced, in thousandths of a core; valid until expected_until */
   int64_t expected_until;
@@ -347,7 +350,8 @@
 void mt_task_set_waiting (struct mt_scheduler *sched, struct mt_task *task, int64_t now);
 void mt_task_finish (struct mt_scheduler *sched, struct mt_task *task, int64_t now);
 void mt_task_stop (struct mt_scheduler *sched, struct mt_task *task, int64_t now);
-void mt_task_set_checkpoint (struct mt_task *task, const char *checkpoint);
+/* Returns whether the checkpoint is a new one. */
+bool mt_task_set_checkpoint (struct mt_task *task, const char *checkpoint);
 void mt_task_dequeue (struct mt_scheduler *sched, struct mt_task *task);
 
 /* wait estimate */
@@ -529,7 +533,8 @@
 /* scheduler_watch.c: stalled tasks, unanswered stops, moves, and lost workers */
 void mt_scheduler_check_workers (struct mt_scheduler *sched, int64_t now);
 /* scheduler_speed.c */
-/* Counts a successful run as a sample of the worker's speed, unless its duration is not reliable.
+/* Counts a run that took, or by its progress would take, run_ms as a sample of the worker's speed,
+ * unless its duration is not reliable.
  */
 void mt_worker_record_run (struct mt_scheduler *sched,
                            struct mt_worker *w,
--- a/core/scheduler/scheduler_tasks.c
+++ b/core/scheduler/scheduler_tasks.c
@@ -122,6 +122,7 @@
   task->begun_at = 0;
   task->progress_at = now;
   task->percent = 0;
+  task->checkpoint_percent = 0;
   task->pace = 100;
   task->gauge = 0;
   task->start_retries = 0;
@@ -194,11 +195,12 @@
   mt_job_mark_dirty (sched, task->occ->job);
 }
 
-void
+bool
 mt_task_set_checkpoint (struct mt_task *task, const char *checkpoint)
 {
   if (checkpoint == NULL || checkpoint[0] == '\0' || g_strcmp0 (task->checkpoint, checkpoint) == 0)
-    return;
+    return false;
   g_free (task->checkpoint);
   task->checkpoint = g_strdup (checkpoint);
+  return true;
 }
--- a/core/scheduler/scheduler_watch.c
+++ b/core/scheduler/scheduler_watch.c
@@ -18,6 +18,17 @@
 /* A task that is expected to end within this time is not moved off a draining worker: a move costs
  * 200 to 300 ms. */
 #define MIN_MOVE_REMAINING_MS 400
+/* Time for stopping a run and starting it elsewhere from its checkpoint: the upper end of what
+ * moves cost. */
+#define MOVE_MS 300
+/* Interval of moves off slow workers in a pool. The resources that a moved task is to use are taken
+ * once its stop has taken effect, and would be counted for several tasks before. */
+#define SLOW_MOVE_INTERVAL_MS 400
+/* Tasks of a pool for which one check looks for faster workers: with a third of 350 workers slow, a
+ * scan of all workers for each of their tasks would be half a million steps. */
+#define MAX_SLOW_SCANS 8U
+/* Least progress from which the remaining time of a task on a slow worker is known well enough. */
+#define MIN_SLOW_MOVE_PERCENT 10U
 
 /* Stops a stalled task, so that it runs elsewhere: a stalled run gives its caller no result. The
  * work since its last checkpoint is lost. */
@@ -234,6 +245,95 @@
     }
 }
 
+/* Returns the least factor of the run time on other workers that can run the task in its rack;
+ * G_MAXDOUBLE if there are none. */
+static double
+best_factor_elsewhere (const struct mt_scheduler *sched, const struct mt_task *task, int64_t now)
+{
+  const struct mt_route *route = task->occ->job->route;
+  double best = G_MAXDOUBLE;
+  GHashTableIter it;
+  struct mt_worker *w;
+
+  g_hash_table_iter_init (&it, sched->workers);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &w))
+    if (w != task->worker && mt_worker_accepts_work (w, now) && mt_worker_can_run (w, task)
+        && mt_worker_has_label (w, mt_task_step (task)->rack) && w->long_running_only_until <= now
+        && w->reserved_for == NULL)
+      best = MIN (best, mt_worker_run_factor (w, route, 1));
+  return best;
+}
+
+/* Returns whether waiting tasks lack resources: they would take those meant for a moved task. */
+static bool
+has_shortage (const struct mt_scheduler *sched)
+{
+  for (const GList *l = sched->open.head; l != NULL; l = l->next)
+    {
+      const struct mt_job *job = l->data;
+
+      for (unsigned k = 0; k < job->n_occurrences; k++)
+        if (job->occurrences[k] != NULL && job->occurrences[k]->shortage_since != 0)
+          return true;
+    }
+  return false;
+}
+
+/* Moves the task if the rest of it would take longer here than a restart from its checkpoint
+ * elsewhere. Only first runs are moved, so a task is moved at most once: the progress of a run that
+ * was continued doesn't show its speed. */
+static bool
+move_off_slow (struct mt_scheduler *sched, struct mt_worker *w, struct mt_task *task, int64_t now)
+{
+  double factor = mt_worker_run_factor (w, task->occ->job->route, 1);
+  int64_t known = task->progress_at - task->state_since;
+  int64_t here_ms;
+  double elsewhere_ms;
+  double whole_ms;
+
+  if (factor <= MT_SLOW_FACTOR || !is_movable (task) || task->checkpoint == NULL || task->run > 1
+      || task->pace < 100 || task->percent < MIN_SLOW_MOVE_PERCENT || known <= 0
+      || task->occ->job->route->needs_tickets)
+    return false;
+  here_ms = mt_task_remaining_ms (task, now);
+  if (here_ms < MOVE_MS + MIN_MOVE_REMAINING_MS || sched->slow_scans_left == 0)
+    return false;
+  sched->slow_scans_left--;
+  if (has_shortage (sched))
+    {
+      sched->slow_scans_left = 0;
+      return false;
+    }
+  whole_ms = (double) known * 100 / task->percent / factor;
+  elsewhere_ms = MOVE_MS
+                 + best_factor_elsewhere (sched, task, now) * whole_ms
+                       * (100 - task->checkpoint_percent) / 100;
+  if ((double) here_ms < elsewhere_ms + MIN_MOVE_REMAINING_MS)
+    return false;
+  mt_task_log_event (sched, task, w, "TASK_MOVED",
+                     "why=slow left_ms=%" G_GINT64_FORMAT " elsewhere_ms=%d percent=%u kept=%u",
+                     here_ms, (int) elsewhere_ms, task->percent, task->checkpoint_percent);
+  /* Otherwise the evidence against the worker would leave it with the tasks. */
+  mt_worker_record_run (sched, w, task, (double) known * 100 / task->percent, now);
+  task->avoided = w;
+  mt_task_stop (sched, task, now);
+  return true;
+}
+
+static void
+move_one_off_slow (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
+{
+  if (w->lost_capacity <= 0 || w->silent_since != 0
+      || now - sched->slow_move_at < SLOW_MOVE_INTERVAL_MS)
+    return;
+  for (GList *l = w->tasks.head; l != NULL; l = l->next)
+    if (move_off_slow (sched, w, l->data, now))
+      {
+        sched->slow_move_at = now;
+        return;
+      }
+}
+
 static void
 check_worker (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
@@ -279,6 +379,8 @@
     }
   if (draining)
     move_checkpointed (sched, w, now);
+  else
+    move_one_off_slow (sched, w, now);
 }
 
 void
@@ -291,6 +393,7 @@
     return;
   sched->last_check_at = now;
   mt_scheduler_update_speeds (sched, now);
+  sched->slow_scans_left = MAX_SLOW_SCANS;
   g_hash_table_iter_init (&it, sched->workers);
   while (g_hash_table_iter_next (&it, NULL, (void **) &w))
     check_worker (sched, w, now);
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -151,7 +151,7 @@
 MT_EVENT (8203,
           TASK_MOVED,
           G_LOG_LEVEL_MESSAGE,
-          "a task is stopped to continue elsewhere, because its worker is being emptied")
+          "a task is stopped to continue elsewhere, because its worker is being emptied or is slow")
 MT_EVENT (8204,
           TASK_PACED,
           G_LOG_LEVEL_MESSAGE,
--- a/tests/scheduler/test_speed.c
+++ b/tests/scheduler/test_speed.c
@@ -99,6 +99,9 @@
   unsigned random;
   int64_t interval_ms;   /* between jobs of four tasks of two cores */
   GString *events;       /* of WORKER_SLOW, a line each */
+  bool checkpointing;    /* of the jobs' steps */
+  unsigned n_moves;      /* off slow workers */
+  int64_t longest_ms;    /* age of the job that took longest */
   unsigned n_slow_ended; /* ended jobs that had tasks on slow workers */
 };
 
@@ -107,6 +110,12 @@
 {
   struct load *load = ctx;
 
+  const char *age = strstr (detail, " age_ms=");
+
+  load->n_moves += strcmp (name, "TASK_MOVED") == 0 && strstr (detail, "why=slow") != NULL;
+  if (strcmp (name, "JOB_ENDED") == 0)
+    load->longest_ms
+        = MAX (load->longest_ms, g_ascii_strtoll (age + strlen (" age_ms="), NULL, 10));
   if (strcmp (name, "JOB_ENDED") == 0)
     load->n_slow_ended += strstr (detail, " slow_worker=i-") != NULL;
   if (strcmp (name, "WORKER_SLOW") == 0)
@@ -137,6 +146,16 @@
   world_destroy (load->world);
 }
 
+static void
+submit_job (struct load *load, char prefix, int64_t estimate_ms)
+{
+  g_autofree char *id = g_strdup_printf ("%c%u", prefix, load->n_jobs++);
+  struct mt_job_spec *spec = world_job (id, 4, 2000, estimate_ms);
+
+  spec->steps[0].checkpointing = load->checkpointing;
+  world_submit (load->world, spec);
+}
+
 /* Submits jobs whose estimates are half to twice the mean run time, whatever the real one is. */
 static void
 run_load (struct load *load, int64_t ms)
@@ -146,10 +165,8 @@
   mt_scheduler_set_event_callback (load->world->sched, record_event, load);
   while (load->world->now < until)
     {
-      g_autofree char *id = g_strdup_printf ("j%u", load->n_jobs++);
-
       load->random = load->random * 1103515245U + 12345U;
-      world_submit (load->world, world_job (id, 4, 2000, 700 + (load->random >> 16) % 2100));
+      submit_job (load, 'j', 700 + (load->random >> 16) % 2100);
       world_run (load->world, load->interval_ms);
     }
 }
@@ -159,11 +176,7 @@
 fill_all_workers (struct load *load)
 {
   for (unsigned i = 0; i < 2 * load->world->n_workers; i++)
-    {
-      g_autofree char *id = g_strdup_printf ("f%u", load->n_jobs++);
-
-      world_submit (load->world, world_job (id, 4, 2000, 1400));
-    }
+    submit_job (load, 'f', 1400);
 }
 
 /* Returns how often the worker was logged with the state. */
@@ -413,6 +426,72 @@
   destroy_load (&load);
 }
 
+/* A load of which one worker runs `factor` times longer, and whose tasks take about 4 s elsewhere.
+ */
+static struct load
+run_with_slow_worker (double factor, bool checkpointing, int64_t interval_ms)
+{
+  struct load load = create_load (9, 8, true);
+
+  load.checkpointing = checkpointing;
+  load.world->checkpoint_percent = 2;
+  load.world->workers[4].run_time_factor = factor;
+  load.world->run_ms = 3000;
+  load.interval_ms = interval_ms;
+  fill_all_workers (&load);
+  run_load (&load, 60000);
+  return load;
+}
+
+/* Guards against jobs that wait for tasks on a slow worker although these could go on elsewhere,
+ * and against two runs of a moved task. */
+static void
+test_tasks_with_checkpoint_leave_a_slow_worker (void **state)
+{
+  struct load moved = run_with_slow_worker (10, true, 800);
+  struct load stays = run_with_slow_worker (10, false, 800);
+
+  assert_true (moved.n_moves >= 4);
+  assert_true (moved.n_moves <= moved.world->workers[4].n_starts);
+  assert_int_equal (stays.n_moves, 0);
+  assert_true (2 * moved.longest_ms < stays.longest_ms);
+  assert_int_equal (moved.world->duplicate_starts, 0);
+  assert_int_equal (moved.world->redundant_starts, 0);
+  destroy_load (&moved);
+  destroy_load (&stays);
+}
+
+/* Guards against moves that take longer than the rest of the run. */
+static void
+test_tasks_stay_where_a_move_gains_nothing (void **state)
+{
+  struct load load = create_load (9, 9, true);
+
+  load.checkpointing = true;
+  load.world->checkpoint_percent = 2;
+  load.world->workers[4].run_time_factor = 1.7;
+  load.world->run_ms = 450;
+  for (unsigned i = 0; i < 20; i++)
+    {
+      fill_all_workers (&load);
+      run_load (&load, 2500);
+    }
+  assert_int_equal (count_events (&load, &load.world->workers[4], "slow") > 0, true);
+  assert_int_equal (load.n_moves, 0);
+  destroy_load (&load);
+}
+
+/* Guards against moved tasks that wait behind others while their worker is used by others. */
+static void
+test_tasks_stay_in_a_full_pool (void **state)
+{
+  struct load load = run_with_slow_worker (5, true, 150);
+
+  assert_int_equal (count_events (&load, &load.world->workers[4], "slow") > 0, true);
+  assert_int_equal (load.n_moves, 0);
+  destroy_load (&load);
+}
+
 int
 main (void)
 {
@@ -428,6 +507,9 @@
     cmocka_unit_test (test_new_worker_is_not_slow),
     cmocka_unit_test (test_silent_worker_is_not_slow),
     cmocka_unit_test (test_takeover_starts_without_estimates),
+    cmocka_unit_test (test_tasks_with_checkpoint_leave_a_slow_worker),
+    cmocka_unit_test (test_tasks_stay_where_a_move_gains_nothing),
+    cmocka_unit_test (test_tasks_stay_in_a_full_pool),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -470,13 +470,19 @@
 static void
 start_run (struct world *world, struct world_worker *w, const struct mt_order *order)
 {
+  unsigned kept = world->checkpoint_percent > 0 && order->checkpoint != NULL
+                      ? (unsigned) g_ascii_strtoull (order->checkpoint, NULL, 10)
+                      : 0;
   struct world_run r = { .run = order->run,
                          .started_at = world->now,
                          .ends_at = run_end_time (world, w, order->task),
                          .fails = w->fails_runs,
                          .stalled = w->stalls_runs,
+                         .kept = kept,
                          .pace_percent = 100 };
 
+  if (r.ends_at >= 0)
+    r.ends_at -= (r.ends_at - r.started_at) * kept / 100;
   if (world_count_running (world, order->task) > 0)
     world->duplicate_starts++;
   if (is_completed (world, order->task))
@@ -624,6 +630,19 @@
   return (unsigned) (100 * (world->now - r->started_at) / MAX (r->ends_at - r->started_at, 1));
 }
 
+/* Returns the run's checkpoint as text, its progress in percent; NULL if it has none. */
+static const char *
+write_checkpoint (const struct world *world, struct world_run *r)
+{
+  unsigned percent = r->kept + progress_percent (world, r) * (100 - r->kept) / 100;
+
+  if (world->checkpoint_percent == 0 || percent < world->checkpoint_percent || percent >= 100)
+    return NULL;
+  snprintf (r->checkpoint, sizeof r->checkpoint, "%u",
+            percent / world->checkpoint_percent * world->checkpoint_percent);
+  return r->checkpoint;
+}
+
 static void
 answer_hold (struct world *world, struct world_worker *w)
 {
@@ -637,10 +656,10 @@
 
   for (guint i = 0; i < w->runs->len && i < 512; i++)
     {
-      const struct world_run *r = &g_array_index (w->runs, struct world_run, i);
+      struct world_run *r = &g_array_index (w->runs, struct world_run, i);
 
-      runs[report.n_running++]
-          = (struct mt_run_row){ r->task, r->run, NULL, progress_percent (world, r), w->gauge };
+      runs[report.n_running++] = (struct mt_run_row){ r->task, r->run, write_checkpoint (world, r),
+                                                      progress_percent (world, r), w->gauge };
     }
   for (guint i = 0; i < w->ends->len && i < 512; i++)
     {
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -21,8 +21,10 @@
   int64_t started_at;
   int64_t ends_at; /* -1: runs until it is stopped */
   bool fails;
-  bool stalled;     /* makes no progress */
-  int64_t stops_at; /* when a requested stop takes effect; 0: no stop requested */
+  bool stalled;       /* makes no progress */
+  unsigned kept;      /* progress of the checkpoint that it continues from, in percent */
+  char checkpoint[8]; /* as last written; empty: none */
+  int64_t stops_at;   /* when a requested stop takes effect; 0: no stop requested */
   unsigned pace_percent;
 };
 
@@ -150,8 +152,9 @@
   bool new_id_after_crash;     /* a crashed machine returns as another worker, same address */
   const struct mt_share_policy *share_policy; /* NULL: the default */
   bool worker_speed;                          /* setting of the leaders */
-  double (*task_factor) (const char *task);   /* multiplies a task's run time; NULL: 1 */
-  GHashTable *records;                        /* job id to its last stored record */
+  unsigned checkpoint_percent; /* runs write a checkpoint at each multiple of this; 0: never */
+  double (*task_factor) (const char *task); /* multiplies a task's run time; NULL: 1 */
+  GHashTable *records;                      /* job id to its last stored record */
 };
 
 struct world *world_create (void);
