--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -26,18 +26,19 @@
   uint16_t step;
   uint16_t index;
   uint8_t state;
-  uint8_t attempts;      /* failed runs */
-  uint8_t losses;        /* consecutive runs lost with their worker */
-  uint8_t crashes;       /* ... of these, losses shortly after the run began */
-  uint8_t start_retries; /* times the start of this run was resent */
-  uint8_t percent;       /* progress, as last reported */
-  uint8_t pace;          /* speed of a fill task, in percent of full speed */
-  bool order_queued;     /* a start or stop is queued */
-  bool order_in_flight;  /* a start or stop was sent and has no answer yet */
-  bool unconfirmed;      /* the last start sent got no answer */
-  bool stop_acked;       /* the worker has acknowledged the stop */
-  bool done_elsewhere;   /* an earlier run completed the task; this run only has to end */
-  bool inherited;        /* ordered by the previous leader and not listed by its worker since */
+  uint8_t attempts;           /* failed runs */
+  uint8_t losses;             /* consecutive runs lost with their worker */
+  uint8_t crashes;            /* ... of these, losses shortly after the run began */
+  uint8_t start_retries;      /* times the start of this run was resent */
+  uint8_t percent;            /* progress, as last reported */
+  uint8_t checkpoint_percent; /* least progress of this run at its last checkpoint */
+  uint8_t pace;               /* speed of a fill task, in percent of full speed */
+  bool order_queued;          /* a start or stop is queued */
+  bool order_in_flight;       /* a start or stop was sent and has no answer yet */
+  bool unconfirmed;           /* the last start sent got no answer */
+  bool stop_acked;            /* the worker has acknowledged the stop */
+  bool done_elsewhere;        /* an earlier run completed the task; this run only has to end */
+  bool inherited; /* ordered by the previous leader and not listed by its worker since */
   bool begun_under_predecessor; /* the previous leader recorded that the run had begun */
   bool suspect;                 /* its last run may have crashed its worker */
   bool isolated; /* suspect whose run has not settled; no other job's task starts on its worker */
@@ -80,7 +81,9 @@
   int64_t share_wait_since; /* start of the present wait behind other workspaces' shares; 0: none */
   int64_t share_wait_ms;    /* total duration of earlier such waits */
   unsigned reruns;          /* starts of tasks that had run before */
-  bool has_suspects;        /* one of its tasks is or was a suspect */
+  unsigned slow_starts;     /* tasks placed on workers known to be slow */
+  const struct mt_worker *slow_worker; /* the last of these workers; NULL: none */
+  bool has_suspects;                   /* one of its tasks is or was a suspect */
   bool ended;
   bool work_recorded; /* its work is included in the route's mean_work */
 };
@@ -148,6 +151,7 @@
   double estimate_ms;  /* mean of the callers' estimates for the same tasks */
   double mean_work;    /* mean work of an occurrence, in thousandths of a core * ms */
   double chain_ms;     /* mean estimated run time of its jobs' longest chains */
+  unsigned index;      /* of the route among those of the scheduler */
   double arriving_cpu; /* rate of arriving work in thousandths of a core, as of arriving_at */
   int64_t arriving_at;
 };
@@ -173,15 +177,16 @@
   int64_t leaving_since;
   int64_t hold_sent_at;
   int64_t next_hold_at;
-  int64_t answered_at;    /* time of the last answer; 0: none */
-  int64_t start_sent_at;  /* when the last start was sent to it; 0: never */
-  int64_t listing_at;     /* time of its last listing of runs; 0: none */
-  int64_t silent_since;   /* since when the worker has not answered; 0: it answers */
-  int64_t fell_silent_at; /* when it last became silent; 0: never */
-  bool was_isolating;     /* a suspect was isolated on it at fell_silent_at */
-  int64_t clock_ms;       /* last reading of the worker's clock ... */
-  int64_t clock_at;       /* ... and our clock at that reading; 0: none */
-  int64_t lease_end;      /* time on our clock by which all leases granted to it have expired */
+  int64_t answered_at;      /* time of the last answer; 0: none */
+  int64_t start_sent_at;    /* when the last start was sent to it; 0: never */
+  int64_t listing_at;       /* time of its last listing of runs; 0: none */
+  int64_t listed_before_at; /* ... and of the listing before; 0: none */
+  int64_t silent_since;     /* since when the worker has not answered; 0: it answers */
+  int64_t fell_silent_at;   /* when it last became silent; 0: never */
+  bool was_isolating;       /* a suspect was isolated on it at fell_silent_at */
+  int64_t clock_ms;         /* last reading of the worker's clock ... */
+  int64_t clock_at;         /* ... and our clock at that reading; 0: none */
+  int64_t lease_end;        /* time on our clock by which all leases granted to it have expired */
   int64_t cordon_until;
   int64_t drain_announced_until; /* when the announcement of a later drain expires */
   bool move_long_running;
@@ -193,7 +198,9 @@
 
   double failures; /* recent failures, decayed */
   double successes;
-  double slowness; /* smoothed ratio of actual to expected run time */
+  double slowness;      /* smoothed ratio of actual to expected run time */
+  GPtrArray *speeds;    /* struct mt_worker_speed by index of the route; NULL: none yet */
+  double lost_capacity; /* share of its processors that it lacks for its speed, 0 to 1 */
   int64_t outcome_at;
   int64_t avoid_until;
   unsigned avoid_count;
@@ -269,9 +276,12 @@
   bool fenced;
   int64_t last_placed_at;
   int64_t last_check_at;
-  int64_t link_delay_ms; /* delay of outgoing messages in the owner's link */
-  int64_t link_late_at;  /* when link_delay_ms was last too long for timely answers; 0: never */
-  int64_t link_full_at;  /* when starts last waited for a full link; 0: never */
+  int64_t slow_move_at;     /* when a task was last moved off a slow worker */
+  unsigned slow_scans_left; /* scans for such moves in the present check */
+  int64_t speeds_at;        /* last update of the workers' speeds */
+  int64_t link_delay_ms;    /* delay of outgoing messages in the owner's link */
+  int64_t link_late_at;     /* when link_delay_ms was last too long for timely answers; 0: never */
+  int64_t link_full_at;     /* when starts last waited for a full link; 0: never */
   int64_t order_lost_at; /* when an order to a worker that answers others was last lost; 0: never */
   int64_t expected_cpu;  /* announced, in thousandths of a core; valid until expected_until */
   int64_t expected_until;
@@ -340,7 +350,8 @@
 void mt_task_set_waiting (struct mt_scheduler *sched, struct mt_task *task, int64_t now);
 void mt_task_finish (struct mt_scheduler *sched, struct mt_task *task, int64_t now);
 void mt_task_stop (struct mt_scheduler *sched, struct mt_task *task, int64_t now);
-void mt_task_set_checkpoint (struct mt_task *task, const char *checkpoint);
+/* Returns whether the checkpoint is a new one. */
+bool mt_task_set_checkpoint (struct mt_task *task, const char *checkpoint);
 void mt_task_dequeue (struct mt_scheduler *sched, struct mt_task *task);
 
 /* wait estimate */
@@ -521,6 +532,24 @@
 
 /* scheduler_watch.c: stalled tasks, unanswered stops, moves, and lost workers */
 void mt_scheduler_check_workers (struct mt_scheduler *sched, int64_t now);
+/* scheduler_speed.c */
+/* Counts a run that took, or by its progress would take, run_ms as a sample of the worker's speed,
+ * unless its duration is not reliable.
+ */
+void mt_worker_record_run (struct mt_scheduler *sched,
+                           struct mt_worker *w,
+                           const struct mt_task *task,
+                           double run_ms,
+                           int64_t now);
+/* Returns the run time of the route's tasks on the worker relative to that on the route's other
+ * workers; `unknown` without evidence. */
+double
+mt_worker_run_factor (const struct mt_worker *w, const struct mt_route *route, double unknown);
+/* Forgets all samples of the worker. */
+void mt_worker_forget_speed (struct mt_worker *w);
+/* Updates the factors of all workers and logs which of them are slow. */
+void mt_scheduler_update_speeds (struct mt_scheduler *sched, int64_t now);
+
 /* scheduler_pace.c */
 void mt_worker_adjust_pace (struct mt_scheduler *sched, struct mt_worker *w, int64_t now);
 
--- a/tests/fleet/test_settings.c
+++ b/tests/fleet/test_settings.c
@@ -87,6 +87,19 @@
     }
 }
 
+/* Guards against deployments whose placing changes although they have not asked for it. */
+static void
+test_worker_speed_is_off_unless_set (void **state)
+{
+  struct mt_fleet_settings *settings = mt_fleet_settings_parse (MT_STR ("{" REQUIRED "}"), NULL);
+
+  assert_false (settings->worker_speed);
+  mt_fleet_settings_destroy (settings);
+  settings = mt_fleet_settings_parse (MT_STR ("{" REQUIRED ",\"worker_speed\":true}"), NULL);
+  assert_true (settings->worker_speed);
+  mt_fleet_settings_destroy (settings);
+}
+
 int
 main (void)
 {
@@ -96,6 +109,7 @@
     cmocka_unit_test (test_forecast_is_none_by_default),
     cmocka_unit_test (test_forecast_setting_selects_the_method_of_its_name),
     cmocka_unit_test (test_unknown_method_and_cost_are_rejected),
+    cmocka_unit_test (test_worker_speed_is_off_unless_set),
   };
 
   return cmocka_run_group_tests_name ("fleet_settings", tests, NULL, NULL);
