fleet: complete calls between daemons before the store's client is destroyed

A daemon that stops with a state query in flight to a pool's leader completed it after the client of the store was freed; its callback then reads the store: use after free at exit. Found by review, by reading; no run showed it. Calls between daemons are cancelled first, then store calls, whose callbacks only notify leaders. The order alone could not be swapped, as each kind's callbacks may use the other.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -689,6 +689,8 @@
     return;
   g_clear_pointer (&f->leader, mt_fleet_leader_destroy);
   g_hash_table_remove_all (f->pools);
+  /* Callbacks of mesh calls may call the store, and those of store calls may notify leaders. */
+  mt_mesh_cancel_calls (f->mesh);
   mt_calls_destroy (f->calls);
   mt_mesh_destroy (f->mesh);
   mt_watcher_destroy (f->config_watch);
--- a/net/mesh.c
+++ b/net/mesh.c
@@ -441,10 +441,8 @@
 }
 
 void
-mt_mesh_destroy (struct mt_mesh *mesh)
+mt_mesh_cancel_calls (struct mt_mesh *mesh)
 {
-  if (mesh == NULL)
-    return;
   while (g_hash_table_size (mesh->pending_calls) > 0)
     {
       GHashTableIter it;
@@ -454,6 +452,14 @@
       if (g_hash_table_iter_next (&it, NULL, (void **) &pending))
         complete_call (pending, NULL);
     }
+}
+
+void
+mt_mesh_destroy (struct mt_mesh *mesh)
+{
+  if (mesh == NULL)
+    return;
+  mt_mesh_cancel_calls (mesh);
   while (!g_queue_is_empty (&mesh->all_links))
     close_link (g_queue_peek_head (&mesh->all_links));
   g_hash_table_unref (mesh->pending_calls);
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -59,7 +59,10 @@
                                 mt_mesh_handler handler,
                                 void *ctx,
                                 GError **error);
-/* Completes the pending calls without a reply, by their callbacks. */
+/* Completes the pending calls without a reply, by their callbacks. To be called before what the
+ * callbacks use is destroyed. */
+void mt_mesh_cancel_calls (struct mt_mesh *mesh);
+/* Cancels the pending calls first. */
 void mt_mesh_destroy (struct mt_mesh *mesh);
 unsigned mt_mesh_port (const struct mt_mesh *mesh);
 
--- a/tests/net/test_mesh.c
+++ b/tests/net/test_mesh.c
@@ -71,11 +71,31 @@
   event_base_free (f.base);
 }
 
+/* Guards against callbacks that run at the mesh's destruction, when the store's client that they
+ * use is gone. */
+static void
+test_cancelled_calls_complete_before_destruction (void **state)
+{
+  struct fixture f = { .base = event_base_new () };
+  struct mt_mesh_call *call = NULL;
+  struct mt_mesh_args args = { 1, { MT_STR ("x") } };
+
+  f.caller = mt_mesh_create (f.base, NULL, "127.0.0.1:0", "a", keep_call, &call, NULL);
+  mt_mesh_send (f.caller, "127.0.0.1:1", MT_MESH_STORE, &args, 30000, on_done, &f);
+  mt_mesh_cancel_calls (f.caller);
+  assert_true (f.answered);
+  f.answered = false;
+  mt_mesh_destroy (f.caller);
+  assert_false (f.answered);
+  event_base_free (f.base);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_call_is_undelivered_only_without_a_connection),
+    cmocka_unit_test (test_cancelled_calls_complete_before_destruction),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
