scheduler: split the placing by job

scheduler_place.c had 1,050 lines: the order of waiting steps, the choice of a worker, the reservations and the placing itself. Its 50 functions are now in four files:

- scheduler_ready.c: objectives, classes, ranks, comparison and collection of waiting steps
- scheduler_candidates.c: costs, tickets, isolation and reservations as seen by a candidate, and needs that found no worker
- scheduler_reserve.c: reservation of workers for a workspace below its share
- scheduler_place.c: tasks, gangs, passes by value and by share, shortages

--- /dev/null
+++ b/core/scheduler/scheduler_candidates.c
@@ -0,0 +1,221 @@
+/* Choice of the worker for a waiting task.
+ *
+ * In a surge thousands of tasks wait while every worker is full, so a need that found no worker is
+ * remembered and equal or larger ones are rejected without trying every worker. Work is packed, so
+ * that machines become empty and can move to the pool with the surge. Workers that may be unhealthy
+ * get few tasks, and suspects few neighbours. */
+#include "scheduler_place.h"
+
+/* Most tasks that run at a time on a worker that may be unhealthy. */
+#define MAX_TRIAL_TASKS 2U
+/* How long a ticket must still be valid when the task is placed: its start is first stored, then
+ * sent. */
+#define TICKET_MARGIN_MS 200
+/* Cost advantage of a fully used worker, in multiples of a task's run time. If work is spread, no
+ * machine becomes empty and can move to the pool with the surge: packing improves the worst windows
+ * of calm days by 0.05 to 0.1. */
+#define PACKING_WEIGHT 0.3
+/* Cost of placing a long-running task on a worker with an announced drain: the task would be moved
+ * once more, and its step's max_unavailable used twice. Any other worker is preferred, unless it is
+ * slow or has fill work that would disturb the task. */
+#define DRAIN_COST 1.0
+/* Work is packed only onto workers with at least this many recent successes, and spread over the
+ * others: one of these may be unhealthy and would fail many tasks before this shows. */
+#define MIN_PACKING_SUCCESSES 0.5
+
+/* Costs of a suspect's worker in multiples of a task's run time: for each task there, which a crash
+ * would end, and for a new worker. */
+#define SUSPECT_COST    0.5
+#define NEW_WORKER_COST 2.0
+/* A worker listed for less than this is new: it may soon be gone again. */
+#define NEW_WORKER_MS 8000
+
+static bool
+can_place_on (const struct placement *placement,
+              const struct mt_worker *w,
+              const struct mt_task *task)
+{
+  if (!mt_worker_can_run (w, task) || !mt_task_may_share_worker (task, w, placement->now))
+    return false;
+  if (w->long_running_only_until > placement->now && !mt_task_step (task)->long_running)
+    return false;
+  if (w->failures >= 1 && w->failures > w->successes && w->tasks.length >= MAX_TRIAL_TASKS)
+    return false;
+  return task->avoided != w || placement->workers->len == 1
+         || placement->now - task->state_since > AVOID_MS;
+}
+
+static double
+long_running_cost (const struct placement *placement,
+                   const struct mt_worker *w,
+                   const struct mt_step *step)
+{
+  double cost = w->drain_announced_until > placement->now ? DRAIN_COST : 0;
+
+  if (!step->long_running)
+    return 0;
+  for (GList *l = w->tasks.head; l != NULL; l = l->next)
+    {
+      const struct mt_step *other = mt_task_step (l->data);
+
+      /* Fill work slows serving tasks on the same worker. */
+      if (step->fill && other->target_ms > 0)
+        cost += 2;
+      if (step->target_ms > 0 && other->fill)
+        cost += 2;
+      /* Grouping long-running tasks leaves other workers free for maintenance and for moves. */
+      if (other->long_running && !other->fill && !step->fill)
+        cost -= 0.1;
+    }
+  return cost;
+}
+
+/* If a suspect crashes its worker, all tasks there are lost. A new worker may be one that keeps
+ * restarting: its loss would be counted against the suspect. */
+static double
+suspect_cost (const struct placement *placement, const struct mt_worker *w)
+{
+  bool is_new = placement->now - w->listed_since < NEW_WORKER_MS;
+
+  return SUSPECT_COST * (double) w->tasks.length + (is_new ? NEW_WORKER_COST : 0);
+}
+
+static double
+placing_cost (const struct placement *placement,
+              const struct mt_worker *w,
+              const struct mt_task *task)
+{
+  const struct mt_step *step = mt_task_step (task);
+  double slowness = w->slowness / MAX (placement->mean_slowness, 0.1);
+  double load = w->resources.cpu > 0 ? (double) w->used.cpu / (double) w->resources.cpu : 0;
+  double cost
+      = mt_worker_run_factor (w, task->occ->job->route, slowness > MT_SLOW_FACTOR ? slowness : 1);
+
+  if (step->rack != NULL
+      && (w->labels == NULL || !g_strv_contains ((const char *const *) w->labels, step->rack)))
+    cost *= placement->sched->settings.remote_factor;
+  if (task->suspect)
+    cost += suspect_cost (placement, w);
+  else
+    cost += (w->successes >= MIN_PACKING_SUCCESSES ? -PACKING_WEIGHT : PACKING_WEIGHT) * load;
+  return cost + long_running_cost (placement, w, step);
+}
+
+/* Returns whether the task has one attempt left and still waits for a worker proved healthy. */
+bool
+mt_placement_is_last_attempt (const struct placement *placement, const struct mt_task *task)
+{
+  return !mt_task_step (task)->long_running && task->attempts > 0
+         && task->attempts + 1 >= task->occ->job->route->policy.max_attempts
+         && placement->now - task->state_since < LAST_ATTEMPT_WAIT_MS;
+}
+
+/* Returns whether the worker's ticket stays valid long enough for a start to arrive. */
+static bool
+has_valid_ticket (const struct mt_step_tickets *tickets, const struct mt_worker *w, int64_t now)
+{
+  const struct mt_ticket *ticket
+      = tickets != NULL ? g_hash_table_lookup (tickets->tickets, w->id) : NULL;
+
+  return ticket != NULL && ticket->until > now + TICKET_MARGIN_MS;
+}
+
+static bool
+is_reserved_for_others (const struct placement *placement,
+                        const struct mt_worker *w,
+                        const struct mt_task *task)
+{
+  return w->reserved_for != NULL && !mt_task_step (task)->long_running
+         && w->reserved_for != mt_job_account (placement->sched, task->occ->job);
+}
+
+struct mt_worker *
+mt_placement_choose_worker (const struct placement *placement, const struct mt_task *task)
+{
+  struct mt_route *route = task->occ->job->route;
+  bool last = mt_placement_is_last_attempt (placement, task);
+  const struct mt_step_tickets *tickets
+      = route->needs_tickets ? mt_task_step_tickets (placement->sched, task) : NULL;
+  struct mt_worker *best = NULL;
+  double best_cost = 0;
+
+  for (guint i = 0; i < placement->workers->len; i++)
+    {
+      struct mt_worker *w = placement->workers->pdata[i];
+      double cost;
+
+      if (is_reserved_for_others (placement, w, task))
+        continue;
+      if (!can_place_on (placement, w, task) || (last && (w->successes < 1 || w->failures > 0.5)))
+        continue;
+      if (route->needs_tickets && !has_valid_ticket (tickets, w, placement->now))
+        continue;
+      cost = placing_cost (placement, w, task);
+      if (best == NULL || cost < best_cost)
+        {
+          best = w;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
+
+/* Requests tickets for a waiting step that needs them and has no valid ones. */
+void
+mt_scheduler_request_tickets (struct mt_scheduler *sched, const struct mt_task *task, int64_t now)
+{
+  struct mt_step_tickets *tickets = mt_task_step_tickets (sched, task);
+
+  if (tickets == NULL)
+    {
+      char name[80];
+
+      mt_task_step_name (task, name, sizeof name);
+      tickets = g_new0 (struct mt_step_tickets, 1);
+      tickets->step_name = g_strdup (name);
+      tickets->tickets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, mt_ticket_free);
+      g_hash_table_insert (sched->step_tickets, tickets->step_name, tickets);
+    }
+  if (!tickets->in_flight && tickets->retry_at <= now)
+    tickets->request_pending = true;
+}
+
+/* Returns whether the task can use workers that the others can't. */
+static bool
+has_reserved_workers (const struct placement *placement, const struct mt_task *task)
+{
+  return placement->sched->reserved_for != NULL
+         && (mt_task_step (task)->long_running
+             || placement->sched->reserved_for
+                    == mt_job_account (placement->sched, task->occ->job));
+}
+
+/* Returns whether a need no larger than the step's has found no worker in this placing. In a surge
+ * this rejects thousands of waiting tasks by a few comparisons each, not trying every worker. */
+bool
+mt_placement_is_unplaceable (const struct placement *placement, const struct mt_task *task)
+{
+  const struct mt_step *step = mt_task_step (task);
+  const struct unplaceable *unplaceable = has_reserved_workers (placement, task)
+                                              ? &placement->reserved_unplaceable
+                                              : &placement->unplaceable;
+
+  return unplaceable->is_set && !step->fill && step->need.cpu >= unplaceable->need.cpu
+         && step->need.mem >= unplaceable->need.mem && step->need.gpu >= unplaceable->need.gpu;
+}
+
+void
+mt_placement_record_unplaceable (struct placement *placement, const struct mt_task *task)
+{
+  const struct mt_step *step = mt_task_step (task);
+  struct unplaceable *unplaceable = has_reserved_workers (placement, task)
+                                        ? &placement->reserved_unplaceable
+                                        : &placement->unplaceable;
+
+  /* Returns if anything but resources may have kept the task from being placed. */
+  if (step->fill || step->label != NULL || step->max_per_worker > 0 || task->avoided != NULL
+      || task->occ->job->route->needs_tickets || task->attempts > 0)
+    return;
+  unplaceable->is_set = true;
+  unplaceable->need = step->need;
+}
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -514,6 +514,8 @@
 
 /* scheduler_place.c */
 void mt_scheduler_place (struct mt_scheduler *sched, int64_t now);
+
+/* scheduler_ready.c */
 bool mt_occurrence_step_is_ready (const struct mt_occurrence *occ, unsigned step);
 /* Returns whether the occurrence can still complete within its objective. */
 bool mt_occurrence_can_meet_objective (const struct mt_occurrence *occ, int64_t now);
