fleet: split the submission of jobs by job into two files

fleet/frontend_submit.c had 906 lines and held both the admission of submissions and their transactions.

- fleet/frontend_submit_txn.c (new) has the transactions that store submissions: batches, conflicts, retries, look-ups of unknown outcomes and their limits, with mt_frontend_new_admission and mt_frontend_drop_submits.
- fleet/frontend_submit.c keeps the parsing, the wait estimate, the wait for the store, the refusal and the answer.
- fleet/frontend_submit.h (new) is private to the two: struct submit and the functions that one file calls in the other.

Functions are moved without change of their bodies. Behaviour is unchanged.

--- a/fleet/frontend_internal.h
+++ b/fleet/frontend_internal.h
@@ -59,17 +59,18 @@
 
 /* workspace: of the caller; "" if the route asks for no key. */
 /* frontend_submit.c */
-struct mt_admission *mt_frontend_new_admission (void);
 struct mt_store_wait *mt_frontend_new_store_wait (struct mt_frontend *frontend);
 /* Frees a submission that is not answered any more. */
 void mt_frontend_drop_submit (void *submit);
-/* Frees the queued submissions, and those of failed transactions. */
-void mt_frontend_drop_submits (struct mt_frontend *frontend);
 void mt_frontend_submit (struct mt_frontend *frontend,
                          struct mt_exchange *exchange,
                          const struct mt_fleet_route *route,
                          const char *id,
                          const char *workspace);
+/* frontend_submit_txn.c */
+struct mt_admission *mt_frontend_new_admission (void);
+/* Frees the queued submissions, and those of failed transactions. */
+void mt_frontend_drop_submits (struct mt_frontend *frontend);
 /* frontend_ask.c */
 void mt_frontend_query_state (struct mt_frontend *frontend,
                               struct mt_exchange *exchange,
