--- a/core/controller/forecast.c
+++ b/core/controller/forecast.c
@@ -57,8 +57,8 @@
 #define HIT_WEIGHT  0.6
 #define MISS_WEIGHT 0.5
 #define SCORE_FLOOR 0.3
-/* Score before the first forecast, which is just enough to act on it: a day has two rounds of
- * surges. If it does not come true, the next one that does has to come first. */
+/* Score before the first forecast: above SCORE_FLOOR, so that a beginning is forecast and can come
+ * true. If it does not, the next one that does has to come first. */
 #define FIRST_SCORE 0.4
 /* Half-life of what an earlier leader has learned, and the weight below which it is not used. */
 #define SAVED_HALF_LIFE_MS 60000.0
