fleet: log failed watches and calls for unknown routes

A call refused with 404 left no log line, and neither did a watch or list of the configuration that got no answer, so the hypotheses on the added route that was refused could not be told apart from logs or metrics.

New events: WATCH_FAILED (8021; prefix, duration, failures in a row, whether the store is reached directly) and ROUTE_UNKNOWN (8110; path, version and age of the configuration). CONFIG_IN_FORCE has the age of the version before. New metrics: config_age_milliseconds and calls_without_route_total. The time of the last answer is now set after its items are delivered, so that the callback still sees the age.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -265,11 +265,18 @@
 
 /* ---- configuration ---- */
 
+static int64_t
+config_age_ms (void *ctx)
+{
+  return mt_loop_now () - mt_watcher_last_answer (((struct mt_fleet *) ctx)->config_watch);
+}
+
 static void
 apply_config (struct mt_fleet *f, struct mt_fleet_config *config)
 {
   g_autoptr (GPtrArray) leaderships = g_ptr_array_new ();
   struct mt_fleet_config *old = f->config;
+  int64_t age_ms = old != NULL ? config_age_ms (f) : -1;
   GHashTableIter it;
   const char *name;
   struct mt_pool *pool;
@@ -289,8 +296,9 @@
     mt_fleet_leader_set_config (f->leader, config);
   mt_fleet_config_free (old);
   mt_metrics_set (f->metrics, MT_GAUGE_CONFIG, config->version);
-  mt_journal_log (f->journal, "CONFIG_IN_FORCE", "version=%" G_GINT64_FORMAT " routes=%zu",
-                  config->version, config->n_routes);
+  mt_journal_log (f->journal, "CONFIG_IN_FORCE",
+                  "version=%" G_GINT64_FORMAT " routes=%zu age_ms=%" G_GINT64_FORMAT,
+                  config->version, config->n_routes, age_ms);
 }
 
 /* Applies a new configuration. Versions that are not newer than the current one are ignored: a late
@@ -391,6 +399,7 @@
   mt_metrics_clear_pools (f->metrics);
   if (f->leader != NULL)
     mt_fleet_leader_for_each_pool (f->leader, set_pool_machines, f->metrics);
+  mt_metrics_set (f->metrics, MT_GAUGE_CONFIG_AGE, f->config != NULL ? config_age_ms (f) : -1);
   mt_metrics_set (f->metrics, MT_GAUGE_LEADERSHIPS, g_hash_table_size (f->pools));
   mt_metrics_set (f->metrics, MT_GAUGE_JOBS, sum.jobs);
   mt_metrics_set (f->metrics, MT_GAUGE_TASKS_WAITING, sum.waiting);
@@ -547,12 +556,6 @@
   return mt_adapter_store_available (((struct mt_fleet *) ctx)->platform);
 }
 
-static int64_t
-config_age_ms (void *ctx)
-{
-  return mt_loop_now () - mt_watcher_last_answer (((struct mt_fleet *) ctx)->config_watch);
-}
-
 static void
 create_frontend (struct mt_fleet *f)
 {
@@ -661,6 +664,7 @@
   if (!listen_all (f, error))
     return NULL;
   config.prefix = f->codec.config_key;
+  config.journal = f->journal;
   f->config_watch = mt_watcher_create (f->base, mt_adapter_kv (f->platform), &config);
   f->housekeeping = mt_timer_create (f->base, on_housekeeping, f);
   watch_signals (f);
--- a/fleet/fleet_leader.c
+++ b/fleet/fleet_leader.c
@@ -750,6 +750,7 @@
                                              .idle_cost = options->idle_cost };
   struct mt_watcher_options watch = { .prefix = options->codec->waves_prefix,
                                       .wait_ms = WAVES_WAIT_MS,
+                                      .journal = options->journal,
                                       .on_item = on_wave,
                                       .ctx = lead };
 
--- a/fleet/frontend.c
+++ b/fleet/frontend.c
@@ -6,7 +6,8 @@
 #include <string.h>
 
 /* Number of hexadecimal digits in a job's id. */
-#define ID_CHARS 16
+#define ID_CHARS              16
+#define MAX_LOGGED_PATH_BYTES 80
 
 void
 mt_frontend_answer (struct mt_exchange *exchange,
@@ -83,6 +84,18 @@
   return best;
 }
 
+static void
+refuse_path (struct mt_frontend *frontend, struct mt_exchange *exchange)
+{
+  mt_metrics_increment (frontend->options.metrics, MT_COUNT_ROUTE_UNKNOWN);
+  mt_journal_log (
+      frontend->options.journal, "ROUTE_UNKNOWN",
+      "version=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT " method=%s path=%.*s",
+      frontend->config->version, frontend->options.config_age_ms (frontend->options.ctx),
+      mt_exchange_method (exchange), MAX_LOGGED_PATH_BYTES, mt_exchange_path (exchange));
+  mt_frontend_answer (exchange, 404, NULL, 0);
+}
+
 static bool
 is_id (const char *text)
 {
@@ -184,7 +197,7 @@
   id = route != NULL ? mt_exchange_path (exchange) + strlen (route->prefix) : "";
   if (route == NULL || (id[0] != '\0' && !is_id (id)))
     {
-      mt_frontend_answer (exchange, 404, NULL, 0);
+      refuse_path (frontend, exchange);
       return;
     }
   workspace = authenticate (frontend, exchange, route, id);
--- a/fleet/metrics.c
+++ b/fleet/metrics.c
@@ -23,6 +23,7 @@
   [MT_COUNT_QUERIES_UNANSWERED]
   = { "questions_unanswered_total", "Questions without an answer in time." },
   [MT_COUNT_UNAUTHORIZED] = { "calls_unauthorized_total", "Calls without a key that holds." },
+  [MT_COUNT_ROUTE_UNKNOWN] = { "calls_without_route_total", "Calls for a path without a route." },
   [MT_COUNT_LEADERSHIPS_LOST] = { "duties_lost_total", "Leaderships lost." },
   [MT_COUNT_WAITED_STORED]
   = { "submissions_waited_stored_total", "Submissions stored after they waited for the store." },
@@ -45,6 +46,8 @@
 
 static const struct metric_info gauges[MT_GAUGES] = {
   [MT_GAUGE_CONFIG] = { "config_version", "Version of the configuration in force." },
+  [MT_GAUGE_CONFIG_AGE] = { "config_age_milliseconds",
+                            "Time since the store confirmed that version; -1: there is none." },
   [MT_GAUGE_LEADERSHIPS] = { "leaderships", "Leaderships that this daemon has." },
   [MT_GAUGE_STORE_CALLS] = { "store_calls", "Calls on the store so far." },
   [MT_GAUGE_STORE_HEDGES] = { "store_hedges", "Second copies of calls on the store so far." },
--- a/fleet/pool.c
+++ b/fleet/pool.c
@@ -622,6 +622,7 @@
   struct mt_watcher_options watch = { .prefix = prefix,
                                       .wait_ms = QUEUE_WATCH_WAIT_MS,
                                       .pause_ms = QUEUE_WATCH_PAUSE_MS,
+                                      .journal = options->journal,
                                       .on_item = on_queue_item,
                                       .on_listed = on_queue_listed,
                                       .ctx = pool };
--- a/fleet/ports.h
+++ b/fleet/ports.h
@@ -96,6 +96,8 @@
   void (*grant) (void *ctx, int64_t ttl_ms, mt_kv_done done, void *data);
   void (*renew) (void *ctx, int64_t lease, int64_t timeout_ms, mt_kv_done done, void *data);
   void (*revoke) (void *ctx, int64_t lease, mt_kv_done done, void *data);
+  /* Returns whether calls go to the store itself, not through another daemon. */
+  bool (*is_direct) (void *ctx);
 };
 
 struct mt_kv
--- a/fleet/watcher.c
+++ b/fleet/watcher.c
@@ -1,5 +1,6 @@
 #include "watcher.h"
 
+#include "journal.h"
 #include "loop.h"
 
 #include <string.h>
@@ -22,6 +23,7 @@
   int64_t list_revision; /* of the list's first page: pages are not one snapshot */
   char *page_after;
   int64_t failures;
+  int64_t sent_at; /* the last call */
   int64_t last_answer_at;
   bool in_flight;
   bool destroyed;
@@ -45,6 +47,12 @@
   int64_t pause = MIN (MIN_RETRY_MS << MIN (w->failures, 3), MAX_RETRY_MS);
 
   w->failures++;
+  if (w->options.journal != NULL)
+    mt_journal_log (w->options.journal, "WATCH_FAILED",
+                    "prefix=%s call=%s took_ms=%" G_GINT64_FORMAT " failures=%" G_GINT64_FORMAT
+                    " direct=%d",
+                    w->prefix, w->listed ? "watch" : "list", mt_loop_now () - w->sent_at,
+                    w->failures, w->kv.ops->is_direct (w->kv.ctx));
   mt_timer_set (w->timer, pause / 2 + g_random_int_range (0, (gint32) pause));
 }
 
@@ -112,10 +120,10 @@
       return;
     }
   w->failures = 0;
-  w->last_answer_at = mt_loop_now ();
   if (w->page_after == NULL)
     w->list_revision = reply->revision;
   deliver_items (w, reply);
+  w->last_answer_at = mt_loop_now ();
   g_free (w->page_after);
   w->page_after
       = reply->more && reply->n_items > 0 ? g_strdup (reply->items[reply->n_items - 1].key) : NULL;
@@ -145,10 +153,10 @@
       return;
     }
   w->failures = 0;
-  w->last_answer_at = mt_loop_now ();
   if (reply->revision > w->after_revision)
     w->after_revision = reply->revision;
   deliver_items (w, reply);
+  w->last_answer_at = mt_loop_now ();
   if (free_if_destroyed (w))
     return;
   if (had_items && w->options.pause_ms > 0)
@@ -163,6 +171,7 @@
   struct mt_watcher *w = ctx;
 
   w->in_flight = true;
+  w->sent_at = mt_loop_now ();
   if (w->listed)
     {
       w->kv.ops->watch (w->kv.ctx, w->prefix, w->after_revision, w->options.wait_ms, on_events, w);
--- a/fleet/watcher.h
+++ b/fleet/watcher.h
@@ -7,6 +7,7 @@
 #include "ports.h"
 
 struct event_base;
+struct mt_journal;
 struct mt_watcher;
 
 struct mt_watcher_options
@@ -14,6 +15,7 @@
   const char *prefix;
   int64_t wait_ms;  /* longest wait of one watch, after which a silent watch is noticed */
   int64_t pause_ms; /* pause after a watch that brought changes, to gather more in the next call */
+  struct mt_journal *journal; /* failed calls are logged there; NULL for none */
   /* Called for each key that was set or deleted, also for keys that a list finds gone; in the order
    * of revisions within one answer. */
   void (*on_item) (void *ctx, const struct mt_kv_item *item);
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -101,6 +101,10 @@
           CONFIG_REFUSED,
           G_LOG_LEVEL_WARNING,
           "an invalid version of the configuration was rejected")
+MT_EVENT (8021,
+          WATCH_FAILED,
+          G_LOG_LEVEL_WARNING,
+          "a watch or list of the store's keys was not answered and is sent again")
 MT_EVENT (8010, LEADERSHIP_GAINED, G_LOG_LEVEL_MESSAGE, "this daemon acquired a leadership")
 MT_EVENT (8011, LEADERSHIP_LOST, G_LOG_LEVEL_MESSAGE, "this daemon no longer holds a leadership")
 MT_EVENT (8012,
@@ -136,6 +140,7 @@
           G_LOG_LEVEL_WARNING,
           "a query or cancellation got no answer from the store or the pool's leader")
 MT_EVENT (8108, CALLER_REFUSED, G_LOG_LEVEL_WARNING, "a call without a valid API key was refused")
+MT_EVENT (8110, ROUTE_UNKNOWN, G_LOG_LEVEL_WARNING, "a call for a path without a route was refused")
 MT_EVENT (8106, JOB_BEGUN, G_LOG_LEVEL_MESSAGE, "the first task of a job started")
 MT_EVENT (8107, JOB_ENDED, G_LOG_LEVEL_MESSAGE, "a job ended")
 MT_EVENT (8109,
