tests: connections that fall silent, and a route added while watches are silent

silent_connections: callers would see a route refused for seconds after it was added. The watch times out, is sent on the next idle connection, times out, and so on: two further requests are lost before a new connection is opened. With the real waits that is 1.4 s each.

process_fleet added_route: three daemons, a store that answers everything but watches. A route is added; each daemon refuses it with 404 until its watch is answered, though a read of the configuration would be answered at once.

The stand-in store has a mode "mute" for the latter.

--- /dev/null
+++ b/tests/platform/test_silent_connections.c
@@ -0,0 +1,153 @@
+/* The adapter's store calls while open connections fall silent without a reset, against the
+ * stand-in store behind a proxy in the same process. */
+#include "adapter.h"
+#include "fleet_store.h"
+#include "proxy.h"
+#include "watcher.h"
+
+#include <event2/event.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define IDLE_CONNECTIONS 3
+#define SHORT_WAIT_MS    100
+
+struct fixture
+{
+  struct event_base *base;
+  struct fleet_store *store;
+  struct mt_http_front *front;
+  struct proxy *proxy;
+  struct mt_calls *calls;
+  struct mt_adapter *adapter;
+  struct mt_kv kv;
+  unsigned replies;
+  char *value; /* as last reported by the watcher */
+};
+
+static void
+on_call (void *ctx, struct mt_exchange *exchange)
+{
+  fleet_store_handle (((struct fixture *) ctx)->store, exchange);
+}
+
+static struct fixture *
+create_fixture (void)
+{
+  struct fixture *f = g_new0 (struct fixture, 1);
+  struct mt_http_front_options options = { .address = "127.0.0.1:0",
+                                           .max_connections = 64,
+                                           .idle_timeout_s = 60,
+                                           .max_body_bytes = 65536,
+                                           .handle = on_call,
+                                           .ctx = f };
+  struct mt_adapter_settings settings = { .daemon = "d" };
+  g_autofree char *server = NULL;
+  g_autofree char *address = NULL;
+
+  signal (SIGPIPE, SIG_IGN);
+  f->base = event_base_new ();
+  f->store = fleet_store_create (f->base);
+  f->front = mt_http_front_create (f->base, &options, NULL);
+  server = g_strdup_printf ("127.0.0.1:%u", mt_http_front_port (f->front));
+  f->proxy = proxy_create (f->base, server);
+  address = g_strdup_printf ("127.0.0.1:%u", proxy_port (f->proxy));
+  settings.store = address;
+  f->calls = mt_calls_create (f->base, NULL);
+  f->adapter = mt_adapter_create (f->calls, &settings);
+  f->kv = mt_adapter_kv (f->adapter);
+  return f;
+}
+
+static void
+destroy_fixture (struct fixture *f)
+{
+  mt_calls_destroy (f->calls);
+  mt_adapter_destroy (f->adapter);
+  proxy_destroy (f->proxy);
+  mt_http_front_destroy (f->front);
+  fleet_store_destroy (f->store);
+  event_base_free (f->base);
+  g_free (f->value);
+  g_free (f);
+}
+
+static void
+on_item (void *ctx, const struct mt_kv_item *item)
+{
+  struct fixture *f = ctx;
+
+  g_free (f->value);
+  f->value = g_strndup (item->value.data, item->value.len);
+}
+
+static void
+wait_for_value (struct fixture *f, const char *value)
+{
+  while (g_strcmp0 (f->value, value) != 0)
+    event_base_loop (f->base, EVLOOP_ONCE);
+}
+
+static void
+wait_for_watch (struct fixture *f)
+{
+  while (fleet_store_watches (f->store) == 0)
+    event_base_loop (f->base, EVLOOP_ONCE);
+}
+
+static void
+on_reply (void *data, const struct mt_kv_reply *reply)
+{
+  ((struct fixture *) data)->replies++;
+}
+
+/* Opens connections as the watches of lost leaderships leave them. */
+static void
+leave_idle_connections (struct fixture *f)
+{
+  for (unsigned i = 0; i < IDLE_CONNECTIONS; i++)
+    f->kv.ops->watch (f->kv.ctx, "lost/", 1, SHORT_WAIT_MS, on_reply, f);
+  while (f->replies < IDLE_CONNECTIONS)
+    event_base_loop (f->base, EVLOOP_ONCE);
+}
+
+/* Guards against a change that is seen only after one time-out for each idle connection: all of
+ * them have fallen silent with the one that was in use. */
+static void
+test_watch_avoids_idle_connections_after_a_time_out (void **state)
+{
+  struct fixture *f = create_fixture ();
+  struct mt_watcher_options options
+      = { .prefix = "config", .wait_ms = SHORT_WAIT_MS, .on_item = on_item, .ctx = f };
+  struct mt_watcher *watcher;
+
+  fleet_store_put (f->store, "config", "1");
+  leave_idle_connections (f);
+  watcher = mt_watcher_create (f->base, f->kv, &options);
+  wait_for_value (f, "1");
+  fleet_store_put (f->store, "config", "2");
+  wait_for_value (f, "2");
+  wait_for_watch (f);
+  assert_true (proxy_connections (f->proxy) >= IDLE_CONNECTIONS);
+  proxy_silence (f->proxy);
+  fleet_store_put (f->store, "config", "3");
+  wait_for_value (f, "3");
+  assert_int_equal (proxy_swallowed (f->proxy), 0);
+  mt_watcher_destroy (watcher);
+  destroy_fixture (f);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_watch_avoids_idle_connections_after_a_time_out),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -638,6 +638,46 @@
   destroy_fixture (f);
 }
 
+static bool
+serves_route (struct fixture *f, unsigned daemon)
+{
+  g_autofree char *path = g_strdup_printf ("/r%u/", f->route);
+  int status = harness_status (f->harness, f->daemons[daemon], "GET", path, NULL, NULL);
+
+  assert_int_not_equal (status, 404);
+  return status == 200;
+}
+
+static bool
+all_serve_added_route (void *ctx)
+{
+  struct fixture *f = ctx;
+
+  for (unsigned i = 0; i < N_DAEMONS; i++)
+    if (!serves_route (f, i))
+      return false;
+  return true;
+}
+
+/* Guards against callers who are told that a route does not exist although it was added: the
+ * daemon's watches get no answer and it has not seen the change. */
+static void
+test_added_route_is_served_while_watches_are_silent (void **state)
+{
+  struct fixture *f = create_fixture ("200");
+
+  wait_until_ready (f);
+  assert_true (harness_wait (all_serve_route, f));
+  assert_int_equal (post_to_platform (f, "/test/store?mode=mute", NULL), 200);
+  configure (f, 2);
+  f->route = 2;
+  assert_true (harness_wait (all_serve_added_route, f));
+  f->route = 3;
+  for (unsigned i = 0; i < N_DAEMONS; i++)
+    assert_int_equal (harness_status (f->harness, f->daemons[i], "GET", "/r3/", NULL, NULL), 404);
+  destroy_fixture (f);
+}
+
 /* ---- workspaces ---- */
 
 #define YARD_KEY_ONE "k0-yard-secret"
@@ -911,6 +951,7 @@
     cmocka_unit_test (test_daemon_that_refuses_is_not_ready),
     cmocka_unit_test (test_forgotten_history_loses_no_configuration),
     cmocka_unit_test (test_configuration_never_goes_back),
+    cmocka_unit_test (test_added_route_is_served_while_watches_are_silent),
     cmocka_unit_test (test_keys_decide_who_is_served),
     cmocka_unit_test (test_lost_orders_run_no_task_twice),
     cmocka_unit_test (test_task_that_crashes_its_workers_fails_its_job),
--- a/tests/standins/fleet_main.c
+++ b/tests/standins/fleet_main.c
@@ -2,7 +2,7 @@
  * Arguments: number of workers (4), run time of a task in ms (300; 0: tasks never end). Prints the
  * store's port as "port=N". Besides the platform's calls the port accepts calls for tests:
  *
- *   POST /test/store?mode=up|busy|silent|lost   see fleet_store_set_mode
+ *   POST /test/store?mode=up|busy|silent|...   see fleet_store_set_mode
  *   POST /test/forget                           see fleet_store_compact
  *   POST /test/lose?percent=N                   see fleet_workers_lose_answers
  *   POST /test/resize?cpu=N                     see fleet_workers_resize
--- a/tests/standins/fleet_store.c
+++ b/tests/standins/fleet_store.c
@@ -229,7 +229,7 @@
   *w = (struct watch){ exchange, g_strdup (prefix != NULL ? prefix : ""),
                        after != NULL ? atoll (after) : 0,
                        now_ms () + (wait != NULL ? atoll (wait) : 0) };
-  if (answer_watch (s, w))
+  if (strcmp (s->mode, "mute") != 0 && answer_watch (s, w))
     free_watch (w);
   else
     g_queue_push_tail (&s->watches, w);
@@ -240,6 +240,8 @@
 {
   GList *next;
 
+  if (strcmp (s->mode, "mute") == 0)
+    return;
   for (GList *l = s->watches.head; l != NULL; l = next)
     {
       next = l->next;
@@ -503,6 +505,12 @@
   return s->calls;
 }
 
+unsigned
+fleet_store_watches (const struct fleet_store *s)
+{
+  return s->watches.length;
+}
+
 void
 fleet_store_handle (struct fleet_store *s, struct mt_exchange *exchange)
 {
@@ -553,7 +561,7 @@
   int64_t *lease;
   int64_t expired_id = 0;
 
-  if (strcmp (s->mode, "up") != 0 && strcmp (s->mode, "lost") != 0 && strcmp (s->mode, "slow") != 0)
+  if (strcmp (s->mode, "busy") == 0 || strcmp (s->mode, "silent") == 0)
     {
       g_hash_table_iter_init (&it, s->leases);
       while (g_hash_table_iter_next (&it, NULL, (void **) &lease))
--- a/tests/standins/fleet_store.h
+++ b/tests/standins/fleet_store.h
@@ -20,7 +20,7 @@
 char *fleet_store_get (const struct fleet_store *store, const char *key);
 /* Modes: "up", "busy" (every call gets 503), "silent" (no call is answered, nor does it take
  * effect), "lost" (writes take effect and are not answered), "slow" (writes take effect and are
- * answered after 700 ms). */
+ * answered after 700 ms), "mute" (watches are not answered, all other calls are). */
 void fleet_store_set_mode (struct fleet_store *store, const char *mode);
 /* What happens to one read or transaction. */
 enum fleet_fault
@@ -45,6 +45,8 @@
 int64_t fleet_store_lease (const struct fleet_store *store, const char *key);
 /* Number of reads of a key and transactions received. */
 unsigned fleet_store_calls (const struct fleet_store *store);
+/* Number of watches that wait for changes. */
+unsigned fleet_store_watches (const struct fleet_store *store);
 /* Compacts the history: answers all open watches with 410, and later ones that start before the
  * current revision. */
 void fleet_store_compact (struct fleet_store *store);
