http calls: after a time-out, idle connections to the address are closed too

Cause: connections can fall silent without a reset, all at once. The call in flight notices by its time-out and its connection is closed, but the next call takes the first idle connection, which is as silent. Daemons have idle watch connections from lost leaderships and from watches forwarded for others; each cost a watch of the configuration 1.4 s, and a lease renewal 0.4 s of the 1.35 s for which a leadership lasts. Class: one failure known per connection, though it hits what they share.

Idle connections that answered within the last 250 ms are kept: every time-out is longer, so that a store that loses single answers does not cost a reconnection of the connections in use.

--- a/net/http_calls.c
+++ b/net/http_calls.c
@@ -24,6 +24,9 @@
 /* libevent's timers follow a clock with ticks of 4 ms and may run that much early: a hedged call,
  * sent after unresponsive_ms, was answered when the first one had waited for 29 of 30 ms. */
 #define TIMER_TICK_MS 4
+/* Idle connections that answered within this time are kept after a time-out. Time-outs are longer:
+ * what answered so lately is not among the connections that failed with the timed-out one. */
+#define PROVEN_MS 250
 
 struct lane;
 
@@ -39,6 +42,7 @@
   struct lane *lane;
   struct evhttp_connection *evcon;
   struct pending_call *pending; /* NULL while idle */
+  int64_t answered_at;          /* 0: never */
 };
 
 struct pending_call
@@ -187,6 +191,27 @@
   done (ctx, answer);
 }
 
+static void
+close_idle (struct lane *lane, int64_t answered_before)
+{
+  for (guint i = lane->connections->len; i > 0; i--)
+    {
+      struct connection *c = lane->connections->pdata[i - 1];
+
+      if (c->pending == NULL && c->answered_at < answered_before)
+        retire_connection (c);
+    }
+}
+
+/* A connection can fall silent without a reset, and others with it: a call sent on an idle one
+ * would wait for its own time-out. */
+static void
+close_unproven (struct server *server)
+{
+  for (guint i = 0; i < server->lanes->len; i++)
+    close_idle (server->lanes->pdata[i], now_ms () - PROVEN_MS);
+}
+
 static void
 on_timeout (evutil_socket_t fd, short what, void *ctx)
 {
@@ -194,7 +219,10 @@
   struct mt_call_answer answer = { .sent = pending->sent };
 
   if (pending->connection != NULL)
-    retire_connection (pending->connection);
+    {
+      retire_connection (pending->connection);
+      close_unproven (pending->lane->server);
+    }
   else
     g_queue_remove (&pending->lane->waiting, pending);
   complete_call (pending, &answer);
@@ -231,7 +259,8 @@
       return;
     }
   unresponsive = is_unresponsive (c);
-  c->lane->server->answered_at = now_ms ();
+  c->answered_at = now_ms ();
+  c->lane->server->answered_at = c->answered_at;
   input = evhttp_request_get_input_buffer (request);
   answer.status = evhttp_request_get_response_code (request);
   answer.body.len = evbuffer_get_length (input);
@@ -432,13 +461,8 @@
 
   g_hash_table_iter_init (&it, calls->lanes);
   while (g_hash_table_iter_next (&it, NULL, (void **) &lane))
-    {
-      if (!g_str_has_prefix (lane->key, address) || lane->key[strlen (address)] != '/')
-        continue;
-      for (guint i = lane->connections->len; i > 0; i--)
-        if (((struct connection *) lane->connections->pdata[i - 1])->pending == NULL)
-          retire_connection (lane->connections->pdata[i - 1]);
-    }
+    if (g_str_has_prefix (lane->key, address) && lane->key[strlen (address)] == '/')
+      close_idle (lane, INT64_MAX);
 }
 
 struct event_base *
--- a/net/http_calls.h
+++ b/net/http_calls.h
@@ -33,7 +33,9 @@
   const char *path;
   struct mt_str body;                   /* JSON; empty if there is none */
   const struct mt_call_header *headers; /* NULL if there are none */
-  int64_t timeout_ms; /* until the last byte of the answer; then the connection is closed */
+  /* Until the last byte of the answer; then the connection is closed, and so are idle ones to the
+   * address that have not answered lately. */
+  int64_t timeout_ms;
   /* Calls with the same address and lane share at most max_connections connections. Further calls
    * are queued; their timeout includes the time in the queue. */
   unsigned lane;
