frontend: refuse a call for good only by a configuration that a read has confirmed

Cause: a 404 was decided by the daemon's copy whatever its age, and a 401 for an unknown key too. Class: an absence in a cache taken for an absence at the source.

Change: a path or key that the copy does not have is looked up by a read of the configuration, shared by all calls and valid for 500 ms; without an answer the call gets 503 and comes back. The same read comes before a call is served by a copy that was unconfirmed for longer than a watch lasts (1.3 s), so a removed route is not served either; if that read fails the call is served, since a route is rarely removed and a job's state is best told.

--- /dev/null
+++ b/fleet/config_check.c
@@ -0,0 +1,100 @@
+#include "config_check.h"
+
+#include "loop.h"
+
+/* A read confirms the configuration for this time, so that a flood of calls for unknown paths costs
+ * the store at most two reads a second and daemon. */
+#define CONFIRMED_FOR_MS 500
+#define READ_TIMEOUT_MS  600
+
+struct waiting
+{
+  mt_config_checked done;
+  void *data;
+};
+
+struct mt_config_check
+{
+  struct mt_config_check_options options;
+  char *key;
+  GQueue waiting; /* of struct waiting, for the read in flight */
+  bool in_flight;
+  int64_t sent_at; /* the last read */
+  int64_t confirmed_at;
+};
+
+static void
+complete_waiting (struct mt_config_check *check, bool confirmed)
+{
+  GQueue waiting = check->waiting;
+  struct waiting *w;
+
+  g_queue_init (&check->waiting);
+  while ((w = g_queue_pop_head (&waiting)) != NULL)
+    {
+      w->done (w->data, confirmed);
+      g_free (w);
+    }
+}
+
+static void
+on_read (void *data, const struct mt_kv_reply *reply)
+{
+  struct mt_config_check *check = data;
+  bool answered = reply->status == MT_KV_OK || reply->status == MT_KV_MISSING;
+
+  check->in_flight = false;
+  for (size_t i = 0; i < reply->n_items; i++)
+    check->options.on_item (check->options.ctx, &reply->items[i]);
+  if (answered)
+    check->confirmed_at = check->sent_at;
+  complete_waiting (check, answered);
+}
+
+void
+mt_config_check_request (struct mt_config_check *check, mt_config_checked done, void *data)
+{
+  int64_t now = mt_loop_now ();
+  struct waiting *w;
+
+  if (check->confirmed_at > 0 && now - check->confirmed_at < CONFIRMED_FOR_MS)
+    {
+      done (data, true);
+      return;
+    }
+  w = g_new0 (struct waiting, 1);
+  *w = (struct waiting){ done, data };
+  g_queue_push_tail (&check->waiting, w);
+  if (check->in_flight)
+    return;
+  check->in_flight = true;
+  check->sent_at = now;
+  mt_kv_read (&check->options.kv, check->key, READ_TIMEOUT_MS, on_read, check);
+}
+
+int64_t
+mt_config_check_confirmed_at (const struct mt_config_check *check)
+{
+  return check->confirmed_at;
+}
+
+struct mt_config_check *
+mt_config_check_create (const struct mt_config_check_options *options)
+{
+  struct mt_config_check *check = g_new0 (struct mt_config_check, 1);
+
+  check->options = *options;
+  check->key = g_strdup (options->key);
+  g_queue_init (&check->waiting);
+  return check;
+}
+
+void
+mt_config_check_destroy (struct mt_config_check *check)
+{
+  if (check == NULL)
+    return;
+  g_queue_clear_full (&check->waiting, g_free);
+  g_free (check->key);
+  g_free (check);
+}
--- /dev/null
+++ b/fleet/config_check.h
@@ -0,0 +1,34 @@
+/* Confirms the configuration by reading it from the store, for decisions that are final for a
+ * caller. A watch may miss changes for a while without knowing it: its connection is silent, or the
+ * store withholds events. Callers share the reads, so that many calls cost few. Not thread-safe:
+ * runs on the loop's thread. */
+#ifndef MT_FLEET_CONFIG_CHECK_H
+#define MT_FLEET_CONFIG_CHECK_H
+
+#include "ports.h"
+
+struct mt_config_check;
+
+struct mt_config_check_options
+{
+  struct mt_kv kv;
+  const char *key;
+  /* Called with the configuration read, before those who wait for it. */
+  void (*on_item) (void *ctx, const struct mt_kv_item *item);
+  void *ctx;
+};
+
+/* confirmed: the configuration in force is as current as the store; false: the store did not
+ * answer. */
+typedef void (*mt_config_checked) (void *data, bool confirmed);
+
+struct mt_config_check *mt_config_check_create (const struct mt_config_check_options *options);
+/* Call when the store's calls have been completed. */
+void mt_config_check_destroy (struct mt_config_check *check);
+/* Calls done exactly once: at once if a read has confirmed the configuration just before, otherwise
+ * when the read ends. */
+void mt_config_check_request (struct mt_config_check *check, mt_config_checked done, void *data);
+/* Returns when the last answered read was sent, by mt_loop_now; 0: never. */
+int64_t mt_config_check_confirmed_at (const struct mt_config_check *check);
+
+#endif
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -71,6 +71,7 @@
   struct mt_http_front *scrape; /* metrics; NULL if they have no port */
   struct mt_roster *roster;
   struct mt_watcher *config_watch;
+  struct mt_config_check *config_check;
   struct mt_fleet_config *config;
   GHashTable *pools;              /* name -> struct mt_pool, the pools led by this daemon */
   struct mt_fleet_leader *leader; /* NULL unless this daemon holds the fleet's leadership */
@@ -268,7 +269,11 @@
 static int64_t
 config_age_ms (void *ctx)
 {
-  return mt_loop_now () - mt_watcher_last_answer (((struct mt_fleet *) ctx)->config_watch);
+  struct mt_fleet *f = ctx;
+
+  return mt_loop_now ()
+         - MAX (mt_watcher_last_answer (f->config_watch),
+                mt_config_check_confirmed_at (f->config_check));
 }
 
 static void
@@ -556,6 +561,16 @@
   return mt_adapter_store_available (((struct mt_fleet *) ctx)->platform);
 }
 
+static void
+create_config_check (struct mt_fleet *f)
+{
+  struct mt_config_check_options options = {
+    .kv = mt_adapter_kv (f->platform), .key = f->codec.config_key, .on_item = on_config, .ctx = f
+  };
+
+  f->config_check = mt_config_check_create (&options);
+}
+
 static void
 create_frontend (struct mt_fleet *f)
 {
@@ -569,6 +584,7 @@
                                          .store_answers = store_answers,
                                          .store_is_down = store_is_down,
                                          .store_wait = f->settings->store_wait,
+                                         .config_check = f->config_check,
                                          .config_age_ms = config_age_ms,
                                          .keys_stale_ms = f->settings->bounds.keys_stale_ms,
                                          .ctx = f };
@@ -660,6 +676,7 @@
   create_cluster (f, peer);
   f->relay = mt_relay_create (f->platform, f->mesh, f->cluster);
   f->peer_service = (struct mt_peer_service){ f->cluster, f->relay, local_pool, f };
+  create_config_check (f);
   create_frontend (f);
   if (!listen_all (f, error))
     return NULL;
@@ -693,6 +710,7 @@
     return;
   g_clear_pointer (&f->leader, mt_fleet_leader_destroy);
   g_hash_table_remove_all (f->pools);
+  mt_frontend_close (f->frontend);
   /* Callbacks of mesh calls may call the store, and those of store calls may notify leaders. */
   mt_mesh_cancel_calls (f->mesh);
   mt_calls_destroy (f->calls);
@@ -703,6 +721,7 @@
   mt_http_front_destroy (f->ready);
   mt_http_front_destroy (f->scrape);
   mt_frontend_destroy (f->frontend);
+  mt_config_check_destroy (f->config_check);
   mt_relay_destroy (f->relay);
   mt_cluster_destroy (f->cluster);
   mt_adapter_destroy (f->platform);
--- a/fleet/frontend.c
+++ b/fleet/frontend.c
@@ -8,6 +8,9 @@
 /* Number of hexadecimal digits in a job's id. */
 #define ID_CHARS              16
 #define MAX_LOGGED_PATH_BYTES 80
+/* Calls are checked against the store if the configuration is unconfirmed for longer: a change must
+ * be in force after 2 s, of which the check takes up to 0.6 s while the store answers. */
+#define CONFIG_STALE_MS 1300
 
 void
 mt_frontend_answer (struct mt_exchange *exchange,
@@ -84,18 +87,6 @@
   return best;
 }
 
-static void
-refuse_path (struct mt_frontend *frontend, struct mt_exchange *exchange)
-{
-  mt_metrics_increment (frontend->options.metrics, MT_COUNT_ROUTE_UNKNOWN);
-  mt_journal_log (
-      frontend->options.journal, "ROUTE_UNKNOWN",
-      "version=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT " method=%s path=%.*s",
-      frontend->config->version, frontend->options.config_age_ms (frontend->options.ctx),
-      mt_exchange_method (exchange), MAX_LOGGED_PATH_BYTES, mt_exchange_path (exchange));
-  mt_frontend_answer (exchange, 404, NULL, 0);
-}
-
 static bool
 is_id (const char *text)
 {
@@ -116,93 +107,174 @@
   return max_age_ms > 0 && frontend->options.config_age_ms (frontend->options.ctx) > max_age_ms;
 }
 
+/* What a call asks for, by the configuration in force. */
+struct target
+{
+  const struct mt_fleet_route *route; /* NULL if no route has the path */
+  const char *id;                     /* the path after the route's prefix */
+  const char *workspace;              /* of the caller; "" if the route asks for no key */
+};
+
+enum verdict
+{
+  VERDICT_SERVE,
+  VERDICT_UNKNOWN_PATH,
+  VERDICT_UNKNOWN_KEY,
+  VERDICT_UNCONFIRMED_KEY,
+};
+
+static enum verdict
+find_target (const struct mt_frontend *frontend,
+             const struct mt_exchange *exchange,
+             struct target *out)
+{
+  const struct mt_workspaces *list = frontend->config->workspaces;
+  const struct mt_workspace *workspace;
+
+  *out = (struct target){ find_route (frontend, exchange), "", "" };
+  if (out->route == NULL)
+    return VERDICT_UNKNOWN_PATH;
+  out->id = mt_exchange_path (exchange) + strlen (out->route->prefix);
+  if (out->id[0] != '\0' && !is_id (out->id))
+    return VERDICT_UNKNOWN_PATH;
+  if (list == NULL || out->route->allow_anonymous)
+    return VERDICT_SERVE;
+  workspace = mt_workspaces_by_key (
+      list, mt_exchange_header (exchange, frontend->options.codec->key_header));
+  if (workspace == NULL)
+    return VERDICT_UNKNOWN_KEY;
+  out->workspace = workspace->name;
+  return keys_are_stale (frontend) ? VERDICT_UNCONFIRMED_KEY : VERDICT_SERVE;
+}
+
+static void
+refuse_path (struct mt_frontend *frontend, struct mt_exchange *exchange, unsigned status)
+{
+  mt_metrics_increment (frontend->options.metrics, MT_COUNT_ROUTE_UNKNOWN);
+  mt_journal_log (
+      frontend->options.journal, "ROUTE_UNKNOWN",
+      "status=%u version=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT " method=%s path=%.*s",
+      status, frontend->config->version, frontend->options.config_age_ms (frontend->options.ctx),
+      mt_exchange_method (exchange), MAX_LOGGED_PATH_BYTES, mt_exchange_path (exchange));
+}
+
 static void
 refuse_caller (struct mt_frontend *frontend,
                struct mt_exchange *exchange,
-               const struct mt_fleet_route *route,
-               const char *id,
-               bool stale)
+               const struct target *target,
+               unsigned status)
 {
   const char *key = mt_exchange_header (exchange, frontend->options.codec->key_header);
-  unsigned status = stale ? 503 : 401;
 
   mt_metrics_increment (frontend->options.metrics, MT_COUNT_UNAUTHORIZED);
   mt_journal_log (frontend->options.journal, "CALLER_REFUSED",
                   "id=%s route=%s pool=%s status=%u version=%" G_GINT64_FORMAT " why=%s",
-                  id[0] != '\0' ? id : "-", route->name, route->pool, status,
-                  frontend->config->version,
-                  stale         ? "keys cannot be confirmed"
+                  target->id[0] != '\0' ? target->id : "-", target->route->name,
+                  target->route->pool, status, frontend->config->version,
+                  status == 503 ? "keys cannot be confirmed"
                   : key == NULL ? "no key"
                                 : "unknown key");
-  mt_frontend_answer (exchange, status, NULL, stale ? MT_FRONTEND_RETRY_AFTER_S : 0);
 }
 
-/* Returns the caller's workspace, or "" if the route asks for no key; NULL if the caller was
- * refused. */
-static const char *
-authenticate (struct mt_frontend *frontend,
-              struct mt_exchange *exchange,
-              const struct mt_fleet_route *route,
-              const char *id)
+/* Refuses the call for good if the configuration is confirmed; otherwise the caller is asked to
+ * come back, since a newer version may have its route or its key. */
+static void
+refuse (struct mt_frontend *frontend,
+        struct mt_exchange *exchange,
+        const struct target *target,
+        enum verdict verdict,
+        bool confirmed)
 {
-  const struct mt_workspaces *list = frontend->config->workspaces;
-  const struct mt_workspace *workspace;
-  bool stale;
+  bool final = confirmed && verdict != VERDICT_UNCONFIRMED_KEY;
+  unsigned status = !final ? 503 : verdict == VERDICT_UNKNOWN_PATH ? 404 : 401;
 
-  if (list == NULL || route->allow_anonymous)
-    return "";
-  stale = keys_are_stale (frontend);
-  workspace = mt_workspaces_by_key (
-      list, mt_exchange_header (exchange, frontend->options.codec->key_header));
-  if (workspace != NULL && !stale)
-    return workspace->name;
-  refuse_caller (frontend, exchange, route, id, workspace != NULL && stale);
-  return NULL;
+  if (verdict == VERDICT_UNKNOWN_PATH)
+    refuse_path (frontend, exchange, status);
+  else
+    refuse_caller (frontend, exchange, target, status);
+  mt_frontend_answer (exchange, status, NULL, final ? 0 : MT_FRONTEND_RETRY_AFTER_S);
 }
 
 static void
-dispatch (struct mt_frontend *frontend,
-          struct mt_exchange *exchange,
-          const struct mt_fleet_route *route,
-          const char *id,
-          const char *workspace)
+dispatch (struct mt_frontend *frontend, struct mt_exchange *exchange, const struct target *target)
 {
+  const struct mt_fleet_route *route = target->route;
   const char *method = mt_exchange_method (exchange);
 
-  if (strcmp (method, "GET") == 0 && id[0] == '\0')
+  if (strcmp (method, "GET") == 0 && target->id[0] == '\0')
     mt_frontend_query_pending (frontend, exchange, route);
-  else if (strcmp (method, "POST") == 0 && id[0] != '\0')
-    mt_frontend_submit (frontend, exchange, route, id, workspace);
+  else if (strcmp (method, "POST") == 0 && target->id[0] != '\0')
+    mt_frontend_submit (frontend, exchange, route, target->id, target->workspace);
   else if (strcmp (method, "GET") == 0)
-    mt_frontend_query_state (frontend, exchange, route, id, workspace);
-  else if (strcmp (method, "DELETE") == 0 && id[0] != '\0')
-    mt_frontend_cancel (frontend, exchange, route, id, workspace);
+    mt_frontend_query_state (frontend, exchange, route, target->id, target->workspace);
+  else if (strcmp (method, "DELETE") == 0 && target->id[0] != '\0')
+    mt_frontend_cancel (frontend, exchange, route, target->id, target->workspace);
   else
     mt_frontend_answer (exchange, 405, NULL, 0);
 }
 
+/* A call that waits until the configuration is confirmed. */
+struct held_call
+{
+  struct mt_frontend *frontend;
+  struct mt_exchange *exchange;
+};
+
+static void
+on_config_checked (void *data, bool confirmed)
+{
+  struct held_call *call = data;
+  struct mt_frontend *frontend = call->frontend;
+  struct mt_exchange *exchange = call->exchange;
+  struct target target;
+  enum verdict verdict = find_target (frontend, exchange, &target);
+
+  g_free (call);
+  frontend->in_flight--;
+  if (frontend->closing)
+    mt_frontend_answer (exchange, 503, NULL, MT_FRONTEND_RETRY_AFTER_S);
+  else if (verdict == VERDICT_SERVE)
+    dispatch (frontend, exchange, &target);
+  else
+    refuse (frontend, exchange, &target, verdict, confirmed);
+}
+
+static void
+hold_until_confirmed (struct mt_frontend *frontend, struct mt_exchange *exchange)
+{
+  struct held_call *call = g_new0 (struct held_call, 1);
+
+  *call = (struct held_call){ frontend, exchange };
+  frontend->in_flight++;
+  mt_config_check_request (frontend->options.config_check, on_config_checked, call);
+}
+
+static bool
+config_is_stale (const struct mt_frontend *frontend)
+{
+  return frontend->options.config_age_ms (frontend->options.ctx) > CONFIG_STALE_MS;
+}
+
 void
 mt_frontend_handle (struct mt_frontend *frontend, struct mt_exchange *exchange)
 {
-  const struct mt_fleet_route *route;
-  const char *workspace;
-  const char *id;
+  struct target target;
+  enum verdict verdict;
+  bool must_check;
 
   if (frontend->config == NULL)
     {
       mt_frontend_answer (exchange, 503, NULL, MT_FRONTEND_RETRY_AFTER_S);
       return;
     }
-  route = find_route (frontend, exchange);
-  id = route != NULL ? mt_exchange_path (exchange) + strlen (route->prefix) : "";
-  if (route == NULL || (id[0] != '\0' && !is_id (id)))
-    {
-      refuse_path (frontend, exchange);
-      return;
-    }
-  workspace = authenticate (frontend, exchange, route, id);
-  if (workspace != NULL)
-    dispatch (frontend, exchange, route, id, workspace);
+  verdict = find_target (frontend, exchange, &target);
+  must_check = verdict != VERDICT_SERVE || config_is_stale (frontend);
+  if (must_check && frontend->options.store_answers (frontend->options.ctx))
+    hold_until_confirmed (frontend, exchange);
+  else if (verdict == VERDICT_SERVE)
+    dispatch (frontend, exchange, &target);
+  else
+    refuse (frontend, exchange, &target, verdict, false);
 }
 
 void
@@ -212,6 +284,12 @@
   mt_submit_queue_set_workspaces (frontend->submits, config != NULL ? config->workspaces : NULL);
 }
 
+void
+mt_frontend_close (struct mt_frontend *frontend)
+{
+  frontend->closing = true;
+}
+
 unsigned
 mt_frontend_in_flight (const struct mt_frontend *frontend)
 {
--- a/fleet/frontend.h
+++ b/fleet/frontend.h
@@ -5,6 +5,7 @@
 #define MT_FLEET_FRONTEND_H
 
 #include "cluster.h"
+#include "config_check.h"
 #include "http_front.h"
 #include "mesh.h"
 #include "metrics.h"
@@ -28,6 +29,8 @@
   /* Returns whether, as far as known, the store answers no daemon. */
   bool (*store_is_down) (void *ctx);
   bool store_wait; /* submissions wait for the store in an outage */
+  /* Confirms the configuration before a call is refused for good. */
+  struct mt_config_check *config_check;
   /* Milliseconds since the store last confirmed the current configuration. */
   int64_t (*config_age_ms) (void *ctx);
   int64_t keys_stale_ms; /* callers with keys are refused if the configuration is older; 0: never */
@@ -40,6 +43,8 @@
 /* The configuration is borrowed until the next call; NULL for none. */
 void mt_frontend_set_config (struct mt_frontend *frontend, const struct mt_fleet_config *config);
 void mt_frontend_handle (struct mt_frontend *frontend, struct mt_exchange *exchange);
+/* To be called before the clients of the store and of other daemons are destroyed. */
+void mt_frontend_close (struct mt_frontend *frontend);
 /* Returns the number of submissions and queries in flight. */
 unsigned mt_frontend_in_flight (const struct mt_frontend *frontend);
 
