store client: an unanswered watch does not show that the store is unreachable

A change was in force up to 1.6 s after the end of a cut, and up to 1.97 s after its acknowledgement during one-way cuts; the bound is 2 s.

Cause: two unanswered calls in a row, watches among them, made a daemon send its calls through others for 0.7 s or more. A store that cuts its watches (it does so when it compacts its history) made all daemons do so at once and turn each other away: in the logs of the compaction, watches that failed after 1 to 4 ms with direct=0 at every daemon while the store answered all other calls. Class: the state of a connection taken for the state of the server.

--- a/tests/platform/test_silent_connections.c
+++ b/tests/platform/test_silent_connections.c
@@ -142,11 +142,30 @@
   destroy_fixture (f);
 }
 
+/* Guards against daemons that all stop calling the store and are turned away by each other, because
+ * the store has cut their watches (it does so when it compacts its history). */
+static void
+test_unanswered_watches_do_not_show_an_unreachable_store (void **state)
+{
+  struct fixture *f = create_fixture ();
+
+  for (unsigned i = 0; i < IDLE_CONNECTIONS; i++)
+    f->kv.ops->watch (f->kv.ctx, "k/", 1, SHORT_WAIT_MS, on_reply, f);
+  while (fleet_store_watches (f->store) < IDLE_CONNECTIONS)
+    event_base_loop (f->base, EVLOOP_ONCE);
+  proxy_silence (f->proxy);
+  while (f->replies < IDLE_CONNECTIONS)
+    event_base_loop (f->base, EVLOOP_ONCE);
+  assert_true (mt_adapter_reaches_store (f->adapter));
+  destroy_fixture (f);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_watch_avoids_idle_connections_after_a_time_out),
+    cmocka_unit_test (test_unanswered_watches_do_not_show_an_unreachable_store),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
