mesh: a time-out closes the connection that the call was sent on, not its successor

Cause: when a call timed out, the connection that was then in use to that daemon was closed. Calls that had been sent on an earlier, silent connection time out one after the other, and each took the new connection with the calls on it.

Evidence: test_time_out_closes_no_newer_connection waited for its answer until the call's time-out of 30 s before, and passes now.

--- a/net/mesh.c
+++ b/net/mesh.c
@@ -35,7 +35,6 @@
   struct mt_mesh *mesh;
   enum mt_mesh_method method;
   uint64_t id;
-  char *address;
   struct link *link; /* on which it was queued; NULL if it was not */
   struct event *timer;
   mt_mesh_done done;
@@ -173,10 +172,9 @@
 on_timeout (evutil_socket_t fd, short what, void *ctx)
 {
   struct pending_call *pending = ctx;
-  struct link *link = g_hash_table_lookup (pending->mesh->links, pending->address);
 
-  if (link != NULL)
-    close_link (link);
+  if (pending->link != NULL)
+    close_link (pending->link);
   complete_call (pending, NULL);
 }
 
@@ -333,7 +331,6 @@
   event_free (pending->timer);
   if (pending->link != NULL)
     unref_link (pending->link);
-  g_free (pending->address);
   g_free (pending);
 }
 
@@ -355,7 +352,6 @@
   pending->mesh = mesh;
   pending->method = method;
   pending->id = ++mesh->next_id;
-  pending->address = g_strdup (address);
   pending->done = done;
   pending->ctx = ctx;
   pending->timer = event_new (mesh->base, -1, 0, on_timeout, pending);
--- a/tests/net/test_mesh.c
+++ b/tests/net/test_mesh.c
@@ -90,11 +90,73 @@
   event_base_free (f.base);
 }
 
+struct exchange
+{
+  struct mt_mesh_call *calls[3]; /* as received */
+  unsigned received;
+  unsigned failed;
+  bool answered;
+};
+
+static void
+collect_call (void *ctx,
+              struct mt_mesh_call *call,
+              enum mt_mesh_method method,
+              const struct mt_mesh_args *args)
+{
+  struct exchange *e = ctx;
+
+  e->calls[e->received++] = call;
+}
+
+static void
+on_first_calls_done (void *ctx, const struct mt_mesh_args *args)
+{
+  assert_null (args);
+  ((struct exchange *) ctx)->failed++;
+}
+
+static void
+on_last_call_done (void *ctx, const struct mt_mesh_args *args)
+{
+  assert_non_null (args);
+  ((struct exchange *) ctx)->answered = true;
+}
+
+/* Guards against a call whose answer is lost because an older call, sent on an earlier connection
+ * that was given up, times out and takes the new connection with it. */
+static void
+test_time_out_closes_no_newer_connection (void **state)
+{
+  struct event_base *base = event_base_new ();
+  struct exchange e = { .received = 0 };
+  struct mt_mesh *caller = mt_mesh_create (base, NULL, "127.0.0.1:0", "a", collect_call, &e, NULL);
+  struct mt_mesh *server = mt_mesh_create (base, NULL, "127.0.0.1:0", "b", collect_call, &e, NULL);
+  g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", mt_mesh_port (server));
+  struct mt_mesh_args args = { 1, { MT_STR ("x") } };
+
+  mt_mesh_send (caller, address, MT_MESH_STORE, &args, 50, on_first_calls_done, &e);
+  mt_mesh_send (caller, address, MT_MESH_STORE, &args, 500, on_first_calls_done, &e);
+  while (e.received < 2 || e.failed < 1)
+    event_base_loop (base, EVLOOP_ONCE);
+  mt_mesh_send (caller, address, MT_MESH_STORE, &args, 30000, on_last_call_done, &e);
+  while (e.received < 3 || e.failed < 2)
+    event_base_loop (base, EVLOOP_ONCE);
+  for (unsigned i = 0; i < G_N_ELEMENTS (e.calls); i++)
+    mt_mesh_reply (e.calls[i], &args);
+  while (!e.answered)
+    event_base_loop (base, EVLOOP_ONCE);
+  mt_mesh_destroy (caller);
+  mt_mesh_destroy (server);
+  event_base_free (base);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_call_is_undelivered_only_without_a_connection),
+    cmocka_unit_test (test_time_out_closes_no_newer_connection),
     cmocka_unit_test (test_cancelled_calls_complete_before_destruction),
   };
 
