mesh: calls end with the connection that they were sent on

A call between daemons waited for its whole time-out, 1.3 s for a forwarded watch of the configuration, after its connection had been closed: because another call on it had timed out, or because the other daemon had ended. No answer to it could arrive.

Change: closing a connection ends its calls in the loop's next round, without an answer; those that were never sent count as undelivered, as before.

--- a/net/mesh.c
+++ b/net/mesh.c
@@ -138,6 +138,21 @@
   g_rc_box_release_full (link, clear_link);
 }
 
+/* Lets the calls sent on a closed connection end in the loop's next round: no answer to them can
+ * arrive any more. */
+static void
+end_calls (const struct link *link)
+{
+  static const struct timeval now = { 0, 0 };
+  GHashTableIter it;
+  struct pending_call *pending;
+
+  g_hash_table_iter_init (&it, link->mesh->pending_calls);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &pending))
+    if (pending->link == link)
+      event_add (pending->timer, &now);
+}
+
 static void
 close_link (struct link *link)
 {
@@ -151,6 +166,7 @@
   g_queue_unlink (&mesh->all_links, &link->node);
   if (link->address != NULL && g_hash_table_lookup (mesh->links, link->address) == link)
     g_hash_table_remove (mesh->links, link->address);
+  end_calls (link);
   unref_link (link);
 }
 
--- a/tests/net/test_mesh.c
+++ b/tests/net/test_mesh.c
@@ -151,12 +151,36 @@
   event_base_free (base);
 }
 
+/* Guards against calls that wait for their time-outs, of over a second, after the connection on
+ * which their answers would come has been closed. */
+static void
+test_calls_end_with_their_connection (void **state)
+{
+  struct event_base *base = event_base_new ();
+  struct exchange e = { .received = 0 };
+  struct mt_mesh *caller = mt_mesh_create (base, NULL, "127.0.0.1:0", "a", collect_call, &e, NULL);
+  struct mt_mesh *server = mt_mesh_create (base, NULL, "127.0.0.1:0", "b", collect_call, &e, NULL);
+  g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", mt_mesh_port (server));
+  struct mt_mesh_args args = { 1, { MT_STR ("x") } };
+
+  mt_mesh_send (caller, address, MT_MESH_STORE, &args, 50, on_first_calls_done, &e);
+  mt_mesh_send (caller, address, MT_MESH_STORE, &args, 3600 * 1000, on_first_calls_done, &e);
+  while (e.received < 2 || e.failed < 2)
+    event_base_loop (base, EVLOOP_ONCE);
+  for (unsigned i = 0; i < 2; i++)
+    mt_mesh_reply (e.calls[i], NULL);
+  mt_mesh_destroy (caller);
+  mt_mesh_destroy (server);
+  event_base_free (base);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_call_is_undelivered_only_without_a_connection),
     cmocka_unit_test (test_time_out_closes_no_newer_connection),
+    cmocka_unit_test (test_calls_end_with_their_connection),
     cmocka_unit_test (test_cancelled_calls_complete_before_destruction),
   };
 
