http client: a time-out closes the idle connections to the minion

The same cause as for the store's connections, in the daemon's own interface: all connections to a minion fall silent without a reset, and each request that takes an idle one waits until its deadline and ends with an unknown outcome.

Change: after a call that had no complete answer by its deadline the idle connections to the same minion are closed, too; the next request opens a new one. A first version did so after any unknown outcome and failed test_request_on_new_connection_is_sent_once, which sends on an idle connection after the minion has closed another one.

--- a/net/http_client.c
+++ b/net/http_client.c
@@ -211,6 +211,26 @@
     ne_session_destroy (connection.session);
 }
 
+/* Connections may fall silent together, without a reset: after a time-out the idle ones are closed,
+ * too. */
+static void
+close_idle (struct mt_http_client *client, const char *address)
+{
+  GQueue evicted = G_QUEUE_INIT;
+  struct idle_connection *idle;
+  struct peer *peer;
+
+  g_mutex_lock (&client->lock);
+  peer = get_peer (client, address);
+  while ((idle = g_queue_pop_head (&peer->idle)) != NULL)
+    {
+      g_queue_push_tail (&evicted, idle);
+      peer->n_open--;
+    }
+  g_mutex_unlock (&client->lock);
+  g_queue_clear_full (&evicted, free_idle);
+}
+
 static bool
 is_hop_by_hop (const char *name)
 {
@@ -472,6 +492,8 @@
     outcome = check_request_id (call, answer, error);
   ne_request_destroy (request);
   release_connection (client, address, call, connection, is_reusable (call, answer, outcome));
+  if (outcome == MT_HTTP_UNKNOWN && mt_clock_now (client->clock) >= call->deadline_us)
+    close_idle (client, address);
   return outcome;
 }
 
--- a/tests/net/test_http_client.c
+++ b/tests/net/test_http_client.c
@@ -292,6 +292,44 @@
   g_mutex_unlock (&f->lock);
 }
 
+static gpointer
+send_held_call (gpointer ctx)
+{
+  struct fixture *f = ctx;
+  struct mt_http_call call = make_call (MT_STR ("held"), false, 20 * MT_SECOND);
+  struct mt_arena *arena = mt_arena_create (0);
+  struct mt_http_answer answer;
+
+  assert_int_equal (
+      mt_http_client_call (f->client, scripted_address (f->minion), &call, arena, &answer, NULL),
+      MT_HTTP_COMPLETE);
+  mt_arena_destroy (arena);
+  return NULL;
+}
+
+/* Guards against one time-out for each idle connection, when all connections to a minion have
+ * fallen silent together. */
+static void
+test_time_out_closes_idle_connections (void **state)
+{
+  struct fixture *f = *state;
+  const enum script scripts[] = { SCRIPT_HELD, SCRIPT_HELD, SCRIPT_SLOW };
+  struct mt_http_call call = make_call (MT_STR ("a"), false, MT_SECOND);
+  GThread *threads[2];
+
+  scripted_set_scripts (f->minion, scripts, 3);
+  for (unsigned i = 0; i < G_N_ELEMENTS (threads); i++)
+    threads[i] = g_thread_new ("caller", send_held_call, f);
+  scripted_wait_for_connections (f->minion, 2);
+  scripted_release (f->minion);
+  for (unsigned i = 0; i < G_N_ELEMENTS (threads); i++)
+    g_thread_join (threads[i]);
+  assert_int_equal (mt_http_client_call (f->client, scripted_address (f->minion), &call, f->arena,
+                                         &f->answer, NULL),
+                    MT_HTTP_UNKNOWN);
+  scripted_wait_for_connections (f->minion, 0);
+}
+
 /* An answer that exceeds the request's memory limit gives a typed error, and leaks nothing. */
 static void
 test_answer_beyond_memory_limit_fails (void **state)
@@ -323,6 +361,7 @@
     cmocka_unit_test_setup_teardown (test_short_deadline_does_not_limit_later_requests, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_late_answer_is_discarded, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_time_out_closes_idle_connections, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_answer_beyond_memory_limit_fails, set_up, tear_down),
   };
 
