peer client: a time-out closes the kept connections to the daemon

Change: a call that fails by its deadline closes the kept connections to that address.

Evidence: test_time_out_closes_kept_connections failed before (a kept connection stayed open for the 20 s that the test waits) and passes now.

--- a/net/peer_client.c
+++ b/net/peer_client.c
@@ -110,6 +110,15 @@
     }
 }
 
+/* Connections may fall silent together, without a reset. */
+static void
+close_kept (struct mt_peer_client *client, const char *address)
+{
+  g_mutex_lock (&client->lock);
+  g_hash_table_remove (client->idle, address);
+  g_mutex_unlock (&client->lock);
+}
+
 static int
 take_connection (struct mt_peer_client *client, const char *address)
 {
@@ -337,5 +346,7 @@
     }
   else if (call.fd >= 0)
     close (call.fd);
+  if (!ok && mt_clock_now (client->clock) >= deadline_us)
+    close_kept (client, address);
   return ok;
 }
--- a/tests/net/test_peer.c
+++ b/tests/net/test_peer.c
@@ -161,6 +161,100 @@
     close (fds[i]);
 }
 
+/* A peer of which the test plays the server. */
+struct played_peer
+{
+  int listener;
+  char address[32];
+  struct mt_peer_client *client;
+};
+
+static bool
+call_played (struct played_peer *p, int64_t timeout_us)
+{
+  char *reply = NULL;
+  size_t len = 0;
+  bool ok
+      = mt_peer_client_call (p->client, p->address, MT_PEER_HEARTBEAT, MT_STR ("x"),
+                             mt_clock_now (mt_clock_system ()) + timeout_us, &reply, &len, NULL);
+
+  free (reply);
+  return ok;
+}
+
+static gpointer
+call_answered (gpointer ctx)
+{
+  assert_true (call_played (ctx, CALL_TIMEOUT_US));
+  return NULL;
+}
+
+static void
+open_played_peer (struct played_peer *p)
+{
+  struct sockaddr_in addr = { .sin_family = AF_INET };
+  socklen_t len = sizeof addr;
+
+  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  p->listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  assert_int_equal (bind (p->listener, (struct sockaddr *) &addr, sizeof addr), 0);
+  assert_int_equal (listen (p->listener, 8), 0);
+  assert_int_equal (getsockname (p->listener, (struct sockaddr *) &addr, &len), 0);
+  g_snprintf (p->address, sizeof p->address, "127.0.0.1:%u", ntohs (addr.sin_port));
+  p->client = mt_peer_client_create (mt_clock_system (), "client");
+}
+
+static void
+answer_frame (int fd)
+{
+  size_t len = 0;
+  g_autofree char *frame
+      = mt_frame_encode (MT_PEER_HEARTBEAT, MT_STR ("server"), MT_STR ("x"), &len);
+  char bytes[256];
+
+  assert_true (recv (fd, bytes, sizeof bytes, 0) > 0);
+  assert_int_equal (send (fd, frame, len, MSG_NOSIGNAL), len);
+}
+
+static void
+assert_closed_by_client (int fd)
+{
+  const struct timeval limit = { CALL_TIMEOUT_US / MT_SECOND, 0 };
+  char bytes[256];
+  ssize_t n;
+
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  while ((n = recv (fd, bytes, sizeof bytes, 0)) > 0)
+    ;
+  assert_int_equal (n, 0);
+  close (fd);
+}
+
+/* Guards against one time-out for each kept connection, when all connections to a daemon have
+ * fallen silent together. */
+static void
+test_time_out_closes_kept_connections (void **state)
+{
+  struct played_peer p;
+  GThread *threads[2];
+  int fds[2];
+
+  open_played_peer (&p);
+  for (unsigned i = 0; i < G_N_ELEMENTS (threads); i++)
+    threads[i] = g_thread_new ("caller", call_answered, &p);
+  for (unsigned i = 0; i < G_N_ELEMENTS (fds); i++)
+    fds[i] = accept (p.listener, NULL, NULL);
+  for (unsigned i = 0; i < G_N_ELEMENTS (fds); i++)
+    answer_frame (fds[i]);
+  for (unsigned i = 0; i < G_N_ELEMENTS (threads); i++)
+    g_thread_join (threads[i]);
+  assert_false (call_played (&p, 100 * MT_MS));
+  for (unsigned i = 0; i < G_N_ELEMENTS (fds); i++)
+    assert_closed_by_client (fds[i]);
+  mt_peer_client_destroy (p.client);
+  close (p.listener);
+}
+
 static void
 expect_refused (struct mt_str payload, enum mt_error code)
 {
@@ -197,6 +291,7 @@
     cmocka_unit_test_setup_teardown (test_malformed_frames_close_the_connection, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_silent_connections_do_not_block_others, set_up,
                                      tear_down),
+    cmocka_unit_test (test_time_out_closes_kept_connections),
     cmocka_unit_test (test_malformed_frames_give_typed_errors),
   };
 
