scheduler: a listing older than a run does not show that the run is gone

Cause: since an unanswered stop is not resent while others of the step are unavailable, unless the worker's last listing lacks the run. That listing may have been requested before the run began: the worker fell silent before the run was in any listing. The stop was resent, and ended the run while a task from a leaving worker was starting elsewhere. Class: evidence older than what it is to refute.

Change: only a listing requested after the run was known to have begun counts.

--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -465,6 +465,7 @@
   record_answer (sched, w, now);
   w->listed_before_at = w->listing_at;
   w->listing_at = now;
+  w->listing_requested_at = sent;
   w->lost_holds = 0;
   mt_worker_update_clock (w, report->clock_ms, now);
   if (!w->confirmed)
--- a/core/scheduler/scheduler_watch.c
+++ b/core/scheduler/scheduler_watch.c
@@ -75,6 +75,14 @@
   return task->state == MT_TASK_STOPPING && !task->stop_acked;
 }
 
+/* Returns whether a listing shows that the run is not there. One requested before the run was known
+ * to have begun does not tell. */
+static bool
+is_known_absent (const struct mt_worker *w, const struct mt_task *task)
+{
+  return task->listing != w->listing && w->listing_requested_at > task->begun_at;
+}
+
 /* Returns whether a stop without an answer must not be resent now. The run still works, and since
  * the stop was first sent other tasks of its step may have become unavailable: a leaving worker's
  * tasks are moved beyond max_unavailable. Of several such stops that of the first task is resent,
@@ -86,7 +94,7 @@
   struct mt_occurrence *occ = task->occ;
   unsigned unavailable = 0;
 
-  if (!step->long_running || w->leaving || occ->job->ended_at != 0 || task->listing != w->listing)
+  if (!step->long_running || w->leaving || occ->job->ended_at != 0 || is_known_absent (w, task))
     return false;
   for (unsigned i = 0; i < step->count; i++)
     {
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -750,6 +750,43 @@
   world_destroy (world);
 }
 
+/* As above, but the worker falls silent before the run was in any of its listings. Guards against a
+ * listing that was requested before the run began and is taken to show that the run is not there.
+ */
+static void
+test_lost_stop_of_a_run_not_listed_yet_is_not_resent (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *w;
+
+  world->run_ms = -1;
+  world->startup_ms = 100;
+  world->max_unavailable = 1;
+  for (int i = 0; i < 6; i++)
+    world_add_worker (world, "r1");
+  world_submit (world, one_per_worker_job ());
+  world_run (world, 900);
+  w = find_worker_of (world, "aa.0.0.1");
+  w->silent = true;
+  world_run (world, 300);
+  mt_scheduler_cordon (world->sched, w->id, world->now + 1200, true);
+  world_run (world, 200);
+  world_mark_leaving (world, find_worker_of (world, "aa.0.0.0"));
+  world->startup_ms = 800;
+  world_run (world, 1040);
+  w->silent = false;
+  w->drops_all_answers = true;
+  world_run (world, 500);
+  assert_int_equal (world->excess_stops, 0);
+  assert_int_equal (world_count_running (world, "aa.0.0.1"), 1);
+  w->drops_all_answers = false;
+  world_run (world, 3000);
+  assert_int_equal (world->excess_stops, 0);
+  assert_int_equal (w->runs->len, 0);
+  assert_int_equal (world_count_running (world, "aa.0.0.1"), 1);
+  world_destroy (world);
+}
+
 static unsigned
 count_workers_without_runs (const struct world *world)
 {
@@ -1487,6 +1524,7 @@
     cmocka_unit_test (test_surge_shows_in_the_load_before_tasks_wait),
     cmocka_unit_test (test_successor_counts_tasks_stopped_by_its_predecessor_as_unavailable),
     cmocka_unit_test (test_lost_stop_is_not_resent_while_others_are_unavailable),
+    cmocka_unit_test (test_lost_stop_of_a_run_not_listed_yet_is_not_resent),
     cmocka_unit_test (test_long_running_task_leaves_a_drained_worker_in_a_surge),
     cmocka_unit_test (test_overdue_work_is_not_urgent),
     cmocka_unit_test (test_long_running_tasks_are_moved_one_at_a_time),
