scheduler: only a listing after a predecessor's stops shows that a task is active

A long-running step had two tasks unavailable where one may be (AVAIL): a leader stops a task and dies; its successor moves another one.

Cause: the successor counts each task as unavailable until the stops of its predecessor have taken effect, by its first listing's time plus the grace time. After that it took the task for active by that same listing, in which the stopped run is still shown, while the worker had fallen silent and was not yet known to be (its hold may take 1.4 s). Class: as before, evidence older than what it is to refute.

Change: the task stays unavailable until a listing after that time shows it. Moves in the first second after a change of leader wait for one more listing.

--- a/core/scheduler/scheduler_watch.c
+++ b/core/scheduler/scheduler_watch.c
@@ -61,12 +61,12 @@
 
 /* Returns whether the long-running task may be unavailable. A worker that does not answer may have
  * stopped working long ago. A run that the previous leader has ordered to stop is listed as working
- * until the stop takes effect. */
+ * until the stop takes effect: only a later listing shows that it was not. */
 static bool
-is_unavailable (const struct mt_task *task, int64_t now)
+is_unavailable (const struct mt_task *task)
 {
   return task->state != MT_TASK_RUNNING || task->percent < 100 || task->worker->silent_since != 0
-         || now < task->predecessor_stop_by;
+         || task->worker->listing_at < task->predecessor_stop_by;
 }
 
 static bool
@@ -88,7 +88,7 @@
  * tasks are moved beyond max_unavailable. Of several such stops that of the first task is resent,
  * or each would wait for the others. */
 static bool
-must_postpone_stop (const struct mt_worker *w, const struct mt_task *task, int64_t now)
+must_postpone_stop (const struct mt_worker *w, const struct mt_task *task)
 {
   const struct mt_step *step = mt_task_step (task);
   struct mt_occurrence *occ = task->occ;
@@ -100,7 +100,7 @@
     {
       const struct mt_task *other = &occ->tasks[occ->step_first[task->step] + i];
 
-      unavailable += other != task && is_unavailable (other, now)
+      unavailable += other != task && is_unavailable (other)
                      && !(has_unacked_stop (other) && other->index > task->index);
     }
   return unavailable >= MAX (step->max_unavailable, 1U);
@@ -113,7 +113,7 @@
     stop_if_stalled (sched, w, task, now);
   else if (task->state == MT_TASK_STOPPING && !task->order_queued && !task->order_in_flight
            && !task->stop_acked && now - task->state_since > MT_STOP_RETRY_MS
-           && !must_postpone_stop (w, task, now))
+           && !must_postpone_stop (w, task))
     {
       task->state_since = now;
       task->order_queued = true;
@@ -189,7 +189,7 @@
     {
       const struct mt_task *other = &occ->tasks[occ->step_first[task->step] + i];
 
-      unavailable += other != task && is_unavailable (other, now);
+      unavailable += other != task && is_unavailable (other);
     }
   /* Without another worker to run on, the stopped task would be unavailable until there is one. On
    * a leaving worker it is lost anyway. */
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -713,6 +713,42 @@
   return NULL;
 }
 
+/* As above, but the worker falls silent after its first listing. Guards against a successor that
+ * takes this listing, from before the stop took effect, to show that the task is still active. */
+static void
+test_successor_waits_for_a_listing_after_its_predecessors_stops (void **state)
+{
+  struct world *world = world_create ();
+  g_autoptr (GPtrArray) specs = g_ptr_array_new ();
+  struct world_worker *stopped;
+
+  world->run_ms = -1;
+  world->startup_ms = 100;
+  world->stop_ms = 200;
+  world->max_unavailable = 1;
+  for (int i = 0; i < 6; i++)
+    world_add_worker (world, "r1");
+  world_submit (world, one_per_worker_job ());
+  world_run (world, 2500);
+  stopped = find_worker_of (world, "aa.0.0.1");
+  mt_scheduler_cordon (world->sched, stopped->id, world->now + 60000, true);
+  while (count_active_runs (world) == 3)
+    world_run (world, 5);
+  g_ptr_array_add (specs, one_per_worker_job ());
+  world_take_over (world, specs);
+  world_run (world, 20);
+  stopped->silent = true;
+  mt_scheduler_cordon (world->sched, find_worker_of (world, "aa.0.0.0")->id, world->now + 60000,
+                       true);
+  world_run (world, 1200);
+  assert_int_equal (world->excess_stops, 0);
+  stopped->silent = false;
+  world_run (world, 5000);
+  assert_int_equal (world->excess_stops, 0);
+  assert_int_equal (count_active_runs (world), 3);
+  world_destroy (world);
+}
+
 /* A stop that moves a task is lost, and before it is resent a task on a leaving worker is moved
  * beyond max_unavailable. Guards against the resent stop, which would make a second task
  * unavailable. */
@@ -1523,6 +1559,7 @@
     cmocka_unit_test (test_runs_survive_a_store_outage),
     cmocka_unit_test (test_surge_shows_in_the_load_before_tasks_wait),
     cmocka_unit_test (test_successor_counts_tasks_stopped_by_its_predecessor_as_unavailable),
+    cmocka_unit_test (test_successor_waits_for_a_listing_after_its_predecessors_stops),
     cmocka_unit_test (test_lost_stop_is_not_resent_while_others_are_unavailable),
     cmocka_unit_test (test_lost_stop_of_a_run_not_listed_yet_is_not_resent),
     cmocka_unit_test (test_long_running_task_leaves_a_drained_worker_in_a_surge),
