scheduler: an unanswered stop may have been carried out

A long-running step had two tasks unavailable where one may be (AVAIL).

Cause: of several unanswered stops of a step that of the first task is resent, and the tasks of the others were not counted as unavailable. But a stop without an answer may have been carried out: the answers of a leaving worker were lost, its task had ended, and the resent stop of another task ended a second one. Class: an unanswered call taken for one without effect.

Change: the task of an unanswered stop counts as unavailable unless its worker still listed the run after the stop would have taken effect. Two lost stops still do not wait for each other, once their workers answer holds.

The named test replays the smallest case and failed before (one stop in excess).

--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -13,8 +13,6 @@
 /* Times that a start without an answer is resent. On a worker that loses every second start, one in
  * sixteen is still unconfirmed after the last retry. */
 #define MAX_START_RETRIES 3
-/* Longest time until the end of a run shows in the worker's listing. */
-#define MAX_END_LISTING_MS 100
 /* Interval of holds to idle workers. Their answers give the worker's clock: leases are wrong by up
  * to 2% of the time since the last reading. */
 #define IDLE_HOLD_INTERVAL_MS 15000
@@ -314,7 +312,7 @@
     task->checkpoint_percent = task->percent;
   mark_running (sched, task, now);
   if (task->inherited)
-    task->predecessor_stop_by = now + sched->settings.stop_grace_ms + MAX_END_LISTING_MS;
+    task->predecessor_stop_by = now + sched->settings.stop_grace_ms + MT_MAX_END_LISTING_MS;
   task->inherited = false;
   if (row->percent != task->percent)
     {
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -307,6 +307,8 @@
 /* A stop without an answer, or without effect, is resent after this time. A worker needs 200 ms to
  * stop a run. */
 #define MT_STOP_RETRY_MS 300
+/* Longest time until the end of a run shows in the worker's listing. */
+#define MT_MAX_END_LISTING_MS 100
 /* A worker whose slowness is above the mean by this factor is avoided. */
 #define MT_SLOW_FACTOR 1.4
 /* Steps considered when chain lengths are computed. Dependencies on later steps are ignored. */
--- a/core/scheduler/scheduler_watch.c
+++ b/core/scheduler/scheduler_watch.c
@@ -69,10 +69,16 @@
          || task->worker->listing_at < task->predecessor_stop_by;
 }
 
+/* Returns whether the stop without an answer was lost: the worker still listed the run when the
+ * stop would have taken effect. */
 static bool
-has_unacked_stop (const struct mt_task *task)
+is_stop_lost (const struct mt_scheduler *sched, const struct mt_task *task)
 {
-  return task->state == MT_TASK_STOPPING && !task->stop_acked;
+  const struct mt_worker *w = task->worker;
+
+  return task->state == MT_TASK_STOPPING && !task->stop_acked && task->listing == w->listing
+         && w->listing_requested_at
+                > task->state_since + sched->settings.stop_grace_ms + MT_MAX_END_LISTING_MS;
 }
 
 /* Returns whether a listing shows that the run is not there. One requested before the run was known
@@ -85,10 +91,12 @@
 
 /* Returns whether a stop without an answer must not be resent now. The run still works, and since
  * the stop was first sent other tasks of its step may have become unavailable: a leaving worker's
- * tasks are moved beyond max_unavailable. Of several such stops that of the first task is resent,
+ * tasks are moved beyond max_unavailable. Of several lost stops that of the first task is resent,
  * or each would wait for the others. */
 static bool
-must_postpone_stop (const struct mt_worker *w, const struct mt_task *task)
+must_postpone_stop (const struct mt_scheduler *sched,
+                    const struct mt_worker *w,
+                    const struct mt_task *task)
 {
   const struct mt_step *step = mt_task_step (task);
   struct mt_occurrence *occ = task->occ;
@@ -101,7 +109,7 @@
       const struct mt_task *other = &occ->tasks[occ->step_first[task->step] + i];
 
       unavailable += other != task && is_unavailable (other)
-                     && !(has_unacked_stop (other) && other->index > task->index);
+                     && !(is_stop_lost (sched, other) && other->index > task->index);
     }
   return unavailable >= MAX (step->max_unavailable, 1U);
 }
@@ -113,7 +121,7 @@
     stop_if_stalled (sched, w, task, now);
   else if (task->state == MT_TASK_STOPPING && !task->order_queued && !task->order_in_flight
            && !task->stop_acked && now - task->state_since > MT_STOP_RETRY_MS
-           && !must_postpone_stop (w, task))
+           && !must_postpone_stop (sched, w, task))
     {
       task->state_since = now;
       task->order_queued = true;
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -823,6 +823,41 @@
   world_destroy (world);
 }
 
+/* As above, but the answers of the leaving worker are lost. Guards against a stop that counts as
+ * lost, and not as a task that is unavailable, only because it was not answered. */
+static void
+test_lost_stop_is_not_resent_while_another_may_have_been_carried_out (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *w;
+  struct world_worker *leaving;
+
+  world->run_ms = -1;
+  world->startup_ms = 100;
+  world->max_unavailable = 1;
+  for (int i = 0; i < 6; i++)
+    world_add_worker (world, "r1");
+  world_submit (world, one_per_worker_job ());
+  world_run (world, 2500);
+  w = find_worker_of (world, "aa.0.0.0");
+  leaving = find_worker_of (world, "aa.0.0.1");
+  w->silent = true;
+  mt_scheduler_cordon (world->sched, w->id, world->now + 60000, true);
+  world_run (world, 100);
+  world_mark_leaving (world, leaving);
+  leaving->drops_all_answers = true;
+  world_run (world, 1040);
+  w->silent = false;
+  world_run (world, 500);
+  assert_int_equal (world->excess_stops, 0);
+  leaving->drops_all_answers = false;
+  world_run (world, 5000);
+  assert_int_equal (world->excess_stops, 0);
+  assert_int_equal (w->runs->len, 0);
+  assert_int_equal (world_count_running (world, "aa.0.0.0"), 1);
+  world_destroy (world);
+}
+
 static unsigned
 count_workers_without_runs (const struct world *world)
 {
@@ -1561,6 +1596,7 @@
     cmocka_unit_test (test_successor_counts_tasks_stopped_by_its_predecessor_as_unavailable),
     cmocka_unit_test (test_successor_waits_for_a_listing_after_its_predecessors_stops),
     cmocka_unit_test (test_lost_stop_is_not_resent_while_others_are_unavailable),
+    cmocka_unit_test (test_lost_stop_is_not_resent_while_another_may_have_been_carried_out),
     cmocka_unit_test (test_lost_stop_of_a_run_not_listed_yet_is_not_resent),
     cmocka_unit_test (test_long_running_task_leaves_a_drained_worker_in_a_surge),
     cmocka_unit_test (test_overdue_work_is_not_urgent),
