scheduler: the stop of an unanswered start is not resent on an old listing

A long-running step had two tasks unavailable where one may be (AVAIL): the start of a task was carried out late, after it had been given up, and the resent stop ended the run while another task of the step was starting elsewhere.

Cause: the run was in no listing and had never been acknowledged, so that any listing counted as proof that it is not there, also one requested before the stop was sent. The late start can begin at any time after it.

Change: for a start without an answer, only a listing requested after the last sending of its stop counts. The stop then waits for a listing, which its task needs anyway before it runs elsewhere.

--- a/core/scheduler/scheduler_watch.c
+++ b/core/scheduler/scheduler_watch.c
@@ -82,11 +82,14 @@
 }
 
 /* Returns whether a listing shows that the run is not there. One requested before the run was known
- * to have begun does not tell. */
+ * to have begun does not tell; nor, for a start without an answer, which may be carried out late,
+ * one requested before the stop was last sent. */
 static bool
 is_known_absent (const struct mt_worker *w, const struct mt_task *task)
 {
-  return task->listing != w->listing && w->listing_requested_at > task->begun_at;
+  int64_t since = task->begun_at != 0 ? task->begun_at : task->state_since;
+
+  return task->listing != w->listing && w->listing_requested_at > since;
 }
 
 /* Returns whether a stop without an answer must not be resent now. The run still works, and since
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -858,6 +858,54 @@
   world_destroy (world);
 }
 
+static struct world_worker *
+find_idle_worker (struct world *world)
+{
+  for (unsigned i = 0; i < world->n_workers; i++)
+    if (world->workers[i].runs->len == 0)
+      return &world->workers[i];
+  return NULL;
+}
+
+/* A start is carried out late, after it was given up and the stop that withdraws it was lost, while
+ * another task of the step is unavailable. Guards against a resent stop that ends the late run. */
+static void
+test_lost_stop_of_a_start_carried_out_late_is_not_resent (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *leaving;
+  struct world_worker *rebooted;
+  struct world_worker *late;
+
+  world->run_ms = -1;
+  world->startup_ms = 100;
+  world->max_unavailable = 1;
+  for (int i = 0; i < 6; i++)
+    world_add_worker (world, "r1");
+  world_submit (world, one_per_worker_job ());
+  world_run (world, 1000);
+  leaving = find_worker_of (world, "aa.0.0.0");
+  rebooted = find_worker_of (world, "aa.0.0.1");
+  late = find_idle_worker (world);
+  late->starts_to_drop = 4;
+  for (unsigned i = 0; i < world->n_workers; i++)
+    if (world->workers[i].runs->len == 0 && &world->workers[i] != late)
+      world_mark_leaving (world, &world->workers[i]);
+  world_mark_leaving (world, leaving);
+  world_reboot (world, rebooted);
+  world_run (world, 350);
+  late->starts_to_drop = 0;
+  late->order_delay_ms = 900;
+  world_run (world, 550);
+  world_crash (world, rebooted);
+  world_run (world, 550);
+  late->order_delay_ms = 0;
+  late->drops_hold_answers = true;
+  world_run (world, 500);
+  assert_int_equal (world->excess_stops, 0);
+  world_destroy (world);
+}
+
 static unsigned
 count_workers_without_runs (const struct world *world)
 {
@@ -1597,6 +1645,7 @@
     cmocka_unit_test (test_successor_waits_for_a_listing_after_its_predecessors_stops),
     cmocka_unit_test (test_lost_stop_is_not_resent_while_others_are_unavailable),
     cmocka_unit_test (test_lost_stop_is_not_resent_while_another_may_have_been_carried_out),
+    cmocka_unit_test (test_lost_stop_of_a_start_carried_out_late_is_not_resent),
     cmocka_unit_test (test_lost_stop_of_a_run_not_listed_yet_is_not_resent),
     cmocka_unit_test (test_long_running_task_leaves_a_drained_worker_in_a_surge),
     cmocka_unit_test (test_overdue_work_is_not_urgent),
