tests: a task inactive for the notice time counts as unavailable for any cause

The model of the workers counted a stop as one in excess only beside tasks that had been stopped themselves. A task that has not been active for 4.5 s, because of a crash, say, is unavailable to its callers just the same; it now counts as well.

The check is stricter.

--- a/tests/scheduler/property_availability.cpp
+++ b/tests/scheduler/property_availability.cpp
@@ -21,6 +21,7 @@
 constexpr unsigned max_unavailable = 1;
 constexpr int64_t task_cpu = 4000;
 constexpr int64_t startup_ms = 100;
+constexpr int64_t inactive_limit_ms = 4500;
 constexpr int64_t cordon_ms = 1200;
 constexpr int64_t order_delay_ms = 900;
 
@@ -147,6 +148,7 @@
     world->run_ms = -1;
     world->startup_ms = startup_ms;
     world->max_unavailable = max_unavailable;
+    world->inactive_limit_ms = inactive_limit_ms;
     world_submit (world, make_spec ());
     world_run (world, 1000);
     for (const auto &[step, draw, ms] : steps)
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -83,6 +83,7 @@
   world->crashes_by_task = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   world->crash_delay_ms = DEFAULT_CRASH_DELAY_MS;
   world->stopped_tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  world->active_at = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   world->writes = g_ptr_array_new_with_free_func (free_write);
   return world;
 }
@@ -112,6 +113,7 @@
   g_hash_table_unref (world->crashing_tasks);
   g_hash_table_unref (world->crashes_by_task);
   g_hash_table_unref (world->stopped_tasks);
+  g_hash_table_unref (world->active_at);
   g_free (world);
 }
 
@@ -521,18 +523,24 @@
   return (size_t) (strrchr (task, '.') - task);
 }
 
+/* Other tasks of the step that are unavailable: stopped and not active again, or inactive for
+ * inactive_limit_ms for any cause. */
 static unsigned
-count_stopped_others (const struct world *world, const char *task)
+count_unavailable_others (const struct world *world, const char *task)
 {
   size_t length = step_name_length (task);
   GHashTableIter it;
   const char *other;
+  const int64_t *active_at;
   unsigned n = 0;
 
-  g_hash_table_iter_init (&it, world->stopped_tasks);
-  while (g_hash_table_iter_next (&it, (void **) &other, NULL))
+  g_hash_table_iter_init (&it, world->active_at);
+  while (g_hash_table_iter_next (&it, (void **) &other, (void **) &active_at))
     n += strcmp (other, task) != 0 && step_name_length (other) == length
-         && strncmp (other, task, length) == 0;
+         && strncmp (other, task, length) == 0
+         && (g_hash_table_contains (world->stopped_tasks, other)
+             || (world->inactive_limit_ms > 0
+                 && world->now - *active_at > world->inactive_limit_ms));
   return n;
 }
 
@@ -542,21 +550,24 @@
 stop_run (struct world *world, struct world_worker *w, struct world_run *r, bool delayed)
 {
   if (world->max_unavailable > 0 && is_active (world, r) && !w->leaving && !delayed
-      && count_stopped_others (world, r->task) >= world->max_unavailable)
+      && count_unavailable_others (world, r->task) >= world->max_unavailable)
     world->excess_stops++;
   g_hash_table_add (world->stopped_tasks, g_strdup (r->task));
   r->stops_at = world->now + world->stop_ms;
 }
 
 static void
-clear_stopped (struct world *world, const struct world_worker *w)
+record_active (struct world *world, const struct world_worker *w)
 {
   for (guint i = 0; i < w->runs->len; i++)
     {
       const struct world_run *r = &g_array_index (w->runs, struct world_run, i);
 
-      if (is_active (world, r))
-        g_hash_table_remove (world->stopped_tasks, r->task);
+      if (!is_active (world, r))
+        continue;
+      g_hash_table_remove (world->stopped_tasks, r->task);
+      g_hash_table_insert (world->active_at, g_strdup (r->task),
+                           g_memdup2 (&world->now, sizeof world->now));
     }
 }
 
@@ -963,7 +974,7 @@
   for (unsigned i = 0; i < world->n_workers; i++)
     {
       advance_worker (world, &world->workers[i]);
-      clear_stopped (world, &world->workers[i]);
+      record_active (world, &world->workers[i]);
     }
   if (!world->store_down && world->writes->len < MAX_TXNS_IN_FLIGHT
       && mt_scheduler_needs_cycle (world->sched, world->now))
