tests: the scripted minion takes as many connections as its tests open

Traced in the log of the second failure: the array of the stand-in holds every connection of its life, and test_refused_retry_is_unknown sends 40 requests, with retries fewer than 80 attempts in all, each on a connection that the minion closes. How many of them one of the two minions gets depends on the order of threads.

The array now has 128 places, above the 79 attempts that the test allows in all.

--- a/tests/net/scripted.c
+++ b/tests/net/scripted.c
@@ -8,7 +8,7 @@
 #include <unistd.h>
 
 #define ID_HEADER       "Medlartrack-Request-Id: "
-#define MAX_CONNECTIONS 32
+#define MAX_CONNECTIONS 128 /* over the lifetime of one minion */
 #define MAX_SCRIPTS     8
 
 struct scripted
