tests: graceful-stop holds its requests at the minion until it has stopped the daemon

Traced: the minion answered each after a second, so that the four were there together only if four curl processes started within that second.

The minion has a mode in which it holds requests; the test releases them after the daemon has begun to stop. What is checked stays: four requests in flight are answered with 200.

--- a/tests/standins/minion_main.c
+++ b/tests/standins/minion_main.c
@@ -5,7 +5,8 @@
  *   PUT /fault {"mode": MODE, "times": n, "delay_ms": n}: sets the mode of the next n requests; -1:
  *       of all. Modes: "none", "error" (500), "drop" (runs, then closes the connection), "crossed"
  *       (answers with another request's id), "oversized" (an 8 MB body), "refuse" (503, not run),
- *       "leaving" (503, not run, with the header Medlartrack-Leaving)
+ *       "leaving" (503, not run, with the header Medlartrack-Leaving), "hold" (runs until the next
+ *       PUT /fault)
  *   GET /runs -> {"total": n, "epoch": n, "running": n, "most": n, "keys": {key: n}}; "most" is the
  *       highest number of requests running at once
  */
@@ -20,6 +21,7 @@
   const char *name;
   unsigned work_ms;
   unsigned slots;   /* 0: no limit */
+  GCond changed;    /* of the mode */
   GMutex lock;      /* guards all below */
   GHashTable *runs; /* idempotency key -> number of runs */
   unsigned total;
@@ -28,6 +30,7 @@
   char *mode;
   int fault_requests_left; /* -1: no limit */
   unsigned delay_ms;
+  unsigned mode_changes;
   guint64 epoch; /* newest assignment epoch seen; requests of older ones are refused */
 };
 
@@ -43,6 +46,8 @@
   minion->mode = g_strdup (mode != NULL ? mode : "none");
   minion->fault_requests_left = times != NULL ? (int) json_integer_value (times) : -1;
   minion->delay_ms = (unsigned) json_integer_value (json_object_get (body, "delay_ms"));
+  minion->mode_changes++;
+  g_cond_broadcast (&minion->changed);
   g_mutex_unlock (&minion->lock);
   json_decref (body);
   standin_answer_text (request, 200, "true");
@@ -168,6 +173,16 @@
   return false;
 }
 
+/* The lock is held. */
+static void
+wait_for_mode_change (struct minion *minion)
+{
+  unsigned changes = minion->mode_changes;
+
+  while (minion->mode_changes == changes)
+    g_cond_wait (&minion->changed, &minion->lock);
+}
+
 static void
 handle_work (struct minion *minion, struct mt_http_request *request)
 {
@@ -184,6 +199,8 @@
       return;
     }
   count_run (minion, request);
+  if (strcmp (mode, "hold") == 0)
+    wait_for_mode_change (minion);
   g_mutex_unlock (&minion->lock);
   g_usleep ((minion->work_ms + delay_ms) * 1000UL);
   answer_run (minion, request, mode);
@@ -214,6 +231,7 @@
   minion.work_ms = argc > 3 ? (unsigned) g_ascii_strtoull (argv[3], NULL, 10) : 0;
   minion.slots = argc > 4 ? (unsigned) g_ascii_strtoull (argv[4], NULL, 10) : 0;
   g_mutex_init (&minion.lock);
+  g_cond_init (&minion.changed);
   minion.runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return standin_serve (argc > 1 ? argv[1] : "127.0.0.1:0", handle, &minion);
 }
