scheduler: one count of a step's unavailable tasks

must_postpone_stop and move_long_running counted the other tasks of a step by the same loop, with an exception for lost stops in one of them. Both call one function now.

--- a/core/scheduler/scheduler_watch.c
+++ b/core/scheduler/scheduler_watch.c
@@ -92,29 +92,40 @@
   return task->listing != w->listing && w->listing_requested_at > since;
 }
 
+/* Returns the number of other tasks of the step that may be unavailable. Of several tasks with lost
+ * stops only those before this one count if may_stop_first is set, so that one of the stops is
+ * resent and they do not all wait for each other. */
+static unsigned
+count_unavailable_others (const struct mt_scheduler *sched,
+                          const struct mt_task *task,
+                          bool may_stop_first)
+{
+  const struct mt_task *tasks = &task->occ->tasks[task->occ->step_first[task->step]];
+  unsigned n = 0;
+
+  for (unsigned i = 0; i < mt_task_step (task)->count; i++)
+    {
+      const struct mt_task *other = &tasks[i];
+      bool yields = may_stop_first && other->index > task->index && is_stop_lost (sched, other);
+
+      n += other != task && is_unavailable (other) && !yields;
+    }
+  return n;
+}
+
 /* Returns whether a stop without an answer must not be resent now. The run still works, and since
  * the stop was first sent other tasks of its step may have become unavailable: a leaving worker's
- * tasks are moved beyond max_unavailable. Of several lost stops that of the first task is resent,
- * or each would wait for the others. */
+ * tasks are moved beyond max_unavailable. */
 static bool
 must_postpone_stop (const struct mt_scheduler *sched,
                     const struct mt_worker *w,
                     const struct mt_task *task)
 {
   const struct mt_step *step = mt_task_step (task);
-  struct mt_occurrence *occ = task->occ;
-  unsigned unavailable = 0;
 
-  if (!step->long_running || w->leaving || occ->job->ended_at != 0 || is_known_absent (w, task))
-    return false;
-  for (unsigned i = 0; i < step->count; i++)
-    {
-      const struct mt_task *other = &occ->tasks[occ->step_first[task->step] + i];
-
-      unavailable += other != task && is_unavailable (other)
-                     && !(is_stop_lost (sched, other) && other->index > task->index);
-    }
-  return unavailable >= MAX (step->max_unavailable, 1U);
+  return step->long_running && !w->leaving && task->occ->job->ended_at == 0
+         && !is_known_absent (w, task)
+         && count_unavailable_others (sched, task, true) >= MAX (step->max_unavailable, 1U);
 }
 
 static void
@@ -191,17 +202,11 @@
                    int64_t now)
 {
   const struct mt_step *step = mt_task_step (task);
-  struct mt_occurrence *occ = task->occ;
-  unsigned unavailable = 0;
+  unsigned unavailable;
 
   if (!step->long_running || task->state != MT_TASK_RUNNING)
     return;
-  for (unsigned i = 0; i < step->count; i++)
-    {
-      const struct mt_task *other = &occ->tasks[occ->step_first[task->step] + i];
-
-      unavailable += other != task && is_unavailable (other);
-    }
+  unavailable = count_unavailable_others (sched, task, false);
   /* Without another worker to run on, the stopped task would be unavailable until there is one. On
    * a leaving worker it is lost anyway. */
   if (!w->leaving && !mt_task_can_run_elsewhere (sched, task, now))
