tests: a task stopped before it was active counts as unavailable again

The stricter model of unavailable tasks looked only at tasks that had once been active, so that a task stopped while it was starting no longer counted, which it did before.

--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -469,6 +469,13 @@
   return false;
 }
 
+static void
+record_active_at (struct world *world, const char *task)
+{
+  g_hash_table_insert (world->active_at, g_strdup (task),
+                       g_memdup2 (&world->now, sizeof world->now));
+}
+
 static void
 start_run (struct world *world, struct world_worker *w, const struct mt_order *order)
 {
@@ -490,6 +497,8 @@
   if (is_completed (world, order->task))
     world->redundant_starts++;
   memcpy (r.task, order->task, sizeof r.task);
+  if (!g_hash_table_contains (world->active_at, r.task))
+    record_active_at (world, r.task);
   w->lease_end_ms = MAX (w->lease_end_ms, order->lease_end_ms);
   w->n_starts++;
   w->last_run = order->run;
@@ -566,8 +575,7 @@
       if (!is_active (world, r))
         continue;
       g_hash_table_remove (world->stopped_tasks, r->task);
-      g_hash_table_insert (world->active_at, g_strdup (r->task),
-                           g_memdup2 (&world->now, sizeof world->now));
+      record_active_at (world, r->task);
     }
 }
 
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -146,7 +146,7 @@
   unsigned excess_stops;     /* stops of an active run while max_unavailable other tasks of its step
                                 were unavailable */
   int64_t inactive_limit_ms; /* a task that is inactive for longer is unavailable; 0: no limit */
-  GHashTable *active_at;     /* task -> when it was last active, in ms */
+  GHashTable *active_at;     /* task -> when it was last active, or first started, in ms */
   GHashTable *stopped_tasks; /* set of tasks whose last run was stopped, until another is active */
   GHashTable *crashing_tasks;  /* tasks that crash any worker that starts them, to their starts */
   int64_t crash_delay_ms;      /* from the start of a crashing task to the crash */
