tests: one set-up for the tests of lost stops

Four tests began with the same lines: six workers, a long-running step, one task that may be unavailable.

--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -749,14 +749,11 @@
   world_destroy (world);
 }
 
-/* A stop that moves a task is lost, and before it is resent a task on a leaving worker is moved
- * beyond max_unavailable. Guards against the resent stop, which would make a second task
- * unavailable. */
-static void
-test_lost_stop_is_not_resent_while_others_are_unavailable (void **state)
+/* Six workers, and a long-running step of three tasks of which one may be unavailable. */
+static struct world *
+create_limited_world (void)
 {
   struct world *world = world_create ();
-  struct world_worker *w;
 
   world->run_ms = -1;
   world->startup_ms = 100;
@@ -764,6 +761,18 @@
   for (int i = 0; i < 6; i++)
     world_add_worker (world, "r1");
   world_submit (world, one_per_worker_job ());
+  return world;
+}
+
+/* A stop that moves a task is lost, and before it is resent a task on a leaving worker is moved
+ * beyond max_unavailable. Guards against the resent stop, which would make a second task
+ * unavailable. */
+static void
+test_lost_stop_is_not_resent_while_others_are_unavailable (void **state)
+{
+  struct world *world = create_limited_world ();
+  struct world_worker *w;
+
   world_run (world, 1000);
   mt_scheduler_cordon (world->sched, find_worker_of (world, "aa.0.0.1")->id, world->now + 1200,
                        true);
@@ -792,15 +801,9 @@
 static void
 test_lost_stop_of_a_run_not_listed_yet_is_not_resent (void **state)
 {
-  struct world *world = world_create ();
+  struct world *world = create_limited_world ();
   struct world_worker *w;
 
-  world->run_ms = -1;
-  world->startup_ms = 100;
-  world->max_unavailable = 1;
-  for (int i = 0; i < 6; i++)
-    world_add_worker (world, "r1");
-  world_submit (world, one_per_worker_job ());
   world_run (world, 900);
   w = find_worker_of (world, "aa.0.0.1");
   w->silent = true;
@@ -828,16 +831,10 @@
 static void
 test_lost_stop_is_not_resent_while_another_may_have_been_carried_out (void **state)
 {
-  struct world *world = world_create ();
+  struct world *world = create_limited_world ();
   struct world_worker *w;
   struct world_worker *leaving;
 
-  world->run_ms = -1;
-  world->startup_ms = 100;
-  world->max_unavailable = 1;
-  for (int i = 0; i < 6; i++)
-    world_add_worker (world, "r1");
-  world_submit (world, one_per_worker_job ());
   world_run (world, 2500);
   w = find_worker_of (world, "aa.0.0.0");
   leaving = find_worker_of (world, "aa.0.0.1");
@@ -872,17 +869,11 @@
 static void
 test_lost_stop_of_a_start_carried_out_late_is_not_resent (void **state)
 {
-  struct world *world = world_create ();
+  struct world *world = create_limited_world ();
   struct world_worker *leaving;
   struct world_worker *rebooted;
   struct world_worker *late;
 
-  world->run_ms = -1;
-  world->startup_ms = 100;
-  world->max_unavailable = 1;
-  for (int i = 0; i < 6; i++)
-    world_add_worker (world, "r1");
-  world_submit (world, one_per_worker_job ());
   world_run (world, 1000);
   leaving = find_worker_of (world, "aa.0.0.0");
   rebooted = find_worker_of (world, "aa.0.0.1");
