pool report: every worker and every account is in it

What operators saw: in a pool of more than 1,024 workers, those beyond were in no report of the pool's leader. The fleet controller had no view of them, so it never moved their machines and never drained them for a wave, and no log line said so.

Cause: the report was packed from arrays of 1,024 entries, and mt_scheduler_workers fills what it is given. The pools of the whole fleet have 1,065 to 1,451 workers; the same held for 1,024 workspaces.

Change: the arrays are as long as the scheduler's tables. A report of 3,000 workers takes less than a quarter of a frame of 2 MB (checked by the test), so the next limit is some 20,000 workers in a pool (worked out).

The test report_has_every_worker found 1,024 of 3,000 workers before.

--- a/core/scheduler/scheduler_accounts.c
+++ b/core/scheduler/scheduler_accounts.c
@@ -269,6 +269,12 @@
   return n;
 }
 
+size_t
+mt_scheduler_max_accounts (const struct mt_scheduler *sched)
+{
+  return g_hash_table_size (sched->accounts);
+}
+
 size_t
 mt_scheduler_accounts (const struct mt_scheduler *sched, struct mt_account_view *out, size_t max)
 {
--- a/core/scheduler/scheduler_load.c
+++ b/core/scheduler/scheduler_load.c
@@ -62,6 +62,12 @@
   return longest;
 }
 
+size_t
+mt_scheduler_max_workers (const struct mt_scheduler *sched)
+{
+  return g_hash_table_size (sched->workers);
+}
+
 size_t
 mt_scheduler_workers (const struct mt_scheduler *sched,
                       int64_t now,
--- a/fleet/pool_report.c
+++ b/fleet/pool_report.c
@@ -60,11 +60,11 @@
 char *
 mt_pool_report_pack (const struct mt_scheduler *sched, int64_t now, size_t *len)
 {
-  g_autofree struct mt_worker_view *views
-      = g_new0 (struct mt_worker_view, MT_POOL_REPORT_MAX_WORKERS);
-  g_autofree struct mt_account_view *accounts
-      = g_new0 (struct mt_account_view, MT_POOL_REPORT_MAX_ACCOUNTS);
-  size_t n = mt_scheduler_workers (sched, now, views, MT_POOL_REPORT_MAX_WORKERS);
+  size_t max_workers = mt_scheduler_max_workers (sched);
+  size_t max_accounts = mt_scheduler_max_accounts (sched);
+  g_autofree struct mt_worker_view *views = g_new0 (struct mt_worker_view, max_workers);
+  g_autofree struct mt_account_view *accounts = g_new0 (struct mt_account_view, max_accounts);
+  size_t n = mt_scheduler_workers (sched, now, views, max_workers);
   struct mt_scheduler_load load;
   msgpack_sbuffer buffer;
   msgpack_packer packer;
@@ -79,7 +79,7 @@
   for (size_t i = 0; i < n; i++)
     pack_worker (&packer, &views[i]);
   mt_accounts_pack (&packer, accounts,
-                    mt_scheduler_accounts (sched, accounts, MT_POOL_REPORT_MAX_ACCOUNTS));
+                    mt_scheduler_accounts (sched, accounts, max_accounts));
   *len = buffer.size;
   bytes = g_memdup2 (buffer.data, buffer.size);
   msgpack_sbuffer_destroy (&buffer);
--- a/fleet/pool_report.h
+++ b/fleet/pool_report.h
@@ -5,9 +5,6 @@
 #include "medlartrack/scheduler.h"
 #include "medlartrack/str.h"
 
-#define MT_POOL_REPORT_MAX_WORKERS  1024
-#define MT_POOL_REPORT_MAX_ACCOUNTS 1024
-
 struct mt_pool_report
 {
   struct mt_scheduler_load load;
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -109,6 +109,8 @@
   bool has_grant;                      /* a message has named the workspace */
 };
 
+/* Returns an upper bound of the number of accounts that mt_scheduler_accounts returns. */
+size_t mt_scheduler_max_accounts (const struct mt_scheduler *sched);
 /* Fills out with up to max accounts of workspaces that have a limit and returns their number.
  * Unless the last grant message asked for all accounts, those with a grant and without usage or
  * waiting tasks are left out. If any workspace has a weight, those without a limit are included
@@ -408,6 +410,8 @@
   struct mt_resources used;
 };
 
+/* Returns an upper bound of the number of workers that mt_scheduler_workers returns. */
+size_t mt_scheduler_max_workers (const struct mt_scheduler *sched);
 /* Fills out with up to max workers, in no particular order, and returns their number. */
 size_t mt_scheduler_workers (const struct mt_scheduler *sched,
                              int64_t now,
--- a/tests/fleet/test_pool_report.c
+++ b/tests/fleet/test_pool_report.c
@@ -1,3 +1,4 @@
+#include "peer.h"
 #include "pool_report.h"
 #include "world.h"
 
@@ -43,6 +44,33 @@
   world_destroy (world);
 }
 
+/* Guards against workers of a large pool that are left out of its report: the fleet controller would
+ * never move their machines nor drain them for maintenance. */
+static void
+test_report_has_every_worker (void **state)
+{
+  const size_t n_workers = 3000;
+  struct world *world = world_create ();
+  struct mt_pool_report report;
+  g_autofree char *bytes = NULL;
+  size_t len;
+
+  for (size_t i = 0; i < n_workers; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("worker-%zu", i);
+      struct mt_worker_entry entry
+          = { .id = id, .address = "127.0.0.1:1", .zone = "a", .started_at_ms = 7 };
+
+      mt_scheduler_update_worker (world->sched, &entry, world->now);
+    }
+  bytes = mt_pool_report_pack (world->sched, world->now, &len);
+  assert_true (mt_pool_report_unpack ((struct mt_str){ bytes, len }, &report));
+  assert_int_equal (report.n_workers, n_workers);
+  assert_true (len < MT_PEER_MAX_FRAME_BYTES / 4);
+  mt_pool_report_clear (&report);
+  world_destroy (world);
+}
+
 /* Guards against a truncated report, or one from another version, that is accepted in part. */
 static void
 test_truncated_report_is_refused (void **state)
@@ -68,6 +96,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_report_round_trip),
+    cmocka_unit_test (test_report_has_every_worker),
     cmocka_unit_test (test_truncated_report_is_refused),
   };
 
