scheduler: a successor counts with the longest lease that a leader can have granted

One task of its first step had ended on a worker whose rack then lost power, while the leader was frozen, so the end was lost. The task was placed again at 63.8 or 66.3 s only and ran for 16 s more.

Cause: after a takeover the tasks of a worker that nobody reaches keep their places until the longest lease that the platform accepts is over, 10.2 s there; three daemons led the pool within 12 s, and the wait began anew with each. But no leader grants more than 4.5 s.

Ruled out: a write that never ends (in_cycle and dirty are 0), a stop without answer, an end not applied.

Change: a successor counts with MT_MAX_WORKER_LEASE_MS, the bound on what any leader grants, and with the time for which a predecessor that was cut off right after a store outage still renews leases on the word of other daemons (2 s and their answers' way). The setting max_lease_ms goes.

The old bound had the same hole where the platform accepts 6 s: 6.2 s for the 6.7 s that are possible.

--- a/core/scheduler/scheduler_record.c
+++ b/core/scheduler/scheduler_record.c
@@ -178,8 +178,8 @@
   task->state = MT_TASK_ORDERED;
   task->inherited = true;
   task->begun_under_predecessor = begun;
-  w->lease_end = MAX (
-      w->lease_end, now + sched->settings.max_lease_ms * 1000 / (1000 - MT_CLOCK_DRIFT_PER_MILLE));
+  mt_worker_record_lease (
+      w, MT_OUTAGE_EVIDENCE_MS + MT_EVIDENCE_TRANSIT_MS + MT_MAX_WORKER_LEASE_MS, now);
 }
 
 bool
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -41,10 +41,6 @@
 /* A stopping daemon exits this long before the end of the grace period, so that answers in flight
  * arrive before it is killed. */
 #define GRACE_MARGIN_MS 500
-/* Duration of worker leases. It must be well above the duration of a takeover: 1.5 s until a dead
- * leader's lease expires, then less than 1 s until its successor has renewed the lease of every
- * worker. */
-#define WORKER_LEASE_MS 4500
 
 static const char *const fleet_leadership = "fleet";
 
@@ -161,8 +157,8 @@
 {
   const struct mt_fleet_bounds *b = &f->settings->bounds;
 
-  return (struct mt_scheduler_settings){ .lease_ms = MIN (WORKER_LEASE_MS, b->max_hold_ms),
-                                         .max_lease_ms = b->max_hold_ms,
+  return (struct mt_scheduler_settings){ .lease_ms
+                                         = MIN (MT_MAX_WORKER_LEASE_MS, b->max_hold_ms),
                                          .remote_factor = b->remote_factor,
                                          .retention_ms = (int64_t) (1000 * b->status_s),
                                          .stop_grace_ms = b->stop_grace_ms,
--- a/fleet/relay.c
+++ b/fleet/relay.c
@@ -1,6 +1,7 @@
 #include "relay.h"
 
 #include "loop.h"
+#include "medlartrack/scheduler.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -10,8 +11,6 @@
 #define FRAME_MARGIN_MS 200
 /* A daemon that could not reach the store is avoided for this time. */
 #define AVOID_MS 1500
-/* Validity of what other daemons reported about the store. */
-#define EVIDENCE_TTL_MS 2000
 
 struct mt_relay
 {
@@ -134,8 +133,8 @@
   int64_t now = mt_loop_now ();
 
   return !mt_adapter_reaches_store (relay->platform)
-         && now - relay->outage_confirmed_at < EVIDENCE_TTL_MS
-         && now - relay->reached_at > EVIDENCE_TTL_MS;
+         && now - relay->outage_confirmed_at < MT_OUTAGE_EVIDENCE_MS
+         && now - relay->reached_at > MT_OUTAGE_EVIDENCE_MS;
 }
 
 static void
--- a/tests/platform/test_store_callers.c
+++ b/tests/platform/test_store_callers.c
@@ -428,7 +428,6 @@
                                      .codec = &w->codec,
                                      .cluster = w->cluster,
                                      .sched = { .lease_ms = 1000,
-                                                .max_lease_ms = 6000,
                                                 .remote_factor = 2,
                                                 .retention_ms = 120000,
                                                 .stop_grace_ms = 1000 },
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -234,7 +234,7 @@
   assert_int_equal (w->n_starts, 1);
   mt_scheduler_destroy (world->sched);
   world->sched = mt_scheduler_create (
-      &(struct mt_scheduler_settings){ .name = "pool", .lease_ms = 4500, .max_lease_ms = 6000 });
+      &(struct mt_scheduler_settings){ .name = "pool", .lease_ms = 4500 });
   world->token++;
   mt_scheduler_submit (world->sched, world_job ("old", 1, 1000, 3000), world->now, world->now);
   mt_scheduler_submit (world->sched, world_job ("aa", 1, 1000, 3000), world->now, world->now);
@@ -248,6 +248,54 @@
   world_destroy (world);
 }
 
+/* Guards against a successor that waits longer than any lease lasts for the tasks of a worker that is
+ * gone: after each takeover they would wait anew beside free workers. */
+static void
+test_successor_places_tasks_of_a_lost_worker_after_the_longest_lease (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *lost = world_add_worker (world, "r1");
+  g_autoptr (GPtrArray) specs = g_ptr_array_new ();
+
+  world->run_ms = 20000;
+  world_submit (world, world_job ("aa", 1, 1000, 20000));
+  world_run (world, 500);
+  assert_int_equal (lost->n_starts, 1);
+  lost->silent = lost->unregistered = true;
+  world_add_worker (world, "r2");
+  g_ptr_array_add (specs, world_job ("aa", 1, 1000, 20000));
+  world_take_over (world, specs);
+  world_run (world, MT_MAX_WORKER_LEASE_MS + MT_OUTAGE_EVIDENCE_MS);
+  assert_int_equal (world->n_starts, 1);
+  world_run (world, 800);
+  assert_int_equal (world->n_starts, 2);
+  world_destroy (world);
+}
+
+/* Guards against a task that its successor starts while the predecessor, cut off with the worker
+ * right after a store outage, has just renewed the task's lease. */
+static void
+test_successor_allows_for_renewals_after_its_takeover (void **state)
+{
+  struct world *world = world_create ();
+  struct world_worker *cut_off = world_add_worker (world, "r1");
+  g_autoptr (GPtrArray) specs = g_ptr_array_new ();
+
+  world->run_ms = 20000;
+  world_submit (world, world_job ("aa", 1, 1000, 20000));
+  world_run (world, 500);
+  cut_off->silent = true;
+  world_add_worker (world, "r2");
+  g_ptr_array_add (specs, world_job ("aa", 1, 1000, 20000));
+  world_take_over (world, specs);
+  world_run (world, MT_OUTAGE_EVIDENCE_MS);
+  cut_off->lease_end_ms = world->now + MT_MAX_WORKER_LEASE_MS;
+  world_run (world, MT_MAX_WORKER_LEASE_MS + 1000);
+  assert_int_equal (world->n_starts, 2);
+  assert_int_equal (world->duplicate_starts, 0);
+  world_destroy (world);
+}
+
 /* A worker falls silent and its tasks run on. They must not start elsewhere before every lease
  * given to the worker has expired by the slowest clock, or a task would run twice. */
 static void
@@ -1606,6 +1654,8 @@
     cmocka_unit_test (test_end_is_not_acknowledged_before_earlier_ones_are_stored),
     cmocka_unit_test (test_takeover_keeps_running_tasks),
     cmocka_unit_test (test_records_of_an_earlier_incarnation_hide_no_runs),
+    cmocka_unit_test (test_successor_places_tasks_of_a_lost_worker_after_the_longest_lease),
+    cmocka_unit_test (test_successor_allows_for_renewals_after_its_takeover),
     cmocka_unit_test (test_silent_worker_keeps_its_tasks_until_its_lease_expires),
     cmocka_unit_test (test_unanswered_start_is_confirmed_by_the_next_hold),
     cmocka_unit_test (test_surge_on_a_slow_link_starts_each_task_once),
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -18,7 +18,6 @@
 static const struct mt_scheduler_settings settings = {
   .name = "pool",
   .lease_ms = 4500,
-  .max_lease_ms = 6000,
   .remote_factor = 2,
   .retention_ms = 120000,
   .stop_grace_ms = 900,
