scheduler: suspects that wait for a worker of their own ask for machines

Cause: a suspect of a crash runs on a worker where no other job's task starts. 95 jobs waited for that with 12 to 18 workers in the pool, 4 to 9 of them restarting, and 19 machines on standby: the pool reported the load of their processors, which its workers had, so it was allocated no machine more (the log of the pool's load by the second shows it from 38.6 s on).

Ruled out: a suspect that keeps other tasks of its size from being placed (a lost task has a worker to avoid, and such a task is not remembered as unplaceable).

Change: each occurrence whose suspect has waited for a second in vain counts as a whole worker of overdue work. That takes machines from standby only, so no other pool loses any. Suspects that are placed at once, as after a single crash, ask for nothing.

The test waiting_suspects_ask_for_workers_of_their_own failed before.

--- a/core/scheduler/scheduler_crashes.c
+++ b/core/scheduler/scheduler_crashes.c
@@ -34,8 +34,6 @@
 /* A suspect is started only on a worker that has answered within this time: a worker that was
  * already down would count as a second crash of the suspect. */
 #define MAX_ANSWER_AGE_MS 300
-/* How long a suspect waits for a worker without unsettled runs of other jobs. */
-#define ISOLATION_WAIT_MS 1000
 
 int64_t
 mt_task_observed_ms (const struct mt_task *task)
@@ -284,7 +282,7 @@
   if (!task->suspect)
     return true;
   return now - w->answered_at <= MAX_ANSWER_AGE_MS
-         && (now - task->state_since > ISOLATION_WAIT_MS || !has_unsettled_other_jobs (w, job));
+         && (now - task->state_since > MT_ISOLATION_WAIT_MS || !has_unsettled_other_jobs (w, job));
 }
 
 void
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -304,6 +304,8 @@
 #define MT_HOLD_WAIT_MS 1000
 /* A worker that has not answered for this long takes no new work. */
 #define MT_SILENT_MS 700
+/* How long a suspect waits for a worker without unsettled runs of other jobs. */
+#define MT_ISOLATION_WAIT_MS 1000
 /* A stop without an answer, or without effect, is resent after this time. A worker needs 200 ms to
  * stop a run. */
 #define MT_STOP_RETRY_MS 300
--- a/core/scheduler/scheduler_load.c
+++ b/core/scheduler/scheduler_load.c
@@ -253,6 +253,19 @@
     }
 }
 
+/* Returns whether one of the occurrence's tasks has waited in vain for a worker of its own. */
+static bool
+waits_for_isolation (const struct mt_occurrence *occ, int64_t now)
+{
+  if (!occ->has_suspects)
+    return false;
+  for (unsigned i = 0; i < occ->n_tasks; i++)
+    if (occ->tasks[i].state == MT_TASK_WAITING && occ->tasks[i].suspect
+        && now - occ->tasks[i].state_since > MT_ISOLATION_WAIT_MS)
+      return true;
+  return false;
+}
+
 /* Counts the worker's long-running tasks that should be moved off but can't be. */
 static unsigned
 count_unplaceable (const struct mt_scheduler *sched, const struct mt_worker *w, int64_t now)
@@ -283,6 +296,8 @@
 {
   GHashTableIter it;
   struct mt_worker *w;
+  unsigned n_isolations = 0;
+  unsigned n_accepting = 0;
 
   *load = (struct mt_scheduler_load){ .jobs = sched->open.length,
                                       .arriving_cpu
@@ -293,7 +308,10 @@
 
       for (unsigned k = 0; k < job->n_occurrences; k++)
         if (job->occurrences[k] != NULL && !job->occurrences[k]->ended)
-          add_occurrence (sched, load, job->occurrences[k], now);
+          {
+            add_occurrence (sched, load, job->occurrences[k], now);
+            n_isolations += waits_for_isolation (job->occurrences[k], now);
+          }
     }
   g_hash_table_iter_init (&it, sched->workers);
   while (g_hash_table_iter_next (&it, NULL, (void **) &w))
@@ -306,10 +324,14 @@
       load->unplaceable += count_unplaceable (sched, w, now);
       if (!mt_worker_accepts_work (w, now))
         continue;
+      n_accepting++;
       load->capacity_cpu += at_normal_speed (w, w->resources.cpu);
       load->used_cpu += at_normal_speed (w, w->used.cpu);
       add_worker_usage (load, w, now);
     }
+  /* However small a suspect is, it takes a whole worker. */
+  if (n_accepting > 0)
+    load->overdue_cpu += n_isolations * load->capacity_cpu / n_accepting;
   if (mt_scheduler_is_link_bound (sched, now))
     limit_load_to_link (load);
 }
--- a/tests/scheduler/test_crashes.c
+++ b/tests/scheduler/test_crashes.c
@@ -83,6 +83,43 @@
   world_destroy (world);
 }
 
+/* Crashes a worker that runs `n` jobs of one task each, so that all are suspects once it has
+ * restarted; another worker was up all the time. */
+static struct world *
+create_with_suspects (unsigned n)
+{
+  struct world *world = world_create ();
+  struct world_worker *crashed = world_add_worker (world, "r1");
+
+  world->run_ms = 3000;
+  world_run (world, 200);
+  for (unsigned i = 0; i < n; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("a%u", i);
+
+      world_submit (world, world_job (id, 1, 1000, 3000));
+    }
+  world_run (world, 200);
+  assert_int_equal (crashed->n_starts, n);
+  world_add_worker (world, "r1");
+  world_crash (world, crashed);
+  return world;
+}
+
+/* Guards against a pool that asks for no machines while suspects wait for a worker each: by their
+ * processors alone they fit on the workers that it has. */
+static void
+test_waiting_suspects_ask_for_workers_of_their_own (void **state)
+{
+  struct world *world = create_with_suspects (12);
+  struct mt_scheduler_load load;
+
+  world_run (world, WORLD_DOWNTIME_MS + 1300);
+  mt_scheduler_load (world->sched, world->now, &load);
+  assert_true (load.overdue_cpu >= 3 * 16000);
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -90,6 +127,7 @@
     cmocka_unit_test (test_task_that_crashes_its_workers_fails_its_job),
     cmocka_unit_test (test_task_that_crashes_workers_under_new_ids_fails_its_job),
     cmocka_unit_test (test_crashes_are_counted_across_takeovers),
+    cmocka_unit_test (test_waiting_suspects_ask_for_workers_of_their_own),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
