cluster: members and leaderships are watched apart, and members at a pace that all daemons share

Cause: every daemon watches every member. Each key that is written or ends ends the watch of all others, and each watches again at once: the watches grow with the square of the members and load the store while it is needed most.

Change: leaderships have a watch of their own, which continues at once as before. The members' watch pauses for 2 ms for each member after each change, between half and one and a half of that at random, so that all watches together stay at some 500 a second. As a dead leader is then listed for longer than its leadership stands, the last holder of a leadership does not rank for it: its successor would wait for its turn.

--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -22,8 +22,12 @@
 #define MAX_RENEWALS_IN_FLIGHT 3U
 /* The lease counts as expired this long before its end, to allow for clock drift. */
 #define LEASE_MARGIN_MS 150
-/* Longest wait of the watch on members and leaderships; a change ends the wait. */
+/* Longest wait of the watches on members and on leaderships; a change ends the wait. */
 #define WATCH_WAIT_MS 5000
+/* Pause after a watch that brought changes of members, for each member. Every daemon watches every
+ * member: without a pause that grows with them, the watches that end while many daemons restart
+ * would grow with the square of the members and keep the store from anything else. */
+#define MEMBERS_PAUSE_MS_EACH 2
 /* Interval of the periodic check: a free leadership is claimed at most this long after this
  * daemon's turn by rank. */
 #define TICK_MS 60
@@ -40,6 +44,7 @@
   int64_t token;      /* fencing token while this daemon holds it, else 0 */
   int64_t revision;   /* of the key as last seen; 0 if the leadership is free */
   char *holder;       /* address of the holder */
+  char *last_holder;  /* of the holder that lost it last; NULL: unknown */
   int64_t free_since; /* 0: this daemon held it until its own lease ended */
   bool call_in_flight;
   bool configured; /* named in the last mt_cluster_set_leaderships */
@@ -60,16 +65,17 @@
   char *address;
   char *zone;
   double cores;
-  struct mt_watcher *watcher;
+  struct mt_watcher *members_watch;
+  struct mt_watcher *leaderships_watch;
   struct mt_timer *tick;
   GHashTable *members;     /* name -> struct member */
   GHashTable *leaderships; /* name -> struct leadership */
-  bool listed;             /* the watch has read all keys once */
+  bool members_listed;     /* the watch has read all keys once */
+  bool leaderships_listed; /* ... */
   int64_t joined_at;       /* when this daemon's member key was last written */
 
   int64_t lease;
   int64_t lease_valid_until;
-  int64_t renewed;       /* unused */
   int64_t renew_sent_at; /* when the last grant or renewal was requested */
   unsigned renewals_in_flight;
   bool last_renewal_unanswered;
@@ -94,6 +100,7 @@
   struct leadership *l = data;
 
   g_free (l->holder);
+  g_free (l->last_holder);
   g_free (l->name);
   g_free (l);
 }
@@ -145,7 +152,8 @@
         return;
       l->revision = 0;
       l->free_since = mt_loop_now ();
-      g_clear_pointer (&l->holder, g_free);
+      g_free (l->last_holder);
+      l->last_holder = g_steal_pointer (&l->holder);
       drop_leadership (c, l, "the leadership key was deleted");
       return;
     }
@@ -184,24 +192,34 @@
 }
 
 static void
-on_item (void *ctx, const struct mt_kv_item *item)
+on_member (void *ctx, const struct mt_kv_item *item)
 {
   struct mt_cluster *c = ctx;
+  const char *name = item->key + strlen (MEMBER_PREFIX);
 
-  if (g_str_has_prefix (item->key, LEADERSHIP_PREFIX))
-    update_leadership (c, item->key + strlen (LEADERSHIP_PREFIX), item);
-  else if (!g_str_has_prefix (item->key, MEMBER_PREFIX))
-    return;
-  else if (item->deleted)
-    g_hash_table_remove (c->members, item->key + strlen (MEMBER_PREFIX));
+  if (item->deleted)
+    g_hash_table_remove (c->members, name);
   else
-    update_member (c, item->key + strlen (MEMBER_PREFIX), item->value);
+    update_member (c, name, item->value);
+  mt_watcher_set_pause (c->members_watch, MEMBERS_PAUSE_MS_EACH * g_hash_table_size (c->members));
+}
+
+static void
+on_members_listed (void *ctx)
+{
+  ((struct mt_cluster *) ctx)->members_listed = true;
 }
 
 static void
-on_listed (void *ctx)
+on_leadership (void *ctx, const struct mt_kv_item *item)
 {
-  ((struct mt_cluster *) ctx)->listed = true;
+  update_leadership (ctx, item->key + strlen (LEADERSHIP_PREFIX), item);
+}
+
+static void
+on_leaderships_listed (void *ctx)
+{
+  ((struct mt_cluster *) ctx)->leaderships_listed = true;
 }
 
 /* ---- lease ---- */
@@ -355,15 +373,24 @@
   size_t at = 0;
   size_t self = n; /* unless this daemon's own key is found */
 
+  /* The last holder may be dead and still listed as a member. */
   g_hash_table_iter_init (&it, c->members);
-  for (; g_hash_table_iter_next (&it, (void **) &name, (void **) &m); at++)
+  while (g_hash_table_iter_next (&it, (void **) &name, (void **) &m))
     {
+      if (g_strcmp0 (m->address, l->last_holder) == 0 && strcmp (name, c->name) != 0)
+        continue;
       members[at] = (struct mt_leader_candidate){ name, m->cores, count_held_by (c, m->address) };
       if (strcmp (name, c->name) == 0)
         self = at;
+      at++;
+    }
+  if (self == n)
+    {
+      self = at;
+      members[at++]
+          = (struct mt_leader_candidate){ c->name, c->cores, count_held_by (c, c->address) };
     }
-  members[n] = (struct mt_leader_candidate){ c->name, c->cores, count_held_by (c, c->address) };
-  before = mt_leader_rank (l->name, members, self == n ? n + 1 : n, self);
+  before = mt_leader_rank (l->name, members, at, self);
   g_free (members);
   return MIN (before, MAX_RANK);
 }
@@ -468,7 +495,7 @@
   GHashTableIter it;
   struct leadership *l;
 
-  if (!c->listed || !mt_cluster_lease_is_valid (c))
+  if (!c->members_listed || !c->leaderships_listed || !mt_cluster_lease_is_valid (c))
     return;
   g_hash_table_iter_init (&it, c->leaderships);
   while (g_hash_table_iter_next (&it, NULL, (void **) &l))
@@ -523,11 +550,16 @@
                    const struct mt_cluster_options *options)
 {
   struct mt_cluster *c = g_new0 (struct mt_cluster, 1);
-  struct mt_watcher_options watch = { .prefix = CLUSTER_PREFIX,
-                                      .wait_ms = WATCH_WAIT_MS,
-                                      .on_item = on_item,
-                                      .on_listed = on_listed,
-                                      .ctx = c };
+  struct mt_watcher_options members = { .prefix = MEMBER_PREFIX,
+                                        .wait_ms = WATCH_WAIT_MS,
+                                        .on_item = on_member,
+                                        .on_listed = on_members_listed,
+                                        .ctx = c };
+  struct mt_watcher_options leaderships = { .prefix = LEADERSHIP_PREFIX,
+                                            .wait_ms = WATCH_WAIT_MS,
+                                            .on_item = on_leadership,
+                                            .on_listed = on_leaderships_listed,
+                                            .ctx = c };
 
   c->kv = kv;
   c->options = *options;
@@ -538,7 +570,8 @@
   c->members = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_member);
   c->leaderships = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_leadership);
   c->tick = mt_timer_create (base, on_tick, c);
-  c->watcher = mt_watcher_create (base, kv, &watch);
+  c->members_watch = mt_watcher_create (base, kv, &members);
+  c->leaderships_watch = mt_watcher_create (base, kv, &leaderships);
   mt_timer_set (c->tick, 0);
   return c;
 }
@@ -548,7 +581,8 @@
 {
   if (c == NULL)
     return;
-  mt_watcher_destroy (c->watcher);
+  mt_watcher_destroy (c->members_watch);
+  mt_watcher_destroy (c->leaderships_watch);
   mt_timer_destroy (c->tick);
   g_hash_table_unref (c->members);
   g_hash_table_unref (c->leaderships);
--- a/fleet/watcher.c
+++ b/fleet/watcher.c
@@ -160,7 +160,8 @@
   if (free_if_destroyed (w))
     return;
   if (had_items && w->options.pause_ms > 0)
-    mt_timer_set (w->timer, w->options.pause_ms);
+    mt_timer_set (w->timer, w->options.pause_ms / 2
+                                + g_random_int_range (0, (gint32) w->options.pause_ms + 1));
   else
     start_call (w);
 }
@@ -212,6 +213,12 @@
     free_watcher (w);
 }
 
+void
+mt_watcher_set_pause (struct mt_watcher *w, int64_t pause_ms)
+{
+  w->options.pause_ms = pause_ms;
+}
+
 int64_t
 mt_watcher_last_answer (const struct mt_watcher *w)
 {
--- a/fleet/watcher.h
+++ b/fleet/watcher.h
@@ -14,7 +14,9 @@
 {
   const char *prefix;
   int64_t wait_ms;  /* longest wait of one watch, after which a silent watch is noticed */
-  int64_t pause_ms; /* pause after a watch that brought changes, to gather more in the next call */
+  /* Mean pause after a watch that brought changes, to gather more in the next call. Each pause is
+   * between half and one and a half of it, so that the watches of many daemons spread. */
+  int64_t pause_ms;
   struct mt_journal *journal; /* failed calls are logged there; NULL for none */
   /* Called for each key that was set or deleted, also for keys that a list finds gone; in the order
    * of revisions within one answer. */
@@ -30,6 +32,8 @@
                                       const struct mt_watcher_options *options);
 /* May be called from its own callbacks. */
 void mt_watcher_destroy (struct mt_watcher *watcher);
+/* Changes pause_ms from the next watch on. */
+void mt_watcher_set_pause (struct mt_watcher *watcher, int64_t pause_ms);
 /* Returns when the store last answered this watcher, by mt_loop_now; 0: never. */
 int64_t mt_watcher_last_answer (const struct mt_watcher *watcher);
 
