scheduler: the tasks of a job prefer one zone

Cause: the placing spread each job over all zones, as the cheapest worker is anywhere.

Change: each job prefers a zone by a rendezvous hash of its id over the zones of the workers, at a cost of 0.35 of a task's run time elsewhere. So a cut makes a fifth of the jobs late. Long-running tasks have no preference: their step keeps the most that it may miss. A job that does not fit runs in other zones as before, at once.

Both tests are in tests/scheduler/test_scheduler.c; the first one failed before.

--- a/core/scheduler/scheduler.c
+++ b/core/scheduler/scheduler.c
@@ -106,7 +106,6 @@
   mt_worker_forget_speed (w);
   g_strfreev (w->labels);
   g_free (w->address);
-  g_free (w->zone);
   g_free (w->id);
   g_free (w);
 }
--- a/core/scheduler/scheduler_candidates.c
+++ b/core/scheduler/scheduler_candidates.c
@@ -6,6 +6,9 @@
  * get few tasks, and suspects few neighbours. */
 #include "scheduler_place.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 /* Most tasks that run at a time on a worker that may be unhealthy. */
 #define MAX_TRIAL_TASKS 2U
 /* How long a ticket must still be valid when the task is placed: its start is first stored, then
@@ -27,6 +30,9 @@
  * would end, and for a new worker. */
 #define SUSPECT_COST    0.5
 #define NEW_WORKER_COST 2.0
+/* Cost of a zone other than the one that the job prefers. A job whose tasks are spread over all zones
+ * is late if any zone is cut off; one that runs in a single zone is late for that zone alone. */
+#define OTHER_ZONE_COST 0.35
 /* A worker listed for less than this is new: it may soon be gone again. */
 #define NEW_WORKER_MS 8000
 
@@ -80,6 +86,30 @@
   return SUSPECT_COST * (double) w->tasks.length + (is_new ? NEW_WORKER_COST : 0);
 }
 
+/* Sets the zone that most of the job's tasks should run in: one that is equally likely for each job
+ * and stays the same while the zones do. */
+static void
+update_preferred_zone (struct placement *placement, const struct mt_job *job)
+{
+  uint64_t highest = 0;
+
+  if (placement->job == job)
+    return;
+  placement->job = job;
+  placement->preferred_zone = NULL;
+  for (guint i = 0; i < placement->zones->len; i++)
+    {
+      const char *zone = placement->zones->pdata[i];
+      uint64_t hash = XXH3_64bits_withSeed (job->spec->id, strlen (job->spec->id),
+                                            zone != NULL ? XXH3_64bits (zone, strlen (zone)) : 0);
+
+      if (placement->preferred_zone != NULL && hash <= highest)
+        continue;
+      highest = hash;
+      placement->preferred_zone = zone;
+    }
+}
+
 static double
 placing_cost (const struct placement *placement,
               const struct mt_worker *w,
@@ -98,6 +128,8 @@
     cost += suspect_cost (placement, w);
   else
     cost += (w->successes >= MIN_PACKING_SUCCESSES ? -PACKING_WEIGHT : PACKING_WEIGHT) * load;
+  if (!step->long_running && w->zone != placement->preferred_zone)
+    cost += OTHER_ZONE_COST;
   return cost + long_running_cost (placement, w, step);
 }
 
@@ -130,7 +162,7 @@
 }
 
 struct mt_worker *
-mt_placement_choose_worker (const struct placement *placement, const struct mt_task *task)
+mt_placement_choose_worker (struct placement *placement, const struct mt_task *task)
 {
   struct mt_route *route = task->occ->job->route;
   bool last = mt_placement_is_last_attempt (placement, task);
@@ -139,6 +171,7 @@
   struct mt_worker *best = NULL;
   double best_cost = 0;
 
+  update_preferred_zone (placement, task->occ->job);
   for (guint i = 0; i < placement->workers->len; i++)
     {
       struct mt_worker *w = placement->workers->pdata[i];
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -161,7 +161,7 @@
   char *id;
   int64_t started_at;
   char *address;
-  char *zone;
+  const char *zone; /* interned; NULL: unknown */
   char **labels;
   struct mt_resources resources;
   struct mt_resources used;
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -187,6 +187,8 @@
     if (mt_worker_accepts_work (w, placement->now))
       {
         g_ptr_array_add (placement->workers, w);
+        if (!g_ptr_array_find (placement->zones, w->zone, NULL))
+          g_ptr_array_add (placement->zones, (void *) w->zone);
         sum += w->slowness;
       }
   placement->mean_slowness = placement->workers->len > 0 ? sum / placement->workers->len : 1;
@@ -381,7 +383,9 @@
 mt_scheduler_place (struct mt_scheduler *sched, int64_t now)
 {
   g_autoptr (GArray) ready_steps = g_array_new (FALSE, FALSE, sizeof (struct ready_step));
-  struct placement placement = { .sched = sched, .now = now, .workers = g_ptr_array_new () };
+  struct placement placement = {
+    .sched = sched, .now = now, .workers = g_ptr_array_new (), .zones = g_ptr_array_new ()
+  };
 
   if (sched->first_placed_at == 0)
     sched->first_placed_at = now;
@@ -399,5 +403,6 @@
     }
   update_shortages (sched, now);
   g_ptr_array_unref (placement.workers);
+  g_ptr_array_unref (placement.zones);
   sched->last_placed_at = now;
 }
--- a/core/scheduler/scheduler_place.h
+++ b/core/scheduler/scheduler_place.h
@@ -54,6 +54,9 @@
   struct mt_scheduler *sched;
   int64_t now;
   GPtrArray *workers;
+  GPtrArray *zones;            /* of the workers, interned */
+  const struct mt_job *job;    /* whose preferred zone is known; NULL: none */
+  const char *preferred_zone;  /* of that job */
   double mean_slowness;
   enum share_pass pass;
   struct unplaceable unplaceable;          /* of all tasks ... */
@@ -72,7 +75,7 @@
 /* scheduler_candidates.c */
 
 /* Returns the worker with the lowest cost for the task; NULL if none can take it now. */
-struct mt_worker *mt_placement_choose_worker (const struct placement *placement,
+struct mt_worker *mt_placement_choose_worker (struct placement *placement,
                                               const struct mt_task *task);
 /* Returns whether the task has one attempt left and still waits for a worker proved healthy. */
 bool mt_placement_is_last_attempt (const struct placement *placement, const struct mt_task *task);
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -149,7 +149,7 @@
       w->address = g_strdup (entry->address);
     }
   if (w->zone == NULL)
-    w->zone = g_strdup (entry->zone);
+    w->zone = g_intern_string (entry->zone);
   if (w->labels == NULL)
     w->labels = g_strdupv ((char **) entry->labels);
   sched->changed = true;
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -296,6 +296,69 @@
   world_destroy (world);
 }
 
+static struct world *
+create_with_zones (void)
+{
+  static const char *const zones[] = { "a", "b", "c", "d" };
+  struct world *world = world_create ();
+
+  for (unsigned i = 0; i < 8; i++)
+    world_add_worker_in_zone (world, "r1", zones[i % 4]);
+  world->run_ms = 5000;
+  world_run (world, 200);
+  return world;
+}
+
+/* Returns a bit for each zone of create_with_zones in which a task of the job runs. */
+static unsigned
+zones_of_job (const struct world *world, const char *id)
+{
+  g_autofree char *prefix = g_strconcat (id, ".", NULL);
+  unsigned zones = 0;
+
+  for (unsigned i = 0; i < world->n_workers; i++)
+    for (guint r = 0; r < world->workers[i].runs->len; r++)
+      if (g_str_has_prefix (g_array_index (world->workers[i].runs, struct world_run, r).task,
+                            prefix))
+        zones |= 1U << (world->workers[i].zone[0] - 'a');
+  return zones;
+}
+
+/* Guards against jobs that are spread over all zones: the loss of any zone makes each of them late. */
+static void
+test_tasks_of_a_job_share_a_zone (void **state)
+{
+  struct world *world = create_with_zones ();
+  unsigned used = 0;
+
+  for (unsigned i = 0; i < 16; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("j%u", i);
+      unsigned zones;
+
+      world_submit (world, world_job (id, 4, 500, 5000));
+      world_run (world, 100);
+      zones = zones_of_job (world, id);
+      assert_int_equal (zones & (zones - 1), 0);
+      used |= zones;
+    }
+  assert_int_equal (used, 0xf);
+  world_destroy (world);
+}
+
+/* Guards against tasks that wait for their job's zone beside free workers of others. */
+static void
+test_job_larger_than_its_zone_runs_in_others_too (void **state)
+{
+  struct world *world = create_with_zones ();
+
+  world_submit (world, world_job ("aa", 8, 16000, 5000));
+  world_run (world, 200);
+  assert_int_equal (world->n_starts, 8);
+  assert_int_equal (zones_of_job (world, "aa"), 0xf);
+  world_destroy (world);
+}
+
 /* A worker falls silent and its tasks run on. They must not start elsewhere before every lease
  * given to the worker has expired by the slowest clock, or a task would run twice. */
 static void
@@ -1656,6 +1719,8 @@
     cmocka_unit_test (test_records_of_an_earlier_incarnation_hide_no_runs),
     cmocka_unit_test (test_successor_places_tasks_of_a_lost_worker_after_the_longest_lease),
     cmocka_unit_test (test_successor_allows_for_renewals_after_its_takeover),
+    cmocka_unit_test (test_tasks_of_a_job_share_a_zone),
+    cmocka_unit_test (test_job_larger_than_its_zone_runs_in_others_too),
     cmocka_unit_test (test_silent_worker_keeps_its_tasks_until_its_lease_expires),
     cmocka_unit_test (test_unanswered_start_is_confirmed_by_the_next_hold),
     cmocka_unit_test (test_surge_on_a_slow_link_starts_each_task_once),
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -123,7 +123,7 @@
   struct mt_worker_entry entry = { .id = w->id,
                                    .started_at_ms = w->started_at_ms,
                                    .address = "127.0.0.1:1",
-                                   .zone = "z",
+                                   .zone = w->zone,
                                    .labels = labels,
                                    .resources = w->resources,
                                    .leaving = w->leaving };
@@ -147,10 +147,17 @@
 
 struct world_worker *
 world_add_worker (struct world *world, const char *rack)
+{
+  return world_add_worker_in_zone (world, rack, "z");
+}
+
+struct world_worker *
+world_add_worker_in_zone (struct world *world, const char *rack, const char *zone)
 {
   struct world_worker *w = &world->workers[world->n_workers];
 
   snprintf (w->id, sizeof w->id, "i-%u", world->n_workers++);
+  w->zone = zone;
   w->resources = (struct mt_resources){ .cpu = 16000, .mem = 32768 };
   w->run_time_factor = 1;
   w->started_at_ms = 7;
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -40,6 +40,7 @@
 struct world_worker
 {
   char id[16];
+  const char *zone;
   bool silent;              /* neither executes nor answers orders */
   bool drops_all_answers;   /* executes orders and holds, answers neither */
   bool drops_order_answers; /* executes orders without an answer; answers holds */
@@ -168,6 +169,9 @@
 void world_destroy (struct world *world);
 /* Registers a worker with 16 cores and 32 GB at once. */
 struct world_worker *world_add_worker (struct world *world, const char *rack);
+/* zone: a string that outlives the world. */
+struct world_worker *
+world_add_worker_in_zone (struct world *world, const char *rack, const char *zone);
 /* Changes the CPU that the registry lists for the worker, in thousandths of a core. */
 void world_resize (struct world *world, struct world_worker *w, int64_t cpu);
 /* Marks the worker as leaving in the registry. */
