fleet leader: orders to machines are paced by what the platform takes

The platform's limit, answered with 429, dropped a plan, and its machine was drained in vain.

Change: the number of orders in flight grows by one with each round of orders that the platform takes and is halved when it takes no more, up to 32; nothing is sent for 100 ms after that. An order that was not taken keeps its plan.

--- a/fleet/fleet_leader.c
+++ b/fleet/fleet_leader.c
@@ -31,6 +31,8 @@
 /* Cordons and other directives expire after this time unless renewed: the fleet leader may be
  * gone. */
 #define DIRECTIVE_TTL_MS 1200
+/* While the platform takes no more orders, none is sent for this time. */
+#define LIMITED_PAUSE_MS 100
 #define PROGRESS_PREFIX  "medlartrack/wave/"
 #define HOMES_KEY        "medlartrack/homes"
 
@@ -63,6 +65,13 @@
   bool list_in_flight;
   int64_t list_requested_at;
 
+  /* The number of orders that may be in flight grows by one with each round of orders that the
+   * platform took, and is halved when it takes no more: a large pool that gives up most of its
+   * machines has a thousand orders at a time. */
+  double order_window;
+  unsigned orders_in_flight;
+  int64_t no_orders_until;
+
   bool homes_read; /* the stored home pools of machines have been read */
   bool homes_in_flight;
   char **homes_sent; /* as last written; see mt_controller_unstored_homes */
@@ -517,6 +526,21 @@
   char *order_name;
 };
 
+static void send_orders (struct mt_fleet_leader *lead);
+
+static void
+update_order_window (struct mt_fleet_leader *lead, enum mt_machine_answer answer)
+{
+  if (answer == MT_MACHINE_LIMITED)
+    {
+      if (mt_loop_now () >= lead->no_orders_until)
+        lead->order_window = MAX (lead->order_window / 2, 1);
+      lead->no_orders_until = mt_loop_now () + LIMITED_PAUSE_MS;
+    }
+  else if (answer != MT_MACHINE_UNKNOWN)
+    lead->order_window = MIN (lead->order_window + 1 / lead->order_window, MT_MAX_MACHINE_ORDERS);
+}
+
 static void
 on_ordered (void *data, enum mt_machine_answer answer)
 {
@@ -529,11 +553,14 @@
     [MT_MACHINE_FENCED] = { MT_CONTROLLER_ORDER_RETRY, "fenced" },
     [MT_MACHINE_BUSY] = { MT_CONTROLLER_ORDER_RETRY, "busy" },
     [MT_MACHINE_REFUSED] = { MT_CONTROLLER_ORDER_REJECTED, "refused" },
+    [MT_MACHINE_LIMITED] = { MT_CONTROLLER_ORDER_UNKNOWN, "too many orders" },
     [MT_MACHINE_UNKNOWN] = { MT_CONTROLLER_ORDER_UNKNOWN, "no answer" },
   };
   struct order_call *call = data;
   struct mt_fleet_leader *lead = call->leader;
 
+  lead->orders_in_flight--;
+  update_order_window (lead, answer);
   if (!lead->destroyed)
     {
       if (answer != MT_MACHINE_DONE)
@@ -544,6 +571,8 @@
       if (answer == MT_MACHINE_FENCED)
         mt_cluster_drop_leadership (lead->options.cluster, lead->options.leadership,
                                     "a machine has seen a higher fencing token");
+      else
+        send_orders (lead);
     }
   unref (lead);
   g_free (call->machine);
@@ -558,6 +587,7 @@
   struct order_call *call = g_new0 (struct order_call, 1);
   bool maintenance = order->kind == MT_CONTROLLER_MAINTENANCE;
 
+  lead->orders_in_flight++;
   call->leader = ref (lead);
   call->machine = g_strdup (order->machine);
   call->order_name = g_strdup (maintenance ? "upkeep" : order->to);
@@ -581,6 +611,8 @@
   struct mt_controller_order order;
 
   while (mt_cluster_lease_is_valid (lead->options.cluster)
+         && lead->orders_in_flight < (unsigned) lead->order_window
+         && mt_loop_now () >= lead->no_orders_until
          && mt_controller_next_order (lead->controller, mt_loop_now (), &order))
     send_order (lead, &order);
 }
@@ -762,6 +794,7 @@
   lead->waves = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_wave);
   lead->pools = g_ptr_array_new_with_free_func (g_free);
   lead->list_requested_at = -LIST_IDLE_MS;
+  lead->order_window = MT_MAX_MACHINE_ORDERS / 4.0;
   lead->tick = mt_timer_create (base, on_tick, lead);
   lead->watch = mt_watcher_create (base, options->kv, &watch);
   mt_timer_set (lead->tick, TICK_MS);
--- a/fleet/ports.h
+++ b/fleet/ports.h
@@ -179,11 +179,16 @@
   MT_MACHINE_FENCED,  /* it has had an order with a higher token */
   MT_MACHINE_BUSY,    /* it is not up, or is leaving */
   MT_MACHINE_REFUSED, /* the machine cannot carry out the order, for now or for good */
+  MT_MACHINE_LIMITED, /* not done: the platform takes no more orders at present */
   MT_MACHINE_UNKNOWN, /* no answer; the order may have been carried out */
 };
 
 typedef void (*mt_machine_done) (void *data, enum mt_machine_answer answer);
 
+/* Most orders to machines in flight at once. An order that waited for others in this daemon would
+ * use up the time in which it can be answered. */
+#define MT_MAX_MACHINE_ORDERS 32
+
 struct mt_machines_ops
 {
   const char *name;
