cluster: members keep a lease that grows with their number, leaders a short one of their own

Cause: each daemon renews a lease of 1.5 s every 450 ms, leader or not: 1,300 writes a second at 583 daemons, 6,000 at 2,712, where the store takes 3,200. The short lease is needed by leaderships alone.

The member's key has one whose duration is 12 ms for each member, from 1.5 to 40 s, so that all renewals together stay under 300 a second; up to 125 members nothing changes. A daemon that joined while few were listed replaces its lease at a random time. Leaderships have a lease of 1.5 s as before, which is requested when a daemon's turn has come and kept for 3 s after the last leadership: one call more in a takeover.

A claim now has the member's key as a second precondition.

--- a/bench/bench_controller.c
+++ b/bench/bench_controller.c
@@ -1,6 +1,5 @@
-/* Time of one planning of the fleet controller that moves half of the standby pool's machines to a pool
- * in its surge, and of the orders for them.
- * Usage: bench_controller MACHINES */
+/* Time of one planning of the fleet controller that moves half of the standby pool's machines to a
+ * pool in its surge, and of the orders for them. Usage: bench_controller MACHINES */
 #include "medlartrack/controller.h"
 
 #include <stdio.h>
@@ -11,9 +10,8 @@
 static void
 plan_and_order (unsigned n)
 {
-  static const struct mt_controller_settings settings = {
-    .move_ms = 1500, .maintenance_ms = 2000, .stop_grace_ms = 200, .allow_moves = true
-  };
+  static const struct mt_controller_settings settings
+      = { .move_ms = 1500, .maintenance_ms = 2000, .stop_grace_ms = 200, .allow_moves = true };
   struct mt_controller *controller = mt_controller_create (&settings);
   struct mt_controller_machine_info *machines = g_new0 (struct mt_controller_machine_info, n);
   struct mt_scheduler_load load = { .jobs = 1, .demand_cpu = (int64_t) n * MACHINE_CPU / 2 };
--- a/core/controller/controller_internal.h
+++ b/core/controller/controller_internal.h
@@ -99,10 +99,10 @@
   struct mt_controller_settings settings;
   GHashTable *pools;
   GHashTable *machines;
-  GHashTable *by_worker;        /* worker id to its machine; borrows both */
-  GPtrArray *orderable; /* machines whose plans could be ordered when they were last looked at */
-  guint next_orderable; /* index of the first one that was not taken since */
-  GHashTable *waves;            /* number to struct mt_controller_wave */
+  GHashTable *by_worker; /* worker id to its machine; borrows both */
+  GPtrArray *orderable;  /* machines whose plans could be ordered when they were last looked at */
+  guint next_orderable;  /* index of the first one that was not taken since */
+  GHashTable *waves;     /* number to struct mt_controller_wave */
   struct mt_forecast *forecast; /* NULL: none */
   double move_took_ms; /* measured from the plan of a move until the machine is up; 0: unknown */
   bool starved;        /* a pool has had fewer machines than its mean_need for too long */
--- a/core/controller/controller_moves.c
+++ b/core/controller/controller_moves.c
@@ -121,14 +121,14 @@
   return is_better_to_move (ctx, b, a) - is_better_to_move (ctx, a, b);
 }
 
-/* Machines that one planning may move. They are collected when the first one is needed, and those of
- * a pool are sorted once: looking at every machine for each move would take the square of the machines
- * when a large pool releases most of its own. */
+/* Machines that one planning may move. They are collected when the first one is needed, and those
+ * of a pool are sorted once: looking at every machine for each move would take the square of the
+ * machines when a large pool releases most of its own. */
 struct move_candidates
 {
   const struct mt_controller *ctl;
-  GHashTable *by_pool;  /* struct mt_controller_pool to GPtrArray of machines; NULL: not collected */
-  GHashTable *sorted;   /* the arrays that are sorted, best machine first */
+  GHashTable *by_pool; /* struct mt_controller_pool to GPtrArray of machines; NULL: not collected */
+  GHashTable *sorted;  /* the arrays that are sorted, best machine first */
   GPtrArray *releasing; /* machines that are being drained for the standby pool */
 };
 
@@ -346,7 +346,8 @@
    * and often the surge of another pool begins as this pool's surge ends. */
   if (now - p->surplus_since < ctl->settings.move_ms)
     return;
-  while (p->n_machines > mt_controller_idle_machines (p) && plan_move (ctl, candidates, p, standby, now))
+  while (p->n_machines > mt_controller_idle_machines (p)
+         && plan_move (ctl, candidates, p, standby, now))
     continue;
 }
 
--- a/core/scheduler/scheduler_candidates.c
+++ b/core/scheduler/scheduler_candidates.c
@@ -30,8 +30,9 @@
  * would end, and for a new worker. */
 #define SUSPECT_COST    0.5
 #define NEW_WORKER_COST 2.0
-/* Cost of a zone other than the one that the job prefers. A job whose tasks are spread over all zones
- * is late if any zone is cut off; one that runs in a single zone is late for that zone alone. */
+/* Cost of a zone other than the one that the job prefers. A job whose tasks are spread over all
+ * zones is late if any zone is cut off; one that runs in a single zone is late for that zone alone.
+ */
 #define OTHER_ZONE_COST 0.35
 /* A worker listed for less than this is new: it may soon be gone again. */
 #define NEW_WORKER_MS 8000
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -383,9 +383,8 @@
 mt_scheduler_place (struct mt_scheduler *sched, int64_t now)
 {
   g_autoptr (GArray) ready_steps = g_array_new (FALSE, FALSE, sizeof (struct ready_step));
-  struct placement placement = {
-    .sched = sched, .now = now, .workers = g_ptr_array_new (), .zones = g_ptr_array_new ()
-  };
+  struct placement placement
+      = { .sched = sched, .now = now, .workers = g_ptr_array_new (), .zones = g_ptr_array_new () };
 
   if (sched->first_placed_at == 0)
     sched->first_placed_at = now;
--- a/core/scheduler/scheduler_place.h
+++ b/core/scheduler/scheduler_place.h
@@ -54,9 +54,9 @@
   struct mt_scheduler *sched;
   int64_t now;
   GPtrArray *workers;
-  GPtrArray *zones;            /* of the workers, interned */
-  const struct mt_job *job;    /* whose preferred zone is known; NULL: none */
-  const char *preferred_zone;  /* of that job */
+  GPtrArray *zones;           /* of the workers, interned */
+  const struct mt_job *job;   /* whose preferred zone is known; NULL: none */
+  const char *preferred_zone; /* of that job */
   double mean_slowness;
   enum share_pass pass;
   struct unplaceable unplaceable;          /* of all tasks ... */
--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -1,5 +1,6 @@
 #include "cluster.h"
 
+#include "kv_lease.h"
 #include "loop.h"
 #include "medlartrack/leader_rank.h"
 #include "watcher.h"
@@ -10,18 +11,21 @@
 #define MEMBER_PREFIX     CLUSTER_PREFIX "member/"
 #define LEADERSHIP_PREFIX CLUSTER_PREFIX "leadership/"
 
-/* A crashed daemon is replaced after this time. The lease is renewed three times within it, so that
- * one lost call or a short stall does no harm. */
-#define LEASE_MS          1500
-#define RENEW_INTERVAL_MS 450
-#define RENEW_TIMEOUT_MS  400
-/* Interval of renewals while they are unanswered. A shorter one shows sooner that the store is back
- * or has ended the lease. */
-#define RENEW_RETRY_MS 120
-/* Renewals in flight at once; more would only queue behind a store that does not answer. */
-#define MAX_RENEWALS_IN_FLIGHT 3U
-/* The lease counts as expired this long before its end, to allow for clock drift. */
-#define LEASE_MARGIN_MS 150
+/* Duration of the lease of leaderships. A crashed leader is replaced after this time. */
+#define LEADER_LEASE_MS 1500
+/* A daemon keeps that lease for this long after it last wanted or had a leadership. */
+#define KEEP_LEADER_LEASE_MS 3000
+/* Duration of the lease of a member, for each member and at least and at most: all renewals
+ * together then stay under 300 writes a second, whatever the number of members. A member that has
+ * crashed stays listed for as long. */
+#define MEMBER_LEASE_MS_EACH 12
+#define MIN_MEMBER_LEASE_MS  1500
+#define MAX_MEMBER_LEASE_MS  40000
+/* A member that joined while fewer were listed replaces its lease by one this much longer or more,
+ * at a random time within REJOIN_MS_EACH for each member: each replacement is an event for all
+ * others. */
+#define MIN_LEASE_RATIO 2
+#define REJOIN_MS_EACH  20
 /* Longest wait of the watches on members and on leaderships; a change ends the wait. */
 #define WATCH_WAIT_MS 5000
 /* Pause after a watch that brought changes of members, for each member. Every daemon watches every
@@ -72,18 +76,18 @@
   GHashTable *leaderships; /* name -> struct leadership */
   bool members_listed;     /* the watch has read all keys once */
   bool leaderships_listed; /* ... */
-  int64_t joined_at;       /* when this daemon's member key was last written */
-
-  int64_t lease;
-  int64_t lease_valid_until;
-  int64_t renew_sent_at; /* when the last grant or renewal was requested */
-  unsigned renewals_in_flight;
-  bool last_renewal_unanswered;
-  bool grant_in_flight;
-  bool joined; /* the member key was written under the current lease */
+  int64_t joined_at;       /* when this daemon last became a member */
+
+  struct mt_kv_lease *membership; /* of the member's key */
+  struct mt_kv_lease *leading;    /* of the keys of leaderships; only kept while it is of use */
+  int64_t leading_until;          /* how long it is kept without a leadership */
+  int64_t rejoin_at;       /* when a longer lease of the member is requested, if one is due */
+  bool joined;             /* the member key was written under the current lease */
+  int64_t joined_revision; /* of the member key then */
   bool join_in_flight;
 
   bool leaving;
+  unsigned revocations_in_flight; /* of leases, as it leaves */
   void (*leave_done) (void *ctx);
   void *leave_ctx;
 };
@@ -245,79 +249,39 @@
 }
 
 static void
-drop_lease (struct mt_cluster *c, const char *why)
+on_leading_lost (void *ctx, const char *why)
 {
+  struct mt_cluster *c = ctx;
+
   clear_own_keys (c);
-  c->lease = 0;
-  c->lease_valid_until = 0;
-  c->joined = false;
   drop_all_leaderships (c, why);
 }
 
-struct renewal
-{
-  struct mt_cluster *cluster;
-  int64_t lease;
-  int64_t sent;
-};
-
 static void
-on_renewed (void *data, const struct mt_kv_reply *reply)
+on_membership_lost (void *ctx, const char *why)
 {
-  struct renewal *r = data;
-  struct mt_cluster *c = r->cluster;
-  int64_t ttl = reply->ttl_ms > 0 ? reply->ttl_ms : LEASE_MS;
+  struct mt_cluster *c = ctx;
 
-  c->renewals_in_flight--;
-  c->last_renewal_unanswered = reply->status != MT_KV_OK && reply->status != MT_KV_MISSING;
-  if (c->lease == r->lease && reply->status == MT_KV_MISSING)
-    drop_lease (c, "the lease expired");
-  else if (c->lease == r->lease && reply->status == MT_KV_OK)
-    c->lease_valid_until = MAX (c->lease_valid_until, r->sent + ttl - LEASE_MARGIN_MS);
-  g_free (r);
+  c->joined = false;
+  c->joined_at = 0;
 }
 
-/* While renewals are unanswered, several are in flight at a time: the daemon then notices at once
- * that the store is back, and not only after the time-out of the last renewal. */
-static void
-renew_lease (struct mt_cluster *c, int64_t now)
+static int64_t
+member_lease_ms (const struct mt_cluster *c)
 {
-  struct renewal *r;
-
-  if (c->renewals_in_flight >= (c->last_renewal_unanswered ? MAX_RENEWALS_IN_FLIGHT : 1U)
-      || now - c->renew_sent_at < (c->last_renewal_unanswered ? RENEW_RETRY_MS : RENEW_INTERVAL_MS))
-    return;
-  r = g_new0 (struct renewal, 1);
-  *r = (struct renewal){ c, c->lease, now };
-  c->renewals_in_flight++;
-  c->renew_sent_at = now;
-  c->kv.ops->renew (c->kv.ctx, c->lease, RENEW_TIMEOUT_MS, on_renewed, r);
+  return CLAMP ((int64_t) MEMBER_LEASE_MS_EACH * g_hash_table_size (c->members),
+                MIN_MEMBER_LEASE_MS, MAX_MEMBER_LEASE_MS);
 }
 
-static void
-on_granted (void *data, const struct mt_kv_reply *reply)
-{
-  struct mt_cluster *c = data;
-
-  c->grant_in_flight = false;
-  if (reply->status != MT_KV_OK || reply->lease == 0)
-    return;
-  c->lease = reply->lease;
-  c->lease_valid_until
-      = c->renew_sent_at + (reply->ttl_ms > 0 ? reply->ttl_ms : LEASE_MS) - LEASE_MARGIN_MS;
-}
+/* ---- membership ---- */
 
 static void
-request_lease (struct mt_cluster *c, int64_t now)
+on_membership_granted (void *ctx)
 {
-  if (c->grant_in_flight || now - c->renew_sent_at < RENEW_RETRY_MS)
-    return;
-  c->grant_in_flight = true;
-  c->renew_sent_at = now;
-  c->kv.ops->grant (c->kv.ctx, LEASE_MS, on_granted, c);
-}
+  struct mt_cluster *c = ctx;
 
-/* ---- membership ---- */
+  c->joined = false;
+}
 
 static void
 on_joined (void *data, const struct mt_kv_reply *reply)
@@ -325,19 +289,27 @@
   struct mt_cluster *c = data;
 
   c->join_in_flight = false;
-  c->joined = reply->status == MT_KV_OK && c->lease != 0;
-  if (c->joined)
+  c->joined = reply->status == MT_KV_OK && mt_kv_lease_id (c->membership) != 0;
+  c->joined_revision = reply->revision;
+  if (c->joined && c->joined_at == 0)
     c->joined_at = mt_loop_now ();
   if (reply->status == MT_KV_MISSING)
-    drop_lease (c, "the lease expired");
+    mt_kv_lease_drop (c->membership, "the lease expired");
+}
+
+static char *
+own_member_key (const struct mt_cluster *c)
+{
+  return g_strconcat (MEMBER_PREFIX, c->name, NULL);
 }
 
 static void
 join_cluster (struct mt_cluster *c)
 {
-  g_autofree char *key = g_strconcat (MEMBER_PREFIX, c->name, NULL);
+  g_autofree char *key = own_member_key (c);
   g_autofree char *value = g_strdup_printf ("%s %s %g", c->address, c->zone, c->cores);
-  struct mt_kv_put put = { .key = key, .value = mt_str_from (value), .lease = c->lease };
+  struct mt_kv_put put
+      = { .key = key, .value = mt_str_from (value), .lease = mt_kv_lease_id (c->membership) };
   struct mt_kv_txn txn = { .puts = &put, .n_puts = 1 };
 
   if (c->join_in_flight)
@@ -409,7 +381,7 @@
   struct leadership_call *call = g_new0 (struct leadership_call, 1);
 
   l->call_in_flight = true;
-  *call = (struct leadership_call){ c, g_strdup (l->name), c->lease };
+  *call = (struct leadership_call){ c, g_strdup (l->name), mt_kv_lease_id (c->leading) };
   return call;
 }
 
@@ -425,12 +397,37 @@
   return l;
 }
 
+/* lease: under which the claim was sent; 0 if it has ended. */
+static void
+handle_claim_conflict (struct mt_cluster *c,
+                       struct leadership *l,
+                       const struct mt_kv_item *item,
+                       int64_t lease)
+{
+  if (g_str_has_prefix (item->key, MEMBER_PREFIX))
+    {
+      if (item->revision != c->joined_revision)
+        mt_kv_lease_drop (c->membership, "the member's key is gone");
+      return;
+    }
+  if (!g_str_has_prefix (item->key, LEADERSHIP_PREFIX) || item->revision == 0)
+    return;
+  update_leadership (c, l->name, item);
+  /* An earlier write succeeded but its answer was lost: the key is this daemon's. A key under an
+   * earlier lease is not: it ends with that lease, unnoticed. */
+  if (l->token != 0 || lease == 0 || item->lease != lease || g_strcmp0 (l->holder, c->address) != 0)
+    return;
+  l->token = l->revision;
+  c->options.gained (c->options.ctx, l->name, l->token);
+}
+
 static void
 on_claimed (void *data, const struct mt_kv_reply *reply)
 {
   struct leadership_call *call = data;
   struct mt_cluster *c = call->cluster;
-  bool same_lease = c->lease == call->lease;
+  bool same_lease = mt_kv_lease_id (c->leading) == call->lease;
+  int64_t lease = call->lease;
   struct leadership *l = end_leadership_call (call);
 
   if (reply->status == MT_KV_OK && same_lease && reply->revision >= l->revision)
@@ -441,30 +438,23 @@
       c->options.gained (c->options.ctx, l->name, l->token);
     }
   else if (reply->status == MT_KV_MISSING)
-    drop_lease (c, "the lease expired");
+    mt_kv_lease_drop (c->leading, "the lease expired");
   else if (reply->status == MT_KV_CONFLICT)
     for (size_t i = 0; i < reply->n_items; i++)
-      if (g_str_has_prefix (reply->items[i].key, LEADERSHIP_PREFIX) && reply->items[i].revision > 0)
-        {
-          update_leadership (c, l->name, &reply->items[i]);
-          /* An earlier write succeeded but its answer was lost: the key is this daemon's. A key
-           * under an earlier lease is not: it ends with that lease, unnoticed. */
-          if (l->token == 0 && same_lease && reply->items[i].lease == c->lease
-              && g_strcmp0 (l->holder, c->address) == 0)
-            {
-              l->token = l->revision;
-              c->options.gained (c->options.ctx, l->name, l->token);
-            }
-        }
+      handle_claim_conflict (c, l, &reply->items[i], same_lease ? lease : 0);
 }
 
+/* A precondition is that this daemon is still a member. After an outage that ended all leases every
+ * daemon would otherwise find itself the only member and claim at once, whatever its rank. */
 static void
 claim_leadership (struct mt_cluster *c, struct leadership *l)
 {
   g_autofree char *key = mt_cluster_leader_key (l->name);
-  struct mt_kv_expect expect = { key, 0 };
-  struct mt_kv_put put = { .key = key, .value = mt_str_from (c->address), .lease = c->lease };
-  struct mt_kv_txn txn = { &expect, 1, &put, 1, NULL, 0 };
+  g_autofree char *member_key = own_member_key (c);
+  struct mt_kv_expect expects[] = { { key, 0 }, { member_key, c->joined_revision } };
+  struct mt_kv_put put
+      = { .key = key, .value = mt_str_from (c->address), .lease = mt_kv_lease_id (c->leading) };
+  struct mt_kv_txn txn = { expects, G_N_ELEMENTS (expects), &put, 1, NULL, 0 };
 
   mt_kv_write (&c->kv, &txn, TXN_TIMEOUT_MS, on_claimed, begin_leadership_call (c, l));
 }
@@ -495,7 +485,7 @@
   GHashTableIter it;
   struct leadership *l;
 
-  if (!c->members_listed || !c->leaderships_listed || !mt_cluster_lease_is_valid (c))
+  if (!c->members_listed || !c->leaderships_listed || !c->joined)
     return;
   g_hash_table_iter_init (&it, c->leaderships);
   while (g_hash_table_iter_next (&it, NULL, (void **) &l))
@@ -513,7 +503,11 @@
       candidacy.rank = own_rank (c, l);
       if (mt_leader_may_acquire (&candidacy, now))
         {
-          claim_leadership (c, l);
+          c->leading_until = now + KEEP_LEADER_LEASE_MS;
+          if (mt_cluster_lease_is_valid (c))
+            claim_leadership (c, l);
+          else
+            mt_kv_lease_keep (c->leading, LEADER_LEASE_MS, now);
           /* At most one leadership per tick: own_rank() counts the leaderships that each member
            * holds, so the next tick's rank spreads them over the members. */
           return;
@@ -521,6 +515,55 @@
     }
 }
 
+/* A granted lease is used at once: callers wait for the new leader. */
+static void
+on_leading_granted (void *ctx)
+{
+  claim_free_leaderships (ctx, mt_loop_now ());
+}
+
+static bool
+needs_leader_lease (const struct mt_cluster *c, int64_t now)
+{
+  GHashTableIter it;
+  const struct leadership *l;
+
+  g_hash_table_iter_init (&it, c->leaderships);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &l))
+    if (l->token != 0 || l->call_in_flight)
+      return true;
+  return now < c->leading_until;
+}
+
+/* Replaces the member's lease once the number of members asks for a much longer one. */
+static void
+lengthen_membership (struct mt_cluster *c, int64_t ttl_ms, int64_t now)
+{
+  if (!c->joined || ttl_ms < MIN_LEASE_RATIO * mt_kv_lease_ttl (c->membership))
+    return;
+  if (c->rejoin_at == 0)
+    c->rejoin_at
+        = now
+          + g_random_int_range (0, REJOIN_MS_EACH * (gint32) g_hash_table_size (c->members) + 1);
+  if (now < c->rejoin_at)
+    return;
+  c->rejoin_at = 0;
+  mt_kv_lease_replace (c->membership, ttl_ms, now);
+}
+
+static void
+keep_leases (struct mt_cluster *c, int64_t now)
+{
+  int64_t ttl_ms = member_lease_ms (c);
+
+  lengthen_membership (c, ttl_ms, now);
+  mt_kv_lease_keep (c->membership, ttl_ms, now);
+  if (needs_leader_lease (c, now))
+    mt_kv_lease_keep (c->leading, LEADER_LEASE_MS, now);
+  else
+    mt_kv_lease_drop (c->leading, "no leadership is held");
+}
+
 static void
 on_tick (void *ctx)
 {
@@ -530,12 +573,9 @@
   mt_timer_set (c->tick, TICK_MS);
   if (c->leaving)
     return;
-  if (c->lease == 0)
-    {
-      request_lease (c, now);
-      return;
-    }
-  renew_lease (c, now);
+  keep_leases (c, now);
+  if (mt_kv_lease_id (c->membership) == 0)
+    return;
   if (!c->joined)
     join_cluster (c);
   else
@@ -569,6 +609,10 @@
   c->cores = options->cores;
   c->members = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_member);
   c->leaderships = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_leadership);
+  c->membership = mt_kv_lease_create (&(struct mt_kv_lease_options){
+      .kv = kv, .granted = on_membership_granted, .lost = on_membership_lost, .ctx = c });
+  c->leading = mt_kv_lease_create (&(struct mt_kv_lease_options){
+      .kv = kv, .granted = on_leading_granted, .lost = on_leading_lost, .ctx = c });
   c->tick = mt_timer_create (base, on_tick, c);
   c->members_watch = mt_watcher_create (base, kv, &members);
   c->leaderships_watch = mt_watcher_create (base, kv, &leaderships);
@@ -584,6 +628,8 @@
   mt_watcher_destroy (c->members_watch);
   mt_watcher_destroy (c->leaderships_watch);
   mt_timer_destroy (c->tick);
+  mt_kv_lease_destroy (c->membership);
+  mt_kv_lease_destroy (c->leading);
   g_hash_table_unref (c->members);
   g_hash_table_unref (c->leaderships);
   g_free (c->name);
@@ -624,13 +670,15 @@
 bool
 mt_cluster_lease_is_valid (const struct mt_cluster *c)
 {
-  return c->lease != 0 && mt_loop_now () < c->lease_valid_until;
+  return mt_loop_now () < mt_kv_lease_valid_until (c->leading);
 }
 
 int64_t
 mt_cluster_lease_invalid_ms (const struct mt_cluster *c)
 {
-  return c->lease != 0 ? MAX (mt_loop_now () - c->lease_valid_until, 0) : INT64_MAX;
+  return mt_kv_lease_id (c->leading) != 0
+             ? MAX (mt_loop_now () - mt_kv_lease_valid_until (c->leading), 0)
+             : INT64_MAX;
 }
 
 void
@@ -688,21 +736,25 @@
 {
   struct mt_cluster *c = data;
 
-  if (c->leave_done != NULL)
+  if (--c->revocations_in_flight == 0 && c->leave_done != NULL)
     c->leave_done (c->leave_ctx);
 }
 
 void
 mt_cluster_leave (struct mt_cluster *c, void (*done) (void *ctx), void *ctx)
 {
-  int64_t lease = c->lease;
+  const int64_t leases[] = { mt_kv_lease_id (c->leading), mt_kv_lease_id (c->membership) };
 
   c->leaving = true;
   c->leave_done = done;
   c->leave_ctx = ctx;
-  drop_lease (c, "this daemon is stopping");
-  if (lease != 0)
-    c->kv.ops->revoke (c->kv.ctx, lease, on_revoked, c);
-  else
+  mt_kv_lease_drop (c->leading, "this daemon is stopping");
+  mt_kv_lease_drop (c->membership, "this daemon is stopping");
+  for (size_t i = 0; i < G_N_ELEMENTS (leases); i++)
+    c->revocations_in_flight += leases[i] != 0;
+  if (c->revocations_in_flight == 0)
     done (ctx);
+  for (size_t i = 0; i < G_N_ELEMENTS (leases); i++)
+    if (leases[i] != 0)
+      c->kv.ops->revoke (c->kv.ctx, leases[i], on_revoked, c);
 }
--- a/fleet/pool_report.c
+++ b/fleet/pool_report.c
@@ -78,8 +78,7 @@
   msgpack_pack_array (&packer, n);
   for (size_t i = 0; i < n; i++)
     pack_worker (&packer, &views[i]);
-  mt_accounts_pack (&packer, accounts,
-                    mt_scheduler_accounts (sched, accounts, max_accounts));
+  mt_accounts_pack (&packer, accounts, mt_scheduler_accounts (sched, accounts, max_accounts));
   *len = buffer.size;
   bytes = g_memdup2 (buffer.data, buffer.size);
   msgpack_sbuffer_destroy (&buffer);
--- a/fleet/watcher.h
+++ b/fleet/watcher.h
@@ -13,7 +13,7 @@
 struct mt_watcher_options
 {
   const char *prefix;
-  int64_t wait_ms;  /* longest wait of one watch, after which a silent watch is noticed */
+  int64_t wait_ms; /* longest wait of one watch, after which a silent watch is noticed */
   /* Mean pause after a watch that brought changes, to gather more in the next call. Each pause is
    * between half and one and a half of it, so that the watches of many daemons spread. */
   int64_t pause_ms;
--- a/tests/fleet/test_pool_report.c
+++ b/tests/fleet/test_pool_report.c
@@ -44,8 +44,8 @@
   world_destroy (world);
 }
 
-/* Guards against workers of a large pool that are left out of its report: the fleet controller would
- * never move their machines nor drain them for maintenance. */
+/* Guards against workers of a large pool that are left out of its report: the fleet controller
+ * would never move their machines nor drain them for maintenance. */
 static void
 test_report_has_every_worker (void **state)
 {
--- a/tests/platform/test_store_callers.c
+++ b/tests/platform/test_store_callers.c
@@ -422,19 +422,18 @@
 static void
 lead_pool (struct world *w, struct mt_kv kv, int64_t behind)
 {
-  struct mt_pool_options options = { .name = POOL,
-                                     .kv = kv,
-                                     .workers = mt_adapter_workers (w->adapter),
-                                     .codec = &w->codec,
-                                     .cluster = w->cluster,
-                                     .sched = { .lease_ms = 1000,
-                                                .remote_factor = 2,
-                                                .retention_ms = 120000,
-                                                .stop_grace_ms = 1000 },
-                                     .store_is_down = store_is_down,
-                                     .link_wait_ms = zero,
-                                     .ctx = w,
-                                     .journal = w->journal };
+  struct mt_pool_options options
+      = { .name = POOL,
+          .kv = kv,
+          .workers = mt_adapter_workers (w->adapter),
+          .codec = &w->codec,
+          .cluster = w->cluster,
+          .sched
+          = { .lease_ms = 1000, .remote_factor = 2, .retention_ms = 120000, .stop_grace_ms = 1000 },
+          .store_is_down = store_is_down,
+          .link_wait_ms = zero,
+          .ctx = w,
+          .journal = w->journal };
 
   compete (w);
   wait_until (w, has_gained);
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -233,8 +233,8 @@
   world_run (world, 200);
   assert_int_equal (w->n_starts, 1);
   mt_scheduler_destroy (world->sched);
-  world->sched = mt_scheduler_create (
-      &(struct mt_scheduler_settings){ .name = "pool", .lease_ms = 4500 });
+  world->sched
+      = mt_scheduler_create (&(struct mt_scheduler_settings){ .name = "pool", .lease_ms = 4500 });
   world->token++;
   mt_scheduler_submit (world->sched, world_job ("old", 1, 1000, 3000), world->now, world->now);
   mt_scheduler_submit (world->sched, world_job ("aa", 1, 1000, 3000), world->now, world->now);
@@ -248,8 +248,8 @@
   world_destroy (world);
 }
 
-/* Guards against a successor that waits longer than any lease lasts for the tasks of a worker that is
- * gone: after each takeover they would wait anew beside free workers. */
+/* Guards against a successor that waits longer than any lease lasts for the tasks of a worker that
+ * is gone: after each takeover they would wait anew beside free workers. */
 static void
 test_successor_places_tasks_of_a_lost_worker_after_the_longest_lease (void **state)
 {
@@ -324,7 +324,8 @@
   return zones;
 }
 
-/* Guards against jobs that are spread over all zones: the loss of any zone makes each of them late. */
+/* Guards against jobs that are spread over all zones: the loss of any zone makes each of them late.
+ */
 static void
 test_tasks_of_a_job_share_a_zone (void **state)
 {
