--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -81,7 +81,7 @@
   struct mt_kv_lease *membership; /* of the member's key */
   struct mt_kv_lease *leading;    /* of the keys of leaderships; only kept while it is of use */
   int64_t leading_until;          /* how long it is kept without a leadership */
-  int64_t rejoin_at;       /* when a longer lease of the member is requested, if one is due */
+  int64_t rejoin_at;       /* when a longer lease of the member is requested; 0: none is due */
   bool joined;             /* the member key was written under the current lease */
   int64_t joined_revision; /* of the member key then */
   bool join_in_flight;
