--- a/fleet/fleet_leader.c
+++ b/fleet/fleet_leader.c
@@ -6,6 +6,7 @@
 #include "loop.h"
 #include "medlartrack/controller.h"
 #include "medlartrack/grants.h"
+#include "order_window.h"
 #include "pool_report.h"
 #include "watcher.h"
 
@@ -31,8 +32,6 @@
 /* Cordons and other directives expire after this time unless renewed: the fleet leader may be
  * gone. */
 #define DIRECTIVE_TTL_MS 1200
-/* While the platform takes no more orders, none is sent for this time. */
-#define LIMITED_PAUSE_MS 100
 #define PROGRESS_PREFIX  "medlartrack/wave/"
 #define HOMES_KEY        "medlartrack/homes"
 
@@ -65,12 +64,7 @@
   bool list_in_flight;
   int64_t list_requested_at;
 
-  /* The number of orders that may be in flight grows by one with each round of orders that the
-   * platform took, and is halved when it takes no more: a large pool that gives up most of its
-   * machines has a thousand orders at a time. */
-  double order_window;
-  unsigned orders_in_flight;
-  int64_t no_orders_until;
+  struct mt_order_window orders;
 
   bool homes_read; /* the stored home pools of machines have been read */
   bool homes_in_flight;
@@ -528,19 +522,6 @@
 
 static void send_orders (struct mt_fleet_leader *lead);
 
-static void
-update_order_window (struct mt_fleet_leader *lead, enum mt_machine_answer answer)
-{
-  if (answer == MT_MACHINE_LIMITED)
-    {
-      if (mt_loop_now () >= lead->no_orders_until)
-        lead->order_window = MAX (lead->order_window / 2, 1);
-      lead->no_orders_until = mt_loop_now () + LIMITED_PAUSE_MS;
-    }
-  else if (answer != MT_MACHINE_UNKNOWN)
-    lead->order_window = MIN (lead->order_window + 1 / lead->order_window, MT_MAX_MACHINE_ORDERS);
-}
-
 static void
 on_ordered (void *data, enum mt_machine_answer answer)
 {
@@ -559,8 +540,7 @@
   struct order_call *call = data;
   struct mt_fleet_leader *lead = call->leader;
 
-  lead->orders_in_flight--;
-  update_order_window (lead, answer);
+  mt_order_window_answered (&lead->orders, answer, mt_loop_now ());
   if (!lead->destroyed)
     {
       if (answer != MT_MACHINE_DONE)
@@ -587,7 +567,7 @@
   struct order_call *call = g_new0 (struct order_call, 1);
   bool maintenance = order->kind == MT_CONTROLLER_MAINTENANCE;
 
-  lead->orders_in_flight++;
+  mt_order_window_sent (&lead->orders);
   call->leader = ref (lead);
   call->machine = g_strdup (order->machine);
   call->order_name = g_strdup (maintenance ? "upkeep" : order->to);
@@ -611,8 +591,7 @@
   struct mt_controller_order order;
 
   while (mt_cluster_lease_is_valid (lead->options.cluster)
-         && lead->orders_in_flight < (unsigned) lead->order_window
-         && mt_loop_now () >= lead->no_orders_until
+         && mt_order_window_may_send (&lead->orders, mt_loop_now ())
          && mt_controller_next_order (lead->controller, mt_loop_now (), &order))
     send_order (lead, &order);
 }
@@ -794,7 +773,7 @@
   lead->waves = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_wave);
   lead->pools = g_ptr_array_new_with_free_func (g_free);
   lead->list_requested_at = -LIST_IDLE_MS;
-  lead->order_window = MT_MAX_MACHINE_ORDERS / 4.0;
+  lead->orders = mt_order_window_make ();
   lead->tick = mt_timer_create (base, on_tick, lead);
   lead->watch = mt_watcher_create (base, options->kv, &watch);
   mt_timer_set (lead->tick, TICK_MS);
