--- a/fleet/cluster.h
+++ b/fleet/cluster.h
@@ -1,5 +1,6 @@
-/* The daemons of the cluster and the holders of its leaderships, kept as keys in the store under
- * one lease per daemon. A leadership belongs to the daemon that created its key; the key's revision
+/* The daemons of the cluster and the holders of its leaderships, kept as keys in the store: each
+ * member under a lease of its own, and the leaderships of a daemon under another, shorter one. A
+ * leadership belongs to the daemon that created its key; the key's revision
  * is the fencing token. Not thread-safe: runs on the loop's thread. */
 #ifndef MT_FLEET_CLUSTER_H
 #define MT_FLEET_CLUSTER_H
@@ -35,11 +36,11 @@
 int64_t mt_cluster_token (const struct mt_cluster *cluster, const char *leadership);
 /* Returns the leadership's key in the store, for preconditions of writes; free it with g_free. */
 char *mt_cluster_leader_key (const char *leadership);
-/* Returns whether this daemon's lease is still valid by the local clock, counted from when its last
- * renewal was sent. */
+/* Returns whether the lease of this daemon's leaderships is still valid by the local clock, counted
+ * from when its last renewal was sent; false if it has none. */
 bool mt_cluster_lease_is_valid (const struct mt_cluster *cluster);
-/* Returns the milliseconds since the lease ceased to be valid: 0 while it is valid, INT64_MAX if
- * there is no lease. */
+/* Returns the milliseconds since that lease ceased to be valid: 0 while it is valid, INT64_MAX if
+ * there is none. */
 int64_t mt_cluster_lease_invalid_ms (const struct mt_cluster *cluster);
 /* Drops the leadership locally: another daemon holds it or its key is gone. */
 void
@@ -50,8 +51,8 @@
  * centre, so that a partition of this one does not affect it, or there is no other data centre. */
 bool mt_cluster_can_confirm_outage (const struct mt_cluster *cluster, const char *address);
 size_t mt_cluster_size (const struct mt_cluster *cluster);
-/* Revokes the lease, so that the others need not wait for it to expire. done is called once the
- * store has answered or the call has failed. */
+/* Revokes the leases, so that the others need not wait for them to expire. done is called once the
+ * store has answered or the calls have failed. */
 void mt_cluster_leave (struct mt_cluster *cluster, void (*done) (void *ctx), void *ctx);
 
 #endif
