--- a/core/controller/controller_moves.c
+++ b/core/controller/controller_moves.c
@@ -199,8 +199,8 @@
   g_ptr_array_unref (candidates->releasing);
 }
 
-/* Returns the index of the machine of the pool that is best moved to the other pool; -1 if there is
- * none. */
+/* Returns the index of the machine of the list, best first, that is best moved to the pool; -1 if
+ * there is none. */
 static int
 find_movable (const struct mt_controller *ctl,
               const GPtrArray *list,
@@ -208,8 +208,12 @@
               int64_t now)
 {
   for (guint i = 0; list != NULL && i < list->len; i++)
-    if (mt_controller_may_move_to (ctl, list->pdata[i], to, now))
-      return (int) i;
+    {
+      const struct mt_controller_machine *m = list->pdata[i];
+
+      if (m->pool != to && mt_controller_may_move_to (ctl, m, to, now))
+        return (int) i;
+    }
   return -1;
 }
 
@@ -246,19 +250,12 @@
                int64_t now)
 {
   GPtrArray *releasing = releasing_machines (candidates);
-  struct mt_controller_machine *best = NULL;
-
-  for (guint i = 0; best == NULL && i < releasing->len; i++)
-    {
-      struct mt_controller_machine *m = releasing->pdata[i];
+  int at = find_movable (ctl, releasing, to, now);
+  struct mt_controller_machine *best;
 
-      if (m->pool == to || !mt_controller_may_move_to (ctl, m, to, now))
-        continue;
-      best = m;
-      g_ptr_array_remove_index (releasing, i);
-    }
-  if (best == NULL)
+  if (at < 0)
     return false;
+  best = g_ptr_array_steal_index (releasing, (guint) at);
   best->destination->n_machines--;
   best->destination->n_arriving--;
   best->destination = to;
--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -336,33 +336,21 @@
 static unsigned
 own_rank (struct mt_cluster *c, const struct leadership *l)
 {
-  guint n = g_hash_table_size (c->members);
-  struct mt_leader_candidate *members = g_new0 (struct mt_leader_candidate, n + 1);
+  struct mt_leader_candidate *members
+      = g_new0 (struct mt_leader_candidate, g_hash_table_size (c->members) + 1);
   unsigned before;
   GHashTableIter it;
   const char *name;
   const struct member *m;
-  size_t at = 0;
-  size_t self = n; /* unless this daemon's own key is found */
+  size_t n = 0;
 
   /* The last holder may be dead and still listed as a member. */
   g_hash_table_iter_init (&it, c->members);
   while (g_hash_table_iter_next (&it, (void **) &name, (void **) &m))
-    {
-      if (g_strcmp0 (m->address, l->last_holder) == 0 && strcmp (name, c->name) != 0)
-        continue;
-      members[at] = (struct mt_leader_candidate){ name, m->cores, count_held_by (c, m->address) };
-      if (strcmp (name, c->name) == 0)
-        self = at;
-      at++;
-    }
-  if (self == n)
-    {
-      self = at;
-      members[at++]
-          = (struct mt_leader_candidate){ c->name, c->cores, count_held_by (c, c->address) };
-    }
-  before = mt_leader_rank (l->name, members, at, self);
+    if (strcmp (name, c->name) != 0 && g_strcmp0 (m->address, l->last_holder) != 0)
+      members[n++] = (struct mt_leader_candidate){ name, m->cores, count_held_by (c, m->address) };
+  members[n] = (struct mt_leader_candidate){ c->name, c->cores, count_held_by (c, c->address) };
+  before = mt_leader_rank (l->name, members, n + 1, n);
   g_free (members);
   return MIN (before, MAX_RANK);
 }
@@ -426,11 +414,10 @@
 {
   struct leadership_call *call = data;
   struct mt_cluster *c = call->cluster;
-  bool same_lease = mt_kv_lease_id (c->leading) == call->lease;
-  int64_t lease = call->lease;
+  int64_t lease = mt_kv_lease_id (c->leading) == call->lease ? call->lease : 0;
   struct leadership *l = end_leadership_call (call);
 
-  if (reply->status == MT_KV_OK && same_lease && reply->revision >= l->revision)
+  if (reply->status == MT_KV_OK && lease != 0 && reply->revision >= l->revision)
     {
       l->token = l->revision = reply->revision;
       g_free (l->holder);
@@ -441,7 +428,7 @@
     mt_kv_lease_drop (c->leading, "the lease expired");
   else if (reply->status == MT_KV_CONFLICT)
     for (size_t i = 0; i < reply->n_items; i++)
-      handle_claim_conflict (c, l, &reply->items[i], same_lease ? lease : 0);
+      handle_claim_conflict (c, l, &reply->items[i], lease);
 }
 
 /* A precondition is that this daemon is still a member. After an outage that ended all leases every
