--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -248,23 +248,34 @@
   world_destroy (world);
 }
 
-/* Guards against a successor that waits longer than any lease lasts for the tasks of a worker that
- * is gone: after each takeover they would wait anew beside free workers. */
-static void
-test_successor_places_tasks_of_a_lost_worker_after_the_longest_lease (void **state)
+/* A successor takes over while the only task runs on a worker that answers nobody; another worker
+ * is free. */
+static struct world *
+take_over_with_silent_worker (bool unregistered)
 {
   struct world *world = world_create ();
-  struct world_worker *lost = world_add_worker (world, "r1");
+  struct world_worker *silent = world_add_worker (world, "r1");
   g_autoptr (GPtrArray) specs = g_ptr_array_new ();
 
   world->run_ms = 20000;
   world_submit (world, world_job ("aa", 1, 1000, 20000));
   world_run (world, 500);
-  assert_int_equal (lost->n_starts, 1);
-  lost->silent = lost->unregistered = true;
+  assert_int_equal (silent->n_starts, 1);
+  silent->silent = true;
+  silent->unregistered = unregistered;
   world_add_worker (world, "r2");
   g_ptr_array_add (specs, world_job ("aa", 1, 1000, 20000));
   world_take_over (world, specs);
+  return world;
+}
+
+/* Guards against a successor that waits longer than any lease lasts for the tasks of a worker that
+ * is gone: after each takeover they would wait anew beside free workers. */
+static void
+test_successor_places_tasks_of_a_lost_worker_after_the_longest_lease (void **state)
+{
+  struct world *world = take_over_with_silent_worker (true);
+
   world_run (world, MT_MAX_WORKER_LEASE_MS + MT_OUTAGE_EVIDENCE_MS);
   assert_int_equal (world->n_starts, 1);
   world_run (world, 800);
@@ -277,19 +288,10 @@
 static void
 test_successor_allows_for_renewals_after_its_takeover (void **state)
 {
-  struct world *world = world_create ();
-  struct world_worker *cut_off = world_add_worker (world, "r1");
-  g_autoptr (GPtrArray) specs = g_ptr_array_new ();
+  struct world *world = take_over_with_silent_worker (false);
 
-  world->run_ms = 20000;
-  world_submit (world, world_job ("aa", 1, 1000, 20000));
-  world_run (world, 500);
-  cut_off->silent = true;
-  world_add_worker (world, "r2");
-  g_ptr_array_add (specs, world_job ("aa", 1, 1000, 20000));
-  world_take_over (world, specs);
   world_run (world, MT_OUTAGE_EVIDENCE_MS);
-  cut_off->lease_end_ms = world->now + MT_MAX_WORKER_LEASE_MS;
+  world->workers[0].lease_end_ms = world->now + MT_MAX_WORKER_LEASE_MS;
   world_run (world, MT_MAX_WORKER_LEASE_MS + 1000);
   assert_int_equal (world->n_starts, 2);
   assert_int_equal (world->duplicate_starts, 0);
