store client: events say how much of an answer had arrived

WATCH_FAILED names the bytes of the answer received when the call ended, CONFIG_IN_FORCE the size of the configuration and how long reading and applying it took.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -272,7 +272,7 @@
 }
 
 static void
-apply_config (struct mt_fleet *f, struct mt_fleet_config *config)
+apply_config (struct mt_fleet *f, struct mt_fleet_config *config, size_t bytes, int64_t began)
 {
   g_autoptr (GPtrArray) leaderships = g_ptr_array_new ();
   struct mt_fleet_config *old = f->config;
@@ -297,8 +297,9 @@
   mt_fleet_config_free (old);
   mt_metrics_set (f->metrics, MT_GAUGE_CONFIG, config->version);
   mt_journal_log (f->journal, "CONFIG_IN_FORCE",
-                  "version=%" G_GINT64_FORMAT " routes=%zu age_ms=%" G_GINT64_FORMAT,
-                  config->version, config->n_routes, age_ms);
+                  "version=%" G_GINT64_FORMAT " routes=%zu age_ms=%" G_GINT64_FORMAT
+                  " bytes=%zu apply_ms=%" G_GINT64_FORMAT,
+                  config->version, config->n_routes, age_ms, bytes, mt_loop_now () - began);
 }
 
 /* Applies a new configuration. Versions that are not newer than the current one are ignored: a late
@@ -309,6 +310,7 @@
   struct mt_fleet *f = ctx;
   g_autoptr (GError) error = NULL;
   struct mt_fleet_config *config;
+  int64_t began = mt_loop_now ();
 
   if (item->deleted || strcmp (item->key, f->codec.config_key) != 0)
     return;
@@ -318,7 +320,7 @@
   else if (f->config != NULL && config->version <= f->config->version)
     mt_fleet_config_free (config);
   else
-    apply_config (f, config);
+    apply_config (f, config, item->value.len, began);
 }
 
 /* ---- callers, readiness, metrics ---- */
--- a/fleet/ports.h
+++ b/fleet/ports.h
@@ -40,6 +40,7 @@
   size_t n_items;
   bool more;        /* the list continues after its last key */
   int64_t revision; /* of the store; of a write: its own */
+  size_t received;  /* bytes of the answer that arrived, also of an incomplete one */
   int64_t lease;
   int64_t ttl_ms;
 };
--- a/fleet/watcher.c
+++ b/fleet/watcher.c
@@ -42,7 +42,7 @@
 }
 
 static void
-schedule_retry (struct mt_watcher *w)
+schedule_retry (struct mt_watcher *w, const struct mt_kv_reply *reply)
 {
   int64_t pause = MIN (MIN_RETRY_MS << MIN (w->failures, 3), MAX_RETRY_MS);
 
@@ -50,9 +50,9 @@
   if (w->options.journal != NULL)
     mt_journal_log (w->options.journal, "WATCH_FAILED",
                     "prefix=%s call=%s took_ms=%" G_GINT64_FORMAT " failures=%" G_GINT64_FORMAT
-                    " direct=%d",
+                    " direct=%d received=%zu",
                     w->prefix, w->listed ? "watch" : "list", mt_loop_now () - w->sent_at,
-                    w->failures, w->kv.ops->is_direct (w->kv.ctx));
+                    w->failures, w->kv.ops->is_direct (w->kv.ctx), reply->received);
   mt_timer_set (w->timer, pause / 2 + g_random_int_range (0, (gint32) pause));
 }
 
@@ -116,7 +116,7 @@
     return;
   if (reply->status != MT_KV_OK)
     {
-      schedule_retry (w);
+      schedule_retry (w, reply);
       return;
     }
   w->failures = 0;
@@ -149,7 +149,7 @@
     }
   if (reply->status != MT_KV_OK)
     {
-      schedule_retry (w);
+      schedule_retry (w, reply);
       return;
     }
   w->failures = 0;
--- a/net/http_calls.c
+++ b/net/http_calls.c
@@ -51,6 +51,7 @@
   struct connection *connection; /* NULL while queued */
   struct event *timer;
   bool sent;               /* bytes of it were given to a connected socket */
+  size_t received;         /* bytes of its answer */
   int64_t began;           /* when it was given to its connection */
   int64_t unresponsive_ms; /* as in struct mt_call */
   const char *kind;
@@ -123,14 +124,24 @@
     c->pending->sent = true;
 }
 
+static void
+on_input (struct evbuffer *input, const struct evbuffer_cb_info *info, void *ctx)
+{
+  struct connection *c = ctx;
+
+  if (c->pending != NULL)
+    c->pending->received += info->n_added;
+}
+
 static void
 free_connection (void *data)
 {
   struct connection *c = data;
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (c->evcon);
 
-  /* libevent frees the buffer later than the connection. */
-  evbuffer_remove_cb (bufferevent_get_output (evhttp_connection_get_bufferevent (c->evcon)),
-                      on_output, c);
+  /* libevent frees the buffers later than the connection. */
+  evbuffer_remove_cb (bufferevent_get_output (bev), on_output, c);
+  evbuffer_remove_cb (bufferevent_get_input (bev), on_input, c);
   evhttp_connection_free (c->evcon);
   if (c->pending != NULL)
     free_pending (c->pending);
@@ -216,7 +227,7 @@
 on_timeout (evutil_socket_t fd, short what, void *ctx)
 {
   struct pending_call *pending = ctx;
-  struct mt_call_answer answer = { .sent = pending->sent };
+  struct mt_call_answer answer = { .sent = pending->sent, .received = pending->received };
 
   if (pending->connection != NULL)
     {
@@ -252,6 +263,7 @@
   if (pending == NULL)
     return; /* already timed out */
   answer.sent = pending->sent;
+  answer.received = pending->received;
   if (request == NULL || evhttp_request_get_response_code (request) == 0)
     {
       retire_connection (c);
@@ -278,13 +290,15 @@
 open_connection (struct lane *lane)
 {
   struct connection *c = g_new0 (struct connection, 1);
+  struct bufferevent *bev;
 
   c->lane = lane;
   c->evcon = evhttp_connection_base_new (lane->calls->base, NULL, lane->ip, lane->port);
+  bev = evhttp_connection_get_bufferevent (c->evcon);
   evhttp_connection_set_max_body_size (c->evcon, MAX_ANSWER_BYTES);
   evhttp_connection_set_max_headers_size (c->evcon, MAX_HEADER_BYTES);
-  evbuffer_add_cb (bufferevent_get_output (evhttp_connection_get_bufferevent (c->evcon)), on_output,
-                   c);
+  evbuffer_add_cb (bufferevent_get_output (bev), on_output, c);
+  evbuffer_add_cb (bufferevent_get_input (bev), on_input, c);
   g_ptr_array_add (lane->connections, c);
   lane->calls->connections_opened++;
   return c;
--- a/net/http_calls.h
+++ b/net/http_calls.h
@@ -49,6 +49,7 @@
 {
   int status; /* 0: no complete answer */
   bool sent;  /* bytes were given to a connected socket: the server may have acted on the call */
+  size_t received; /* bytes of the answer that arrived, head included, also of an incomplete one */
   struct mt_str body;
 };
 
