tests: configurations that outlast a watch, and copies that cannot be confirmed, failing

A copy unconfirmed for 7.8 s is served while the store answers (405 where 503 is due). The fixture of test_silent_connections is shared: store_fixture.c; its tests are as before.

--- a/tests/platform/test_config_check.c
+++ b/tests/platform/test_config_check.c
@@ -276,6 +276,22 @@
   destroy_fixture (f);
 }
 
+/* Guards against calls served by an old version for as long as the daemon fails to read a newer
+ * one: the store answers, so that there may be a newer one. */
+static void
+test_copy_that_cannot_be_confirmed_is_not_served (void **state)
+{
+  static const enum fleet_fault faults[] = { FLEET_FAULT_BUSY, FLEET_FAULT_BUSY };
+  struct fixture *f = create_fixture (ONE_ROUTE, NO_ROUTES);
+
+  f->config_age_ms = 7800;
+  fleet_store_fault_next (f->store, faults, G_N_ELEMENTS (faults));
+  assert_int_equal (call (f, "/r1/", NULL), 503);
+  f->store_answers = false;
+  assert_int_equal (call (f, "/r1/", NULL), METHOD_REFUSED);
+  destroy_fixture (f);
+}
+
 int
 main (void)
 {
@@ -285,6 +301,7 @@
     cmocka_unit_test (test_calls_for_unknown_paths_share_a_read),
     cmocka_unit_test (test_added_key_is_found_by_a_read),
     cmocka_unit_test (test_removed_route_is_not_served_by_a_stale_copy),
+    cmocka_unit_test (test_copy_that_cannot_be_confirmed_is_not_served),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/platform/test_silent_connections.c
+++ b/tests/platform/test_silent_connections.c
@@ -1,13 +1,9 @@
 /* The adapter's store calls while open connections fall silent without a reset, against the
  * stand-in store behind a proxy in the same process. */
-#include "adapter.h"
-#include "fleet_store.h"
-#include "proxy.h"
+#include "store_fixture.h"
 #include "watcher.h"
 
-#include <event2/event.h>
 #include <setjmp.h>
-#include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <string.h>
@@ -21,25 +17,13 @@
 
 struct fixture
 {
-  struct event_base *base;
-  struct fleet_store *store;
-  struct mt_http_front *front;
-  struct proxy *proxy;
-  struct mt_calls *calls;
-  struct mt_adapter *adapter;
-  struct mt_kv kv;
+  struct store_fixture s;
   unsigned replies;
   mt_adapter_call_done relayed; /* a call through another daemon that is not answered; NULL: none */
   void *relayed_data;
   char *value; /* as last reported by the watcher */
 };
 
-static void
-on_call (void *ctx, struct mt_exchange *exchange)
-{
-  fleet_store_handle (((struct fixture *) ctx)->store, exchange);
-}
-
 /* The connection to the other daemon is silent, too. */
 static bool
 relay (void *ctx,
@@ -63,27 +47,8 @@
 create_fixture (bool hedge)
 {
   struct fixture *f = g_new0 (struct fixture, 1);
-  struct mt_http_front_options options = { .address = "127.0.0.1:0",
-                                           .max_connections = 64,
-                                           .idle_timeout_s = 60,
-                                           .max_body_bytes = 65536,
-                                           .handle = on_call,
-                                           .ctx = f };
-  struct mt_adapter_settings settings = { .daemon = "d", .hedge = hedge };
-  g_autofree char *server = NULL;
-  g_autofree char *address = NULL;
-
-  signal (SIGPIPE, SIG_IGN);
-  f->base = event_base_new ();
-  f->store = fleet_store_create (f->base);
-  f->front = mt_http_front_create (f->base, &options, NULL);
-  server = g_strdup_printf ("127.0.0.1:%u", mt_http_front_port (f->front));
-  f->proxy = proxy_create (f->base, server);
-  address = g_strdup_printf ("127.0.0.1:%u", proxy_port (f->proxy));
-  settings.store = address;
-  f->calls = mt_calls_create (f->base, NULL);
-  f->adapter = mt_adapter_create (f->calls, &settings);
-  f->kv = mt_adapter_kv (f->adapter);
+
+  store_fixture_init (&f->s, hedge);
   return f;
 }
 
@@ -92,12 +57,7 @@
 {
   if (f->relayed != NULL)
     f->relayed (f->relayed_data, 0, (struct mt_str){ "", 0 });
-  mt_calls_destroy (f->calls);
-  mt_adapter_destroy (f->adapter);
-  proxy_destroy (f->proxy);
-  mt_http_front_destroy (f->front);
-  fleet_store_destroy (f->store);
-  event_base_free (f->base);
+  store_fixture_clear (&f->s);
   g_free (f->value);
   g_free (f);
 }
@@ -115,14 +75,14 @@
 wait_for_value (struct fixture *f, const char *value)
 {
   while (g_strcmp0 (f->value, value) != 0)
-    event_base_loop (f->base, EVLOOP_ONCE);
+    event_base_loop (f->s.base, EVLOOP_ONCE);
 }
 
 static void
 wait_for_watch (struct fixture *f)
 {
-  while (fleet_store_watches (f->store) == 0)
-    event_base_loop (f->base, EVLOOP_ONCE);
+  while (fleet_store_watches (f->s.store) == 0)
+    event_base_loop (f->s.base, EVLOOP_ONCE);
 }
 
 static void
@@ -136,23 +96,23 @@
 {
   struct mt_adapter_settings settings = { .store = address };
 
-  mt_adapter_set_addresses (f->adapter, &settings);
+  mt_adapter_set_addresses (f->s.adapter, &settings);
 }
 
 /* Makes the adapter send its calls through another daemon. */
 static void
 fail_direct_calls (struct fixture *f)
 {
-  g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", proxy_port (f->proxy));
+  g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", proxy_port (f->s.proxy));
 
   set_store (f, NO_STORE);
-  while (mt_adapter_reaches_store (f->adapter))
+  while (mt_adapter_reaches_store (f->s.adapter))
     {
       unsigned before = f->replies;
 
-      mt_kv_read (&f->kv, "k", 1000, on_reply, f);
+      mt_kv_read (&f->s.kv, "k", 1000, on_reply, f);
       while (f->replies == before)
-        event_base_loop (f->base, EVLOOP_ONCE);
+        event_base_loop (f->s.base, EVLOOP_ONCE);
     }
   set_store (f, address);
 }
@@ -162,9 +122,9 @@
 leave_idle_connections (struct fixture *f)
 {
   for (unsigned i = 0; i < IDLE_CONNECTIONS; i++)
-    f->kv.ops->watch (f->kv.ctx, "lost/", 1, SHORT_WAIT_MS, on_reply, f);
+    f->s.kv.ops->watch (f->s.kv.ctx, "lost/", 1, SHORT_WAIT_MS, on_reply, f);
   while (f->replies < IDLE_CONNECTIONS)
-    event_base_loop (f->base, EVLOOP_ONCE);
+    event_base_loop (f->s.base, EVLOOP_ONCE);
 }
 
 /* Guards against a change that is seen only after one time-out for each idle connection: all of
@@ -177,18 +137,18 @@
       = { .prefix = "config", .wait_ms = SHORT_WAIT_MS, .on_item = on_item, .ctx = f };
   struct mt_watcher *watcher;
 
-  fleet_store_put (f->store, "config", "1");
+  fleet_store_put (f->s.store, "config", "1");
   leave_idle_connections (f);
-  watcher = mt_watcher_create (f->base, f->kv, &options);
+  watcher = mt_watcher_create (f->s.base, f->s.kv, &options);
   wait_for_value (f, "1");
-  fleet_store_put (f->store, "config", "2");
+  fleet_store_put (f->s.store, "config", "2");
   wait_for_value (f, "2");
   wait_for_watch (f);
-  assert_true (proxy_connections (f->proxy) >= IDLE_CONNECTIONS);
-  proxy_silence (f->proxy);
-  fleet_store_put (f->store, "config", "3");
+  assert_true (proxy_connections (f->s.proxy) >= IDLE_CONNECTIONS);
+  proxy_silence (f->s.proxy);
+  fleet_store_put (f->s.store, "config", "3");
   wait_for_value (f, "3");
-  assert_int_equal (proxy_swallowed (f->proxy), 0);
+  assert_int_equal (proxy_swallowed (f->s.proxy), 0);
   mt_watcher_destroy (watcher);
   destroy_fixture (f);
 }
@@ -201,13 +161,13 @@
   struct fixture *f = create_fixture (false);
 
   for (unsigned i = 0; i < IDLE_CONNECTIONS; i++)
-    f->kv.ops->watch (f->kv.ctx, "k/", 1, SHORT_WAIT_MS, on_reply, f);
-  while (fleet_store_watches (f->store) < IDLE_CONNECTIONS)
-    event_base_loop (f->base, EVLOOP_ONCE);
-  proxy_silence (f->proxy);
+    f->s.kv.ops->watch (f->s.kv.ctx, "k/", 1, SHORT_WAIT_MS, on_reply, f);
+  while (fleet_store_watches (f->s.store) < IDLE_CONNECTIONS)
+    event_base_loop (f->s.base, EVLOOP_ONCE);
+  proxy_silence (f->s.proxy);
   while (f->replies < IDLE_CONNECTIONS)
-    event_base_loop (f->base, EVLOOP_ONCE);
-  assert_true (mt_adapter_reaches_store (f->adapter));
+    event_base_loop (f->s.base, EVLOOP_ONCE);
+  assert_true (mt_adapter_reaches_store (f->s.adapter));
   destroy_fixture (f);
 }
 
@@ -221,14 +181,14 @@
       = { .prefix = "config", .wait_ms = SHORT_WAIT_MS, .on_item = on_item, .ctx = f };
   struct mt_watcher *watcher;
 
-  fleet_store_put (f->store, "config", "1");
-  watcher = mt_watcher_create (f->base, f->kv, &options);
+  fleet_store_put (f->s.store, "config", "1");
+  watcher = mt_watcher_create (f->s.base, f->s.kv, &options);
   wait_for_value (f, "1");
   wait_for_watch (f);
-  proxy_silence (f->proxy);
-  fleet_store_put (f->store, "config", "2");
+  proxy_silence (f->s.proxy);
+  fleet_store_put (f->s.store, "config", "2");
   fail_direct_calls (f);
-  mt_adapter_set_relay (f->adapter, relay, f);
+  mt_adapter_set_relay (f->s.adapter, relay, f);
   wait_for_value (f, "2");
   mt_watcher_destroy (watcher);
   destroy_fixture (f);
--- /dev/null
+++ b/tests/platform/test_thin_link.c
@@ -0,0 +1,181 @@
+/* Configurations that take long to transfer: the adapter's store calls over a link of 10 Mbit/s. */
+#include "config_check.h"
+#include "loop.h"
+#include "store_fixture.h"
+#include "watcher.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define LINK_BYTES_PER_S 1250000
+#define KEY              "config"
+#define WAIT_MS          1000
+#define FAIL_AFTER_MS    30000
+/* Some 10,000 routes: 2.2 s on the link. */
+#define LARGE_BYTES 2100000U
+/* Some 20,000 routes: 4.5 s. */
+#define HUGE_BYTES 4200000U
+
+struct fixture
+{
+  struct store_fixture s;
+  struct mt_watcher *watcher;
+  struct mt_config_check *check;
+  size_t len; /* of the value last reported */
+  unsigned checked;
+  bool confirmed; /* by the last check */
+};
+
+static void
+on_item (void *ctx, const struct mt_kv_item *item)
+{
+  struct fixture *f = ctx;
+
+  f->len = item->value.len;
+}
+
+static struct fixture *
+create_fixture (void)
+{
+  struct fixture *f = g_new0 (struct fixture, 1);
+  struct mt_watcher_options watch
+      = { .prefix = KEY, .wait_ms = WAIT_MS, .on_item = on_item, .ctx = f };
+  struct mt_config_check_options check = { .key = KEY, .on_item = on_item, .ctx = f };
+
+  store_fixture_init (&f->s, true);
+  fleet_store_put (f->s.store, KEY, "small");
+  f->watcher = mt_watcher_create (f->s.base, f->s.kv, &watch);
+  check.kv = f->s.kv;
+  f->check = mt_config_check_create (&check);
+  return f;
+}
+
+static void
+destroy_fixture (struct fixture *f)
+{
+  mt_watcher_destroy (f->watcher);
+  store_fixture_clear (&f->s);
+  mt_config_check_destroy (f->check);
+  g_free (f);
+}
+
+static void
+put (struct fixture *f, size_t len)
+{
+  g_autofree char *value = g_strnfill (len, 'r');
+
+  fleet_store_put (f->s.store, KEY, value);
+}
+
+static void
+wait_for_value (struct fixture *f, size_t len)
+{
+  int64_t limit = mt_loop_now () + FAIL_AFTER_MS;
+
+  while (f->len != len && mt_loop_now () < limit)
+    event_base_loop (f->s.base, EVLOOP_ONCE);
+  assert_int_equal (f->len, len);
+}
+
+/* Returns the bytes that are transferred for a value: in base64, beside some headers. */
+static size_t
+transfer_bytes (size_t len)
+{
+  return len / 3 * 4;
+}
+
+/* Guards against a change that is never in force, because its transfer takes longer than a watch,
+ * whose time-out discards what has arrived. */
+static void
+test_change_that_outlasts_a_watch_is_received (void **state)
+{
+  struct fixture *f = create_fixture ();
+  size_t before;
+
+  wait_for_value (f, strlen ("small"));
+  proxy_limit (f->s.proxy, LINK_BYTES_PER_S);
+  before = proxy_received (f->s.proxy);
+  put (f, LARGE_BYTES);
+  wait_for_value (f, LARGE_BYTES);
+  assert_true (proxy_received (f->s.proxy) - before < transfer_bytes (LARGE_BYTES) * 11 / 10);
+  destroy_fixture (f);
+}
+
+/* Guards against a configuration that is never in force, because the client drops answers of more
+ * than a few megabytes. */
+static void
+test_configuration_of_20000_routes_is_received (void **state)
+{
+  struct fixture *f = create_fixture ();
+
+  put (f, HUGE_BYTES);
+  wait_for_value (f, HUGE_BYTES);
+  destroy_fixture (f);
+}
+
+/* Guards against a daemon that falls behind for good while versions follow each other faster than
+ * one is transferred: of those that it missed it needs the newest only. */
+static void
+test_missed_versions_are_skipped (void **state)
+{
+  struct fixture *f = create_fixture ();
+  size_t before;
+
+  wait_for_value (f, strlen ("small"));
+  proxy_limit (f->s.proxy, LINK_BYTES_PER_S);
+  before = proxy_received (f->s.proxy);
+  put (f, LARGE_BYTES);
+  while (proxy_received (f->s.proxy) - before < LARGE_BYTES)
+    event_base_loop (f->s.base, EVLOOP_ONCE);
+  for (size_t i = 1; i <= 4; i++)
+    put (f, LARGE_BYTES + i);
+  wait_for_value (f, LARGE_BYTES + 4);
+  assert_true (proxy_received (f->s.proxy) - before < transfer_bytes (LARGE_BYTES) * 5 / 2);
+  destroy_fixture (f);
+}
+
+static void
+on_checked (void *data, bool confirmed)
+{
+  struct fixture *f = data;
+
+  f->checked++;
+  f->confirmed = confirmed;
+}
+
+/* Guards against a daemon on a thin link that refuses every call for an unknown path with 503, as
+ * it reads the whole configuration to learn that it has not changed. */
+static void
+test_unchanged_configuration_is_confirmed_without_a_transfer (void **state)
+{
+  struct fixture *f = create_fixture ();
+  size_t before;
+
+  put (f, LARGE_BYTES);
+  wait_for_value (f, LARGE_BYTES);
+  proxy_limit (f->s.proxy, LINK_BYTES_PER_S);
+  before = proxy_received (f->s.proxy);
+  mt_config_check_request (f->check, on_checked, f);
+  while (f->checked == 0)
+    event_base_loop (f->s.base, EVLOOP_ONCE);
+  assert_true (f->confirmed);
+  assert_true (proxy_received (f->s.proxy) - before < 4096);
+  destroy_fixture (f);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_change_that_outlasts_a_watch_is_received),
+    cmocka_unit_test (test_configuration_of_20000_routes_is_received),
+    cmocka_unit_test (test_missed_versions_are_skipped),
+    cmocka_unit_test (test_unchanged_configuration_is_confirmed_without_a_transfer),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/standins/proxy.c
+++ b/tests/standins/proxy.c
@@ -10,6 +10,8 @@
 #include <glib.h>
 #include <stdbool.h>
 
+#define LIMIT_TICK_MS 20
+
 struct pair
 {
   struct proxy *proxy;
@@ -25,6 +27,8 @@
   struct sockaddr_in address; /* of the server */
   GPtrArray *pairs;           /* of struct pair */
   unsigned swallowed;
+  size_t received;
+  struct bufferevent_rate_limit_group *link; /* NULL: no limit */
 };
 
 static void
@@ -45,6 +49,8 @@
   struct pair *pair = ctx;
   struct evbuffer *input = bufferevent_get_input (from);
 
+  if (from == pair->server)
+    pair->proxy->received += evbuffer_get_length (input);
   if (!pair->silent)
     {
       bufferevent_write_buffer (from == pair->client ? pair->server : pair->client, input);
@@ -80,6 +86,8 @@
   bufferevent_setcb (pair->server, on_readable, NULL, on_event, pair);
   bufferevent_enable (pair->client, EV_READ | EV_WRITE);
   bufferevent_enable (pair->server, EV_READ | EV_WRITE);
+  if (proxy->link != NULL)
+    bufferevent_add_to_rate_limit_group (pair->server, proxy->link);
   g_ptr_array_add (proxy->pairs, pair);
   bufferevent_socket_connect (pair->server, (struct sockaddr *) &proxy->address,
                               sizeof proxy->address);
@@ -105,9 +113,32 @@
 {
   g_ptr_array_unref (proxy->pairs);
   evconnlistener_free (proxy->listener);
+  if (proxy->link != NULL)
+    bufferevent_rate_limit_group_free (proxy->link);
   g_free (proxy);
 }
 
+void
+proxy_limit (struct proxy *proxy, unsigned bytes_per_s)
+{
+  const struct timeval tick = { 0, LIMIT_TICK_MS * 1000 };
+  size_t bytes = (size_t) bytes_per_s * LIMIT_TICK_MS / 1000;
+  struct ev_token_bucket_cfg *limit
+      = ev_token_bucket_cfg_new (bytes, bytes, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &tick);
+
+  proxy->link = bufferevent_rate_limit_group_new (proxy->base, limit);
+  ev_token_bucket_cfg_free (limit);
+  for (guint i = 0; i < proxy->pairs->len; i++)
+    bufferevent_add_to_rate_limit_group (((struct pair *) proxy->pairs->pdata[i])->server,
+                                         proxy->link);
+}
+
+size_t
+proxy_received (const struct proxy *proxy)
+{
+  return proxy->received;
+}
+
 unsigned
 proxy_port (const struct proxy *proxy)
 {
--- a/tests/standins/proxy.h
+++ b/tests/standins/proxy.h
@@ -1,9 +1,11 @@
-/* A TCP proxy on loopback whose open connections can fall silent: nothing passes them any more in
- * either direction, and neither side is closed, while new connections work. Runs on the loop's
- * thread. */
+/* A TCP proxy on loopback with the faults of a link. Its open connections can fall silent: nothing
+ * passes them any more in either direction, and neither side is closed, while new connections work.
+ * Its bandwidth can be limited. Runs on the loop's thread. */
 #ifndef PROXY_H
 #define PROXY_H
 
+#include <stddef.h>
+
 struct event_base;
 struct proxy;
 
@@ -17,5 +19,9 @@
 void proxy_silence (struct proxy *proxy);
 /* Number of requests sent on silent connections so far. */
 unsigned proxy_swallowed (const struct proxy *proxy);
+/* Limits what all connections together receive from the server. */
+void proxy_limit (struct proxy *proxy, unsigned bytes_per_s);
+/* Bytes received from the server so far. */
+size_t proxy_received (const struct proxy *proxy);
 
 #endif
