store client: the deadline of a read follows the progress of its answer

What callers saw: a route that was dropped is served, an added one refused, for as long as daemons on thin links stay at an old version. Cause: a watch of the configuration is answered with all of it, and its time-out (wait + 400 ms; a poll 1 s) ended the transfer and discarded what had come: with 4,250 routes 850 to 880 KB of 1.22 MB (trial, 829 failed watches), again and again, while the link was full. Ruled out: silent connections (bytes arrived all the time), slow parsing (the answer was never complete).

Now the time-out holds until the answer begins; then it goes on for as long as each second brings 4 KB. After a transfer that outlasted the watch's wait a list follows, which skips versions that were missed. Answers up to 48 MB are taken (4 MB before: a configuration beyond 14,000 routes was dropped without a word).

--- a/fleet/ports.h
+++ b/fleet/ports.h
@@ -38,9 +38,10 @@
   enum mt_kv_status status;
   const struct mt_kv_item *items; /* found, changed or in conflict */
   size_t n_items;
-  bool more;        /* the list continues after its last key */
-  int64_t revision; /* of the store; of a write: its own */
-  size_t received;  /* bytes of the answer that arrived, also of an incomplete one */
+  bool more;           /* the list continues after its last key */
+  int64_t revision;    /* of the store; of a write: its own */
+  size_t received;     /* bytes of the answer that arrived, also of an incomplete one */
+  int64_t transfer_ms; /* how long they took */
   int64_t lease;
   int64_t ttl_ms;
 };
--- a/fleet/watcher.c
+++ b/fleet/watcher.c
@@ -133,6 +133,15 @@
     start_call (w);
 }
 
+/* Further changes were made while the answer was transferred. The next watch would bring each of
+ * them, a list only the last one of each key. */
+static void
+continue_after_transfer (struct mt_watcher *w, const struct mt_kv_reply *reply)
+{
+  if (reply->n_items > 0 && reply->transfer_ms > w->options.wait_ms)
+    w->listed = false;
+}
+
 static void
 on_events (void *data, const struct mt_kv_reply *reply)
 {
@@ -156,6 +165,7 @@
   if (reply->revision > w->after_revision)
     w->after_revision = reply->revision;
   deliver_items (w, reply);
+  continue_after_transfer (w, reply);
   w->last_answer_at = mt_loop_now ();
   if (free_if_destroyed (w))
     return;
--- a/net/http_calls.c
+++ b/net/http_calls.c
@@ -15,7 +15,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#define MAX_ANSWER_BYTES (4 * 1024 * 1024)
+/* Limits the memory that one answer can take. */
+#define MAX_ANSWER_BYTES (48 * 1024 * 1024)
 #define MAX_HEADER_BYTES (16 * 1024)
 /* Estimates for the traffic counters: request line, Host, Content-Type and Content-Length of a
  * call; status line and headers of an answer. */
@@ -27,6 +28,8 @@
 /* Idle connections that answered within this time are kept after a time-out. Time-outs are longer:
  * what answered so lately is not among the connections that failed with the timed-out one. */
 #define PROVEN_MS 250
+/* Least bytes that count as progress of an answer. */
+#define MIN_PROGRESS_BYTES 4096U
 
 struct lane;
 
@@ -50,8 +53,13 @@
   struct lane *lane;
   struct connection *connection; /* NULL while queued */
   struct event *timer;
-  bool sent;               /* bytes of it were given to a connected socket */
-  size_t received;         /* bytes of its answer */
+  bool sent;            /* bytes of it were given to a connected socket */
+  size_t received;      /* bytes of its answer */
+  int64_t answer_began; /* when the first of them arrived */
+  bool began_late;      /* the connection was unresponsive then */
+  int64_t progress_ms;  /* as in struct mt_call */
+  size_t progress;      /* bytes received at the last progress */
+  void (*begun) (void *ctx);
   int64_t began;           /* when it was given to its connection */
   int64_t unresponsive_ms; /* as in struct mt_call */
   const char *kind;
@@ -124,13 +132,57 @@
     c->pending->sent = true;
 }
 
+/* Returns whether other calls to the address were answered after this connection's call had waited
+ * for too long until its answer began. */
+static bool
+is_unresponsive (const struct connection *c)
+{
+  const struct pending_call *pending = c->pending;
+
+  if (pending == NULL || pending->unresponsive_ms == 0)
+    return false;
+  if (pending->received > 0)
+    return pending->began_late;
+  return c->lane->server->answered_at - pending->began > pending->unresponsive_ms - TIMER_TICK_MS;
+}
+
+static void
+set_timer (struct pending_call *pending, int64_t after_ms)
+{
+  struct timeval limit = { after_ms / 1000, after_ms % 1000 * 1000 };
+
+  event_add (pending->timer, &limit);
+}
+
+static void
+note_received (struct connection *c, size_t bytes)
+{
+  struct pending_call *pending = c->pending;
+  bool first = pending->received == 0;
+
+  if (first)
+    {
+      pending->began_late = is_unresponsive (c);
+      pending->answer_began = now_ms ();
+    }
+  pending->received += bytes;
+  if (pending->progress_ms > 0
+      && (first || pending->received - pending->progress >= MIN_PROGRESS_BYTES))
+    {
+      pending->progress = pending->received;
+      set_timer (pending, pending->progress_ms);
+    }
+  if (first && pending->begun != NULL)
+    pending->begun (pending->ctx);
+}
+
 static void
 on_input (struct evbuffer *input, const struct evbuffer_cb_info *info, void *ctx)
 {
   struct connection *c = ctx;
 
-  if (c->pending != NULL)
-    c->pending->received += info->n_added;
+  if (c->pending != NULL && info->n_added > 0)
+    note_received (c, info->n_added);
 }
 
 static void
@@ -239,18 +291,6 @@
   complete_call (pending, &answer);
 }
 
-/* Returns whether other calls to the address were answered after this connection's call had waited
- * for too long. */
-static bool
-is_unresponsive (const struct connection *c)
-{
-  const struct pending_call *pending = c->pending;
-
-  return pending != NULL && pending->unresponsive_ms > 0
-         && c->lane->server->answered_at - pending->began
-                > pending->unresponsive_ms - TIMER_TICK_MS;
-}
-
 static void
 on_answer (struct evhttp_request *request, void *ctx)
 {
@@ -272,6 +312,7 @@
     }
   unresponsive = is_unresponsive (c);
   c->answered_at = now_ms ();
+  answer.transfer_ms = c->answered_at - pending->answer_began;
   c->lane->server->answered_at = c->answered_at;
   input = evhttp_request_get_input_buffer (request);
   answer.status = evhttp_request_get_response_code (request);
@@ -449,11 +490,12 @@
 mt_calls_send (struct mt_calls *calls, const struct mt_call *call, mt_call_done done, void *ctx)
 {
   struct pending_call *pending = g_new0 (struct pending_call, 1);
-  struct timeval limit = { call->timeout_ms / 1000, call->timeout_ms % 1000 * 1000 };
 
   pending->lane = get_lane (calls, call);
   pending->kind = call->kind;
   pending->unresponsive_ms = call->unresponsive_ms;
+  pending->progress_ms = call->progress_ms;
+  pending->begun = call->begun;
   pending->method = call->method;
   pending->path = g_strdup (call->path);
   pending->body = g_memdup2 (call->body.data, call->body.len);
@@ -462,7 +504,7 @@
   pending->done = done;
   pending->ctx = ctx;
   pending->timer = event_new (calls->base, -1, 0, on_timeout, pending);
-  event_add (pending->timer, &limit);
+  set_timer (pending, call->timeout_ms);
   g_queue_push_tail (&pending->lane->waiting, pending);
   send_waiting (pending->lane);
 }
--- a/net/http_calls.h
+++ b/net/http_calls.h
@@ -33,9 +33,13 @@
   const char *path;
   struct mt_str body;                   /* JSON; empty if there is none */
   const struct mt_call_header *headers; /* NULL if there are none */
-  /* Until the last byte of the answer; then the connection is closed, and so are idle ones to the
-   * address that have not answered lately. */
+  /* Until the last byte of the answer, or with progress_ms until the first; then the connection is
+   * closed, and so are idle ones to the address that have not answered lately. */
   int64_t timeout_ms;
+  /* Once the answer has begun, the call goes on for as long as each interval of this length brings
+   * some kilobytes of it: how long an answer takes depends on its size. 0: it does not. */
+  int64_t progress_ms;
+  void (*begun) (void *ctx); /* called when the answer begins; may be NULL */
   /* Calls with the same address and lane share at most max_connections connections. Further calls
    * are queued; their timeout includes the time in the queue. */
   unsigned lane;
@@ -50,6 +54,7 @@
   int status; /* 0: no complete answer */
   bool sent;  /* bytes were given to a connected socket: the server may have acted on the call */
   size_t received; /* bytes of the answer that arrived, head included, also of an incomplete one */
+  int64_t transfer_ms; /* from the answer's first byte to its last */
   struct mt_str body;
 };
 
--- a/tests/standins/proxy.c
+++ b/tests/standins/proxy.c
@@ -36,6 +36,8 @@
 {
   struct pair *pair = data;
 
+  if (pair->proxy->link != NULL)
+    bufferevent_remove_from_rate_limit_group (pair->server);
   bufferevent_free (pair->client);
   bufferevent_free (pair->server);
   g_free (pair);
