config check: ask for changes since the known revision in place of reading the whole configuration

Cause: the whole value was read to learn that it had not changed. A watch that does not wait, after the revision that is already known, is answered with some 100 bytes then. If the store does not answer it (it withholds events while it compacts) or has no such history, the configuration is read as before.

--- a/fleet/config_check.c
+++ b/fleet/config_check.c
@@ -2,10 +2,13 @@
 
 #include "loop.h"
 
-/* A read confirms the configuration for this time, so that a flood of calls for unknown paths costs
- * the store at most two reads a second and daemon. */
+/* A check confirms the configuration for this time, so that a flood of calls for unknown paths
+ * costs the store at most two checks a second and daemon. */
 #define CONFIRMED_FOR_MS 500
-#define READ_TIMEOUT_MS  600
+/* The store answers a poll at once or, while it withholds events, not at all; then the
+ * configuration is read. Together they take 600 ms, unless the answer has begun. */
+#define POLL_TIMEOUT_MS 250
+#define READ_TIMEOUT_MS 350
 
 struct waiting
 {
@@ -19,8 +22,9 @@
   char *key;
   GQueue waiting; /* of struct waiting, for the read in flight */
   bool in_flight;
-  int64_t sent_at; /* the last read */
+  int64_t sent_at; /* the last check's first call */
   int64_t confirmed_at;
+  int64_t revision; /* of the store at the last answer */
 };
 
 static void
@@ -38,23 +42,48 @@
 }
 
 static void
-on_read (void *data, const struct mt_kv_reply *reply)
+end_check (struct mt_config_check *check, const struct mt_kv_reply *reply)
 {
-  struct mt_config_check *check = data;
   bool answered = reply->status == MT_KV_OK || reply->status == MT_KV_MISSING;
 
   check->in_flight = false;
   for (size_t i = 0; i < reply->n_items; i++)
     check->options.on_item (check->options.ctx, &reply->items[i]);
   if (answered)
-    check->confirmed_at = check->sent_at;
+    {
+      check->confirmed_at = check->sent_at;
+      check->revision = reply->revision;
+    }
   complete_waiting (check, answered);
 }
 
+static void
+on_read (void *data, const struct mt_kv_reply *reply)
+{
+  end_check (data, reply);
+}
+
+static void
+read_config (struct mt_config_check *check)
+{
+  mt_kv_read (&check->options.kv, check->key, READ_TIMEOUT_MS, on_read, check);
+}
+
+/* A store that refuses the poll would refuse the read, too. */
+static void
+on_poll (void *data, const struct mt_kv_reply *reply)
+{
+  if (reply->status == MT_KV_COMPACTED || reply->status == MT_KV_UNKNOWN)
+    read_config (data);
+  else
+    end_check (data, reply);
+}
+
 void
 mt_config_check_request (struct mt_config_check *check, mt_config_checked done, void *data)
 {
   int64_t now = mt_loop_now ();
+  int64_t revision = MAX (check->options.revision (check->options.ctx), check->revision);
   struct waiting *w;
 
   if (check->confirmed_at > 0 && now - check->confirmed_at < CONFIRMED_FOR_MS)
@@ -69,7 +98,10 @@
     return;
   check->in_flight = true;
   check->sent_at = now;
-  mt_kv_read (&check->options.kv, check->key, READ_TIMEOUT_MS, on_read, check);
+  if (revision > 0)
+    mt_kv_poll (&check->options.kv, check->key, revision, POLL_TIMEOUT_MS, on_poll, check);
+  else
+    read_config (check);
 }
 
 int64_t
--- a/fleet/config_check.h
+++ b/fleet/config_check.h
@@ -1,7 +1,8 @@
-/* Confirms the configuration by reading it from the store, for decisions that are final for a
- * caller. A watch may miss changes for a while without knowing it: its connection is silent, or the
- * store withholds events. Callers share the reads, so that many calls cost few. Not thread-safe:
- * runs on the loop's thread. */
+/* Confirms the configuration by asking the store for changes since the last known revision, for
+ * decisions that are final for a caller: an unchanged configuration costs no transfer of it. A
+ * watch may miss changes for a while without knowing it: its connection is silent, or the store
+ * withholds events. Callers share the calls, so that many cost few. Not thread-safe: runs on the
+ * loop's thread. */
 #ifndef MT_FLEET_CONFIG_CHECK_H
 #define MT_FLEET_CONFIG_CHECK_H
 
@@ -13,6 +14,9 @@
 {
   struct mt_kv kv;
   const char *key;
+  /* Returns the store's revision up to which all changes of the configuration are known; 0: none.
+   */
+  int64_t (*revision) (void *ctx);
   /* Called with the configuration read, before those who wait for it. */
   void (*on_item) (void *ctx, const struct mt_kv_item *item);
   void *ctx;
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -558,12 +558,20 @@
   return mt_adapter_store_available (((struct mt_fleet *) ctx)->platform);
 }
 
+static int64_t
+config_revision (void *ctx)
+{
+  return mt_watcher_revision (((struct mt_fleet *) ctx)->config_watch);
+}
+
 static void
 create_config_check (struct mt_fleet *f)
 {
-  struct mt_config_check_options options = {
-    .kv = mt_adapter_kv (f->platform), .key = f->codec.config_key, .on_item = on_config, .ctx = f
-  };
+  struct mt_config_check_options options = { .kv = mt_adapter_kv (f->platform),
+                                             .key = f->codec.config_key,
+                                             .revision = config_revision,
+                                             .on_item = on_config,
+                                             .ctx = f };
 
   f->config_check = mt_config_check_create (&options);
 }
--- a/fleet/ports.h
+++ b/fleet/ports.h
@@ -87,13 +87,19 @@
   void (*get) (void *ctx, const char *key, int64_t timeout_ms, mt_kv_done done, void *data);
   /* after: the last key of the previous page; NULL for the first page. */
   void (*range) (void *ctx, const char *prefix, const char *after, mt_kv_done done, void *data);
-  /* wait_ms: 0 returns at once what has changed. */
   void (*watch) (void *ctx,
                  const char *prefix,
                  int64_t after_revision,
                  int64_t wait_ms,
                  mt_kv_done done,
                  void *data);
+  /* A watch that does not wait: returns at once what has changed. */
+  void (*poll) (void *ctx,
+                const char *prefix,
+                int64_t after_revision,
+                int64_t timeout_ms,
+                mt_kv_done done,
+                void *data);
   void (*txn) (
       void *ctx, const struct mt_kv_txn *txn, int64_t timeout_ms, mt_kv_done done, void *data);
   void (*grant) (void *ctx, int64_t ttl_ms, mt_kv_done done, void *data);
@@ -116,6 +122,17 @@
   kv->ops->get (kv->ctx, key, timeout_ms, done, data);
 }
 
+static inline void
+mt_kv_poll (const struct mt_kv *kv,
+            const char *prefix,
+            int64_t after_revision,
+            int64_t timeout_ms,
+            mt_kv_done done,
+            void *data)
+{
+  kv->ops->poll (kv->ctx, prefix, after_revision, timeout_ms, done, data);
+}
+
 static inline void
 mt_kv_write (const struct mt_kv *kv,
              const struct mt_kv_txn *txn,
--- a/fleet/watcher.c
+++ b/fleet/watcher.c
@@ -7,8 +7,9 @@
 
 /* Delay after a failed call, doubled up to the maximum; with a random part, so that daemons do not
  * all retry together. */
-#define MIN_RETRY_MS 120
-#define MAX_RETRY_MS 320
+#define MIN_RETRY_MS    120
+#define MAX_RETRY_MS    320
+#define POLL_TIMEOUT_MS 1000
 
 struct mt_watcher
 {
@@ -123,7 +124,7 @@
   if (w->page_after == NULL)
     w->list_revision = reply->revision;
   deliver_items (w, reply);
-  w->last_answer_at = mt_loop_now ();
+  w->last_answer_at = mt_loop_now () - reply->transfer_ms;
   g_free (w->page_after);
   w->page_after
       = reply->more && reply->n_items > 0 ? g_strdup (reply->items[reply->n_items - 1].key) : NULL;
@@ -166,7 +167,7 @@
     w->after_revision = reply->revision;
   deliver_items (w, reply);
   continue_after_transfer (w, reply);
-  w->last_answer_at = mt_loop_now ();
+  w->last_answer_at = mt_loop_now () - reply->transfer_ms;
   if (free_if_destroyed (w))
     return;
   if (had_items && w->options.pause_ms > 0)
@@ -187,8 +188,11 @@
     {
       /* A connection that waits may die unnoticed, so that it is first found out how to reach the
        * store. */
-      w->kv.ops->watch (w->kv.ctx, w->prefix, w->after_revision,
-                        w->failures > 0 ? 0 : w->options.wait_ms, on_events, w);
+      if (w->failures > 0)
+        mt_kv_poll (&w->kv, w->prefix, w->after_revision, POLL_TIMEOUT_MS, on_events, w);
+      else
+        w->kv.ops->watch (w->kv.ctx, w->prefix, w->after_revision, w->options.wait_ms, on_events,
+                          w);
       return;
     }
   if (w->page_after == NULL)
@@ -234,3 +238,9 @@
 {
   return w->last_answer_at;
 }
+
+int64_t
+mt_watcher_revision (const struct mt_watcher *w)
+{
+  return w->after_revision;
+}
--- a/fleet/watcher.h
+++ b/fleet/watcher.h
@@ -34,7 +34,9 @@
 void mt_watcher_destroy (struct mt_watcher *watcher);
 /* Changes pause_ms from the next watch on. */
 void mt_watcher_set_pause (struct mt_watcher *watcher, int64_t pause_ms);
-/* Returns when the store last answered this watcher, by mt_loop_now; 0: never. */
+/* Returns the store's revision up to which all changes were delivered; 0 before the first list. */
+int64_t mt_watcher_revision (const struct mt_watcher *watcher);
+/* Returns when the last answer to this watcher began, by mt_loop_now; 0: never. */
 int64_t mt_watcher_last_answer (const struct mt_watcher *watcher);
 
 #endif
--- a/tests/platform/test_config_check.c
+++ b/tests/platform/test_config_check.c
@@ -90,6 +90,13 @@
   set_config (ctx, item->value);
 }
 
+/* As of before the stored configuration was written. */
+static int64_t
+known_revision (void *ctx)
+{
+  return 1;
+}
+
 static struct mt_http_front *
 listen_on (struct fixture *f, mt_http_front_handler handle)
 {
@@ -106,9 +113,11 @@
 static void
 create_frontend (struct fixture *f)
 {
-  struct mt_config_check_options check = {
-    .kv = mt_adapter_kv (f->adapter), .key = f->codec.config_key, .on_item = on_config, .ctx = f
-  };
+  struct mt_config_check_options check = { .kv = mt_adapter_kv (f->adapter),
+                                           .key = f->codec.config_key,
+                                           .revision = known_revision,
+                                           .on_item = on_config,
+                                           .ctx = f };
   struct mt_frontend_options options = { .kv = mt_adapter_kv (f->adapter),
                                          .codec = &f->codec,
                                          .journal = f->journal,
@@ -222,6 +231,17 @@
   destroy_fixture (f);
 }
 
+/* Guards against a caller who is refused while the store withholds events: reads show the route. */
+static void
+test_added_route_is_found_while_events_are_withheld (void **state)
+{
+  struct fixture *f = create_fixture (ONE_ROUTE, TWO_ROUTES);
+
+  fleet_store_set_mode (f->store, "mute");
+  assert_int_equal (call (f, "/r2/", NULL), METHOD_REFUSED);
+  destroy_fixture (f);
+}
+
 /* Guards against a refusal for good while the store does not say what is in force. */
 static void
 test_refusal_without_the_store_is_not_final (void **state)
@@ -297,6 +317,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_added_route_is_found_by_a_read),
+    cmocka_unit_test (test_added_route_is_found_while_events_are_withheld),
     cmocka_unit_test (test_refusal_without_the_store_is_not_final),
     cmocka_unit_test (test_calls_for_unknown_paths_share_a_read),
     cmocka_unit_test (test_added_key_is_found_by_a_read),
--- a/tests/platform/test_thin_link.c
+++ b/tests/platform/test_thin_link.c
@@ -38,13 +38,20 @@
   f->len = item->value.len;
 }
 
+static int64_t
+revision (void *ctx)
+{
+  return mt_watcher_revision (((struct fixture *) ctx)->watcher);
+}
+
 static struct fixture *
 create_fixture (void)
 {
   struct fixture *f = g_new0 (struct fixture, 1);
   struct mt_watcher_options watch
       = { .prefix = KEY, .wait_ms = WAIT_MS, .on_item = on_item, .ctx = f };
-  struct mt_config_check_options check = { .key = KEY, .on_item = on_item, .ctx = f };
+  struct mt_config_check_options check
+      = { .key = KEY, .revision = revision, .on_item = on_item, .ctx = f };
 
   store_fixture_init (&f->s, true);
   fleet_store_put (f->s.store, KEY, "small");
--- a/tests/standins/fleet_store.c
+++ b/tests/standins/fleet_store.c
@@ -417,11 +417,20 @@
 
 /* ---- calls ---- */
 
+static bool
+is_poll (const struct mt_exchange *exchange)
+{
+  return strcmp (mt_exchange_path (exchange), "/kv-watch") == 0
+         && g_strcmp0 (mt_exchange_query (exchange, "wait-ms"), "0") == 0;
+}
+
 static void
 handle_key_call (struct fleet_store *s, struct mt_exchange *exchange)
 {
   if (strcmp (mt_exchange_path (exchange), "/kv-key") == 0)
     handle_get (s, exchange);
+  else if (is_poll (exchange))
+    handle_watch (s, exchange);
   else
     handle_txn (s, exchange);
 }
@@ -520,7 +529,7 @@
     fleet_answer (exchange, 503, json_object ());
   else if (strcmp (s->mode, "silent") == 0)
     leave_unanswered (s, exchange);
-  else if (strcmp (path, "/kv-key") == 0 || strcmp (path, "/kv-txn") == 0)
+  else if (strcmp (path, "/kv-key") == 0 || strcmp (path, "/kv-txn") == 0 || is_poll (exchange))
     handle_with_fault (s, exchange);
   else if (strcmp (path, "/kv-range") == 0)
     handle_range (s, exchange);
--- a/tests/standins/fleet_store.h
+++ b/tests/standins/fleet_store.h
@@ -22,7 +22,7 @@
  * effect), "lost" (writes take effect and are not answered), "slow" (writes take effect and are
  * answered after 700 ms), "mute" (watches are not answered, all other calls are). */
 void fleet_store_set_mode (struct fleet_store *store, const char *mode);
-/* What happens to one read or transaction. */
+/* What happens to one read, poll (a watch that does not wait) or transaction. */
 enum fleet_fault
 {
   FLEET_FAULT_NONE,
@@ -33,7 +33,8 @@
   FLEET_FAULTS,
 };
 
-/* Sets the faults of the next reads of a key and transactions, one each; later ones have none. */
+/* Sets the faults of the next reads of a key, polls and transactions, one each; later ones have
+ * none. */
 void fleet_store_fault_next (struct fleet_store *store, const enum fleet_fault *faults, size_t n);
 /* Carries out the calls held back by FLEET_FAULT_LATE, in the order of their arrival. */
 void fleet_store_release_late (struct fleet_store *store);
@@ -43,7 +44,7 @@
 int64_t fleet_store_revision (const struct fleet_store *store, const char *key);
 /* Returns the lease under which the key was written; 0 for none. */
 int64_t fleet_store_lease (const struct fleet_store *store, const char *key);
-/* Number of reads of a key and transactions received. */
+/* Number of reads of a key, polls and transactions received. */
 unsigned fleet_store_calls (const struct fleet_store *store);
 /* Number of watches that wait for changes. */
 unsigned fleet_store_watches (const struct fleet_store *store);
