frontend: a configuration that the store does not confirm is not served beyond its bound

Cause: a check without an answer was taken for an unreachable store, in which case calls are served by the last known configuration. But the store answered this daemon's other calls, and others' too: a newer version may have been acknowledged.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -591,6 +591,7 @@
                                          .store_wait = f->settings->store_wait,
                                          .config_check = f->config_check,
                                          .config_age_ms = config_age_ms,
+                                         .config_apply_ms = f->settings->bounds.apply_ms,
                                          .keys_stale_ms = f->settings->bounds.keys_stale_ms,
                                          .ctx = f };
 
--- a/fleet/frontend.c
+++ b/fleet/frontend.c
@@ -11,6 +11,8 @@
 /* Calls are checked against the store if the configuration is unconfirmed for longer: a change must
  * be in force after 2 s, of which the check takes up to 0.6 s while the store answers. */
 #define CONFIG_STALE_MS 1300
+/* For the way of the confirmation: its age counts from when it arrived. */
+#define CONFIG_MARGIN_MS 200
 
 void
 mt_frontend_answer (struct mt_exchange *exchange,
@@ -121,6 +123,7 @@
   VERDICT_UNKNOWN_PATH,
   VERDICT_UNKNOWN_KEY,
   VERDICT_UNCONFIRMED_KEY,
+  VERDICT_UNCONFIRMED_CONFIG,
 };
 
 static enum verdict
@@ -176,6 +179,17 @@
                                 : "unknown key");
 }
 
+static void
+refuse_unconfirmed (struct mt_frontend *frontend, struct mt_exchange *exchange)
+{
+  mt_metrics_increment (frontend->options.metrics, MT_COUNT_CONFIG_UNCONFIRMED);
+  mt_journal_log (
+      frontend->options.journal, "CONFIG_UNCONFIRMED",
+      "status=503 version=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT " method=%s path=%.*s",
+      frontend->config->version, frontend->options.config_age_ms (frontend->options.ctx),
+      mt_exchange_method (exchange), MAX_LOGGED_PATH_BYTES, mt_exchange_path (exchange));
+}
+
 /* Refuses the call for good if the configuration is confirmed; otherwise the caller is asked to
  * come back, since a newer version may have its route or its key. */
 static void
@@ -185,11 +199,14 @@
         enum verdict verdict,
         bool confirmed)
 {
-  bool final = confirmed && verdict != VERDICT_UNCONFIRMED_KEY;
+  bool final
+      = confirmed && verdict != VERDICT_UNCONFIRMED_KEY && verdict != VERDICT_UNCONFIRMED_CONFIG;
   unsigned status = !final ? 503 : verdict == VERDICT_UNKNOWN_PATH ? 404 : 401;
 
   if (verdict == VERDICT_UNKNOWN_PATH)
     refuse_path (frontend, exchange, status);
+  else if (verdict == VERDICT_UNCONFIRMED_CONFIG)
+    refuse_unconfirmed (frontend, exchange);
   else
     refuse_caller (frontend, exchange, target, status);
   mt_frontend_answer (exchange, status, NULL, final ? 0 : MT_FRONTEND_RETRY_AFTER_S);
@@ -220,6 +237,17 @@
   struct mt_exchange *exchange;
 };
 
+/* Returns whether the configuration in force may have been replaced for longer than a change may
+ * take to be in force. Without the store there is no change either, and calls are served by the
+ * last known configuration. */
+static bool
+config_may_be_outdated (const struct mt_frontend *frontend)
+{
+  return frontend->options.store_answers (frontend->options.ctx)
+         && frontend->options.config_age_ms (frontend->options.ctx)
+                > frontend->options.config_apply_ms - CONFIG_MARGIN_MS;
+}
+
 static void
 on_config_checked (void *data, bool confirmed)
 {
@@ -231,6 +259,8 @@
 
   g_free (call);
   frontend->in_flight--;
+  if (verdict == VERDICT_SERVE && !confirmed && config_may_be_outdated (frontend))
+    verdict = VERDICT_UNCONFIRMED_CONFIG;
   if (frontend->closing)
     mt_frontend_answer (exchange, 503, NULL, MT_FRONTEND_RETRY_AFTER_S);
   else if (verdict == VERDICT_SERVE)
--- a/fleet/frontend.h
+++ b/fleet/frontend.h
@@ -33,6 +33,8 @@
   struct mt_config_check *config_check;
   /* Milliseconds since the store last confirmed the current configuration. */
   int64_t (*config_age_ms) (void *ctx);
+  /* Calls get 503 if the configuration is older, the store answers and does not confirm it. */
+  int64_t config_apply_ms;
   int64_t keys_stale_ms; /* callers with keys are refused if the configuration is older; 0: never */
   void *ctx;
 };
--- a/fleet/metrics.c
+++ b/fleet/metrics.c
@@ -24,6 +24,8 @@
   = { "questions_unanswered_total", "Questions without an answer in time." },
   [MT_COUNT_UNAUTHORIZED] = { "calls_unauthorized_total", "Calls without a key that holds." },
   [MT_COUNT_ROUTE_UNKNOWN] = { "calls_without_route_total", "Calls for a path without a route." },
+  [MT_COUNT_CONFIG_UNCONFIRMED]
+  = { "calls_config_unconfirmed_total", "Calls refused as the configuration may be outdated." },
   [MT_COUNT_LEADERSHIPS_LOST] = { "duties_lost_total", "Leaderships lost." },
   [MT_COUNT_WAITED_STORED]
   = { "submissions_waited_stored_total", "Submissions stored after they waited for the store." },
--- a/fleet/settings.h
+++ b/fleet/settings.h
@@ -15,6 +15,7 @@
   double move_s;
   double upkeep_s;
   unsigned stop_grace_ms;
+  unsigned apply_ms;      /* a change of the configuration has to be in force after this time */
   unsigned keys_stale_ms; /* callers' keys are refused if unconfirmed for longer; 0: never */
 };
 
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -141,6 +141,10 @@
           "a query or cancellation got no answer from the store or the pool's leader")
 MT_EVENT (8108, CALLER_REFUSED, G_LOG_LEVEL_WARNING, "a call without a valid API key was refused")
 MT_EVENT (8110, ROUTE_UNKNOWN, G_LOG_LEVEL_WARNING, "a call for a path without a route was refused")
+MT_EVENT (8111,
+          CONFIG_UNCONFIRMED,
+          G_LOG_LEVEL_WARNING,
+          "a call was refused because the configuration may be outdated")
 MT_EVENT (8106, JOB_BEGUN, G_LOG_LEVEL_MESSAGE, "the first task of a job started")
 MT_EVENT (8107, JOB_ENDED, G_LOG_LEVEL_MESSAGE, "a job ended")
 MT_EVENT (8109,
--- a/tests/platform/test_config_check.c
+++ b/tests/platform/test_config_check.c
@@ -124,6 +124,7 @@
                                          .metrics = f->metrics,
                                          .store_answers = store_answers,
                                          .config_age_ms = config_age_ms,
+                                         .config_apply_ms = 2000,
                                          .ctx = f };
 
   f->check = mt_config_check_create (&check);
