fleet: routes are found by host and prefix in a table

A table by host and prefix, with the lengths of prefixes that occur, takes one or two look-ups a length. Of two routes with the same host and prefix the first one counts, as before; a route of the host goes before one of any host with the same prefix.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -111,17 +111,14 @@
 }
 
 static void
-set_routes (struct mt_fleet *f, const char *name, struct mt_pool *pool)
+set_route (void *ctx, const struct mt_fleet_route *route)
 {
-  for (size_t i = 0; i < f->config->n_routes; i++)
-    {
-      const struct mt_fleet_route *route = &f->config->routes[i];
+  struct mt_pool *pool = local_pool (ctx, route->pool);
 
-      if (strcmp (route->pool, name) != 0)
-        continue;
-      mt_scheduler_set_route (mt_pool_scheduler (pool), route->name, &route->terms);
-      mt_scheduler_require_tickets (mt_pool_scheduler (pool), route->name, route->requires_advice);
-    }
+  if (pool == NULL)
+    return;
+  mt_scheduler_set_route (mt_pool_scheduler (pool), route->name, &route->terms);
+  mt_scheduler_require_tickets (mt_pool_scheduler (pool), route->name, route->requires_advice);
 }
 
 static void
@@ -148,7 +145,7 @@
 {
   if (f->config == NULL)
     return;
-  set_routes (f, name, pool);
+  mt_route_table_for_each (f->config->routes, set_route, f);
   set_workspaces (f->config, mt_pool_scheduler (pool));
 }
 
@@ -299,7 +296,8 @@
   mt_journal_log (f->journal, "CONFIG_IN_FORCE",
                   "version=%" G_GINT64_FORMAT " routes=%zu age_ms=%" G_GINT64_FORMAT
                   " bytes=%zu apply_ms=%" G_GINT64_FORMAT,
-                  config->version, config->n_routes, age_ms, bytes, mt_loop_now () - began);
+                  config->version, mt_route_table_size (config->routes), age_ms, bytes,
+                  mt_loop_now () - began);
 }
 
 /* Applies a new configuration. Versions that are not newer than the current one are ignored: a late
--- a/fleet/frontend.c
+++ b/fleet/frontend.c
@@ -61,34 +61,6 @@
   mt_frontend_send_leader (frontend, pool, method, args, on_notified, frontend);
 }
 
-static bool
-same_host (const char *header, const char *host)
-{
-  size_t len = header != NULL ? strcspn (header, ":") : 0;
-
-  return host == NULL
-         || (header != NULL && strlen (host) == len
-             && g_ascii_strncasecmp (header, host, len) == 0);
-}
-
-static const struct mt_fleet_route *
-find_route (const struct mt_frontend *frontend, const struct mt_exchange *exchange)
-{
-  const char *host = mt_exchange_header (exchange, "Host");
-  const char *path = mt_exchange_path (exchange);
-  const struct mt_fleet_route *best = NULL;
-
-  for (size_t i = 0; i < frontend->config->n_routes; i++)
-    {
-      const struct mt_fleet_route *route = &frontend->config->routes[i];
-
-      if (same_host (host, route->host) && g_str_has_prefix (path, route->prefix)
-          && (best == NULL || strlen (route->prefix) > strlen (best->prefix)))
-        best = route;
-    }
-  return best;
-}
-
 static bool
 is_id (const char *text)
 {
@@ -134,7 +106,10 @@
   const struct mt_workspaces *list = frontend->config->workspaces;
   const struct mt_workspace *workspace;
 
-  *out = (struct target){ find_route (frontend, exchange), "", "" };
+  *out = (struct target){ mt_route_table_find (frontend->config->routes,
+                                               mt_exchange_header (exchange, "Host"),
+                                               mt_exchange_path (exchange)),
+                          "", "" };
   if (out->route == NULL)
     return VERDICT_UNKNOWN_PATH;
   out->id = mt_exchange_path (exchange) + strlen (out->route->prefix);
--- a/fleet/ports.c
+++ b/fleet/ports.c
@@ -2,27 +2,15 @@
 
 #include <string.h>
 
-void
-mt_fleet_route_clear (struct mt_fleet_route *route)
-{
-  g_free (route->name);
-  g_free (route->host);
-  g_free (route->prefix);
-  g_free (route->pool);
-  *route = (struct mt_fleet_route){ 0 };
-}
-
 void
 mt_fleet_config_free (struct mt_fleet_config *config)
 {
   if (config == NULL)
     return;
-  for (size_t i = 0; i < config->n_routes; i++)
-    mt_fleet_route_clear (&config->routes[i]);
   for (size_t i = 0; i < config->n_pools; i++)
     g_free (config->pools[i].name);
+  mt_route_table_destroy (config->routes);
   mt_workspaces_destroy (config->workspaces);
-  g_free (config->routes);
   g_free (config->pools);
   g_free (config);
 }
--- a/fleet/ports.h
+++ b/fleet/ports.h
@@ -9,6 +9,7 @@
 #include "medlartrack/scheduler.h"
 #include "medlartrack/str.h"
 #include "medlartrack/workspaces.h"
+#include "route_table.h"
 
 /* ---- store ---- */
 
@@ -235,17 +236,6 @@
 
 /* ---- codec ---- */
 
-struct mt_fleet_route
-{
-  char *name;
-  char *host;
-  char *prefix;
-  char *pool;
-  struct mt_route_policy terms;
-  bool requires_advice; /* only workers named by the advisor may run its steps */
-  bool allow_anonymous; /* callers need no key */
-};
-
 struct mt_fleet_pool
 {
   char *name;
@@ -255,8 +245,7 @@
 struct mt_fleet_config
 {
   int64_t version;
-  struct mt_fleet_route *routes;
-  size_t n_routes;
+  struct mt_route_table *routes;
   struct mt_fleet_pool *pools;
   size_t n_pools;
   struct mt_workspaces *workspaces; /* NULL: callers need no key */
@@ -306,8 +295,6 @@
   const char *wave_status_prefix;
 };
 
-/* Frees the fields, not the struct. */
-void mt_fleet_route_clear (struct mt_fleet_route *route);
 void mt_fleet_config_free (struct mt_fleet_config *config);
 void mt_registry_entry_clear (struct mt_registry_entry *entry);
 void mt_wave_free (struct mt_wave *wave);
--- a/tests/fuzz/fuzz_words.c
+++ b/tests/fuzz/fuzz_words.c
@@ -6,6 +6,12 @@
 
 #include <string.h>
 
+static void
+check_route (void *ctx, const struct mt_fleet_route *route)
+{
+  g_assert (route->name != NULL && route->prefix != NULL && route->pool != NULL);
+}
+
 static void
 check_config (const struct mt_codec *codec, struct mt_str text)
 {
@@ -15,8 +21,7 @@
   g_assert ((config == NULL) == (error != NULL));
   if (config == NULL)
     return;
-  for (size_t i = 0; i < config->n_routes; i++)
-    g_assert (config->routes[i].name != NULL && config->routes[i].pool != NULL);
+  mt_route_table_for_each (config->routes, check_route, NULL);
   for (unsigned i = 0; config->workspaces != NULL && i < mt_workspaces_count (config->workspaces);
        i++)
     {
--- a/tests/platform/test_store_callers.c
+++ b/tests/platform/test_store_callers.c
@@ -42,6 +42,7 @@
   struct mt_mesh *mesh;
   struct mt_cluster *cluster;
   struct mt_frontend *frontend;
+  struct mt_fleet_config *config;
   struct mt_pool *pool;
   unsigned gained;
   unsigned lost;
@@ -157,9 +158,10 @@
 static void
 create_frontend (struct world *w)
 {
-  static struct mt_fleet_route route
-      = { .name = "r", .prefix = "/r/", .pool = POOL, .allow_anonymous = true };
-  static struct mt_fleet_config config = { .version = 1, .routes = &route, .n_routes = 1 };
+  struct mt_fleet_route route = { .name = g_strdup ("r"),
+                                  .prefix = g_strdup ("/r/"),
+                                  .pool = g_strdup (POOL),
+                                  .allow_anonymous = true };
   struct mt_frontend_options options = { .kv = mt_adapter_kv (w->adapter),
                                          .codec = &w->codec,
                                          .cluster = w->cluster,
@@ -172,7 +174,11 @@
                                          .ctx = w };
 
   w->frontend = mt_frontend_create (w->base, &options);
-  mt_frontend_set_config (w->frontend, &config);
+  w->config = g_new0 (struct mt_fleet_config, 1);
+  w->config->version = 1;
+  w->config->routes = mt_route_table_create ();
+  mt_route_table_set (w->config->routes, &route);
+  mt_frontend_set_config (w->frontend, w->config);
   w->callers = listen_on (w, on_caller);
 }
 
@@ -224,6 +230,7 @@
   mt_http_front_destroy (w->callers);
   mt_calls_destroy (w->calls);
   mt_frontend_destroy (w->frontend);
+  mt_fleet_config_free (w->config);
   mt_cluster_destroy (w->cluster);
   mt_mesh_destroy (w->mesh);
   mt_adapter_destroy (w->adapter);
--- a/tests/platform/test_words.c
+++ b/tests/platform/test_words.c
@@ -26,8 +26,8 @@
   assert_null (error);
   assert_non_null (config);
   assert_int_equal (config->version, 7);
-  assert_int_equal (config->n_routes, 1);
-  assert_string_equal (config->routes[0].prefix, "/b/");
+  assert_int_equal (mt_route_table_size (config->routes), 1);
+  assert_string_equal (mt_route_table_get (config->routes, "h.example", "/b/")->name, "one");
   assert_int_equal (config->n_pools, 1);
   assert_string_equal (config->pools[0].name, "s");
   assert_false (config->pools[0].standby);
@@ -75,8 +75,8 @@
   const struct mt_workspace *yard;
 
   assert_non_null (config);
-  assert_false (config->routes[0].allow_anonymous);
-  assert_true (config->routes[1].allow_anonymous);
+  assert_false (mt_route_table_get (config->routes, NULL, "/a/")->allow_anonymous);
+  assert_true (mt_route_table_get (config->routes, NULL, "/b/")->allow_anonymous);
   yard = mt_workspaces_by_key (config->workspaces, "k2");
   assert_string_equal (yard->name, "yard");
   assert_int_equal (yard->weight, 12);
