--- a/core/config/workspaces.c
+++ b/core/config/workspaces.c
@@ -19,6 +19,7 @@
   struct mt_workspace *workspace = data;
 
   g_free (workspace->name);
+  g_ptr_array_unref (workspace->digests);
   g_free (workspace);
 }
 
@@ -86,7 +87,11 @@
       return false;
     }
   workspace = g_new0 (struct mt_workspace, 1);
-  *workspace = (struct mt_workspace){ .name = g_strdup (name), .quota = *quota, .weight = weight };
+  *workspace = (struct mt_workspace){ .name = g_strdup (name),
+                                      .quota = *quota,
+                                      .weight = weight,
+                                      .digests = g_ptr_array_new_with_free_func (
+                                          (GDestroyNotify) g_bytes_unref) };
   g_ptr_array_add (list->rows, workspace);
   g_hash_table_insert (list->names, workspace->name, workspace);
   return true;
@@ -112,11 +117,32 @@
   return g_hash_table_lookup (list->digests, digest);
 }
 
+/* Takes ownership of the digest. */
+static bool
+add_digest (struct mt_workspaces *list, GBytes *digest, GError **error)
+{
+  struct mt_workspace *last = list->rows->pdata[list->rows->len - 1];
+  const struct mt_workspace *holder = g_hash_table_lookup (list->digests, digest);
+
+  if (holder != NULL && holder != last)
+    {
+      g_set_error (error, MT_ERROR, MT_ERROR_SYNTAX,
+                   "key %u of workspace \"%s\" also belongs to workspace \"%s\"; give each its own",
+                   last->n_keys + 1, last->name, holder->name);
+      g_bytes_unref (digest);
+      return false;
+    }
+  g_ptr_array_add (last->digests, digest);
+  if (holder == NULL)
+    g_hash_table_insert (list->digests, g_bytes_ref (digest), last);
+  last->n_keys++;
+  return true;
+}
+
 bool
 mt_workspaces_add_key (struct mt_workspaces *list, const char *key, GError **error)
 {
-  struct mt_workspace *last = list->rows->pdata[list->rows->len - 1];
-  const struct mt_workspace *holder;
+  const struct mt_workspace *last = list->rows->pdata[list->rows->len - 1];
 
   if (key == NULL || key[0] == '\0' || strlen (key) > MT_WORKSPACE_MAX_KEY_BYTES)
     {
@@ -125,18 +151,22 @@
                    last->n_keys + 1, last->name, MT_WORKSPACE_MAX_KEY_BYTES);
       return false;
     }
-  holder = find_key (list, key);
-  if (holder != NULL && holder != last)
+  return add_digest (list, key_digest (key), error);
+}
+
+bool
+mt_workspaces_add_digest (struct mt_workspaces *list, struct mt_str digest, GError **error)
+{
+  if (list->rows->len == 0 || digest.len != DIGEST_BYTES)
     {
-      g_set_error (error, MT_ERROR, MT_ERROR_SYNTAX,
-                   "key %u of workspace \"%s\" also belongs to workspace \"%s\"; give each its own",
-                   last->n_keys + 1, last->name, holder->name);
+      g_set_error (
+          error, MT_ERROR, MT_ERROR_SYNTAX,
+          "a key's digest has %zu bytes in place of %d; check that both sides run the same "
+          "version",
+          digest.len, DIGEST_BYTES);
       return false;
     }
-  if (holder == NULL)
-    g_hash_table_insert (list->digests, key_digest (key), last);
-  last->n_keys++;
-  return true;
+  return add_digest (list, g_bytes_new (digest.data, digest.len), error);
 }
 
 unsigned
--- a/include/medlartrack/workspaces.h
+++ b/include/medlartrack/workspaces.h
@@ -19,6 +19,7 @@
   struct mt_resources quota; /* resources in use at a time, in all pools together; 0 for no limit */
   int64_t weight;            /* sets its share when all capacity is in use; 0 counts as 1 */
   unsigned n_keys;
+  GPtrArray *digests; /* of GBytes: the SHA-256 of each key, in the order of addition */
 };
 
 struct mt_workspaces;
@@ -38,6 +39,10 @@
  * or belongs to another workspace; the error never contains the key. */
 bool mt_workspaces_add_key (struct mt_workspaces *list, const char *key, GError **error);
 
+/* Adds a key by its digest, as another list has it. Returns false with an error if it is no SHA-256
+ * or belongs to another workspace. */
+bool mt_workspaces_add_digest (struct mt_workspaces *list, struct mt_str digest, GError **error);
+
 /* Number of workspaces, and access by index from 0. */
 unsigned mt_workspaces_count (const struct mt_workspaces *list);
 const struct mt_workspace *mt_workspaces_at (const struct mt_workspaces *list, unsigned index);
