loop: time-outs begin when they are set

In a trial with 20,000 routes all six wide daemons lost the watch that follows a change after 0.43 to 1.0 s (its time-out is 1.4 s, received=0), and followers changed their source. Cause: libevent's timers count from when the current callback began, and reading the configuration is one callback of half a second and more. The loop no longer caches the time. test_time_out_begins_after_the_work_before_it fails without it.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -624,7 +624,7 @@
 
   f->settings = s;
   f->settings_path = g_strdup (path);
-  f->base = event_base_new ();
+  f->base = mt_loop_create ();
   f->journal = mt_journal_create (STDOUT_FILENO, s->name.data);
   f->metrics = mt_metrics_create ();
   f->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, destroy_pool);
--- a/fleet/loop.c
+++ b/fleet/loop.c
@@ -33,6 +33,18 @@
   return read_clock (CLOCK_REALTIME);
 }
 
+struct event_base *
+mt_loop_create (void)
+{
+  struct event_config *config = event_config_new ();
+  struct event_base *base;
+
+  event_config_set_flag (config, EVENT_BASE_FLAG_NO_CACHE_TIME);
+  base = event_base_new_with_config (config);
+  event_config_free (config);
+  return base;
+}
+
 static void
 on_timer (evutil_socket_t fd, short what, void *ctx)
 {
--- a/fleet/loop.h
+++ b/fleet/loop.h
@@ -13,6 +13,11 @@
 /* Unix time in milliseconds; may jump. */
 int64_t mt_loop_wall_ms (void);
 
+/* Returns a loop whose timers count from the call that sets them. Those of a plain one count from
+ * when the current callback began: a time-out set after half a second of work ends that much too
+ * early. Free it with event_base_free. */
+struct event_base *mt_loop_create (void);
+
 typedef void (*mt_timer_call) (void *ctx);
 struct mt_timer;
 /* Creates a timer that is not running. */
--- a/tests/platform/store_fixture.c
+++ b/tests/platform/store_fixture.c
@@ -1,5 +1,7 @@
 #include "store_fixture.h"
 
+#include "loop.h"
+
 #include <signal.h>
 
 static void
@@ -22,7 +24,7 @@
   g_autofree char *address = NULL;
 
   signal (SIGPIPE, SIG_IGN);
-  f->base = event_base_new ();
+  f->base = mt_loop_create ();
   f->store = fleet_store_create (f->base);
   f->front = mt_http_front_create (f->base, &options, NULL);
   server = g_strdup_printf ("127.0.0.1:%u", mt_http_front_port (f->front));
--- a/tests/platform/test_thin_link.c
+++ b/tests/platform/test_thin_link.c
@@ -15,6 +15,7 @@
 #define KEY              "config"
 #define WAIT_MS          1000
 #define FAIL_AFTER_MS    30000
+#define WORK_MS          2000
 /* Some 10,000 routes: 2.2 s on the link. */
 #define LARGE_BYTES 2100000U
 /* Some 20,000 routes: 4.5 s. */
@@ -174,6 +175,41 @@
   destroy_fixture (f);
 }
 
+static void
+on_reply (void *data, const struct mt_kv_reply *reply)
+{
+  struct fixture *f = data;
+
+  f->checked++;
+  f->confirmed = reply->status == MT_KV_OK;
+}
+
+static void
+read_after_work (void *ctx)
+{
+  struct fixture *f = ctx;
+
+  g_usleep (WORK_MS * 1000);
+  f->s.kv.ops->watch (f->s.kv.ctx, KEY, 1, WORK_MS / 2, on_reply, f);
+}
+
+/* Guards against a call that ends without an answer because this daemon was busy before: it read a
+ * large configuration, and the time-outs set then began with its reading. */
+static void
+test_time_out_begins_after_the_work_before_it (void **state)
+{
+  struct fixture *f = create_fixture ();
+  struct mt_timer *timer = mt_timer_create (f->s.base, read_after_work, f);
+
+  wait_for_value (f, strlen ("small"));
+  mt_timer_set (timer, 0);
+  while (f->checked == 0)
+    event_base_loop (f->s.base, EVLOOP_ONCE);
+  assert_true (f->confirmed);
+  mt_timer_destroy (timer);
+  destroy_fixture (f);
+}
+
 int
 main (void)
 {
@@ -181,6 +217,7 @@
     cmocka_unit_test (test_change_that_outlasts_a_watch_is_received),
     cmocka_unit_test (test_configuration_of_20000_routes_is_received),
     cmocka_unit_test (test_missed_versions_are_skipped),
+    cmocka_unit_test (test_time_out_begins_after_the_work_before_it),
     cmocka_unit_test (test_unchanged_configuration_is_confirmed_without_a_transfer),
   };
 
