config sync: daemons that the store turns away follow others, too; replies too long for a frame are sent empty

A daemon that does not reach the store had its watch of the configuration forwarded through any other one, thin links included, as one reply of the whole value: 1.2 MB for 4,250 routes twice over 10 Mbit/s, where the watch waits 1.1 s, and nothing at all beyond a frame of 2 MB (some 7,000 routes): the reply was dropped without a word, and the caller's time-out closed the connection. Now such a daemon follows one with a wide link, as thin ones do; ages of confirmations add up, so two that follow each other do not confirm anything. A reply that is too long for a frame is sent empty, and a forwarded call whose answer is too long ends as unanswered.

At the start a daemon waits up to 1.6 s for a source that it knows (it read the store after 0.6 s beside it). test_thin_links_follow_a_wide_one (processes: the source killed, back, frozen), test_reply_beyond_a_frame_is_sent_empty (failed before).

--- a/fleet/config_follower.c
+++ b/fleet/config_follower.c
@@ -12,7 +12,7 @@
 /* For a part, whose size is limited, and for an answer that does not wait. */
 #define PART_TIMEOUT_MS  1000
 #define CHECK_TIMEOUT_MS 500
-/* Pause while there is no daemon to follow. */
+/* Pause while there is no daemon to follow, or none is to be followed. */
 #define RETRY_MS 200
 /* A daemon is avoided for these times after no answer and after a refusal. */
 #define AVOID_SILENT_MS  2000
@@ -37,7 +37,6 @@
   struct mt_timer *timer;
   char *source;            /* address of the last call; NULL before the first */
   GHashTable *avoid_until; /* address -> time until which it is avoided */
-  bool in_flight;
   bool stopped;
   GByteArray *document; /* parts that have arrived */
   int64_t document_version;
@@ -269,7 +268,6 @@
   struct mt_config_follower *f = ctx;
   struct mt_config_part part;
 
-  f->in_flight = false;
   if (f->stopped)
     return;
   if (args == NULL)
@@ -306,11 +304,12 @@
 start_poll (void *ctx)
 {
   struct mt_config_follower *f = ctx;
-  char *source = f->stopped ? NULL : choose_source (f);
+  bool wanted = !f->stopped && f->options.wanted (f->options.ctx);
+  char *source = wanted ? choose_source (f) : NULL;
   struct mt_config_query query = { .known = f->options.version (f->options.ctx) };
   struct mt_config_message message;
 
-  if (f->in_flight || f->stopped)
+  if (f->stopped)
     return;
   if (source == NULL)
     {
@@ -322,11 +321,16 @@
   query.version = f->document_version;
   query.offset = f->document->len;
   mt_config_query_pack (&query, &message);
-  f->in_flight = true;
   mt_mesh_send (f->options.mesh, f->source, MT_MESH_CONFIG, &message.args,
                 query.mode == MT_CONFIG_WAIT ? WAIT_TIMEOUT_MS : PART_TIMEOUT_MS, on_answer, f);
 }
 
+bool
+mt_config_follower_has_source (const struct mt_config_follower *f)
+{
+  return f->source != NULL;
+}
+
 int64_t
 mt_config_follower_confirmed_at (const struct mt_config_follower *f)
 {
--- a/fleet/config_follower.h
+++ b/fleet/config_follower.h
@@ -22,6 +22,8 @@
   struct mt_cluster *cluster;
   struct mt_mesh *mesh;
   struct mt_journal *journal;
+  /* Returns whether another daemon is to be followed now. */
+  bool (*wanted) (void *ctx);
   /* Returns the version in force; 0: none. */
   int64_t (*version) (void *ctx);
   /* Applies changes of the version in force, or all of another one; see config_delta.h. Returns
@@ -40,6 +42,8 @@
  * daemon has what it found. Returns false, without a call of done, if there is none to ask. */
 bool
 mt_config_follower_check (struct mt_config_follower *follower, mt_config_checked done, void *data);
+/* Returns whether there has been a daemon to follow. */
+bool mt_config_follower_has_source (const struct mt_config_follower *follower);
 /* Returns when the store confirmed the version in force, as far as told, by mt_loop_now; 0: never.
  */
 int64_t mt_config_follower_confirmed_at (const struct mt_config_follower *follower);
--- a/fleet/config_sync.c
+++ b/fleet/config_sync.c
@@ -12,10 +12,10 @@
 /* Longest wait of the watch on the configuration. A change must be in force within 2 s even if a
  * watch gets no answer, which is noticed after this time. */
 #define WATCH_WAIT_MS 1000
-/* A daemon on a thin link reads the store itself once no other has confirmed the configuration for
+/* A daemon that follows others reads the store itself once none has confirmed the configuration for
  * this time: longer than the time-out of one that is followed and the call to the next one. */
 #define FOLLOWING_FAILED_MS 1600
-/* The same at the start, when it does not know yet whom to follow. */
+/* The same at the start, as long as it knows nobody to follow. */
 #define START_MS 600
 #define TICK_MS  100
 
@@ -26,9 +26,9 @@
   struct mt_fleet_config *config;
   struct mt_config_check *check;
   struct mt_config_publisher *publisher; /* NULL on a thin link */
-  struct mt_config_follower *follower;   /* NULL on a wide link */
-  struct mt_watcher *watcher;            /* NULL while another daemon is followed */
-  struct mt_timer *tick;                 /* NULL on a wide link */
+  struct mt_config_follower *follower;
+  struct mt_watcher *watcher; /* NULL while another daemon is followed */
+  struct mt_timer *tick;
   int64_t started_at;
   int64_t watched_at; /* the last answer to a watcher that is gone */
 };
@@ -48,9 +48,7 @@
 
   if (sync->watcher != NULL)
     at = MAX (at, mt_watcher_last_answer (sync->watcher));
-  if (sync->follower != NULL)
-    at = MAX (at, mt_config_follower_confirmed_at (sync->follower));
-  return at;
+  return MAX (at, mt_config_follower_confirmed_at (sync->follower));
 }
 
 int64_t
@@ -121,6 +119,8 @@
     }
   sync->config = config;
   report_change (sync, "daemon", changes.len, age_ms, began);
+  if (sync->publisher != NULL)
+    mt_config_publisher_set (sync->publisher, NULL, config);
   return config->version > before;
 }
 
@@ -132,8 +132,7 @@
   const struct mt_config_sync *sync = ctx;
   int64_t revision = sync->watcher != NULL ? mt_watcher_revision (sync->watcher) : 0;
 
-  return sync->follower != NULL ? MAX (revision, mt_config_follower_revision (sync->follower))
-                                : revision;
+  return MAX (revision, mt_config_follower_revision (sync->follower));
 }
 
 static void
@@ -166,15 +165,34 @@
   g_clear_pointer (&sync->watcher, mt_watcher_destroy);
 }
 
-/* Reads the store while no other daemon can be followed. */
+static bool
+wants_to_follow (void *ctx)
+{
+  const struct mt_config_sync *sync = ctx;
+
+  return sync->publisher == NULL || !sync->options.kv.ops->is_direct (sync->options.kv.ctx);
+}
+
+static bool
+is_following (const struct mt_config_sync *sync)
+{
+  int64_t now = mt_loop_now ();
+  int64_t followed_at = mt_config_follower_confirmed_at (sync->follower);
+
+  if (followed_at > 0)
+    return now - followed_at < FOLLOWING_FAILED_MS;
+  /* The first answer may still come. */
+  return sync->publisher == NULL
+         && now - sync->started_at
+                < (mt_config_follower_has_source (sync->follower) ? FOLLOWING_FAILED_MS : START_MS);
+}
+
+/* Reads the store while no other daemon is followed. */
 static void
 on_tick (void *ctx)
 {
   struct mt_config_sync *sync = ctx;
-  int64_t followed_at = mt_config_follower_confirmed_at (sync->follower);
-  int64_t failed_at
-      = followed_at > 0 ? followed_at + FOLLOWING_FAILED_MS : sync->started_at + START_MS;
-  bool follows = mt_loop_now () < failed_at;
+  bool follows = wants_to_follow (sync) && is_following (sync);
 
   mt_timer_set (sync->tick, TICK_MS);
   if (follows && sync->watcher != NULL)
@@ -204,7 +222,7 @@
 {
   struct mt_config_sync *sync = ctx;
 
-  return sync->follower != NULL && mt_config_follower_check (sync->follower, done, data);
+  return wants_to_follow (sync) && mt_config_follower_check (sync->follower, done, data);
 }
 
 static void
@@ -214,13 +232,12 @@
                                                 .cluster = sync->options.cluster,
                                                 .mesh = sync->options.mesh,
                                                 .journal = sync->options.journal,
+                                                .wanted = wants_to_follow,
                                                 .version = version_in_force,
                                                 .apply = apply_changes,
                                                 .ctx = sync };
 
   sync->follower = mt_config_follower_create (sync->base, &options);
-  sync->tick = mt_timer_create (sync->base, on_tick, sync);
-  mt_timer_set (sync->tick, TICK_MS);
 }
 
 static void
@@ -230,7 +247,6 @@
       = { .check = sync->check, .age_ms = age_ms_of, .revision = get_revision, .ctx = sync };
 
   sync->publisher = mt_config_publisher_create (sync->base, &options);
-  start_watcher (sync);
 }
 
 const struct mt_fleet_config *
@@ -272,10 +288,14 @@
   sync->options = *options;
   sync->started_at = mt_loop_now ();
   sync->check = mt_config_check_create (&check);
-  if (options->link_mbps > 0 && options->link_mbps < MT_WIDE_LINK_MBPS)
-    start_following (sync);
-  else
-    start_publishing (sync);
+  start_following (sync);
+  if (options->link_mbps == 0 || options->link_mbps >= MT_WIDE_LINK_MBPS)
+    {
+      start_publishing (sync);
+      start_watcher (sync);
+    }
+  sync->tick = mt_timer_create (base, on_tick, sync);
+  mt_timer_set (sync->tick, TICK_MS);
   return sync;
 }
 
--- a/fleet/config_sync.h
+++ b/fleet/config_sync.h
@@ -1,6 +1,6 @@
-/* The configuration in force: read from the store or, on a thin link, followed from a daemon with a
- * wide one; passed on to daemons that follow this one. Not thread-safe: runs on the loop's
- * thread. */
+/* The configuration in force: read from the store or, on a thin link and while the store turns this
+ * daemon away, followed from a daemon with a wide link; passed on to daemons that follow this one.
+ * Not thread-safe: runs on the loop's thread. */
 #ifndef MT_FLEET_CONFIG_SYNC_H
 #define MT_FLEET_CONFIG_SYNC_H
 
--- a/fleet/relay.c
+++ b/fleet/relay.c
@@ -2,6 +2,7 @@
 
 #include "loop.h"
 #include "medlartrack/scheduler.h"
+#include "peer.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -9,6 +10,9 @@
 /* Margin on a call's own time-out, for the frame's transfer: a watch waits at the other daemon for
  * its full time-out. */
 #define FRAME_MARGIN_MS 200
+/* Longest answer of the store that is relayed: with the rest of its message it fits into a frame.
+ */
+#define MAX_RELAYED_BYTES (MT_PEER_MAX_FRAME_BYTES - 4096)
 /* A daemon that could not reach the store is avoided for this time. */
 #define AVOID_MS 1500
 
@@ -144,6 +148,12 @@
   char text[16];
   struct mt_mesh_args args;
 
+  /* An empty reply would say that the store is not reached from here. */
+  if (body.len > MAX_RELAYED_BYTES)
+    {
+      status = 0;
+      body = MT_STR ("");
+    }
   g_snprintf (text, sizeof text, "%d", status);
   args = (struct mt_mesh_args){ 2, { mt_str_from (text), body } };
   mt_mesh_reply (call, &args);
--- a/net/mesh.c
+++ b/net/mesh.c
@@ -402,11 +402,11 @@
       g_autofree char *frame
           = encode_message (link->mesh, MT_PEER_MESH_REPLY, call->id, 0, args, &len);
 
-      if (frame != NULL)
-        {
-          mt_traffic_add_sent (link->mesh->traffic, mt_mesh_method_name (call->method), len);
-          bufferevent_write (link->bev, frame, len);
-        }
+      /* Without a reply the caller would close the connection after its time-out. */
+      if (frame == NULL)
+        frame = encode_message (link->mesh, MT_PEER_MESH_REPLY, call->id, 0, NULL, &len);
+      mt_traffic_add_sent (link->mesh->traffic, mt_mesh_method_name (call->method), len);
+      bufferevent_write (link->bev, frame, len);
     }
   unref_link (link);
   g_free (call);
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -79,7 +79,8 @@
 /* During a done callback without a reply: returns whether no byte of the call was sent, so that the
  * other daemon can't have acted on it. */
 bool mt_mesh_call_undelivered (const struct mt_mesh *mesh);
-/* Replies to the call and frees it. args may be NULL or empty. */
+/* Replies to the call and frees it. args may be NULL or empty; a reply that is too long for a frame
+ * is sent without its arguments. */
 void mt_mesh_reply (struct mt_mesh_call *call, const struct mt_mesh_args *args);
 
 #endif
--- a/tests/fleet/test_config_follow.c
+++ b/tests/fleet/test_config_follow.c
@@ -385,6 +385,12 @@
   done (data, true);
 }
 
+static bool
+wanted (void *ctx)
+{
+  return true;
+}
+
 static int64_t
 follower_version (void *ctx)
 {
@@ -406,7 +412,7 @@
 {
   static const char *const addresses[PUBLISHERS] = { "10.0.0.1:1", "10.0.0.2:1" };
   struct mt_config_follower_options options
-      = { .name = "f", .version = follower_version, .apply = apply };
+      = { .name = "f", .wanted = wanted, .version = follower_version, .apply = apply };
 
   world = g_new0 (struct world, 1);
   world->now = 1000000;
--- a/tests/net/test_mesh.c
+++ b/tests/net/test_mesh.c
@@ -1,4 +1,5 @@
 #include "mesh.h"
+#include "peer.h"
 
 #include <event2/event.h>
 #include <setjmp.h>
@@ -174,6 +175,48 @@
   event_base_free (base);
 }
 
+static void
+reply_too_long (void *ctx,
+                struct mt_mesh_call *call,
+                enum mt_mesh_method method,
+                const struct mt_mesh_args *args)
+{
+  g_autofree char *text = g_strnfill (MT_PEER_MAX_FRAME_BYTES, 'x');
+  struct mt_mesh_args reply = { 1, { { text, MT_PEER_MAX_FRAME_BYTES } } };
+
+  mt_mesh_reply (call, &reply);
+}
+
+static void
+on_empty_reply (void *ctx, const struct mt_mesh_args *args)
+{
+  struct fixture *f = ctx;
+
+  assert_non_null (args);
+  assert_int_equal (args->n, 0);
+  f->answered = true;
+}
+
+/* Guards against a reply that is dropped because of its size: the caller would wait for its
+ * time-out and close the connection with all other calls on it. */
+static void
+test_reply_beyond_a_frame_is_sent_empty (void **state)
+{
+  struct fixture f = { .base = event_base_new () };
+  struct mt_mesh_args args = { 1, { MT_STR ("x") } };
+  g_autofree char *address = NULL;
+
+  f.caller = mt_mesh_create (f.base, NULL, "127.0.0.1:0", "a", reply_too_long, NULL, NULL);
+  f.server = mt_mesh_create (f.base, NULL, "127.0.0.1:0", "b", reply_too_long, NULL, NULL);
+  address = g_strdup_printf ("127.0.0.1:%u", mt_mesh_port (f.server));
+  mt_mesh_send (f.caller, address, MT_MESH_STORE, &args, 30000, on_empty_reply, &f);
+  while (!f.answered)
+    event_base_loop (f.base, EVLOOP_ONCE);
+  mt_mesh_destroy (f.caller);
+  mt_mesh_destroy (f.server);
+  event_base_free (f.base);
+}
+
 int
 main (void)
 {
@@ -181,6 +224,7 @@
     cmocka_unit_test (test_call_is_undelivered_only_without_a_connection),
     cmocka_unit_test (test_time_out_closes_no_newer_connection),
     cmocka_unit_test (test_calls_end_with_their_connection),
+    cmocka_unit_test (test_reply_beyond_a_frame_is_sent_empty),
     cmocka_unit_test (test_cancelled_calls_complete_before_destruction),
   };
 
--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -35,6 +35,8 @@
   unsigned route;      /* route that every daemon must serve */
   bool store_wait;     /* submissions wait for the store */
   const char *more;    /* further settings of the daemons, each followed by a comma */
+  bool thin_links;     /* all but the first daemon are on links of 10 Mbit/s */
+  unsigned first;      /* daemon from which on all must serve the route */
   unsigned jobs;       /* submitted by submit_until_surge */
   gint64 submitted_ms; /* its last submission */
 };
@@ -86,12 +88,13 @@
 write_settings (struct fixture *f, unsigned i, unsigned store_port)
 {
   g_autofree char *name = g_strdup_printf ("d%u.json", i);
+  const char *link = !f->thin_links ? "" : i > 0 ? "\"link_mbps\":10," : "\"link_mbps\":1000,";
   g_autofree char *text
-      = g_strdup_printf ("{%s\"name\":\"d%u\",\"zone\":\"west\",\"listen\":\"127.0.0.1:0\","
+      = g_strdup_printf ("{%s%s\"name\":\"d%u\",\"zone\":\"west\",\"listen\":\"127.0.0.1:0\","
                          "\"ready_listen\":\"127.0.0.1:0\",\"ip\":\"127.0.0.1\",\"peer_port\":0,"
                          "\"store\":\"127.0.0.1:%u\",\"machines\":\"127.0.0.1:%u\","
                          "\"store_wait\":%s,\"second_tries\":%s}",
-                         f->more, i, store_port, f->platform->port,
+                         f->more, link, i, store_port, f->platform->port,
                          f->store_wait ? "true" : "false", i % 2 == 1 ? "true" : "false");
 
   return harness_write_file (f->harness, name, text);
@@ -106,14 +109,12 @@
   return harness_start (f->harness, "daemon/medlartrackd", args);
 }
 
+/* Completes and starts a fixture. */
 static struct fixture *
-create_fixture_with_settings (const char *run_ms, bool store_wait, const char *more)
+start_fixture (struct fixture *f, const char *run_ms)
 {
-  struct fixture *f = g_new0 (struct fixture, 1);
   const char *args[] = { "4", run_ms, NULL };
 
-  f->store_wait = store_wait;
-  f->more = more;
   f->harness = harness_create (build);
   f->platform = harness_start (f->harness, "tests/standins/medlartrack-standin-fleet", args);
   configure (f, 1);
@@ -123,6 +124,16 @@
   return f;
 }
 
+static struct fixture *
+create_fixture_with_settings (const char *run_ms, bool store_wait, const char *more)
+{
+  struct fixture *f = g_new0 (struct fixture, 1);
+
+  f->store_wait = store_wait;
+  f->more = more;
+  return start_fixture (f, run_ms);
+}
+
 static struct fixture *
 create_fixture_with (const char *run_ms, bool store_wait)
 {
@@ -217,7 +228,7 @@
   struct fixture *f = ctx;
   g_autofree char *path = g_strdup_printf ("/r%u/", f->route);
 
-  for (unsigned i = 0; i < N_DAEMONS; i++)
+  for (unsigned i = f->first; i < N_DAEMONS; i++)
     if (harness_status (f->harness, f->daemons[i], "GET", path, NULL, NULL) != 200)
       return false;
   return true;
@@ -250,6 +261,43 @@
   return 0;
 }
 
+/* ---- configuration ---- */
+
+/* Adds a route and waits until the daemons from the first one on serve it. */
+static void
+add_route (struct fixture *f, unsigned first)
+{
+  f->route++;
+  f->first = first;
+  configure (f, f->route);
+  assert_true (harness_wait (all_serve_route, f));
+}
+
+/* Guards against daemons on thin links that stay at an old version once the one that they follow is
+ * gone, or frozen with its connections open. */
+static void
+test_thin_links_follow_a_wide_one (void **state)
+{
+  struct fixture *f = g_new0 (struct fixture, 1);
+
+  f->thin_links = true;
+  f->more = "";
+  start_fixture (f, "300");
+  wait_until_ready (f);
+  add_route (f, 0);
+  for (unsigned i = 1; i < N_DAEMONS; i++)
+    assert_true (has_logged (f->daemons[i], "\"from\":\"daemon\""));
+  harness_kill (f->daemons[0]);
+  add_route (f, 1);
+  f->daemons[0] = start_daemon (f, 0);
+  add_route (f, 0);
+  harness_signal (f->daemons[0], SIGSTOP);
+  add_route (f, 1);
+  harness_signal (f->daemons[0], SIGCONT);
+  add_route (f, 0);
+  destroy_fixture (f);
+}
+
 /* ---- job path ---- */
 
 static void
@@ -935,6 +983,7 @@
 main (int argc, char **argv)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_thin_links_follow_a_wide_one),
     cmocka_unit_test (test_job_from_submission_to_completion),
     cmocka_unit_test (test_cancelled_job_is_stopped),
     cmocka_unit_test (test_killed_leader_restarts_no_task),
