config sync: confirmations count from when a call was sent; random faults in the tests

A reply said how old its confirmation was when it was sent: what it then waited in a full link made the copy look fresher than it is, by up to the link's queue. Now it counts from the arrival of the call, so that both ways only make it older. A reply with changes to a version that is not the newest no longer moves the revision from which a daemon would read the store itself: it is of the newest one, and the change between would be missed (found in reading; the test below fails without the guard).

test_random_faults: sources fall silent, lose the store, restart, read a slow store; the follower restarts; versions of 0 to 3,000 routes.

--- a/fleet/config_follower.c
+++ b/fleet/config_follower.c
@@ -26,6 +26,7 @@
   mt_config_checked done;
   void *data;
   char *source;
+  int64_t sent_at;
   int64_t version; /* found by the source, awaited here */
   int64_t due_at;
 };
@@ -36,6 +37,7 @@
   char *name;
   struct mt_timer *timer;
   char *source;            /* address of the last call; NULL before the first */
+  int64_t sent_at;         /* when it was sent */
   GHashTable *avoid_until; /* address -> time until which it is avoided */
   bool stopped;
   GByteArray *document; /* parts that have arrived */
@@ -178,9 +180,12 @@
 }
 
 static void
-note_confirmation (struct mt_config_follower *f, const struct mt_config_part *part)
+note_confirmation (struct mt_config_follower *f, const struct mt_config_part *part, int64_t sent_at)
 {
-  f->confirmed_at = MAX (f->confirmed_at, mt_loop_now () - part->age_ms);
+  /* The revision may be of a newer version then. */
+  if (part->confirmed_ms == MT_CONFIG_NOT_NEWEST)
+    return;
+  f->confirmed_at = MAX (f->confirmed_at, sent_at + part->confirmed_ms);
   f->revision = MAX (f->revision, part->revision);
 }
 
@@ -202,7 +207,7 @@
   if (part.version <= version)
     {
       if (part.version == version && part.size == 0)
-        note_confirmation (f, &part);
+        note_confirmation (f, &part, check->sent_at);
       end_check (check, part.version == version);
       return;
     }
@@ -225,7 +230,7 @@
   if (source == NULL)
     return false;
   check = g_new0 (struct pending_check, 1);
-  *check = (struct pending_check){ f, done, data, source, 0, 0 };
+  *check = (struct pending_check){ f, done, data, source, mt_loop_now (), 0, 0 };
   mt_config_query_pack (&query, &message);
   mt_mesh_send (f->options.mesh, source, MT_MESH_CONFIG, &message.args, CHECK_TIMEOUT_MS,
                 on_check_answer, check);
@@ -280,10 +285,10 @@
       fail_source (f, AVOID_REFUSED_MS);
       return;
     }
-  if (part.age_ms >= 0 && part.version == f->options.version (f->options.ctx))
-    note_confirmation (f, &part);
+  if (part.version == f->options.version (f->options.ctx))
+    note_confirmation (f, &part, f->sent_at);
   end_checks (f);
-  if (part.size == 0 && part.age_ms > STALE_MS)
+  if (part.size == 0 && mt_loop_now () - f->sent_at - part.confirmed_ms > STALE_MS)
     fail_source (f, AVOID_REFUSED_MS);
   else
     start_poll (f);
@@ -321,6 +326,7 @@
   query.version = f->document_version;
   query.offset = f->document->len;
   mt_config_query_pack (&query, &message);
+  f->sent_at = mt_loop_now ();
   mt_mesh_send (f->options.mesh, f->source, MT_MESH_CONFIG, &message.args,
                 query.mode == MT_CONFIG_WAIT ? WAIT_TIMEOUT_MS : PART_TIMEOUT_MS, on_answer, f);
 }
--- a/fleet/config_publisher.c
+++ b/fleet/config_publisher.c
@@ -31,7 +31,7 @@
   struct mt_config_publisher *publisher;
   struct mt_mesh_call *call;
   struct mt_config_query query;
-  int64_t due_at;
+  int64_t arrived_at;
 };
 
 struct mt_config_publisher
@@ -41,7 +41,7 @@
   GQueue steps;  /* of struct document, oldest first; each continues the one before it */
   GQueue wholes; /* of struct document, from 0 */
   size_t step_bytes;
-  GQueue waiting; /* of struct waiting_call, by due_at */
+  GQueue waiting; /* of struct waiting_call, by arrived_at */
   struct mt_timer *timer;
   int64_t asked_at;
 };
@@ -153,7 +153,7 @@
   part->bytes
       = (struct mt_str){ bytes + part->offset, MIN (part->size - part->offset, PART_BYTES) };
   if (doc->to != p->config->version)
-    part->age_ms = -1;
+    part->confirmed_ms = MT_CONFIG_NOT_NEWEST;
 }
 
 /* A caller that has a newer version than this daemon is not helped. Version 0 says that the store
@@ -161,9 +161,11 @@
 static void
 reply (struct mt_config_publisher *p,
        struct mt_mesh_call *call,
-       const struct mt_config_query *query)
+       const struct mt_config_query *query,
+       int64_t arrived_at)
 {
   struct mt_config_message message;
+  int64_t confirmed_at = mt_loop_now () - p->options.age_ms (p->options.ctx);
   struct mt_config_part part;
   int64_t version = p->config != NULL ? p->config->version : 0;
 
@@ -173,7 +175,7 @@
       return;
     }
   part = (struct mt_config_part){ .version = version,
-                                  .age_ms = MAX (p->options.age_ms (p->options.ctx), 0),
+                                  .confirmed_ms = confirmed_at - arrived_at,
                                   .revision = p->options.revision (p->options.ctx),
                                   .bytes = { "", 0 } };
   if (query->known < version)
@@ -187,7 +189,7 @@
 {
   struct waiting_call *w = g_queue_pop_head (&p->waiting);
 
-  reply (p, w->call, &w->query);
+  reply (p, w->call, &w->query, w->arrived_at);
   g_free (w);
 }
 
@@ -197,7 +199,7 @@
   const struct waiting_call *first = g_queue_peek_head (&p->waiting);
 
   if (first != NULL)
-    mt_timer_set (p->timer, MAX (first->due_at - mt_loop_now (), 0));
+    mt_timer_set (p->timer, MAX (first->arrived_at + WAIT_MS - mt_loop_now (), 0));
   else
     mt_timer_clear (p->timer);
 }
@@ -208,7 +210,8 @@
   struct mt_config_publisher *p = ctx;
   const struct waiting_call *first;
 
-  while ((first = g_queue_peek_head (&p->waiting)) != NULL && first->due_at <= mt_loop_now ())
+  while ((first = g_queue_peek_head (&p->waiting)) != NULL
+         && first->arrived_at + WAIT_MS <= mt_loop_now ())
     reply_to_first (p);
   set_timer (p);
 }
@@ -220,7 +223,7 @@
 {
   struct waiting_call *w = g_new0 (struct waiting_call, 1);
 
-  *w = (struct waiting_call){ p, call, *query, mt_loop_now () + WAIT_MS };
+  *w = (struct waiting_call){ p, call, *query, mt_loop_now () };
   return w;
 }
 
@@ -230,7 +233,7 @@
   struct waiting_call *w = data;
 
   if (confirmed)
-    reply (w->publisher, w->call, &w->query);
+    reply (w->publisher, w->call, &w->query, w->arrived_at);
   else
     mt_mesh_reply (w->call, NULL);
   g_free (w);
@@ -258,7 +261,7 @@
   else if (query.known == version && query.mode == MT_CONFIG_CHECK)
     mt_config_check_request (p->options.check, on_checked, create_waiting (p, call, &query));
   else
-    reply (p, call, &query);
+    reply (p, call, &query, mt_loop_now ());
 }
 
 void
--- a/fleet/config_wire.c
+++ b/fleet/config_wire.c
@@ -19,7 +19,7 @@
   for (size_t i = 0; i < n; i++)
     {
       unsigned long long value;
-      bool negative = args->at[i].len == 2 && args->at[i].data[0] == '-';
+      bool negative = args->at[i].len > 1 && args->at[i].data[0] == '-';
       struct mt_str digits = { args->at[i].data + negative, args->at[i].len - negative };
 
       if (!mt_str_to_u64 (digits, &value) || value > INT64_MAX)
@@ -54,7 +54,7 @@
 void
 mt_config_part_pack (const struct mt_config_part *part, struct mt_config_message *out)
 {
-  const int64_t values[PART_ARGS - 1] = { part->version, part->age_ms, part->revision,
+  const int64_t values[PART_ARGS - 1] = { part->version, part->confirmed_ms, part->revision,
                                           (int64_t) part->size, (int64_t) part->offset };
 
   *out = (struct mt_config_message){ .args = { .n = PART_ARGS } };
@@ -67,8 +67,8 @@
 {
   int64_t v[PART_ARGS - 1];
 
-  if (args->n != PART_ARGS || !get_numbers (args, v, PART_ARGS - 1) || v[0] < 0 || v[1] < -1
-      || v[2] < 0 || v[3] < 0 || v[4] < 0)
+  if (args->n != PART_ARGS || !get_numbers (args, v, PART_ARGS - 1) || v[0] < 0 || v[2] < 0
+      || v[3] < 0 || v[4] < 0)
     return false;
   *out = (struct mt_config_part){
     v[0], v[1], v[2], (uint64_t) v[3], (uint64_t) v[4], args->at[PART_ARGS - 1]
--- a/fleet/config_wire.h
+++ b/fleet/config_wire.h
@@ -5,6 +5,9 @@
 
 #include "mesh.h"
 
+/* For a version that is not the newest. */
+#define MT_CONFIG_NOT_NEWEST (-(INT64_C (1) << 40))
+
 enum mt_config_mode
 {
   MT_CONFIG_NOW,   /* answered at once */
@@ -23,8 +26,10 @@
 /* A part of a document with changes from the known version, or all of a version. */
 struct mt_config_part
 {
-  int64_t version;  /* after the document; with size 0: the newest; 0: there is none yet */
-  int64_t age_ms;   /* since the store confirmed that it is the newest; -1: it is not */
+  int64_t version; /* after the document; with size 0: the newest; 0: there is none yet */
+  /* When the store confirmed that it is the newest, counted from when the call arrived: what the
+   * call and the reply took on the way makes it look older, never newer. */
+  int64_t confirmed_ms;
   int64_t revision; /* of the store then */
   uint64_t size;    /* of the document; 0: nothing has changed */
   uint64_t offset;  /* of the part */
--- a/tests/fleet/test_config_follow.c
+++ b/tests/fleet/test_config_follow.c
@@ -10,6 +10,7 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
@@ -18,10 +19,13 @@
 #define LINK_BYTES_PER_MS 1250
 #define LATENCY_MS        2
 /* The store confirms the publishers' configuration at this interval. */
-#define CONFIRM_MS 1000
-#define PUBLISHERS 2
-#define MANY       20000U
-#define ADDED      1400U
+#define CONFIRM_MS  1000
+#define PUBLISHERS  2
+#define MANY        20000U
+#define ADDED       1400U
+#define SEEDS       20U
+#define FAULT_STEPS 60
+#define CALM_MS     6000
 /* Beyond this age a daemon on a thin link reads the store itself. */
 #define MAX_AGE_MS 1600
 
@@ -46,9 +50,11 @@
   struct mt_fleet_config *config;
   const char *address;
   int64_t confirmed_at;
-  bool silent;    /* its links carry nothing */
-  bool cut_off;   /* the store does not confirm its configuration */
-  unsigned calls; /* received */
+  int64_t revision; /* of the store then */
+  bool silent;      /* its links carry nothing */
+  bool random;      /* it reads the store at random intervals, and slowly */
+  bool cut_off;     /* the store does not confirm its configuration */
+  unsigned calls;   /* received */
 };
 
 struct mt_mesh_call
@@ -76,6 +82,11 @@
   size_t received; /* bytes of the replies */
   unsigned checked;
   bool confirmed;
+  GRand *rand;
+  bool slow;       /* the store */
+  int64_t version; /* of the follower, as last seen */
+  GArray *written; /* int64_t: when each version was written to the store, from version 1 on */
+  unsigned routes; /* of the newest version */
 };
 
 static struct world *world;
@@ -337,17 +348,24 @@
 
 /* The store brings a version to a publisher, and confirms it. */
 static void
-publish (struct publisher *p, int64_t version, unsigned routes)
+publish_as_of (struct publisher *p, int64_t version, unsigned routes, int64_t confirmed_at)
 {
   struct mt_fleet_config *before = p->config;
 
   p->config = create_config (version, routes);
+  p->revision = version;
   mt_config_publisher_set (p->publisher, before, p->config);
   mt_fleet_config_free (before);
-  p->confirmed_at = world->now;
+  p->confirmed_at = confirmed_at;
   mt_config_publisher_confirmed (p->publisher);
 }
 
+static void
+publish (struct publisher *p, int64_t version, unsigned routes)
+{
+  publish_as_of (p, version, routes, world->now);
+}
+
 static void
 publish_all (int64_t version, unsigned routes)
 {
@@ -360,6 +378,8 @@
 {
   struct publisher *p = ctx;
 
+  if (p->random)
+    return;
   add_event (CONFIRM_MS, on_confirmation, p);
   if (p->cut_off)
     return;
@@ -376,7 +396,7 @@
 static int64_t
 publisher_revision (void *ctx)
 {
-  return 7;
+  return ((struct publisher *) ctx)->revision;
 }
 
 void
@@ -407,12 +427,22 @@
   return config != NULL;
 }
 
+static void
+create_follower (void)
+{
+  struct mt_config_follower_options options = { .name = "f",
+                                                .wanted = wanted,
+                                                .version = follower_version,
+                                                .apply = apply,
+                                                .journal = world->journal };
+
+  world->follower = mt_config_follower_create (NULL, &options);
+}
+
 static void
 create_world (void)
 {
   static const char *const addresses[PUBLISHERS] = { "10.0.0.1:1", "10.0.0.2:1" };
-  struct mt_config_follower_options options
-      = { .name = "f", .wanted = wanted, .version = follower_version, .apply = apply };
 
   world = g_new0 (struct world, 1);
   world->now = 1000000;
@@ -420,7 +450,6 @@
   world->timers = g_ptr_array_new_with_free_func (g_free);
   world->calls = g_ptr_array_new_with_free_func (free_call);
   world->journal = mt_journal_create (open ("/dev/null", O_WRONLY), "f");
-  options.journal = world->journal;
   for (unsigned i = 0; i < PUBLISHERS; i++)
     {
       struct publisher *p = &world->publishers[i];
@@ -431,7 +460,7 @@
       p->publisher = mt_config_publisher_create (NULL, &publishing);
       add_event (0, on_confirmation, p);
     }
-  world->follower = mt_config_follower_create (NULL, &options);
+  create_follower ();
   run_for (10);
 }
 
@@ -479,6 +508,186 @@
   return largest;
 }
 
+/* ---- random faults ---- */
+
+static int64_t
+newest_version (void)
+{
+  return (int64_t) world->written->len;
+}
+
+/* Returns when the version was replaced in the store. */
+static int64_t
+replaced_at (int64_t version)
+{
+  return version < newest_version () ? g_array_index (world->written, int64_t, version) : INT64_MAX;
+}
+
+/* An answer of the store that is on its way to a publisher. */
+struct store_answer
+{
+  struct publisher *to;
+  int64_t began;
+  int64_t version;
+  unsigned routes;
+};
+
+static void read_store (void *ctx);
+
+static void
+on_store_answer (void *ctx)
+{
+  struct store_answer *answer = ctx;
+  struct publisher *p = answer->to;
+
+  if (!p->cut_off)
+    {
+      if (answer->version > (p->config != NULL ? p->config->version : 0))
+        publish_as_of (p, answer->version, answer->routes, answer->began);
+      p->confirmed_at = answer->began;
+      p->revision = answer->version;
+      mt_config_publisher_confirmed (p->publisher);
+    }
+  g_free (answer);
+  add_event (g_rand_int_range (world->rand, 1, CONFIRM_MS), read_store, p);
+}
+
+static void
+read_store (void *ctx)
+{
+  struct store_answer *answer = g_new0 (struct store_answer, 1);
+
+  *answer = (struct store_answer){ ctx, world->now, newest_version (), world->routes };
+  add_event (g_rand_int_range (world->rand, 1, world->slow ? 1500 : 60), on_store_answer, answer);
+}
+
+/* A publisher that has just been started has no configuration. */
+static void
+restart_publisher (struct publisher *p)
+{
+  struct mt_config_publisher_options options
+      = { .age_ms = publisher_age_ms, .revision = publisher_revision, .ctx = p };
+
+  mt_config_publisher_destroy (p->publisher);
+  mt_fleet_config_free (g_steal_pointer (&p->config));
+  p->confirmed_at = 0;
+  p->revision = 0;
+  p->publisher = mt_config_publisher_create (NULL, &options);
+}
+
+/* Its calls are lost with the process. */
+static void
+restart_follower (void)
+{
+  for (guint i = 0; i < world->calls->len; i++)
+    ((struct mt_mesh_call *) world->calls->pdata[i])->ended = true;
+  mt_config_follower_destroy (world->follower);
+  mt_fleet_config_free (g_steal_pointer (&world->config));
+  world->version = 0;
+  create_follower ();
+}
+
+static void
+act_at_random (void)
+{
+  struct publisher *p = &world->publishers[g_rand_int_range (world->rand, 0, PUBLISHERS)];
+
+  switch (g_rand_int_range (world->rand, 0, 8))
+    {
+    case 0:
+    case 1:
+    case 2:
+      world->routes = (unsigned) g_rand_int_range (world->rand, 0, 3000);
+      g_array_append_val (world->written, world->now);
+      break;
+    case 3:
+      p->silent = !p->silent;
+      break;
+    case 4:
+      p->cut_off = !p->cut_off;
+      break;
+    case 5:
+      world->slow = !world->slow;
+      break;
+    case 6:
+      restart_publisher (p);
+      break;
+    default:
+      restart_follower ();
+      break;
+    }
+}
+
+/* What the follower says of its configuration holds by what was written when. */
+static void
+check_follower (void)
+{
+  int64_t version = follower_version (NULL);
+
+  assert_true (version >= world->version);
+  world->version = version;
+  assert_true (mt_config_follower_confirmed_at (world->follower) <= replaced_at (version));
+  assert_true (mt_config_follower_revision (world->follower) <= version);
+}
+
+static void
+end_faults (void)
+{
+  world->slow = false;
+  for (unsigned i = 0; i < PUBLISHERS; i++)
+    {
+      world->publishers[i].silent = false;
+      world->publishers[i].cut_off = false;
+    }
+}
+
+static void
+play_random_faults (guint32 seed)
+{
+  create_world ();
+  world->rand = g_rand_new_with_seed (seed);
+  world->written = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  for (unsigned i = 0; i < PUBLISHERS; i++)
+    {
+      world->publishers[i].random = true;
+      add_event (0, read_store, &world->publishers[i]);
+    }
+  for (unsigned step = 0; step < FAULT_STEPS; step++)
+    {
+      act_at_random ();
+      for (int ms = g_rand_int_range (world->rand, 1, 600); ms > 0; ms--)
+        {
+          run_for (1);
+          check_follower ();
+        }
+    }
+  end_faults ();
+  run_for (CALM_MS);
+  assert_int_equal (follower_version (NULL), newest_version ());
+  assert_true (newest_version () == 0
+               || mt_route_table_size (world->config->routes) == world->routes);
+  assert_true (largest_age_ms (3000) < MAX_AGE_MS);
+  g_rand_free (world->rand);
+  g_array_unref (world->written);
+  destroy_world ();
+}
+
+/* Guards against a daemon that takes an old version for a confirmed one, goes back, or does not
+ * catch up, while sources fall silent, lose the store, restart and read a slow store, and versions
+ * change. SOAK_SEEDS plays more. */
+static void
+test_random_faults (void **state)
+{
+  const char *seeds = g_getenv ("SOAK_SEEDS");
+  guint32 n = seeds != NULL ? (guint32) atoi (seeds) : SEEDS;
+
+  for (guint32 seed = 1; seed <= n; seed++)
+    {
+      print_message ("seed %u\n", seed);
+      play_random_faults (seed);
+    }
+}
+
 /* ---- tests ---- */
 
 /* Guards against a change that takes as long as the whole configuration takes to transfer: the
@@ -527,7 +736,7 @@
   publish_all (1, 10);
   run_for (100);
   assert_true (largest_age_ms (10000) <= CONFIRM_MS + 10 * LATENCY_MS);
-  assert_int_equal (mt_config_follower_revision (world->follower), 7);
+  assert_int_equal (mt_config_follower_revision (world->follower), 1);
   destroy_world ();
 }
 
@@ -620,6 +829,7 @@
     cmocka_unit_test (test_silent_source_is_replaced),
     cmocka_unit_test (test_source_without_the_store_is_replaced),
     cmocka_unit_test (test_age_grows_while_no_source_reaches_the_store),
+    cmocka_unit_test (test_random_faults),
     cmocka_unit_test (test_check_ends_with_the_version_that_it_found),
   };
 
