--- a/tests/fleet/test_config_follow.c
+++ b/tests/fleet/test_config_follow.c
@@ -786,6 +786,29 @@
   destroy_world ();
 }
 
+/* Guards against a change that is missed by a daemon that turns from its source to the store: it
+ * would read on from a revision beyond the version that it has. */
+static void
+test_revision_is_not_beyond_the_version (void **state)
+{
+  create_world ();
+  publish_all (1, 10);
+  run_for (3000);
+  for (unsigned i = 0; i < PUBLISHERS; i++)
+    world->publishers[i].silent = true;
+  publish_all (2, 20);
+  publish_all (3, 30);
+  run_for (1500);
+  for (unsigned i = 0; i < PUBLISHERS; i++)
+    world->publishers[i].silent = false;
+  while (follower_version (NULL) < 3)
+    {
+      run_for (1);
+      assert_true (mt_config_follower_revision (world->follower) <= follower_version (NULL));
+    }
+  destroy_world ();
+}
+
 static void
 on_checked (void *data, bool confirmed)
 {
@@ -829,6 +852,7 @@
     cmocka_unit_test (test_silent_source_is_replaced),
     cmocka_unit_test (test_source_without_the_store_is_replaced),
     cmocka_unit_test (test_age_grows_while_no_source_reaches_the_store),
+    cmocka_unit_test (test_revision_is_not_beyond_the_version),
     cmocka_unit_test (test_random_faults),
     cmocka_unit_test (test_check_ends_with_the_version_that_it_found),
   };
