mesh: a time-out closes only a connection on which nothing arrives

A call between daemons that was not answered in time closed its connection and ended all other calls on it, also while replies arrived, or the parts of a long one: a leader that is busy for 250 ms made all of a daemon's calls to it start anew, now also the one by which a configuration is followed. A connection on which bytes arrived in the last 250 ms is not dead. test_time_out_spares_a_connection_with_replies failed before.

--- a/net/mesh.c
+++ b/net/mesh.c
@@ -17,6 +17,8 @@
 #include <string.h>
 
 #define MAX_QUEUED_BYTES (4 * 1024 * 1024)
+/* A connection on which bytes arrived within this time is not dead. */
+#define PROVEN_MS 250
 
 /* One connection, opened by either side. Reference counted: the mesh holds one reference, and each
  * received call one until it is replied to. */
@@ -26,7 +28,8 @@
   struct bufferevent *bev;
   char *address; /* of the peer; NULL if the peer opened the connection */
   GList node;
-  bool connected; /* bytes may have been sent on it */
+  bool connected;      /* bytes may have been sent on it */
+  int64_t received_at; /* when bytes last arrived, ms of the monotonic clock */
   bool closed;
 };
 
@@ -182,14 +185,20 @@
     done (ctx, args);
 }
 
+static int64_t
+now_ms (void)
+{
+  return g_get_monotonic_time () / 1000;
+}
+
 /* After a time-out the connection may be dead without a reset, so it is closed, and the next call
- * opens a new one. */
+ * opens a new one; unless bytes arrive on it, of other replies or of a long one. */
 static void
 on_timeout (evutil_socket_t fd, short what, void *ctx)
 {
   struct pending_call *pending = ctx;
 
-  if (pending->link != NULL)
+  if (pending->link != NULL && now_ms () - pending->link->received_at > PROVEN_MS)
     close_link (pending->link);
   complete_call (pending, NULL);
 }
@@ -250,6 +259,7 @@
   struct evbuffer *input = bufferevent_get_input (bev);
   char header[MT_FRAME_HEADER_BYTES];
 
+  link->received_at = now_ms ();
   g_rc_box_acquire (link);
   while (!link->closed && evbuffer_get_length (input) >= MT_FRAME_HEADER_BYTES)
     {
--- a/tests/net/test_mesh.c
+++ b/tests/net/test_mesh.c
@@ -175,6 +175,64 @@
   event_base_free (base);
 }
 
+/* Replies to all but store calls, which are left to their time-outs. */
+static void
+reply_to_others (void *ctx,
+                 struct mt_mesh_call *call,
+                 enum mt_mesh_method method,
+                 const struct mt_mesh_args *args)
+{
+  if (method == MT_MESH_STORE)
+    g_ptr_array_add (ctx, call);
+  else
+    mt_mesh_reply (call, args);
+}
+
+static void
+count_done (void *ctx, const struct mt_mesh_args *args)
+{
+  ++*(unsigned *) ctx;
+}
+
+/* Guards against a slow reply, or a long one, that ends all other calls to the same daemon. */
+static void
+test_time_out_spares_a_connection_with_replies (void **state)
+{
+  struct fixture f = { .base = event_base_new () };
+  struct mt_mesh_args args = { 1, { MT_STR ("x") } };
+  g_autoptr (GPtrArray) held = g_ptr_array_new ();
+  g_autofree char *address = NULL;
+  unsigned long_ended = 0;
+  unsigned short_ended = 0;
+  unsigned replies = 0;
+
+  f.caller = mt_mesh_create (f.base, NULL, "127.0.0.1:0", "a", reply_to_others, held, NULL);
+  f.server = mt_mesh_create (f.base, NULL, "127.0.0.1:0", "b", reply_to_others, held, NULL);
+  address = g_strdup_printf ("127.0.0.1:%u", mt_mesh_port (f.server));
+  mt_mesh_send (f.caller, address, MT_MESH_STORE, &args, 60000, count_done, &long_ended);
+  mt_mesh_send (f.caller, address, MT_MESH_STORE, &args, 100, count_done, &short_ended);
+  for (unsigned sent = 0; short_ended == 0;)
+    {
+      if (replies == sent)
+        {
+          mt_mesh_send (f.caller, address, MT_MESH_PENDING, &args, 60000, count_done, &replies);
+          sent++;
+        }
+      event_base_loop (f.base, EVLOOP_ONCE);
+    }
+  for (unsigned before = replies; replies < before + 2;)
+    {
+      mt_mesh_send (f.caller, address, MT_MESH_PENDING, &args, 60000, count_done, &replies);
+      event_base_loop (f.base, EVLOOP_ONCE);
+    }
+  assert_int_equal (long_ended, 0);
+  for (guint i = 0; i < held->len; i++)
+    mt_mesh_reply (held->pdata[i], NULL);
+  mt_mesh_destroy (f.caller);
+  mt_mesh_destroy (f.server);
+  event_base_free (f.base);
+}
+
 static void
 reply_too_long (void *ctx,
                 struct mt_mesh_call *call,
@@ -224,6 +282,7 @@
     cmocka_unit_test (test_call_is_undelivered_only_without_a_connection),
     cmocka_unit_test (test_time_out_closes_no_newer_connection),
     cmocka_unit_test (test_calls_end_with_their_connection),
+    cmocka_unit_test (test_time_out_spares_a_connection_with_replies),
     cmocka_unit_test (test_reply_beyond_a_frame_is_sent_empty),
     cmocka_unit_test (test_cancelled_calls_complete_before_destruction),
   };
