--- a/core/scheduler/scheduler_arrivals.c
+++ b/core/scheduler/scheduler_arrivals.c
@@ -32,7 +32,8 @@
 
   g_hash_table_iter_init (&it, sched->routes);
   while (g_hash_table_iter_next (&it, NULL, (void **) &route))
-    sum += route_arriving_cpu (route, now);
+    if (route->arriving_cpu > 0)
+      sum += route_arriving_cpu (route, now);
   return sum;
 }
 
--- a/fleet/fleet_leader.c
+++ b/fleet/fleet_leader.c
@@ -371,7 +371,11 @@
   struct mt_pool_report report;
 
   if (!mt_pool_report_unpack (bytes, &report))
-    return;
+    {
+      mt_journal_log (lead->options.journal, "REPORT_UNREADABLE", "pool=%s bytes=%zu", pool,
+                      bytes.len);
+      return;
+    }
   mt_controller_update_pool (lead->controller, pool, &report.load, report.workers, report.n_workers,
                              mt_loop_now ());
   mt_grants_acknowledge (lead->grants, pool, number, report.accounts, report.n_accounts,
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -225,6 +225,10 @@
           MACHINE_REFUSED,
           G_LOG_LEVEL_WARNING,
           "an order for a machine was refused or not answered")
+MT_EVENT (8408,
+          REPORT_UNREADABLE,
+          G_LOG_LEVEL_WARNING,
+          "a pool's report can't be read, its machines are neither moved nor maintained")
 MT_EVENT (8406,
           FORECAST,
           G_LOG_LEVEL_MESSAGE,
