config delta: decompress in place

The linter's analyser takes the buffer freed by g_autofree for a leak where nothing is decompressed. The output is inflated into the array itself, which saves the copy. Behaviour stays; test_config_delta passes.

--- a/fleet/config_delta.c
+++ b/fleet/config_delta.c
@@ -491,16 +491,18 @@
 inflate_bytes (struct mt_str bytes, GError **error)
 {
   GByteArray *out = g_byte_array_new ();
-  g_autofree guint8 *buffer = g_malloc (INFLATE_BYTES);
   z_stream stream = { .next_in = (Bytef *) bytes.data, .avail_in = (uInt) bytes.len };
   int result = inflateInit (&stream);
 
   while (result == Z_OK && out->len <= MAX_DOCUMENT_BYTES)
     {
-      stream.next_out = buffer;
+      guint had = out->len;
+
+      g_byte_array_set_size (out, had + INFLATE_BYTES);
+      stream.next_out = out->data + had;
       stream.avail_out = INFLATE_BYTES;
       result = inflate (&stream, Z_NO_FLUSH);
-      g_byte_array_append (out, buffer, INFLATE_BYTES - stream.avail_out);
+      g_byte_array_set_size (out, had + INFLATE_BYTES - stream.avail_out);
     }
   inflateEnd (&stream);
   if (result == Z_STREAM_END && stream.avail_in == 0)
