tests: random faults of the followers leave nothing allocated

The answers of the store on their way at the end of a run were not freed (two blocks, found by the leak check of the sanitizers' run). Each publisher has room for its one answer.

--- a/tests/fleet/test_config_follow.c
+++ b/tests/fleet/test_config_follow.c
@@ -44,6 +44,14 @@
   int64_t due_at; /* 0: it is not running */
 };
 
+/* An answer of the store that is on its way to a publisher. */
+struct store_answer
+{
+  int64_t began;
+  int64_t version;
+  unsigned routes;
+};
+
 struct publisher
 {
   struct mt_config_publisher *publisher;
@@ -55,6 +63,7 @@
   bool random;      /* it reads the store at random intervals, and slowly */
   bool cut_off;     /* the store does not confirm its configuration */
   unsigned calls;   /* received */
+  struct store_answer answer;
 };
 
 struct mt_mesh_call
@@ -523,22 +532,13 @@
   return version < newest_version () ? g_array_index (world->written, int64_t, version) : INT64_MAX;
 }
 
-/* An answer of the store that is on its way to a publisher. */
-struct store_answer
-{
-  struct publisher *to;
-  int64_t began;
-  int64_t version;
-  unsigned routes;
-};
-
 static void read_store (void *ctx);
 
 static void
 on_store_answer (void *ctx)
 {
-  struct store_answer *answer = ctx;
-  struct publisher *p = answer->to;
+  struct publisher *p = ctx;
+  const struct store_answer *answer = &p->answer;
 
   if (!p->cut_off)
     {
@@ -548,17 +548,16 @@
       p->revision = answer->version;
       mt_config_publisher_confirmed (p->publisher);
     }
-  g_free (answer);
   add_event (g_rand_int_range (world->rand, 1, CONFIRM_MS), read_store, p);
 }
 
 static void
 read_store (void *ctx)
 {
-  struct store_answer *answer = g_new0 (struct store_answer, 1);
+  struct publisher *p = ctx;
 
-  *answer = (struct store_answer){ ctx, world->now, newest_version (), world->routes };
-  add_event (g_rand_int_range (world->rand, 1, world->slow ? 1500 : 60), on_store_answer, answer);
+  p->answer = (struct store_answer){ world->now, newest_version (), world->routes };
+  add_event (g_rand_int_range (world->rand, 1, world->slow ? 1500 : 60), on_store_answer, p);
 }
 
 /* A publisher that has just been started has no configuration. */
