tests: accepted work must not idle beside free room

The scheduler's random faults are now interrupted by calm, in which each job that is not done must have something running within 3 s while under half of the capacity is used and a worker has room for two tasks; in half of the cases one worker is lost for good, and the calm is longer by what a leader may have to wait for its leases. Jobs that crash workers are left out.

All earlier checks are as they were; the end of all faults is one function now.

--- a/tests/scheduler/property_scheduler.cpp
+++ b/tests/scheduler/property_scheduler.cpp
@@ -32,6 +32,14 @@
 constexpr int64_t settle_ms_per_crashing_job = 10000;
 /* Maximum starts of a crashing task: three crashes and two more starts. */
 constexpr unsigned max_crashes = 5;
+/* Without a fault for this time, a job must not have nothing running for idle_ms beside free room.
+ */
+constexpr int64_t calm_ms = 4000;
+constexpr int64_t idle_ms = 3000;
+/* Until a leader knows that nothing runs on a worker that it has never reached. */
+constexpr int64_t max_lease_ms
+    = MT_MAX_WORKER_LEASE_MS + MT_OUTAGE_EVIDENCE_MS + MT_EVIDENCE_TRANSIT_MS;
+constexpr int64_t sample_ms = 50;
 /* A job may fail once this many workers have crashed while running one of its tasks. */
 constexpr unsigned min_crashes_to_fail = 2;
 
@@ -63,19 +71,29 @@
   slow_link,
   fast_link,
   stall_link,
+  calm,
 };
 
 std::ostream &
 operator<< (std::ostream &out, Step step)
 {
-  static const char *const names[] = { "submit",         "submit_crashing",
-                                       "cancel",         "cancel_unnotified",
-                                       "inject_fault",   "heal",
-                                       "reboot",         "crash",
-                                       "resize",         "leave",
-                                       "take_over",      "store_fails",
-                                       "store_recovers", "slow_link",
-                                       "fast_link",      "stall_link" };
+  static const char *const names[] = { "submit",
+                                       "submit_crashing",
+                                       "cancel",
+                                       "cancel_unnotified",
+                                       "inject_fault",
+                                       "heal",
+                                       "reboot",
+                                       "crash",
+                                       "resize",
+                                       "leave",
+                                       "take_over",
+                                       "store_fails",
+                                       "store_recovers",
+                                       "slow_link",
+                                       "fast_link",
+                                       "stall_link",
+                                       "calm" };
 
   return out << names[static_cast<int> (step)];
 }
@@ -193,6 +211,87 @@
   m.world->records = records;
 }
 
+void
+end_faults (Model &m)
+{
+  m.world->store_down = false;
+  m.world->link_bytes_per_ms = fast_link_bytes_per_ms;
+  m.world->link_idle_at = m.world->now;
+  for (unsigned i = 0; i < max_workers; i++)
+    {
+      struct world_worker *w = &m.world->workers[i];
+
+      heal (w);
+      world_resize (m.world, w, worker_cpu);
+      if (!w->leaving)
+        continue;
+      w->leaving = false;
+      world_reboot (m.world, w);
+    }
+  notify_leader_of_cancellations (m);
+}
+
+bool
+is_running (const Model &m, const Job &job)
+{
+  for (unsigned i = 0; i < job.count; i++)
+    if (world_count_running (m.world, (job.id + ".0.0." + std::to_string (i)).c_str ()) > 0)
+      return true;
+  return false;
+}
+
+/* Returns whether under half of the capacity is in use and a worker has room for two tasks. */
+bool
+has_ample_room (const Model &m)
+{
+  int64_t used = 0;
+  bool room = false;
+
+  for (unsigned i = 0; i < max_workers; i++)
+    {
+      const int64_t cpu = static_cast<int64_t> (m.world->workers[i].runs->len) * task_cpu;
+
+      used += cpu;
+      room |= m.world->workers[i].recovers_at == 0 && !m.world->workers[i].silent
+              && worker_cpu - cpu >= 2 * task_cpu;
+    }
+  return room && 2 * used < max_workers * worker_cpu;
+}
+
+/* Accepted work must not idle beside free room once nothing disturbs it, also if a worker is lost
+ * for good and all leases on it that any leader can have granted have expired. Suspects of crashes
+ * wait for a worker each, so that runs with crashing jobs are left out. */
+void
+run_calm (Model &m, unsigned draw)
+{
+  struct world_worker *lost = draw % 2 == 0 ? &m.world->workers[draw / 2 % max_workers] : nullptr;
+  std::vector<bool> idle (m.jobs.size (), true);
+  bool ample = true;
+
+  end_faults (m);
+  if (lost != nullptr)
+    lost->silent = true;
+  world_run (m.world, lost != nullptr ? calm_ms + max_lease_ms : calm_ms);
+  for (int64_t ms = 0; ms < idle_ms; ms += sample_ms)
+    {
+      world_run (m.world, sample_ms);
+      ample = ample && has_ample_room (m);
+      for (size_t i = 0; i < m.jobs.size (); i++)
+        idle[i] = idle[i] && !is_running (m, m.jobs[i]);
+    }
+  for (const Job &job : m.jobs)
+    if (job.crashing)
+      return;
+  for (size_t i = 0; ample && i < m.jobs.size (); i++)
+    {
+      const enum mt_job_state state
+          = mt_scheduler_job_state (m.world->sched, m.jobs[i].id.c_str ());
+
+      RC_ASSERT (!idle[i] || m.jobs[i].cancelled || state == MT_JOB_COMPLETED
+                 || state == MT_JOB_FAILED);
+    }
+}
+
 void
 apply_step (Model &m, Step step, unsigned draw)
 {
@@ -251,6 +350,9 @@
     case Step::stall_link:
       m.world->link_idle_at = m.world->now + max_stall_ms * draw / 1000;
       return;
+    case Step::calm:
+      run_calm (m, draw);
+      return;
     }
 }
 
@@ -274,19 +376,7 @@
 {
   int64_t ms = settle_ms;
 
-  m.world->store_down = false;
-  m.world->link_bytes_per_ms = fast_link_bytes_per_ms;
-  m.world->link_idle_at = m.world->now;
-  for (unsigned i = 0; i < max_workers; i++)
-    {
-      struct world_worker *w = &m.world->workers[i];
-
-      heal (w);
-      world_resize (m.world, w, worker_cpu);
-      if (w->leaving)
-        apply_step (m, Step::reboot, i);
-    }
-  notify_leader_of_cancellations (m);
+  end_faults (m);
   for (const Job &job : m.jobs)
     ms += job.crashing ? settle_ms_per_crashing_job : 0;
   world_run (m.world, ms);
@@ -351,7 +441,8 @@
                                            { 1, Step::store_recovers },
                                            { 1, Step::slow_link },
                                            { 1, Step::fast_link },
-                                           { 2, Step::stall_link } });
+                                           { 2, Step::stall_link },
+                                           { 1, Step::calm } });
 }
 
 int
