--- a/platform/json_events.h
+++ b/fleet/json_events.h
@@ -1,7 +1,7 @@
 /* Reads JSON by events, without a tree: for texts of megabytes, of which a tree takes ten times the
  * time and the memory. */
-#ifndef MT_PLATFORM_JSON_EVENTS_H
-#define MT_PLATFORM_JSON_EVENTS_H
+#ifndef MT_FLEET_JSON_EVENTS_H
+#define MT_FLEET_JSON_EVENTS_H
 
 #include "medlartrack/str.h"
 
--- a/tests/platform/test_thin_link.c
+++ b/tests/platform/test_thin_link.c
@@ -96,17 +96,23 @@
   return len / 3 * 4;
 }
 
+/* Limits the link once the first value has arrived. Returns the bytes received by then. */
+static size_t
+limit_link (struct fixture *f)
+{
+  wait_for_value (f, strlen ("small"));
+  proxy_limit (f->s.proxy, LINK_BYTES_PER_S);
+  return proxy_received (f->s.proxy);
+}
+
 /* Guards against a change that is never in force, because its transfer takes longer than a watch,
  * whose time-out discards what has arrived. */
 static void
 test_change_that_outlasts_a_watch_is_received (void **state)
 {
   struct fixture *f = create_fixture ();
-  size_t before;
+  size_t before = limit_link (f);
 
-  wait_for_value (f, strlen ("small"));
-  proxy_limit (f->s.proxy, LINK_BYTES_PER_S);
-  before = proxy_received (f->s.proxy);
   put (f, LARGE_BYTES);
   wait_for_value (f, LARGE_BYTES);
   assert_true (proxy_received (f->s.proxy) - before < transfer_bytes (LARGE_BYTES) * 11 / 10);
@@ -131,11 +137,8 @@
 test_missed_versions_are_skipped (void **state)
 {
   struct fixture *f = create_fixture ();
-  size_t before;
+  size_t before = limit_link (f);
 
-  wait_for_value (f, strlen ("small"));
-  proxy_limit (f->s.proxy, LINK_BYTES_PER_S);
-  before = proxy_received (f->s.proxy);
   put (f, LARGE_BYTES);
   while (proxy_received (f->s.proxy) - before < LARGE_BYTES)
     event_base_loop (f->s.base, EVLOOP_ONCE);
