--- a/tests/scheduler/property_scheduler.cpp
+++ b/tests/scheduler/property_scheduler.cpp
@@ -32,7 +32,8 @@
 constexpr int64_t settle_ms_per_crashing_job = 10000;
 /* Maximum starts of a crashing task: three crashes and two more starts. */
 constexpr unsigned max_crashes = 5;
-/* Without a fault for this time, a job must not have nothing running for idle_ms beside free room.
+/* Without a fault for this time, a job must not have nothing running for idle_ms beside free
+ * capacity.
  */
 constexpr int64_t calm_ms = 4000;
 constexpr int64_t idle_ms = 3000;
@@ -240,27 +241,27 @@
   return false;
 }
 
-/* Returns whether under half of the capacity is in use and a worker has room for two tasks. */
+/* Returns whether under half of the capacity is in use and a worker has capacity for two tasks. */
 bool
-has_ample_room (const Model &m)
+has_ample_capacity (const Model &m)
 {
   int64_t used = 0;
-  bool room = false;
+  bool fits_two = false;
 
   for (unsigned i = 0; i < max_workers; i++)
     {
       const int64_t cpu = static_cast<int64_t> (m.world->workers[i].runs->len) * task_cpu;
 
       used += cpu;
-      room |= m.world->workers[i].recovers_at == 0 && !m.world->workers[i].silent
-              && worker_cpu - cpu >= 2 * task_cpu;
+      fits_two |= m.world->workers[i].recovers_at == 0 && !m.world->workers[i].silent
+                  && worker_cpu - cpu >= 2 * task_cpu;
     }
-  return room && 2 * used < max_workers * worker_cpu;
+  return fits_two && 2 * used < max_workers * worker_cpu;
 }
 
-/* Accepted work must not idle beside free room once nothing disturbs it, also if a worker is lost
- * for good and all leases on it that any leader can have granted have expired. Suspects of crashes
- * wait for a worker each, so that runs with crashing jobs are left out. */
+/* Accepted work must not idle beside free capacity once nothing disturbs it, also if a worker is
+ * lost for good and all leases on it that any leader can have granted have expired. Suspects of
+ * crashes wait for a worker each, so that runs with crashing jobs are left out. */
 void
 run_calm (Model &m, unsigned draw)
 {
@@ -275,7 +276,7 @@
   for (int64_t ms = 0; ms < idle_ms; ms += sample_ms)
     {
       world_run (m.world, sample_ms);
-      ample = ample && has_ample_room (m);
+      ample = ample && has_ample_capacity (m);
       for (size_t i = 0; i < m.jobs.size (); i++)
         idle[i] = idle[i] && !is_running (m, m.jobs[i]);
     }
