http front: a call that arrives as the server ends is refused

Cause: the end of the server answers all calls that wait and then runs the library once more, which hands out calls that have arrived meanwhile; one that is not answered at once is suspended, and the library aborts the process. A daemon that stops could end that way, too. Under load a losing copy of a hedged call was still unread in the socket.

Calls that arrive then get 503 with Retry-After and are not handed out. test_call_that_arrives_as_the_server_ends_is_refused puts a call into an accepted connection and ends the server: it died with the same message before, every time.

--- a/net/http_front.c
+++ b/net/http_front.c
@@ -46,6 +46,7 @@
   GQueue suspended; /* of struct mt_exchange */
   unsigned in_flight;
   bool closing;
+  bool destroyed; /* calls that still arrive are refused */
   bool running;
   bool rerun;
 };
@@ -185,6 +186,12 @@
   return queue_answer (exchange);
 }
 
+static void
+refuse (struct mt_exchange *exchange)
+{
+  mt_exchange_answer (exchange, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, MT_STR (""), 1);
+}
+
 static enum MHD_Result
 on_request (void *ctx,
             struct MHD_Connection *connection,
@@ -227,7 +234,10 @@
       exchange->handled = true;
       mt_traffic_add_received (front->traffic, front->kind,
                                REQUEST_HEAD_BYTES + exchange->body->len);
-      front->handle (front->ctx, exchange);
+      if (front->destroyed)
+        refuse (exchange);
+      else
+        front->handle (front->ctx, exchange);
       if (exchange->response == NULL)
         {
           exchange->suspended = true;
@@ -318,9 +328,9 @@
 {
   if (front == NULL)
     return;
+  front->destroyed = true;
   while (!g_queue_is_empty (&front->suspended))
-    mt_exchange_answer (g_queue_peek_head (&front->suspended), MHD_HTTP_SERVICE_UNAVAILABLE, NULL,
-                        (struct mt_str){ "", 0 }, 1);
+    refuse (g_queue_peek_head (&front->suspended));
   run_daemon (front);
   event_free (front->readable_event);
   event_free (front->timer);
--- a/tests/platform/test_thin_link.c
+++ b/tests/platform/test_thin_link.c
@@ -4,10 +4,13 @@
 #include "store_fixture.h"
 #include "watcher.h"
 
+#include <netinet/in.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -213,6 +216,41 @@
   destroy_fixture (f);
 }
 
+static void
+hold_call (void *ctx, struct mt_exchange *exchange)
+{
+}
+
+/* Guards against a process that ends by a fatal error of the server's library, as a call arrives
+ * while it stops: the call was handed out and suspended after all others had been answered. */
+static void
+test_call_that_arrives_as_the_server_ends_is_refused (void **state)
+{
+  struct event_base *base = mt_loop_create ();
+  struct mt_http_front_options options = { .address = "127.0.0.1:0",
+                                           .max_connections = 4,
+                                           .idle_timeout_s = 60,
+                                           .max_body_bytes = 4096,
+                                           .handle = hold_call };
+  struct mt_http_front *front = mt_http_front_create (base, &options, NULL);
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons ((uint16_t) mt_http_front_port (front)),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  static const char request[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  char answer[16] = "";
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  assert_int_equal (connect (fd, (struct sockaddr *) &address, sizeof address), 0);
+  for (int i = 0; i < 10; i++)
+    event_base_loop (base, EVLOOP_NONBLOCK);
+  assert_int_equal (write (fd, request, sizeof request - 1), sizeof request - 1);
+  mt_http_front_destroy (front);
+  assert_true (read (fd, answer, 12) == 12);
+  assert_memory_equal (answer, "HTTP/1.1 503", 12);
+  close (fd);
+  event_base_free (base);
+}
+
 int
 main (void)
 {
@@ -220,6 +258,7 @@
     cmocka_unit_test (test_change_that_outlasts_a_watch_is_received),
     cmocka_unit_test (test_configuration_of_20000_routes_is_received),
     cmocka_unit_test (test_missed_versions_are_skipped),
+    cmocka_unit_test (test_call_that_arrives_as_the_server_ends_is_refused),
     cmocka_unit_test (test_time_out_begins_after_the_work_before_it),
     cmocka_unit_test (test_unchanged_configuration_is_confirmed_without_a_transfer),
   };
