tests: the test of lost orders waits for all daemons that it submits to

The test waited until the first daemon served and then submitted to the second and third, too, which had no configuration yet: 503 is right then. It now waits until all serve the route; its assertions are as they were.

--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -822,6 +822,7 @@
   struct fixture *f = create_fixture ("200");
 
   wait_until_ready (f);
+  assert_true (harness_wait (all_serve_route, f));
   assert_int_equal (post_to_platform (f, "/test/lose?percent=33", ""), 200);
   for (unsigned i = 0; i < 8; i++)
     {
