tests: fleets of processes wait until all daemons serve

The test of lost orders was one of several that submit to the second and third daemon as soon as the first serves: the wait for it moves into the common one. Assertions are as they were.

--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -214,14 +214,6 @@
   assert_true (harness_wait (has_state, f));
 }
 
-/* Submits the first job repeatedly until the daemons have read the configuration. */
-static void
-wait_until_ready (struct fixture *f)
-{
-  f->id = "00000000000000aa";
-  assert_true (harness_wait (is_submitted, f));
-}
-
 static bool
 all_serve_route (void *ctx)
 {
@@ -234,6 +226,15 @@
   return true;
 }
 
+/* Submits the first job repeatedly until it is accepted, and waits until all daemons serve. */
+static void
+wait_until_ready (struct fixture *f)
+{
+  f->id = "00000000000000aa";
+  assert_true (harness_wait (is_submitted, f));
+  assert_true (harness_wait (all_serve_route, f));
+}
+
 static bool
 has_logged (const struct process *process, const char *marker)
 {
@@ -715,7 +716,6 @@
   struct fixture *f = create_fixture ("200");
 
   wait_until_ready (f);
-  assert_true (harness_wait (all_serve_route, f));
   assert_int_equal (post_to_platform (f, "/test/store?mode=mute", NULL), 200);
   configure (f, 2);
   f->route = 2;
