fleet: one list of daemons to avoid, one pass over the other daemons

Found in reading the change once more: config_follower.c had written again what relay.c has, the addresses that are not called for a while after a failure (is_avoided, avoid, and their table); both now use avoid_list.c. mt_cluster_peers repeated the loop of mt_cluster_for_each_peer and calls it. Behaviour stays as it was.

--- a/fleet/cluster.c
+++ b/fleet/cluster.c
@@ -682,22 +682,6 @@
     drop_leadership (c, l, why);
 }
 
-char **
-mt_cluster_peers (const struct mt_cluster *c)
-{
-  GPtrArray *out = g_ptr_array_new ();
-  GHashTableIter it;
-  const char *name;
-  const struct member *m;
-
-  g_hash_table_iter_init (&it, c->members);
-  while (g_hash_table_iter_next (&it, (void **) &name, (void **) &m))
-    if (strcmp (name, c->name) != 0)
-      g_ptr_array_add (out, g_strdup (m->address));
-  g_ptr_array_add (out, NULL);
-  return (char **) g_ptr_array_free (out, FALSE);
-}
-
 void
 mt_cluster_for_each_peer (const struct mt_cluster *c, mt_cluster_peer_call call, void *ctx)
 {
@@ -712,6 +696,22 @@
             &(struct mt_cluster_peer){ m->address, m->link_mbps, strcmp (m->zone, c->zone) == 0 });
 }
 
+static void
+add_address (void *ctx, const struct mt_cluster_peer *peer)
+{
+  g_ptr_array_add (ctx, g_strdup (peer->address));
+}
+
+char **
+mt_cluster_peers (const struct mt_cluster *c)
+{
+  GPtrArray *out = g_ptr_array_new ();
+
+  mt_cluster_for_each_peer (c, add_address, out);
+  g_ptr_array_add (out, NULL);
+  return (char **) g_ptr_array_free (out, FALSE);
+}
+
 bool
 mt_cluster_can_confirm_outage (const struct mt_cluster *c, const char *address)
 {
--- a/fleet/config_follower.c
+++ b/fleet/config_follower.c
@@ -1,5 +1,6 @@
 #include "config_follower.h"
 
+#include "avoid_list.h"
 #include "config_wire.h"
 #include "journal.h"
 #include "loop.h"
@@ -36,9 +37,9 @@
   struct mt_config_follower_options options;
   char *name;
   struct mt_timer *timer;
-  char *source;            /* address of the last call; NULL before the first */
-  int64_t sent_at;         /* when it was sent */
-  GHashTable *avoid_until; /* address -> time until which it is avoided */
+  char *source;    /* address of the last call; NULL before the first */
+  int64_t sent_at; /* when it was sent */
+  struct mt_avoid_list *avoided;
   bool stopped;
   GByteArray *document; /* parts that have arrived */
   int64_t document_version;
@@ -60,23 +61,6 @@
   uint64_t rank;
 };
 
-static bool
-is_avoided (struct mt_config_follower *f, const char *address)
-{
-  const int64_t *until = g_hash_table_lookup (f->avoid_until, address);
-
-  return until != NULL && *until > mt_loop_now ();
-}
-
-static void
-avoid (struct mt_config_follower *f, const char *address, int64_t ms)
-{
-  int64_t *until = g_new (int64_t, 1);
-
-  *until = mt_loop_now () + ms;
-  g_hash_table_replace (f->avoid_until, g_strdup (address), until);
-}
-
 /* Ranks differ between daemons, so that the followers spread. */
 static uint64_t
 rank_of (const struct mt_config_follower *f, const char *address)
@@ -90,7 +74,8 @@
   struct choice *best = ctx;
   uint64_t rank;
 
-  if (peer->link_mbps < MT_WIDE_LINK_MBPS || is_avoided (best->follower, peer->address))
+  if (peer->link_mbps < MT_WIDE_LINK_MBPS
+      || mt_avoid_list_has (best->follower->avoided, peer->address))
     return;
   rank = rank_of (best->follower, peer->address);
   if (best->address != NULL
@@ -200,7 +185,7 @@
   if (args == NULL || !mt_config_part_unpack (args, &part))
     {
       if (args == NULL)
-        avoid (f, check->source, AVOID_SILENT_MS);
+        mt_avoid_list_add (f->avoided, check->source, AVOID_SILENT_MS);
       end_check (check, false);
       return;
     }
@@ -242,7 +227,7 @@
 static void
 fail_source (struct mt_config_follower *f, int64_t avoid_ms)
 {
-  avoid (f, f->source, avoid_ms);
+  mt_avoid_list_add (f->avoided, f->source, avoid_ms);
   clear_document (f);
   start_poll (f);
 }
@@ -358,7 +343,7 @@
   f->options = *options;
   f->name = g_strdup (options->name);
   f->document = g_byte_array_new ();
-  f->avoid_until = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  f->avoided = mt_avoid_list_create ();
   f->timer = mt_timer_create (base, start_poll, f);
   f->checks_timer = mt_timer_create (base, end_checks, f);
   mt_timer_set (f->timer, 0);
@@ -378,7 +363,7 @@
   mt_timer_destroy (f->timer);
   mt_timer_destroy (f->checks_timer);
   g_byte_array_unref (f->document);
-  g_hash_table_unref (f->avoid_until);
+  mt_avoid_list_destroy (f->avoided);
   g_free (f->source);
   g_free (f->name);
   g_free (f);
--- a/fleet/relay.c
+++ b/fleet/relay.c
@@ -1,5 +1,6 @@
 #include "relay.h"
 
+#include "avoid_list.h"
 #include "loop.h"
 #include "medlartrack/scheduler.h"
 #include "peer.h"
@@ -21,8 +22,8 @@
   struct mt_adapter *platform;
   struct mt_mesh *mesh;
   struct mt_cluster *cluster;
-  char *peer;                  /* daemon through which a call last succeeded; NULL if none */
-  GHashTable *avoid_until;     /* address -> time until which it is avoided */
+  char *peer; /* daemon through which a call last succeeded; NULL if none */
+  struct mt_avoid_list *avoided;
   int64_t outage_confirmed_at; /* when a daemon last confirmed that the store is unreachable */
   int64_t reached_at;          /* when a call last succeeded through another daemon */
 };
@@ -35,23 +36,6 @@
   void *data;
 };
 
-static bool
-is_avoided (struct mt_relay *relay, const char *address)
-{
-  int64_t *until = g_hash_table_lookup (relay->avoid_until, address);
-
-  return until != NULL && *until > mt_loop_now ();
-}
-
-static void
-avoid (struct mt_relay *relay, const char *address)
-{
-  int64_t *until = g_new (int64_t, 1);
-
-  *until = mt_loop_now () + AVOID_MS;
-  g_hash_table_replace (relay->avoid_until, g_strdup (address), until);
-}
-
 /* Prefers the daemon through which a call last succeeded, else takes a random one, so that not all
  * choose the same. Free with g_free; NULL if there is none. */
 static char *
@@ -61,13 +45,13 @@
   guint n = g_strv_length (peers);
   guint from = n > 0 ? (guint) g_random_int_range (0, (gint32) n) : 0;
 
-  if (relay->peer != NULL && !is_avoided (relay, relay->peer))
+  if (relay->peer != NULL && !mt_avoid_list_has (relay->avoided, relay->peer))
     return g_strdup (relay->peer);
   for (guint i = 0; i < n; i++)
     {
       const char *address = peers[(from + i) % n];
 
-      if (!is_avoided (relay, address))
+      if (!mt_avoid_list_has (relay->avoided, address))
         return g_strdup (address);
     }
   return NULL;
@@ -92,7 +76,7 @@
     relay->reached_at = mt_loop_now ();
   if (status == 0 || status == 503)
     {
-      avoid (relay, p->peer);
+      mt_avoid_list_add (relay->avoided, p->peer, AVOID_MS);
       if (g_strcmp0 (relay->peer, p->peer) == 0)
         g_clear_pointer (&relay->peer, g_free);
     }
@@ -186,7 +170,7 @@
   relay->platform = platform;
   relay->mesh = mesh;
   relay->cluster = cluster;
-  relay->avoid_until = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  relay->avoided = mt_avoid_list_create ();
   mt_adapter_set_relay (platform, relay_call, relay);
   return relay;
 }
@@ -196,7 +180,7 @@
 {
   if (relay == NULL)
     return;
-  g_hash_table_unref (relay->avoid_until);
+  mt_avoid_list_destroy (relay->avoided);
   g_free (relay->peer);
   g_free (relay);
 }
