tests: the job beside shrunk workers outlasts what the test waits for

The log of the latter: the leader learns that the workers have shrunk by their next heartbeats, up to 1.5 s later, and writes what it knows once a second while there are jobs. The job of 120 tasks was done 1,077 ms after its acceptance, 28 ms after the last line, which showed one of four workers shrunk; the line that the test waits for was never written. The waits for all daemons at the start moved the moment and made it likelier.

The job has 400 tasks now, which last beyond both.

--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -16,6 +16,8 @@
 #include <cmocka.h>
 
 #define N_DAEMONS 3
+/* Enough to outlast the heartbeats that show shrunk workers, and the log's interval after them. */
+#define SHRUNK_TASKS 400
 #define JOB_JSON                                                                                   \
   "{\"spec\":\"s\",\"steps\":[{\"count\":%u,\"cpu\":1000,\"mem-mb\":64,\"est-runtime-ms\":%u}]}"
 
@@ -882,7 +884,7 @@
   wait_until_ready (f);
   wait_for_state (f, "00000000000000aa", "completed");
   assert_int_equal (post_to_platform (f, "/test/resize?cpu=2000", ""), 200);
-  assert_int_equal (submit (f, 0, "00000000000000bb", 120, 300), 200);
+  assert_int_equal (submit (f, 0, "00000000000000bb", SHRUNK_TASKS, 300), 200);
   assert_true (harness_wait (leader_knows_shrunk_workers, f));
   before = read_counter (f, "overbooked");
   assert_int_equal (submit (f, 0, "00000000000000cc", 40, 300), 200);
