scheduler: answers name the order that they belong to

The answer to an order reached the scheduler as the worker's id, the task and the run. An id names a worker over all its restarts, so nothing could be asked of an answer about the incarnation that the order was meant for or that sent the answer.

An order now carries the incarnation of the worker that was known as it was sent, the answer comes back with the order it belongs to (struct mt_sent_order), and answers to starts and stops may name the incarnation that answers ("born"), as those to holds do. Nothing uses the two yet: no change of behaviour.

The simulated workers of the scheduler's tests restart their clock with each incarnation, cap leases at 6 s as workers do, and may show their new incarnation late in the registry (off until set).

--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -416,12 +416,11 @@
 
 void
 mt_scheduler_hold_answered (struct mt_scheduler *sched,
-                            const char *worker,
+                            const struct mt_sent_order *order,
                             const struct mt_hold_report *report,
-                            int64_t sent,
                             int64_t now)
 {
-  struct mt_worker *w = find_worker (sched, worker);
+  struct mt_worker *w = find_worker (sched, order->worker);
 
   if (w == NULL)
     return;
@@ -431,10 +430,10 @@
     case MT_ANSWER_OK:
       break;
     case MT_ANSWER_FENCED:
-      mark_fenced (sched, worker);
+      mark_fenced (sched, w->id);
       return;
     case MT_ANSWER_OTHER_INCARNATION:
-      mt_scheduler_worker_ended (sched, worker, now, "another answers at its address");
+      mt_scheduler_worker_ended (sched, w->id, now, "another answers at its address");
       return;
     default:
       handle_no_answer (sched, w, now);
@@ -463,7 +462,7 @@
   record_answer (sched, w, now);
   w->listed_before_at = w->listing_at;
   w->listing_at = now;
-  w->listing_requested_at = sent;
+  w->listing_requested_at = order->sent_at;
   w->lost_holds = 0;
   mt_worker_update_clock (w, report->clock_ms, now);
   if (!w->confirmed)
@@ -472,7 +471,7 @@
       sched->changed = true;
     }
   apply_ends (sched, w, report, now);
-  apply_listing (sched, w, report, sent, now);
+  apply_listing (sched, w, report, order->sent_at, now);
   mt_worker_adjust_pace (sched, w, now);
   w->next_hold_at = w->tasks.length > 0 || w->orphaned_runs > 0 || w->applied_end > w->durable_end
                         ? now
@@ -545,47 +544,43 @@
 
 void
 mt_scheduler_order_answered (struct mt_scheduler *sched,
-                             enum mt_order_kind kind,
-                             const char *worker,
-                             const char *name,
-                             unsigned run,
-                             enum mt_answer answer,
-                             int64_t clock_ms,
+                             const struct mt_sent_order *order,
+                             const struct mt_order_report *report,
                              int64_t now)
 {
-  struct mt_worker *w = find_worker (sched, worker);
-  struct mt_task *task = mt_scheduler_find_task (sched, name);
+  struct mt_worker *w = find_worker (sched, order->worker);
+  struct mt_task *task = mt_scheduler_find_task (sched, order->task);
 
   if (w == NULL)
     return;
   if (w->orders_in_flight > 0)
     w->orders_in_flight--;
-  if (answer == MT_ANSWER_FENCED)
+  if (report->answer == MT_ANSWER_FENCED)
     {
-      mark_fenced (sched, worker);
+      mark_fenced (sched, w->id);
       return;
     }
-  if (answer == MT_ANSWER_OTHER_INCARNATION)
+  if (report->answer == MT_ANSWER_OTHER_INCARNATION)
     {
-      mt_scheduler_worker_ended (sched, worker, now, "another answers at its address");
+      mt_scheduler_worker_ended (sched, w->id, now, "another answers at its address");
       return;
     }
-  if (answer == MT_ANSWER_NONE)
+  if (report->answer == MT_ANSWER_NONE)
     handle_no_answer (sched, w, now);
   else
     {
       record_answer (sched, w, now);
-      mt_worker_update_clock (w, clock_ms, now);
+      mt_worker_update_clock (w, report->clock_ms, now);
     }
-  if (task == NULL || task->worker != w || task->run != run)
+  if (task == NULL || task->worker != w || task->run != order->run)
     return;
-  if (kind == MT_ORDER_START)
-    handle_start_answer (sched, task, w, answer, now);
-  else if (kind == MT_ORDER_STOP && task->state == MT_TASK_STOPPING)
+  if (order->kind == MT_ORDER_START)
+    handle_start_answer (sched, task, w, report->answer, now);
+  else if (order->kind == MT_ORDER_STOP && task->state == MT_TASK_STOPPING)
     {
       task->order_in_flight = false;
-      task->stop_acked = answer == MT_ANSWER_OK;
-      task->acked_at = answer == MT_ANSWER_OK ? now : 0;
+      task->stop_acked = report->answer == MT_ANSWER_OK;
+      task->acked_at = report->answer == MT_ANSWER_OK ? now : 0;
       task->state_since = now;
       w->next_hold_at = MIN (w->next_hold_at, now);
     }
--- a/core/scheduler/scheduler_orders.c
+++ b/core/scheduler/scheduler_orders.c
@@ -29,6 +29,14 @@
 /* Most workers named in one ticket request. */
 #define MAX_TICKET_WORKERS 30U
 
+static void
+address_order (const struct mt_worker *w, struct mt_order *order)
+{
+  order->worker = w->id;
+  order->worker_started_at = w->started_at;
+  order->address = w->address;
+}
+
 static void
 init_order (const struct mt_scheduler *sched,
             struct mt_task *task,
@@ -40,8 +48,7 @@
   const struct mt_ticket *ticket = NULL;
 
   mt_task_name (task, order->task, sizeof order->task);
-  order->worker = w->id;
-  order->address = w->address;
+  address_order (w, order);
   order->run = task->run;
   order->payload = task->occ->job->spec->payload;
   order->checkpoint = task->checkpoint;
@@ -89,8 +96,7 @@
   if (orphan == NULL)
     return false;
   order->kind = MT_ORDER_STOP;
-  order->worker = orphan->worker->id;
-  order->address = orphan->worker->address;
+  address_order (orphan->worker, order);
   order->run = orphan->run;
   g_strlcpy (order->task, orphan->task, sizeof order->task);
   orphan->worker->orders_in_flight++;
@@ -174,8 +180,7 @@
       w->hold_in_flight = true;
       w->hold_sent_at = now;
       order->kind = MT_ORDER_HOLD;
-      order->worker = w->id;
-      order->address = w->address;
+      address_order (w, order);
       order->acked_end = w->durable_end;
       order->wait_ms
           = w->tasks.length > 0 && w->confirmed && !blocked ? hold_wait_ms (sched, w, now) : 0;
--- a/fleet/pool.c
+++ b/fleet/pool.c
@@ -275,11 +275,7 @@
 struct sent_order
 {
   struct mt_pool *pool;
-  enum mt_order_kind kind;
-  char *worker;
-  char *task;
-  unsigned run;
-  int64_t sent_at;
+  struct mt_sent_order order; /* owns its strings */
 };
 
 static struct sent_order *
@@ -287,9 +283,13 @@
 {
   struct sent_order *s = g_new0 (struct sent_order, 1);
 
-  *s = (struct sent_order){
-    ref (pool), order->kind, g_strdup (order->worker), g_strdup (order->task), order->run, now
-  };
+  *s = (struct sent_order){ .pool = ref (pool),
+                            .order = { .kind = order->kind,
+                                       .worker = g_strdup (order->worker),
+                                       .worker_started_at = order->worker_started_at,
+                                       .task = g_strdup (order->task),
+                                       .run = order->run,
+                                       .sent_at = now } };
   return s;
 }
 
@@ -297,8 +297,8 @@
 free_sent_order (struct sent_order *s)
 {
   unref (s->pool);
-  g_free (s->worker);
-  g_free (s->task);
+  g_free ((char *) s->order.worker);
+  g_free ((char *) s->order.task);
   g_free (s);
 }
 
@@ -309,21 +309,20 @@
 
   if (!s->pool->destroyed)
     {
-      mt_scheduler_hold_answered (s->pool->sched, s->worker, report, s->sent_at, mt_loop_now ());
+      mt_scheduler_hold_answered (s->pool->sched, &s->order, report, mt_loop_now ());
       run_scheduler (s->pool);
     }
   free_sent_order (s);
 }
 
 static void
-on_order_answer (void *data, enum mt_answer answer, int64_t clock_ms)
+on_order_answer (void *data, const struct mt_order_report *report)
 {
   struct sent_order *s = data;
 
   if (!s->pool->destroyed)
     {
-      mt_scheduler_order_answered (s->pool->sched, s->kind, s->worker, s->task, s->run, answer,
-                                   clock_ms, mt_loop_now ());
+      mt_scheduler_order_answered (s->pool->sched, &s->order, report, mt_loop_now ());
       run_scheduler (s->pool);
     }
   free_sent_order (s);
@@ -336,10 +335,10 @@
   struct mt_scheduler *sched = s->pool->sched;
 
   for (char **row = rows; !s->pool->destroyed && row != NULL && row[0] != NULL; row += 2)
-    mt_scheduler_add_ticket (sched, s->task, row[0], row[1], s->sent_at + validity_ms);
+    mt_scheduler_add_ticket (sched, s->order.task, row[0], row[1], s->order.sent_at + validity_ms);
   if (!s->pool->destroyed)
     {
-      mt_scheduler_tickets_answered (sched, s->task, mt_loop_now (), rows != NULL);
+      mt_scheduler_tickets_answered (sched, s->order.task, mt_loop_now (), rows != NULL);
       run_scheduler (s->pool);
     }
   free_sent_order (s);
--- a/fleet/ports.h
+++ b/fleet/ports.h
@@ -146,7 +146,8 @@
 
 /* ---- workers ---- */
 
-typedef void (*mt_order_done) (void *data, enum mt_answer answer, int64_t clock_ms);
+/* The report may be freed afterwards. */
+typedef void (*mt_order_done) (void *data, const struct mt_order_report *report);
 typedef void (*mt_hold_done) (void *data, const struct mt_hold_report *report);
 /* rows: alternating worker and ticket, NULL-terminated; NULL if there was no answer. */
 typedef void (*mt_advice_done) (void *data, char **rows, int64_t validity_ms);
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -275,6 +275,7 @@
 {
   enum mt_order_kind kind;
   const char *worker;
+  int64_t worker_started_at; /* incarnation of the worker known as the order is sent; 0: unknown */
   const char *address;
   char task[80]; /* ID.OCCURRENCE.STEP.INDEX; of a ticket request: ID.OCCURRENCE.STEP */
   unsigned run;
@@ -315,6 +316,25 @@
   MT_ANSWER_NONE,              /* no answer: the order may have been carried out, or may still be */
 };
 
+/* An order that was sent, as its answer refers to it. The strings are read during the call only. */
+struct mt_sent_order
+{
+  enum mt_order_kind kind;
+  const char *worker;
+  int64_t worker_started_at; /* as in struct mt_order */
+  const char *task;          /* not of a hold */
+  unsigned run;              /* not of a hold */
+  int64_t sent_at;
+};
+
+/* A worker's answer to an order other than a hold. */
+struct mt_order_report
+{
+  enum mt_answer answer;
+  int64_t clock_ms;      /* reading of the worker's clock in ms; -1: not reported */
+  int64_t started_at_ms; /* of the incarnation that answers; 0: not reported */
+};
+
 /* A run in a worker's listing. */
 struct mt_run_row
 {
@@ -357,21 +377,15 @@
   size_t n_ended;
 };
 
-/* Handles the answer to a hold that was sent at `sent`. The report may be freed afterwards. */
+/* Handles the answer to a hold. The report may be freed afterwards. */
 void mt_scheduler_hold_answered (struct mt_scheduler *sched,
-                                 const char *worker,
+                                 const struct mt_sent_order *order,
                                  const struct mt_hold_report *report,
-                                 int64_t sent,
                                  int64_t now);
-/* Handles the answer to an MT_ORDER_START, MT_ORDER_STOP or MT_ORDER_PACE. name, run: task and run
- * of the order. clock_ms: as in struct mt_hold_report. */
+/* Handles the answer to an MT_ORDER_START, MT_ORDER_STOP or MT_ORDER_PACE. */
 void mt_scheduler_order_answered (struct mt_scheduler *sched,
-                                  enum mt_order_kind kind,
-                                  const char *worker,
-                                  const char *name,
-                                  unsigned run,
-                                  enum mt_answer answer,
-                                  int64_t clock_ms,
+                                  const struct mt_sent_order *order,
+                                  const struct mt_order_report *report,
                                   int64_t now);
 /* Returns whether a worker has answered that it has seen a higher token. The owner then has to give
  * up the leadership; no more orders are returned. */
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -1154,6 +1154,7 @@
                                   .address = "127.0.0.1:1",
                                   .zone = "z",
                                   .resources = w->resources };
+  struct mt_sent_order hold = { .kind = MT_ORDER_HOLD, .worker = w->id, .worker_started_at = 8 };
   struct mt_hold_report earlier = { .answer = MT_ANSWER_OK, .clock_ms = 1, .started_at_ms = 7 };
 
   world->run_ms = 5000;
@@ -1163,7 +1164,8 @@
   world_submit (world, world_job ("aa", 2, 1000, 5000));
   world_run (world, 500);
   assert_int_equal (w->runs->len, 2);
-  mt_scheduler_hold_answered (world->sched, w->id, &earlier, world->now - 1, world->now);
+  hold.sent_at = world->now - 1;
+  mt_scheduler_hold_answered (world->sched, &hold, &earlier, world->now);
   world_run (world, 1000);
   assert_int_equal (world->n_starts, 2);
   assert_int_equal (world->duplicate_starts, 0);
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -116,33 +116,48 @@
   g_free (world);
 }
 
+/* Delivers the worker's entry as the registry shows it. */
 static void
-update_registry_entry (struct world *world, struct world_worker *w)
+deliver_entry (struct world *world, struct world_worker *w)
 {
-  const char *labels[] = { "a", "r1", NULL };
+  const char *labels[] = { w->entry.kind, "r1", NULL };
   struct mt_worker_entry entry = { .id = w->id,
-                                   .started_at_ms = w->started_at_ms,
-                                   .address = "127.0.0.1:1",
+                                   .started_at_ms = w->entry.started_at_ms,
+                                   .address = w->entry.address,
                                    .zone = w->zone,
                                    .labels = labels,
-                                   .resources = w->resources,
-                                   .leaving = w->leaving };
+                                   .resources = w->entry.resources,
+                                   .leaving = w->entry.leaving };
 
   mt_scheduler_update_worker (world->sched, &entry, world->now);
 }
 
+static void
+update_registry_entry (struct world *world, struct world_worker *w)
+{
+  w->entry_published_at = 0;
+  w->entry = (struct world_entry){ .started_at_ms = w->started_at_ms,
+                                   .kind = w->kind,
+                                   .resources = w->resources,
+                                   .leaving = w->leaving };
+  snprintf (w->entry.address, sizeof w->entry.address, "127.0.0.1:%u", w->port);
+  deliver_entry (world, w);
+}
+
 void
 world_mark_leaving (struct world *world, struct world_worker *w)
 {
   w->leaving = true;
-  update_registry_entry (world, w);
+  if (w->entry_published_at == 0)
+    update_registry_entry (world, w);
 }
 
 void
 world_resize (struct world *world, struct world_worker *w, int64_t cpu)
 {
   w->resources.cpu = cpu;
-  update_registry_entry (world, w);
+  if (w->entry_published_at == 0)
+    update_registry_entry (world, w);
 }
 
 struct world_worker *
@@ -158,6 +173,8 @@
 
   snprintf (w->id, sizeof w->id, "i-%u", world->n_workers++);
   w->zone = zone;
+  w->kind = "a";
+  w->port = world->n_workers;
   w->resources = (struct mt_resources){ .cpu = 16000, .mem = 32768 };
   w->run_time_factor = 1;
   w->started_at_ms = 7;
@@ -336,13 +353,33 @@
   g_array_remove_index (w->runs, index);
 }
 
+static struct mt_sent_order
+sent_hold (const struct world_worker *w)
+{
+  return (struct mt_sent_order){ .kind = MT_ORDER_HOLD,
+                                 .worker = w->id,
+                                 .worker_started_at = w->hold_worker_started_at,
+                                 .sent_at = w->hold_sent_at };
+}
+
+/* Extends the worker's lease up to a time on its clock. */
+static void
+extend_lease (const struct world *world, struct world_worker *w, int64_t lease_end_ms)
+{
+  int64_t end = MIN (lease_end_ms + w->clock_zero, world->now + WORLD_MAX_LEASE_MS);
+
+  if (lease_end_ms != 0)
+    w->lease_end_ms = MAX (w->lease_end_ms, end);
+}
+
 static void
 fail_hold (struct world *world, struct world_worker *w)
 {
   struct mt_hold_report report = { .answer = MT_ANSWER_NONE, .clock_ms = -1 };
+  struct mt_sent_order order = sent_hold (w);
 
   w->hold_pending = false;
-  mt_scheduler_hold_answered (world->sched, w->id, &report, w->hold_sent_at, world->now);
+  mt_scheduler_hold_answered (world->sched, &order, &report, world->now);
 }
 
 void
@@ -426,6 +463,8 @@
     world_crash (world, w);
   if (w->recovers_at != 0 && world->now >= w->recovers_at)
     recover (world, w);
+  if (w->entry_published_at != 0 && world->now >= w->entry_published_at)
+    update_registry_entry (world, w);
   if (w->lease_end_ms != 0 && world->now > w->lease_end_ms)
     {
       for (guint i = 0; i < w->ends->len; i++)
@@ -505,7 +544,7 @@
   memcpy (r.task, order->task, sizeof r.task);
   if (!g_hash_table_contains (world->active_at, r.task))
     record_active_at (world, r.task);
-  w->lease_end_ms = MAX (w->lease_end_ms, order->lease_end_ms);
+  extend_lease (world, w, order->lease_end_ms);
   w->n_starts++;
   w->last_run = order->run;
   world->n_starts++;
@@ -516,7 +555,7 @@
 static enum mt_answer
 try_start_run (struct world *world, struct world_worker *w, const struct mt_order *order)
 {
-  if (order->lease_end_ms != 0 && order->lease_end_ms < world->now)
+  if (order->lease_end_ms != 0 && order->lease_end_ms + w->clock_zero < world->now)
     return MT_ANSWER_LEASE_EXPIRED;
   if (order->run <= GPOINTER_TO_UINT (g_hash_table_lookup (w->highest_ended_runs, order->task)))
     return MT_ANSWER_STALE_RUN;
@@ -668,16 +707,24 @@
   return r->checkpoint;
 }
 
+/* Returns the reading of the worker's clock that its answers carry. */
+static int64_t
+worker_clock_ms (const struct world *world, const struct world_worker *w)
+{
+  return world->now - w->clock_zero - w->clock_lag_ms;
+}
+
 static void
 answer_hold (struct world *world, struct world_worker *w)
 {
   struct mt_run_row runs[512];
   struct mt_end_row ends[512];
   struct mt_hold_report report = { .answer = MT_ANSWER_OK,
-                                   .clock_ms = world->now - w->clock_lag_ms,
+                                   .clock_ms = worker_clock_ms (world, w),
                                    .started_at_ms = w->started_at_ms,
                                    .running = runs,
                                    .ended = ends };
+  struct mt_sent_order order;
 
   for (guint i = 0; i < w->runs->len && i < 512; i++)
     {
@@ -693,28 +740,31 @@
       ends[report.n_ended++] = (struct mt_end_row){ e->sequence, e->task, e->run, e->kind, NULL };
     }
   w->hold_pending = false;
-  mt_scheduler_hold_answered (world->sched, w->id, &report, w->hold_sent_at, world->now);
+  order = sent_hold (w);
+  mt_scheduler_hold_answered (world->sched, &order, &report, world->now);
 }
 
 static void
 receive_hold (struct world *world, struct world_worker *w, const struct mt_order *order)
 {
+  w->hold_sent_at = world->now - 1;
+  w->hold_worker_started_at = order->worker_started_at;
   if (w->replaced)
     {
       struct mt_hold_report report = { .answer = MT_ANSWER_OTHER_INCARNATION, .clock_ms = -1 };
+      struct mt_sent_order sent = sent_hold (w);
 
-      mt_scheduler_hold_answered (world->sched, w->id, &report, world->now - 1, world->now);
+      mt_scheduler_hold_answered (world->sched, &sent, &report, world->now);
       return;
     }
   if (is_unreachable (w))
     {
       w->hold_pending = true;
-      w->hold_sent_at = world->now - 1;
       w->hold_deadline = world->now;
       return;
     }
   w->highest_token = MAX (w->highest_token, world->token);
-  w->lease_end_ms = MAX (w->lease_end_ms, order->lease_end_ms);
+  extend_lease (world, w, order->lease_end_ms);
   while (w->ends->len > 0
          && g_array_index (w->ends, struct world_end, 0).sequence <= order->acked_end)
     {
@@ -722,7 +772,6 @@
       g_array_remove_index (w->ends, 0);
     }
   w->hold_pending = true;
-  w->hold_sent_at = world->now - 1;
   w->hold_deadline = world->now + order->wait_ms;
 }
 
@@ -742,18 +791,36 @@
     }
 }
 
+static void
+answer_order (struct world *world,
+              const struct world_worker *w,
+              const struct mt_order *order,
+              enum mt_answer answer)
+{
+  bool answered = answer != MT_ANSWER_NONE;
+  struct mt_sent_order sent = { .kind = order->kind,
+                                .worker = w->id,
+                                .worker_started_at = order->worker_started_at,
+                                .task = order->task,
+                                .run = order->run,
+                                .sent_at = world->now };
+  struct mt_order_report report
+      = { .answer = answer,
+          .clock_ms = answered ? worker_clock_ms (world, w) : -1,
+          .started_at_ms = answered && world->answers_name_incarnation ? w->started_at_ms : 0 };
+
+  mt_scheduler_order_answered (world->sched, &sent, &report, world->now);
+}
+
 static void
 deliver_order (struct world *world, const struct mt_order *order)
 {
   struct world_worker *w = find_worker (world, order->worker);
-  g_autofree char *id = g_strdup (order->worker);
-  char task[80];
   bool start_dropped = order->kind == MT_ORDER_START && w->starts_to_drop > 0;
   bool answer_lost = is_unreachable (w) || w->drops_all_answers || w->drops_order_answers
                      || start_dropped || w->order_delay_ms > 0;
   enum mt_answer answer = MT_ANSWER_NONE;
 
-  memcpy (task, order->task, sizeof task);
   if (order->kind == MT_ORDER_HOLD)
     {
       receive_hold (world, w, order);
@@ -767,10 +834,7 @@
     delay_order (world, w, order);
   else if (!is_unreachable (w))
     answer = execute_order (world, w, order, world->token, false);
-  if (answer_lost)
-    answer = MT_ANSWER_NONE;
-  mt_scheduler_order_answered (world->sched, order->kind, id, task, order->run, answer,
-                               answer_lost ? -1 : world->now - w->clock_lag_ms, world->now);
+  answer_order (world, w, order, answer_lost ? MT_ANSWER_NONE : answer);
 }
 
 /* ---- the leader's link ---- */
@@ -803,8 +867,7 @@
   if (sent->order.kind == MT_ORDER_HOLD)
     fail_hold (world, w);
   else
-    mt_scheduler_order_answered (world->sched, sent->order.kind, w->id, sent->order.task,
-                                 sent->order.run, MT_ANSWER_NONE, -1, world->now);
+    answer_order (world, w, &sent->order, MT_ANSWER_NONE);
 }
 
 /* The leader no longer waits for the answer, but the worker executes the order. */
@@ -823,7 +886,7 @@
   if (sent->token < w->highest_token)
     return;
   w->highest_token = sent->token;
-  w->lease_end_ms = MAX (w->lease_end_ms, sent->order.lease_end_ms);
+  extend_lease (world, w, sent->order.lease_end_ms);
 }
 
 static void
@@ -1047,7 +1110,7 @@
     mt_scheduler_restore (world->sched, id, record, 1, world->now);
   for (unsigned i = 0; i < world->n_workers; i++)
     if (!world->workers[i].unregistered)
-      update_registry_entry (world, &world->workers[i]);
+      deliver_entry (world, &world->workers[i]);
 }
 
 void
@@ -1060,7 +1123,11 @@
   w->highest_token = 0;
   w->lease_end_ms = 0;
   w->started_at_ms++;
+  w->clock_zero = world->now;
   if (w->hold_pending)
     fail_hold (world, w);
-  update_registry_entry (world, w);
+  if (w->entry_lag_ms > 0)
+    w->entry_published_at = world->now + w->entry_lag_ms;
+  else
+    update_registry_entry (world, w);
 }
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -13,6 +13,8 @@
 #define WORLD_LONG_RUNNING_PREFIX 'L'
 /* A crashed worker restarts after this time. */
 #define WORLD_DOWNTIME_MS 3000
+/* Longest lease that a worker grants, whatever the order asks for. */
+#define WORLD_MAX_LEASE_MS 6000
 
 struct world_run
 {
@@ -37,10 +39,22 @@
   bool lease_expired; /* the worker's lease expired after this end: it proves no completion */
 };
 
+/* A worker's entry in the registry. */
+struct world_entry
+{
+  int64_t started_at_ms;
+  char address[24];
+  const char *kind;
+  struct mt_resources resources;
+  bool leaving;
+};
+
 struct world_worker
 {
   char id[16];
   const char *zone;
+  const char *kind; /* label */
+  unsigned port;
   bool silent;              /* neither executes nor answers orders */
   bool drops_all_answers;   /* executes orders and holds, answers neither */
   bool drops_order_answers; /* executes orders without an answer; answers holds */
@@ -59,14 +73,19 @@
   int64_t gauge;            /* gauge reported for each run */
   struct mt_resources resources;
   struct mt_resources used;
-  int64_t started_at_ms; /* identifies the incarnation */
-  int64_t lease_end_ms;  /* on the worker's clock, which is the simulated clock */
-  GArray *runs;          /* struct world_run */
-  GArray *ends;          /* struct world_end not acknowledged yet */
+  int64_t started_at_ms;    /* identifies the incarnation */
+  int64_t clock_zero;       /* simulated time at which the worker's clock read 0 */
+  int64_t lease_end_ms;     /* simulated time */
+  struct world_entry entry; /* as the registry shows it */
+  int64_t entry_lag_ms;     /* after a restart, the registry shows the former entry for this long */
+  int64_t entry_published_at; /* when it shows the present one; 0: it does */
+  GArray *runs;               /* struct world_run */
+  GArray *ends;               /* struct world_end not acknowledged yet */
   int64_t last_end_sequence;
   bool hold_pending; /* a hold waits for an end, until hold_deadline */
   int64_t hold_deadline;
   int64_t hold_sent_at;
+  int64_t hold_worker_started_at; /* as in the order */
   unsigned n_starts;
   unsigned last_run;              /* number of the run started last */
   GHashTable *highest_ended_runs; /* task to the highest run that ended or was stopped here */
@@ -152,7 +171,8 @@
   GHashTable *crashing_tasks;  /* tasks that crash any worker that starts them, to their starts */
   int64_t crash_delay_ms;      /* from the start of a crashing task to the crash */
   GHashTable *crashes_by_task; /* tasks to the number of workers that crashed while running them */
-  bool new_id_after_crash;     /* a crashed machine returns as another worker, same address */
+  bool answers_name_incarnation; /* answers to orders carry the incarnation, like those to holds */
+  bool new_id_after_crash;       /* a crashed machine returns as another worker, same address */
   const struct mt_share_policy *share_policy; /* NULL: the default */
   bool worker_speed;                          /* setting of the leaders */
   unsigned checkpoint_percent; /* runs write a checkpoint at each multiple of this; 0: never */
@@ -193,7 +213,8 @@
 /* Number of runs on workers that the stored records do not show there: a successor would not find
  * them. */
 unsigned world_count_unstored_runs (const struct world *world);
-/* Restarts the worker under the same id, without any of its former state. */
+/* Restarts the worker under the same id, without any of its former state. The registry shows it
+ * after entry_lag_ms. */
 void world_reboot (struct world *world, struct world_worker *w);
 /* The worker loses its runs and answers nothing; it restarts after WORLD_DOWNTIME_MS. */
 void world_crash (struct world *world, struct world_worker *w);
