--- a/core/scheduler/scheduler.c
+++ b/core/scheduler/scheduler.c
@@ -154,6 +154,7 @@
 
   sched->settings = *settings;
   sched->settings.name = g_strdup (settings->name);
+  sched->settings.max_lease_ms = MAX (settings->max_lease_ms, settings->lease_ms);
   if (sched->settings.share_policy == NULL)
     sched->settings.share_policy = mt_share_policy_find (MT_STR (MT_DEFAULT_SHARE_POLICY));
   sched->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_job);
--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -16,6 +16,8 @@
 /* Interval of holds to idle workers. Their answers give the worker's clock: leases are wrong by up
  * to 2% of the time since the last reading. */
 #define IDLE_HOLD_INTERVAL_MS 15000
+/* Longest time for which a restarted worker is taken for its former incarnation. */
+#define MAX_UNNOTICED_MS 10000
 
 static struct mt_worker *
 find_worker (const struct mt_scheduler *sched, const char *id)
@@ -51,6 +53,12 @@
   mt_worker_clear_settled (sched, w);
 }
 
+static bool
+is_without_answer (enum mt_answer answer)
+{
+  return answer == MT_ANSWER_NONE || answer == MT_ANSWER_OTHER_INCARNATION;
+}
+
 static void
 mark_silent (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
@@ -61,12 +69,36 @@
   mt_scheduler_log_event (sched, "WORKER_SILENT", "worker=%s tasks=%u", w->id, w->tasks.length);
 }
 
+/* Takes note of which incarnation has answered. Returns false if it was a former one: the answer
+ * says nothing about the present one. */
+static bool
+is_answer_of_present (struct mt_scheduler *sched,
+                      struct mt_worker *w,
+                      int64_t started_at,
+                      int64_t requested_at,
+                      int64_t now)
+{
+  switch (mt_worker_compare_incarnation (w, started_at, requested_at))
+    {
+    case MT_INCARNATION_FORMER:
+      return false;
+    case MT_INCARNATION_NEXT:
+      mt_worker_begin_incarnation (sched, w, started_at, now);
+      return true;
+    default:
+      if (w->started_at == 0)
+        mt_worker_set_incarnation (w, started_at, now);
+      return true;
+    }
+}
+
 /* Handles an order without an answer. If the worker has answered others recently, this order and
  * more may be carried out late: the worker goes on taking work, but holds wait a shorter time,
  * since each lost hold delays the report of all ends on its worker. */
 static void
 handle_no_answer (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
+  w->answer_lost = true;
   if (now - w->answered_at > MT_SILENT_MS)
     mark_silent (sched, w, now);
   else
@@ -307,6 +339,7 @@
       return;
     }
   task->listing = w->listing;
+  mt_task_locate (task, w->started_at);
   /* Written since the last listing, so not before the progress known from it. */
   if (mt_task_set_checkpoint (task, row->checkpoint))
     task->checkpoint_percent = task->percent;
@@ -368,6 +401,11 @@
 {
   bool requested_after_ack = task->acked_at != 0 && sent > task->acked_at;
 
+  if (task->unlocated)
+    {
+      mt_task_handle_unlocated (sched, task, sent, now);
+      return;
+    }
   switch (task->state)
     {
     case MT_TASK_ORDERED:
@@ -433,42 +471,35 @@
       mark_fenced (sched, w->id);
       return;
     case MT_ANSWER_OTHER_INCARNATION:
-      mt_scheduler_worker_ended (sched, w->id, now, "another answers at its address");
+      if (mt_worker_is_addressed (w, order))
+        mt_worker_end (sched, w, now, "another answers at its address");
       return;
     default:
-      handle_no_answer (sched, w, now);
-      w->next_hold_at = w->lost_holds++ == 0 ? now : now + SILENT_HOLD_RETRY_MS;
+      w->lost_holds++;
+      w->next_hold_at = w->lost_holds == 1 ? now : now + SILENT_HOLD_RETRY_MS;
+      if (mt_worker_is_addressed (w, order))
+        handle_no_answer (sched, w, now);
       return;
     }
-  /* The answer of an earlier incarnation may arrive after the registry has reported the next one.
-   * It says nothing about the runs of the current incarnation. */
-  if (report->started_at_ms != 0 && report->started_at_ms < w->started_at)
+  if (!is_answer_of_present (sched, w, report->started_at_ms, order->sent_at, now))
     {
       w->next_hold_at = now;
       return;
     }
-  if (report->started_at_ms != 0 && w->started_at != 0 && report->started_at_ms != w->started_at)
-    {
-      struct mt_worker_entry restarted = { .id = w->id,
-                                           .started_at_ms = report->started_at_ms,
-                                           .address = w->address,
-                                           .zone = w->zone,
-                                           .resources = w->resources };
-
-      mt_scheduler_update_worker (sched, &restarted, now);
-    }
-  else if (w->started_at == 0)
-    w->started_at = report->started_at_ms;
   record_answer (sched, w, now);
   w->listed_before_at = w->listing_at;
   w->listing_at = now;
   w->listing_requested_at = order->sent_at;
   w->lost_holds = 0;
+  w->answer_lost = false;
   mt_worker_update_clock (w, report->clock_ms, now);
   if (!w->confirmed)
     {
       w->confirmed = true;
       sched->changed = true;
+      /* The previous leader may have taken it for its former incarnation, too. */
+      if (report->clock_ms < MAX_UNNOTICED_MS)
+        mt_worker_record_lease (w, sched->settings.max_lease_ms, now);
     }
   apply_ends (sched, w, report, now);
   apply_listing (sched, w, report, order->sent_at, now);
@@ -517,31 +548,82 @@
 handle_start_answer (struct mt_scheduler *sched,
                      struct mt_task *task,
                      struct mt_worker *w,
-                     enum mt_answer answer,
+                     const struct mt_order_report *report,
                      int64_t now)
 {
   task->order_in_flight = false;
   if (task->state != MT_TASK_ORDERED && task->state != MT_TASK_RUNNING)
     return;
-  switch (answer)
+  switch (report->answer)
     {
     case MT_ANSWER_OK:
-      mark_running (sched, task, now);
+      if (report->started_at_ms != 0)
+        mt_task_locate (task, report->started_at_ms);
+      if (!task->unlocated)
+        mark_running (sched, task, now);
       task->acked_at = now;
       w->next_hold_at = MIN (w->next_hold_at, now);
       return;
     case MT_ANSWER_NONE:
+    case MT_ANSWER_OTHER_INCARNATION:
       task->unconfirmed = true;
       task->state_since = now;
       w->next_hold_at = MIN (w->next_hold_at, now);
       return;
     default:
       if (task->state == MT_TASK_ORDERED)
-        handle_start_refusal (sched, task, w, answer, now);
+        handle_start_refusal (sched, task, w, report->answer, now);
       return;
     }
 }
 
+/* Handles a former incarnation's answer to an order for the task. */
+static void
+handle_former_answer (struct mt_scheduler *sched,
+                      struct mt_task *task,
+                      const struct mt_sent_order *order,
+                      enum mt_answer answer,
+                      int64_t now)
+{
+  task->order_in_flight = false;
+  if (order->kind != MT_ORDER_START || task->state != MT_TASK_ORDERED || !task->unlocated)
+    return;
+  /* An earlier copy of the start may still be carried out. */
+  if (task->start_retries > 0)
+    mt_task_stop (sched, task, now);
+  else if (answer == MT_ANSWER_OK)
+    mt_task_lose_unlocated (sched, task, now);
+  else
+    mt_task_set_waiting (sched, task, now);
+}
+
+/* Returns whether the answer is of the present incarnation. If it does not name one, it may be of
+ * the incarnation that the order was sent to, or of a restarted worker. */
+static bool
+is_known_to_answer (const struct mt_worker *w,
+                    const struct mt_sent_order *order,
+                    const struct mt_order_report *report)
+{
+  return report->started_at_ms != 0
+         || (mt_worker_is_addressed (w, order)
+             && mt_worker_clock_is_continued (w, report->clock_ms, order->sent_at));
+}
+
+/* A stop that was sent to a former incarnation may not have reached the present one. */
+static void
+handle_stop_answer (struct mt_task *task,
+                    struct mt_worker *w,
+                    const struct mt_sent_order *order,
+                    enum mt_answer answer,
+                    int64_t now)
+{
+  task->order_in_flight = false;
+  task->stop_acked = answer == MT_ANSWER_OK && mt_worker_is_addressed (w, order);
+  task->acked_at = task->stop_acked ? now : 0;
+  task->state_since = now;
+  w->next_hold_at = MIN (w->next_hold_at, now);
+}
+
 void
 mt_scheduler_order_answered (struct mt_scheduler *sched,
                              const struct mt_sent_order *order,
@@ -550,9 +632,11 @@
 {
   struct mt_worker *w = find_worker (sched, order->worker);
   struct mt_task *task = mt_scheduler_find_task (sched, order->task);
+  bool is_addressed;
 
   if (w == NULL)
     return;
+  is_addressed = mt_worker_is_addressed (w, order);
   if (w->orders_in_flight > 0)
     w->orders_in_flight--;
   if (report->answer == MT_ANSWER_FENCED)
@@ -560,28 +644,34 @@
       mark_fenced (sched, w->id);
       return;
     }
-  if (report->answer == MT_ANSWER_OTHER_INCARNATION)
+  if (report->answer == MT_ANSWER_OTHER_INCARNATION && is_addressed)
     {
-      mt_scheduler_worker_ended (sched, w->id, now, "another answers at its address");
+      mt_worker_end (sched, w, now, "another answers at its address");
       return;
     }
-  if (report->answer == MT_ANSWER_NONE)
-    handle_no_answer (sched, w, now);
-  else
+  if (is_without_answer (report->answer))
+    {
+      if (is_addressed)
+        handle_no_answer (sched, w, now);
+    }
+  else if (!is_answer_of_present (sched, w, report->started_at_ms, order->sent_at, now))
+    {
+      if (task != NULL && task->worker == w && task->run == order->run)
+        handle_former_answer (sched, task, order, report->answer, now);
+      return;
+    }
+  else if (is_known_to_answer (w, order, report))
     {
       record_answer (sched, w, now);
       mt_worker_update_clock (w, report->clock_ms, now);
     }
+  /* The next hold shows which incarnation it was. */
+  else
+    w->answer_lost = true;
   if (task == NULL || task->worker != w || task->run != order->run)
     return;
   if (order->kind == MT_ORDER_START)
-    handle_start_answer (sched, task, w, report->answer, now);
+    handle_start_answer (sched, task, w, report, now);
   else if (order->kind == MT_ORDER_STOP && task->state == MT_TASK_STOPPING)
-    {
-      task->order_in_flight = false;
-      task->stop_acked = report->answer == MT_ANSWER_OK;
-      task->acked_at = report->answer == MT_ANSWER_OK ? now : 0;
-      task->state_since = now;
-      w->next_hold_at = MIN (w->next_hold_at, now);
-    }
+    handle_stop_answer (task, w, order, report->answer, now);
 }
--- a/core/scheduler/scheduler_crashes.c
+++ b/core/scheduler/scheduler_crashes.c
@@ -53,15 +53,6 @@
   return mt_task_observed_ms (task) >= MAX (task->settle_ms, SETTLED_MS);
 }
 
-/* Returns whether the start may have been sent. */
-static bool
-may_have_begun (const struct mt_task *task)
-{
-  return task->inherited || task->start_retries > 0 || task->state == MT_TASK_RUNNING
-         || task->state == MT_TASK_STOPPING
-         || (task->state == MT_TASK_ORDERED && !task->order_queued);
-}
-
 struct other_workers
 {
   unsigned silent_together; /* became silent within COINCIDENCE_MS, without an isolated suspect */
@@ -107,7 +98,7 @@
     {
       const struct mt_task *task = l->data;
 
-      if (!may_have_begun (task) || has_settled (task))
+      if (!mt_task_may_have_begun (task) || has_settled (task))
         continue;
       if (job != NULL && job != task->occ->job)
         return NULL;
@@ -123,116 +114,121 @@
 }
 
 static bool
-is_lost_too_often (const struct mt_task *task)
+is_lost_too_often (unsigned losses, unsigned crashes)
 {
-  return task->losses >= MAX_LOSSES
-         || (task->losses >= SUSPICIOUS_LOSSES && task->crashes >= MIN_CRASHES);
+  return losses >= MAX_LOSSES || (losses >= SUSPICIOUS_LOSSES && crashes >= MIN_CRASHES);
 }
 
-/* The known circumstances of a worker's loss. */
-struct crash
-{
-  bool incarnation_ended; /* the worker crashed; otherwise its lease expired and it may run on */
-  bool with_others;       /* another worker became silent at about the same time */
-  bool in_instability;    /* many others did: a rack, a link, workers that keep restarting */
-  const struct mt_job *sole_job; /* job of all unsettled runs; NULL: no such run, or several jobs */
-  bool attributed;               /* sole_job was isolated on the worker */
-};
-
 static bool
-is_cause (const struct crash *crash, const struct mt_task *task)
+is_cause (const struct mt_crash *crash, const struct mt_task *task)
 {
   return crash->attributed && !crash->in_instability && crash->sole_job == task->occ->job
          && task->suspect && !has_settled (task);
 }
 
-static struct crash
-analyze_crash (const struct mt_scheduler *sched, const struct mt_worker *w, bool incarnation_ended)
+/* Returns whether the worker announced that it would leave and then answered for a while. Its loss
+ * is then no evidence against its tasks. */
+static bool
+has_left_as_announced (const struct mt_worker *w)
 {
-  struct other_workers other_workers = count_other_workers (sched, w);
-  struct crash crash
-      = { .incarnation_ended = incarnation_ended,
-          .with_others = other_workers.silent_together > 0,
-          .in_instability = other_workers.silent_together >= MAX (
-                                MIN_INSTABILITY_LOSSES, other_workers.listed / INSTABILITY_DIVISOR),
-          .sole_job = sole_unsettled_job (w) };
+  return w->leaving && w->answered_at - w->leaving_since > SETTLED_MS;
+}
+
+struct mt_crash
+mt_worker_assess_crash (struct mt_scheduler *sched,
+                        struct mt_worker *w,
+                        bool incarnation_ended,
+                        int64_t now)
+{
+  struct mt_crash crash = { .incarnation_ended = incarnation_ended,
+                            .announced = has_left_as_announced (w),
+                            .sole_job = sole_unsettled_job (w) };
+  struct other_workers others;
 
+  if (!crash.announced && w->silent_since == 0)
+    mt_worker_record_silence (w, now);
+  others = count_other_workers (sched, w);
+  crash.with_others = others.silent_together > 0;
+  crash.in_instability
+      = others.silent_together >= MAX (MIN_INSTABILITY_LOSSES, others.listed / INSTABILITY_DIVISOR);
   crash.attributed = crash.sole_job != NULL && crash.sole_job == w->isolated_job;
   return crash;
 }
 
-/* Returns true if the task's job is to be given up. */
-static bool
-count_crash_loss (struct mt_task *task, const struct crash *crash)
+static void
+count_crash_loss (const struct mt_task *task,
+                  const struct mt_crash *crash,
+                  struct mt_task_loss *loss)
 {
   bool settled = has_settled (task);
-  bool cause = is_cause (crash, task);
-  bool is_fresh = mt_task_has_begun (task) && mt_task_observed_ms (task) < SETTLED_MS;
-
-  task->losses += task->losses < G_MAXUINT8;
-  task->crashes += crash->incarnation_ended && is_fresh && task->crashes < G_MAXUINT8;
-  if (settled && task->losses > 1)
-    task->settle_ms = MIN (mt_task_observed_ms (task) + SETTLED_MS, MAX_SETTLED_MS);
-  if (task->losses > 1 || (!settled && !crash->with_others))
-    {
-      task->suspect = true;
-      task->occ->has_suspects = true;
-    }
-  return (cause && task->crashes >= min_crashes (task)) || is_lost_too_often (task);
+  bool is_fresh = mt_task_has_begun (task) && loss->observed_ms < SETTLED_MS;
+
+  loss->losses += loss->losses < G_MAXUINT8;
+  loss->crashes += crash->incarnation_ended && is_fresh && loss->crashes < G_MAXUINT8;
+  if (settled && loss->losses > 1)
+    loss->settle_ms = MIN (loss->observed_ms + SETTLED_MS, MAX_SETTLED_MS);
+  if (loss->losses > 1 || (!settled && !crash->with_others))
+    loss->suspect = true;
+  loss->gives_up = (is_cause (crash, task) && loss->crashes >= min_crashes (task))
+                   || is_lost_too_often (loss->losses, loss->crashes);
 }
 
-/* Returns whether the worker announced that it would leave and then answered for a while. Its loss
- * is then no evidence against its tasks. */
-static bool
-has_left_as_announced (const struct mt_worker *w)
+/* Counts a loss of which is only known that the task may have begun. */
+static void
+count_unexamined_loss (struct mt_task_loss *loss)
 {
-  return w->leaving && w->answered_at - w->leaving_since > SETTLED_MS;
+  loss->losses += loss->losses < G_MAXUINT8;
+  loss->gives_up = is_lost_too_often (loss->losses, loss->crashes);
 }
 
-/* Counts a loss of which is only known that the task may have begun. Returns true if the task's job
- * is to be given up. */
-static bool
-count_unexamined_loss (struct mt_task *task)
+struct mt_task_loss
+mt_task_assess_loss (const struct mt_task *task, const struct mt_crash *crash)
 {
-  task->losses += task->losses < G_MAXUINT8;
-  return is_lost_too_often (task);
+  struct mt_task_loss loss = { .losses = task->losses,
+                               .crashes = task->crashes,
+                               .suspect = task->suspect,
+                               .settle_ms = task->settle_ms,
+                               .observed_ms = mt_task_observed_ms (task) };
+
+  if (task->unlocated)
+    return task->loss;
+  if (!mt_task_may_have_begun (task))
+    return loss;
+  if (mt_task_step (task)->long_running && loss.observed_ms >= LONG_RUNNING_SETTLED_MS)
+    loss.losses = loss.crashes = 0;
+  if (crash->announced)
+    {
+      if (task->suspect)
+        count_unexamined_loss (&loss);
+    }
+  /* The crash is attributed to another job: this task was only on the same worker. */
+  else if (crash->attributed && crash->sole_job != task->occ->job)
+    count_unexamined_loss (&loss);
+  else
+    count_crash_loss (task, crash, &loss);
+  return loss;
 }
 
-/* Returns true if the task's job is to be given up. */
-static bool
-record_loss (struct mt_task *task, const struct crash *crash, bool announced)
+struct mt_task_loss
+mt_task_assess_recorded_loss (const struct mt_task *task)
 {
-  if (!may_have_begun (task))
-    return false;
-  if (mt_task_step (task)->long_running && mt_task_observed_ms (task) >= LONG_RUNNING_SETTLED_MS)
-    task->losses = task->crashes = 0;
-  if (announced)
-    return task->suspect && count_unexamined_loss (task);
-  /* The crash is attributed to another job: this task was only on the same worker. */
-  if (crash->attributed && crash->sole_job != task->occ->job)
-    return count_unexamined_loss (task);
-  return count_crash_loss (task, crash);
+  struct mt_task_loss loss = {
+    .losses = task->losses, .crashes = task->crashes, .suspect = true, .settle_ms = task->settle_ms
+  };
+
+  loss.crashes += mt_task_has_begun (task) && loss.crashes < G_MAXUINT8;
+  count_unexamined_loss (&loss);
+  return loss;
 }
 
-GPtrArray *
-mt_worker_count_losses (struct mt_scheduler *sched,
-                        struct mt_worker *w,
-                        bool incarnation_ended,
-                        int64_t now)
+void
+mt_task_apply_loss (struct mt_task *task, const struct mt_task_loss *loss)
 {
-  GPtrArray *given_up = g_ptr_array_new ();
-  bool announced = has_left_as_announced (w);
-  struct crash crash;
-
-  if (!announced && w->silent_since == 0)
-    mt_worker_record_silence (w, now);
-  crash = analyze_crash (sched, w, incarnation_ended);
-  for (GList *l = w->tasks.head; l != NULL; l = l->next)
-    {
-      if (record_loss (l->data, &crash, announced))
-        g_ptr_array_add (given_up, l->data);
-    }
-  return given_up;
+  task->losses = loss->losses;
+  task->crashes = loss->crashes;
+  task->suspect = loss->suspect;
+  task->settle_ms = loss->settle_ms;
+  task->occ->has_suspects |= loss->suspect;
 }
 
 void
@@ -253,8 +249,12 @@
 {
   for (unsigned k = 0; k < job->n_occurrences; k++)
     for (unsigned i = 0; job->occurrences[k] != NULL && i < job->occurrences[k]->n_tasks; i++)
-      if (is_lost_too_often (&job->occurrences[k]->tasks[i]))
-        mt_task_give_up (sched, &job->occurrences[k]->tasks[i], now);
+      {
+        struct mt_task *task = &job->occurrences[k]->tasks[i];
+
+        if (is_lost_too_often (task->losses, task->crashes))
+          mt_task_give_up (sched, task, now);
+      }
 }
 
 /* ---- isolation ---- */
--- /dev/null
+++ b/core/scheduler/scheduler_incarnations.c
@@ -0,0 +1,218 @@
+/* Incarnations of workers. A worker may restart under its id, and its registry entry shows it some
+ * time after the new incarnation has begun to answer. Orders name the worker by its id, so an order
+ * that was meant for one incarnation may be carried out by the next. A run therefore counts as lost
+ * with an incarnation only if that incarnation is known to have had it; otherwise the first listing
+ * of the present one decides. */
+#include "scheduler_internal.h"
+
+/* How long an order may be under way and still be carried out. */
+#define LATE_ORDER_MS 2000
+
+enum mt_incarnation
+mt_worker_compare_incarnation (const struct mt_worker *w, int64_t started_at, int64_t requested_at)
+{
+  if (started_at == 0 || w->started_at == 0 || started_at == w->started_at)
+    return MT_INCARNATION_PRESENT;
+  if (started_at == w->former_started_at)
+    return MT_INCARNATION_FORMER;
+  /* The wall clock of a worker's machine may have been set back over the restart. */
+  if (started_at < w->started_at && requested_at <= w->incarnation_since)
+    return MT_INCARNATION_FORMER;
+  return MT_INCARNATION_NEXT;
+}
+
+bool
+mt_worker_is_addressed (const struct mt_worker *w, const struct mt_sent_order *order)
+{
+  return order->worker_started_at == 0 || order->worker_started_at == w->started_at;
+}
+
+void
+mt_worker_set_incarnation (struct mt_worker *w, int64_t started_at, int64_t now)
+{
+  w->started_at = started_at;
+  w->incarnation_since = now;
+}
+
+/* ---- runs that may be in either incarnation ---- */
+
+bool
+mt_task_may_have_begun (const struct mt_task *task)
+{
+  return task->inherited || task->start_retries > 0 || task->state == MT_TASK_RUNNING
+         || task->state == MT_TASK_STOPPING
+         || (task->state == MT_TASK_ORDERED && !task->order_queued);
+}
+
+void
+mt_task_begin_location (struct mt_scheduler *sched,
+                        struct mt_task *task,
+                        const struct mt_task_loss *loss,
+                        int64_t now)
+{
+  /* One start counts as one loss, however often the worker restarts before it is located. */
+  if (!task->unlocated)
+    {
+      task->unlocated = true;
+      task->loss = *loss;
+      task->worker->unlocated_tasks++;
+    }
+  task->incarnation = 0;
+  task->begun_at = 0;
+  task->percent = 0;
+  task->stop_acked = false;
+  if (mt_task_step (task)->long_running && task->unavailable_since == 0)
+    task->unavailable_since = now;
+  if (task->state == MT_TASK_RUNNING)
+    {
+      task->state = MT_TASK_ORDERED;
+      task->state_since = now;
+    }
+  if (task->state == MT_TASK_ORDERED && task->order_queued)
+    {
+      /* A start that was to be resent is not sent to an incarnation that may not suit the task. */
+      mt_task_dequeue (sched, task);
+      task->unconfirmed = true;
+    }
+  if (task->state == MT_TASK_STOPPING && !task->order_queued && !task->order_in_flight)
+    {
+      task->acked_at = 0;
+      task->order_queued = true;
+      g_queue_push_tail (&sched->stops, task);
+    }
+}
+
+void
+mt_task_end_location (struct mt_task *task)
+{
+  if (!task->unlocated)
+    return;
+  task->unlocated = false;
+  task->worker->unlocated_tasks--;
+}
+
+void
+mt_task_locate (struct mt_task *task, int64_t incarnation)
+{
+  mt_task_end_location (task);
+  task->incarnation = incarnation;
+}
+
+void
+mt_task_lose_unlocated (struct mt_scheduler *sched, struct mt_task *task, int64_t now)
+{
+  struct mt_task_loss loss = task->loss;
+  struct mt_worker *w = task->worker;
+
+  mt_task_apply_loss (task, &loss);
+  mt_task_log_event (
+      sched, task, w, "TASK_LOST",
+      "why=not listed after restart state=%s seen_ms=%" G_GINT64_FORMAT " losses=%u suspect=%d",
+      mt_task_state_names[task->state], loss.observed_ms, task->losses, task->suspect);
+  task->avoided = w;
+  mt_task_set_waiting (sched, task, now);
+  if (loss.gives_up)
+    mt_task_give_up (sched, task, now);
+}
+
+void
+mt_task_handle_unlocated (struct mt_scheduler *sched,
+                          struct mt_task *task,
+                          int64_t requested_at,
+                          int64_t now)
+{
+  bool requested_after_ack = task->acked_at != 0 && requested_at > task->acked_at;
+
+  if (task->state == MT_TASK_STOPPING)
+    {
+      if (task->stop_acked && requested_after_ack)
+        mt_task_lose_unlocated (sched, task, now);
+    }
+  /* Since this leader's first hold, the incarnation refuses the previous leader's orders. */
+  else if (task->inherited || (requested_after_ack && task->start_retries == 0))
+    mt_task_lose_unlocated (sched, task, now);
+  /* A copy of the start may still be carried out; after a stop it will not be. */
+  else if (requested_after_ack || (task->unconfirmed && requested_at > task->state_since))
+    mt_task_stop (sched, task, now);
+}
+
+/* ---- restarts ---- */
+
+/* Forgets the orphaned runs that the former incarnation listed. */
+static void
+forget_orphans (struct mt_scheduler *sched, struct mt_worker *w)
+{
+  GList *next;
+
+  for (GList *l = sched->orphaned_runs.head; l != NULL; l = next)
+    {
+      struct mt_orphaned_run *orphan = l->data;
+
+      next = l->next;
+      if (orphan->worker != w)
+        continue;
+      g_queue_delete_link (&sched->orphaned_runs, l);
+      g_free (orphan->task);
+      g_free (orphan);
+    }
+  w->orphaned_runs = 0;
+}
+
+/* Returns whether the former incarnation is known to have had the run, or no incarnation can. */
+static bool
+has_ended_with_former (const struct mt_task *task)
+{
+  return task->incarnation != 0 || !mt_task_may_have_begun (task);
+}
+
+static void
+reset_state (struct mt_worker *w)
+{
+  w->listed_since = w->incarnation_since;
+  w->ended = w->leaving = false;
+  w->confirmed = false;
+  w->answer_lost = false;
+  w->clock_at = 0;
+  w->start_sent_at = 0;
+  w->listing_at = w->listing_requested_at = w->listed_before_at = 0;
+  w->applied_end = w->durable_end = 0;
+  mt_worker_clear_ends (w);
+  w->failures = w->successes = 0;
+  w->slowness = 1.0;
+  mt_worker_forget_speed (w);
+  w->avoid_until = 0;
+  w->avoid_count = 0;
+  w->silent_since = w->answered_at = 0;
+  w->lost_holds = 0;
+  w->next_hold_at = 0;
+}
+
+void
+mt_worker_begin_incarnation (struct mt_scheduler *sched,
+                             struct mt_worker *w,
+                             int64_t started_at,
+                             int64_t now)
+{
+  g_autoptr (GPtrArray) lost = g_ptr_array_new ();
+  struct mt_crash crash = mt_worker_assess_crash (sched, w, true, now);
+
+  for (GList *l = w->tasks.head; l != NULL; l = l->next)
+    {
+      struct mt_task_loss loss = mt_task_assess_loss (l->data, &crash);
+
+      if (has_ended_with_former (l->data))
+        g_ptr_array_add (lost, l->data);
+      else
+        mt_task_begin_location (sched, l->data, &loss, now);
+    }
+  mt_worker_release (sched, w, lost, &crash, now, "reborn");
+  forget_orphans (sched, w);
+  w->former_started_at = w->started_at;
+  mt_worker_set_incarnation (w, started_at, now);
+  w->entry_is_former = true;
+  reset_state (w);
+  /* The new incarnation may carry out orders, also late, whose leases were given on the former
+   * one's clock. These lie far ahead on its own, and it grants its longest lease instead. */
+  w->lease_end = 0;
+  mt_worker_record_lease (w, LATE_ORDER_MS + sched->settings.max_lease_ms, now);
+}
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -20,6 +20,17 @@
 struct mt_occurrence;
 struct mt_worker;
 
+/* What the loss of a worker means for one of its tasks. */
+struct mt_task_loss
+{
+  uint8_t losses; /* the task's counts with this loss */
+  uint8_t crashes;
+  bool suspect;
+  bool gives_up; /* the task's job is to be given up */
+  int64_t settle_ms;
+  int64_t observed_ms; /* how long the lost run is known to have run */
+};
+
 struct mt_task
 {
   struct mt_occurrence *occ;
@@ -41,7 +52,8 @@
   bool inherited; /* ordered by the previous leader and not listed by its worker since */
   bool begun_under_predecessor; /* the previous leader recorded that the run had begun */
   bool suspect;                 /* its last run may have crashed its worker */
-  bool isolated; /* suspect whose run has not settled; no other job's task starts on its worker */
+  bool unlocated; /* the worker has restarted, and the run may be in either incarnation */
+  bool isolated;  /* suspect whose run has not settled; no other job's task starts on its worker */
   uint32_t run;
   uint32_t listing; /* number of the worker's listing that last contained the run */
   int64_t
@@ -54,6 +66,9 @@
   int64_t predecessor_stop_by; /* time by which the previous leader's stops have taken effect */
   int64_t unavailable_since;   /* of a long-running task: start of its unavailability; 0: at work */
   int64_t gauge;               /* as last reported; see struct mt_run_row */
+  int64_t placed_on;           /* incarnation of the worker known as the task was placed; 0: none */
+  int64_t incarnation;         /* ... that is known to have the run; 0: not known */
+  struct mt_task_loss loss;    /* while unlocated: takes effect if the run was lost */
   struct mt_worker *worker;
   struct mt_worker *avoided; /* worker where the last run ended badly; never dereferenced */
   char *checkpoint;
@@ -159,7 +174,10 @@
 struct mt_worker
 {
   char *id;
-  int64_t started_at;
+  int64_t started_at;        /* identifies the present incarnation; 0: unknown */
+  int64_t former_started_at; /* ... the one before; 0: none known */
+  int64_t incarnation_since; /* when the present incarnation was first heard of */
+  bool entry_is_former;      /* the registry entry is of a former incarnation */
   char *address;
   const char *zone; /* interned; NULL: unknown */
   char **labels;
@@ -207,6 +225,8 @@
   unsigned avoid_count;
   unsigned orphaned_runs; /* orphaned runs in its last listing; not counted in used */
   unsigned lost_holds;    /* consecutive holds without an answer */
+  bool answer_lost;       /* an order or hold got no answer since the last listing */
+  unsigned unlocated_tasks;
   unsigned isolated_tasks;
   const struct mt_job *isolated_job; /* job of all isolated tasks on the worker */
   unsigned orders_in_flight;
@@ -245,6 +265,17 @@
   unsigned run;
 };
 
+/* The known circumstances of a worker's loss. */
+struct mt_crash
+{
+  bool incarnation_ended; /* the worker crashed; otherwise its lease expired and it may run on */
+  bool announced;         /* it announced that it would leave and then answered for a while */
+  bool with_others;       /* another worker became silent at about the same time */
+  bool in_instability;    /* many others did: a rack, a link, workers that keep restarting */
+  const struct mt_job *sole_job; /* job of all unsettled runs; NULL: no such run, or several jobs */
+  bool attributed;               /* sole_job was isolated on the worker */
+};
+
 struct mt_scheduler
 {
   struct mt_scheduler_settings settings;
@@ -439,11 +470,9 @@
 /* scheduler_workers.c */
 /* Returns the worker, created if needed. */
 struct mt_worker *mt_scheduler_get_worker (struct mt_scheduler *sched, const char *id);
-/* Resets the worker for a new incarnation: runs, ends and clock of the previous one are gone. */
-void mt_worker_begin_incarnation (struct mt_scheduler *sched,
-                                  struct mt_worker *w,
-                                  int64_t started_at,
-                                  int64_t now);
+/* The worker's present incarnation has ended; as mt_scheduler_worker_ended. */
+void
+mt_worker_end (struct mt_scheduler *sched, struct mt_worker *w, int64_t now, const char *proof);
 bool mt_worker_accepts_work (const struct mt_worker *w, int64_t now);
 /* Returns whether the worker's tasks use more resources than it has, as after it has shrunk. */
 bool mt_worker_is_overcommitted (const struct mt_worker *w);
@@ -462,29 +491,86 @@
                                struct mt_worker *w,
                                bool succeeded,
                                int64_t now);
-/* Sets all tasks of the worker waiting. Requires that none of them can run there any more: the
- * worker's incarnation has ended, or its lease has expired. */
+/* Sets tasks of the worker waiting and gives up the jobs that the loss is attributed to. Requires
+ * that none of the tasks can run there any more. */
+void mt_worker_release (struct mt_scheduler *sched,
+                        struct mt_worker *w,
+                        const GPtrArray *tasks,
+                        const struct mt_crash *crash,
+                        int64_t now,
+                        const char *why);
+/* Does this with all tasks of the worker: its incarnation has ended, or its lease has expired. */
 void mt_worker_release_tasks (struct mt_scheduler *sched,
                               struct mt_worker *w,
                               bool incarnation_ended,
                               int64_t now,
                               const char *why);
+/* Returns whether the clock reading in the answer to an order can be of the known incarnation: the
+ * clock starts anew with each. */
+bool mt_worker_clock_is_continued (const struct mt_worker *w, int64_t clock_ms, int64_t sent_at);
 void mt_worker_update_clock (struct mt_worker *w, int64_t clock_ms, int64_t now);
 int64_t mt_worker_lease_end (const struct mt_worker *w, int64_t now, int64_t lease_ms);
 void mt_worker_record_lease (struct mt_worker *w, int64_t lease_ms, int64_t now);
 
+/* scheduler_incarnations.c */
+enum mt_incarnation
+{
+  MT_INCARNATION_PRESENT, /* the one known, or not reported */
+  MT_INCARNATION_FORMER,
+  MT_INCARNATION_NEXT,
+};
+
+/* Compares a reported start time with that of the known incarnation. requested_at: when the report
+ * was requested; 0 for a registry entry, which may be older than any answer. */
+enum mt_incarnation
+mt_worker_compare_incarnation (const struct mt_worker *w, int64_t started_at, int64_t requested_at);
+/* Returns whether the order was sent to the present incarnation. */
+bool mt_worker_is_addressed (const struct mt_worker *w, const struct mt_sent_order *order);
+/* Sets the first known incarnation. */
+void mt_worker_set_incarnation (struct mt_worker *w, int64_t started_at, int64_t now);
+/* Resets the worker for a new incarnation. Tasks that the former one is known to have run are lost;
+ * those that may run in the new one stay unlocated until it lists them or not. */
+void mt_worker_begin_incarnation (struct mt_scheduler *sched,
+                                  struct mt_worker *w,
+                                  int64_t started_at,
+                                  int64_t now);
+/* Returns whether the start may have been sent. */
+bool mt_task_may_have_begun (const struct mt_task *task);
+/* Makes the task unlocated: its run may be in the worker's present or in a former incarnation. */
+void mt_task_begin_location (struct mt_scheduler *sched,
+                             struct mt_task *task,
+                             const struct mt_task_loss *loss,
+                             int64_t now);
+/* The incarnation is known to have the task's run. */
+void mt_task_locate (struct mt_task *task, int64_t incarnation);
+/* To be called when the task leaves its worker. */
+void mt_task_end_location (struct mt_task *task);
+/* The unlocated task's run was lost with a former incarnation. */
+void mt_task_lose_unlocated (struct mt_scheduler *sched, struct mt_task *task, int64_t now);
+/* Handles an unlocated task that the present incarnation does not list. requested_at: of the
+ * listing. */
+void mt_task_handle_unlocated (struct mt_scheduler *sched,
+                               struct mt_task *task,
+                               int64_t requested_at,
+                               int64_t now);
+
 /* scheduler_crashes.c */
 /* Returns whether the task's run is known to have begun. */
 bool mt_task_has_begun (const struct mt_task *task);
 /* Returns how long the run is known to have run; 0 if it is not known to have begun. */
 int64_t mt_task_observed_ms (const struct mt_task *task);
 void mt_worker_record_silence (struct mt_worker *w, int64_t now);
-/* Counts the loss of a worker for each of its tasks; to be called before they are released. Returns
- * the tasks whose jobs are to be given up (free with g_ptr_array_unref). */
-GPtrArray *mt_worker_count_losses (struct mt_scheduler *sched,
-                                   struct mt_worker *w,
-                                   bool incarnation_ended,
-                                   int64_t now);
+/* Assesses the loss of a worker, before any of its tasks is released. */
+struct mt_crash mt_worker_assess_crash (struct mt_scheduler *sched,
+                                        struct mt_worker *w,
+                                        bool incarnation_ended,
+                                        int64_t now);
+/* Returns what the loss of the worker means for its task. Of an unlocated task it is what the loss
+ * of the former incarnation has meant. */
+struct mt_task_loss mt_task_assess_loss (const struct mt_task *task, const struct mt_crash *crash);
+/* ... of an inherited task whose worker has restarted since its start was recorded. */
+struct mt_task_loss mt_task_assess_recorded_loss (const struct mt_task *task);
+void mt_task_apply_loss (struct mt_task *task, const struct mt_task_loss *loss);
 void mt_task_give_up (struct mt_scheduler *sched, struct mt_task *task, int64_t now);
 /* Gives up the job if one of its tasks has had too many losses by its stored record. */
 void mt_job_give_up_lost (struct mt_scheduler *sched, struct mt_job *job, int64_t now);
--- a/core/scheduler/scheduler_orders.c
+++ b/core/scheduler/scheduler_orders.c
@@ -58,6 +58,23 @@
   order->ticket = ticket != NULL ? ticket->text : NULL;
 }
 
+/* Returns whether the worker has answered all orders since a recent listing. Otherwise it may have
+ * restarted meanwhile. */
+static bool
+has_listed_lately (const struct mt_worker *w, int64_t now)
+{
+  return !w->answer_lost && w->listing_at != 0 && now - w->listing_at < MAX_HOLD_ROUND_TRIP_MS;
+}
+
+/* Returns the longest lease that the worker may grant for an order sent now. The end of a lease is
+ * a reading of the worker's clock; if the worker has restarted, its clock has, too, and the reading
+ * lies beyond its longest lease. */
+static int64_t
+granted_lease_ms (const struct mt_scheduler *sched, const struct mt_worker *w, int64_t now)
+{
+  return has_listed_lately (w, now) ? sched->settings.lease_ms : sched->settings.max_lease_ms;
+}
+
 static struct mt_task *
 pop_sendable_task (GQueue *queue)
 {
@@ -117,7 +134,7 @@
   order->kind = MT_ORDER_START;
   init_order (sched, task, order, now);
   task->worker->start_sent_at = now;
-  mt_worker_record_lease (task->worker, sched->settings.lease_ms, now);
+  mt_worker_record_lease (task->worker, granted_lease_ms (sched, task->worker, now), now);
   return true;
 }
 
@@ -160,7 +177,11 @@
 {
   bool losing_orders = sched->order_lost_at != 0 && now - sched->order_lost_at < LOST_ORDER_MS;
 
-  return losing_orders || w->isolated_tasks > 0 ? SHORT_HOLD_WAIT_MS : MT_HOLD_WAIT_MS;
+  /* The worker may have restarted. */
+  if (w->lost_holds > 0)
+    return 0;
+  return losing_orders || w->isolated_tasks > 0 || w->unlocated_tasks > 0 ? SHORT_HOLD_WAIT_MS
+                                                                          : MT_HOLD_WAIT_MS;
 }
 
 static bool
@@ -181,7 +202,7 @@
       w->hold_sent_at = now;
       order->kind = MT_ORDER_HOLD;
       address_order (w, order);
-      order->acked_end = w->durable_end;
+      order->acked_end = has_listed_lately (w, now) ? w->durable_end : 0;
       order->wait_ms
           = w->tasks.length > 0 && w->confirmed && !blocked ? hold_wait_ms (sched, w, now) : 0;
       /* Holds to a silent worker don't renew the lease: a hold without an answer may have been
@@ -191,7 +212,8 @@
       if (w->silent_since == 0 || mt_scheduler_is_link_late (sched, now))
         {
           order->lease_end_ms = mt_worker_lease_end (w, now, sched->settings.lease_ms);
-          mt_worker_record_lease (w, sched->settings.lease_ms, now);
+          if (order->lease_end_ms != 0)
+            mt_worker_record_lease (w, granted_lease_ms (sched, w, now), now);
         }
       return true;
     }
--- a/core/scheduler/scheduler_record.c
+++ b/core/scheduler/scheduler_record.c
@@ -46,18 +46,30 @@
     }
 }
 
+/* Returns the incarnation that the task was placed on, unless a later one is known to have its run.
+ * A successor counts the loss of an unlocated run, unless the present incarnation lists it. */
+static int64_t
+recorded_incarnation (const struct mt_task *task)
+{
+  if (task->worker == NULL)
+    return 0;
+  if (task->incarnation != 0)
+    return task->incarnation;
+  return task->placed_on != 0 ? task->placed_on : task->worker->started_at;
+}
+
 static void
 append_task (GString *out, const struct mt_task *task, bool first)
 {
   g_string_append_printf (out, "%s[%u,%u,%u,%u,%u,", first ? "" : ",", task->occ->number,
                           task->step, task->index, task->run, task->attempts);
   mt_json_append_string (out, task->worker != NULL ? task->worker->id : "");
-  g_string_append_printf (out, ",%" G_GINT64_FORMAT ",",
-                          task->worker != NULL ? task->worker->started_at : 0);
+  g_string_append_printf (out, ",%" G_GINT64_FORMAT ",", recorded_incarnation (task));
   mt_json_append_string (out, task->checkpoint);
-  if (task->losses > 0)
+  if (task->losses > 0 || task->unlocated)
     g_string_append_printf (out, ",%u,%u,%d,%d", task->losses, task->crashes, task->suspect,
-                            task->worker != NULL && mt_task_has_begun (task));
+                            task->unlocated ? task->loss.crashes > task->crashes
+                                            : task->worker != NULL && mt_task_has_begun (task));
   g_string_append_c (out, ']');
 }
 
@@ -162,22 +174,21 @@
    * runs of the present one would otherwise count as ended, and run twice. */
   if (w->started_at != 0 && started_at > w->started_at)
     mt_worker_begin_incarnation (sched, w, started_at, now);
-  if (started_at != 0 && w->started_at != 0 && w->started_at != started_at)
-    {
-      /* The run's incarnation of the worker has ended, and the run with it. */
-      task->losses += task->losses < G_MAXUINT8;
-      task->crashes += begun && task->crashes < G_MAXUINT8;
-      task->suspect = true;
-      occ->has_suspects = true;
-      return;
-    }
   if (w->started_at == 0)
-    w->started_at = started_at;
+    mt_worker_set_incarnation (w, started_at, now);
   task->run--; /* placing increments it */
   mt_task_place (sched, task, w, now);
   task->state = MT_TASK_ORDERED;
   task->inherited = true;
   task->begun_under_predecessor = begun;
+  task->placed_on = started_at;
+  /* The worker has restarted, but it may have done so before it carried out the start. */
+  if (started_at != 0 && w->started_at != started_at)
+    {
+      struct mt_task_loss loss = mt_task_assess_recorded_loss (task);
+
+      mt_task_begin_location (sched, task, &loss, now);
+    }
   mt_worker_record_lease (
       w, MT_OUTAGE_EVIDENCE_MS + MT_EVIDENCE_TRANSIT_MS + MT_MAX_WORKER_LEASE_MS, now);
 }
--- a/core/scheduler/scheduler_tasks.c
+++ b/core/scheduler/scheduler_tasks.c
@@ -99,6 +99,7 @@
   if (w == NULL)
     return;
   mt_task_end_isolation (task);
+  mt_task_end_location (task);
   g_queue_unlink (&w->tasks, &task->link);
   add_usage (w, mt_task_step (task), -1);
   mt_account_add_usage (mt_job_account (sched, task->occ->job), mt_task_step (task), -1);
@@ -129,6 +130,8 @@
   task->predecessor_stop_by = 0;
   task->unconfirmed = task->stop_acked = task->order_in_flight = false;
   task->inherited = task->begun_under_predecessor = false;
+  task->incarnation = 0;
+  task->placed_on = w->started_at;
   task->run++;
   task->worker = w;
   task->link.data = task;
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -37,30 +37,6 @@
   return false;
 }
 
-void
-mt_worker_begin_incarnation (struct mt_scheduler *sched,
-                             struct mt_worker *w,
-                             int64_t started_at,
-                             int64_t now)
-{
-  mt_worker_release_tasks (sched, w, true, now, "reborn");
-  w->started_at = started_at;
-  w->listed_since = now;
-  w->ended = w->leaving = false;
-  w->confirmed = false;
-  w->clock_at = 0;
-  w->start_sent_at = 0;
-  w->lease_end = 0;
-  w->applied_end = w->durable_end = 0;
-  mt_worker_clear_ends (w);
-  w->failures = w->successes = 0;
-  w->slowness = 1.0;
-  mt_worker_forget_speed (w);
-  w->avoid_until = 0;
-  w->silent_since = w->answered_at = 0;
-  w->next_hold_at = 0;
-}
-
 /* Withdraws a queued start. If it was never sent, the task can be placed elsewhere at once. If it
  * was to be resent, its run may have begun and is stopped. */
 static void
@@ -124,12 +100,21 @@
   struct mt_worker *w = mt_scheduler_get_worker (sched, entry->id);
   bool resized;
 
-  if (entry->started_at_ms != 0 && w->started_at != 0 && entry->started_at_ms > w->started_at)
-    mt_worker_begin_incarnation (sched, w, entry->started_at_ms, now);
-  else if (entry->started_at_ms != 0 && w->started_at == 0)
-    w->started_at = entry->started_at_ms;
+  switch (mt_worker_compare_incarnation (w, entry->started_at_ms, 0))
+    {
+    case MT_INCARNATION_FORMER:
+      return;
+    case MT_INCARNATION_NEXT:
+      mt_worker_begin_incarnation (sched, w, entry->started_at_ms, now);
+      break;
+    default:
+      if (w->started_at == 0)
+        mt_worker_set_incarnation (w, entry->started_at_ms, now);
+      break;
+    }
   if (w->ended)
     return;
+  w->entry_is_former = false;
   if (!w->listed)
     {
       w->listed_since = now;
@@ -168,6 +153,17 @@
                           w->tasks.length, w->silent_since != 0);
 }
 
+void
+mt_worker_end (struct mt_scheduler *sched, struct mt_worker *w, int64_t now, const char *proof)
+{
+  if (w->ended)
+    return;
+  mt_worker_release_tasks (sched, w, true, now, proof);
+  w->ended = true;
+  w->listed = false;
+  mt_worker_forget_speed (w);
+}
+
 void
 mt_scheduler_worker_ended (struct mt_scheduler *sched,
                            const char *id,
@@ -176,12 +172,8 @@
 {
   struct mt_worker *w = g_hash_table_lookup (sched->workers, id);
 
-  if (w == NULL || w->ended)
-    return;
-  mt_worker_release_tasks (sched, w, true, now, proof);
-  w->ended = true;
-  w->listed = false;
-  mt_worker_forget_speed (w);
+  if (w != NULL)
+    mt_worker_end (sched, w, now, proof);
 }
 
 void
@@ -234,14 +226,41 @@
                          int64_t now,
                          const char *why)
 {
-  g_autoptr (GPtrArray) given_up = mt_worker_count_losses (sched, w, incarnation_ended, now);
+  struct mt_crash crash = mt_worker_assess_crash (sched, w, incarnation_ended, now);
+  g_autoptr (GPtrArray) tasks = g_ptr_array_sized_new (w->tasks.length);
+
+  for (GList *l = w->tasks.head; l != NULL; l = l->next)
+    g_ptr_array_add (tasks, l->data);
+  mt_worker_release (sched, w, tasks, &crash, now, why);
+}
+
+void
+mt_worker_release (struct mt_scheduler *sched,
+                   struct mt_worker *w,
+                   const GPtrArray *tasks,
+                   const struct mt_crash *crash,
+                   int64_t now,
+                   const char *why)
+{
+  g_autoptr (GPtrArray) given_up = g_ptr_array_new ();
 
-  if (w->tasks.length > 0)
+  if (tasks->len > 0)
     log_worker_lost (sched, w, now, why);
-  while (w->tasks.length > 0)
+  for (guint i = 0; i < tasks->len; i++)
+    {
+      struct mt_task_loss loss = mt_task_assess_loss (tasks->pdata[i], crash);
+
+      mt_task_apply_loss (tasks->pdata[i], &loss);
+      if (loss.gives_up)
+        g_ptr_array_add (given_up, tasks->pdata[i]);
+    }
+  for (guint i = 0; i < tasks->len; i++)
     {
-      struct mt_task *task = g_queue_peek_head (&w->tasks);
+      struct mt_task *task = tasks->pdata[i];
 
+      /* The end of another one's job may have released it. */
+      if (task->worker != w)
+        continue;
       mt_task_log_event (sched, task, w, "TASK_LOST",
                          "why=%s state=%s seen_ms=%" G_GINT64_FORMAT " losses=%u suspect=%d", why,
                          mt_task_state_names[task->state], mt_task_observed_ms (task), task->losses,
@@ -256,8 +275,9 @@
 bool
 mt_worker_accepts_work (const struct mt_worker *w, int64_t now)
 {
-  return w->listed && w->confirmed && !w->leaving && !w->ended && w->silent_since == 0
-         && w->cordon_until <= now && w->avoid_until <= now && w->orphaned_runs == 0;
+  return w->listed && w->confirmed && !w->entry_is_former && !w->leaving && !w->ended
+         && w->silent_since == 0 && w->cordon_until <= now && w->avoid_until <= now
+         && w->orphaned_runs == 0;
 }
 
 bool
@@ -359,6 +379,16 @@
   w->clock_at = now;
 }
 
+bool
+mt_worker_clock_is_continued (const struct mt_worker *w, int64_t clock_ms, int64_t sent_at)
+{
+  if (clock_ms < 0 || w->clock_at == 0)
+    return true;
+  if (sent_at > w->clock_at)
+    return clock_ms >= min_clock_ms (w, sent_at);
+  return clock_ms >= w->clock_ms - (w->clock_at - sent_at);
+}
+
 /* Returns the end of a lease granted now, on the worker's clock; 0 if the clock is unknown. It
  * counts from the clock's lowest possible reading, so that no lease is longer than intended. */
 int64_t
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -150,6 +150,7 @@
   const struct mt_fleet_bounds *b = &f->settings->bounds;
 
   return (struct mt_scheduler_settings){ .lease_ms = MIN (MT_MAX_WORKER_LEASE_MS, b->max_hold_ms),
+                                         .max_lease_ms = b->max_hold_ms,
                                          .remote_factor = b->remote_factor,
                                          .retention_ms = (int64_t) (1000 * b->status_s),
                                          .stop_grace_ms = b->stop_grace_ms,
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -37,6 +37,7 @@
 {
   const char *name;      /* of the pool */
   int64_t lease_ms;      /* of the lease that each hold grants; at most MT_MAX_WORKER_LEASE_MS */
+  int64_t max_lease_ms;  /* longest lease that a worker grants, whatever is requested */
   double remote_factor;  /* run time on a worker outside the step's rack, relative to one inside */
   int64_t retention_ms;  /* shortest time for which a job's records are kept after its end */
   int64_t stop_grace_ms; /* longest time that a run goes on after it was ordered to stop */
--- a/tests/scheduler/property_scheduler.cpp
+++ b/tests/scheduler/property_scheduler.cpp
@@ -1,7 +1,8 @@
-/* Workers fall silent, lose orders or execute them late, restart, are crashed by tasks, shrink,
- * grow and leave. Leaders die during a cancellation, their links are slow or stall for seconds, the
- * store fails, and callers submit and cancel jobs at any moment. Once all faults are over, no
- * unwanted task runs, and every wanted task runs exactly once. */
+/* Workers fall silent, lose orders or execute them late, restart under their ids at once or later
+ * and before the registry shows it, are crashed by tasks, shrink, grow and leave. Leaders die
+ * during a cancellation, their links are slow or stall for seconds, the store fails, and callers
+ * submit and cancel jobs at any moment. Once all faults are over, no unwanted task runs, and every
+ * wanted task runs exactly once. */
 #include <glib.h>
 
 extern "C"
@@ -63,6 +64,7 @@
   inject_fault,
   heal,
   reboot,
+  restart,
   crash,
   resize,
   leave,
@@ -78,23 +80,15 @@
 std::ostream &
 operator<< (std::ostream &out, Step step)
 {
-  static const char *const names[] = { "submit",
-                                       "submit_crashing",
-                                       "cancel",
-                                       "cancel_unnotified",
-                                       "inject_fault",
-                                       "heal",
-                                       "reboot",
-                                       "crash",
-                                       "resize",
-                                       "leave",
-                                       "take_over",
-                                       "store_fails",
-                                       "store_recovers",
-                                       "slow_link",
-                                       "fast_link",
-                                       "stall_link",
-                                       "calm" };
+  static const char *const names[] = { "submit",       "submit_crashing",
+                                       "cancel",       "cancel_unnotified",
+                                       "inject_fault", "heal",
+                                       "reboot",       "restart",
+                                       "crash",        "resize",
+                                       "leave",        "take_over",
+                                       "store_fails",  "store_recovers",
+                                       "slow_link",    "fast_link",
+                                       "stall_link",   "calm" };
 
   return out << names[static_cast<int> (step)];
 }
@@ -177,6 +171,29 @@
   w->order_delay_ms = draw % 5 == 4 ? 900 : 0;
 }
 
+/* The registry shows the new incarnation up to two seconds after it has begun to answer. */
+void
+restart (Model &m, struct world_worker *w, unsigned draw)
+{
+  constexpr int64_t lags[] = { 0, 5, 60, 200, 500, 2000 };
+
+  w->leaving = false;
+  w->entry_lag_ms = lags[draw % G_N_ELEMENTS (lags)];
+  world_reboot (m.world, w);
+  w->entry_lag_ms = 0;
+}
+
+void
+crash (Model &m, struct world_worker *w, unsigned draw)
+{
+  constexpr int64_t downtimes_ms[] = { 10, 300, 1000, WORLD_DOWNTIME_MS };
+
+  m.world->downtime_ms = downtimes_ms[draw % G_N_ELEMENTS (downtimes_ms)];
+  if (w->recovers_at == 0)
+    world_crash (m.world, w);
+  m.world->downtime_ms = WORLD_DOWNTIME_MS;
+}
+
 void
 heal (struct world_worker *w)
 {
@@ -322,9 +339,11 @@
       w->leaving = false;
       world_reboot (m.world, w);
       return;
+    case Step::restart:
+      restart (m, w, draw / max_workers);
+      return;
     case Step::crash:
-      if (w->recovers_at == 0)
-        world_crash (m.world, w);
+      crash (m, w, draw / max_workers);
       return;
     case Step::resize:
       world_resize (m.world, w, static_cast<int64_t> (draw % 5) * task_cpu);
@@ -436,6 +455,7 @@
                                            { 3, Step::inject_fault },
                                            { 1, Step::heal },
                                            { 1, Step::reboot },
+                                           { 3, Step::restart },
                                            { 1, Step::leave },
                                            { 3, Step::take_over },
                                            { 1, Step::store_fails },
@@ -455,6 +475,7 @@
             generate_step (), rc::gen::inRange (0U, 1000U), rc::gen::inRange (5, 1500)));
     Model m;
 
+    m.world->answers_name_incarnation = *rc::gen::arbitrary<bool> ();
     for (const auto &[step, draw, ms] : steps)
       {
         apply_step (m, step, draw);
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -18,6 +18,7 @@
 static const struct mt_scheduler_settings settings = {
   .name = "pool",
   .lease_ms = 4500,
+  .max_lease_ms = WORLD_MAX_LEASE_MS,
   .remote_factor = 2,
   .retention_ms = 120000,
   .stop_grace_ms = 900,
@@ -81,6 +82,7 @@
   world->crashing_tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   world->crashes_by_task = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   world->crash_delay_ms = DEFAULT_CRASH_DELAY_MS;
+  world->downtime_ms = WORLD_DOWNTIME_MS;
   world->stopped_tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   world->active_at = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   world->writes = g_ptr_array_new_with_free_func (free_write);
@@ -436,7 +438,7 @@
 world_crash (struct world *world, struct world_worker *w)
 {
   w->crashes_at = 0;
-  w->recovers_at = world->now + WORLD_DOWNTIME_MS;
+  w->recovers_at = world->now + world->downtime_ms;
   drop_runs_and_ends (world, w);
 }
 
@@ -947,7 +949,7 @@
   if (world->task_cpu == 0 || order->kind != MT_ORDER_START
       || find_run (w, order->task, order->run, &index) != NULL)
     return;
-  if ((w->runs->len + 1) * world->task_cpu > w->resources.cpu)
+  if ((w->runs->len + 1) * world->task_cpu > w->entry.resources.cpu)
     world->overcommitting_starts++;
 }
 
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -11,7 +11,7 @@
 #define WORLD_MAX_RUNS    8192
 /* Tasks of jobs whose id starts with this character run until they are stopped. */
 #define WORLD_LONG_RUNNING_PREFIX 'L'
-/* A crashed worker restarts after this time. */
+/* A crashed worker restarts after this time unless the test sets another. */
 #define WORLD_DOWNTIME_MS 3000
 /* Longest lease that a worker grants, whatever the order asks for. */
 #define WORLD_MAX_LEASE_MS 6000
@@ -169,6 +169,7 @@
   GHashTable *active_at;     /* task -> when it was last active, or first started, in ms */
   GHashTable *stopped_tasks; /* set of tasks whose last run was stopped, until another is active */
   GHashTable *crashing_tasks;  /* tasks that crash any worker that starts them, to their starts */
+  int64_t downtime_ms;         /* of a crashed worker */
   int64_t crash_delay_ms;      /* from the start of a crashing task to the crash */
   GHashTable *crashes_by_task; /* tasks to the number of workers that crashed while running them */
   bool answers_name_incarnation; /* answers to orders carry the incarnation, like those to holds */
@@ -216,7 +217,7 @@
 /* Restarts the worker under the same id, without any of its former state. The registry shows it
  * after entry_lag_ms. */
 void world_reboot (struct world *world, struct world_worker *w);
-/* The worker loses its runs and answers nothing; it restarts after WORLD_DOWNTIME_MS. */
+/* The worker loses its runs and answers nothing; it restarts after downtime_ms. */
 void world_crash (struct world *world, struct world_worker *w);
 /* Makes the task crash every worker that starts it. */
 void world_add_crashing (struct world *world, const char *task);
