scheduler: labels and zone follow the worker's entry

What callers saw: a worker that crashes and starts again under its id as another kind kept its old labels at the pool's leader. A job that requires the new kind never started, and one that requires the old kind was started there.

Cause: mt_scheduler_update_worker took labels and zone from the first entry alone, whichever incarnation it was of.

--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -92,6 +92,19 @@
          || w->used.gpu > w->resources.gpu;
 }
 
+static void
+set_labels (struct mt_worker *w, const char *const *labels)
+{
+  static const char *const none[] = { NULL };
+
+  if (labels == NULL)
+    labels = none;
+  if (w->labels != NULL && g_strv_equal ((const char *const *) w->labels, labels))
+    return;
+  g_strfreev (w->labels);
+  w->labels = g_strdupv ((char **) labels);
+}
+
 void
 mt_scheduler_update_worker (struct mt_scheduler *sched,
                             const struct mt_worker_entry *entry,
@@ -133,10 +146,8 @@
       g_free (w->address);
       w->address = g_strdup (entry->address);
     }
-  if (w->zone == NULL)
-    w->zone = g_intern_string (entry->zone);
-  if (w->labels == NULL)
-    w->labels = g_strdupv ((char **) entry->labels);
+  w->zone = g_intern_string (entry->zone);
+  set_labels (w, entry->labels);
   sched->changed = true;
 }
 
--- a/tests/scheduler/test_incarnations.c
+++ b/tests/scheduler/test_incarnations.c
@@ -290,6 +290,54 @@
   world_destroy (world);
 }
 
+/* Guards against labels that are taken only once: a worker that restarts as another kind would get
+ * the tasks of its former kind, and none of its new one. */
+static void
+test_worker_that_restarts_as_another_kind_runs_its_new_kind (void **state)
+{
+  static const char *const kinds[] = { "a", "b" };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      struct world *world = create_pool ();
+      struct world_worker *w = &world->workers[0];
+      struct mt_job_spec *spec = world_job ("aa", JOB_TASKS, TASK_CPU, TASK_MS);
+
+      w->kind = "b";
+      w->entry_lag_ms = 0;
+      world_reboot (world, w);
+      world_run (world, 100);
+      spec->steps[0].label = g_strdup (kinds[i]);
+      world_submit (world, spec);
+      check_completed_once (world, "aa", JOB_TASKS);
+      assert_int_equal (w->n_starts, kinds[i][0] == 'b' ? JOB_TASKS : 0);
+      world_destroy (world);
+    }
+}
+
+/* Guards against tasks that start on a restarted worker by the labels of its former incarnation,
+ * before the registry shows its own. */
+static void
+test_restarted_worker_gets_no_work_before_its_entry (void **state)
+{
+  struct world *world = create_pool ();
+  struct world_worker *w = &world->workers[0];
+  struct mt_job_spec *spec = world_job ("bb", JOB_TASKS, TASK_CPU, TASK_MS);
+
+  submit (world, "aa", JOB_TASKS);
+  world_run (world, 100);
+  w->kind = "b";
+  w->entry_lag_ms = 2000;
+  world_reboot (world, w);
+  world_run (world, NOTICE_MS);
+  w->n_starts = 0;
+  spec->steps[0].label = g_strdup ("a");
+  world_submit (world, spec);
+  assert_true (world_run_until_state (world, "bb", MT_JOB_COMPLETED, 20000));
+  assert_int_equal (w->n_starts, 0);
+  world_destroy (world);
+}
+
 /* Guards against entries of the former incarnation that arrive after its successor was heard. */
 static void
 test_entry_of_the_former_incarnation_is_ignored (void **state)
@@ -343,6 +391,8 @@
     cmocka_unit_test (test_clock_of_the_former_incarnation_is_not_taken),
     cmocka_unit_test (test_answer_at_the_former_address_does_not_end_the_new_incarnation),
     cmocka_unit_test (test_restart_with_an_earlier_start_time),
+    cmocka_unit_test (test_worker_that_restarts_as_another_kind_runs_its_new_kind),
+    cmocka_unit_test (test_restarted_worker_gets_no_work_before_its_entry),
     cmocka_unit_test (test_entry_of_the_former_incarnation_is_ignored),
     cmocka_unit_test (test_crashing_task_is_given_up_when_workers_restart_at_once),
   };
