scheduler: ticket requests name every worker in turn

What callers saw: accepted jobs of a queue with advice never start (LOST) in a pool of more than 30 workers, while every worker is idle.

Cause: a request for tickets named the first 30 workers that take work in the order of the hash table. That order stays while the workers do, what had been asked was not kept, and so the same 30 were named twice a second and the others never.

scheduler_tickets.c now keeps, for each step, which workers the service has answered for; its answer does not change during a worker's incarnation. A request names those not known yet and those whose ticket has lapsed, first the ones with resources for the step, beginning behind the last one named, and the next request follows at once. Steps ask in the order in which they came to need tickets, three requests at a time: more would only wait at the service, which handles one at a time and refuses them beyond 32. A step also asks while all workers are busy. A failed or fruitless request schedules the next placing: before, nothing did. Tickets are dropped with the worker's incarnation (they were sent to the next one and refused) and with the job (they stayed for ever).

--- a/core/scheduler/scheduler.c
+++ b/core/scheduler/scheduler.c
@@ -119,25 +119,6 @@
   g_free (route);
 }
 
-void
-mt_ticket_free (void *data)
-{
-  struct mt_ticket *ticket = data;
-
-  g_free (ticket->text);
-  g_free (ticket);
-}
-
-static void
-free_step_tickets (void *data)
-{
-  struct mt_step_tickets *tickets = data;
-
-  g_hash_table_unref (tickets->tickets);
-  g_free (tickets->step_name);
-  g_free (tickets);
-}
-
 static void
 free_orphan (void *data)
 {
@@ -160,7 +141,7 @@
   sched->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_job);
   sched->routes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_route);
   sched->workers = g_hash_table_new (g_str_hash, g_str_equal);
-  sched->step_tickets = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_step_tickets);
+  sched->step_tickets = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, mt_step_tickets_free);
   sched->accounts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, mt_account_free);
   sched->dirty = g_ptr_array_new ();
   sched->owned_workers = g_ptr_array_new_with_free_func (free_worker);
@@ -399,6 +380,7 @@
   g_queue_push_tail_link (&sched->closed, &job->link);
   mt_job_mark_dirty (sched, job);
   mt_job_stop_tasks (sched, job, now);
+  mt_job_forget_tickets (sched, job);
   log_job_end (sched, job, now);
 }
 
--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -528,12 +528,7 @@
       || answer == MT_ANSWER_MALFORMED)
     w->avoid_until = MAX (w->avoid_until, now + REFUSAL_AVOID_MS);
   if (answer == MT_ANSWER_NO_TICKET)
-    {
-      char name[80];
-
-      mt_task_step_name (task, name, sizeof name);
-      g_hash_table_remove (sched->step_tickets, name);
-    }
+    mt_step_tickets_forget (mt_task_step_tickets (sched, task), w);
   task->not_before = now + TASK_RETRY_MS;
   mt_task_log_event (sched, task, w, "START_REFUSED", "why=%s", why[answer]);
   /* After a retry, an earlier copy of the start may still arrive and be accepted, and the task
--- a/core/scheduler/scheduler_candidates.c
+++ b/core/scheduler/scheduler_candidates.c
@@ -11,9 +11,6 @@
 
 /* Most tasks that run at a time on a worker that may be unhealthy. */
 #define MAX_TRIAL_TASKS 2U
-/* How long a ticket must still be valid when the task is placed: its start is first stored, then
- * sent. */
-#define TICKET_MARGIN_MS 200
 /* Cost advantage of a fully used worker, in multiples of a task's run time. If work is spread, no
  * machine becomes empty and can move to the pool with the surge: packing improves the worst windows
  * of calm days by 0.05 to 0.1. */
@@ -143,16 +140,6 @@
          && placement->now - task->state_since < LAST_ATTEMPT_WAIT_MS;
 }
 
-/* Returns whether the worker's ticket stays valid long enough for a start to arrive. */
-static bool
-has_valid_ticket (const struct mt_step_tickets *tickets, const struct mt_worker *w, int64_t now)
-{
-  const struct mt_ticket *ticket
-      = tickets != NULL ? g_hash_table_lookup (tickets->tickets, w->id) : NULL;
-
-  return ticket != NULL && ticket->until > now + TICKET_MARGIN_MS;
-}
-
 static bool
 is_reserved_for_others (const struct placement *placement,
                         const struct mt_worker *w,
@@ -182,7 +169,7 @@
         continue;
       if (!can_place_on (placement, w, task) || (last && (w->successes < 1 || w->failures > 0.5)))
         continue;
-      if (route->needs_tickets && !has_valid_ticket (tickets, w, placement->now))
+      if (route->needs_tickets && !mt_step_tickets_has_valid (tickets, w, placement->now))
         continue;
       cost = placing_cost (placement, w, task);
       if (best == NULL || cost < best_cost)
@@ -194,26 +181,6 @@
   return best;
 }
 
-/* Requests tickets for a waiting step that needs them and has no valid ones. */
-void
-mt_scheduler_request_tickets (struct mt_scheduler *sched, const struct mt_task *task, int64_t now)
-{
-  struct mt_step_tickets *tickets = mt_task_step_tickets (sched, task);
-
-  if (tickets == NULL)
-    {
-      char name[80];
-
-      mt_task_step_name (task, name, sizeof name);
-      tickets = g_new0 (struct mt_step_tickets, 1);
-      tickets->step_name = g_strdup (name);
-      tickets->tickets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, mt_ticket_free);
-      g_hash_table_insert (sched->step_tickets, tickets->step_name, tickets);
-    }
-  if (!tickets->in_flight && tickets->retry_at <= now)
-    tickets->request_pending = true;
-}
-
 /* Returns whether the task can use workers that the others can't. */
 static bool
 has_reserved_workers (const struct placement *placement, const struct mt_task *task)
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -234,13 +234,20 @@
   const struct mt_account *reserved_for; /* places no new tasks of others; NULL: not reserved */
 };
 
+/* What the advice service has answered for a step. */
 struct mt_step_tickets
 {
   char *step_name;
-  bool request_pending; /* a request is to be sent */
+  const struct mt_job *job;
+  const struct mt_step *step;
+  bool queued; /* in the scheduler's ticket_requests */
   bool in_flight;
   int64_t retry_at;    /* earliest time of the next request */
-  GHashTable *tickets; /* worker id to struct mt_ticket */
+  guint next_worker;   /* index where the next request begins to name workers */
+  GArray *named;       /* workers named in the last request, with their incarnations */
+  GHashTable *known;   /* set of workers that the service has answered for */
+  GHashTable *tickets; /* worker to struct mt_ticket; those that may run the step */
+  GList link;          /* in ticket_requests */
 };
 
 struct mt_ticket
@@ -279,10 +286,12 @@
 struct mt_scheduler
 {
   struct mt_scheduler_settings settings;
-  GHashTable *jobs;          /* id to struct mt_job */
-  GHashTable *routes;        /* name to struct mt_route */
-  GHashTable *workers;       /* id to struct mt_worker */
-  GHashTable *step_tickets;  /* step name to struct mt_step_tickets */
+  GHashTable *jobs;         /* id to struct mt_job */
+  GHashTable *routes;       /* name to struct mt_route */
+  GHashTable *workers;      /* id to struct mt_worker */
+  GHashTable *step_tickets; /* step name to struct mt_step_tickets */
+  GQueue ticket_requests;   /* steps that need tickets, in the order in which they came to */
+  unsigned ticket_requests_in_flight;
   GHashTable *accounts;      /* workspace to struct mt_account */
   struct mt_account unowned; /* tasks without a workspace share as one workspace of weight 1 */
   unsigned n_weighted;       /* accounts with a weight; 0: workspaces do not share by weight */
@@ -361,7 +370,6 @@
                         ...) G_GNUC_PRINTF (5, 6);
 
 /* scheduler.c */
-void mt_ticket_free (void *data);
 void mt_job_mark_dirty (struct mt_scheduler *sched, struct mt_job *job);
 /* Records that a task of the job has started: the job no longer counts as pending. */
 void mt_job_mark_begun (struct mt_job *job);
@@ -378,9 +386,6 @@
 void mt_task_name (const struct mt_task *task, char *out, size_t size);
 /* ID.OCCURRENCE.STEP, as used in ticket requests. */
 void mt_task_step_name (const struct mt_task *task, char *out, size_t size);
-/* Returns the tickets of the task's step; NULL if none were requested. */
-struct mt_step_tickets *mt_task_step_tickets (const struct mt_scheduler *sched,
-                                              const struct mt_task *task);
 void
 mt_task_place (struct mt_scheduler *sched, struct mt_task *task, struct mt_worker *w, int64_t now);
 void mt_task_set_waiting (struct mt_scheduler *sched, struct mt_task *task, int64_t now);
@@ -554,6 +559,30 @@
                                int64_t requested_at,
                                int64_t now);
 
+/* scheduler_tickets.c */
+void mt_step_tickets_free (void *data);
+/* Returns the tickets of the task's step; NULL if none were requested. */
+struct mt_step_tickets *mt_task_step_tickets (const struct mt_scheduler *sched,
+                                              const struct mt_task *task);
+/* Returns the text of the worker's ticket, valid or not; NULL if it has none. */
+const char *mt_step_tickets_text (const struct mt_step_tickets *tickets, const struct mt_worker *w);
+/* Returns whether the worker has a ticket that stays valid long enough for a start to arrive.
+ * tickets: NULL for none. */
+bool mt_step_tickets_has_valid (const struct mt_step_tickets *tickets,
+                                const struct mt_worker *w,
+                                int64_t now);
+/* Requests tickets for the waiting task's step, unless all workers are known. */
+void
+mt_scheduler_request_tickets (struct mt_scheduler *sched, const struct mt_task *task, int64_t now);
+bool
+mt_scheduler_next_ticket_request (struct mt_scheduler *sched, int64_t now, struct mt_order *order);
+/* Forgets what is known of the worker, whose ticket was refused. tickets: NULL for none. */
+void mt_step_tickets_forget (struct mt_step_tickets *tickets, const struct mt_worker *w);
+/* Forgets what all steps know of the worker, which has restarted. */
+void mt_worker_forget_tickets (struct mt_scheduler *sched, const struct mt_worker *w);
+/* Forgets the tickets of the job's steps, which start nothing any more. */
+void mt_job_forget_tickets (struct mt_scheduler *sched, const struct mt_job *job);
+
 /* scheduler_crashes.c */
 /* Returns whether the task's run is known to have begun. */
 bool mt_task_has_begun (const struct mt_task *task);
--- a/core/scheduler/scheduler_orders.c
+++ b/core/scheduler/scheduler_orders.c
@@ -26,8 +26,6 @@
 /* On a slow link, ends are collected for this many link delays more: holds then use less of the
  * link and leave more of it to starts. */
 #define GATHER_LINK_DELAYS 3
-/* Most workers named in one ticket request. */
-#define MAX_TICKET_WORKERS 30U
 
 static void
 address_order (const struct mt_worker *w, struct mt_order *order)
@@ -44,8 +42,6 @@
             int64_t now)
 {
   struct mt_worker *w = task->worker;
-  const struct mt_step_tickets *tickets = mt_task_step_tickets (sched, task);
-  const struct mt_ticket *ticket = NULL;
 
   mt_task_name (task, order->task, sizeof order->task);
   address_order (w, order);
@@ -53,9 +49,8 @@
   order->payload = task->occ->job->spec->payload;
   order->checkpoint = task->checkpoint;
   order->lease_end_ms = mt_worker_lease_end (w, now, sched->settings.lease_ms);
-  if (tickets != NULL)
-    ticket = g_hash_table_lookup (tickets->tickets, w->id);
-  order->ticket = ticket != NULL ? ticket->text : NULL;
+  if (task->occ->job->route->needs_tickets)
+    order->ticket = mt_step_tickets_text (mt_task_step_tickets (sched, task), w);
 }
 
 /* Returns whether the worker has answered all orders since a recent listing. Otherwise it may have
@@ -220,33 +215,6 @@
   return false;
 }
 
-static bool
-next_ticket_request (struct mt_scheduler *sched, int64_t now, struct mt_order *order)
-{
-  GHashTableIter it;
-  struct mt_step_tickets *tickets;
-  GPtrArray *names;
-  struct mt_worker *w;
-
-  g_hash_table_iter_init (&it, sched->step_tickets);
-  do
-    if (!g_hash_table_iter_next (&it, NULL, (void **) &tickets))
-      return false;
-  while (!tickets->request_pending || tickets->in_flight || tickets->retry_at > now);
-  tickets->request_pending = false;
-  tickets->in_flight = true;
-  names = g_ptr_array_new ();
-  g_hash_table_iter_init (&it, sched->workers);
-  while (names->len < MAX_TICKET_WORKERS && g_hash_table_iter_next (&it, NULL, (void **) &w))
-    if (mt_worker_accepts_work (w, now))
-      g_ptr_array_add (names, g_strdup (w->id));
-  g_ptr_array_add (names, NULL);
-  order->kind = MT_ORDER_REQUEST_TICKETS;
-  order->workers = (char **) g_ptr_array_free (names, FALSE);
-  g_strlcpy (order->task, tickets->step_name, sizeof order->task);
-  return true;
-}
-
 void
 mt_scheduler_set_link_delay (struct mt_scheduler *sched, int64_t delay_ms, int64_t now)
 {
@@ -285,7 +253,7 @@
       return true;
   return next_stop (sched, now, order) || next_hold (sched, now, order)
          || (sched->link_delay_ms <= FULL_LINK_DELAY_MS && next_start (sched, now, order))
-         || next_pace (sched, now, order) || next_ticket_request (sched, now, order);
+         || next_pace (sched, now, order) || mt_scheduler_next_ticket_request (sched, now, order);
 }
 
 bool
@@ -301,36 +269,3 @@
   g_strfreev (order->workers);
   order->workers = NULL;
 }
-
-void
-mt_scheduler_add_ticket (struct mt_scheduler *sched,
-                         const char *step_name,
-                         const char *worker,
-                         const char *text,
-                         int64_t until)
-{
-  struct mt_step_tickets *tickets = g_hash_table_lookup (sched->step_tickets, step_name);
-  struct mt_ticket *ticket;
-
-  if (tickets == NULL)
-    return;
-  ticket = g_new0 (struct mt_ticket, 1);
-  ticket->text = g_strdup (text);
-  ticket->until = until;
-  g_hash_table_insert (tickets->tickets, g_strdup (worker), ticket);
-}
-
-void
-mt_scheduler_tickets_answered (struct mt_scheduler *sched,
-                               const char *step_name,
-                               int64_t now,
-                               bool ok)
-{
-  struct mt_step_tickets *tickets = g_hash_table_lookup (sched->step_tickets, step_name);
-
-  if (tickets == NULL)
-    return;
-  tickets->in_flight = false;
-  tickets->retry_at = now + (ok ? 500 : 200);
-  sched->changed = true;
-}
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -39,17 +39,23 @@
 place_task (struct placement *placement, struct mt_task *task)
 {
   struct mt_worker *w;
+  bool is_unplaceable;
 
   if (task->state != MT_TASK_WAITING)
     return true;
   mt_placement_schedule_placing (placement, task->not_before);
   if (task->not_before > placement->now)
     return true;
-  if (mt_placement_is_unplaceable (placement, task)
-      || !mt_account_allows (placement->sched, task->occ->job->account, mt_task_step (task),
-                             placement->now))
+  if (!mt_account_allows (placement->sched, task->occ->job->account, mt_task_step (task),
+                          placement->now))
+    return false;
+  is_unplaceable = mt_placement_is_unplaceable (placement, task);
+  w = is_unplaceable ? NULL : mt_placement_choose_worker (placement, task);
+  /* Also while no worker has resources: with a ticket the task takes the next that become free. */
+  if (w == NULL && task->occ->job->route->needs_tickets)
+    mt_scheduler_request_tickets (placement->sched, task, placement->now);
+  if (is_unplaceable)
     return false;
-  w = mt_placement_choose_worker (placement, task);
   if (w == NULL)
     {
       mt_placement_record_unplaceable (placement, task);
@@ -59,8 +65,6 @@
         mt_placement_schedule_placing (placement, task->state_since + LAST_ATTEMPT_WAIT_MS);
       if (task->suspect)
         retry_isolation (placement);
-      if (task->occ->job->route->needs_tickets)
-        mt_scheduler_request_tickets (placement->sched, task, placement->now);
       /* A suspect needs a worker without other jobs' unsettled runs; the other tasks of its step
        * may still be placed. */
       return task->suspect && !mt_task_step (task)->gang;
--- a/core/scheduler/scheduler_place.h
+++ b/core/scheduler/scheduler_place.h
@@ -79,9 +79,6 @@
                                               const struct mt_task *task);
 /* Returns whether the task has one attempt left and still waits for a worker proved healthy. */
 bool mt_placement_is_last_attempt (const struct placement *placement, const struct mt_task *task);
-/* Requests tickets for a waiting step that needs them and has no valid ones. */
-void
-mt_scheduler_request_tickets (struct mt_scheduler *sched, const struct mt_task *task, int64_t now);
 /* Returns whether a need no larger than the step's has found no worker in this placing. */
 bool mt_placement_is_unplaceable (const struct placement *placement, const struct mt_task *task);
 /* Records that the task found no worker, if only resources can be the reason. */
--- a/core/scheduler/scheduler_tasks.c
+++ b/core/scheduler/scheduler_tasks.c
@@ -28,15 +28,6 @@
   snprintf (out, size, "%s.%u.%u", task->occ->job->spec->id, task->occ->number, task->step);
 }
 
-struct mt_step_tickets *
-mt_task_step_tickets (const struct mt_scheduler *sched, const struct mt_task *task)
-{
-  char name[80];
-
-  mt_task_step_name (task, name, sizeof name);
-  return g_hash_table_lookup (sched->step_tickets, name);
-}
-
 /* Reads ".NUMBER" and advances *at past it. */
 static bool
 read_number (const char **at, unsigned *out)
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -14,6 +14,11 @@
 /* Sizes on the wire, headers included; a start also carries the job's payload. */
 #define START_ORDER_BYTES 1000
 #define OTHER_ORDER_BYTES 215
+/* The advice service, as published. */
+#define ADVICE_DECISION_US   5000
+#define ADVICE_PER_WORKER_US 500
+#define ADVICE_VALIDITY_MS   8000
+#define MAX_WAITING_ADVICE   32U
 
 static const struct mt_scheduler_settings settings = {
   .name = "pool",
@@ -37,6 +42,15 @@
   g_free (write);
 }
 
+static void
+clear_advice (void *data)
+{
+  struct world_advice *advice = data;
+
+  g_free (advice->step);
+  g_strfreev (advice->workers);
+}
+
 static struct mt_scheduler *
 create_scheduler (const struct world *world)
 {
@@ -47,6 +61,7 @@
   with_policy.worker_speed = world->worker_speed;
   sched = mt_scheduler_create (&with_policy);
   mt_scheduler_set_route (sched, "route", &route_policy);
+  mt_scheduler_require_tickets (sched, "route", world->may_run != NULL);
   return sched;
 }
 
@@ -66,6 +81,13 @@
   world->sched = create_scheduler (world);
 }
 
+void
+world_require_tickets (struct world *world, bool (*may_run) (const char *step, unsigned worker))
+{
+  world->may_run = may_run;
+  mt_scheduler_require_tickets (world->sched, "route", true);
+}
+
 struct world *
 world_create (void)
 {
@@ -86,6 +108,8 @@
   world->stopped_tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   world->active_at = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   world->writes = g_ptr_array_new_with_free_func (free_write);
+  world->advice = g_array_new (FALSE, TRUE, sizeof (struct world_advice));
+  g_array_set_clear_func (world->advice, clear_advice);
   return world;
 }
 
@@ -109,6 +133,7 @@
   g_array_unref (world->sent_orders);
   g_array_unref (world->delayed_orders);
   g_ptr_array_unref (world->writes);
+  g_array_unref (world->advice);
   mt_scheduler_destroy (world->sched);
   g_hash_table_unref (world->records);
   g_hash_table_unref (world->crashing_tasks);
@@ -554,6 +579,88 @@
   schedule_crash (world, w, order->task);
 }
 
+/* Returns the length of the step's part of a task's name, ID.OCCURRENCE.STEP.INDEX. */
+static size_t
+step_name_length (const char *task)
+{
+  return (size_t) (strrchr (task, '.') - task);
+}
+
+/* ---- advice ---- */
+
+/* Returns the ticket's text, which names the step, the incarnation and the end of its validity. */
+static char *
+make_ticket (const struct world_worker *w, const char *step, int64_t until)
+{
+  return g_strdup_printf ("%s/%s/%" G_GINT64_FORMAT "/%" G_GINT64_FORMAT, step, w->id,
+                          w->started_at_ms, until);
+}
+
+static bool
+has_valid_ticket (const struct world *world,
+                  const struct world_worker *w,
+                  const struct mt_order *order)
+{
+  g_autofree char *step = g_strndup (order->task, step_name_length (order->task));
+  const char *ticket = order->ticket != NULL ? order->ticket : "";
+  const char *until = strrchr (ticket, '/');
+  int64_t until_ms = until != NULL ? g_ascii_strtoll (until + 1, NULL, 10) : 0;
+  g_autofree char *expected = make_ticket (w, step, until_ms);
+
+  return until_ms > world->now && strcmp (ticket, expected) == 0;
+}
+
+static int64_t
+advice_ms (const struct world_advice *advice)
+{
+  return (ADVICE_DECISION_US + ADVICE_PER_WORKER_US * g_strv_length (advice->workers)) / 1000;
+}
+
+static void
+receive_advice_request (struct world *world, const struct mt_order *order)
+{
+  struct world_advice advice = { g_strdup (order->task), g_strdupv (order->workers), world->now };
+
+  if (world->advice->len >= MAX_WAITING_ADVICE)
+    {
+      mt_scheduler_tickets_answered (world->sched, advice.step, world->now, false);
+      clear_advice (&advice);
+      return;
+    }
+  if (world->advice->len == 0)
+    world->advice_answers_at = world->now + advice_ms (&advice);
+  g_array_append_val (world->advice, advice);
+}
+
+static void
+answer_advice (struct world *world)
+{
+  struct world_advice advice = g_array_index (world->advice, struct world_advice, 0);
+  int64_t until = advice.sent_at + ADVICE_VALIDITY_MS;
+  bool ok = world->fails_advice_of == 0 || ++world->n_advice % world->fails_advice_of != 0;
+
+  for (char **id = advice.workers; ok && *id != NULL; id++)
+    {
+      unsigned number = (unsigned) g_ascii_strtoull (*id + strlen ("i-"), NULL, 10);
+      g_autofree char *ticket = make_ticket (&world->workers[number], advice.step, until);
+
+      if (world->may_run (advice.step, number))
+        mt_scheduler_add_ticket (world->sched, advice.step, *id, ticket, until);
+    }
+  mt_scheduler_tickets_answered (world->sched, advice.step, world->now, ok);
+  g_array_remove_index (world->advice, 0);
+  if (world->advice->len > 0)
+    world->advice_answers_at
+        = world->now + advice_ms (&g_array_index (world->advice, struct world_advice, 0));
+}
+
+static void
+advance_advice (struct world *world)
+{
+  while (world->advice->len > 0 && world->now >= world->advice_answers_at)
+    answer_advice (world);
+}
+
 static enum mt_answer
 try_start_run (struct world *world, struct world_worker *w, const struct mt_order *order)
 {
@@ -561,6 +668,11 @@
     return MT_ANSWER_LEASE_EXPIRED;
   if (order->run <= GPOINTER_TO_UINT (g_hash_table_lookup (w->highest_ended_runs, order->task)))
     return MT_ANSWER_STALE_RUN;
+  if (world->may_run != NULL && !has_valid_ticket (world, w, order))
+    {
+      world->ticket_refusals++;
+      return MT_ANSWER_NO_TICKET;
+    }
   start_run (world, w, order);
   return MT_ANSWER_OK;
 }
@@ -572,13 +684,6 @@
          && world->now >= r->started_at + world->startup_ms;
 }
 
-/* Returns the length of the step's part of a task's name, ID.OCCURRENCE.STEP.INDEX. */
-static size_t
-step_name_length (const char *task)
-{
-  return (size_t) (strrchr (task, '.') - task);
-}
-
 /* Other tasks of the step that are unavailable: stopped and not active again, or inactive for
  * inactive_limit_ms for any cause. */
 static unsigned
@@ -922,7 +1027,9 @@
 static void
 dispatch_order (struct world *world, const struct mt_order *order)
 {
-  if (world->link_bytes_per_ms > 0)
+  if (order->kind == MT_ORDER_REQUEST_TICKETS)
+    receive_advice_request (world, order);
+  else if (world->link_bytes_per_ms > 0)
     send_over_link (world, order);
   else
     deliver_order (world, order);
@@ -943,11 +1050,13 @@
 static void
 check_capacity (struct world *world, const struct mt_order *order)
 {
-  struct world_worker *w = find_worker (world, order->worker);
+  struct world_worker *w;
   guint index;
 
-  if (world->task_cpu == 0 || order->kind != MT_ORDER_START
-      || find_run (w, order->task, order->run, &index) != NULL)
+  if (world->task_cpu == 0 || order->kind != MT_ORDER_START)
+    return;
+  w = find_worker (world, order->worker);
+  if (find_run (w, order->task, order->run, &index) != NULL)
     return;
   if ((w->runs->len + 1) * world->task_cpu > w->entry.resources.cpu)
     world->overcommitting_starts++;
@@ -1061,6 +1170,7 @@
   if (!world->store_down)
     advance_writes (world);
   advance_link (world);
+  advance_advice (world);
   answer_pending_holds (world);
   while (max_orders-- > 0 && !world->leader_silent && next_order (world, &order))
     {
@@ -1100,6 +1210,7 @@
   world->sched = create_scheduler (world);
   world->token++;
   g_ptr_array_set_size (world->writes, 0);
+  g_array_set_size (world->advice, 0);
   for (unsigned i = 0; i < world->n_workers; i++)
     world->workers[i].hold_pending = false;
   for (guint i = 0; i < world->sent_orders->len; i++)
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -7,7 +7,7 @@
 
 #include "medlartrack/scheduler.h"
 
-#define WORLD_MAX_WORKERS 64
+#define WORLD_MAX_WORKERS 512
 #define WORLD_MAX_RUNS    8192
 /* Tasks of jobs whose id starts with this character run until they are stopped. */
 #define WORLD_LONG_RUNNING_PREFIX 'L'
@@ -133,6 +133,14 @@
   int64_t resends_at;
 };
 
+/* A request for tickets that the advice service has not answered yet. */
+struct world_advice
+{
+  char *step;
+  char **workers;
+  int64_t sent_at;
+};
+
 struct world
 {
   struct mt_scheduler *sched;
@@ -172,6 +180,13 @@
   int64_t downtime_ms;         /* of a crashed worker */
   int64_t crash_delay_ms;      /* from the start of a crashing task to the crash */
   GHashTable *crashes_by_task; /* tasks to the number of workers that crashed while running them */
+  /* Whether a worker may run the tasks of a step, by its number; NULL: no route needs tickets. */
+  bool (*may_run) (const char *step, unsigned worker);
+  GArray *advice;            /* struct world_advice, in order; one is handled at a time */
+  int64_t advice_answers_at; /* when the first of them is answered */
+  unsigned fails_advice_of;  /* each request whose number is a multiple of this fails; 0: none */
+  unsigned n_advice;
+  unsigned ticket_refusals;      /* starts refused for want of a valid ticket */
   bool answers_name_incarnation; /* answers to orders carry the incarnation, like those to holds */
   bool new_id_after_crash;       /* a crashed machine returns as another worker, same address */
   const struct mt_share_policy *share_policy; /* NULL: the default */
@@ -188,6 +203,9 @@
 /* Makes this and later leaders compare the speed of workers; to be called before anything else. */
 void world_set_worker_speed (struct world *world);
 void world_destroy (struct world *world);
+/* Tickets are needed on the route, by may_run. */
+void world_require_tickets (struct world *world,
+                            bool (*may_run) (const char *step, unsigned worker));
 /* Registers a worker with 16 cores and 32 GB at once. */
 struct world_worker *world_add_worker (struct world *world, const char *rack);
 /* zone: a string that outlives the world. */
