scheduler: the control group is told by a worker's last answer

The losses were not in the control group: to a worker that is lost, starts are sent until the loss is known, so that its last start was recent each time. The group is now told by the starts sent before the worker's last answer.

--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -49,6 +49,7 @@
       sched->changed = true;
     }
   w->answered_at = now;
+  w->start_before_answer_at = w->start_sent_at;
   w->silent_since = 0;
   w->loss_counted = false;
   mt_worker_clear_settled (sched, w);
--- a/core/scheduler/scheduler_crashes.c
+++ b/core/scheduler/scheduler_crashes.c
@@ -40,7 +40,7 @@
 /* ... if the task shared its workers with other suspects. */
 #define MIN_SHARED_EVIDENCE 8.0
 /* ... after MAX_LOSSES: another start may cost another worker. */
-#define MIN_LAST_EVIDENCE 4.3
+#define MIN_LAST_EVIDENCE 4.0
 /* Where losses may be regular, suspects are started again after a time between 0 and this, which
  * differs from run to run. */
 #define MAX_SUSPECT_DELAY_MS 1000
@@ -203,13 +203,6 @@
   return w->leaving && w->answered_at - w->leaving_since > SETTLED_MS;
 }
 
-/* Returns when the worker was lost, as far as its silence tells. */
-static int64_t
-lost_at (const struct mt_worker *w, int64_t now)
-{
-  return w->fell_silent_at != 0 && w->silent_since != 0 ? w->answered_at : now;
-}
-
 /* Returns whether the worker's loss was not planned and has not been counted yet. */
 static bool
 is_loss_countable (const struct mt_worker *w, int64_t now)
@@ -263,8 +256,8 @@
       = others.silent_together >= MAX (MIN_INSTABILITY_LOSSES, others.listed / INSTABILITY_DIVISOR);
   crash.attributed = crash.sole_job != NULL && crash.sole_job == w->isolated_job;
   for (unsigned g = 0; g < MT_LOSS_GROUPS; g++)
-    crash.counts[g] = !crash.announced && is_loss_countable (w, now)
-                      && mt_worker_is_in_loss_group (w, g, lost_at (w, now));
+    crash.counts[g]
+        = !crash.announced && is_loss_countable (w, now) && mt_worker_was_in_loss_group (w, g);
   return crash;
 }
 
--- a/core/scheduler/scheduler_incarnations.c
+++ b/core/scheduler/scheduler_incarnations.c
@@ -175,7 +175,7 @@
   w->confirmed = false;
   w->answer_lost = false;
   w->clock_at = 0;
-  w->start_sent_at = 0;
+  w->start_sent_at = w->start_before_answer_at = 0;
   w->listing_at = w->listing_requested_at = w->listed_before_at = 0;
   w->applied_end = w->durable_end = 0;
   mt_worker_clear_ends (w);
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -241,17 +241,18 @@
   int64_t leaving_since;
   int64_t hold_sent_at;
   int64_t next_hold_at;
-  int64_t answered_at;          /* time of the last answer; 0: none */
-  int64_t start_sent_at;        /* when the last start was sent to it; 0: never */
-  int64_t listing_at;           /* time of its last listing of runs; 0: none */
-  int64_t listing_requested_at; /* when that listing was requested */
-  int64_t listed_before_at;     /* ... and of the listing before; 0: none */
-  int64_t silent_since;         /* since when the worker has not answered; 0: it answers */
-  int64_t fell_silent_at;       /* when it last became silent; 0: never */
-  bool was_isolating;           /* a suspect was isolated on it at fell_silent_at */
-  bool loss_counted;            /* the loss of the present incarnation counts in the loss rate */
-  int64_t clock_ms;             /* last reading of the worker's clock ... */
-  int64_t clock_at;             /* ... and our clock at that reading; 0: none */
+  int64_t answered_at;            /* time of the last answer; 0: none */
+  int64_t start_sent_at;          /* when the last start was sent to it; 0: never */
+  int64_t start_before_answer_at; /* ... as of its last answer */
+  int64_t listing_at;             /* time of its last listing of runs; 0: none */
+  int64_t listing_requested_at;   /* when that listing was requested */
+  int64_t listed_before_at;       /* ... and of the listing before; 0: none */
+  int64_t silent_since;           /* since when the worker has not answered; 0: it answers */
+  int64_t fell_silent_at;         /* when it last became silent; 0: never */
+  bool was_isolating;             /* a suspect was isolated on it at fell_silent_at */
+  bool loss_counted;              /* the loss of the present incarnation counts in the loss rate */
+  int64_t clock_ms;               /* last reading of the worker's clock ... */
+  int64_t clock_at;               /* ... and our clock at that reading; 0: none */
   int64_t lease_end; /* time on our clock by which all leases granted to it have expired */
   int64_t cordon_until;
   int64_t drain_announced_until; /* when the announcement of a later drain expires */
@@ -635,6 +636,8 @@
 
 /* scheduler_loss_rate.c */
 bool mt_worker_is_in_loss_group (const struct mt_worker *w, enum mt_loss_group group, int64_t now);
+/* ... when it last answered: later starts may have been sent to a lost worker. */
+bool mt_worker_was_in_loss_group (const struct mt_worker *w, enum mt_loss_group group);
 /* workers: number in each group during the last ms, idle: number of idle ones without a start. */
 void mt_loss_rate_add_time (struct mt_loss_rate *rate,
                             const unsigned workers[MT_LOSS_GROUPS],
--- a/core/scheduler/scheduler_loss_rate.c
+++ b/core/scheduler/scheduler_loss_rate.c
@@ -90,6 +90,15 @@
       rate->worker_ms[i][g] += (double) workers[g] * (double) ms;
 }
 
+bool
+mt_worker_was_in_loss_group (const struct mt_worker *w, enum mt_loss_group group)
+{
+  if (group == MT_LOSS_WITHOUT_SUSPECT)
+    return w->isolated_tasks == 0;
+  return w->start_before_answer_at == 0
+         || w->answered_at - w->start_before_answer_at > RECENT_START_MS;
+}
+
 void
 mt_loss_rate_add_loss (struct mt_loss_rate *rate, const bool counts[MT_LOSS_GROUPS], int64_t now)
 {
