scheduler: a suspect avoids the machine that was lost, under whatever id it returns

The worker of the last bad run was avoided by its id only, so that a machine that returns under a new id was not.

A crashed worker of the tests that returns under a new id keeps its address again.

--- a/core/scheduler/scheduler_candidates.c
+++ b/core/scheduler/scheduler_candidates.c
@@ -34,6 +34,17 @@
 /* A worker listed for less than this is new: it may soon be gone again. */
 #define NEW_WORKER_MS 8000
 
+/* Returns whether the task's last run ended badly on the worker, or on one that was lost at its
+ * address: a machine that keeps crashing returns as another worker each time. */
+static bool
+is_avoided (const struct mt_task *task, const struct mt_worker *w)
+{
+  if (task->avoided == NULL || task->avoided == w)
+    return task->avoided == w;
+  return task->suspect && task->avoided->address != NULL
+         && g_strcmp0 (task->avoided->address, w->address) == 0;
+}
+
 static bool
 can_place_on (const struct placement *placement,
               const struct mt_worker *w,
@@ -45,7 +56,7 @@
     return false;
   if (w->failures >= 1 && w->failures > w->successes && w->tasks.length >= MAX_TRIAL_TASKS)
     return false;
-  return task->avoided != w || placement->workers->len == 1
+  return !is_avoided (task, w) || placement->workers->len == 1
          || placement->now - task->state_since > AVOID_MS;
 }
 
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -116,7 +116,7 @@
   int64_t incarnation;      /* ... that is known to have the run; 0: not known */
   struct mt_task_loss loss; /* while unlocated: takes effect if the run was lost */
   struct mt_worker *worker;
-  struct mt_worker *avoided; /* worker where the last run ended badly; never dereferenced */
+  struct mt_worker *avoided; /* worker where the last run ended badly; it may be lost */
   char *checkpoint;
   GList link; /* in the worker's task queue */
 };
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -470,6 +470,8 @@
 static void
 recover (struct world *world, struct world_worker *w)
 {
+  struct world_worker *successor;
+
   w->recovers_at = 0;
   if (!world->new_id_after_crash)
     {
@@ -480,7 +482,9 @@
   w->started_at_ms++;
   if (w->hold_pending)
     fail_hold (world, w);
-  world_add_worker (world, "r1");
+  successor = world_add_worker (world, "r1");
+  successor->port = w->port;
+  update_registry_entry (world, successor);
 }
 
 static void
