fleet: the end of a worker names its incarnation

For ten seconds after an order to move or maintain a machine, the fleet's leader tells the pools that its worker has ended, by the worker's id. A worker may start again under its id, after two seconds of maintenance already: each message then ended the new incarnation. Its entries were ignored from then on, its tasks started elsewhere while they ran (TWICE), and it got no more work.

Pools report the incarnation of each worker (one more field; reports of the version before are refused, as with each such change), the directive carries it as ID:STARTED_AT, and the pool ends that one only.

--- a/core/controller/controller.c
+++ b/core/controller/controller.c
@@ -575,6 +575,7 @@
   m->up = false;
   g_free (m->ended_worker);
   m->ended_worker = g_strdup (m->worker);
+  m->ended_started_at_ms = m->has_view ? m->view.started_at_ms : 0;
   m->end_confirmed_at = 0;
   set_worker (ctl, m, NULL);
   drop_plan (m);
@@ -639,6 +640,7 @@
 {
   g_strfreev (directives->cordon);
   g_strfreev (directives->ended_workers);
+  g_free (directives->ended_started_at_ms);
   g_strfreev (directives->maintenance_due);
   *directives = (struct mt_controller_directives){ 0 };
 }
@@ -648,6 +650,7 @@
 {
   GPtrArray *cordon = g_ptr_array_new ();
   GPtrArray *ended = g_ptr_array_new ();
+  GArray *ended_started_at = g_array_new (FALSE, FALSE, sizeof (int64_t));
   GPtrArray *maintenance_due = g_ptr_array_new ();
   const struct mt_controller_pool *p = g_hash_table_lookup (ctl->pools, pool);
   GHashTableIter it;
@@ -665,13 +668,18 @@
       if (m->ended_worker != NULL && m->end_confirmed_at == 0)
         g_ptr_array_add (cordon, g_strdup (m->ended_worker));
       else if (m->ended_worker != NULL && now - m->end_confirmed_at < REPORT_ENDED_MS)
-        g_ptr_array_add (ended, g_strdup (m->ended_worker));
+        {
+          g_ptr_array_add (ended, g_strdup (m->ended_worker));
+          g_array_append_val (ended_started_at, m->ended_started_at_ms);
+        }
     }
   g_ptr_array_add (cordon, NULL);
   g_ptr_array_add (ended, NULL);
   g_ptr_array_add (maintenance_due, NULL);
-  return (struct mt_controller_directives){ (char **) g_ptr_array_free (cordon, FALSE),
-                                            (char **) g_ptr_array_free (ended, FALSE),
-                                            (char **) g_ptr_array_free (maintenance_due, FALSE),
-                                            p != NULL ? mt_controller_allocated_cpu (p) : 0 };
+  return (struct mt_controller_directives){
+    (char **) g_ptr_array_free (cordon, FALSE), (char **) g_ptr_array_free (ended, FALSE),
+    (int64_t *) (void *) g_array_free (ended_started_at, FALSE),
+    (char **) g_ptr_array_free (maintenance_due, FALSE),
+    p != NULL ? mt_controller_allocated_cpu (p) : 0
+  };
 }
--- a/core/controller/controller_internal.h
+++ b/core/controller/controller_internal.h
@@ -77,8 +77,9 @@
   struct mt_controller_wave *wave;
   bool order_pending;
   int64_t retry_at;
-  int64_t ordered_at;       /* when its last order was carried out */
-  bool is_moving;           /* that order was a move, and the machine is not yet up */
+  int64_t ordered_at;          /* when its last order was carried out */
+  bool is_moving;              /* that order was a move, and the machine is not yet up */
+  int64_t ended_started_at_ms; /* incarnation of ended_worker as last reported; 0: unknown */
   char *ended_worker;       /* worker that its last order ended, if it was not carried out before */
   int64_t end_confirmed_at; /* when the list of machines confirmed the end of ended_worker; 0: not
                                yet */
--- a/core/scheduler/scheduler_load.c
+++ b/core/scheduler/scheduler_load.c
@@ -84,6 +84,7 @@
       if (w->ended || (!w->listed && w->tasks.length == 0))
         continue;
       out[n] = (struct mt_worker_view){ .id = w->id,
+                                        .started_at_ms = w->started_at,
                                         .tasks = w->tasks.length,
                                         .drain_rounds = drain_rounds (w),
                                         .batch_remaining_ms = mt_worker_batch_remaining_ms (w, now),
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -179,12 +179,13 @@
 void
 mt_scheduler_worker_ended (struct mt_scheduler *sched,
                            const char *id,
+                           int64_t started_at_ms,
                            int64_t now,
                            const char *proof)
 {
   struct mt_worker *w = g_hash_table_lookup (sched->workers, id);
 
-  if (w != NULL)
+  if (w != NULL && (started_at_ms == 0 || w->started_at == 0 || started_at_ms == w->started_at))
     mt_worker_end (sched, w, now, proof);
 }
 
--- a/fleet/fleet_leader.c
+++ b/fleet/fleet_leader.c
@@ -423,6 +423,18 @@
   free_named_call (call);
 }
 
+/* Returns the ended workers and their incarnations as ID:STARTED_AT, separated by commas. */
+static char *
+join_ended (const struct mt_controller_directives *directives)
+{
+  GString *text = g_string_new (NULL);
+
+  for (unsigned i = 0; directives->ended_workers[i] != NULL; i++)
+    g_string_append_printf (text, "%s%s:%" G_GINT64_FORMAT, i > 0 ? "," : "",
+                            directives->ended_workers[i], directives->ended_started_at_ms[i]);
+  return g_string_free (text, FALSE);
+}
+
 static void
 query_pool (struct mt_fleet_leader *lead, const char *name)
 {
@@ -431,7 +443,7 @@
   struct mt_controller_directives directives
       = mt_controller_pool_directives (lead->controller, name, mt_loop_now ());
   g_autofree char *cordon = g_strjoinv (",", directives.cordon);
-  g_autofree char *ended = g_strjoinv (",", directives.ended_workers);
+  g_autofree char *ended = join_ended (&directives);
   g_autofree char *drain_later = g_strjoinv (",", directives.maintenance_due);
   g_autofree char *expected_cpu = g_strdup_printf ("%" G_GINT64_FORMAT, directives.planned_cpu);
   struct mt_grant_message message = mt_grants_next_message (lead->grants, name, mt_loop_now ());
@@ -487,6 +499,19 @@
   return taken;
 }
 
+/* text: ID or ID:STARTED_AT, as from join_ended. */
+static void
+apply_ended (struct mt_scheduler *sched, char *text, int64_t now)
+{
+  char *colon = strrchr (text, ':');
+  int64_t started_at_ms = colon != NULL ? g_ascii_strtoll (colon + 1, NULL, 10) : 0;
+
+  if (colon != NULL)
+    *colon = '\0';
+  mt_scheduler_worker_ended (sched, text, started_at_ms, now,
+                             "its machine was ordered to move or into maintenance");
+}
+
 char *
 mt_pool_apply_directives (struct mt_pool *pool,
                           const struct mt_pool_directives *directives,
@@ -504,9 +529,8 @@
   if (mt_str_to_u64 (directives->expected_cpu, &expected_cpu))
     mt_scheduler_expect_capacity (mt_pool_scheduler (pool), (int64_t) expected_cpu,
                                   now + DIRECTIVE_TTL_MS);
-  for (char **id = ended; *id != NULL; id++)
-    mt_scheduler_worker_ended (mt_pool_scheduler (pool), *id, now,
-                               "its machine was ordered to move or into maintenance");
+  for (char **text = ended; *text != NULL; text++)
+    apply_ended (mt_pool_scheduler (pool), *text, now);
   for (char **id = cordon; *id != NULL; id++)
     mt_scheduler_cordon (mt_pool_scheduler (pool), *id, now + DIRECTIVE_TTL_MS, true);
   for (char **id = drain_later; *id != NULL; id++)
--- a/fleet/pool_report.c
+++ b/fleet/pool_report.c
@@ -9,7 +9,7 @@
 /* Number of values in each packed row; any other number means another version and is refused. */
 #define REPORT_PARTS  3
 #define LOAD_FIELDS   14
-#define WORKER_FIELDS 10
+#define WORKER_FIELDS 11
 
 enum flag
 {
@@ -35,6 +35,7 @@
   msgpack_pack_int64 (packer, MAX (w->used.mem, 0));
   msgpack_pack_int64 (packer, MAX (w->batch_remaining_ms, 0));
   msgpack_pack_unsigned_int (packer, w->drain_rounds);
+  msgpack_pack_int64 (packer, MAX (w->started_at_ms, 0));
 }
 
 static void
@@ -125,7 +126,8 @@
       || !get_i64 (&f[4], &out->resources.cpu) || !get_i64 (&f[5], &out->used.cpu)
       || !get_i64 (&f[6], &out->resources.mem) || !get_i64 (&f[7], &out->used.mem)
       || !get_i64 (&f[8], &out->batch_remaining_ms)
-      || !mt_pack_get_unsigned (&f[9], &out->drain_rounds))
+      || !mt_pack_get_unsigned (&f[9], &out->drain_rounds)
+      || !get_i64 (&f[10], &out->started_at_ms))
     return false;
   out->id = g_strndup (id.data, id.len);
   out->cordoned = flags & FLAG_CORDONED;
--- a/include/medlartrack/controller.h
+++ b/include/medlartrack/controller.h
@@ -124,11 +124,12 @@
 /* Directives for a pool's scheduler. The lists are NULL-terminated. */
 struct mt_controller_directives
 {
-  char **cordon;          /* workers to drain now */
-  char **ended_workers;   /* workers whose incarnation an order has ended */
-  char **maintenance_due; /* workers to drain later, for maintenance */
-  int64_t planned_cpu;    /* capacity of the machines that the pool should have, in thousandths of a
-                             core; 0 if unknown */
+  char **cordon;                /* workers to drain now */
+  char **ended_workers;         /* workers whose incarnation an order has ended */
+  int64_t *ended_started_at_ms; /* ... that incarnation's start time; 0: unknown */
+  char **maintenance_due;       /* workers to drain later, for maintenance */
+  int64_t planned_cpu; /* capacity of the machines that the pool should have, in thousandths of a
+                          core; 0 if unknown */
 };
 
 void mt_controller_directives_clear (struct mt_controller_directives *directives);
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -200,10 +200,11 @@
                                  int64_t now);
 /* To be called when the worker's registry entry is gone; its tasks may still run. */
 void mt_scheduler_worker_unlisted (struct mt_scheduler *sched, const char *id, int64_t now);
-/* To be called when the worker's current incarnation has provably ended: none of its tasks runs.
- * proof: reason for the log. */
+/* To be called when an incarnation of the worker has provably ended: none of its tasks runs.
+ * started_at_ms: which one; 0: the present one. proof: reason for the log. */
 void mt_scheduler_worker_ended (struct mt_scheduler *sched,
                                 const char *id,
+                                int64_t started_at_ms,
                                 int64_t now,
                                 const char *proof);
 /* Places no new work on the worker before `until`. With move_long_running, its long-running tasks
@@ -425,6 +426,7 @@
 struct mt_worker_view
 {
   const char *id;
+  int64_t started_at_ms; /* as in struct mt_worker_entry */
   unsigned tasks;
   unsigned long_running;
   unsigned drain_rounds;      /* consecutive rounds needed to move its long-running tasks off */
--- a/tests/scheduler/test_incarnations.c
+++ b/tests/scheduler/test_incarnations.c
@@ -361,6 +361,49 @@
   world_destroy (world);
 }
 
+/* Guards against a restarted worker that is taken for ended: the fleet's leader tells for seconds
+ * that an order has ended the former incarnation. */
+static void
+test_end_of_the_former_incarnation_does_not_end_the_new_one (void **state)
+{
+  struct world *world = create_pool ();
+  struct world_worker *w = &world->workers[0];
+  int64_t former = w->started_at_ms;
+
+  w->entry_lag_ms = 0;
+  world_reboot (world, w);
+  mt_scheduler_worker_ended (world->sched, w->id, former, world->now, "moved");
+  world_run (world, 100);
+  submit (world, "aa", JOB_TASKS);
+  check_completed_once (world, "aa", JOB_TASKS);
+  assert_in_range (w->n_starts, 1, 2);
+  world_destroy (world);
+}
+
+/* Guards against a suspect that is started on a machine that keeps crashing, since it returns as
+ * another worker each time. */
+static void
+test_suspect_avoids_the_machine_that_was_lost (void **state)
+{
+  struct world *world = create_pool ();
+  struct world_worker *w = NULL;
+
+  world->new_id_after_crash = true;
+  world->downtime_ms = 20;
+  world->run_ms = 3000;
+  submit (world, "aa", 1);
+  world_run (world, 300);
+  for (unsigned i = 0; i < N_WORKERS; i++)
+    if (runs_on (&world->workers[i]) > 0)
+      w = &world->workers[i];
+  world_crash (world, w);
+  world_run (world, 900);
+  assert_int_equal (world->n_workers, N_WORKERS + 1);
+  assert_int_equal (world->workers[N_WORKERS].n_starts, 0);
+  assert_int_equal (world_count_running (world, "aa.0.0.0"), 1);
+  world_destroy (world);
+}
+
 /* Guards against a task that loses its worker with each start and is never given up, since its
  * worker restarts before it is known in which incarnation the task ran. */
 static void
@@ -394,6 +437,8 @@
     cmocka_unit_test (test_worker_that_restarts_as_another_kind_runs_its_new_kind),
     cmocka_unit_test (test_restarted_worker_gets_no_work_before_its_entry),
     cmocka_unit_test (test_entry_of_the_former_incarnation_is_ignored),
+    cmocka_unit_test (test_end_of_the_former_incarnation_does_not_end_the_new_one),
+    cmocka_unit_test (test_suspect_avoids_the_machine_that_was_lost),
     cmocka_unit_test (test_crashing_task_is_given_up_when_workers_restart_at_once),
   };
 
