scheduler: the losses of a long-running task count in the rate that judges it

Giving up a long-running job stops all of its tasks, so that its losses now count as chance in the rate.

--- a/core/scheduler/scheduler_crashes.c
+++ b/core/scheduler/scheduler_crashes.c
@@ -132,11 +132,12 @@
 
 /* Returns whether the losses are no coincidence, whatever else may have caused each of them. */
 static bool
-is_lost_too_often (unsigned losses, unsigned crashes, double evidence)
+is_lost_too_often (const struct mt_task *task, unsigned losses, unsigned crashes, double evidence)
 {
   if (losses >= MAX_LOSSES)
     return evidence >= MIN_LAST_EVIDENCE;
-  return losses >= SUSPICIOUS_LOSSES && crashes >= MIN_CRASHES && evidence >= MIN_SHARED_EVIDENCE;
+  return losses >= SUSPICIOUS_LOSSES && crashes >= min_crashes (task)
+         && evidence >= MIN_SHARED_EVIDENCE;
 }
 
 /* Returns the density, per ms, of the time at which a task that crashes its workers does so, for a
@@ -165,8 +166,9 @@
               int64_t now,
               struct mt_task_loss *loss)
 {
+  /* Giving up a long-running job stops all of its tasks: its losses count as chance, too. */
   mt_loss_evidence_add (&loss->evidence, &sched->loss_rate, crash_density (task, loss->observed_ms),
-                        now);
+                        mt_task_step (task)->long_running, now);
 }
 
 int64_t
@@ -279,7 +281,7 @@
   add_evidence (sched, task, crash->at, loss);
   loss->gives_up = (is_cause (crash, task) && loss->crashes >= min_crashes (task)
                     && loss->evidence.total >= MIN_EVIDENCE)
-                   || is_lost_too_often (loss->losses, loss->crashes, loss->evidence.total);
+                   || is_lost_too_often (task, loss->losses, loss->crashes, loss->evidence.total);
 }
 
 /* Counts a loss of which is only known that the task may have begun. */
@@ -291,7 +293,7 @@
 {
   loss->losses += loss->losses < G_MAXUINT8;
   add_evidence (sched, task, now, loss);
-  loss->gives_up = is_lost_too_often (loss->losses, loss->crashes, loss->evidence.total);
+  loss->gives_up = is_lost_too_often (task, loss->losses, loss->crashes, loss->evidence.total);
 }
 
 struct mt_task_loss
@@ -385,7 +387,7 @@
       {
         struct mt_task *task = &job->occurrences[k]->tasks[i];
 
-        if (is_lost_too_often (task->losses, task->crashes, task->evidence.total))
+        if (is_lost_too_often (task, task->losses, task->crashes, task->evidence.total))
           mt_task_give_up (sched, task, now);
       }
 }
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -660,6 +660,7 @@
 void mt_loss_evidence_add (struct mt_loss_evidence *evidence,
                            const struct mt_loss_rate *rate,
                            double density_per_ms,
+                           bool with_own,
                            int64_t now);
 
 /* scheduler_crashes.c */
--- a/core/scheduler/scheduler_loss_rate.c
+++ b/core/scheduler/scheduler_loss_rate.c
@@ -164,6 +164,7 @@
 mt_loss_evidence_add (struct mt_loss_evidence *evidence,
                       const struct mt_loss_rate *rate,
                       double density_per_ms,
+                      bool with_own,
                       int64_t now)
 {
   struct mt_loss_rate others = *rate;
@@ -171,7 +172,10 @@
   double density;
   double whole;
 
-  mt_loss_rate_remove (&others, &evidence->counted, now);
+  if (with_own)
+    decay (&others, now);
+  else
+    mt_loss_rate_remove (&others, &evidence->counted, now);
   log_rate = log10 (estimate_rate (&others));
   density = log10 (density_per_ms);
   evidence->n += evidence->n < G_MAXUINT8;
