scheduler: one place takes note of a worker's incarnation

A registry entry and an answer each compared the start time and began the incarnation in a switch of their own; both call mt_worker_notice_incarnation now, and the comparison is private to its file. A restart assessed the losses of tasks that it then released, which assesses them again. The header says what with_own means.

--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -71,29 +71,6 @@
   mt_scheduler_log_event (sched, "WORKER_SILENT", "worker=%s tasks=%u", w->id, w->tasks.length);
 }
 
-/* Takes note of which incarnation has answered. Returns false if it was a former one: the answer
- * says nothing about the present one. */
-static bool
-is_answer_of_present (struct mt_scheduler *sched,
-                      struct mt_worker *w,
-                      int64_t started_at,
-                      int64_t requested_at,
-                      int64_t now)
-{
-  switch (mt_worker_compare_incarnation (w, started_at, requested_at))
-    {
-    case MT_INCARNATION_FORMER:
-      return false;
-    case MT_INCARNATION_NEXT:
-      mt_worker_begin_incarnation (sched, w, started_at, now);
-      return true;
-    default:
-      if (w->started_at == 0)
-        mt_worker_set_incarnation (w, started_at, now);
-      return true;
-    }
-}
-
 /* Handles an order without an answer. If the worker has answered others recently, this order and
  * more may be carried out late: the worker goes on taking work, but holds wait a shorter time,
  * since each lost hold delays the report of all ends on its worker. */
@@ -487,7 +464,7 @@
         handle_no_answer (sched, w, now);
       return;
     }
-  if (!is_answer_of_present (sched, w, report->started_at_ms, order->sent_at, now))
+  if (!mt_worker_notice_incarnation (sched, w, report->started_at_ms, order->sent_at, now))
     {
       w->next_hold_at = now;
       return;
@@ -655,7 +632,7 @@
       if (is_addressed)
         handle_no_answer (sched, w, now);
     }
-  else if (!is_answer_of_present (sched, w, report->started_at_ms, order->sent_at, now))
+  else if (!mt_worker_notice_incarnation (sched, w, report->started_at_ms, order->sent_at, now))
     {
       if (task != NULL && task->worker == w && task->run == order->run)
         handle_former_answer (sched, task, order, report->answer, now);
--- a/core/scheduler/scheduler_incarnations.c
+++ b/core/scheduler/scheduler_incarnations.c
@@ -8,17 +8,24 @@
 /* How long an order may be under way and still be carried out. */
 #define LATE_ORDER_MS 2000
 
-enum mt_incarnation
-mt_worker_compare_incarnation (const struct mt_worker *w, int64_t started_at, int64_t requested_at)
+enum incarnation
+{
+  INCARNATION_PRESENT, /* the one known, or not reported */
+  INCARNATION_FORMER,
+  INCARNATION_NEXT,
+};
+
+static enum incarnation
+compare_incarnation (const struct mt_worker *w, int64_t started_at, int64_t requested_at)
 {
   if (started_at == 0 || w->started_at == 0 || started_at == w->started_at)
-    return MT_INCARNATION_PRESENT;
+    return INCARNATION_PRESENT;
   if (started_at == w->former_started_at)
-    return MT_INCARNATION_FORMER;
+    return INCARNATION_FORMER;
   /* The wall clock of a worker's machine may have been set back over the restart. */
   if (started_at < w->started_at && requested_at <= w->incarnation_since)
-    return MT_INCARNATION_FORMER;
-  return MT_INCARNATION_NEXT;
+    return INCARNATION_FORMER;
+  return INCARNATION_NEXT;
 }
 
 bool
@@ -201,12 +208,15 @@
 
   for (GList *l = w->tasks.head; l != NULL; l = l->next)
     {
-      struct mt_task_loss loss = mt_task_assess_loss (sched, l->data, &crash);
+      struct mt_task_loss loss;
 
       if (has_ended_with_former (l->data))
-        g_ptr_array_add (lost, l->data);
-      else
-        mt_task_begin_location (sched, l->data, &loss, now);
+        {
+          g_ptr_array_add (lost, l->data);
+          continue;
+        }
+      loss = mt_task_assess_loss (sched, l->data, &crash);
+      mt_task_begin_location (sched, l->data, &loss, now);
     }
   mt_worker_release (sched, w, lost, &crash, now, "reborn");
   mt_worker_forget_tickets (sched, w);
@@ -220,3 +230,24 @@
   w->lease_end = 0;
   mt_worker_record_lease (w, LATE_ORDER_MS + sched->settings.max_lease_ms, now);
 }
+
+bool
+mt_worker_notice_incarnation (struct mt_scheduler *sched,
+                              struct mt_worker *w,
+                              int64_t started_at,
+                              int64_t requested_at,
+                              int64_t now)
+{
+  switch (compare_incarnation (w, started_at, requested_at))
+    {
+    case INCARNATION_FORMER:
+      return false;
+    case INCARNATION_NEXT:
+      mt_worker_begin_incarnation (sched, w, started_at, now);
+      return true;
+    default:
+      if (w->started_at == 0)
+        mt_worker_set_incarnation (w, started_at, now);
+      return true;
+    }
+}
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -569,17 +569,14 @@
 void mt_worker_record_lease (struct mt_worker *w, int64_t lease_ms, int64_t now);
 
 /* scheduler_incarnations.c */
-enum mt_incarnation
-{
-  MT_INCARNATION_PRESENT, /* the one known, or not reported */
-  MT_INCARNATION_FORMER,
-  MT_INCARNATION_NEXT,
-};
-
-/* Compares a reported start time with that of the known incarnation. requested_at: when the report
- * was requested; 0 for a registry entry, which may be older than any answer. */
-enum mt_incarnation
-mt_worker_compare_incarnation (const struct mt_worker *w, int64_t started_at, int64_t requested_at);
+/* Takes note of the incarnation that a report names; 0: none. Returns false if it is a former one:
+ * the report says nothing about the present one. requested_at: when the report was requested; 0 for
+ * a registry entry, which may be older than any answer. */
+bool mt_worker_notice_incarnation (struct mt_scheduler *sched,
+                                   struct mt_worker *w,
+                                   int64_t started_at,
+                                   int64_t requested_at,
+                                   int64_t now);
 /* Returns whether the order was sent to the present incarnation. */
 bool mt_worker_is_addressed (const struct mt_worker *w, const struct mt_sent_order *order);
 /* Sets the first known incarnation. */
@@ -656,7 +653,7 @@
 /* Returns whether losses may follow each other at regular intervals. */
 bool mt_loss_rate_may_be_regular (const struct mt_loss_rate *rate, int64_t now);
 /* Adds a loss. density_per_ms: how likely it is at that time of the run, per ms, if the task
- * crashes its workers. */
+ * crashes its workers; with_own: the rate includes the task's own losses. */
 void mt_loss_evidence_add (struct mt_loss_evidence *evidence,
                            const struct mt_loss_rate *rate,
                            double density_per_ms,
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -113,19 +113,7 @@
   struct mt_worker *w = mt_scheduler_get_worker (sched, entry->id);
   bool resized;
 
-  switch (mt_worker_compare_incarnation (w, entry->started_at_ms, 0))
-    {
-    case MT_INCARNATION_FORMER:
-      return;
-    case MT_INCARNATION_NEXT:
-      mt_worker_begin_incarnation (sched, w, entry->started_at_ms, now);
-      break;
-    default:
-      if (w->started_at == 0)
-        mt_worker_set_incarnation (w, entry->started_at_ms, now);
-      break;
-    }
-  if (w->ended)
+  if (!mt_worker_notice_incarnation (sched, w, entry->started_at_ms, 0, now) || w->ended)
     return;
   w->entry_is_former = false;
   if (!w->listed)
