review: one failed run of a gang uses up several attempts

Cause: an attempt of every member is counted for each member that ended failed, not for each run of the gang.

Run: review/8/run.sh, TROUBLE=1 and 0.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
