review: two minions in a crash loop cost a sound job

Cause: a job is ended as failed on the evidence of lost workers, which takes the losses of one work unit as independent. In a full pool the same work unit is started on the same crashing minions again and again.

--- a/review/platform2.py
+++ b/review/platform2.py
@@ -72,7 +72,10 @@
 async def serve(ip, port, handle):
     """handle(request) returns (status, object); None as status resets the channel."""
 
+    writers = set()
+
     async def on_channel(reader, writer):
+        writers.add(writer)
         try:
             while True:
                 line, headers, body = await read_message(reader)
@@ -88,9 +91,12 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            writers.discard(writer)
             writer.close()
 
-    return await asyncio.start_server(on_channel, ip, port)
+    server = await asyncio.start_server(on_channel, ip, port)
+    server.writers = writers
+    return server
 
 
 async def never():
@@ -246,8 +252,8 @@
     def clock(self):
         return now_ms() - self.started
 
-    async def start(self):
-        self.server = await serve(self.platform.ip(200), 0, self.handle)
+    async def start(self, port=0):
+        self.server = await serve(self.platform.ip(200), port, self.handle)
         ip, port = self.server.sockets[0].getsockname()
         self.address = "%s:%d" % (ip, port)
         self.tasks = [asyncio.ensure_future(self.beat()), asyncio.ensure_future(self.tick())]
@@ -305,11 +311,23 @@
         for task in self.tasks:
             task.cancel()
         self.server.close()
+        for writer in list(self.server.writers):
+            writer.transport.abort()
+        self.changed.set()
         for run in self.runs.values():
             run.ended = ("gone", now_ms())
         self.runs.clear()
         self.platform.store.remove("servers/" + self.id)
 
+    def crash(self):
+        """As terminate, but unannounced: the entry stays until it is known to be silent."""
+        item = self.platform.store.items.get("servers/" + self.id)
+        self.terminate()
+        if item is not None:
+            self.platform.store.put("servers/" + self.id, base64.b64decode(item["value"]))
+            asyncio.get_event_loop().call_later(
+                3 * HEARTBEAT_S, lambda: self.platform.store.remove("servers/" + self.id))
+
     def extend(self, body):
         if "deadline-ms" in body:
             end = min(body["deadline-ms"], self.clock() + BOUNDS["max_hold_ms"])
@@ -343,7 +361,8 @@
                 asyncio.ensure_future(self.stop(*key))
             return self.answer(200)
         if r.path == "/hold":
-            return await self.handle_hold(body)
+            answer = await self.handle_hold(body)
+            return answer if self.up else (None, {})
         return self.answer(200)
 
     def handle_start(self, body, r):
@@ -563,9 +582,9 @@
         self.store.put("op/wave/%d" % number, json.dumps(self.waves[number]).encode())
         self.record("operator: wave", number, machines, "deadline-s", deadline_s, "cap", cap)
 
-    async def add_minion(self, service, zone, rack, machine=None, **kw):
+    async def add_minion(self, service, zone, rack, machine=None, port=0, **kw):
         m = Minion(self, service, zone, rack, machine or "m-%05x" % random.getrandbits(20), **kw)
-        await m.start()
+        await m.start(port)
         self.machines[m.machine] = {"machine": m.machine, "pool": service, "state": "up",
                                     "zone": zone, "labels": m.labels, "capacity": m.capacity,
                                     "id": m.id}
