--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,7 +11,7 @@
 HOST, PREFIX, POOL = "pule25.example", "/puxa400/", "huvo11a"
 BACK_S = 3.5
 UNITS = 900
-UNIT_MS = 800
+UNIT_MS = 1000
 
 
 async def case(p, record):
@@ -43,15 +43,22 @@
             record("the job is shown as", state)
         if state == "completed":
             break
-    await asyncio.sleep(2)
+    lapses = {}
+    for _ in range(20):  # until the last ends are taken note of, which takes a write to the store
+        await asyncio.sleep(0.1)
+        lapses = {m: m.lapses for m in p.minions}
+        if all(m.last_seen >= m.last_end for m in p.minions):
+            break
     done, again = {}, []
     for minion, run in p.starts:
         if run.task in done and run.began > done[run.task]:
             again.append((run.task, run.number, minion.id))
-        # An end counts once last-seen has reached it. No lease lapsed: every run ended done.
-        if run.ended and run.ended[0] == "done" and run.end_number <= minion.last_seen:
+        # An end counts once last-seen has reached it, unless the minion's lease has lapsed.
+        if (run.ended and run.ended[0] == "done" and run.end_number <= minion.last_seen
+                and lapses[minion] == 0):
             done[run.task] = min(done.get(run.task, 1 << 62), run.ended[1])
-    record("last-seen:", [(m.id, m.last_seen) for m in p.minions])
+    record("last-seen:", [(m.id, m.last_seen, "of", m.last_end) for m in p.minions], "lapses:",
+           list(lapses.values()))
     record("ends of other kinds than done:",
            sum(1 for _, run in p.starts if run.ended and run.ended[0] != "done"))
     record("starts:", len(p.starts), "work units done:", len(done), "started again after done:",
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,7 +10,8 @@
 HOST, PREFIX, POOL, ATTEMPTS = "pule25.example", "/puxa400/", "huvo11a", 3
 MINIONS = 10
 MEMBERS = 4
-JOBS = 12  # each prefers one of three zones
+GREY_S = 6
+JOBS = 24  # each prefers one of three zones
 
 
 async def case(p, record):
@@ -36,8 +37,10 @@
     await submit(300, {"count": 1})
     await asyncio.sleep(1)
     if TROUBLE:
-        p.starts[0][0].grey = True
-        record("from now on", p.starts[0][0].id, "fails all that it starts")
+        grey = p.starts[0][0]
+        grey.grey = True
+        asyncio.get_event_loop().call_later(GREY_S, setattr, grey, "grey", False)
+        record("for %d s" % GREY_S, grey.id, "fails all that it starts")
     jobs = [await submit(800, {"count": MEMBERS, "gang": True}) for _ in range(JOBS)]
     state = {}
     for _ in range(80):
--- a/review/platform2.py
+++ b/review/platform2.py
@@ -236,6 +236,8 @@
         self.born = int(time.time() * 1000)
         self.fence = 0
         self.lease_end = 0
+        self.lapses = 0  # times that a lease has run out, whether anything ran or not
+        self.has_lease = False
         self.runs = {}  # (task, number) -> Run
         self.highest = {}  # task -> highest run stopped or ended here
         self.ends = []
@@ -301,6 +303,9 @@
     async def tick(self):
         while True:
             await asyncio.sleep(0.005)
+            if self.has_lease and self.clock() > self.lease_end:
+                self.has_lease = False
+                self.lapses += 1
             for run in list(self.runs.values()):
                 if run.ended is None:
                     self.work(run)
@@ -332,6 +337,7 @@
         if "deadline-ms" in body:
             end = min(body["deadline-ms"], self.clock() + BOUNDS["max_hold_ms"])
             self.lease_end = max(self.lease_end, end)
+            self.has_lease |= self.lease_end > self.clock()
 
     def answer(self, status, **fields):
         return status, dict({"clock-ms": self.clock()}, **fields)
