tests: leases that a worker holds beyond those that its leader asked for

Reproduces the incident in the simulated pool: a worker restarts, carries out a start that was meant for its former incarnation, answers, gets tasks of another job, is cut off, and the leader dies. The successor starts the tasks again while they run.

The simulated pool's longest lease was 6 s throughout; it is a parameter now (world_set_max_lease), and each case runs with 4.5, 6, 10, 15 and 60 s.

--- /dev/null
+++ b/tests/scheduler/test_leases.c
@@ -0,0 +1,308 @@
+/* Leases that a worker holds beyond those that its leader meant to grant. An order carries the end
+ * of a lease on the clock of the incarnation that it was meant for; another one, whose clock has
+ * started anew, grants its longest lease instead. */
+#include "world.h"
+
+#include <glib.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define N_WORKERS    4
+#define JOB_TASKS    11
+#define TASK_CPU     4000
+#define ENTRY_LAG_MS 200
+/* Until the restarted worker has answered, and is registered and gets work. */
+#define NOTICE_MS (ENTRY_LAG_MS + 100)
+/* Longest time after which an unanswered order is carried out. */
+#define LATE_ORDER_MS 12000
+/* From a lease's end until its tasks run elsewhere. */
+#define RESTART_MS 1500
+#define DRIFT_MS   (WORLD_MAX_LEASE_MS / 10)
+
+/* Longest leases that workers of different platforms grant. */
+static const int64_t max_leases[] = { 4500, 6000, 10000, 15000, 60000 };
+
+struct pool
+{
+  struct world *world;
+  struct world_worker *restarted;
+};
+
+static struct pool
+create_pool (int64_t max_lease_ms)
+{
+  struct pool pool = { .world = world_create () };
+
+  world_set_max_lease (pool.world, max_lease_ms);
+  for (unsigned i = 0; i < N_WORKERS; i++)
+    world_add_worker (pool.world, "r1");
+  pool.restarted = &pool.world->workers[0];
+  /* The clocks of workers that have been up for longer than any late order. */
+  world_run (pool.world, 90000);
+  return pool;
+}
+
+static struct mt_job_spec *
+spec (const char *id, unsigned count)
+{
+  struct mt_job_spec *job = world_job (id, count, TASK_CPU, 1000);
+
+  job->steps[0].long_running = true;
+  return job;
+}
+
+static void
+take_over (struct pool *pool)
+{
+  g_autoptr (GPtrArray) specs = g_ptr_array_new ();
+
+  g_ptr_array_add (specs, spec ("La", JOB_TASKS));
+  if (g_hash_table_contains (pool->world->records, "Lb"))
+    g_ptr_array_add (specs, spec ("Lb", 1));
+  world_take_over (pool->world, specs);
+}
+
+/* Runs until every lease has ended and all that was lost runs again. */
+static void
+check_runs_once (struct pool *pool)
+{
+  world_run (pool->world, 2 * pool->world->max_lease_ms + MT_OUTAGE_EVIDENCE_MS + RESTART_MS);
+  assert_int_equal (pool->world->duplicate_starts, 0);
+  for (unsigned i = 0; i < JOB_TASKS; i++)
+    {
+      g_autofree char *task = g_strdup_printf ("La.0.0.%u", i);
+
+      assert_int_equal (world_count_running (pool->world, task), 1);
+    }
+  world_destroy (pool->world);
+}
+
+/* The worker restarts, and carries out a start of a job that was meant for its former incarnation.
+ * Once it has answered and is registered, it gets tasks of another. */
+static struct pool
+create_pool_with_restarted_worker (int64_t max_lease_ms)
+{
+  struct pool pool = create_pool (max_lease_ms);
+
+  pool.restarted->entry_lag_ms = ENTRY_LAG_MS;
+  world_reboot (pool.world, pool.restarted);
+  world_submit (pool.world, spec ("Lb", 1));
+  world_run (pool.world, NOTICE_MS);
+  world_submit (pool.world, spec ("La", JOB_TASKS));
+  world_run (pool.world, 100);
+  assert_in_range (pool.restarted->runs->len, 1, 4);
+  return pool;
+}
+
+/* Guards against a successor that starts a task again while the worker, which is cut off and has
+ * restarted before, holds a lease longer than any that the former leader asked for. */
+static void
+test_successor_awaits_the_longest_lease_of_a_restarted_worker (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    {
+      struct pool pool = create_pool_with_restarted_worker (max_leases[i]);
+
+      pool.restarted->silent = true;
+      take_over (&pool);
+      check_runs_once (&pool);
+    }
+}
+
+/* Guards against the same with two takeovers in a row, of which the second finds the records of the
+ * first leader. */
+static void
+test_second_successor_awaits_the_longest_lease_of_a_restarted_worker (void **state)
+{
+  static const int64_t terms[] = { 5, 400, 2000, 4000 };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    for (unsigned j = 0; j < G_N_ELEMENTS (terms); j++)
+      {
+        struct pool pool = create_pool_with_restarted_worker (max_leases[i]);
+
+        pool.restarted->silent = true;
+        take_over (&pool);
+        world_run (pool.world, terms[j]);
+        take_over (&pool);
+        check_runs_once (&pool);
+      }
+}
+
+/* Guards against the same with a successor that reaches the worker once before it is cut off, and
+ * then dies itself. */
+static void
+test_lease_outlives_a_leader_that_did_not_see_the_restart (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    {
+      struct pool pool = create_pool_with_restarted_worker (max_leases[i]);
+
+      take_over (&pool);
+      world_run (pool.world, 300);
+      pool.restarted->silent = true;
+      take_over (&pool);
+      check_runs_once (&pool);
+    }
+}
+
+/* Guards against a task that runs twice because its record, from before the restart, was not
+ * written again after the leader had noticed it. */
+static void
+test_noticed_restart_is_recorded_for_runs_placed_before (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    {
+      struct pool pool = create_pool (max_leases[i]);
+
+      pool.restarted->entry_lag_ms = 100000;
+      world_reboot (pool.world, pool.restarted);
+      world_submit (pool.world, spec ("La", JOB_TASKS));
+      world_run (pool.world, 100);
+      assert_in_range (pool.restarted->runs->len, 1, 4);
+      pool.restarted->silent = true;
+      take_over (&pool);
+      check_runs_once (&pool);
+    }
+}
+
+/* Guards against a successor that ignores the registry, where only the entry shows that the worker
+ * has restarted: its leader died before it noticed. */
+static void
+test_successor_awaits_the_longest_lease_if_the_entry_shows_a_restart (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    {
+      struct pool pool = create_pool (max_leases[i]);
+
+      pool.restarted->entry_lag_ms = 100000;
+      world_reboot (pool.world, pool.restarted);
+      world_submit (pool.world, spec ("La", JOB_TASKS));
+      world_run (pool.world, 5);
+      assert_in_range (pool.restarted->runs->len, 1, 4);
+      pool.restarted->silent = true;
+      pool.restarted->entry.started_at_ms = pool.restarted->started_at_ms;
+      take_over (&pool);
+      check_runs_once (&pool);
+    }
+}
+
+/* Guards against a leader that ends its wait by the former incarnation's lease, although the
+ * registry shows that the worker has restarted. */
+static void
+test_leader_awaits_the_longest_lease_if_the_entry_shows_a_restart (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    {
+      struct pool pool = create_pool (max_leases[i]);
+
+      pool.restarted->entry_lag_ms = 20;
+      pool.restarted->drops_all_answers = true;
+      world_reboot (pool.world, pool.restarted);
+      world_submit (pool.world, spec ("La", JOB_TASKS));
+      world_run (pool.world, 15);
+      assert_in_range (pool.restarted->runs->len, 1, 4);
+      world_run (pool.world, 10);
+      pool.restarted->silent = true;
+      check_runs_once (&pool);
+    }
+}
+
+static void
+remove_leases (void *id, void *record, void *ctx)
+{
+  char *leases = strstr (record, ",\"l\":");
+
+  (void) id;
+  (void) ctx;
+  if (leases != NULL)
+    strcpy (leases, "}");
+}
+
+/* Guards against records of a version that does not write which leases may be long: nothing in them
+ * shows that there are none. */
+static void
+test_records_of_an_earlier_version_may_hide_a_restart (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    {
+      struct pool pool = create_pool_with_restarted_worker (max_leases[i]);
+
+      pool.restarted->silent = true;
+      g_hash_table_foreach (pool.world->records, remove_leases, NULL);
+      take_over (&pool);
+      check_runs_once (&pool);
+    }
+}
+
+/* Guards against jobs with nothing running beside free workers: the lease of a worker that has not
+ * restarted lately is no longer than a leader asks for, whatever the worker would grant. */
+static void
+test_successor_waits_no_longer_for_a_worker_that_has_not_restarted (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    for (int restarts = 0; restarts < 2; restarts++)
+      {
+        struct pool pool = create_pool (max_leases[i]);
+
+        if (restarts)
+          {
+            pool.restarted->entry_lag_ms = ENTRY_LAG_MS;
+            world_reboot (pool.world, pool.restarted);
+            world_run (pool.world, LATE_ORDER_MS + 2 * max_leases[i]);
+          }
+        world_submit (pool.world, spec ("La", JOB_TASKS));
+        world_run (pool.world, 1000);
+        assert_in_range (pool.restarted->runs->len, 1, 4);
+        pool.restarted->silent = true;
+        take_over (&pool);
+        world_run (pool.world, MT_MAX_WORKER_LEASE_MS + MT_OUTAGE_EVIDENCE_MS
+                                   + MT_EVIDENCE_TRANSIT_MS + DRIFT_MS);
+        assert_in_range (pool.world->n_starts, JOB_TASKS + 1, JOB_TASKS + 4);
+        assert_int_equal (pool.world->duplicate_starts, 0);
+        world_destroy (pool.world);
+      }
+}
+
+/* Guards against a record that calls a lease long for ever: tasks that run for hours would wait for
+ * it after each later takeover. */
+static void
+test_long_leases_leave_the_records_once_they_are_over (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    {
+      struct pool pool = create_pool_with_restarted_worker (max_leases[i]);
+
+      world_run (pool.world, 2 * max_leases[i] + LATE_ORDER_MS);
+      pool.world->n_starts = 0;
+      pool.restarted->silent = true;
+      take_over (&pool);
+      world_run (pool.world, MT_MAX_WORKER_LEASE_MS + MT_OUTAGE_EVIDENCE_MS + MT_EVIDENCE_TRANSIT_MS
+                                 + DRIFT_MS);
+      assert_in_range (pool.world->n_starts, 1, 4);
+      assert_int_equal (pool.world->duplicate_starts, 0);
+      world_destroy (pool.world);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_successor_awaits_the_longest_lease_of_a_restarted_worker),
+    cmocka_unit_test (test_second_successor_awaits_the_longest_lease_of_a_restarted_worker),
+    cmocka_unit_test (test_lease_outlives_a_leader_that_did_not_see_the_restart),
+    cmocka_unit_test (test_noticed_restart_is_recorded_for_runs_placed_before),
+    cmocka_unit_test (test_successor_awaits_the_longest_lease_if_the_entry_shows_a_restart),
+    cmocka_unit_test (test_leader_awaits_the_longest_lease_if_the_entry_shows_a_restart),
+    cmocka_unit_test (test_records_of_an_earlier_version_may_hide_a_restart),
+    cmocka_unit_test (test_successor_waits_no_longer_for_a_worker_that_has_not_restarted),
+    cmocka_unit_test (test_long_leases_leave_the_records_once_they_are_over),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -24,7 +24,6 @@
 static const struct mt_scheduler_settings settings = {
   .name = "pool",
   .lease_ms = 4500,
-  .max_lease_ms = WORLD_MAX_LEASE_MS,
   .remote_factor = 2,
   .retention_ms = 120000,
   .stop_grace_ms = 900,
@@ -69,6 +68,7 @@
 
   with_policy.share_policy = world->share_policy;
   with_policy.worker_speed = world->worker_speed;
+  with_policy.max_lease_ms = world->max_lease_ms;
   with_policy.token = world->token;
   sched = mt_scheduler_create (&with_policy);
   set_route (world, sched);
@@ -91,6 +91,14 @@
   world->sched = create_scheduler (world);
 }
 
+void
+world_set_max_lease (struct world *world, int64_t ms)
+{
+  world->max_lease_ms = ms;
+  mt_scheduler_destroy (world->sched);
+  world->sched = create_scheduler (world);
+}
+
 void
 world_require_tickets (struct world *world, bool (*may_run) (const char *step, unsigned worker))
 {
@@ -107,6 +115,7 @@
   world->run_ms = 1000;
   world->max_listed_ends = WORLD_MAX_LISTED_ENDS;
   world->stop_ms = DEFAULT_STOP_MS;
+  world->max_lease_ms = WORLD_MAX_LEASE_MS;
   world->revision = world->token = 1;
   world->delayed_orders = g_array_new (FALSE, TRUE, sizeof (struct world_delayed_order));
   world->sent_orders = g_array_new (FALSE, TRUE, sizeof (struct world_sent_order));
@@ -518,7 +527,7 @@
 static void
 extend_lease (const struct world *world, struct world_worker *w, int64_t lease_end_ms)
 {
-  int64_t end = MIN (lease_end_ms + w->clock_zero, world->now + WORLD_MAX_LEASE_MS);
+  int64_t end = MIN (lease_end_ms + w->clock_zero, world->now + world->max_lease_ms);
 
   if (lease_end_ms != 0)
     w->lease_end_ms = MAX (w->lease_end_ms, end);
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -20,7 +20,7 @@
 #define WORLD_GANG_WAIT_MS 3000
 /* A crashed worker restarts after this time unless the test sets another. */
 #define WORLD_DOWNTIME_MS 3000
-/* Longest lease that a worker grants, whatever the order asks for. */
+/* Longest lease that a worker grants, whatever the order asks for, unless the test sets another. */
 #define WORLD_MAX_LEASE_MS 6000
 
 struct world_run
@@ -212,6 +212,7 @@
   bool new_id_after_crash;       /* a crashed machine returns as another worker, same address */
   const struct mt_share_policy *share_policy; /* NULL: the default */
   bool worker_speed;                          /* setting of the leaders */
+  int64_t max_lease_ms;                       /* longest lease that a worker grants */
   unsigned checkpoint_percent; /* runs write a checkpoint at each multiple of this; 0: never */
   double (*task_factor) (const char *task); /* multiplies a task's run time; NULL: 1 */
   GHashTable *records;                      /* job id to its last stored record */
@@ -230,6 +231,8 @@
 void world_set_share_policy (struct world *world, const char *name);
 /* Makes this and later leaders compare the speed of workers; to be called before anything else. */
 void world_set_worker_speed (struct world *world);
+/* Sets the longest lease that a worker grants; to be called before anything else. */
+void world_set_max_lease (struct world *world, int64_t ms);
 void world_destroy (struct world *world);
 /* Tickets are needed on the route, by may_run. */
 void world_require_tickets (struct world *world,
