scheduler: the event of a lost worker tells how its lease was counted

WORKER_LOST gave the ages of the last answer and the last start, but not what the lease was counted from that is said to be over.

Behaviour stays.

--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -493,7 +493,7 @@
   if (w->is_fresh)
     w->lease_end = 0;
   if (w->is_fresh || clock_ms < MT_LATE_ORDER_MS + sched->settings.max_lease_ms)
-    mt_worker_record_lease (w, sched->settings.max_lease_ms, now);
+    mt_worker_record_lease (w, sched->settings.max_lease_ms, "first answer", now);
   w->is_fresh = false;
 }
 
--- a/core/scheduler/scheduler_incarnations.c
+++ b/core/scheduler/scheduler_incarnations.c
@@ -348,7 +348,7 @@
   /* Until its first hold is answered it may carry out late orders, whose leases were given on the
    * former one's clock. These lie far ahead on its own, and it grants its longest lease instead. */
   w->lease_end = 0;
-  mt_worker_record_lease (w, UNCONFIRMED_WAIT_MS + sched->settings.max_lease_ms, now);
+  mt_worker_record_lease (w, UNCONFIRMED_WAIT_MS + sched->settings.max_lease_ms, "restart", now);
   if (w->claim != NULL && w->claim->started_at_ms == started_at)
     mt_worker_apply_entry (sched, w, w->claim, now);
   mt_worker_clear_claim (w);
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -267,7 +267,8 @@
   bool loss_counted;              /* the loss of the present incarnation counts in the loss rate */
   int64_t clock_ms;               /* last reading of the worker's clock ... */
   int64_t clock_at;               /* ... and our clock at that reading; 0: none */
-  int64_t lease_end; /* time on our clock by which all leases granted to it have expired */
+  int64_t lease_end;       /* time on our clock by which all leases granted to it have expired */
+  const char *lease_basis; /* how lease_end was counted, for the log */
   int64_t cordon_until;
   int64_t drain_announced_until; /* when the announcement of a later drain expires */
   bool move_long_running;
@@ -601,7 +602,8 @@
 bool mt_worker_clock_is_continued (const struct mt_worker *w, int64_t clock_ms, int64_t sent_at);
 void mt_worker_update_clock (struct mt_worker *w, int64_t clock_ms, int64_t now);
 int64_t mt_worker_lease_end (const struct mt_worker *w, int64_t now, int64_t lease_ms);
-void mt_worker_record_lease (struct mt_worker *w, int64_t lease_ms, int64_t now);
+/* basis: a string constant that tells in the log how the lease was counted. */
+void mt_worker_record_lease (struct mt_worker *w, int64_t lease_ms, const char *basis, int64_t now);
 
 /* scheduler_incarnations.c */
 /* Takes note of the incarnation that a report names; 0: none. Returns false if it is a former one:
--- a/core/scheduler/scheduler_orders.c
+++ b/core/scheduler/scheduler_orders.c
@@ -139,7 +139,7 @@
   order->kind = MT_ORDER_START;
   init_order (sched, task, order, now);
   task->worker->start_sent_at = now;
-  mt_worker_record_lease (task->worker, granted_lease_ms (sched, task->worker, now), now);
+  mt_worker_record_lease (task->worker, granted_lease_ms (sched, task->worker, now), "order", now);
   return true;
 }
 
@@ -261,7 +261,7 @@
         {
           order->lease_end_ms = mt_worker_lease_end (w, now, sched->settings.lease_ms);
           if (order->lease_end_ms != 0)
-            mt_worker_record_lease (w, granted_lease_ms (sched, w, now), now);
+            mt_worker_record_lease (w, granted_lease_ms (sched, w, now), "order", now);
         }
       return true;
     }
--- a/core/scheduler/scheduler_record.c
+++ b/core/scheduler/scheduler_record.c
@@ -230,7 +230,7 @@
       mt_task_begin_location (sched, task, &loss, now);
     }
   mt_worker_record_lease (
-      w, MT_OUTAGE_EVIDENCE_MS + MT_EVIDENCE_TRANSIT_MS + MT_MAX_WORKER_LEASE_MS, now);
+      w, MT_OUTAGE_EVIDENCE_MS + MT_EVIDENCE_TRANSIT_MS + MT_MAX_WORKER_LEASE_MS, "takeover", now);
   return true;
 }
 
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -236,10 +236,11 @@
 {
   mt_scheduler_log_event (sched, "WORKER_LOST",
                           "worker=%s address=%s why=%s tasks=%u heard_age_ms=%" G_GINT64_FORMAT
-                          " start_age_ms=%" G_GINT64_FORMAT,
+                          " start_age_ms=%" G_GINT64_FORMAT " lease=%s",
                           w->id, w->address != NULL ? w->address : "", why, w->tasks.length,
                           age_or_unknown (w->answered_at, now),
-                          age_or_unknown (w->start_sent_at, now));
+                          age_or_unknown (w->start_sent_at, now),
+                          w->lease_basis != NULL ? w->lease_basis : "none");
 }
 
 void
@@ -433,9 +434,12 @@
 /* Extends lease_end for a lease that is being sent, answered or not: an order without an answer may
  * have arrived. */
 void
-mt_worker_record_lease (struct mt_worker *w, int64_t lease_ms, int64_t now)
+mt_worker_record_lease (struct mt_worker *w, int64_t lease_ms, const char *basis, int64_t now)
 {
   int64_t lease_end = now + lease_ms * 1000 / (1000 - MT_CLOCK_DRIFT_PER_MILLE) + 100;
 
-  w->lease_end = MAX (w->lease_end, lease_end);
+  if (lease_end <= w->lease_end)
+    return;
+  w->lease_end = lease_end;
+  w->lease_basis = basis;
 }
