scheduler: a successor counts with the longest lease of a worker that has restarted

Cause: the end of a lease is a reading of the worker's clock, which starts anew with each incarnation. A restarted worker that carries out an order for its former life grants the longest lease that its platform allows (10 s there) in place of the 4.5 s asked for, and all that starts on it afterwards has that lease, too. Its leader counts with it; a successor that doesn't reach the worker counted with what leaders ask for, 6.94 s after its takeover. A figure of our own stood for what another party had done. Ruled out: the successor hearing of the worker (heard_age_ms=-1, lease=takeover); 6 s as the longest lease, which is below 6.94 s, shows nothing.

Change: a job's record names the workers of its tasks that may hold such a lease, and for how long. It is written before a task is placed there, as the leader notices the restart (by an entry or by an answer), and again without the name once the lease is over, so that tasks that run for hours aren't held back later. A successor waits for it; for the longest lease where the registry shows another incarnation than the record, and where a record is of a version that doesn't tell. A leader, too, counts with it once an entry shows a restart.

Why not the longest lease for every worker: accepted work would wait 12 s beside free capacity after each takeover. Where the platform's longest lease is at most what a successor awaits anyway nothing more is written.

The record's text in test_checkpoint_text_survives_a_takeover has the new field; it is compared whole, as before.

--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -491,9 +491,12 @@
   sched->changed = true;
   /* Before this answer its leases could not be known. */
   if (w->is_fresh)
-    w->lease_end = 0;
+    w->lease_end = w->longest_lease_end = 0;
   if (w->is_fresh || clock_ms < MT_LATE_ORDER_MS + sched->settings.max_lease_ms)
-    mt_worker_record_lease (w, sched->settings.max_lease_ms, "first answer", now);
+    mt_worker_record_longest_lease (sched, w, 0, "first answer", now);
+  /* The leader that had noticed the restart has stored it. */
+  if (!w->is_fresh)
+    mt_worker_store_longest_lease (sched, w, now);
   w->is_fresh = false;
 }
 
--- a/core/scheduler/scheduler_cycle.c
+++ b/core/scheduler/scheduler_cycle.c
@@ -105,6 +105,7 @@
   GPtrArray *out;
 
   sched->changed = false;
+  sched->cycle_at = now;
   mt_scheduler_open_due_occurrences (sched, now, wall);
   mt_scheduler_place (sched, now);
   out = g_ptr_array_new_with_free_func (g_free);
--- a/core/scheduler/scheduler_incarnations.c
+++ b/core/scheduler/scheduler_incarnations.c
@@ -139,6 +139,8 @@
   claim->labels = (const char *const *) g_strdupv ((char **) entry->labels);
   if (w->claim == NULL || w->claim->started_at_ms != entry->started_at_ms)
     {
+      mt_worker_record_longest_lease (sched, w, UNCONFIRMED_WAIT_MS, "restart in the entry", now);
+      mt_worker_store_longest_lease (sched, w, now);
       w->claimed_at = now;
       w->next_probe_at = now;
       /* With a higher token, the first probe already fences the orders to the former incarnation.
@@ -347,8 +349,9 @@
   replace_token (sched, w);
   /* Until its first hold is answered it may carry out late orders, whose leases were given on the
    * former one's clock. These lie far ahead on its own, and it grants its longest lease instead. */
-  w->lease_end = 0;
-  mt_worker_record_lease (w, UNCONFIRMED_WAIT_MS + sched->settings.max_lease_ms, "restart", now);
+  w->lease_end = w->longest_lease_end = 0;
+  mt_worker_record_longest_lease (sched, w, UNCONFIRMED_WAIT_MS, "restart", now);
+  mt_worker_store_longest_lease (sched, w, now);
   if (w->claim != NULL && w->claim->started_at_ms == started_at)
     mt_worker_apply_entry (sched, w, w->claim, now);
   mt_worker_clear_claim (w);
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -197,6 +197,7 @@
   bool in_dirty_list;       /* in the scheduler's dirty list */
   bool in_cycle;            /* its record is being written */
   bool left_out;            /* the last placing left it out because its record was being written */
+  bool records_leases;      /* a record of it names a worker's longest lease */
   uint64_t version;         /* number of changes so far */
   uint64_t writing_version; /* version that is being written */
   uint64_t stored_version;  /* version that is stored */
@@ -267,8 +268,10 @@
   bool loss_counted;              /* the loss of the present incarnation counts in the loss rate */
   int64_t clock_ms;               /* last reading of the worker's clock ... */
   int64_t clock_at;               /* ... and our clock at that reading; 0: none */
-  int64_t lease_end;       /* time on our clock by which all leases granted to it have expired */
-  const char *lease_basis; /* how lease_end was counted, for the log */
+  int64_t lease_end;         /* time on our clock by which all leases granted to it have expired */
+  int64_t longest_lease_end; /* ... of these, by which those have that it may have granted for an
+                                order dated by another incarnation's clock; 0: none */
+  const char *lease_basis;   /* how lease_end was counted, for the log */
   int64_t cordon_until;
   int64_t drain_announced_until; /* when the announcement of a later drain expires */
   bool move_long_running;
@@ -387,6 +390,7 @@
   int64_t last_placed_at;
   struct mt_loss_rate loss_rate;
   int64_t last_check_at;
+  int64_t cycle_at;         /* when the last cycle began */
   int64_t slow_move_at;     /* when a task was last moved off a slow worker */
   unsigned slow_scans_left; /* scans for such moves in the present check */
   int64_t speeds_at;        /* last update of the workers' speeds */
@@ -604,6 +608,22 @@
 int64_t mt_worker_lease_end (const struct mt_worker *w, int64_t now, int64_t lease_ms);
 /* basis: a string constant that tells in the log how the lease was counted. */
 void mt_worker_record_lease (struct mt_worker *w, int64_t lease_ms, const char *basis, int64_t now);
+/* Records that the worker may hold the longest lease that it grants to any order, beginning up to
+ * wait_ms from now: the order may have been dated by another incarnation's clock. */
+void mt_worker_record_longest_lease (const struct mt_scheduler *sched,
+                                     struct mt_worker *w,
+                                     int64_t wait_ms,
+                                     const char *basis,
+                                     int64_t now);
+/* Records it as a former leader has: it lasts for lasts_ms at most. */
+void mt_worker_restore_longest_lease (struct mt_worker *w, int64_t lasts_ms, int64_t now);
+/* Returns how long from now on the worker may hold its longest lease, in ms; 0 if that is within
+ * what a successor awaits anyway. */
+int64_t mt_worker_longest_lease_ms (const struct mt_worker *w, int64_t now);
+/* Stores the jobs of the worker's tasks, so that a successor knows of its longest lease. */
+void mt_worker_store_longest_lease (struct mt_scheduler *sched, struct mt_worker *w, int64_t now);
+/* To be called at intervals: forgets a longest lease that is over. */
+void mt_worker_expire_longest_lease (struct mt_scheduler *sched, struct mt_worker *w, int64_t now);
 
 /* scheduler_incarnations.c */
 /* Takes note of the incarnation that a report names; 0: none. Returns false if it is a former one:
--- a/core/scheduler/scheduler_orders.c
+++ b/core/scheduler/scheduler_orders.c
@@ -62,13 +62,18 @@
   return !w->answer_lost && w->listing_at != 0 && now - w->listing_at < MAX_HOLD_ROUND_TRIP_MS;
 }
 
-/* Returns the longest lease that the worker may grant for an order sent now. The end of a lease is
+/* Records the longest lease that the worker may grant for an order sent now. The end of a lease is
  * a reading of the worker's clock; if the worker has restarted, its clock has, too, and the reading
  * lies beyond its longest lease. */
-static int64_t
-granted_lease_ms (const struct mt_scheduler *sched, const struct mt_worker *w, int64_t now)
+static void
+record_granted_lease (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
-  return has_listed_lately (w, now) ? sched->settings.lease_ms : sched->settings.max_lease_ms;
+  if (w->claim != NULL)
+    mt_worker_record_longest_lease (sched, w, 0, "order after a restart", now);
+  else if (has_listed_lately (w, now))
+    mt_worker_record_lease (w, sched->settings.lease_ms, "order", now);
+  else
+    mt_worker_record_lease (w, sched->settings.max_lease_ms, "order without a listing", now);
 }
 
 /* Starts wait until a worker whose entry names a restart has told which incarnation answers: the
@@ -139,7 +144,7 @@
   order->kind = MT_ORDER_START;
   init_order (sched, task, order, now);
   task->worker->start_sent_at = now;
-  mt_worker_record_lease (task->worker, granted_lease_ms (sched, task->worker, now), "order", now);
+  record_granted_lease (sched, task->worker, now);
   return true;
 }
 
@@ -261,7 +266,7 @@
         {
           order->lease_end_ms = mt_worker_lease_end (w, now, sched->settings.lease_ms);
           if (order->lease_end_ms != 0)
-            mt_worker_record_lease (w, granted_lease_ms (sched, w, now), "order", now);
+            record_granted_lease (sched, w, now);
         }
       return true;
     }
--- a/core/scheduler/scheduler_record.c
+++ b/core/scheduler/scheduler_record.c
@@ -1,4 +1,7 @@
-/* A job's progress as JSON text: what the next leader needs to continue the job. */
+/* A job's progress as JSON text: what the next leader needs to continue the job. "t" has a row for
+ * each task that has been placed; "l" the workers of these rows that may hold the longest lease
+ * that they grant, each with the time in ms for which that lease may last from the writing on.
+ * Records without "l" are of an earlier version and don't tell. */
 #include "scheduler_internal.h"
 
 #include "medlartrack/json_text.h"
@@ -81,6 +84,28 @@
   g_string_append_c (out, ']');
 }
 
+/* Appends the workers of the job's tasks that may hold a lease longer than a successor awaits. */
+static void
+append_leases (GString *out, const struct mt_scheduler *sched, const struct mt_job *job)
+{
+  g_autoptr (GPtrArray) named = g_ptr_array_new ();
+
+  for (unsigned k = 0; k < job->n_occurrences; k++)
+    for (unsigned i = 0; job->occurrences[k] != NULL && i < job->occurrences[k]->n_tasks; i++)
+      {
+        struct mt_worker *w = job->occurrences[k]->tasks[i].worker;
+        int64_t ms = w != NULL ? mt_worker_longest_lease_ms (w, sched->cycle_at) : 0;
+
+        if (ms == 0 || g_ptr_array_find (named, w, NULL))
+          continue;
+        if (named->len > 0)
+          g_string_append_c (out, ',');
+        mt_json_append_string (out, w->id);
+        g_string_append_printf (out, ":%" G_GINT64_FORMAT, ms);
+        g_ptr_array_add (named, w);
+      }
+}
+
 char *
 mt_scheduler_job_record (const struct mt_scheduler *sched, const char *id)
 {
@@ -112,7 +137,10 @@
         append_task (out, task, first);
         first = false;
       }
-  g_string_append (out, "]}");
+  g_string_append (out, "],\"l\":{");
+  if (job->records_leases)
+    append_leases (out, sched, job);
+  g_string_append (out, "}}");
   return g_string_free (out, FALSE);
 }
 
@@ -176,9 +204,33 @@
   return true;
 }
 
-/* Returns false if the row names no task of the job. */
+/* Counts with the leases that the worker of an inherited task may hold. leases: "l" of the job's
+ * record; NULL: none. */
+static void
+restore_lease (const struct mt_scheduler *sched,
+               const struct mt_task *task,
+               const json_t *leases,
+               int64_t now)
+{
+  struct mt_worker *w = task->worker;
+  int64_t recorded_ms = CLAMP (json_integer_value (json_object_get (leases, w->id)), 0,
+                               MT_LATE_ORDER_MS + sched->settings.max_lease_ms);
+
+  mt_worker_record_lease (w, MT_SUCCESSOR_WAIT_MS, "takeover", now);
+  if (recorded_ms > 0)
+    mt_worker_restore_longest_lease (w, recorded_ms, now);
+  if (leases == NULL)
+    mt_worker_record_longest_lease (sched, w, MT_SUCCESSOR_WAIT_MS - MT_MAX_WORKER_LEASE_MS,
+                                    "takeover from an earlier version", now);
+  else if (task->unlocated)
+    mt_worker_record_longest_lease (sched, w, MT_SUCCESSOR_WAIT_MS - MT_MAX_WORKER_LEASE_MS,
+                                    "takeover after a restart", now);
+}
+
+/* Returns false if the row names no task of the job. leases: as in the job's record. */
 static bool
-restore_task (struct mt_scheduler *sched, struct mt_job *job, json_t *row, int64_t now)
+restore_task (
+    struct mt_scheduler *sched, struct mt_job *job, json_t *row, const json_t *leases, int64_t now)
 {
   unsigned number = (unsigned) get_column (row, COLUMN_OCCURRENCE, G_MAXUINT);
   unsigned step = (unsigned) get_column (row, COLUMN_STEP, G_MAXUINT);
@@ -229,21 +281,51 @@
 
       mt_task_begin_location (sched, task, &loss, now);
     }
-  mt_worker_record_lease (
-      w, MT_OUTAGE_EVIDENCE_MS + MT_EVIDENCE_TRANSIT_MS + MT_MAX_WORKER_LEASE_MS, "takeover", now);
+  restore_lease (sched, task, leases, now);
   return true;
 }
 
+/* Has the job stored again if its record does not tell of a lease that a successor has to await. */
+static void
+update_recorded_leases (struct mt_scheduler *sched,
+                        struct mt_job *job,
+                        const json_t *leases,
+                        int64_t now)
+{
+  job->records_leases = json_object_size (leases) > 0;
+  for (unsigned k = 0; k < job->n_occurrences; k++)
+    for (unsigned i = 0; job->occurrences[k] != NULL && i < job->occurrences[k]->n_tasks; i++)
+      {
+        const struct mt_worker *w = job->occurrences[k]->tasks[i].worker;
+
+        if (w == NULL || mt_worker_longest_lease_ms (w, now) == 0
+            || json_object_get (leases, w->id) != NULL)
+          continue;
+        job->records_leases = true;
+        mt_job_mark_dirty (sched, job);
+      }
+}
+
+/* Returns the leases that the record names; NULL if it is of a version that names none. */
+static const json_t *
+get_leases (const json_t *root)
+{
+  const json_t *leases = json_object_get (root, "l");
+
+  return json_is_object (leases) ? leases : NULL;
+}
+
 /* Returns false if the record or a part of it can't be read. */
 static bool
 restore_progress (struct mt_scheduler *sched, struct mt_job *job, const json_t *root, int64_t now)
 {
   const json_t *rows = json_object_get (root, "t");
+  const json_t *leases = get_leases (root);
   bool ok = restore_done (sched, job, json_object_get (root, "d"), now);
   size_t i;
   json_t *row;
 
-  json_array_foreach (rows, i, row) ok = restore_task (sched, job, row, now) && ok;
+  json_array_foreach (rows, i, row) ok = restore_task (sched, job, row, leases, now) && ok;
   return ok && json_is_array (rows);
 }
 
@@ -283,6 +365,7 @@
       mt_job_complete_if_done (sched, job, now);
       mt_job_apply_policy (sched, job, now);
       mt_job_give_up_lost (sched, job, now);
+      update_recorded_leases (sched, job, get_leases (root), now);
     }
   json_decref (root);
   return !job->is_unreadable;
--- a/core/scheduler/scheduler_watch.c
+++ b/core/scheduler/scheduler_watch.c
@@ -396,6 +396,7 @@
       w->avoid_until = 0;
       sched->changed = true;
     }
+  mt_worker_expire_longest_lease (sched, w, now);
   if (w->tasks.length == 0)
     return;
   /* A worker that does not answer, or is not registered, may still run its tasks. They are released
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -431,15 +431,83 @@
   return w->clock_at != 0 ? min_clock_ms (w, now) + lease_ms : 0;
 }
 
+/* Returns when a lease of lease_ms granted by now has ended on our clock, by the slowest clock. */
+static int64_t
+latest_end (int64_t lease_ms, int64_t now)
+{
+  return now + lease_ms * 1000 / (1000 - MT_CLOCK_DRIFT_PER_MILLE) + 100;
+}
+
 /* Extends lease_end for a lease that is being sent, answered or not: an order without an answer may
  * have arrived. */
 void
 mt_worker_record_lease (struct mt_worker *w, int64_t lease_ms, const char *basis, int64_t now)
 {
-  int64_t lease_end = now + lease_ms * 1000 / (1000 - MT_CLOCK_DRIFT_PER_MILLE) + 100;
+  int64_t lease_end = latest_end (lease_ms, now);
 
   if (lease_end <= w->lease_end)
     return;
   w->lease_end = lease_end;
   w->lease_basis = basis;
 }
+
+void
+mt_worker_record_longest_lease (const struct mt_scheduler *sched,
+                                struct mt_worker *w,
+                                int64_t wait_ms,
+                                const char *basis,
+                                int64_t now)
+{
+  int64_t lease_ms = wait_ms + sched->settings.max_lease_ms;
+
+  mt_worker_record_lease (w, lease_ms, basis, now);
+  w->longest_lease_end = MAX (w->longest_lease_end, latest_end (lease_ms, now));
+}
+
+void
+mt_worker_restore_longest_lease (struct mt_worker *w, int64_t lasts_ms, int64_t now)
+{
+  w->longest_lease_end = MAX (w->longest_lease_end, now + lasts_ms);
+  if (w->longest_lease_end <= w->lease_end)
+    return;
+  w->lease_end = w->longest_lease_end;
+  w->lease_basis = "takeover after a restart";
+}
+
+int64_t
+mt_worker_longest_lease_ms (const struct mt_worker *w, int64_t now)
+{
+  return w->longest_lease_end > latest_end (MT_SUCCESSOR_WAIT_MS, now) ? w->longest_lease_end - now
+                                                                       : 0;
+}
+
+void
+mt_worker_store_longest_lease (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
+{
+  if (mt_worker_longest_lease_ms (w, now) == 0)
+    return;
+  for (GList *l = w->tasks.head; l != NULL; l = l->next)
+    {
+      struct mt_job *job = ((struct mt_task *) l->data)->occ->job;
+
+      job->records_leases = true;
+      mt_job_mark_dirty (sched, job);
+    }
+}
+
+/* The lease leaves the records: tasks may run on for hours, and each later successor would await
+ * it. */
+void
+mt_worker_expire_longest_lease (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
+{
+  if (w->longest_lease_end == 0 || now <= w->longest_lease_end)
+    return;
+  w->longest_lease_end = 0;
+  for (GList *l = w->tasks.head; l != NULL; l = l->next)
+    {
+      struct mt_job *job = ((struct mt_task *) l->data)->occ->job;
+
+      if (job->records_leases)
+        mt_job_mark_dirty (sched, job);
+    }
+}
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -21,17 +21,21 @@
  * thread. */
 const struct mt_share_policy *mt_share_policy_find (struct mt_str name);
 
-/* Longest lease of a worker's tasks that any leader grants, in ms. It must be well above the
+/* Longest lease of a worker's tasks that any leader asks for, in ms. It must be well above the
  * duration of a takeover: 1.5 s until a dead leader's lease expires, then less than 1 s until its
  * successor has renewed the lease of every worker. A successor counts with it for workers that it
  * does not reach, whichever version its predecessor had: a version may raise it only after all
- * daemons count with the longer lease. */
+ * daemons count with the longer lease. A worker that has restarted may hold a longer one, up to the
+ * setting max_lease_ms; the records of its tasks tell so. */
 #define MT_MAX_WORKER_LEASE_MS 4500
 /* How long what other daemons have told of a store outage is believed. A leader that has lost its
  * own lease renews its workers' leases for that long, even if the store is back and has a
  * successor; the answers may have been under way for MT_EVIDENCE_TRANSIT_MS. */
 #define MT_OUTAGE_EVIDENCE_MS  2000
 #define MT_EVIDENCE_TRANSIT_MS 200
+/* Time after a takeover for which leases that the predecessor asked for may last. */
+#define MT_SUCCESSOR_WAIT_MS                                                                       \
+  (MT_OUTAGE_EVIDENCE_MS + MT_EVIDENCE_TRANSIT_MS + MT_MAX_WORKER_LEASE_MS)
 
 struct mt_scheduler_settings
 {
--- a/tests/scheduler/test_leases.c
+++ b/tests/scheduler/test_leases.c
@@ -159,6 +159,7 @@
     {
       struct pool pool = create_pool (max_leases[i]);
 
+      pool.world->answers_name_incarnation = true;
       pool.restarted->entry_lag_ms = 100000;
       world_reboot (pool.world, pool.restarted);
       world_submit (pool.world, spec ("La", JOB_TASKS));
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -148,7 +148,8 @@
 test_checkpoint_text_survives_a_takeover (void **state)
 {
   const char *stored
-      = "{\"s\":\"queued\",\"b\":1,\"d\":{},\"t\":[[0,0,0,1,0,\"\",0,\"k\xc3\xa9sz \\\"7\\\"\"]]}";
+      = "{\"s\":\"queued\",\"b\":1,\"d\":{},\"t\":[[0,0,0,1,0,\"\",0,\"k\xc3\xa9sz \\\"7\\\"\"]],"
+        "\"l\":{}}";
   struct world *world = world_create ();
   g_autofree char *record = NULL;
 
