scheduler: an answer from a clock that has started anew is followed up at once

The answers to starts don't name the incarnation; their clock shows the restart. The leader took note of that only as a lost answer, and learned of the restart from its next listing, up to a second later if a hold was waiting there.

Change: such an answer has the worker asked at once by a probe beside the hold, its longest lease counted and stored with the jobs of its tasks, and no start sent to it until an answer has named the incarnation.

--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -540,6 +540,8 @@
       w->next_hold_at = now;
       return;
     }
+  if (order->sent_at >= w->clock_restarted_at)
+    w->clock_restarted_at = 0;
   record_answer (sched, w, now);
   if (!mt_worker_is_fencing (w, order))
     {
@@ -715,7 +717,11 @@
     }
   /* The next hold shows which incarnation it was. */
   else
-    w->answer_lost = true;
+    {
+      w->answer_lost = true;
+      if (is_addressed)
+        mt_worker_suspect_restart (sched, w, now);
+    }
   if (task == NULL || task->worker != w || task->run != order->run)
     return;
   if (order->kind == MT_ORDER_START)
--- a/core/scheduler/scheduler_incarnations.c
+++ b/core/scheduler/scheduler_incarnations.c
@@ -164,6 +164,26 @@
   g_clear_pointer (&w->claim, g_free);
 }
 
+/* A waiting hold may not return for a second, in which the leader may die and the worker be cut
+ * off: a probe tells sooner. */
+void
+mt_worker_suspect_restart (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
+{
+  if (w->clock_restarted_at != 0)
+    return;
+  w->clock_restarted_at = now;
+  w->next_probe_at = now;
+  mt_worker_record_longest_lease (sched, w, UNCONFIRMED_WAIT_MS, "restart of the clock", now);
+  mt_worker_store_longest_lease (sched, w, now);
+  mark_unsure (sched, w);
+}
+
+bool
+mt_worker_may_have_restarted (const struct mt_worker *w)
+{
+  return w->claim != NULL || w->clock_restarted_at != 0;
+}
+
 bool
 mt_worker_is_claimed_by (const struct mt_worker *w, const struct mt_worker_entry *entry)
 {
@@ -299,7 +319,7 @@
   w->is_fresh = true;
   w->next_probe_at = 0;
   w->moved_at = 0;
-  w->clock_at = 0;
+  w->clock_at = w->clock_restarted_at = 0;
   w->start_sent_at = w->start_before_answer_at = 0;
   w->listing_at = w->listing_requested_at = w->listed_before_at = 0;
   w->applied_end = w->durable_end = 0;
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -232,6 +232,8 @@
                                     its strings; NULL: none */
   int64_t claimed_at;            /* when that entry was seen */
   int64_t refuted_started_at;    /* incarnation of an entry that the worker's answers refuted */
+  int64_t clock_restarted_at;    /* when an answer's clock was seen to have started anew, while no
+                                    answer has named the incarnation since; 0: not */
   bool is_unsure;                /* is in the scheduler's queue of such workers */
   bool probe_in_flight;
   int64_t next_probe_at;
@@ -381,7 +383,8 @@
   GQueue starts;            /* tasks whose start is queued */
   GQueue stops;             /* tasks whose stop is queued */
   GQueue pace_changes;
-  GQueue unsure; /* workers with a claim or a fresh incarnation, and some that no longer are */
+  GQueue
+      unsure; /* workers that are to be asked for their incarnation, and some that no longer are */
   GQueue orphaned_runs;            /* orphaned runs to be stopped */
   int64_t long_running_only_until; /* until then a worker takes only long-running tasks */
   bool changed;                    /* a cycle may have something to place or write */
@@ -642,6 +645,11 @@
                           const struct mt_worker_entry *entry,
                           int64_t now);
 void mt_worker_clear_claim (struct mt_worker *w);
+/* Takes note that an answer to an order, which does not name its incarnation, was given by another
+ * than the known one. */
+void mt_worker_suspect_restart (struct mt_scheduler *sched, struct mt_worker *w, int64_t now);
+/* Returns whether another incarnation than the known one may answer: by its entry, or its clock. */
+bool mt_worker_may_have_restarted (const struct mt_worker *w);
 /* Returns whether the entry is of an incarnation that has neither answered nor been refuted. */
 bool mt_worker_is_claimed_by (const struct mt_worker *w, const struct mt_worker_entry *entry);
 /* Sets the first known incarnation. */
--- a/core/scheduler/scheduler_orders.c
+++ b/core/scheduler/scheduler_orders.c
@@ -68,7 +68,7 @@
 static void
 record_granted_lease (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
-  if (w->claim != NULL)
+  if (mt_worker_may_have_restarted (w))
     mt_worker_record_longest_lease (sched, w, 0, "order after a restart", now);
   else if (has_listed_lately (w, now))
     mt_worker_record_lease (w, sched->settings.lease_ms, "order", now);
@@ -76,13 +76,13 @@
     mt_worker_record_lease (w, sched->settings.max_lease_ms, "order without a listing", now);
 }
 
-/* Starts wait until a worker whose entry names a restart has told which incarnation answers: the
- * next one may not suit the task. */
+/* Starts wait until a worker that may have restarted has told which incarnation answers: the next
+ * one may not suit the task. */
 static bool
 may_send (const struct mt_worker *w, enum mt_order_kind kind)
 {
   return w->orders_in_flight < MAX_ORDERS_PER_WORKER && w->address != NULL && !w->awaits_token
-         && (w->claim == NULL || kind != MT_ORDER_START);
+         && (kind != MT_ORDER_START || !mt_worker_may_have_restarted (w));
 }
 
 static struct mt_task *
@@ -204,7 +204,9 @@
 static bool
 needs_probe (const struct mt_worker *w)
 {
-  return w->claim != NULL || (w->is_fresh && w->hold_in_flight && w->address != NULL);
+  return w->claim != NULL
+         || ((w->is_fresh || w->clock_restarted_at != 0) && w->hold_in_flight
+             && w->address != NULL);
 }
 
 /* Grants no lease and acknowledges nothing. */
@@ -218,7 +220,7 @@
       struct mt_worker *w = l->data;
 
       next = l->next;
-      if (w->claim == NULL && !w->is_fresh)
+      if (!mt_worker_may_have_restarted (w) && !w->is_fresh)
         {
           w->is_unsure = false;
           g_queue_delete_link (&sched->unsure, l);
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -303,9 +303,9 @@
 bool
 mt_worker_accepts_work (const struct mt_worker *w, int64_t now)
 {
-  return w->listed && w->confirmed && !w->entry_is_former && w->claim == NULL && !w->leaving
-         && !w->ended && w->silent_since == 0 && w->cordon_until <= now && w->avoid_until <= now
-         && w->orphaned_runs == 0;
+  return w->listed && w->confirmed && !w->entry_is_former && !mt_worker_may_have_restarted (w)
+         && !w->leaving && !w->ended && w->silent_since == 0 && w->cordon_until <= now
+         && w->avoid_until <= now && w->orphaned_runs == 0;
 }
 
 bool
--- a/tests/scheduler/test_leases.c
+++ b/tests/scheduler/test_leases.c
@@ -151,24 +151,26 @@
 }
 
 /* Guards against a task that runs twice because its record, from before the restart, was not
- * written again after the leader had noticed it. */
+ * written again after the leader had noticed it: by the answer to its start, or by the clock in an
+ * answer that doesn't name its incarnation. */
 static void
 test_noticed_restart_is_recorded_for_runs_placed_before (void **state)
 {
   for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
-    {
-      struct pool pool = create_pool (max_leases[i]);
+    for (int names = 0; names < 2; names++)
+      {
+        struct pool pool = create_pool (max_leases[i]);
 
-      pool.world->answers_name_incarnation = true;
-      pool.restarted->entry_lag_ms = 100000;
-      world_reboot (pool.world, pool.restarted);
-      world_submit (pool.world, spec ("La", JOB_TASKS));
-      world_run (pool.world, 100);
-      assert_in_range (pool.restarted->runs->len, 1, 4);
-      pool.restarted->silent = true;
-      take_over (&pool);
-      check_runs_once (&pool);
-    }
+        pool.world->answers_name_incarnation = names != 0;
+        pool.restarted->entry_lag_ms = 100000;
+        world_reboot (pool.world, pool.restarted);
+        world_submit (pool.world, spec ("La", JOB_TASKS));
+        world_run (pool.world, 100);
+        assert_in_range (pool.restarted->runs->len, 1, 4);
+        pool.restarted->silent = true;
+        take_over (&pool);
+        check_runs_once (&pool);
+      }
 }
 
 /* Guards against a successor that ignores the registry, where only the entry shows that the worker
