scheduler: a lease granted before a worker's first answer is stored

What callers could see (TWICE): a task started again by a successor while its run went on. A worker restarts, is cut off as its leader notices, carries out a late order of its former life, answers, and is cut off again as the leader dies. The leader counts with the longest lease from the first answer on; the record had it from when the restart was noticed, and if that was more than 2 s before and the record was written again in between, less than the worker may hold.

Change: the jobs of its tasks are stored again if the first answer moves the end of the longest lease beyond the one stored.

--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -487,6 +487,9 @@
 static void
 confirm_worker (struct mt_scheduler *sched, struct mt_worker *w, int64_t clock_ms, int64_t now)
 {
+  /* By what was stored as the restart was noticed, a successor waits until then. */
+  int64_t stored_until = w->is_fresh ? w->longest_lease_end : 0;
+
   w->confirmed = true;
   sched->changed = true;
   /* Before this answer its leases could not be known. */
@@ -494,8 +497,7 @@
     w->lease_end = w->longest_lease_end = 0;
   if (w->is_fresh || clock_ms < MT_LATE_ORDER_MS + sched->settings.max_lease_ms)
     mt_worker_record_longest_lease (sched, w, 0, "first answer", now);
-  /* The leader that had noticed the restart has stored it. */
-  if (!w->is_fresh)
+  if (w->longest_lease_end > stored_until)
     mt_worker_store_longest_lease (sched, w, now);
   w->is_fresh = false;
 }
--- a/tests/scheduler/test_leases.c
+++ b/tests/scheduler/test_leases.c
@@ -292,6 +292,39 @@
     }
 }
 
+/* Guards against a successor that counts from the record of the restart, where the worker carried
+ * out a late order after that and before its first answer to the new token. */
+static void
+test_successor_awaits_a_lease_granted_before_the_first_answer (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    {
+      struct pool pool = create_pool (max_leases[i]);
+
+      pool.restarted->entry_lag_ms = 100000;
+      pool.restarted->order_delay_ms = 5900;
+      world_submit (pool.world, spec ("La", JOB_TASKS));
+      world_run (pool.world, 10);
+      pool.restarted->order_delay_ms = 0;
+      /* The hold with the new token is lost on its way. */
+      pool.world->link_bytes_per_ms = 20;
+      world_reboot (pool.world, pool.restarted);
+      while (!pool.restarted->is_contacted)
+        world_run (pool.world, 5);
+      pool.restarted->silent = true;
+      /* The record is written again as other tasks are lost, with the rest of the lease. */
+      pool.world->downtime_ms = 4500;
+      world_crash (pool.world, &pool.world->workers[1]);
+      world_run (pool.world, 5960);
+      pool.restarted->silent = false;
+      world_run (pool.world, 300);
+      assert_in_range (pool.restarted->runs->len, 1, 4);
+      pool.restarted->silent = true;
+      take_over (&pool);
+      check_runs_once (&pool);
+    }
+}
+
 int
 main (void)
 {
@@ -305,6 +338,7 @@
     cmocka_unit_test (test_records_of_an_earlier_version_may_hide_a_restart),
     cmocka_unit_test (test_successor_waits_no_longer_for_a_worker_that_has_not_restarted),
     cmocka_unit_test (test_long_leases_leave_the_records_once_they_are_over),
+    cmocka_unit_test (test_successor_awaits_a_lease_granted_before_the_first_answer),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
