scheduler: a successor stores a longer lease than the record names

The first one reads the registry before the records, as it usually does, and sees a later incarnation of the worker than the record: it counts with the longest lease from its takeover on. It left the record as it was, since that named the worker already, with the rest of the lease of the incarnation before. The second one, for which the entry is gone, counted with that.

Change: the record is written again if the lease that it names is shorter than the one counted with. The simulated pool can deliver the entries before the records.

--- a/core/scheduler/scheduler_record.c
+++ b/core/scheduler/scheduler_record.c
@@ -298,8 +298,10 @@
       {
         const struct mt_worker *w = job->occurrences[k]->tasks[i].worker;
 
-        if (w == NULL || mt_worker_longest_lease_ms (w, now) == 0
-            || json_object_get (leases, w->id) != NULL)
+        /* json_integer_value() returns 0 for a worker that is not named. */
+        if (w == NULL
+            || mt_worker_longest_lease_ms (w, now)
+                   <= json_integer_value (json_object_get (leases, w->id)))
           continue;
         job->records_leases = true;
         mt_job_mark_dirty (sched, job);
--- a/tests/scheduler/test_leases.c
+++ b/tests/scheduler/test_leases.c
@@ -325,6 +325,41 @@
     }
 }
 
+/* Guards against a second successor that counts with the recorded rest of a lease, where the first
+ * one saw the entry, gone since, of a later incarnation. */
+static void
+test_second_successor_awaits_the_lease_of_a_later_restart (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    for (int entries_first = 0; entries_first < 2; entries_first++)
+      {
+        struct pool pool = create_pool (max_leases[i]);
+        struct world_worker *w = pool.restarted;
+
+        pool.world->entries_first = entries_first != 0;
+        w->entry_lag_ms = ENTRY_LAG_MS;
+        world_reboot (pool.world, w);
+        /* The rest of the lease that the record names is a little longer than a successor awaits
+         * anyway. */
+        world_run (pool.world, NOTICE_MS + MAX (max_leases[i] - MT_SUCCESSOR_WAIT_MS - 200, 0));
+        w->order_delay_ms = 30;
+        world_submit (pool.world, spec ("La", JOB_TASKS));
+        world_run (pool.world, 10);
+        w->entry_lag_ms = 100000;
+        world_reboot (pool.world, w);
+        w->silent = true;
+        w->entry.started_at_ms = w->started_at_ms;
+        pool.world->late_before_contact = true;
+        world_run (pool.world, 40);
+        assert_in_range (w->runs->len, 1, 4);
+        take_over (&pool);
+        world_run (pool.world, 100);
+        w->unregistered = true;
+        take_over (&pool);
+        check_runs_once (&pool);
+      }
+}
+
 int
 main (void)
 {
@@ -339,6 +374,7 @@
     cmocka_unit_test (test_successor_waits_no_longer_for_a_worker_that_has_not_restarted),
     cmocka_unit_test (test_long_leases_leave_the_records_once_they_are_over),
     cmocka_unit_test (test_successor_awaits_a_lease_granted_before_the_first_answer),
+    cmocka_unit_test (test_second_successor_awaits_the_lease_of_a_later_restart),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -1500,6 +1500,14 @@
   return mt_scheduler_job_state (world->sched, id) == state;
 }
 
+static void
+deliver_entries (struct world *world)
+{
+  for (unsigned i = 0; i < world->n_workers; i++)
+    if (!world->workers[i].unregistered)
+      deliver_entry (world, &world->workers[i]);
+}
+
 void
 world_take_over (struct world *world, GPtrArray *specs)
 {
@@ -1517,14 +1525,15 @@
   for (guint i = 0; i < world->sent_orders->len; i++)
     g_array_index (world->sent_orders, struct world_sent_order, i).abandoned = true;
   world->link_idle_at = world->now; /* the successor's machine has its own link */
+  if (world->entries_first)
+    deliver_entries (world);
   for (guint i = 0; i < specs->len; i++)
     mt_scheduler_submit (world->sched, specs->pdata[i], world->now, world->now);
   g_hash_table_iter_init (&it, world->records);
   while (g_hash_table_iter_next (&it, (void **) &id, (void **) &record))
     mt_scheduler_restore (world->sched, id, record, 1, world->now);
-  for (unsigned i = 0; i < world->n_workers; i++)
-    if (!world->workers[i].unregistered)
-      deliver_entry (world, &world->workers[i]);
+  if (!world->entries_first)
+    deliver_entries (world);
 }
 
 void
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -217,6 +217,7 @@
   double (*task_factor) (const char *task); /* multiplies a task's run time; NULL: 1 */
   GHashTable *records;                      /* job id to its last stored record */
   unsigned max_listed_ends;                 /* of one listing */
+  bool entries_first;                       /* a successor reads the registry before the records */
   bool late_before_contact; /* a restarted worker carries out late orders before its first hold */
   GHashTable *failed_runs;  /* "NAME RUN" of the failed runs; NAME: of a task or of a gang's step */
   GHashTable *failures;     /* NAME to the number of its failed runs */
