scheduler: a long lease leaves the records once a successor awaits its rest anyway

What callers could see (LOST): a record names the longest lease with the time that it lasted as the record was written, 10.3 s of a longest lease of 10 s, and kept it until the lease was over. A successor that took over just before that waited for 10.3 s more, beside free capacity, for a lease of which a part of a second was left.

Change: the record is written again as soon as the rest is no longer than the 6.94 s that a successor awaits in any case: with 10 s from 3.4 s after the worker's first answer on, not from 10.3 s on. It is one write, as before.

test_leases, successor_waits_no_longer_once_it_awaits_the_rest_anyway: with 10, 15 and 60 s no task was started again within 7.3 s before; now all are, and none twice.

--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -495,12 +495,12 @@
     }
 }
 
-/* The lease leaves the records: tasks may run on for hours, and each later successor would await
- * it. */
+/* The lease leaves the records once a successor awaits the rest of it anyway: tasks may run on for
+ * hours, and each later successor would await all of it. */
 void
 mt_worker_expire_longest_lease (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
-  if (w->longest_lease_end == 0 || now <= w->longest_lease_end)
+  if (w->longest_lease_end == 0 || mt_worker_longest_lease_ms (w, now) > 0)
     return;
   w->longest_lease_end = 0;
   for (GList *l = w->tasks.head; l != NULL; l = l->next)
--- a/tests/scheduler/test_leases.c
+++ b/tests/scheduler/test_leases.c
@@ -360,6 +360,33 @@
       }
 }
 
+/* Runs for as long as a successor or leader may wait for a lease that was asked for. */
+static void
+check_waits_no_longer (struct pool *pool, int64_t wait_ms)
+{
+  pool->world->n_starts = 0;
+  world_run (pool->world, wait_ms + DRIFT_MS);
+  assert_in_range (pool->world->n_starts, 1, 5);
+  assert_int_equal (pool->world->duplicate_starts, 0);
+  world_destroy (pool->world);
+}
+
+/* Guards against jobs with nothing running beside free workers: a record that still names the
+ * longest lease when its rest is no longer than a successor awaits anyway. */
+static void
+test_successor_waits_no_longer_once_it_awaits_the_rest_anyway (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    {
+      struct pool pool = create_pool_with_restarted_worker (max_leases[i]);
+
+      world_run (pool.world, MAX (max_leases[i] - MT_SUCCESSOR_WAIT_MS, 0) + 1000);
+      pool.restarted->silent = true;
+      take_over (&pool);
+      check_waits_no_longer (&pool, MT_SUCCESSOR_WAIT_MS);
+    }
+}
+
 int
 main (void)
 {
@@ -375,6 +402,7 @@
     cmocka_unit_test (test_long_leases_leave_the_records_once_they_are_over),
     cmocka_unit_test (test_successor_awaits_a_lease_granted_before_the_first_answer),
     cmocka_unit_test (test_second_successor_awaits_the_lease_of_a_later_restart),
+    cmocka_unit_test (test_successor_waits_no_longer_once_it_awaits_the_rest_anyway),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
