scheduler: an entry that the worker disproves leaves no long lease

The worker's own answer refutes the entry some ms later, but leader and successors went on counting with that lease: tasks of a worker lost within it had nothing running beside free capacity.

Change: with the claim refuted, the leases count as before it, and the records are written again without the name.

test_leases, refuted_entry_leaves_no_long_lease: failed before (no task was started again in time), passes now with longest leases of 4.5 to 60 s, for the leader and for a successor.

--- a/core/scheduler/scheduler_incarnations.c
+++ b/core/scheduler/scheduler_incarnations.c
@@ -139,6 +139,11 @@
   claim->labels = (const char *const *) g_strdupv ((char **) entry->labels);
   if (w->claim == NULL || w->claim->started_at_ms != entry->started_at_ms)
     {
+      if (w->claim == NULL)
+        {
+          w->lease_end_before_claim = w->lease_end;
+          w->longest_end_before_claim = w->longest_lease_end;
+        }
       mt_worker_record_longest_lease (sched, w, UNCONFIRMED_WAIT_MS, "restart in the entry", now);
       mt_worker_store_longest_lease (sched, w, now);
       w->claimed_at = now;
@@ -193,7 +198,7 @@
 
 /* The present incarnation has answered after an entry named another. */
 static void
-refute_claim (struct mt_scheduler *sched, struct mt_worker *w)
+refute_claim (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
   mt_scheduler_log_event (sched, "ENTRY_REFUTED",
                           "worker=%s claimed_start=%" G_GINT64_FORMAT
@@ -201,6 +206,8 @@
                           w->id, w->claim->started_at_ms, w->started_at, w->tasks.length);
   w->refuted_started_at = w->claim->started_at_ms;
   mt_worker_clear_claim (w);
+  if (w->clock_restarted_at == 0)
+    mt_worker_restore_leases_before_claim (sched, w, now);
   sched->changed = true;
 }
 
@@ -395,7 +402,7 @@
       if (w->started_at == 0)
         mt_worker_set_incarnation (w, started_at, now);
       if (w->claim != NULL && started_at != 0 && requested_at > w->claimed_at)
-        refute_claim (sched, w);
+        refute_claim (sched, w, now);
       return true;
     }
 }
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -274,6 +274,8 @@
   int64_t longest_lease_end; /* ... of these, by which those have that it may have granted for an
                                 order dated by another incarnation's clock; 0: none */
   const char *lease_basis;   /* how lease_end was counted, for the log */
+  int64_t lease_end_before_claim;   /* lease_end ... */
+  int64_t longest_end_before_claim; /* ... and longest_lease_end without the claim */
   int64_t cordon_until;
   int64_t drain_announced_until; /* when the announcement of a later drain expires */
   bool move_long_running;
@@ -627,6 +629,10 @@
 void mt_worker_store_longest_lease (struct mt_scheduler *sched, struct mt_worker *w, int64_t now);
 /* To be called at intervals: forgets a longest lease that is over. */
 void mt_worker_expire_longest_lease (struct mt_scheduler *sched, struct mt_worker *w, int64_t now);
+/* Counts with the leases again that the worker may hold if its claim is wrong. */
+void mt_worker_restore_leases_before_claim (struct mt_scheduler *sched,
+                                            struct mt_worker *w,
+                                            int64_t now);
 
 /* scheduler_incarnations.c */
 /* Takes note of the incarnation that a report names; 0: none. Returns false if it is a former one:
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -495,6 +495,19 @@
     }
 }
 
+/* Has the jobs of the worker's tasks stored again whose records may name its longest lease. */
+static void
+update_records (struct mt_scheduler *sched, const struct mt_worker *w)
+{
+  for (GList *l = w->tasks.head; l != NULL; l = l->next)
+    {
+      struct mt_job *job = ((struct mt_task *) l->data)->occ->job;
+
+      if (job->records_leases)
+        mt_job_mark_dirty (sched, job);
+    }
+}
+
 /* The lease leaves the records once a successor awaits the rest of it anyway: tasks may run on for
  * hours, and each later successor would await all of it. */
 void
@@ -503,11 +516,16 @@
   if (w->longest_lease_end == 0 || mt_worker_longest_lease_ms (w, now) > 0)
     return;
   w->longest_lease_end = 0;
-  for (GList *l = w->tasks.head; l != NULL; l = l->next)
-    {
-      struct mt_job *job = ((struct mt_task *) l->data)->occ->job;
+  update_records (sched, w);
+}
 
-      if (job->records_leases)
-        mt_job_mark_dirty (sched, job);
-    }
+/* What was sent since the claim went to the present incarnation, whose clock is known. */
+void
+mt_worker_restore_leases_before_claim (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
+{
+  w->lease_end = w->lease_end_before_claim;
+  w->lease_basis = "before the claim";
+  w->longest_lease_end = w->longest_end_before_claim;
+  mt_worker_record_lease (w, sched->settings.lease_ms, "order", now);
+  update_records (sched, w);
 }
--- a/tests/scheduler/test_leases.c
+++ b/tests/scheduler/test_leases.c
@@ -387,6 +387,37 @@
     }
 }
 
+/* Guards against jobs with nothing running beside free workers, after an entry named a restart that
+ * the worker itself disproved. */
+static void
+test_refuted_entry_leaves_no_long_lease (void **state)
+{
+  static const char *const labels[] = { "a", "r1", NULL };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    for (int takes_over = 0; takes_over < 2; takes_over++)
+      {
+        struct pool pool = create_pool (max_leases[i]);
+        struct mt_worker_entry entry = { .id = pool.restarted->id,
+                                         .address = pool.restarted->entry.address,
+                                         .started_at_ms = pool.restarted->started_at_ms + 5,
+                                         .zone = "z",
+                                         .labels = labels,
+                                         .resources = pool.restarted->resources };
+
+        world_submit (pool.world, spec ("La", JOB_TASKS));
+        /* Until the lease of the first start, sent to an idle worker, is over in any case. */
+        world_run (pool.world, 2 * max_leases[i]);
+        mt_scheduler_update_worker (pool.world->sched, &entry, pool.world->now);
+        world_run (pool.world, 500);
+        pool.restarted->silent = true;
+        if (takes_over)
+          take_over (&pool);
+        check_waits_no_longer (&pool, takes_over ? MT_SUCCESSOR_WAIT_MS
+                                                 : MT_MAX_WORKER_LEASE_MS + RESTART_MS);
+      }
+}
+
 int
 main (void)
 {
@@ -403,6 +434,7 @@
     cmocka_unit_test (test_successor_awaits_a_lease_granted_before_the_first_answer),
     cmocka_unit_test (test_second_successor_awaits_the_lease_of_a_later_restart),
     cmocka_unit_test (test_successor_waits_no_longer_once_it_awaits_the_rest_anyway),
+    cmocka_unit_test (test_refuted_entry_leaves_no_long_lease),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
