--- a/tests/scheduler/test_leases.c
+++ b/tests/scheduler/test_leases.c
@@ -292,6 +292,132 @@
     }
 }
 
+/* Guards against a successor that counts from the record of the restart, where the worker carried
+ * out a late order after that and before its first answer to the new token. */
+static void
+test_successor_awaits_a_lease_granted_before_the_first_answer (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    {
+      struct pool pool = create_pool (max_leases[i]);
+
+      pool.restarted->entry_lag_ms = 100000;
+      pool.restarted->order_delay_ms = 5900;
+      world_submit (pool.world, spec ("La", JOB_TASKS));
+      world_run (pool.world, 10);
+      pool.restarted->order_delay_ms = 0;
+      /* The hold with the new token is lost on its way. */
+      pool.world->link_bytes_per_ms = 20;
+      world_reboot (pool.world, pool.restarted);
+      while (!pool.restarted->is_contacted)
+        world_run (pool.world, 5);
+      pool.restarted->silent = true;
+      /* The record is written again as other tasks are lost, with the rest of the lease. */
+      pool.world->downtime_ms = 4500;
+      world_crash (pool.world, &pool.world->workers[1]);
+      world_run (pool.world, 5960);
+      pool.restarted->silent = false;
+      world_run (pool.world, 300);
+      assert_in_range (pool.restarted->runs->len, 1, 4);
+      pool.restarted->silent = true;
+      take_over (&pool);
+      check_runs_once (&pool);
+    }
+}
+
+/* Guards against a second successor that counts with the recorded rest of a lease, where the first
+ * one saw the entry, gone since, of a later incarnation. */
+static void
+test_second_successor_awaits_the_lease_of_a_later_restart (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    for (int entries_first = 0; entries_first < 2; entries_first++)
+      {
+        struct pool pool = create_pool (max_leases[i]);
+        struct world_worker *w = pool.restarted;
+
+        pool.world->entries_first = entries_first != 0;
+        w->entry_lag_ms = ENTRY_LAG_MS;
+        world_reboot (pool.world, w);
+        /* The rest of the lease that the record names is a little longer than a successor awaits
+         * anyway. */
+        world_run (pool.world, NOTICE_MS + MAX (max_leases[i] - MT_SUCCESSOR_WAIT_MS - 200, 0));
+        w->order_delay_ms = 30;
+        world_submit (pool.world, spec ("La", JOB_TASKS));
+        world_run (pool.world, 10);
+        w->entry_lag_ms = 100000;
+        world_reboot (pool.world, w);
+        w->silent = true;
+        w->entry.started_at_ms = w->started_at_ms;
+        pool.world->late_before_contact = true;
+        world_run (pool.world, 40);
+        assert_in_range (w->runs->len, 1, 4);
+        take_over (&pool);
+        world_run (pool.world, 100);
+        w->unregistered = true;
+        take_over (&pool);
+        check_runs_once (&pool);
+      }
+}
+
+/* Runs for as long as a successor or leader may wait for a lease that was asked for. */
+static void
+check_waits_no_longer (struct pool *pool, int64_t wait_ms)
+{
+  pool->world->n_starts = 0;
+  world_run (pool->world, wait_ms + DRIFT_MS);
+  assert_in_range (pool->world->n_starts, 1, 5);
+  assert_int_equal (pool->world->duplicate_starts, 0);
+  world_destroy (pool->world);
+}
+
+/* Guards against jobs with nothing running beside free workers: a record that still names the
+ * longest lease when its rest is no longer than a successor awaits anyway. */
+static void
+test_successor_waits_no_longer_once_it_awaits_the_rest_anyway (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    {
+      struct pool pool = create_pool_with_restarted_worker (max_leases[i]);
+
+      world_run (pool.world, MAX (max_leases[i] - MT_SUCCESSOR_WAIT_MS, 0) + 1000);
+      pool.restarted->silent = true;
+      take_over (&pool);
+      check_waits_no_longer (&pool, MT_SUCCESSOR_WAIT_MS);
+    }
+}
+
+/* Guards against jobs with nothing running beside free workers, after an entry named a restart that
+ * the worker itself disproved. */
+static void
+test_refuted_entry_leaves_no_long_lease (void **state)
+{
+  static const char *const labels[] = { "a", "r1", NULL };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    for (int takes_over = 0; takes_over < 2; takes_over++)
+      {
+        struct pool pool = create_pool (max_leases[i]);
+        struct mt_worker_entry entry = { .id = pool.restarted->id,
+                                         .address = pool.restarted->entry.address,
+                                         .started_at_ms = pool.restarted->started_at_ms + 5,
+                                         .zone = "z",
+                                         .labels = labels,
+                                         .resources = pool.restarted->resources };
+
+        world_submit (pool.world, spec ("La", JOB_TASKS));
+        /* Until the lease of the first start, sent to an idle worker, is over in any case. */
+        world_run (pool.world, 2 * max_leases[i]);
+        mt_scheduler_update_worker (pool.world->sched, &entry, pool.world->now);
+        world_run (pool.world, 500);
+        pool.restarted->silent = true;
+        if (takes_over)
+          take_over (&pool);
+        check_waits_no_longer (&pool, takes_over ? MT_SUCCESSOR_WAIT_MS
+                                                 : MT_MAX_WORKER_LEASE_MS + RESTART_MS);
+      }
+}
+
 int
 main (void)
 {
@@ -305,6 +431,10 @@
     cmocka_unit_test (test_records_of_an_earlier_version_may_hide_a_restart),
     cmocka_unit_test (test_successor_waits_no_longer_for_a_worker_that_has_not_restarted),
     cmocka_unit_test (test_long_leases_leave_the_records_once_they_are_over),
+    cmocka_unit_test (test_successor_awaits_a_lease_granted_before_the_first_answer),
+    cmocka_unit_test (test_second_successor_awaits_the_lease_of_a_later_restart),
+    cmocka_unit_test (test_successor_waits_no_longer_once_it_awaits_the_rest_anyway),
+    cmocka_unit_test (test_refuted_entry_leaves_no_long_lease),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
