tests: a lease that a restarted worker grants outlives its leader

Callers saw tasks run twice at a time (rule TWICE) where workers grant leases of up to 10 s: two workers had restarted under their ids, the leader was killed, and its successor did not reach them.

Cause: a hold for the former incarnation, dated by its clock, reaches the new one, which grants its longest lease. A successor counted with the lease that a leader asks for, 4.5 s, and 2.2 s for the takeover.

The stand-in's workers take their longest lease and the first reading of their clock as arguments, and crash so that calls sent during the outage reach the next incarnation. The test waits on counters only. A worker avoids tasks that it lost itself for a second; with two crashed workers each runs tasks that the other has lost, before the leader is killed.

--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -19,6 +19,8 @@
 /* Enough to outlast the heartbeats that show shrunk workers, and the log's interval after them. */
 #define SHRUNK_TASKS 400
 #define RECUT_TASKS  24
+/* Leaves capacity for four more tasks: those that two workers lose run there again. */
+#define FULL_TASKS 60
 #define JOB_JSON                                                                                   \
   "{\"spec\":\"s\",\"steps\":[{\"count\":%u,\"cpu\":1000,\"mem-mb\":64,\"est-runtime-ms\":%u}]}"
 
@@ -38,6 +40,8 @@
   unsigned route;      /* route that every daemon must serve */
   bool store_wait;     /* submissions wait for the store */
   const char *more;    /* further settings of the daemons, each followed by a comma */
+  const char *hold_ms; /* longest lease of a worker; NULL: the stand-in's */
+  const char *age_ms;  /* what the workers' clocks show at first; NULL: 0 */
   bool thin_links;     /* all but the first daemon are on links of 10 Mbit/s */
   unsigned first;      /* daemon from which on all must serve the route */
   unsigned jobs;       /* submitted by submit_until_surge */
@@ -116,7 +120,7 @@
 static struct fixture *
 start_fixture (struct fixture *f, const char *run_ms)
 {
-  const char *args[] = { "4", run_ms, NULL };
+  const char *args[] = { "4", run_ms, f->hold_ms, f->age_ms, NULL };
 
   f->harness = harness_create (build);
   f->platform = harness_start (f->harness, "tests/standins/medlartrack-standin-fleet", args);
@@ -884,6 +888,57 @@
   destroy_fixture (f);
 }
 
+static bool
+have_crashed_and_run_all (void *ctx)
+{
+  return read_counter (ctx, "crashes") == 2 && read_counter (ctx, "late") >= 2
+         && read_counter (ctx, "running") == FULL_TASKS;
+}
+
+static bool
+run_all_within_reach (void *ctx)
+{
+  return read_counter (ctx, "cut_off") == 0 && read_counter (ctx, "running") == FULL_TASKS;
+}
+
+static void
+post_for_two_workers (struct fixture *f, const char *action, unsigned ms)
+{
+  for (unsigned worker = 0; worker < 2; worker++)
+    {
+      g_autofree char *path = g_strdup_printf ("/test/%s?worker=%u&ms=%u", action, worker, ms);
+
+      assert_int_equal (post_to_platform (f, path, "{}"), 200);
+    }
+}
+
+/* Guards against a task that runs twice at a time: its worker, restarted under its id, has granted
+ * its longest lease to a hold for its former incarnation and is cut off, and the successor of the
+ * leader that knew it awaits a shorter one. */
+static void
+test_longest_lease_is_awaited_after_a_takeover (void **state)
+{
+  struct fixture *f = g_new0 (struct fixture, 1);
+
+  f->more = "\"bounds\":{\"max_hold_ms\":10000},";
+  f->hold_ms = "10000";
+  f->age_ms = "3600000";
+  start_fixture (f, "0");
+  wait_until_ready (f);
+  /* The first job has three tasks. */
+  assert_int_equal (submit (f, 0, "00000000000000a1", FULL_TASKS - 3, 60000), 200);
+  assert_true (harness_wait (run_all_within_reach, f));
+  post_for_two_workers (f, "crash", 500);
+  assert_true (harness_wait (have_crashed_and_run_all, f));
+  harness_kill (f->daemons[find_leader (f, "quotes")]);
+  post_for_two_workers (f, "cut", 60000);
+  assert_true (read_counter (f, "cut_off") > 0);
+  assert_int_equal (post_to_platform (f, "/test/resize?cpu=32000", "{}"), 200);
+  assert_true (harness_wait (run_all_within_reach, f));
+  assert_int_equal (read_counter (f, "twice"), 0);
+  destroy_fixture (f);
+}
+
 /* Guards against daemons that end, or no longer follow the registry, because of another writer's
  * entry. */
 static void
@@ -1080,6 +1135,7 @@
     cmocka_unit_test (test_keys_decide_who_is_served),
     cmocka_unit_test (test_lost_orders_run_no_task_twice),
     cmocka_unit_test (test_restarted_worker_that_is_cut_off_runs_no_task_twice),
+    cmocka_unit_test (test_longest_lease_is_awaited_after_a_takeover),
     cmocka_unit_test (test_odd_entries_cost_no_daemon),
     cmocka_unit_test (test_task_that_crashes_its_workers_fails_its_job),
     cmocka_unit_test (test_shrunk_workers_are_not_overcommitted),
--- a/tests/standins/fleet_main.c
+++ b/tests/standins/fleet_main.c
@@ -1,12 +1,14 @@
 /* Simulates the platform in one process: a store, the workers of one pool, and their machines.
- * Arguments: number of workers (4), run time of a task in ms (300; 0: tasks never end). Prints the
- * store's port as "port=N". Besides the platform's calls the port accepts calls for tests:
+ * Arguments: number of workers (4), run time of a task in ms (300; 0: tasks never end), longest
+ * lease of a worker in ms (6000), what its clock shows at first in ms (0). Prints the store's port
+ * as "port=N". Besides the platform's calls the port accepts calls for tests:
  *
  *   POST /test/store?mode=up|busy|silent|...   see fleet_store_set_mode
  *   POST /test/forget                           see fleet_store_compact
  *   POST /test/lose?percent=N                   see fleet_workers_lose_answers
  *   POST /test/late?percent=N&ms=M              see fleet_workers_delay_orders
  *   POST /test/restart?worker=I                 see fleet_workers_restart
+ *   POST /test/crash?worker=I&ms=M              see fleet_workers_crash
  *   POST /test/cut?worker=I&ms=M                see fleet_workers_cut
  *   POST /test/resize?cpu=N                     see fleet_workers_resize
  *   POST /test/put?key=K                        the body is the value
@@ -86,6 +88,9 @@
                                 number (exchange, "ms"));
   else if (strcmp (action, "restart") == 0)
     fleet_workers_restart (p->workers, (unsigned) number (exchange, "worker"));
+  else if (strcmp (action, "crash") == 0)
+    fleet_workers_crash (p->workers, (unsigned) number (exchange, "worker"),
+                         number (exchange, "ms"));
   else if (strcmp (action, "cut") == 0)
     fleet_workers_cut (p->workers, (unsigned) number (exchange, "worker"), number (exchange, "ms"));
   else if (strcmp (action, "resize") == 0)
@@ -107,9 +112,21 @@
     fleet_store_handle (p->store, exchange);
 }
 
+/* Returns the argument, or the fallback if there are fewer. */
+static unsigned
+argument (int argc, char **argv, int at, unsigned fallback)
+{
+  return argc > at ? (unsigned) atoi (argv[at]) : fallback;
+}
+
 int
 main (int argc, char **argv)
 {
+  struct fleet_workers_options workers = { .pool = POOL,
+                                           .n = argument (argc, argv, 1, 4),
+                                           .run_ms = argument (argc, argv, 2, 300),
+                                           .max_hold_ms = argument (argc, argv, 3, 6000),
+                                           .age_ms = argument (argc, argv, 4, 0) };
   struct platform p = { .base = event_base_new () };
   struct mt_http_front_options options = { .address = "127.0.0.1:0",
                                            .max_connections = 512,
@@ -123,8 +140,7 @@
     return 1;
   signal (SIGPIPE, SIG_IGN);
   p.store = fleet_store_create (p.base);
-  p.workers = fleet_workers_create (p.base, p.store, POOL, argc > 1 ? (unsigned) atoi (argv[1]) : 4,
-                                    argc > 2 ? (unsigned) atoi (argv[2]) : 300);
+  p.workers = fleet_workers_create (p.base, p.store, &workers);
   printf ("port=%u\n", mt_http_front_port (front));
   fflush (stdout);
   event_base_dispatch (p.base);
--- a/tests/standins/fleet_workers.c
+++ b/tests/standins/fleet_workers.c
@@ -7,7 +7,6 @@
 #define TICK_MS          20
 #define HEARTBEAT_MS     1000
 #define MAINTENANCE_MS   400
-#define MAX_HOLD_MS      6000
 #define LOST_ANSWER_MS   2500
 #define WORKER_CPU_MILLI 16000
 #define TASK_CPU_MILLI   1000
@@ -66,6 +65,10 @@
   GQueue ends;
   GQueue held;
   GQueue late;          /* of struct late_order */
+  GQueue unanswered;    /* of struct mt_exchange: calls received during an outage */
+  int64_t outage_ms;    /* begins for that long with its next answer to a hold; 0: none */
+  int64_t back_at_ms;   /* end of the present outage; 0: none */
+  int64_t age_ms;       /* reading of its clock at started_ms */
   bool is_contacted;    /* this incarnation has answered a hold */
   int64_t cut_until_ms; /* receives nothing until then; its runs go on */
   int64_t last_end_number;
@@ -81,6 +84,7 @@
   struct worker *workers;
   unsigned n;
   int64_t run_ms;
+  int64_t max_hold_ms;
   unsigned lose_percent;
   unsigned late_percent;
   int64_t late_ms;
@@ -106,7 +110,7 @@
 static int64_t
 worker_clock_ms (const struct worker *w)
 {
-  return now_ms () - w->started_ms;
+  return w->age_ms + now_ms () - w->started_ms;
 }
 
 /* ---- runs ---- */
@@ -155,7 +159,7 @@
 {
   int64_t lease = json_integer_value (json_object_get (root, "deadline-ms"));
 
-  lease = MIN (lease, worker_clock_ms (w) + MAX_HOLD_MS);
+  lease = MIN (lease, worker_clock_ms (w) + w->fleet->max_hold_ms);
   w->lease_end_ms = MAX (w->lease_end_ms, lease);
 }
 
@@ -242,10 +246,46 @@
   return list;
 }
 
+static void
+drop_runs_and_ends (struct worker *w)
+{
+  while (!g_queue_is_empty (&w->runs))
+    {
+      struct run *run = g_queue_pop_head (&w->runs);
+
+      g_free (run->task);
+      g_free (run);
+    }
+  g_queue_clear_full (&w->ends, g_free);
+}
+
+static void
+lose_held_answers (struct worker *w)
+{
+  for (GList *l = w->held.head; l != NULL; l = l->next)
+    {
+      struct held *held = l->data;
+
+      held->lost = true;
+      held->deadline_ms = now_ms () + LOST_ANSWER_MS;
+    }
+}
+
+static void
+begin_outage (struct worker *w)
+{
+  drop_runs_and_ends (w);
+  lose_held_answers (w);
+  w->back_at_ms = now_ms () + w->outage_ms;
+  w->outage_ms = 0;
+  w->fleet->crashes++;
+}
+
 /* Answers the holds that have run ends to report or whose time has passed. */
 static void
 answer_holds (struct worker *w)
 {
+  bool answered = false;
   GList *next;
 
   for (GList *l = w->held.head; l != NULL; l = next)
@@ -260,9 +300,12 @@
       json_object_set_new (body, "running", runs_to_json (w));
       json_object_set_new (body, "ended", ends_to_json (w));
       fleet_answer (held->exchange, 200, body);
+      answered |= !held->lost;
       g_free (held);
       g_queue_delete_link (&w->held, l);
     }
+  if (answered && w->outage_ms != 0)
+    begin_outage (w);
 }
 
 static void
@@ -346,9 +389,8 @@
 }
 
 static void
-on_call (void *ctx, struct mt_exchange *exchange)
+handle_call (struct worker *w, struct mt_exchange *exchange)
 {
-  struct worker *w = ctx;
   struct mt_str text = mt_exchange_body (exchange);
   const char *expected = mt_exchange_header (exchange, "X-Medlartrack-Expect-Instance");
   const char *path = mt_exchange_path (exchange);
@@ -393,6 +435,17 @@
   json_decref (root);
 }
 
+static void
+on_call (void *ctx, struct mt_exchange *exchange)
+{
+  struct worker *w = ctx;
+
+  if (w->back_at_ms != 0)
+    g_queue_push_tail (&w->unanswered, exchange);
+  else
+    handle_call (w, exchange);
+}
+
 /* ---- registry and machines ---- */
 
 static void
@@ -421,6 +474,7 @@
   w->down_until_ms = 0;
   w->crash_pending = w->crashed = false;
   w->fencing_token = w->lease_end_ms = w->last_end_number = 0;
+  w->age_ms = 0;
   publish_entry (w);
 }
 
@@ -447,31 +501,12 @@
   w->fleet->max_down = MAX (w->fleet->max_down, down);
 }
 
-static void
-drop_runs_and_ends (struct worker *w)
-{
-  while (!g_queue_is_empty (&w->runs))
-    {
-      struct run *run = g_queue_pop_head (&w->runs);
-
-      g_free (run->task);
-      g_free (run);
-    }
-  g_queue_clear_full (&w->ends, g_free);
-}
-
 /* Drops all runs. The registry entry stays until the worker restarts as a new incarnation. */
 static void
 crash (struct worker *w)
 {
   drop_runs_and_ends (w);
-  for (GList *l = w->held.head; l != NULL; l = l->next)
-    {
-      struct held *held = l->data;
-
-      held->lost = true;
-      held->deadline_ms = now_ms () + LOST_ANSWER_MS;
-    }
+  lose_held_answers (w);
   w->crash_pending = false;
   w->crashed = true;
   w->down_until_ms = now_ms () + CRASH_DOWN_MS;
@@ -540,11 +575,32 @@
 
 /* ---- timer ---- */
 
+/* The calls that its former incarnation was sent reach the worker once it is back. */
+static void
+end_outage (struct worker *w)
+{
+  w->back_at_ms = 0;
+  reset_worker (w);
+  while (!g_queue_is_empty (&w->unanswered))
+    {
+      w->fleet->carried_out_late++;
+      handle_call (w, g_queue_pop_head (&w->unanswered));
+    }
+}
+
+static bool
+sends_heartbeats (const struct worker *w)
+{
+  return w->down_until_ms == 0 && w->back_at_ms == 0 && now_ms () >= w->cut_until_ms;
+}
+
 static void
 advance_worker (struct worker *w)
 {
   GList *next;
 
+  if (w->back_at_ms != 0 && now_ms () >= w->back_at_ms)
+    end_outage (w);
   if (w->crash_pending)
     crash (w);
   if (w->down_until_ms != 0 && now_ms () >= w->down_until_ms)
@@ -576,8 +632,7 @@
   for (unsigned i = 0; i < fleet->n; i++)
     {
       advance_worker (&fleet->workers[i]);
-      if (heartbeat_due && fleet->workers[i].down_until_ms == 0
-          && now_ms () >= fleet->workers[i].cut_until_ms)
+      if (heartbeat_due && sends_heartbeats (&fleet->workers[i]))
         publish_entry (&fleet->workers[i]);
     }
   if (heartbeat_due)
@@ -587,9 +642,7 @@
 struct fleet_workers *
 fleet_workers_create (struct event_base *base,
                       struct fleet_store *store,
-                      const char *pool,
-                      unsigned n,
-                      unsigned run_ms)
+                      const struct fleet_workers_options *options)
 {
   static const struct timeval tick = { 0, TICK_MS * 1000 };
   struct fleet_workers *fleet = g_new0 (struct fleet_workers, 1);
@@ -597,26 +650,28 @@
 
   fleet->base = base;
   fleet->store = store;
-  fleet->pool = g_strdup (pool);
-  fleet->n = n;
-  fleet->run_ms = run_ms;
+  fleet->pool = g_strdup (options->pool);
+  fleet->n = options->n;
+  fleet->run_ms = options->run_ms;
+  fleet->max_hold_ms = options->max_hold_ms;
   fleet->cpu_milli = WORKER_CPU_MILLI;
-  fleet->workers = g_new0 (struct worker, n);
+  fleet->workers = g_new0 (struct worker, fleet->n);
   fleet->machine_tokens = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  for (unsigned i = 0; i < n; i++)
+  for (unsigned i = 0; i < fleet->n; i++)
     {
       struct worker *w = &fleet->workers[i];
-      struct mt_http_front_options options = { .address = "127.0.0.1:0",
-                                               .max_connections = 64,
-                                               .idle_timeout_s = 60,
-                                               .max_body_bytes = 65536,
-                                               .handle = on_call,
-                                               .ctx = w };
+      struct mt_http_front_options front = { .address = "127.0.0.1:0",
+                                             .max_connections = 64,
+                                             .idle_timeout_s = 60,
+                                             .max_body_bytes = 65536,
+                                             .handle = on_call,
+                                             .ctx = w };
 
       w->fleet = fleet;
       w->machine = g_strdup_printf ("m%u", i);
-      w->front = mt_http_front_create (base, &options, NULL);
+      w->front = mt_http_front_create (base, &front, NULL);
       start_incarnation (w);
+      w->age_ms = options->age_ms;
     }
   event_add (timer, &tick);
   return fleet;
@@ -626,13 +681,19 @@
 fleet_workers_report (const struct fleet_workers *fleet)
 {
   unsigned running = 0;
+  unsigned cut_off = 0;
 
   for (unsigned i = 0; i < fleet->n; i++)
-    running += fleet->workers[i].runs.length;
-  return json_pack ("{si si si si si si si si}", "late", fleet->carried_out_late, "started",
-                    fleet->started, "twice", fleet->duplicates, "running", running, "lapsed",
-                    fleet->lapsed, "down_most", fleet->max_down, "crashes", fleet->crashes,
-                    "overbooked", fleet->overbooked);
+    {
+      const struct worker *w = &fleet->workers[i];
+
+      running += w->runs.length;
+      cut_off += now_ms () < w->cut_until_ms ? w->runs.length : 0;
+    }
+  return json_pack ("{si si si si si si si si si}", "cut_off", cut_off, "late",
+                    fleet->carried_out_late, "started", fleet->started, "twice", fleet->duplicates,
+                    "running", running, "lapsed", fleet->lapsed, "down_most", fleet->max_down,
+                    "crashes", fleet->crashes, "overbooked", fleet->overbooked);
 }
 
 void
@@ -668,3 +729,9 @@
 {
   fleet->workers[worker % fleet->n].cut_until_ms = now_ms () + ms;
 }
+
+void
+fleet_workers_crash (struct fleet_workers *fleet, unsigned worker, int64_t ms)
+{
+  fleet->workers[worker % fleet->n].outage_ms = ms;
+}
