--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -555,7 +555,6 @@
   w->listing_requested_at = order->sent_at;
   w->lost_holds = 0;
   w->answer_lost = false;
-  mt_worker_note_listing (sched, w, now);
   mt_worker_update_clock (w, report->clock_ms, now);
   if (!w->confirmed)
     confirm_worker (sched, w, report->clock_ms, now);
--- a/core/scheduler/scheduler_incarnations.c
+++ b/core/scheduler/scheduler_incarnations.c
@@ -376,7 +376,7 @@
   replace_token (sched, w);
   /* Until its first hold is answered it may carry out late orders, whose leases were given on the
    * former one's clock. These lie far ahead on its own, and it grants its longest lease instead. */
-  w->lease_end = w->longest_lease_end = w->unlisted_lease_end = 0;
+  w->lease_end = w->longest_lease_end = 0;
   mt_worker_record_longest_lease (sched, w, UNCONFIRMED_WAIT_MS, "restart", now);
   mt_worker_store_longest_lease (sched, w, now);
   if (w->claim != NULL && w->claim->started_at_ms == started_at)
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -270,11 +270,10 @@
   bool loss_counted;              /* the loss of the present incarnation counts in the loss rate */
   int64_t clock_ms;               /* last reading of the worker's clock ... */
   int64_t clock_at;               /* ... and our clock at that reading; 0: none */
-  int64_t lease_end;          /* time on our clock by which all leases granted to it have expired */
-  int64_t longest_lease_end;  /* ... of these, by which those have that it may have granted for an
-                                 order dated by another incarnation's clock; 0: none */
-  int64_t unlisted_lease_end; /* like longest_lease_end, for a restart that a listing would show */
-  const char *lease_basis;    /* how lease_end was counted, for the log */
+  int64_t lease_end;         /* time on our clock by which all leases granted to it have expired */
+  int64_t longest_lease_end; /* ... of these, by which those have that it may have granted for an
+                                order dated by another incarnation's clock; 0: none */
+  const char *lease_basis;   /* how lease_end was counted, for the log */
   int64_t lease_end_before_claim;   /* lease_end ... */
   int64_t longest_end_before_claim; /* ... and longest_lease_end without the claim */
   int64_t cordon_until;
@@ -422,8 +421,6 @@
 /* Longest time that a hold waits at the worker for a run to end. Leases are renewed at least this
  * often. */
 #define MT_HOLD_WAIT_MS 1000
-/* Longest time from sending a hold to its answer. */
-#define MT_MAX_HOLD_ROUND_TRIP_MS (MT_HOLD_WAIT_MS + 500)
 /* A worker that has not answered for this long takes no new work. */
 #define MT_SILENT_MS 700
 /* How long a suspect waits for a worker without unsettled runs of other jobs. */
@@ -609,11 +606,6 @@
                               bool incarnation_ended,
                               int64_t now,
                               const char *why);
-/* Returns whether the worker has listed its runs within the longest time that a hold takes. */
-bool mt_worker_has_recent_listing (const struct mt_worker *w, int64_t now);
-/* To be called before a task is placed on the worker: if it was idle, it may have restarted
- * unnoticed. It is asked, and the task's record will tell that its lease may be its longest. */
-void mt_worker_prepare_placing (const struct mt_scheduler *sched, struct mt_worker *w, int64_t now);
 /* Returns whether the clock reading in the answer to an order can be of the known incarnation: the
  * clock starts anew with each. */
 bool mt_worker_clock_is_continued (const struct mt_worker *w, int64_t clock_ms, int64_t sent_at);
@@ -635,8 +627,6 @@
 int64_t mt_worker_longest_lease_ms (const struct mt_worker *w, int64_t now);
 /* Stores the jobs of the worker's tasks, so that a successor knows of its longest lease. */
 void mt_worker_store_longest_lease (struct mt_scheduler *sched, struct mt_worker *w, int64_t now);
-/* The known incarnation has listed its runs: it has not restarted. */
-void mt_worker_note_listing (struct mt_scheduler *sched, struct mt_worker *w, int64_t now);
 /* To be called at intervals: forgets a longest lease that is over. */
 void mt_worker_expire_longest_lease (struct mt_scheduler *sched, struct mt_worker *w, int64_t now);
 /* Counts with the leases again that the worker may hold if its claim is wrong. */
--- a/core/scheduler/scheduler_orders.c
+++ b/core/scheduler/scheduler_orders.c
@@ -24,6 +24,8 @@
 /* After starts have waited for a full link, the link counts as the pool's bottleneck for this
  * long. */
 #define LINK_BOUND_MS 1000
+/* Longest time from sending a hold to its answer. */
+#define MAX_HOLD_ROUND_TRIP_MS (MT_HOLD_WAIT_MS + 500)
 /* On a slow link, ends are collected for this many link delays more: holds then use less of the
  * link and leave more of it to starts. */
 #define GATHER_LINK_DELAYS 3
@@ -57,7 +59,7 @@
 static bool
 has_listed_lately (const struct mt_worker *w, int64_t now)
 {
-  return !w->answer_lost && mt_worker_has_recent_listing (w, now);
+  return !w->answer_lost && w->listing_at != 0 && now - w->listing_at < MAX_HOLD_ROUND_TRIP_MS;
 }
 
 /* Records the longest lease that the worker may grant for an order sent now. The end of a lease is
@@ -189,7 +191,7 @@
   bool losing_orders = sched->order_lost_at != 0 && now - sched->order_lost_at < LOST_ORDER_MS;
 
   /* The worker may have restarted. */
-  if (w->lost_holds > 0 || !mt_worker_has_recent_listing (w, now))
+  if (w->lost_holds > 0)
     return 0;
   if (w->isolated_tasks > 0 && now - w->start_sent_at < SUSPECT_START_MS)
     return SUSPECT_START_WAIT_MS;
@@ -286,7 +288,7 @@
 bool
 mt_scheduler_is_link_late (const struct mt_scheduler *sched, int64_t now)
 {
-  return sched->link_late_at != 0 && now - sched->link_late_at < MT_MAX_HOLD_ROUND_TRIP_MS;
+  return sched->link_late_at != 0 && now - sched->link_late_at < MAX_HOLD_ROUND_TRIP_MS;
 }
 
 bool
--- a/core/scheduler/scheduler_tasks.c
+++ b/core/scheduler/scheduler_tasks.c
@@ -139,7 +139,6 @@
   add_usage (w, mt_task_step (task), 1);
   mt_task_isolate (task);
   mt_account_add_usage (mt_job_account (sched, task->occ->job), mt_task_step (task), 1);
-  mt_worker_prepare_placing (sched, w, now);
   task->occ->job->records_leases |= mt_worker_longest_lease_ms (w, now) > 0;
   mt_job_mark_dirty (sched, task->occ->job);
 }
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -474,27 +474,11 @@
   w->lease_basis = "takeover after a restart";
 }
 
-bool
-mt_worker_has_recent_listing (const struct mt_worker *w, int64_t now)
-{
-  return w->listing_at != 0 && now - w->listing_at < MT_MAX_HOLD_ROUND_TRIP_MS;
-}
-
-void
-mt_worker_prepare_placing (const struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
-{
-  if (mt_worker_has_recent_listing (w, now))
-    return;
-  w->next_hold_at = now;
-  w->unlisted_lease_end = latest_end (sched->settings.max_lease_ms, now);
-}
-
 int64_t
 mt_worker_longest_lease_ms (const struct mt_worker *w, int64_t now)
 {
-  int64_t end = MAX (w->longest_lease_end, w->unlisted_lease_end);
-
-  return end > latest_end (MT_SUCCESSOR_WAIT_MS, now) ? end - now : 0;
+  return w->longest_lease_end > latest_end (MT_SUCCESSOR_WAIT_MS, now) ? w->longest_lease_end - now
+                                                                       : 0;
 }
 
 void
@@ -524,25 +508,14 @@
     }
 }
 
-void
-mt_worker_note_listing (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
-{
-  bool was_stored = mt_worker_longest_lease_ms (w, now) > 0;
-
-  w->unlisted_lease_end = 0;
-  if (was_stored && mt_worker_longest_lease_ms (w, now) == 0)
-    update_records (sched, w);
-}
-
 /* The lease leaves the records once a successor awaits the rest of it anyway: tasks may run on for
  * hours, and each later successor would await all of it. */
 void
 mt_worker_expire_longest_lease (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
-  if ((w->longest_lease_end == 0 && w->unlisted_lease_end == 0)
-      || mt_worker_longest_lease_ms (w, now) > 0)
+  if (w->longest_lease_end == 0 || mt_worker_longest_lease_ms (w, now) > 0)
     return;
-  w->longest_lease_end = w->unlisted_lease_end = 0;
+  w->longest_lease_end = 0;
   update_records (sched, w);
 }
 
