relay: evidence of a store outage is dated by the call, not by its answer

A successor that does not reach a worker counts on its predecessor to believe an outage for 2 s, and on 0.2 s in which the answer of another daemon is under way. Nothing bounded the latter: the answer counted from when it was processed, up to the call's time-out later, or after a freeze. A former leader then renews leases that its successor does not await.

A frozen process handles time-outs first (epoll_wait returns EINTR), which drops most such answers.

Evidence lasts less long than before by the duration of the call.

--- a/fleet/relay.c
+++ b/fleet/relay.c
@@ -32,6 +32,7 @@
 {
   struct mt_relay *relay;
   char *peer;
+  int64_t sent_at;
   mt_adapter_call_done done;
   void *data;
 };
@@ -70,8 +71,10 @@
   else if (args != NULL ? args->n == 0 : mt_mesh_call_undelivered (relay->mesh))
     status = 503; /* the store was not called: the other daemon does not reach it, or was not
                      reached */
+  /* Dated by the call: the answer may have waited in the network, or here while this daemon was
+   * frozen, and a successor does not await leases that are renewed any later. */
   if (args != NULL && args->n == 0 && mt_cluster_can_confirm_outage (relay->cluster, p->peer))
-    relay->outage_confirmed_at = mt_loop_now ();
+    relay->outage_confirmed_at = MAX (relay->outage_confirmed_at, p->sent_at);
   else if (status != 0 && status != 503)
     relay->reached_at = mt_loop_now ();
   if (status == 0 || status == 503)
@@ -109,7 +112,7 @@
   if (peer == NULL)
     return false;
   p = g_new0 (struct relayed_call, 1);
-  *p = (struct relayed_call){ relay, peer, done, data };
+  *p = (struct relayed_call){ relay, peer, mt_loop_now (), done, data };
   mt_mesh_send (relay->mesh, peer, MT_MESH_STORE, &args, timeout_ms + FRAME_MARGIN_MS, on_relayed,
                 p);
   return true;
