frontend: calls wait with an earlier one that waits for a check of the configuration

Cause: only calls that the configuration in force can't answer wait for a check with the store or the daemon that is followed, and are judged by what it brings. Calls that it can answer were served meanwhile. Ruled out by the logs or the code: a hand-over to another daemon, a restart, an older version applied again, two copies.

Event 8113 tells how long a slow check held how many calls.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -555,6 +555,7 @@
                                          .config_check = mt_config_sync_check (f->config_sync),
                                          .config_age_ms = config_age_ms,
                                          .config_apply_ms = f->settings->bounds.apply_ms,
+                                         .config_rollback_ms = f->settings->bounds.rollback_ms,
                                          .keys_stale_ms = f->settings->bounds.keys_stale_ms,
                                          .ctx = f };
 
--- a/fleet/frontend.c
+++ b/fleet/frontend.c
@@ -1,6 +1,7 @@
 #include "frontend_internal.h"
 
 #include "journal.h"
+#include "loop.h"
 
 #include <math.h>
 #include <string.h>
@@ -210,6 +211,8 @@
 {
   struct mt_frontend *frontend;
   struct mt_exchange *exchange;
+  int64_t arrived_at;
+  bool began; /* no other call was waiting when it arrived */
 };
 
 /* Returns whether the configuration in force may have been replaced for longer than a change may
@@ -223,6 +226,38 @@
                 > frontend->options.config_apply_ms - CONFIG_MARGIN_MS;
 }
 
+/* Calls that arrive this long after one that waits for a check wait with it: it may show a newer
+ * version, and they must not be answered by an older one then. The rest of the time is for calls
+ * that take longer on their way than others. A check takes some 20 ms, so that most hold no other
+ * call. */
+static int64_t
+hold_others_after_ms (const struct mt_frontend *frontend)
+{
+  return frontend->options.config_rollback_ms * 2 / 5;
+}
+
+static bool
+must_follow_held_call (const struct mt_frontend *frontend)
+{
+  const GList *head = frontend->held.head;
+  const struct held_call *first = head != NULL ? head->data : NULL;
+
+  return first != NULL && mt_loop_now () - first->arrived_at >= hold_others_after_ms (frontend);
+}
+
+/* Logs a check that may have held other calls, once for all that waited for it. */
+static void
+log_slow_check (const struct mt_frontend *frontend, const struct held_call *call, bool confirmed)
+{
+  int64_t waited_ms = mt_loop_now () - call->arrived_at;
+
+  if (call->began && waited_ms >= hold_others_after_ms (frontend))
+    mt_journal_log (frontend->options.journal, "CONFIG_CHECK_SLOW",
+                    "version=%" G_GINT64_FORMAT " waited_ms=%" G_GINT64_FORMAT
+                    " calls=%u confirmed=%d",
+                    frontend->config->version, waited_ms, frontend->held.length, confirmed);
+}
+
 static void
 on_config_checked (void *data, bool confirmed)
 {
@@ -232,6 +267,8 @@
   struct target target;
   enum verdict verdict = find_target (frontend, exchange, &target);
 
+  log_slow_check (frontend, call, confirmed);
+  g_queue_remove (&frontend->held, call);
   g_free (call);
   frontend->in_flight--;
   if (verdict == VERDICT_SERVE && !confirmed && config_may_be_outdated (frontend))
@@ -249,7 +286,9 @@
 {
   struct held_call *call = g_new0 (struct held_call, 1);
 
-  *call = (struct held_call){ frontend, exchange };
+  *call = (struct held_call){ frontend, exchange, mt_loop_now (),
+                              g_queue_is_empty (&frontend->held) };
+  g_queue_push_tail (&frontend->held, call);
   frontend->in_flight++;
   mt_config_check_request (frontend->options.config_check, on_config_checked, call);
 }
@@ -274,7 +313,8 @@
     }
   verdict = find_target (frontend, exchange, &target);
   must_check = verdict != VERDICT_SERVE || config_is_stale (frontend);
-  if (must_check && frontend->options.store_answers (frontend->options.ctx))
+  if (must_follow_held_call (frontend)
+      || (must_check && frontend->options.store_answers (frontend->options.ctx)))
     hold_until_confirmed (frontend, exchange);
   else if (verdict == VERDICT_SERVE)
     dispatch (frontend, exchange, &target);
@@ -309,6 +349,7 @@
   frontend->base = base;
   frontend->options = *options;
   frontend->admission = mt_frontend_new_admission ();
+  g_queue_init (&frontend->held);
   frontend->submits = mt_submit_queue_create (frontend->admission);
   if (options->store_wait)
     frontend->store_wait = mt_frontend_new_store_wait (frontend);
--- a/fleet/frontend.h
+++ b/fleet/frontend.h
@@ -35,6 +35,8 @@
   int64_t (*config_age_ms) (void *ctx);
   /* Calls get 503 if the configuration is older, the store answers and does not confirm it. */
   int64_t config_apply_ms;
+  /* A call is not answered by an older configuration than one that arrived so long before it. */
+  int64_t config_rollback_ms;
   int64_t keys_stale_ms; /* callers with keys are refused if the configuration is older; 0: never */
   void *ctx;
 };
--- a/fleet/settings.c
+++ b/fleet/settings.c
@@ -58,6 +58,7 @@
   { "upkeep_s", MT_FIELD_WEIGHT, BOUND (upkeep_s), .max = 3600, .fallback = 2 },
   { "stop_grace_ms", MT_FIELD_COUNT, BOUND (stop_grace_ms), .max = 600000, .fallback = 1000 },
   { "apply_ms", MT_FIELD_COUNT, BOUND (apply_ms), .min = 500, .max = 3600000, .fallback = 2000 },
+  { "rollback_ms", MT_FIELD_COUNT, BOUND (rollback_ms), .max = 60000, .fallback = 250 },
   { "keys_stale_ms", MT_FIELD_COUNT, BOUND (keys_stale_ms), .max = 3600000 },
   { NULL },
 };
--- a/fleet/settings.h
+++ b/fleet/settings.h
@@ -15,7 +15,9 @@
   double move_s;
   double upkeep_s;
   unsigned stop_grace_ms;
-  unsigned apply_ms;      /* a change of the configuration has to be in force after this time */
+  unsigned apply_ms; /* a change of the configuration has to be in force after this time */
+  /* calls that are sent so long after another one are not answered by an older configuration */
+  unsigned rollback_ms;
   unsigned keys_stale_ms; /* callers' keys are refused if unconfirmed for longer; 0: never */
 };
 
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -149,6 +149,10 @@
           CONFIG_UNCONFIRMED,
           G_LOG_LEVEL_WARNING,
           "a call was refused because the configuration may be outdated")
+MT_EVENT (8113,
+          CONFIG_CHECK_SLOW,
+          G_LOG_LEVEL_MESSAGE,
+          "a check of the configuration held calls up for longer than usual")
 MT_EVENT (8112,
           POLICY_UNKNOWN,
           G_LOG_LEVEL_WARNING,
--- a/tests/platform/test_config_check.c
+++ b/tests/platform/test_config_check.c
@@ -4,6 +4,7 @@
 #include "fleet_store.h"
 #include "frontend.h"
 #include "journal.h"
+#include "loop.h"
 
 #include <event2/event.h>
 #include <fcntl.h>
@@ -21,6 +22,7 @@
 #define SERVICES     "\"services\":[{\"name\":\"quotes\"}]"
 #define ONE_ROUTE    "{\"version\":1,\"routes\":[" ROUTE ("r1") "]," SERVICES "}"
 #define TWO_ROUTES   "{\"version\":2,\"routes\":[" ROUTE ("r1") "," ROUTE ("r2") "]," SERVICES "}"
+#define OTHER_ROUTE  "{\"version\":2,\"routes\":[" ROUTE ("r2") "]," SERVICES "}"
 #define NO_ROUTES    "{\"version\":2,\"routes\":[]," SERVICES "}"
 #define KEYS(n, key) /* a configuration whose only workspace has this key */                       \
   "{\"version\":" n                                                                                \
@@ -47,7 +49,8 @@
   int64_t config_age_ms;
   bool store_answers;
   unsigned answers;
-  int status; /* of the last answer */
+  int status;         /* of the last answer */
+  unsigned not_found; /* answers with status 404 */
 };
 
 static void
@@ -125,6 +128,7 @@
                                          .store_answers = store_answers,
                                          .config_age_ms = config_age_ms,
                                          .config_apply_ms = 2000,
+                                         .config_rollback_ms = 250,
                                          .ctx = f };
 
   f->check = mt_config_check_create (&check);
@@ -184,6 +188,7 @@
 
   f->answers++;
   f->status = answer->status;
+  f->not_found += answer->status == 404;
 }
 
 static void
@@ -313,6 +318,25 @@
   destroy_fixture (f);
 }
 
+/* Guards against a removed route that is served while a call on an added one, which came before,
+ * waits for a store that withholds events. */
+static void
+test_removed_route_is_not_served_beside_a_call_that_waits (void **state)
+{
+  struct fixture *f = create_fixture (ONE_ROUTE, OTHER_ROUTE);
+  int64_t until = mt_loop_now () + 150;
+
+  fleet_store_set_mode (f->store, "mute");
+  send_call (f, "/r2/", NULL);
+  while (mt_loop_now () < until)
+    event_base_loop (f->base, EVLOOP_NONBLOCK);
+  assert_int_equal (f->answers, 0);
+  send_call (f, "/r1/", NULL);
+  wait_for_answers (f, 2);
+  assert_int_equal (f->not_found, 1);
+  destroy_fixture (f);
+}
+
 int
 main (void)
 {
@@ -324,6 +348,7 @@
     cmocka_unit_test (test_added_key_is_found_by_a_read),
     cmocka_unit_test (test_removed_route_is_not_served_by_a_stale_copy),
     cmocka_unit_test (test_copy_that_cannot_be_confirmed_is_not_served),
+    cmocka_unit_test (test_removed_route_is_not_served_beside_a_call_that_waits),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
