scheduler: a lease counts as the worker's longest only until the worker has answered

Cause: a start to a worker that has not listed its runs for 1.5 s (an idle one is asked every 15 s) may find it restarted, and get the longest lease. The leader counted so (rightly), but for good, also after the same incarnation had answered this start or a later order, so that the lease can only be the one asked for. In the same way the retry of a single lost hold renewed the lease "without a listing": a plain cut of a worker that had not restarted took the longest lease.

Change: such a lease is unproven until the known incarnation answers an order that was sent no earlier; lease_end is then what was asked for, or what a restart that was noticed implies. An answer to a start, whose clock goes on, tells as much as a listing. The first retry after a lost answer leaves the renewal to the next hold while two thirds of the lease are left.

Safe, because an order is carried out by the incarnation that answers later orders, or by a later one, which is noticed and counted by itself. A start without any answer still counts with the longest lease.

test_answer_proves_the_leases_of_an_idle_worker failed on (no task was started again within 6.6 s), and passes now.

--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -41,7 +41,7 @@
 }
 
 static void
-record_answer (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
+record_answer (struct mt_scheduler *sched, struct mt_worker *w, int64_t sent_at, int64_t now)
 {
   if (w->silent_since != 0)
     {
@@ -53,6 +53,7 @@
   w->start_before_answer_at = w->start_sent_at;
   w->silent_since = 0;
   w->loss_counted = false;
+  mt_worker_prove_leases (w, sent_at);
   mt_worker_clear_settled (sched, w);
 }
 
@@ -491,7 +492,7 @@
   sched->changed = true;
   /* Before this answer its leases could not be known. */
   if (w->is_fresh)
-    w->lease_end = w->longest_lease_end = 0;
+    mt_worker_forget_leases (w);
   if (w->is_fresh || clock_ms < MT_LATE_ORDER_MS + sched->settings.max_lease_ms)
     mt_worker_record_longest_lease (sched, w, 0, "first answer", now);
   /* The leader that had noticed the restart has stored it. */
@@ -542,12 +543,14 @@
     }
   if (order->sent_at >= w->clock_restarted_at)
     w->clock_restarted_at = 0;
-  record_answer (sched, w, now);
+  record_answer (sched, w, order->sent_at, now);
   if (!mt_worker_is_fencing (w, order))
     {
       w->next_hold_at = now;
       return;
     }
+  if (w->hold_renews && !order->is_probe)
+    w->renewed_at = MAX (w->renewed_at, order->sent_at);
   w->listed_before_at = w->listing_at;
   w->listing_at = now;
   w->listing_requested_at = order->sent_at;
@@ -712,8 +715,10 @@
     }
   else if (is_known_to_answer (w, order, report))
     {
-      record_answer (sched, w, now);
+      record_answer (sched, w, order->sent_at, now);
       mt_worker_update_clock (w, report->clock_ms, now);
+      if (order->kind == MT_ORDER_START && report->answer == MT_ANSWER_OK)
+        w->renewed_at = MAX (w->renewed_at, order->sent_at);
     }
   /* The next hold shows which incarnation it was. */
   else
--- a/core/scheduler/scheduler_incarnations.c
+++ b/core/scheduler/scheduler_incarnations.c
@@ -321,6 +321,7 @@
   w->moved_at = 0;
   w->clock_at = w->clock_restarted_at = 0;
   w->start_sent_at = w->start_before_answer_at = 0;
+  w->renewed_at = w->proven_at = 0;
   w->listing_at = w->listing_requested_at = w->listed_before_at = 0;
   w->applied_end = w->durable_end = 0;
   mt_worker_clear_ends (w);
@@ -369,7 +370,7 @@
   replace_token (sched, w);
   /* Until its first hold is answered it may carry out late orders, whose leases were given on the
    * former one's clock. These lie far ahead on its own, and it grants its longest lease instead. */
-  w->lease_end = w->longest_lease_end = 0;
+  mt_worker_forget_leases (w);
   mt_worker_record_longest_lease (sched, w, UNCONFIRMED_WAIT_MS, "restart", now);
   mt_worker_store_longest_lease (sched, w, now);
   if (w->claim != NULL && w->claim->started_at_ms == started_at)
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -273,7 +273,13 @@
   int64_t lease_end;         /* time on our clock by which all leases granted to it have expired */
   int64_t longest_lease_end; /* ... of these, by which those have that it may have granted for an
                                 order dated by another incarnation's clock; 0: none */
-  const char *lease_basis;   /* how lease_end was counted, for the log */
+  int64_t asked_lease_end;   /* ... and by which those have that are as long as asked for */
+  int64_t unproven_at; /* when an order was last sent that an incarnation not heard of may have
+                          carried out; 0: the present one has answered a later order */
+  int64_t renewed_at;  /* when the last lease was sent whose order it has answered; 0: none */
+  bool hold_renews;    /* the hold in flight, or the last one, grants a lease */
+  int64_t proven_at;   /* when the last order was sent that the present one has answered; 0: none */
+  const char *lease_basis; /* how lease_end was counted, for the log */
   int64_t cordon_until;
   int64_t drain_announced_until; /* when the announcement of a later drain expires */
   bool move_long_running;
@@ -611,6 +617,15 @@
 int64_t mt_worker_lease_end (const struct mt_worker *w, int64_t now, int64_t lease_ms);
 /* basis: a string constant that tells in the log how the lease was counted. */
 void mt_worker_record_lease (struct mt_worker *w, int64_t lease_ms, const char *basis, int64_t now);
+/* Records an order that is sent to a worker that has not answered lately: it may have restarted
+ * since, and hold the longest lease that it grants. */
+void mt_worker_record_unproven_lease (const struct mt_scheduler *sched,
+                                      struct mt_worker *w,
+                                      int64_t now);
+/* The known incarnation has answered an order sent at sent_at: it had carried out those before. */
+void mt_worker_prove_leases (struct mt_worker *w, int64_t sent_at);
+/* All leases on the worker are over, or none is known. */
+void mt_worker_forget_leases (struct mt_worker *w);
 /* Records that the worker may hold the longest lease that it grants to any order, beginning up to
  * wait_ms from now: the order may have been dated by another incarnation's clock. */
 void mt_worker_record_longest_lease (const struct mt_scheduler *sched,
--- a/core/scheduler/scheduler_orders.c
+++ b/core/scheduler/scheduler_orders.c
@@ -29,6 +29,9 @@
 /* On a slow link, ends are collected for this many link delays more: holds then use less of the
  * link and leave more of it to starts. */
 #define GATHER_LINK_DELAYS 3
+/* After a lost answer a lease is renewed at this part of it: a hold that takes as long again is in
+ * time. */
+#define RENEWALS_PER_LEASE 3
 
 static void
 address_order (struct mt_scheduler *sched, struct mt_worker *w, struct mt_order *order)
@@ -62,6 +65,14 @@
   return !w->answer_lost && w->listing_at != 0 && now - w->listing_at < MAX_HOLD_ROUND_TRIP_MS;
 }
 
+/* Returns whether the worker's present incarnation has answered all orders since a recent one. */
+static bool
+is_proven_lately (const struct mt_worker *w, int64_t now)
+{
+  return has_listed_lately (w, now)
+         || (!w->answer_lost && w->proven_at != 0 && now - w->proven_at < MAX_HOLD_ROUND_TRIP_MS);
+}
+
 /* Records the longest lease that the worker may grant for an order sent now. The end of a lease is
  * a reading of the worker's clock; if the worker has restarted, its clock has, too, and the reading
  * lies beyond its longest lease. */
@@ -70,10 +81,10 @@
 {
   if (mt_worker_may_have_restarted (w))
     mt_worker_record_longest_lease (sched, w, 0, "order after a restart", now);
-  else if (has_listed_lately (w, now))
+  else if (is_proven_lately (w, now))
     mt_worker_record_lease (w, sched->settings.lease_ms, "order", now);
   else
-    mt_worker_record_lease (w, sched->settings.max_lease_ms, "order without a listing", now);
+    mt_worker_record_unproven_lease (sched, w, now);
 }
 
 /* Starts wait until a worker that may have restarted has told which incarnation answers: the next
@@ -239,6 +250,21 @@
   return false;
 }
 
+/* Returns whether a hold sent now renews the lease. Those to a silent worker don't: a hold without
+ * an answer may have been carried out, and if each retry renewed the lease, the tasks of a
+ * partitioned worker could never be known to have ended. If our own link is late they do, as
+ * otherwise the leases and tasks of healthy workers would end. After a lost answer the worker may
+ * have restarted, and the lease could be its longest: while the last lease is long enough for
+ * another retry to renew it in time, the first one doesn't. */
+static bool
+renews_lease (const struct mt_scheduler *sched, const struct mt_worker *w, int64_t now)
+{
+  if (w->silent_since != 0 && !mt_scheduler_is_link_late (sched, now))
+    return false;
+  return (w->silent_since == 0 && is_proven_lately (w, now))
+         || now - w->renewed_at >= sched->settings.lease_ms / RENEWALS_PER_LEASE;
+}
+
 static bool
 next_hold (struct mt_scheduler *sched, int64_t now, struct mt_order *order)
 {
@@ -260,16 +286,11 @@
       order->acked_end = has_listed_lately (w, now) ? w->durable_end : 0;
       order->wait_ms
           = w->tasks.length > 0 && w->confirmed && !blocked ? hold_wait_ms (sched, w, now) : 0;
-      /* Holds to a silent worker don't renew the lease: a hold without an answer may have been
-       * carried out, and if each retry renewed the lease, the tasks of a partitioned worker could
-       * never be known to have ended. If our own link is late they do, as otherwise the leases and
-       * tasks of healthy workers would end. */
-      if (w->silent_since == 0 || mt_scheduler_is_link_late (sched, now))
-        {
-          order->lease_end_ms = mt_worker_lease_end (w, now, sched->settings.lease_ms);
-          if (order->lease_end_ms != 0)
-            record_granted_lease (sched, w, now);
-        }
+      if (renews_lease (sched, w, now))
+        order->lease_end_ms = mt_worker_lease_end (w, now, sched->settings.lease_ms);
+      w->hold_renews = order->lease_end_ms != 0;
+      if (w->hold_renews)
+        record_granted_lease (sched, w, now);
       return true;
     }
   return false;
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -438,17 +438,51 @@
   return now + lease_ms * 1000 / (1000 - MT_CLOCK_DRIFT_PER_MILLE) + 100;
 }
 
+static void
+extend_lease_end (struct mt_worker *w, int64_t lease_end, const char *basis)
+{
+  if (lease_end <= w->lease_end)
+    return;
+  w->lease_end = lease_end;
+  w->lease_basis = basis;
+}
+
 /* Extends lease_end for a lease that is being sent, answered or not: an order without an answer may
  * have arrived. */
 void
 mt_worker_record_lease (struct mt_worker *w, int64_t lease_ms, const char *basis, int64_t now)
 {
-  int64_t lease_end = latest_end (lease_ms, now);
+  w->asked_lease_end = MAX (w->asked_lease_end, latest_end (lease_ms, now));
+  extend_lease_end (w, w->asked_lease_end, basis);
+}
 
-  if (lease_end <= w->lease_end)
+void
+mt_worker_record_unproven_lease (const struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
+{
+  mt_worker_record_lease (w, sched->settings.lease_ms, "order", now);
+  extend_lease_end (w, latest_end (sched->settings.max_lease_ms, now),
+                    "order without a recent answer");
+  w->unproven_at = now;
+}
+
+/* An earlier order whose copy is carried out by a later incarnation is counted as that one is
+ * noticed. */
+void
+mt_worker_prove_leases (struct mt_worker *w, int64_t sent_at)
+{
+  w->proven_at = MAX (w->proven_at, sent_at);
+  if (w->unproven_at == 0 || sent_at < w->unproven_at)
     return;
-  w->lease_end = lease_end;
-  w->lease_basis = basis;
+  w->unproven_at = 0;
+  w->lease_end = MAX (w->asked_lease_end, w->longest_lease_end);
+  w->lease_basis = w->lease_end == w->asked_lease_end ? "order" : "restart";
+}
+
+void
+mt_worker_forget_leases (struct mt_worker *w)
+{
+  w->lease_end = w->asked_lease_end = w->longest_lease_end = 0;
+  w->unproven_at = 0;
 }
 
 void
@@ -460,18 +494,15 @@
 {
   int64_t lease_ms = wait_ms + sched->settings.max_lease_ms;
 
-  mt_worker_record_lease (w, lease_ms, basis, now);
   w->longest_lease_end = MAX (w->longest_lease_end, latest_end (lease_ms, now));
+  extend_lease_end (w, w->longest_lease_end, basis);
 }
 
 void
 mt_worker_restore_longest_lease (struct mt_worker *w, int64_t lasts_ms, int64_t now)
 {
   w->longest_lease_end = MAX (w->longest_lease_end, now + lasts_ms);
-  if (w->longest_lease_end <= w->lease_end)
-    return;
-  w->lease_end = w->longest_lease_end;
-  w->lease_basis = "takeover after a restart";
+  extend_lease_end (w, w->longest_lease_end, "takeover after a restart");
 }
 
 int64_t
--- a/tests/scheduler/test_leases.c
+++ b/tests/scheduler/test_leases.c
@@ -271,6 +271,32 @@
       }
 }
 
+/* Guards against tasks that wait beside free workers for the longest lease of a worker that was
+ * idle when they were started there, so that it might have restarted unseen, but has answered
+ * since. */
+static void
+test_answer_proves_the_leases_of_an_idle_worker (void **state)
+{
+  static const int64_t terms[] = { 20, 300, 5000 };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    for (unsigned j = 0; j < G_N_ELEMENTS (terms); j++)
+      {
+        struct pool pool = create_pool (max_leases[i]);
+
+        world_run (pool.world, 8000);
+        world_submit (pool.world, spec ("La", JOB_TASKS));
+        world_run (pool.world, terms[j]);
+        assert_in_range (pool.restarted->runs->len, 1, 4);
+        pool.world->n_starts = 0;
+        pool.restarted->silent = true;
+        world_run (pool.world, MT_MAX_WORKER_LEASE_MS + RESTART_MS + DRIFT_MS);
+        assert_in_range (pool.world->n_starts, 1, 4);
+        assert_int_equal (pool.world->duplicate_starts, 0);
+        world_destroy (pool.world);
+      }
+}
+
 /* Guards against a record that calls a lease long for ever: tasks that run for hours would wait for
  * it after each later takeover. */
 static void
@@ -304,6 +330,7 @@
     cmocka_unit_test (test_leader_awaits_the_longest_lease_if_the_entry_shows_a_restart),
     cmocka_unit_test (test_records_of_an_earlier_version_may_hide_a_restart),
     cmocka_unit_test (test_successor_waits_no_longer_for_a_worker_that_has_not_restarted),
+    cmocka_unit_test (test_answer_proves_the_leases_of_an_idle_worker),
     cmocka_unit_test (test_long_leases_leave_the_records_once_they_are_over),
   };
 
