scheduler: a task waits for a superseded run as long as its worker may go on with it

What callers could see (TWICE): a worker that has restarted carries out a late copy of a start, and lists a run of a task that was taken from it. The run is stopped; the worker is cut off before the stop arrives, and goes on until its lease ends, 4.5 s to 60 s later. The task was started elsewhere after 1.5 s.

Cause: SUPERSEDED_RUN_MS, 1,500 ms since the last listing with the run, a figure of our own for what the worker does. Nor did the job's record tell a successor of the run: the task had no worker there, so it was started at once.

Change: scheduler_superseded.c keeps, for each worker, the runs of its listings that their tasks have been taken from. Such a task is not placed, and taken back where its start was not sent yet, until the worker lists the run's end, a whole listing that was requested later lacks it, the worker's incarnation or all leases on it have ended. The record of the waiting task names this worker, with its longest lease if it may hold one. A worker that answers costs less waiting than before: the task starts as the stop is listed, not 1.5 s after.

test_leases, all three failed on and pass now, with longest leases of 4.5, 6, 10, 15 and 60 s: superseded_run_is_awaited_until_its_lease_ends and successor_awaits_a_superseded_run (the task ran twice), task_starts_once_its_superseded_run_is_stopped (not started 150 ms after another worker had joined).

There the task runs elsewhere already as the late start is carried out, between the first answer of the new incarnation and its first hold with a higher token.

--- a/core/scheduler/scheduler.c
+++ b/core/scheduler/scheduler.c
@@ -105,6 +105,7 @@
   mt_worker_clear_ends (w);
   mt_worker_clear_claim (w);
   mt_worker_forget_speed (w);
+  g_clear_pointer (&w->superseded, g_ptr_array_unref);
   g_strfreev (w->labels);
   g_free (w->address);
   g_free (w->id);
--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -13,9 +13,6 @@
 /* Times that a start without an answer is resent. On a worker that loses every second start, one in
  * sixteen is still unconfirmed after the last retry. */
 #define MAX_START_RETRIES 3
-/* A run that is superseded but listed, as one that was begun by a late order, runs at most until it
- * is stopped; each listing that has it extends this. */
-#define SUPERSEDED_RUN_MS 1500
 /* Interval of holds to idle workers. Their answers give the worker's clock: leases are wrong by up
  * to 2% of the time since the last reading. */
 #define IDLE_HOLD_INTERVAL_MS 15000
@@ -235,10 +232,9 @@
   struct mt_task *task = mt_scheduler_find_task (sched, end->task);
   bool current;
 
+  mt_worker_end_superseded (sched, w, end->task, end->run);
   if (task == NULL || task->state == MT_TASK_DONE)
     return;
-  if (end->run != task->run)
-    task->superseded_until = 0;
   current = task->worker == w && task->run == end->run;
   mt_task_set_checkpoint (task, end->checkpoint);
   /* A task that any of its runs completed is done. If another run of the task is active, the task
@@ -334,7 +330,7 @@
       w->orphaned_runs++;
       add_orphan (sched, w, row);
       if (task != NULL)
-        task->superseded_until = now + SUPERSEDED_RUN_MS;
+        mt_worker_note_superseded (sched, w, task, row, now);
       return;
     }
   task->listing = w->listing;
@@ -446,6 +442,7 @@
     apply_listed_run (sched, w, &report->running[i], sent, now);
   if (!report->is_whole)
     return;
+  mt_worker_end_unlisted_superseded (sched, w, sent);
   for (GList *l = w->tasks.head; l != NULL; l = next)
     {
       struct mt_task *task = l->data;
--- a/core/scheduler/scheduler_incarnations.c
+++ b/core/scheduler/scheduler_incarnations.c
@@ -362,6 +362,7 @@
   mt_worker_release (sched, w, lost, &crash, now, "reborn");
   mt_worker_forget_tickets (sched, w);
   forget_orphans (sched, w);
+  mt_worker_forget_superseded (sched, w);
   w->former_started_at = w->started_at;
   mt_worker_set_incarnation (w, started_at, now);
   w->entry_is_former = true;
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -100,6 +100,7 @@
   bool suspect;                 /* its last run may have crashed its worker */
   bool unlocated; /* the worker has restarted, and the run may be in either incarnation */
   bool isolated;  /* suspect whose run has not settled; no other job's task starts on its worker */
+  uint8_t superseded_runs; /* runs that it was taken from and that may go on; it waits for them */
   uint32_t run;
   uint32_t failed_run; /* of a gang's member: the last run whose failure it reported; 0: none */
   uint32_t listing;    /* number of the worker's listing that last contained the run */
@@ -110,7 +111,6 @@
   int64_t acked_at;  /* when the worker last acknowledged an order for this run; 0: never */
   int64_t progress_at;         /* when percent last changed */
   int64_t not_before;          /* the task is not placed before this time */
-  int64_t superseded_until;    /* ... nor before this: an earlier run of it may run until then */
   int64_t predecessor_stop_by; /* time by which the previous leader's stops have taken effect */
   int64_t unavailable_since;   /* of a long-running task: start of its unavailability; 0: at work */
   int64_t gauge;               /* as last reported; see struct mt_run_row */
@@ -298,6 +298,7 @@
   int64_t avoid_until;
   unsigned avoid_count;
   unsigned orphaned_runs; /* orphaned runs in its last listing; not counted in used */
+  GPtrArray *superseded;  /* struct mt_superseded_run, of its listings; NULL: none yet */
   unsigned lost_holds;    /* consecutive holds without an answer */
   bool answer_lost;       /* an order or hold got no answer since the last listing */
   bool is_fresh;          /* its present incarnation began under this leader, and is unconfirmed */
@@ -643,6 +644,28 @@
 /* To be called at intervals: forgets a longest lease that is over. */
 void mt_worker_expire_longest_lease (struct mt_scheduler *sched, struct mt_worker *w, int64_t now);
 
+/* scheduler_superseded.c */
+/* Notes a run in the worker's present listing that its task has been taken from. */
+void mt_worker_note_superseded (struct mt_scheduler *sched,
+                                struct mt_worker *w,
+                                struct mt_task *task,
+                                const struct mt_run_row *row,
+                                int64_t now);
+/* The worker has listed the end of the run, if it is such a one. */
+void mt_worker_end_superseded (struct mt_scheduler *sched,
+                               struct mt_worker *w,
+                               const char *name,
+                               unsigned run);
+/* The worker's present listing, requested at `sent`, is whole: the runs that it lacks have ended.
+ */
+void
+mt_worker_end_unlisted_superseded (struct mt_scheduler *sched, struct mt_worker *w, int64_t sent);
+/* All of them have ended, with the worker's incarnation or with its lease. */
+void mt_worker_forget_superseded (struct mt_scheduler *sched, struct mt_worker *w);
+/* Returns the worker where a superseded run of the task may go on longest; NULL: there is none. */
+struct mt_worker *mt_task_superseded_on (const struct mt_scheduler *sched,
+                                         const struct mt_task *task);
+
 /* scheduler_incarnations.c */
 /* Takes note of the incarnation that a report names; 0: none. Returns false if it is a former one:
  * the report says nothing about the present one. requested_at: when the report was requested; 0 for
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -42,10 +42,11 @@
   return task->attempts > 0 && !mt_route_has_policy (task->occ->job->route);
 }
 
-static int64_t
-earliest_start (const struct mt_task *task)
+/* Returns whether the task waits for an event, not for a time. */
+static bool
+is_held_back (const struct mt_task *task)
 {
-  return MAX (task->not_before, task->superseded_until);
+  return awaits_policy (task) || task->superseded_runs > 0;
 }
 
 /* Returns false if no worker has resources for the step: its other tasks need not be tried. */
@@ -55,10 +56,10 @@
   struct mt_worker *w;
   bool is_unplaceable;
 
-  if (task->state != MT_TASK_WAITING || awaits_policy (task))
+  if (task->state != MT_TASK_WAITING || is_held_back (task))
     return true;
-  mt_placement_schedule_placing (placement, earliest_start (task));
-  if (earliest_start (task) > placement->now)
+  mt_placement_schedule_placing (placement, task->not_before);
+  if (task->not_before > placement->now)
     return true;
   if (!mt_account_allows (placement->sched, task->occ->job->account, mt_task_step (task),
                           placement->now))
@@ -147,11 +148,11 @@
   waiting_since = g_array_sized_new (FALSE, FALSE, sizeof (int64_t), n);
   for (unsigned i = 0; i < n; i++)
     {
-      if (awaits_policy (&tasks[i]))
+      if (is_held_back (&tasks[i]))
         return;
       run = MAX (run, tasks[i].run);
       g_array_append_val (waiting_since, tasks[i].state_since);
-      not_before = MAX (not_before, earliest_start (&tasks[i]));
+      not_before = MAX (not_before, tasks[i].not_before);
     }
   mt_placement_schedule_placing (placement, not_before);
   if (not_before > placement->now)
--- a/core/scheduler/scheduler_record.c
+++ b/core/scheduler/scheduler_record.c
@@ -54,25 +54,36 @@
     }
 }
 
+/* Returns the worker where a run of the task may be active. */
+static struct mt_worker *
+recorded_worker (const struct mt_scheduler *sched, const struct mt_task *task)
+{
+  return task->worker != NULL ? task->worker : mt_task_superseded_on (sched, task);
+}
+
 /* Returns the incarnation that the task was placed on, unless a later one is known to have its run.
  * A successor counts the loss of an unlocated run, unless the present incarnation lists it. */
 static int64_t
-recorded_incarnation (const struct mt_task *task)
+recorded_incarnation (const struct mt_scheduler *sched, const struct mt_task *task)
 {
+  const struct mt_worker *w = recorded_worker (sched, task);
+
   if (task->worker == NULL)
-    return 0;
+    return w != NULL ? w->started_at : 0;
   if (task->incarnation != 0)
     return task->incarnation;
   return task->placed_on != 0 ? task->placed_on : task->worker->started_at;
 }
 
 static void
-append_task (GString *out, const struct mt_task *task, bool first)
+append_task (GString *out, const struct mt_scheduler *sched, const struct mt_task *task, bool first)
 {
+  const struct mt_worker *w = recorded_worker (sched, task);
+
   g_string_append_printf (out, "%s[%u,%u,%u,%u,%u,", first ? "" : ",", task->occ->number,
                           task->step, task->index, task->run, task->attempts);
-  mt_json_append_string (out, task->worker != NULL ? task->worker->id : "");
-  g_string_append_printf (out, ",%" G_GINT64_FORMAT ",", recorded_incarnation (task));
+  mt_json_append_string (out, w != NULL ? w->id : "");
+  g_string_append_printf (out, ",%" G_GINT64_FORMAT ",", recorded_incarnation (sched, task));
   mt_json_append_string (out, task->checkpoint);
   if (task->losses > 0 || task->unlocated || task->failed_run > 0)
     g_string_append_printf (out, ",%u,%u,%d,%d,%d", task->losses, task->crashes, task->suspect,
@@ -93,7 +104,7 @@
   for (unsigned k = 0; k < job->n_occurrences; k++)
     for (unsigned i = 0; job->occurrences[k] != NULL && i < job->occurrences[k]->n_tasks; i++)
       {
-        struct mt_worker *w = job->occurrences[k]->tasks[i].worker;
+        struct mt_worker *w = recorded_worker (sched, &job->occurrences[k]->tasks[i]);
         int64_t ms = w != NULL ? mt_worker_longest_lease_ms (w, sched->cycle_at) : 0;
 
         if (ms == 0 || g_ptr_array_find (named, w, NULL))
@@ -134,7 +145,7 @@
 
         if (task->state == MT_TASK_DONE || (task->run == 0 && task->attempts == 0))
           continue;
-        append_task (out, task, first);
+        append_task (out, sched, task, first);
         first = false;
       }
   g_string_append (out, "],\"l\":{");
--- a/core/scheduler/scheduler_watch.c
+++ b/core/scheduler/scheduler_watch.c
@@ -397,6 +397,8 @@
       sched->changed = true;
     }
   mt_worker_expire_longest_lease (sched, w, now);
+  if (now > w->lease_end && !mt_scheduler_is_link_late (sched, now))
+    mt_worker_forget_superseded (sched, w);
   if (w->tasks.length == 0)
     return;
   /* A worker that does not answer, or is not registered, may still run its tasks. They are released
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -181,6 +181,7 @@
   if (w->ended)
     return;
   mt_worker_release_tasks (sched, w, true, now, proof);
+  mt_worker_forget_superseded (sched, w);
   w->ended = true;
   w->listed = false;
   mt_worker_forget_speed (w);
--- a/tests/scheduler/test_leases.c
+++ b/tests/scheduler/test_leases.c
@@ -318,6 +318,101 @@
     }
 }
 
+/* The only worker restarts and shrinks, so that one of two tasks waits, and carries out a late copy
+ * of that task's start. It lists this run; then another worker joins. order_delay_ms: of the stop.
+ */
+static struct pool
+create_pool_with_superseded_run (int64_t max_lease_ms, int64_t order_delay_ms)
+{
+  struct pool pool = { .world = world_create () };
+  struct world_delayed_order late = { .kind = MT_ORDER_START, .task = "La.0.0.0", .run = 1 };
+  const struct world_run *kept;
+
+  world_set_max_lease (pool.world, max_lease_ms);
+  pool.restarted = late.worker = world_add_worker (pool.world, "r1");
+  world_run (pool.world, 1000);
+  world_submit (pool.world, spec ("La", 2));
+  world_run (pool.world, 50);
+  late.lease_end_ms = pool.world->now + MT_MAX_WORKER_LEASE_MS;
+  world_reboot (pool.world, pool.restarted);
+  world_resize (pool.world, pool.restarted, TASK_CPU);
+  for (int i = 0; i < 20 && pool.restarted->runs->len == 0; i++)
+    world_run (pool.world, 5);
+  assert_int_equal (pool.restarted->runs->len, 1);
+  kept = &g_array_index (pool.restarted->runs, struct world_run, 0);
+  if (strcmp (kept->task, late.task) == 0)
+    strcpy (late.task, "La.0.0.1");
+  late.token = pool.restarted->highest_token;
+  late.execute_at = pool.world->now;
+  g_array_append_val (pool.world->delayed_orders, late);
+  pool.restarted->order_delay_ms = order_delay_ms;
+  world_run (pool.world, 1050);
+  world_add_worker (pool.world, "r1");
+  return pool;
+}
+
+static void
+check_superseded_task_runs_once (struct pool *pool)
+{
+  world_run (pool->world, 2 * pool->world->max_lease_ms + MT_OUTAGE_EVIDENCE_MS + RESTART_MS);
+  assert_int_equal (pool->world->duplicate_starts, 0);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      g_autofree char *task = g_strdup_printf ("La.0.0.%u", i);
+
+      assert_int_equal (world_count_running (pool->world, task), 1);
+    }
+  world_destroy (pool->world);
+}
+
+/* Guards against a task that is started again while a superseded run of it, which a worker has
+ * listed before it was cut off, goes on until the end of its lease. */
+static void
+test_superseded_run_is_awaited_until_its_lease_ends (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    {
+      struct pool pool = create_pool_with_superseded_run (max_leases[i], 100000);
+
+      pool.restarted->silent = true;
+      check_superseded_task_runs_once (&pool);
+    }
+}
+
+/* Guards against the same with a takeover: the successor finds no worker that the task was started
+ * on. */
+static void
+test_successor_awaits_a_superseded_run (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    {
+      struct pool pool = create_pool_with_superseded_run (max_leases[i], 100000);
+      g_autoptr (GPtrArray) specs = g_ptr_array_new ();
+
+      pool.restarted->silent = true;
+      world_run (pool.world, 5);
+      g_ptr_array_add (specs, spec ("La", 2));
+      world_take_over (pool.world, specs);
+      check_superseded_task_runs_once (&pool);
+    }
+}
+
+/* Guards against a task that waits on after its superseded run has been stopped. */
+static void
+test_task_starts_once_its_superseded_run_is_stopped (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    {
+      struct pool pool = create_pool_with_superseded_run (max_leases[i], 0);
+
+      world_run (pool.world, 150);
+      assert_int_equal (pool.world->duplicate_starts, 0);
+      assert_int_equal (pool.restarted->runs->len, 1);
+      assert_int_equal (pool.world->workers[1].runs->len, 1);
+      world_destroy (pool.world);
+    }
+}
+
 int
 main (void)
 {
@@ -332,6 +427,9 @@
     cmocka_unit_test (test_successor_waits_no_longer_for_a_worker_that_has_not_restarted),
     cmocka_unit_test (test_answer_proves_the_leases_of_an_idle_worker),
     cmocka_unit_test (test_long_leases_leave_the_records_once_they_are_over),
+    cmocka_unit_test (test_superseded_run_is_awaited_until_its_lease_ends),
+    cmocka_unit_test (test_successor_awaits_a_superseded_run),
+    cmocka_unit_test (test_task_starts_once_its_superseded_run_is_stopped),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
