scheduler: a successor's first retry of a lost hold grants no longest lease

Cause: the retry of a lost hold leaves the renewal to the next hold only while the last answered lease is long enough; a successor had none that was answered, so its retry granted one, which may be the worker's longest as nothing proves that it has not restarted. Ruled out: a start without an answer; a late link.

Change: the first answer to a successor counts as a renewal. The former leader has renewed the lease up to its end, and the hold that follows an answered retry renews it one round trip later.

--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -487,6 +487,8 @@
 {
   w->confirmed = true;
   sched->changed = true;
+  /* The former leader has renewed its lease, and the next hold does. */
+  w->renewed_at = now;
   /* Before this answer its leases could not be known. */
   if (w->is_fresh)
     mt_worker_forget_leases (w);
--- a/tests/scheduler/test_leases.c
+++ b/tests/scheduler/test_leases.c
@@ -21,7 +21,9 @@
 #define LATE_ORDER_MS 12000
 /* From a lease's end until its tasks run elsewhere. */
 #define RESTART_MS 1500
-#define DRIFT_MS   (WORLD_MAX_LEASE_MS / 10)
+/* Not late: the holds of four workers take 110 ms. */
+#define SLOW_LINK_BYTES_PER_MS 8
+#define DRIFT_MS               (WORLD_MAX_LEASE_MS / 10)
 
 /* Longest leases that workers of different platforms grant. */
 static const int64_t max_leases[] = { 4500, 6000, 10000, 15000, 60000 };
@@ -297,6 +299,35 @@
       }
 }
 
+/* Guards against the same after the retry of a hold that was lost with the worker, while another
+ * one's answers are lost, too, so that holds wait for a short time only. */
+static void
+test_retry_of_a_lost_hold_grants_no_longest_lease (void **state)
+{
+  for (int64_t cut_ms = 20; cut_ms <= 1220; cut_ms += 20)
+    for (int takes_over = 0; takes_over < 2; takes_over++)
+      {
+        struct pool pool = create_pool (60000);
+        struct world_worker *other = &pool.world->workers[3];
+
+        world_submit (pool.world, spec ("La", JOB_TASKS));
+        world_run (pool.world, 2000);
+        pool.world->n_starts = 0;
+        pool.world->link_bytes_per_ms = SLOW_LINK_BYTES_PER_MS;
+        other->drops_all_answers = true;
+        world_run (pool.world, 300);
+        if (takes_over)
+          take_over (&pool);
+        world_run (pool.world, cut_ms);
+        pool.restarted->silent = true;
+        other->drops_all_answers = false;
+        world_run (pool.world, MT_SUCCESSOR_WAIT_MS + RESTART_MS);
+        assert_in_range (pool.world->n_starts, 1, 4);
+        assert_int_equal (pool.world->duplicate_starts, 0);
+        world_destroy (pool.world);
+      }
+}
+
 /* Guards against a record that calls a lease long for ever: tasks that run for hours would wait for
  * it after each later takeover. */
 static void
@@ -426,6 +457,7 @@
     cmocka_unit_test (test_records_of_an_earlier_version_may_hide_a_restart),
     cmocka_unit_test (test_successor_waits_no_longer_for_a_worker_that_has_not_restarted),
     cmocka_unit_test (test_answer_proves_the_leases_of_an_idle_worker),
+    cmocka_unit_test (test_retry_of_a_lost_hold_grants_no_longest_lease),
     cmocka_unit_test (test_long_leases_leave_the_records_once_they_are_over),
     cmocka_unit_test (test_superseded_run_is_awaited_until_its_lease_ends),
     cmocka_unit_test (test_successor_awaits_a_superseded_run),
