--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -13,9 +13,6 @@
 /* Times that a start without an answer is resent. On a worker that loses every second start, one in
  * sixteen is still unconfirmed after the last retry. */
 #define MAX_START_RETRIES 3
-/* A run that is superseded but listed, as one that was begun by a late order, runs at most until it
- * is stopped; each listing that has it extends this. */
-#define SUPERSEDED_RUN_MS 1500
 /* Interval of holds to idle workers. Their answers give the worker's clock: leases are wrong by up
  * to 2% of the time since the last reading. */
 #define IDLE_HOLD_INTERVAL_MS 15000
@@ -41,7 +38,7 @@
 }
 
 static void
-record_answer (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
+record_answer (struct mt_scheduler *sched, struct mt_worker *w, int64_t sent_at, int64_t now)
 {
   if (w->silent_since != 0)
     {
@@ -53,6 +50,7 @@
   w->start_before_answer_at = w->start_sent_at;
   w->silent_since = 0;
   w->loss_counted = false;
+  mt_worker_prove_leases (w, sent_at);
   mt_worker_clear_settled (sched, w);
 }
 
@@ -234,10 +232,9 @@
   struct mt_task *task = mt_scheduler_find_task (sched, end->task);
   bool current;
 
+  mt_worker_end_superseded (sched, w, end->task, end->run);
   if (task == NULL || task->state == MT_TASK_DONE)
     return;
-  if (end->run != task->run)
-    task->superseded_until = 0;
   current = task->worker == w && task->run == end->run;
   mt_task_set_checkpoint (task, end->checkpoint);
   /* A task that any of its runs completed is done. If another run of the task is active, the task
@@ -333,7 +330,7 @@
       w->orphaned_runs++;
       add_orphan (sched, w, row);
       if (task != NULL)
-        task->superseded_until = now + SUPERSEDED_RUN_MS;
+        mt_worker_note_superseded (sched, w, task, row, now);
       return;
     }
   task->listing = w->listing;
@@ -445,6 +442,7 @@
     apply_listed_run (sched, w, &report->running[i], sent, now);
   if (!report->is_whole)
     return;
+  mt_worker_end_unlisted_superseded (sched, w, sent);
   for (GList *l = w->tasks.head; l != NULL; l = next)
     {
       struct mt_task *task = l->data;
@@ -492,9 +490,11 @@
 
   w->confirmed = true;
   sched->changed = true;
+  /* The former leader has renewed its lease, and the next hold does. */
+  w->renewed_at = now;
   /* Before this answer its leases could not be known. */
   if (w->is_fresh)
-    w->lease_end = w->longest_lease_end = 0;
+    mt_worker_forget_leases (w);
   if (w->is_fresh || clock_ms < MT_LATE_ORDER_MS + sched->settings.max_lease_ms)
     mt_worker_record_longest_lease (sched, w, 0, "first answer", now);
   if (w->longest_lease_end > stored_until)
@@ -544,12 +544,14 @@
     }
   if (order->sent_at >= w->clock_restarted_at)
     w->clock_restarted_at = 0;
-  record_answer (sched, w, now);
+  record_answer (sched, w, order->sent_at, now);
   if (!mt_worker_is_fencing (w, order))
     {
       w->next_hold_at = now;
       return;
     }
+  if (w->hold_renews && !order->is_probe)
+    w->renewed_at = MAX (w->renewed_at, order->sent_at);
   w->listed_before_at = w->listing_at;
   w->listing_at = now;
   w->listing_requested_at = order->sent_at;
@@ -714,8 +716,10 @@
     }
   else if (is_known_to_answer (w, order, report))
     {
-      record_answer (sched, w, now);
+      record_answer (sched, w, order->sent_at, now);
       mt_worker_update_clock (w, report->clock_ms, now);
+      if (order->kind == MT_ORDER_START && report->answer == MT_ANSWER_OK)
+        w->renewed_at = MAX (w->renewed_at, order->sent_at);
     }
   /* The next hold shows which incarnation it was. */
   else
--- a/core/scheduler/scheduler_incarnations.c
+++ b/core/scheduler/scheduler_incarnations.c
@@ -328,6 +328,7 @@
   w->moved_at = 0;
   w->clock_at = w->clock_restarted_at = 0;
   w->start_sent_at = w->start_before_answer_at = 0;
+  w->renewed_at = w->proven_at = 0;
   w->listing_at = w->listing_requested_at = w->listed_before_at = 0;
   w->applied_end = w->durable_end = 0;
   mt_worker_clear_ends (w);
@@ -368,6 +369,7 @@
   mt_worker_release (sched, w, lost, &crash, now, "reborn");
   mt_worker_forget_tickets (sched, w);
   forget_orphans (sched, w);
+  mt_worker_forget_superseded (sched, w);
   w->former_started_at = w->started_at;
   mt_worker_set_incarnation (w, started_at, now);
   w->entry_is_former = true;
@@ -376,7 +378,7 @@
   replace_token (sched, w);
   /* Until its first hold is answered it may carry out late orders, whose leases were given on the
    * former one's clock. These lie far ahead on its own, and it grants its longest lease instead. */
-  w->lease_end = w->longest_lease_end = 0;
+  mt_worker_forget_leases (w);
   mt_worker_record_longest_lease (sched, w, UNCONFIRMED_WAIT_MS, "restart", now);
   mt_worker_store_longest_lease (sched, w, now);
   if (w->claim != NULL && w->claim->started_at_ms == started_at)
--- a/tests/scheduler/test_leases.c
+++ b/tests/scheduler/test_leases.c
@@ -21,7 +21,9 @@
 #define LATE_ORDER_MS 12000
 /* From a lease's end until its tasks run elsewhere. */
 #define RESTART_MS 1500
-#define DRIFT_MS   (WORLD_MAX_LEASE_MS / 10)
+/* Not late: the holds of four workers take 110 ms. */
+#define SLOW_LINK_BYTES_PER_MS 8
+#define DRIFT_MS               (WORLD_MAX_LEASE_MS / 10)
 
 /* Longest leases that workers of different platforms grant. */
 static const int64_t max_leases[] = { 4500, 6000, 10000, 15000, 60000 };
@@ -271,6 +273,61 @@
       }
 }
 
+/* Guards against tasks that wait beside free workers for the longest lease of a worker that was
+ * idle when they were started there, so that it might have restarted unseen, but has answered
+ * since. */
+static void
+test_answer_proves_the_leases_of_an_idle_worker (void **state)
+{
+  static const int64_t terms[] = { 20, 300, 5000 };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    for (unsigned j = 0; j < G_N_ELEMENTS (terms); j++)
+      {
+        struct pool pool = create_pool (max_leases[i]);
+
+        world_run (pool.world, 8000);
+        world_submit (pool.world, spec ("La", JOB_TASKS));
+        world_run (pool.world, terms[j]);
+        assert_in_range (pool.restarted->runs->len, 1, 4);
+        pool.world->n_starts = 0;
+        pool.restarted->silent = true;
+        world_run (pool.world, MT_MAX_WORKER_LEASE_MS + RESTART_MS + DRIFT_MS);
+        assert_in_range (pool.world->n_starts, 1, 4);
+        assert_int_equal (pool.world->duplicate_starts, 0);
+        world_destroy (pool.world);
+      }
+}
+
+/* Guards against the same after the retry of a hold that was lost with the worker, while another
+ * one's answers are lost, too, so that holds wait for a short time only. */
+static void
+test_retry_of_a_lost_hold_grants_no_longest_lease (void **state)
+{
+  for (int64_t cut_ms = 20; cut_ms <= 1220; cut_ms += 20)
+    for (int takes_over = 0; takes_over < 2; takes_over++)
+      {
+        struct pool pool = create_pool (60000);
+        struct world_worker *other = &pool.world->workers[3];
+
+        world_submit (pool.world, spec ("La", JOB_TASKS));
+        world_run (pool.world, 2000);
+        pool.world->n_starts = 0;
+        pool.world->link_bytes_per_ms = SLOW_LINK_BYTES_PER_MS;
+        other->drops_all_answers = true;
+        world_run (pool.world, 300);
+        if (takes_over)
+          take_over (&pool);
+        world_run (pool.world, cut_ms);
+        pool.restarted->silent = true;
+        other->drops_all_answers = false;
+        world_run (pool.world, MT_SUCCESSOR_WAIT_MS + RESTART_MS);
+        assert_in_range (pool.world->n_starts, 1, 4);
+        assert_int_equal (pool.world->duplicate_starts, 0);
+        world_destroy (pool.world);
+      }
+}
+
 /* Guards against a record that calls a lease long for ever: tasks that run for hours would wait for
  * it after each later takeover. */
 static void
@@ -418,6 +475,101 @@
       }
 }
 
+/* The only worker restarts and shrinks, so that one of two tasks waits, and carries out a late copy
+ * of that task's start. It lists this run; then another worker joins. order_delay_ms: of the stop.
+ */
+static struct pool
+create_pool_with_superseded_run (int64_t max_lease_ms, int64_t order_delay_ms)
+{
+  struct pool pool = { .world = world_create () };
+  struct world_delayed_order late = { .kind = MT_ORDER_START, .task = "La.0.0.0", .run = 1 };
+  const struct world_run *kept;
+
+  world_set_max_lease (pool.world, max_lease_ms);
+  pool.restarted = late.worker = world_add_worker (pool.world, "r1");
+  world_run (pool.world, 1000);
+  world_submit (pool.world, spec ("La", 2));
+  world_run (pool.world, 50);
+  late.lease_end_ms = pool.world->now + MT_MAX_WORKER_LEASE_MS;
+  world_reboot (pool.world, pool.restarted);
+  world_resize (pool.world, pool.restarted, TASK_CPU);
+  for (int i = 0; i < 20 && pool.restarted->runs->len == 0; i++)
+    world_run (pool.world, 5);
+  assert_int_equal (pool.restarted->runs->len, 1);
+  kept = &g_array_index (pool.restarted->runs, struct world_run, 0);
+  if (strcmp (kept->task, late.task) == 0)
+    strcpy (late.task, "La.0.0.1");
+  late.token = pool.restarted->highest_token;
+  late.execute_at = pool.world->now;
+  g_array_append_val (pool.world->delayed_orders, late);
+  pool.restarted->order_delay_ms = order_delay_ms;
+  world_run (pool.world, 1050);
+  world_add_worker (pool.world, "r1");
+  return pool;
+}
+
+static void
+check_superseded_task_runs_once (struct pool *pool)
+{
+  world_run (pool->world, 2 * pool->world->max_lease_ms + MT_OUTAGE_EVIDENCE_MS + RESTART_MS);
+  assert_int_equal (pool->world->duplicate_starts, 0);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      g_autofree char *task = g_strdup_printf ("La.0.0.%u", i);
+
+      assert_int_equal (world_count_running (pool->world, task), 1);
+    }
+  world_destroy (pool->world);
+}
+
+/* Guards against a task that is started again while a superseded run of it, which a worker has
+ * listed before it was cut off, goes on until the end of its lease. */
+static void
+test_superseded_run_is_awaited_until_its_lease_ends (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    {
+      struct pool pool = create_pool_with_superseded_run (max_leases[i], 100000);
+
+      pool.restarted->silent = true;
+      check_superseded_task_runs_once (&pool);
+    }
+}
+
+/* Guards against the same with a takeover: the successor finds no worker that the task was started
+ * on. */
+static void
+test_successor_awaits_a_superseded_run (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    {
+      struct pool pool = create_pool_with_superseded_run (max_leases[i], 100000);
+      g_autoptr (GPtrArray) specs = g_ptr_array_new ();
+
+      pool.restarted->silent = true;
+      world_run (pool.world, 5);
+      g_ptr_array_add (specs, spec ("La", 2));
+      world_take_over (pool.world, specs);
+      check_superseded_task_runs_once (&pool);
+    }
+}
+
+/* Guards against a task that waits on after its superseded run has been stopped. */
+static void
+test_task_starts_once_its_superseded_run_is_stopped (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    {
+      struct pool pool = create_pool_with_superseded_run (max_leases[i], 0);
+
+      world_run (pool.world, 150);
+      assert_int_equal (pool.world->duplicate_starts, 0);
+      assert_int_equal (pool.restarted->runs->len, 1);
+      assert_int_equal (pool.world->workers[1].runs->len, 1);
+      world_destroy (pool.world);
+    }
+}
+
 int
 main (void)
 {
@@ -430,11 +582,16 @@
     cmocka_unit_test (test_leader_awaits_the_longest_lease_if_the_entry_shows_a_restart),
     cmocka_unit_test (test_records_of_an_earlier_version_may_hide_a_restart),
     cmocka_unit_test (test_successor_waits_no_longer_for_a_worker_that_has_not_restarted),
+    cmocka_unit_test (test_answer_proves_the_leases_of_an_idle_worker),
+    cmocka_unit_test (test_retry_of_a_lost_hold_grants_no_longest_lease),
     cmocka_unit_test (test_long_leases_leave_the_records_once_they_are_over),
     cmocka_unit_test (test_successor_awaits_a_lease_granted_before_the_first_answer),
     cmocka_unit_test (test_second_successor_awaits_the_lease_of_a_later_restart),
     cmocka_unit_test (test_successor_waits_no_longer_once_it_awaits_the_rest_anyway),
     cmocka_unit_test (test_refuted_entry_leaves_no_long_lease),
+    cmocka_unit_test (test_superseded_run_is_awaited_until_its_lease_ends),
+    cmocka_unit_test (test_successor_awaits_a_superseded_run),
+    cmocka_unit_test (test_task_starts_once_its_superseded_run_is_stopped),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
