tests: the longest lease, takeovers in a row and earlier records are drawn

property_scheduler draws the longest lease (4.5 to 60 s) in all properties, takes over twice within 5 to 2,000 ms, takes over for a version that writes no "l", and has a fourth property with weights for restarts, cuts and takeovers, and with waits that outlast a lease as asked for. property_availability, property_writes and property_quota draw the longest lease, too.

A lost worker's tasks wait for the longest lease only if it has restarted within 12 s + twice that lease, a takeover has found a record without "l", or it has not answered a start, or a lease renewed while the leader's link was late. Otherwise the bound is 6.7 s + 4 s, as before, whatever the longest lease.

--- a/tests/scheduler/property_availability.cpp
+++ b/tests/scheduler/property_availability.cpp
@@ -143,6 +143,7 @@
         rc::gen::tuple (generate_step (), rc::gen::inRange (0U, 1000U), rc::gen::inRange (5, 900)));
     struct world *world = world_create ();
 
+    world_set_max_lease (world, world_max_leases_ms[*rc::gen::inRange (0, WORLD_N_MAX_LEASES)]);
     for (unsigned i = 0; i < max_workers; i++)
       world_add_worker (world, "r1");
     world->run_ms = -1;
--- a/tests/scheduler/property_quota.cpp
+++ b/tests/scheduler/property_quota.cpp
@@ -101,11 +101,12 @@
   std::vector<Job> jobs;
   int64_t now = 0;
 
-  Model ()
+  explicit Model (int64_t max_lease_ms)
   {
     for (auto &world : worlds)
       {
         world = world_create ();
+        world_set_max_lease (world, max_lease_ms);
         for (unsigned i = 0; i < workers_per_pool; i++)
           world_add_worker (world, "r1");
         world->run_ms = task_ms;
@@ -431,7 +432,7 @@
     const auto steps
         = *rc::gen::container<std::vector<std::tuple<Step, unsigned, int>>> (rc::gen::tuple (
             generate_step (), rc::gen::inRange (0U, 1000U), rc::gen::inRange (5, 1500)));
-    Model m;
+    Model m (world_max_leases_ms[*rc::gen::inRange (0, WORLD_N_MAX_LEASES)]);
 
     for (const auto &[step, draw, ms] : steps)
       {
--- a/tests/scheduler/property_scheduler.cpp
+++ b/tests/scheduler/property_scheduler.cpp
@@ -1,16 +1,19 @@
 /* Workers fall silent, lose orders or execute them late, restart under their ids at once or later
- * and before the registry shows it, fail all that they start, list few ends at a time, are crashed
- * by tasks, shrink, grow and leave. Leaders die during a cancellation, learn a route late, their
- * links are slow or stall for seconds, the store fails, and callers submit and cancel jobs, some of
- * them gangs, at any moment. Once all faults are over, no unwanted task runs, every wanted task
- * runs exactly once, and no job has failed that had attempts left. */
+ * and before the registry shows it, grant longer leases than their leader asks for, fail all that
+ * they start, list few ends at a time, are crashed by tasks, shrink, grow and leave. Leaders die
+ * during a cancellation, learn a route late, their links are slow or stall for seconds, the store
+ * fails, and callers submit and cancel jobs, some of them gangs, at any moment. Once all faults are
+ * over, no unwanted task runs, every wanted task runs exactly once, and no job has failed that had
+ * attempts left. */
 #include <glib.h>
+#include <string.h>
 
 extern "C"
 {
 #include "world.h"
 }
 
+#include <algorithm>
 #include <ostream>
 #include <rapidcheck.h>
 #include <string>
@@ -39,9 +42,16 @@
  */
 constexpr int64_t calm_ms = 4000;
 constexpr int64_t idle_ms = 3000;
-/* Until a leader knows that nothing runs on a worker that it has never reached. */
-constexpr int64_t max_lease_ms
-    = MT_MAX_WORKER_LEASE_MS + MT_OUTAGE_EVIDENCE_MS + MT_EVIDENCE_TRANSIT_MS;
+/* Longest time after which an unanswered order is carried out. */
+constexpr int64_t late_order_ms = 12000;
+/* How much later than its leader asked for a lease may have been granted to a worker that a
+ * successor has never reached, and until when one that is no longer than asked for then lasts. */
+constexpr int64_t lease_transit_ms = MT_OUTAGE_EVIDENCE_MS + MT_EVIDENCE_TRANSIT_MS;
+constexpr int64_t asked_lease_ms = MT_MAX_WORKER_LEASE_MS + lease_transit_ms;
+/* Time between two takeovers in a row. */
+constexpr int64_t terms_ms[] = { 5, 60, 400, 2000 };
+constexpr int64_t min_wait_ms = 2000;
+constexpr int64_t max_wait_ms = 12000;
 constexpr int64_t sample_ms = 50;
 /* How long the registry shows a silent worker. */
 constexpr int64_t entry_ms = 4500;
@@ -85,6 +95,9 @@
   resize,
   leave,
   take_over,
+  take_over_twice,
+  take_over_by_earlier,
+  wait,
   store_fails,
   store_recovers,
   slow_link,
@@ -96,12 +109,14 @@
 std::ostream &
 operator<< (std::ostream &out, Step step)
 {
-  static const char *const names[]
-      = { "submit",       "submit_gang", "submit_late",     "learn_route", "fail_runs",
-          "late_orders",  "cut_off",     "submit_crashing", "cancel",      "cancel_unnotified",
-          "inject_fault", "heal",        "reboot",          "restart",     "crash",
-          "resize",       "leave",       "take_over",       "store_fails", "store_recovers",
-          "slow_link",    "fast_link",   "stall_link",      "calm" };
+  static const char *const names[] = {
+    "submit",       "submit_gang", "submit_late",     "learn_route",     "fail_runs",
+    "late_orders",  "cut_off",     "submit_crashing", "cancel",          "cancel_unnotified",
+    "inject_fault", "heal",        "reboot",          "restart",         "crash",
+    "resize",       "leave",       "take_over",       "take_over_twice", "take_over_by_earlier",
+    "wait",         "store_fails", "store_recovers",  "slow_link",       "fast_link",
+    "stall_link",   "calm"
+  };
 
   return out << names[static_cast<int> (step)];
 }
@@ -110,9 +125,11 @@
 {
   struct world *world = world_create ();
   std::vector<Job> jobs;
+  int64_t untold_at = 0; /* last takeover that found a record of an earlier version; 0: none */
 
-  Model ()
+  explicit Model (int64_t max_lease_ms)
   {
+    world_set_max_lease (world, max_lease_ms);
     for (unsigned i = 0; i < max_workers; i++)
       world_add_worker (world, "r1");
     world->run_ms = task_ms;
@@ -276,6 +293,7 @@
 
   for (const Job &job : m.jobs)
     g_ptr_array_add (specs, make_spec (m, job));
+  m.world->records_lack_leases = false;
   m.world->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   world_take_over (m.world, specs);
   for (Job &job : m.jobs)
@@ -284,13 +302,25 @@
     notify_leader_of_cancellations (m);
   g_hash_table_iter_init (&it, records);
   while (g_hash_table_iter_next (&it, &id, &record))
-    RC_ASSERT (mt_scheduler_restore (m.world->sched, static_cast<const char *> (id),
-                                     static_cast<const char *> (record), 1, m.world->now));
+    {
+      if (strstr (static_cast<const char *> (record), "\"l\":") == nullptr)
+        m.untold_at = m.world->now;
+      RC_ASSERT (mt_scheduler_restore (m.world->sched, static_cast<const char *> (id),
+                                       static_cast<const char *> (record), 1, m.world->now));
+    }
   notify_leader_of_cancellations (m);
   g_hash_table_unref (m.world->records);
   m.world->records = records;
 }
 
+void
+take_over_twice (Model &m, unsigned draw)
+{
+  take_over (m, draw % 2 == 0);
+  world_run (m.world, terms_ms[draw / 2 % G_N_ELEMENTS (terms_ms)]);
+  take_over (m, draw % 2 == 0);
+}
+
 void
 end_faults (Model &m)
 {
@@ -339,6 +369,35 @@
   return fits_two && 2 * used < max_workers * worker_cpu;
 }
 
+/* Returns whether the lease of a worker that is lost may be longer than its leader asked for. A
+ * worker that has restarted may have carried out orders to its former incarnation for
+ * late_order_ms, and granted its longest lease for each; a successor that first hears of it by the
+ * end of these leases counts from then. It may have restarted unseen before a lease that it has not
+ * answered. Records of an earlier version don't tell whether it has restarted. */
+bool
+may_hold_longest_lease (const Model &m, const struct world_worker *w)
+{
+  const bool has_restarted
+      = w->clock_zero != 0
+        && m.world->now - w->clock_zero < late_order_ms + 2 * m.world->max_lease_ms;
+  const bool is_untold
+      = m.untold_at != 0 && m.world->now - m.untold_at < m.world->max_lease_ms + lease_transit_ms;
+
+  return has_restarted || is_untold || w->unanswered_lease_at != 0;
+}
+
+/* Runs until all leases on the lost worker have expired that any leader can have granted. */
+void
+run_until_leases_expire (Model &m, const struct world_worker *lost)
+{
+  bool may_hold = may_hold_longest_lease (m, lost);
+
+  world_run (m.world, asked_lease_ms);
+  may_hold |= may_hold_longest_lease (m, lost);
+  if (may_hold && m.world->max_lease_ms > MT_MAX_WORKER_LEASE_MS)
+    world_run (m.world, m.world->max_lease_ms - MT_MAX_WORKER_LEASE_MS);
+}
+
 /* Accepted work must not idle beside free capacity once nothing disturbs it, also if a worker is
  * lost for good and all leases on it that any leader can have granted have expired. Suspects of
  * crashes wait for a worker each, so that runs with crashing jobs are left out. */
@@ -355,8 +414,9 @@
       lost->silent = true;
       world_run (m.world, entry_ms);
       world_unlist (m.world, lost);
+      run_until_leases_expire (m, lost);
     }
-  world_run (m.world, lost != nullptr ? calm_ms + max_lease_ms : calm_ms);
+  world_run (m.world, calm_ms);
   for (int64_t ms = 0; ms < idle_ms; ms += sample_ms)
     {
       world_run (m.world, sample_ms);
@@ -441,6 +501,16 @@
     case Step::take_over:
       take_over (m, draw % 2 == 0);
       return;
+    case Step::take_over_twice:
+      take_over_twice (m, draw);
+      return;
+    case Step::take_over_by_earlier:
+      take_over (m, draw % 2 == 0);
+      m.world->records_lack_leases = true;
+      return;
+    case Step::wait:
+      world_run (m.world, min_wait_ms + (max_wait_ms - min_wait_ms) * draw / 1000);
+      return;
     case Step::store_fails:
       m.world->store_down = true;
       return;
@@ -537,30 +607,73 @@
 
 /* The weights favour cancellations while orders are lost, followed by takeovers: few random cases
  * would combine them otherwise. */
-const Weights crash_weights = { { 3, Step::submit },       { 1, Step::submit_crashing },
-                                { 1, Step::crash },        { 2, Step::resize },
-                                { 3, Step::cancel },       { 1, Step::cancel_unnotified },
-                                { 3, Step::inject_fault }, { 1, Step::heal },
-                                { 1, Step::reboot },       { 3, Step::restart },
-                                { 1, Step::leave },        { 3, Step::take_over },
-                                { 1, Step::store_fails },  { 1, Step::store_recovers },
-                                { 1, Step::slow_link },    { 1, Step::fast_link },
-                                { 2, Step::stall_link },   { 1, Step::calm } };
-
-const Weights failure_weights
-    = { { 3, Step::submit },         { 3, Step::submit_gang }, { 2, Step::submit_late },
-        { 1, Step::learn_route },    { 2, Step::fail_runs },   { 1, Step::crash },
-        { 1, Step::resize },         { 2, Step::cancel },      { 1, Step::cancel_unnotified },
-        { 3, Step::inject_fault },   { 2, Step::heal },        { 3, Step::restart },
-        { 1, Step::leave },          { 3, Step::take_over },   { 1, Step::store_fails },
-        { 1, Step::store_recovers }, { 1, Step::slow_link },   { 1, Step::fast_link },
-        { 1, Step::stall_link },     { 1, Step::calm } };
-
-const Weights late_weights
-    = { { 3, Step::submit },      { 3, Step::late_orders },   { 4, Step::cut_off },
-        { 4, Step::restart },     { 1, Step::crash },         { 2, Step::take_over },
-        { 1, Step::cancel },      { 1, Step::inject_fault },  { 2, Step::heal },
-        { 1, Step::store_fails }, { 1, Step::store_recovers } };
+const Weights crash_weights = { { 3, Step::submit },          { 1, Step::submit_crashing },
+                                { 1, Step::crash },           { 2, Step::resize },
+                                { 3, Step::cancel },          { 1, Step::cancel_unnotified },
+                                { 3, Step::inject_fault },    { 1, Step::heal },
+                                { 1, Step::reboot },          { 3, Step::restart },
+                                { 1, Step::leave },           { 3, Step::take_over },
+                                { 1, Step::store_fails },     { 1, Step::store_recovers },
+                                { 1, Step::slow_link },       { 1, Step::fast_link },
+                                { 2, Step::stall_link },      { 1, Step::calm },
+                                { 1, Step::take_over_twice }, { 1, Step::take_over_by_earlier } };
+
+const Weights failure_weights = { { 3, Step::submit },
+                                  { 3, Step::submit_gang },
+                                  { 2, Step::submit_late },
+                                  { 1, Step::learn_route },
+                                  { 2, Step::fail_runs },
+                                  { 1, Step::crash },
+                                  { 1, Step::resize },
+                                  { 2, Step::cancel },
+                                  { 1, Step::cancel_unnotified },
+                                  { 3, Step::inject_fault },
+                                  { 2, Step::heal },
+                                  { 3, Step::restart },
+                                  { 1, Step::leave },
+                                  { 3, Step::take_over },
+                                  { 1, Step::store_fails },
+                                  { 1, Step::store_recovers },
+                                  { 1, Step::slow_link },
+                                  { 1, Step::fast_link },
+                                  { 1, Step::stall_link },
+                                  { 1, Step::calm },
+                                  { 1, Step::take_over_twice },
+                                  { 1, Step::take_over_by_earlier } };
+
+const Weights late_weights = { { 3, Step::submit },
+                               { 3, Step::late_orders },
+                               { 4, Step::cut_off },
+                               { 4, Step::restart },
+                               { 1, Step::crash },
+                               { 2, Step::take_over },
+                               { 1, Step::cancel },
+                               { 1, Step::inject_fault },
+                               { 2, Step::heal },
+                               { 1, Step::store_fails },
+                               { 1, Step::store_recovers },
+                               { 1, Step::take_over_twice },
+                               { 1, Step::take_over_by_earlier },
+                               { 1, Step::wait } };
+
+/* Few random cases would take over from a leader of a worker that was cut off after a restart, and
+ * go on until a lease that the leader has asked for would be over. */
+const Weights lease_weights = { { 4, Step::submit },
+                                { 4, Step::restart },
+                                { 1, Step::reboot },
+                                { 1, Step::crash },
+                                { 5, Step::cut_off },
+                                { 1, Step::late_orders },
+                                { 1, Step::inject_fault },
+                                { 2, Step::heal },
+                                { 3, Step::take_over },
+                                { 2, Step::take_over_twice },
+                                { 2, Step::take_over_by_earlier },
+                                { 3, Step::wait },
+                                { 1, Step::cancel },
+                                { 1, Step::store_fails },
+                                { 1, Step::store_recovers },
+                                { 1, Step::calm } };
 
 void
 run_case (const Weights &weights, unsigned max_listed_ends)
@@ -568,7 +681,7 @@
   const auto steps = *rc::gen::container<std::vector<std::tuple<Step, unsigned, int>>> (
       rc::gen::tuple (rc::gen::weightedElement<Step> (weights), rc::gen::inRange (0U, 1000U),
                       rc::gen::inRange (5, 1500)));
-  Model m;
+  Model m (world_max_leases_ms[*rc::gen::inRange (0, WORLD_N_MAX_LEASES)]);
 
   m.world->answers_name_incarnation = *rc::gen::arbitrary<bool> ();
   m.world->max_listed_ends = max_listed_ends;
@@ -595,6 +708,9 @@
   ok = rc::check ("no task runs twice, whatever a restarted worker carries out late",
                   [] { run_case (late_weights, WORLD_MAX_LISTED_ENDS); })
        && ok;
+  ok = rc::check ("no task runs twice, however long the lease of a restarted worker is",
+                  [] { run_case (lease_weights, WORLD_MAX_LISTED_ENDS); })
+       && ok;
   return ok ? 0 : 1;
 }
 
--- a/tests/scheduler/property_writes.cpp
+++ b/tests/scheduler/property_writes.cpp
@@ -59,8 +59,9 @@
   struct world *world = world_create ();
   std::vector<Job> jobs;
 
-  Model ()
+  explicit Model (int64_t max_lease_ms)
   {
+    world_set_max_lease (world, max_lease_ms);
     for (unsigned i = 0; i < max_workers; i++)
       world_add_worker (world, "r1");
     world->run_ms = task_ms;
@@ -215,7 +216,7 @@
         n_fates, rc::gen::pair (generate_delay (), generate_delay ()));
     const auto steps = *rc::gen::container<std::vector<std::tuple<Step, unsigned, int>>> (
         rc::gen::tuple (generate_step, rc::gen::inRange (0U, 1000U), rc::gen::inRange (5, 700)));
-    Model m;
+    Model m (world_max_leases_ms[*rc::gen::inRange (0, WORLD_N_MAX_LEASES)]);
 
     m.world->n_write_fates = n_fates;
     for (unsigned i = 0; i < n_fates; i++)
--- a/tests/scheduler/test_leases.c
+++ b/tests/scheduler/test_leases.c
@@ -220,12 +220,9 @@
 static void
 remove_leases (void *id, void *record, void *ctx)
 {
-  char *leases = strstr (record, ",\"l\":");
-
   (void) id;
   (void) ctx;
-  if (leases != NULL)
-    strcpy (leases, "}");
+  world_remove_leases (record);
 }
 
 /* Guards against records of a version that does not write which leases may be long: nothing in them
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -12,6 +12,10 @@
 #define HOLD_TIMEOUT_MARGIN_MS 400
 /* Time that the leader waits for an answer after the order's expected departure from its link. */
 #define ORDER_TIMEOUT_MS 350
+/* While the leader's link delays messages for longer, and until the holds that this concerns are
+ * over, it renews the leases of workers that don't answer. */
+#define LATE_LINK_DELAY_MS  200
+#define LATE_LINK_EFFECT_MS 1500
 /* Sizes on the wire, headers included; a start also carries the job's payload. */
 #define START_ORDER_BYTES 1000
 #define OTHER_ORDER_BYTES 215
@@ -21,6 +25,8 @@
 #define ADVICE_VALIDITY_MS   8000
 #define MAX_WAITING_ADVICE   32U
 
+const int64_t world_max_leases_ms[WORLD_N_MAX_LEASES] = { 4500, 6000, 10000, 15000, 30000, 60000 };
+
 static const struct mt_scheduler_settings settings = {
   .name = "pool",
   .lease_ms = 4500,
@@ -1031,6 +1037,13 @@
   return world->now - w->clock_zero - w->clock_lag_ms;
 }
 
+static void
+note_answer (struct world_worker *w, int64_t sent_at)
+{
+  if (sent_at >= w->unanswered_lease_at)
+    w->unanswered_lease_at = 0;
+}
+
 /* Reports the worker's runs and ends as the answer to the order. */
 static void
 list_runs (struct world *world, struct world_worker *w, const struct mt_sent_order *order)
@@ -1057,6 +1070,7 @@
       ends[report.n_ended++] = (struct mt_end_row){ e->sequence, e->task, e->run, e->kind, NULL };
     }
   w->is_contacted = true;
+  note_answer (w, order->sent_at);
   report.is_whole = report.n_ended < world->max_listed_ends;
   mt_scheduler_hold_answered (world->sched, order, &report, world->now);
 }
@@ -1169,7 +1183,7 @@
 
 static void
 answer_order (struct world *world,
-              const struct world_worker *w,
+              struct world_worker *w,
               const struct mt_order *order,
               enum mt_answer answer)
 {
@@ -1186,6 +1200,8 @@
           .clock_ms = answered ? worker_clock_ms (world, w) : -1,
           .started_at_ms = answered && world->answers_name_incarnation ? w->started_at_ms : 0 };
 
+  if (answered)
+    note_answer (w, world->now);
   mt_scheduler_order_answered (world->sched, &sent, &report, world->now);
 }
 
@@ -1307,9 +1323,17 @@
     }
 }
 
+static bool
+is_link_late (const struct world *world)
+{
+  return world->link_late_at != 0 && world->now - world->link_late_at < LATE_LINK_EFFECT_MS;
+}
+
 static void
 dispatch_order (struct world *world, const struct mt_order *order)
 {
+  if (order->kind == MT_ORDER_START || (order->lease_end_ms != 0 && is_link_late (world)))
+    find_worker (world, order->worker)->unanswered_lease_at = world->now;
   if (order->kind == MT_ORDER_REQUEST_TICKETS)
     receive_advice_request (world, order);
   else if (world->link_bytes_per_ms > 0)
@@ -1321,9 +1345,12 @@
 static bool
 next_order (struct world *world, struct mt_order *order)
 {
+  int64_t delay_ms = MAX (world->link_idle_at - world->now, 0);
+
+  if (delay_ms > LATE_LINK_DELAY_MS)
+    world->link_late_at = world->now;
   if (world->link_bytes_per_ms > 0)
-    mt_scheduler_set_link_delay (world->sched, MAX (world->link_idle_at - world->now, 0),
-                                 world->now);
+    mt_scheduler_set_link_delay (world->sched, delay_ms, world->now);
   return world->holds_only ? mt_scheduler_next_hold (world->sched, world->now, order)
                            : mt_scheduler_next_order (world->sched, world->now, order);
 }
@@ -1392,12 +1419,28 @@
     }
 }
 
+void
+world_remove_leases (char *record)
+{
+  char *leases = strstr (record, ",\"l\":");
+
+  if (leases == NULL)
+    return;
+  leases[0] = '}';
+  leases[1] = '\0';
+}
+
 static void
 store_write (struct world *world, struct world_write *write)
 {
   for (guint i = 0; i < write->ids->len; i++)
-    g_hash_table_insert (world->records, g_strdup (write->ids->pdata[i]),
-                         g_strdup (write->records->pdata[i]));
+    {
+      char *record = g_strdup (write->records->pdata[i]);
+
+      if (world->records_lack_leases)
+        world_remove_leases (record);
+      g_hash_table_insert (world->records, g_strdup (write->ids->pdata[i]), record);
+    }
   write->revision = ++world->revision;
   write->stores_at = 0;
 }
@@ -1513,7 +1556,10 @@
   g_ptr_array_set_size (world->writes, 0);
   g_array_set_size (world->advice, 0);
   for (unsigned i = 0; i < world->n_workers; i++)
-    world->workers[i].hold_pending = false;
+    {
+      world->workers[i].hold_pending = false;
+      world->workers[i].unanswered_lease_at = 0;
+    }
   for (guint i = 0; i < world->sent_orders->len; i++)
     g_array_index (world->sent_orders, struct world_sent_order, i).abandoned = true;
   world->link_idle_at = world->now; /* the successor's machine has its own link */
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -68,7 +68,11 @@
   bool drops_all_answers;   /* executes orders and holds, answers neither */
   bool drops_order_answers; /* executes orders without an answer; answers holds */
   bool drops_hold_answers;  /* answers orders, not holds */
-  unsigned starts_to_drop;  /* number of next starts that are neither executed nor answered */
+  /* When this leader last sent it a start, or renewed its lease while its own link was late, and
+   * has no answer from it to that or a later order; 0: it has. Only such a worker may have
+   * restarted unseen before it got a lease. */
+  int64_t unanswered_lease_at;
+  unsigned starts_to_drop; /* number of next starts that are neither executed nor answered */
   /* Every late_every-th order, holds included, gets no answer and is executed late_ms later, by
    * whatever incarnation is up then; 0: none. */
   unsigned late_every;
@@ -169,6 +173,7 @@
   GArray *delayed_orders;   /* struct world_delayed_order */
   double link_bytes_per_ms; /* capacity of the leader's link; 0: unlimited */
   int64_t link_idle_at;     /* when everything queued on the link has departed */
+  int64_t link_late_at;     /* when it last was so late that answers may be overdue; 0: never */
   GArray *sent_orders;      /* struct world_sent_order */
   struct world_worker workers[WORLD_MAX_WORKERS];
   unsigned n_workers;
@@ -216,7 +221,8 @@
   unsigned checkpoint_percent; /* runs write a checkpoint at each multiple of this; 0: never */
   double (*task_factor) (const char *task); /* multiplies a task's run time; NULL: 1 */
   GHashTable *records;                      /* job id to its last stored record */
-  unsigned max_listed_ends;                 /* of one listing */
+  bool records_lack_leases; /* the leader's version does not write which leases may be long */
+  unsigned max_listed_ends; /* of one listing */
   bool late_before_contact; /* a restarted worker carries out late orders before its first hold */
   GHashTable *failed_runs;  /* "NAME RUN" of the failed runs; NAME: of a task or of a gang's step */
   GHashTable *failures;     /* NAME to the number of its failed runs */
@@ -225,6 +231,10 @@
   unsigned starts_beyond_attempts; /* executed starts of a task with max_attempts noted failures */
 };
 
+/* Longest leases that workers of different deployments grant. */
+#define WORLD_N_MAX_LEASES 6
+extern const int64_t world_max_leases_ms[WORLD_N_MAX_LEASES];
+
 struct world *world_create (void);
 /* Makes this and later leaders share by the policy of that name; to be called before anything else.
  */
@@ -262,6 +272,8 @@
 /* Runs until the job has the state, for at most `ms`. False if it did not reach the state. */
 bool
 world_run_until_state (struct world *world, const char *id, enum mt_job_state state, int64_t ms);
+/* Removes from a record what earlier versions did not write: which leases may be long. */
+void world_remove_leases (char *record);
 /* The leader dies. Its successor, under a higher token, loads the specs and the stored records. */
 void world_take_over (struct world *world, GPtrArray *specs);
 unsigned world_count_running (const struct world *world, const char *task);
