--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -270,18 +270,20 @@
   bool loss_counted;              /* the loss of the present incarnation counts in the loss rate */
   int64_t clock_ms;               /* last reading of the worker's clock ... */
   int64_t clock_at;               /* ... and our clock at that reading; 0: none */
-  int64_t lease_end;         /* time on our clock by which all leases granted to it have expired */
-  int64_t longest_lease_end; /* ... of these, by which those have that it may have granted for an
-                                order dated by another incarnation's clock; 0: none */
-  int64_t asked_lease_end;   /* ... and by which those have that are as long as asked for */
+  /* Times on our clock by which leases granted to it have expired: */
+  int64_t lease_end;       /* all of them */
+  int64_t asked_lease_end; /* those that are as long as asked for */
+  /* ... and those that it may have granted for an order dated by another incarnation's clock; 0:
+   * none */
+  int64_t longest_lease_end;
+  int64_t lease_end_before_claim;   /* lease_end without the claim ... */
+  int64_t longest_end_before_claim; /* ... and longest_lease_end */
+  const char *lease_basis;          /* how lease_end was counted, for the log */
   int64_t unproven_at; /* when an order was last sent that an incarnation not heard of may have
                           carried out; 0: the present one has answered a later order */
+  int64_t proven_at;   /* when the last order was sent that the present one has answered; 0: none */
   int64_t renewed_at;  /* when the last lease was sent whose order it has answered; 0: none */
   bool hold_renews;    /* the hold in flight, or the last one, grants a lease */
-  int64_t proven_at;   /* when the last order was sent that the present one has answered; 0: none */
-  const char *lease_basis;          /* how lease_end was counted, for the log */
-  int64_t lease_end_before_claim;   /* lease_end ... */
-  int64_t longest_end_before_claim; /* ... and longest_lease_end without the claim */
   int64_t cordon_until;
   int64_t drain_announced_until; /* when the announcement of a later drain expires */
   bool move_long_running;
@@ -392,9 +394,8 @@
   GQueue starts;            /* tasks whose start is queued */
   GQueue stops;             /* tasks whose stop is queued */
   GQueue pace_changes;
-  GQueue
-      unsure; /* workers that are to be asked for their incarnation, and some that no longer are */
-  GQueue orphaned_runs;            /* orphaned runs to be stopped */
+  GQueue unsure;        /* workers to be asked for their incarnation, and some that no longer are */
+  GQueue orphaned_runs; /* orphaned runs to be stopped */
   int64_t long_running_only_until; /* until then a worker takes only long-running tasks */
   bool changed;                    /* a cycle may have something to place or write */
   int64_t place_at; /* next time at which a waiting task may become placeable; 0: none */
--- a/fleet/frontend_internal.h
+++ b/fleet/frontend_internal.h
@@ -31,8 +31,7 @@
   unsigned settling;                /* transactions whose outcome is being found out */
   GQueue failed_txns;               /* to be sent again by their timers; counted in the above */
   unsigned in_flight;
-  GQueue
-      held; /* struct held_call of frontend.c: wait for a check of the configuration, by arrival */
+  GQueue held;  /* struct held_call, by arrival: calls that wait for a check of the configuration */
   bool closing; /* calls that waited for a check of the configuration are refused */
   int64_t estimate_paused_until; /* no estimate is requested before this time: a leader did not
                                     answer */
