scheduler: an answer leaves a restarted worker's longest lease counted until it is over

Change: the records' state is a flag of its own; the lease is forgotten when it is over.

test_answer_does_not_shorten_the_lease_of_a_restarted_worker: a task ran twice before, 0 now.

--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -276,6 +276,7 @@
   /* ... and those that it may have granted for an order dated by another incarnation's clock; 0:
    * none */
   int64_t longest_lease_end;
+  bool records_longest_lease;       /* records of its tasks' jobs may name it */
   int64_t lease_end_before_claim;   /* lease_end without the claim ... */
   int64_t longest_end_before_claim; /* ... and longest_lease_end */
   const char *lease_basis;          /* how lease_end was counted, for the log */
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -545,10 +545,13 @@
 void
 mt_worker_expire_longest_lease (struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
-  if (w->longest_lease_end == 0 || mt_worker_longest_lease_ms (w, now) > 0)
-    return;
-  w->longest_lease_end = 0;
-  update_records (sched, w);
+  bool is_long = mt_worker_longest_lease_ms (w, now) > 0;
+
+  if (w->records_longest_lease && !is_long)
+    update_records (sched, w);
+  w->records_longest_lease = is_long;
+  if (now > w->longest_lease_end)
+    w->longest_lease_end = 0;
 }
 
 /* What was sent since the claim went to the present incarnation, whose clock is known. */
--- a/tests/scheduler/test_leases.c
+++ b/tests/scheduler/test_leases.c
@@ -115,6 +115,30 @@
     }
 }
 
+/* Guards against a leader that takes an answer for proof that the lease of a restarted worker is no
+ * longer than asked for. */
+static void
+test_answer_does_not_shorten_the_lease_of_a_restarted_worker (void **state)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (max_leases); i++)
+    {
+      struct pool pool = create_pool_with_restarted_worker (max_leases[i]);
+
+      world_run (pool.world, MAX (max_leases[i] - MT_SUCCESSOR_WAIT_MS, 0) + 200);
+      for (unsigned lost = 0; lost < 2; lost++)
+        {
+          struct mt_job_spec *small = world_job (lost == 0 ? "c" : "d", N_WORKERS, 0, 1000);
+
+          small->steps[0].max_per_worker = 1;
+          pool.restarted->drops_order_answers = lost == 0;
+          world_submit (pool.world, small);
+          world_run (pool.world, 20);
+        }
+      pool.restarted->silent = true;
+      check_runs_once (&pool);
+    }
+}
+
 /* Guards against the same with two takeovers in a row, of which the second finds the records of the
  * first leader. */
 static void
@@ -572,6 +596,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_successor_awaits_the_longest_lease_of_a_restarted_worker),
+    cmocka_unit_test (test_answer_does_not_shorten_the_lease_of_a_restarted_worker),
     cmocka_unit_test (test_second_successor_awaits_the_longest_lease_of_a_restarted_worker),
     cmocka_unit_test (test_lease_outlives_a_leader_that_did_not_see_the_restart),
     cmocka_unit_test (test_noticed_restart_is_recorded_for_runs_placed_before),
