--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,7 @@
-"""Two minions crash, one after the other, each shortly after it began the same work unit."""
+"""Two minions crash, one after the other, each shortly after it began the same work unit.
+
+With LASTING=1 the job's work units last until it is cancelled, and three minions crash.
+"""
 import asyncio
 import os
 import sys
@@ -10,7 +13,8 @@
 
 MINIONS = 9
 CALM_S = 8  # of light load before
-CRASHES, AFTER_S, DOWN_S = 2, 0.2, 1.0
+LASTING = os.environ.get("LASTING", "0") != "0"
+CRASHES, AFTER_S, DOWN_S = 3 if LASTING else 2, 0.2, 1.0
 STEPS = [{"count": 6, "cpu": 880, "mem-mb": 1300, "est-runtime-ms": 800}]
 JOB = "%016x" % 0xbadc0de
 UNIT = JOB + ".0.0.0"
@@ -40,7 +44,11 @@
             asyncio.ensure_future(crash(minion.machine))
 
     case.platform.on_start = on_start
-    case.submit(daemons[0], JOB, "ms=800", STEPS)
+    if LASTING:
+        case.submit(daemons[0], JOB, "ms=0", [dict(STEPS[0], **{"long-running": True,
+                                                                "max-unavailable": 1})])
+    else:
+        case.submit(daemons[0], JOB, "ms=800", STEPS)
     began, state = steady(), None
     while steady() - began < FINISH_S and state not in ("completed", "failed"):
         state = case.state(daemons[1], JOB)
@@ -51,7 +59,7 @@
     failed = sum(" run-end " in line and JOB in line and " failed " in line
                  for line in open(os.path.join(HERE, "record.txt")))
     case.record("runs of the job that ended failed:", failed)
-    if state == "completed":
+    if state == ("active" if LASTING else "completed"):
         return None
     return "LOST: %s is shown as %s; %d of its runs ended failed" % (JOB, state, failed)
 
--- a/review/lib3/platform3.py
+++ b/review/lib3/platform3.py
@@ -437,6 +437,7 @@
         self.lives = 0
         self.minion = None
         self.upkept = set()  # numbers of the waves whose upkeep it has begun
+        self.down_for = None  # the last of them
 
     async def boot(self):
         self.lives += 1
@@ -557,8 +558,10 @@
             return 200, {}
         if machine.state != "up":
             return 409, {"reason": "busy"}
-        down = [n for n in json.loads(text)["machines"] if self.machines[n].state == "upkeep"]
+        down = [n for n in json.loads(text)["machines"]
+                if self.machines[n].state == "upkeep" and self.machines[n].down_for == number]
         machine.upkept.add(number)
+        machine.down_for = number
         self.upkeeps.append((steady(), machine.name, number, down))
         self.record("upkeep begins", machine.name, "down already:", down)
         asyncio.ensure_future(machine.away("upkeep", self.maintenance_s))
