--- a/review/lib3/case3.py
+++ b/review/lib3/case3.py
@@ -10,6 +10,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 from platform3 import Platform, Record, Thread, steady
 
@@ -189,9 +190,10 @@
 
 def main(folder, run):
     """Runs the case; `run` returns a text that says how the rule was broken, or None."""
-    case = Case(folder)
-    code = 2
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+    code, case = 2, None
     try:
+        case = Case(folder)
         broken = run(case)
         code = 1 if broken else 0
         case.record("result:", "broken: " + broken if broken else "held")
@@ -199,7 +201,11 @@
     except CannotRun as error:
         case.record("could not run:", error)
         print("could not run:", error)
+    except BaseException:  # also a fault of the script: it says nothing about the rule
+        traceback.print_exc()
     finally:
-        case.end()
-    sys.stdout.flush()
-    os._exit(code)
+        if case is not None:
+            case.end()
+        sys.stdout.flush()
+        sys.stderr.flush()
+        os._exit(code)
