fleet: a stopping daemon refuses no write that it has sent

Cause: nothing related writes to the exit, so the last ones were begun just before it (time-out 600 ms, exit 500 ms before the end of the grace period). The calls of the store then ended without an answer, which began a look-up that was never made, and mt_http_front_destroy answered what was left with 503, whatever had been sent. Cancels had the same fault.

Ruled out: the store's classification of answers; each 503 came from the HTTP server's end.

Change: a stop gives the front end the time of its last answer. No write is begun whose outcome may not be known by then; callers are refused at once, truthfully (cause "stop"). Writes under way are awaited, and time-outs follow the store's recent answer times (0.6 to 1.5 s), as a write that is not waited for is unknown. At the exit every call ends with what is known of it. The HTTP server says 504 of what it can't know. Store calls of other daemons that can't be answered before the end of relaying are refused as "not sent", which is no evidence of an outage.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -29,6 +29,8 @@
 #define STORE_SILENT_MS 2500
 /* Interval of housekeeping; the loss and the return of the store are logged at most this late. */
 #define HOUSEKEEPING_MS 500
+/* ... of a stopping daemon, which exits at most this late. */
+#define HOUSEKEEPING_STOP_MS 100
 /* Interval of the POOL_LOAD events. */
 #define LOAD_LOG_INTERVAL_MS 1000
 /* A stopping daemon goes on serving for this long after it reports that it is not ready: two
@@ -399,6 +401,13 @@
   ((struct mt_fleet *) ctx)->has_left = true;
 }
 
+/* Returns the time after which a stopping daemon exits, whatever is in flight. */
+static int64_t
+grace_ms (const struct mt_fleet *f)
+{
+  return (int64_t) (1000 * f->settings->bounds.grace_s) - GRACE_MARGIN_MS;
+}
+
 static void
 begin_stop (struct mt_fleet *f)
 {
@@ -408,6 +417,8 @@
   f->stop_began = mt_loop_now ();
   mt_journal_log (f->journal, "FLEET_STOPPING", "requests=%u", mt_frontend_in_flight (f->frontend));
   mt_http_front_close_after_answers (f->front);
+  mt_frontend_stop (f->frontend, f->stop_began + grace_ms (f) - HOUSEKEEPING_STOP_MS);
+  mt_relay_stop (f->relay, f->stop_began + MIN (LINGER_MS, grace_ms (f)));
   mt_cluster_leave (f->cluster, on_cluster_left, f);
 }
 
@@ -415,11 +426,10 @@
 may_exit (const struct mt_fleet *f)
 {
   int64_t since = mt_loop_now () - f->stop_began;
-  int64_t grace = (int64_t) (1000 * f->settings->bounds.grace_s) - GRACE_MARGIN_MS;
 
   if (!f->stopping)
     return false;
-  return since >= grace
+  return since >= grace_ms (f)
          || (since >= LINGER_MS && f->has_left && mt_frontend_in_flight (f->frontend) == 0);
 }
 
@@ -429,7 +439,7 @@
   struct mt_fleet *f = ctx;
   bool lost = !store_answered_recently (f);
 
-  mt_timer_set (f->housekeeping, f->stopping ? HOUSEKEEPING_MS / 5 : HOUSEKEEPING_MS);
+  mt_timer_set (f->housekeeping, f->stopping ? HOUSEKEEPING_STOP_MS : HOUSEKEEPING_MS);
   if (lost != f->store_lost)
     mt_journal_log (f->journal, lost ? "STORE_LOST" : "STORE_BACK", "reached_directly=%d",
                     mt_adapter_reaches_store (f->platform));
--- a/fleet/frontend.c
+++ b/fleet/frontend.c
@@ -12,6 +12,17 @@
 /* Calls are checked against the store if the configuration is unconfirmed for longer: a change must
  * be in force after 2 s, of which the check takes up to 0.6 s while the store answers. */
 #define CONFIG_STALE_MS 1300
+/* The time-out of a call to the store is this multiple of the recent mean answer time, within
+ * limits. */
+#define STORE_TIMEOUT_FACTOR     3
+#define LONGEST_STORE_TIMEOUT_MS 1500
+/* Weight of the last call in that mean. */
+#define STORE_MS_WEIGHT (1.0 / 4)
+/* Rest of the time that finding out a write's outcome takes: the pause before it is sent again, and
+ * the answer's way to the caller. */
+#define WRITE_MARGIN_MS 200
+/* Interval at which a stopping daemon refuses what it can't begin any more. */
+#define STOP_CHECK_MS 100
 /* For the way of the confirmation: its age counts from when it arrived. */
 #define CONFIG_MARGIN_MS 200
 
@@ -329,10 +340,66 @@
   mt_submit_queue_set_workspaces (frontend->submits, config != NULL ? config->workspaces : NULL);
 }
 
+/* ---- stop ---- */
+
+int64_t
+mt_frontend_store_timeout_ms (const struct mt_frontend *frontend, int64_t shortest_ms)
+{
+  return CLAMP ((int64_t) (STORE_TIMEOUT_FACTOR * frontend->store_ms), shortest_ms,
+                LONGEST_STORE_TIMEOUT_MS);
+}
+
+/* Without an answer, the call would have taken an unknown time longer. */
+void
+mt_frontend_record_store (struct mt_frontend *frontend, int64_t took_ms, bool answered)
+{
+  double sample = (double) (answered ? took_ms : took_ms * 2);
+
+  frontend->store_ms += STORE_MS_WEIGHT * (sample - frontend->store_ms);
+}
+
+/* A write may have to be sent a second time to find out the outcome of the first. */
+static int64_t
+write_budget_ms (const struct mt_frontend *frontend)
+{
+  return 2 * mt_frontend_store_timeout_ms (frontend, MT_FRONTEND_TXN_TIMEOUT_MS) + WRITE_MARGIN_MS;
+}
+
+bool
+mt_frontend_may_write (const struct mt_frontend *frontend)
+{
+  return !frontend->closing
+         && (frontend->answer_by == INT64_MAX
+             || mt_loop_now () + write_budget_ms (frontend) <= frontend->answer_by);
+}
+
+/* The budget follows the store's answer times and may have become smaller since the timer was set.
+ */
+static void
+on_writes_end (void *ctx)
+{
+  struct mt_frontend *frontend = ctx;
+
+  mt_timer_set (frontend->stop_timer, STOP_CHECK_MS);
+  if (!mt_frontend_may_write (frontend))
+    mt_frontend_refuse_unsent (frontend);
+}
+
+void
+mt_frontend_stop (struct mt_frontend *frontend, int64_t answer_by)
+{
+  frontend->answer_by = answer_by;
+  frontend->stop_timer = mt_timer_create (frontend->base, on_writes_end, frontend);
+  on_writes_end (frontend);
+}
+
 void
 mt_frontend_close (struct mt_frontend *frontend)
 {
   frontend->closing = true;
+  mt_frontend_refuse_unsent (frontend);
+  mt_frontend_end_failed_txns (frontend);
+  mt_frontend_end_cancels (frontend);
 }
 
 unsigned
@@ -350,6 +417,8 @@
   frontend->options = *options;
   frontend->admission = mt_frontend_new_admission ();
   g_queue_init (&frontend->held);
+  g_queue_init (&frontend->cancels);
+  frontend->answer_by = INT64_MAX;
   frontend->submits = mt_submit_queue_create (frontend->admission);
   if (options->store_wait)
     frontend->store_wait = mt_frontend_new_store_wait (frontend);
@@ -362,6 +431,7 @@
   if (frontend == NULL)
     return;
   mt_frontend_drop_submits (frontend);
+  mt_timer_destroy (frontend->stop_timer);
   mt_submit_queue_destroy (frontend->submits);
   mt_store_wait_destroy (frontend->store_wait, mt_frontend_drop_submit);
   mt_admission_destroy (frontend->admission);
--- a/fleet/frontend.h
+++ b/fleet/frontend.h
@@ -47,7 +47,12 @@
 /* The configuration is borrowed until the next call; NULL for none. */
 void mt_frontend_set_config (struct mt_frontend *frontend, const struct mt_fleet_config *config);
 void mt_frontend_handle (struct mt_frontend *frontend, struct mt_exchange *exchange);
-/* To be called before the clients of the store and of other daemons are destroyed. */
+/* Begins a stop, after which the daemon answers its callers until `answer_by`, in ms of the loop's
+ * clock. From now on no write is begun whose outcome may not be known by then: its caller is
+ * refused at once. Calls under way are waited for. */
+void mt_frontend_stop (struct mt_frontend *frontend, int64_t answer_by);
+/* Refuses calls of which nothing was sent. The others are answered as their calls of the store and
+ * of other daemons end, which may be done only afterwards; none is retried. */
 void mt_frontend_close (struct mt_frontend *frontend);
 /* Returns the number of submissions and queries in flight. */
 unsigned mt_frontend_in_flight (const struct mt_frontend *frontend);
--- a/fleet/frontend_ask.c
+++ b/fleet/frontend_ask.c
@@ -9,6 +9,7 @@
 
 /* Time-out of the store for a state query; the caller may ask again at once. */
 #define STORE_TIMEOUT_MS 700
+#define STOPPING         "the daemon is stopping, nothing was sent"
 /* A refused write of a cancellation is sent again after this time. */
 #define CANCEL_RETRY_MS 80
 
@@ -21,6 +22,7 @@
   char *route;
   char *workspace; /* of the caller */
   int64_t began;
+  int64_t sent;         /* when its last call of the store was sent */
   bool outcome_unknown; /* an unanswered write of the cancellation may still be done */
   struct mt_timer *retry_timer;
   enum mt_job_state open_state; /* the job's state unless it was cancelled */
@@ -288,10 +290,32 @@
   free_query (q);
 }
 
+/* Returns whether the cancellation is not sent again. A first write is not begun if the daemon
+ * exits before its outcome would be known; an unknown outcome is found out until then. */
 static bool
 deadline_passed (const struct query *q)
 {
-  return mt_loop_now () - q->began >= MT_FRONTEND_DEADLINE_MS;
+  const struct mt_frontend *frontend = q->frontend;
+  int64_t now = mt_loop_now ();
+
+  if (frontend->closing || now - q->began >= MT_FRONTEND_DEADLINE_MS)
+    return true;
+  return q->outcome_unknown ? now >= frontend->answer_by : !mt_frontend_may_write (frontend);
+}
+
+static void
+end_unstored (struct query *q, const char *why)
+{
+  if (q->outcome_unknown)
+    end_failed (q, 504, "the store did not answer");
+  else
+    end_failed (q, 503, why);
+}
+
+static void
+record_store (const struct query *q, const struct mt_kv_reply *reply)
+{
+  mt_frontend_record_store (q->frontend, mt_loop_now () - q->sent, reply->status != MT_KV_UNKNOWN);
 }
 
 static void
@@ -299,6 +323,7 @@
 {
   struct query *q = data;
 
+  record_store (q, reply);
   /* The key only says that the job is cancelled: whoever wrote it, the outcome is the same. */
   if (reply->status == MT_KV_OK || reply->status == MT_KV_CONFLICT)
     {
@@ -306,12 +331,13 @@
       return;
     }
   q->outcome_unknown |= reply->status == MT_KV_UNKNOWN;
-  if (!deadline_passed (q))
-    mt_timer_set (q->retry_timer, CANCEL_RETRY_MS);
-  else if (q->outcome_unknown)
-    end_failed (q, 504, "the store did not answer");
-  else
-    end_failed (q, 503, describe_failure (reply));
+  if (deadline_passed (q))
+    {
+      end_unstored (q, describe_failure (reply));
+      return;
+    }
+  g_queue_push_tail (&q->frontend->cancels, q);
+  mt_timer_set (q->retry_timer, CANCEL_RETRY_MS);
 }
 
 static void
@@ -323,7 +349,11 @@
   struct mt_kv_put put = { .key = key, .value = MT_STR ("{}") };
   struct mt_kv_txn txn = { &expect, 1, &put, 1, NULL, 0 };
 
-  mt_kv_write (&q->frontend->options.kv, &txn, MT_FRONTEND_TXN_TIMEOUT_MS, on_cancel_stored, q);
+  g_queue_remove (&q->frontend->cancels, q);
+  q->sent = mt_loop_now ();
+  mt_kv_write (&q->frontend->options.kv, &txn,
+               mt_frontend_store_timeout_ms (q->frontend, MT_FRONTEND_TXN_TIMEOUT_MS),
+               on_cancel_stored, q);
 }
 
 static void
@@ -331,8 +361,11 @@
 {
   struct query *q = data;
 
+  record_store (q, reply);
   if (reply->status == MT_KV_MISSING || (reply->status == MT_KV_OK && !has_visible_job (q, reply)))
     end_no_job (q);
+  else if (!mt_frontend_may_write (q->frontend))
+    end_failed (q, 503, STOPPING);
   else if (reply->status == MT_KV_OK)
     {
       q->retry_timer = mt_timer_create (q->frontend->base, send_cancel, q);
@@ -352,5 +385,22 @@
   struct query *q = new_query (frontend, exchange, route, id, workspace);
   g_autofree char *key = mt_pool_job_key (q->pool, q->id);
 
-  mt_kv_read (&frontend->options.kv, key, MT_FRONTEND_TXN_TIMEOUT_MS, on_cancel_job, q);
+  if (!mt_frontend_may_write (frontend))
+    {
+      end_failed (q, 503, STOPPING);
+      return;
+    }
+  q->sent = mt_loop_now ();
+  mt_kv_read (&frontend->options.kv, key,
+              mt_frontend_store_timeout_ms (frontend, MT_FRONTEND_TXN_TIMEOUT_MS), on_cancel_job,
+              q);
+}
+
+void
+mt_frontend_end_cancels (struct mt_frontend *frontend)
+{
+  struct query *q;
+
+  while ((q = g_queue_pop_head (&frontend->cancels)) != NULL)
+    end_unstored (q, STOPPING);
 }
--- a/fleet/frontend_internal.h
+++ b/fleet/frontend_internal.h
@@ -31,8 +31,12 @@
   unsigned settling;                /* transactions whose outcome is being found out */
   GQueue failed_txns;               /* to be sent again by their timers; counted in the above */
   unsigned in_flight;
-  GQueue held;  /* struct held_call, by arrival: calls that wait for a check of the configuration */
-  bool closing; /* calls that waited for a check of the configuration are refused */
+  GQueue held; /* struct held_call, by arrival: calls that wait for a check of the configuration */
+  GQueue cancels;    /* struct query, cancels that wait to be sent again by their timers */
+  bool closing;      /* calls end with what is known, nothing is sent any more */
+  int64_t answer_by; /* of a stop; INT64_MAX: none has begun */
+  struct mt_timer *stop_timer;   /* runs once no write may be begun any more */
+  double store_ms;               /* recent mean time of the store's answers; 0: none yet */
   int64_t estimate_paused_until; /* no estimate is requested before this time: a leader did not
                                     answer */
 };
@@ -42,6 +46,14 @@
                          unsigned status,
                          const char *body,
                          unsigned retry_after_s);
+/* Returns the time-out of a call to the store: long enough for a store that is slow for all
+ * callers, since an answer that is not waited for leaves the outcome unknown. */
+int64_t mt_frontend_store_timeout_ms (const struct mt_frontend *frontend, int64_t shortest_ms);
+/* Records how long a call to the store took until its answer or, without one, its time-out. */
+void mt_frontend_record_store (struct mt_frontend *frontend, int64_t took_ms, bool answered);
+/* Returns whether the outcome of a write that is begun now will be known before the daemon exits.
+ */
+bool mt_frontend_may_write (const struct mt_frontend *frontend);
 /* Sends a call to the pool's leader; returns false if the leader is not known. */
 bool mt_frontend_send_leader (struct mt_frontend *frontend,
                               const char *pool,
@@ -73,7 +85,13 @@
 struct mt_admission *mt_frontend_new_admission (void);
 /* Frees the queued submissions, and those of failed transactions. */
 void mt_frontend_drop_submits (struct mt_frontend *frontend);
+/* Refuses the submissions that wait to be sent; those that were sent before are kept. */
+void mt_frontend_refuse_unsent (struct mt_frontend *frontend);
+/* Ends the failed transactions, whose submissions are answered with what is known. */
+void mt_frontend_end_failed_txns (struct mt_frontend *frontend);
 /* frontend_ask.c */
+/* Ends the cancels that wait to be sent again. */
+void mt_frontend_end_cancels (struct mt_frontend *frontend);
 void mt_frontend_query_state (struct mt_frontend *frontend,
                               struct mt_exchange *exchange,
                               const struct mt_fleet_route *route,
--- a/fleet/frontend_submit.c
+++ b/fleet/frontend_submit.c
@@ -62,6 +62,8 @@
 
   if (s->retry_ms > 0)
     return mt_frontend_retry_after_s (s->retry_ms, g_random_double ());
+  if (status == 503 && s->cause == MT_REFUSAL_STOP)
+    return MT_FRONTEND_RETRY_AFTER_S;
   if (status == 503 && s->refused_by_store && frontend->store_wait != NULL)
     return mt_store_wait_retry_after_s (frontend->store_wait, &s->request);
   if (status == 503)
@@ -140,6 +142,12 @@
     mt_submit_end (s, 503, why);
 }
 
+void
+mt_submit_refuse_stopping (void *submit)
+{
+  mt_submit_refuse (submit, MT_REFUSAL_STOP, "the daemon is stopping, nothing was sent");
+}
+
 /* A submission that another workspace's displaces was never sent. */
 void
 mt_submit_push (struct submit *s)
@@ -175,6 +183,11 @@
 void
 mt_submit_wait_or_refuse (struct submit *s, const char *why)
 {
+  if (!mt_frontend_may_write (s->frontend))
+    {
+      mt_submit_refuse_stopping (s);
+      return;
+    }
   s->refused_by_store = true;
   if (s->frontend->store_wait != NULL
       && mt_store_wait_add (s->frontend->store_wait, s, s->value_len, &s->request,
@@ -197,6 +210,11 @@
 {
   struct mt_frontend *frontend = s->frontend;
 
+  if (!mt_frontend_may_write (frontend))
+    {
+      mt_submit_refuse_stopping (s);
+      return;
+    }
   if (mt_submit_queue_check (frontend->submits, s->workspace) == MT_REFUSAL_SHARE)
     {
       mt_submit_refuse (s, MT_REFUSAL_SHARE, TOO_MANY_OF_WORKSPACE);
@@ -293,7 +311,9 @@
   enum mt_refusal cause = mt_submit_queue_check (s->frontend->submits, s->workspace);
 
   s->refused_by_store = false;
-  if (cause != MT_REFUSAL_NONE)
+  if (!mt_frontend_may_write (s->frontend))
+    mt_submit_refuse_stopping (s);
+  else if (cause != MT_REFUSAL_NONE)
     mt_submit_refuse (s, cause, cause == MT_REFUSAL_SHARE ? TOO_MANY_OF_WORKSPACE : TOO_MANY);
   else if (s->wants_estimate)
     request_estimate (s);
@@ -396,6 +416,7 @@
   s->value = mt_pool_submission_pack (&submission, &s->value_len);
   s->began = mt_loop_now ();
   s->settle_by = s->began + (int64_t) (ANSWER_SHARE * (double) s->request.remaining_ms);
+  s->settle_by = MIN (s->settle_by, frontend->answer_by);
   frontend->in_flight++;
   if (mt_submit_store_answers (frontend))
     admit_submit (s);
--- a/fleet/frontend_submit.h
+++ b/fleet/frontend_submit.h
@@ -48,6 +48,9 @@
 bool mt_submit_store_answers (const struct mt_frontend *frontend);
 /* Returns the loop's time in ms until which a submission may wait for the store. */
 int64_t mt_submit_wait_until (const struct submit *s);
+/* Refuses a submission of which nothing was sent, since the daemon exits before the outcome of a
+ * write would be known. */
+void mt_submit_refuse_stopping (void *submit);
 /* Holds a submission of which nothing is stored until the store is back, or refuses it. */
 void mt_submit_wait_or_refuse (struct submit *s, const char *why);
 
--- a/fleet/frontend_submit_txn.c
+++ b/fleet/frontend_submit_txn.c
@@ -159,6 +159,13 @@
   end_txn (t);
 }
 
+/* Returns the time by which a submission with an unknown outcome is answered. */
+static int64_t
+settle_by (const struct submit *s)
+{
+  return s->frontend->closing ? 0 : MIN (s->settle_by, s->frontend->answer_by);
+}
+
 /* Handles a failed transaction of submissions whose outcome may be unknown. Those with an unknown
  * outcome stay, until their callers' time is over; the others wait for the store or are refused. */
 static void
@@ -170,8 +177,9 @@
   for (guint i = 0; i < t->submits->len;)
     {
       struct submit *s = t->submits->pdata[i];
-      bool keep = s->outcome_unknown ? now < s->settle_by
-                                     : !store_is_down && now < mt_submit_wait_until (s);
+      bool keep = s->outcome_unknown ? now < settle_by (s)
+                                     : !store_is_down && now < mt_submit_wait_until (s)
+                                           && mt_frontend_may_write (t->frontend);
 
       if (keep)
         {
@@ -210,6 +218,7 @@
 {
   struct txn *txn;
   struct submit *submit;
+  int64_t sent;
 };
 
 static void
@@ -225,6 +234,8 @@
   struct lookup *lookup = data;
   struct txn *t = lookup->txn;
 
+  mt_frontend_record_store (t->frontend, mt_loop_now () - lookup->sent,
+                            reply->status != MT_KV_UNKNOWN);
   if (reply->status == MT_KV_OK && reply->n_items > 0 && reply->items[0].revision > 0)
     {
       g_ptr_array_remove (t->submits, lookup->submit);
@@ -233,6 +244,8 @@
   g_free (lookup);
   if (--t->lookups > 0)
     return;
+  if (t->frontend->closing)
+    keep_unsettled (t);
   if (t->submits->len == 0)
     end_txn (t);
   else
@@ -251,7 +264,7 @@
       const struct submit *s = t->submits->pdata[i];
 
       if (s->outcome_unknown)
-        longest_ms = MIN (longest_ms, s->settle_by - now);
+        longest_ms = MIN (longest_ms, settle_by (s) - now);
     }
   return MAX (longest_ms, MIN_SETTLE_MS);
 }
@@ -263,14 +276,15 @@
 {
   const struct mt_kv *kv = &t->frontend->options.kv;
   g_autoptr (GPtrArray) submits = g_ptr_array_copy (t->submits, NULL, NULL);
-  int64_t timeout_ms = settle_timeout_ms (t, LOOKUP_TIMEOUT_MS);
+  int64_t timeout_ms
+      = settle_timeout_ms (t, mt_frontend_store_timeout_ms (t->frontend, LOOKUP_TIMEOUT_MS));
 
   t->lookups = submits->len;
   for (guint i = 0; i < submits->len; i++)
     {
       struct lookup *lookup = g_new0 (struct lookup, 1);
 
-      *lookup = (struct lookup){ t, submits->pdata[i] };
+      *lookup = (struct lookup){ t, submits->pdata[i], mt_loop_now () };
       mt_kv_read (kv, lookup->submit->key, timeout_ms, on_looked_up, lookup);
     }
 }
@@ -314,7 +328,8 @@
       struct submit *s = t->submits->pdata[i];
 
       s->outcome_unknown |= outcome_unknown;
-      if (!store_is_down && now - s->began < MT_FRONTEND_DEADLINE_MS)
+      if (!store_is_down && now - s->began < MT_FRONTEND_DEADLINE_MS
+          && (s->outcome_unknown ? now < settle_by (s) : mt_frontend_may_write (t->frontend)))
         {
           i++;
           continue;
@@ -346,6 +361,7 @@
 {
   struct txn *t = data;
 
+  mt_frontend_record_store (t->frontend, mt_loop_now () - t->sent, reply->status != MT_KV_UNKNOWN);
   record_failure (t, reply->status);
   mt_admission_record_batch (t->frontend->admission, mt_loop_now () - t->sent);
   switch (reply->status)
@@ -387,9 +403,9 @@
       puts[n++] = (struct mt_kv_put){ s->key, { s->value, s->value_len }, 0 };
     }
   txn.n_expects = txn.n_puts = n;
-  t->timeout_ms = t->frontend->store_wait != NULL && t->sent != 0
-                      ? settle_timeout_ms (t, MT_FRONTEND_TXN_TIMEOUT_MS)
-                      : MT_FRONTEND_TXN_TIMEOUT_MS;
+  t->timeout_ms = mt_frontend_store_timeout_ms (t->frontend, MT_FRONTEND_TXN_TIMEOUT_MS);
+  if (t->frontend->store_wait != NULL && t->sent != 0)
+    t->timeout_ms = settle_timeout_ms (t, t->timeout_ms);
   t->sent = mt_loop_now ();
   mt_kv_write (&t->frontend->options.kv, &txn, t->timeout_ms, on_stored, t);
 }
@@ -444,11 +460,41 @@
       mt_submit_wait_or_refuse (s, "the store does not answer, nothing was sent");
 }
 
+void
+mt_frontend_refuse_unsent (struct mt_frontend *frontend)
+{
+  g_autoptr (GPtrArray) sent = g_ptr_array_new ();
+  struct submit *s;
+
+  while ((s = mt_submit_queue_pop (frontend->submits)) != NULL)
+    if (s->outcome_unknown && !frontend->closing)
+      g_ptr_array_add (sent, s);
+    else
+      mt_submit_refuse_stopping (s);
+  for (guint i = 0; i < sent->len; i++)
+    mt_submit_push (sent->pdata[i]);
+  mt_store_wait_clear (frontend->store_wait, mt_submit_refuse_stopping);
+}
+
+void
+mt_frontend_end_failed_txns (struct mt_frontend *frontend)
+{
+  struct txn *t;
+
+  while ((t = g_queue_pop_head (&frontend->failed_txns)) != NULL)
+    {
+      keep_unsettled (t);
+      end_txn (t);
+    }
+}
+
 /* Submissions that arrive while transactions are in flight share the next one. */
 void
 mt_submit_send_queued (struct mt_frontend *frontend)
 {
   refuse_overdue (frontend);
+  if (mt_submit_queue_length (frontend->submits) > 0 && !mt_frontend_may_write (frontend))
+    mt_frontend_refuse_unsent (frontend);
   if (frontend->store_wait != NULL && mt_submit_queue_length (frontend->submits) > 0
       && !mt_submit_store_answers (frontend))
     hold_queued_submits (frontend);
--- a/fleet/metrics.c
+++ b/fleet/metrics.c
@@ -38,7 +38,7 @@
 
 const char *const mt_refusal_names[MT_REFUSALS] = {
   [MT_REFUSAL_NONE] = "none",   [MT_REFUSAL_STORE] = "store", [MT_REFUSAL_BACKLOG] = "backlog",
-  [MT_REFUSAL_SHARE] = "share", [MT_REFUSAL_WAIT] = "wait",
+  [MT_REFUSAL_SHARE] = "share", [MT_REFUSAL_WAIT] = "wait",   [MT_REFUSAL_STOP] = "stop",
 };
 
 static const struct metric_info latencies[MT_LATENCIES] = {
--- a/fleet/metrics.h
+++ b/fleet/metrics.h
@@ -37,6 +37,7 @@
   MT_REFUSAL_BACKLOG, /* more submissions wait than can be stored in time */
   MT_REFUSAL_SHARE,   /* the workspace has more than its share of submissions or of the pool */
   MT_REFUSAL_WAIT,    /* the pool could not complete the job while its result is useful */
+  MT_REFUSAL_STOP,    /* the daemon exits before the outcome of a write would be known */
   MT_REFUSALS,
 };
 
--- a/fleet/relay.c
+++ b/fleet/relay.c
@@ -26,6 +26,7 @@
   struct mt_avoid_list *avoided;
   int64_t outage_confirmed_at; /* when a daemon last confirmed that the store is unreachable */
   int64_t reached_at;          /* when a call last succeeded through another daemon */
+  int64_t serve_until;         /* of a stop; INT64_MAX: none has begun */
 };
 
 struct relayed_call
@@ -146,6 +147,15 @@
   mt_mesh_reply (call, &args);
 }
 
+/* Says that the store was not called, though it is reached from here. */
+static void
+refuse_call (struct mt_mesh_call *call)
+{
+  const struct mt_mesh_args args = { 2, { MT_STR ("503"), MT_STR ("") } };
+
+  mt_mesh_reply (call, &args);
+}
+
 void
 mt_relay_serve (struct mt_relay *relay, struct mt_mesh_call *call, const struct mt_mesh_args *args)
 {
@@ -159,6 +169,11 @@
       mt_mesh_reply (call, NULL);
       return;
     }
+  if ((int64_t) limit > relay->serve_until - mt_loop_now ())
+    {
+      refuse_call (call);
+      return;
+    }
   method = g_strndup (args->at[0].data, args->at[0].len);
   path = g_strndup (args->at[1].data, args->at[1].len);
   mt_adapter_call_store (relay->platform, method, path, args->at[2], (int64_t) limit, on_served,
@@ -174,10 +189,17 @@
   relay->mesh = mesh;
   relay->cluster = cluster;
   relay->avoided = mt_avoid_list_create ();
+  relay->serve_until = INT64_MAX;
   mt_adapter_set_relay (platform, relay_call, relay);
   return relay;
 }
 
+void
+mt_relay_stop (struct mt_relay *relay, int64_t serve_until)
+{
+  relay->serve_until = serve_until;
+}
+
 void
 mt_relay_destroy (struct mt_relay *relay)
 {
--- a/fleet/relay.h
+++ b/fleet/relay.h
@@ -13,6 +13,9 @@
 struct mt_relay *
 mt_relay_create (struct mt_adapter *platform, struct mt_mesh *mesh, struct mt_cluster *cluster);
 void mt_relay_destroy (struct mt_relay *relay);
+/* Begins a stop: calls of other daemons that may not be answered until `serve_until`, in ms of the
+ * loop's clock, are refused. */
+void mt_relay_stop (struct mt_relay *relay, int64_t serve_until);
 /* Returns whether there is a store outage: neither this daemon nor one in another data centre
  * reaches the store, and no relayed call reached it recently. Evidence from this data centre alone
  * does not count: in a network partition all daemons in it fail to reach the store while a leader
--- a/fleet/store_wait.c
+++ b/fleet/store_wait.c
@@ -148,17 +148,24 @@
 }
 
 void
-mt_store_wait_destroy (struct mt_store_wait *wait, void (*drop) (void *submission))
+mt_store_wait_clear (struct mt_store_wait *wait, void (*drop) (void *submission))
 {
   struct waiting *w;
 
-  if (wait == NULL)
-    return;
-  while ((w = g_queue_pop_head (&wait->waiting)) != NULL)
+  while (wait != NULL && (w = g_queue_pop_head (&wait->waiting)) != NULL)
     {
+      wait->bytes -= w->bytes;
       drop (w->submission);
       g_free (w);
     }
+}
+
+void
+mt_store_wait_destroy (struct mt_store_wait *wait, void (*drop) (void *submission))
+{
+  if (wait == NULL)
+    return;
+  mt_store_wait_clear (wait, drop);
   mt_timer_destroy (wait->timer);
   mt_retry_plan_destroy (wait->plan);
   g_free (wait);
--- a/fleet/store_wait.h
+++ b/fleet/store_wait.h
@@ -28,6 +28,8 @@
 
 struct mt_store_wait *mt_store_wait_create (struct event_base *base,
                                             const struct mt_store_wait_options *options);
+/* Passes all submissions that wait to `drop`. wait may be NULL. */
+void mt_store_wait_clear (struct mt_store_wait *wait, void (*drop) (void *submission));
 /* Passes submissions that still wait to `drop`. */
 void mt_store_wait_destroy (struct mt_store_wait *wait, void (*drop) (void *submission));
 
--- a/net/http_front.c
+++ b/net/http_front.c
@@ -330,7 +330,8 @@
     return;
   front->destroyed = true;
   while (!g_queue_is_empty (&front->suspended))
-    refuse (g_queue_peek_head (&front->suspended));
+    mt_exchange_answer (g_queue_peek_head (&front->suspended), MHD_HTTP_GATEWAY_TIMEOUT, NULL,
+                        MT_STR (""), 1);
   run_daemon (front);
   event_free (front->readable_event);
   event_free (front->timer);
--- a/net/http_front.h
+++ b/net/http_front.h
@@ -57,7 +57,8 @@
 void mt_http_front_close_after_answers (struct mt_http_front *front);
 /* Returns the number of requests not answered yet, or whose answer is not fully sent. */
 unsigned mt_http_front_in_flight (const struct mt_http_front *front);
-/* Answers pending requests with 503 and closes all connections. front may be NULL. */
+/* Answers pending requests with 504, as it is not known what was done for them, and closes all
+ * connections. Requests that still arrive are refused with 503. front may be NULL. */
 void mt_http_front_destroy (struct mt_http_front *front);
 
 #endif
--- a/tests/fleet/test_frontend_submit.c
+++ b/tests/fleet/test_frontend_submit.c
@@ -792,6 +792,240 @@
   destroy_world (world);
 }
 
+/* ---- stop ---- */
+
+/* Time from a stop to its last answer: what a daemon with 6 s for its exit has. */
+#define STOP_MS 5400
+/* Longer than the outcome of a write takes to be found out. */
+#define SETTLED_MS 4000
+
+static struct world *
+create_stopping_world (bool store_wait)
+{
+  struct world *world = create_world ();
+
+  mt_frontend_destroy (world->frontend);
+  world->store_wait = store_wait;
+  start_frontend (world);
+  return world;
+}
+
+static struct caller *
+cancel (struct world *world, const char *id)
+{
+  struct caller *caller = &world->callers[world->n_callers++];
+
+  mt_frontend_cancel (world->frontend, (void *) caller, &route, id, "");
+  return caller;
+}
+
+/* Answers the oldest call of the store. */
+static void
+answer_store (struct world *world, enum mt_kv_status status)
+{
+  const struct mt_kv_reply reply = { .status = status };
+
+  g_ptr_array_unref (answer_txn (world, &reply));
+}
+
+/* Answers the read of a job for a cancel: it is there, without a workspace. */
+static void
+answer_job (struct world *world)
+{
+  struct mt_pool_submission job = { .route = "route", .workspace = "", .body = MT_STR ("{}") };
+  size_t len = 0;
+  g_autofree char *value = mt_pool_submission_pack (&job, &len);
+  const struct mt_kv_item item = { .key = "job", .value = { value, len }, .revision = 1 };
+  const struct mt_kv_reply reply = { .status = MT_KV_OK, .items = &item, .n_items = 1 };
+
+  g_ptr_array_unref (answer_txn (world, &reply));
+}
+
+static const bool with_store_wait[] = { false, true };
+
+/* Guards against a write that is begun so late in a stop that the daemon exits before its outcome
+ * is known. */
+static void
+test_stop_begins_no_write_that_it_cannot_answer (void **state)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (with_store_wait); i++)
+    {
+      struct world *world = create_stopping_world (with_store_wait[i]);
+      struct caller *early, *late, *late_cancel;
+
+      mt_frontend_stop (world->frontend, world->now + STOP_MS);
+      early = submit (world, "");
+      assert_int_equal (world->txns.length, 1);
+      g_ptr_array_unref (store_txn (world));
+      assert_int_equal (early->status, 200);
+      world->now += STOP_MS - MT_FRONTEND_TXN_TIMEOUT_MS - BATCH_MS / 2;
+      late = submit (world, "");
+      late_cancel = cancel (world, "00000000000000aa");
+      assert_int_equal (world->txns.length, 0);
+      assert_int_equal (late->status, 503);
+      assert_int_equal (late_cancel->status, 503);
+      assert_true (late->retry_after_s > 0);
+      destroy_world (world);
+    }
+}
+
+/* Guards against queued submissions that are sent once the writes before them are answered, late in
+ * a stop. */
+static void
+test_stop_refuses_what_waits_to_be_sent (void **state)
+{
+  struct world *world = create_stopping_world (true);
+  struct caller *queued;
+
+  mt_frontend_stop (world->frontend, world->now + STOP_MS);
+  for (unsigned i = 0; i < IN_FLIGHT; i++)
+    submit (world, "");
+  queued = submit (world, "");
+  assert_int_equal (world->txns.length, IN_FLIGHT);
+  world->now += STOP_MS - MT_FRONTEND_TXN_TIMEOUT_MS - BATCH_MS / 2;
+  g_ptr_array_unref (store_txn (world));
+  assert_int_equal (queued->status, 503);
+  g_ptr_array_unref (store_txn (world));
+  assert_int_equal (world->txns.length, 0);
+  assert_int_equal (count_status (world, 200), IN_FLIGHT);
+  destroy_world (world);
+}
+
+/* Guards against a write that the store refused, and that is sent again at the end of a stop. */
+static void
+test_stop_sends_no_refused_write_again (void **state)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (with_store_wait); i++)
+    {
+      struct world *world = create_stopping_world (with_store_wait[i]);
+      struct caller *caller = submit (world, "");
+
+      mt_frontend_stop (world->frontend, world->now + BATCH_MS);
+      answer_store (world, MT_KV_REFUSED);
+      assert_int_equal (caller->status, 503);
+      assert_int_equal (world->txns.length, 0);
+      destroy_world (world);
+    }
+}
+
+/* Guards against a daemon that exits and calls a job refused whose write it has sent. */
+static void
+test_write_under_way_at_the_exit_is_not_called_refused (void **state)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (with_store_wait); i++)
+    {
+      struct world *world = create_stopping_world (with_store_wait[i]);
+      struct caller *sent = submit (world, "");
+      struct caller *queued;
+
+      submit (world, "");
+      queued = submit (world, "");
+      mt_frontend_close (world->frontend);
+      assert_int_equal (queued->status, 503);
+      answer_store (world, MT_KV_UNKNOWN);
+      assert_int_equal (sent->status, 504);
+      answer_store (world, MT_KV_OK);
+      assert_int_equal (count_status (world, 200), 1);
+      destroy_world (world);
+    }
+}
+
+/* Guards against a look-up of an unanswered write that ends at the exit without an answer to the
+ * caller. */
+static void
+test_look_up_under_way_at_the_exit_leaves_the_outcome_unknown (void **state)
+{
+  struct world *world = create_stopping_world (true);
+  struct caller *caller = submit (world, "");
+
+  answer_store (world, MT_KV_UNKNOWN);
+  assert_int_equal (world->txns.length, 1);
+  mt_frontend_close (world->frontend);
+  answer_store (world, MT_KV_UNKNOWN);
+  assert_int_equal (caller->status, 504);
+  destroy_world (world);
+}
+
+/* Guards against a submission with an unknown outcome that waits to be sent again and is never
+ * answered, or called refused. */
+static void
+test_retry_at_the_exit_leaves_the_outcome_unknown (void **state)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (with_store_wait); i++)
+    {
+      struct world *world = create_stopping_world (with_store_wait[i]);
+      struct caller *caller = submit (world, "");
+
+      answer_store (world, MT_KV_UNKNOWN);
+      if (with_store_wait[i])
+        answer_store (world, MT_KV_MISSING);
+      assert_int_equal (caller->status, 0);
+      mt_frontend_close (world->frontend);
+      assert_int_equal (caller->status, 504);
+      destroy_world (world);
+    }
+}
+
+/* Guards against a cancel that is called refused though its write was sent, and against one that is
+ * never answered. */
+static void
+test_cancel_under_way_at_the_exit_is_not_called_refused (void **state)
+{
+  struct world *world = create_stopping_world (false);
+  struct caller *reading = cancel (world, "00000000000000aa");
+  struct caller *writing = cancel (world, "00000000000000bb");
+  struct caller *refused = cancel (world, "00000000000000cc");
+  struct caller *unanswered = cancel (world, "00000000000000dd");
+  struct txn *first = g_queue_pop_head (&world->txns);
+  int64_t began = world->now;
+
+  for (unsigned i = 0; i < 3; i++)
+    answer_job (world);
+  world->now = began;
+  g_queue_push_tail (&world->txns, g_queue_pop_head (&world->txns));
+  answer_store (world, MT_KV_REFUSED);
+  answer_store (world, MT_KV_UNKNOWN);
+  assert_int_equal (count_status (world, 0), 4);
+  mt_frontend_close (world->frontend);
+  assert_int_equal (refused->status, 503);
+  assert_int_equal (unanswered->status, 504);
+  answer_store (world, MT_KV_UNKNOWN);
+  assert_int_equal (writing->status, 504);
+  g_queue_push_tail (&world->txns, first);
+  answer_store (world, MT_KV_UNKNOWN);
+  assert_int_equal (reading->status, 503);
+  destroy_world (world);
+}
+
+/* Guards against a time-out that a slow store's answers never meet: no outcome would be known. */
+static void
+test_time_out_follows_a_slow_store (void **state)
+{
+  struct world *world = create_stopping_world (true);
+  const struct txn *last;
+
+  for (unsigned i = 0; i < 20; i++)
+    {
+      submit (world, "");
+      world->now += MT_FRONTEND_TXN_TIMEOUT_MS;
+      g_ptr_array_unref (store_txn (world));
+    }
+  submit (world, "");
+  last = g_queue_peek_tail (&world->txns);
+  assert_in_range (last->timeout_ms, 2 * MT_FRONTEND_TXN_TIMEOUT_MS, SETTLED_MS);
+  g_ptr_array_unref (store_txn (world));
+  for (unsigned i = 0; i < 40; i++)
+    {
+      submit (world, "");
+      world->now -= BATCH_MS / 2;
+      g_ptr_array_unref (store_txn (world));
+    }
+  submit (world, "");
+  last = g_queue_peek_tail (&world->txns);
+  assert_int_equal (last->timeout_ms, MT_FRONTEND_TXN_TIMEOUT_MS);
+  destroy_world (world);
+}
+
 int
 main (void)
 {
@@ -811,6 +1045,14 @@
     cmocka_unit_test (test_leader_without_an_estimate_is_asked_once_in_each_form),
     cmocka_unit_test (test_call_without_a_workspace_has_the_older_form),
     cmocka_unit_test (test_refusal_for_the_share_of_the_pool_is_logged),
+    cmocka_unit_test (test_stop_begins_no_write_that_it_cannot_answer),
+    cmocka_unit_test (test_stop_refuses_what_waits_to_be_sent),
+    cmocka_unit_test (test_stop_sends_no_refused_write_again),
+    cmocka_unit_test (test_write_under_way_at_the_exit_is_not_called_refused),
+    cmocka_unit_test (test_look_up_under_way_at_the_exit_leaves_the_outcome_unknown),
+    cmocka_unit_test (test_retry_at_the_exit_leaves_the_outcome_unknown),
+    cmocka_unit_test (test_cancel_under_way_at_the_exit_is_not_called_refused),
+    cmocka_unit_test (test_time_out_follows_a_slow_store),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/fleet/test_relay.c
+++ b/tests/fleet/test_relay.c
@@ -20,6 +20,9 @@
   void *relay_ctx;
   mt_mesh_done done; /* of the call in flight */
   void *done_ctx;
+  bool reaches_store;
+  unsigned served;           /* calls that were passed to the store */
+  struct mt_mesh_args reply; /* the last one to another daemon */
 };
 
 static struct world world;
@@ -27,6 +30,14 @@
 int64_t __wrap_mt_loop_now (void);
 void __wrap_mt_adapter_set_relay (struct mt_adapter *adapter, mt_adapter_relay relay, void *ctx);
 bool __wrap_mt_adapter_reaches_store (const struct mt_adapter *adapter);
+void __wrap_mt_adapter_call_store (struct mt_adapter *adapter,
+                                   const char *method,
+                                   const char *path,
+                                   struct mt_str body,
+                                   int64_t timeout_ms,
+                                   mt_adapter_call_done done,
+                                   void *data);
+void __wrap_mt_mesh_reply (struct mt_mesh_call *call, const struct mt_mesh_args *args);
 char **__wrap_mt_cluster_peers (const struct mt_cluster *cluster);
 bool __wrap_mt_cluster_can_confirm_outage (const struct mt_cluster *cluster, const char *address);
 void __wrap_mt_mesh_send (struct mt_mesh *mesh,
@@ -53,7 +64,25 @@
 bool
 __wrap_mt_adapter_reaches_store (const struct mt_adapter *adapter)
 {
-  return false;
+  return world.reaches_store;
+}
+
+void
+__wrap_mt_adapter_call_store (struct mt_adapter *adapter,
+                              const char *method,
+                              const char *path,
+                              struct mt_str body,
+                              int64_t timeout_ms,
+                              mt_adapter_call_done done,
+                              void *data)
+{
+  world.served++;
+}
+
+void
+__wrap_mt_mesh_reply (struct mt_mesh_call *call, const struct mt_mesh_args *args)
+{
+  world.reply = args != NULL ? *args : (struct mt_mesh_args){ 0 };
 }
 
 char **
@@ -137,12 +166,34 @@
   mt_relay_destroy (relay);
 }
 
+/* Guards against a store call of another daemon that is begun by one that exits before the answer,
+ * and against a refusal that says that the store is not reached. */
+static void
+test_stopping_daemon_refuses_calls_it_cannot_answer (void **state)
+{
+  struct mt_relay *relay = create_relay ();
+  const struct mt_mesh_args args
+      = { 4, { MT_STR ("POST"), MT_STR ("/kv-txn"), MT_STR ("{}"), MT_STR ("600") } };
+
+  world.reaches_store = true;
+  mt_relay_stop (relay, world.now + 1000);
+  mt_relay_serve (relay, NULL, &args);
+  assert_int_equal (world.served, 1);
+  world.now += 500;
+  mt_relay_serve (relay, NULL, &args);
+  assert_int_equal (world.served, 1);
+  assert_int_equal (world.reply.n, 2);
+  assert_true (mt_str_equal (world.reply.at[0], MT_STR ("503")));
+  mt_relay_destroy (relay);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_outage_is_believed_for_as_long_as_a_successor_awaits_leases),
     cmocka_unit_test (test_late_answer_does_not_prolong_the_outage),
+    cmocka_unit_test (test_stopping_daemon_refuses_calls_it_cannot_answer),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -544,6 +544,49 @@
   destroy_fixture (f);
 }
 
+#define STOP_CALLERS    24U
+#define STOP_SPACING_MS 250
+
+/* Guards against a stopping daemon that calls jobs refused whose writes it has sent: they run. The
+ * store answers each write after its time-out, and callers come until the daemon has exited. */
+static void
+test_job_refused_by_a_stopping_daemon_never_runs (void **state)
+{
+  struct fixture *f = create_fixture_with ("200", true);
+  g_autofree char *body = g_strdup_printf (JOB_JSON, 1U, 100U);
+  struct async_request *requests[STOP_CALLERS];
+  unsigned accepted = 0;
+
+  wait_until_ready (f);
+  wait_for_state (f, "00000000000000aa", "completed");
+  assert_int_equal (post_to_platform (f, "/test/store?mode=slow", ""), 200);
+  harness_signal (f->daemons[0], SIGTERM);
+  for (unsigned i = 0; i < STOP_CALLERS; i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/r1/%016x", 0xe00U + i);
+
+      requests[i] = harness_send_async (f->harness, f->daemons[0], "POST", path, NULL, body);
+      g_usleep (STOP_SPACING_MS * 1000);
+    }
+  assert_int_equal (harness_stop (f->daemons[0]), 0);
+  assert_int_equal (post_to_platform (f, "/test/store?mode=up", ""), 200);
+  for (unsigned i = 0; i < STOP_CALLERS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%016x", 0xe00U + i);
+      g_autofree char *path = g_strdup_printf ("/r1/%s", id);
+      struct reply reply = harness_join (requests[i]);
+
+      if (reply.status == 200)
+        wait_for_state (f, id, "completed");
+      else if (reply.status == 503)
+        assert_int_equal (harness_status (f->harness, f->daemons[1], "GET", path, NULL, NULL), 410);
+      accepted += reply.status == 200;
+      reply_clear (&reply);
+    }
+  assert_true (accepted > 0);
+  destroy_fixture (f);
+}
+
 #define SURGE       24U
 #define MAX_RETRIES 4U
 
@@ -1125,6 +1168,7 @@
     cmocka_unit_test (test_outage_refuses_new_jobs_and_keeps_runs),
     cmocka_unit_test (test_settled_despite_lost_write_answers),
     cmocka_unit_test (test_settled_despite_a_slow_store),
+    cmocka_unit_test (test_job_refused_by_a_stopping_daemon_never_runs),
     cmocka_unit_test (test_settled_only_by_the_store_after_an_unanswered_write),
     cmocka_unit_test (test_surge_in_an_outage_is_served_after_it),
     cmocka_unit_test (test_relayed_when_the_store_refuses_one_daemon),
