--- a/core/scheduler/job_spec.c
+++ b/core/scheduler/job_spec.c
@@ -44,6 +44,12 @@
   return n;
 }
 
+uint64_t
+mt_job_spec_all_tasks (const struct mt_job_spec *spec)
+{
+  return (uint64_t) mt_job_spec_tasks (spec) * MAX (spec->repeats, 1U);
+}
+
 int64_t
 mt_job_spec_chain_ms (const struct mt_job_spec *spec, double scale)
 {
--- a/core/scheduler/scheduler.c
+++ b/core/scheduler/scheduler.c
@@ -77,6 +77,7 @@
   for (unsigned i = 0; i < occ->n_tasks; i++)
     g_free (occ->tasks[i].checkpoint);
   g_free (occ->tasks);
+  g_free (occ->parts);
   g_free (occ->step_first);
   g_free (occ->step_waiting);
   g_free (occ->step_unplaced);
@@ -93,6 +94,7 @@
   for (unsigned i = 0; i < job->n_occurrences; i++)
     free_occurrence (job->occurrences[i]);
   g_free (job->occurrences);
+  g_clear_pointer (&job->restored_parts, g_ptr_array_unref);
   mt_job_spec_destroy (job->spec);
   g_free (job);
 }
@@ -139,6 +141,8 @@
   sched->token = settings->token;
   sched->settings.name = g_strdup (settings->name);
   sched->settings.max_lease_ms = MAX (settings->max_lease_ms, settings->lease_ms);
+  if (sched->settings.record_tasks == 0)
+    sched->settings.record_tasks = MT_RECORD_TASKS;
   if (sched->settings.share_policy == NULL)
     sched->settings.share_policy = mt_share_policy_find (MT_STR (MT_DEFAULT_SHARE_POLICY));
   sched->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_job);
@@ -186,8 +190,8 @@
   return route;
 }
 
-void
-mt_job_mark_dirty (struct mt_scheduler *sched, struct mt_job *job)
+static void
+mark_changed (struct mt_scheduler *sched, struct mt_job *job)
 {
   job->dirty = true;
   job->version++;
@@ -198,12 +202,36 @@
   g_ptr_array_add (sched->dirty, job);
 }
 
+void
+mt_job_mark_dirty (struct mt_scheduler *sched, struct mt_job *job)
+{
+  job->head_dirty = true;
+  mark_changed (sched, job);
+}
+
+void
+mt_task_mark_dirty (struct mt_scheduler *sched, struct mt_task *task)
+{
+  struct mt_occurrence *occ = task->occ;
+  unsigned n;
+  const struct mt_task *members = mt_task_get_members (task, &n);
+  unsigned first = (unsigned) (members - occ->tasks);
+
+  for (unsigned i = first / occ->job->part_tasks;
+       occ->parts != NULL && i <= (first + n - 1) / occ->job->part_tasks; i++)
+    occ->parts[i].dirty = true;
+  if (occ->parts == NULL)
+    occ->job->head_dirty = true;
+  mark_changed (sched, occ->job);
+}
+
 void
 mt_job_mark_begun (struct mt_job *job)
 {
   if (job->begun)
     return;
   job->begun = true;
+  job->head_dirty = true;
   if (job->spec->repeats == 0 && job->ended_at == 0)
     job->route->pending--;
 }
@@ -229,6 +257,11 @@
   occ->step_unplaced = g_new0 (unsigned, spec->n_steps);
   occ->step_done = g_new0 (unsigned, spec->n_steps);
   occ->step_ms = g_new0 (double, spec->n_steps);
+  if (job->in_parts)
+    {
+      occ->n_parts = (occ->n_tasks + job->part_tasks - 1) / job->part_tasks;
+      occ->parts = g_new0 (struct mt_record_part, occ->n_parts);
+    }
   for (unsigned s = 0; s < spec->n_steps; s++)
     {
       occ->step_first[s] = at;
@@ -306,6 +339,8 @@
   job->account = mt_scheduler_get_account (sched, spec->workspace);
   job->n_occurrences = spec->repeats > 0 ? spec->repeats : 1;
   job->occurrences = g_new0 (struct mt_occurrence *, job->n_occurrences);
+  job->part_tasks = sched->settings.record_tasks;
+  job->in_parts = mt_job_spec_all_tasks (spec) > job->part_tasks;
   job->submitted_at = now - age;
   job->link.data = job;
   g_hash_table_insert (sched->jobs, spec->id, job);
--- a/core/scheduler/scheduler_answers.c
+++ b/core/scheduler/scheduler_answers.c
@@ -106,7 +106,7 @@
   /* The worker and this daemon may both crash at any moment. The next leader has to know that the
    * suspect's run had begun. */
   if (task->isolated)
-    mt_job_mark_dirty (sched, task->occ->job);
+    mt_task_mark_dirty (sched, task);
   mark_job_begun (sched, task->occ->job, now);
 }
 
@@ -214,9 +214,11 @@
     return;
   if (!is_worker_counted)
     mt_worker_record_outcome (sched, w, false, now);
+  if (!is_counted)
+    count_attempt (task);
+  task->reported_attempts = task->attempts;
   if (is_counted)
     return;
-  count_attempt (task);
   mt_task_log_event (sched, task, w, "TASK_FAILED", "attempts=%u of=%d", task->attempts,
                      job->route->policy.max_attempts);
   if (mt_task_is_out_of_attempts (task))
--- a/core/scheduler/scheduler_cycle.c
+++ b/core/scheduler/scheduler_cycle.c
@@ -82,6 +82,7 @@
     {
       struct mt_job *job = sched->dirty->pdata[i];
 
+      mt_job_collect_due_head (job, out);
       if (job->dirty && job->in_cycle)
         {
           sched->dirty->pdata[kept++] = job;
@@ -94,7 +95,7 @@
       job->in_cycle = true;
       job->cycle_state = job->state;
       job->writing_version = job->version;
-      g_ptr_array_add (out, g_strdup (job->spec->id));
+      mt_job_collect_records (job, out);
     }
   g_ptr_array_set_size (sched->dirty, (int) kept);
 }
@@ -141,21 +142,19 @@
 }
 
 void
-mt_job_mark_stored (struct mt_job *job)
-{
-  job->dirty = false;
-  job->stored_version = job->version;
-}
-
-void
-mt_scheduler_jobs_stored (struct mt_scheduler *sched, const char *const *ids, size_t n, int64_t now)
+mt_scheduler_jobs_stored (struct mt_scheduler *sched,
+                          const char *const *names,
+                          size_t n,
+                          int64_t now)
 {
   for (size_t i = 0; i < n; i++)
     {
-      struct mt_job *job = g_hash_table_lookup (sched->jobs, ids[i]);
+      struct mt_record_ref ref;
+      struct mt_job *job;
 
-      if (job == NULL || !job->in_cycle)
+      if (!mt_scheduler_find_record (sched, names[i], &ref) || !mt_job_note_stored (sched, &ref))
         continue;
+      job = ref.job;
       job->in_cycle = false;
       job->stored_version = job->writing_version;
       if (mt_job_state_is_final (job->cycle_state))
@@ -165,23 +164,6 @@
     }
 }
 
-int64_t
-mt_scheduler_job_revision (const struct mt_scheduler *sched, const char *id)
-{
-  const struct mt_job *job = g_hash_table_lookup (sched->jobs, id);
-
-  return job != NULL ? job->revision : 0;
-}
-
-void
-mt_scheduler_set_job_revision (struct mt_scheduler *sched, const char *id, int64_t revision)
-{
-  struct mt_job *job = g_hash_table_lookup (sched->jobs, id);
-
-  if (job != NULL)
-    job->revision = revision;
-}
-
 const char *
 mt_scheduler_expired_job (const struct mt_scheduler *sched, int64_t now)
 {
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -84,6 +84,7 @@
   uint16_t index;
   uint8_t state;
   uint16_t attempts;          /* failed runs; of a gang, in all members alike */
+  uint16_t reported_attempts; /* ... of a gang's member: as of its last report of a failed run */
   uint8_t losses;             /* consecutive runs lost with their worker */
   uint8_t crashes;            /* ... of these, losses shortly after the run began */
   uint8_t start_retries;      /* times the start of this run was resent */
@@ -124,6 +125,17 @@
   GList link; /* in the worker's task queue */
 };
 
+/* Longest checkpoint that is stored. After a takeover a task with a longer one starts anew. */
+#define MT_MAX_CHECKPOINT_BYTES 512U
+
+/* A value in the store with the rows of consecutive tasks of an occurrence. */
+struct mt_record_part
+{
+  int64_t revision; /* 0: never written */
+  bool dirty;       /* to be written in the job's next cycle */
+  bool in_cycle;    /* is being written */
+};
+
 /* One scheduled occurrence of a job. */
 struct mt_occurrence
 {
@@ -132,6 +144,8 @@
   struct mt_task *tasks;
   unsigned n_tasks;
   unsigned n_done;
+  struct mt_record_part *parts; /* by task / part_tasks; NULL: the job's record has none */
+  unsigned n_parts;
   unsigned *step_first;    /* index of each step's first task */
   unsigned *step_waiting;  /* waiting tasks of each step */
   unsigned *step_unplaced; /* ... of these, tasks for which the last placing found no resources */
@@ -192,13 +206,24 @@
   enum mt_job_state durable_state; /* the last stored state, which callers are shown */
   enum mt_job_state cycle_state;   /* the state that is being written */
   bool begun;
-  bool is_unreadable;       /* its record: what it does not show may run or be done */
-  bool dirty;               /* to be written in the next cycle */
-  bool in_dirty_list;       /* in the scheduler's dirty list */
-  bool in_cycle;            /* its record is being written */
-  bool left_out;            /* the last placing left it out because its record was being written */
-  bool records_leases;      /* a record of it names a worker's longest lease */
-  uint64_t version;         /* number of changes so far */
+  bool is_unreadable;  /* its record: what it does not show may run or be done */
+  bool dirty;          /* to be written in the next cycle */
+  bool in_dirty_list;  /* in the scheduler's dirty list */
+  bool in_cycle;       /* its record is being written */
+  bool left_out;       /* the last placing left it out because its record was being written */
+  bool records_leases; /* a record of it names a worker's longest lease */
+  unsigned part_tasks; /* most tasks in a part of its record */
+  bool in_parts;       /* its tasks are in parts of their own, its record has only its state */
+  bool head_dirty;     /* the record itself has to be written, not only parts */
+  bool head_in_cycle;  /* ... and is being written */
+  bool converts;       /* its stored record has the rows of tasks, which go into parts first */
+  bool head_due;       /* its parts are stored; the record that still has rows is next */
+  unsigned records_in_cycle;        /* record and parts that are being written */
+  GPtrArray *restored_parts;        /* struct mt_restored_part; NULL: none */
+  enum mt_job_state restored_state; /* that its record says */
+  bool has_rows;                    /* its stored record has the rows of tasks */
+  bool restoring;   /* some of its records are restored, mt_scheduler_end_restore() is due */
+  uint64_t version; /* number of changes so far */
   uint64_t writing_version; /* version that is being written */
   uint64_t stored_version;  /* version that is stored */
   int64_t ended_at;
@@ -467,6 +492,8 @@
 /* Applies the route's present policy to the job, which ends if a task is out of attempts. */
 void mt_job_apply_policy (struct mt_scheduler *sched, struct mt_job *job, int64_t now);
 void mt_job_mark_dirty (struct mt_scheduler *sched, struct mt_job *job);
+/* Has the row of a task stored, and those of its gang. */
+void mt_task_mark_dirty (struct mt_scheduler *sched, struct mt_task *task);
 /* Records that a task of the job has started: the job no longer counts as pending. */
 void mt_job_mark_begun (struct mt_job *job);
 void mt_job_complete_if_done (struct mt_scheduler *sched, struct mt_job *job, int64_t now);
@@ -831,6 +858,29 @@
 void mt_worker_update_durable_end (struct mt_worker *w);
 /* Forgets the pending ends of the worker. */
 void mt_worker_clear_ends (struct mt_worker *w);
+/* scheduler_parts.c */
+
+/* A record of a job, or a part of one. */
+struct mt_record_ref
+{
+  struct mt_job *job;
+  struct mt_record_part *part; /* NULL: the record itself */
+  struct mt_occurrence *occ;   /* of the part */
+  unsigned first;              /* index of the part's first task */
+};
+
+/* Returns false if no job can have a record of that name. */
+bool mt_scheduler_find_record (const struct mt_scheduler *sched,
+                               const char *name,
+                               struct mt_record_ref *out);
+/* Returns the number of tasks in a part. */
+unsigned mt_record_part_tasks (const struct mt_record_ref *ref);
+/* Adds the names of the job's changed records to out; they count as being written. */
+void mt_job_collect_records (struct mt_job *job, GPtrArray *out);
+/* Adds the job's record if only that is left to be written of a conversion to parts. */
+void mt_job_collect_due_head (struct mt_job *job, GPtrArray *out);
+/* Notes that a record is stored. Returns whether it was the last one of the job's cycle. */
+bool mt_job_note_stored (struct mt_scheduler *sched, const struct mt_record_ref *ref);
 /* To be called when the job's present state is known to be stored. */
 void mt_job_mark_stored (struct mt_job *job);
 
--- a/core/scheduler/scheduler_record.c
+++ b/core/scheduler/scheduler_record.c
@@ -1,7 +1,11 @@
 /* A job's progress as JSON text: what the next leader needs to continue the job. "t" has a row for
  * each task that has been placed; "l" the workers of these rows that may hold the longest lease
  * that they grant, each with the time in ms for which that lease may last from the writing on.
- * Records without "l" are of an earlier version and don't tell. */
+ * Records without "l" are of an earlier version and don't tell.
+ *
+ * The record of a large job has no "t", so that earlier versions take it for unreadable and start
+ * nothing; "p" says that its tasks are in parts. A part's rows name workers by their index in "w",
+ * and tasks by their offset in the part; "d" has a mark for each of its tasks. */
 #include "scheduler_internal.h"
 
 #include "medlartrack/json_text.h"
@@ -34,8 +38,43 @@
   COLUMNS,
 };
 
+/* Columns of a part's rows; those from the evidence's counts on are as above. */
+enum part_column
+{
+  PART_COLUMN_OFFSET,
+  PART_COLUMN_RUN,
+  PART_COLUMN_ATTEMPTS,
+  PART_COLUMN_WORKER, /* -1: none */
+  PART_COLUMN_CHECKPOINT,
+  PART_COLUMN_LOSSES,
+};
+
 #define EVIDENCE_UNIT 100
 
+/* A part of a record that waits for mt_scheduler_end_restore(). */
+struct mt_restored_part
+{
+  char *name;
+  char *text;
+  int64_t revision;
+};
+
+/* A row as read. */
+struct task_row
+{
+  uint32_t run;
+  uint16_t attempts;
+  const char *worker; /* "" or NULL: none */
+  int64_t started_at;
+  const char *checkpoint; /* NULL: none */
+  uint8_t losses;
+  uint8_t crashes;
+  bool suspect;
+  bool begun;
+  double evidence;
+  uint32_t failed_run;
+};
+
 static void
 append_done (GString *out, const struct mt_occurrence *occ)
 {
@@ -76,57 +115,184 @@
 }
 
 static void
-append_task (GString *out, const struct mt_scheduler *sched, const struct mt_task *task, bool first)
+append_checkpoint (GString *out, const struct mt_task *task)
 {
-  const struct mt_worker *w = recorded_worker (sched, task);
+  bool is_stored = task->checkpoint != NULL && strlen (task->checkpoint) <= MT_MAX_CHECKPOINT_BYTES;
 
-  g_string_append_printf (out, "%s[%u,%u,%u,%u,%u,", first ? "" : ",", task->occ->number,
-                          task->step, task->index, task->run, task->attempts);
-  mt_json_append_string (out, w != NULL ? w->id : "");
-  g_string_append_printf (out, ",%" G_GINT64_FORMAT ",", recorded_incarnation (sched, task));
-  mt_json_append_string (out, task->checkpoint);
-  if (task->losses > 0 || task->unlocated || task->failed_run > 0)
+  mt_json_append_string (out, is_stored ? task->checkpoint : NULL);
+}
+
+static bool
+has_losses (const struct mt_task *task)
+{
+  return task->losses > 0 || task->unlocated || task->failed_run > 0;
+}
+
+static void
+append_losses (GString *out, const struct mt_task *task)
+{
+  if (has_losses (task))
     g_string_append_printf (out, ",%u,%u,%d,%d,%d", task->losses, task->crashes, task->suspect,
                             task->unlocated ? task->loss.crashes > task->crashes
                                             : task->worker != NULL && mt_task_has_begun (task),
                             (int) (task->evidence.total * EVIDENCE_UNIT));
   if (task->failed_run > 0)
     g_string_append_printf (out, ",%u", task->failed_run);
+}
+
+static bool
+has_row (const struct mt_task *task)
+{
+  return task->state != MT_TASK_DONE && (task->run > 0 || task->attempts > 0);
+}
+
+static void
+append_task (GString *out, const struct mt_scheduler *sched, const struct mt_task *task, bool first)
+{
+  const struct mt_worker *w = recorded_worker (sched, task);
+
+  g_string_append_printf (out, "%s[%u,%u,%u,%u,%u,", first ? "" : ",", task->occ->number,
+                          task->step, task->index, task->run, task->attempts);
+  mt_json_append_string (out, w != NULL ? w->id : "");
+  g_string_append_printf (out, ",%" G_GINT64_FORMAT ",", recorded_incarnation (sched, task));
+  append_checkpoint (out, task);
+  append_losses (out, task);
   g_string_append_c (out, ']');
 }
 
-/* Appends the workers of the job's tasks that may hold a lease longer than a successor awaits. */
+/* Appends the workers of n tasks that may hold a lease longer than a successor awaits and are not
+ * in `named` yet. */
 static void
-append_leases (GString *out, const struct mt_scheduler *sched, const struct mt_job *job)
+append_leases (GString *out,
+               const struct mt_scheduler *sched,
+               const struct mt_task *tasks,
+               unsigned n,
+               GPtrArray *named)
+{
+  for (unsigned i = 0; i < n; i++)
+    {
+      struct mt_worker *w = recorded_worker (sched, &tasks[i]);
+      int64_t ms = w != NULL ? mt_worker_longest_lease_ms (w, sched->cycle_at) : 0;
+
+      if (ms == 0 || g_ptr_array_find (named, w, NULL))
+        continue;
+      if (named->len > 0)
+        g_string_append_c (out, ',');
+      mt_json_append_string (out, w->id);
+      g_string_append_printf (out, ":%" G_GINT64_FORMAT, ms);
+      g_ptr_array_add (named, w);
+    }
+}
+
+static void
+append_job_leases (GString *out, const struct mt_scheduler *sched, const struct mt_job *job)
 {
   g_autoptr (GPtrArray) named = g_ptr_array_new ();
 
   for (unsigned k = 0; k < job->n_occurrences; k++)
-    for (unsigned i = 0; job->occurrences[k] != NULL && i < job->occurrences[k]->n_tasks; i++)
-      {
-        struct mt_worker *w = recorded_worker (sched, &job->occurrences[k]->tasks[i]);
-        int64_t ms = w != NULL ? mt_worker_longest_lease_ms (w, sched->cycle_at) : 0;
+    if (job->occurrences[k] != NULL)
+      append_leases (out, sched, job->occurrences[k]->tasks, job->occurrences[k]->n_tasks, named);
+}
 
-        if (ms == 0 || g_ptr_array_find (named, w, NULL))
-          continue;
-        if (named->len > 0)
-          g_string_append_c (out, ',');
-        mt_json_append_string (out, w->id);
-        g_string_append_printf (out, ":%" G_GINT64_FORMAT, ms);
-        g_ptr_array_add (named, w);
-      }
+/* ---- parts ---- */
+
+/* An incarnation of a worker, in a part's list of them. */
+struct named_worker
+{
+  const struct mt_worker *worker;
+  int64_t started_at;
+};
+
+/* Returns the index of the task's worker in the list, to which it may be added; -1: none. */
+static int
+name_worker (GArray *list, const struct mt_scheduler *sched, const struct mt_task *task)
+{
+  struct named_worker named = { .worker = recorded_worker (sched, task) };
+
+  if (named.worker == NULL)
+    return -1;
+  named.started_at = recorded_incarnation (sched, task);
+  for (guint i = 0; i < list->len; i++)
+    {
+      const struct named_worker *other = &g_array_index (list, struct named_worker, i);
+
+      if (other->worker == named.worker && other->started_at == named.started_at)
+        return (int) i;
+    }
+  g_array_append_val (list, named);
+  return (int) list->len - 1;
 }
 
-char *
-mt_scheduler_job_record (const struct mt_scheduler *sched, const char *id)
+static void
+append_part_row (GString *out, const struct mt_task *task, unsigned offset, int worker)
+{
+  /* Members of a gang are stored apart: each tells only what came with its own reports. */
+  unsigned attempts = mt_task_step (task)->gang ? task->reported_attempts : task->attempts;
+
+  g_string_append_printf (out, "%s[%u,%u,%u,%d", out->str[out->len - 1] == '[' ? "" : ",", offset,
+                          task->run, attempts, worker);
+  if (task->checkpoint != NULL || has_losses (task))
+    {
+      g_string_append_c (out, ',');
+      append_checkpoint (out, task);
+    }
+  append_losses (out, task);
+  g_string_append_c (out, ']');
+}
+
+static void
+append_workers (GString *out, const GArray *workers)
+{
+  for (guint i = 0; i < workers->len; i++)
+    {
+      const struct named_worker *named = &g_array_index (workers, struct named_worker, i);
+
+      g_string_append (out, i > 0 ? ",[" : "[");
+      mt_json_append_string (out, named->worker->id);
+      g_string_append_printf (out, ",%" G_GINT64_FORMAT "]", named->started_at);
+    }
+}
+
+static char *
+format_part (const struct mt_scheduler *sched, const struct mt_record_ref *ref)
+{
+  const struct mt_task *tasks = &ref->occ->tasks[ref->first];
+  unsigned n = mt_record_part_tasks (ref);
+  g_autoptr (GArray) workers = g_array_new (FALSE, FALSE, sizeof (struct named_worker));
+  g_autoptr (GPtrArray) leased = g_ptr_array_new ();
+  GString *out = g_string_sized_new (256);
+
+  g_string_append (out, "{\"t\":[");
+  for (unsigned i = 0; i < n; i++)
+    if (has_row (&tasks[i]))
+      append_part_row (out, &tasks[i], i, name_worker (workers, sched, &tasks[i]));
+  g_string_append (out, "],\"w\":[");
+  append_workers (out, workers);
+  g_string_append (out, "],\"d\":\"");
+  for (unsigned i = 0; i < n; i++)
+    g_string_append_c (out, tasks[i].state == MT_TASK_DONE ? 'd' : '.');
+  g_string_append (out, "\",\"l\":{");
+  if (ref->job->records_leases)
+    append_leases (out, sched, tasks, n, leased);
+  g_string_append (out, "}}");
+  return g_string_free (out, FALSE);
+}
+
+static char *
+format_head (const struct mt_job *job)
 {
-  const struct mt_job *job = g_hash_table_lookup (sched->jobs, id);
-  GString *out;
+  return g_strdup_printf ("{\"s\":\"%s\",\"b\":%d,\"p\":1}", mt_job_state_names[job->state],
+                          job->begun);
+}
+
+/* ---- records ---- */
+
+static char *
+format_whole (const struct mt_scheduler *sched, const struct mt_job *job)
+{
+  GString *out = g_string_sized_new (256);
   bool first = true;
 
-  if (job == NULL)
-    return NULL;
-  out = g_string_sized_new (256);
   g_string_append_printf (out, "{\"s\":\"%s\",\"b\":%d,\"d\":{", mt_job_state_names[job->state],
                           job->begun);
   for (unsigned k = 0; k < job->n_occurrences; k++)
@@ -143,18 +309,30 @@
       {
         const struct mt_task *task = &job->occurrences[k]->tasks[i];
 
-        if (task->state == MT_TASK_DONE || (task->run == 0 && task->attempts == 0))
+        if (!has_row (task))
           continue;
         append_task (out, sched, task, first);
         first = false;
       }
   g_string_append (out, "],\"l\":{");
   if (job->records_leases)
-    append_leases (out, sched, job);
+    append_job_leases (out, sched, job);
   g_string_append (out, "}}");
   return g_string_free (out, FALSE);
 }
 
+char *
+mt_scheduler_job_record (const struct mt_scheduler *sched, const char *name)
+{
+  struct mt_record_ref ref;
+
+  if (!mt_scheduler_find_record (sched, name, &ref))
+    return NULL;
+  if (ref.part != NULL)
+    return format_part (sched, &ref);
+  return ref.job->in_parts ? format_head (ref.job) : format_whole (sched, ref.job);
+}
+
 static struct mt_occurrence *
 get_occurrence (struct mt_job *job, unsigned number)
 {
@@ -195,7 +373,7 @@
 }
 
 static int64_t
-get_column (const json_t *row, enum column column, int64_t max)
+get_column (const json_t *row, unsigned column, int64_t max)
 {
   return CLAMP (json_integer_value (json_array_get (row, column)), 0, max);
 }
@@ -238,85 +416,154 @@
                                     "takeover after a restart", now);
 }
 
-/* Returns false if the row names no task of the job. leases: as in the job's record. */
-static bool
-restore_task (
-    struct mt_scheduler *sched, struct mt_job *job, json_t *row, const json_t *leases, int64_t now)
+/* Reads the columns from the losses on, which start at `first`. */
+static void
+read_losses (const json_t *row, unsigned first, struct task_row *out)
+{
+  const unsigned at = first - COLUMN_LOSSES;
+
+  out->losses = (uint8_t) get_column (row, at + COLUMN_LOSSES, G_MAXUINT8);
+  out->crashes = (uint8_t) get_column (row, at + COLUMN_CRASHES, G_MAXUINT8);
+  out->suspect = get_column (row, at + COLUMN_SUSPECT, 1) != 0;
+  out->begun = get_column (row, at + COLUMN_BEGUN, 1) != 0;
+  out->evidence = (double) get_column (row, at + COLUMN_EVIDENCE, G_MAXINT32) / EVIDENCE_UNIT;
+  out->failed_run = (uint32_t) get_column (row, at + COLUMN_FAILED_RUN, G_MAXUINT32);
+}
+
+static void
+restore_task (struct mt_scheduler *sched,
+              struct mt_task *task,
+              const struct task_row *row,
+              const json_t *leases,
+              int64_t now)
 {
-  unsigned number = (unsigned) get_column (row, COLUMN_OCCURRENCE, G_MAXUINT);
-  unsigned step = (unsigned) get_column (row, COLUMN_STEP, G_MAXUINT);
-  unsigned index = (unsigned) get_column (row, COLUMN_INDEX, G_MAXUINT);
-  const char *worker = json_string_value (json_array_get (row, COLUMN_WORKER));
-  int64_t started_at = get_column (row, COLUMN_STARTED_AT, G_MAXINT64);
-  bool begun = get_column (row, COLUMN_BEGUN, 1) != 0;
-  struct mt_occurrence *occ = is_valid_row (row) ? get_occurrence (job, number) : NULL;
-  struct mt_task *task;
   struct mt_worker *w;
 
-  if (occ == NULL || step >= job->spec->n_steps || index >= job->spec->steps[step].count)
-    return false;
-  task = &occ->tasks[occ->step_first[step] + index];
-  if (task->state != MT_TASK_WAITING)
-    return true;
-  task->run = (uint32_t) get_column (row, COLUMN_RUN, G_MAXUINT32);
-  task->attempts = (uint16_t) get_column (row, COLUMN_ATTEMPTS, G_MAXUINT16);
-  task->failed_run = (uint32_t) get_column (row, COLUMN_FAILED_RUN, G_MAXUINT32);
-  mt_task_set_checkpoint (task, json_string_value (json_array_get (row, COLUMN_CHECKPOINT)));
-  task->losses = (uint8_t) get_column (row, COLUMN_LOSSES, G_MAXUINT8);
-  task->crashes = (uint8_t) get_column (row, COLUMN_CRASHES, G_MAXUINT8);
-  task->suspect = get_column (row, COLUMN_SUSPECT, 1) != 0;
-  task->evidence.total = task->evidence.restored
-      = (double) get_column (row, COLUMN_EVIDENCE, G_MAXINT32) / EVIDENCE_UNIT;
-  occ->has_suspects |= task->suspect;
+  if (task->state != MT_TASK_WAITING || has_row (task))
+    return;
+  task->run = row->run;
+  task->attempts = row->attempts;
+  task->reported_attempts = row->failed_run > 0 ? row->attempts : 0;
+  task->failed_run = row->failed_run;
+  mt_task_set_checkpoint (task, row->checkpoint);
+  task->losses = row->losses;
+  task->crashes = row->crashes;
+  task->suspect = row->suspect;
+  task->evidence.total = task->evidence.restored = row->evidence;
+  task->occ->has_suspects |= task->suspect;
   /* A run that was placed has a number; placing increments it. */
-  if (worker[0] == '\0' || task->run == 0)
-    return true;
-  w = mt_scheduler_get_worker (sched, worker);
+  if (row->worker == NULL || row->worker[0] == '\0' || task->run == 0)
+    return;
+  w = mt_scheduler_get_worker (sched, row->worker);
   /* Records of an earlier incarnation, which a restart has not changed yet, may be read first: the
    * runs of the present one would otherwise count as ended, and run twice. The worker's own answers
    * go before what a record says. */
-  if (w->started_at != 0 && started_at > w->started_at && w->answered_at == 0)
-    mt_worker_begin_incarnation (sched, w, started_at, now);
+  if (w->started_at != 0 && row->started_at > w->started_at && w->answered_at == 0)
+    mt_worker_begin_incarnation (sched, w, row->started_at, now);
   if (w->started_at == 0)
-    mt_worker_set_incarnation (w, started_at, now);
+    mt_worker_set_incarnation (w, row->started_at, now);
   task->run--;
   mt_task_place (sched, task, w, now);
   task->state = MT_TASK_ORDERED;
   task->inherited = true;
-  task->begun_under_predecessor = begun;
-  task->placed_on = started_at;
+  task->begun_under_predecessor = row->begun;
+  task->placed_on = row->started_at;
   /* The worker has restarted, but it may have done so before it carried out the start. */
-  if (started_at != 0 && w->started_at != started_at)
+  if (row->started_at != 0 && w->started_at != row->started_at)
     {
       struct mt_task_loss loss = mt_task_assess_recorded_loss (sched, task, now);
 
       mt_task_begin_location (sched, task, &loss, now);
     }
   restore_lease (sched, task, leases, now);
+}
+
+/* Returns false if the row names no task of the job. leases: as in the job's record. */
+static bool
+restore_row (
+    struct mt_scheduler *sched, struct mt_job *job, json_t *row, const json_t *leases, int64_t now)
+{
+  unsigned number = (unsigned) get_column (row, COLUMN_OCCURRENCE, G_MAXUINT);
+  unsigned step = (unsigned) get_column (row, COLUMN_STEP, G_MAXUINT);
+  unsigned index = (unsigned) get_column (row, COLUMN_INDEX, G_MAXUINT);
+  struct mt_occurrence *occ = is_valid_row (row) ? get_occurrence (job, number) : NULL;
+  struct task_row read
+      = { .run = (uint32_t) get_column (row, COLUMN_RUN, G_MAXUINT32),
+          .attempts = (uint16_t) get_column (row, COLUMN_ATTEMPTS, G_MAXUINT16),
+          .worker = json_string_value (json_array_get (row, COLUMN_WORKER)),
+          .started_at = get_column (row, COLUMN_STARTED_AT, G_MAXINT64),
+          .checkpoint = json_string_value (json_array_get (row, COLUMN_CHECKPOINT)) };
+
+  if (occ == NULL || step >= job->spec->n_steps || index >= job->spec->steps[step].count)
+    return false;
+  read_losses (row, COLUMN_LOSSES, &read);
+  restore_task (sched, &occ->tasks[occ->step_first[step] + index], &read, leases, now);
+  return true;
+}
+
+/* Returns false if the row names no task of the part, or a worker that the part does not list. */
+static bool
+restore_part_row (struct mt_scheduler *sched,
+                  const struct mt_record_ref *ref,
+                  const json_t *row,
+                  const json_t *root,
+                  int64_t now)
+{
+  int64_t offset = get_column (row, PART_COLUMN_OFFSET, G_MAXINT64);
+  const json_t *worker_index = json_array_get (row, PART_COLUMN_WORKER);
+  int64_t at = json_integer_value (worker_index);
+  const json_t *worker = at >= 0 ? json_array_get (json_object_get (root, "w"), (size_t) at) : NULL;
+  struct task_row read
+      = { .run = (uint32_t) get_column (row, PART_COLUMN_RUN, G_MAXUINT32),
+          .attempts = (uint16_t) get_column (row, PART_COLUMN_ATTEMPTS, G_MAXUINT16),
+          .worker = json_string_value (json_array_get (worker, 0)),
+          .started_at = CLAMP (json_integer_value (json_array_get (worker, 1)), 0, G_MAXINT64),
+          .checkpoint = json_string_value (json_array_get (row, PART_COLUMN_CHECKPOINT)) };
+
+  if (!json_is_integer (json_array_get (row, PART_COLUMN_OFFSET))
+      || !json_is_integer (json_array_get (row, PART_COLUMN_RUN)) || !json_is_integer (worker_index)
+      || (at >= 0 && read.worker == NULL) || offset >= mt_record_part_tasks (ref))
+    return false;
+  read_losses (row, PART_COLUMN_LOSSES, &read);
+  restore_task (sched, &ref->occ->tasks[ref->first + (unsigned) offset], &read,
+                json_object_get (root, "l"), now);
   return true;
 }
 
-/* Has the job stored again if its record does not tell of a lease that a successor has to await. */
+/* Has the n tasks stored again of which the record does not tell a lease that a successor has to
+ * await. */
 static void
 update_recorded_leases (struct mt_scheduler *sched,
-                        struct mt_job *job,
+                        struct mt_task *tasks,
+                        unsigned n,
                         const json_t *leases,
                         int64_t now)
 {
-  job->records_leases = json_object_size (leases) > 0;
-  for (unsigned k = 0; k < job->n_occurrences; k++)
-    for (unsigned i = 0; job->occurrences[k] != NULL && i < job->occurrences[k]->n_tasks; i++)
-      {
-        const struct mt_worker *w = job->occurrences[k]->tasks[i].worker;
+  for (unsigned i = 0; i < n; i++)
+    {
+      const struct mt_worker *w = tasks[i].worker;
 
-        /* json_integer_value() returns 0 for a worker that is not named. */
-        if (w == NULL
-            || mt_worker_longest_lease_ms (w, now)
-                   <= json_integer_value (json_object_get (leases, w->id)))
-          continue;
-        job->records_leases = true;
-        mt_job_mark_dirty (sched, job);
-      }
+      /* json_integer_value() returns 0 for a worker that is not named. */
+      if (w == NULL
+          || mt_worker_longest_lease_ms (w, now)
+                 <= json_integer_value (json_object_get (leases, w->id)))
+        continue;
+      tasks[i].occ->job->records_leases = true;
+      mt_task_mark_dirty (sched, &tasks[i]);
+    }
+}
+
+static void
+update_job_leases (struct mt_scheduler *sched,
+                   struct mt_job *job,
+                   const json_t *leases,
+                   int64_t now)
+{
+  job->records_leases |= json_object_size (leases) > 0;
+  for (unsigned k = 0; k < job->n_occurrences; k++)
+    if (job->occurrences[k] != NULL)
+      update_recorded_leases (sched, job->occurrences[k]->tasks, job->occurrences[k]->n_tasks,
+                              leases, now);
 }
 
 /* Returns the leases that the record names; NULL if it is of a version that names none. */
@@ -338,29 +585,34 @@
   size_t i;
   json_t *row;
 
-  json_array_foreach (rows, i, row) ok = restore_task (sched, job, row, leases, now) && ok;
+  json_array_foreach (rows, i, row) ok = restore_row (sched, job, row, leases, now) && ok;
   return ok && json_is_array (rows);
 }
 
-bool
-mt_scheduler_restore (
-    struct mt_scheduler *sched, const char *id, const char *record, int64_t revision, int64_t now)
+/* Has all tasks stored in parts whose rows are in the job's record, and all parts that an earlier
+ * conversion has left. */
+static void
+begin_conversion (struct mt_scheduler *sched, struct mt_job *job)
 {
-  struct mt_job *job = g_hash_table_lookup (sched->jobs, id);
-  json_t *root = json_loads (record, 0, NULL);
-  const char *state_name = json_string_value (json_object_get (root, "s"));
-  enum mt_job_state state
-      = state_name != NULL ? mt_job_state_parse (mt_str_from (state_name)) : MT_JOB_UNKNOWN;
-
-  if (job == NULL)
+  job->converts = true;
+  for (unsigned k = 0; k < job->n_occurrences; k++)
     {
-      json_decref (root);
-      return false;
+      struct mt_occurrence *occ = job->occurrences[k];
+
+      for (unsigned i = 0; occ != NULL && i < occ->n_tasks; i++)
+        if (has_row (&occ->tasks[i]) || occ->tasks[i].state == MT_TASK_DONE
+            || occ->parts[i / job->part_tasks].revision > 0)
+          mt_task_mark_dirty (sched, &occ->tasks[i]);
     }
-  job->revision = revision;
-  if (json_integer_value (json_object_get (root, "b")) != 0)
-    mt_job_mark_begun (job);
-  job->is_unreadable = !restore_progress (sched, job, root, now) || state == MT_JOB_UNKNOWN;
+}
+
+/* Ends the restoring of a job whose tasks are as its records say. leases: of the job's record;
+ * NULL: they are not known. */
+static void
+complete_restore (struct mt_scheduler *sched, struct mt_job *job, const json_t *leases, int64_t now)
+{
+  enum mt_job_state state = job->restored_state;
+
   mt_job_mark_stored (job);
   if (mt_job_state_is_final (state))
     {
@@ -372,14 +624,178 @@
    * its runs were known. Unless stopped here, they would run for ever: they are neither orphaned
    * nor part of an open job. */
   if (job->ended_at != 0)
-    mt_job_stop_tasks (sched, job, now);
-  else
     {
-      mt_job_complete_if_done (sched, job, now);
-      mt_job_apply_policy (sched, job, now);
-      mt_job_give_up_lost (sched, job, now);
-      update_recorded_leases (sched, job, get_leases (root), now);
+      mt_job_stop_tasks (sched, job, now);
+      return;
     }
+  mt_job_complete_if_done (sched, job, now);
+  mt_job_apply_policy (sched, job, now);
+  mt_job_give_up_lost (sched, job, now);
+  update_job_leases (sched, job, leases, now);
+}
+
+static void
+free_restored_part (void *data)
+{
+  struct mt_restored_part *part = data;
+
+  g_free (part->name);
+  g_free (part->text);
+  g_free (part);
+}
+
+/* The job's record, which says whether its parts are valid, may be read later. */
+static void
+keep_part (struct mt_record_ref *ref, const char *name, const char *text, int64_t revision)
+{
+  struct mt_restored_part *part = g_new0 (struct mt_restored_part, 1);
+
+  *part = (struct mt_restored_part){ g_strdup (name), g_strdup (text), revision };
+  if (ref->job->restored_parts == NULL)
+    ref->job->restored_parts = g_ptr_array_new_with_free_func (free_restored_part);
+  g_ptr_array_add (ref->job->restored_parts, part);
+  ref->part->revision = revision;
+  ref->job->restoring = true;
+}
+
+static enum mt_job_state
+parse_state (const json_t *root)
+{
+  const char *name = json_string_value (json_object_get (root, "s"));
+
+  return name != NULL ? mt_job_state_parse (mt_str_from (name)) : MT_JOB_UNKNOWN;
+}
+
+bool
+mt_scheduler_restore (
+    struct mt_scheduler *sched, const char *name, const char *record, int64_t revision, int64_t now)
+{
+  struct mt_record_ref ref;
+  struct mt_job *job;
+  json_t *root;
+
+  if (!mt_scheduler_find_record (sched, name, &ref))
+    return false;
+  if (ref.part != NULL)
+    {
+      keep_part (&ref, name, record, revision);
+      return true;
+    }
+  job = ref.job;
+  job->revision = revision;
+  root = json_loads (record, 0, NULL);
+  if (json_integer_value (json_object_get (root, "b")) != 0)
+    mt_job_mark_begun (job);
+  job->restored_state = parse_state (root);
+  job->is_unreadable = job->restored_state == MT_JOB_UNKNOWN;
+  job->has_rows = !job->in_parts || json_object_get (root, "p") == NULL;
+  if (job->has_rows && !restore_progress (sched, job, root, now))
+    job->is_unreadable = true;
+  job->restoring = job->in_parts;
+  if (!job->in_parts)
+    complete_restore (sched, job, get_leases (root), now);
   json_decref (root);
   return !job->is_unreadable;
 }
+
+/* Returns false if the part can't be read. */
+static bool
+restore_part (struct mt_scheduler *sched, const struct mt_restored_part *restored, int64_t now)
+{
+  struct mt_record_ref ref;
+  json_t *root = json_loads (restored->text, 0, NULL);
+  const json_t *rows = json_object_get (root, "t");
+  const char *marks = json_string_value (json_object_get (root, "d"));
+  bool ok = mt_scheduler_find_record (sched, restored->name, &ref) && json_is_array (rows)
+            && marks != NULL && json_is_object (json_object_get (root, "l"));
+  unsigned n = ok ? mt_record_part_tasks (&ref) : 0;
+  size_t i;
+  json_t *row;
+
+  ok = ok && strlen (marks) == n;
+  if (ok && ref.occ->due_at == 0)
+    ref.occ->due_at = ref.job->submitted_at;
+  for (i = 0; ok && i < n; i++)
+    if (marks[i] == 'd')
+      mt_task_finish (sched, &ref.occ->tasks[ref.first + i], now);
+  if (ok)
+    json_array_foreach (rows, i, row) ok = restore_part_row (sched, &ref, row, root, now) && ok;
+  json_decref (root);
+  return ok;
+}
+
+/* Of a gang's members, whose rows are in several parts, some may be stored later than others. A
+ * failed attempt is stored with the member that reported it, and counts for all; a run that one
+ * member has done is done for all. */
+static void
+reconcile_gang (struct mt_scheduler *sched, struct mt_task *members, unsigned n, int64_t now)
+{
+  uint16_t attempts = 0;
+  bool is_done = false;
+
+  for (unsigned i = 0; i < n; i++)
+    {
+      is_done |= members[i].state == MT_TASK_DONE;
+      attempts = MAX (attempts, members[i].reported_attempts);
+    }
+  for (unsigned i = 0; i < n; i++)
+    {
+      members[i].attempts = attempts;
+      if (is_done && members[i].worker != NULL)
+        {
+          members[i].done_elsewhere = true;
+          mt_task_stop (sched, &members[i], now);
+        }
+      else if (is_done)
+        mt_task_finish (sched, &members[i], now);
+    }
+}
+
+static void
+reconcile_gangs (struct mt_scheduler *sched, struct mt_job *job, int64_t now)
+{
+  for (unsigned k = 0; k < job->n_occurrences; k++)
+    for (unsigned s = 0; job->occurrences[k] != NULL && s < job->spec->n_steps; s++)
+      if (job->spec->steps[s].gang)
+        reconcile_gang (sched, &job->occurrences[k]->tasks[job->occurrences[k]->step_first[s]],
+                        job->spec->steps[s].count, now);
+}
+
+/* A record that still has rows is of a conversion that had not ended, or of an earlier version that
+ * led the pool for a while and had no part of the job. Its rows go before those of parts, whose
+ * tasks may have started all the same. */
+static void
+restore_parts (struct mt_scheduler *sched, struct mt_job *job, int64_t now)
+{
+  const GPtrArray *parts = job->restored_parts;
+
+  for (guint i = 0; parts != NULL && i < parts->len; i++)
+    {
+      const struct mt_restored_part *part = parts->pdata[i];
+
+      if (restore_part (sched, part, now))
+        continue;
+      job->is_unreadable = true;
+      mt_scheduler_log_event (sched, "RECORD_UNREADABLE", "key=%s", part->name);
+    }
+  reconcile_gangs (sched, job, now);
+  complete_restore (sched, job, NULL, now);
+  if (job->has_rows && !job->is_unreadable)
+    begin_conversion (sched, job);
+  g_clear_pointer (&job->restored_parts, g_ptr_array_unref);
+}
+
+void
+mt_scheduler_end_restore (struct mt_scheduler *sched, int64_t now)
+{
+  GHashTableIter it;
+  struct mt_job *job;
+
+  g_hash_table_iter_init (&it, sched->jobs);
+  while (g_hash_table_iter_next (&it, NULL, (void **) &job))
+    if (job->restoring)
+      {
+        job->restoring = false;
+        restore_parts (sched, job, now);
+      }
+}
--- a/core/scheduler/scheduler_superseded.c
+++ b/core/scheduler/scheduler_superseded.c
@@ -45,7 +45,7 @@
   if (task != NULL && task->superseded_runs > 0)
     {
       task->superseded_runs--;
-      mt_job_mark_dirty (sched, task->occ->job);
+      mt_task_mark_dirty (sched, task);
     }
   g_ptr_array_remove_index_fast (w->superseded, index);
   sched->changed = true;
@@ -80,7 +80,7 @@
   task->superseded_runs++;
   withdraw (sched, task, now);
   task->occ->job->records_leases |= mt_worker_longest_lease_ms (w, now) > 0;
-  mt_job_mark_dirty (sched, task->occ->job);
+  mt_task_mark_dirty (sched, task);
   return run;
 }
 
--- a/core/scheduler/scheduler_tasks.c
+++ b/core/scheduler/scheduler_tasks.c
@@ -140,7 +140,7 @@
   mt_task_isolate (task);
   mt_account_add_usage (mt_job_account (sched, task->occ->job), mt_task_step (task), 1);
   task->occ->job->records_leases |= mt_worker_longest_lease_ms (w, now) > 0;
-  mt_job_mark_dirty (sched, task->occ->job);
+  mt_task_mark_dirty (sched, task);
 }
 
 void
@@ -156,7 +156,7 @@
   task->occ->step_done[task->step]++;
   task->occ->n_done++;
   g_clear_pointer (&task->checkpoint, g_free);
-  mt_job_mark_dirty (sched, task->occ->job);
+  mt_task_mark_dirty (sched, task);
 }
 
 /* To be called when the task's run has ended or never began: the task has to run again. */
@@ -169,7 +169,7 @@
   task->state = MT_TASK_WAITING;
   task->state_since = now;
   task->occ->step_waiting[task->step]++;
-  mt_job_mark_dirty (sched, task->occ->job);
+  mt_task_mark_dirty (sched, task);
   if (!task->done_elsewhere)
     return;
   mt_task_finish (sched, task, now);
@@ -196,7 +196,7 @@
   task->stop_acked = false;
   task->order_queued = true;
   g_queue_push_tail (&sched->stops, task);
-  mt_job_mark_dirty (sched, task->occ->job);
+  mt_task_mark_dirty (sched, task);
 }
 
 bool
--- a/core/scheduler/scheduler_workers.c
+++ b/core/scheduler/scheduler_workers.c
@@ -520,10 +520,10 @@
     return;
   for (GList *l = w->tasks.head; l != NULL; l = l->next)
     {
-      struct mt_job *job = ((struct mt_task *) l->data)->occ->job;
+      struct mt_task *task = l->data;
 
-      job->records_leases = true;
-      mt_job_mark_dirty (sched, job);
+      task->occ->job->records_leases = true;
+      mt_task_mark_dirty (sched, task);
     }
 }
 
@@ -533,10 +533,10 @@
 {
   for (GList *l = w->tasks.head; l != NULL; l = l->next)
     {
-      struct mt_job *job = ((struct mt_task *) l->data)->occ->job;
+      struct mt_task *task = l->data;
 
-      if (job->records_leases)
-        mt_job_mark_dirty (sched, job);
+      if (task->occ->job->records_leases)
+        mt_task_mark_dirty (sched, task);
     }
 }
 
--- a/fleet/frontend_ask.c
+++ b/fleet/frontend_ask.c
@@ -75,8 +75,8 @@
 static const char *
 describe_failure (const struct mt_kv_reply *reply)
 {
-  return reply->status == MT_KV_REFUSED ? "the store refused the call or was not reached"
-                                        : "the store did not answer";
+  return mt_kv_is_refusal (reply->status) ? "the store refused the call or was not reached"
+                                          : "the store did not answer";
 }
 
 static void
@@ -372,7 +372,7 @@
       send_cancel (q);
     }
   else
-    end_failed (q, reply->status == MT_KV_REFUSED ? 503 : 504, describe_failure (reply));
+    end_failed (q, mt_kv_is_refusal (reply->status) ? 503 : 504, describe_failure (reply));
 }
 
 void
--- a/fleet/frontend_submit.c
+++ b/fleet/frontend_submit.c
@@ -13,7 +13,8 @@
 #define ESTIMATE_PAUSE_MS   1000
 
 /* Reasons of refusals. */
-#define TOO_MANY "too many submissions wait to be stored, nothing was sent"
+#define TOO_MANY_TASKS "the job has more than 200000 tasks in all; submit it as several jobs"
+#define TOO_MANY       "too many submissions wait to be stored, nothing was sent"
 #define TOO_MANY_OF_WORKSPACE                                                                      \
   "its workspace has more than its share of the waiting submissions, nothing was sent"
 /* Time for which a caller waits that does not say so, and the header in which it does. */
@@ -21,6 +22,9 @@
 #define DEADLINE_HEADER "X-Medlartrack-Deadline-Ms"
 /* Share of a caller's time after which it is answered; the rest is for the way there and back. */
 #define ANSWER_SHARE (5.0 / 6)
+/* Most tasks of a job, of all its occurrences: its pool's leader holds 320 bytes for each, and
+ * other jobs have to fit beside it. */
+#define MAX_JOB_TASKS 200000U
 /* A job earns something until this many times its objective. */
 #define USEFUL_OBJECTIVES 3
 
@@ -374,6 +378,20 @@
   return request;
 }
 
+static void
+refuse_body (struct mt_frontend *frontend,
+             struct mt_exchange *exchange,
+             const struct mt_fleet_route *route,
+             const char *id,
+             unsigned status,
+             const char *why)
+{
+  mt_metrics_increment (frontend->options.metrics, MT_COUNT_REFUSED);
+  mt_journal_log (frontend->options.journal, "JOB_REFUSED", "id=%s pool=%s status=%u why=%s", id,
+                  route->pool, status, why);
+  mt_exchange_answer (exchange, status, "text/plain", mt_str_from (why), 0);
+}
+
 void
 mt_frontend_submit (struct mt_frontend *frontend,
                     struct mt_exchange *exchange,
@@ -395,10 +413,13 @@
 
   if (spec == NULL)
     {
-      mt_metrics_increment (frontend->options.metrics, MT_COUNT_REFUSED);
-      mt_journal_log (frontend->options.journal, "JOB_REFUSED", "id=%s pool=%s status=400 why=%s",
-                      id, route->pool, error->message);
-      mt_exchange_answer (exchange, 400, "text/plain", mt_str_from (error->message), 0);
+      refuse_body (frontend, exchange, route, id, 400, error->message);
+      return;
+    }
+  if (mt_job_spec_all_tasks (spec) > MAX_JOB_TASKS)
+    {
+      refuse_body (frontend, exchange, route, id, 413, TOO_MANY_TASKS);
+      mt_job_spec_destroy (spec);
       return;
     }
   s = g_new0 (struct submit, 1);
--- a/fleet/frontend_submit_txn.c
+++ b/fleet/frontend_submit_txn.c
@@ -106,6 +106,20 @@
     }
 }
 
+static void retry_txn (void *ctx);
+
+static struct txn *
+new_txn (struct mt_frontend *frontend)
+{
+  struct txn *t = g_new0 (struct txn, 1);
+
+  t->frontend = frontend;
+  t->submits = g_ptr_array_new ();
+  t->retry_timer = mt_timer_create (frontend->base, retry_txn, t);
+  frontend->txns++;
+  return t;
+}
+
 static void
 free_txn (struct txn *t)
 {
@@ -356,6 +370,36 @@
                                                                        : MT_STORE_RESETS);
 }
 
+static void send_txn (void *ctx);
+
+/* The store does not accept one of the submissions. Which one shows when each is sent alone. */
+static void
+split_or_reject (struct txn *t)
+{
+  struct mt_frontend *frontend = t->frontend;
+
+  if (t->submits->len == 1)
+    {
+      struct submit *s = t->submits->pdata[0];
+
+      if (s->outcome_unknown)
+        mt_submit_end (s, 504, "the store did not answer");
+      else
+        mt_submit_end (s, 413, "the store does not accept a job of this size");
+      end_txn (t);
+      return;
+    }
+  for (guint i = 0; i < t->submits->len; i++)
+    {
+      struct txn *single = new_txn (frontend);
+
+      g_ptr_array_add (single->submits, t->submits->pdata[i]);
+      send_txn (single);
+    }
+  g_ptr_array_set_size (t->submits, 0);
+  end_txn (t);
+}
+
 static void
 on_stored (void *data, const struct mt_kv_reply *reply)
 {
@@ -378,6 +422,9 @@
       else
         handle_conflict (t, reply);
       return;
+    case MT_KV_REJECTED:
+      split_or_reject (t);
+      return;
     default:
       retry_or_end (t, reply->status == MT_KV_UNKNOWN);
       return;
@@ -500,12 +547,8 @@
     hold_queued_submits (frontend);
   while (mt_submit_queue_length (frontend->submits) > 0 && frontend->txns < MAX_TXNS_IN_FLIGHT)
     {
-      struct txn *t = g_new0 (struct txn, 1);
+      struct txn *t = new_txn (frontend);
 
-      t->frontend = frontend;
-      t->submits = g_ptr_array_new ();
-      t->retry_timer = mt_timer_create (frontend->base, retry_txn, t);
-      frontend->txns++;
       while (t->submits->len < SUBMITS_PER_TXN && mt_submit_queue_length (frontend->submits) > 0)
         g_ptr_array_add (t->submits, mt_submit_queue_pop (frontend->submits));
       send_txn (t);
--- a/fleet/pool.c
+++ b/fleet/pool.c
@@ -11,9 +11,9 @@
 /* Shortest time between the starts of two write cycles; changes in between go into the next cycle.
  * In a surge of 440 tasks a second this makes some 30 writes a second instead of 880. */
 #define CYCLE_MS 25
-/* Most jobs in one transaction: each takes a precondition and a put, and the leadership takes one
- * precondition. */
-#define JOBS_PER_TXN 15
+/* Most records in one transaction: each takes a precondition and a put, and the leadership takes
+ * one precondition. */
+#define RECORDS_PER_TXN 15
 /* Most transactions without an answer. A transaction whose answer is lost holds back its own jobs
  * for up to TXN_TIMEOUT_MS; with four, the others go on until four in a row are lost. The limit
  * bounds the jobs that wait for one answer, and the writes in flight to a slow store. */
@@ -21,6 +21,14 @@
 /* Time-out of a write, which is then sent again; the store answers in 10 ms when it is not
  * overloaded. */
 #define TXN_TIMEOUT_MS 800
+/* Most bytes of records in one transaction, unless one record alone has more. */
+#define MAX_TXN_BYTES (64 * 1024)
+/* The time-out is longer by the time that a record takes on a link of 4 Mbit/s. */
+#define TXN_BYTES_PER_MS 500
+/* Interval at which a record that the store does not accept is compared with what it was. */
+#define REJECTED_CHECK_MS 1000
+/* Most records in one transaction that removes them; the leadership takes one precondition. */
+#define REMOVALS_PER_TXN 28U
 /* Delay before the retry. If the first write was done after all, the second one conflicts with
  * it. */
 #define TXN_RETRY_MS 60
@@ -58,10 +66,11 @@
   struct mt_timer *load_timer;
 
   unsigned
-      writes_in_flight; /* transactions that are not stored yet, except those in queued_writes */
-  GQueue queued_writes; /* struct write, to be sent once fewer are in flight */
-  GQueue failed_writes; /* struct write, to be sent again by their timers; count as in flight */
-  int64_t cycle_began;  /* when the last cycle began */
+      writes_in_flight;   /* transactions that are not stored yet, except those in queued_writes */
+  GQueue queued_writes;   /* struct write, to be sent once fewer are in flight */
+  GQueue failed_writes;   /* struct write, to be sent again by their timers; count as in flight */
+  GQueue rejected_writes; /* struct write of one record each, which the store does not accept */
+  int64_t cycle_began;    /* when the last cycle began */
   bool removal_in_flight;
   bool token_in_flight;
   int64_t token_written_at; /* when the last write for a higher token was sent */
@@ -71,8 +80,10 @@
 struct write
 {
   struct mt_pool *pool;
-  GPtrArray *ids;
+  GPtrArray *names; /* of records */
   struct mt_timer *retry_timer;
+  char *rejected; /* the text that the store did not accept; NULL: none */
+  char *sent;     /* the text of a single record as last sent; NULL: of several */
 };
 
 static void run_scheduler (struct mt_pool *pool);
@@ -114,12 +125,27 @@
 
 static void send_write (struct write *w);
 
+static void retry_write (void *ctx);
+
+static struct write *
+new_write (struct mt_pool *pool)
+{
+  struct write *w = g_new0 (struct write, 1);
+
+  w->pool = ref (pool);
+  w->names = g_ptr_array_new_with_free_func (g_free);
+  w->retry_timer = mt_timer_create (pool->base, retry_write, w);
+  return w;
+}
+
 static void
 end_write (struct write *w)
 {
   struct mt_pool *pool = w->pool;
 
-  g_ptr_array_unref (w->ids);
+  g_free (w->rejected);
+  g_free (w->sent);
+  g_ptr_array_unref (w->names);
   mt_timer_destroy (w->retry_timer);
   g_free (w);
   unref (pool);
@@ -141,10 +167,10 @@
 {
   struct mt_pool *pool = w->pool;
 
-  for (guint i = 0; i < w->ids->len; i++)
-    mt_scheduler_set_job_revision (pool->sched, w->ids->pdata[i], revision);
+  for (guint i = 0; i < w->names->len; i++)
+    mt_scheduler_set_job_revision (pool->sched, w->names->pdata[i], revision);
   mt_scheduler_raise_token (pool->sched, revision);
-  mt_scheduler_jobs_stored (pool->sched, (const char *const *) w->ids->pdata, w->ids->len,
+  mt_scheduler_jobs_stored (pool->sched, (const char *const *) w->names->pdata, w->names->len,
                             mt_loop_now ());
   pool->writes_in_flight--;
   send_queued_writes (pool);
@@ -175,6 +201,61 @@
   return true;
 }
 
+/* Sends the record once it differs from what the store did not accept: it may have become smaller.
+ */
+static void
+check_rejected (void *ctx)
+{
+  struct write *w = ctx;
+  struct mt_pool *pool = w->pool;
+  g_autofree char *record = mt_scheduler_job_record (pool->sched, w->names->pdata[0]);
+
+  if (g_strcmp0 (record, w->rejected) == 0)
+    {
+      mt_timer_set (w->retry_timer, REJECTED_CHECK_MS);
+      return;
+    }
+  g_queue_remove (&pool->rejected_writes, w);
+  mt_timer_destroy (w->retry_timer);
+  w->retry_timer = mt_timer_create (pool->base, retry_write, w);
+  g_queue_push_tail (&pool->queued_writes, w);
+  send_queued_writes (pool);
+}
+
+/* Sets a record aside that the store does not accept, so that the other jobs go on; its job stays
+ * as it is. Which one of several it is shows when each is sent alone. */
+static void
+isolate_rejected (struct write *w)
+{
+  struct mt_pool *pool = w->pool;
+
+  pool->writes_in_flight--;
+  if (w->names->len > 1)
+    {
+      for (guint i = 0; i < w->names->len; i++)
+        {
+          struct write *single = new_write (pool);
+
+          g_ptr_array_add (single->names, g_strdup (w->names->pdata[i]));
+          g_queue_push_tail (&pool->queued_writes, single);
+        }
+      end_write (w);
+    }
+  else
+    {
+      mt_journal_log (pool->options.journal, "RECORD_REJECTED", "pool=%s key=%s bytes=%zu",
+                      pool->name, (const char *) w->names->pdata[0],
+                      w->sent != NULL ? strlen (w->sent) : 0);
+      g_free (w->rejected);
+      w->rejected = g_steal_pointer (&w->sent);
+      mt_timer_destroy (w->retry_timer);
+      w->retry_timer = mt_timer_create (pool->base, check_rejected, w);
+      mt_timer_set (w->retry_timer, REJECTED_CHECK_MS);
+      g_queue_push_tail (&pool->rejected_writes, w);
+    }
+  send_queued_writes (pool);
+}
+
 static void
 on_written (void *data, const struct mt_kv_reply *reply)
 {
@@ -199,6 +280,9 @@
           return;
         }
       break;
+    case MT_KV_REJECTED:
+      isolate_rejected (w);
+      return;
     default:
       break;
     }
@@ -216,33 +300,51 @@
   send_write (w);
 }
 
+/* Queues the records from the index on for a transaction of their own. */
+static void
+split_write (struct write *w, guint from)
+{
+  struct write *rest = new_write (w->pool);
+
+  for (guint i = from; i < w->names->len; i++)
+    g_ptr_array_add (rest->names, g_strdup (w->names->pdata[i]));
+  g_ptr_array_set_size (w->names, (gint) from);
+  g_queue_push_head (&w->pool->queued_writes, rest);
+}
+
 static void
 send_write (struct write *w)
 {
   struct mt_pool *pool = w->pool;
-  struct mt_kv_expect expects[1 + JOBS_PER_TXN];
-  struct mt_kv_put puts[JOBS_PER_TXN];
+  struct mt_kv_expect expects[1 + RECORDS_PER_TXN];
+  struct mt_kv_put puts[RECORDS_PER_TXN];
   size_t n = 0;
+  size_t bytes = 0;
   struct mt_kv_txn txn = { .expects = expects, .puts = puts };
 
   expects[0] = (struct mt_kv_expect){ pool->leader_key, pool->options.token };
-  for (guint i = 0; i < w->ids->len; i++)
+  for (guint i = 0; i < w->names->len; i++)
     {
-      const char *id = w->ids->pdata[i];
-      char *record = mt_scheduler_job_record (pool->sched, id);
+      const char *name = w->names->pdata[i];
+      char *record = mt_scheduler_job_record (pool->sched, name);
 
       if (record == NULL)
         continue;
-      puts[n].key = mt_pool_progress_key (pool->name, id);
+      puts[n].key = mt_pool_progress_key (pool->name, name);
       puts[n].value = mt_str_from (record);
       puts[n].lease = 0;
       expects[1 + n].key = puts[n].key;
-      expects[1 + n].revision = mt_scheduler_job_revision (pool->sched, id);
-      n++;
+      expects[1 + n].revision = mt_scheduler_job_revision (pool->sched, name);
+      bytes += puts[n++].value.len;
+      if (bytes >= MAX_TXN_BYTES && i + 1 < w->names->len)
+        split_write (w, i + 1);
     }
   txn.n_expects = 1 + n;
   txn.n_puts = n;
-  mt_kv_write (&pool->options.kv, &txn, TXN_TIMEOUT_MS, on_written, w);
+  g_free (w->sent);
+  w->sent = n == 1 ? g_strndup (puts[0].value.data, puts[0].value.len) : NULL;
+  mt_kv_write (&pool->options.kv, &txn, TXN_TIMEOUT_MS + (int64_t) (bytes / TXN_BYTES_PER_MS),
+               on_written, w);
   for (size_t i = 0; i < n; i++)
     {
       g_free ((char *) puts[i].key);
@@ -253,23 +355,20 @@
 static void
 begin_cycle (struct mt_pool *pool, int64_t now)
 {
-  GPtrArray *ids = mt_scheduler_cycle_begin (pool->sched, now, mt_loop_wall_ms ());
+  GPtrArray *names = mt_scheduler_cycle_begin (pool->sched, now, mt_loop_wall_ms ());
 
-  if (ids == NULL)
+  if (names == NULL)
     return;
   pool->cycle_began = now;
-  for (guint at = 0; at < ids->len; at += JOBS_PER_TXN)
+  for (guint at = 0; at < names->len; at += RECORDS_PER_TXN)
     {
-      struct write *w = g_new0 (struct write, 1);
+      struct write *w = new_write (pool);
 
-      w->pool = ref (pool);
-      w->ids = g_ptr_array_new_with_free_func (g_free);
-      w->retry_timer = mt_timer_create (pool->base, retry_write, w);
-      for (guint i = at; i < MIN (at + JOBS_PER_TXN, ids->len); i++)
-        g_ptr_array_add (w->ids, g_strdup (ids->pdata[i]));
+      for (guint i = at; i < MIN (at + RECORDS_PER_TXN, names->len); i++)
+        g_ptr_array_add (w->names, g_strdup (names->pdata[i]));
       g_queue_push_tail (&pool->queued_writes, w);
     }
-  g_ptr_array_unref (ids);
+  g_ptr_array_unref (names);
   send_queued_writes (pool);
 }
 
@@ -444,21 +543,35 @@
 
 /* ---- removal of ended jobs ---- */
 
+struct removal
+{
+  struct mt_pool *pool;
+  char *id;
+  GPtrArray *parts; /* names of removed parts; none: the job's own keys were removed */
+};
+
 static void
 on_removed (void *data, const struct mt_kv_reply *reply)
 {
-  struct write *w = data;
+  struct removal *r = data;
+  struct mt_pool *pool = r->pool;
 
-  w->pool->removal_in_flight = false;
-  if (!w->pool->destroyed && reply->status == MT_KV_OK)
-    for (guint i = 0; i < w->ids->len; i++)
-      mt_scheduler_remove_job (w->pool->sched, w->ids->pdata[i]);
-  unref (w->pool);
-  g_ptr_array_unref (w->ids);
-  g_free (w);
+  pool->removal_in_flight = false;
+  if (!pool->destroyed && reply->status == MT_KV_OK)
+    {
+      for (guint i = 0; i < r->parts->len; i++)
+        mt_scheduler_set_job_revision (pool->sched, r->parts->pdata[i], 0);
+      if (r->parts->len == 0)
+        mt_scheduler_remove_job (pool->sched, r->id);
+    }
+  g_ptr_array_unref (r->parts);
+  g_free (r->id);
+  g_free (r);
+  unref (pool);
 }
 
-/* Removes the three keys of one job that ended long ago. */
+/* Removes keys of one job that ended long ago: first the parts of its record, and last the three
+ * keys that make it known. */
 static void
 remove_expired_job (struct mt_pool *pool, int64_t now)
 {
@@ -466,21 +579,25 @@
   g_autoptr (GPtrArray) keys = g_ptr_array_new_with_free_func (g_free);
   struct mt_kv_expect expect = { pool->leader_key, pool->options.token };
   struct mt_kv_txn txn = { .expects = &expect, .n_expects = 1 };
-  struct write *w;
+  struct removal *r;
 
   if (id == NULL || pool->removal_in_flight)
     return;
-  g_ptr_array_add (keys, mt_pool_job_key (pool->name, id));
-  g_ptr_array_add (keys, mt_pool_progress_key (pool->name, id));
-  g_ptr_array_add (keys, mt_pool_cancel_key (pool->name, id));
+  r = g_new0 (struct removal, 1);
+  *r = (struct removal){ ref (pool), g_strdup (id),
+                         mt_scheduler_stored_parts (pool->sched, id, REMOVALS_PER_TXN) };
+  for (guint i = 0; i < r->parts->len; i++)
+    g_ptr_array_add (keys, mt_pool_progress_key (pool->name, r->parts->pdata[i]));
+  if (r->parts->len == 0)
+    {
+      g_ptr_array_add (keys, mt_pool_job_key (pool->name, id));
+      g_ptr_array_add (keys, mt_pool_progress_key (pool->name, id));
+      g_ptr_array_add (keys, mt_pool_cancel_key (pool->name, id));
+    }
   txn.removes = (const char *const *) keys->pdata;
   txn.n_removes = keys->len;
-  w = g_new0 (struct write, 1);
-  w->pool = ref (pool);
-  w->ids = g_ptr_array_new_with_free_func (g_free);
-  g_ptr_array_add (w->ids, g_strdup (id));
   pool->removal_in_flight = true;
-  mt_kv_write (&pool->options.kv, &txn, TXN_TIMEOUT_MS, on_removed, w);
+  mt_kv_write (&pool->options.kv, &txn, TXN_TIMEOUT_MS, on_removed, r);
 }
 
 /* ---- scheduling ---- */
@@ -532,6 +649,7 @@
 static void
 finish_load (struct mt_pool *pool)
 {
+  mt_scheduler_end_restore (pool->sched, mt_loop_now ());
   pool->loaded = true;
   mt_journal_log (pool->options.journal, "POOL_LOADED", "pool=%s token=%" G_GINT64_FORMAT,
                   pool->name, pool->options.token);
@@ -694,6 +812,7 @@
   mt_timer_clear (pool->load_timer);
   g_queue_clear_full (&pool->queued_writes, (GDestroyNotify) end_write);
   g_queue_clear_full (&pool->failed_writes, (GDestroyNotify) end_write);
+  g_queue_clear_full (&pool->rejected_writes, (GDestroyNotify) end_write);
   mt_watcher_destroy (pool->queue);
   unref (pool);
 }
--- a/fleet/ports.h
+++ b/fleet/ports.h
@@ -31,9 +31,18 @@
   MT_KV_CONFLICT,
   MT_KV_COMPACTED, /* the history since that revision was compacted: list again */
   MT_KV_REFUSED,   /* the store refused the call or was not reached; nothing was done */
-  MT_KV_UNKNOWN,   /* no answer; it may have been done, or may still be done later */
+  /* The store does not accept the call as it is, and will not: nothing was done. */
+  MT_KV_REJECTED,
+  MT_KV_UNKNOWN, /* no answer; it may have been done, or may still be done later */
 };
 
+/* Returns whether it is certain that nothing was done and never will be. */
+static inline bool
+mt_kv_is_refusal (enum mt_kv_status status)
+{
+  return status == MT_KV_REFUSED || status == MT_KV_REJECTED;
+}
+
 struct mt_kv_reply
 {
   enum mt_kv_status status;
--- a/include/medlartrack/event_list.h
+++ b/include/medlartrack/event_list.h
@@ -116,6 +116,7 @@
           G_LOG_LEVEL_MESSAGE,
           "a pool's jobs were loaded and are scheduled again")
 MT_EVENT (8013, RECORD_UNREADABLE, G_LOG_LEVEL_CRITICAL, "a stored record could not be read")
+MT_EVENT (8016, RECORD_REJECTED, G_LOG_LEVEL_CRITICAL, "the store does not accept a job's record")
 MT_EVENT (8015, POOL_LOAD, G_LOG_LEVEL_MESSAGE, "load and capacity of a pool")
 MT_EVENT (8020,
           STORE_AWAY,
--- a/include/medlartrack/job_spec.h
+++ b/include/medlartrack/job_spec.h
@@ -74,6 +74,8 @@
 void mt_job_spec_destroy (struct mt_job_spec *spec);
 /* Returns the number of tasks in one occurrence. */
 unsigned mt_job_spec_tasks (const struct mt_job_spec *spec);
+/* Returns the number of tasks of all occurrences. */
+uint64_t mt_job_spec_all_tasks (const struct mt_job_spec *spec);
 /* Returns the duration in ms of the longest chain of steps, with each step's estimate multiplied by
  * scale. */
 int64_t mt_job_spec_chain_ms (const struct mt_job_spec *spec, double scale);
--- a/include/medlartrack/scheduler.h
+++ b/include/medlartrack/scheduler.h
@@ -47,9 +47,14 @@
   int64_t retention_ms;  /* shortest time for which a job's records are kept after its end */
   int64_t stop_grace_ms; /* longest time that a run goes on after it was ordered to stop */
   const struct mt_share_policy *share_policy; /* NULL: the default, "floor" */
-  bool worker_speed; /* workers are compared by their run times; see scheduler_speed.c */
+  bool worker_speed;     /* workers are compared by their run times; see scheduler_speed.c */
+  unsigned record_tasks; /* most tasks in one record; 0: MT_RECORD_TASKS */
 };
 
+/* With as many tasks, whose ids and checkpoints are the longest that are stored, a record stays
+ * below 1 MB. */
+#define MT_RECORD_TASKS 128U
+
 struct mt_route_policy
 {
   int priority;     /* 0 is placed first */
@@ -158,11 +163,16 @@
                           int64_t now,
                           int64_t wall);
 /* Restores the durable progress of a submitted job from a text of mt_scheduler_job_record and its
- * revision in the store. Returns false if the job isn't known or the record can't be read. What the
- * record does not show may run or be done: none of the job's tasks is started, and the job stays
- * open until it is cancelled. */
-bool mt_scheduler_restore (
-    struct mt_scheduler *sched, const char *id, const char *record, int64_t revision, int64_t now);
+ * revision in the store. The records of a job come in any order. Returns false if the job isn't
+ * known or the record can't be read. What the record does not show may run or be done: none of the
+ * job's tasks is started, and the job stays open until it is cancelled. */
+bool mt_scheduler_restore (struct mt_scheduler *sched,
+                           const char *name,
+                           const char *record,
+                           int64_t revision,
+                           int64_t now);
+/* To be called once all records are restored, before the first cycle. */
+void mt_scheduler_end_restore (struct mt_scheduler *sched, int64_t now);
 /* Ends a job as cancelled; the cancellation must be durable already. Returns false if the job isn't
  * known. */
 bool mt_scheduler_cancel (struct mt_scheduler *sched, const char *id, int64_t now);
@@ -421,26 +431,32 @@
 
 /* ---- durability ---- */
 
-/* Begins a cycle: places waiting tasks and collects changed jobs. Returns the ids of the jobs to
- * store, to be freed with g_ptr_array_unref; NULL if there are none. Jobs of earlier cycles that
- * are not stored yet are left out. */
+/* Begins a cycle: places waiting tasks and collects changed jobs. Returns the names of the records
+ * to store, to be freed with g_ptr_array_unref; NULL if there are none. A job's record has its id
+ * as name; a large one has parts beside it. Jobs of earlier cycles that are not stored yet are left
+ * out. */
 GPtrArray *mt_scheduler_cycle_begin (struct mt_scheduler *sched, int64_t now, int64_t wall);
-/* To be called once the records of these n jobs are stored as of their cycle or later, in any
- * order: releases the starts of their tasks, and the ends that led to their changes become durable.
- * Ids of jobs that are not being written are ignored. */
+/* To be called once these n records are stored as of their cycle or later, in any order: releases
+ * the starts of the jobs of which all are stored, and the ends that led to their changes become
+ * durable. Names of records that are not being written are ignored. */
 void mt_scheduler_jobs_stored (struct mt_scheduler *sched,
-                               const char *const *ids,
+                               const char *const *names,
                                size_t n,
                                int64_t now);
 /* Returns whether a cycle would have anything to do now. */
 bool mt_scheduler_needs_cycle (struct mt_scheduler *sched, int64_t now);
-/* Returns the job's progress as text to be stored; free it with g_free. NULL if the job isn't
- * known. */
-char *mt_scheduler_job_record (const struct mt_scheduler *sched, const char *id);
-/* The revision that the job's record has in the store, which the owner sets after each write; 0
- * before the first write, or if the job isn't known. */
-int64_t mt_scheduler_job_revision (const struct mt_scheduler *sched, const char *id);
-void mt_scheduler_set_job_revision (struct mt_scheduler *sched, const char *id, int64_t revision);
+/* Returns the name of the record that has the task's row, and its offset among the record's tasks;
+ * free it with g_free. NULL if the task isn't known. */
+char *mt_scheduler_task_record (struct mt_scheduler *sched, const char *task, unsigned *offset);
+/* Returns the text of a record, to be stored; free it with g_free. NULL if the job isn't known. */
+char *mt_scheduler_job_record (const struct mt_scheduler *sched, const char *name);
+/* The revision that a record has in the store, which the owner sets after each write; 0 before the
+ * first write, or if the job isn't known. */
+int64_t mt_scheduler_job_revision (const struct mt_scheduler *sched, const char *name);
+void mt_scheduler_set_job_revision (struct mt_scheduler *sched, const char *name, int64_t revision);
+/* Returns the names of at most max stored parts of the job's record, which have to be removed
+ * before the record itself. Free with g_ptr_array_unref. */
+GPtrArray *mt_scheduler_stored_parts (const struct mt_scheduler *sched, const char *id, size_t max);
 /* Returns the id of an ended job whose records may be removed from the store; NULL if there is
  * none. The job stays known until mt_scheduler_remove_job, to be called after the removal. */
 const char *mt_scheduler_expired_job (const struct mt_scheduler *sched, int64_t now);
--- a/tests/fleet/test_frontend_submit.c
+++ b/tests/fleet/test_frontend_submit.c
@@ -27,6 +27,9 @@
 /* The first two submissions get a transaction each; later ones wait and share the next. */
 #define IN_FLIGHT 2
 
+/* Body of a job with more tasks than a leader can hold. */
+#define MANY_TASKS "many tasks"
+
 struct caller
 {
   unsigned status; /* 0: not answered */
@@ -160,6 +163,8 @@
 {
   struct mt_job_spec *spec = mt_job_spec_create (id, route, 1);
 
+  if (mt_str_equal (text, MT_STR (MANY_TASKS)))
+    spec->repeats = 200001;
   spec->steps[0].count = 1;
   spec->steps[0].estimate_ms = 1000;
   return spec;
@@ -278,6 +283,14 @@
   return answer_txn (world, &ok);
 }
 
+static void
+answer_rejected (struct world *world)
+{
+  static const struct mt_kv_reply rejected = { .status = MT_KV_REJECTED };
+
+  g_ptr_array_unref (answer_txn (world, &rejected));
+}
+
 static void
 destroy_world (struct world *world)
 {
@@ -792,6 +805,54 @@
   destroy_world (world);
 }
 
+/* ---- what can't be held ---- */
+
+/* Guards against a job that is accepted though no leader can hold its tasks: each would run out of
+ * memory. */
+static void
+test_job_of_too_many_tasks_is_refused_for_good (void **state)
+{
+  struct world *world = create_world ();
+  struct caller *caller = submit_job (world, "", "00000000000000aa", MANY_TASKS);
+
+  assert_int_equal (caller->status, 413);
+  assert_int_equal (caller->retry_after_s, 0);
+  assert_int_equal (world->txns.length, 0);
+  destroy_world (world);
+}
+
+/* Guards against a submission that the store does not accept and that is sent again and again, with
+ * all that share its transaction. */
+static void
+test_submission_that_is_rejected_is_refused_alone (void **state)
+{
+  for (size_t i = 0; i < 2; i++)
+    {
+      struct world *world = create_world ();
+      struct caller *callers[3];
+
+      mt_frontend_destroy (world->frontend);
+      world->store_wait = i == 1;
+      start_frontend (world);
+      for (unsigned k = 0; k < IN_FLIGHT; k++)
+        submit (world, "");
+      for (unsigned k = 0; k < 3; k++)
+        callers[k] = submit (world, "");
+      for (unsigned k = 0; k < IN_FLIGHT; k++)
+        g_ptr_array_unref (store_txn (world));
+      assert_int_equal (world->txns.length, 1);
+      answer_rejected (world);
+      assert_int_equal (world->txns.length, 3);
+      g_ptr_array_unref (store_txn (world));
+      answer_rejected (world);
+      g_ptr_array_unref (store_txn (world));
+      assert_int_equal (callers[0]->status, 200);
+      assert_int_equal (callers[1]->status, 413);
+      assert_int_equal (callers[2]->status, 200);
+      destroy_world (world);
+    }
+}
+
 /* ---- stop ---- */
 
 /* Time from a stop to its last answer: what a daemon with 6 s for its exit has. */
@@ -1045,6 +1106,8 @@
     cmocka_unit_test (test_leader_without_an_estimate_is_asked_once_in_each_form),
     cmocka_unit_test (test_call_without_a_workspace_has_the_older_form),
     cmocka_unit_test (test_refusal_for_the_share_of_the_pool_is_logged),
+    cmocka_unit_test (test_job_of_too_many_tasks_is_refused_for_good),
+    cmocka_unit_test (test_submission_that_is_rejected_is_refused_alone),
     cmocka_unit_test (test_stop_begins_no_write_that_it_cannot_answer),
     cmocka_unit_test (test_stop_refuses_what_waits_to_be_sent),
     cmocka_unit_test (test_stop_sends_no_refused_write_again),
--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -544,6 +544,61 @@
   destroy_fixture (f);
 }
 
+#define MANY_TASKS 100U
+#define SMALL_JOBS 5U
+/* Longer than the record of a job of a few tasks, shorter than that of MANY_TASKS. */
+#define FEW_BYTES 1000
+
+/* Submits a job of steps with `count` tasks each that need next to nothing. */
+static int
+submit_steps (struct fixture *f, unsigned daemon, const char *id, unsigned steps, unsigned count)
+{
+  g_autofree char *path = g_strdup_printf ("/r1/%s", id);
+  g_autoptr (GString) body = g_string_new ("{\"spec\":\"s\",\"steps\":[");
+
+  for (unsigned i = 0; i < steps; i++)
+    g_string_append_printf (body, "%s{\"count\":%u,\"cpu\":1,\"mem-mb\":1,\"est-runtime-ms\":300}",
+                            i > 0 ? "," : "", count);
+  g_string_append (body, "]}");
+  return harness_status (f->harness, f->daemons[daemon], "POST", path, NULL, body->str);
+}
+
+static void
+cancel_job (struct fixture *f, unsigned daemon, const char *id)
+{
+  g_autofree char *path = g_strdup_printf ("/r1/%s", id);
+
+  assert_int_equal (harness_status (f->harness, f->daemons[daemon], "DELETE", path, NULL, NULL),
+                    200);
+  wait_for_state (f, id, "cancelled");
+}
+
+/* Guards against records that the store does not accept and that are sent again for ever, in all of
+ * the transactions that may be in flight: no other job of the pool begins. */
+static void
+test_record_that_is_rejected_holds_up_its_job_only (void **state)
+{
+  struct fixture *f = create_fixture ("300");
+  g_autofree char *limit = g_strdup_printf ("/test/limit?bytes=%u", FEW_BYTES);
+
+  wait_until_ready (f);
+  wait_for_state (f, "00000000000000aa", "completed");
+  assert_int_equal (post_to_platform (f, limit, ""), 200);
+  for (unsigned i = 0; i < SMALL_JOBS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%016x", 0xf00U + i);
+
+      assert_int_equal (submit_steps (f, 0, id, 1, MANY_TASKS), 200);
+    }
+  assert_int_equal (submit (f, 1, "00000000000000bb", 3, 300), 200);
+  wait_for_state (f, "00000000000000bb", "completed");
+  cancel_job (f, 0, "0000000000000f00");
+  assert_int_equal (post_to_platform (f, "/test/limit?bytes=100000", ""), 200);
+  assert_int_equal (submit (f, 1, "00000000000000cc", 3, 300), 200);
+  wait_for_state (f, "00000000000000cc", "completed");
+  destroy_fixture (f);
+}
+
 #define STOP_CALLERS    24U
 #define STOP_SPACING_MS 250
 
@@ -1169,6 +1224,7 @@
     cmocka_unit_test (test_settled_despite_lost_write_answers),
     cmocka_unit_test (test_settled_despite_a_slow_store),
     cmocka_unit_test (test_job_refused_by_a_stopping_daemon_never_runs),
+    cmocka_unit_test (test_record_that_is_rejected_holds_up_its_job_only),
     cmocka_unit_test (test_settled_only_by_the_store_after_an_unanswered_write),
     cmocka_unit_test (test_surge_in_an_outage_is_served_after_it),
     cmocka_unit_test (test_relayed_when_the_store_refuses_one_daemon),
--- a/tests/scheduler/property_scheduler.cpp
+++ b/tests/scheduler/property_scheduler.cpp
@@ -125,11 +125,13 @@
 {
   struct world *world = world_create ();
   std::vector<Job> jobs;
-  int64_t untold_at = 0; /* last takeover that found a record of an earlier version; 0: none */
+  int64_t untold_at = 0;   /* last takeover that found a record of an earlier version; 0: none */
+  unsigned part_tasks = 0; /* of successors' records; 0: jobs have a single one */
 
-  explicit Model (int64_t max_lease_ms)
+  Model (int64_t max_lease_ms, unsigned record_tasks)
   {
     world_set_max_lease (world, max_lease_ms);
+    world_set_record_tasks (world, record_tasks);
     for (unsigned i = 0; i < max_workers; i++)
       world_add_worker (world, "r1");
     world->run_ms = task_ms;
@@ -294,6 +296,7 @@
   for (const Job &job : m.jobs)
     g_ptr_array_add (specs, make_spec (m, job));
   m.world->records_lack_leases = false;
+  m.world->record_tasks = m.part_tasks;
   m.world->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   world_take_over (m.world, specs);
   for (Job &job : m.jobs)
@@ -308,6 +311,7 @@
       RC_ASSERT (mt_scheduler_restore (m.world->sched, static_cast<const char *> (id),
                                        static_cast<const char *> (record), 1, m.world->now));
     }
+  mt_scheduler_end_restore (m.world->sched, m.world->now);
   notify_leader_of_cancellations (m);
   g_hash_table_unref (m.world->records);
   m.world->records = records;
@@ -675,16 +679,47 @@
                                 { 1, Step::store_recovers },
                                 { 1, Step::calm } };
 
+/* As crash_weights and failure_weights, without records that have no parts after one that has. */
+const Weights part_weights = { { 4, Step::submit },          { 2, Step::submit_gang },
+                               { 1, Step::fail_runs },       { 1, Step::crash },
+                               { 2, Step::cancel },          { 1, Step::cancel_unnotified },
+                               { 2, Step::inject_fault },    { 1, Step::heal },
+                               { 1, Step::reboot },          { 3, Step::restart },
+                               { 1, Step::leave },           { 4, Step::take_over },
+                               { 2, Step::take_over_twice }, { 1, Step::store_fails },
+                               { 1, Step::store_recovers },  { 1, Step::calm } };
+
+struct Records
+{
+  unsigned part_tasks = 0; /* of successors' records */
+  bool has_parts = false;  /* also the first leader's records have parts */
+};
+
+/* Transactions of one record each, which are stored and answered in any order. */
+void
+write_records_apart (Model &m)
+{
+  m.world->jobs_per_txn = 1;
+  m.world->n_write_fates = G_N_ELEMENTS (m.world->write_fates);
+  for (world_write_fate &fate : m.world->write_fates)
+    fate = { *rc::gen::element (0, 0, 10, 40), *rc::gen::element (0, 0, 20) };
+}
+
 void
-run_case (const Weights &weights, unsigned max_listed_ends)
+run_case (const Weights &weights, unsigned max_listed_ends, const Records &records = {})
 {
   const auto steps = *rc::gen::container<std::vector<std::tuple<Step, unsigned, int>>> (
       rc::gen::tuple (rc::gen::weightedElement<Step> (weights), rc::gen::inRange (0U, 1000U),
                       rc::gen::inRange (5, 1500)));
-  Model m (world_max_leases_ms[*rc::gen::inRange (0, WORLD_N_MAX_LEASES)]);
+  Model m (world_max_leases_ms[*rc::gen::inRange (0, WORLD_N_MAX_LEASES)],
+           records.has_parts ? records.part_tasks : 0);
 
   m.world->answers_name_incarnation = *rc::gen::arbitrary<bool> ();
   m.world->max_listed_ends = max_listed_ends;
+  m.part_tasks = records.part_tasks;
+  if (records.part_tasks > 0)
+    write_records_apart (m);
+
   for (const auto &[step, draw, ms] : steps)
     {
       apply_step (m, step, draw);
@@ -711,6 +746,12 @@
   ok = rc::check ("no task runs twice, however long the lease of a restarted worker is",
                   [] { run_case (lease_weights, WORLD_MAX_LISTED_ENDS); })
        && ok;
+  ok = rc::check ("every wanted task runs exactly once, whichever parts of a record are stored",
+                  [] {
+                    run_case (part_weights, WORLD_MAX_LISTED_ENDS,
+                              { *rc::gen::inRange (1U, 4U), *rc::gen::arbitrary<bool> () });
+                  })
+       && ok;
   return ok ? 0 : 1;
 }
 
--- a/tests/scheduler/property_writes.cpp
+++ b/tests/scheduler/property_writes.cpp
@@ -59,9 +59,10 @@
   struct world *world = world_create ();
   std::vector<Job> jobs;
 
-  explicit Model (int64_t max_lease_ms)
+  Model (int64_t max_lease_ms, unsigned record_tasks)
   {
     world_set_max_lease (world, max_lease_ms);
+    world_set_record_tasks (world, record_tasks);
     for (unsigned i = 0; i < max_workers; i++)
       world_add_worker (world, "r1");
     world->run_ms = task_ms;
@@ -200,8 +201,9 @@
                                         { 1, rc::gen::just (-1) } });
 }
 
-int
-run_property ()
+/* part_tasks: most tasks in a record; 0: each job has a single one. */
+void
+run_case (unsigned part_tasks)
 {
   const auto generate_step = rc::gen::weightedElement<Step> ({ { 4, Step::submit },
                                                                { 2, Step::submit_burst },
@@ -211,30 +213,41 @@
                                                                { 3, Step::take_over },
                                                                { 1, Step::store_fails },
                                                                { 2, Step::store_recovers } });
-  bool passed = rc::check ("nothing starts or is acknowledged before it is stored", [&] {
-    const auto fates = *rc::gen::container<std::vector<std::pair<int, int>>> (
-        n_fates, rc::gen::pair (generate_delay (), generate_delay ()));
-    const auto steps = *rc::gen::container<std::vector<std::tuple<Step, unsigned, int>>> (
-        rc::gen::tuple (generate_step, rc::gen::inRange (0U, 1000U), rc::gen::inRange (5, 700)));
-    Model m (world_max_leases_ms[*rc::gen::inRange (0, WORLD_N_MAX_LEASES)]);
-
-    m.world->n_write_fates = n_fates;
-    for (unsigned i = 0; i < n_fates; i++)
-      m.world->write_fates[i] = { fates[i].first, fates[i].second };
-    for (const auto &[step, draw, ms] : steps)
-      {
-        apply_step (m, step, draw);
-        for (int at = 0; at < ms; at += 5)
-          {
-            world_run (m.world, 5);
-            check_invariants (m);
-          }
-      }
-    settle (m);
-    check_invariants (m);
-    check_final_state (m);
-  });
+  const auto fates = *rc::gen::container<std::vector<std::pair<int, int>>> (
+      n_fates, rc::gen::pair (generate_delay (), generate_delay ()));
+  const auto steps = *rc::gen::container<std::vector<std::tuple<Step, unsigned, int>>> (
+      rc::gen::tuple (generate_step, rc::gen::inRange (0U, 1000U), rc::gen::inRange (5, 700)));
+  Model m (world_max_leases_ms[*rc::gen::inRange (0, WORLD_N_MAX_LEASES)], part_tasks);
+
+  if (part_tasks > 0)
+    m.world->jobs_per_txn = 1;
+  m.world->n_write_fates = n_fates;
+  for (unsigned i = 0; i < n_fates; i++)
+    m.world->write_fates[i] = { fates[i].first, fates[i].second };
+  for (const auto &[step, draw, ms] : steps)
+    {
+      apply_step (m, step, draw);
+      for (int at = 0; at < ms; at += 5)
+        {
+          world_run (m.world, 5);
+          check_invariants (m);
+        }
+    }
+  settle (m);
+  check_invariants (m);
+  check_final_state (m);
+}
+
+int
+run_property ()
+{
+  bool passed
+      = rc::check ("nothing starts or is acknowledged before it is stored", [] { run_case (0); });
 
+  passed
+      = rc::check ("nothing starts or is acknowledged before all parts that tell of it are stored",
+                   [] { run_case (*rc::gen::inRange (1U, 4U)); })
+        && passed;
   return passed ? 0 : 1;
 }
 
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -76,6 +76,7 @@
   with_policy.worker_speed = world->worker_speed;
   with_policy.max_lease_ms = world->max_lease_ms;
   with_policy.token = world->token;
+  with_policy.record_tasks = world->record_tasks;
   sched = mt_scheduler_create (&with_policy);
   set_route (world, sched);
   return sched;
@@ -97,6 +98,14 @@
   world->sched = create_scheduler (world);
 }
 
+void
+world_set_record_tasks (struct world *world, unsigned n)
+{
+  world->record_tasks = n;
+  mt_scheduler_destroy (world->sched);
+  world->sched = create_scheduler (world);
+}
+
 void
 world_set_max_lease (struct world *world, int64_t ms)
 {
@@ -360,17 +369,46 @@
   int64_t worker_started_at;
 };
 
-/* Reads the task's row from its job's stored record. */
+/* Reads the row of a task from a part of its job's record. */
+static struct stored_run
+read_part_row (const char *part, unsigned offset)
+{
+  struct stored_run stored = { .found = false };
+  g_autofree char *row = g_strdup_printf ("[%u,", offset);
+  const char *workers = strstr (part, "\"w\":[");
+  const char *at = strstr (part, row);
+  unsigned attempts;
+  int worker = -1;
+
+  if (at == NULL || at > workers)
+    return stored;
+  stored.found = sscanf (at + strlen (row), "%u,%u,%d", &stored.run, &attempts, &worker) == 3;
+  for (at = workers + strlen ("\"w\":["); worker > 0; worker--)
+    at = strchr (at, ']') + 2;
+  if (worker == 0)
+    sscanf (at, "[\"%15[^\"]\",%" G_GINT64_FORMAT, stored.worker, &stored.worker_started_at);
+  return stored;
+}
+
+/* Reads the task's row from its job's stored record, or from the part of it that has the task. */
 static struct stored_run
 find_stored_run (const struct world *world, const char *task)
 {
   struct stored_run stored = { .found = false };
   g_auto (GStrv) parts = g_strsplit (task, ".", 4);
   g_autofree char *row = g_strdup_printf ("[%s,%s,%s,", parts[1], parts[2], parts[3]);
-  const char *record = g_hash_table_lookup (world->records, parts[0]);
-  const char *at = record != NULL ? strstr (record, row) : NULL;
+  g_autofree char *name = NULL;
+  unsigned offset = 0;
+  const char *record;
+  const char *at;
   unsigned attempts;
 
+  name = mt_scheduler_task_record (world->sched, task, &offset);
+  record = g_hash_table_lookup (world->records, name != NULL ? name : parts[0]);
+  if (name != NULL && strchr (name, '.') != NULL)
+    return record != NULL ? read_part_row (record, offset) : stored;
+  at = record != NULL ? strstr (record, row) : NULL;
+
   if (at != NULL)
     stored.found = sscanf (at + strlen (row), "%u,%u,\"%15[^\"]\",%" G_GINT64_FORMAT, &stored.run,
                            &attempts, stored.worker, &stored.worker_started_at)
@@ -1578,6 +1616,7 @@
   g_hash_table_iter_init (&it, world->records);
   while (g_hash_table_iter_next (&it, (void **) &id, (void **) &record))
     mt_scheduler_restore (world->sched, id, record, 1, world->now);
+  mt_scheduler_end_restore (world->sched, world->now);
   if (!world->entries_first)
     deliver_entries (world);
 }
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -179,6 +179,7 @@
   unsigned n_workers;
   bool store_down;                        /* write cycles don't complete */
   GPtrArray *writes;                      /* struct world_write, in the order of sending */
+  unsigned record_tasks;                  /* as in struct mt_scheduler_settings */
   unsigned jobs_per_txn;                  /* 0: one transaction for each cycle */
   struct world_write_fate write_fates[8]; /* of the transactions, in turn */
   unsigned n_write_fates;                 /* 0: each is stored and answered at once */
@@ -242,6 +243,8 @@
 void world_set_share_policy (struct world *world, const char *name);
 /* Makes this and later leaders compare the speed of workers; to be called before anything else. */
 void world_set_worker_speed (struct world *world);
+/* Sets the most tasks in a record, before anything else is done with the world. */
+void world_set_record_tasks (struct world *world, unsigned n);
 /* Sets the longest lease that a worker grants; to be called before anything else. */
 void world_set_max_lease (struct world *world, int64_t ms);
 void world_destroy (struct world *world);
--- a/tests/standins/fleet_main.c
+++ b/tests/standins/fleet_main.c
@@ -4,6 +4,7 @@
  * as "port=N". Besides the platform's calls the port accepts calls for tests:
  *
  *   POST /test/store?mode=up|busy|silent|...   see fleet_store_set_mode
+ *   POST /test/limit?bytes=N                    see fleet_store_set_value_bytes
  *   POST /test/forget                           see fleet_store_compact
  *   POST /test/lose?percent=N                   see fleet_workers_lose_answers
  *   POST /test/late?percent=N&ms=M              see fleet_workers_delay_orders
@@ -78,6 +79,8 @@
     }
   if (strcmp (action, "store") == 0)
     fleet_store_set_mode (p->store, mt_exchange_query (exchange, "mode"));
+  else if (strcmp (action, "limit") == 0)
+    fleet_store_set_value_bytes (p->store, (size_t) number (exchange, "bytes"));
   else if (strcmp (action, "forget") == 0)
     fleet_store_compact (p->store);
   else if (strcmp (action, "lose") == 0)
--- a/tests/standins/fleet_store.c
+++ b/tests/standins/fleet_store.c
@@ -8,6 +8,8 @@
 #define MAX_PAGE_ITEMS 200
 #define UNANSWERED_S   3 /* an unanswered exchange gets status 500 after this time */
 #define SLOW_MS        700
+#define MAX_ENTRIES    32
+#define VALUE_BYTES    (1024 * 1024)
 
 struct item
 {
@@ -57,8 +59,9 @@
   GQueue late;       /* struct late_answer, by time */
   GQueue unanswered; /* struct watch without prefix: exchanges held back, by deadline */
   char *mode;
-  GQueue faults;     /* of the next calls, as GINT_TO_POINTER */
-  GQueue held_calls; /* of struct mt_exchange, to be handled late */
+  size_t value_bytes; /* longest value that is accepted */
+  GQueue faults;      /* of the next calls, as GINT_TO_POINTER */
+  GQueue held_calls;  /* of struct mt_exchange, to be handled late */
   unsigned calls;
 };
 
@@ -280,6 +283,26 @@
   return lease == 0 || g_hash_table_contains (s->leases, &lease);
 }
 
+/* Returns whether the store takes the transaction as it is. */
+static bool
+is_acceptable (const struct fleet_store *s, const json_t *root)
+{
+  const json_t *puts = json_object_get (root, "puts");
+  size_t entries = json_array_size (puts) + json_array_size (json_object_get (root, "expected"))
+                   + json_array_size (json_object_get (root, "remove"));
+  size_t i;
+  const json_t *row;
+
+  json_array_foreach (puts, i, row)
+  {
+    const char *value = json_string_value (json_object_get (row, "value"));
+
+    if (value != NULL && strlen (value) / 4 * 3 > s->value_bytes)
+      return false;
+  }
+  return entries <= MAX_ENTRIES;
+}
+
 /* Applies a transaction of expected revisions, puts and removals, or nothing of it. Sets the HTTP
  * status: 200, 412 (a revision differs) or 404 (a lease is unknown). Returns the answer's body. */
 static json_t *
@@ -354,7 +377,8 @@
   struct mt_str body = mt_exchange_body (exchange);
   json_t *root = json_loadb (body.data, body.len, 0, NULL);
   unsigned status = 400;
-  json_t *answer = root != NULL ? apply_txn (s, root, &status) : json_object ();
+  json_t *answer
+      = root != NULL && is_acceptable (s, root) ? apply_txn (s, root, &status) : json_object ();
 
   json_decref (root);
   if (strcmp (s->mode, "slow") == 0)
@@ -603,6 +627,7 @@
   s->base = base;
   s->revision = 1;
   s->mode = g_strdup ("up");
+  s->value_bytes = VALUE_BYTES;
   s->items = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_item);
   s->changes = g_array_new (FALSE, FALSE, sizeof (struct change));
   s->leases = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -652,6 +677,12 @@
   return item != NULL ? g_strdup (item->value) : NULL;
 }
 
+void
+fleet_store_set_value_bytes (struct fleet_store *s, size_t bytes)
+{
+  s->value_bytes = bytes;
+}
+
 void
 fleet_store_set_mode (struct fleet_store *s, const char *mode)
 {
--- a/tests/standins/fleet_store.h
+++ b/tests/standins/fleet_store.h
@@ -22,6 +22,8 @@
  * effect), "lost" (writes take effect and are not answered), "slow" (writes take effect and are
  * answered after 700 ms), "mute" (watches are not answered, all other calls are). */
 void fleet_store_set_mode (struct fleet_store *store, const char *mode);
+/* Sets the length of the longest value that is accepted; longer ones get 400. */
+void fleet_store_set_value_bytes (struct fleet_store *store, size_t bytes);
 /* What happens to one read, poll (a watch that does not wait) or transaction. */
 enum fleet_fault
 {
