scheduler: tiny tasks of one job hold up no other job

What callers saw: with records of any size, the pool stood still again beside large jobs of tasks that need next to nothing.

Cause: placing stops only where resources end, and tasks of a thousandth of a core fill 9 workers with 576,000. All of them are queued as starts, first come first served, and each answer to a hold lists all of a worker's tasks.

Change: placing stops at 128 tasks for each worker, at which real needs never arrive, and at 512 unsent starts or 32 for each worker, so that tasks of other jobs are placed soon. A job may have 16 tasks in any case. Gangs and long-running tasks are not limited, as all of them have to run. Holds to a worker with many tasks are sent less often.

--- a/core/scheduler/scheduler_orders.c
+++ b/core/scheduler/scheduler_orders.c
@@ -16,6 +16,8 @@
 /* Ends are collected for this long before a worker's next hold: under load one hold then reports
  * several. */
 #define GATHER_ENDS_MS 15
+/* ... and for a millisecond more for as many tasks of the worker, all of which each hold lists. */
+#define GATHER_TASKS_PER_MS 16
 /* The link is full when it delays outgoing messages by more than FULL_LINK_DELAY_MS, well below the
  * time in which the answer to an order is expected. It is late when the delay is above
  * LATE_LINK_DELAY_MS: answers to sent orders may then be overdue. */
@@ -178,8 +180,9 @@
 static bool
 is_hold_due (const struct mt_scheduler *sched, struct mt_worker *w, int64_t now)
 {
-  int64_t gather_ms
-      = MIN (GATHER_ENDS_MS + GATHER_LINK_DELAYS * sched->link_delay_ms, BLOCKED_HOLD_INTERVAL_MS);
+  int64_t gather_ms = MIN (GATHER_ENDS_MS + w->tasks.length / GATHER_TASKS_PER_MS
+                               + GATHER_LINK_DELAYS * sched->link_delay_ms,
+                           BLOCKED_HOLD_INTERVAL_MS);
 
   if (w->hold_in_flight || w->ended || w->address == NULL || w->awaits_token
       || now < w->next_hold_at)
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -7,6 +7,18 @@
 
 /* Most unsent starts at a leader whose link is full: a slow link takes about 100 ms for them. */
 #define MAX_UNSENT_STARTS 40U
+/* Most unsent starts for each worker, and in all at least. Tasks of other jobs that become ready
+ * are placed behind them, and a large job alone has many more. */
+#define UNSENT_STARTS_PER_WORKER 32U
+#define MIN_UNSENT_STARTS        512U
+/* Most tasks in all for each worker, which lists all of its tasks in each answer to a hold. They
+ * are reached only by tasks that need next to nothing. Gangs and long-running tasks have to run all
+ * at once. */
+#define MAX_TASKS_PER_WORKER 128U
+/* Tasks that a job may have in any case, so that it does not wait for those of another. */
+#define MIN_TASKS_PER_JOB 16U
+/* Interval of placing while unsent starts limit it. */
+#define UNSENT_RETRY_MS 20
 /* Interval of attempts to place a suspect that waits for a worker for its isolation. */
 #define SUSPECT_RETRY_MS 100
 
@@ -175,6 +187,17 @@
     }
 }
 
+/* Returns the number of starts that wait to be sent to workers that answer. */
+static unsigned
+count_unsent_starts (const struct mt_scheduler *sched)
+{
+  unsigned n = 0;
+
+  for (const GList *l = sched->starts.head; l != NULL; l = l->next)
+    n += ((const struct mt_task *) l->data)->worker->silent_since == 0;
+  return n;
+}
+
 /* Returns the number of tasks that may be placed now. Behind a full link it is limited to
  * MAX_UNSENT_STARTS waiting starts, and excess starts are withdrawn: a start that waits for the
  * link occupies its worker's resources, so the tasks of a surge would reserve a hundred idle
@@ -185,7 +208,12 @@
   GList *before;
 
   if (!mt_scheduler_is_link_bound (sched, now))
-    return G_MAXUINT;
+    {
+      unsigned limit
+          = MAX (MIN_UNSENT_STARTS, UNSENT_STARTS_PER_WORKER * g_hash_table_size (sched->workers));
+
+      return limit - MIN (count_unsent_starts (sched), limit);
+    }
   for (GList *l = sched->starts.tail; l != NULL && sched->starts.length > MAX_UNSENT_STARTS;
        l = before)
     {
@@ -212,6 +240,14 @@
                                      placement->pass == PASS_WITHIN_LIMIT ? step : NULL, n);
 }
 
+/* Returns whether the pool has as many tasks as its workers should list. */
+static bool
+is_crowded (const struct mt_scheduler *sched, const struct mt_job *job)
+{
+  return sched->countable_tasks >= MAX_TASKS_PER_WORKER * g_hash_table_size (sched->workers)
+         && job->n_placed >= MIN_TASKS_PER_JOB;
+}
+
 /* Returns false if a task found no worker: later passes need not try the step. */
 static bool
 place_ready_step (struct placement *placement, const struct ready_step *ready)
@@ -230,6 +266,8 @@
     {
       if (tasks[i].state != MT_TASK_WAITING)
         continue;
+      if (mt_task_is_countable (&tasks[i]) && is_crowded (placement->sched, tasks[i].occ->job))
+        return true;
       if (is_admitted (placement, &tasks[i], 1))
         {
           if (!place_task (placement, &tasks[i]))
@@ -317,14 +355,19 @@
                              &ready->occ->job->spec->steps[ready->step], placement->now);
 }
 
-/* Tasks that wait for the link or for a quota don't lack resources. */
+/* Tasks that wait for the link, for a quota or for others to end don't lack resources. */
 static void
 set_unplaced (const struct placement *placement, const struct ready_step *ready)
 {
-  ready->occ->step_unplaced[ready->step]
-      = placement->placed < placement->max_placed && !mt_placement_is_over_quota (placement, ready)
-            ? ready->occ->step_waiting[ready->step]
-            : 0;
+  const struct mt_job *job = ready->occ->job;
+  const struct mt_task *first = &ready->occ->tasks[ready->occ->step_first[ready->step]];
+  bool waits_for_others = mt_task_is_countable (first) && is_crowded (placement->sched, job);
+
+  ready->occ->step_unplaced[ready->step] = placement->placed < placement->max_placed
+                                                   && !waits_for_others
+                                                   && !mt_placement_is_over_quota (placement, ready)
+                                               ? ready->occ->step_waiting[ready->step]
+                                               : 0;
 }
 
 static void
@@ -467,6 +510,8 @@
       place_by_value (&placement, ready_steps);
     }
   update_shortages (sched, now);
+  if (placement.placed >= placement.max_placed)
+    mt_placement_schedule_placing (&placement, now + UNSENT_RETRY_MS);
   g_ptr_array_unref (placement.workers);
   g_ptr_array_unref (placement.zones);
   sched->last_placed_at = now;
--- a/core/scheduler/scheduler_tasks.c
+++ b/core/scheduler/scheduler_tasks.c
@@ -15,6 +15,12 @@
   return &task->occ->job->spec->steps[task->step];
 }
 
+bool
+mt_task_is_countable (const struct mt_task *task)
+{
+  return !mt_task_step (task)->gang && !mt_task_step (task)->long_running;
+}
+
 struct mt_task *
 mt_task_get_members (const struct mt_task *task, unsigned *n)
 {
@@ -101,6 +107,8 @@
   mt_task_end_isolation (task);
   mt_task_end_location (task);
   g_queue_unlink (&w->tasks, &task->link);
+  task->occ->job->n_placed--;
+  sched->countable_tasks -= mt_task_is_countable (task);
   add_usage (w, mt_task_step (task), -1);
   mt_account_add_usage (mt_job_account (sched, task->occ->job), mt_task_step (task), -1);
   task->worker = NULL;
@@ -136,6 +144,8 @@
   task->worker = w;
   task->link.data = task;
   g_queue_push_tail_link (&w->tasks, &task->link);
+  task->occ->job->n_placed++;
+  sched->countable_tasks += mt_task_is_countable (task);
   add_usage (w, mt_task_step (task), 1);
   mt_task_isolate (task);
   mt_account_add_usage (mt_job_account (sched, task->occ->job), mt_task_step (task), 1);
--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -544,8 +544,11 @@
   destroy_fixture (f);
 }
 
-#define MANY_TASKS 100U
-#define SMALL_JOBS 5U
+#define LARGE_JOBS  4U
+#define LARGE_STEPS 3U
+#define LARGE_COUNT 9000U
+#define MANY_TASKS  100U
+#define SMALL_JOBS  5U
 /* Longer than the record of a job of a few tasks, shorter than that of MANY_TASKS. */
 #define FEW_BYTES 1000
 
@@ -573,6 +576,38 @@
   wait_for_state (f, id, "cancelled");
 }
 
+/* Guards against large jobs whose progress does not fit into a value of the store: neither they nor
+ * any other job of the pool begin. A successor goes on with them. */
+static void
+test_large_jobs_hold_up_no_other (void **state)
+{
+  struct fixture *f = create_fixture ("300");
+  unsigned leader;
+
+  wait_until_ready (f);
+  wait_for_state (f, "00000000000000aa", "completed");
+  for (unsigned i = 0; i < LARGE_JOBS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%016x", 0xf00U + i);
+
+      assert_int_equal (submit_steps (f, 0, id, LARGE_STEPS, LARGE_COUNT), 200);
+      wait_for_state (f, id, "active");
+    }
+  assert_int_equal (submit (f, 1, "00000000000000bb", 3, 300), 200);
+  wait_for_state (f, "00000000000000bb", "completed");
+  leader = find_leader (f, "quotes");
+  harness_kill (f->daemons[leader]);
+  assert_int_equal (submit (f, (leader + 1) % N_DAEMONS, "00000000000000cc", 3, 300), 200);
+  wait_for_state (f, "00000000000000cc", "completed");
+  for (unsigned i = 0; i < LARGE_JOBS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%016x", 0xf00U + i);
+
+      wait_for_state (f, id, "active");
+    }
+  destroy_fixture (f);
+}
+
 /* Guards against records that the store does not accept and that are sent again for ever, in all of
  * the transactions that may be in flight: no other job of the pool begins. */
 static void
@@ -1224,6 +1259,7 @@
     cmocka_unit_test (test_settled_despite_lost_write_answers),
     cmocka_unit_test (test_settled_despite_a_slow_store),
     cmocka_unit_test (test_job_refused_by_a_stopping_daemon_never_runs),
+    cmocka_unit_test (test_large_jobs_hold_up_no_other),
     cmocka_unit_test (test_record_that_is_rejected_holds_up_its_job_only),
     cmocka_unit_test (test_settled_only_by_the_store_after_an_unanswered_write),
     cmocka_unit_test (test_surge_in_an_outage_is_served_after_it),
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -1786,6 +1786,45 @@
   world_destroy (world);
 }
 
+/* Guards against a large job of tasks that need next to nothing: its thousands of tasks, all of
+ * which each worker lists again and again, hold up those of other jobs. */
+static void
+test_tiny_tasks_leave_others_their_turn (void **state)
+{
+  struct world *world = world_create ();
+  unsigned running = 0;
+
+  world->run_ms = -1;
+  for (unsigned i = 0; i < 2; i++)
+    world_add_worker (world, "r1");
+  world_submit (world, world_job ("large", 2000, 1, 1000));
+  world_run (world, 3000);
+  for (unsigned i = 0; i < 2; i++)
+    running += world->workers[i].runs->len;
+  assert_int_equal (running, 2 * 128);
+  world_submit (world, world_job ("small", 4, 1, 1000));
+  world_run (world, 200);
+  assert_int_equal (world_count_running (world, "small.0.0.3"), 1);
+  world_destroy (world);
+}
+
+/* Guards against long-running tasks that wait because they are many: all of them have to run. */
+static void
+test_all_long_running_tasks_run (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_job_spec *spec = world_job ("large", 600, 1, 1000);
+
+  spec->steps[0].long_running = true;
+  world->run_ms = -1;
+  for (unsigned i = 0; i < 2; i++)
+    world_add_worker (world, "r1");
+  world_submit (world, spec);
+  world_run (world, 3000);
+  assert_int_equal (world->workers[0].runs->len + world->workers[1].runs->len, 600);
+  world_destroy (world);
+}
+
 int
 main (void)
 {
@@ -1799,6 +1838,8 @@
     cmocka_unit_test (test_placement_is_stored_before_start),
     cmocka_unit_test (test_job_cancelled_before_restore_is_stopped),
     cmocka_unit_test (test_successor_stops_runs_of_a_job_recorded_as_cancelled),
+    cmocka_unit_test (test_tiny_tasks_leave_others_their_turn),
+    cmocka_unit_test (test_all_long_running_tasks_run),
     cmocka_unit_test (test_unreadable_record_holds_its_own_job_back),
     cmocka_unit_test (test_checkpoint_text_survives_a_takeover),
     cmocka_unit_test (test_unanswered_transaction_delays_only_its_own_jobs),
