scheduler: the rounds of a drain are counted once for each step

What was seen: a pool with 27,000 long-running tasks on nine workers used two cores and lost its leadership again and again; 6,227 starts in 40 s, 5,799 lapsed.

Cause: each report to the fleet's leader counts, for each long-running task of a worker, the worker's tasks of the same step: the square of the tasks.

Evidence: all of eight stack samples of the leader were in mt_worker_tasks_of_step under mt_scheduler_workers.

Change: tasks that follow one of their own step in the worker's queue are not counted again. The result is the same, as the most over all steps is taken; covered by the controller's tests, there is no timing test.

--- a/core/scheduler/scheduler_load.c
+++ b/core/scheduler/scheduler_load.c
@@ -31,6 +31,16 @@
   return MAX ((int64_t) expected - (now - task->state_since), 0);
 }
 
+/* Returns whether the task before it in the worker's queue is of the same step. */
+static bool
+follows_own_step (const GList *l)
+{
+  const struct mt_task *task = l->data;
+  const struct mt_task *before = l->prev != NULL ? l->prev->data : NULL;
+
+  return before != NULL && before->occ == task->occ && before->step == task->step;
+}
+
 /* Returns the number of rounds in which the worker's long-running tasks can be moved off: the most
  * that any step needs within its max_unavailable. */
 static unsigned
@@ -44,7 +54,7 @@
       const struct mt_step *step = mt_task_step (task);
       unsigned budget = MAX (step->max_unavailable, 1U);
 
-      if (step->long_running)
+      if (step->long_running && !follows_own_step (l))
         rounds = MAX (rounds,
                       (mt_worker_tasks_of_step (w, task->occ, task->step) + budget - 1) / budget);
     }
