controller: a plan whose order may still be carried out is not dropped by its age

Cause: the plan of a machine was dropped once it was older than three times the time to drain, also while an order had no answer: the machine no longer counted as down, another was ordered, and the late order was carried out. A move that was refused after an unanswered order lost its plan in the same way.

Ruled out: a retry that is skipped; it waits for the worker to be empty, which takes as long as it takes.

Change: an unknown outcome is kept with the plan, which stays until the machine is down or a retry has shown the result.

Test: test_plan_with_an_unconfirmed_order_outlives_its_time fails without the change (another machine is ordered).

--- a/core/controller/controller.c
+++ b/core/controller/controller.c
@@ -124,7 +124,7 @@
   m->cordoned_at = 0;
   m->destination = NULL;
   m->wave = NULL;
-  m->order_pending = false;
+  m->order_pending = m->outcome_unknown = false;
 }
 
 /* Takes ownership of worker; NULL for none. */
@@ -483,10 +483,13 @@
 }
 
 /* Returns whether the plan can't be carried out in time any more or has become pointless. A wave
- * may become known after a move of one of its machines has been planned. */
+ * may become known after a move of one of its machines has been planned. A plan whose order may
+ * still be carried out stays until the machine is down or a retry has shown the result. */
 static bool
 plan_is_void (const struct mt_controller *ctl, const struct mt_controller_machine *m, int64_t now)
 {
+  if (m->up && m->outcome_unknown)
+    return false;
   if (!m->up || now - m->planned_at > DRAIN_TIMEOUT_FACTOR * mt_controller_drain_ms (ctl, m))
     return true;
   if (m->wave != NULL)
@@ -606,11 +609,12 @@
     case MT_CONTROLLER_ORDER_UNKNOWN:
       /* The order may have been carried out. The plan stays, so that the machine counts as down
        * until the retry has shown the result. */
+      m->outcome_unknown = true;
       m->retry_at = now + ORDER_RETRY_MS;
       return;
     case MT_CONTROLLER_ORDER_RETRY:
       m->retry_at = now + ORDER_RETRY_MS;
-      if (m->plan == MT_PLAN_MOVE)
+      if (m->plan == MT_PLAN_MOVE && !m->outcome_unknown)
         drop_plan (m);
       return;
     }
--- a/core/controller/controller_internal.h
+++ b/core/controller/controller_internal.h
@@ -76,6 +76,7 @@
   struct mt_controller_pool *destination;
   struct mt_controller_wave *wave;
   bool order_pending;
+  bool outcome_unknown; /* an order of the plan got no answer, and may still be carried out */
   int64_t retry_at;
   int64_t ordered_at;          /* when its last order was carried out */
   bool is_moving;              /* that order was a move, and the machine is not yet up */
--- a/tests/scheduler/test_controller.c
+++ b/tests/scheduler/test_controller.c
@@ -176,6 +176,41 @@
   site_destroy (site);
 }
 
+/* Guards against more machines down than the wave's cap: the plan of a machine whose order got no
+ * answer is dropped by its age, another machine is ordered, and then the late order is carried
+ * out. */
+static void
+test_plan_with_an_unconfirmed_order_outlives_its_time (void **state)
+{
+  struct site *site = site_create ();
+  struct mt_controller_order order;
+  g_autofree char *first = NULL;
+  int at;
+
+  site_report (site);
+  site_wave (site, 1, 60000);
+  assert_int_equal (site_carry_out (site, MT_CONTROLLER_ORDER_UNKNOWN), 0); /* not empty yet */
+  site_report (site);
+  assert_true (mt_controller_next_order (site->controller, site->now, &order));
+  first = g_strdup (order.machine);
+  at = first[1] - '0';
+  mt_controller_handle_result (site->controller, first, MT_CONTROLLER_ORDER_UNKNOWN, site->now);
+  /* No retry: the worker does not seem empty, and the other machines cost less. */
+  site->views[at].tasks = 1;
+  site->views[at].used.cpu = 4000;
+  for (int i = 0; i < 400; i++)
+    {
+      site_report (site);
+      assert_int_equal (site_carry_out (site, MT_CONTROLLER_ORDER_DONE), 0);
+    }
+  site->views[at].tasks = 0;
+  site_report (site);
+  assert_true (mt_controller_next_order (site->controller, site->now, &order));
+  assert_string_equal (order.machine, first);
+  mt_controller_handle_result (site->controller, first, MT_CONTROLLER_ORDER_DONE, site->now);
+  site_destroy (site);
+}
+
 /* A machine's maintenance was done by a call whose answer was lost; ordered again, it is answered
  * as done. The worker there is a later incarnation and keeps running. Guards against notifying its
  * scheduler that it has ended: its tasks would be started a second time. */
@@ -889,6 +924,7 @@
     cmocka_unit_test (test_pool_without_waiting_work_releases_unused_machines),
     cmocka_unit_test (test_machines_already_in_maintenance_count),
     cmocka_unit_test (test_cap_counts_unconfirmed_orders),
+    cmocka_unit_test (test_plan_with_an_unconfirmed_order_outlives_its_time),
     cmocka_unit_test (test_repeated_order_does_not_end_later_incarnation),
     cmocka_unit_test (test_wave_waits_for_a_trough_while_there_is_time),
     cmocka_unit_test (test_machine_that_drains_slowly_begins_early),
