scheduler: starts of a gang are not withdrawn behind a full link

Cause: limit_placing_to_link withdraws unsent starts beyond 40 one by one, also those of a gang of which others were sent; a gang is placed whole only, so the withdrawn members waited for those to end.

Ruled out: withdrawing whole gangs that are all unsent: behind a full link a gang above 40 would be withdrawn before it is sent, each time.

Change: starts of gangs stay. The simulated workers read a gang's size from more than one digit.

Test: test_gang_behind_a_full_link_starts_whole fails without the change (the job is not completed in 15 s).

--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -220,8 +220,9 @@
       struct mt_task *task = l->data;
 
       before = l->prev;
-      /* A start to be resent may have begun its run. */
-      if (task->start_retries == 0)
+      /* A start to be resent may have begun its run. A gang, some of whose starts may have been
+       * sent, would wait for those that are withdrawn until it ends. */
+      if (task->start_retries == 0 && !mt_task_step (task)->gang)
         mt_task_set_waiting (sched, task, now);
     }
   return MAX_UNSENT_STARTS - MIN (sched->starts.length, MAX_UNSENT_STARTS);
--- a/tests/scheduler/test_gangs.c
+++ b/tests/scheduler/test_gangs.c
@@ -156,12 +156,37 @@
   world_destroy (world);
 }
 
+#define LARGE_GANG  "G100-1"
+#define LARGE_COUNT 100
+#define LARGE_CPU   500
+/* At this rate all starts of the large gang take 1.7 s, less than its members wait. */
+#define BYTES_PER_MS 60
+
+/* Guards against a gang of which only some members are started: behind a full link the starts of
+ * the others are withdrawn, and the gang never works. */
+static void
+test_gang_behind_a_full_link_starts_whole (void **state)
+{
+  struct world *world = world_create ();
+
+  world->run_ms = 800;
+  world->link_bytes_per_ms = BYTES_PER_MS;
+  for (unsigned i = 0; i < 4; i++)
+    world_add_worker (world, "r1");
+  world_run (world, 500);
+  world_submit (world, world_gang (1, LARGE_COUNT, LARGE_CPU, 800));
+  assert_true (world_run_until_state (world, LARGE_GANG, MT_JOB_COMPLETED, 15000));
+  assert_int_equal (world->n_starts, LARGE_COUNT);
+  world_destroy (world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_failed_run_counts_once_for_all_members),
     cmocka_unit_test (test_gang_ends_after_its_attempts),
+    cmocka_unit_test (test_gang_behind_a_full_link_starts_whole),
     cmocka_unit_test (test_failed_run_counts_once_over_a_takeover),
     cmocka_unit_test (test_gang_starts_on_a_worker_on_trial),
     cmocka_unit_test (test_waiting_gang_is_not_written),
--- a/tests/scheduler/world.c
+++ b/tests/scheduler/world.c
@@ -1,6 +1,7 @@
 #include "world.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define STEP_MS                5
@@ -706,7 +707,7 @@
     {
       struct world_run *r = &g_array_index (w->runs, struct world_run, i - 1);
 
-      if (r->waits && count_members (world, r) == (unsigned) (r->task[1] - '0'))
+      if (r->waits && count_members (world, r) == (unsigned) strtoul (r->task + 1, NULL, 10))
         {
           r->waits = false;
           r->started_at = world->now;
