scheduler: the time of a scheduled job begins a cycle by itself

Cause: a cycle begins when something has changed or placing is due; the time of an occurrence was looked at only in cycles that something else caused.

Ruled out: the pool's tick, which runs every 20 ms with an open job and asks whether a cycle is needed.

Change: each cycle notes when the next occurrence is due, at most a second ahead, as the wall clock may jump.

Test: test_scheduled_job_begins_in_an_idle_pool fails without the change (no start at the first time).

--- a/core/scheduler/scheduler.c
+++ b/core/scheduler/scheduler.c
@@ -6,6 +6,8 @@
 
 /* A job that is older than this when it reaches the scheduler does not count as an arrival. */
 #define MAX_ARRIVAL_AGE_MS 1000
+/* Due occurrences are looked for at least this often while any is to come. */
+#define MAX_DUE_CHECK_MS 1000
 
 const char *const mt_job_state_names[] = {
   [MT_JOB_QUEUED] = "queued", [MT_JOB_ACTIVE] = "active",       [MT_JOB_COMPLETED] = "completed",
@@ -286,11 +288,22 @@
   mt_occurrence_set_objective (occ);
 }
 
+/* Makes sure that a cycle begins when the occurrence is due. The wall clock may jump meanwhile. */
+static void
+schedule_due_check (struct mt_scheduler *sched, int64_t in_ms, int64_t now)
+{
+  int64_t at = now + MIN (in_ms, MAX_DUE_CHECK_MS);
+
+  if (sched->due_check_at == 0 || at < sched->due_check_at)
+    sched->due_check_at = at;
+}
+
 /* Opens the occurrences whose scheduled time has come. The owner has to smooth out jumps of the
  * wall clock. */
 void
 mt_scheduler_open_due_occurrences (struct mt_scheduler *sched, int64_t now, int64_t wall)
 {
+  sched->due_check_at = 0;
   for (GList *l = sched->open.head; l != NULL; l = l->next)
     {
       struct mt_job *job = l->data;
@@ -302,7 +315,10 @@
           int64_t due = job->spec->first_run_ms + (int64_t) k * job->spec->interval_ms;
 
           if (due > wall)
-            break;
+            {
+              schedule_due_check (sched, due - wall, now);
+              break;
+            }
           if (job->occurrences[k] != NULL)
             continue;
           open_occurrence (job, k, now - (wall - due));
--- a/core/scheduler/scheduler_cycle.c
+++ b/core/scheduler/scheduler_cycle.c
@@ -16,7 +16,8 @@
 bool
 mt_scheduler_needs_cycle (struct mt_scheduler *sched, int64_t now)
 {
-  return sched->changed || (sched->place_at != 0 && now >= sched->place_at);
+  return sched->changed || (sched->place_at != 0 && now >= sched->place_at)
+         || (sched->due_check_at != 0 && now >= sched->due_check_at);
 }
 
 /* ---- ends ---- */
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -426,7 +426,8 @@
   GQueue orphaned_runs; /* orphaned runs to be stopped */
   int64_t long_running_only_until; /* until then a worker takes only long-running tasks */
   bool changed;                    /* a cycle may have something to place or write */
-  int64_t place_at; /* next time at which a waiting task may become placeable; 0: none */
+  int64_t place_at;     /* next time at which a waiting task may become placeable; 0: none */
+  int64_t due_check_at; /* when due occurrences are next looked for; 0: none is scheduled */
   bool fenced;
   int64_t last_placed_at;
   struct mt_loss_rate loss_rate;
--- a/tests/scheduler/test_scheduler.c
+++ b/tests/scheduler/test_scheduler.c
@@ -1786,6 +1786,32 @@
   world_destroy (world);
 }
 
+/* Guards against a scheduled job whose times pass in a pool where nothing else happens. */
+static void
+test_scheduled_job_begins_in_an_idle_pool (void **state)
+{
+  struct world *world = world_create ();
+  struct mt_job_spec *spec = world_job ("aa", 1, 1000, 300);
+
+  world->run_ms = 300;
+  world_add_worker (world, "r1");
+  world_run (world, 1000);
+  spec->repeats = 3;
+  spec->first_run_ms = world->now + 2500;
+  spec->interval_ms = 1500;
+  world_submit (world, spec);
+  world_run (world, 2400);
+  assert_int_equal (world->n_starts, 0);
+  for (unsigned i = 1; i <= 3; i++)
+    {
+      world_run (world, 200);
+      assert_int_equal (world->n_starts, i);
+      world_run (world, 1300);
+    }
+  assert_int_equal (mt_scheduler_job_state (world->sched, "aa"), MT_JOB_COMPLETED);
+  world_destroy (world);
+}
+
 /* Guards against a large job of tasks that need next to nothing: its thousands of tasks, all of
  * which each worker lists again and again, hold up those of other jobs. */
 static void
@@ -1838,6 +1864,7 @@
     cmocka_unit_test (test_placement_is_stored_before_start),
     cmocka_unit_test (test_job_cancelled_before_restore_is_stopped),
     cmocka_unit_test (test_successor_stops_runs_of_a_job_recorded_as_cancelled),
+    cmocka_unit_test (test_scheduled_job_begins_in_an_idle_pool),
     cmocka_unit_test (test_tiny_tasks_leave_others_their_turn),
     cmocka_unit_test (test_all_long_running_tasks_run),
     cmocka_unit_test (test_unreadable_record_holds_its_own_job_back),
