fleet: what the store rejects of waves, homes and forecasts is not sent again at once

What was seen (by reading, after the records of jobs): a wave's progress and the homes of machines that the store answers with 4xx were written again every 75 to 150 ms for as long as the leader lived, and nobody was told; a forecast every 5 s.

Cause: all refusals were alike.

Test: process_fleet is_rejected has a second case, which fails on (nothing is logged). The interval has no test.

--- a/fleet/fleet_leader.c
+++ b/fleet/fleet_leader.c
@@ -45,7 +45,8 @@
   bool active_written;
   bool completed_written;
   bool call_in_flight;
-  guint stored; /* number of machines in the stored progress */
+  int64_t retry_at; /* earliest time of the next write, after one that the store did not accept */
+  guint stored;     /* number of machines in the stored progress */
 };
 
 /* Reference-counted: one reference for the owner and one for each call in flight. */
@@ -68,7 +69,8 @@
 
   bool homes_read; /* the stored home pools of machines have been read */
   bool homes_in_flight;
-  char **homes_sent; /* as last written; see mt_controller_unstored_homes */
+  int64_t homes_retry_at; /* as in struct wave */
+  char **homes_sent;      /* as last written; see mt_controller_unstored_homes */
 };
 
 static struct mt_fleet_leader *
@@ -108,6 +110,19 @@
 }
 
 /* A call in flight for a wave or a pool. */
+/* A value that the store does not accept is sent again after this time: it may have changed. */
+#define REJECTED_RETRY_MS 5000
+
+/* Returns the earliest time of the next write of the value. */
+static int64_t
+next_write_at (const struct mt_fleet_leader *lead, const char *key, enum mt_kv_status status)
+{
+  if (status != MT_KV_REJECTED)
+    return 0;
+  mt_journal_log (lead->options.journal, "RECORD_REJECTED", "pool=- key=%s", key);
+  return mt_loop_now () + REJECTED_RETRY_MS;
+}
+
 struct named_call
 {
   struct mt_fleet_leader *leader;
@@ -250,6 +265,7 @@
   if (w != NULL)
     {
       w->call_in_flight = false;
+      w->retry_at = next_write_at (call->leader, call->name, reply->status);
       if (reply->status != MT_KV_OK)
         {
           w->stored = 0;
@@ -310,7 +326,7 @@
   while (g_hash_table_iter_next (&it, (void **) &key, (void **) &w))
     {
       unfinished |= !w->completed_written;
-      if (w->call_in_flight || w->completed_written)
+      if (w->call_in_flight || w->completed_written || mt_loop_now () < w->retry_at)
         continue;
       if (w->progress_read)
         write_wave (lead, key, w);
@@ -655,6 +671,8 @@
   struct mt_fleet_leader *lead = data;
 
   lead->homes_in_flight = false;
+  if (!lead->destroyed)
+    lead->homes_retry_at = next_write_at (lead, HOMES_KEY, reply->status);
   if (!lead->destroyed && reply->status == MT_KV_OK)
     {
       mt_controller_homes_stored (lead->controller, lead->homes_sent);
@@ -666,7 +684,8 @@
 static void
 write_homes (struct mt_fleet_leader *lead)
 {
-  char **homes = lead->homes_in_flight ? NULL : mt_controller_unstored_homes (lead->controller);
+  bool waits = lead->homes_in_flight || mt_loop_now () < lead->homes_retry_at;
+  char **homes = waits ? NULL : mt_controller_unstored_homes (lead->controller);
   json_t *root;
   char *text;
   struct mt_kv_expect expect = { lead->leader_key, lead->options.token };
--- a/fleet/forecast_store.c
+++ b/fleet/forecast_store.c
@@ -76,13 +76,14 @@
   unref (store);
 }
 
+/* What the store does not accept is not sent again before it has changed. */
 static void
 on_written (void *data, const struct mt_kv_reply *reply)
 {
   struct mt_forecast_store *store = data;
 
   store->in_flight = false;
-  if (!store->destroyed && reply->status == MT_KV_OK)
+  if (!store->destroyed && (reply->status == MT_KV_OK || reply->status == MT_KV_REJECTED))
     store->saved_revision = store->sent_revision;
   unref (store);
 }
--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -1194,6 +1194,37 @@
   destroy_fixture (f);
 }
 
+static bool
+has_logged_rejection (void *ctx)
+{
+  struct fixture *f = ctx;
+
+  for (unsigned i = 0; i < N_DAEMONS; i++)
+    if (has_logged (f->daemons[i], "\"name\":\"RECORD_REJECTED\""))
+      return true;
+  return false;
+}
+
+/* Guards against a wave whose progress the store does not accept and which is written again for
+ * ever unnoticed. It is completed once it is accepted. */
+static void
+test_wave_whose_progress_is_rejected_is_completed_later (void **state)
+{
+  struct fixture *f = create_fixture ("300");
+
+  wait_until_ready (f);
+  wait_for_state (f, "00000000000000aa", "completed");
+  assert_int_equal (post_to_platform (f, "/test/limit?bytes=20", ""), 200);
+  assert_int_equal (
+      post_to_platform (f, "/test/put?key=op/wave/1",
+                        "{\"wave\":1,\"machines\":[\"m0\",\"m1\"],\"deadline-s\":20,\"cap\":2}"),
+      200);
+  assert_true (harness_wait (has_logged_rejection, f));
+  assert_int_equal (post_to_platform (f, "/test/limit?bytes=100000", ""), 200);
+  assert_true (harness_wait (is_wave_done, f));
+  destroy_fixture (f);
+}
+
 /* True if the daemon has logged the event, as a fleet's daemon does: one JSON object a line. */
 /* Submits ten jobs a second for 4 s of each 16 s until a daemon has logged FORECAST. The fleet's
  * leader may take a surge during which it begins for the level between surges; that has decayed
@@ -1261,6 +1292,7 @@
     cmocka_unit_test (test_job_refused_by_a_stopping_daemon_never_runs),
     cmocka_unit_test (test_large_jobs_hold_up_no_other),
     cmocka_unit_test (test_record_that_is_rejected_holds_up_its_job_only),
+    cmocka_unit_test (test_wave_whose_progress_is_rejected_is_completed_later),
     cmocka_unit_test (test_settled_only_by_the_store_after_an_unanswered_write),
     cmocka_unit_test (test_surge_in_an_outage_is_served_after_it),
     cmocka_unit_test (test_relayed_when_the_store_refuses_one_daemon),
