scheduler: only tasks of less than a tenth of a core are limited by their number

What was seen (by reading): the limit of 128 tasks for each worker would leave four fifths of a worker of 64 cores idle with tasks of a tenth of a core, where resources are the better limit.

Change: it counts tiny tasks only, below 100 thousandths of a core.

Test: the tests of the limit, whose tasks need 1, pass unchanged.

--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -413,7 +413,7 @@
   uint64_t grants_sequence;
   bool grants_all;          /* the last grant message asked for all accounts */
   int64_t grants_until;     /* when the last message's grants expire */
-  unsigned countable_tasks; /* placed tasks for which mt_task_is_countable() is true */
+  unsigned tiny_tasks;      /* placed tasks for which mt_task_is_tiny() is true */
   int64_t first_placed_at;  /* time of the first placing; 0: none yet */
   GQueue open;              /* jobs that have not ended, in order of submission */
   GQueue closed;            /* ended jobs, in order of their end */
@@ -495,8 +495,8 @@
 /* Applies the route's present policy to the job, which ends if a task is out of attempts. */
 void mt_job_apply_policy (struct mt_scheduler *sched, struct mt_job *job, int64_t now);
 void mt_job_mark_dirty (struct mt_scheduler *sched, struct mt_job *job);
-/* Returns whether the task counts towards those that the pool's workers should list at most. */
-bool mt_task_is_countable (const struct mt_task *task);
+/* Returns whether the task needs next to nothing and may wait for others to end. */
+bool mt_task_is_tiny (const struct mt_task *task);
 /* Has the row of a task stored, and those of its gang. */
 void mt_task_mark_dirty (struct mt_scheduler *sched, struct mt_task *task);
 /* Records that a task of the job has started: the job no longer counts as pending. */
--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -11,11 +11,10 @@
  * are placed behind them, and a large job alone has many more. */
 #define UNSENT_STARTS_PER_WORKER 32U
 #define MIN_UNSENT_STARTS        512U
-/* Most tasks in all for each worker, which lists all of its tasks in each answer to a hold. They
- * are reached only by tasks that need next to nothing. Gangs and long-running tasks have to run all
- * at once. */
-#define MAX_TASKS_PER_WORKER 128U
-/* Tasks that a job may have in any case, so that it does not wait for those of another. */
+/* Most tiny tasks in all for each worker, which lists all of its tasks in each answer to a hold.
+ * Gangs and long-running tasks are not limited, as they have to run all at once. */
+#define TINY_TASKS_PER_WORKER 128U
+/* Tasks that a job may have beside them, so that it does not wait for those of another. */
 #define MIN_TASKS_PER_JOB 16U
 /* Interval of placing while unsent starts limit it. */
 #define UNSENT_RETRY_MS 20
@@ -241,11 +240,11 @@
                                      placement->pass == PASS_WITHIN_LIMIT ? step : NULL, n);
 }
 
-/* Returns whether the pool has as many tasks as its workers should list. */
+/* Returns whether the pool has as many tiny tasks as its workers should list. */
 static bool
 is_crowded (const struct mt_scheduler *sched, const struct mt_job *job)
 {
-  return sched->countable_tasks >= MAX_TASKS_PER_WORKER * g_hash_table_size (sched->workers)
+  return sched->tiny_tasks >= TINY_TASKS_PER_WORKER * g_hash_table_size (sched->workers)
          && job->n_placed >= MIN_TASKS_PER_JOB;
 }
 
@@ -267,7 +266,7 @@
     {
       if (tasks[i].state != MT_TASK_WAITING)
         continue;
-      if (mt_task_is_countable (&tasks[i]) && is_crowded (placement->sched, tasks[i].occ->job))
+      if (mt_task_is_tiny (&tasks[i]) && is_crowded (placement->sched, tasks[i].occ->job))
         return true;
       if (is_admitted (placement, &tasks[i], 1))
         {
@@ -362,7 +361,7 @@
 {
   const struct mt_job *job = ready->occ->job;
   const struct mt_task *first = &ready->occ->tasks[ready->occ->step_first[ready->step]];
-  bool waits_for_others = mt_task_is_countable (first) && is_crowded (placement->sched, job);
+  bool waits_for_others = mt_task_is_tiny (first) && is_crowded (placement->sched, job);
 
   ready->occ->step_unplaced[ready->step] = placement->placed < placement->max_placed
                                                    && !waits_for_others
--- a/core/scheduler/scheduler_tasks.c
+++ b/core/scheduler/scheduler_tasks.c
@@ -4,6 +4,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* A task that needs less is tiny, in thousandths of a core: workers fit thousands of them. */
+#define TINY_CPU 100
+
 const char *const mt_task_state_names[] = {
   [MT_TASK_WAITING] = "waiting", [MT_TASK_PLACED] = "placed",     [MT_TASK_ORDERED] = "ordered",
   [MT_TASK_RUNNING] = "running", [MT_TASK_STOPPING] = "stopping", [MT_TASK_DONE] = "done",
@@ -16,9 +19,11 @@
 }
 
 bool
-mt_task_is_countable (const struct mt_task *task)
+mt_task_is_tiny (const struct mt_task *task)
 {
-  return !mt_task_step (task)->gang && !mt_task_step (task)->long_running;
+  const struct mt_step *step = mt_task_step (task);
+
+  return !step->gang && !step->long_running && step->need.cpu < TINY_CPU;
 }
 
 struct mt_task *
@@ -108,7 +113,7 @@
   mt_task_end_location (task);
   g_queue_unlink (&w->tasks, &task->link);
   task->occ->job->n_placed--;
-  sched->countable_tasks -= mt_task_is_countable (task);
+  sched->tiny_tasks -= mt_task_is_tiny (task);
   add_usage (w, mt_task_step (task), -1);
   mt_account_add_usage (mt_job_account (sched, task->occ->job), mt_task_step (task), -1);
   task->worker = NULL;
@@ -145,7 +150,7 @@
   task->link.data = task;
   g_queue_push_tail_link (&w->tasks, &task->link);
   task->occ->job->n_placed++;
-  sched->countable_tasks += mt_task_is_countable (task);
+  sched->tiny_tasks += mt_task_is_tiny (task);
   add_usage (w, mt_task_step (task), 1);
   mt_task_isolate (task);
   mt_account_add_usage (mt_job_account (sched, task->occ->job), mt_task_step (task), 1);
