--- a/core/scheduler/scheduler.c
+++ b/core/scheduler/scheduler.c
@@ -259,11 +259,7 @@
   occ->step_unplaced = g_new0 (unsigned, spec->n_steps);
   occ->step_done = g_new0 (unsigned, spec->n_steps);
   occ->step_ms = g_new0 (double, spec->n_steps);
-  if (job->in_parts)
-    {
-      occ->n_parts = (occ->n_tasks + job->part_tasks - 1) / job->part_tasks;
-      occ->parts = g_new0 (struct mt_record_part, occ->n_parts);
-    }
+  mt_occurrence_create_parts (occ);
   for (unsigned s = 0; s < spec->n_steps; s++)
     {
       occ->step_first[s] = at;
--- a/core/scheduler/scheduler_internal.h
+++ b/core/scheduler/scheduler_internal.h
@@ -878,6 +878,8 @@
 bool mt_scheduler_find_record (const struct mt_scheduler *sched,
                                const char *name,
                                struct mt_record_ref *out);
+/* Creates the parts of an occurrence whose job's record has parts. */
+void mt_occurrence_create_parts (struct mt_occurrence *occ);
 /* Returns the number of tasks in a part. */
 unsigned mt_record_part_tasks (const struct mt_record_ref *ref);
 /* Adds the names of the job's changed records to out; they count as being written. */
--- a/core/scheduler/scheduler_parts.c
+++ b/core/scheduler/scheduler_parts.c
@@ -31,6 +31,17 @@
   return true;
 }
 
+void
+mt_occurrence_create_parts (struct mt_occurrence *occ)
+{
+  unsigned tasks = occ->job->part_tasks;
+
+  if (!occ->job->in_parts)
+    return;
+  occ->n_parts = (occ->n_tasks + tasks - 1) / tasks;
+  occ->parts = g_new0 (struct mt_record_part, occ->n_parts);
+}
+
 unsigned
 mt_record_part_tasks (const struct mt_record_ref *ref)
 {
@@ -61,18 +72,20 @@
 }
 
 char *
-mt_scheduler_task_record (struct mt_scheduler *sched, const char *name, unsigned *offset)
+mt_scheduler_task_record (struct mt_scheduler *sched, const char *task, unsigned *offset)
 {
-  const struct mt_task *task = mt_scheduler_find_task (sched, name);
-  const struct mt_job *job = task != NULL ? task->occ->job : NULL;
-  unsigned at = task != NULL ? (unsigned) (task - task->occ->tasks) : 0;
+  const struct mt_task *found = mt_scheduler_find_task (sched, task);
+  const struct mt_job *job;
+  unsigned at;
 
-  if (task == NULL)
+  if (found == NULL)
     return NULL;
+  job = found->occ->job;
+  at = (unsigned) (found - found->occ->tasks);
   *offset = job->in_parts ? at % job->part_tasks : at;
-  return job->in_parts
-             ? g_strdup_printf ("%s.%u.%u", job->spec->id, task->occ->number, at / job->part_tasks)
-             : g_strdup (job->spec->id);
+  if (!job->in_parts)
+    return g_strdup (job->spec->id);
+  return g_strdup_printf ("%s.%u.%u", job->spec->id, found->occ->number, at / job->part_tasks);
 }
 
 static void
