scheduler: tiny tasks start and end apart

Evidence: STORE_AWAY in the logs of both daemons each 1.4 s, JOB_REFUSED "the store is not expected back in time" for the job; no store call was lost in between. Ruled out: the job's place in the queue (it was never stored).

Change: one placing starts at most 4 tiny tasks for each worker, 25 ms apart or more, and the pool has 64 of them for each worker. A submission that shares a rejected transaction is not begun anew late in a stop.

--- a/core/scheduler/scheduler_place.c
+++ b/core/scheduler/scheduler_place.c
@@ -13,7 +13,10 @@
 #define MIN_UNSENT_STARTS        512U
 /* Most tiny tasks in all for each worker, which lists all of its tasks in each answer to a hold.
  * Gangs and long-running tasks are not limited, as they have to run all at once. */
-#define TINY_TASKS_PER_WORKER 128U
+#define TINY_TASKS_PER_WORKER 64U
+/* Most of them that one placing starts for each worker: thousands that start together end together,
+ * and each end is listed, stored and acknowledged. */
+#define TINY_STARTS_PER_WORKER 4U
 /* Tasks that a job may have beside them, so that it does not wait for those of another. */
 #define MIN_TASKS_PER_JOB 16U
 /* Interval of placing while unsent starts limit it. */
@@ -97,6 +100,7 @@
     }
   mt_task_place (placement->sched, task, w, placement->now);
   placement->placed++;
+  placement->tiny_placed += mt_task_is_tiny (task);
   return true;
 }
 
@@ -240,12 +244,17 @@
                                      placement->pass == PASS_WITHIN_LIMIT ? step : NULL, n);
 }
 
-/* Returns whether the pool has as many tiny tasks as its workers should list. */
+/* Returns whether the pool has as many tiny tasks as its workers should list, or as many were
+ * placed now as should start together. */
 static bool
-is_crowded (const struct mt_scheduler *sched, const struct mt_job *job)
+is_crowded (const struct placement *placement, const struct mt_job *job)
 {
-  return sched->tiny_tasks >= TINY_TASKS_PER_WORKER * g_hash_table_size (sched->workers)
-         && job->n_placed >= MIN_TASKS_PER_JOB;
+  const struct mt_scheduler *sched = placement->sched;
+  unsigned workers = g_hash_table_size (sched->workers);
+
+  return job->n_placed >= MIN_TASKS_PER_JOB
+         && (sched->tiny_tasks >= TINY_TASKS_PER_WORKER * workers
+             || placement->tiny_placed >= TINY_STARTS_PER_WORKER * workers);
 }
 
 /* Returns false if a task found no worker: later passes need not try the step. */
@@ -266,7 +275,7 @@
     {
       if (tasks[i].state != MT_TASK_WAITING)
         continue;
-      if (mt_task_is_tiny (&tasks[i]) && is_crowded (placement->sched, tasks[i].occ->job))
+      if (mt_task_is_tiny (&tasks[i]) && is_crowded (placement, tasks[i].occ->job))
         return true;
       if (is_admitted (placement, &tasks[i], 1))
         {
@@ -361,7 +370,7 @@
 {
   const struct mt_job *job = ready->occ->job;
   const struct mt_task *first = &ready->occ->tasks[ready->occ->step_first[ready->step]];
-  bool waits_for_others = mt_task_is_tiny (first) && is_crowded (placement->sched, job);
+  bool waits_for_others = mt_task_is_tiny (first) && is_crowded (placement, job);
 
   ready->occ->step_unplaced[ready->step] = placement->placed < placement->max_placed
                                                    && !waits_for_others
@@ -510,7 +519,8 @@
       place_by_value (&placement, ready_steps);
     }
   update_shortages (sched, now);
-  if (placement.placed >= placement.max_placed)
+  if (placement.placed >= placement.max_placed
+      || placement.tiny_placed >= TINY_STARTS_PER_WORKER * g_hash_table_size (sched->workers))
     mt_placement_schedule_placing (&placement, now + UNSENT_RETRY_MS);
   g_ptr_array_unref (placement.workers);
   g_ptr_array_unref (placement.zones);
--- a/core/scheduler/scheduler_place.h
+++ b/core/scheduler/scheduler_place.h
@@ -63,7 +63,8 @@
   struct unplaceable unplaceable;          /* of all tasks ... */
   struct unplaceable reserved_unplaceable; /* ... except those for which workers are reserved */
   unsigned placed;
-  unsigned max_placed; /* limit on placed */
+  unsigned tiny_placed; /* ... of these, tiny tasks */
+  unsigned max_placed;  /* limit on placed */
 };
 
 /* scheduler_ready.c */
--- a/fleet/frontend_submit_txn.c
+++ b/fleet/frontend_submit_txn.c
@@ -385,10 +385,11 @@
       if (s->outcome_unknown)
         mt_submit_end (s, 504, "the store did not answer");
       else
-        mt_submit_end (s, 413, "the store does not accept a job of this size");
+        mt_submit_end (s, 413, "the store does not accept the job");
       end_txn (t);
       return;
     }
+  keep_unsettled (t);
   for (guint i = 0; i < t->submits->len; i++)
     {
       struct txn *single = new_txn (frontend);
